Add the operators' schema and the replicated state: configuration, leases, logical clock

Cause: operators need typed changes which apply all or nothing and stay, and planners need an authority that one process holds at a time.

--- /dev/null
+++ b/internal/fleet/restore.go
@@ -0,0 +1,44 @@
+package fleet
+
+import "fmt"
+
+// Restore replaces the configuration by that of a backup, as a new revision.
+// The revision never goes back.
+type Restore struct {
+	Backup     Configuration `json:"backup"`
+	AllowOlder bool          `json:"allow_older"` // the backup may be older than the configuration
+}
+
+func (a Restore) touch(*Delta) {}
+
+func (a Restore) summary() string {
+	return fmt.Sprintf("restore the backup of revision %d", a.Backup.Revision)
+}
+
+func (a Restore) apply(d *draft, _ Actor) *Error {
+	if a.Backup.Revision < d.base.Revision && !a.AllowOlder {
+		return errInvalid(
+			fmt.Sprintf("the backup of revision %d is older than the configuration at revision %d", a.Backup.Revision, d.base.Revision),
+			"check the difference with a dry run, then allow an older backup explicitly")
+	}
+	rev := d.delta.Revision
+	replace(&d.delta.Endpoints, d.base.Endpoints, a.Backup.Endpoints, func(e *Endpoint) { e.Revision = rev })
+	replace(&d.delta.Teams, d.base.Teams, a.Backup.Teams, func(t *Team) { t.Revision = rev })
+	replace(&d.delta.Operators, d.base.Operators, a.Backup.Operators, func(o *Operator) { o.Revision = rev })
+	replace(&d.delta.Declarations, d.base.Declarations, a.Backup.Declarations, func(e *Declaration) { e.Revision = rev })
+	policy := a.Backup.Policy
+	policy.Revision = rev
+	d.delta.Policy = &policy
+	return nil
+}
+
+// replace makes a delta that turns the values of base into those of backup.
+func replace[V any](changes *map[string]*V, base, backup map[string]V, stamp func(*V)) {
+	for name := range base {
+		set(changes, name, nil)
+	}
+	for name, v := range backup {
+		stamp(&v)
+		set(changes, name, &v)
+	}
+}
--- /dev/null
+++ b/internal/statemachine/statemachine.go
@@ -0,0 +1,145 @@
+// Package statemachine is the state that the control group agrees on: the
+// configuration, the planners' leases and the claims, driven by the replicated
+// log. The same log gives the same state at every replica.
+package statemachine
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"filberthook/internal/fleet"
+	"filberthook/internal/invariant"
+	"filberthook/internal/lease"
+)
+
+// commandVersion is the newest version of commands that this program writes
+// and reads.
+const commandVersion = 1
+
+// Command is one entry of the replicated log. At most one part is set besides
+// the clock; a command without parts only advances the time.
+type Command struct {
+	Version int             `json:"version"`
+	Clock   Reading         `json:"clock"` // of the leader that proposed the command
+	Fleet   *fleet.Command  `json:"fleet,omitempty"`
+	Lease   *lease.Command  `json:"lease,omitempty"`
+	Claim   json.RawMessage `json:"claim,omitempty"`
+}
+
+// Encode stamps a command with the leader's clock and returns it in the form
+// that Apply reads.
+func (c Command) Encode(clock Reading) ([]byte, error) {
+	c.Version = commandVersion
+	c.Clock = clock
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode command: %w", err)
+	}
+	return data, nil
+}
+
+// Response is the outcome of a command; the part of the command is set.
+type Response struct {
+	Fleet *fleet.Result   `json:"fleet,omitempty"`
+	Lease *lease.Result   `json:"lease,omitempty"`
+	Claim json.RawMessage `json:"claim,omitempty"`
+}
+
+// SubMachine is a part of the state with commands of its own. It must be pure
+// and deterministic; Machine calls it under its lock.
+type SubMachine interface {
+	// Apply applies a command at a logical time and returns its outcome.
+	Apply(now time.Duration, cmd json.RawMessage) json.RawMessage
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+// Observer is told of each new configuration, in order, under the lock of the
+// machine. It must return quickly and must not call the machine.
+type Observer interface {
+	// ConfigurationChanged receives the newest configuration. The delta leads to
+	// it from the revision before; nil means that the state was replaced.
+	ConfigurationChanged(c fleet.Configuration, d *fleet.Delta)
+}
+
+// Machine is the replicated state. It is safe for concurrent use.
+type Machine struct {
+	observer Observer
+
+	mu     sync.RWMutex // guards the fields below
+	clock  logicalClock
+	fleet  *fleet.Fleet
+	leases *lease.Table
+	claims SubMachine // nil when the host has no claims
+}
+
+// New returns an empty state. The observer and claims may be nil.
+func New(observer Observer, claims SubMachine) *Machine {
+	return &Machine{observer: observer, fleet: fleet.New(), leases: lease.NewTable(), claims: claims}
+}
+
+// Apply applies one entry of the log and returns a Response.
+func (m *Machine) Apply(index uint64, data []byte) any {
+	var cmd Command
+	err := json.Unmarshal(data, &cmd)
+	invariant.Check(err == nil && cmd.Version <= commandVersion, "log-readable",
+		"entry %d has version %d, this program reads up to %d (%v); run a release that is not older than the leader's",
+		index, cmd.Version, commandVersion, err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.apply(cmd)
+}
+
+func (m *Machine) apply(cmd Command) Response {
+	now := m.clock.advance(cmd.Clock)
+	switch {
+	case cmd.Fleet != nil:
+		result := m.fleet.Apply(*cmd.Fleet)
+		if result.Delta != nil {
+			m.notify(result.Delta)
+		}
+		return Response{Fleet: &result}
+	case cmd.Lease != nil:
+		result := m.leases.Apply(now, *cmd.Lease)
+		return Response{Lease: &result}
+	case cmd.Claim != nil && m.claims != nil:
+		return Response{Claim: m.claims.Apply(now, cmd.Claim)}
+	}
+	return Response{}
+}
+
+func (m *Machine) notify(d *fleet.Delta) {
+	if m.observer != nil {
+		m.observer.ConfigurationChanged(m.fleet.Configuration(), d)
+	}
+}
+
+// Configuration returns the newest configuration that this replica has applied.
+func (m *Machine) Configuration() fleet.Configuration {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.fleet.Configuration()
+}
+
+// DryRun returns the result that a command would have now.
+func (m *Machine) DryRun(cmd fleet.Command) fleet.Result {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.fleet.DryRun(cmd)
+}
+
+// Audit returns up to limit accepted commands, newest first.
+func (m *Machine) Audit(limit int) []fleet.AuditEntry {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.fleet.Audit(limit)
+}
+
+// Leases returns the newest grant of each scope.
+func (m *Machine) Leases() []lease.Lease {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.leases.Leases()
+}
