Add peer: JSON-RPC between our processes with limits, handshake and mutual TLS

Cause: entries, control replicas and planners need one bounded transport. Change: package peer over jsonrpc2: length-framed messages with a size limit, protocol version handshake, host identity from the certificate, plaintext on loopback only, calls and connections bounded, every refusal counted.

--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,207 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Client calls one peer over one connection that it dials when needed.
+type Client struct {
+	addr string
+	opts Options
+
+	mu       sync.Mutex     // guards the fields below
+	conn     *jsonrpc2.Conn // nil when not connected
+	dialing  chan struct{}  // closed when the dial under way ends; nil when none is
+	notUntil time.Time      // no dial before this time after a failure
+	lastErr  error
+	closed   bool
+}
+
+// NewClient returns a Client of the process at addr (host:port by IP number).
+func NewClient(addr string, opts Options) *Client {
+	return &Client{addr: addr, opts: opts.withDefaults()}
+}
+
+// Address returns the peer's address.
+func (c *Client) Address() string { return c.addr }
+
+// Call calls method and waits for its result. An UnreachableError tells that
+// the call was not made; a RemoteError that the peer answered with an error;
+// after any other error the call may have run.
+func (c *Client) Call(ctx context.Context, method string, params, result any) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.opts.CallTimeout)
+		defer cancel()
+	}
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return &UnreachableError{Address: c.addr, Err: err}
+	}
+	err = conn.Call(ctx, method, params, result)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		c.drop(conn)
+	}
+	return remoteError(err)
+}
+
+// Notify sends method without waiting for an answer; it may be lost.
+func (c *Client) Notify(ctx context.Context, method string, params any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return &UnreachableError{Address: c.addr, Err: err}
+	}
+	err = conn.Notify(ctx, method, params)
+	if err != nil {
+		c.drop(conn)
+	}
+	return err
+}
+
+// Close ends the connection; later calls fail.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.conn == nil {
+		return nil
+	}
+	conn := c.conn
+	c.conn = nil
+	return conn.Close()
+}
+
+// drop forgets a connection that failed.
+func (c *Client) drop(conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	conn.Close()
+}
+
+// connect returns the open connection or dials one. Only one goroutine dials;
+// the others wait for it without holding the lock.
+func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	for {
+		c.mu.Lock()
+		if conn, err, done := c.current(); done {
+			c.mu.Unlock()
+			return conn, err
+		}
+		if c.dialing == nil {
+			c.dialing = make(chan struct{})
+			c.mu.Unlock()
+			return c.dialAndStore()
+		}
+		wait := c.dialing
+		c.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// current answers from the state at hand; done is false when a dial is needed
+// or under way. The caller holds c.mu.
+func (c *Client) current() (conn *jsonrpc2.Conn, err error, done bool) {
+	if c.closed {
+		return nil, net.ErrClosed, true
+	}
+	if c.conn != nil {
+		select {
+		case <-c.conn.DisconnectNotify():
+			c.conn = nil
+		default:
+			return c.conn, nil, true
+		}
+	}
+	if c.dialing == nil && time.Now().Before(c.notUntil) {
+		return nil, c.lastErr, true
+	}
+	return nil, nil, false
+}
+
+func (c *Client) dialAndStore() (*jsonrpc2.Conn, error) {
+	conn, err := c.dial()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.dialing)
+	c.dialing = nil
+	if err == nil && c.closed {
+		conn.Close()
+		return nil, net.ErrClosed
+	}
+	if err != nil {
+		c.lastErr = err
+		c.notUntil = time.Now().Add(c.opts.RedialDelay)
+		return nil, err
+	}
+	c.conn = conn
+	return conn, nil
+}
+
+// dial connects, secures and shakes hands.
+func (c *Client) dial() (*jsonrpc2.Conn, error) {
+	raw, err := c.opts.Dial("tcp", c.addr, c.opts.DialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.opts.DialTimeout)
+	defer cancel()
+	secured, err := c.secure(ctx, raw)
+	if err != nil {
+		raw.Close()
+		return nil, err
+	}
+	wrapped := &deadlineConn{Conn: secured, writeTimeout: c.opts.WriteTimeout}
+	stream := jsonrpc2.NewBufferedStream(wrapped, codec{maxBytes: c.opts.MaxMessageBytes})
+	conn := jsonrpc2.NewConn(context.Background(), stream, noCalls{}, jsonrpc2.SetLogger(discardLogger{}))
+	h := hello{Identity: c.opts.Self, ProtocolMin: ProtocolMin, ProtocolMax: ProtocolMax}
+	var w welcome
+	if err := conn.Call(ctx, methodHello, h, &w); err != nil {
+		conn.Close()
+		return nil, remoteError(err)
+	}
+	return conn, nil
+}
+
+func (c *Client) secure(ctx context.Context, raw net.Conn) (net.Conn, error) {
+	if c.opts.TLS == nil {
+		return raw, requireLoopback(raw.RemoteAddr())
+	}
+	cfg := c.opts.TLS.Clone()
+	if cfg.ServerName == "" {
+		host, _, err := net.SplitHostPort(c.addr)
+		if err != nil {
+			return nil, err
+		}
+		cfg.ServerName = host
+	}
+	tc := tls.Client(raw, cfg)
+	if err := tc.HandshakeContext(ctx); err != nil {
+		return nil, err
+	}
+	return tc, nil
+}
+
+// noCalls refuses calls from the server's side of a connection.
+type noCalls struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (noCalls) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Notif {
+		return
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: CodeNoSuchCall, Message: "this end serves no calls"})
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"time"
+)
+
+// frameHeaderBytes is the length of the big-endian size before each message.
+const frameHeaderBytes = 4
+
+// codec frames each JSON message by its length and refuses long ones.
+type codec struct{ maxBytes int }
+
+// MessageSizeError refuses a message longer than the limit.
+type MessageSizeError struct{ Bytes, Limit int }
+
+func (e *MessageSizeError) Error() string {
+	return fmt.Sprintf("message of %d bytes is over the limit of %d: split it or raise the limit on both ends", e.Bytes, e.Limit)
+}
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (c codec) WriteObject(w io.Writer, obj any) error {
+	body, err := json.Marshal(obj)
+	if err != nil {
+		return err
+	}
+	if len(body) > c.maxBytes {
+		return &MessageSizeError{Bytes: len(body), Limit: c.maxBytes}
+	}
+	frame := make([]byte, frameHeaderBytes, frameHeaderBytes+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)))
+	_, err = w.Write(append(frame, body...))
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (c codec) ReadObject(r *bufio.Reader, v any) error {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return err
+	}
+	size := int(binary.BigEndian.Uint32(header[:]))
+	if size > c.maxBytes {
+		return &MessageSizeError{Bytes: size, Limit: c.maxBytes}
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return err
+	}
+	return json.Unmarshal(body, v)
+}
+
+// deadlineConn bounds every write, so that a peer that stops reading cannot
+// hold a writer for ever.
+type deadlineConn struct {
+	net.Conn
+	writeTimeout time.Duration
+}
+
+func (c *deadlineConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,171 @@
+// Package peer carries JSON-RPC 2.0 calls between the system's own processes
+// over TCP, with mutual TLS outside loopback. It limits message sizes, calls in
+// flight and waiting times, and refuses strangers and unknown protocol versions.
+//
+// It does not know what the calls mean and does not retry them.
+package peer
+
+import (
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Protocol versions that this build speaks. Both ends use the highest version
+// that both of them speak and refuse each other when there is none.
+const (
+	ProtocolMin = 1
+	ProtocolMax = 1
+)
+
+// Default limits of a connection.
+const (
+	DefaultMaxMessageBytes  = 8 << 20
+	DefaultMaxCalls         = 256
+	DefaultMaxConnections   = 1024
+	DefaultDialTimeout      = 2 * time.Second
+	DefaultWriteTimeout     = 5 * time.Second
+	DefaultHandshakeTimeout = 3 * time.Second
+	DefaultCallTimeout      = 10 * time.Second
+	DefaultRedialDelay      = 200 * time.Millisecond
+)
+
+// Identity names the process at the other end of a connection.
+type Identity struct {
+	Host     string `json:"host"`
+	Zone     string `json:"zone"`
+	Verified bool   `json:"-"` // true when a client certificate names the host
+}
+
+// Options are the settings of a server or client. Zero values take defaults.
+type Options struct {
+	Self            Identity
+	TLS             *tls.Config // nil allows plaintext, on loopback only
+	MaxMessageBytes int
+	MaxCalls        int // calls served at once per connection
+	MaxConnections  int // connections served at once
+	DialTimeout     time.Duration
+	WriteTimeout    time.Duration
+	CallTimeout     time.Duration // used when the context has no deadline
+	RedialDelay     time.Duration // pause after a failed dial; calls fail at once meanwhile
+	Metrics         *metrics.Set
+	Logger          *slog.Logger
+	Dial            func(network, address string, timeout time.Duration) (net.Conn, error)
+}
+
+func (o Options) withDefaults() Options {
+	setInt(&o.MaxMessageBytes, DefaultMaxMessageBytes)
+	setInt(&o.MaxCalls, DefaultMaxCalls)
+	setInt(&o.MaxConnections, DefaultMaxConnections)
+	setDuration(&o.DialTimeout, DefaultDialTimeout)
+	setDuration(&o.WriteTimeout, DefaultWriteTimeout)
+	setDuration(&o.CallTimeout, DefaultCallTimeout)
+	setDuration(&o.RedialDelay, DefaultRedialDelay)
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewSet()
+	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	if o.Dial == nil {
+		o.Dial = net.DialTimeout
+	}
+	return o
+}
+
+func setInt(v *int, def int) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+func setDuration(v *time.Duration, def time.Duration) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+// requireLoopback refuses plaintext to and from other machines.
+func requireLoopback(addr net.Addr) error {
+	tcp, ok := addr.(*net.TCPAddr)
+	if ok && tcp.IP.IsLoopback() {
+		return nil
+	}
+	return &PlaintextError{Address: addr.String()}
+}
+
+// hello is the first call on a connection.
+type hello struct {
+	Identity
+	ProtocolMin int `json:"protocol_min"`
+	ProtocolMax int `json:"protocol_max"`
+}
+
+// welcome answers hello.
+type welcome struct {
+	Identity
+	Protocol int `json:"protocol"`
+}
+
+const methodHello = "peer.hello"
+
+// negotiate returns the highest version that both sides speak.
+func negotiate(h hello) (int, error) {
+	version := min(h.ProtocolMax, ProtocolMax)
+	if version < ProtocolMin || version < h.ProtocolMin {
+		return 0, &VersionError{TheirMin: h.ProtocolMin, TheirMax: h.ProtocolMax}
+	}
+	return version, nil
+}
+
+// PlaintextError refuses an unencrypted connection outside loopback.
+type PlaintextError struct{ Address string }
+
+func (e *PlaintextError) Error() string {
+	return fmt.Sprintf("plaintext to or from %s refused: set tls.ca, tls.certificate and tls.key, or use a loopback address", e.Address)
+}
+
+// VersionError refuses a process whose protocol versions do not overlap.
+type VersionError struct{ TheirMin, TheirMax int }
+
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("peer speaks protocol %d to %d, this process %d to %d: upgrade the older process first",
+		e.TheirMin, e.TheirMax, ProtocolMin, ProtocolMax)
+}
+
+// UnreachableError tells that no call reached the peer.
+type UnreachableError struct {
+	Address string
+	Err     error
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("peer %s not reached, call not made: %v; try another peer", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// RemoteError is an error that the peer's handler returned.
+type RemoteError struct {
+	Code    int64
+	Message string
+	Data    []byte // JSON detail, may be empty
+}
+
+func (e *RemoteError) Error() string { return e.Message }
+
+// Codes of errors that this package itself answers.
+const (
+	CodeBusy       = -32001 // too many calls at once; try again later
+	CodeNoHello    = -32002 // first call was not the handshake
+	CodeApp        = 1      // a handler's error without a code of its own
+	CodeVersion    = -32003
+	CodeIdentity   = -32004
+	CodeBadParams  = -32602
+	CodeNoSuchCall = -32601
+)
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,239 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Server accepts connections from other processes and serves a Mux.
+type Server struct {
+	opts Options
+	mux  *Mux
+
+	refusedPlaintext  *metrics.Counter
+	refusedTLS        *metrics.Counter
+	refusedFull       *metrics.Counter
+	refusedHello      *metrics.Counter
+	refusedBusy       *metrics.Counter
+	connectionsServed *metrics.Counter
+}
+
+// NewServer returns a Server; Serve starts it.
+func NewServer(opts Options, mux *Mux) *Server {
+	opts = opts.withDefaults()
+	refused := func(reason string) *metrics.Counter {
+		return opts.Metrics.GetOrCreateCounter(fmt.Sprintf(`filberthook_peer_refused_total{reason=%q}`, reason))
+	}
+	return &Server{
+		opts:              opts,
+		mux:               mux,
+		refusedPlaintext:  refused("plaintext"),
+		refusedTLS:        refused("tls"),
+		refusedFull:       refused("connections_full"),
+		refusedHello:      refused("hello"),
+		refusedBusy:       refused("calls_full"),
+		connectionsServed: opts.Metrics.GetOrCreateCounter("filberthook_peer_connections_total"),
+	}
+}
+
+// Serve accepts connections until ctx ends, then closes them and returns nil.
+// It returns the listener's error when accepting fails for another reason.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var conns sync.WaitGroup
+	defer conns.Wait()
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+
+	slots := make(chan struct{}, s.opts.MaxConnections)
+	for {
+		conn, err := ln.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept on %s: %w", ln.Addr(), err)
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			s.refusedFull.Inc()
+			conn.Close()
+			continue
+		}
+		conns.Go(func() {
+			defer func() { <-slots }()
+			s.serveConn(ctx, conn)
+		})
+	}
+}
+
+// serveConn runs one connection to its end.
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	secured, host, err := s.secure(conn)
+	if err != nil {
+		s.opts.Logger.Warn("peer connection refused", "remote", conn.RemoteAddr().String(), "err", err)
+		conn.Close()
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sess := &session{
+		srv:      s,
+		certHost: host,
+		slots:    make(chan struct{}, s.opts.MaxCalls),
+	}
+	wrapped := &deadlineConn{Conn: secured, writeTimeout: s.opts.WriteTimeout}
+	stream := jsonrpc2.NewBufferedStream(wrapped, codec{maxBytes: s.opts.MaxMessageBytes})
+	rpc := jsonrpc2.NewConn(ctx, stream, sess, jsonrpc2.SetLogger(discardLogger{}))
+	s.connectionsServed.Inc()
+	helloTimer := time.AfterFunc(DefaultHandshakeTimeout, func() {
+		if !sess.greeted() {
+			s.refusedHello.Inc()
+			rpc.Close()
+		}
+	})
+	defer helloTimer.Stop()
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-ctx.Done():
+	}
+	rpc.Close()
+	cancel()
+	sess.calls.Wait()
+}
+
+// secure completes TLS, or checks that plaintext is allowed. It returns the
+// host name in the client's certificate, empty for plaintext.
+func (s *Server) secure(conn net.Conn) (net.Conn, string, error) {
+	if s.opts.TLS == nil {
+		if err := requireLoopback(conn.RemoteAddr()); err != nil {
+			s.refusedPlaintext.Inc()
+			return nil, "", err
+		}
+		return conn, "", nil
+	}
+	tc := tls.Server(conn, s.opts.TLS)
+	ctx, cancel := context.WithTimeout(context.Background(), DefaultHandshakeTimeout)
+	defer cancel()
+	if err := tc.HandshakeContext(ctx); err != nil {
+		s.refusedTLS.Inc()
+		return nil, "", err
+	}
+	certs := tc.ConnectionState().PeerCertificates
+	if len(certs) == 0 {
+		s.refusedTLS.Inc()
+		return nil, "", errors.New("no client certificate: set tls.certificate and tls.key at the peer")
+	}
+	return tc, certs[0].Subject.CommonName, nil
+}
+
+// session is the server's side of one connection.
+type session struct {
+	srv      *Server
+	certHost string
+	slots    chan struct{}
+	calls    sync.WaitGroup
+
+	mu   sync.Mutex
+	from *Identity // guarded by mu; nil until the handshake
+}
+
+func (s *session) greeted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.from != nil
+}
+
+// Handle implements jsonrpc2.Handler. Notifications run in order on the
+// reading goroutine; calls run on goroutines of their own, up to MaxCalls.
+func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	if req.Method == methodHello {
+		s.reply(ctx, conn, req, func() (any, error) { return s.hello(params) })
+		return
+	}
+	s.mu.Lock()
+	from := s.from
+	s.mu.Unlock()
+	if from == nil {
+		s.srv.refusedHello.Inc()
+		s.reply(ctx, conn, req, func() (any, error) {
+			return nil, &jsonrpc2.Error{Code: CodeNoHello, Message: "handshake missing: call " + methodHello + " first"}
+		})
+		return
+	}
+	serve := func() (any, error) { return s.srv.mux.serve(ctx, *from, req.Method, params) }
+	if req.Notif {
+		s.reply(ctx, conn, req, serve)
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		s.srv.refusedBusy.Inc()
+		s.reply(ctx, conn, req, func() (any, error) {
+			return nil, &jsonrpc2.Error{Code: CodeBusy, Message: "too many calls at once, not run: try again later"}
+		})
+		return
+	}
+	s.calls.Go(func() {
+		defer func() { <-s.slots }()
+		s.reply(ctx, conn, req, serve)
+	})
+}
+
+func (s *session) hello(params json.RawMessage) (any, error) {
+	var h hello
+	if err := json.Unmarshal(params, &h); err != nil {
+		return nil, &jsonrpc2.Error{Code: CodeBadParams, Message: err.Error()}
+	}
+	version, err := negotiate(h)
+	if err != nil {
+		s.srv.refusedHello.Inc()
+		return nil, &jsonrpc2.Error{Code: CodeVersion, Message: err.Error()}
+	}
+	if s.srv.opts.TLS != nil && h.Host != s.certHost {
+		s.srv.refusedHello.Inc()
+		return nil, &jsonrpc2.Error{Code: CodeIdentity, Message: fmt.Sprintf("host %q does not match certificate %q: issue a certificate for this host", h.Host, s.certHost)}
+	}
+	id := h.Identity
+	id.Verified = s.srv.opts.TLS != nil
+	s.mu.Lock()
+	s.from = &id
+	s.mu.Unlock()
+	return welcome{Identity: s.srv.opts.Self, Protocol: version}, nil
+}
+
+func (s *session) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, serve func() (any, error)) {
+	result, err := serve()
+	if req.Notif {
+		return
+	}
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, wireError(err))
+		return
+	}
+	if replyErr := conn.Reply(ctx, req.ID, result); replyErr != nil {
+		s.srv.opts.Logger.Debug("reply not sent", "method", req.Method, "err", replyErr)
+	}
+}
+
+// discardLogger drops the library's own log lines; errors reach callers.
+type discardLogger struct{}
+
+// Printf implements jsonrpc2.Logger.
+func (discardLogger) Printf(string, ...any) {}
