--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,221 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/invariant"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// shardCount is the number of independently locked parts of a Directory.
+const shardCount = 16
+
+// Directory holds the records of all known instances in shards.
+type Directory struct {
+	shards     [shardCount]shard
+	generation atomic.Uint64 // grows with every change that a reader can see
+	snapshot   atomic.Pointer[Snapshot]
+	rebuild    sync.Mutex // held while a snapshot is built; ordered before shard locks
+}
+
+type shard struct {
+	mu         sync.RWMutex // guards the maps below
+	records    map[string]*Record
+	tombstones map[string]tombstone // versions of instances whose lease has run out
+}
+
+// tombstone keeps a version that must not come back, and until when.
+type tombstone struct {
+	version Version
+	until   time.Duration
+}
+
+// Snapshot is an immutable view of the live instances, sorted by name.
+type Snapshot struct {
+	Generation uint64
+	Records    []*Record
+}
+
+// Find returns the record of an instance, nil when it is not known.
+func (s *Snapshot) Find(instance string) *Record {
+	i, ok := slices.BinarySearchFunc(s.Records, instance, func(r *Record, name string) int {
+		return cmp.Compare(r.Announcement.Instance, name)
+	})
+	if !ok {
+		return nil
+	}
+	return s.Records[i]
+}
+
+// New returns an empty Directory.
+func New() *Directory {
+	d := &Directory{}
+	for i := range d.shards {
+		d.shards[i].records = make(map[string]*Record)
+		d.shards[i].tombstones = make(map[string]tombstone)
+	}
+	d.snapshot.Store(&Snapshot{})
+	return d
+}
+
+func (d *Directory) shard(instance string) *shard {
+	return &d.shards[xxhash.Sum64String(instance)%shardCount]
+}
+
+// Put stores an announcement heard directly or through another host; age is
+// the time since it left the instance. It reports whether the announcement was
+// news: only news needs to be passed on.
+func (d *Directory) Put(now, age time.Duration, a engineapi.Announcement) (news bool, err error) {
+	if err := Validate(&a); err != nil {
+		return false, err
+	}
+	age = max(age, 0)
+	rec := &Record{
+		Announcement: a,
+		HeardAt:      now - age,
+		LoadAt:       now - age - time.Duration(a.Load.AgeMillis)*time.Millisecond,
+	}
+	if rec.Expires() <= now {
+		return false, nil
+	}
+	s := d.shard(a.Instance)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.accepts(a.Instance, rec.Version()) {
+		return false, nil
+	}
+	s.put(rec)
+	d.generation.Add(1)
+	return true, nil
+}
+
+// accepts reports whether a version is newer than all that is remembered of
+// the instance. The caller holds s.mu.
+func (s *shard) accepts(instance string, v Version) bool {
+	if t, ok := s.tombstones[instance]; ok && !v.Newer(t.version) {
+		return false
+	}
+	old, ok := s.records[instance]
+	return !ok || v.Newer(old.Version())
+}
+
+// put stores a record, keeping the newest load report. The caller holds s.mu.
+func (s *shard) put(rec *Record) {
+	name := rec.Announcement.Instance
+	if old, ok := s.records[name]; ok {
+		invariant.Check(rec.Version().Newer(old.Version()), "directory-version-grows",
+			"instance %s: %v after %v", name, rec.Version(), old.Version())
+		sameRun := old.Announcement.Incarnation == rec.Announcement.Incarnation
+		if sameRun && old.Announcement.Load.Sequence > rec.Announcement.Load.Sequence {
+			rec.Announcement.Load = old.Announcement.Load
+			rec.LoadAt = old.LoadAt
+		}
+	}
+	s.records[name] = rec
+	delete(s.tombstones, name)
+}
+
+// ObserveLoad stores a load report that came with an answer, when it is newer
+// than the one known.
+func (d *Directory) ObserveLoad(now time.Duration, instance string, incarnation uint64, load engineapi.LoadReport) {
+	s := d.shard(instance)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.records[instance]
+	if !ok || old.Announcement.Incarnation != incarnation || load.Sequence <= old.Announcement.Load.Sequence {
+		return
+	}
+	rec := *old
+	rec.Announcement.Load = load
+	rec.LoadAt = now - time.Duration(load.AgeMillis)*time.Millisecond
+	s.records[instance] = &rec
+	d.generation.Add(1)
+}
+
+// MarkDraining records that an instance refused work because it is leaving,
+// before its own announcement of that arrives.
+func (d *Directory) MarkDraining(instance string, incarnation uint64) {
+	s := d.shard(instance)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.records[instance]
+	if !ok || old.Announcement.Incarnation != incarnation || old.Announcement.Draining {
+		return
+	}
+	rec := *old
+	rec.Announcement.Draining = true
+	s.records[instance] = &rec
+	d.generation.Add(1)
+}
+
+// Expire removes the instances whose lease has run out and returns them.
+func (d *Directory) Expire(now time.Duration) []*Record {
+	var gone []*Record
+	for i := range d.shards {
+		gone = append(gone, d.shards[i].expire(now)...)
+	}
+	if len(gone) > 0 {
+		d.generation.Add(1)
+	}
+	return gone
+}
+
+func (s *shard) expire(now time.Duration) []*Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var gone []*Record
+	for name, rec := range s.records {
+		if rec.Expires() > now {
+			continue
+		}
+		gone = append(gone, rec)
+		delete(s.records, name)
+		s.tombstones[name] = tombstone{version: rec.Version(), until: now + TombstoneDuration}
+	}
+	for name, t := range s.tombstones {
+		if t.until <= now {
+			delete(s.tombstones, name)
+		}
+	}
+	return gone
+}
+
+// Snapshot returns the newest view. It builds a new one only when something
+// has changed since the last call.
+func (d *Directory) Snapshot() *Snapshot {
+	snap := d.snapshot.Load()
+	if snap.Generation == d.generation.Load() {
+		return snap
+	}
+	d.rebuild.Lock()
+	defer d.rebuild.Unlock()
+	gen := d.generation.Load()
+	if snap = d.snapshot.Load(); snap.Generation == gen {
+		return snap
+	}
+	snap = &Snapshot{Generation: gen, Records: d.collect()}
+	d.snapshot.Store(snap)
+	return snap
+}
+
+func (d *Directory) collect() []*Record {
+	var all []*Record
+	for i := range d.shards {
+		s := &d.shards[i]
+		s.mu.RLock()
+		for _, rec := range s.records {
+			all = append(all, rec)
+		}
+		s.mu.RUnlock()
+	}
+	slices.SortFunc(all, func(a, b *Record) int {
+		return cmp.Compare(a.Announcement.Instance, b.Announcement.Instance)
+	})
+	return all
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,182 @@
+package directory
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"filberthook/internal/engineapi"
+
+	"pgregory.net/rapid"
+)
+
+func announcement(instance string, incarnation, seq uint64) engineapi.Announcement {
+	return engineapi.Announcement{
+		Instance:     instance,
+		Incarnation:  incarnation,
+		Sequence:     seq,
+		Kind:         engineapi.KindModel,
+		Zone:         "bio",
+		Address:      "127.0.0.1:9000",
+		LeaseSeconds: 2,
+	}
+}
+
+func put(t *testing.T, d *Directory, now, age time.Duration, a engineapi.Announcement) bool {
+	t.Helper()
+	news, err := d.Put(now, age, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return news
+}
+
+func TestOnlyNewerVersionsAreNews(t *testing.T) {
+	cases := []struct {
+		name             string
+		incarnation, seq uint64
+		want             bool
+	}{
+		{"the same again", 2, 5, false},
+		{"older sequence", 2, 4, false},
+		{"older incarnation with a higher sequence", 1, 9, false},
+		{"newer sequence", 2, 6, true},
+		{"newer incarnation with a lower sequence", 3, 1, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := New()
+			put(t, d, 0, 0, announcement("w1", 2, 5))
+			if got := put(t, d, 0, 0, announcement("w1", tc.incarnation, tc.seq)); got != tc.want {
+				t.Errorf("news = %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestLeaseEndsByAgeAndDoesNotComeBack(t *testing.T) {
+	d := New()
+	put(t, d, 10*time.Second, 1500*time.Millisecond, announcement("w1", 1, 1))
+	if gone := d.Expire(10*time.Second + 499*time.Millisecond); len(gone) != 0 {
+		t.Fatalf("expired early: %v", gone)
+	}
+	if gone := d.Expire(10*time.Second + 500*time.Millisecond); len(gone) != 1 {
+		t.Fatalf("expired %d instances, want 1", len(gone))
+	}
+	if put(t, d, 11*time.Second, 0, announcement("w1", 1, 1)) {
+		t.Error("an old announcement revived an expired instance")
+	}
+	if !put(t, d, 11*time.Second, 0, announcement("w1", 1, 2)) {
+		t.Error("a newer announcement was not taken")
+	}
+}
+
+func TestLeaseIsBounded(t *testing.T) {
+	a := announcement("w1", 1, 1)
+	a.LeaseSeconds = 3600
+	d := New()
+	put(t, d, 0, 0, a)
+	if gone := d.Expire(MaxLease); len(gone) != 1 {
+		t.Error("a lease longer than MaxLease was granted")
+	}
+}
+
+func TestLoadOfAnswersWinsOverOlderAnnouncement(t *testing.T) {
+	d := New()
+	a := announcement("w1", 1, 1)
+	a.Load = engineapi.LoadReport{Sequence: 3, Running: 1}
+	put(t, d, 0, 0, a)
+	d.ObserveLoad(time.Second, "w1", 1, engineapi.LoadReport{Sequence: 7, Running: 4})
+	d.ObserveLoad(time.Second, "w1", 9, engineapi.LoadReport{Sequence: 99, Running: 99})
+	a.Sequence = 2
+	a.Load.Sequence = 5
+	put(t, d, time.Second, 0, a)
+	if got := d.Snapshot().Find("w1").Announcement.Load.Running; got != 4 {
+		t.Errorf("running = %d, want the newer report's 4", got)
+	}
+}
+
+func TestMarkDraining(t *testing.T) {
+	d := New()
+	put(t, d, 0, 0, announcement("w1", 1, 1))
+	d.MarkDraining("w1", 2)
+	if d.Snapshot().Find("w1").Announcement.Draining {
+		t.Error("drained by a refusal of another incarnation")
+	}
+	d.MarkDraining("w1", 1)
+	if !d.Snapshot().Find("w1").Announcement.Draining {
+		t.Error("not drained")
+	}
+}
+
+func TestValidate(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*engineapi.Announcement)
+	}{
+		{"no instance", func(a *engineapi.Announcement) { a.Instance = "" }},
+		{"no zone", func(a *engineapi.Announcement) { a.Zone = "" }},
+		{"host name as address", func(a *engineapi.Announcement) { a.Address = "worker:80" }},
+		{"no incarnation", func(a *engineapi.Announcement) { a.Incarnation = 0 }},
+		{"unknown kind", func(a *engineapi.Announcement) { a.Kind = "database" }},
+		{"service without endpoint", func(a *engineapi.Announcement) { a.Kind = engineapi.KindService }},
+		{"negative pieces", func(a *engineapi.Announcement) { a.Pieces = -1 }},
+		{"too many models", func(a *engineapi.Announcement) { a.State.Models = make([]engineapi.Model, MaxModels+1) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			a := announcement("w1", 1, 1)
+			tc.change(&a)
+			var invalid *InvalidError
+			if _, err := New().Put(0, 0, a); !errors.As(err, &invalid) {
+				t.Errorf("got %v, want an InvalidError", err)
+			}
+		})
+	}
+}
+
+// TestMergeOrderDoesNotMatter checks that two hosts that hear the same
+// announcements in different orders agree.
+func TestMergeOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		heard := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) engineapi.Announcement {
+			name := rapid.SampledFrom([]string{"w1", "w2", "w3"}).Draw(t, "instance")
+			return announcement(name, rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Uint64Range(1, 5).Draw(t, "sequence"))
+		}), 0, 20).Draw(t, "heard")
+		shuffled := rapid.Permutation(heard).Draw(t, "shuffled")
+		if a, b := versions(t, heard), versions(t, shuffled); a != b {
+			t.Fatalf("orders disagree: %s and %s", a, b)
+		}
+	})
+}
+
+func versions(t *rapid.T, heard []engineapi.Announcement) string {
+	d := New()
+	for _, a := range heard {
+		if _, err := d.Put(0, 0, a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var out string
+	for _, r := range d.Snapshot().Records {
+		out += fmt.Sprint(r.Announcement.Instance, r.Version(), " ")
+	}
+	return out
+}
+
+func BenchmarkSnapshotAfterPut(b *testing.B) {
+	d := New()
+	for i := range 120 {
+		if _, err := d.Put(0, 0, announcement(fmt.Sprintf("w%d", i), 1, 1)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if _, err := d.Put(0, 0, announcement("w7", 1, uint64(i+2))); err != nil {
+			b.Fatal(err)
+		}
+		d.Snapshot()
+	}
+}
