Add a deterministic model of one model engine

Cause: stand-ins and the policy experiment need one engine model that no clock drives, so that both measure the same engine.

--- /dev/null
+++ b/internal/enginemodel/memory.go
@@ -0,0 +1,137 @@
+package enginemodel
+
+import (
+	"container/list"
+	"time"
+
+	"filberthook/internal/engineapi"
+)
+
+// cacheKey names one prefix piece.
+type cacheKey struct {
+	model string
+	hash  uint64
+}
+
+// cacheEntry is one prefix piece in memory. It is in the LRU list exactly when
+// no request pins it.
+type cacheEntry struct {
+	key  cacheKey
+	pins int
+	lru  *list.Element
+}
+
+// memory counts the pieces of one engine. Invariant: private pieces plus cache
+// entries never exceed total.
+type memory struct {
+	total   int
+	private int
+	pinned  int // entries with at least one pin
+	entries map[cacheKey]*cacheEntry
+	lru     *list.List // unpinned entries, least recently used first
+	log     eventLog
+}
+
+func newMemory(cfg Config) *memory {
+	return &memory{
+		total:   cfg.Pieces,
+		entries: make(map[cacheKey]*cacheEntry),
+		lru:     list.New(),
+		log:     eventLog{lag: cfg.CacheEventLag, lossEvery: cfg.CacheEventLossEvery},
+	}
+}
+
+// used returns the pieces that running requests hold.
+func (m *memory) used() int { return m.private + m.pinned }
+
+// available returns the pieces that can be taken, with those that evicting
+// unpinned entries would free.
+func (m *memory) available() int { return m.total - m.used() }
+
+// take reserves n private pieces, evicting unpinned entries as needed. It
+// reports false and takes nothing when they are not available.
+func (m *memory) take(now time.Duration, n int) bool {
+	if n > m.available() {
+		return false
+	}
+	for m.total-m.private-len(m.entries) < n {
+		m.evictOldest(now)
+	}
+	m.private += n
+	return true
+}
+
+func (m *memory) release(n int) { m.private -= n }
+
+func (m *memory) evictOldest(now time.Duration) {
+	e := m.lru.Remove(m.lru.Front()).(*cacheEntry)
+	delete(m.entries, e.key)
+	m.log.add(now, engineapi.CacheRemoved, e.key)
+}
+
+// match returns how many leading pieces of the prompt are in the cache.
+func (m *memory) match(model string, prefixes []uint64) int {
+	for i, h := range prefixes {
+		if _, ok := m.entries[cacheKey{model, h}]; !ok {
+			return i
+		}
+	}
+	return len(prefixes)
+}
+
+// pin marks an entry as used by one more request.
+func (m *memory) pin(k cacheKey) {
+	e := m.entries[k]
+	if e.pins == 0 {
+		m.lru.Remove(e.lru)
+		e.lru = nil
+		m.pinned++
+	}
+	e.pins++
+}
+
+func (m *memory) unpin(k cacheKey) {
+	e, ok := m.entries[k]
+	if !ok {
+		return
+	}
+	e.pins--
+	if e.pins == 0 {
+		e.lru = m.lru.PushBack(e)
+		m.pinned--
+	}
+}
+
+// store turns one private piece of a request into a pinned cache entry. When
+// the prefix is already stored the private piece is freed instead.
+func (m *memory) store(now time.Duration, k cacheKey) {
+	m.private--
+	if _, ok := m.entries[k]; ok {
+		m.pin(k)
+		return
+	}
+	m.entries[k] = &cacheEntry{key: k, pins: 1}
+	m.pinned++
+	m.log.add(now, engineapi.CacheStored, k)
+}
+
+// clear drops all entries. No request may pin any.
+func (m *memory) clear(now time.Duration) {
+	m.entries = make(map[cacheKey]*cacheEntry)
+	m.lru.Init()
+	m.log.add(now, engineapi.CacheCleared, cacheKey{})
+}
+
+// dropModel drops the unpinned entries of one model.
+func (m *memory) dropModel(now time.Duration, model string) {
+	for el := m.lru.Front(); el != nil; {
+		next := el.Next()
+		e := el.Value.(*cacheEntry)
+		if e.key.model == model {
+			m.lru.Remove(el)
+			delete(m.entries, e.key)
+			m.log.add(now, engineapi.CacheRemoved, e.key)
+		}
+		el = next
+	}
+}
