--- a/internal/distribution/confirm.go
+++ b/internal/distribution/confirm.go
@@ -8,8 +8,8 @@
 // confirmInterval is the time between a replica's confirmations.
 const confirmInterval = 400 * time.Millisecond
 
-// RunConfirmations keeps a hub fresh until ctx ends: it confirms the replica's
-// revision with the leader again and again. A failure leaves the hub as it is;
+// RunConfirmations keeps a hub fresh until ctx ends: it confirms again
+// and again that the replica is up to date. A failure leaves the hub as it is;
 // the hub then tells its watchers that it is stale.
 func RunConfirmations(ctx context.Context, hub *Hub) {
 	ticker := time.NewTicker(confirmInterval)
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,8 +33,8 @@
 	hub      *Hub
 	registry *Registry
 	applied  fleet.Configuration
-	cut      bool // from the leader
-	down     bool // from the watchers
+	cut      atomic.Bool // from the leader
+	down     atomic.Bool // from the watchers
 }
 
 func newGroup(size int) *group {
@@ -63,7 +64,7 @@
 	}
 	g.deltas = append(g.deltas, *r.Delta)
 	for _, replica := range g.replicas {
-		if !replica.cut {
+		if !replica.cut.Load() {
 			replica.catchUp()
 		}
 	}
@@ -76,19 +77,19 @@
 	}
 }
 
-func (r *replica) NewestRevision(ctx context.Context) (uint64, error) {
-	if r.cut {
+func (r *replica) ReadBarrier(ctx context.Context) error {
+	if r.cut.Load() {
 		<-ctx.Done()
-		return 0, ctx.Err()
+		return ctx.Err()
 	}
-	return r.group.leader.Revision(), nil
+	return nil
 }
 
 func (r *replica) Address() string { return r.name }
 
 // Call carries the messages as JSON, as the network does.
 func (r *replica) Call(ctx context.Context, _ string, params, result any) error {
-	if r.down {
+	if r.down.Load() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -169,8 +170,8 @@
 		name string
 		fail func(r *replica)
 	}{
-		{"replica is cut off from the leader", func(r *replica) { r.cut = true }},
-		{"replica does not answer", func(r *replica) { r.down = true }},
+		{"replica is cut off from the leader", func(r *replica) { r.cut.Store(true) }},
+		{"replica does not answer", func(r *replica) { r.down.Store(true) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -195,11 +196,11 @@
 		g.commit(t)
 		c := g.watcher(t, dir)
 		settle(time.Second)
-		g.replicas[1].cut = true // stays at revision 1
+		g.replicas[1].cut.Store(true) // stays at revision 1
 		g.commit(t)
 		settle(time.Second)
 		wantRevision(t, c, 2)
-		g.replicas[0].down = true
+		g.replicas[0].down.Store(true)
 
 		restarted := g.watcher(t, dir)
 		wantRevision(t, restarted, 2)
@@ -208,7 +209,7 @@
 			wantRevision(t, c, 2)
 			wantRevision(t, restarted, 2)
 		}
-		g.replicas[1].cut = false
+		g.replicas[1].cut.Store(false)
 		g.replicas[1].catchUp()
 		g.commit(t)
 		settle(10 * time.Second)
@@ -223,7 +224,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(2)
 		g.commit(t)
-		g.replicas[0].cut = true
+		g.replicas[0].cut.Store(true)
 		g.commit(t)
 		seen := map[uint64]bool{}
 		c := g.watcher(t, "")
@@ -243,7 +244,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(1)
 		g.commit(t)
-		g.replicas[0].cut = true
+		g.replicas[0].cut.Store(true)
 		c := g.watcher(t, "")
 		settle(coldStartPatience - time.Second)
 		wantRevision(t, c, 0)
--- a/internal/distribution/hub.go
+++ b/internal/distribution/hub.go
@@ -15,11 +15,11 @@
 // watcher that is further behind gets the whole configuration.
 const maxDeltas = 256
 
-// Confirmer asks the leader for the newest agreed revision.
+// Confirmer makes sure that a replica is up to date.
 type Confirmer interface {
-	// NewestRevision returns a revision that is at least every revision that was
-	// agreed before the call.
-	NewestRevision(ctx context.Context) (uint64, error)
+	// ReadBarrier returns once the replica has applied everything that was agreed
+	// before the call.
+	ReadBarrier(ctx context.Context) error
 }
 
 // Clock returns the time since an arbitrary moment, by a monotonic clock.
@@ -86,15 +86,11 @@
 	}
 }
 
-// Confirm asks the leader for the newest revision. When this replica has it,
-// the replica counts as fresh from the moment the question was sent.
+// Confirm makes sure that this replica is up to date. It then counts as fresh
+// from the moment of the call.
 func (h *Hub) Confirm(ctx context.Context) error {
 	asked := h.clock()
-	newest, err := h.confirmer.NewestRevision(ctx)
-	if err != nil {
-		return err
-	}
-	if err := h.waitFor(ctx, newest); err != nil {
+	if err := h.confirmer.ReadBarrier(ctx); err != nil {
 		return err
 	}
 	h.mu.Lock()
@@ -106,24 +102,6 @@
 	return nil
 }
 
-// waitFor returns once this replica has applied a revision.
-func (h *Hub) waitFor(ctx context.Context, revision uint64) error {
-	for {
-		h.mu.Lock()
-		reached := h.config.Revision >= revision
-		changed := h.changed
-		h.mu.Unlock()
-		if reached {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // Watch answers as soon as this replica has something newer than the watcher,
 // or after the wait that the watcher asked for.
 func (h *Hub) Watch(ctx context.Context, req WatchRequest) (WatchResponse, error) {
