--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -59,7 +59,8 @@
 	return c.ApproveTeam != nil || c.WithdrawTeam != nil
 }
 
-func summarize(changes []Change) []string {
+// Summarize returns one line for each change, without secrets.
+func Summarize(changes []Change) []string {
 	lines := make([]string, 0, len(changes))
 	for _, change := range changes {
 		if a, err := change.action(); err == nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -173,7 +173,7 @@
 		ChangeID: cmd.ChangeID,
 		Operator: cmd.Actor.Name,
 		AtMillis: cmd.AtMillis,
-		Summary:  summarize(cmd.Changes),
+		Summary:  Summarize(cmd.Changes),
 	})
 }
 
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -19,7 +19,7 @@
 type Operator struct {
 	Name     string  `json:"name"`
 	Role     Role    `json:"role"`
-	Key      KeyHash `json:"key"`
+	Key      KeyHash `json:"key,omitempty"`
 	Revision uint64  `json:"revision"`
 }
 
--- a/internal/fleet/team.go
+++ b/internal/fleet/team.go
@@ -13,7 +13,7 @@
 // its use is refused as revoked.
 type TeamKey struct {
 	ID      string  `json:"id"`
-	Hash    KeyHash `json:"hash"`
+	Hash    KeyHash `json:"hash,omitempty"`
 	Revoked bool    `json:"revoked,omitempty"`
 }
 
--- /dev/null
+++ b/internal/operator/service.go
@@ -0,0 +1,176 @@
+// Package operator serves the operators' calls: it authenticates operators,
+// turns their requests into commands of the control group and shows the agreed
+// state.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/api/filberthook/v1/filberthookv1connect"
+	"filberthook/internal/distribution"
+	"filberthook/internal/fleet"
+	"filberthook/internal/lease"
+	"filberthook/internal/statemachine"
+)
+
+// Limits on calls.
+const (
+	MaxRequestBytes = 16 << 20
+	callTimeout     = 10 * time.Second
+	barrierTimeout  = 3 * time.Second
+)
+
+// State is the agreed state as this replica knows it.
+type State interface {
+	Configuration() fleet.Configuration
+	DryRun(cmd fleet.Command) fleet.Result
+	Audit(limit int) []fleet.AuditEntry
+	Leases() []lease.Lease
+}
+
+// Group is the control group.
+type Group interface {
+	// Propose has a command applied, wherever the leader is.
+	Propose(ctx context.Context, cmd statemachine.Command) (statemachine.Response, error)
+	// ReadBarrier returns once this replica has applied everything that was agreed
+	// before the call.
+	ReadBarrier(ctx context.Context) error
+	// Members returns the replicas and the last agreed log position.
+	Members(ctx context.Context) ([]Member, uint64, error)
+	// ChangeMember adds, promotes or removes one replica.
+	ChangeMember(ctx context.Context, change MemberChange) error
+	// Leader returns the address of the leader, empty when unknown.
+	Leader() string
+}
+
+// Hosts knows what the hosts have in force.
+type Hosts interface {
+	// Reports returns the newest report of each host and the replicas that could
+	// not be asked.
+	Reports(ctx context.Context) (reports []distribution.HostReport, unreachable []string)
+}
+
+// Settings are the settings of a Service.
+type Settings struct {
+	Replica   string        // host name of this replica
+	Bootstrap fleet.KeyHash // key of the first admin
+	Now       func() time.Time
+	Logger    *slog.Logger
+	Metrics   *metrics.Set
+}
+
+// Service implements the OperatorService of the schema.
+type Service struct {
+	filberthookv1connect.UnimplementedOperatorServiceHandler
+
+	settings Settings
+	state    State
+	group    Group
+	hosts    Hosts
+}
+
+// Handler returns the HTTP handler of the service and its path prefix.
+func Handler(settings Settings, state State, group Group, hosts Hosts) (string, http.Handler) {
+	s := &Service{settings: settings, state: state, group: group, hosts: hosts}
+	return filberthookv1connect.NewOperatorServiceHandler(s,
+		connect.WithInterceptors(connect.UnaryInterceptorFunc(s.intercept)),
+		connect.WithReadMaxBytes(MaxRequestBytes))
+}
+
+// caller is the authenticated operator of a call.
+type caller struct {
+	actor fleet.Actor
+	role  fleet.Role
+	stale bool // the replica could not confirm that it is up to date
+}
+
+type callerKey struct{}
+
+func callerOf(ctx context.Context) caller {
+	c, _ := ctx.Value(callerKey{}).(caller)
+	return c
+}
+
+// intercept confirms that this replica is up to date, authenticates the
+// operator and counts the outcome of each call.
+func (s *Service) intercept(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		resp, err := s.serve(ctx, req, next)
+		s.count(req.Spec().Procedure, err)
+		return resp, err
+	}
+}
+
+func (s *Service) serve(ctx context.Context, req connect.AnyRequest, next connect.UnaryFunc) (connect.AnyResponse, error) {
+	stale := false
+	if err := s.barrier(ctx); err != nil {
+		// The status must be readable at a replica that is cut off.
+		if req.Spec().Procedure != filberthookv1connect.OperatorServiceGetStatusProcedure {
+			return nil, unavailable(err)
+		}
+		stale = true
+	}
+	c, err := s.authenticate(req.Header().Get("Authorization"))
+	if err != nil {
+		return nil, err
+	}
+	c.stale = stale
+	return next(context.WithValue(ctx, callerKey{}, c), req)
+}
+
+func (s *Service) barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	return s.group.ReadBarrier(ctx)
+}
+
+const bearerPrefix = "Bearer "
+
+func (s *Service) authenticate(header string) (caller, error) {
+	if len(header) <= len(bearerPrefix) || header[:len(bearerPrefix)] != bearerPrefix {
+		return caller{}, unauthenticated("the call carries no key")
+	}
+	key := header[len(bearerPrefix):]
+	hash := fleet.HashKey(key)
+	if subtle.ConstantTimeCompare([]byte(hash), []byte(s.settings.Bootstrap)) == 1 {
+		actor := fleet.Actor{Name: fleet.BootstrapName, Key: hash, Bootstrap: true}
+		return caller{actor: actor, role: fleet.RoleAdmin}, nil
+	}
+	op, ok := s.state.Configuration().AuthenticateOperator(key)
+	if !ok {
+		return caller{}, unauthenticated("the key is unknown")
+	}
+	return caller{actor: fleet.Actor{Name: op.Name, Key: op.Key}, role: op.Role}, nil
+}
+
+// requireAdmin refuses operators that are not admins.
+func requireAdmin(ctx context.Context) error {
+	c := callerOf(ctx)
+	if c.role == fleet.RoleAdmin {
+		return nil
+	}
+	return refusal(&fleet.Error{
+		Code: fleet.CodeDenied, ChangeIndex: -1,
+		Message: fmt.Sprintf("operator %q has role %s", c.actor.Name, c.role),
+		Remedy:  "ask an admin to make this call",
+	})
+}
+
+func (s *Service) count(procedure string, err error) {
+	reason := "ok"
+	if err != nil {
+		reason = reasonOf(err)
+	}
+	name := fmt.Sprintf(`filberthook_operator_calls_total{procedure=%q,outcome=%q}`, procedure, reason)
+	s.settings.Metrics.GetOrCreateCounter(name).Inc()
+}
