Add membership: entry hosts find each other, suspect before death, survive cuts

Cause: entries must know which other entries live, also under one-way cuts and pauses, at a cost per host that stays flat. Change: a pure core: one probe per second, three indirect probes, suspicion scaled by log10 of the hosts, refutation by incarnation, news on every packet, rejoin by jittered pings to dead hosts and seeds, table sync by hash. Found by TestFailuresAreFound and mended: a host whose outbound path was cut stayed dead after the heal, because its contradiction had already been sent its number of times; it now says it again whenever it hears doubt.

--- /dev/null
+++ b/internal/membership/core.go
@@ -0,0 +1,255 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	gossipv1 "filberthook/api/filberthook/gossip/v1"
+	"filberthook/internal/invariant"
+)
+
+// ProtocolVersion is the version of the packets.
+const ProtocolVersion = 1
+
+// maxNameBytes bounds the names that packets may bring.
+const maxNameBytes = 128
+
+// maxMembers bounds the table against floods of invented hosts.
+const maxMembers = 4096
+
+// Config holds the settings of a Core. Zero values take defaults.
+type Config struct {
+	Self            Host
+	Incarnation     uint64        // must be higher than that of the process's last run
+	Seeds           []string      // gossip addresses to join through
+	ProbeInterval   time.Duration // one host is probed per interval
+	ProbeTimeout    time.Duration // wait for the direct answer before others are asked
+	IndirectProbes  int           // hosts asked to probe for us
+	SuspicionFactor float64       // suspicion lasts this many intervals times log10 of the number of hosts
+	SpreadInterval  time.Duration // news is pushed to random hosts per interval
+	SpreadLocal     int           // hosts of the own zone per spread interval
+	SpreadRemote    int           // hosts of other zones per spread interval
+	SendsFactor     int           // transmissions of one piece of news, times log2 of the number of hosts
+	UpdatesPerPack  int           // host updates per packet
+	RejoinInterval  time.Duration // a dead host or a seed is tried per interval
+	SyncInterval    time.Duration // whole views are compared with one host per interval
+	ForgetAfter     time.Duration // dead and left hosts are forgotten after this time
+}
+
+// Defaults of Config.
+const (
+	DefaultProbeInterval   = time.Second
+	DefaultProbeTimeout    = 300 * time.Millisecond
+	DefaultIndirectProbes  = 3
+	DefaultSuspicionFactor = 4
+	DefaultSpreadInterval  = 200 * time.Millisecond
+	DefaultSpreadLocal     = 2
+	DefaultSpreadRemote    = 1
+	DefaultSendsFactor     = 3
+	DefaultUpdatesPerPack  = 8
+	DefaultRejoinInterval  = 3 * time.Second
+	DefaultSyncInterval    = 10 * time.Second
+	DefaultForgetAfter     = 24 * time.Hour
+)
+
+func orDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.ProbeInterval, DefaultProbeInterval)
+	orDefault(&c.ProbeTimeout, DefaultProbeTimeout)
+	orDefault(&c.IndirectProbes, DefaultIndirectProbes)
+	orDefault(&c.SuspicionFactor, DefaultSuspicionFactor)
+	orDefault(&c.SpreadInterval, DefaultSpreadInterval)
+	orDefault(&c.SpreadLocal, DefaultSpreadLocal)
+	orDefault(&c.SpreadRemote, DefaultSpreadRemote)
+	orDefault(&c.SendsFactor, DefaultSendsFactor)
+	orDefault(&c.UpdatesPerPack, DefaultUpdatesPerPack)
+	orDefault(&c.RejoinInterval, DefaultRejoinInterval)
+	orDefault(&c.SyncInterval, DefaultSyncInterval)
+	orDefault(&c.ForgetAfter, DefaultForgetAfter)
+	return c
+}
+
+// Outgoing is a packet to send.
+type Outgoing struct {
+	Address string
+	Zone    string // zone of the receiver, empty when not known
+	Packet  *gossipv1.Packet
+	Spread  bool // sent to spread news: useless when it carries none
+}
+
+// Core is the membership state machine of one host.
+type Core struct {
+	cfg     Config
+	rng     *rand.Rand
+	self    Member
+	members map[string]*Member // all other hosts, by name
+	news    *queue
+	events  []Event
+
+	order    []string // probe order of this round, shuffled
+	probe    *probe   // probe under way; nil when none is
+	relays   map[uint64]relay
+	sequence uint64
+
+	lastTick   time.Duration
+	nextProbe  time.Duration
+	nextSpread time.Duration
+	nextRejoin time.Duration
+	nextSync   time.Duration
+}
+
+// New returns a Core that knows only itself. All randomness comes from rng.
+func New(cfg Config, rng *rand.Rand) *Core {
+	cfg = cfg.withDefaults()
+	c := &Core{
+		cfg:     cfg,
+		rng:     rng,
+		self:    Member{Host: cfg.Self, Incarnation: cfg.Incarnation, State: Alive},
+		members: make(map[string]*Member),
+		news:    newQueue(),
+		relays:  make(map[uint64]relay),
+	}
+	c.news.add(cfg.Self.Name)
+	return c
+}
+
+// Self returns this host's own entry.
+func (c *Core) Self() Member { return c.self }
+
+// Members returns the known hosts other than this one, sorted by name.
+func (c *Core) Members() []Member {
+	out := make([]Member, 0, len(c.members))
+	for _, m := range c.members {
+		out = append(out, *m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Events returns the changes of state since the last call.
+func (c *Core) Events() []Event {
+	out := c.events
+	c.events = nil
+	return out
+}
+
+// Tick advances the timers to now and returns packets to send.
+func (c *Core) Tick(now time.Duration) []Outgoing {
+	c.forgiveOwnPause(now)
+	c.expireSuspicions(now)
+	c.forget(now)
+	var out []Outgoing
+	out = append(out, c.tickProbe(now)...)
+	out = append(out, c.tickSpread(now)...)
+	out = append(out, c.tickRejoin(now)...)
+	return append(out, c.tickSync(now)...)
+}
+
+// forgiveOwnPause drops the probe under way and restarts the suspicions when
+// this process itself was paused: the missing answers were its own fault.
+func (c *Core) forgiveOwnPause(now time.Duration) {
+	paused := c.lastTick > 0 && now-c.lastTick > c.cfg.ProbeInterval
+	c.lastTick = now
+	if !paused {
+		return
+	}
+	c.probe = nil
+	for _, m := range c.members {
+		if m.State == Suspect {
+			m.Since = now
+		}
+	}
+}
+
+// SuspicionTimeout returns how long a suspected host has to answer.
+func (c *Core) SuspicionTimeout() time.Duration {
+	scale := max(1, math.Log10(float64(len(c.members)+1)))
+	return time.Duration(c.cfg.SuspicionFactor * scale * float64(c.cfg.ProbeInterval))
+}
+
+func (c *Core) expireSuspicions(now time.Duration) {
+	timeout := c.SuspicionTimeout()
+	for _, m := range c.members {
+		if m.State == Suspect && now-m.Since >= timeout {
+			c.setState(now, m, m.Incarnation, Dead)
+		}
+	}
+}
+
+func (c *Core) forget(now time.Duration) {
+	for name, m := range c.members {
+		if !m.Reachable() && now-m.Since >= c.cfg.ForgetAfter {
+			delete(c.members, name)
+		}
+	}
+}
+
+// setState moves a member and queues the news.
+func (c *Core) setState(now time.Duration, m *Member, incarnation uint64, state State) {
+	invariant.Check(supersedes(incarnation, state, m.Incarnation, m.State) || m.Since == 0, "membership-grows",
+		"host %s: %d %v after %d %v", m.Name, incarnation, state, m.Incarnation, m.State)
+	previous := m.State
+	m.Incarnation = incarnation
+	m.State = state
+	m.Since = now
+	c.news.add(m.Name)
+	if previous != state {
+		c.events = append(c.events, Event{Member: *m, Previous: previous})
+	}
+}
+
+// Leave marks this host as leaving and returns packets that tell others.
+func (c *Core) Leave(now time.Duration) []Outgoing {
+	c.self.State = Left
+	c.self.Since = now
+	c.news.add(c.self.Name)
+	var out []Outgoing
+	for _, m := range c.pick(c.cfg.SpreadLocal+c.cfg.SpreadRemote+2, (*Member).Reachable) {
+		out = append(out, c.spreadTo(m))
+	}
+	return out
+}
+
+// packet returns a packet with as much news as fits.
+func (c *Core) packet() *gossipv1.Packet {
+	p := &gossipv1.Packet{
+		Protocol:    ProtocolVersion,
+		From:        c.self.Name,
+		Incarnation: c.self.Incarnation,
+	}
+	for _, name := range c.news.take(c.cfg.UpdatesPerPack, maxSends(c.cfg.SendsFactor, len(c.members))) {
+		if m := c.lookup(name); m != nil {
+			p.Hosts = append(p.Hosts, toUpdate(m))
+		}
+	}
+	return p
+}
+
+func (c *Core) lookup(name string) *Member {
+	if name == c.self.Name {
+		return &c.self
+	}
+	return c.members[name]
+}
+
+// pick returns up to n random members for which ok holds.
+func (c *Core) pick(n int, ok func(*Member) bool) []*Member {
+	var fit []*Member
+	for _, m := range c.members {
+		if ok(m) {
+			fit = append(fit, m)
+		}
+	}
+	slices.SortFunc(fit, func(a, b *Member) int { return strings.Compare(a.Name, b.Name) })
+	c.rng.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
+	return fit[:min(n, len(fit))]
+}
--- /dev/null
+++ b/internal/membership/queue.go
@@ -0,0 +1,50 @@
+package membership
+
+import (
+	"math"
+	"slices"
+	"strings"
+)
+
+// queue holds the names of hosts whose news still has to be passed on. News is
+// sent a limited number of times, the least sent first.
+type queue struct {
+	sent map[string]int // host name to number of transmissions so far
+}
+
+func newQueue() *queue { return &queue{sent: make(map[string]int)} }
+
+// add queues news of a host; older news of it is replaced.
+func (q *queue) add(name string) { q.sent[name] = 0 }
+
+// take returns up to limit names, the least transmitted first, and counts a
+// transmission for each. A name is dropped after maxSends transmissions.
+func (q *queue) take(limit, maxSends int) []string {
+	if len(q.sent) == 0 {
+		return nil
+	}
+	names := make([]string, 0, len(q.sent))
+	for name := range q.sent {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if d := q.sent[a] - q.sent[b]; d != 0 {
+			return d
+		}
+		return strings.Compare(a, b)
+	})
+	names = names[:min(limit, len(names))]
+	for _, name := range names {
+		q.sent[name]++
+		if q.sent[name] >= maxSends {
+			delete(q.sent, name)
+		}
+	}
+	return names
+}
+
+// maxSends returns how often news is passed on among n hosts so that it
+// reaches all of them with high probability.
+func maxSends(multiplier, n int) int {
+	return multiplier * int(math.Ceil(math.Log2(float64(n+2))))
+}
--- /dev/null
+++ b/internal/membership/receive.go
@@ -0,0 +1,194 @@
+package membership
+
+import (
+	"encoding/binary"
+	"time"
+
+	gossipv1 "filberthook/api/filberthook/gossip/v1"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// syncHostsPerPacket bounds the host updates of one packet of a sync answer.
+const syncHostsPerPacket = 12
+
+// Receive takes one packet that came from an address and returns packets to
+// send.
+func (c *Core) Receive(now time.Duration, from string, p *gossipv1.Packet) []Outgoing {
+	if p.GetFrom() == c.self.Name {
+		return nil
+	}
+	doubted := c.doubts(p)
+	for _, u := range p.GetHosts() {
+		m, ok := fromUpdate(u)
+		if !ok || (doubted && m.State == Suspect && m.Name != c.self.Name) {
+			continue
+		}
+		c.learn(now, m)
+	}
+	c.confirm(now, p)
+	switch kind := p.GetKind().(type) {
+	case *gossipv1.Packet_Ping:
+		return c.answerPing(from, p.GetFrom(), kind.Ping)
+	case *gossipv1.Packet_Ack:
+		return c.receiveAck(kind.Ack)
+	case *gossipv1.Packet_ProbeRequest:
+		return c.relayProbe(now, from, kind.ProbeRequest)
+	case *gossipv1.Packet_SyncRequest:
+		return c.answerSync(from, kind.SyncRequest)
+	}
+	return nil
+}
+
+// doubts reports whether the sender of a packet is taken for dead. A host that
+// hears nobody suspects everybody; its suspicions of others are not passed on.
+func (c *Core) doubts(p *gossipv1.Packet) bool {
+	m := c.members[p.GetFrom()]
+	return m != nil && !m.Reachable() && p.GetIncarnation() <= m.Incarnation
+}
+
+// learn takes news of one host.
+func (c *Core) learn(now time.Duration, news Member) {
+	if news.Name == c.self.Name {
+		c.refute(now, news)
+		return
+	}
+	old, ok := c.members[news.Name]
+	if !ok {
+		if len(c.members) >= maxMembers || !news.Reachable() {
+			return
+		}
+		old = &Member{Host: news.Host}
+		c.members[news.Name] = old
+		c.setState(now, old, news.Incarnation, news.State)
+		return
+	}
+	if !supersedes(news.Incarnation, news.State, old.Incarnation, old.State) {
+		return
+	}
+	if news.Incarnation > old.Incarnation {
+		old.Host = news.Host
+	}
+	c.setState(now, old, news.Incarnation, news.State)
+}
+
+// refute contradicts news that this host is not alive, by a higher
+// incarnation.
+func (c *Core) refute(now time.Duration, news Member) {
+	if c.self.State == Left || news.Incarnation == c.self.Incarnation && news.State == Alive {
+		return
+	}
+	// The sender may have missed an earlier contradiction: say it again.
+	c.news.add(c.self.Name)
+	if news.Incarnation >= c.self.Incarnation {
+		c.self.Incarnation = news.Incarnation + 1
+		c.self.Since = now
+	}
+}
+
+// confirm takes an answer of a probed host as the end of the probe. Hearing a
+// packet alone does not: the path towards the host may be cut.
+func (c *Core) confirm(_ time.Duration, p *gossipv1.Packet) {
+	ack := p.GetAck()
+	if ack == nil || c.probe == nil || ack.GetSequence() != c.probe.sequence {
+		return
+	}
+	c.probe = nil
+}
+
+func (c *Core) answerPing(from, sender string, ping *gossipv1.Ping) []Outgoing {
+	if ping.GetTarget() != "" && ping.GetTarget() != c.self.Name {
+		return nil
+	}
+	p := c.packet()
+	p.Kind = &gossipv1.Packet_Ack{Ack: &gossipv1.Ack{Sequence: ping.GetSequence()}}
+	if ping.GetTarget() == "" {
+		p.Hosts = append(p.Hosts, toUpdate(&c.self))
+	}
+	zone := ""
+	if m := c.members[sender]; m != nil {
+		c.tellDoubt(m, p)
+		zone = m.Zone
+	}
+	return []Outgoing{{Address: from, Zone: zone, Packet: p}}
+}
+
+func (c *Core) receiveAck(ack *gossipv1.Ack) []Outgoing {
+	r, ok := c.relays[ack.GetSequence()]
+	if !ok {
+		return nil
+	}
+	delete(c.relays, ack.GetSequence())
+	p := c.packet()
+	p.Kind = &gossipv1.Packet_Ack{Ack: &gossipv1.Ack{Sequence: r.sequence}}
+	return []Outgoing{{Address: r.address, Packet: p}}
+}
+
+func (c *Core) relayProbe(now time.Duration, from string, req *gossipv1.ProbeRequest) []Outgoing {
+	m := c.members[req.GetTarget()]
+	if m == nil || len(c.relays) >= maxMembers {
+		return nil
+	}
+	c.sequence++
+	c.relays[c.sequence] = relay{address: from, sequence: req.GetSequence(), until: now + c.cfg.ProbeInterval}
+	return []Outgoing{c.ping(m, c.sequence)}
+}
+
+func (c *Core) tickSync(now time.Duration) []Outgoing {
+	if now < c.nextSync {
+		return nil
+	}
+	c.nextSync = now + c.jitter(c.cfg.SyncInterval)
+	var out []Outgoing
+	for _, m := range c.pick(1, func(m *Member) bool { return m.State == Alive }) {
+		out = append(out, Outgoing{Address: m.Gossip, Zone: m.Zone, Packet: c.syncRequest()})
+	}
+	return out
+}
+
+func (c *Core) syncRequest() *gossipv1.Packet {
+	p := c.packet()
+	p.Kind = &gossipv1.Packet_SyncRequest{SyncRequest: &gossipv1.SyncRequest{HostsHash: c.hash()}}
+	return p
+}
+
+// hash sums up the whole table including this host, whatever the order.
+func (c *Core) hash() uint64 {
+	sum := memberHash(&c.self)
+	for _, m := range c.members {
+		if m.Reachable() {
+			sum += memberHash(m)
+		}
+	}
+	return sum
+}
+
+func memberHash(m *Member) uint64 {
+	var version [9]byte
+	binary.BigEndian.PutUint64(version[:], m.Incarnation)
+	version[8] = byte(m.State)
+	d := xxhash.New()
+	_, _ = d.WriteString(m.Name)
+	_, _ = d.Write(version[:])
+	return d.Sum64()
+}
+
+// answerSync sends the whole table when the asker's differs. Datagrams may be
+// lost; the next sync brings what is missing.
+func (c *Core) answerSync(from string, req *gossipv1.SyncRequest) []Outgoing {
+	if req.GetHostsHash() == c.hash() {
+		return nil
+	}
+	all := []*gossipv1.HostUpdate{toUpdate(&c.self)}
+	for _, m := range c.Members() {
+		all = append(all, toUpdate(&m))
+	}
+	var out []Outgoing
+	for len(all) > 0 {
+		n := min(syncHostsPerPacket, len(all))
+		p := &gossipv1.Packet{Protocol: ProtocolVersion, From: c.self.Name, Incarnation: c.self.Incarnation, Hosts: all[:n]}
+		out = append(out, Outgoing{Address: from, Packet: p})
+		all = all[n:]
+	}
+	return out
+}
