--- /dev/null
+++ b/internal/prefix/match.go
@@ -0,0 +1,92 @@
+package prefix
+
+import (
+	"math"
+	"time"
+)
+
+// Matches holds the pieces of one prompt that each engine has cached. It is
+// reused between calls to Match and must not be shared.
+type Matches struct {
+	pieces  []int32 // by Slot
+	touched []Slot  // slots with pieces > 0
+}
+
+// Pieces returns the number of leading pieces that the engine has cached.
+func (m *Matches) Pieces(s Slot) int {
+	if int(s) >= len(m.pieces) {
+		return 0
+	}
+	return int(m.pieces[s])
+}
+
+// Holders returns the engines that hold at least the first piece. The slice is
+// valid until the next Match.
+func (m *Matches) Holders() []Slot { return m.touched }
+
+func (m *Matches) reset(slots int) {
+	for _, s := range m.touched {
+		m.pieces[s] = 0
+	}
+	m.touched = m.touched[:0]
+	if len(m.pieces) < slots {
+		m.pieces = make([]int32, slots)
+	}
+}
+
+// Match fills m with the number of leading prefixes that each engine holds. It
+// stops at the first prefix that no engine holds.
+func (ix *Index) Match(now time.Duration, prefixes []uint64, m *Matches) {
+	m.reset(ix.Slots())
+	for depth, h := range prefixes {
+		if !ix.matchOne(now, h, int32(depth), m) {
+			return
+		}
+	}
+}
+
+// matchOne extends the matches of depth pieces by the prefix h. It reports
+// whether any engine's match grew.
+func (ix *Index) matchOne(now time.Duration, h uint64, depth int32, m *Matches) bool {
+	s := &ix.shards[h%shardCount]
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	grew := false
+	for _, held := range s.holders[h] {
+		if held.until < now || int(held.slot) >= len(m.pieces) {
+			continue
+		}
+		if m.pieces[held.slot] != depth {
+			continue
+		}
+		if depth == 0 {
+			m.touched = append(m.touched, held.slot)
+		}
+		m.pieces[held.slot] = depth + 1
+		grew = true
+	}
+	return grew
+}
+
+// Confidence returns the share, from 0 to 1, of an engine's known prefixes that
+// can be relied on. It is 1 while the index is in step with the engine and
+// halves every HalfLife while events are missing.
+func (ix *Index) Confidence(now time.Duration, s Slot) float64 {
+	ix.mu.RLock()
+	var e *engine
+	if int(s) < len(ix.slots) {
+		e = ix.slots[s]
+	}
+	ix.mu.RUnlock()
+	if e == nil {
+		return 0
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	behind := e.gapped || e.newest > e.next
+	if !behind || ix.cfg.HalfLife <= 0 {
+		return 1
+	}
+	age := max(0, now-e.syncedAt)
+	return math.Exp2(-age.Seconds() / ix.cfg.HalfLife.Seconds())
+}
