Add routing: filter, score a sample, pick

Cause: each entry host places requests on its own, from late load reports. Change: filters by model, state and size; predictions of the time to the first token, the gap between tokens, harm to running answers and scarce memory; split placements within one availability zone; own work in flight added to lagging reports; a random sample of candidates besides those with cached prefixes. Pick, Started and Finished take pointers and the time.

--- a/internal/prefix/hash.go
+++ b/internal/prefix/hash.go
@@ -5,41 +5,54 @@
 
 import (
 	"encoding/binary"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"filberthook/internal/engineapi"
 )
 
-// BytesPerToken is the number of prompt bytes that count as one token.
-const BytesPerToken = 4
-
-// pieceBytes is the number of prompt bytes in one piece of engine memory.
-const pieceBytes = engineapi.PieceTokens * BytesPerToken
-
-// CountTokens returns the estimated number of tokens in text.
+// CountTokens returns the number of tokens in text. A token is a run of bytes
+// without white space.
 func CountTokens(text string) int {
-	return (len(text) + BytesPerToken - 1) / BytesPerToken
+	n := 0
+	for range strings.FieldsSeq(text) {
+		n++
+	}
+	return n
 }
 
 // PrefixHashes returns one chained hash for each whole piece of PieceTokens
 // tokens in text. Hash i covers the model, the adapter and the text from its
 // start to the end of piece i; a partial last piece has no hash.
 func PrefixHashes(model, adapter, text string) []uint64 {
-	pieces := len(text) / pieceBytes
-	if pieces == 0 {
-		return nil
-	}
-	hashes := make([]uint64, 0, pieces)
+	var hashes []uint64
 	previous := chain(xxhash.Sum64String(model), xxhash.Sum64String(adapter))
-	for i := range pieces {
-		piece := text[i*pieceBytes : (i+1)*pieceBytes]
-		previous = chain(previous, xxhash.Sum64String(piece))
+	start, tokens := 0, 0
+	inToken := false
+	for i := range len(text) {
+		space := isSpace(text[i])
+		if inToken && space {
+			tokens++
+		}
+		inToken = !space
+		if tokens == engineapi.PieceTokens {
+			previous = chain(previous, xxhash.Sum64String(text[start:i]))
+			hashes = append(hashes, previous)
+			start, tokens = i, 0
+		}
+	}
+	if inToken && tokens == engineapi.PieceTokens-1 {
+		previous = chain(previous, xxhash.Sum64String(text[start:]))
 		hashes = append(hashes, previous)
 	}
 	return hashes
 }
 
+func isSpace(b byte) bool {
+	return b == ' ' || b == '\n' || b == '\t' || b == '\r' || b == '\v' || b == '\f'
+}
+
 // chain combines the hash of everything before a piece with the piece's own.
 func chain(previous, piece uint64) uint64 {
 	var buf [16]byte
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -2,10 +2,13 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filberthook/internal/engineapi"
+	"filberthook/internal/tomltime"
 )
 
 // Slot is the dense number that the index gives to an engine instance. It
@@ -14,14 +17,14 @@
 
 // Config bounds the index and sets how fast unconfirmed knowledge decays.
 type Config struct {
-	MaxPerEngine    int           `toml:"max_prefixes_per_engine"`  // prefixes kept for one engine
-	HalfLife        time.Duration `toml:"unconfirmed_half_life"`    // of confidence in an engine that is behind or has a gap
-	ExpectationLife time.Duration `toml:"expected_prefix_lifetime"` // how long a prefix of an own request counts before its event arrives
+	MaxPerEngine    int               `toml:"max_prefixes_per_engine"`  // prefixes kept for one engine
+	HalfLife        tomltime.Duration `toml:"unconfirmed_half_life"`    // of confidence in an engine that is behind or has a gap
+	ExpectationLife tomltime.Duration `toml:"expected_prefix_lifetime"` // how long a prefix of an own request counts before its event arrives
 }
 
 // DefaultConfig returns the settings used when a file names none.
 func DefaultConfig() Config {
-	return Config{MaxPerEngine: 4096, HalfLife: 5 * time.Second, ExpectationLife: 10 * time.Second}
+	return Config{MaxPerEngine: 4096, HalfLife: tomltime.Of(5 * time.Second), ExpectationLife: tomltime.Of(10 * time.Second)}
 }
 
 const shardCount = 64
@@ -62,11 +65,14 @@
 	mu      sync.RWMutex
 	engines map[string]*engine // guarded by mu
 	slots   []*engine          // by Slot, nil when free; guarded by mu
+
+	table atomic.Pointer[[]*engine] // copy of slots for readers without a lock
 }
 
 // NewIndex returns an empty index.
 func NewIndex(cfg Config) *Index {
 	ix := &Index{cfg: cfg, engines: make(map[string]*engine)}
+	ix.publish()
 	for i := range ix.shards {
 		ix.shards[i].holders = make(map[uint64][]holder)
 	}
@@ -80,9 +86,7 @@
 
 // Slots returns the number of slots ever assigned; every Slot is below it.
 func (ix *Index) Slots() int {
-	ix.mu.RLock()
-	defer ix.mu.RUnlock()
-	return len(ix.slots)
+	return len(*ix.table.Load())
 }
 
 func (ix *Index) engine(instance string) *engine {
@@ -101,6 +105,7 @@
 	e.slot = ix.freeSlot()
 	ix.slots[e.slot] = e
 	ix.engines[instance] = e
+	ix.publish()
 	return e
 }
 
@@ -128,6 +133,14 @@
 	e.mu.Unlock()
 	delete(ix.engines, instance)
 	ix.slots[e.slot] = nil
+	ix.publish()
+}
+
+// publish shows a copy of the slots to readers. The caller holds ix.mu or owns
+// the index alone.
+func (ix *Index) publish() {
+	table := slices.Clone(ix.slots)
+	ix.table.Store(&table)
 }
 
 // Next returns the incarnation last heard of and the sequence to ask for next.
@@ -260,7 +273,7 @@
 		if until, held := e.prefixes[h]; held && until == forever {
 			continue
 		}
-		ix.store(e, h, now+ix.cfg.ExpectationLife)
+		ix.store(e, h, now+ix.cfg.ExpectationLife.Duration)
 	}
 }
 
--- a/internal/prefix/match.go
+++ b/internal/prefix/match.go
@@ -72,19 +72,15 @@
 // can be relied on. It is 1 while the index is in step with the engine and
 // halves every HalfLife while events are missing.
 func (ix *Index) Confidence(now time.Duration, s Slot) float64 {
-	ix.mu.RLock()
-	var e *engine
-	if int(s) < len(ix.slots) {
-		e = ix.slots[s]
-	}
-	ix.mu.RUnlock()
-	if e == nil {
+	table := *ix.table.Load()
+	if int(s) >= len(table) || table[s] == nil {
 		return 0
 	}
+	e := table[s]
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	behind := e.gapped || e.newest > e.next
-	if !behind || ix.cfg.HalfLife <= 0 {
+	if !behind || ix.cfg.HalfLife.Duration <= 0 {
 		return 1
 	}
 	age := max(0, now-e.syncedAt)
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"filberthook/internal/engineapi"
+	"filberthook/internal/tomltime"
 )
 
 func stored(seq uint64, hashes ...uint64) []engineapi.CacheEvent {
@@ -36,7 +37,7 @@
 }
 
 func TestPrefixHashesChainWholePieces(t *testing.T) {
-	piece := strings.Repeat("a", pieceBytes)
+	piece := strings.Repeat("a ", engineapi.PieceTokens)
 	first := PrefixHashes("m", "", piece+"tail")
 	second := PrefixHashes("m", "", piece+piece)
 	if len(first) != 1 || len(second) != 2 {
@@ -48,6 +49,12 @@
 	if second[0] == second[1] {
 		t.Error("equal pieces at other depths share a hash")
 	}
+	if got := PrefixHashes("m", "", piece[:len(piece)-1]); !cmp.Equal(got, first) {
+		t.Errorf("a piece that ends with the text has hashes %v, want %v", got, first)
+	}
+	if got := PrefixHashes("m", "", piece[:len(piece)-2]); got != nil {
+		t.Errorf("a partial piece has hashes %v", got)
+	}
 	if PrefixHashes("m", "x", piece)[0] == first[0] {
 		t.Error("the adapter is not part of the hash")
 	}
@@ -93,7 +100,7 @@
 }
 
 func TestConfidenceHalvesWhileEventsAreMissing(t *testing.T) {
-	ix := NewIndex(Config{MaxPerEngine: 10, HalfLife: time.Second, ExpectationLife: time.Second})
+	ix := NewIndex(Config{MaxPerEngine: 10, HalfLife: tomltime.Of(time.Second), ExpectationLife: tomltime.Of(time.Second)})
 	ix.Apply(0, page(0, 1, stored(1, 7)))
 	slot := ix.Slot("w1")
 	ix.Observe(time.Second, "w1", 1, 1)
@@ -108,7 +115,7 @@
 }
 
 func TestExpectedPrefixesExpireUnlessConfirmed(t *testing.T) {
-	ix := NewIndex(Config{MaxPerEngine: 10, HalfLife: time.Second, ExpectationLife: time.Second})
+	ix := NewIndex(Config{MaxPerEngine: 10, HalfLife: tomltime.Of(time.Second), ExpectationLife: tomltime.Of(time.Second)})
 	ix.Expect(0, "w1", []uint64{7, 8})
 	if got := pieces(ix, time.Second, "w1", 7, 8); got != 2 {
 		t.Fatalf("pieces while expected = %d, want 2", got)
--- /dev/null
+++ b/internal/routing/config.go
@@ -0,0 +1,127 @@
+package routing
+
+import (
+	"time"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/prefix"
+	"filberthook/internal/tomltime"
+)
+
+// Targets are what an answer of a class must meet.
+type Targets struct {
+	FirstToken tomltime.Duration `toml:"first_token"` // from arrival to the first token
+	Gap        tomltime.Duration `toml:"gap"`         // between tokens, for 95 in 100 of an answer's gaps
+}
+
+// TargetTable holds the targets of all classes.
+type TargetTable struct {
+	Urgent      Targets `toml:"urgent"`
+	Interactive Targets `toml:"interactive"`
+	Standard    Targets `toml:"standard"`
+	Background  Targets `toml:"background"`
+}
+
+// Of returns the targets of a class.
+func (t *TargetTable) Of(c Class) *Targets {
+	switch c {
+	case ClassUrgent:
+		return &t.Urgent
+	case ClassInteractive:
+		return &t.Interactive
+	case ClassStandard:
+		return &t.Standard
+	default:
+		return &t.Background
+	}
+}
+
+// Costs describe how long engines take. They are measured on the fleet.
+type Costs struct {
+	StepBase        tomltime.Duration `toml:"step_base"`           // fixed part of each batch step
+	StepPerSequence tomltime.Duration `toml:"step_per_sequence"`   // added to a step per decoding request
+	PrefillPerSec   float64           `toml:"prefill_per_second"`  // prompt tokens per second of a step
+	PrefillChunk    int               `toml:"prefill_chunk"`       // most prompt tokens in one step
+	TransferPerSec  float64           `toml:"transfer_per_second"` // tokens of KV cache moved per second
+	MaxBatch        int               `toml:"max_batch"`           // most requests that run together
+}
+
+// Step returns the seconds of a batch step with the given numbers of decoding
+// requests and prompt tokens.
+func (c *Costs) Step(decoding, chunk float64) float64 {
+	return c.StepBase.Seconds() + decoding*c.StepPerSequence.Seconds() + chunk/c.PrefillPerSec
+}
+
+// PrefillRate returns the prompt tokens computed per second next to the given
+// number of decoding requests.
+func (c *Costs) PrefillRate(decoding float64) float64 {
+	chunk := float64(c.PrefillChunk)
+	return chunk / c.Step(decoding, chunk)
+}
+
+// Config holds the settings of a Router.
+type Config struct {
+	Zone          string            `toml:"zone"`           // availability zone of this process
+	SampleLocal   int               `toml:"sample_local"`   // candidates of the own zone that are scored
+	SampleRemote  int               `toml:"sample_remote"`  // candidates of other zones that are scored
+	Holders       int               `toml:"sample_holders"` // candidates scored for their cached prefixes
+	RemotePenalty tomltime.Duration `toml:"remote_penalty"` // added to the first token of other zones
+	MemoryGrowth  float64           `toml:"memory_growth"`  // pieces kept free per running request for its further output
+	Split         bool              `toml:"split"`          // allow prefill and decode on two engines
+	Targets       TargetTable       `toml:"targets"`
+	Costs         Costs             `toml:"costs"`
+	Prefix        prefix.Config     `toml:"prefix"`
+}
+
+// DefaultConfig returns the settings used when a file names none.
+func DefaultConfig() Config {
+	answer := Targets{
+		FirstToken: tomltime.Of(1600 * time.Millisecond),
+		Gap:        tomltime.Of(42 * time.Millisecond),
+	}
+	background := answer
+	background.FirstToken = tomltime.Of(30 * time.Second)
+	return Config{
+		SampleLocal:   4,
+		SampleRemote:  2,
+		Holders:       2,
+		RemotePenalty: tomltime.Of(50 * time.Millisecond),
+		MemoryGrowth:  0.25,
+		Split:         true,
+		Targets:       TargetTable{Urgent: answer, Interactive: answer, Standard: answer, Background: background},
+		Costs: Costs{
+			StepBase:        tomltime.Of(12 * time.Millisecond),
+			StepPerSequence: tomltime.Of(250 * time.Microsecond),
+			PrefillPerSec:   16000,
+			PrefillChunk:    2048,
+			TransferPerSec:  200000,
+			MaxBatch:        64,
+		},
+		Prefix: prefix.DefaultConfig(),
+	}
+}
+
+// carries reports whether a candidate has the model, adapter and version of a
+// request loaded.
+func (c *Candidate) carries(r *Request) bool {
+	for i := range c.Models {
+		m := &c.Models[i]
+		if m.Name != r.Model {
+			continue
+		}
+		if r.Version != "" && m.Version != r.Version {
+			return false
+		}
+		return r.Adapter == "" || hasAdapter(m, r.Adapter)
+	}
+	return false
+}
+
+func hasAdapter(m *engineapi.Model, adapter string) bool {
+	for _, a := range m.Adapters {
+		if a == adapter {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/routing/own.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"sync"
+	"time"
+)
+
+// maxChanges bounds the changes kept per instance; older ones are dropped.
+const maxChanges = 256
+
+// change is one own start or end of work at an instance.
+type change struct {
+	at      time.Duration
+	prefill int // prompt tokens added to the backlog
+	running int // +1 at a start, -1 at an end
+	pieces  int // memory pieces taken (positive) or given back
+}
+
+// ownLoad is the work that this process has at one instance. Load reports lag,
+// so the changes since a report's time are added to it.
+type ownLoad struct {
+	mu      sync.Mutex
+	changes []change // in order of at; guarded by mu
+	running int      // own requests in flight; guarded by mu
+	pieces  int      // memory of own requests in flight, whole answers included; guarded by mu
+}
+
+func (o *ownLoad) add(ch change) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.running += ch.running
+	o.pieces += ch.pieces
+	if len(o.changes) >= maxChanges {
+		kept := copy(o.changes, o.changes[maxChanges/2:])
+		o.changes = o.changes[:kept]
+	}
+	o.changes = append(o.changes, ch)
+}
+
+// estimate is the load of an instance now, worked out from its last report and
+// the own changes since.
+type estimate struct {
+	backlog float64       // prompt tokens waiting to be computed
+	running float64       // requests in the batch or queued
+	pieces  float64       // memory in use or promised
+	age     time.Duration // of the report
+}
+
+// estimateLoad brings a candidate's report up to now: the backlog drains at
+// the given rate in tokens per second and own changes are added when they came.
+func estimateLoad(now time.Duration, c *Candidate, rate float64) estimate {
+	e := estimate{
+		backlog: float64(c.Load.QueuedPrefill),
+		running: float64(c.Load.Running + c.Load.Queued),
+		pieces:  float64(c.Load.UsedPieces),
+		age:     max(0, now-c.ReportedAt),
+	}
+	o := c.own
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	at := c.ReportedAt
+	for i := o.firstAfter(at); i < len(o.changes); i++ {
+		ch := &o.changes[i]
+		e.drain(rate, ch.at-at)
+		at = ch.at
+		e.backlog += float64(ch.prefill)
+		e.running += float64(ch.running)
+		e.pieces += float64(ch.pieces)
+	}
+	e.drain(rate, now-at)
+	e.running = max(e.running, float64(o.running))
+	e.pieces = max(e.pieces, float64(o.pieces))
+	return e
+}
+
+// firstAfter returns the index of the first change later than at. The caller
+// holds o.mu.
+func (o *ownLoad) firstAfter(at time.Duration) int {
+	i := len(o.changes)
+	for i > 0 && o.changes[i-1].at > at {
+		i--
+	}
+	return i
+}
+
+func (e *estimate) drain(rate float64, d time.Duration) {
+	e.backlog = max(0, e.backlog-rate*d.Seconds())
+}
--- /dev/null
+++ b/internal/routing/pick.go
@@ -0,0 +1,171 @@
+package routing
+
+import (
+	"math"
+
+	"filberthook/internal/engineapi"
+)
+
+// choice is the best placement found so far.
+type choice struct {
+	instance  *Candidate // runs the request or generates the answer
+	prefill   *Candidate // computes the prompt; nil when the request runs whole
+	predicted prediction
+	score     float64
+}
+
+func noChoice() choice { return choice{score: math.Inf(1)} }
+
+// better reports whether p improves on the choice.
+func (ch *choice) better(score float64) bool { return score < ch.score }
+
+// filter sorts the candidates into the lists of the query.
+func (r *Router) filter(q *query) {
+	for i := range q.cands {
+		c := &q.cands[i]
+		if reason := r.check(c, q.req); reason != Admitted {
+			q.refuse(c, reason)
+			continue
+		}
+		q.admit(i, c.Zone == r.cfg.Zone, r.cfg.Split)
+	}
+}
+
+func (r *Router) check(c *Candidate, req *Request) Reason {
+	for _, f := range r.filters {
+		if reason := f.Check(c, req); reason != Admitted {
+			return reason
+		}
+	}
+	return Admitted
+}
+
+// choose returns the best of a sample, or of all candidates when wide is set.
+func (r *Router) choose(q *query, wide bool) choice {
+	best := r.chooseWhole(q, wide)
+	if !r.cfg.Split || q.req.kind() != engineapi.KindModel {
+		return best
+	}
+	split := r.chooseSplit(q, wide)
+	if best.better(split.score) {
+		return split
+	}
+	return best
+}
+
+func (r *Router) sample(q *query, list *shortlist, wide bool) []int32 {
+	if wide {
+		list.all()
+		return list.sample
+	}
+	r.sampler.Sample(q, list)
+	return list.sample
+}
+
+// chooseWhole finds the best engine to run the whole request.
+func (r *Router) chooseWhole(q *query, wide bool) choice {
+	scorer := r.whole
+	if q.req.kind() == engineapi.KindService {
+		scorer = r.service
+	}
+	best := noChoice()
+	for _, i := range r.sample(q, &q.whole, wide) {
+		c := &q.cands[i]
+		p, reason := scorer.Predict(q, c)
+		best.consider(q, choice{instance: c, predicted: p}, reason)
+	}
+	return best
+}
+
+// consider replaces the choice by other when other is admitted and better.
+func (ch *choice) consider(q *query, other choice, reason Reason) {
+	if reason == Admitted && !other.predicted.finishes(q.req) {
+		reason = ReasonDeadline
+	}
+	if reason != Admitted {
+		q.refuse(other.instance, reason)
+		return
+	}
+	other.score = other.predicted.total(q.targets)
+	q.explainChoice(&other, "score")
+	if ch.better(other.score) {
+		*ch = other
+	}
+}
+
+// explainChoice adds a step for a placement when the request asks for it.
+func (q *query) explainChoice(ch *choice, stage string) {
+	if !q.req.Explain {
+		return
+	}
+	mode := "whole"
+	if ch.prefill != nil {
+		mode = "split, prompt on " + ch.prefill.Instance
+	}
+	q.explain(ch.instance, stage, mode, ch.score)
+}
+
+// chooseSplit finds the best pair of engines in one zone, one for the prompt
+// and one for the answer.
+func (r *Router) chooseSplit(q *query, wide bool) choice {
+	best := noChoice()
+	for _, i := range r.sample(q, &q.prefill, wide) {
+		c := &q.cands[i]
+		p, reason := r.prefill.Predict(q, c)
+		if reason != Admitted {
+			q.refuse(c, reason)
+			continue
+		}
+		pair := r.bestDecode(q, c, wide)
+		if pair.instance == nil {
+			continue
+		}
+		pair.predicted.add(p)
+		pair.predicted.first += float64(q.req.PromptTokens) / r.cfg.Costs.TransferPerSec
+		pair.prefill = c
+		best.consider(q, pair, Admitted)
+	}
+	return best
+}
+
+// add puts the prediction of the prompt's engine before that of the answer's.
+func (p *prediction) add(prompt prediction) {
+	p.first += prompt.first
+	p.cost += prompt.cost
+	p.cached = prompt.cached
+}
+
+// bestDecode finds the best engine for the answer in the zone of the engine
+// that computes the prompt. The instance is nil when there is none.
+func (r *Router) bestDecode(q *query, prompt *Candidate, wide bool) choice {
+	best := noChoice()
+	list := &q.decode[prompt.zone]
+	if len(list.sample) == 0 {
+		r.sampleDecode(list, wide)
+	}
+	for _, i := range list.sample {
+		c := &q.cands[i]
+		if c.Instance == prompt.Instance {
+			continue
+		}
+		p, reason := r.decode.Predict(q, c)
+		if reason != Admitted {
+			q.refuse(c, reason)
+			continue
+		}
+		if score := p.total(q.targets); best.better(score) {
+			best = choice{instance: c, predicted: p, score: score}
+		}
+	}
+	return best
+}
+
+// sampleDecode samples one zone's engines; they are all local or all remote.
+func (r *Router) sampleDecode(list *shortlist, wide bool) {
+	if wide {
+		list.all()
+		return
+	}
+	r.sampler.draw(list, list.local, r.cfg.SampleLocal)
+	r.sampler.draw(list, list.remote, r.cfg.SampleLocal)
+}
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,166 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"filberthook/internal/prefix"
+)
+
+// Router picks engines. It keeps the work that this process has in flight at
+// each instance and the index of cached prefixes.
+type Router struct {
+	cfg     Config
+	index   *prefix.Index
+	filters []Filter
+	sampler *randomSampler
+	whole   Scorer
+	prefill Scorer
+	decode  Scorer
+	service Scorer
+	queries sync.Pool // of *query
+
+	mu    sync.RWMutex
+	own   map[string]*ownLoad // by instance; guarded by mu
+	zones []string            // position is the zone's number; guarded by mu
+
+	zoneCount atomic.Int32 // length of zones, for Pick
+}
+
+// New returns a router. The generator gives the seed of its sampling.
+func New(cfg Config, rng *rand.Rand) *Router {
+	r := &Router{
+		cfg:     cfg,
+		index:   prefix.NewIndex(cfg.Prefix),
+		filters: defaultFilters,
+		own:     make(map[string]*ownLoad),
+		zones:   []string{cfg.Zone},
+	}
+	r.zoneCount.Store(1)
+	r.sampler = &randomSampler{cfg: &r.cfg, seed: rng.Uint64()}
+	r.whole = wholeScorer{r}
+	r.prefill = prefillScorer{r}
+	r.decode = decodeScorer{r}
+	r.service = serviceScorer{r}
+	r.queries.New = func() any { return new(query) }
+	return r
+}
+
+// Prefixes returns the index that Pick reads. The caller feeds it cache events.
+func (r *Router) Prefixes() *prefix.Index { return r.index }
+
+// Prepare readies candidates for Pick. Call it once for each new snapshot,
+// before other goroutines see it. Work in flight of known instances is kept.
+func (r *Router) Prepare(cands []Candidate) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range cands {
+		c := &cands[i]
+		c.own = r.ownOf(c.Instance)
+		c.slot = r.index.Slot(c.Instance)
+		c.zone = r.zoneOf(c.Zone)
+	}
+}
+
+// ownOf returns the own load of an instance. The caller holds r.mu.
+func (r *Router) ownOf(instance string) *ownLoad {
+	own := r.own[instance]
+	if own == nil {
+		own = &ownLoad{}
+		r.own[instance] = own
+	}
+	return own
+}
+
+// zoneOf returns the number of a zone. The caller holds r.mu.
+func (r *Router) zoneOf(zone string) int {
+	if at := slices.Index(r.zones, zone); at >= 0 {
+		return at
+	}
+	r.zones = append(r.zones, zone)
+	r.zoneCount.Store(int32(len(r.zones)))
+	return len(r.zones) - 1
+}
+
+// Forget drops what is kept of an instance that has left for good.
+func (r *Router) Forget(instance string) {
+	r.index.Forget(instance)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.own, instance)
+}
+
+// Pick returns where the request should run now. Candidates must have been
+// through Prepare. The error is a *NoCandidateError; nothing has run then.
+func (r *Router) Pick(now time.Duration, req *Request, cands []Candidate) (Decision, error) {
+	q := r.queries.Get().(*query)
+	defer r.queries.Put(q)
+	q.reset(now, req, cands, int(r.zoneCount.Load()))
+	defer q.release()
+	q.targets = r.cfg.Targets.Of(req.Class)
+	r.index.Match(now, req.Prefixes, &q.matches)
+	r.filter(q)
+	best := r.choose(q, false)
+	if best.instance == nil {
+		q.counts[ReasonMemory], q.counts[ReasonDeadline] = 0, 0
+		best = r.choose(q, true)
+	}
+	if best.instance == nil {
+		return Decision{Steps: q.steps}, q.refusal()
+	}
+	q.explainChoice(&best, "choice")
+	return best.decision(q), nil
+}
+
+func (ch *choice) decision(q *query) Decision {
+	d := Decision{
+		Instance:     ch.instance.Instance,
+		Address:      ch.instance.Address,
+		Incarnation:  ch.instance.Incarnation,
+		CachedTokens: ch.predicted.cached,
+		FirstToken:   seconds(ch.predicted.first),
+		Gap:          seconds(ch.predicted.gap),
+		Score:        ch.score,
+		Steps:        q.steps,
+		decode:       ch.instance.own,
+	}
+	if ch.prefill != nil {
+		d.Prefill = ch.prefill.Instance
+		d.PrefillAddress = ch.prefill.Address
+		d.PrefillIncarnation = ch.prefill.Incarnation
+		d.prefill = ch.prefill.own
+	}
+	return d
+}
+
+// Started notes that the request has been sent as decided. Exactly one call of
+// Finished follows, and one of PrefillDone before it when the request is split.
+func (r *Router) Started(now time.Duration, d *Decision, req *Request) {
+	prompt := req.PromptTokens - d.CachedTokens
+	whole := change{at: now, running: 1, pieces: req.Pieces()}
+	computes := d.Instance
+	if d.prefill != nil {
+		computes = d.Prefill
+		d.prefill.add(change{at: now, prefill: prompt, running: 1, pieces: PiecesFor(req.PromptTokens)})
+	} else {
+		whole.prefill = prompt
+	}
+	d.decode.add(whole)
+	r.index.Expect(now, computes, req.Prefixes)
+}
+
+// PrefillDone notes that the engine that computed the prompt of a split
+// request has finished, failed or been given up.
+func (r *Router) PrefillDone(now time.Duration, d *Decision, req *Request) {
+	if d.prefill != nil {
+		d.prefill.add(change{at: now, running: -1, pieces: -PiecesFor(req.PromptTokens)})
+	}
+}
+
+// Finished notes that the attempt has ended, whatever its outcome.
+func (r *Router) Finished(now time.Duration, d *Decision, req *Request) {
+	d.decode.add(change{at: now, running: -1, pieces: -req.Pieces()})
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,230 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/prefix"
+)
+
+func newRouter(zone string, seed uint64) *Router {
+	cfg := DefaultConfig()
+	cfg.Zone = zone
+	return New(cfg, rand.New(rand.NewPCG(seed, 1)))
+}
+
+func engine(name, zone string, role engineapi.Role) Candidate {
+	return Candidate{
+		Instance: name, Incarnation: 1, Kind: engineapi.KindModel, Zone: zone, Role: role, Pieces: 200,
+		Models: []engineapi.Model{{Name: "m", Version: "1", Adapters: []string{"a"}}},
+	}
+}
+
+func with(c Candidate, change func(*Candidate)) Candidate {
+	change(&c)
+	return c
+}
+
+func TestPick(t *testing.T) {
+	busy := func(c *Candidate) { c.Load.Running = 60 }
+	queue := func(c *Candidate) { c.Load.QueuedPrefill = 40000 }
+	full := func(c *Candidate) { c.Load.UsedPieces = 199 }
+	request := Request{Model: "m", PromptTokens: 8000, ExpectedOutput: 200, Class: ClassStandard}
+	tests := []struct {
+		name        string
+		req         Request
+		cands       []Candidate
+		want, split string // instance, and the instance for the prompt
+	}{
+		{"least busy", request, []Candidate{with(engine("w1", "a", "mixed"), busy), engine("w2", "a", "mixed")}, "w2", ""},
+		{"shorter backlog", request, []Candidate{with(engine("w1", "a", "mixed"), queue), engine("w2", "a", "mixed")}, "w2", ""},
+		{"own zone first", request, []Candidate{engine("w1", "b", "mixed"), engine("w2", "a", "mixed")}, "w2", ""},
+		{"spill to another zone", request, []Candidate{engine("w1", "b", "mixed"), with(engine("w2", "a", "mixed"), queue)}, "w1", ""},
+		{"split over two roles", request, []Candidate{engine("w1", "a", "prefill"), engine("w2", "a", "decode")}, "w2", "w1"},
+		{"split stays within a zone", request, []Candidate{engine("w1", "a", "prefill"), engine("w2", "b", "decode"), engine("w3", "b", "prefill")}, "w2", "w3"},
+		{"memory full", request, []Candidate{with(engine("w1", "a", "mixed"), full), engine("w2", "b", "mixed")}, "w2", ""},
+		{"adapter", Request{Model: "m", Adapter: "a", PromptTokens: 10}, []Candidate{with(engine("w1", "a", "mixed"), func(c *Candidate) { c.Models = []engineapi.Model{{Name: "m"}} }), engine("w2", "b", "mixed")}, "w2", ""},
+		{"excluded", Request{Model: "m", PromptTokens: 10, Exclude: []string{"w1"}}, []Candidate{engine("w1", "a", "mixed"), engine("w2", "b", "mixed")}, "w2", ""},
+		{"plain service", Request{Endpoint: "bookings"}, []Candidate{engine("w1", "a", "mixed"), {Instance: "s1", Kind: engineapi.KindService, Endpoint: "status"}, {Instance: "s2", Kind: engineapi.KindService, Endpoint: "bookings"}}, "s2", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRouter("a", 1)
+			r.Prepare(tt.cands)
+			d, err := r.Pick(0, &tt.req, tt.cands)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]string{tt.want, tt.split}, []string{d.Instance, d.Prefill}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestPickRefusals(t *testing.T) {
+	tests := []struct {
+		name      string
+		req       Request
+		change    func(*Candidate)
+		reason    Reason
+		temporary bool
+	}{
+		{"model", Request{Model: "other", PromptTokens: 1}, func(*Candidate) {}, ReasonModel, false},
+		{"version", Request{Model: "m", Version: "2", PromptTokens: 1}, func(*Candidate) {}, ReasonModel, false},
+		{"no service", Request{Endpoint: "bookings"}, func(*Candidate) {}, ReasonKind, false},
+		{"decode engine alone", Request{Model: "m", PromptTokens: 1}, func(c *Candidate) { c.Role = engineapi.RoleDecode }, ReasonRole, true},
+		{"draining", Request{Model: "m", PromptTokens: 1}, func(c *Candidate) { c.Draining = true }, ReasonDraining, true},
+		{"changing", Request{Model: "m", PromptTokens: 1}, func(c *Candidate) { c.Changing = true }, ReasonChanging, true},
+		{"lease", Request{Model: "m", PromptTokens: 1}, func(c *Candidate) { c.Fenced = true }, ReasonLease, true},
+		{"memory now", Request{Model: "m", PromptTokens: 4000}, func(c *Candidate) { c.Load.UsedPieces = 200 }, ReasonMemory, true},
+		{"memory ever", Request{Model: "m", PromptTokens: 500000}, func(*Candidate) {}, ReasonTooLarge, false},
+		{"deadline", Request{Model: "m", PromptTokens: 8000, ExpectedOutput: 900, Deadline: time.Second}, func(*Candidate) {}, ReasonDeadline, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRouter("a", 1)
+			cands := []Candidate{with(engine("w1", "a", "mixed"), tt.change)}
+			r.Prepare(cands)
+			_, err := r.Pick(0, &tt.req, cands)
+			var refused *NoCandidateError
+			if !errors.As(err, &refused) {
+				t.Fatalf("error = %v, want a NoCandidateError", err)
+			}
+			if refused.Main() != tt.reason || refused.Temporary() != tt.temporary {
+				t.Errorf("reason %s temporary %v, want %s %v", refused.Main(), refused.Temporary(), tt.reason, tt.temporary)
+			}
+			if !strings.Contains(err.Error(), reasonRemedies[tt.reason]) {
+				t.Errorf("%q names no remedy", err)
+			}
+		})
+	}
+}
+
+func TestCachedPrefixAttracts(t *testing.T) {
+	r := newRouter("a", 1)
+	cands := []Candidate{engine("w1", "a", "mixed"), engine("w2", "b", "mixed"), engine("w3", "a", "mixed")}
+	r.Prepare(cands)
+	events := []engineapi.CacheEvent{{Sequence: 1, Kind: engineapi.CacheStored, Prefix: 7}, {Sequence: 2, Kind: engineapi.CacheStored, Prefix: 8}}
+	page := prefix.Page{Instance: "w2", CacheEventPage: engineapi.CacheEventPage{Incarnation: 1, Complete: true, Events: events, Next: 2}}
+	r.Prefixes().Apply(0, page)
+	req := Request{Model: "m", PromptTokens: 5000, Prefixes: []uint64{7, 8}}
+	d, err := r.Pick(0, &req, cands)
+	if err != nil || d.Instance != "w2" || d.CachedTokens != 4000 {
+		t.Errorf("decision %+v, %v; want w2 with 4000 cached tokens", d, err)
+	}
+}
+
+// TestOwnWorkCountsBeforeReports sends requests under one unchanging report:
+// the own work in flight must spread them.
+func TestOwnWorkCountsBeforeReports(t *testing.T) {
+	r := newRouter("a", 3)
+	cands := []Candidate{engine("w1", "a", "mixed"), engine("w2", "a", "mixed"), engine("w3", "a", "mixed")}
+	r.Prepare(cands)
+	req := Request{Model: "m", PromptTokens: 2000, ExpectedOutput: 100}
+	counts := map[string]int{}
+	var decisions []Decision
+	for i := range 30 {
+		now := time.Duration(i+1) * time.Millisecond
+		d, err := r.Pick(now, &req, cands)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Started(now, &d, &req)
+		counts[d.Instance]++
+		decisions = append(decisions, d)
+	}
+	for name, n := range counts {
+		if n < 8 || n > 12 {
+			t.Errorf("%s got %d of 30", name, n)
+		}
+	}
+	for i := range decisions {
+		r.Finished(time.Second, &decisions[i], &req)
+	}
+	for _, c := range cands {
+		if load := estimateLoad(2*time.Second, &c, 16000); load.running != 0 || load.pieces != 0 || load.backlog != 0 {
+			t.Errorf("%s keeps %+v after all has finished", c.Instance, load)
+		}
+	}
+}
+
+func TestSplitOwnWorkIsGivenBack(t *testing.T) {
+	r := newRouter("a", 1)
+	cands := []Candidate{engine("p", "a", "prefill"), engine("d", "a", "decode")}
+	r.Prepare(cands)
+	req := Request{Model: "m", PromptTokens: 4000, ExpectedOutput: 100}
+	d, err := r.Pick(0, &req, cands)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Started(time.Millisecond, &d, &req)
+	if got := estimateLoad(time.Millisecond, &cands[0], 16000); got.backlog != 4000 || got.pieces != 2 {
+		t.Errorf("prompt engine estimate %+v", got)
+	}
+	r.PrefillDone(time.Second, &d, &req)
+	r.Finished(2*time.Second, &d, &req)
+	for _, c := range cands {
+		if load := estimateLoad(3*time.Second, &c, 16000); load.running != 0 || load.pieces != 0 {
+			t.Errorf("%s keeps %+v", c.Instance, load)
+		}
+	}
+}
+
+func TestExplainNamesFilterScoreAndChoice(t *testing.T) {
+	r := newRouter("a", 1)
+	cands := []Candidate{engine("w1", "a", "mixed"), with(engine("w2", "a", "mixed"), func(c *Candidate) { c.Draining = true })}
+	r.Prepare(cands)
+	req := Request{Model: "m", PromptTokens: 10, Explain: true}
+	d, err := r.Pick(0, &req, cands)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, step := range d.Steps {
+		got = append(got, step.Instance+" "+step.Stage+" "+step.Reason)
+	}
+	want := []string{"w2 filter draining", "w1 score whole", "w1 choice whole"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// fleet returns n engines over four zones, a third of them for prompts.
+func fleet(n int) []Candidate {
+	cands := make([]Candidate, n)
+	for i := range cands {
+		role := engineapi.RoleDecode
+		if i%3 == 0 {
+			role = engineapi.RolePrefill
+		}
+		cands[i] = engine(fmt.Sprintf("w%d", i), fmt.Sprintf("z%d", i/3%4), role)
+		cands[i].Load = engineapi.LoadReport{Running: i % 40, UsedPieces: i % 100, QueuedPrefill: i * 37 % 9000}
+	}
+	return cands
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{9, 18, 120, 600} {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			r := newRouter("z0", 1)
+			cands := fleet(n)
+			r.Prepare(cands)
+			req := Request{Model: "m", PromptTokens: 8000, ExpectedOutput: 200, Prefixes: []uint64{1, 2, 3, 4}}
+			r.Prefixes().Expect(0, "w0", req.Prefixes)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := r.Pick(time.Second, &req, cands); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/tomltime/tomltime.go
@@ -0,0 +1,26 @@
+// Package tomltime gives durations a form for TOML settings, as in "1.6s".
+package tomltime
+
+import (
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration that settings spell as text.
+type Duration struct{ time.Duration }
+
+// Of returns d as a Duration.
+func Of(d time.Duration) Duration { return Duration{d} }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration %q; write a number and a unit, such as 250ms or 1.6s: %w", text, err)
+	}
+	d.Duration = parsed
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
