Add request: states, legal moves and the closed set of reasons

Cause: a refusal that says not_run must be true, and non-repeatable work must run at most once, so one aggregate has to own every move. Change: internal/request holds the states, asserts the legal moves through internal/invariant, names every refusal with status, disposition, remedy and Retry-After, and registers one counter per refusal and retry reason. Conclusion: random call sequences (rapid) keep at-most-once and true not_run.

--- /dev/null
+++ b/internal/request/counters.go
@@ -0,0 +1,81 @@
+package request
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// RetryReason tells why a request was sent to an endpoint again.
+type RetryReason string
+
+// Retry reasons.
+const (
+	RetryConnect  RetryReason = "connect_failed"
+	RetryRefused  RetryReason = "instance_refused"
+	RetryBroken   RetryReason = "answer_broken"
+	RetryCrossed  RetryReason = "answer_crossed"
+	RetryStatus   RetryReason = "instance_error"
+	RetryResume   RetryReason = "stream_resumed"
+	RetryHedge    RetryReason = "hedged"
+	RetryDenied   RetryReason = "budget_empty" // a retry that the budget did not allow
+	RetryProposal RetryReason = "claim_proposal"
+)
+
+var retryReasons = []RetryReason{
+	RetryConnect, RetryRefused, RetryBroken, RetryCrossed, RetryStatus,
+	RetryResume, RetryHedge, RetryDenied, RetryProposal,
+}
+
+// DropReason tells why part of an endpoint's answer was not passed on.
+type DropReason string
+
+// Drop reasons.
+const (
+	DropCrossed DropReason = "other_attempt" // the answer named another attempt
+	DropLate    DropReason = "late"          // the attempt was no longer open
+	DropDoubled DropReason = "doubled_token" // the token had been passed on before
+)
+
+var dropReasons = []DropReason{DropCrossed, DropLate, DropDoubled}
+
+// Counters count requests by their end, retries and dropped answers.
+type Counters struct {
+	answered *metrics.Counter
+	refused  map[Code]*metrics.Counter
+	retried  map[RetryReason]*metrics.Counter
+	dropped  map[DropReason]*metrics.Counter
+}
+
+// NewCounters registers a counter for every reason in the set.
+func NewCounters(set *metrics.Set) *Counters {
+	c := &Counters{
+		answered: set.GetOrCreateCounter("filberthook_requests_answered_total"),
+		refused:  make(map[Code]*metrics.Counter, len(reasons)),
+		retried:  make(map[RetryReason]*metrics.Counter, len(retryReasons)),
+		dropped:  make(map[DropReason]*metrics.Counter, len(dropReasons)),
+	}
+	for _, r := range reasons {
+		name := fmt.Sprintf(`filberthook_requests_refused_total{reason=%q,disposition=%q}`, r.Code, r.Disposition)
+		c.refused[r.Code] = set.GetOrCreateCounter(name)
+	}
+	for _, r := range retryReasons {
+		c.retried[r] = set.GetOrCreateCounter(fmt.Sprintf(`filberthook_retries_total{reason=%q}`, r))
+	}
+	for _, r := range dropReasons {
+		c.dropped[r] = set.GetOrCreateCounter(fmt.Sprintf(`filberthook_answers_dropped_total{reason=%q}`, r))
+	}
+	return c
+}
+
+// Answered counts a whole answer.
+func (c *Counters) Answered() { c.answered.Inc() }
+
+// Refused counts a request that ended without its answer.
+func (c *Counters) Refused(code Code) { c.refused[code].Inc() }
+
+// Retried counts one more dispatch of a request.
+func (c *Counters) Retried(reason RetryReason) { c.retried[reason].Inc() }
+
+// Dropped counts an answer, or a part of one, that was not passed on.
+func (c *Counters) Dropped(reason DropReason) { c.dropped[reason].Inc() }
--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,200 @@
+// Package request holds the life of one caller request: its states, the legal
+// moves between them, and the closed set of reasons by which it can end without
+// its answer. It makes no calls and reads no clock.
+package request
+
+import (
+	"sync"
+
+	"filberthook/internal/invariant"
+)
+
+// State is a step in a request's life.
+type State uint8
+
+// States. Answered, Refused and Unknown are final.
+const (
+	Received   State = iota // read from the caller
+	Admitted                // passed authentication and limits
+	Dispatched              // an attempt is under way at an endpoint
+	Streaming               // part of the answer has been passed on
+	Answered                // the whole answer has been passed on
+	Refused                 // ended without its answer; whether it ran is known
+	Unknown                 // ended without its answer; whether it ran is not known
+)
+
+var stateNames = [...]string{"received", "admitted", "dispatched", "streaming", "answered", "refused", "unknown"}
+
+// String returns the state's name.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "invalid"
+}
+
+// Final reports whether no move leads out of the state.
+func (s State) Final() bool { return s >= Answered }
+
+// moves lists the legal moves.
+var moves = map[State][]State{
+	Received:   {Admitted, Answered, Refused, Unknown}, // Answered and Unknown: by the stored outcome of an earlier send
+	Admitted:   {Dispatched, Answered, Refused, Unknown},
+	Dispatched: {Dispatched, Streaming, Answered, Refused, Unknown},
+	Streaming:  {Dispatched, Answered, Refused, Unknown},
+}
+
+// Legal reports whether a request may move between two states.
+func Legal(from, to State) bool {
+	for _, s := range moves[from] {
+		if s == to {
+			return true
+		}
+	}
+	return false
+}
+
+// attempt is one dispatch to an endpoint instance.
+type attempt struct {
+	sent         bool // a byte may have left
+	provenNotRun bool // the instance said that it did not run the attempt
+}
+
+// Request is the aggregate of one caller request. Its methods may be called
+// from several goroutines.
+type Request struct {
+	id         string
+	repeatable bool
+
+	mu       sync.Mutex // guards the fields below
+	state    State
+	attempts map[string]*attempt
+	open     string // newest attempt; answers of others are not accepted
+	outcome  *Refusal
+}
+
+// New returns a request in state Received. A request that is not repeatable
+// is never dispatched again after a byte of an attempt may have left.
+func New(id string, repeatable bool) *Request {
+	return &Request{id: id, repeatable: repeatable, attempts: make(map[string]*attempt, 1)}
+}
+
+// ID returns the request's identifier.
+func (r *Request) ID() string { return r.id }
+
+// Repeatable reports whether the request may run more than once.
+func (r *Request) Repeatable() bool { return r.repeatable }
+
+// State returns the present state.
+func (r *Request) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+// Outcome returns the refusal that ended the request, nil when there is none.
+func (r *Request) Outcome() *Refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.outcome
+}
+
+// Admit records that the request passed authentication and limits.
+func (r *Request) Admit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.move(Admitted)
+}
+
+// Dispatch opens a new attempt. The attempt's identifier must be new.
+func (r *Request) Dispatch(attemptID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, seen := r.attempts[attemptID]
+	invariant.Check(!seen, "attempt-id-unique", "request %s: attempt %s dispatched twice", r.id, attemptID)
+	invariant.Check(r.repeatable || !r.mayHaveRun(), "at-most-once",
+		"request %s: attempt %s dispatched after a byte of an earlier one may have left", r.id, attemptID)
+	r.move(Dispatched)
+	r.attempts[attemptID] = &attempt{}
+	r.open = attemptID
+}
+
+// Sent records that a byte of the attempt may have left for the instance.
+func (r *Request) Sent(attemptID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := r.attempts[attemptID]; a != nil {
+		a.sent = true
+	}
+}
+
+// ProvenNotRun records the instance's word that it did not run the attempt.
+func (r *Request) ProvenNotRun(attemptID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := r.attempts[attemptID]; a != nil {
+		a.provenNotRun = true
+	}
+}
+
+// Accepts reports whether an answer with this attempt identifier belongs to
+// the open attempt.
+func (r *Request) Accepts(attemptID string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.state.Final() && r.open != "" && r.open == attemptID
+}
+
+// MayHaveRun reports whether any attempt may have run at an endpoint.
+func (r *Request) MayHaveRun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mayHaveRun()
+}
+
+// mayHaveRun expects r.mu to be held.
+func (r *Request) mayHaveRun() bool {
+	for _, a := range r.attempts {
+		if a.sent && !a.provenNotRun {
+			return true
+		}
+	}
+	return false
+}
+
+// Stream records that part of the open attempt's answer was passed on.
+func (r *Request) Stream() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != Streaming {
+		r.move(Streaming)
+	}
+}
+
+// Answer records that the whole answer was passed on.
+func (r *Request) Answer() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.move(Answered)
+}
+
+// Refuse ends the request without its answer. The disposition NotRun must be
+// true of every attempt.
+func (r *Request) Refuse(refusal *Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	invariant.Check(refusal.Disposition != NotRun || !r.mayHaveRun(), "true-not-run",
+		"request %s: refusal %s says not_run, but an attempt may have run", r.id, refusal.Code)
+	if refusal.Disposition == MayHaveRun {
+		r.move(Unknown)
+	} else {
+		r.move(Refused)
+	}
+	r.outcome = refusal
+}
+
+// move expects r.mu to be held.
+func (r *Request) move(to State) {
+	invariant.Check(Legal(r.state, to), "request-move-legal", "request %s: %s to %s", r.id, r.state, to)
+	r.state = to
+}
--- /dev/null
+++ b/internal/request/request_test.go
@@ -0,0 +1,179 @@
+package request
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"pgregory.net/rapid"
+
+	"filberthook/internal/invariant"
+)
+
+// broken returns the name of the invariant that fn breaks, empty when none.
+func broken(fn func()) (name string) {
+	defer func() {
+		if v, ok := recover().(*invariant.Violation); ok {
+			name = v.Name
+		}
+	}()
+	fn()
+	return ""
+}
+
+func TestMoves(t *testing.T) {
+	admitted := func(repeatable bool) *Request {
+		r := New("r", repeatable)
+		r.Admit()
+		return r
+	}
+	dispatched := func(repeatable bool) *Request {
+		r := admitted(repeatable)
+		r.Dispatch("a")
+		return r
+	}
+	sent := func(repeatable bool) *Request {
+		r := dispatched(repeatable)
+		r.Sent("a")
+		return r
+	}
+	tests := []struct {
+		name   string
+		req    *Request
+		act    func(*Request)
+		broken string
+		state  State
+	}{
+		{"dispatch before admission", New("r", true), func(r *Request) { r.Dispatch("a") }, "request-move-legal", Received},
+		{"refuse received", New("r", true), func(r *Request) { r.Refuse(Refuse(QueueFull, "")) }, "", Refused},
+		{"answer from store", New("r", false), (*Request).Answer, "", Answered},
+		{"same attempt twice", dispatched(true), func(r *Request) { r.Dispatch("a") }, "attempt-id-unique", Dispatched},
+		{"retry repeatable after bytes left", sent(true), func(r *Request) { r.Dispatch("b") }, "", Dispatched},
+		{"retry non-repeatable after bytes left", sent(false), func(r *Request) { r.Dispatch("b") }, "at-most-once", Dispatched},
+		{"retry non-repeatable before bytes left", dispatched(false), func(r *Request) { r.Dispatch("b") }, "", Dispatched},
+		{"not run after bytes left", sent(true), func(r *Request) { r.Refuse(Refuse(ConnectFailed, "")) }, "true-not-run", Dispatched},
+		{"not run by the instance's word", sent(false), func(r *Request) {
+			r.ProvenNotRun("a")
+			r.Refuse(Refuse(InstanceRefused, ""))
+		}, "", Refused},
+		{"unknown after bytes left", sent(false), func(r *Request) { r.Refuse(Refuse(OutcomeUnknown, "")) }, "", Unknown},
+		{"stream twice then answer", sent(true), func(r *Request) { r.Stream(); r.Stream(); r.Answer() }, "", Answered},
+		{"move out of a final state", sent(true), func(r *Request) { r.Answer(); r.Answer() }, "request-move-legal", Answered},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := broken(func() { tt.act(tt.req) }); got != tt.broken {
+				t.Errorf("broke invariant %q, want %q", got, tt.broken)
+			}
+			if got := tt.req.State(); got != tt.state {
+				t.Errorf("state %s, want %s", got, tt.state)
+			}
+		})
+	}
+}
+
+func TestOnlyTheOpenAttemptIsAccepted(t *testing.T) {
+	r := New("r", true)
+	r.Admit()
+	r.Dispatch("a")
+	r.Dispatch("b")
+	if r.Accepts("a") || r.Accepts("") || !r.Accepts("b") {
+		t.Error("an answer of a closed attempt is accepted, or the open one is not")
+	}
+	r.Answer()
+	if r.Accepts("b") {
+		t.Error("an answer is accepted after the request ended")
+	}
+}
+
+// TestRandomMovesKeepPromises runs random calls; whatever is not stopped by an
+// invariant must keep at-most-once and true refusals.
+func TestRandomMovesKeepPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		repeatable := rapid.Bool().Draw(t, "repeatable")
+		r := New("r", repeatable)
+		var sent, proven = map[string]bool{}, map[string]bool{}
+		mayHaveRun := func() bool {
+			for id := range sent {
+				if !proven[id] {
+					return true
+				}
+			}
+			return false
+		}
+		for _, op := range rapid.SliceOfN(rapid.IntRange(0, 6), 1, 12).Draw(t, "ops") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "attempt")
+			ranBefore, before := mayHaveRun(), r.State()
+			stopped := broken(func() {
+				switch op {
+				case 0:
+					r.Admit()
+				case 1:
+					r.Dispatch(id)
+				case 2:
+					if _, ok := r.attempts[id]; ok {
+						sent[id] = true
+					}
+					r.Sent(id)
+				case 3:
+					if _, ok := r.attempts[id]; ok {
+						proven[id] = true
+					}
+					r.ProvenNotRun(id)
+				case 4:
+					r.Stream()
+				case 5:
+					r.Answer()
+				case 6:
+					r.Refuse(Refuse(rapid.SampledFrom([]Code{QueueFull, OutcomeUnknown}).Draw(t, "code"), ""))
+				}
+			})
+			if stopped != "" {
+				return
+			}
+			if op == 1 && !repeatable && ranBefore {
+				t.Fatal("dispatched again after a byte may have left")
+			}
+			if op == 6 && r.Outcome().Disposition == NotRun && ranBefore {
+				t.Fatal("not_run said of a request that may have run")
+			}
+			if before.Final() && r.State() != before {
+				t.Fatalf("moved from %s to %s", before, r.State())
+			}
+		}
+	})
+}
+
+func TestEveryReasonIsComplete(t *testing.T) {
+	set := metrics.NewSet()
+	counters := NewCounters(set)
+	seen := map[Code]bool{}
+	for _, r := range Reasons() {
+		if seen[r.Code] {
+			t.Errorf("%s is listed twice", r.Code)
+		}
+		seen[r.Code] = true
+		if r.Status < 400 || r.Remedy == "" || r.Disposition == "" {
+			t.Errorf("%s lacks a status, remedy or disposition", r.Code)
+		}
+		if (r.Status == 429 || r.Status == 503) && r.RetryAfter == 0 {
+			t.Errorf("%s does not say when to come back", r.Code)
+		}
+		counters.Refused(r.Code)
+		name := `{reason="` + string(r.Code) + `"`
+		var out strings.Builder
+		set.WritePrometheus(&out)
+		if !strings.Contains(out.String(), name) {
+			t.Errorf("no counter for %s", r.Code)
+		}
+	}
+}
+
+func TestRefusalNamesRemedyAndCause(t *testing.T) {
+	cause := errors.New("cause")
+	r := Refuse(QueueFull, "class %s is full", "status").Because(cause)
+	if !errors.Is(r, cause) || !strings.Contains(r.Error(), r.Remedy) {
+		t.Errorf("refusal %q hides its remedy or cause", r)
+	}
+}
