Add claim: replicated state machine for non-repeatable calls

Cause: a booking or a claim registration must run at most once, also when it is resent through another entry host after a crash. Change: internal/claim decides which attempt may dispatch.

--- /dev/null
+++ b/internal/claim/timers.go
@@ -0,0 +1,41 @@
+package claim
+
+// timer is the next time at which a claim or a withdrawn attempt changes.
+type timer struct {
+	at      int64   // machine time
+	rec     *record // nil for a withdrawn attempt
+	attempt string  // of a withdrawn attempt
+	index   int     // position in timers
+}
+
+// timers implements heap.Interface, the earliest timer first.
+type timers []*timer
+
+// Len implements sort.Interface.
+func (t timers) Len() int { return len(t) }
+
+// Less implements sort.Interface.
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+
+// Swap implements sort.Interface.
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index = i
+	t[j].index = j
+}
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) {
+	item := x.(*timer)
+	item.index = len(*t)
+	*t = append(*t, item)
+}
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	old := *t
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*t = old[:len(old)-1]
+	return last
+}
