--- /dev/null
+++ b/internal/consensus/change.go
@@ -0,0 +1,131 @@
+package consensus
+
+// ChangeType says what a Change does to a member.
+type ChangeType uint8
+
+const (
+	ChangeAddLearner ChangeType = iota + 1
+	ChangePromote
+	ChangeRemove
+)
+
+// Change is one step of a membership change. AddLearner uses ID, Address and Zone
+// of Member; the others use ID.
+type Change struct {
+	Type   ChangeType
+	Member Member
+}
+
+// ProposeMembership appends a membership change to the leader's log. The change is
+// in force from the append on; index and term decide it as in Propose.
+func (c *Core) ProposeMembership(change Change) (index, term uint64, err error) {
+	if err := c.checkPropose(0); err != nil {
+		return 0, 0, err
+	}
+	next, reason := c.planChange(change)
+	if reason != "" {
+		return 0, 0, &RefusedError{Reason: reason, Leader: c.leader}
+	}
+	return c.appendOwn(EntryMembership, next.Encode()), c.term, nil
+}
+
+func (c *Core) planChange(change Change) (Membership, Reason) {
+	if c.fault != faultOverlappingChanges {
+		if c.changePending() {
+			return Membership{}, ReasonChangePending
+		}
+		if !c.committedInTerm() {
+			return Membership{}, ReasonNotReady
+		}
+	}
+	switch change.Type {
+	case ChangeAddLearner:
+		return c.planAdd(change.Member)
+	case ChangePromote:
+		return c.planPromote(change.Member.ID)
+	default:
+		return c.planRemove(change.Member.ID)
+	}
+}
+
+func (c *Core) planAdd(member Member) (Membership, Reason) {
+	m := c.membership()
+	if _, ok := m.Find(member.ID); ok || member.ID == 0 {
+		return m, ReasonKnownMember
+	}
+	if m.IsRetired(member.ID) {
+		return m, ReasonRetiredID
+	}
+	member.Learner = true
+	member.Incarnation = 0
+	return m.withMember(member), ""
+}
+
+// planPromote makes a voter of a learner that holds everything committed so far.
+func (c *Core) planPromote(id uint64) (Membership, Reason) {
+	m := c.membership()
+	member, ok := m.Find(id)
+	if !ok {
+		return m, ReasonUnknownMember
+	}
+	if !member.Learner {
+		return m, ReasonKnownMember
+	}
+	if m.Voters() >= MaxVoters {
+		return m, ReasonTooManyVoters
+	}
+	p := c.progress[id]
+	if p.match < c.log.committed && c.fault != faultPromoteEarly || !p.active || p.incarnation == 0 {
+		return m, ReasonNotCaughtUp
+	}
+	member.Learner = false
+	member.Incarnation = p.incarnation
+	return m.withMember(member), ""
+}
+
+// planRemove removes a member unless too few of the remaining voters are reachable.
+func (c *Core) planRemove(id uint64) (Membership, Reason) {
+	m := c.membership()
+	member, ok := m.Find(id)
+	switch {
+	case !ok:
+		return m, ReasonUnknownMember
+	case id == c.cfg.ID:
+		return m, ReasonRemoveLeader
+	}
+	next := m.without(id)
+	if member.Learner {
+		return next, ""
+	}
+	current := next.quorumValue(func(voter uint64) uint64 { return c.progress[voter].match })
+	if current < c.log.committed {
+		return m, ReasonQuorumAtRisk
+	}
+	return next, ""
+}
+
+// TransferLeadership asks a voter to take over. Proposals are refused until it
+// does or an election timeout has passed.
+func (c *Core) TransferLeadership(to uint64) error {
+	if err := c.checkPropose(0); err != nil {
+		return err
+	}
+	if !c.membership().IsVoter(to) {
+		return &RefusedError{Reason: ReasonUnknownMember, Leader: c.leader}
+	}
+	if to == c.cfg.ID {
+		return nil
+	}
+	c.transferee = to
+	c.electionElapsed = 0
+	c.sendAppends = true
+	c.continueTransfer(to, c.progress[to])
+	return nil
+}
+
+// continueTransfer lets the transferee start its election once it holds the log.
+func (c *Core) continueTransfer(id uint64, p *progress) {
+	if c.transferee == id && p.match == c.log.lastIndex() {
+		c.sendEarly(Message{Type: MessageTimeoutNow, To: id})
+	}
+}
--- /dev/null
+++ b/internal/consensus/core.go
@@ -0,0 +1,290 @@
+package consensus
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"filberthook/internal/invariant"
+)
+
+// Config holds the settings of a Core.
+type Config struct {
+	ID          uint64 // of this replica, not 0
+	Incarnation uint64 // random number of this replica's data folder, not 0
+	// ElectionTicks is the shortest time without a leader before an election; the
+	// time used is drawn from [ElectionTicks, 2*ElectionTicks).
+	ElectionTicks  int
+	HeartbeatTicks int
+	Seed           uint64 // of the election timeouts
+	// MaxAppendBytes bounds the entries of one append message.
+	MaxAppendBytes int
+	// MaxUncommittedBytes bounds the entries that a leader holds uncommitted.
+	MaxUncommittedBytes int
+	// ChunkBytes bounds the data of one snapshot message.
+	ChunkBytes int
+}
+
+// WithDefaults returns the settings with zero values replaced by defaults.
+func (c Config) WithDefaults() Config {
+	setDefault(&c.ElectionTicks, 10)
+	setDefault(&c.HeartbeatTicks, 1)
+	setDefault(&c.MaxAppendBytes, 512<<10)
+	setDefault(&c.MaxUncommittedBytes, 32<<20)
+	setDefault(&c.ChunkBytes, 256<<10)
+	return c
+}
+
+func setDefault(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Validate returns an error that names the first setting out of range.
+func (c Config) Validate() error {
+	switch {
+	case c.ID == 0:
+		return fmt.Errorf("replica id is 0: set a positive id")
+	case c.Incarnation == 0:
+		return fmt.Errorf("incarnation is 0: draw a random one per data folder")
+	case c.HeartbeatTicks < 1 || c.ElectionTicks <= c.HeartbeatTicks:
+		return fmt.Errorf("election ticks %d must exceed heartbeat ticks %d", c.ElectionTicks, c.HeartbeatTicks)
+	case c.MaxAppendBytes < 1 || c.MaxAppendBytes > MaxMessageBytes/4 || c.ChunkBytes < 1 || c.ChunkBytes > MaxMessageBytes/4:
+		return fmt.Errorf("append of %d and chunk of %d bytes must be within 1..%d", c.MaxAppendBytes, c.ChunkBytes, MaxMessageBytes/4)
+	}
+	return nil
+}
+
+// State is what a replica recovered from its disk. Entries follow Snapshot.
+// A new group's first replicas start with a Snapshot of index 0 that carries the
+// initial membership; a replica that joins starts with an empty membership.
+type State struct {
+	HardState HardState
+	Snapshot  Snapshot
+	Entries   []Entry
+}
+
+// membershipAt is a membership and the index of the entry that set it.
+type membershipAt struct {
+	index      uint64
+	membership Membership
+}
+
+// Core is one replica's consensus state machine. It is not safe for concurrent use.
+type Core struct {
+	cfg  Config
+	rand *rand.Rand
+
+	term, vote  uint64
+	saved       HardState // last one handed out and acknowledged
+	log         raftLog
+	memberships []membershipAt // ascending index, never empty; the last is in force
+	snapshot    *Snapshot      // newest one, serves lagging replicas
+	diskLost    bool
+
+	role             Role
+	leader           uint64
+	electionElapsed  int // ticks
+	heartbeatElapsed int // ticks
+	electionTimeout  int // ticks
+	votes            map[uint64]ballot
+
+	progress    map[uint64]*progress // leader only
+	uncommitted int                  // bytes, leader only
+	transferee  uint64
+	sendAppends bool
+	sendBeats   bool
+
+	readSeq      uint64
+	reads        []pendingRead // confirmed in order of seq
+	delayedReads []pendingRead // waiting for the first commit in the term
+
+	incoming   *incomingSnapshot
+	installed  *Snapshot
+	early      []Message
+	messages   []Message
+	readStates []ReadState
+	ready      *Ready // handed out and not yet advanced
+
+	fault fault // tests only
+}
+
+// New returns a follower with the recovered state.
+func New(cfg Config, st State) (*Core, error) {
+	cfg = cfg.WithDefaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	snap := st.Snapshot
+	c := &Core{
+		cfg:         cfg,
+		rand:        rand.New(rand.NewPCG(cfg.Seed, cfg.ID)),
+		term:        st.HardState.Term,
+		vote:        st.HardState.Vote,
+		saved:       st.HardState,
+		snapshot:    &snap,
+		memberships: []membershipAt{{snap.Index, snap.Membership}},
+		log:         raftLog{offset: snap.Index, offsetTerm: snap.Term, stable: snap.Index, committed: snap.Index, applied: snap.Index},
+	}
+	for i, e := range st.Entries {
+		if e.Index != snap.Index+uint64(i)+1 {
+			return nil, fmt.Errorf("recovered entry %d does not follow snapshot %d: restore the data folder or rejoin as a learner with a new replica id", e.Index, snap.Index)
+		}
+	}
+	if err := c.recordMemberships(st.Entries); err != nil {
+		return nil, err
+	}
+	c.log.append(st.Entries...)
+	c.log.stable = c.log.lastIndex()
+	c.log.commitTo(min(st.HardState.Commit, c.log.lastIndex()))
+	c.becomeFollower(c.term, 0)
+	c.checkIncarnation()
+	return c, nil
+}
+
+// membership returns the one in force: the newest in the log, committed or not.
+func (c *Core) membership() Membership {
+	return c.memberships[len(c.memberships)-1].membership
+}
+
+// changePending reports whether a membership entry is not committed yet.
+func (c *Core) changePending() bool {
+	return c.memberships[len(c.memberships)-1].index > c.log.committed
+}
+
+// appendLog replaces the log from entries[0] on and follows its memberships.
+func (c *Core) appendLog(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	first := entries[0].Index
+	c.log.append(entries...)
+	n := len(c.memberships)
+	for n > 1 && c.memberships[n-1].index >= first {
+		n--
+	}
+	c.memberships = c.memberships[:n]
+	err := c.recordMemberships(entries)
+	invariant.Check(err == nil, "membership-entry-valid", "%v", err)
+	c.checkIncarnation()
+}
+
+func (c *Core) recordMemberships(entries []Entry) error {
+	for _, e := range entries {
+		if e.Type != EntryMembership {
+			continue
+		}
+		m, err := DecodeMembership(e.Data)
+		if err != nil {
+			return fmt.Errorf("entry %d: %w", e.Index, err)
+		}
+		c.memberships = append(c.memberships, membershipAt{e.Index, m})
+	}
+	return nil
+}
+
+// checkIncarnation finds out whether the group knows this replica's id with
+// another data folder. Such a replica takes no further part.
+func (c *Core) checkIncarnation() {
+	self, ok := c.membership().Find(c.cfg.ID)
+	if ok && self.Incarnation != 0 && self.Incarnation != c.cfg.Incarnation && c.fault != faultIgnoreIncarnation {
+		c.diskLost = true
+	}
+}
+
+// Tick advances the logical clock by one.
+func (c *Core) Tick() {
+	if c.diskLost {
+		return
+	}
+	c.electionElapsed++
+	if c.role == RoleLeader {
+		c.tickLeader()
+		return
+	}
+	if c.electionElapsed >= c.electionTimeout {
+		c.electionElapsed = 0
+		c.resetElectionTimeout()
+		c.startElection()
+	}
+}
+
+func (c *Core) tickLeader() {
+	c.heartbeatElapsed++
+	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
+		c.heartbeatElapsed = 0
+		c.sendBeats = true
+	}
+	if c.electionElapsed < c.cfg.ElectionTicks {
+		return
+	}
+	c.electionElapsed = 0
+	c.transferee = 0
+	if !c.quorumActive() {
+		c.becomeFollower(c.term, 0)
+	}
+}
+
+// quorumActive reports whether a quorum was heard from since the last call.
+func (c *Core) quorumActive() bool {
+	active := 0
+	m := c.membership()
+	for id, p := range c.progress {
+		if m.IsVoter(id) && (p.active || id == c.cfg.ID) {
+			active++
+		}
+		p.active = false
+	}
+	return active >= m.Quorum()
+}
+
+func (c *Core) resetElectionTimeout() {
+	c.electionTimeout = c.cfg.ElectionTicks + c.rand.IntN(c.cfg.ElectionTicks)
+}
+
+// setTerm enters a later term, in which no vote has been given.
+func (c *Core) setTerm(term uint64) {
+	invariant.Check(term >= c.term, "term-grows", "term %d after %d", term, c.term)
+	if term > c.term {
+		c.term, c.vote, c.leader = term, 0, 0
+	}
+}
+
+func (c *Core) setVote(id uint64) {
+	invariant.Check(c.vote == 0 || c.vote == id || c.fault == faultVoteTwice, "one-vote-per-term",
+		"term %d: voted for %d, now for %d", c.term, c.vote, id)
+	c.vote = id
+}
+
+func (c *Core) setLeader(id uint64) {
+	invariant.Check(c.leader == 0 || c.leader == id || c.fault == faultAcceptStaleAppend, "one-leader-per-term",
+		"term %d: leaders %d and %d", c.term, c.leader, id)
+	c.leader = id
+}
+
+func (c *Core) becomeFollower(term, leader uint64) {
+	c.setTerm(term)
+	c.role = RoleFollower
+	c.leader = leader
+	c.votes = nil
+	c.progress = nil
+	c.transferee = 0
+	c.reads, c.delayedReads = nil, nil
+	c.sendAppends, c.sendBeats = false, false
+	c.electionElapsed, c.heartbeatElapsed = 0, 0
+	c.resetElectionTimeout()
+}
+
+func (c *Core) send(m Message) {
+	m.From = c.cfg.ID
+	m.Incarnation = c.cfg.Incarnation
+	c.messages = append(c.messages, m)
+}
+
+// sendEarly queues a leader's message that promises nothing about its own disk.
+func (c *Core) sendEarly(m Message) {
+	m.From = c.cfg.ID
+	m.Incarnation = c.cfg.Incarnation
+	m.Term = c.term
+	c.early = append(c.early, m)
+}
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,134 @@
+package consensus
+
+// ballot is one replica's answer to a vote request.
+type ballot struct {
+	granted     bool
+	incarnation uint64
+}
+
+// startElection begins with a pre-vote, which changes no durable state.
+func (c *Core) startElection() {
+	if !c.membership().IsVoter(c.cfg.ID) {
+		return
+	}
+	c.campaign(RolePreCandidate, false)
+}
+
+// campaign asks all voters for their vote. A pre-candidate asks for the next term
+// without entering it.
+func (c *Core) campaign(role Role, force bool) {
+	term, request := c.term+1, MessagePreVote
+	c.becomeFollower(c.term, 0)
+	if role == RoleCandidate {
+		request = MessageVote
+		c.setTerm(term)
+		c.setVote(c.cfg.ID)
+	}
+	c.role = role
+	c.votes = map[uint64]ballot{c.cfg.ID: {granted: true, incarnation: c.cfg.Incarnation}}
+	if c.countVotes() {
+		return
+	}
+	for _, member := range c.membership().Members {
+		if member.Learner || member.ID == c.cfg.ID {
+			continue
+		}
+		c.send(Message{Type: request, To: member.ID, Term: term, Index: c.log.lastIndex(), LogTerm: c.log.lastTerm(), Force: force})
+	}
+}
+
+// countVotes moves on when the election is decided and reports whether it was won.
+func (c *Core) countVotes() bool {
+	m := c.membership()
+	granted, rejected := 0, 0
+	for id, b := range c.votes {
+		switch {
+		case !m.IsVoter(id):
+		case b.granted:
+			granted++
+		default:
+			rejected++
+		}
+	}
+	if granted >= m.Quorum() {
+		if c.role == RolePreCandidate {
+			c.campaign(RoleCandidate, false)
+		} else {
+			c.becomeLeader()
+		}
+		return true
+	}
+	if rejected > m.Voters()-m.Quorum() {
+		c.becomeFollower(c.term, 0)
+	}
+	return false
+}
+
+func (c *Core) becomeLeader() {
+	ballots := c.votes
+	c.becomeFollower(c.term, 0)
+	c.role = RoleLeader
+	c.setLeader(c.cfg.ID)
+	c.uncommitted = 0
+	c.progress = make(map[uint64]*progress)
+	c.syncProgress()
+	m := c.membership()
+	if m.Bound() {
+		c.appendOwn(EntryNormal, nil)
+		return
+	}
+	c.appendOwn(EntryMembership, bind(m, ballots).Encode())
+}
+
+// bind records the incarnations of the voters, all of which have voted.
+func bind(m Membership, ballots map[uint64]ballot) Membership {
+	for _, member := range m.Members {
+		if b, ok := ballots[member.ID]; ok && !member.Learner && member.Incarnation == 0 {
+			member.Incarnation = b.incarnation
+			m = m.withMember(member)
+		}
+	}
+	return m
+}
+
+// leaseHeld reports whether this replica heard from a leader within the shortest
+// election timeout, so that a vote for another would only disturb the group.
+func (c *Core) leaseHeld() bool {
+	return c.leader != 0 && c.electionElapsed < c.cfg.ElectionTicks
+}
+
+func (c *Core) handleVoteRequest(m *Message) {
+	pre := m.Type == MessagePreVote
+	response := Message{Type: MessageVoteResponse, To: m.From, Term: c.term, Reject: true}
+	if pre {
+		response.Type = MessagePreVoteResponse
+	}
+	free := c.vote == m.From || c.vote == 0 && c.leader == 0 || pre && m.Term > c.term || c.fault == faultVoteTwice
+	recent := c.log.upToDate(m.LogTerm, m.Index) || c.fault == faultVoteStaleLog
+	if free && recent {
+		response.Term, response.Reject = m.Term, false
+		if !pre {
+			c.electionElapsed = 0
+			c.setVote(m.From)
+		}
+	}
+	c.send(response)
+}
+
+func (c *Core) handleVoteResponse(m *Message) {
+	want := RoleCandidate
+	if m.Type == MessagePreVoteResponse {
+		want = RolePreCandidate
+	}
+	if c.role != want {
+		return
+	}
+	if m.Type == MessagePreVoteResponse && !m.Reject && m.Term != c.term+1 {
+		return
+	}
+	if _, seen := c.votes[m.From]; seen {
+		return
+	}
+	c.votes[m.From] = ballot{granted: !m.Reject, incarnation: m.Incarnation}
+	c.countVotes()
+}
--- /dev/null
+++ b/internal/consensus/progress.go
@@ -0,0 +1,70 @@
+package consensus
+
+type progressState uint8
+
+const (
+	// stateProbe sends one append at a time until the logs are known to match.
+	stateProbe progressState = iota
+	// stateReplicate sends appends ahead of their responses.
+	stateReplicate
+	// stateSnapshot sends a snapshot chunk by chunk.
+	stateSnapshot
+)
+
+// maxInflight bounds the append messages sent to a replica ahead of its responses.
+const maxInflight = 64
+
+// progress is what a leader knows about one replica. Invariant: match < next, and
+// entries up to match are durable at the replica.
+type progress struct {
+	state       progressState
+	match       uint64
+	next        uint64
+	inflight    []uint64 // last indexes of unanswered appends, ascending
+	waiting     bool     // stateProbe: an append is out
+	active      bool     // heard from since the last quorum check
+	readAck     uint64   // highest read sequence number confirmed
+	matchAtBeat uint64   // match at the previous heartbeat response
+	incarnation uint64   // of the replica that match belongs to, 0 before first contact
+	snapshot    *Snapshot
+	checksum    uint64
+	offset      uint64 // bytes of the snapshot that the replica holds
+	offsetAt    uint64 // offset at the previous heartbeat response
+}
+
+func (p *progress) paused() bool {
+	switch p.state {
+	case stateProbe:
+		return p.waiting
+	case stateReplicate:
+		return len(p.inflight) >= maxInflight
+	default:
+		return true
+	}
+}
+
+func (p *progress) probe() {
+	p.state = stateProbe
+	p.next = p.match + 1
+	p.inflight = nil
+	p.waiting = false
+	p.snapshot = nil
+}
+
+func (p *progress) replicate() {
+	p.state = stateReplicate
+	p.next = max(p.next, p.match+1)
+	p.inflight = nil
+	p.snapshot = nil
+}
+
+// acknowledge records that entries up to index are durable at the replica.
+func (p *progress) acknowledge(index uint64) {
+	p.match = max(p.match, index)
+	p.next = max(p.next, p.match+1)
+	n := 0
+	for n < len(p.inflight) && p.inflight[n] <= p.match {
+		n++
+	}
+	p.inflight = p.inflight[n:]
+}
--- /dev/null
+++ b/internal/consensus/ready.go
@@ -0,0 +1,170 @@
+package consensus
+
+import (
+	"math"
+
+	"filberthook/internal/invariant"
+)
+
+// maxCommittedBytes bounds the committed entries of one Ready.
+const maxCommittedBytes = 4 << 20
+
+// Ready returns the next batch of work. Unless it is empty, the caller must call
+// Advance once the work is done and must not call other methods in between.
+func (c *Core) Ready() Ready {
+	invariant.Check(c.ready == nil, "ready-advance-order", "Ready called before Advance")
+	if c.diskLost {
+		return Ready{}
+	}
+	if c.role == RoleLeader {
+		c.flushLeader()
+	}
+	r := Ready{
+		Early:      c.early,
+		Messages:   c.messages,
+		Snapshot:   c.installed,
+		ReadStates: c.readStates,
+		Entries:    c.log.slice(c.log.stable, c.log.lastIndex(), math.MaxInt),
+	}
+	r.Committed = c.nextCommitted()
+	c.attachHardState(&r)
+	if !r.Empty() {
+		c.early, c.messages, c.installed, c.readStates = nil, nil, nil, nil
+		c.ready = &r
+	}
+	return r
+}
+
+func (c *Core) nextCommitted() []Entry {
+	upTo := c.log.committed
+	if c.fault == faultApplyUncommitted {
+		upTo = c.log.lastIndex()
+	}
+	return c.log.slice(c.log.applied, upTo, maxCommittedBytes)
+}
+
+// attachHardState adds the hard state when something durable depends on it. A new
+// commit index alone does not: a restarted replica learns it from the leader.
+func (c *Core) attachHardState(r *Ready) {
+	hs := HardState{Term: c.term, Vote: c.vote, Commit: c.log.committed}
+	if c.fault == faultForgetVote {
+		hs.Vote = 0
+	}
+	changed := hs.Term != c.saved.Term || hs.Vote != c.saved.Vote
+	if changed {
+		// The term is not durable yet, so nothing may be sent under it.
+		r.Messages = append(r.Early, r.Messages...)
+		r.Early = nil
+	}
+	if changed || len(r.Entries) > 0 || r.Snapshot != nil {
+		r.HardState = &hs
+	}
+}
+
+// Advance reports that the last Ready was carried out.
+func (c *Core) Advance() {
+	r := c.ready
+	invariant.Check(r != nil, "ready-advance-order", "Advance called without Ready")
+	c.ready = nil
+	if r.HardState != nil {
+		c.saved = *r.HardState
+	}
+	if n := len(r.Entries); n > 0 {
+		c.log.stable = r.Entries[n-1].Index
+	}
+	if n := len(r.Committed); n > 0 {
+		c.advanceApplied(r.Committed[n-1].Index)
+	}
+	if c.role != RoleLeader {
+		return
+	}
+	c.progress[c.cfg.ID].acknowledge(c.log.stable)
+	c.advanceCommit()
+}
+
+func (c *Core) advanceApplied(index uint64) {
+	invariant.Check(index <= c.log.committed || c.fault == faultApplyUncommitted, "applied-within-commit",
+		"applied %d, committed %d", index, c.log.committed)
+	invariant.Check(index <= c.log.stable, "applied-durable", "applied %d, durable %d", index, c.log.stable)
+	invariant.Check(index > c.log.applied, "applied-grows", "applied %d after %d", index, c.log.applied)
+	c.log.applied = index
+}
+
+// Compact records a snapshot of the state machine at an applied index and drops
+// log entries that lie more than keep entries before it.
+func (c *Core) Compact(index uint64, data []byte, keep uint64) *Snapshot {
+	invariant.Check(index <= c.log.applied, "snapshot-applied", "snapshot at %d, applied %d", index, c.log.applied)
+	if index <= c.snapshot.Index {
+		return c.snapshot
+	}
+	term, ok := c.log.term(index)
+	invariant.Check(ok, "snapshot-in-log", "snapshot at %d, log starts after %d", index, c.log.offset)
+	c.snapshot = &Snapshot{Index: index, Term: term, Membership: c.membershipAt(index), Data: data}
+	if index > keep {
+		c.log.compact(index - keep)
+	}
+	c.trimMemberships(index)
+	return c.snapshot
+}
+
+func (c *Core) membershipAt(index uint64) Membership {
+	for i := len(c.memberships) - 1; i > 0; i-- {
+		if c.memberships[i].index <= index {
+			return c.memberships[i].membership
+		}
+	}
+	return c.memberships[0].membership
+}
+
+// trimMemberships drops the memberships replaced at or before index.
+func (c *Core) trimMemberships(index uint64) {
+	n := 0
+	for n+1 < len(c.memberships) && c.memberships[n+1].index <= index {
+		n++
+	}
+	c.memberships = c.memberships[n:]
+}
+
+// Applied returns the index of the last entry handed out in a completed Ready.
+func (c *Core) Applied() uint64 { return c.log.applied }
+
+// Role returns the replica's current role.
+func (c *Core) Role() Role { return c.role }
+
+// MemberStatus is what a leader knows about a member.
+type MemberStatus struct {
+	Member
+	Match  uint64 // highest index known to be durable there
+	Active bool   // heard from since the last quorum check
+}
+
+// Status describes a replica at one moment.
+type Status struct {
+	ID         uint64
+	Role       Role
+	Term       uint64
+	Leader     uint64 // 0 when unknown
+	Commit     uint64
+	Applied    uint64
+	FirstIndex uint64 // first index still in the log
+	LastIndex  uint64
+	Membership Membership
+	Members    []MemberStatus // filled on the leader only
+	DiskLost   bool           // the group knows this id with another data folder
+}
+
+// Status returns the current status.
+func (c *Core) Status() Status {
+	s := Status{
+		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader, Commit: c.log.committed, Applied: c.log.applied,
+		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), Membership: c.membership(), DiskLost: c.diskLost,
+	}
+	if c.role != RoleLeader {
+		return s
+	}
+	for _, member := range s.Membership.Members {
+		p := c.progress[member.ID]
+		s.Members = append(s.Members, MemberStatus{Member: member, Match: p.match, Active: p.active || member.ID == c.cfg.ID})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/consensus/replication.go
@@ -0,0 +1,235 @@
+package consensus
+
+import (
+	"math"
+
+	"filberthook/internal/invariant"
+)
+
+// Propose appends a command to the leader's log. The command is decided once the
+// entry at the returned index is committed with the returned term; another term at
+// that index means that it was not and never will be applied.
+func (c *Core) Propose(data []byte) (index, term uint64, err error) {
+	if err := c.checkPropose(len(data)); err != nil {
+		return 0, 0, err
+	}
+	return c.appendOwn(EntryNormal, data), c.term, nil
+}
+
+func (c *Core) checkPropose(size int) error {
+	refuse := func(r Reason) error { return &RefusedError{Reason: r, Leader: c.leader} }
+	switch {
+	case c.diskLost:
+		return refuse(ReasonDiskLost)
+	case c.role != RoleLeader:
+		return refuse(ReasonNotLeader)
+	case c.transferee != 0:
+		return refuse(ReasonTransferring)
+	case size > MaxEntryBytes:
+		return refuse(ReasonTooLarge)
+	case c.uncommitted > 0 && c.uncommitted+size > c.cfg.MaxUncommittedBytes:
+		return refuse(ReasonBusy)
+	}
+	return nil
+}
+
+// appendOwn adds an entry of this leader's term.
+func (c *Core) appendOwn(t EntryType, data []byte) uint64 {
+	e := Entry{Term: c.term, Index: c.log.lastIndex() + 1, Type: t, Data: data}
+	c.appendLog([]Entry{e})
+	c.uncommitted += entrySize(e)
+	if t == EntryMembership {
+		c.syncProgress()
+	}
+	c.sendAppends = true
+	if c.fault == faultCountUnsynced {
+		c.progress[c.cfg.ID].acknowledge(e.Index)
+		c.advanceCommit()
+	}
+	return e.Index
+}
+
+// syncProgress makes progress hold exactly the members.
+func (c *Core) syncProgress() {
+	m := c.membership()
+	for id := range c.progress {
+		if _, ok := m.Find(id); !ok {
+			delete(c.progress, id)
+		}
+	}
+	for _, member := range m.Members {
+		p := c.progress[member.ID]
+		if p == nil {
+			p = &progress{next: c.log.lastIndex() + 1, active: true}
+			c.progress[member.ID] = p
+		}
+		if member.Incarnation != 0 {
+			p.incarnation = member.Incarnation
+		}
+	}
+	self := c.progress[c.cfg.ID]
+	self.incarnation = c.cfg.Incarnation
+	self.match = max(self.match, c.log.stable)
+	self.next = max(self.next, self.match+1)
+}
+
+// flushLeader turns what happened since the last Ready into messages, so that many
+// proposals share one append.
+func (c *Core) flushLeader() {
+	for _, member := range c.membership().Members {
+		if member.ID == c.cfg.ID {
+			continue
+		}
+		p := c.progress[member.ID]
+		if c.sendBeats {
+			c.sendHeartbeat(member.ID, p)
+		}
+		if c.sendAppends {
+			c.sendAppend(member.ID, p)
+		}
+	}
+	c.sendAppends, c.sendBeats = false, false
+}
+
+// sendHeartbeat names the incarnation that match belongs to, since only that
+// replica holds the log up to the commit index.
+func (c *Core) sendHeartbeat(to uint64, p *progress) {
+	c.sendEarly(Message{
+		Type: MessageHeartbeat, To: to, Commit: min(p.match, c.log.committed), Context: c.readSeq, Hint: p.incarnation,
+	})
+}
+
+// sendAppend sends entries until the replica holds all or its window is full.
+func (c *Core) sendAppend(to uint64, p *progress) {
+	for !p.paused() {
+		prev := p.next - 1
+		prevTerm, ok := c.log.term(prev)
+		if !ok {
+			c.startSnapshot(to, p)
+			return
+		}
+		entries := c.log.slice(prev, c.log.lastIndex(), c.cfg.MaxAppendBytes)
+		c.sendEarly(Message{Type: MessageAppend, To: to, Index: prev, LogTerm: prevTerm, Entries: entries, Commit: c.log.committed})
+		if p.state == stateProbe {
+			p.waiting = true
+			return
+		}
+		if len(entries) == 0 {
+			return
+		}
+		p.next += uint64(len(entries))
+		p.inflight = append(p.inflight, p.next-1)
+		if p.next > c.log.lastIndex() {
+			return
+		}
+	}
+}
+
+func (c *Core) handleAppend(m *Message) {
+	response := Message{Type: MessageAppendResponse, To: m.From, Term: c.term}
+	if m.Index < c.log.committed {
+		response.Index = c.log.committed
+		c.send(response)
+		return
+	}
+	if !c.log.matches(m.Index, m.LogTerm) && (c.fault != faultSkipLogCheck || m.Index > c.log.lastIndex()) {
+		response.Reject = true
+		response.Index = m.Index
+		response.Hint = c.log.conflict(m.Index, m.LogTerm)
+		response.LogTerm, _ = c.log.term(response.Hint)
+		c.send(response)
+		return
+	}
+	c.appendLog(c.log.missing(m.Entries))
+	response.Index = m.Index + uint64(len(m.Entries))
+	c.log.commitTo(min(m.Commit, response.Index))
+	c.send(response)
+}
+
+func (c *Core) handleAppendResponse(p *progress, m *Message) {
+	if m.Reject {
+		c.handleReject(p, m)
+		return
+	}
+	invariant.Check(m.Index <= c.log.lastIndex(), "match-within-log", "replica %d holds %d, last %d", m.From, m.Index, c.log.lastIndex())
+	p.acknowledge(m.Index)
+	switch {
+	case p.state == stateProbe:
+		p.replicate()
+	case p.state == stateSnapshot && p.match >= p.snapshot.Index:
+		p.probe()
+	}
+	c.advanceCommit()
+	if p.next <= c.log.lastIndex() {
+		c.sendAppend(m.From, p)
+	}
+	c.continueTransfer(m.From, p)
+}
+
+// handleReject finds an earlier index at which the logs may match.
+func (c *Core) handleReject(p *progress, m *Message) {
+	stale := m.Index <= p.match || p.state == stateProbe && m.Index != p.next-1 || p.state == stateSnapshot
+	if stale {
+		return
+	}
+	guess := min(m.Index-1, m.Hint)
+	if guess > c.log.offset {
+		guess = c.log.conflict(guess, m.LogTerm)
+	}
+	p.probe()
+	p.next = max(p.match, guess) + 1
+	c.sendAppend(m.From, p)
+}
+
+// advanceCommit commits what a quorum holds durably. Entries of earlier terms are
+// committed only together with a later entry of the current term.
+func (c *Core) advanceCommit() {
+	index := c.membership().quorumValue(func(id uint64) uint64 { return c.progress[id].match })
+	if index <= c.log.committed {
+		return
+	}
+	term, _ := c.log.term(index)
+	if term != c.term && c.fault != faultCommitOldTerm {
+		return
+	}
+	c.uncommitted = max(0, c.uncommitted-entriesSize(c.log.slice(c.log.committed, index, math.MaxInt)))
+	c.log.commitTo(index)
+	c.sendAppends = true
+	c.startDelayedReads()
+}
+
+// committedInTerm reports whether this leader committed an entry of its own term,
+// so that its commit index covers everything committed before it was elected.
+func (c *Core) committedInTerm() bool {
+	term, _ := c.log.term(c.log.committed)
+	return term == c.term
+}
+
+func (c *Core) handleHeartbeat(m *Message) {
+	if m.Hint != 0 && m.Hint != c.cfg.Incarnation && c.fault != faultIgnoreIncarnation {
+		c.diskLost = true
+		return
+	}
+	c.log.commitTo(m.Commit)
+	c.send(Message{Type: MessageHeartbeatResponse, To: m.From, Term: c.term, Context: m.Context})
+}
+
+// handleHeartbeatResponse also repeats what was lost: nothing was acknowledged
+// for a whole heartbeat though something was sent.
+func (c *Core) handleHeartbeatResponse(p *progress, m *Message) {
+	c.confirmReads(p, m.Context)
+	p.waiting = false
+	if p.match == c.log.lastIndex() {
+		c.continueTransfer(m.From, p)
+		return
+	}
+	stalled := p.match == p.matchAtBeat && p.offset == p.offsetAt
+	p.matchAtBeat, p.offsetAt = p.match, p.offset
+	switch {
+	case p.state == stateSnapshot && stalled:
+		c.sendChunk(m.From, p)
+	case p.state == stateReplicate && stalled:
+		p.probe()
+	}
+	c.sendAppend(m.From, p)
+}
--- /dev/null
+++ b/internal/consensus/snapshot.go
@@ -0,0 +1,101 @@
+package consensus
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"filberthook/internal/invariant"
+)
+
+// MaxSnapshotBytes bounds the data of one snapshot.
+const MaxSnapshotBytes = 1 << 30
+
+// incomingSnapshot collects the chunks of one snapshot.
+type incomingSnapshot struct {
+	from  uint64
+	first SnapshotChunk // without data
+	data  []byte
+}
+
+func (in *incomingSnapshot) belongs(m *Message) bool {
+	return in != nil && in.from == m.From && in.first.Index == m.Chunk.Index && in.first.Term == m.Chunk.Term &&
+		in.first.Checksum == m.Chunk.Checksum && in.first.Total == m.Chunk.Total
+}
+
+// startSnapshot begins to send the newest snapshot to a replica whose next entry
+// is not in the log any more.
+func (c *Core) startSnapshot(to uint64, p *progress) {
+	p.state = stateSnapshot
+	p.snapshot = c.snapshot
+	p.checksum = xxhash.Sum64(p.snapshot.Data)
+	p.offset, p.offsetAt = 0, 0
+	c.sendChunk(to, p)
+}
+
+func (c *Core) sendChunk(to uint64, p *progress) {
+	s := p.snapshot
+	end := min(p.offset+uint64(c.cfg.ChunkBytes), uint64(len(s.Data)))
+	c.sendEarly(Message{Type: MessageSnapshotChunk, To: to, Chunk: &SnapshotChunk{
+		Index: s.Index, Term: s.Term, Membership: s.Membership,
+		Offset: p.offset, Total: uint64(len(s.Data)), Checksum: p.checksum, Data: s.Data[p.offset:end],
+	}})
+}
+
+// handleSnapshotChunk answers with the offset of the chunk it needs next.
+func (c *Core) handleSnapshotChunk(m *Message) {
+	chunk := m.Chunk
+	if chunk.Index <= c.log.committed {
+		c.incoming = nil
+		c.send(Message{Type: MessageAppendResponse, To: m.From, Term: c.term, Index: c.log.committed})
+		return
+	}
+	if !c.incoming.belongs(m) {
+		c.incoming = &incomingSnapshot{from: m.From, first: *chunk}
+		c.incoming.first.Data = nil
+	}
+	in := c.incoming
+	if chunk.Offset == uint64(len(in.data)) {
+		in.data = append(in.data, chunk.Data...)
+	}
+	if uint64(len(in.data)) < chunk.Total {
+		c.requestChunk(m, uint64(len(in.data)))
+		return
+	}
+	c.incoming = nil
+	if xxhash.Sum64(in.data) != chunk.Checksum {
+		c.requestChunk(m, 0)
+		return
+	}
+	c.install(&Snapshot{Index: chunk.Index, Term: chunk.Term, Membership: chunk.Membership, Data: in.data})
+	c.send(Message{Type: MessageAppendResponse, To: m.From, Term: c.term, Index: chunk.Index})
+}
+
+func (c *Core) requestChunk(m *Message, offset uint64) {
+	c.send(Message{Type: MessageSnapshotResponse, To: m.From, Term: c.term, Index: m.Chunk.Index, Hint: offset})
+}
+
+// install takes over a complete snapshot. When the log already holds the entry at
+// its index, only the commit index moves.
+func (c *Core) install(s *Snapshot) {
+	if c.log.matches(s.Index, s.Term) {
+		c.log.commitTo(s.Index)
+		return
+	}
+	c.log.reset(s.Index, s.Term)
+	c.memberships = []membershipAt{{s.Index, s.Membership}}
+	c.snapshot = s
+	c.installed = s
+	c.checkIncarnation()
+}
+
+func (c *Core) handleSnapshotResponse(p *progress, m *Message) {
+	if p.state != stateSnapshot || m.Index != p.snapshot.Index {
+		return
+	}
+	total := uint64(len(p.snapshot.Data))
+	invariant.Check(m.Hint <= total, "snapshot-offset", "replica %d wants offset %d of %d", m.From, m.Hint, total)
+	if m.Hint == p.offset && m.Hint != 0 {
+		return // answer to a repeated chunk
+	}
+	p.offset = m.Hint
+	c.sendChunk(m.From, p)
+}
--- /dev/null
+++ b/internal/consensus/step.go
@@ -0,0 +1,141 @@
+package consensus
+
+// Step handles a message from another replica. A RefusedError says that the
+// message was dropped; it needs no action besides counting.
+func (c *Core) Step(m *Message) error {
+	switch {
+	case c.diskLost:
+		return &RefusedError{Reason: ReasonDiskLost}
+	case m.To != c.cfg.ID:
+		return &RefusedError{Reason: ReasonWrongAddressee}
+	}
+	if err := c.checkSender(m); err != nil {
+		return err
+	}
+	switch m.Type {
+	case MessageDiskLost:
+		c.diskLost = m.Hint != c.cfg.Incarnation
+		return nil
+	case MessageReadIndex:
+		c.handleReadIndex(m)
+		return nil
+	case MessageReadIndexResponse:
+		c.readStates = append(c.readStates, ReadState{Context: m.Context, Index: m.Index})
+		return nil
+	}
+	if !c.checkTerm(m) {
+		return nil
+	}
+	c.handle(m)
+	return nil
+}
+
+// checkSender drops messages of removed replicas and of replicas that lost the
+// data folder under which the group knows them.
+func (c *Core) checkSender(m *Message) error {
+	membership := c.membership()
+	if membership.IsRetired(m.From) {
+		return &RefusedError{Reason: ReasonRetiredID}
+	}
+	member, ok := membership.Find(m.From)
+	if !ok || member.Incarnation == 0 || member.Incarnation == m.Incarnation || c.fault == faultIgnoreIncarnation {
+		return nil
+	}
+	if m.Type != MessageDiskLost {
+		c.send(Message{Type: MessageDiskLost, To: m.From, Hint: member.Incarnation})
+	}
+	return &RefusedError{Reason: ReasonWrongIncarnation}
+}
+
+// checkTerm enters a newer term or turns an older message away. It reports
+// whether the message is to be handled.
+func (c *Core) checkTerm(m *Message) bool {
+	request := m.Type == MessagePreVote || m.Type == MessageVote
+	switch {
+	case m.Term > c.term:
+		if request && !m.Force && c.leaseHeld() {
+			return false
+		}
+		if m.Type == MessagePreVote || m.Type == MessagePreVoteResponse && !m.Reject {
+			return true
+		}
+		c.becomeFollower(m.Term, 0)
+		return true
+	case m.Term < c.term:
+		return c.fault == faultAcceptStaleAppend && m.Type == MessageAppend || c.turnAway(m)
+	}
+	return true
+}
+
+// turnAway answers a request of an older term so that its sender learns the
+// newer one. It always returns false: the message is not handled.
+func (c *Core) turnAway(m *Message) bool {
+	switch m.Type {
+	case MessageAppend, MessageHeartbeat, MessageSnapshotChunk:
+		c.send(Message{Type: MessageAppendResponse, To: m.From, Term: c.term, Index: m.Index, Reject: true})
+	case MessagePreVote:
+		c.send(Message{Type: MessagePreVoteResponse, To: m.From, Term: c.term, Reject: true})
+	}
+	return false
+}
+
+func (c *Core) handle(m *Message) {
+	switch m.Type {
+	case MessagePreVote, MessageVote:
+		c.handleVoteRequest(m)
+	case MessagePreVoteResponse, MessageVoteResponse:
+		c.handleVoteResponse(m)
+	case MessageAppend:
+		c.followLeader(m)
+		c.handleAppend(m)
+	case MessageHeartbeat:
+		c.followLeader(m)
+		c.handleHeartbeat(m)
+	case MessageSnapshotChunk:
+		c.followLeader(m)
+		c.handleSnapshotChunk(m)
+	case MessageTimeoutNow:
+		c.handleTimeoutNow()
+	default:
+		c.handleResponse(m)
+	}
+}
+
+// followLeader accepts the sender as the leader of the current term.
+func (c *Core) followLeader(m *Message) {
+	if c.role != RoleFollower {
+		leader := c.leader
+		c.becomeFollower(c.term, leader)
+	}
+	c.electionElapsed = 0
+	c.setLeader(m.From)
+}
+
+func (c *Core) handleTimeoutNow() {
+	if c.role == RoleFollower && c.membership().IsVoter(c.cfg.ID) {
+		c.campaign(RoleCandidate, true)
+	}
+}
+
+// handleResponse handles the answers that only a leader waits for.
+func (c *Core) handleResponse(m *Message) {
+	p := c.progress[m.From]
+	if c.role != RoleLeader || p == nil {
+		return
+	}
+	if p.incarnation == 0 {
+		p.incarnation = m.Incarnation
+	}
+	if p.incarnation != m.Incarnation && c.fault != faultIgnoreIncarnation {
+		return
+	}
+	p.active = true
+	switch m.Type {
+	case MessageAppendResponse:
+		c.handleAppendResponse(p, m)
+	case MessageHeartbeatResponse:
+		c.handleHeartbeatResponse(p, m)
+	case MessageSnapshotResponse:
+		c.handleSnapshotResponse(p, m)
+	}
+}
--- /dev/null
+++ b/internal/fsys/fsys.go
@@ -0,0 +1,155 @@
+// Package fsys is the small part of a file system that durable logs and snapshots
+// need. OS is the real one; Mem keeps files in memory and can lose what was not
+// synced, as a crash of the host does.
+package fsys
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+)
+
+// File is a file open for writing at its end.
+type File interface {
+	io.Writer
+	io.Closer
+	// Sync returns once the file's contents are durable.
+	Sync() error
+}
+
+// FS holds the operations. Names are paths; only files in one folder are listed.
+type FS interface {
+	MkdirAll(dir string) error
+	// Create opens an empty file, replacing one of the same name.
+	Create(name string) (File, error)
+	// Append opens an existing file for writing at its end.
+	Append(name string) (File, error)
+	ReadFile(name string) ([]byte, error)
+	// List returns the base names of the files in dir, sorted.
+	List(dir string) ([]string, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	Truncate(name string, size int64) error
+	// SyncDir makes creations, renames and removals in dir durable.
+	SyncDir(dir string) error
+}
+
+const (
+	dirMode  = 0o700
+	fileMode = 0o600
+)
+
+// OS is the operating system's file system.
+type OS struct{}
+
+// MkdirAll implements FS. The folder and the new folders above it are durable on return.
+func (OS) MkdirAll(dir string) error {
+	dir = filepath.Clean(dir)
+	if info, err := os.Stat(dir); err == nil {
+		if !info.IsDir() {
+			return fmt.Errorf("%s is not a folder: choose another data folder", dir)
+		}
+		return nil
+	}
+	parent := filepath.Dir(dir)
+	if parent != dir {
+		if err := (OS{}).MkdirAll(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(dir, dirMode); err != nil && !os.IsExist(err) {
+		return err
+	}
+	return OS{}.SyncDir(parent)
+}
+
+// Create implements FS.
+func (OS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, fileMode)
+}
+
+// Append implements FS.
+func (OS) Append(name string) (File, error) {
+	return os.OpenFile(name, os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// List implements FS.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if !e.IsDir() {
+			names = append(names, e.Name())
+		}
+	}
+	return names, nil
+}
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// Truncate implements FS. The new size is durable on return.
+func (OS) Truncate(name string, size int64) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.Truncate(size); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// WriteFile replaces a file atomically by the joined parts: after a crash it holds
+// either the old or the new contents. The new contents are durable on return.
+func WriteFile(fs FS, name string, parts ...[]byte) error {
+	temp := name + TempSuffix
+	f, err := fs.Create(temp)
+	if err != nil {
+		return err
+	}
+	err = writeParts(f, parts)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	if err := fs.Rename(temp, name); err != nil {
+		return err
+	}
+	return fs.SyncDir(filepath.Dir(name))
+}
+
+func writeParts(f File, parts [][]byte) error {
+	for _, part := range parts {
+		if _, err := f.Write(part); err != nil {
+			return err
+		}
+	}
+	return f.Sync()
+}
+
+// TempSuffix ends the names of files that were not completed.
+const TempSuffix = ".tmp"
--- /dev/null
+++ b/internal/replica/config.go
@@ -0,0 +1,116 @@
+// Package replica runs one member of a replicated log: it drives the pure core of
+// package consensus with a clock, a disk and a transport, and applies committed
+// entries to a state machine.
+package replica
+
+import (
+	"errors"
+	"log/slog"
+	"path/filepath"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/consensus"
+	"filberthook/internal/fsys"
+)
+
+// StateMachine is what the log drives. All methods are called by one goroutine,
+// Apply in log order. Apply must be deterministic.
+type StateMachine interface {
+	// Apply carries out a committed command; its result goes to the proposer.
+	Apply(index uint64, data []byte) any
+	// Snapshot returns the whole state, at most consensus.MaxSnapshotBytes.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state by that of a snapshot.
+	Restore(data []byte) error
+}
+
+// Transport carries messages to other replicas. Loss, repetition and reordering
+// are tolerated.
+type Transport interface {
+	// Send never blocks; it drops the message when its queue is full.
+	Send(to uint64, msg []byte)
+}
+
+// Member is one replica of the group.
+type Member struct {
+	ID      uint64
+	Address string
+	Zone    string // availability zone
+	Learner bool
+}
+
+// Config holds the settings of a replica.
+type Config struct {
+	ID  uint64 // unique in the group and never reused, not 0
+	Dir string // data folder of this replica alone
+	// Members are the group's first members. The first start of a group waits until
+	// all of them are up. A replica that is not among them waits to be added as a
+	// learner. After the first start the list is ignored.
+	Members       []Member
+	TickInterval  time.Duration // 0 for DefaultTickInterval
+	ElectionTicks int           // 0 for DefaultElectionTicks
+	SnapshotEvery uint64        // entries between snapshots, 0 for DefaultSnapshotEvery
+	Metrics       *metrics.Set  // nil for a private set
+	Logger        *slog.Logger  // nil for the default one
+	FS            fsys.FS       // nil for the operating system's
+	// Ticks replaces the clock, for example by a logical one; nil for a ticker.
+	Ticks <-chan time.Time
+}
+
+const (
+	DefaultTickInterval  = 50 * time.Millisecond
+	DefaultElectionTicks = 10
+	DefaultSnapshotEvery = 10_000
+)
+
+func (c Config) withDefaults() Config {
+	if c.TickInterval == 0 {
+		c.TickInterval = DefaultTickInterval
+	}
+	if c.ElectionTicks == 0 {
+		c.ElectionTicks = DefaultElectionTicks
+	}
+	if c.SnapshotEvery == 0 {
+		c.SnapshotEvery = DefaultSnapshotEvery
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.Logger == nil {
+		c.Logger = slog.Default()
+	}
+	if c.FS == nil {
+		c.FS = fsys.OS{}
+	}
+	return c
+}
+
+func (c Config) validate() error {
+	switch {
+	case c.ID == 0:
+		return errors.New("replica id is 0: set a positive id that no other replica ever had")
+	case c.Dir == "":
+		return errors.New("replica has no data folder: set one")
+	case c.TickInterval < 0:
+		return errors.New("tick interval is negative: set a positive one")
+	}
+	return nil
+}
+
+func (c Config) path(name string) string { return filepath.Join(c.Dir, name) }
+
+// initialMembership returns the first members when this replica is one of them.
+func initialMembership(id uint64, members []Member) consensus.Membership {
+	var list []consensus.Member
+	found := false
+	for _, m := range members {
+		list = append(list, consensus.Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner})
+		found = found || m.ID == id
+	}
+	if !found {
+		return consensus.Membership{}
+	}
+	return consensus.NewMembership(list)
+}
--- /dev/null
+++ b/internal/replica/members.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"context"
+
+	"filberthook/internal/consensus"
+)
+
+// command is a function that the loop runs.
+type command struct{ run func(*command) }
+
+// waiter ends a call once its condition holds.
+type waiter struct {
+	ctx   context.Context
+	ready func(consensus.Status) bool
+	done  chan error
+}
+
+// AddLearner adds a replica without a vote, to which the log is then copied. Its
+// id must never have been a member's.
+func (r *Replica) AddLearner(ctx context.Context, m Member) error {
+	return r.change(ctx, consensus.Change{
+		Type:   consensus.ChangeAddLearner,
+		Member: consensus.Member{ID: m.ID, Address: m.Address, Zone: m.Zone},
+	})
+}
+
+// Promote gives a learner a vote. It is refused until the learner holds everything
+// committed, and returns once the learner also holds the change itself: from then
+// on it replaces a lost voter in full.
+func (r *Replica) Promote(ctx context.Context, id uint64) error {
+	if err := r.change(ctx, consensus.Change{Type: consensus.ChangePromote, Member: consensus.Member{ID: id}}); err != nil {
+		return err
+	}
+	commit := r.Status().Commit
+	return r.wait(ctx, func(s consensus.Status) bool {
+		for _, m := range s.Members {
+			if m.ID == id {
+				return m.Match >= commit
+			}
+		}
+		return false
+	}, nil)
+}
+
+// RemoveMember removes a replica other than the leader. Its id cannot be used again.
+func (r *Replica) RemoveMember(ctx context.Context, id uint64) error {
+	return r.change(ctx, consensus.Change{Type: consensus.ChangeRemove, Member: consensus.Member{ID: id}})
+}
+
+// TransferLeadership hands leadership to a voter and returns once it leads.
+func (r *Replica) TransferLeadership(ctx context.Context, to uint64) error {
+	start := func() error { return r.refusal(r.core.TransferLeadership(to)) }
+	return r.wait(ctx, func(s consensus.Status) bool { return s.Leader == to }, start)
+}
+
+func (r *Replica) change(ctx context.Context, change consensus.Change) error {
+	_, err := r.submit(&proposal{ctx: ctx, change: &change, done: make(chan outcome, 1)})
+	return err
+}
+
+// wait runs start in the loop and returns once ready holds.
+func (r *Replica) wait(ctx context.Context, ready func(consensus.Status) bool, start func() error) error {
+	w := &waiter{ctx: ctx, ready: ready, done: make(chan error, 1)}
+	run := func(*command) {
+		if start != nil {
+			if err := start(); err != nil {
+				w.done <- err
+				return
+			}
+		}
+		r.waiters = append(r.waiters, w)
+	}
+	select {
+	case r.commands <- &command{run: run}:
+	case <-r.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-r.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return &UnknownOutcomeError{Err: context.Cause(ctx)}
+	}
+}
+
+// finishWaiters runs in the loop after every batch of work.
+func (r *Replica) finishWaiters() {
+	if len(r.waiters) == 0 {
+		return
+	}
+	s := r.core.Status()
+	var kept []*waiter
+	for _, w := range r.waiters {
+		switch {
+		case w.ready(s):
+			w.done <- nil
+		case w.ctx.Err() == nil:
+			kept = append(kept, w)
+		}
+	}
+	r.waiters = kept
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,238 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"filberthook/internal/consensus"
+	"filberthook/internal/fsys"
+)
+
+func TestSingleReplicaKeepsCommandsOverRestart(t *testing.T) {
+	c := newCluster(t, 1, 10)
+	for i := range 35 {
+		c.propose(fmt.Sprint(i))
+	}
+	fs := c.stop(1)
+	fs.Crash(nil)
+	n := c.start(1, fs, nil)
+	c.barrier(1)
+	if got := n.machine.list(); len(got) != 35 || got[34] != "34" {
+		t.Errorf("after restart got %d commands: %v", len(got), got)
+	}
+}
+
+func TestFollowerAnswersWithLeader(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.propose("a")
+	leader := c.leader()
+	follower := leader%3 + 1
+	c.barrier(follower)
+	if got := c.node(follower).machine.list(); len(got) != 1 {
+		t.Errorf("after the barrier follower has %v", got)
+	}
+	_, err := c.node(follower).replica.Propose(context.Background(), []byte("b"))
+	var notLeader *NotLeaderError
+	if !errors.As(err, &notLeader) {
+		t.Fatalf("proposal at a follower gave %v", err)
+	}
+	if notLeader.Leader != 0 && notLeader.Address != fmt.Sprintf("host-%d", notLeader.Leader) {
+		t.Errorf("error names %d at %q", notLeader.Leader, notLeader.Address)
+	}
+}
+
+func TestGarbageIsCountedAndRefused(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	r := c.node(1).replica
+	err := r.Receive([]byte("garbage"))
+	var format *consensus.FormatError
+	if !errors.As(err, &format) {
+		t.Errorf("garbage gave %v", err)
+	}
+	if n := r.counters.malformed.Get(); n != 1 {
+		t.Errorf("counted %d malformed messages", n)
+	}
+}
+
+func TestCutOffLeaderIsReplacedAndCatchesUp(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.propose("before")
+	old := c.leader()
+	c.setCut(old, true)
+	c.propose("during")
+	if now := c.leader(); now == old {
+		t.Fatalf("replica %d still leads though it is cut off", now)
+	}
+	c.until("old leader steps down", func(context.Context) error {
+		if s := c.node(old).replica.Status(); s.Role == "leader" {
+			return errors.New("still leads")
+		}
+		return nil
+	})
+	c.setCut(old, false)
+	c.barrier(old)
+	if got := c.node(old).machine.list(); !slices.Contains(got, "during") {
+		t.Errorf("old leader has %v", got)
+	}
+}
+
+func TestLaggingReplicaGetsSnapshot(t *testing.T) {
+	c := newCluster(t, 3, 10)
+	c.propose("first")
+	behind := c.leader()%3 + 1
+	c.setCut(behind, true)
+	for i := range 60 {
+		c.propose(fmt.Sprint(i))
+	}
+	if s := c.node(c.leader()).replica.Status(); s.FirstIndex <= c.node(behind).replica.Status().LastIndex {
+		t.Fatalf("leader's log starts at %d: the replica would not need a snapshot", s.FirstIndex)
+	}
+	c.setCut(behind, false)
+	c.barrier(behind)
+	want := c.node(c.leader()).machine.list()
+	if got := c.node(behind).machine.list(); !slices.Equal(got, want) {
+		t.Errorf("lagging replica has %v, want %v", got, want)
+	}
+}
+
+// A host is lost with its disk, replaced, and then a second host is lost.
+func TestSecondLossAfterRepairLosesNothing(t *testing.T) {
+	c := newCluster(t, 3, 10)
+	for i := range 25 {
+		c.propose(fmt.Sprint(i))
+	}
+	lost := c.leader()%3 + 1
+	c.stop(lost)
+	c.start(4, fsys.NewMem(), nil)
+	c.repair(lost, Member{ID: 4, Address: "host-4", Zone: "zone-4"})
+	second := c.leader()
+	c.stop(second)
+	c.propose("after")
+	c.barrier(4)
+	if got := c.node(4).machine.list(); len(got) != 26 {
+		t.Errorf("new replica has %d commands, want 26: %v", len(got), got)
+	}
+}
+
+// repair replaces a lost member by a new one.
+func (c *cluster) repair(lost uint64, m Member) {
+	c.t.Helper()
+	steps := []struct {
+		name string
+		done func(Status) bool
+		step func(ctx context.Context, r *Replica) error
+	}{
+		{"add learner", func(s Status) bool { return member(s, m.ID) != nil },
+			func(ctx context.Context, r *Replica) error { return r.AddLearner(ctx, m) }},
+		{"promote", func(s Status) bool { return !member(s, m.ID).Learner },
+			func(ctx context.Context, r *Replica) error { return r.Promote(ctx, m.ID) }},
+		{"remove", func(s Status) bool { return member(s, lost) == nil },
+			func(ctx context.Context, r *Replica) error { return r.RemoveMember(ctx, lost) }},
+	}
+	for _, s := range steps {
+		c.until(s.name, func(ctx context.Context) error {
+			r := c.node(c.leader()).replica
+			if err := s.step(ctx, r); err != nil && !s.done(r.Status()) {
+				return err
+			}
+			return nil
+		})
+	}
+}
+
+func member(s Status, id uint64) *MemberStatus {
+	for i := range s.Members {
+		if s.Members[i].ID == id {
+			return &s.Members[i]
+		}
+	}
+	return nil
+}
+
+func TestReplicaWithLostDiskStops(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.propose("a")
+	lost := c.leader()%3 + 1
+	c.stop(lost)
+	n := c.start(lost, fsys.NewMem(), c.members)
+	<-n.ended
+	var diskLost *DiskLostError
+	if !errors.As(n.err, &diskLost) || diskLost.ID != lost {
+		t.Errorf("Run returned %v", n.err)
+	}
+}
+
+func TestTransferLeadership(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.propose("a")
+	c.until("transfer", func(ctx context.Context) error {
+		old := c.leader()
+		to := old%3 + 1
+		if err := c.node(old).replica.TransferLeadership(ctx, to); err != nil {
+			return err
+		}
+		if s := c.node(old).replica.Status(); s.Leader != to {
+			return fmt.Errorf("leader is %d, want %d", s.Leader, to)
+		}
+		return nil
+	})
+}
+
+func TestFailedSyncStopsReplicaWithUnknownOutcome(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	c.propose("a")
+	n := c.node(1)
+	cause := errors.New("disk gone")
+	n.fs.FailSync(cause)
+	_, err := n.replica.Propose(context.Background(), []byte("b"))
+	var unknown *UnknownOutcomeError
+	if !errors.As(err, &unknown) {
+		t.Errorf("proposal gave %v", err)
+	}
+	<-n.ended
+	if !errors.Is(n.err, cause) {
+		t.Errorf("Run returned %v", n.err)
+	}
+	if _, err := n.replica.Propose(context.Background(), []byte("c")); err == nil {
+		t.Error("stopped replica took a proposal")
+	}
+}
+
+func TestProposalAtReplicaWithoutQuorumHasUnknownOutcome(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.propose("a")
+	old := c.leader()
+	c.setCut(old, true)
+	_, err := c.node(old).replica.Propose(context.Background(), []byte("b"))
+	var unknown *UnknownOutcomeError
+	var notLeader *NotLeaderError
+	if !errors.As(err, &unknown) && !errors.As(err, &notLeader) {
+		t.Errorf("proposal gave %v", err)
+	}
+}
+
+func TestDataFolderIsChecked(t *testing.T) {
+	open := func(fs fsys.FS, id uint64) error {
+		r, err := Open(Config{ID: id, Dir: "data", FS: fs, Members: []Member{{ID: id}}}, &journal{}, port{})
+		if err == nil {
+			r.storage.log.Close()
+		}
+		return err
+	}
+	fs := fsys.NewMem()
+	if err := open(fs, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := open(fs, 2); err == nil {
+		t.Error("another replica's folder was opened")
+	}
+	if err := fs.Remove("data/identity.json"); err != nil {
+		t.Fatal(err)
+	}
+	if err := open(fs, 1); err == nil {
+		t.Error("a folder without identity but with a log was opened")
+	}
+}
--- /dev/null
+++ b/internal/replica/status.go
@@ -0,0 +1,111 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/consensus"
+)
+
+// MemberStatus describes a member. Match and Active are known on the leader only.
+type MemberStatus struct {
+	Member
+	Match  uint64 // highest index known to be durable there
+	Active bool   // heard from within the last election timeout
+}
+
+// Status describes a replica at one moment.
+type Status struct {
+	ID            uint64
+	Term          uint64
+	Leader        uint64 // 0 when unknown
+	LeaderAddress string // empty when unknown
+	Role          string // follower, pre-candidate, candidate or leader
+	Commit        uint64
+	Applied       uint64
+	FirstIndex    uint64
+	LastIndex     uint64
+	Members       []MemberStatus
+	DiskLost      bool
+}
+
+// Status returns the replica's status after its last batch of work.
+func (r *Replica) Status() Status { return *r.status.Load() }
+
+func (r *Replica) publishStatus() *Status {
+	s := r.core.Status()
+	leader, _ := s.Membership.Find(s.Leader)
+	out := &Status{
+		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: leader.Address, Role: s.Role.String(),
+		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, DiskLost: s.DiskLost,
+	}
+	for i, m := range s.Membership.Members {
+		ms := MemberStatus{Member: Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner}}
+		if len(s.Members) > 0 {
+			ms.Match, ms.Active = s.Members[i].Match, s.Members[i].Active
+		}
+		out.Members = append(out.Members, ms)
+	}
+	r.status.Store(out)
+	return out
+}
+
+// counters are the replica's metrics.
+type counters struct {
+	set            *metrics.Set
+	malformed      *metrics.Counter
+	queueFull      *metrics.Counter
+	unknown        *metrics.Counter
+	proposed       *metrics.Counter
+	readRetries    *metrics.Counter
+	readTimeouts   *metrics.Counter
+	snapshots      *metrics.Counter
+	snapshotErrors *metrics.Counter
+	sentBytes      *metrics.Counter
+	receivedBytes  *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) *counters {
+	return &counters{
+		set:            set,
+		malformed:      set.GetOrCreateCounter(`filberthook_replica_messages_dropped_total{reason="malformed"}`),
+		queueFull:      set.GetOrCreateCounter(`filberthook_replica_messages_dropped_total{reason="queue_full"}`),
+		unknown:        set.GetOrCreateCounter(`filberthook_replica_proposals_refused_total{reason="unknown_outcome"}`),
+		proposed:       set.GetOrCreateCounter(`filberthook_replica_proposals_applied_total`),
+		readRetries:    set.GetOrCreateCounter(`filberthook_replica_read_retries_total`),
+		readTimeouts:   set.GetOrCreateCounter(`filberthook_replica_read_timeouts_total`),
+		snapshots:      set.GetOrCreateCounter(`filberthook_replica_snapshots_written_total`),
+		snapshotErrors: set.GetOrCreateCounter(`filberthook_replica_snapshot_errors_total`),
+		sentBytes:      set.GetOrCreateCounter(`filberthook_replica_sent_bytes_total`),
+		receivedBytes:  set.GetOrCreateCounter(`filberthook_replica_received_bytes_total`),
+	}
+}
+
+func (c *counters) sent(n int)     { c.sentBytes.Add(n) }
+func (c *counters) received(n int) { c.receivedBytes.Add(n) }
+
+// dropped counts a message that the core turned away.
+func (c *counters) dropped(err error) {
+	var refused *consensus.RefusedError
+	if errors.As(err, &refused) {
+		c.set.GetOrCreateCounter(fmt.Sprintf(`filberthook_replica_messages_dropped_total{reason=%q}`, refused.Reason)).Inc()
+	}
+}
+
+// outcome counts how a proposal ended.
+func (c *counters) outcome(err error) {
+	var refused *consensus.RefusedError
+	var notLeader *NotLeaderError
+	switch {
+	case err == nil:
+		c.proposed.Inc()
+	case errors.As(err, &refused):
+		c.set.GetOrCreateCounter(fmt.Sprintf(`filberthook_replica_proposals_refused_total{reason=%q}`, refused.Reason)).Inc()
+	case errors.As(err, &notLeader):
+		c.set.GetOrCreateCounter(`filberthook_replica_proposals_refused_total{reason="not_leader"}`).Inc()
+	default:
+		c.unknown.Inc()
+	}
+}
--- /dev/null
+++ b/internal/wal/read.go
@@ -0,0 +1,220 @@
+package wal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"filberthook/internal/consensus"
+)
+
+// reader replays the segments of a log.
+type reader struct {
+	opts     Options
+	segments []segment
+	sequence uint64 // next expected
+	size     int64  // intact bytes of the last segment
+	out      Recovered
+}
+
+func readAll(opts Options) (*reader, error) {
+	r := &reader{opts: opts}
+	numbers, err := listSegments(opts)
+	if err != nil {
+		return nil, err
+	}
+	for i, number := range numbers {
+		if i > 0 && number != numbers[i-1]+1 {
+			return nil, &CorruptError{Segment: filepath.Base(segmentPath(opts.Dir, number)), Detail: "the segment before it is missing"}
+		}
+		if err := r.readSegment(number, i == 0, i == len(numbers)-1); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+func listSegments(opts Options) ([]uint64, error) {
+	names, err := opts.FS.List(opts.Dir)
+	if err != nil {
+		return nil, fmt.Errorf("list log folder: %w", err)
+	}
+	var numbers []uint64
+	for _, name := range names {
+		stem, ok := strings.CutSuffix(name, segmentSuffix)
+		if !ok {
+			continue
+		}
+		number, err := strconv.ParseUint(stem, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("file %s in the log folder is not a segment: move it elsewhere", name)
+		}
+		numbers = append(numbers, number)
+	}
+	return numbers, nil
+}
+
+// last returns the position of the newest entry.
+func (r *reader) last() Position {
+	if n := len(r.out.Entries); n > 0 {
+		return Position{Index: r.out.Entries[n-1].Index, Term: r.out.Entries[n-1].Term}
+	}
+	return r.out.Start
+}
+
+func (r *reader) readSegment(number uint64, first, last bool) error {
+	path := segmentPath(r.opts.Dir, number)
+	data, err := r.opts.FS.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read log segment: %w", err)
+	}
+	corrupt := func(offset int64, detail string) error {
+		return &CorruptError{Segment: filepath.Base(path), Offset: offset, Detail: detail}
+	}
+	if last && (len(data) < headerBytes || allZero(data)) {
+		return r.dropSegment(path, data)
+	}
+	if !validHeader(data, number) {
+		return corrupt(0, "segment header")
+	}
+	offset := int64(headerBytes)
+	for offset < int64(len(data)) {
+		sequence, payload, ok := parseFrame(data[offset:])
+		if !ok {
+			if !last || hasLaterFrame(data[offset+1:], r.sequence) {
+				return corrupt(offset, "checksum")
+			}
+			break
+		}
+		if offset == headerBytes && first {
+			r.sequence = sequence
+		}
+		if sequence != r.sequence {
+			return corrupt(offset, fmt.Sprintf("frame %d, want %d", sequence, r.sequence))
+		}
+		if detail := r.replay(payload, first && offset == headerBytes); detail != "" {
+			return corrupt(offset, detail)
+		}
+		r.sequence++
+		if offset == headerBytes {
+			r.segments = append(r.segments, segment{number: number, base: r.last().Index})
+		}
+		offset += frameBytes + int64(len(payload))
+	}
+	if offset == headerBytes {
+		return r.dropSegment(path, data)
+	}
+	return r.cutTail(path, offset, int64(len(data)))
+}
+
+// allZero reports whether a file was extended but its contents never written.
+func allZero(data []byte) bool { return len(bytes.Trim(data, "\x00")) == 0 }
+
+// dropSegment removes a last segment whose creation was not completed.
+func (r *reader) dropSegment(path string, data []byte) error {
+	r.out.Torn += int64(len(data))
+	if err := r.opts.FS.Remove(path); err != nil {
+		return fmt.Errorf("remove incomplete log segment: %w", err)
+	}
+	return r.opts.FS.SyncDir(r.opts.Dir)
+}
+
+// cutTail removes the bytes after the last intact frame.
+func (r *reader) cutTail(path string, intact, total int64) error {
+	r.size = intact
+	if intact == total {
+		return nil
+	}
+	r.out.Torn += total - intact
+	if err := r.opts.FS.Truncate(path, intact); err != nil {
+		return fmt.Errorf("cut incomplete write off the log: %w", err)
+	}
+	return nil
+}
+
+// hasLaterFrame reports whether an intact frame follows a damaged one. The next
+// frame is written only after the sync of the one before, so no crash causes that.
+func hasLaterFrame(data []byte, damaged uint64) bool {
+	magic := binary.LittleEndian.AppendUint32(nil, frameMagic)
+	for {
+		i := bytes.Index(data, magic)
+		if i < 0 {
+			return false
+		}
+		sequence, _, ok := parseFrame(data[i:])
+		if ok && sequence > damaged {
+			return true
+		}
+		data = data[i+1:]
+	}
+}
+
+// replay applies the records of a frame and returns what is wrong with them, if
+// anything. The oldest frame sets the position at which the log starts.
+func (r *reader) replay(payload []byte, oldest bool) (problem string) {
+	for len(payload) > 0 {
+		t, data, rest, ok := nextRecord(payload)
+		if !ok {
+			return "record length"
+		}
+		if problem := r.replayRecord(t, data, oldest); problem != "" {
+			return problem
+		}
+		payload = rest
+	}
+	return ""
+}
+
+func (r *reader) replayRecord(t recordType, data []byte, oldest bool) (problem string) {
+	var at Position
+	switch t {
+	case recordHardState:
+		h := &r.out.HardState
+		if !decodeUvarints(data, &h.Term, &h.Vote, &h.Commit) {
+			return "hard state"
+		}
+	case recordEntry:
+		return r.replayEntry(data)
+	case recordStart:
+		if !decodeUvarints(data, &at.Index, &at.Term) {
+			return "start position"
+		}
+		r.out.Start, r.out.Entries = at, nil
+	case recordContinue:
+		if !decodeUvarints(data, &at.Index, &at.Term) {
+			return "position"
+		}
+		if oldest {
+			r.out.Start = at
+		} else if at != r.last() {
+			return fmt.Sprintf("position %d, want %d", at.Index, r.last().Index)
+		}
+	default:
+		return fmt.Sprintf("record type %d", t)
+	}
+	return ""
+}
+
+func (r *reader) replayEntry(data []byte) (problem string) {
+	e, err := consensus.DecodeEntry(data)
+	if err != nil {
+		return err.Error()
+	}
+	start := r.out.Start.Index
+	if e.Index > r.last().Index+1 {
+		return fmt.Sprintf("entry %d after %d", e.Index, r.last().Index)
+	}
+	if e.Index <= start {
+		// The entries before this segment were removed with a snapshot; this one
+		// replaces a tail that began there.
+		r.out.Start = Position{Index: e.Index - 1}
+		r.out.Entries = r.out.Entries[:0]
+	} else {
+		r.out.Entries = r.out.Entries[:e.Index-start-1]
+	}
+	r.out.Entries = append(r.out.Entries, e)
+	return ""
+}
--- /dev/null
+++ b/internal/wal/wal.go
@@ -0,0 +1,255 @@
+// Package wal is a durable log of consensus entries and hard states in segment
+// files. Each Save is one frame with a checksum, synced before Save returns, so
+// after a crash only the last frame of the last segment can be incomplete. Open
+// cuts that frame off; damage anywhere else is refused with a *CorruptError.
+//
+// A segment starts with a header and a frame that repeats the hard state and the
+// position in the log, so that earlier segments can be removed.
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+
+	"filberthook/internal/consensus"
+	"filberthook/internal/fsys"
+	"filberthook/internal/invariant"
+)
+
+// DefaultSegmentBytes is the size after which a new segment is started.
+const DefaultSegmentBytes = 16 << 20
+
+// Position is the index and term of one entry.
+type Position struct {
+	Index uint64
+	Term  uint64
+}
+
+// Recovered is what Open found. Entries follow Start, without gaps.
+type Recovered struct {
+	HardState consensus.HardState
+	Start     Position
+	Entries   []consensus.Entry
+	Torn      int64 // bytes of an incomplete write cut off at the end
+}
+
+// Options holds the settings of a log.
+type Options struct {
+	FS           fsys.FS
+	Dir          string
+	SegmentBytes int64 // 0 for DefaultSegmentBytes
+}
+
+// segment is a file of the log. Every entry in the segments before it has an index
+// of at most base, or was replaced later.
+type segment struct {
+	number uint64
+	base   uint64
+}
+
+// Log is open for writing. It is not safe for concurrent use.
+type Log struct {
+	opts     Options
+	segments []segment // ascending numbers, the last is written
+	file     fsys.File
+	size     int64 // bytes in the last segment
+	sequence uint64
+	hard     consensus.HardState
+	last     Position
+	buf      []byte
+	err      error // first failure; the log takes no more writes after it
+}
+
+// Open reads the log in the folder, creating both when missing.
+func Open(opts Options) (*Log, *Recovered, error) {
+	if opts.SegmentBytes == 0 {
+		opts.SegmentBytes = DefaultSegmentBytes
+	}
+	if err := opts.FS.MkdirAll(opts.Dir); err != nil {
+		return nil, nil, fmt.Errorf("create log folder: %w", err)
+	}
+	r, err := readAll(opts)
+	if err != nil {
+		return nil, nil, err
+	}
+	l := &Log{opts: opts, segments: r.segments, sequence: r.sequence, hard: r.out.HardState, last: r.last()}
+	if len(l.segments) == 0 {
+		return l, &r.out, l.rotate()
+	}
+	l.size = r.size
+	l.file, err = opts.FS.Append(l.path(l.segments[len(l.segments)-1].number))
+	if err != nil {
+		return nil, nil, fmt.Errorf("open log segment: %w", err)
+	}
+	return l, &r.out, nil
+}
+
+func (l *Log) path(number uint64) string { return segmentPath(l.opts.Dir, number) }
+
+func segmentPath(dir string, number uint64) string {
+	return filepath.Join(dir, fmt.Sprintf("%016x%s", number, segmentSuffix))
+}
+
+// Save makes a hard state (nil when unchanged) and entries durable. Entries replace
+// those at the same and later indexes. After an error the log refuses all writes:
+// what reached the disk is unknown until it is opened again.
+func (l *Log) Save(hard *consensus.HardState, entries []consensus.Entry) error {
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	return l.guard(func() error { return l.save(hard, entries) })
+}
+
+// Reset makes durable that the log starts anew after a snapshot's position.
+func (l *Log) Reset(at Position, hard consensus.HardState) error {
+	return l.guard(func() error {
+		l.begin()
+		l.addHardState(hard)
+		l.addStart(at)
+		return l.commit()
+	})
+}
+
+// guard runs a write unless an earlier one failed.
+func (l *Log) guard(write func() error) error {
+	if l.err != nil {
+		return l.err
+	}
+	if err := write(); err != nil {
+		l.err = &FailedError{Err: err}
+	}
+	return l.err
+}
+
+func (l *Log) save(hard *consensus.HardState, entries []consensus.Entry) error {
+	l.begin()
+	if hard != nil {
+		l.addHardState(*hard)
+	}
+	for _, e := range entries {
+		if len(l.buf) > maxFrameBytes/2 {
+			if err := l.commit(); err != nil {
+				return err
+			}
+			l.begin()
+		}
+		invariant.Check(e.Index <= l.last.Index+1, "wal-no-gap", "entry %d after %d", e.Index, l.last.Index)
+		l.addEntry(e)
+	}
+	return l.commit()
+}
+
+// commit writes the frame in buf and syncs it.
+func (l *Log) commit() error {
+	l.seal()
+	if _, err := l.file.Write(l.buf); err != nil {
+		return err
+	}
+	if err := l.file.Sync(); err != nil {
+		return err
+	}
+	l.size += int64(len(l.buf))
+	l.sequence++
+	if l.size >= l.opts.SegmentBytes {
+		return l.rotate()
+	}
+	return nil
+}
+
+// rotate starts a new segment. Its name is durable before it is written to again.
+func (l *Log) rotate() error {
+	number := uint64(1)
+	if n := len(l.segments); n > 0 {
+		number = l.segments[n-1].number + 1
+	}
+	f, err := l.opts.FS.Create(l.path(number))
+	if err != nil {
+		return err
+	}
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.file = f
+	l.segments = append(l.segments, segment{number: number, base: l.last.Index})
+	l.begin()
+	l.addHardState(l.hard)
+	l.addContinue(l.last)
+	l.seal()
+	head := append(segmentHeader(number), l.buf...)
+	if _, err := f.Write(head); err != nil {
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		return err
+	}
+	l.size = int64(len(head))
+	l.sequence++
+	return l.opts.FS.SyncDir(l.opts.Dir)
+}
+
+// Compact removes the segments that hold no entry after index. The caller must
+// hold a durable snapshot at or after index.
+func (l *Log) Compact(index uint64) error {
+	return l.guard(func() error {
+		removed := 0
+		for removed+1 < len(l.segments) && l.maxBase(removed+1) <= index {
+			if err := l.opts.FS.Remove(l.path(l.segments[removed].number)); err != nil {
+				return err
+			}
+			removed++
+		}
+		l.segments = l.segments[removed:]
+		if removed == 0 {
+			return nil
+		}
+		return l.opts.FS.SyncDir(l.opts.Dir)
+	})
+}
+
+// maxBase returns the highest base of the segments up to n.
+func (l *Log) maxBase(n int) uint64 {
+	highest := uint64(0)
+	for _, s := range l.segments[:n+1] {
+		highest = max(highest, s.base)
+	}
+	return highest
+}
+
+// Segments returns the number of segment files.
+func (l *Log) Segments() int { return len(l.segments) }
+
+// Close releases the file. Everything saved is durable already.
+func (l *Log) Close() error {
+	if l.err == nil {
+		l.err = &FailedError{Err: errors.New("log closed")}
+	}
+	if l.file == nil {
+		return nil
+	}
+	return l.file.Close()
+}
+
+// FailedError reports a failed write; the log takes no further ones.
+type FailedError struct{ Err error }
+
+// Error implements error.
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("write to log: %v; check the disk and restart the process", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *FailedError) Unwrap() error { return e.Err }
+
+// CorruptError reports damage that a crash cannot cause.
+type CorruptError struct {
+	Segment string // file name
+	Offset  int64  // bytes
+	Detail  string
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("log segment %s is damaged at byte %d (%s): do not delete it; keep the data folder for study and join this host as a learner with a new replica id and an empty data folder",
+		e.Segment, e.Offset, e.Detail)
+}
