--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -159,7 +159,7 @@
 	var id identity
 	data, err := o.FS.ReadFile(o.path(identityFile))
 	if errors.Is(err, iofs.ErrNotExist) {
-		return createIdentity(cfg)
+		return createIdentity(o)
 	}
 	if err != nil {
 		return id, fmt.Errorf("read identity: %w", err)
