Add the control node: replica, operators' calls, distribution, leases and claims in one daemon

Cause: operators, entry hosts and planners need one control daemon whose every replica serves them. Change: proposals are forwarded to the leader, which stamps them with its own clock; reads are confirmed at the replica that answers; a stopping leader hands over; outcomes are told apart into applied, not applied and unknown.

--- /dev/null
+++ b/cmd/filberthook-control/main.go
@@ -0,0 +1,57 @@
+// Command filberthook-control runs one control host: a replica of the agreed
+// configuration with the operators' calls.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/alecthomas/kingpin/v2"
+
+	"filberthook/internal/controlnode"
+	"filberthook/internal/settings"
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	app := kingpin.New("filberthook-control", "Runs one control host of filberthook.")
+	file := app.Flag("settings", "Settings file in TOML.").Required().String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintf(os.Stderr, "filberthook-control: %v; see --help\n", err)
+		return settings.ExitCode
+	}
+	var s settings.Control
+	if err := settings.Load(*file, &s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return settings.ExitCode
+	}
+	if *check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	return serve(s)
+}
+
+// serve runs the daemon until it is told to stop.
+func serve(s settings.Control) int {
+	logger := s.Log.Logger(os.Stderr)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	node, err := controlnode.New(s, logger, metrics.NewSet())
+	if err != nil {
+		logger.Error("not started", "err", err)
+		return 1
+	}
+	if err := node.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		logger.Error("stopped", "err", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/controlnode/calls.go
@@ -0,0 +1,71 @@
+package controlnode
+
+import (
+	"context"
+	"time"
+
+	"filberthook/internal/distribution"
+	"filberthook/internal/fleet"
+	"filberthook/internal/lease"
+	"filberthook/internal/operator"
+	"filberthook/internal/peer"
+	"filberthook/internal/statemachine"
+)
+
+// proposalTimeout bounds a proposal on behalf of another host.
+const proposalTimeout = 5 * time.Second
+
+// buildCalls registers the calls of other hosts.
+func (n *Node) buildCalls() {
+	n.mux = peer.NewMux()
+	distribution.Register(n.mux, n.hub, n.registry)
+	n.registerHostCalls()
+	n.registerReplicaCalls()
+}
+
+// registerHostCalls registers the calls of planners and entry hosts.
+func (n *Node) registerHostCalls() {
+	peer.Handle(n.mux, MethodLease, func(ctx context.Context, from peer.Identity, cmd lease.Command) (lease.Result, error) {
+		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+		defer cancel()
+		// A host asks for itself and its own zone only.
+		cmd.Holder.Host = from.Host
+		cmd.Scope = from.Zone
+		return n.group.lease(ctx, cmd)
+	})
+	peer.Handle(n.mux, MethodClaims, func(ctx context.Context, _ peer.Identity, req ClaimsRequest) (ClaimsResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+		defer cancel()
+		results, err := n.group.claims(ctx, req.Commands)
+		return ClaimsResponse{Results: results}, err
+	})
+}
+
+// registerReplicaCalls registers the calls of other replicas.
+func (n *Node) registerReplicaCalls() {
+	bootstrap := fleet.KeyHash(n.settings.Operate.BootstrapKeySHA256)
+	peer.Handle(n.mux, methodPropose, func(ctx context.Context, _ peer.Identity, req proposeRequest) (statemachine.Response, error) {
+		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+		defer cancel()
+		return n.group.serveProposal(ctx, req, bootstrap)
+	})
+	peer.Handle(n.mux, methodReports, func(context.Context, peer.Identity, reportsRequest) (reportsResponse, error) {
+		return reportsResponse{Reports: n.registry.Reports()}, nil
+	})
+	peer.Handle(n.mux, methodMembers, func(context.Context, peer.Identity, membersRequest) (membersResponse, error) {
+		return membersOf(n.replica.Status()), nil
+	})
+	peer.Handle(n.mux, methodChangeMember, func(ctx context.Context, _ peer.Identity, change operator.MemberChange) (changeMemberResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+		defer cancel()
+		return changeMemberResponse{}, wireOutcome(n.group.changeMemberHere(ctx, change))
+	})
+	peer.Handle(n.mux, methodRaft, func(_ context.Context, _ peer.Identity, batch raftBatch) (struct{}, error) {
+		for _, msg := range batch.Messages {
+			if err := n.replica.Receive(msg); err != nil {
+				return struct{}{}, err
+			}
+		}
+		return struct{}{}, nil
+	})
+}
--- /dev/null
+++ b/internal/controlnode/clock.go
@@ -0,0 +1,25 @@
+package controlnode
+
+import (
+	"crypto/rand"
+	"time"
+
+	"filberthook/internal/statemachine"
+)
+
+// clock reads this process's monotonic clock. Its epoch tells it from the
+// clocks of other processes and of earlier runs.
+type clock struct {
+	epoch string
+	start time.Time
+}
+
+func newClock() clock { return clock{epoch: rand.Text(), start: time.Now()} }
+
+// elapsed returns the time since the start of the process.
+func (c clock) elapsed() time.Duration { return time.Since(c.start) }
+
+// reading returns the stamp of a command proposed now.
+func (c clock) reading() statemachine.Reading {
+	return statemachine.Reading{Epoch: c.epoch, Elapsed: c.elapsed()}
+}
--- /dev/null
+++ b/internal/controlnode/group.go
@@ -0,0 +1,176 @@
+package controlnode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"filberthook/internal/claim"
+	"filberthook/internal/fleet"
+	"filberthook/internal/lease"
+	"filberthook/internal/operator"
+	"filberthook/internal/replica"
+	"filberthook/internal/statemachine"
+)
+
+// noLeaderPause is the pause before a proposal is repeated that found no
+// leader.
+const noLeaderPause = 50 * time.Millisecond
+
+// Log is the replicated log as this package uses it. *replica.Replica
+// implements it.
+type Log interface {
+	Propose(ctx context.Context, data []byte) (any, error)
+	ReadBarrier(ctx context.Context) error
+	Status() replica.Status
+	AddLearner(ctx context.Context, m replica.Member) error
+	Promote(ctx context.Context, id uint64) error
+	RemoveMember(ctx context.Context, id uint64) error
+}
+
+// group is the control group as seen from this replica. It implements
+// operator.Group.
+type group struct {
+	log     Log
+	clock   clock
+	clients *clientPool
+}
+
+// ReadBarrier implements operator.Group.
+func (g *group) ReadBarrier(ctx context.Context) error { return g.log.ReadBarrier(ctx) }
+
+// Leader implements operator.Group.
+func (g *group) Leader() string { return g.log.Status().LeaderAddress }
+
+// Propose implements operator.Group. It tries again while nothing was proposed
+// for want of a leader, until ctx ends.
+func (g *group) Propose(ctx context.Context, cmd statemachine.Command) (statemachine.Response, error) {
+	var resp statemachine.Response
+	err := g.atLeader(ctx,
+		func(ctx context.Context) (err error) {
+			resp, err = g.proposeHere(ctx, cmd)
+			return err
+		},
+		func(ctx context.Context, leader string) error {
+			req, err := forwarded(cmd)
+			if err != nil {
+				return err
+			}
+			return g.clients.get(leader).Call(ctx, methodPropose, req, &resp)
+		})
+	return resp, err
+}
+
+// forwarded is the form of a command that the leader stamps with its clock.
+func forwarded(cmd statemachine.Command) (proposeRequest, error) {
+	req := proposeRequest{Fleet: cmd.Fleet, Lease: cmd.Lease}
+	if cmd.Claim == nil {
+		return req, nil
+	}
+	if err := json.Unmarshal(cmd.Claim, &req.Claims); err != nil {
+		return req, &operator.NotAppliedError{Err: err}
+	}
+	return req, nil
+}
+
+// atLeader runs here when this replica leads, otherwise there with the leader's
+// address. It repeats the attempt while it surely had no effect.
+func (g *group) atLeader(ctx context.Context, here func(context.Context) error, there func(context.Context, string) error) error {
+	for {
+		err := here(ctx)
+		var notLeader *replica.NotLeaderError
+		if errors.As(err, &notLeader) && notLeader.Address != "" {
+			err = there(ctx, notLeader.Address)
+			if err != nil {
+				err = remoteOutcome(err)
+			}
+		}
+		if err == nil || !retryable(err) || !pause(ctx, noLeaderPause) {
+			return err
+		}
+	}
+}
+
+// retryable reports whether an attempt had no effect and another may succeed.
+func retryable(err error) bool {
+	var notApplied *operator.NotAppliedError
+	return errors.As(err, &notApplied) && notApplied.Retry
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// proposeHere proposes a command at this replica, stamped with its clock.
+func (g *group) proposeHere(ctx context.Context, cmd statemachine.Command) (statemachine.Response, error) {
+	data, err := cmd.Encode(g.clock.reading())
+	if err != nil {
+		return statemachine.Response{}, &operator.NotAppliedError{Err: err}
+	}
+	result, err := g.log.Propose(ctx, data)
+	if err != nil {
+		return statemachine.Response{}, localOutcome(err)
+	}
+	resp, ok := result.(statemachine.Response)
+	if !ok {
+		return resp, &operator.OutcomeUnknownError{Err: fmt.Errorf("the log returned %T", result)}
+	}
+	return resp, nil
+}
+
+// serveProposal proposes a command that another replica forwarded. The key of
+// the settings file is checked here, because it is not part of the state.
+func (g *group) serveProposal(ctx context.Context, req proposeRequest, bootstrap fleet.KeyHash) (statemachine.Response, error) {
+	cmd := statemachine.Command{Fleet: req.Fleet, Lease: req.Lease}
+	if req.Fleet != nil && req.Fleet.Actor.Bootstrap && req.Fleet.Actor.Key != bootstrap {
+		err := errors.New("the replicas have different bootstrap keys; set the same operators.bootstrap_key_sha256 at all")
+		return statemachine.Response{}, wireOutcome(&operator.NotAppliedError{Err: err})
+	}
+	if req.Claims != nil {
+		data, err := json.Marshal(req.Claims)
+		if err != nil {
+			return statemachine.Response{}, wireOutcome(&operator.NotAppliedError{Err: err})
+		}
+		cmd.Claim = data
+	}
+	resp, err := g.proposeHere(ctx, cmd)
+	return resp, wireOutcome(err)
+}
+
+// lease proposes a lease command for a planner.
+func (g *group) lease(ctx context.Context, cmd lease.Command) (lease.Result, error) {
+	resp, err := g.Propose(ctx, statemachine.Command{Lease: &cmd})
+	if err == nil && resp.Lease == nil {
+		err = &operator.OutcomeUnknownError{Err: errors.New("the leader returned no outcome")}
+	}
+	if err != nil {
+		return lease.Result{}, wireOutcome(err)
+	}
+	return *resp.Lease, nil
+}
+
+// claims proposes a batch of claim commands for an entry host.
+func (g *group) claims(ctx context.Context, commands []claim.Command) ([]claim.Result, error) {
+	data, err := json.Marshal(commands)
+	if err != nil {
+		return nil, wireOutcome(&operator.NotAppliedError{Err: err})
+	}
+	resp, err := g.Propose(ctx, statemachine.Command{Claim: data})
+	if err != nil {
+		return nil, wireOutcome(err)
+	}
+	var results []claim.Result
+	if err := json.Unmarshal(resp.Claim, &results); err != nil || len(results) != len(commands) {
+		return nil, wireOutcome(&operator.OutcomeUnknownError{Err: errors.New("the leader returned no outcome")})
+	}
+	return results, nil
+}
--- /dev/null
+++ b/internal/controlnode/hosts.go
@@ -0,0 +1,51 @@
+package controlnode
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"filberthook/internal/distribution"
+)
+
+// reportsTimeout bounds the question for the reports of another replica.
+const reportsTimeout = 500 * time.Millisecond
+
+// hosts collects what the hosts have reported to all replicas. It implements
+// operator.Hosts.
+type hosts struct {
+	registry *distribution.Registry
+	self     uint64
+	log      Log
+	clients  *clientPool
+}
+
+// Reports implements operator.Hosts.
+func (h *hosts) Reports(ctx context.Context) ([]distribution.HostReport, []string) {
+	ctx, cancel := context.WithTimeout(ctx, reportsTimeout)
+	defer cancel()
+	members := h.log.Status().Members
+	lists := make([][]distribution.HostReport, len(members))
+	failed := make([]string, len(members))
+	var asked errgroup.Group
+	for i, m := range members {
+		if m.ID == h.self {
+			continue
+		}
+		asked.Go(func() error {
+			var resp reportsResponse
+			if err := h.clients.get(m.Address).Call(ctx, methodReports, reportsRequest{}, &resp); err != nil {
+				failed[i] = m.Address
+				return nil
+			}
+			lists[i] = resp.Reports
+			return nil
+		})
+	}
+	_ = asked.Wait() // failures are in failed
+	lists = append(lists, h.registry.Reports())
+	failed = slices.DeleteFunc(failed, func(address string) bool { return address == "" })
+	return distribution.Merge(lists...), failed
+}
--- /dev/null
+++ b/internal/controlnode/members.go
@@ -0,0 +1,70 @@
+package controlnode
+
+import (
+	"context"
+	"fmt"
+
+	"filberthook/internal/operator"
+	"filberthook/internal/replica"
+)
+
+// leaderRole is the role of a leading replica in replica.Status.
+const leaderRole = "leader"
+
+// Members implements operator.Group. The positions of the members are known at
+// the leader, which is asked.
+func (g *group) Members(ctx context.Context) ([]operator.Member, uint64, error) {
+	status := g.log.Status()
+	if status.Role == leaderRole || status.LeaderAddress == "" {
+		resp := membersOf(status)
+		return resp.Members, resp.Commit, nil
+	}
+	var resp membersResponse
+	if err := g.clients.get(status.LeaderAddress).Call(ctx, methodMembers, membersRequest{}, &resp); err != nil {
+		return nil, 0, err
+	}
+	return resp.Members, resp.Commit, nil
+}
+
+func membersOf(status replica.Status) membersResponse {
+	resp := membersResponse{Commit: status.Commit}
+	for _, m := range status.Members {
+		resp.Members = append(resp.Members, operator.Member{
+			ID:      m.ID,
+			Address: m.Address,
+			Zone:    m.Zone,
+			Voter:   !m.Learner,
+			Leader:  m.ID == status.Leader,
+			Match:   m.Match,
+			Active:  m.Active,
+		})
+	}
+	return resp
+}
+
+// ChangeMember implements operator.Group.
+func (g *group) ChangeMember(ctx context.Context, change operator.MemberChange) error {
+	return g.atLeader(ctx,
+		func(ctx context.Context) error { return g.changeMemberHere(ctx, change) },
+		func(ctx context.Context, leader string) error {
+			return g.clients.get(leader).Call(ctx, methodChangeMember, change, &changeMemberResponse{})
+		})
+}
+
+func (g *group) changeMemberHere(ctx context.Context, change operator.MemberChange) error {
+	var err error
+	switch change.Action {
+	case operator.AddLearner:
+		err = g.log.AddLearner(ctx, replica.Member{ID: change.ID, Address: change.Address, Zone: change.Zone})
+	case operator.Promote:
+		err = g.log.Promote(ctx, change.ID)
+	case operator.RemoveMember:
+		err = g.log.RemoveMember(ctx, change.ID)
+	default:
+		err = fmt.Errorf("action %q is unknown; upgrade this control host", change.Action)
+	}
+	if err != nil {
+		return localOutcome(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controlnode/node.go
@@ -0,0 +1,271 @@
+// Package controlnode assembles one control daemon: a replica of the agreed
+// state, the operators' service and the distribution of the configuration.
+package controlnode
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"filberthook/internal/distribution"
+	"filberthook/internal/fleet"
+	"filberthook/internal/keys"
+	"filberthook/internal/operator"
+	"filberthook/internal/peer"
+	"filberthook/internal/replica"
+	"filberthook/internal/settings"
+	"filberthook/internal/statemachine"
+)
+
+// Timing of the node.
+const (
+	shutdownTimeout = 5 * time.Second
+	transferTimeout = 2 * time.Second
+	sweepInterval   = time.Second
+)
+
+// Node is one control daemon.
+type Node struct {
+	settings settings.Control
+	logger   *slog.Logger
+	metrics  *metrics.Set
+	keys     *keys.Source // nil for plaintext on loopback
+
+	machine  *statemachine.Machine
+	claims   *claims
+	hub      *distribution.Hub
+	registry *distribution.Registry
+	replica  *replica.Replica
+	group    *group
+	raft     *transport
+	rpc      *clientPool // calls to other replicas
+	raftRPC  *clientPool // messages of the replicated log
+	mux      *peer.Mux
+
+	raftContext context.Context // ends with the replica
+	stopRaft    context.CancelFunc
+	listeners   listeners
+}
+
+type listeners struct{ peers, operators, status net.Listener }
+
+// New opens the data folder and the listeners. Run must be called next.
+func New(s settings.Control, logger *slog.Logger, set *metrics.Set) (*Node, error) {
+	n := &Node{settings: s, logger: logger.With("host", s.Host, "zone", s.Zone), metrics: set}
+	if err := n.openKeys(); err != nil {
+		return nil, err
+	}
+	n.buildState()
+	if err := n.openReplica(); err != nil {
+		return nil, err
+	}
+	n.buildCalls()
+	if err := n.listen(); err != nil {
+		n.stopRaft()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) openKeys() error {
+	if !n.settings.TLS.Enabled() {
+		return nil
+	}
+	files := keys.Files{CA: n.settings.TLS.CA, Certificate: n.settings.TLS.Certificate, Key: n.settings.TLS.Key}
+	source, err := keys.Open(files, n.logger, n.metrics)
+	if err != nil {
+		return fmt.Errorf("tls: %w", err)
+	}
+	n.keys = source
+	return nil
+}
+
+func (n *Node) peerOptions() peer.Options {
+	options := peer.Options{
+		Self:    peer.Identity{Host: n.settings.Host, Zone: n.settings.Zone},
+		Metrics: n.metrics,
+		Logger:  n.logger,
+	}
+	if n.keys != nil {
+		options.TLS = n.keys.Config()
+	}
+	return options
+}
+
+func (n *Node) buildState() {
+	n.rpc = newClientPool(n.peerOptions())
+	n.raftRPC = newClientPool(n.peerOptions())
+	n.claims = newClaims()
+	n.group = &group{clock: newClock(), clients: n.rpc}
+	n.hub = distribution.NewHub(n.group.clock.elapsed, n.group, n.logger)
+	n.registry = distribution.NewRegistry(n.group.clock.elapsed, n.settings.Host)
+	n.machine = statemachine.New(n.hub, n.claims)
+}
+
+func (n *Node) openReplica() error {
+	n.raftContext, n.stopRaft = context.WithCancel(context.Background())
+	n.raft = newTransport(n.raftContext, n.raftRPC, n.memberAddress, n.metrics)
+	config := replica.Config{
+		ID:      n.settings.Replica.ID,
+		Dir:     n.settings.DataDir,
+		Metrics: n.metrics,
+		Logger:  n.logger,
+	}
+	if !n.settings.Replica.Join {
+		for _, m := range n.settings.Replica.Members {
+			config.Members = append(config.Members, replica.Member{ID: m.ID, Address: m.Address, Zone: m.Zone})
+		}
+	}
+	r, err := replica.Open(config, n.machine, n.raft)
+	if err != nil {
+		n.stopRaft()
+		return err
+	}
+	n.replica = r
+	n.group.log = r
+	return nil
+}
+
+// memberAddress returns the address of a replica, from the agreed members or,
+// before they are known, from the settings.
+func (n *Node) memberAddress(id uint64) string {
+	for _, m := range n.replica.Status().Members {
+		if m.ID == id {
+			return m.Address
+		}
+	}
+	for _, m := range n.settings.Replica.Members {
+		if m.ID == id {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+func (n *Node) listen() error {
+	var err error
+	if n.listeners.peers, err = net.Listen("tcp", n.settings.Listen.Peers); err != nil {
+		return fmt.Errorf("listen.peers: %w; choose a free address of this host", err)
+	}
+	if n.listeners.operators, err = n.listenOperators(); err != nil {
+		n.listeners.peers.Close()
+		return fmt.Errorf("listen.operators: %w; choose a free address of this host", err)
+	}
+	if n.listeners.status, err = net.Listen("tcp", n.settings.Listen.Status); err != nil {
+		n.listeners.peers.Close()
+		n.listeners.operators.Close()
+		return fmt.Errorf("listen.status: %w; choose a free address of this host", err)
+	}
+	return nil
+}
+
+func (n *Node) listenOperators() (net.Listener, error) {
+	ln, err := net.Listen("tcp", n.settings.Listen.Operators)
+	if err != nil || n.keys == nil {
+		return ln, err
+	}
+	return tls.NewListener(ln, n.keys.ServerConfig()), nil
+}
+
+// Run serves until ctx ends, then hands over and stops. It returns nil after a
+// graceful stop.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.rpc.close()
+	defer n.raftRPC.close()
+	defer n.stopRaft()
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error { return n.runReplica(ctx) })
+	tasks.Go(func() error { return peer.NewServer(n.peerOptions(), n.mux).Serve(n.raftContext, n.listeners.peers) })
+	tasks.Go(func() error { return n.serveHTTP(ctx, n.listeners.operators, n.operatorHandler()) })
+	tasks.Go(func() error { return n.serveHTTP(ctx, n.listeners.status, n.statusHandler()) })
+	tasks.Go(func() error { distribution.RunConfirmations(ctx, n.hub); return nil })
+	tasks.Go(func() error { n.sweepClaims(ctx); return nil })
+	if n.keys != nil {
+		tasks.Go(func() error { return n.keys.Run(ctx) })
+	}
+	n.logger.Info("control replica started", "id", n.settings.Replica.ID, "revision", n.machine.Configuration().Revision,
+		"peers", n.settings.Listen.Peers, "operators", n.settings.Listen.Operators)
+	err := tasks.Wait()
+	n.logger.Info("control replica stopped", "err", err)
+	return err
+}
+
+// runReplica runs the replica a little longer than ctx, so that a leader can
+// hand over.
+func (n *Node) runReplica(ctx context.Context) error {
+	defer n.raft.wait()
+	defer n.stopRaft()
+	stopped := make(chan error, 1)
+	go func() { stopped <- n.replica.Run(n.raftContext) }()
+	select {
+	case err := <-stopped:
+		if err == nil {
+			err = errors.New("the replica stopped by itself")
+		}
+		return fmt.Errorf("replica: %w", err)
+	case <-ctx.Done():
+	}
+	n.handOver()
+	n.stopRaft()
+	return <-stopped
+}
+
+// handOver gives the leadership to another voter that is up.
+func (n *Node) handOver() {
+	status := n.replica.Status()
+	if status.Role != leaderRole {
+		return
+	}
+	for _, m := range status.Members {
+		if m.ID == status.ID || m.Learner || !m.Active {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+		err := n.replica.TransferLeadership(ctx, m.ID)
+		cancel()
+		if err == nil {
+			return
+		}
+		n.logger.Warn("leadership not handed over", "to", m.ID, "err", err)
+	}
+}
+
+// sweepClaims keeps the claims' clock going while there are any.
+func (n *Node) sweepClaims(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if n.claims.count.Load() == 0 || n.replica.Status().Role != leaderRole {
+			continue
+		}
+		// A lost sweep is made up for by the next one.
+		_, _ = n.group.proposeHere(ctx, statemachine.Command{Claim: []byte("[]")})
+	}
+}
+
+func (n *Node) operatorHandler() http.Handler {
+	s := operator.Settings{
+		Replica:   n.settings.Host,
+		Bootstrap: fleet.KeyHash(n.settings.Operate.BootstrapKeySHA256),
+		Now:       time.Now,
+		Logger:    n.logger,
+		Metrics:   n.metrics,
+	}
+	h := &hosts{registry: n.registry, self: n.settings.Replica.ID, log: n.replica, clients: n.rpc}
+	mux := http.NewServeMux()
+	mux.Handle(operator.Handler(s, n.machine, n.group, h))
+	return mux
+}
--- /dev/null
+++ b/internal/controlnode/outcome.go
@@ -0,0 +1,67 @@
+package controlnode
+
+import (
+	"errors"
+
+	"filberthook/internal/consensus"
+	"filberthook/internal/operator"
+	"filberthook/internal/peer"
+	"filberthook/internal/replica"
+)
+
+// localOutcome tells apart whether a failed proposal may have been applied.
+func localOutcome(err error) error {
+	var notLeader *replica.NotLeaderError
+	var refused *consensus.RefusedError
+	switch {
+	case errors.As(err, &notLeader):
+		return &operator.NotAppliedError{Err: err, Retry: true}
+	case errors.As(err, &refused):
+		return &operator.NotAppliedError{Err: err, Retry: passing(refused.Reason)}
+	}
+	return &operator.OutcomeUnknownError{Err: err}
+}
+
+// passing reports whether a refusal ends by itself within a moment.
+func passing(r consensus.Reason) bool {
+	switch r {
+	case consensus.ReasonBusy, consensus.ReasonTransferring, consensus.ReasonNotReady:
+		return true
+	}
+	return false
+}
+
+// remoteOutcome does the same for a proposal that was sent to another replica.
+func remoteOutcome(err error) error {
+	var unreachable *peer.UnreachableError
+	var remote *peer.RemoteError
+	switch {
+	case errors.As(err, &unreachable):
+		return &operator.NotAppliedError{Err: err, Retry: true}
+	case !errors.As(err, &remote):
+		return &operator.OutcomeUnknownError{Err: err}
+	}
+	switch remote.Code {
+	case codeTryAgain, peer.CodeBusy:
+		return &operator.NotAppliedError{Err: err, Retry: true}
+	case codeRefused, peer.CodeNoHello, peer.CodeVersion, peer.CodeIdentity, peer.CodeBadParams, peer.CodeNoSuchCall:
+		return &operator.NotAppliedError{Err: err}
+	}
+	return &operator.OutcomeUnknownError{Err: err}
+}
+
+// wireOutcome is the form of an outcome that remoteOutcome reads back.
+func wireOutcome(err error) error {
+	if err == nil {
+		return nil
+	}
+	code := int64(codeOutcomeUnknown)
+	var notApplied *operator.NotAppliedError
+	if errors.As(err, &notApplied) {
+		code = codeRefused
+		if notApplied.Retry {
+			code = codeTryAgain
+		}
+	}
+	return &callError{Code: code, Message: err.Error()}
+}
--- /dev/null
+++ b/internal/controlnode/protocol.go
@@ -0,0 +1,79 @@
+package controlnode
+
+import (
+	"filberthook/internal/claim"
+	"filberthook/internal/distribution"
+	"filberthook/internal/fleet"
+	"filberthook/internal/lease"
+	"filberthook/internal/operator"
+	"filberthook/internal/statemachine"
+)
+
+// Peer calls that a control replica serves, besides distribution.MethodWatch.
+const (
+	MethodLease        = "control.lease"         // lease.Command to lease.Result; from planners, at any replica
+	MethodClaims       = "control.claims"        // ClaimsRequest to ClaimsResponse; from entry hosts, at any replica
+	methodPropose      = "control.propose"       // proposeRequest to statemachine.Response; between replicas, at the leader
+	methodReports      = "control.reports"       // reportsRequest to reportsResponse; between replicas
+	methodMembers      = "control.members"       // membersRequest to membersResponse; between replicas, at the leader
+	methodChangeMember = "control.change_member" // operator.MemberChange to changeMemberResponse; between replicas, at the leader
+	methodRaft         = "control.raft"          // raftBatch, a notification; between replicas
+)
+
+// ClaimsRequest is a batch of claim commands, applied in order.
+type ClaimsRequest struct {
+	Commands []claim.Command `json:"commands"`
+}
+
+// ClaimsResponse holds the results in the order of the commands.
+type ClaimsResponse struct {
+	Results []claim.Result `json:"results"`
+}
+
+// proposeRequest asks the leader to propose a command with its own clock.
+type proposeRequest struct {
+	Fleet  *fleet.Command  `json:"fleet,omitempty"`
+	Lease  *lease.Command  `json:"lease,omitempty"`
+	Claims []claim.Command `json:"claims,omitempty"`
+}
+
+type reportsRequest struct{}
+
+type reportsResponse struct {
+	Reports []distribution.HostReport `json:"reports"`
+}
+
+type membersRequest struct{}
+
+type membersResponse struct {
+	Members []operator.Member `json:"members"`
+	Commit  uint64            `json:"commit"`
+}
+
+type changeMemberResponse struct{}
+
+// raftBatch carries encoded messages of the replicated log.
+type raftBatch struct {
+	Messages [][]byte `json:"messages"`
+}
+
+// Codes of errors between replicas.
+const (
+	codeTryAgain       = 101 // nothing was applied, for want of a leader
+	codeRefused        = 102 // nothing was applied
+	codeOutcomeUnknown = 103
+)
+
+// callError carries the outcome of a refused proposal to another process.
+type callError struct {
+	Code    int64  `json:"code"`
+	Message string `json:"message"`
+}
+
+// Error implements error.
+func (e *callError) Error() string { return e.Message }
+
+// RPCCode implements peer.CodedError.
+func (e *callError) RPCCode() int64 { return e.Code }
+
+var _ statemachine.SubMachine = (*claims)(nil)
--- a/internal/distribution/hub.go
+++ b/internal/distribution/hub.go
@@ -159,6 +159,14 @@
 	return h.config.Revision-have <= uint64(len(h.deltas))
 }
 
+// Stale reports whether this replica cannot confirm that it is up to date.
+func (h *Hub) Stale() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stale()
+}
+
+// stale is Stale for callers that hold h.mu.
 func (h *Hub) stale() bool {
 	return !h.confirmed || h.clock()-h.confirmedAt > StaleAfter
 }
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -18,7 +18,10 @@
 )
 
 // NotAppliedError tells that a command had no effect.
-type NotAppliedError struct{ Err error }
+type NotAppliedError struct {
+	Err   error
+	Retry bool // the same command may succeed a little later
+}
 
 // Error implements error.
 func (e *NotAppliedError) Error() string { return "not applied: " + e.Err.Error() }
--- a/internal/operator/read.go
+++ b/internal/operator/read.go
@@ -16,7 +16,7 @@
 
 // Limits on reads.
 const (
-	maxStatusWait  = 60 * time.Second
+	maxStatusWait  = 20 * time.Second
 	statusInterval = 100 * time.Millisecond
 	defaultAudit   = 100
 )
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -103,7 +103,7 @@
 // operator and counts the outcome of each call.
 func (s *Service) intercept(next connect.UnaryFunc) connect.UnaryFunc {
 	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeoutOf(req.Spec().Procedure))
 		defer cancel()
 		resp, err := s.serve(ctx, req, next)
 		s.count(req.Spec().Procedure, err)
@@ -111,6 +111,14 @@
 	}
 }
 
+// timeoutOf returns the longest time that a call may take.
+func timeoutOf(procedure string) time.Duration {
+	if procedure == filberthookv1connect.OperatorServiceGetStatusProcedure {
+		return maxStatusWait + callTimeout
+	}
+	return callTimeout
+}
+
 func (s *Service) serve(ctx context.Context, req connect.AnyRequest, next connect.UnaryFunc) (connect.AnyResponse, error) {
 	stale := false
 	if err := s.barrier(ctx); err != nil {
