--- /dev/null
+++ b/cmd/filberthook/main.go
@@ -0,0 +1,10 @@
+// Command filberthook is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"filberthook/internal/cli"
+)
+
+func main() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/cli/report.go
@@ -0,0 +1,126 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	filberthookv1 "filberthook/api/filberthook/v1"
+	"filberthook/internal/operator"
+	"filberthook/internal/settings"
+)
+
+// usageError is a wrong argument or file; nothing was sent.
+type usageError struct{ err error }
+
+// Error implements error.
+func (e *usageError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *usageError) Unwrap() error { return e.err }
+
+func usage(format string, args ...any) error { return &usageError{fmt.Errorf(format, args...)} }
+
+// notInForceError tells that a change is accepted and some host lags.
+type notInForceError struct {
+	revision uint64
+	hosts    []string
+}
+
+// Error implements error.
+func (e *notInForceError) Error() string {
+	return fmt.Sprintf("revision %d is accepted but not yet in force at %v; look at `filberthook status`", e.revision, e.hosts)
+}
+
+// exitCodes by the reason of a refusal.
+var exitCodes = map[string]int{
+	"conflict":                     ExitConflict,
+	"invalid":                      ExitRefused,
+	"not_found":                    ExitRefused,
+	"already_exists":               ExitRefused,
+	"change_id_reused":             ExitRefused,
+	"permission_denied":            ExitDenied,
+	operator.ReasonUnauthenticated: ExitDenied,
+	operator.ReasonUnavailable:     ExitUnavailable,
+	operator.ReasonOutcomeUnknown:  ExitUnknown,
+}
+
+// exitCode returns the exit code of an error.
+func exitCode(err error) int {
+	var wrongUsage *usageError
+	var wrongFile *settings.Error
+	var late *notInForceError
+	var unreached *unreachedError
+	switch {
+	case errors.As(err, &wrongUsage), errors.As(err, &wrongFile):
+		return ExitUsage
+	case errors.As(err, &late):
+		return ExitNotInForce
+	case errors.As(err, &unreached):
+		if unreached.sent {
+			return ExitUnknown
+		}
+		return ExitUnavailable
+	}
+	if d := operator.DetailOf(err); d != nil {
+		if code, ok := exitCodes[d.Reason]; ok {
+			return code
+		}
+	}
+	if connect.CodeOf(err) == connect.CodeUnavailable || errors.Is(err, context.DeadlineExceeded) {
+		return ExitUnavailable
+	}
+	return ExitFailed
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error           string                      `json:"error"`
+	Reason          string                      `json:"reason,omitempty"`
+	Remedy          string                      `json:"remedy,omitempty"`
+	ExitCode        int                         `json:"exit_code"`
+	CurrentRevision uint64                      `json:"current_revision,omitempty"`
+	Current         []*filberthookv1.Difference `json:"current,omitempty"`
+}
+
+// report prints an error and returns the exit code.
+func (a *app) report(err error) int {
+	f := failure{Error: messageOf(err), ExitCode: exitCode(err)}
+	if d := operator.DetailOf(err); d != nil {
+		f.Reason, f.Remedy, f.CurrentRevision, f.Current = d.Reason, d.Remedy, d.CurrentRevision, d.Current
+	}
+	if a.options.output == outputJSON {
+		encoder := json.NewEncoder(a.errOut)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(f)
+		return f.ExitCode
+	}
+	fmt.Fprintf(a.errOut, "filberthook: %s\n", f.Error)
+	if f.Remedy != "" && !strings.Contains(f.Error, f.Remedy) {
+		fmt.Fprintf(a.errOut, "remedy: %s\n", f.Remedy)
+	}
+	for _, c := range f.Current {
+		fmt.Fprintf(a.errOut, "current %s %s: %s\n", c.Aggregate, c.Name, orAbsent(c.Before))
+	}
+	return f.ExitCode
+}
+
+func messageOf(err error) string {
+	var unreached *unreachedError
+	var refused *connect.Error
+	if !errors.As(err, &unreached) && errors.As(err, &refused) {
+		return refused.Message()
+	}
+	return err.Error()
+}
+
+func orAbsent(value string) string {
+	if value == "" {
+		return "absent"
+	}
+	return value
+}
--- /dev/null
+++ b/internal/cli/requests.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Paths at the status address of an entry host.
+const (
+	requestsPath = "/requests"
+	explainPath  = "/explain"
+)
+
+// maxAnswerBytes bounds what is read from an entry host.
+const maxAnswerBytes = 16 << 20
+
+// addRequests adds the commands that ask an entry host about calls.
+func (a *app) addRequests(parser *kingpin.Application) {
+	requests := parser.Command("requests", "Show the calls that an entry host handles now.")
+	entry := requests.Flag("entry", "Status address of the entry host.").Envar("FILBERTHOOK_ENTRY").Required().String()
+	a.command(requests, func(ctx context.Context) error { return a.askEntry(ctx, *entry, requestsPath, nil) })
+
+	explain := parser.Command("explain", "Show the decisions that an entry host took for a call.")
+	explainEntry := explain.Flag("entry", "Status address of the entry host.").Envar("FILBERTHOOK_ENTRY").Required().String()
+	id := explain.Arg("request-id", "Request id of the call, from the answer's X-Request-Id.").Required().String()
+	a.command(explain, func(ctx context.Context) error {
+		return a.askEntry(ctx, *explainEntry, explainPath, url.Values{"request_id": {*id}})
+	})
+}
+
+// askEntry prints the JSON answer of an entry host.
+func (a *app) askEntry(ctx context.Context, address, path string, query url.Values) error {
+	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return usage("%w; correct --entry", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return &unreachedError{names: []string{address}, err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return &unreachedError{names: []string{address}, err: err}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return usage("the entry host answered %s: %s; check the request id and --entry", resp.Status, body)
+	}
+	var v any
+	if err := json.Unmarshal(body, &v); err != nil {
+		return fmt.Errorf("the entry host's answer is not JSON: %w; check --entry", err)
+	}
+	return a.printJSON(v)
+}
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -138,6 +138,7 @@
 }
 
 func TestOperatorsAtAnyReplica(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 3)
 	ctx := t.Context()
 	for i := range 3 {
@@ -163,6 +164,7 @@
 }
 
 func TestAccess(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 1)
 	ctx := t.Context()
 	admin := c.operator(0, bootstrapKey)
@@ -184,6 +186,7 @@
 }
 
 func TestLeaderLossAndRestart(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 3)
 	ctx := t.Context()
 	if _, err := c.operator(0, bootstrapKey).Apply(ctx, applyRequest("c1", 0, newTeam("t1"))); err != nil {
@@ -206,6 +209,7 @@
 }
 
 func TestWithoutQuorumNothingIsAccepted(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 3)
 	ctx := t.Context()
 	if _, err := c.operator(0, bootstrapKey).Apply(ctx, applyRequest("c1", 0, newTeam("t1"))); err != nil {
@@ -224,6 +228,7 @@
 }
 
 func TestStatusShowsHosts(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 3)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -261,6 +266,7 @@
 }
 
 func TestLeasesAndClaims(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 3)
 	ctx := t.Context()
 	acquire := lease.Command{Kind: lease.Acquire, Holder: lease.Holder{Session: "s"}, TTL: time.Minute}
@@ -286,6 +292,7 @@
 }
 
 func TestBackupAndRestore(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 1)
 	ctx := t.Context()
 	admin := c.operator(0, bootstrapKey)
@@ -319,6 +326,7 @@
 }
 
 func TestForeignBootstrapKeyIsRefused(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t, 1)
 	cmd := fleet.Command{ChangeID: "c", Actor: fleet.Actor{Name: fleet.BootstrapName, Bootstrap: true, Key: fleet.HashKey("guess")},
 		Changes: []fleet.Change{{CreateTeam: &fleet.CreateTeam{Name: "t", Key: fleet.TeamKey{ID: "k", Hash: fleet.HashKey("k")}}}}}
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -162,7 +162,8 @@
 		return errNotFound("team", a.Team)
 	}
 	if _, ok := e.Approved[a.Team]; ok {
-		return errExists("approval of team", a.Team)
+		return newError(CodeExists, fmt.Sprintf("team %q is approved for endpoint %q already", a.Team, a.Endpoint),
+			"nothing is left to do")
 	}
 	d.putEndpoint(e.withApproval(a.Team, d.delta.Revision))
 	return nil
@@ -186,7 +187,8 @@
 		return err
 	}
 	if _, ok := e.Approved[a.Team]; !ok {
-		return errNotFound("approval of team", a.Team)
+		return newError(CodeNotFound, fmt.Sprintf("team %q is not approved for endpoint %q", a.Team, a.Endpoint),
+			"list the endpoints to see the approved teams")
 	}
 	d.putEndpoint(e.withoutApproval(a.Team))
 	return nil
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -231,9 +231,13 @@
 	}
 	restore.ChangeID = "r2"
 	restore.Changes[0].Restore.AllowOlder = true
-	if r := f.Apply(restore); r.Err != nil || r.Revision != 3 {
+	r := f.Apply(restore)
+	if r.Err != nil || r.Revision != 3 {
 		t.Fatalf("restore gave %+v", r)
 	}
+	if len(r.Delta.Endpoints) != 2 || len(r.Delta.Teams) != 0 {
+		t.Errorf("restore touches %d endpoints and %d teams, want the 2 changed endpoints only", len(r.Delta.Endpoints), len(r.Delta.Teams))
+	}
 	c := f.Configuration()
 	if _, ok := c.Endpoints["extra"]; ok || len(c.Endpoints["summaries"].Approved) != 1 {
 		t.Errorf("restored endpoints are %+v", c.Endpoints)
--- a/internal/fleet/restore.go
+++ b/internal/fleet/restore.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "fmt"
+import (
+	"fmt"
+	"reflect"
+)
 
 // Restore replaces the configuration by that of a backup, as a new revision.
 // The revision never goes back.
@@ -22,23 +25,31 @@
 			"check the difference with a dry run, then allow an older backup explicitly")
 	}
 	rev := d.delta.Revision
-	replace(&d.delta.Endpoints, d.base.Endpoints, a.Backup.Endpoints, func(e *Endpoint) { e.Revision = rev })
-	replace(&d.delta.Teams, d.base.Teams, a.Backup.Teams, func(t *Team) { t.Revision = rev })
-	replace(&d.delta.Operators, d.base.Operators, a.Backup.Operators, func(o *Operator) { o.Revision = rev })
-	replace(&d.delta.Declarations, d.base.Declarations, a.Backup.Declarations, func(e *Declaration) { e.Revision = rev })
+	replace(&d.delta.Endpoints, d.base.Endpoints, a.Backup.Endpoints, func(e *Endpoint) *uint64 { return &e.Revision }, rev)
+	replace(&d.delta.Teams, d.base.Teams, a.Backup.Teams, func(t *Team) *uint64 { return &t.Revision }, rev)
+	replace(&d.delta.Operators, d.base.Operators, a.Backup.Operators, func(o *Operator) *uint64 { return &o.Revision }, rev)
+	replace(&d.delta.Declarations, d.base.Declarations, a.Backup.Declarations, func(e *Declaration) *uint64 { return &e.Revision }, rev)
 	policy := a.Backup.Policy
 	policy.Revision = rev
 	d.delta.Policy = &policy
 	return nil
 }
 
-// replace makes a delta that turns the values of base into those of backup.
-func replace[V any](changes *map[string]*V, base, backup map[string]V, stamp func(*V)) {
+// replace makes a delta that turns the values of base into those of backup, at
+// a revision. Values that differ in their revision only stay.
+func replace[V any](changes *map[string]*V, base, backup map[string]V, revision func(*V) *uint64, rev uint64) {
 	for name := range base {
-		set(changes, name, nil)
+		if _, ok := backup[name]; !ok {
+			set(changes, name, nil)
+		}
 	}
 	for name, v := range backup {
-		stamp(&v)
+		current, ok := base[name]
+		*revision(&v) = *revision(&current)
+		if ok && reflect.DeepEqual(v, current) {
+			continue
+		}
+		*revision(&v) = rev
 		set(changes, name, &v)
 	}
 }
