Add stand-in engine and service with faults, and their daemon

Cause: nothing answers, announces itself or misbehaves yet, so neither the entry nor its failure tests can run. Change: standin drives the engine model in real time behind the published HTTP messages (streams, resume, cancel, KV cache export and import, orders, leaving), counts the runs of a plain service per key, and can crash, pause, delay, cross, cut and lose answers. cmd/filberthook-standin runs one. Note for whoever dispatches calls to plain services: net/http's Transport by itself resends a request that has an Idempotency-Key header and a replayable body when a reused connection breaks before the first answer byte. A call that may run at most once therefore needs a body without GetBody (io.NopCloser).

--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -56,6 +56,7 @@
 	if reason := e.refusal(r); reason != "" {
 		return &RefusedError{Request: r.ID, Reason: reason}
 	}
+	r.Prefixes = r.Prefixes[:min(len(r.Prefixes), r.PromptTokens/engineapi.PieceTokens)]
 	s := &sequence{req: r, arrival: e.arrivals, readyAt: now, generated: r.ResumeFrom}
 	e.arrivals++
 	if r.ImportedTokens > 0 && e.cfg.KVTransferTokensPerSecond > 0 {
@@ -68,6 +69,16 @@
 	return nil
 }
 
+// Generated returns the number of output tokens of a request that the engine
+// holds, with those before ResumeFrom.
+func (e *Engine) Generated(id string) (tokens int, held bool) {
+	s := e.requests[id]
+	if s == nil {
+		return 0, false
+	}
+	return s.generated, true
+}
+
 func (e *Engine) refusal(r Request) RefusalReason {
 	m, loaded := e.model(r.Model)
 	switch {
--- a/internal/enginemodel/orders.go
+++ b/internal/enginemodel/orders.go
@@ -272,12 +272,19 @@
 	return st
 }
 
+// SetChecksFence tells whether the engine rejects orders with an old fencing
+// number from now on.
+func (e *Engine) SetChecksFence(checks bool) { e.cfg.ChecksFence = checks }
+
 // Draining reports whether an order told the engine to accept no new work.
 func (e *Engine) Draining() bool { return e.draining }
 
 // Idle reports whether the engine holds no request.
 func (e *Engine) Idle() bool { return len(e.requests) == 0 }
 
+// Waiting returns the number of requests that wait for a place in the batch.
+func (e *Engine) Waiting() int { return len(e.queue) }
+
 func (e *Engine) model(name string) (engineapi.Model, bool) {
 	i := slices.IndexFunc(e.models, func(m engineapi.Model) bool { return m.Name == name })
 	if i < 0 {
--- /dev/null
+++ b/internal/standin/announce.go
@@ -0,0 +1,204 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/engineapi"
+)
+
+// Defaults and limits of announcements.
+const (
+	DefaultAnnounceEvery = 500 * time.Millisecond
+	DefaultLease         = 3 * time.Second
+	DefaultLeaveGrace    = 3 * time.Second
+	announceTimeout      = time.Second
+	maxLearnedEntries    = 64
+	maxReplyBytes        = 64 << 10
+)
+
+// Identity names one stand-in and says how it announces itself.
+type Identity struct {
+	Instance      string
+	Incarnation   uint64 // 0 stands for the time of the start
+	Endpoint      string
+	Zone          string        // availability zone
+	Address       string        // host:port by IP number under which it is reached
+	Entries       []string      // host:port of entry hosts to announce to
+	AnnounceEvery time.Duration // 0 stands for DefaultAnnounceEvery
+	Lease         time.Duration // 0 stands for DefaultLease
+	LeaveGrace    time.Duration // time in which a leaving stand-in still takes new work; 0 stands for DefaultLeaveGrace
+}
+
+func (id Identity) withDefaults() Identity {
+	if id.Incarnation == 0 {
+		id.Incarnation = uint64(time.Now().UnixNano())
+	}
+	if id.AnnounceEvery <= 0 {
+		id.AnnounceEvery = DefaultAnnounceEvery
+	}
+	if id.Lease <= 0 {
+		id.Lease = DefaultLease
+	}
+	if id.LeaveGrace <= 0 {
+		id.LeaveGrace = DefaultLeaveGrace
+	}
+	return id
+}
+
+// announcer sends the announcements of one stand-in.
+type announcer struct {
+	id     Identity
+	build  func() engineapi.Announcement
+	faults *Faults
+	client *http.Client
+	log    *slog.Logger
+	start  time.Time
+	now    chan struct{} // asks for an announcement without delay
+	sent   *metrics.Counter
+	failed *metrics.Counter
+
+	seq uint64 // sequence of the newest announcement, used by run only
+
+	mu      sync.Mutex
+	learned []string // entries that replies named; guarded by mu
+}
+
+func newAnnouncer(id Identity, faults *Faults, set *metrics.Set, log *slog.Logger, build func() engineapi.Announcement) *announcer {
+	return &announcer{
+		id:     id,
+		build:  build,
+		faults: faults,
+		client: &http.Client{Timeout: announceTimeout},
+		log:    log,
+		start:  time.Now(),
+		now:    make(chan struct{}, 1),
+		sent:   set.NewCounter("filberthook_standin_announcements_sent_total"),
+		failed: set.NewCounter("filberthook_standin_announcements_failed_total"),
+	}
+}
+
+// run announces until ctx ends.
+func (a *announcer) run(ctx context.Context) {
+	defer a.client.CloseIdleConnections()
+	tick := time.NewTicker(a.id.AnnounceEvery)
+	defer tick.Stop()
+	for {
+		a.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-a.now:
+		}
+	}
+}
+
+// soon asks for an announcement before the next one is due.
+func (a *announcer) soon() {
+	select {
+	case a.now <- struct{}{}:
+	default:
+	}
+}
+
+// announce sends one announcement to each known entry host and waits until
+// each has answered or timed out.
+func (a *announcer) announce(ctx context.Context) {
+	if !a.faults.running(ctx) {
+		return
+	}
+	msg := a.build()
+	targets := a.known()
+	a.seq++
+	msg.Sequence = a.seq
+	msg.SentAt = time.Since(a.start)
+	body, err := json.Marshal(msg)
+	if err != nil {
+		a.log.Error("announcement not encoded", "err", err)
+		return
+	}
+	var wg sync.WaitGroup
+	for _, entry := range targets {
+		wg.Go(func() { a.tell(ctx, entry, body) })
+	}
+	wg.Wait()
+}
+
+// known returns the entries to announce to.
+func (a *announcer) known() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := slices.Clone(a.id.Entries)
+	for _, l := range a.learned {
+		if !slices.Contains(out, l) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (a *announcer) tell(ctx context.Context, entry string, body []byte) {
+	reply, err := a.post(ctx, entry, body)
+	if err != nil {
+		a.failed.Inc()
+		a.log.Debug("announcement failed", "entry", entry, "err", err)
+		a.forget(entry)
+		return
+	}
+	a.sent.Inc()
+	if !reply.Accepted {
+		a.log.Warn("announcement refused", "entry", entry, "reason", reply.Reason)
+		return
+	}
+	a.learn(reply.Peers)
+}
+
+func (a *announcer) post(ctx context.Context, entry string, body []byte) (engineapi.AnnounceReply, error) {
+	var reply engineapi.AnnounceReply
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+engineapi.PathAnnounce, bytes.NewReader(body))
+	if err != nil {
+		return reply, fmt.Errorf("entry address %q: %w", entry, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return reply, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return reply, fmt.Errorf("entry %s answered %s", entry, resp.Status)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&reply)
+	return reply, err
+}
+
+func (a *announcer) learn(peers []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range peers {
+		if len(a.learned) >= maxLearnedEntries {
+			return
+		}
+		if !slices.Contains(a.learned, p) {
+			a.learned = append(a.learned, p)
+		}
+	}
+}
+
+// forget drops an entry that replies named; another reply can name it again.
+func (a *announcer) forget(entry string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.learned = slices.DeleteFunc(a.learned, func(l string) bool { return l == entry })
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,296 @@
+// Package standin provides stand-ins for the endpoints of the system: a model
+// engine that drives package enginemodel in real time, and a plain service that
+// counts its runs. Both speak the messages of package engineapi over HTTP,
+// announce themselves to entry hosts, and can be made to misbehave.
+package standin
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/enginemodel"
+)
+
+// catchUpLimit is how far the engine may run behind the clock before it skips
+// the time that it missed.
+const catchUpLimit = 50 * time.Millisecond
+
+// EngineConfig describes one stand-in engine.
+type EngineConfig struct {
+	Identity
+	Model    enginemodel.Config
+	Speed    float64 // engine seconds per second; 0 stands for 1
+	MaxQueue int     // requests that may wait; 0 sets no limit
+}
+
+// Engine is a stand-in for one model engine. It is an http.Handler; Run drives
+// it.
+type Engine struct {
+	cfg     EngineConfig
+	log     *slog.Logger
+	faults  *Faults
+	gate    leaveGate
+	ann     *announcer
+	start   time.Time
+	wake    chan struct{} // tells the step loop that there is something to do
+	metrics engineMetrics
+	mux     *http.ServeMux
+
+	mu          sync.Mutex // guards all fields below
+	incarnation uint64
+	model       *enginemodel.Engine
+	streams     map[string]*stream // by attempt identifier
+	caches      kvStore
+}
+
+// NewEngine returns a stand-in engine. Its metrics are registered in set.
+func NewEngine(cfg EngineConfig, set *metrics.Set, log *slog.Logger) (*Engine, error) {
+	if err := cfg.Model.Validate(); err != nil {
+		return nil, err
+	}
+	cfg.Identity = cfg.Identity.withDefaults()
+	if cfg.Speed <= 0 {
+		cfg.Speed = 1
+	}
+	e := &Engine{
+		cfg:         cfg,
+		log:         log.With("instance", cfg.Instance),
+		faults:      newFaults(),
+		start:       time.Now(),
+		wake:        make(chan struct{}, 1),
+		metrics:     newEngineMetrics(set),
+		incarnation: cfg.Incarnation,
+	}
+	e.gate.grace = cfg.LeaveGrace
+	e.mux = e.newMux()
+	e.reset()
+	e.ann = newAnnouncer(cfg.Identity, e.faults, set, e.log, e.announcement)
+	return e, nil
+}
+
+// reset gives the engine the state of a new process; e.mu is held or the engine
+// is not shared yet.
+func (e *Engine) reset() {
+	cfg := e.cfg.Model
+	cfg.Incarnation = e.incarnation
+	e.model = enginemodel.New(cfg)
+	e.streams = make(map[string]*stream)
+	e.caches = newKVStore()
+}
+
+// Faults returns the switches that make the engine misbehave.
+func (e *Engine) Faults() *Faults { return e.faults }
+
+// Crash drops all connections and all state until Restart.
+func (e *Engine) Crash() {
+	e.faults.crash()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.metrics.crashes.Inc()
+	e.reset()
+}
+
+// Restart brings a crashed engine back as a new incarnation with the models
+// and the role of its settings.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	e.incarnation++
+	e.reset()
+	e.mu.Unlock()
+	e.faults.restore()
+	e.ann.soon()
+}
+
+// IgnoreFence makes the engine take orders with old fencing numbers.
+func (e *Engine) IgnoreFence(ignore bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.SetChecksFence(!ignore && e.cfg.Model.ChecksFence)
+}
+
+// OrderCounts returns what orders did to this incarnation.
+func (e *Engine) OrderCounts() enginemodel.OrderCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.OrderCounts()
+}
+
+// State returns what the engine carries.
+func (e *Engine) State() engineapi.EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.State(e.now())
+}
+
+// now returns the engine's own time.
+func (e *Engine) now() time.Duration {
+	return time.Duration(float64(time.Since(e.start)) * e.cfg.Speed)
+}
+
+// real returns how long an engine duration takes.
+func (e *Engine) real(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / e.cfg.Speed)
+}
+
+// Run drives the engine and announces it until ctx ends.
+func (e *Engine) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		e.drive(ctx)
+		return nil
+	})
+	g.Go(func() error {
+		e.ann.run(ctx)
+		return nil
+	})
+	return g.Wait()
+}
+
+// Leave announces that the engine leaves, waits until its work is done and
+// returns. The caller then ends Run.
+func (e *Engine) Leave(ctx context.Context) error {
+	e.gate.leave()
+	e.ann.soon()
+	return e.gate.wait(ctx, e.idle)
+}
+
+// Stay takes back Leave.
+func (e *Engine) Stay() {
+	e.gate.stay()
+	e.ann.soon()
+}
+
+// LeaveReport tells what new work reached the engine after Leave.
+func (e *Engine) LeaveReport() LeaveReport { return e.gate.arrivals() }
+
+func (e *Engine) idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.Idle() && len(e.streams) == 0
+}
+
+func (e *Engine) announcement() engineapi.Announcement {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	return engineapi.Announcement{
+		Instance:     e.cfg.Instance,
+		Incarnation:  e.incarnation,
+		Endpoint:     e.cfg.Endpoint,
+		Kind:         engineapi.KindModel,
+		Zone:         e.cfg.Zone,
+		Address:      e.cfg.Address,
+		Pieces:       e.cfg.Model.Pieces,
+		ChecksFence:  e.cfg.Model.ChecksFence,
+		Draining:     e.gate.leaving(),
+		LeaseSeconds: e.cfg.Lease.Seconds(),
+		State:        e.model.State(now),
+		Load:         e.model.Load(now),
+	}
+}
+
+// drive runs batch steps until ctx ends.
+func (e *Engine) drive(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	at := e.now()
+	for ctx.Err() == nil {
+		if !e.faults.running(ctx) {
+			e.sleep(ctx, timer, DefaultAnnounceEvery)
+			continue
+		}
+		at = e.stepStart(at)
+		events, end, busy, model := e.step(at)
+		if busy {
+			e.sleepUntil(ctx, timer, end, false)
+		}
+		e.deliver(model, events)
+		at = end
+		if !busy {
+			e.sleepUntil(ctx, timer, end, true)
+			at = e.now()
+		}
+	}
+}
+
+// stepStart returns when the next step starts: without a gap after the last
+// one, unless the engine has fallen far behind the clock.
+func (e *Engine) stepStart(last time.Duration) time.Duration {
+	now := e.now()
+	if e.real(now-last) > catchUpLimit {
+		return now
+	}
+	return last
+}
+
+func (e *Engine) step(at time.Duration) ([]enginemodel.Event, time.Duration, bool, *enginemodel.Engine) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	events, end, busy := e.model.Step(at)
+	if !busy {
+		end = max(end, e.now())
+	}
+	return events, end, busy, e.model
+}
+
+// deliver hands events to their streams. Events of a model that a crash
+// replaced are dropped.
+func (e *Engine) deliver(model *enginemodel.Engine, events []enginemodel.Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.model != model {
+		return
+	}
+	for _, ev := range events {
+		s := e.streams[ev.Request]
+		if s == nil {
+			continue
+		}
+		s.deliver(ev)
+	}
+}
+
+// sleepUntil waits until an engine time. An idle engine without a known next
+// change waits until it is woken.
+func (e *Engine) sleepUntil(ctx context.Context, timer *time.Timer, end time.Duration, idle bool) {
+	d := e.real(end - e.now())
+	if !idle {
+		e.sleep(ctx, timer, d)
+		return
+	}
+	if d <= 0 {
+		d = time.Hour
+	}
+	timer.Reset(d)
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-e.wake:
+	}
+}
+
+func (e *Engine) sleep(ctx context.Context, timer *time.Timer, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer.Reset(d)
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// wakeUp ends the wait of an idle step loop.
+func (e *Engine) wakeUp() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/standin/faults.go
@@ -0,0 +1,189 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Faults makes a stand-in misbehave. All methods are safe for concurrent use.
+type Faults struct {
+	mu       sync.Mutex
+	crashed  chan struct{} // closed while the stand-in is crashed
+	resume   chan struct{} // closed while the stand-in is not paused
+	delay    time.Duration
+	cross    int // answers still to be crossed
+	cuts     int // streams still to be cut
+	cutAfter int // tokens that a cut stream sends first
+	lostRuns int // calls that will run and then lose their answer
+}
+
+// newFaults returns the faults of a stand-in that works.
+func newFaults() *Faults {
+	f := &Faults{crashed: make(chan struct{}), resume: make(chan struct{})}
+	close(f.resume)
+	return f
+}
+
+// crash drops all connections and refuses new ones until restore.
+func (f *Faults) crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !isClosed(f.crashed) {
+		close(f.crashed)
+	}
+}
+
+func (f *Faults) restore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if isClosed(f.crashed) {
+		f.crashed = make(chan struct{})
+	}
+}
+
+// Pause stops all progress, as a stopped process would, until Resume.
+func (f *Faults) Pause() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if isClosed(f.resume) {
+		f.resume = make(chan struct{})
+	}
+}
+
+// Resume ends a pause.
+func (f *Faults) Resume() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !isClosed(f.resume) {
+		close(f.resume)
+	}
+}
+
+// DelayAnswers holds back the first byte of each answer; 0 ends it.
+func (f *Faults) DelayAnswers(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = d
+}
+
+// CrossAnswers gives the next n answers the attempt identifier and content of
+// another request.
+func (f *Faults) CrossAnswers(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cross = n
+}
+
+// CutStreams drops the connection of the next n streams after some tokens.
+func (f *Faults) CutStreams(n, afterTokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cuts, f.cutAfter = n, afterTokens
+}
+
+// LoseAnswers drops the connection of the next n calls after they ran.
+func (f *Faults) LoseAnswers(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lostRuns = n
+}
+
+// Clear ends all faults but a crash.
+func (f *Faults) Clear() {
+	f.Resume()
+	f.DelayAnswers(0)
+	f.CrossAnswers(0)
+	f.CutStreams(0, 0)
+	f.LoseAnswers(0)
+}
+
+// down returns a channel that is closed when the stand-in crashes.
+func (f *Faults) down() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashed
+}
+
+// pass waits while the stand-in is paused. It drops the connection when the
+// stand-in is or becomes crashed, and reports false when ctx ends first.
+func (f *Faults) pass(ctx context.Context) bool {
+	f.mu.Lock()
+	resume, crashed := f.resume, f.crashed
+	f.mu.Unlock()
+	select {
+	case <-crashed:
+		panic(http.ErrAbortHandler)
+	default:
+	}
+	select {
+	case <-resume:
+		return true
+	case <-crashed:
+		panic(http.ErrAbortHandler)
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// running waits while the stand-in is paused and reports whether it works then.
+func (f *Faults) running(ctx context.Context) bool {
+	f.mu.Lock()
+	resume, crashed := f.resume, f.crashed
+	f.mu.Unlock()
+	select {
+	case <-resume:
+	case <-ctx.Done():
+		return false
+	}
+	return !isClosed(crashed)
+}
+
+// holdAnswer waits as DelayAnswers asked.
+func (f *Faults) holdAnswer(ctx context.Context) {
+	f.mu.Lock()
+	delay, crashed := f.delay, f.crashed
+	f.mu.Unlock()
+	if delay <= 0 {
+		return
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-crashed:
+	}
+}
+
+func (f *Faults) takeCross() bool { return f.takeOne(&f.cross) }
+
+func (f *Faults) takeLostRun() bool { return f.takeOne(&f.lostRuns) }
+
+// takeCut returns after how many tokens to cut a stream, and whether to.
+func (f *Faults) takeCut() (afterTokens int, cut bool) {
+	cut = f.takeOne(&f.cuts)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cutAfter, cut
+}
+
+func (f *Faults) takeOne(left *int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if *left == 0 {
+		return false
+	}
+	*left--
+	return true
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/leave.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// leavePoll is how often a leaving stand-in checks whether its work is done.
+const leavePoll = 10 * time.Millisecond
+
+// LeaveReport tells what new work reached a stand-in after it began to leave.
+type LeaveReport struct {
+	Arrivals int           // requests that arrived while leaving
+	Last     time.Duration // time from the start of leaving to the last of them
+}
+
+// leaveGate tells whether a stand-in takes new work. A leaving stand-in takes
+// it for a grace period, because its entries learn late that it leaves.
+type leaveGate struct {
+	grace time.Duration
+
+	mu     sync.Mutex
+	since  time.Time // zero while the stand-in stays
+	report LeaveReport
+}
+
+func (g *leaveGate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.since.IsZero() {
+		g.since = time.Now()
+	}
+}
+
+// stay takes back leave.
+func (g *leaveGate) stay() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.since = time.Time{}
+	g.report = LeaveReport{}
+}
+
+func (g *leaveGate) leaving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.since.IsZero()
+}
+
+// open counts an arrival and reports whether new work is taken.
+func (g *leaveGate) open() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.since.IsZero() {
+		return true
+	}
+	since := time.Since(g.since)
+	g.report.Arrivals++
+	g.report.Last = since
+	return since < g.grace
+}
+
+func (g *leaveGate) arrivals() LeaveReport {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.report
+}
+
+// wait returns when the grace period is over and the work is done.
+func (g *leaveGate) wait(ctx context.Context, idle func() bool) error {
+	tick := time.NewTicker(leavePoll)
+	defer tick.Stop()
+	for {
+		g.mu.Lock()
+		over := time.Since(g.since) >= g.grace
+		g.mu.Unlock()
+		if over && idle() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
