--- /dev/null
+++ b/internal/loadgen/caller.go
@@ -0,0 +1,265 @@
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/enginemodel"
+	"filberthook/internal/standin"
+)
+
+// Limits of a caller's connections and answers.
+const (
+	maxIdleConnections = 4096
+	maxAnswerBytes     = 64 << 20
+	dialTimeout        = 2 * time.Second
+)
+
+// streamEnd is the data of the last event of a stream.
+const streamEnd = "[DONE]"
+
+// Caller calls one entry host or endpoint on behalf of a team.
+type Caller struct {
+	address string
+	teamKey string
+	client  *http.Client
+}
+
+// NewCaller returns a caller of the host at an IP:port. An empty team key sends
+// no authorization.
+func NewCaller(address, teamKey string) *Caller {
+	transport := &http.Transport{
+		MaxIdleConns:        maxIdleConnections,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression:  true,
+	}
+	return &Caller{address: address, teamKey: teamKey, client: &http.Client{Transport: transport}}
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Chat is one chat completion call.
+type Chat struct {
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Stream    bool
+	Key       string // idempotency key; empty sends none
+	Priority  int    // 0 sends none
+	Deadline  time.Duration
+}
+
+// Chat sends a chat completion and verifies its answer.
+func (c *Caller) Chat(ctx context.Context, chat Chat) Result {
+	body, err := json.Marshal(engineapi.CompletionRequest{
+		Model:     chat.Model,
+		Messages:  []engineapi.Message{{Role: "user", Content: chat.Prompt}},
+		MaxTokens: chat.MaxTokens,
+		Stream:    chat.Stream,
+	})
+	if err != nil {
+		return Result{Outcome: Broken, Err: err}
+	}
+	req, err := c.request(ctx, http.MethodPost, engineapi.PathChatCompletions, chat.Key, body)
+	if err != nil {
+		return Result{Outcome: Broken, Err: err}
+	}
+	setNumber(req, engineapi.HeaderPriority, int64(chat.Priority))
+	setNumber(req, engineapi.HeaderDeadline, chat.Deadline.Milliseconds())
+	answer := enginemodel.NewAnswer(chat.Model, chat.Prompt, chat.MaxTokens)
+	return c.send(req, func(r *Result, resp *http.Response, start time.Time) error {
+		if chat.Stream {
+			return readStream(r, resp.Body, answer, start)
+		}
+		return readWhole(r, resp.Body, answer, start)
+	})
+}
+
+// Call sends a call to a plain service and verifies its answer. The body is
+// sent once only: the transport never repeats it by itself.
+func (c *Caller) Call(ctx context.Context, path, key string, body []byte) Result {
+	return c.service(ctx, path, path, key, body)
+}
+
+// CallThrough sends a call to a plain service by way of an entry host, which
+// serves it under a prefix that the service does not see.
+func (c *Caller) CallThrough(ctx context.Context, prefix, path, key string, body []byte) Result {
+	return c.service(ctx, prefix+path, path, key, body)
+}
+
+func (c *Caller) service(ctx context.Context, sentPath, path, key string, body []byte) Result {
+	req, err := c.request(ctx, http.MethodPost, sentPath, key, body)
+	if err != nil {
+		return Result{Outcome: Broken, Err: err}
+	}
+	return c.send(req, func(r *Result, resp *http.Response, start time.Time) error {
+		var got standin.ServiceAnswer
+		if err := readJSON(r, resp.Body, start, &got); err != nil {
+			return err
+		}
+		if err := standin.VerifyAnswer(got, key, path, body); err != nil {
+			return &WrongAnswerError{err.Error()}
+		}
+		return nil
+	})
+}
+
+// Status sends a status read to a plain service and verifies its answer.
+func (c *Caller) Status(ctx context.Context, prefix, path string) Result {
+	req, err := c.request(ctx, http.MethodGet, prefix+path, "", nil)
+	if err != nil {
+		return Result{Outcome: Broken, Err: err}
+	}
+	return c.send(req, func(r *Result, resp *http.Response, start time.Time) error {
+		var got standin.StatusAnswer
+		if err := readJSON(r, resp.Body, start, &got); err != nil {
+			return err
+		}
+		if want := standin.ExpectedStatus(path); got != want {
+			return &WrongAnswerError{fmt.Sprintf("got %+v, want %+v", got, want)}
+		}
+		return nil
+	})
+}
+
+// request builds a request whose body the transport cannot send again.
+func (c *Caller) request(ctx context.Context, method, path, key string, body []byte) (*http.Request, error) {
+	var reader io.Reader
+	if body != nil {
+		reader = io.NopCloser(bytes.NewReader(body))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, reader)
+	if err != nil {
+		return nil, fmt.Errorf("address %q or path %q: %w", c.address, path, err)
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	if c.teamKey != "" {
+		req.Header.Set("Authorization", "Bearer "+c.teamKey)
+	}
+	if key != "" {
+		req.Header.Set(engineapi.HeaderIdempotencyKey, key)
+	}
+	return req, nil
+}
+
+// send makes the call and lets read verify a successful answer.
+func (c *Caller) send(req *http.Request, read func(*Result, *http.Response, time.Time) error) Result {
+	r := Result{Key: req.Header.Get(engineapi.HeaderIdempotencyKey)}
+	start := time.Now()
+	resp, err := c.client.Do(req)
+	if err != nil {
+		r.fail(err)
+		return r
+	}
+	defer resp.Body.Close()
+	r.Status = resp.StatusCode
+	if key := resp.Header.Get(engineapi.HeaderIdempotencyKey); key != "" {
+		r.Key = key
+	}
+	if resp.StatusCode != http.StatusOK {
+		r.refused(resp)
+	} else if err := read(&r, resp, start); err != nil {
+		r.fail(err)
+	} else {
+		r.Outcome = Whole
+	}
+	r.Total = time.Since(start)
+	return r
+}
+
+// readStream verifies a streamed chat token by token.
+func readStream(r *Result, body io.Reader, answer enginemodel.Answer, start time.Time) error {
+	finished := false
+	for event, err := range sse.Read(body, nil) {
+		if err != nil {
+			return err
+		}
+		if event.Data == streamEnd {
+			return checkEnd(r, answer, finished)
+		}
+		done, err := readChunk(r, event.Data, answer, start)
+		if err != nil {
+			return err
+		}
+		finished = finished || done
+	}
+	return errCutShort
+}
+
+// readChunk verifies one chunk and reports whether it holds the finish reason.
+func readChunk(r *Result, data string, answer enginemodel.Answer, start time.Time) (finished bool, err error) {
+	var chunk engineapi.Completion
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) != 1 {
+		return false, fmt.Errorf("chunk %q is not readable: %w", data, errCutShort)
+	}
+	choice := chunk.Choices[0]
+	if choice.FinishReason != nil {
+		return true, nil
+	}
+	if choice.Delta == nil || choice.Delta.Content == "" {
+		return false, nil
+	}
+	if r.Tokens == 0 {
+		r.FirstToken = time.Since(start)
+	}
+	if want := answer.Token(r.Tokens); r.Tokens >= answer.Len() || choice.Delta.Content != want {
+		return false, &WrongAnswerError{fmt.Sprintf("token %d of %d is %q, want %q", r.Tokens, answer.Len(), choice.Delta.Content, want)}
+	}
+	r.Tokens++
+	return false, nil
+}
+
+func checkEnd(r *Result, answer enginemodel.Answer, finished bool) error {
+	if r.Tokens == answer.Len() && finished {
+		return nil
+	}
+	return &WrongAnswerError{fmt.Sprintf("stream ended as whole with %d of %d tokens, finish reason sent: %v", r.Tokens, answer.Len(), finished)}
+}
+
+func readWhole(r *Result, body io.Reader, answer enginemodel.Answer, start time.Time) error {
+	var got engineapi.Completion
+	if err := readJSON(r, body, start, &got); err != nil {
+		return err
+	}
+	if len(got.Choices) != 1 || got.Choices[0].Message == nil {
+		return &WrongAnswerError{"no message in the answer"}
+	}
+	rest := got.Choices[0].Message.Content
+	for i := range answer.Len() {
+		token := answer.Token(i)
+		if len(rest) < len(token) || rest[:len(token)] != token {
+			return &WrongAnswerError{fmt.Sprintf("token %d of %d differs", i, answer.Len())}
+		}
+		rest = rest[len(token):]
+	}
+	if rest != "" {
+		return &WrongAnswerError{fmt.Sprintf("%d bytes after the last token", len(rest))}
+	}
+	r.Tokens = answer.Len()
+	return nil
+}
+
+func readJSON(r *Result, body io.Reader, start time.Time, into any) error {
+	err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(into)
+	r.FirstToken = time.Since(start)
+	return err
+}
+
+func setNumber(req *http.Request, name string, n int64) {
+	if n != 0 {
+		req.Header.Set(name, strconv.FormatInt(n, 10))
+	}
+}
--- /dev/null
+++ b/internal/loadgen/loadgen_test.go
@@ -0,0 +1,187 @@
+package loadgen
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/enginemodel"
+	"filberthook/internal/standin"
+)
+
+const testTimeout = 20 * time.Second
+
+// startEngine serves a fast stand-in engine for the length of a test.
+func startEngine(t *testing.T) (*standin.Engine, string) {
+	t.Helper()
+	cfg := standin.EngineConfig{Identity: standin.Identity{Instance: "e", Zone: "bio"}, Speed: 500, Model: enginemodel.DefaultConfig()}
+	cfg.Model.Models = []engineapi.Model{{Name: "m", Version: "1"}}
+	e, err := standin.NewEngine(cfg, metrics.NewSet(), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return e, serve(t, e)
+}
+
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(h)
+	server.Config.ErrorLog = slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func TestChatVerifiesStreams(t *testing.T) {
+	e, address := startEngine(t)
+	c := NewCaller(address, "")
+	defer c.Close()
+	tests := []struct {
+		name   string
+		fault  func()
+		stream bool
+		model  string
+		want   Outcome
+	}{
+		{"stream", func() {}, true, "m", Whole},
+		{"whole", func() {}, false, "m", Whole},
+		{"crossed stream", func() { e.Faults().CrossAnswers(1) }, true, "m", Wrong},
+		{"crossed whole", func() { e.Faults().CrossAnswers(1) }, false, "m", Wrong},
+		{"cut", func() { e.Faults().CutStreams(1, 3) }, true, "m", Broken},
+		{"refused", func() {}, true, "other", NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.fault()
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			got := c.Chat(ctx, Chat{Model: tt.model, Prompt: "p [out=20]", Stream: tt.stream})
+			if got.Outcome != tt.want {
+				t.Errorf("outcome = %s (%v), want %s", got.Outcome, got.Err, tt.want)
+			}
+		})
+	}
+}
+
+// TestStreamFaultsAreSeen feeds streams that no right engine sends.
+func TestStreamFaultsAreSeen(t *testing.T) {
+	answer := enginemodel.NewAnswer("m", "p [out=3]", 0)
+	chunk := func(token string, reason *string) string {
+		b, _ := json.Marshal(engineapi.Completion{Choices: []engineapi.Choice{{Delta: &engineapi.Message{Content: token}, FinishReason: reason}}})
+		return "data: " + string(b) + "\n\n"
+	}
+	stop := "stop"
+	end := chunk("", &stop) + "data: [DONE]\n\n"
+	tests := []struct {
+		name   string
+		tokens []int
+		end    string
+		wrong  bool
+		whole  bool
+	}{
+		{"whole", []int{0, 1, 2}, end, false, true},
+		{"lost token", []int{0, 2}, end, true, false},
+		{"doubled token", []int{0, 1, 1, 2}, end, true, false},
+		{"too long", []int{0, 1, 2, 3}, end, true, false},
+		{"ends early as if whole", []int{0, 1}, end, true, false},
+		{"cut", []int{0, 1, 2}, "", false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var body bytes.Buffer
+			for _, i := range tt.tokens {
+				body.WriteString(chunk(answer.Token(i), nil))
+			}
+			body.WriteString(tt.end)
+			var r Result
+			err := readStream(&r, &body, answer, time.Now())
+			var wrong *WrongAnswerError
+			if (err == nil) != tt.whole || errors.As(err, &wrong) != tt.wrong {
+				t.Errorf("readStream = %v, want whole %v, wrong %v", err, tt.whole, tt.wrong)
+			}
+		})
+	}
+}
+
+func TestOverheadPairsCalls(t *testing.T) {
+	_, address := startEngine(t)
+	cfg := OverheadConfig{Direct: address, Entry: address, Model: "m", Pairs: 30, Warmup: 2, Rate: 1000, Prompt: 20, Output: 5, Timeout: testTimeout, EntryPID: os.Getpid()}
+	report, err := Overhead(t.Context(), cfg)
+	if err != nil || report.Failed != 0 || report.AddedFirstToken.Count != 30 || report.EntryTokens != 150 {
+		t.Errorf("report = %+v, %v; want 30 whole pairs and 150 tokens", report, err)
+	}
+	cfg.Model = "other"
+	if report, _ := Overhead(t.Context(), cfg); report.Failed != 30 || report.FirstFailure == "" {
+		t.Errorf("report = %+v, want 30 failed pairs", report)
+	}
+}
+
+func TestRunCountsOutcomesPerClass(t *testing.T) {
+	engine, _ := startEngine(t)
+	service, err := standin.NewService(standin.ServiceConfig{}, metrics.NewSet(), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", engine)
+	mux.Handle("/services/b/", http.StripPrefix("/services/b", service))
+	report := Run(t.Context(), RunConfig{
+		Entries: []string{serve(t, mux)}, Model: "m", Service: "/services/b", Rate: 1000, Calls: 60, Subjects: 3,
+		Mix: Mix{Summary: 1, Check: 2, Lookup: 1, Booking: 1, Status: 1}, Timeout: testTimeout, Seed: 1,
+	})
+	if got := report.Count(Whole); got != 60 {
+		t.Errorf("%d calls whole, want 60: %v", got, report.Examples)
+	}
+	for key, n := range service.Runs() {
+		if n != 1 {
+			t.Errorf("key %s ran %d times, want 1", key, n)
+		}
+	}
+}
+
+func TestPromptsShareTheirSubject(t *testing.T) {
+	a, b := NewPrompts(1).Prompt(7, 500, 9), NewPrompts(2).Prompt(7, 500, 9)
+	if a == b || a[:400*wordBytes] != b[:400*wordBytes] {
+		t.Error("prompts on one subject are the same or begin differently")
+	}
+	if got := enginemodel.CountTokens(a); got != 500 {
+		t.Errorf("prompt has %d tokens, want 500", got)
+	}
+	if got := enginemodel.OutputLength("m", a, 0); got != 9 {
+		t.Errorf("answer has %d tokens, want 9", got)
+	}
+}
+
+func TestProcessCPU(t *testing.T) {
+	if _, err := ProcessCPU(os.Getpid()); err != nil {
+		t.Errorf("own process: %v", err)
+	}
+	if _, err := ProcessCPU(-1); err == nil || !strings.Contains(err.Error(), "running") {
+		t.Errorf("no process: error = %v, want one that names the remedy", err)
+	}
+}
+
+func TestExactQuantilesOfNegatives(t *testing.T) {
+	got := exactQuantiles([]time.Duration{3, -1, 2, 1, 0})
+	if fmt.Sprint(got.Median.Nanoseconds(), got.Max.Nanoseconds()) != "1 3" {
+		t.Errorf("quantiles = %+v, want median 1 and max 3", got)
+	}
+}
--- /dev/null
+++ b/internal/loadgen/pacer.go
@@ -0,0 +1,36 @@
+package loadgen
+
+import (
+	"context"
+	"time"
+)
+
+// pacer starts calls at a fixed rate. It does not slow down when calls take
+// longer, so that a slow host shows in the latencies.
+type pacer struct {
+	start time.Time
+	every time.Duration
+	n     int64
+}
+
+func newPacer(rate float64) *pacer {
+	return &pacer{start: time.Now(), every: time.Duration(float64(time.Second) / rate)}
+}
+
+// wait returns when the next call is due; false when ctx ended first.
+func (p *pacer) wait(ctx context.Context) bool {
+	due := p.start.Add(time.Duration(p.n) * p.every)
+	p.n++
+	left := time.Until(due)
+	if left <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/loadgen/run.go
@@ -0,0 +1,265 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Class is one kind of work in a load.
+type Class string
+
+// Classes of work.
+const (
+	ClassSummary Class = "summary" // long prompt, long answer
+	ClassCheck   Class = "check"   // short prompt, short answer
+	ClassLookup  Class = "lookup"  // middle prompt, may wait
+	ClassBooking Class = "booking" // plain service call that runs at most once
+	ClassStatus  Class = "status"  // plain service read
+)
+
+// Classes lists all classes in the order of reports.
+func Classes() []Class {
+	return []Class{ClassSummary, ClassCheck, ClassLookup, ClassBooking, ClassStatus}
+}
+
+// shape is the size of the calls of a model class.
+type shape struct {
+	promptLow, promptHigh int
+	outputLow, outputHigh int
+	priority              int
+}
+
+// shapeOf returns the sizes of a class; model is false for service classes.
+func shapeOf(c Class) (s shape, model bool) {
+	switch c {
+	case ClassSummary:
+		return shape{3000, 9000, 150, 300, 1}, true
+	case ClassCheck:
+		return shape{40, 200, 8, 30, 0}, true
+	case ClassLookup:
+		return shape{400, 1500, 60, 150, 3}, true
+	}
+	return shape{}, false
+}
+
+// Mix is the share of each class in a load, in parts of their sum.
+type Mix struct {
+	Summary, Check, Lookup, Booking, Status float64
+}
+
+func (m Mix) share(c Class) float64 {
+	switch c {
+	case ClassSummary:
+		return m.Summary
+	case ClassCheck:
+		return m.Check
+	case ClassLookup:
+		return m.Lookup
+	case ClassBooking:
+		return m.Booking
+	default:
+		return m.Status
+	}
+}
+
+// pick returns the class at a point from 0 to 1 of the mix.
+func (m Mix) pick(point float64) Class {
+	sum := m.Summary + m.Check + m.Lookup + m.Booking + m.Status
+	point *= sum
+	for _, c := range Classes() {
+		if point < m.share(c) {
+			return c
+		}
+		point -= m.share(c)
+	}
+	return ClassCheck
+}
+
+// RunConfig describes a bounded load.
+type RunConfig struct {
+	Entries  []string // IP:port of entry hosts, used in turn
+	TeamKey  string
+	Model    string
+	Service  string // path prefix of the plain service, such as /services/bookings
+	Mix      Mix
+	Rate     float64 // calls per second
+	Calls    int
+	Subjects int // different beginnings of prompts
+	Timeout  time.Duration
+	Seed     uint64
+}
+
+// ClassReport is what became of the calls of one class.
+type ClassReport struct {
+	Class      Class           `json:"class"`
+	Outcomes   map[Outcome]int `json:"outcomes"`
+	Codes      map[string]int  `json:"codes,omitempty"` // refusals by code
+	FirstToken Quantiles       `json:"first_token"`
+	Total      Quantiles       `json:"total"`
+}
+
+// RunReport is what became of a load.
+type RunReport struct {
+	Classes  []ClassReport `json:"classes"`
+	Elapsed  time.Duration `json:"elapsed_ns"`
+	Tokens   int           `json:"tokens"`
+	Examples []string      `json:"examples,omitempty"` // the first few failures
+}
+
+// maxExamples bounds the failures that a report quotes.
+const maxExamples = 5
+
+// Count returns the calls that ended in an outcome.
+func (r RunReport) Count(o Outcome) int {
+	n := 0
+	for _, c := range r.Classes {
+		n += c.Outcomes[o]
+	}
+	return n
+}
+
+// Print writes the report for people.
+func (r RunReport) Print(w io.Writer) {
+	for _, c := range r.Classes {
+		fmt.Fprintf(w, "%-8s", c.Class)
+		for _, o := range Outcomes() {
+			fmt.Fprintf(w, " %s %d", o, c.Outcomes[o])
+		}
+		fmt.Fprintf(w, "\n         first token %s\n         whole       %s\n", c.FirstToken, c.Total)
+		for code, n := range c.Codes {
+			fmt.Fprintf(w, "         refused %s: %d\n", code, n)
+		}
+	}
+	fmt.Fprintf(w, "%d tokens in %.1f s, %.0f tokens/s\n", r.Tokens, r.Elapsed.Seconds(), float64(r.Tokens)/r.Elapsed.Seconds())
+	for _, e := range r.Examples {
+		fmt.Fprintln(w, "example:", e)
+	}
+}
+
+// Run sends a load and verifies each answer.
+func Run(ctx context.Context, cfg RunConfig) RunReport {
+	l := newLoad(cfg)
+	defer l.close()
+	rng := rand.New(rand.NewPCG(cfg.Seed, 2))
+	prompts := NewPrompts(cfg.Seed)
+	pacer := newPacer(cfg.Rate)
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i := range cfg.Calls {
+		call := l.draw(i, cfg.Mix.pick(rng.Float64()), prompts)
+		if !pacer.wait(ctx) {
+			break
+		}
+		wg.Go(func() { l.one(ctx, call) })
+	}
+	wg.Wait()
+	return l.report(time.Since(start))
+}
+
+// call is one drawn call of a load.
+type call struct {
+	class  Class
+	caller *Caller
+	chat   Chat
+	key    string
+}
+
+// load is a load under way.
+type load struct {
+	cfg     RunConfig
+	callers []*Caller
+
+	mu       sync.Mutex // guards all fields below
+	classes  map[Class]*classCount
+	tokens   int
+	examples []string
+}
+
+type classCount struct {
+	outcomes map[Outcome]int
+	codes    map[string]int
+	first    *Latencies
+	total    *Latencies
+}
+
+func newLoad(cfg RunConfig) *load {
+	l := &load{cfg: cfg, classes: make(map[Class]*classCount)}
+	for _, e := range cfg.Entries {
+		l.callers = append(l.callers, NewCaller(e, cfg.TeamKey))
+	}
+	for _, c := range Classes() {
+		l.classes[c] = &classCount{outcomes: make(map[Outcome]int), codes: make(map[string]int), first: NewLatencies(), total: NewLatencies()}
+	}
+	return l
+}
+
+func (l *load) close() {
+	for _, c := range l.callers {
+		c.Close()
+	}
+}
+
+func (l *load) draw(i int, class Class, prompts *Prompts) call {
+	c := call{class: class, caller: l.callers[i%len(l.callers)], key: fmt.Sprintf("load-%d-%d", l.cfg.Seed, i)}
+	s, model := shapeOf(class)
+	if !model {
+		return c
+	}
+	prompt, output := prompts.Between(s.promptLow, s.promptHigh), prompts.Between(s.outputLow, s.outputHigh)
+	subject := uint64(prompts.Between(1, max(l.cfg.Subjects, 1)))
+	c.chat = Chat{Model: l.cfg.Model, Prompt: prompts.Prompt(subject, prompt, output), Stream: i%4 != 0, Priority: s.priority, Deadline: l.cfg.Timeout}
+	return c
+}
+
+func (l *load) one(ctx context.Context, c call) {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timeout)
+	defer cancel()
+	switch c.class {
+	case ClassBooking:
+		l.add(c.class, c.caller.CallThrough(ctx, l.cfg.Service, "/bookings", c.key, []byte(`{"passenger":"`+c.key+`"}`)))
+	case ClassStatus:
+		l.add(c.class, c.caller.Status(ctx, l.cfg.Service, "/cases/"+c.key))
+	default:
+		l.add(c.class, c.caller.Chat(ctx, c.chat))
+	}
+}
+
+func (l *load) add(class Class, r Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.classes[class]
+	c.outcomes[r.Outcome]++
+	l.tokens += r.Tokens
+	if r.Code != "" {
+		c.codes[r.Code]++
+	}
+	if r.Outcome == Whole {
+		c.first.Add(r.FirstToken)
+		c.total.Add(r.Total)
+		return
+	}
+	if len(l.examples) < maxExamples {
+		l.examples = append(l.examples, fmt.Sprintf("%s: %v", class, r.Err))
+	}
+}
+
+func (l *load) report(elapsed time.Duration) RunReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	report := RunReport{Elapsed: elapsed, Tokens: l.tokens, Examples: l.examples}
+	for _, class := range Classes() {
+		c := l.classes[class]
+		if len(c.outcomes) == 0 {
+			continue
+		}
+		report.Classes = append(report.Classes, ClassReport{
+			Class: class, Outcomes: c.outcomes, Codes: c.codes,
+			FirstToken: c.first.Quantiles(), Total: c.total.Quantiles(),
+		})
+	}
+	return report
+}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -11,38 +11,39 @@
 
 	"filberthook/internal/engineapi"
 	"filberthook/internal/enginemodel"
+	"filberthook/internal/tomltime"
 )
 
 // Settings is the settings file of one stand-in process.
 type Settings struct {
-	Kind          engineapi.Kind  `toml:"kind"`           // model or service
-	Instance      string          `toml:"instance"`       // stable name of this worker
-	Endpoint      string          `toml:"endpoint"`       // endpoint it belongs to; empty for engines that serve declared models
-	Zone          string          `toml:"zone"`           // availability zone
-	Listen        string          `toml:"listen"`         // IP:port to listen on
-	Address       string          `toml:"address"`        // IP:port that is announced; empty for listen
-	Entries       []string        `toml:"entries"`        // IP:port of entry hosts to announce to
-	AnnounceEvery Duration        `toml:"announce_every"` // empty for 500ms
-	Lease         Duration        `toml:"lease"`          // empty for 3s
-	LeaveGrace    Duration        `toml:"leave_grace"`    // empty for 3s
-	LeaveLimit    Duration        `toml:"leave_limit"`    // longest time to finish work; empty for 1m
-	Engine        EngineSettings  `toml:"engine"`
-	Service       ServiceSettings `toml:"service"`
+	Kind          engineapi.Kind    `toml:"kind"`           // model or service
+	Instance      string            `toml:"instance"`       // stable name of this worker
+	Endpoint      string            `toml:"endpoint"`       // endpoint it belongs to; empty for engines that serve declared models
+	Zone          string            `toml:"zone"`           // availability zone
+	Listen        string            `toml:"listen"`         // IP:port to listen on
+	Address       string            `toml:"address"`        // IP:port that is announced; empty for listen
+	Entries       []string          `toml:"entries"`        // IP:port of entry hosts to announce to
+	AnnounceEvery tomltime.Duration `toml:"announce_every"` // empty for 500ms
+	Lease         tomltime.Duration `toml:"lease"`          // empty for 3s
+	LeaveGrace    tomltime.Duration `toml:"leave_grace"`    // empty for 3s
+	LeaveLimit    tomltime.Duration `toml:"leave_limit"`    // longest time to finish work; empty for 1m
+	Engine        EngineSettings    `toml:"engine"`
+	Service       ServiceSettings   `toml:"service"`
 }
 
 // EngineSettings is the part for model engines. Empty values stand for the
 // defaults of package enginemodel.
 type EngineSettings struct {
-	Speed       float64         `toml:"speed"` // engine seconds per second
-	Pieces      int             `toml:"pieces"`
-	MaxBatch    int             `toml:"max_batch"`
-	MaxQueue    int             `toml:"max_queue"`
-	Role        engineapi.Role  `toml:"role"`
-	IgnoreFence bool            `toml:"ignore_fence"`
-	StepBase    Duration        `toml:"step_base"`
-	RoleChange  Duration        `toml:"role_change"`
-	ModelLoad   Duration        `toml:"model_load"`
-	Models      []ModelSettings `toml:"models"`
+	Speed       float64           `toml:"speed"` // engine seconds per second
+	Pieces      int               `toml:"pieces"`
+	MaxBatch    int               `toml:"max_batch"`
+	MaxQueue    int               `toml:"max_queue"`
+	Role        engineapi.Role    `toml:"role"`
+	IgnoreFence bool              `toml:"ignore_fence"`
+	StepBase    tomltime.Duration `toml:"step_base"`
+	RoleChange  tomltime.Duration `toml:"role_change"`
+	ModelLoad   tomltime.Duration `toml:"model_load"`
+	Models      []ModelSettings   `toml:"models"`
 }
 
 // ModelSettings is one model that an engine carries at the start.
@@ -54,29 +55,13 @@
 
 // ServiceSettings is the part for plain services.
 type ServiceSettings struct {
-	Duration Duration `toml:"duration"` // time of one call
-	Workers  int      `toml:"workers"`  // calls that run together; 0 sets no limit
+	Duration tomltime.Duration `toml:"duration"` // time of one call
+	Workers  int               `toml:"workers"`  // calls that run together; 0 sets no limit
 }
 
 // DefaultLeaveLimit bounds how long a leaving stand-in finishes its work.
 const DefaultLeaveLimit = time.Minute
 
-// Duration is a time.Duration written as in "500ms".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is no duration: write it as in 500ms or 3s", text)
-	}
-	if v < 0 {
-		return fmt.Errorf("%q is negative: use 0 or more", text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
 // SettingsError reports one wrong key of a settings file.
 type SettingsError struct {
 	Key    string
@@ -183,9 +168,9 @@
 		Zone:          s.Zone,
 		Address:       address,
 		Entries:       s.Entries,
-		AnnounceEvery: time.Duration(s.AnnounceEvery),
-		Lease:         time.Duration(s.Lease),
-		LeaveGrace:    time.Duration(s.LeaveGrace),
+		AnnounceEvery: s.AnnounceEvery.Duration,
+		Lease:         s.Lease.Duration,
+		LeaveGrace:    s.LeaveGrace.Duration,
 	}
 }
 
@@ -195,9 +180,9 @@
 	set(&m.Pieces, s.Engine.Pieces)
 	set(&m.MaxBatch, s.Engine.MaxBatch)
 	set(&m.Role, s.Engine.Role)
-	set(&m.StepBase, time.Duration(s.Engine.StepBase))
-	set(&m.RoleChange, time.Duration(s.Engine.RoleChange))
-	set(&m.ModelLoad, time.Duration(s.Engine.ModelLoad))
+	set(&m.StepBase, s.Engine.StepBase.Duration)
+	set(&m.RoleChange, s.Engine.RoleChange.Duration)
+	set(&m.ModelLoad, s.Engine.ModelLoad.Duration)
 	m.ChecksFence = !s.Engine.IgnoreFence
 	for _, model := range s.Engine.Models {
 		m.Models = append(m.Models, engineapi.Model{Name: model.Name, Version: model.Version, Adapters: model.Adapters})
@@ -207,7 +192,7 @@
 
 // ServiceConfig returns the configuration of a plain service.
 func (s Settings) ServiceConfig() ServiceConfig {
-	return ServiceConfig{Identity: s.identity(), Duration: time.Duration(s.Service.Duration), Workers: s.Service.Workers}
+	return ServiceConfig{Identity: s.identity(), Duration: s.Service.Duration.Duration, Workers: s.Service.Workers}
 }
 
 // set replaces a default by a value that is not empty.
