Add faultnet: a TCP relay that cuts, delays and resets one way at a time

Cause: fault runs need one-way cuts and silent networks without touching the machine's own network. Change: faultnet.Relay holds bytes per direction and lets them go when it heals. Stand-in engines no longer sleep for steps shorter than 100 us. Conclusion: enough for cuts over TCP; UDP is not covered.

--- /dev/null
+++ b/internal/faultnet/direction.go
@@ -0,0 +1,83 @@
+package faultnet
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// direction is the state of one direction of a relay.
+type direction struct {
+	mu    sync.Mutex
+	open  chan struct{} // closed while bytes pass; guarded by mu
+	delay time.Duration // guarded by mu
+}
+
+func newDirection() *direction {
+	d := &direction{open: make(chan struct{})}
+	close(d.open)
+	return d
+}
+
+func (d *direction) cut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isOpen() {
+		d.open = make(chan struct{})
+	}
+}
+
+func (d *direction) heal() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.isOpen() {
+		close(d.open)
+	}
+}
+
+func (d *direction) slow(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.delay = by
+}
+
+// isOpen reports whether bytes pass; d.mu is held.
+func (d *direction) isOpen() bool {
+	select {
+	case <-d.open:
+		return true
+	default:
+		return false
+	}
+}
+
+// pass waits until bytes read at a time may go on; false when ctx ended first.
+func (d *direction) pass(ctx context.Context, readAt time.Time) bool {
+	d.mu.Lock()
+	open, delay := d.open, d.delay
+	d.mu.Unlock()
+	if !sleepUntil(ctx, readAt.Add(delay)) {
+		return false
+	}
+	select {
+	case <-open:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	left := time.Until(at)
+	if left <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/faultnet/relay.go
@@ -0,0 +1,205 @@
+// Package faultnet provides a TCP relay on loopback that can cut, delay and
+// reset connections, one direction at a time. It stands for the network between
+// two processes in failure tests.
+package faultnet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Sizes of the relay's buffers and the limit of its connects.
+const (
+	chunkBytes   = 32 << 10
+	queuedChunks = 64
+	dialTimeout  = 2 * time.Second
+)
+
+// Relay forwards connections to one target.
+type Relay struct {
+	target string
+	ln     net.Listener
+	there  *direction // from the caller to the target
+	back   *direction // from the target to the caller
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{} // open connections of both sides; guarded by mu
+}
+
+// NewRelay returns a relay on a free loopback port. Close ends it.
+func NewRelay(target string) (*Relay, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("faultnet: no free loopback port: %w", err)
+	}
+	r := &Relay{
+		target: target,
+		ln:     ln,
+		there:  newDirection(),
+		back:   newDirection(),
+		conns:  make(map[net.Conn]struct{}),
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.wg.Go(r.accept)
+	return r, nil
+}
+
+// Address returns the IP:port that the relay listens on.
+func (r *Relay) Address() string { return r.ln.Addr().String() }
+
+// CutThere holds all bytes from callers to the target until Heal. Connections
+// stay open, as they do over a silent network.
+func (r *Relay) CutThere() { r.there.cut() }
+
+// CutBack holds all bytes from the target to callers until Heal.
+func (r *Relay) CutBack() { r.back.cut() }
+
+// Cut holds all bytes until Heal.
+func (r *Relay) Cut() {
+	r.CutThere()
+	r.CutBack()
+}
+
+// Delay holds each chunk of bytes for a time in each direction.
+func (r *Relay) Delay(d time.Duration) {
+	r.there.slow(d)
+	r.back.slow(d)
+}
+
+// Heal ends cuts and delays. Held bytes go on.
+func (r *Relay) Heal() {
+	r.Delay(0)
+	r.there.heal()
+	r.back.heal()
+}
+
+// Reset closes all open connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() error {
+	r.cancel()
+	err := r.ln.Close()
+	r.Reset()
+	r.wg.Wait()
+	return err
+}
+
+func (r *Relay) accept() {
+	for {
+		conn, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		if !r.track(conn) {
+			_ = conn.Close()
+			return
+		}
+		r.wg.Go(func() { r.serve(conn) })
+	}
+}
+
+// track remembers a connection; false when the relay is closed.
+func (r *Relay) track(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ctx.Err() != nil {
+		return false
+	}
+	r.conns[c] = struct{}{}
+	return true
+}
+
+func (r *Relay) forget(c net.Conn) {
+	_ = c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+}
+
+// serve connects to the target once bytes can reach it and forwards until a
+// side closes.
+func (r *Relay) serve(caller net.Conn) {
+	defer r.forget(caller)
+	if !r.there.pass(r.ctx, time.Now()) {
+		return
+	}
+	target, err := net.DialTimeout("tcp", r.target, dialTimeout)
+	if err != nil {
+		return
+	}
+	if !r.track(target) {
+		_ = target.Close()
+		return
+	}
+	defer r.forget(target)
+	var both sync.WaitGroup
+	both.Go(func() { r.forward(target, caller, r.there) })
+	both.Go(func() { r.forward(caller, target, r.back) })
+	both.Wait()
+}
+
+// chunk is bytes and the time at which they were read.
+type chunk struct {
+	data []byte
+	at   time.Time
+}
+
+// forward copies bytes one way. The end of the stream waits as bytes do.
+func (r *Relay) forward(to, from net.Conn, d *direction) {
+	queue := make(chan chunk, queuedChunks)
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	go read(ctx, from, queue)
+	for c := range queue {
+		if !d.pass(ctx, c.at) {
+			break
+		}
+		if _, err := to.Write(c.data); err != nil {
+			break
+		}
+	}
+	if d.pass(ctx, time.Now()) {
+		closeWrite(to)
+	}
+}
+
+func read(ctx context.Context, from io.Reader, queue chan<- chunk) {
+	defer close(queue)
+	for {
+		buf := make([]byte, chunkBytes)
+		n, err := from.Read(buf)
+		if n > 0 {
+			select {
+			case queue <- chunk{data: buf[:n], at: time.Now()}:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// closeWrite passes the end of a stream on; a reset side is closed whole.
+func closeWrite(c net.Conn) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok || errors.Is(tcp.CloseWrite(), net.ErrClosed) {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/faultnet/relay_test.go
@@ -0,0 +1,151 @@
+package faultnet
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echoServer answers each byte with itself.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func dial(t *testing.T, r *Relay) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func newRelay(t *testing.T, target string) *Relay {
+	t.Helper()
+	r, err := NewRelay(target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close() })
+	return r
+}
+
+// exchange sends one byte and reports whether it comes back before the limit.
+func exchange(t *testing.T, c net.Conn, limit time.Duration) bool {
+	t.Helper()
+	if _, err := c.Write([]byte{1}); err != nil {
+		return false
+	}
+	return receive(t, c, limit)
+}
+
+func receive(t *testing.T, c net.Conn, limit time.Duration) bool {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err == nil
+}
+
+const (
+	soon = 10 * time.Second       // an answer must come within this
+	cut  = 100 * time.Millisecond // no answer may come within this
+)
+
+func TestCutHoldsBytesAndHealLetsThemGo(t *testing.T) {
+	tests := []struct {
+		name string
+		cut  func(*Relay)
+	}{
+		{"there", (*Relay).CutThere},
+		{"back", (*Relay).CutBack},
+		{"both", (*Relay).Cut},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRelay(t, echoServer(t))
+			c := dial(t, r)
+			if !exchange(t, c, soon) {
+				t.Fatal("no answer through a whole relay")
+			}
+			tt.cut(r)
+			if exchange(t, c, cut) {
+				t.Error("answer through a cut relay")
+			}
+			r.Heal()
+			if !receive(t, c, soon) {
+				t.Error("no answer after the relay healed")
+			}
+		})
+	}
+}
+
+func TestConnectionOpenedDuringCutWorksAfterHeal(t *testing.T) {
+	r := newRelay(t, echoServer(t))
+	r.CutThere()
+	c := dial(t, r)
+	if exchange(t, c, cut) {
+		t.Error("answer through a cut relay")
+	}
+	r.Heal()
+	if !receive(t, c, soon) {
+		t.Error("no answer after the relay healed")
+	}
+}
+
+func TestResetAndDelay(t *testing.T) {
+	r := newRelay(t, echoServer(t))
+	r.Delay(10 * time.Millisecond)
+	c := dial(t, r)
+	start := time.Now()
+	if !exchange(t, c, soon) || time.Since(start) < 20*time.Millisecond {
+		t.Errorf("answer after %v, want one after at least 20ms", time.Since(start))
+	}
+	r.Reset()
+	if exchange(t, c, soon) {
+		t.Error("answer on a connection that was reset")
+	}
+	if !exchange(t, dial(t, r), soon) {
+		t.Error("no answer on a new connection after a reset")
+	}
+}
+
+func TestEndOfStreamPasses(t *testing.T) {
+	r := newRelay(t, echoServer(t))
+	c := dial(t, r)
+	if _, err := c.Write([]byte("ab")); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(c)
+	if string(got) != "ab" || err != nil {
+		t.Errorf("read %q, %v; want ab and the end", got, err)
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -22,6 +22,10 @@
 // the time that it missed.
 const catchUpLimit = 50 * time.Millisecond
 
+// shortestSleep is the shortest time that the step loop sleeps. Shorter steps
+// run ahead of the clock until they add up to it.
+const shortestSleep = 100 * time.Microsecond
+
 // EngineConfig describes one stand-in engine.
 type EngineConfig struct {
 	Identity
@@ -277,7 +281,7 @@
 }
 
 func (e *Engine) sleep(ctx context.Context, timer *time.Timer, d time.Duration) {
-	if d <= 0 {
+	if d < shortestSleep {
 		return
 	}
 	timer.Reset(d)
