Add planner: forecast, gain against seconds lost, budget

Cause: roles and models must follow the mix of prompt and output work with few changes. Change: forecast by level and trend; share of answers in time by a queueing approximation for prefill, decode and mixed engines; a change is made when it gains more over the horizon than it costs, is wanted several times in a row, fits the budget, leaves each model an engine for prompts and one for answers and no other change is under way in a small zone; declared models are loaded.

--- /dev/null
+++ b/internal/planner/forecast.go
@@ -0,0 +1,117 @@
+// Package planner decides which roles and models the engines of one
+// availability zone carry. It forecasts the mix of prompt and output work,
+// weighs the gain of a change against the seconds that it takes an engine
+// away, and keeps to a budget of changes. It does no I/O and has no clock; the
+// holder of the zone's lease carries the changes out.
+package planner
+
+import (
+	"math"
+	"time"
+)
+
+// Work is the work that came in during some time.
+type Work struct {
+	Requests     float64
+	PromptTokens float64 // to be computed, without those found in prefix caches
+	OutputTokens float64 // expected
+	Context      float64 // prompt and expected output tokens
+}
+
+func (w *Work) add(o Work) {
+	w.Requests += o.Requests
+	w.PromptTokens += o.PromptTokens
+	w.OutputTokens += o.OutputTokens
+	w.Context += o.Context
+}
+
+func (w Work) scale(f float64) Work {
+	return Work{Requests: w.Requests * f, PromptTokens: w.PromptTokens * f, OutputTokens: w.OutputTokens * f, Context: w.Context * f}
+}
+
+// Demand is forecast work per second.
+type Demand Work
+
+// meanContext returns the tokens that one request keeps in memory.
+func (d Demand) meanContext() float64 { return ratio(d.Context, d.Requests) }
+
+// meanPrompt returns the prompt tokens computed for one request.
+func (d Demand) meanPrompt() float64 { return ratio(d.PromptTokens, d.Requests) }
+
+func ratio(a, b float64) float64 {
+	if b <= 0 {
+		return 0
+	}
+	return a / b
+}
+
+// bucketLength is the time over which the forecaster sums work.
+const bucketLength = time.Second
+
+// Forecaster predicts demand by a level and a trend, each an exponential
+// moving average of the work per bucket.
+type Forecaster struct {
+	window time.Duration // time constant of the level; the trend's is twice as long
+	start  time.Duration // of the bucket being filled
+	filled bool          // a first bucket has been seen
+	bucket Work
+	level  Work
+	trend  Work // per second
+	weight float64
+}
+
+// NewForecaster returns a forecaster that looks back about the given time.
+func NewForecaster(window time.Duration) *Forecaster { return &Forecaster{window: window} }
+
+// Observe adds work that arrived at now.
+func (f *Forecaster) Observe(now time.Duration, w Work) {
+	f.roll(now)
+	f.bucket.add(w)
+}
+
+// roll closes the buckets that have ended.
+func (f *Forecaster) roll(now time.Duration) {
+	for now >= f.start+bucketLength {
+		f.close()
+		f.start += bucketLength
+	}
+}
+
+func (f *Forecaster) close() {
+	old := f.average()
+	a := 1 - math.Exp(-bucketLength.Seconds()/f.window.Seconds())
+	f.level = f.level.scale(1 - a)
+	f.level.add(f.bucket.scale(a / bucketLength.Seconds()))
+	f.weight = f.weight*(1-a) + a
+	f.bucket = Work{}
+	if f.filled {
+		change := f.average()
+		change.add(old.scale(-1))
+		b := a / 2
+		f.trend = f.trend.scale(1 - b)
+		f.trend.add(change.scale(b / bucketLength.Seconds()))
+	}
+	f.filled = true
+}
+
+// average returns the level, corrected for the short history at the start.
+func (f *Forecaster) average() Work {
+	if f.weight == 0 {
+		return Work{}
+	}
+	return f.level.scale(1 / f.weight)
+}
+
+// Forecast returns the demand expected ahead of now. The trend is followed no
+// further than the forecaster's window.
+func (f *Forecaster) Forecast(now, ahead time.Duration) Demand {
+	f.roll(now)
+	d := f.average()
+	d.add(f.trend.scale(min(ahead, f.window).Seconds()))
+	return Demand{
+		Requests:     max(0, d.Requests),
+		PromptTokens: max(0, d.PromptTokens),
+		OutputTokens: max(0, d.OutputTokens),
+		Context:      max(0, d.Context),
+	}
+}
--- /dev/null
+++ b/internal/planner/models.go
@@ -0,0 +1,82 @@
+package planner
+
+import (
+	"slices"
+
+	"filberthook/internal/engineapi"
+)
+
+// missingModel returns the load that brings a declared model nearer to its
+// number of engines. Engines keep the models that they have.
+func missingModel(v View) (Change, bool) {
+	for i := range v.Declared {
+		d := &v.Declared[i]
+		if carriers(v.Engines, d.Model) >= d.Engines {
+			continue
+		}
+		if at := loadTarget(v, d); at >= 0 {
+			e := &v.Engines[at]
+			return Change{
+				Kind:        ChangeLoadModel,
+				Instance:    e.Instance,
+				Incarnation: e.Incarnation,
+				Model:       d.Model,
+				Reason:      "declared for more engines than carry it",
+			}, true
+		}
+	}
+	return Change{}, false
+}
+
+// carriers counts the engines that carry exactly the declared model.
+func carriers(engines []Engine, m engineapi.Model) int {
+	n := 0
+	for i := range engines {
+		if engines[i].carriesExactly(m) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Engine) carriesExactly(m engineapi.Model) bool {
+	return slices.ContainsFunc(e.Models, func(o engineapi.Model) bool {
+		return o.Name == m.Name && o.Version == m.Version && containsAll(o.Adapters, m.Adapters)
+	})
+}
+
+func containsAll(have, want []string) bool {
+	for _, w := range want {
+		if !slices.Contains(have, w) {
+			return false
+		}
+	}
+	return true
+}
+
+// loadTarget returns the engine that should load a declared model, or -1: the
+// one with the fewest models, then with the least to drain. Another version of
+// the model is replaced only where the zone can serve it without this engine.
+func loadTarget(v View, d *Declaration) int {
+	best := -1
+	for i := range v.Engines {
+		e := &v.Engines[i]
+		if !e.available() || e.carriesExactly(d.Model) {
+			continue
+		}
+		if e.carries(d.Model.Name) && !servedWithout(v.Engines, i, d.Model.Name) {
+			continue
+		}
+		if best < 0 || lessLoaded(e, &v.Engines[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func lessLoaded(a, b *Engine) bool {
+	if len(a.Models) != len(b.Models) {
+		return len(a.Models) < len(b.Models)
+	}
+	return a.Running < b.Running
+}
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,318 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/invariant"
+	"filberthook/internal/routing"
+	"filberthook/internal/tomltime"
+)
+
+// Config holds the settings of a Planner. GoodputWeight and ChangeCost are the
+// deployment's weights: a change must gain more than it costs.
+type Config struct {
+	GoodputWeight  float64           `toml:"goodput_weight"`   // worth of one more answer in time
+	ChangeCost     float64           `toml:"change_cost"`      // worth of one change not made, in answers
+	Horizon        tomltime.Duration `toml:"horizon"`          // time over which a change must pay
+	ChangeTime     tomltime.Duration `toml:"change_time"`      // an engine is away for this long, without its drain
+	DrainTime      tomltime.Duration `toml:"drain_time"`       // usual length of a drain
+	MinDwell       tomltime.Duration `toml:"min_dwell"`        // an engine keeps a role at least this long
+	Confirmations  int               `toml:"confirmations"`    // evaluations in a row that must ask for the same change
+	ChangesPerHour float64           `toml:"changes_per_hour"` // budget of one zone
+	Burst          float64           `toml:"burst"`            // changes of the budget that may come at once
+	SmallZone      int               `toml:"small_zone"`       // one change at a time for each so many engines
+	Window         tomltime.Duration `toml:"forecast_window"`  // of the forecaster
+}
+
+// DefaultConfig returns the settings that favour goodput.
+func DefaultConfig() Config {
+	return Config{
+		GoodputWeight:  1,
+		ChangeCost:     5,
+		Horizon:        tomltime.Of(60 * time.Second),
+		ChangeTime:     tomltime.Of(4 * time.Second),
+		DrainTime:      tomltime.Of(8 * time.Second),
+		MinDwell:       tomltime.Of(60 * time.Second),
+		Confirmations:  3,
+		ChangesPerHour: 30,
+		Burst:          3,
+		SmallZone:      6,
+		Window:         tomltime.Of(20 * time.Second),
+	}
+}
+
+// Engine is one engine of the zone as the planner sees it.
+type Engine struct {
+	Instance    string
+	Incarnation uint64
+	Role        engineapi.Role
+	Models      []engineapi.Model
+	Pieces      int
+	Running     int           // requests that a drain has to wait for
+	Changing    bool          // an order is under way
+	Draining    bool          // leaving, or drained for a change
+	Since       time.Duration // time of its last role change
+}
+
+// available reports whether the engine takes new work.
+func (e *Engine) available() bool { return !e.Changing && !e.Draining }
+
+// Declaration is a model that operators want the zone to carry.
+type Declaration struct {
+	Model   engineapi.Model
+	Engines int // least number of engines that carry it
+}
+
+// View is what the planner decides on.
+type View struct {
+	Zone     string
+	Engines  []Engine
+	Declared []Declaration
+	Demand   Demand
+}
+
+// ChangeKind tells what a change does.
+type ChangeKind string
+
+// Kinds of changes.
+const (
+	ChangeRole      ChangeKind = "set_role"
+	ChangeLoadModel ChangeKind = "load_model"
+)
+
+// Change is one change of one engine. The engine is drained first.
+type Change struct {
+	Kind        ChangeKind      `json:"kind"`
+	Instance    string          `json:"instance"`
+	Incarnation uint64          `json:"incarnation"`
+	From        engineapi.Role  `json:"from,omitempty"`
+	Role        engineapi.Role  `json:"role,omitempty"`
+	Model       engineapi.Model `json:"model,omitzero"`
+	Gain        float64         `json:"gain"` // answers in time won over the horizon
+	Cost        float64         `json:"cost"` // answers lost during the change, and the change's own cost
+	Reason      string          `json:"reason"`
+}
+
+// Net returns the worth of the change in answers.
+func (c *Change) Net() float64 { return c.Gain - c.Cost }
+
+// Outcome tells why a plan holds no change.
+type Outcome string
+
+// Outcomes of a plan.
+const (
+	OutcomeChange     Outcome = "change"
+	OutcomeNoGain     Outcome = "no_gain"
+	OutcomeConfirming Outcome = "confirming"
+	OutcomeBudget     Outcome = "budget_spent"
+	OutcomeBusy       Outcome = "another_change_in_progress"
+)
+
+// Plan is the outcome of one evaluation. Considered holds what was weighed, the
+// best first, for explanations.
+type Plan struct {
+	Outcome    Outcome  `json:"outcome"`
+	Change     Change   `json:"change"` // valid for OutcomeChange
+	Considered []Change `json:"considered,omitempty"`
+	InTime     float64  `json:"in_time"` // predicted share of answers in time without a change
+}
+
+// Planner decides on changes for one zone. It is not safe for concurrent use.
+type Planner struct {
+	cfg    Config
+	model  model
+	budget float64 // changes that may be made now
+	filled time.Duration
+	wanted move // best change of the last evaluation
+	times  int  // evaluations in a row that wanted it
+}
+
+// move is a change of roles without the engine that makes it.
+type move struct{ from, to engineapi.Role }
+
+// New returns a planner with a full budget.
+func New(cfg Config, costs routing.Costs, firstToken time.Duration) *Planner {
+	return &Planner{cfg: cfg, model: model{costs: costs, firstToken: firstToken.Seconds()}, budget: cfg.Burst}
+}
+
+// Plan returns the change to make now, if any. The caller must carry it out or
+// call Refund.
+func (p *Planner) Plan(now time.Duration, v View) Plan {
+	p.refill(now)
+	plan := Plan{InTime: p.model.inTime(p.fleet(v), v.Demand)}
+	if p.busy(v) {
+		plan.Outcome = OutcomeBusy
+		return plan
+	}
+	if change, ok := missingModel(v); ok {
+		plan.Change = change
+		plan.Outcome = p.spend()
+		return plan
+	}
+	plan.Considered = p.candidates(now, v, plan.InTime)
+	plan.Outcome = p.decide(plan.Considered)
+	if plan.Outcome == OutcomeChange {
+		plan.Change = plan.Considered[0]
+		invariant.Check(keepsRoles(v, plan.Change), "never_last_of_role",
+			"zone %s would lose its last engine by %+v", v.Zone, plan.Change)
+	}
+	return plan
+}
+
+// Refund gives back the budget of a change that was not carried out.
+func (p *Planner) Refund() { p.budget = min(p.cfg.Burst, p.budget+1) }
+
+func (p *Planner) refill(now time.Duration) {
+	p.budget += (now - p.filled).Hours() * p.cfg.ChangesPerHour
+	p.budget = min(p.budget, p.cfg.Burst)
+	p.filled = now
+}
+
+func (p *Planner) spend() Outcome {
+	if p.budget < 1 {
+		return OutcomeBudget
+	}
+	p.budget--
+	return OutcomeChange
+}
+
+// busy reports whether changes under way forbid another: at most one for each
+// SmallZone engines, and so one at a time in a small zone.
+func (p *Planner) busy(v View) bool {
+	changing := 0
+	for i := range v.Engines {
+		if !v.Engines[i].available() {
+			changing++
+		}
+	}
+	return changing >= max(1, len(v.Engines)/max(1, p.cfg.SmallZone))
+}
+
+func (p *Planner) decide(considered []Change) Outcome {
+	if len(considered) == 0 || considered[0].Net() <= 0 {
+		p.times = 0
+		return OutcomeNoGain
+	}
+	best := move{considered[0].From, considered[0].Role}
+	if best != p.wanted {
+		p.wanted = best
+		p.times = 0
+	}
+	p.times++
+	if p.times < p.cfg.Confirmations {
+		return OutcomeConfirming
+	}
+	outcome := p.spend()
+	if outcome == OutcomeChange {
+		p.times = 0
+	}
+	return outcome
+}
+
+func (p *Planner) fleet(v View) fleet {
+	var f fleet
+	n := 0.0
+	for i := range v.Engines {
+		e := &v.Engines[i]
+		if e.available() {
+			f = f.add(e.Role, 1)
+			f.pieces += float64(e.Pieces)
+			n++
+		}
+	}
+	f.pieces = ratio(f.pieces, n)
+	return f
+}
+
+// candidates returns the permitted role changes, the best first.
+func (p *Planner) candidates(now time.Duration, v View, inTime float64) []Change {
+	var out []Change
+	have := p.fleet(v)
+	tried := make(map[move]bool)
+	for _, i := range quietFirst(v.Engines) {
+		e := &v.Engines[i]
+		if !e.available() || now-e.Since < p.cfg.MinDwell.Duration {
+			continue
+		}
+		for _, to := range []engineapi.Role{engineapi.RoleMixed, engineapi.RolePrefill, engineapi.RoleDecode} {
+			m := move{e.Role, to}
+			if to == e.Role || tried[m] {
+				continue
+			}
+			change := Change{Kind: ChangeRole, Instance: e.Instance, Incarnation: e.Incarnation, From: e.Role, Role: to}
+			if !keepsRoles(v, change) {
+				continue
+			}
+			tried[m] = true
+			out = append(out, p.weigh(change, have, v.Demand, inTime))
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Change) int {
+		switch {
+		case a.Net() > b.Net():
+			return -1
+		case a.Net() < b.Net():
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+// quietFirst returns the indexes of engines, those with the shortest drain first.
+func quietFirst(engines []Engine) []int {
+	order := make([]int, len(engines))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return engines[a].Running - engines[b].Running })
+	return order
+}
+
+// weigh fills in the gain and cost of a change.
+func (p *Planner) weigh(change Change, have fleet, d Demand, inTime float64) Change {
+	without := have.add(change.From, -1)
+	during := p.model.inTime(without, d)
+	after := p.model.inTime(without.add(change.Role, 1), d)
+	away := (p.cfg.ChangeTime.Duration + p.cfg.DrainTime.Duration).Seconds()
+	answers := d.Requests * p.cfg.GoodputWeight
+	change.Gain = (after - inTime) * answers * p.cfg.Horizon.Seconds()
+	change.Cost = (inTime-during)*answers*away + p.cfg.ChangeCost
+	change.Reason = fmt.Sprintf("in time now %.3f, during the change %.3f, after it %.3f", inTime, during, after)
+	return change
+}
+
+// keepsRoles reports whether, without the engine of a change, each model of
+// the zone can still have its prompts computed and its answers generated.
+func keepsRoles(v View, change Change) bool {
+	at := slices.IndexFunc(v.Engines, func(e Engine) bool { return e.Instance == change.Instance })
+	if at < 0 {
+		return false
+	}
+	for _, m := range v.Engines[at].Models {
+		if !servedWithout(v.Engines, at, m.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+func servedWithout(engines []Engine, without int, model string) bool {
+	prompts, answers := false, false
+	for i := range engines {
+		e := &engines[i]
+		if i == without || !e.available() || !e.carries(model) {
+			continue
+		}
+		prompts = prompts || e.Role != engineapi.RoleDecode
+		answers = answers || e.Role != engineapi.RolePrefill
+	}
+	return prompts && answers
+}
+
+func (e *Engine) carries(model string) bool {
+	return slices.ContainsFunc(e.Models, func(m engineapi.Model) bool { return m.Name == model })
+}
