--- /dev/null
+++ b/internal/retry/backoff.go
@@ -0,0 +1,32 @@
+package retry
+
+import "time"
+
+// BackoffSettings are the delays between attempts.
+type BackoffSettings struct {
+	Base time.Duration `toml:"base"`
+	Max  time.Duration `toml:"max"`
+}
+
+// DefaultBackoff returns delays that fit endpoints within one data centre.
+func DefaultBackoff() BackoffSettings {
+	return BackoffSettings{Base: 10 * time.Millisecond, Max: time.Second}
+}
+
+// Backoff returns the delay before the attempt that follows n failed ones, n
+// from 1. The delay is drawn evenly between zero and a limit that doubles with
+// n, so that callers who failed together do not come back together. random is
+// from 0 to 1.
+func Backoff(s BackoffSettings, n int, random float64) time.Duration {
+	limit := s.Base
+	for i := 1; i < n && limit < s.Max; i++ {
+		limit *= 2
+	}
+	return time.Duration(random * float64(min(limit, s.Max)))
+}
+
+// ReturnAdvice spreads the time at which refused callers come back over half
+// of the advised time on top of it. random is from 0 to 1.
+func ReturnAdvice(advised time.Duration, random float64) time.Duration {
+	return advised + time.Duration(random*float64(advised)/2)
+}
