Add limit: slots with class queues, team limits and body memory

Cause: overload must shed by class with bounded memory, teams must be served fairly, and lookups must wait their turn without starving. Change: internal/limit holds a gate with a bounded queue per class served by weight, turns between teams inside a class, a team's share of a queue, early refusal when the expected wait exceeds the deadline, concurrency and token rates per team, and a limit of bytes held for bodies. Conclusion: with all classes waiting, 30 freed slots go 16, 8, 4 and 2.

--- /dev/null
+++ b/internal/limit/gate.go
@@ -0,0 +1,167 @@
+// Package limit bounds the work that one entry host takes on: slots with
+// bounded queues per priority class and turns between teams, concurrency and
+// token rates per team, and memory for request bodies.
+package limit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"filberthook/internal/request"
+)
+
+// GateSettings bound a Gate.
+type GateSettings struct {
+	Slots     int                     `toml:"slots"`      // requests under way at once
+	Queue     [request.NumClasses]int `toml:"queue"`      // waiting requests per class, the most urgent first
+	Weights   [request.NumClasses]int `toml:"weights"`    // share of freed slots per class
+	TeamShare float64                 `toml:"team_share"` // part of a class's queue that one team may fill
+}
+
+// DefaultGate returns limits for a small entry host.
+func DefaultGate() GateSettings {
+	return GateSettings{
+		Slots:     1024,
+		Queue:     [request.NumClasses]int{256, 512, 1024, 4096},
+		Weights:   [request.NumClasses]int{16, 8, 4, 1},
+		TeamShare: 0.5,
+	}
+}
+
+// smoothing is the part of a new sample in the mean time between freed slots.
+const smoothing = 0.1
+
+// minReturnAdvice is the least time after which a refused caller is asked to
+// come back.
+const minReturnAdvice = time.Second
+
+// Gate admits requests to a number of slots. It is safe for concurrent use.
+type Gate struct {
+	settings GateSettings
+	now      func() time.Time
+
+	mu       sync.Mutex
+	used     int           // guarded by mu; 0 to settings.Slots
+	waiting  *queue        // guarded by mu; empty while slots are free
+	lastFree time.Time     // guarded by mu; when a slot last went to a waiter, zero when none waits
+	interval time.Duration // guarded by mu; mean time between slots that go to waiters
+}
+
+// NewGate returns a Gate with all slots free. now gives the time, for the
+// estimate of waiting times only.
+func NewGate(settings GateSettings, now func() time.Time) *Gate {
+	return &Gate{settings: settings, now: now, waiting: newQueue(settings.Weights)}
+}
+
+// Acquire waits for a slot until ctx ends. The caller must call release once
+// when the error is nil. A refusal's disposition is NotRun.
+func (g *Gate) Acquire(ctx context.Context, team string, class request.Class) (release func(), refusal *request.Refusal) {
+	w, refusal := g.enter(ctx, team, class)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if w != nil {
+		select {
+		case <-w.granted:
+		case <-ctx.Done():
+			if g.leave(w) {
+				return nil, request.Refuse(request.DeadlinePassed, "no slot came free in class %s", class).Because(ctx.Err())
+			}
+		}
+	}
+	var once sync.Once
+	return func() { once.Do(g.free) }, nil
+}
+
+// enter takes a free slot, or returns a waiter in a queue.
+func (g *Gate) enter(ctx context.Context, team string, class request.Class) (*waiter, *request.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.used < g.settings.Slots {
+		g.used++
+		return nil, nil
+	}
+	if refusal := g.refuse(ctx, team, class); refusal != nil {
+		return nil, refusal
+	}
+	if g.waiting.length() == 0 {
+		g.lastFree = g.now()
+	}
+	w := &waiter{team: team, class: class, granted: make(chan struct{})}
+	g.waiting.classes[class].push(w)
+	return w, nil
+}
+
+// refuse tells why a request may not wait, nil when it may. The caller holds
+// g.mu.
+func (g *Gate) refuse(ctx context.Context, team string, class request.Class) *request.Refusal {
+	q := &g.waiting.classes[class]
+	limit := g.settings.Queue[class]
+	wait := g.estimate(class)
+	if q.length >= limit {
+		return request.Refuse(request.QueueFull, "%d requests of class %s wait already", q.length, class).After(advice(wait))
+	}
+	if t := q.teams[team]; t != nil && float64(len(t.waiters)) >= g.settings.TeamShare*float64(limit) {
+		return request.Refuse(request.TeamConcurrency, "%d requests of the team wait already in class %s", len(t.waiters), class).After(advice(wait))
+	}
+	if deadline, ok := ctx.Deadline(); ok && wait > deadline.Sub(g.now()) {
+		return request.Refuse(request.DeadlineUnreachable, "the expected wait of %v exceeds the deadline", wait.Round(time.Millisecond)).After(advice(wait))
+	}
+	return nil
+}
+
+func advice(wait time.Duration) time.Duration { return max(wait, minReturnAdvice) }
+
+// estimate is the expected wait of a new request of the class: the time until
+// its share of freed slots has served those before it. The caller holds g.mu.
+func (g *Gate) estimate(class request.Class) time.Duration {
+	total := 0
+	for i := range g.waiting.classes {
+		if g.waiting.classes[i].length > 0 || i == int(class) {
+			total += g.settings.Weights[i]
+		}
+	}
+	ahead := g.waiting.classes[class].length
+	share := float64(g.settings.Weights[class]) / float64(total)
+	return time.Duration(float64(ahead) / share * float64(g.interval))
+}
+
+// leave takes a waiter out of its queue. It returns false when the slot was
+// granted before, so that the caller holds it.
+func (g *Gate) leave(w *waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !w.queued {
+		return false
+	}
+	g.waiting.classes[w.class].remove(w)
+	return true
+}
+
+// free gives a slot to the next waiter, or back.
+func (g *Gate) free() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.waiting.pop()
+	if w == nil {
+		g.used--
+		return
+	}
+	now := g.now()
+	sample := now.Sub(g.lastFree)
+	g.lastFree = now
+	if g.interval == 0 {
+		g.interval = sample
+	} else {
+		g.interval += time.Duration(smoothing * float64(sample-g.interval))
+	}
+	close(w.granted)
+}
+
+// Load returns the slots in use and the requests that wait.
+func (g *Gate) Load() (used, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.used, g.waiting.length()
+}
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,203 @@
+package limit
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"filberthook/internal/request"
+)
+
+// clock is a logical clock for one goroutine.
+type clock struct{ t time.Time }
+
+func newClock() *clock               { return &clock{t: time.Unix(1000, 0)} }
+func (c *clock) now() time.Time      { return c.t }
+func (c *clock) add(d time.Duration) { c.t = c.t.Add(d) }
+
+func testGate(slots int) GateSettings {
+	return GateSettings{
+		Slots:     slots,
+		Queue:     [request.NumClasses]int{40, 40, 40, 40},
+		Weights:   [request.NumClasses]int{8, 4, 2, 1},
+		TeamShare: 0.5,
+	}
+}
+
+// mustEnter queues a request and returns its waiter.
+func mustEnter(t *testing.T, g *Gate, team string, class request.Class) *waiter {
+	t.Helper()
+	w, refusal := g.enter(context.Background(), team, class)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	return w
+}
+
+// granted frees one slot and returns the waiter that got it.
+func granted(g *Gate, waiters []*waiter) *waiter {
+	g.free()
+	for _, w := range waiters {
+		select {
+		case <-w.granted:
+			w.granted = make(chan struct{}) // count it once
+			return w
+		default:
+		}
+	}
+	return nil
+}
+
+func TestClassesAreServedByWeightAndNoneStarves(t *testing.T) {
+	g := NewGate(testGate(1), newClock().now)
+	mustEnter(t, g, "t", request.ClassStatus) // takes the slot
+	var waiters []*waiter
+	for class := range request.Class(request.NumClasses) {
+		for i := range 30 {
+			waiters = append(waiters, mustEnter(t, g, fmt.Sprintf("t%d", i%2), class))
+		}
+	}
+	var served [request.NumClasses]int
+	for range 30 {
+		served[granted(g, waiters).class]++
+	}
+	if want := [request.NumClasses]int{16, 8, 4, 2}; served != want {
+		t.Errorf("served %v of the classes, want %v", served, want)
+	}
+}
+
+func TestTeamsTakeTurns(t *testing.T) {
+	g := NewGate(testGate(1), newClock().now)
+	mustEnter(t, g, "x", request.ClassCheck)
+	var waiters []*waiter
+	for range 20 {
+		waiters = append(waiters, mustEnter(t, g, "busy", request.ClassCheck))
+	}
+	waiters = append(waiters, mustEnter(t, g, "small", request.ClassCheck))
+	if first, second := granted(g, waiters), granted(g, waiters); first.team != "busy" || second.team != "small" {
+		t.Errorf("served %s then %s, want busy then small", first.team, second.team)
+	}
+}
+
+func TestGateRefusals(t *testing.T) {
+	fill := func(teams, each int) func(*testing.T, *Gate, *clock) {
+		return func(t *testing.T, g *Gate, _ *clock) {
+			for i := range teams {
+				for range each {
+					mustEnter(t, g, fmt.Sprintf("t%d", i), request.ClassCheck)
+				}
+			}
+		}
+	}
+	slowDrain := func(t *testing.T, g *Gate, c *clock) {
+		mustEnter(t, g, "a", request.ClassCheck)
+		mustEnter(t, g, "a", request.ClassCheck)
+		c.add(10 * time.Second)
+		g.free()
+	}
+	tests := []struct {
+		name  string
+		setup func(*testing.T, *Gate, *clock)
+		left  time.Duration
+		team  string
+		want  request.Code
+	}{
+		{"room in the queue", fill(2, 19), time.Minute, "t0", ""},
+		{"queue full", fill(2, 20), time.Minute, "t9", request.QueueFull},
+		{"team's share full", fill(1, 20), time.Minute, "t0", request.TeamConcurrency},
+		{"other team beside a full share", fill(1, 20), time.Minute, "t9", ""},
+		{"expected wait beyond the deadline", slowDrain, time.Second, "b", request.DeadlineUnreachable},
+		{"expected wait within the deadline", slowDrain, time.Minute, "b", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newClock()
+			g := NewGate(testGate(1), c.now)
+			mustEnter(t, g, "holder", request.ClassCheck)
+			tt.setup(t, g, c)
+			ctx, cancel := context.WithDeadline(context.Background(), c.t.Add(tt.left))
+			defer cancel()
+			_, refusal := g.enter(ctx, tt.team, request.ClassCheck)
+			var got request.Code
+			if refusal != nil {
+				got = refusal.Code
+			}
+			if got != tt.want {
+				t.Errorf("refused with %q, want %q", got, tt.want)
+			}
+			if refusal != nil && (refusal.Disposition != request.NotRun || refusal.RetryAfter <= 0) {
+				t.Errorf("refusal %+v must say not_run and when to come back", refusal)
+			}
+		})
+	}
+}
+
+func TestWaiterThatGivesUpLeavesNoTrace(t *testing.T) {
+	g := NewGate(testGate(1), time.Now)
+	release, _ := g.Acquire(context.Background(), "a", request.ClassCheck)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, refusal := g.Acquire(ctx, "b", request.ClassCheck); refusal == nil {
+		t.Fatal("a slot was granted that is not free")
+	}
+	if used, waiting := g.Load(); used != 1 || waiting != 0 {
+		t.Errorf("%d used and %d waiting, want 1 and 0", used, waiting)
+	}
+	release()
+	release()
+	if used, _ := g.Load(); used != 0 {
+		t.Errorf("%d used after a double release, want 0", used)
+	}
+}
+
+func TestTeamLimits(t *testing.T) {
+	c := newClock()
+	teams := NewTeams(c.now)
+	s := TeamSettings{Concurrency: 2, TokensPerSecond: 10, TokenBurst: 100}
+	want := func(tokens int, code request.Code) {
+		t.Helper()
+		refusal := teams.Begin("t", s, tokens)
+		if refusal == nil && code == "" {
+			return
+		}
+		if refusal == nil || refusal.Code != code {
+			t.Fatalf("%v, want %q", refusal, code)
+		}
+	}
+	want(60, "")
+	want(60, request.TeamTokenRate)
+	want(40, "")
+	want(0, request.TeamConcurrency)
+	teams.End("t", 50) // charged to later requests
+	c.add(5 * time.Second)
+	want(1, request.TeamTokenRate)
+	c.add(5 * time.Second)
+	want(50, "")
+	if teams.Begin("other", s, 100) != nil {
+		t.Error("one team's use counts against another")
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	m := NewMemory(10)
+	if !m.Take(6) || m.Take(5) || !m.Take(4) {
+		t.Error("the limit does not hold")
+	}
+	m.Return(6)
+	if m.Used() != 4 {
+		t.Errorf("%d bytes used, want 4", m.Used())
+	}
+}
+
+func BenchmarkGate(b *testing.B) {
+	g := NewGate(DefaultGate(), time.Now)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			release, refusal := g.Acquire(context.Background(), "t", request.ClassCheck)
+			if refusal == nil {
+				release()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/limit/queue.go
@@ -0,0 +1,125 @@
+package limit
+
+import "filberthook/internal/request"
+
+// waiter is one request that waits for a slot.
+type waiter struct {
+	team    string
+	class   request.Class
+	granted chan struct{} // closed when the slot is granted
+	queued  bool          // true while in a queue
+}
+
+// teamQueue holds one team's waiters of one class, the oldest first.
+type teamQueue struct {
+	team    string
+	waiters []*waiter
+}
+
+// classQueue holds the waiters of one class. Teams take turns.
+type classQueue struct {
+	teams  map[string]*teamQueue
+	turns  []*teamQueue // non-empty team queues; the first has its turn next
+	length int          // waiters of all teams
+	credit int          // weight saved up while other classes were served
+}
+
+func (q *classQueue) push(w *waiter) {
+	t := q.teams[w.team]
+	if t == nil {
+		t = &teamQueue{team: w.team}
+		q.teams[w.team] = t
+		q.turns = append(q.turns, t)
+	}
+	t.waiters = append(t.waiters, w)
+	w.queued = true
+	q.length++
+}
+
+// pop removes and returns the oldest waiter of the team whose turn it is.
+func (q *classQueue) pop() *waiter {
+	t := q.turns[0]
+	q.turns = q.turns[1:]
+	w := t.waiters[0]
+	t.waiters[0] = nil
+	t.waiters = t.waiters[1:]
+	if len(t.waiters) > 0 {
+		q.turns = append(q.turns, t)
+	} else {
+		delete(q.teams, t.team)
+	}
+	w.queued = false
+	q.length--
+	return w
+}
+
+// remove takes out a waiter that gave up.
+func (q *classQueue) remove(w *waiter) {
+	t := q.teams[w.team]
+	for i, other := range t.waiters {
+		if other == w {
+			t.waiters = append(t.waiters[:i], t.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(t.waiters) == 0 {
+		delete(q.teams, t.team)
+		q.dropTurn(t)
+	}
+	w.queued = false
+	q.length--
+}
+
+func (q *classQueue) dropTurn(t *teamQueue) {
+	for i, other := range q.turns {
+		if other == t {
+			q.turns = append(q.turns[:i], q.turns[i+1:]...)
+			return
+		}
+	}
+}
+
+// queue serves classes by weight, so that urgent ones go first and none starves.
+type queue struct {
+	classes [request.NumClasses]classQueue
+	weights [request.NumClasses]int
+}
+
+func newQueue(weights [request.NumClasses]int) *queue {
+	q := &queue{weights: weights}
+	for i := range q.classes {
+		q.classes[i].teams = make(map[string]*teamQueue)
+	}
+	return q
+}
+
+func (q *queue) length() int {
+	n := 0
+	for i := range q.classes {
+		n += q.classes[i].length
+	}
+	return n
+}
+
+// pop removes the next waiter, nil when there is none. Among the classes that
+// wait, each is served in proportion to its weight.
+func (q *queue) pop() *waiter {
+	best, total := -1, 0
+	for i := range q.classes {
+		c := &q.classes[i]
+		if c.length == 0 {
+			c.credit = 0
+			continue
+		}
+		c.credit += q.weights[i]
+		total += q.weights[i]
+		if best < 0 || c.credit > q.classes[best].credit {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	q.classes[best].credit -= total
+	return q.classes[best].pop()
+}
--- /dev/null
+++ b/internal/limit/teams.go
@@ -0,0 +1,106 @@
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+
+	"filberthook/internal/request"
+)
+
+// TeamSettings bound what one calling team may have under way at one host.
+type TeamSettings struct {
+	Concurrency     int     `toml:"concurrency"`       // requests under way or waiting
+	TokensPerSecond float64 `toml:"tokens_per_second"` // prompt and output tokens
+	TokenBurst      int     `toml:"token_burst"`
+}
+
+// DefaultTeam returns the limits of a team that has none of its own.
+func DefaultTeam() TeamSettings {
+	return TeamSettings{Concurrency: 512, TokensPerSecond: 200_000, TokenBurst: 2_000_000}
+}
+
+// teamShards is the number of locks that teams are spread over.
+const teamShards = 16
+
+// Teams counts the work of calling teams. It is safe for concurrent use. Only
+// teams that were authenticated may be passed in: each takes memory.
+type Teams struct {
+	now    func() time.Time
+	shards [teamShards]teamShard
+}
+
+type teamShard struct {
+	mu    sync.Mutex
+	teams map[string]*team // guarded by mu
+}
+
+// team is guarded by its shard's lock.
+type team struct {
+	underWay int
+	tokens   *rate.Limiter
+}
+
+// NewTeams returns Teams with nothing under way.
+func NewTeams(now func() time.Time) *Teams {
+	t := &Teams{now: now}
+	for i := range t.shards {
+		t.shards[i].teams = make(map[string]*team)
+	}
+	return t
+}
+
+func (t *Teams) shard(name string) *teamShard {
+	return &t.shards[xxhash.Sum64String(name)%teamShards]
+}
+
+// Begin admits one request that needs promptTokens. The caller must call End
+// once when the refusal is nil. A refusal's disposition is NotRun.
+func (t *Teams) Begin(name string, s TeamSettings, promptTokens int) *request.Refusal {
+	sh := t.shard(name)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	tm := sh.get(name, s)
+	if tm.underWay >= s.Concurrency {
+		return request.Refuse(request.TeamConcurrency, "%d requests of the team are under way", tm.underWay)
+	}
+	now := t.now()
+	need := min(promptTokens, s.TokenBurst)
+	if !tm.tokens.AllowN(now, need) {
+		missing := float64(need) - tm.tokens.TokensAt(now)
+		wait := time.Duration(missing / s.TokensPerSecond * float64(time.Second))
+		return request.Refuse(request.TeamTokenRate, "%d tokens asked for, %.0f left", promptTokens, max(tm.tokens.TokensAt(now), 0)).After(advice(wait))
+	}
+	tm.underWay++
+	return nil
+}
+
+// End ends a request that Begin admitted and charges its output tokens, which
+// later requests of the team wait for.
+func (t *Teams) End(name string, outputTokens int) {
+	sh := t.shard(name)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	tm := sh.teams[name]
+	tm.underWay--
+	tm.tokens.ReserveN(t.now(), min(outputTokens, tm.tokens.Burst()))
+}
+
+// get expects s.mu to be held. It applies changed settings to a known team.
+func (s *teamShard) get(name string, settings TeamSettings) *team {
+	limit := rate.Limit(settings.TokensPerSecond)
+	tm := s.teams[name]
+	if tm == nil {
+		tm = &team{tokens: rate.NewLimiter(limit, settings.TokenBurst)}
+		s.teams[name] = tm
+	}
+	if tm.tokens.Limit() != limit {
+		tm.tokens.SetLimit(limit)
+	}
+	if tm.tokens.Burst() != settings.TokenBurst {
+		tm.tokens.SetBurst(settings.TokenBurst)
+	}
+	return tm
+}
