--- a/internal/claim/command.go
+++ b/internal/claim/command.go
@@ -1,6 +1,9 @@
 package claim
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Kind tells what a Command does.
 type Kind string
@@ -10,7 +13,6 @@
 	KindClaim    Kind = "claim"    // take the key for an attempt
 	KindComplete Kind = "complete" // store the answer of the attempt that holds the key
 	KindRelease  Kind = "release"  // give the key up; the attempt was not and will not be dispatched
-	KindExpire   Kind = "expire"   // advance the clock, end claims that are overdue and forget old ones
 	KindLookup   Kind = "lookup"   // read the claim of a key
 )
 
@@ -53,14 +55,13 @@
 // Command is one change of a Machine. Commands are applied in the same order
 // on every replica.
 type Command struct {
-	Kind       Kind          `json:"kind"`
-	Key        Key           `json:"key,omitzero"`
-	Attempt    string        `json:"attempt,omitempty"`   // unique among all attempts of all entry hosts
-	Entry      string        `json:"entry,omitempty"`     // entry host of the attempt
-	BodyHash   string        `json:"body_hash,omitempty"` // of a claim: hash of the whole request
-	HoldMillis int64         `json:"hold_ms,omitempty"`   // of a claim: time until its outcome counts as unknown
-	NowMillis  int64         `json:"now_ms,omitempty"`    // of an expire: the proposing leader's Unix time
-	Answer     *StoredAnswer `json:"answer,omitempty"`    // of a complete
+	Kind     Kind          `json:"kind"`
+	Key      Key           `json:"key,omitzero"`
+	Attempt  string        `json:"attempt,omitempty"`   // unique among all attempts of all entry hosts
+	Entry    string        `json:"entry,omitempty"`     // entry host of the attempt
+	BodyHash string        `json:"body_hash,omitempty"` // of a claim: hash of the whole request
+	Hold     time.Duration `json:"hold,omitempty"`      // of a claim: time until its outcome counts as unknown
+	Answer   *StoredAnswer `json:"answer,omitempty"`    // of a complete
 }
 
 // Status is the result of a Command.
@@ -75,7 +76,7 @@
 	KeyReused  Status = "key_reused"  // the key was used with another body
 	Full       Status = "full"        // the limit of claims is reached
 	Withdrawn  Status = "withdrawn"   // the attempt was released before its claim arrived
-	Done       Status = "done"        // the complete, release or expire took effect
+	Done       Status = "done"        // the complete or release took effect
 	NotHeld    Status = "not_held"    // the complete or release came from an attempt that does not hold the key
 	NotFound   Status = "not_found"   // of a lookup: no claim is known
 	Invalid    Status = "invalid"     // the command lacks a field or its kind is unknown
@@ -83,12 +84,9 @@
 
 // Result is the outcome of a Command.
 type Result struct {
-	Status     Status        `json:"status"`
-	Attempt    string        `json:"attempt,omitempty"`    // attempt that holds or held the key
-	Entry      string        `json:"entry,omitempty"`      // entry host of that attempt
-	RestMillis int64         `json:"rest_ms,omitempty"`    // of InProgress: time until the outcome counts as unknown
-	Answer     *StoredAnswer `json:"answer,omitempty"`     // of Stored
-	Expired    int           `json:"expired,omitempty"`    // of an expire: claims that became unknown
-	Forgotten  int           `json:"forgotten,omitempty"`  // of an expire: claims past retention
-	LagMillis  int64         `json:"lag_millis,omitempty"` // of an expire: how far the machine's clock is behind the command's
+	Status  Status        `json:"status"`
+	Attempt string        `json:"attempt,omitempty"` // attempt that holds or held the key
+	Entry   string        `json:"entry,omitempty"`   // entry host of that attempt
+	Rest    time.Duration `json:"rest,omitempty"`    // of InProgress: time until the outcome counts as unknown
+	Answer  *StoredAnswer `json:"answer,omitempty"`  // of Stored
 }
--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -11,31 +11,30 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"filberthook/internal/invariant"
 )
 
 // Limits bound a Machine. All replicas must use the same limits.
 type Limits struct {
-	MaxClaims       int   `json:"max_claims"`
-	MaxAnswerBytes  int   `json:"max_answer_bytes"` // per answer; larger ones are not kept
-	MaxStoredBytes  int   `json:"max_stored_bytes"` // all answers together; answers beyond it are not kept
-	MaxHoldMillis   int64 `json:"max_hold_ms"`      // longest time that a claim may stay in progress
-	RetentionMillis int64 `json:"retention_ms"`     // time from a claim until its key is forgotten
-	WithdrawnMillis int64 `json:"withdrawn_ms"`     // time for which an early release is remembered
-	MaxStepMillis   int64 `json:"max_step_ms"`      // largest advance of the clock by one expire
+	MaxClaims      int           // keys remembered at once
+	MaxAnswerBytes int           // per answer; larger ones are not kept
+	MaxStoredBytes int           // all answers together; answers beyond it are not kept
+	MaxHold        time.Duration // longest time that a claim may stay in progress
+	Retention      time.Duration // time from a claim until its key is forgotten
+	Withdrawn      time.Duration // time for which a released attempt is remembered
 }
 
 // DefaultLimits returns the limits of a deployment with a few booking workers.
 func DefaultLimits() Limits {
 	return Limits{
-		MaxClaims:       1 << 20,
-		MaxAnswerBytes:  64 << 10,
-		MaxStoredBytes:  256 << 20,
-		MaxHoldMillis:   10 * 60 * 1000,
-		RetentionMillis: 24 * 60 * 60 * 1000,
-		WithdrawnMillis: 10 * 60 * 1000,
-		MaxStepMillis:   10 * 1000,
+		MaxClaims:      1 << 20,
+		MaxAnswerBytes: 64 << 10,
+		MaxStoredBytes: 256 << 20,
+		MaxHold:        10 * time.Minute,
+		Retention:      24 * time.Hour,
+		Withdrawn:      10 * time.Minute,
 	}
 }
 
@@ -55,8 +54,8 @@
 	Entry    string        `json:"entry"`
 	BodyHash string        `json:"body_hash"`
 	Phase    phase         `json:"phase"`
-	HoldTill int64         `json:"hold_till"` // machine time at which a running claim becomes unknown
-	KeepTill int64         `json:"keep_till"` // machine time at which the key is forgotten
+	HoldTill time.Duration `json:"hold_till"` // time at which a running claim becomes unknown
+	KeepTill time.Duration `json:"keep_till"` // time at which the key is forgotten
 	Answer   *StoredAnswer `json:"answer,omitempty"`
 
 	timer *timer // in Machine.timers while the record is in Machine.claims
@@ -66,16 +65,16 @@
 // one command at a time.
 type Machine struct {
 	limits      Limits
-	now         int64 // Unix milliseconds; moved by expire commands only, never back
+	now         time.Duration // of the newest command; only grows
 	claims      map[Key]*record
-	withdrawn   map[string]int64 // released attempts, with the time to forget them; at most MaxClaims
-	storedBytes int              // sum of the sizes of kept answers
-	timers      timers           // one per claim and per withdrawn attempt, the earliest first
+	withdrawn   map[string]time.Duration // released attempts, with the time to forget them; at most MaxClaims
+	storedBytes int                      // sum of the sizes of kept answers
+	timers      timers                   // one per claim and per withdrawn attempt, the earliest first
 }
 
 // NewMachine returns an empty Machine.
 func NewMachine(limits Limits) *Machine {
-	return &Machine{limits: limits, claims: make(map[Key]*record), withdrawn: make(map[string]int64)}
+	return &Machine{limits: limits, claims: make(map[Key]*record), withdrawn: make(map[string]time.Duration)}
 }
 
 // Len returns the number of claims held.
@@ -84,8 +83,10 @@
 // StoredBytes returns the memory charged for kept answers, in bytes.
 func (m *Machine) StoredBytes() int { return m.storedBytes }
 
-// Apply runs one command.
-func (m *Machine) Apply(cmd Command) Result {
+// Apply runs one command. now is the time of the replicated log, the same at
+// every replica; it only grows and never runs ahead of real time.
+func (m *Machine) Apply(now time.Duration, cmd Command) Result {
+	m.advance(now)
 	switch cmd.Kind {
 	case KindClaim:
 		return m.claim(cmd)
@@ -93,8 +94,6 @@
 		return m.complete(cmd)
 	case KindRelease:
 		return m.release(cmd)
-	case KindExpire:
-		return m.expire(cmd)
 	case KindLookup:
 		return m.lookup(cmd)
 	default:
@@ -102,17 +101,31 @@
 	}
 }
 
-// ApplyAll runs commands in order and returns their results in the same order.
-func (m *Machine) ApplyAll(cmds []Command) []Result {
-	results := make([]Result, len(cmds))
-	for i, cmd := range cmds {
-		results[i] = m.Apply(cmd)
+// advance moves the clock, ends claims that are overdue and forgets old ones.
+func (m *Machine) advance(now time.Duration) {
+	invariant.Check(now >= m.now, "claim-clock-grows", "was %v, is %v", m.now, now)
+	m.now = now
+	for len(m.timers) > 0 && m.timers[0].at <= now {
+		m.fire(m.timers[0])
+	}
+}
+
+// fire handles the earliest timer.
+func (m *Machine) fire(t *timer) {
+	switch {
+	case t.rec == nil:
+		heap.Pop(&m.timers)
+		delete(m.withdrawn, t.attempt)
+	case t.rec.Phase == phaseRunning:
+		t.rec.Phase = phaseUnknown
+		m.reset(t.rec)
+	default:
+		m.remove(t.rec)
 	}
-	return results
 }
 
 func (m *Machine) claim(cmd Command) Result {
-	if cmd.Attempt == "" || cmd.Key.Idempotency == "" || cmd.BodyHash == "" || cmd.HoldMillis <= 0 {
+	if cmd.Attempt == "" || cmd.Key.Idempotency == "" || cmd.BodyHash == "" || cmd.Hold <= 0 {
 		return Result{Status: Invalid}
 	}
 	if rec, ok := m.claims[cmd.Key]; ok {
@@ -130,8 +143,8 @@
 		Entry:    cmd.Entry,
 		BodyHash: cmd.BodyHash,
 		Phase:    phaseRunning,
-		HoldTill: m.now + min(cmd.HoldMillis, m.limits.MaxHoldMillis),
-		KeepTill: m.now + max(m.limits.RetentionMillis, m.limits.MaxHoldMillis),
+		HoldTill: m.now + min(cmd.Hold, m.limits.MaxHold),
+		KeepTill: m.now + max(m.limits.Retention, m.limits.MaxHold),
 	}
 	m.add(rec)
 	return Result{Status: Granted, Attempt: rec.Attempt, Entry: rec.Entry}
@@ -151,8 +164,8 @@
 	delete(m.claims, rec.Key)
 }
 
-// nextChange is the machine time at which the claim's phase or presence changes.
-func (r *record) nextChange() int64 {
+// nextChange is the time at which the claim's phase or presence changes.
+func (r *record) nextChange() time.Duration {
 	if r.Phase == phaseRunning {
 		return r.HoldTill
 	}
@@ -177,7 +190,7 @@
 	switch rec.Phase {
 	case phaseRunning:
 		res.Status = InProgress
-		res.RestMillis = max(rec.HoldTill-m.now, 0)
+		res.Rest = rec.HoldTill - m.now
 	case phaseStored:
 		res.Status = Stored
 		res.Answer = rec.Answer
@@ -247,10 +260,10 @@
 	if _, ok := m.withdrawn[attempt]; ok || len(m.withdrawn) >= m.limits.MaxClaims {
 		return
 	}
-	m.addWithdrawn(attempt, m.now+m.limits.WithdrawnMillis)
+	m.addWithdrawn(attempt, m.now+m.limits.Withdrawn)
 }
 
-func (m *Machine) addWithdrawn(attempt string, till int64) {
+func (m *Machine) addWithdrawn(attempt string, till time.Duration) {
 	m.withdrawn[attempt] = till
 	heap.Push(&m.timers, &timer{at: till, attempt: attempt})
 }
@@ -262,55 +275,3 @@
 	}
 	return m.view(rec)
 }
-
-// expire advances the clock by at most MaxStepMillis, so that one leader's
-// wrong clock cannot end all retention at once.
-func (m *Machine) expire(cmd Command) Result {
-	if cmd.NowMillis <= 0 {
-		return Result{Status: Invalid}
-	}
-	before := m.now
-	switch {
-	case m.now == 0:
-		m.now = cmd.NowMillis
-		m.shift(cmd.NowMillis)
-	case cmd.NowMillis > m.now:
-		m.now = min(cmd.NowMillis, m.now+m.limits.MaxStepMillis)
-	}
-	invariant.Check(m.now >= before, "claim-clock-grows", "was %d, is %d", before, m.now)
-	res := Result{Status: Done, LagMillis: max(cmd.NowMillis-m.now, 0)}
-	for len(m.timers) > 0 && m.timers[0].at <= m.now {
-		m.fire(m.timers[0], &res)
-	}
-	return res
-}
-
-// shift moves times that were set before the clock's first setting.
-func (m *Machine) shift(by int64) {
-	for _, rec := range m.claims {
-		rec.HoldTill += by
-		rec.KeepTill += by
-	}
-	for attempt := range m.withdrawn {
-		m.withdrawn[attempt] += by
-	}
-	for _, t := range m.timers {
-		t.at += by
-	}
-}
-
-// fire handles the earliest timer.
-func (m *Machine) fire(t *timer, res *Result) {
-	switch {
-	case t.rec == nil:
-		heap.Pop(&m.timers)
-		delete(m.withdrawn, t.attempt)
-	case t.rec.Phase == phaseRunning:
-		t.rec.Phase = phaseUnknown
-		m.reset(t.rec)
-		res.Expired++
-	default:
-		m.remove(t.rec)
-		res.Forgotten++
-	}
-}
--- a/internal/claim/snapshot.go
+++ b/internal/claim/snapshot.go
@@ -5,20 +5,21 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"time"
 )
 
 // snapshot is the stored form of a Machine. The same state always gives the
 // same bytes.
 type snapshot struct {
-	Now       int64           `json:"now"`
+	Now       time.Duration   `json:"now"`
 	Claims    []*record       `json:"claims"`
 	Withdrawn []withdrawnItem `json:"withdrawn"`
 }
 
 // withdrawnItem is one entry of Machine.withdrawn.
 type withdrawnItem struct {
-	Attempt string `json:"attempt"`
-	Till    int64  `json:"till"`
+	Attempt string        `json:"attempt"`
+	Till    time.Duration `json:"till"`
 }
 
 // Snapshot returns the whole state as JSON.
--- a/internal/claim/timers.go
+++ b/internal/claim/timers.go
@@ -1,8 +1,10 @@
 package claim
 
+import "time"
+
 // timer is the next time at which a claim or a withdrawn attempt changes.
 type timer struct {
-	at      int64   // machine time
+	at      time.Duration
 	rec     *record // nil for a withdrawn attempt
 	attempt string  // of a withdrawn attempt
 	index   int     // position in timers
