--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,241 @@
+// Package entry assembles an entry host: it serves callers, hears endpoint
+// instances announce themselves, knows the other entry hosts and watches the
+// configuration.
+//
+// It holds no decisions of its own; those are in the packages that it joins.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"filberthook/internal/directory"
+	"filberthook/internal/distribution"
+	"filberthook/internal/gossip"
+	"filberthook/internal/keys"
+	"filberthook/internal/membership"
+	"filberthook/internal/peer"
+	"filberthook/internal/proxy"
+	"filberthook/internal/request"
+	"filberthook/internal/routing"
+	"filberthook/internal/scheduler"
+	"filberthook/internal/settings"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+)
+
+// Limits of the HTTP servers.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 32 << 10
+)
+
+// Node is one entry host.
+type Node struct {
+	set       settings.Entry
+	log       *slog.Logger
+	metrics   *metrics.Set
+	started   time.Time
+	listeners Listeners
+
+	dir       *directory.Directory
+	sched     *scheduler.Scheduler
+	gossip    *gossip.Node
+	config    *distribution.Client
+	replicas  []*peer.Client
+	certs     *keys.Source // nil without TLS
+	requests  *inFlight
+	stopping  atomic.Bool
+	cancelAll context.CancelFunc // ends the requests under way
+	base      context.Context    // parent of all requests
+}
+
+// New assembles a node on open listeners, which it takes over.
+func New(s settings.Entry, l Listeners, logger *slog.Logger, set *metrics.Set) (*Node, error) {
+	n := &Node{
+		set:       s,
+		log:       logger.With("host", s.Host, "zone", s.Zone),
+		metrics:   set,
+		started:   time.Now(),
+		listeners: l,
+		dir:       directory.New(),
+	}
+	n.base, n.cancelAll = context.WithCancel(context.Background())
+	s.Routing.Zone = s.Zone
+	router := routing.New(s.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	n.sched = scheduler.New(n.now, n.dir, router)
+	if err := n.connectControl(); err != nil {
+		return nil, err
+	}
+	if err := n.joinHosts(); err != nil {
+		return nil, err
+	}
+	n.requests = &inFlight{next: proxy.New(n.config, n.sched, request.NewCounters(set))}
+	set.NewGauge("filberthook_requests_in_flight", func() float64 { return float64(n.requests.count.Load()) })
+	return n, nil
+}
+
+// now is the monotonic clock of the process.
+func (n *Node) now() time.Duration { return time.Since(n.started) }
+
+func (n *Node) connectControl() error {
+	opts := peer.Options{
+		Self:    peer.Identity{Host: n.set.Host, Zone: n.set.Zone},
+		Metrics: n.metrics,
+		Logger:  n.log,
+	}
+	if n.set.TLS.Enabled() {
+		files := keys.Files{CA: n.set.TLS.CA, Certificate: n.set.TLS.Certificate, Key: n.set.TLS.Key}
+		certs, err := keys.Open(files, n.log, n.metrics)
+		if err != nil {
+			return err
+		}
+		n.certs = certs
+		opts.TLS = certs.Config()
+	}
+	var callers []distribution.Caller
+	for _, address := range n.set.Control.Replicas {
+		c := peer.NewClient(address, opts)
+		n.replicas = append(n.replicas, c)
+		callers = append(callers, c)
+	}
+	dir := ""
+	if n.set.DataDir != "" {
+		dir = filepath.Join(n.set.DataDir, "entry")
+	}
+	config, err := distribution.NewClient(distribution.Settings{
+		Replicas: callers,
+		Dir:      dir,
+		Logger:   n.log,
+		Metrics:  n.metrics,
+	}, nil)
+	n.config = config
+	return err
+}
+
+func (n *Node) joinHosts() error {
+	key, err := n.set.GossipKey()
+	if err != nil {
+		return err
+	}
+	n.gossip, err = gossip.New(gossip.Config{
+		Membership: membership.Config{
+			Self:        n.self(),
+			Incarnation: uint64(n.started.UnixMilli()),
+			Seeds:       n.set.Gossip.Seeds,
+		},
+		Key:     key,
+		Now:     n.now,
+		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Metrics: n.metrics,
+		Logger:  n.log,
+	}, n.dir, n.listeners.Gossip)
+	return err
+}
+
+func (n *Node) self() membership.Host {
+	return membership.Host{
+		Name:     n.set.Host,
+		Zone:     n.set.Zone,
+		Gossip:   n.listeners.Gossip.LocalAddr().String(),
+		Announce: n.listeners.Announce.Addr().String(),
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully: readiness fails first, new
+// requests are refused after the ready grace, and requests under way have until
+// the stop limit. It returns a *CutError when some had to be cut.
+func (n *Node) Run(ctx context.Context) error {
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	group, groupCtx := errgroup.WithContext(background)
+	group.Go(func() error { return n.gossip.Run(groupCtx) })
+	group.Go(func() error { return n.config.Run(groupCtx) })
+	if n.certs != nil {
+		group.Go(func() error { return n.certs.Run(groupCtx) })
+	}
+	callers := n.server(n.requests)
+	announce := n.server(newAnnounceHandler(n.gossip, n.self(), n.metrics))
+	status := n.server(n.statusHandler())
+	group.Go(func() error { return ignoreClosed(callers.Serve(n.listeners.Callers)) })
+	group.Go(func() error { return ignoreClosed(announce.Serve(n.listeners.Announce)) })
+	group.Go(func() error { return ignoreClosed(status.Serve(n.listeners.Status)) })
+	n.log.Info("entry host serves", "callers", n.listeners.Callers.Addr().String())
+
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+	}
+	cut := n.stop(groupCtx, callers)
+	stopBackground()
+	announce.Close()
+	status.Close()
+	for _, c := range n.replicas {
+		c.Close()
+	}
+	return errors.Join(group.Wait(), cut)
+}
+
+// stop ends the callers' server gracefully.
+func (n *Node) stop(ctx context.Context, callers *http.Server) error {
+	n.stopping.Store(true)
+	n.log.Info("entry host stops", "requests_in_flight", n.requests.count.Load())
+	sleep(ctx, n.set.Stop.ReadyGrace.Value())
+	limit, cancel := context.WithTimeout(n.base, n.set.Stop.Limit.Value())
+	defer cancel()
+	err := callers.Shutdown(limit)
+	if err == nil {
+		return nil
+	}
+	cut := &CutError{Requests: int(n.requests.count.Load())}
+	n.cancelAll()
+	callers.Close()
+	return cut
+}
+
+// Kill ends the requests under way at once, during a graceful stop.
+func (n *Node) Kill() { n.cancelAll() }
+
+// CutError tells that a stop cut requests that were under way.
+type CutError struct{ Requests int }
+
+func (e *CutError) Error() string {
+	return fmt.Sprintf("%d requests were cut by the stop: raise stop.limit, or wait longer before a second signal", e.Requests)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return n.base },
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// statusHandler serves metrics and health checks.
+func (n *Node) statusHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if reason := n.notReady(); reason != "" {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	return mux
+}
+
+// notReady tells why the balancer should send no callers here; empty when it
+// should.
+func (n *Node) notReady() string {
+	if n.stopping.Load() {
+		return "stopping: send callers to another entry host"
+	}
+	if n.config.Snapshot().Revision == 0 {
+		return "no configuration yet: check the connection to the control replicas"
+	}
+	return ""
+}
