Add a control series to the overhead measurement

Cause: on a busy machine two direct calls of a pair differ by about 2 ms at p99, which hides what an entry adds. Change: each pair makes a second direct call; the report shows its difference beside the added times. Conclusion: a p99 below the control's cannot be claimed from one run.

--- a/internal/loadgen/overhead.go
+++ b/internal/loadgen/overhead.go
@@ -33,8 +33,10 @@
 	FirstFailure     string        `json:"first_failure,omitempty"`
 	DirectFirstToken Quantiles     `json:"direct_first_token"`
 	EntryFirstToken  Quantiles     `json:"entry_first_token"`
-	AddedFirstToken  Quantiles     `json:"added_first_token"` // of the differences within pairs
-	AddedPerToken    Quantiles     `json:"added_per_token"`   // of the differences within pairs
+	AddedFirstToken  Quantiles     `json:"added_first_token"`   // of the differences within pairs
+	AddedPerToken    Quantiles     `json:"added_per_token"`     // of the differences within pairs
+	ControlFirst     Quantiles     `json:"control_first_token"` // of the differences between two direct calls of a pair
+	ControlPerToken  Quantiles     `json:"control_per_token"`   // of the differences between two direct calls of a pair
 	Elapsed          time.Duration `json:"elapsed_ns"`
 	EntryTokens      int           `json:"entry_tokens"`
 	EntryCPU         time.Duration `json:"entry_cpu_ns"` // of the measured pairs; 0 without EntryPID
@@ -67,18 +69,28 @@
 	fmt.Fprintf(w, "first token direct %s\n", r.DirectFirstToken)
 	fmt.Fprintf(w, "first token entry  %s\n", r.EntryFirstToken)
 	fmt.Fprintf(w, "added first token  %s\n", r.AddedFirstToken)
+	fmt.Fprintf(w, "control            %s\n", r.ControlFirst)
 	fmt.Fprintf(w, "added per token    %s\n", r.AddedPerToken)
+	fmt.Fprintf(w, "control            %s\n", r.ControlPerToken)
 	if r.EntryCPU > 0 {
 		fmt.Fprintf(w, "entry processor    %.3f s: %.0f requests/s and %.0f tokens/s per core\n",
 			r.EntryCPU.Seconds(), r.RequestsPerCore(), r.TokensPerCore())
 	}
 }
 
-// pair is one direct call and the same call through the entry.
-type pair struct{ direct, entry Result }
+// pair is the same call made directly, through the entry, and directly again
+// as a control.
+type pair struct{ direct, entry, control Result }
 
-// Overhead runs the comparison. Both calls of a pair follow each other in
-// random order; pairs start at a fixed rate whether or not earlier ones ended.
+// whole reports whether each call got its whole right answer.
+func (p pair) whole() bool {
+	return p.direct.Outcome == Whole && p.entry.Outcome == Whole && p.control.Outcome == Whole
+}
+
+// Overhead runs the comparison. The calls of a pair follow each other in random
+// order; pairs start at a fixed rate whether or not earlier ones ended. The
+// difference between the two direct calls is what the comparison cannot tell
+// from nothing.
 func Overhead(ctx context.Context, cfg OverheadConfig) (OverheadReport, error) {
 	o := &overhead{cfg: cfg, direct: NewCaller(cfg.Direct, ""), entry: NewCaller(cfg.Entry, cfg.TeamKey)}
 	defer o.direct.Close()
@@ -115,7 +127,7 @@
 
 func (o *overhead) run(ctx context.Context, n int, seed uint64) []pair {
 	prompts := NewPrompts(seed)
-	order := rand.New(rand.NewPCG(seed, 1))
+	rng := rand.New(rand.NewPCG(seed, 1))
 	pairs := make([]pair, n)
 	pacer := newPacer(o.cfg.Rate)
 	var wg sync.WaitGroup
@@ -125,36 +137,36 @@
 			Prompt: prompts.Prompt(uint64(i), o.cfg.Prompt, o.cfg.Output),
 			Stream: true,
 		}
-		directFirst := order.IntN(2) == 0
+		order := rng.Perm(callsPerPair)
 		if !pacer.wait(ctx) {
 			break
 		}
-		wg.Go(func() { pairs[i] = o.one(ctx, chat, directFirst) })
+		wg.Go(func() { pairs[i] = o.one(ctx, chat, order) })
 	}
 	wg.Wait()
 	return pairs
 }
 
-func (o *overhead) one(ctx context.Context, chat Chat, directFirst bool) pair {
-	ctx, cancel := context.WithTimeout(ctx, 2*o.cfg.Timeout)
+// callsPerPair is the number of calls of a pair, with the control.
+const callsPerPair = 3
+
+func (o *overhead) one(ctx context.Context, chat Chat, order []int) pair {
+	ctx, cancel := context.WithTimeout(ctx, callsPerPair*o.cfg.Timeout)
 	defer cancel()
-	var p pair
-	if directFirst {
-		p.direct = o.direct.Chat(ctx, chat)
-	}
-	p.entry = o.entry.Chat(ctx, chat)
-	if !directFirst {
-		p.direct = o.direct.Chat(ctx, chat)
+	callers := [callsPerPair]*Caller{o.direct, o.entry, o.direct}
+	var results [callsPerPair]Result
+	for _, i := range order {
+		results[i] = callers[i].Chat(ctx, chat)
 	}
-	return p
+	return pair{direct: results[0], entry: results[1], control: results[2]}
 }
 
 func summarise(pairs []pair) OverheadReport {
 	report := OverheadReport{Pairs: len(pairs)}
 	direct, entry := NewLatencies(), NewLatencies()
-	var first, token []time.Duration
+	var first, token, controlFirst, controlToken []time.Duration
 	for _, p := range pairs {
-		if p.direct.Outcome != Whole || p.entry.Outcome != Whole {
+		if !p.whole() {
 			report.fail(p)
 			continue
 		}
@@ -162,12 +174,16 @@
 		entry.Add(p.entry.FirstToken)
 		first = append(first, p.entry.FirstToken-p.direct.FirstToken)
 		token = append(token, p.entry.PerToken()-p.direct.PerToken())
+		controlFirst = append(controlFirst, p.control.FirstToken-p.direct.FirstToken)
+		controlToken = append(controlToken, p.control.PerToken()-p.direct.PerToken())
 		report.EntryTokens += p.entry.Tokens
 	}
 	report.DirectFirstToken = direct.Quantiles()
 	report.EntryFirstToken = entry.Quantiles()
 	report.AddedFirstToken = exactQuantiles(first)
 	report.AddedPerToken = exactQuantiles(token)
+	report.ControlFirst = exactQuantiles(controlFirst)
+	report.ControlPerToken = exactQuantiles(controlToken)
 	return report
 }
 
