Count stale orders and runs per key in stand-in engines

Cause: fault runs must show that orders of a process without authority had no effect, and that a refusal that says not run is true. Change: OrderCounts tells stale orders that were taken and adds up over incarnations; engines can record runs per idempotency key; callers can name an endpoint other than the engine's model. Conclusion: both promises can be audited after a run.

--- a/cmd/filberthook-load/run.go
+++ b/cmd/filberthook-load/run.go
@@ -16,7 +16,8 @@
 	var cfg loadgen.RunConfig
 	cmd.Flag("entry", "IP:port of an entry host; repeat for more.").Required().StringsVar(&cfg.Entries)
 	cmd.Flag("team-key", "Key of an approved team.").Envar("FILBERTHOOK_TEAM_KEY").StringVar(&cfg.TeamKey)
-	cmd.Flag("model", "Model to call.").Default("assist").StringVar(&cfg.Model)
+	cmd.Flag("model", "Model that the engines carry.").Default("assist").StringVar(&cfg.Model)
+	cmd.Flag("endpoint", "Endpoint of that model at the entry hosts, when its name differs.").StringVar(&cfg.Endpoint)
 	cmd.Flag("service", "Path prefix of the plain service.").Default("/services/bookings").StringVar(&cfg.Service)
 	cmd.Flag("summary", "Share of long summaries.").Default("1").Float64Var(&cfg.Mix.Summary)
 	cmd.Flag("check", "Share of short checks.").Default("6").Float64Var(&cfg.Mix.Check)
--- a/internal/enginemodel/orders.go
+++ b/internal/enginemodel/orders.go
@@ -24,9 +24,23 @@
 	Accepted   int
 	Conflicts  int // orders rejected because another one was running
 	OldFence   int // orders rejected for their fencing number
+	StaleTaken int // orders accepted although a higher fencing number had been accepted
 	Misdirect  int // orders rejected because they were for another incarnation
-	AbortedRun int // requests cut while they ran
-	AbortedQue int // requests removed before they ran
+	Aborted    int // requests cut while they ran
+	NotRun     int // requests removed before they ran
+}
+
+// Add returns the sum of two counts.
+func (c OrderCounts) Add(o OrderCounts) OrderCounts {
+	return OrderCounts{
+		Accepted:   c.Accepted + o.Accepted,
+		Conflicts:  c.Conflicts + o.Conflicts,
+		OldFence:   c.OldFence + o.OldFence,
+		StaleTaken: c.StaleTaken + o.StaleTaken,
+		Misdirect:  c.Misdirect + o.Misdirect,
+		Aborted:    c.Aborted + o.Aborted,
+		NotRun:     c.NotRun + o.NotRun,
+	}
 }
 
 // maxRememberedOrders bounds the statuses kept for repeated orders.
@@ -92,6 +106,9 @@
 	if reason := e.rejection(o); reason != "" {
 		return e.orders.set(o, engineapi.OrderRejected, reason)
 	}
+	if o.Fence < e.orders.fence {
+		e.orders.counts.StaleTaken++
+	}
 	e.orders.fence = max(e.orders.fence, o.Fence)
 	e.orders.counts.Accepted++
 	length := e.beginOrder(now, o)
@@ -190,9 +207,9 @@
 		kind := EventNotRun
 		if s.began {
 			kind = EventAborted
-			e.orders.counts.AbortedRun++
+			e.orders.counts.Aborted++
 		} else {
-			e.orders.counts.AbortedQue++
+			e.orders.counts.NotRun++
 		}
 		e.pending = append(e.pending, Event{Kind: kind, Request: s.req.ID, At: now})
 		e.remove(s)
--- a/internal/enginemodel/orders_test.go
+++ b/internal/enginemodel/orders_test.go
@@ -24,7 +24,7 @@
 		{"second while running", true, 0, roleOrder("b", 5, engineapi.RolePrefill), engineapi.OrderRejected, OrderCounts{Accepted: 1, Conflicts: 1}},
 		{"repeated", true, 0, first, engineapi.OrderRunning, OrderCounts{Accepted: 1}},
 		{"old fence, checked", true, time.Minute, roleOrder("b", 4, engineapi.RolePrefill), engineapi.OrderRejected, OrderCounts{Accepted: 1, OldFence: 1}},
-		{"old fence, ignored", false, time.Minute, roleOrder("b", 4, engineapi.RolePrefill), engineapi.OrderRunning, OrderCounts{Accepted: 2}},
+		{"old fence, ignored", false, time.Minute, roleOrder("b", 4, engineapi.RolePrefill), engineapi.OrderRunning, OrderCounts{Accepted: 2, StaleTaken: 1}},
 		{"other incarnation", true, time.Minute, engineapi.Order{ID: "b", Fence: 5, Kind: engineapi.OrderDrain, Incarnation: 2}, engineapi.OrderRejected, OrderCounts{Accepted: 1, Misdirect: 1}},
 		{"unknown role", true, time.Minute, roleOrder("b", 5, "cook"), engineapi.OrderRejected, OrderCounts{Accepted: 1}},
 	}
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -52,7 +53,8 @@
 
 // Chat is one chat completion call.
 type Chat struct {
-	Model     string
+	Model     string // name that the caller sends, of an endpoint or of a model
+	Engine    string // model that answers; empty for Model
 	Prompt    string
 	MaxTokens int
 	Stream    bool
@@ -78,7 +80,7 @@
 	}
 	setNumber(req, engineapi.HeaderPriority, int64(chat.Priority))
 	setNumber(req, engineapi.HeaderDeadline, chat.Deadline.Milliseconds())
-	answer := enginemodel.NewAnswer(chat.Model, chat.Prompt, chat.MaxTokens)
+	answer := enginemodel.NewAnswer(cmp.Or(chat.Engine, chat.Model), chat.Prompt, chat.MaxTokens)
 	return c.send(req, func(r *Result, resp *http.Response, start time.Time) error {
 		if chat.Stream {
 			return readStream(r, resp.Body, answer, start)
--- a/internal/loadgen/overhead.go
+++ b/internal/loadgen/overhead.go
@@ -1,6 +1,7 @@
 package loadgen
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	Entry    string        // IP:port of an entry host that reaches that engine
 	TeamKey  string        // key of an approved team
 	Model    string        // model that the engine carries
+	Endpoint string        // endpoint of that model at the entry host; empty for Model
 	Pairs    int           // measured pairs
 	Warmup   int           // pairs before the measured ones
 	Rate     float64       // pairs per second
@@ -156,7 +158,12 @@
 	callers := [callsPerPair]*Caller{o.direct, o.entry, o.direct}
 	var results [callsPerPair]Result
 	for _, i := range order {
-		results[i] = callers[i].Chat(ctx, chat)
+		sent := chat
+		if callers[i] == o.entry {
+			sent.Model = cmp.Or(o.cfg.Endpoint, chat.Model)
+			sent.Engine = chat.Model
+		}
+		results[i] = callers[i].Chat(ctx, sent)
 	}
 	return pair{direct: results[0], entry: results[1], control: results[2]}
 }
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -1,6 +1,7 @@
 package loadgen
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -83,7 +84,8 @@
 type RunConfig struct {
 	Entries  []string // IP:port of entry hosts, used in turn
 	TeamKey  string
-	Model    string
+	Endpoint string // endpoint of the model
+	Model    string // model that answers
 	Service  string // path prefix of the plain service, such as /services/bookings
 	Mix      Mix
 	Rate     float64 // calls per second
@@ -211,7 +213,7 @@
 	}
 	prompt, output := prompts.Between(s.promptLow, s.promptHigh), prompts.Between(s.outputLow, s.outputHigh)
 	subject := uint64(prompts.Between(1, max(l.cfg.Subjects, 1)))
-	c.chat = Chat{Model: l.cfg.Model, Prompt: prompts.Prompt(subject, prompt, output), Stream: i%4 != 0, Priority: s.priority, Deadline: l.cfg.Timeout}
+	c.chat = Chat{Model: cmp.Or(l.cfg.Endpoint, l.cfg.Model), Engine: l.cfg.Model, Prompt: prompts.Prompt(subject, prompt, output), Stream: i%4 != 0, Priority: s.priority, Deadline: l.cfg.Timeout}
 	return c
 }
 
--- a/internal/standin/completion.go
+++ b/internal/standin/completion.go
@@ -22,6 +22,9 @@
 	run     enginemodel.Request
 	answer  enginemodel.Answer
 	events  chan enginemodel.Event // room for all events of the attempt, so that sending never blocks
+
+	key      string // idempotency key of the caller
+	recorded bool   // its run is counted; guarded by Engine.mu
 }
 
 // eventsBesidesTokens is the room in a stream for events other than tokens.
@@ -115,6 +118,7 @@
 		chat:    r.URL.Path == engineapi.PathChatCompletions,
 		req:     req,
 		answer:  enginemodel.NewAnswer(req.Model, prompt, req.MaxTokens),
+		key:     r.Header.Get(engineapi.HeaderIdempotencyKey),
 	}
 	s.run = enginemodel.Request{
 		ID:           attempt,
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +33,10 @@
 	Model    enginemodel.Config
 	Speed    float64 // engine seconds per second; 0 stands for 1
 	MaxQueue int     // requests that may wait; 0 sets no limit
+
+	// RecordRuns keeps a count of the runs of each idempotency key. The record
+	// grows without bound and is meant for bounded runs.
+	RecordRuns bool
 }
 
 // Engine is a stand-in for one model engine. It is an http.Handler; Run drives
@@ -52,6 +57,8 @@
 	model       *enginemodel.Engine
 	streams     map[string]*stream // by attempt identifier
 	caches      kvStore
+	pastOrders  enginemodel.OrderCounts // of incarnations that crashed
+	runs        map[string]int          // by idempotency key, when RecordRuns is set
 }
 
 // NewEngine returns a stand-in engine. Its metrics are registered in set.
@@ -71,6 +78,7 @@
 		wake:        make(chan struct{}, 1),
 		metrics:     newEngineMetrics(set),
 		incarnation: cfg.Incarnation,
+		runs:        make(map[string]int),
 	}
 	e.gate.grace = cfg.LeaveGrace
 	e.mux = e.newMux()
@@ -98,6 +106,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.metrics.crashes.Inc()
+	e.pastOrders = e.pastOrders.Add(e.model.OrderCounts())
 	e.reset()
 }
 
@@ -119,11 +128,19 @@
 	e.model.SetChecksFence(!ignore && e.cfg.Model.ChecksFence)
 }
 
-// OrderCounts returns what orders did to this incarnation.
+// OrderCounts returns what orders did to the engine, over all incarnations.
 func (e *Engine) OrderCounts() enginemodel.OrderCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.model.OrderCounts()
+	return e.pastOrders.Add(e.model.OrderCounts())
+}
+
+// Runs returns how often the engine began to run each idempotency key. It is
+// empty unless RecordRuns is set.
+func (e *Engine) Runs() map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.runs)
 }
 
 // State returns what the engine carries.
@@ -258,7 +275,18 @@
 			continue
 		}
 		s.deliver(ev)
+		e.record(s, ev.Kind)
+	}
+}
+
+// record counts a run once its first work is known; e.mu is held.
+func (e *Engine) record(s *stream, kind enginemodel.EventKind) {
+	began := kind == enginemodel.EventPrefillDone || kind == enginemodel.EventAborted
+	if !began || s.recorded || s.key == "" || !e.cfg.RecordRuns {
+		return
 	}
+	s.recorded = true
+	e.runs[s.key]++
 }
 
 // sleepUntil waits until an engine time. An idle engine without a known next
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -146,11 +147,7 @@
 func (s *Service) Runs() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.runs))
-	for k, n := range s.runs {
-		out[k] = n
-	}
-	return out
+	return maps.Clone(s.runs)
 }
 
 func (s *Service) announcement() engineapi.Announcement {
