Add claimlog: batched claims over an unreliable log

Cause: an entry must know, before it dispatches a non-repeatable call, that its claim is committed; a proposal whose result is lost must neither run nor block the key for good. Change: internal/claimlog batches commands, proposes a claim again under the same attempt, releases in the background what was not confirmed, and refuses claims at once while the log is down. Claims can be abandoned: the holder says that the outcome cannot be known. Requests are non-repeatable until marked.

--- a/internal/claim/command.go
+++ b/internal/claim/command.go
@@ -13,6 +13,7 @@
 	KindClaim    Kind = "claim"    // take the key for an attempt
 	KindComplete Kind = "complete" // store the answer of the attempt that holds the key
 	KindRelease  Kind = "release"  // give the key up; the attempt was not and will not be dispatched
+	KindAbandon  Kind = "abandon"  // the attempt that holds the key cannot learn its outcome
 	KindLookup   Kind = "lookup"   // read the claim of a key
 )
 
@@ -76,8 +77,8 @@
 	KeyReused  Status = "key_reused"  // the key was used with another body
 	Full       Status = "full"        // the limit of claims is reached
 	Withdrawn  Status = "withdrawn"   // the attempt was released before its claim arrived
-	Done       Status = "done"        // the complete or release took effect
-	NotHeld    Status = "not_held"    // the complete or release came from an attempt that does not hold the key
+	Done       Status = "done"        // the complete, release or abandon took effect
+	NotHeld    Status = "not_held"    // the complete, release or abandon came from an attempt that does not hold the key
 	NotFound   Status = "not_found"   // of a lookup: no claim is known
 	Invalid    Status = "invalid"     // the command lacks a field or its kind is unknown
 )
--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -44,7 +44,7 @@
 const (
 	phaseRunning phase = "running" // dispatched or about to be; the outcome is pending
 	phaseStored  phase = "stored"  // the call ran and its answer is known
-	phaseUnknown phase = "unknown" // overdue; a late answer may still come
+	phaseUnknown phase = "unknown" // overdue or abandoned; a late answer may still come
 )
 
 // record is one claim.
@@ -94,6 +94,8 @@
 		return m.complete(cmd)
 	case KindRelease:
 		return m.release(cmd)
+	case KindAbandon:
+		return m.abandon(cmd)
 	case KindLookup:
 		return m.lookup(cmd)
 	default:
@@ -253,6 +255,16 @@
 	return Result{Status: Done, Attempt: cmd.Attempt}
 }
 
+func (m *Machine) abandon(cmd Command) Result {
+	rec, ok := m.claims[cmd.Key]
+	if !ok || rec.Attempt != cmd.Attempt || rec.Phase != phaseRunning {
+		return Result{Status: NotHeld}
+	}
+	rec.Phase = phaseUnknown
+	m.reset(rec)
+	return Result{Status: Done, Attempt: cmd.Attempt}
+}
+
 // withdraw remembers that an attempt must not be granted its claim any more.
 // A forgotten withdrawal costs only time: the key stays claimed until its hold
 // ends, by an attempt that is never dispatched.
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -56,6 +56,10 @@
 	return last
 }
 
+func abandonBy(attempt, k string) Command {
+	return Command{Kind: KindAbandon, Key: key(k), Attempt: attempt}
+}
+
 func lookup(k string) Command { return Command{Kind: KindLookup, Key: key(k)} }
 
 func TestMachine(t *testing.T) {
@@ -84,6 +88,10 @@
 		{"complete by a stranger", together(claimBy("a", "k"), completeBy("b", "k", "x")), NotHeld},
 		{"complete after release", together(claimBy("a", "k"), releaseBy("a", "k"), completeBy("a", "k", "x")), NotHeld},
 		{"complete twice", together(claimBy("a", "k"), completeBy("a", "k", "x"), completeBy("a", "k", "y")), Done},
+		{"resend after abandon", together(claimBy("a", "k"), abandonBy("a", "k"), claimBy("b", "k")), Unknown},
+		{"answer after abandon", together(claimBy("a", "k"), abandonBy("a", "k"), completeBy("a", "k", "x"), claimBy("b", "k")), Stored},
+		{"abandon by a stranger", together(claimBy("a", "k"), abandonBy("b", "k")), NotHeld},
+		{"abandon after the answer", together(claimBy("a", "k"), completeBy("a", "k", "x"), abandonBy("a", "k")), NotHeld},
 		{"overdue claim", []step{{0, claimBy("a", "k")}, {500 * ms, claimBy("b", "k")}}, Unknown},
 		{"just not overdue", []step{{0, claimBy("a", "k")}, {499 * ms, claimBy("b", "k")}}, InProgress},
 		{"holder proposes again when overdue", []step{{0, claimBy("a", "k")}, {500 * ms, claimBy("a", "k")}}, Unknown},
@@ -149,13 +157,15 @@
 func drawCommand(t *rapid.T) Command {
 	k := rapid.SampledFrom([]string{"1", "2", "3", "4", "5"}).Draw(t, "key")
 	attempt := fmt.Sprintf("%s-%d", k, rapid.IntRange(0, 3).Draw(t, "attempt"))
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
 	case 0, 1:
 		return claimBy(attempt, k)
 	case 2:
 		return completeBy(attempt, k, rapid.SampledFrom([]string{"x", "0123456789", "much longer than the limit"}).Draw(t, "body"))
 	case 3, 4:
 		return releaseBy(attempt, k)
+	case 5:
+		return abandonBy(attempt, k)
 	default:
 		return lookup(k)
 	}
--- /dev/null
+++ b/internal/claimlog/claimlog.go
@@ -0,0 +1,281 @@
+// Package claimlog is the entry host's side of claims: it sends commands on
+// claims to the replicated log in batches, retries what was not applied, and
+// carries on in the background with what must not be lost.
+package claimlog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/claim"
+	"filberthook/internal/request"
+	"filberthook/internal/retry"
+)
+
+// Log appends an encoded claim.Batch to the replicated log and returns the
+// encoded claim.BatchResult once it is committed and applied. After a
+// *NotAppliedError the batch was not applied and never will be; after any other
+// error it may have been, or may still be.
+type Log interface {
+	Propose(ctx context.Context, batch json.RawMessage) (json.RawMessage, error)
+}
+
+// NotAppliedError tells that a batch was not applied and never will be.
+type NotAppliedError struct{ Err error }
+
+// Error implements error.
+func (e *NotAppliedError) Error() string {
+	return fmt.Sprintf("not applied: %v; try again", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotAppliedError) Unwrap() error { return e.Err }
+
+// Settings bound a Client.
+type Settings struct {
+	MaxBatch       int                   `toml:"max_batch"`       // commands in one proposal
+	Proposers      int                   `toml:"proposers"`       // proposals under way at once
+	Queue          int                   `toml:"queue"`           // commands that wait for a proposer
+	Background     int                   `toml:"background"`      // commands that are retried in the background
+	ProposeTimeout time.Duration         `toml:"propose_timeout"` // for one proposal
+	ClaimTimeout   time.Duration         `toml:"claim_timeout"`   // for all proposals of one claim
+	ProbeInterval  time.Duration         `toml:"probe_interval"`  // between claims that are tried while the log is down
+	Backoff        retry.BackoffSettings `toml:"backoff"`
+}
+
+// DefaultSettings returns settings for a log within one region.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxBatch:       64,
+		Proposers:      4,
+		Queue:          4096,
+		Background:     4096,
+		ProposeTimeout: time.Second,
+		ClaimTimeout:   2 * time.Second,
+		ProbeInterval:  250 * time.Millisecond,
+		Backoff:        retry.BackoffSettings{Base: 20 * time.Millisecond, Max: 500 * time.Millisecond},
+	}
+}
+
+// UnavailableError tells that a claim was not made: the log is out of reach.
+type UnavailableError struct{ Err error }
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("claim not made: %v; resend later", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// UnconfirmedError tells that a claim may have been made, and is being released
+// in the background. The attempt must not be dispatched.
+type UnconfirmedError struct{ Err error }
+
+// Error implements error.
+func (e *UnconfirmedError) Error() string {
+	return fmt.Sprintf("claim not confirmed, will be released: %v; resend later", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnconfirmedError) Unwrap() error { return e.Err }
+
+// Causes of failed submissions.
+var (
+	errQueueFull = errors.New("too many commands wait")
+	errDown      = errors.New("the log has been out of reach")
+)
+
+// Client sends commands on claims. It is safe for concurrent use.
+type Client struct {
+	log      Log
+	settings Settings
+	counters *request.Counters
+	lost     *metrics.Counter
+	batches  *metrics.Counter
+	commands *metrics.Counter
+
+	queue      chan *submission
+	background chan struct{} // one slot per background task
+	tasks      sync.WaitGroup
+	stopping   context.Context // ends when background tasks must give up
+	stop       context.CancelFunc
+
+	health health
+}
+
+// New returns a Client whose proposers run until Close.
+func New(log Log, settings Settings, counters *request.Counters, set *metrics.Set) *Client {
+	c := &Client{
+		log:        log,
+		settings:   settings,
+		counters:   counters,
+		lost:       set.GetOrCreateCounter("filberthook_claims_background_lost_total"),
+		batches:    set.GetOrCreateCounter("filberthook_claims_batches_total"),
+		commands:   set.GetOrCreateCounter("filberthook_claims_commands_total"),
+		queue:      make(chan *submission, settings.Queue),
+		background: make(chan struct{}, settings.Background),
+	}
+	c.stopping, c.stop = context.WithCancel(context.Background())
+	for range settings.Proposers {
+		go c.propose()
+	}
+	return c
+}
+
+// Drain waits until no background work is left or ctx ends. It returns the
+// number of commands that are still unsent.
+func (c *Client) Drain(ctx context.Context) int {
+	done := make(chan struct{})
+	go func() {
+		c.tasks.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return 0
+	case <-ctx.Done():
+		return len(c.background)
+	}
+}
+
+// Close stops the proposers and all background work.
+func (c *Client) Close() { c.stop() }
+
+// Claim asks for the key on behalf of an attempt. Only a result of status
+// Granted allows the attempt to be dispatched. The error is an
+// *UnavailableError or an *UnconfirmedError.
+func (c *Client) Claim(ctx context.Context, cmd claim.Command) (claim.Result, error) {
+	cmd.Kind = claim.KindClaim
+	if !c.health.mayTry(time.Now(), c.settings) {
+		return claim.Result{}, &UnavailableError{Err: errDown}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.settings.ClaimTimeout)
+	defer cancel()
+	doubtful := false
+	for n := 1; ; n++ {
+		res, err := c.submit(ctx, cmd)
+		if err == nil {
+			return res, nil
+		}
+		doubtful = doubtful || !notApplied(err)
+		if c.health.down(time.Now(), c.settings) || !c.pause(ctx, n) {
+			return claim.Result{}, c.giveUp(cmd, doubtful, err)
+		}
+		c.counters.Retried(request.RetryProposal)
+	}
+}
+
+// giveUp releases a claim that may have been made.
+func (c *Client) giveUp(cmd claim.Command, doubtful bool, err error) error {
+	if !doubtful {
+		return &UnavailableError{Err: err}
+	}
+	c.Release(cmd.Key, cmd.Attempt)
+	return &UnconfirmedError{Err: err}
+}
+
+// Complete stores the answer of an attempt, in the background.
+func (c *Client) Complete(key claim.Key, attempt string, answer *claim.StoredAnswer) {
+	c.later(claim.Command{Kind: claim.KindComplete, Key: key, Attempt: attempt, Answer: answer})
+}
+
+// Release gives up the claim of an attempt that was not dispatched, in the
+// background.
+func (c *Client) Release(key claim.Key, attempt string) {
+	c.later(claim.Command{Kind: claim.KindRelease, Key: key, Attempt: attempt})
+}
+
+// Abandon records that the outcome of an attempt is not known, in the
+// background.
+func (c *Client) Abandon(key claim.Key, attempt string) {
+	c.later(claim.Command{Kind: claim.KindAbandon, Key: key, Attempt: attempt})
+}
+
+// Lookup reads the claim of a key. The error is an *UnavailableError.
+func (c *Client) Lookup(ctx context.Context, key claim.Key) (claim.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.ClaimTimeout)
+	defer cancel()
+	res, err := c.submit(ctx, claim.Command{Kind: claim.KindLookup, Key: key})
+	if err != nil {
+		return claim.Result{}, &UnavailableError{Err: err}
+	}
+	return res, nil
+}
+
+// later retries a command until it is applied or the client is closed. A lost
+// command costs time only: its claim becomes unknown when its hold ends.
+func (c *Client) later(cmd claim.Command) {
+	select {
+	case c.background <- struct{}{}:
+	default:
+		c.lost.Inc()
+		return
+	}
+	c.tasks.Go(func() {
+		defer func() { <-c.background }()
+		for n := 1; ; n++ {
+			if _, err := c.submit(c.stopping, cmd); err == nil {
+				return
+			}
+			if !c.pause(c.stopping, n) {
+				c.lost.Inc()
+				return
+			}
+		}
+	})
+}
+
+// pause waits before the attempt after n failed ones. It reports whether ctx
+// allows another.
+func (c *Client) pause(ctx context.Context, n int) bool {
+	timer := time.NewTimer(retry.Backoff(c.settings.Backoff, n, rand.Float64()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func notApplied(err error) bool {
+	var na *NotAppliedError
+	return errors.As(err, &na)
+}
+
+// submission is one command on its way to a proposer.
+type submission struct {
+	cmd    claim.Command
+	taken  atomic.Bool // set by the proposer that sends it, or by a submitter that gives up
+	result claim.Result
+	err    error
+	done   chan struct{} // closed after result and err are set
+}
+
+// submit hands a command to the proposers and waits for its result.
+func (c *Client) submit(ctx context.Context, cmd claim.Command) (claim.Result, error) {
+	s := &submission{cmd: cmd, done: make(chan struct{})}
+	select {
+	case c.queue <- s:
+	default:
+		return claim.Result{}, &NotAppliedError{Err: errQueueFull}
+	}
+	select {
+	case <-s.done:
+		return s.result, s.err
+	case <-ctx.Done():
+		if s.taken.CompareAndSwap(false, true) {
+			return claim.Result{}, &NotAppliedError{Err: ctx.Err()}
+		}
+		return claim.Result{}, fmt.Errorf("proposal under way: %w", ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/claimlog/claimlog_test.go
@@ -0,0 +1,245 @@
+package claimlog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/claim"
+	"filberthook/internal/request"
+)
+
+// fault is what a fakeLog does to one proposal.
+type fault int
+
+const (
+	faultNone      fault = iota
+	faultRefused         // not applied, and said so
+	faultReplyLost       // applied, but the result is lost
+	faultSilent          // not applied, and nothing is said
+	faultLate            // applied long after the proposer gave up
+)
+
+// fakeLog applies batches to one replica and makes faults.
+type fakeLog struct {
+	decide func() fault // called under mu
+
+	mu      sync.Mutex // guards the fields below
+	replica claim.Replica
+	calls   int
+	sizes   []int
+	start   time.Time
+}
+
+func newFakeLog(decide func() fault) *fakeLog {
+	return &fakeLog{decide: decide, replica: claim.NewReplica(claim.DefaultLimits()), start: time.Now()}
+}
+
+var errLost = errors.New("reply lost")
+
+func (l *fakeLog) Propose(ctx context.Context, batch json.RawMessage) (json.RawMessage, error) {
+	time.Sleep(time.Millisecond)
+	l.mu.Lock()
+	f := l.decide()
+	l.calls++
+	l.mu.Unlock()
+	switch f {
+	case faultRefused:
+		return nil, &NotAppliedError{Err: errors.New("no leader")}
+	case faultReplyLost:
+		l.apply(batch)
+		return nil, errLost
+	case faultSilent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case faultLate:
+		time.AfterFunc(5*time.Second, func() { l.apply(batch) })
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return l.apply(batch), nil
+}
+
+func (l *fakeLog) apply(batch json.RawMessage) json.RawMessage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var b claim.Batch
+	_ = json.Unmarshal(batch, &b)
+	l.sizes = append(l.sizes, len(b.Commands))
+	return l.replica.Apply(time.Since(l.start), batch)
+}
+
+// script returns a decide function that makes the faults in turn, then none.
+func script(faults ...fault) func() fault {
+	return func() fault {
+		if len(faults) == 0 {
+			return faultNone
+		}
+		f := faults[0]
+		faults = faults[1:]
+		return f
+	}
+}
+
+func newClient(t *testing.T, log Log, settings Settings) *Client {
+	set := metrics.NewSet()
+	c := New(log, settings, request.NewCounters(set), set)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func command(attempt, key string) claim.Command {
+	return claim.Command{
+		Key:      claim.Key{Team: "t", Endpoint: "booking", Idempotency: key},
+		Attempt:  attempt,
+		BodyHash: "h",
+		Hold:     time.Minute,
+	}
+}
+
+func TestClaim(t *testing.T) {
+	always := func(f fault) func() fault { return func() fault { return f } }
+	tests := []struct {
+		name   string
+		decide func() fault
+		status claim.Status // of the claim, empty for an error
+		err    any          // target of errors.As
+		later  claim.Status // of a second attempt's claim once the log is well
+	}{
+		{"log is well", script(), claim.Granted, nil, claim.InProgress},
+		{"refused once", script(faultRefused), claim.Granted, nil, claim.InProgress},
+		{"reply lost, own claim found", script(faultReplyLost), claim.Granted, nil, claim.InProgress},
+		{"silent once", script(faultSilent), claim.Granted, nil, claim.InProgress},
+		{"refused for long", always(faultRefused), "", new(*UnavailableError), claim.Granted},
+		{"replies lost for long", always(faultReplyLost), "", new(*UnconfirmedError), claim.Granted},
+		{"silent for long", always(faultSilent), "", new(*UnconfirmedError), claim.Granted},
+		{"applied late", always(faultLate), "", new(*UnconfirmedError), claim.Granted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := newFakeLog(tt.decide)
+				c := newClient(t, log, DefaultSettings())
+				start := time.Now()
+				res, err := c.Claim(t.Context(), command("a", "k"))
+				if res.Status != tt.status {
+					t.Errorf("status %q, want %q", res.Status, tt.status)
+				}
+				if tt.err != nil && !errors.As(err, tt.err) {
+					t.Errorf("error %v, want a %T", err, tt.err)
+				}
+				if took := time.Since(start); took > DefaultSettings().ClaimTimeout {
+					t.Errorf("answered after %v, longer than the claim timeout", took)
+				}
+				log.heal()
+				time.Sleep(30 * time.Second)
+				later, err := c.Claim(t.Context(), command("b", "k"))
+				if err != nil || later.Status != tt.later {
+					t.Errorf("second attempt got %q, %v, want %q", later.Status, err, tt.later)
+				}
+				c.Close()
+			})
+		})
+	}
+}
+
+func (l *fakeLog) heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.decide = script()
+}
+
+func TestClaimsAreRefusedAtOnceWhileTheLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog(func() fault { return faultSilent })
+		c := newClient(t, log, DefaultSettings())
+		_, _ = c.Claim(t.Context(), command("a", "1"))
+		time.Sleep(DefaultSettings().ClaimTimeout)
+		probe := make(chan struct{})
+		go func() {
+			defer close(probe)
+			_, _ = c.Claim(t.Context(), command("b", "2"))
+		}()
+		synctest.Wait()
+		start := time.Now()
+		_, err := c.Claim(t.Context(), command("c", "3"))
+		var unavailable *UnavailableError
+		if !errors.As(err, &unavailable) || time.Since(start) != 0 {
+			t.Errorf("refused after %v with %v, want at once", time.Since(start), err)
+		}
+		<-probe
+		log.heal()
+		time.Sleep(time.Second)
+		if res, err := c.Claim(t.Context(), command("d", "4")); err != nil || res.Status != claim.Granted {
+			t.Errorf("%q, %v after the log came back", res.Status, err)
+		}
+		c.Close()
+	})
+}
+
+func TestCompleteIsRetriedUntilItIsStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog(script(faultNone, faultRefused, faultSilent, faultReplyLost))
+		c := newClient(t, log, DefaultSettings())
+		if res, _ := c.Claim(t.Context(), command("a", "k")); res.Status != claim.Granted {
+			t.Fatalf("status %q", res.Status)
+		}
+		c.Complete(command("a", "k").Key, "a", &claim.StoredAnswer{Status: 200, Body: []byte("x")})
+		if left := c.Drain(t.Context()); left != 0 {
+			t.Fatalf("%d commands left", left)
+		}
+		res, err := c.Lookup(t.Context(), command("", "k").Key)
+		if err != nil || res.Status != claim.Stored || string(res.Answer.Body) != "x" {
+			t.Errorf("%+v, %v, want the stored answer", res, err)
+		}
+		c.Close()
+	})
+}
+
+func TestCommandsThatWaitTravelTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		settings := DefaultSettings()
+		settings.Proposers = 1
+		log := newFakeLog(script())
+		c := newClient(t, log, settings)
+		var wg sync.WaitGroup
+		for i := range 65 {
+			wg.Go(func() { _, _ = c.Claim(t.Context(), command(fmt.Sprint(i), fmt.Sprint(i))) })
+		}
+		wg.Wait()
+		if log.calls > 3 {
+			t.Errorf("%d proposals for 65 commands of one moment, want at most 3 (sizes %v)", log.calls, log.sizes)
+		}
+		c.Close()
+	})
+}
+
+func TestDrainSaysWhatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog(func() fault { return faultRefused })
+		c := newClient(t, log, DefaultSettings())
+		c.Release(command("a", "k").Key, "a")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if left := c.Drain(ctx); left != 1 {
+			t.Errorf("%d commands left, want 1", left)
+		}
+		c.Close()
+	})
+}
+
+// randomFault draws faults from a fixed seed; about half of all proposals fail.
+func randomFault(seed uint64) func() fault {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	return func() fault {
+		return []fault{faultNone, faultNone, faultNone, faultNone, faultRefused, faultReplyLost, faultSilent, faultLate}[rng.IntN(8)]
+	}
+}
--- /dev/null
+++ b/internal/claimlog/health.go
@@ -0,0 +1,54 @@
+package claimlog
+
+import (
+	"sync"
+	"time"
+)
+
+// health remembers whether the log answers, so that claims are refused at once
+// while it has been out of reach for longer than an election takes.
+type health struct {
+	mu        sync.Mutex // guards the fields below
+	failed    time.Time  // first failure since the last success; zero when there is none
+	nextProbe time.Time  // when the next claim may be tried while the log is down
+}
+
+// note records the end of a proposal.
+func (h *health) note(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		h.failed = time.Time{}
+		return
+	}
+	if h.failed.IsZero() {
+		h.failed = time.Now()
+	}
+}
+
+// down reports whether proposals have failed for longer than a claim waits.
+func (h *health) down(now time.Time, s Settings) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.isDown(now, s)
+}
+
+// isDown expects h.mu to be held.
+func (h *health) isDown(now time.Time, s Settings) bool {
+	return !h.failed.IsZero() && now.Sub(h.failed) >= s.ClaimTimeout
+}
+
+// mayTry reports whether a claim may be tried now: always while the log
+// answers, one per interval while it is down.
+func (h *health) mayTry(now time.Time, s Settings) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.isDown(now, s) {
+		return true
+	}
+	if now.Before(h.nextProbe) {
+		return false
+	}
+	h.nextProbe = now.Add(s.ProbeInterval)
+	return true
+}
--- /dev/null
+++ b/internal/claimlog/history_test.go
@@ -0,0 +1,166 @@
+package claimlog
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"filberthook/internal/claim"
+)
+
+// operation is one call of an attempt on a key, as porcupine sees it.
+type operation struct {
+	kind    claim.Kind
+	attempt string
+}
+
+// outcome is what the attempt learned. The status is empty when it learned
+// nothing, so that the operation may or may not have taken effect.
+type outcome struct{ status claim.Status }
+
+// keyState is the claim of one key: who holds it and whether it is answered.
+type keyState struct {
+	holder string
+	stored bool
+}
+
+// claimModel is the sequential specification of one key.
+var claimModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{keyState{}} },
+	Step: func(state, input, output any) []any {
+		return stepKey(state.(keyState), input.(operation), output.(outcome))
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+func stepKey(s keyState, op operation, out outcome) []any {
+	next, status := s, claim.NotHeld
+	switch {
+	case op.kind == claim.KindClaim && s.holder == "":
+		next, status = keyState{holder: op.attempt}, claim.Granted
+	case op.kind == claim.KindClaim && s.stored:
+		status = claim.Stored
+	case op.kind == claim.KindClaim && s.holder == op.attempt:
+		status = claim.Granted
+	case op.kind == claim.KindClaim:
+		status = claim.InProgress
+	case s.holder == op.attempt && op.kind == claim.KindComplete:
+		next, status = keyState{holder: s.holder, stored: true}, claim.Done
+	case s.holder == op.attempt && op.kind == claim.KindRelease && !s.stored:
+		next, status = keyState{}, claim.Done
+	}
+	if out.status == "" {
+		return []any{s, next}
+	}
+	if out.status == status {
+		return []any{next}
+	}
+	return nil
+}
+
+// recorder collects the histories of keys.
+type recorder struct {
+	mu        sync.Mutex
+	start     time.Time
+	clock     int64 // breaks ties of operations at the same moment
+	histories map[string][]porcupine.Operation
+	runs      map[string]int // dispatches per key; guarded by mu
+}
+
+func (r *recorder) now() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clock++
+	return r.clock
+}
+
+func (r *recorder) add(key string, client int, op operation, call int64, out outcome, returned int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if out.status == "" {
+		returned = 1 << 60 // it may take effect at any later moment
+	}
+	r.histories[key] = append(r.histories[key], porcupine.Operation{
+		ClientId: client, Input: op, Call: call, Output: out, Return: returned,
+	})
+}
+
+// entry is one entry host that sends the same calls as the others.
+type entry struct {
+	id  int
+	c   *Client
+	rec *recorder
+	rng *rand.Rand
+}
+
+// serve makes one attempt on a key: a dispatch that succeeds, or a connection
+// that fails before any byte left.
+func (e *entry) serve(t *testing.T, key string, n int) {
+	cmd := command(fmt.Sprintf("%d-%d-%s", e.id, n, key), key)
+	call := e.rec.now()
+	res, err := e.c.Claim(t.Context(), cmd)
+	if err != nil {
+		e.rec.add(key, e.id, operation{claim.KindClaim, cmd.Attempt}, call, outcome{}, 0)
+		e.rec.add(key, e.id, operation{claim.KindRelease, cmd.Attempt}, call, outcome{}, 0)
+		return
+	}
+	e.rec.add(key, e.id, operation{claim.KindClaim, cmd.Attempt}, call, outcome{res.Status}, e.rec.now())
+	if res.Status != claim.Granted {
+		return
+	}
+	call = e.rec.now()
+	if e.rng.IntN(3) == 0 {
+		e.c.Release(cmd.Key, cmd.Attempt)
+		e.rec.add(key, e.id, operation{claim.KindRelease, cmd.Attempt}, call, outcome{}, 0)
+		return
+	}
+	e.rec.mu.Lock()
+	e.rec.runs[key]++
+	e.rec.mu.Unlock()
+	e.c.Complete(cmd.Key, cmd.Attempt, &claim.StoredAnswer{Status: 200})
+	e.rec.add(key, e.id, operation{claim.KindComplete, cmd.Attempt}, call, outcome{}, 0)
+}
+
+// TestHistoriesOfClaims lets three entry hosts send the same calls over logs
+// that lose, delay and refuse proposals. Every history must be linearizable and
+// no key may run twice.
+func TestHistoriesOfClaims(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runHistory(t, seed) })
+		})
+	}
+}
+
+func runHistory(t *testing.T, seed uint64) {
+	rec := &recorder{start: time.Now(), histories: map[string][]porcupine.Operation{}, runs: map[string]int{}}
+	log := newFakeLog(randomFault(seed))
+	var hosts sync.WaitGroup
+	for id := range 3 {
+		e := &entry{id: id, c: newClient(t, log, DefaultSettings()), rec: rec, rng: rand.New(rand.NewPCG(seed, uint64(id)))}
+		hosts.Go(func() {
+			for n := range 16 {
+				e.serve(t, fmt.Sprint("key", e.rng.IntN(4)), n)
+			}
+			e.c.Drain(t.Context())
+			e.c.Close()
+		})
+	}
+	hosts.Wait()
+	time.Sleep(10 * time.Second) // late proposals
+	for key, runs := range rec.runs {
+		if runs > 1 {
+			t.Errorf("%s ran %d times", key, runs)
+		}
+	}
+	for key, history := range rec.histories {
+		if res := porcupine.CheckOperationsTimeout(claimModel.ToModel(), history, 20*time.Second); res != porcupine.Ok {
+			t.Errorf("history of %s: %v", key, res)
+		}
+	}
+}
--- /dev/null
+++ b/internal/claimlog/propose.go
@@ -0,0 +1,87 @@
+package claimlog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"filberthook/internal/claim"
+)
+
+// propose sends batches until the client is closed. A batch holds what waits
+// when its proposer comes free, so that batches grow with the load.
+func (c *Client) propose() {
+	for {
+		select {
+		case first := <-c.queue:
+			c.send(c.collect(first))
+		case <-c.stopping.Done():
+			return
+		}
+	}
+}
+
+// collect takes what waits in the queue, up to a full batch.
+func (c *Client) collect(first *submission) []*submission {
+	batch := make([]*submission, 0, c.settings.MaxBatch)
+	for s := first; ; {
+		if s.taken.CompareAndSwap(false, true) {
+			batch = append(batch, s)
+		}
+		if len(batch) == c.settings.MaxBatch {
+			return batch
+		}
+		select {
+		case s = <-c.queue:
+		default:
+			return batch
+		}
+	}
+}
+
+// send proposes a batch and hands out the results.
+func (c *Client) send(batch []*submission) {
+	if len(batch) == 0 {
+		return
+	}
+	c.batches.Inc()
+	c.commands.Add(len(batch))
+	results, err := c.exchange(batch)
+	c.health.note(err)
+	for i, s := range batch {
+		s.err = err
+		if err == nil {
+			s.result = results[i]
+		}
+		close(s.done)
+	}
+}
+
+func (c *Client) exchange(batch []*submission) ([]claim.Result, error) {
+	encoded := claim.Batch{Commands: make([]claim.Command, len(batch))}
+	for i, s := range batch {
+		encoded.Commands[i] = s.cmd
+	}
+	data, err := json.Marshal(encoded)
+	if err != nil {
+		return nil, &NotAppliedError{Err: err}
+	}
+	ctx, cancel := context.WithTimeout(c.stopping, c.settings.ProposeTimeout)
+	defer cancel()
+	answer, err := c.log.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	var res claim.BatchResult
+	if err := json.Unmarshal(answer, &res); err != nil {
+		return nil, fmt.Errorf("result of a batch of claims: %w", err)
+	}
+	if res.Error != "" {
+		return nil, &NotAppliedError{Err: errors.New(res.Error)}
+	}
+	if len(res.Results) != len(batch) {
+		return nil, fmt.Errorf("%d results for %d commands: upgrade the older process", len(res.Results), len(batch))
+	}
+	return res.Results, nil
+}
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -41,7 +41,9 @@
 	InstanceRefused     Code = "instance_refused"
 	InstanceFailed      Code = "instance_failed"
 	StreamBroken        Code = "stream_broken"
+	SlowReader          Code = "slow_reader"
 	AnswerTooLarge      Code = "answer_too_large"
+	AnswerMemoryFull    Code = "answer_memory_full"
 	AnswerNotKept       Code = "answer_not_kept"
 	KeyReused           Code = "key_reused"
 	KeyNotFound         Code = "key_not_found"
@@ -89,7 +91,9 @@
 	{InstanceRefused, http.StatusServiceUnavailable, NotRun, "resend after the advised time", time.Second},
 	{InstanceFailed, http.StatusBadGateway, MayHaveRun, "resend with the same idempotency key", time.Second},
 	{StreamBroken, http.StatusBadGateway, Ran, "reconnect with the same idempotency key and Last-Event-ID", time.Second},
+	{SlowReader, http.StatusGatewayTimeout, Ran, "read the answer without pauses; reconnect with the same idempotency key and Last-Event-ID", 0},
 	{AnswerTooLarge, http.StatusBadGateway, Ran, "ask for a smaller answer, or an operator to raise the limit", 0},
+	{AnswerMemoryFull, http.StatusServiceUnavailable, Ran, "resend after the advised time; the request may be repeated", time.Second},
 	{AnswerNotKept, http.StatusGone, Ran, "the request has run; read its effect from the service", 0},
 	{KeyReused, http.StatusUnprocessableEntity, NotRun, "use a new idempotency key for a different request", 0},
 	{KeyNotFound, http.StatusNotFound, MayHaveRun, "resend the request with the same idempotency key; it runs at most once", 0},
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -63,27 +63,40 @@
 // Request is the aggregate of one caller request. Its methods may be called
 // from several goroutines.
 type Request struct {
-	id         string
-	repeatable bool
+	id string
 
-	mu       sync.Mutex // guards the fields below
-	state    State
-	attempts map[string]*attempt
-	open     string // newest attempt; answers of others are not accepted
-	outcome  *Refusal
+	mu         sync.Mutex // guards the fields below
+	repeatable bool       // set before admission only
+	state      State
+	attempts   map[string]*attempt
+	open       string // newest attempt; answers of others are not accepted
+	outcome    *Refusal
 }
 
-// New returns a request in state Received. A request that is not repeatable
-// is never dispatched again after a byte of an attempt may have left.
-func New(id string, repeatable bool) *Request {
-	return &Request{id: id, repeatable: repeatable, attempts: make(map[string]*attempt, 1)}
+// New returns a request in state Received. Until AllowRepeats it is never
+// dispatched again after a byte of an attempt may have left.
+func New(id string) *Request {
+	return &Request{id: id, attempts: make(map[string]*attempt, 1)}
+}
+
+// AllowRepeats marks the request as one that may run more than once. Only a
+// received request can be marked.
+func (r *Request) AllowRepeats() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	invariant.Check(r.state == Received, "repeats-decided-first", "request %s: in state %s", r.id, r.state)
+	r.repeatable = true
 }
 
 // ID returns the request's identifier.
 func (r *Request) ID() string { return r.id }
 
 // Repeatable reports whether the request may run more than once.
-func (r *Request) Repeatable() bool { return r.repeatable }
+func (r *Request) Repeatable() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.repeatable
+}
 
 // State returns the present state.
 func (r *Request) State() State {
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -23,8 +23,15 @@
 }
 
 func TestMoves(t *testing.T) {
+	received := func(repeatable bool) *Request {
+		r := New("r")
+		if repeatable {
+			r.AllowRepeats()
+		}
+		return r
+	}
 	admitted := func(repeatable bool) *Request {
-		r := New("r", repeatable)
+		r := received(repeatable)
 		r.Admit()
 		return r
 	}
@@ -45,9 +52,10 @@
 		broken string
 		state  State
 	}{
-		{"dispatch before admission", New("r", true), func(r *Request) { r.Dispatch("a") }, "request-move-legal", Received},
-		{"refuse received", New("r", true), func(r *Request) { r.Refuse(Refuse(QueueFull, "")) }, "", Refused},
-		{"answer from store", New("r", false), (*Request).Answer, "", Answered},
+		{"dispatch before admission", received(true), func(r *Request) { r.Dispatch("a") }, "request-move-legal", Received},
+		{"repeats allowed too late", admitted(false), (*Request).AllowRepeats, "repeats-decided-first", Admitted},
+		{"refuse received", received(true), func(r *Request) { r.Refuse(Refuse(QueueFull, "")) }, "", Refused},
+		{"answer from store", received(false), (*Request).Answer, "", Answered},
 		{"same attempt twice", dispatched(true), func(r *Request) { r.Dispatch("a") }, "attempt-id-unique", Dispatched},
 		{"retry repeatable after bytes left", sent(true), func(r *Request) { r.Dispatch("b") }, "", Dispatched},
 		{"retry non-repeatable after bytes left", sent(false), func(r *Request) { r.Dispatch("b") }, "at-most-once", Dispatched},
@@ -74,7 +82,8 @@
 }
 
 func TestOnlyTheOpenAttemptIsAccepted(t *testing.T) {
-	r := New("r", true)
+	r := New("r")
+	r.AllowRepeats()
 	r.Admit()
 	r.Dispatch("a")
 	r.Dispatch("b")
@@ -92,7 +101,10 @@
 func TestRandomMovesKeepPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		repeatable := rapid.Bool().Draw(t, "repeatable")
-		r := New("r", repeatable)
+		r := New("r")
+		if repeatable {
+			r.AllowRepeats()
+		}
 		var sent, proven = map[string]bool{}, map[string]bool{}
 		mayHaveRun := func() bool {
 			for id := range sent {
