Add cachefeed: read engines' cache events into the prefix index

Cause: prefixes are known from late, gapped events that engines keep for readers. Change: polls only engines whose load tells of unread events, at most 20 a second and 4 at once; a failed engine rests for 2 s. Conclusion: cost per host is bounded by the rate, not the fleet.

--- /dev/null
+++ b/internal/cachefeed/cachefeed.go
@@ -0,0 +1,200 @@
+// Package cachefeed reads the cache events of engines into the prefix index. It
+// asks only engines whose load report tells of events that the index lacks, and
+// keeps to a rate, so that its cost does not grow with the fleet.
+package cachefeed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"filberthook/internal/directory"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/prefix"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/time/rate"
+)
+
+// Limits of polls.
+const (
+	scanInterval  = 200 * time.Millisecond
+	pollTimeout   = 2 * time.Second
+	maxPageBytes  = 4 << 20
+	pollsPerSec   = 20
+	pollsAtOnce   = 4
+	pollBurst     = 20
+	retryInterval = 2 * time.Second // after a failed poll of an engine
+)
+
+// Source lists the known instances.
+type Source interface {
+	Snapshot() *directory.Snapshot
+}
+
+// Index takes events in. *prefix.Index implements it.
+type Index interface {
+	Observe(now time.Duration, instance string, incarnation, newest uint64)
+	NeedsPage(instance string) bool
+	Next(instance string) (incarnation, after uint64)
+	Apply(now time.Duration, page prefix.Page) (gap bool)
+	Forget(instance string)
+}
+
+// Feed polls engines. Run runs it.
+type Feed struct {
+	zone   string
+	now    func() time.Duration
+	source Source
+	index  Index
+	client *http.Client
+	limit  *rate.Limiter
+	slots  chan struct{}
+	log    *slog.Logger
+
+	mu      sync.Mutex // guards the maps
+	busy    map[string]bool
+	notTill map[string]time.Duration // no poll of an engine before this time
+	known   map[string]bool          // engines of the last scan
+
+	polls  *metrics.Counter
+	failed *metrics.Counter
+	gaps   *metrics.Counter
+}
+
+// New returns a feed for the engines of one availability zone.
+func New(zone string, now func() time.Duration, source Source, index Index, set *metrics.Set, log *slog.Logger) *Feed {
+	return &Feed{
+		zone:    zone,
+		now:     now,
+		source:  source,
+		index:   index,
+		client:  &http.Client{Timeout: pollTimeout},
+		limit:   rate.NewLimiter(pollsPerSec, pollBurst),
+		slots:   make(chan struct{}, pollsAtOnce),
+		log:     log,
+		busy:    make(map[string]bool),
+		notTill: make(map[string]time.Duration),
+		known:   make(map[string]bool),
+		polls:   set.GetOrCreateCounter("filberthook_cache_event_polls_total"),
+		failed:  set.GetOrCreateCounter("filberthook_cache_event_poll_failures_total"),
+		gaps:    set.GetOrCreateCounter("filberthook_cache_event_gaps_total"),
+	}
+}
+
+// Run polls until ctx ends.
+func (f *Feed) Run(ctx context.Context) error {
+	ticker := time.NewTicker(scanInterval)
+	defer ticker.Stop()
+	var polls sync.WaitGroup
+	defer polls.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, due := range f.scan() {
+			select {
+			case f.slots <- struct{}{}:
+			default:
+				f.release(due.instance)
+				continue
+			}
+			polls.Go(func() {
+				defer func() { <-f.slots }()
+				f.poll(ctx, due)
+			})
+		}
+	}
+}
+
+// target is one engine to poll.
+type target struct{ instance, address string }
+
+// scan takes in the newest load reports and returns the engines to poll now,
+// each marked busy.
+func (f *Feed) scan() []target {
+	now := f.now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := make(map[string]bool)
+	var due []target
+	for _, r := range f.source.Snapshot().Records {
+		a := &r.Announcement
+		if a.Kind != engineapi.KindModel || a.Zone != f.zone {
+			continue
+		}
+		seen[a.Instance] = true
+		f.index.Observe(now, a.Instance, a.Incarnation, a.Load.CacheEventsSeq)
+		if f.busy[a.Instance] || now < f.notTill[a.Instance] || !f.index.NeedsPage(a.Instance) {
+			continue
+		}
+		if !f.limit.Allow() {
+			break
+		}
+		f.busy[a.Instance] = true
+		due = append(due, target{a.Instance, a.Address})
+	}
+	f.forgetGone(seen)
+	return due
+}
+
+// forgetGone drops the engines that are no longer known. The caller holds f.mu.
+func (f *Feed) forgetGone(seen map[string]bool) {
+	for instance := range f.known {
+		if !seen[instance] {
+			f.index.Forget(instance)
+			delete(f.notTill, instance)
+		}
+	}
+	f.known = seen
+}
+
+func (f *Feed) release(instance string) {
+	f.mu.Lock()
+	delete(f.busy, instance)
+	f.mu.Unlock()
+}
+
+func (f *Feed) poll(ctx context.Context, t target) {
+	defer f.release(t.instance)
+	f.polls.Inc()
+	_, after := f.index.Next(t.instance)
+	page, err := f.fetch(ctx, t.address, after)
+	if err != nil {
+		f.failed.Inc()
+		f.log.Debug("cache events not read", "instance", t.instance, "err", err)
+		f.mu.Lock()
+		f.notTill[t.instance] = f.now() + retryInterval
+		f.mu.Unlock()
+		return
+	}
+	if f.index.Apply(f.now(), prefix.Page{Instance: t.instance, After: after, CacheEventPage: page}) {
+		f.gaps.Inc()
+	}
+}
+
+func (f *Feed) fetch(ctx context.Context, address string, after uint64) (engineapi.CacheEventPage, error) {
+	var page engineapi.CacheEventPage
+	url := fmt.Sprintf("http://%s%s?after=%d", address, engineapi.PathCacheEvents, after)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return page, err
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return page, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return page, fmt.Errorf("status %s", resp.Status)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&page)
+	return page, err
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"filberthook/internal/cachefeed"
 	"filberthook/internal/directory"
 	"filberthook/internal/distribution"
 	"filberthook/internal/gossip"
@@ -50,6 +51,7 @@
 
 	dir       *directory.Directory
 	sched     *scheduler.Scheduler
+	router    *routing.Router
 	gossip    *gossip.Node
 	config    *distribution.Client
 	replicas  []*peer.Client
@@ -72,8 +74,8 @@
 	}
 	n.base, n.cancelAll = context.WithCancel(context.Background())
 	s.Routing.Zone = s.Zone
-	router := routing.New(s.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.sched = scheduler.New(n.now, n.dir, router)
+	n.router = routing.New(s.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	n.sched = scheduler.New(n.now, n.dir, n.router)
 	if err := n.connectControl(); err != nil {
 		return nil, err
 	}
@@ -161,6 +163,8 @@
 	group, groupCtx := errgroup.WithContext(background)
 	group.Go(func() error { return n.gossip.Run(groupCtx) })
 	group.Go(func() error { return n.config.Run(groupCtx) })
+	feed := cachefeed.New(n.set.Zone, n.now, n.dir, n.router.Prefixes(), n.metrics, n.log)
+	group.Go(func() error { return feed.Run(groupCtx) })
 	if n.certs != nil {
 		group.Go(func() error { return n.certs.Run(groupCtx) })
 	}
