--- /dev/null
+++ b/internal/deployment/deployment.go
@@ -0,0 +1,313 @@
+// Package deployment runs a whole small deployment inside one process, on
+// loopback: control replicas, entry hosts and stand-ins for endpoints. The demo,
+// the fault runs and the tests use it.
+//
+// Parts can be stopped and started again; they keep their data folders.
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"filberthook/api/filberthook/v1/filberthookv1connect"
+	"filberthook/internal/controlnode"
+	"filberthook/internal/entry"
+	"filberthook/internal/fleet"
+	"filberthook/internal/settings"
+	"filberthook/internal/standin"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// serviceWorkers is how many calls a stand-in service runs together.
+const serviceWorkers = 64
+
+// engineQueue is how many requests may wait at a stand-in engine.
+const engineQueue = 1024
+
+// EntryHost is one entry host.
+type EntryHost struct {
+	Part
+	Zone     string
+	Callers  string // address for callers
+	Announce string // address for announcements
+	Status   string // address of metrics and health
+	Metrics  *metrics.Set
+}
+
+// ControlHost is one control replica.
+type ControlHost struct {
+	Part
+	Zone      string
+	Peers     string
+	Operators string // address for operators
+	Status    string
+	Metrics   *metrics.Set
+}
+
+// EngineHost is one stand-in engine.
+type EngineHost struct {
+	Part
+	Zone   string
+	Engine *standin.Engine
+}
+
+// ServiceHost is one stand-in worker of a plain service.
+type ServiceHost struct {
+	Part
+	Zone    string
+	Service *standin.Service
+}
+
+// Deployment is a set of running parts.
+type Deployment struct {
+	Controls []*ControlHost
+	Entries  []*EntryHost
+	Engines  []*EngineHost
+	Services []*ServiceHost
+
+	opts     Options
+	adminKey string
+	adminSum fleet.KeyHash
+}
+
+// Start starts all parts.
+func Start(opts Options) (*Deployment, error) {
+	if opts.Logger == nil {
+		opts.Logger = slog.New(slog.DiscardHandler)
+	}
+	d := &Deployment{opts: opts}
+	d.adminKey, d.adminSum = fleet.NewKey()
+	steps := []func() error{d.buildControls, d.buildEntries, d.buildEngines, d.buildServices, d.startAll}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, errors.Join(err, d.Stop())
+		}
+	}
+	return d, nil
+}
+
+func (d *Deployment) parts() []*Part {
+	var out []*Part
+	for _, c := range d.Controls {
+		out = append(out, &c.Part)
+	}
+	for _, e := range d.Entries {
+		out = append(out, &e.Part)
+	}
+	for _, e := range d.Engines {
+		out = append(out, &e.Part)
+	}
+	for _, s := range d.Services {
+		out = append(out, &s.Part)
+	}
+	return out
+}
+
+func (d *Deployment) startAll() error {
+	for _, p := range d.parts() {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop stops all parts, those that callers reach last first.
+func (d *Deployment) Stop() error {
+	var errs []error
+	parts := d.parts()
+	for i := len(parts) - 1; i >= 0; i-- {
+		errs = append(errs, parts[i].Stop())
+	}
+	return errors.Join(errs...)
+}
+
+// AdminKey returns the key of the first admin.
+func (d *Deployment) AdminKey() string { return d.adminKey }
+
+func (d *Deployment) buildControls() error {
+	addresses, err := reserve(3 * d.opts.Controls)
+	if err != nil {
+		return err
+	}
+	var members []settings.ControlMember
+	for i := range d.opts.Controls {
+		zone := d.opts.Zones[i%len(d.opts.Zones)]
+		c := &ControlHost{Zone: zone, Peers: addresses[3*i], Operators: addresses[3*i+1], Status: addresses[3*i+2], Metrics: metrics.NewSet()}
+		c.Name = fmt.Sprintf("control-%d", i+1)
+		members = append(members, settings.ControlMember{ID: uint64(i + 1), Address: c.Peers, Zone: zone})
+		d.Controls = append(d.Controls, c)
+	}
+	for i, c := range d.Controls {
+		s := settings.Control{
+			Host:    c.Name,
+			Zone:    c.Zone,
+			DataDir: filepath.Join(d.opts.Dir, c.Name),
+			Listen:  settings.ControlListen{Peers: c.Peers, Operators: c.Operators, Status: c.Status},
+			Replica: settings.ControlReplica{ID: uint64(i + 1), Members: members},
+			Operate: settings.Operators{BootstrapKeySHA256: string(d.adminSum)},
+		}
+		c.start = func() (func(context.Context) error, error) {
+			c.Metrics = metrics.NewSet()
+			node, err := controlnode.New(s, d.opts.Logger, c.Metrics)
+			if err != nil {
+				return nil, err
+			}
+			return node.Run, nil
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) buildEntries() error {
+	addresses, err := reserve(4 * len(d.opts.Zones) * d.opts.EntriesPerZone)
+	if err != nil {
+		return err
+	}
+	var replicas []string
+	for _, c := range d.Controls {
+		replicas = append(replicas, c.Peers)
+	}
+	seeds := []string{addresses[2]}
+	for i := range len(addresses) / 4 {
+		zone := d.opts.Zones[i%len(d.opts.Zones)]
+		e := &EntryHost{Zone: zone, Callers: addresses[4*i], Announce: addresses[4*i+1], Status: addresses[4*i+3]}
+		e.Name = fmt.Sprintf("entry-%s-%d", zone, i/len(d.opts.Zones)+1)
+		s := settings.DefaultEntry()
+		s.Host, s.Zone = e.Name, zone
+		s.DataDir = filepath.Join(d.opts.Dir, e.Name)
+		s.Listen = settings.EntryListen{Callers: e.Callers, Announce: e.Announce, Gossip: addresses[4*i+2], Status: e.Status}
+		s.Control.Replicas = replicas
+		s.Gossip.Seeds = seeds
+		s.Stop.ReadyGrace = settings.Duration(200 * time.Millisecond)
+		if d.opts.Entry != nil {
+			d.opts.Entry(&s)
+		}
+		e.start = func() (func(context.Context) error, error) { return d.startEntry(e, s) }
+		d.Entries = append(d.Entries, e)
+	}
+	return nil
+}
+
+func (d *Deployment) startEntry(e *EntryHost, s settings.Entry) (func(context.Context) error, error) {
+	listeners, err := entry.Listen(s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	e.Metrics = metrics.NewSet()
+	node, err := entry.New(s, listeners, d.opts.Logger, e.Metrics)
+	if err != nil {
+		return nil, errors.Join(err, listeners.Close())
+	}
+	return node.Run, nil
+}
+
+// announceAddresses returns the entry hosts of a zone.
+func (d *Deployment) announceAddresses(zone string) []string {
+	var out []string
+	for _, e := range d.Entries {
+		if e.Zone == zone {
+			out = append(out, e.Announce)
+		}
+	}
+	return out
+}
+
+func (d *Deployment) buildEngines() error {
+	addresses, err := reserve(len(d.opts.Engines))
+	if err != nil {
+		return err
+	}
+	for i, o := range d.opts.Engines {
+		id := standin.Identity{Instance: o.Name, Endpoint: o.Endpoint, Zone: o.Zone, Address: addresses[i], Entries: d.announceAddresses(o.Zone)}
+		engine, err := standin.NewEngine(standin.EngineConfig{Identity: id, Model: o.Model, Speed: o.Speed, MaxQueue: engineQueue}, metrics.NewSet(), d.opts.Logger)
+		if err != nil {
+			return err
+		}
+		h := &EngineHost{Zone: o.Zone, Engine: engine}
+		h.Name = o.Name
+		h.start = func() (func(context.Context) error, error) { return d.serveStandin(addresses[i], engine) }
+		d.Engines = append(d.Engines, h)
+	}
+	return nil
+}
+
+func (d *Deployment) buildServices() error {
+	addresses, err := reserve(len(d.opts.Services))
+	if err != nil {
+		return err
+	}
+	for i, o := range d.opts.Services {
+		id := standin.Identity{Instance: o.Name, Endpoint: o.Endpoint, Zone: o.Zone, Address: addresses[i], Entries: d.announceAddresses(o.Zone)}
+		service, err := standin.NewService(standin.ServiceConfig{Identity: id, Duration: o.Duration, Workers: serviceWorkers}, metrics.NewSet(), d.opts.Logger)
+		if err != nil {
+			return err
+		}
+		h := &ServiceHost{Zone: o.Zone, Service: service}
+		h.Name = o.Name
+		h.start = func() (func(context.Context) error, error) { return d.serveStandin(addresses[i], service) }
+		d.Services = append(d.Services, h)
+	}
+	return nil
+}
+
+func (d *Deployment) serveStandin(address string, s standin.Standin) (func(context.Context) error, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return func(ctx context.Context) error {
+		return standin.Serve(ctx, ln, s, stopTimeout/2, d.opts.Logger)
+	}, nil
+}
+
+// Operator returns a client of the operators' calls at one control replica,
+// with a key.
+func (d *Deployment) Operator(replica int, key string) filberthookv1connect.OperatorServiceClient {
+	bearer := connect.WithInterceptors(connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			req.Header().Set("Authorization", "Bearer "+key)
+			return next(ctx, req)
+		}
+	}))
+	return filberthookv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+d.Controls[replica].Operators, bearer)
+}
+
+// AwaitReady waits until all entry hosts take callers.
+func (d *Deployment) AwaitReady(ctx context.Context) error {
+	for _, e := range d.Entries {
+		if err := awaitOK(ctx, "http://"+e.Status+"/readyz"); err != nil {
+			return fmt.Errorf("%s not ready: %w", e.Name, err)
+		}
+	}
+	return nil
+}
+
+// pollInterval is the pause between two checks of readiness.
+const pollInterval = 50 * time.Millisecond
+
+func awaitOK(ctx context.Context, url string) error {
+	for {
+		resp, err := http.Get(url)
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = fmt.Errorf("status %s", resp.Status)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-time.After(pollInterval):
+		}
+	}
+}
--- /dev/null
+++ b/internal/deployment/options.go
@@ -0,0 +1,47 @@
+package deployment
+
+import (
+	"log/slog"
+	"time"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/enginemodel"
+	"filberthook/internal/settings"
+)
+
+// Options describe a deployment.
+type Options struct {
+	Dir            string   // data folder of all hosts
+	Zones          []string // availability zones
+	Controls       int      // replicas of the control group, one per zone in turn
+	EntriesPerZone int
+	Engines        []Engine
+	Services       []Service
+	Logger         *slog.Logger
+	Entry          func(*settings.Entry) // changes the settings of each entry host; may be nil
+}
+
+// Engine describes one stand-in engine.
+type Engine struct {
+	Name     string
+	Zone     string
+	Endpoint string
+	Model    enginemodel.Config
+	Speed    float64
+}
+
+// Service describes one stand-in worker of a plain service.
+type Service struct {
+	Name     string
+	Zone     string
+	Endpoint string
+	Duration time.Duration
+}
+
+// EngineModel returns the settings of a mixed engine that carries one model.
+func EngineModel(model string) enginemodel.Config {
+	cfg := enginemodel.DefaultConfig()
+	cfg.Models = []engineapi.Model{{Name: model, Version: "1"}}
+	cfg.ChecksFence = true
+	return cfg
+}
--- /dev/null
+++ b/internal/deployment/part.go
@@ -0,0 +1,88 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// stopTimeout bounds how long a part may take to stop.
+const stopTimeout = 30 * time.Second
+
+// Part is one running process of the deployment, inside this one.
+type Part struct {
+	Name string
+
+	start func() (run func(ctx context.Context) error, err error)
+
+	mu     sync.Mutex // guards the fields below
+	cancel context.CancelFunc
+	done   chan struct{} // closed when the part has ended
+	err    error         // outcome; read after done is closed
+}
+
+// Start starts the part.
+func (p *Part) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil {
+		return fmt.Errorf("%s runs already: stop it first", p.Name)
+	}
+	run, err := p.start()
+	if err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	p.cancel, p.done = cancel, done
+	go func() {
+		p.err = run(ctx)
+		close(done)
+	}()
+	return nil
+}
+
+// Stop stops the part gracefully and returns how it ended. Stopping a part
+// that does not run does nothing.
+func (p *Part) Stop() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel == nil {
+		return nil
+	}
+	p.cancel()
+	select {
+	case <-p.done:
+	case <-time.After(stopTimeout):
+		return fmt.Errorf("%s did not stop within %v", p.Name, stopTimeout)
+	}
+	p.cancel = nil
+	if p.err != nil && !errors.Is(p.err, context.Canceled) {
+		return fmt.Errorf("%s: %w", p.Name, p.err)
+	}
+	return nil
+}
+
+// Running reports whether the part runs.
+func (p *Part) Running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cancel != nil
+}
+
+// reserve returns n free TCP addresses on loopback.
+func reserve(n int) ([]string, error) {
+	var out []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close() // held until all are found, so that none comes twice
+		out = append(out, ln.Addr().String())
+	}
+	return out, nil
+}
