--- a/internal/controlnode/calls.go
+++ b/internal/controlnode/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"filberthook/internal/distribution"
@@ -33,11 +34,10 @@
 		cmd.Scope = from.Zone
 		return n.group.lease(ctx, cmd)
 	})
-	peer.Handle(n.mux, MethodClaims, func(ctx context.Context, _ peer.Identity, req ClaimsRequest) (ClaimsResponse, error) {
+	peer.Handle(n.mux, MethodClaims, func(ctx context.Context, _ peer.Identity, batch json.RawMessage) (json.RawMessage, error) {
 		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 		defer cancel()
-		results, err := n.group.claims(ctx, req.Commands)
-		return ClaimsResponse{Results: results}, err
+		return n.group.claims(ctx, batch)
 	})
 }
 
--- a/internal/controlnode/claims.go
+++ b/internal/controlnode/claims.go
@@ -8,42 +8,29 @@
 	"filberthook/internal/claim"
 )
 
-// claims drives the claims of non-repeatable calls by the replicated log. Its
-// commands are batches. It implements statemachine.SubMachine.
+// claims drives the claims of non-repeatable calls by the replicated log. It
+// implements statemachine.SubMachine and keeps their number for other
+// goroutines.
 type claims struct {
-	machine *claim.Machine
-	count   atomic.Int64 // claims kept, for the sweep
+	replica claim.Replica
+	count   atomic.Int64
 }
 
-func newClaims() *claims { return &claims{machine: claim.NewMachine(claim.DefaultLimits())} }
+func newClaims() *claims { return &claims{replica: claim.NewReplica(claim.DefaultLimits())} }
 
-// Apply implements statemachine.SubMachine. The claims' clock follows the
-// logical time of the log; it starts at 1 ms because 0 means that it is not set.
+// Apply implements statemachine.SubMachine.
 func (c *claims) Apply(now time.Duration, data json.RawMessage) json.RawMessage {
-	var batch []claim.Command
-	if err := json.Unmarshal(data, &batch); err != nil {
-		return encodeResults([]claim.Result{{Status: claim.Invalid}})
-	}
-	c.machine.Apply(claim.Command{Kind: claim.KindExpire, NowMillis: now.Milliseconds() + 1})
-	results := c.machine.ApplyAll(batch)
-	c.count.Store(int64(c.machine.Len()))
-	return encodeResults(results)
-}
-
-func encodeResults(results []claim.Result) json.RawMessage {
-	data, err := json.Marshal(results)
-	if err != nil {
-		return nil
-	}
-	return data
+	result := c.replica.Apply(now, data)
+	c.count.Store(int64(c.replica.Len()))
+	return result
 }
 
 // Snapshot implements statemachine.SubMachine.
-func (c *claims) Snapshot() ([]byte, error) { return c.machine.Snapshot() }
+func (c *claims) Snapshot() ([]byte, error) { return c.replica.Snapshot() }
 
 // Restore implements statemachine.SubMachine.
 func (c *claims) Restore(data []byte) error {
-	err := c.machine.Restore(data)
-	c.count.Store(int64(c.machine.Len()))
+	err := c.replica.Restore(data)
+	c.count.Store(int64(c.replica.Len()))
 	return err
 }
--- a/internal/controlnode/group.go
+++ b/internal/controlnode/group.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"time"
 
-	"filberthook/internal/claim"
 	"filberthook/internal/fleet"
 	"filberthook/internal/lease"
 	"filberthook/internal/operator"
@@ -54,27 +53,12 @@
 			return err
 		},
 		func(ctx context.Context, leader string) error {
-			req, err := forwarded(cmd)
-			if err != nil {
-				return err
-			}
+			req := proposeRequest{Fleet: cmd.Fleet, Lease: cmd.Lease, Claims: cmd.Claim}
 			return g.clients.get(leader).Call(ctx, methodPropose, req, &resp)
 		})
 	return resp, err
 }
 
-// forwarded is the form of a command that the leader stamps with its clock.
-func forwarded(cmd statemachine.Command) (proposeRequest, error) {
-	req := proposeRequest{Fleet: cmd.Fleet, Lease: cmd.Lease}
-	if cmd.Claim == nil {
-		return req, nil
-	}
-	if err := json.Unmarshal(cmd.Claim, &req.Claims); err != nil {
-		return req, &operator.NotAppliedError{Err: err}
-	}
-	return req, nil
-}
-
 // atLeader runs here when this replica leads, otherwise there with the leader's
 // address. It repeats the attempt while it surely had no effect.
 func (g *group) atLeader(ctx context.Context, here func(context.Context) error, there func(context.Context, string) error) error {
@@ -84,7 +68,7 @@
 		if errors.As(err, &notLeader) && notLeader.Address != "" {
 			err = there(ctx, notLeader.Address)
 			if err != nil {
-				err = remoteOutcome(err)
+				err = RemoteOutcome(err)
 			}
 		}
 		if err == nil || !retryable(err) || !pause(ctx, noLeaderPause) {
@@ -130,18 +114,11 @@
 // serveProposal proposes a command that another replica forwarded. The key of
 // the settings file is checked here, because it is not part of the state.
 func (g *group) serveProposal(ctx context.Context, req proposeRequest, bootstrap fleet.KeyHash) (statemachine.Response, error) {
-	cmd := statemachine.Command{Fleet: req.Fleet, Lease: req.Lease}
+	cmd := statemachine.Command{Fleet: req.Fleet, Lease: req.Lease, Claim: req.Claims}
 	if req.Fleet != nil && req.Fleet.Actor.Bootstrap && req.Fleet.Actor.Key != bootstrap {
 		err := errors.New("the replicas have different bootstrap keys; set the same operators.bootstrap_key_sha256 at all")
 		return statemachine.Response{}, wireOutcome(&operator.NotAppliedError{Err: err})
 	}
-	if req.Claims != nil {
-		data, err := json.Marshal(req.Claims)
-		if err != nil {
-			return statemachine.Response{}, wireOutcome(&operator.NotAppliedError{Err: err})
-		}
-		cmd.Claim = data
-	}
 	resp, err := g.proposeHere(ctx, cmd)
 	return resp, wireOutcome(err)
 }
@@ -158,19 +135,11 @@
 	return *resp.Lease, nil
 }
 
-// claims proposes a batch of claim commands for an entry host.
-func (g *group) claims(ctx context.Context, commands []claim.Command) ([]claim.Result, error) {
-	data, err := json.Marshal(commands)
-	if err != nil {
-		return nil, wireOutcome(&operator.NotAppliedError{Err: err})
-	}
-	resp, err := g.Propose(ctx, statemachine.Command{Claim: data})
+// claims proposes an encoded batch of claim commands for an entry host.
+func (g *group) claims(ctx context.Context, batch json.RawMessage) (json.RawMessage, error) {
+	resp, err := g.Propose(ctx, statemachine.Command{Claim: batch})
 	if err != nil {
 		return nil, wireOutcome(err)
 	}
-	var results []claim.Result
-	if err := json.Unmarshal(resp.Claim, &results); err != nil || len(results) != len(commands) {
-		return nil, wireOutcome(&operator.OutcomeUnknownError{Err: errors.New("the leader returned no outcome")})
-	}
-	return results, nil
+	return resp.Claim, nil
 }
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -238,6 +238,9 @@
 	}
 }
 
+// emptyBatch is an encoded claim.Batch without commands.
+var emptyBatch = []byte(`{"commands":[]}`)
+
 // sweepClaims keeps the claims' clock going while there are any.
 func (n *Node) sweepClaims(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
@@ -252,7 +255,7 @@
 			continue
 		}
 		// A lost sweep is made up for by the next one.
-		_, _ = n.group.proposeHere(ctx, statemachine.Command{Claim: []byte("[]")})
+		_, _ = n.group.proposeHere(ctx, statemachine.Command{Claim: emptyBatch})
 	}
 }
 
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -271,16 +271,16 @@
 	if err := c.peer(1, "e2").Call(ctx, MethodLease, acquire, &held); err != nil || held.Err == nil || held.Err.Holder != "e1" {
 		t.Fatalf("%+v, %v", held, err)
 	}
-	claims := ClaimsRequest{Commands: []claim.Command{{
-		Kind: claim.KindClaim, Attempt: "a1", BodyHash: "h", HoldMillis: 60_000,
+	cmd := claim.Command{
+		Kind: claim.KindClaim, Attempt: "a1", BodyHash: "h", Hold: time.Minute,
 		Key: claim.Key{Team: "t", Endpoint: "booking", Idempotency: "i"},
-	}}}
-	var first, second ClaimsResponse
-	if err := c.peer(0, "e1").Call(ctx, MethodClaims, claims, &first); err != nil || first.Results[0].Status != claim.Granted {
+	}
+	var first, second claim.BatchResult
+	if err := c.peer(0, "e1").Call(ctx, MethodClaims, claim.Batch{Commands: []claim.Command{cmd}}, &first); err != nil || first.Results[0].Status != claim.Granted {
 		t.Fatalf("%+v, %v", first, err)
 	}
-	claims.Commands[0].Attempt = "a2"
-	if err := c.peer(2, "e2").Call(ctx, MethodClaims, claims, &second); err != nil || second.Results[0].Status != claim.InProgress {
+	cmd.Attempt = "a2"
+	if err := c.peer(2, "e2").Call(ctx, MethodClaims, claim.Batch{Commands: []claim.Command{cmd}}, &second); err != nil || second.Results[0].Status != claim.InProgress {
 		t.Fatalf("%+v, %v", second, err)
 	}
 }
--- a/internal/controlnode/outcome.go
+++ b/internal/controlnode/outcome.go
@@ -31,8 +31,10 @@
 	return false
 }
 
-// remoteOutcome does the same for a proposal that was sent to another replica.
-func remoteOutcome(err error) error {
+// RemoteOutcome does the same for a call to another process of the control
+// group: the result is an *operator.NotAppliedError or an
+// *operator.OutcomeUnknownError.
+func RemoteOutcome(err error) error {
 	var unreachable *peer.UnreachableError
 	var remote *peer.RemoteError
 	switch {
@@ -50,7 +52,7 @@
 	return &operator.OutcomeUnknownError{Err: err}
 }
 
-// wireOutcome is the form of an outcome that remoteOutcome reads back.
+// wireOutcome is the form of an outcome that RemoteOutcome reads back.
 func wireOutcome(err error) error {
 	if err == nil {
 		return nil
--- a/internal/controlnode/protocol.go
+++ b/internal/controlnode/protocol.go
@@ -1,7 +1,8 @@
 package controlnode
 
 import (
-	"filberthook/internal/claim"
+	"encoding/json"
+
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
 	"filberthook/internal/lease"
@@ -12,7 +13,7 @@
 // Peer calls that a control replica serves, besides distribution.MethodWatch.
 const (
 	MethodLease        = "control.lease"         // lease.Command to lease.Result; from planners, at any replica
-	MethodClaims       = "control.claims"        // ClaimsRequest to ClaimsResponse; from entry hosts, at any replica
+	MethodClaims       = "control.claims"        // encoded claim.Batch to encoded claim.BatchResult; from entry hosts, at any replica
 	methodPropose      = "control.propose"       // proposeRequest to statemachine.Response; between replicas, at the leader
 	methodReports      = "control.reports"       // reportsRequest to reportsResponse; between replicas
 	methodMembers      = "control.members"       // membersRequest to membersResponse; between replicas, at the leader
@@ -20,21 +21,11 @@
 	methodRaft         = "control.raft"          // raftBatch, a notification; between replicas
 )
 
-// ClaimsRequest is a batch of claim commands, applied in order.
-type ClaimsRequest struct {
-	Commands []claim.Command `json:"commands"`
-}
-
-// ClaimsResponse holds the results in the order of the commands.
-type ClaimsResponse struct {
-	Results []claim.Result `json:"results"`
-}
-
 // proposeRequest asks the leader to propose a command with its own clock.
 type proposeRequest struct {
 	Fleet  *fleet.Command  `json:"fleet,omitempty"`
 	Lease  *lease.Command  `json:"lease,omitempty"`
-	Claims []claim.Command `json:"claims,omitempty"`
+	Claims json.RawMessage `json:"claims,omitempty"` // encoded claim.Batch
 }
 
 type reportsRequest struct{}
