Deployment: stop parts of one kind together

Cause: stand-ins leave one after another, each with a grace of 3 s. Change: stop engines and services at once, then entries, then controls.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"filberthook/api/filberthook/v1/filberthookv1connect"
@@ -120,13 +121,32 @@
 	return nil
 }
 
-// Stop stops all parts, those that callers reach last first.
+// Stop stops all parts: stand-ins first, then entry hosts, then the control
+// group. Parts of one kind stop together.
 func (d *Deployment) Stop() error {
-	var errs []error
-	parts := d.parts()
-	for i := len(parts) - 1; i >= 0; i-- {
-		errs = append(errs, parts[i].Stop())
+	var standins, entries, controls []*Part
+	for _, e := range d.Engines {
+		standins = append(standins, &e.Part)
+	}
+	for _, s := range d.Services {
+		standins = append(standins, &s.Part)
+	}
+	for _, e := range d.Entries {
+		entries = append(entries, &e.Part)
+	}
+	for _, c := range d.Controls {
+		controls = append(controls, &c.Part)
+	}
+	return errors.Join(stopAll(standins), stopAll(entries), stopAll(controls))
+}
+
+func stopAll(parts []*Part) error {
+	errs := make([]error, len(parts))
+	var all sync.WaitGroup
+	for i, p := range parts {
+		all.Go(func() { errs[i] = p.Stop() })
 	}
+	all.Wait()
 	return errors.Join(errs...)
 }
 
