Gossip: own-zone loads stay in the zone, fewer transmissions of a state

Cause: at 400 hosts and 600 workers a cold start kept every packet full of full records (27 transmissions each): 25,101 bytes/s at the highest host, loads 19.7 s old at the median, 18 records known by 399 of 400 after 20 s. And a load of the own zone went to hosts of other zones at the own zone's rate. Change: loads travel beyond the zone only when the wider interval is due; a state is sent 3 + 3 log10(hosts) times, the sync by hashes brings what is lost.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -212,7 +212,8 @@
 	}
 	for _, tc := range cases {
 		w := newNetwork(tc.hosts, tc.workers, tc.zones, time.Second)
-		w.run(t, 10*time.Second)
+		warmup := time.Duration(tc.hosts) * 150 * time.Millisecond
+		w.run(t, max(warmup, 10*time.Second))
 		clear(w.received)
 		const window = 10
 		w.run(t, window*time.Second)
--- a/internal/gossip/instances.go
+++ b/internal/gossip/instances.go
@@ -21,7 +21,8 @@
 const (
 	maxPending       = 4096
 	maxSyncPackets   = 64
-	stateSendsFactor = 3 // transmissions of a change of state, times log2 of the number of hosts
+	stateSendsBase   = 3 // transmissions of a change of state, whatever the number of hosts
+	stateSendsFactor = 3 // further transmissions, times log10 of the number of hosts
 	loadSends        = 3 // transmissions of a load; the next load makes up for a lost one
 )
 
@@ -29,10 +30,10 @@
 // interval grows with the number of instances, so that the bytes per host stay
 // flat as the fleet grows.
 const (
-	minLoadInterval        = 450 * time.Millisecond
-	ownZoneLoadSpacing     = 16 * time.Millisecond // per instance of the own availability zone
-	otherZonesLoadSpacing  = 20 * time.Millisecond // per instance of the other zones
-	minOtherZonesLoadSpace = time.Second
+	minLoadInterval       = 450 * time.Millisecond
+	ownZoneLoadSpacing    = 16 * time.Millisecond // per instance of the own availability zone
+	otherZonesLoadSpacing = 20 * time.Millisecond // per instance of the other zones
+	minOtherZonesInterval = time.Second
 )
 
 // urgency orders news; lower values are sent first.
@@ -49,6 +50,7 @@
 	urgency  urgency
 	ended    directory.Version // set when the news is the end of the lease
 	isEnd    bool
+	ownZone  bool // of no use to hosts of other zones yet
 	sent     int
 	queuedAt time.Duration
 }
@@ -59,9 +61,9 @@
 	zone       string
 	dir        *directory.Directory
 	queue      map[string]*pending
-	ownZone    map[string]time.Duration // when the load of an instance of the own zone was queued last
-	otherZones map[string]time.Duration // the same for other zones
-	missing    uint64                   // renewals whose full record was not known
+	ownZone    pace   // of loads that go to hosts of the own zone
+	otherZones pace   // of loads that go to all hosts
+	missing    uint64 // renewals whose full record was not known
 }
 
 func newInstances(zone string, dir *directory.Directory) *instances {
@@ -69,8 +71,8 @@
 		zone:       zone,
 		dir:        dir,
 		queue:      make(map[string]*pending),
-		ownZone:    make(map[string]time.Duration),
-		otherZones: make(map[string]time.Duration),
+		ownZone:    make(pace),
+		otherZones: make(pace),
 	}
 }
 
@@ -103,10 +105,12 @@
 	if old != nil && old.urgency == urgentState {
 		return // the newest record travels with it
 	}
-	if !s.loadDue(now, instance, zone) {
+	own := zone == s.zone
+	everywhere := s.otherZones.due(now, instance, minOtherZonesInterval, otherZonesLoadSpacing)
+	if !everywhere && (!own || !s.ownZone.due(now, instance, minLoadInterval, ownZoneLoadSpacing)) {
 		return
 	}
-	s.put(&pending{instance: instance, urgency: routineLoad, queuedAt: now})
+	s.put(&pending{instance: instance, urgency: routineLoad, ownZone: !everywhere, queuedAt: now})
 }
 
 func (s *instances) put(p *pending) {
@@ -116,19 +120,17 @@
 	s.queue[p.instance] = p
 }
 
-// loadDue spaces out the loads of one instance.
-func (s *instances) loadDue(now time.Duration, instance, zone string) bool {
-	sent, interval := s.ownZone, minLoadInterval
-	spacing := ownZoneLoadSpacing
-	if zone != s.zone {
-		sent, interval, spacing = s.otherZones, minOtherZonesLoadSpace, otherZonesLoadSpacing
-	}
-	interval = max(interval, time.Duration(len(sent))*spacing)
-	last, ok := sent[instance]
-	if ok && now-last < interval {
+// pace spaces out the loads of each instance.
+type pace map[string]time.Duration // instance to the time of its last load
+
+// due reports whether a load may be passed on now, and notes that it is. The
+// interval grows with the number of instances.
+func (p pace) due(now time.Duration, instance string, least, spacing time.Duration) bool {
+	last, ok := p[instance]
+	if ok && now-last < max(least, time.Duration(len(p))*spacing) {
 		return false
 	}
-	sent[instance] = now
+	p[instance] = now
 	return true
 }
 
@@ -146,12 +148,15 @@
 }
 
 // fill adds news to a packet for as long as it stays within the byte limit.
-func (s *instances) fill(now time.Duration, p *gossipv1.Packet, hosts, limit int) {
+func (s *instances) fill(now time.Duration, p *gossipv1.Packet, toZone string, hosts, limit int) {
 	if len(s.queue) == 0 {
 		return
 	}
 	size := proto.Size(p)
 	for _, item := range s.byUrgency() {
+		if item.ownZone && toZone != s.zone {
+			continue
+		}
 		u := s.update(now, item)
 		if u == nil {
 			delete(s.queue, item.instance)
@@ -192,7 +197,7 @@
 	if u == routineLoad {
 		return loadSends
 	}
-	return stateSendsFactor * int(math.Ceil(math.Log2(float64(hosts+2))))
+	return stateSendsBase + stateSendsFactor*int(math.Ceil(math.Log10(float64(hosts+1))))
 }
 
 func (s *instances) update(now time.Duration, item *pending) *gossipv1.InstanceUpdate {
--- a/internal/gossip/machine.go
+++ b/internal/gossip/machine.go
@@ -86,7 +86,7 @@
 		if req := o.Packet.GetSyncRequest(); req != nil {
 			req.InstanceHashes = m.instances.hashes()
 		}
-		m.instances.fill(now, o.Packet, hosts, m.spreadBytes)
+		m.instances.fill(now, o.Packet, o.Zone, hosts, m.spreadBytes)
 	}
 }
 
