--- a/internal/controlnode/calls.go
+++ b/internal/controlnode/calls.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"filberthook/internal/authority"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
 	"filberthook/internal/lease"
@@ -26,12 +27,15 @@
 
 // registerHostCalls registers the calls of planners and entry hosts.
 func (n *Node) registerHostCalls() {
-	peer.Handle(n.mux, MethodLease, func(ctx context.Context, from peer.Identity, cmd lease.Command) (lease.Result, error) {
+	peer.Handle(n.mux, authority.MethodLease, func(ctx context.Context, from peer.Identity, cmd lease.Command) (lease.Result, error) {
 		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 		defer cancel()
 		// A host asks for itself and its own zone only.
 		cmd.Holder.Host = from.Host
 		cmd.Scope = from.Zone
+		if refusal := n.gate.Refusal(n.group.clock.elapsed(), cmd); refusal != nil {
+			return lease.Result{Err: refusal}, nil
+		}
 		return n.group.lease(ctx, cmd)
 	})
 	peer.Handle(n.mux, MethodClaims, func(ctx context.Context, _ peer.Identity, batch json.RawMessage) (json.RawMessage, error) {
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -18,6 +18,7 @@
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
 	"filberthook/internal/keys"
+	"filberthook/internal/lease"
 	"filberthook/internal/operator"
 	"filberthook/internal/peer"
 	"filberthook/internal/replica"
@@ -42,6 +43,7 @@
 	machine  *statemachine.Machine
 	claims   *claims
 	hub      *distribution.Hub
+	gate     *lease.Gate
 	registry *distribution.Registry
 	replica  *replica.Replica
 	group    *group
@@ -107,7 +109,8 @@
 	n.group = &group{clock: newClock(), clients: n.rpc}
 	n.hub = distribution.NewHub(n.group.clock.elapsed, n.group, n.logger)
 	n.registry = distribution.NewRegistry(n.group.clock.elapsed, n.settings.Host)
-	n.machine = statemachine.New(n.hub, n.claims)
+	n.gate = lease.NewGate()
+	n.machine = statemachine.New(&observer{Hub: n.hub, gate: n.gate, clock: n.group.clock}, n.claims)
 }
 
 func (n *Node) openReplica() error {
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -16,6 +16,7 @@
 
 	filberthookv1 "filberthook/api/filberthook/v1"
 	"filberthook/api/filberthook/v1/filberthookv1connect"
+	"filberthook/internal/authority"
 	"filberthook/internal/claim"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
@@ -271,10 +272,10 @@
 	ctx := t.Context()
 	acquire := lease.Command{Kind: lease.Acquire, Holder: lease.Holder{Session: "s"}, TTL: time.Minute}
 	var granted, held lease.Result
-	if err := c.peer(0, "e1").Call(ctx, MethodLease, acquire, &granted); err != nil || granted.Fence != 1 {
+	if err := c.peer(0, "e1").Call(ctx, authority.MethodLease, acquire, &granted); err != nil || granted.Fence != 1 {
 		t.Fatalf("%+v, %v", granted, err)
 	}
-	if err := c.peer(1, "e2").Call(ctx, MethodLease, acquire, &held); err != nil || held.Err == nil || held.Err.Holder != "e1" {
+	if err := c.peer(1, "e2").Call(ctx, authority.MethodLease, acquire, &held); err != nil || held.Err == nil || held.Err.Holder != "e1" {
 		t.Fatalf("%+v, %v", held, err)
 	}
 	cmd := claim.Command{
--- a/internal/controlnode/protocol.go
+++ b/internal/controlnode/protocol.go
@@ -12,7 +12,6 @@
 
 // Peer calls that a control replica serves, besides distribution.MethodWatch.
 const (
-	MethodLease        = "control.lease"         // lease.Command to lease.Result; from planners, at any replica
 	MethodClaims       = "control.claims"        // encoded claim.Batch to encoded claim.BatchResult; from entry hosts, at any replica
 	methodPropose      = "control.propose"       // proposeRequest to statemachine.Response; between replicas, at the leader
 	methodReports      = "control.reports"       // reportsRequest to reportsResponse; between replicas
--- a/internal/distribution/hub.go
+++ b/internal/distribution/hub.go
@@ -31,7 +31,8 @@
 	data     json.RawMessage
 }
 
-// Hub answers watchers at one replica. It implements statemachine.Observer.
+// Hub answers watchers at one replica. The machine tells it of each new
+// configuration.
 type Hub struct {
 	clock     Clock
 	confirmer Confirmer
@@ -52,7 +53,8 @@
 	return &Hub{clock: clock, confirmer: confirmer, logger: logger, changed: make(chan struct{})}
 }
 
-// ConfigurationChanged implements statemachine.Observer.
+// ConfigurationChanged makes a configuration the newest one. The delta leads to
+// it from the revision before; nil means that the state was replaced.
 func (h *Hub) ConfigurationChanged(c fleet.Configuration, d *fleet.Delta) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/internal/lease/gate.go
@@ -0,0 +1,48 @@
+package lease
+
+import (
+	"sync"
+	"time"
+)
+
+// Gate refuses hopeless acquisitions at a replica, so that hosts that wait for
+// a lease do not fill the replicated log. It only ever refuses what the log
+// would refuse too, or what can be asked again later; grants are decided by the
+// log alone. It is safe for concurrent use.
+type Gate struct {
+	mu   sync.Mutex
+	seen map[string]sighting // by scope
+}
+
+// sighting is the newest grant or renewal that a replica applied.
+type sighting struct {
+	lease Lease
+	at    time.Duration // by the replica's clock
+}
+
+// NewGate returns a gate that has seen no lease.
+func NewGate() *Gate { return &Gate{seen: map[string]sighting{}} }
+
+// Saw records a grant, renewal or release that the replica applied at a time of
+// its own clock.
+func (g *Gate) Saw(now time.Duration, l Lease) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seen[l.Scope] = sighting{lease: l, at: now}
+}
+
+// Refusal returns the refusal of a command that cannot succeed yet, nil when it
+// must be proposed.
+func (g *Gate) Refusal(now time.Duration, cmd Command) *Error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.seen[cmd.Scope]
+	if !ok || cmd.Kind != Acquire || s.lease.Released || s.lease.Holder == cmd.Holder {
+		return nil
+	}
+	remaining := s.at + s.lease.TTL - now
+	if remaining <= 0 {
+		return nil
+	}
+	return &Error{Code: CodeHeld, Scope: cmd.Scope, Holder: s.lease.Holder.Host, Remaining: remaining}
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -33,8 +33,10 @@
 	Scope    string        `json:"scope"` // availability zone
 	Holder   Holder        `json:"holder"`
 	Fence    uint64        `json:"fence"`
+	TTL      time.Duration `json:"ttl"`      // of the newest grant or renewal
 	Expires  time.Duration `json:"expires"`  // logical time
 	Released bool          `json:"released"` // given back by the holder with no order in flight
+	Settle   bool          `json:"settle"`   // see Result.Settle
 }
 
 // heldAt reports whether the lease excludes other holders at a logical time.
@@ -63,7 +65,7 @@
 type Result struct {
 	Fence uint64 `json:"fence,omitempty"`
 	// Settle is true when the predecessor's lease ran out instead of being
-	// released: its last orders may still be in flight.
+	// released: at the time of the grant its last orders may still be in flight.
 	Settle bool   `json:"settle,omitempty"`
 	Err    *Error `json:"err,omitempty"`
 }
@@ -108,6 +110,12 @@
 // NewTable returns a table without leases.
 func NewTable() *Table { return &Table{leases: map[string]Lease{}} }
 
+// Lease returns the newest grant of a scope.
+func (t *Table) Lease(scope string) (Lease, bool) {
+	l, ok := t.leases[scope]
+	return l, ok
+}
+
 // Leases returns the newest grant of each scope, also those that have ended.
 func (t *Table) Leases() []Lease {
 	all := make([]Lease, 0, len(t.leases))
@@ -158,12 +166,19 @@
 	if held {
 		return Result{Err: &Error{Code: CodeHeld, Scope: cmd.Scope, Holder: current.Holder.Host, Remaining: current.Expires - now}}
 	}
-	next := Lease{Scope: cmd.Scope, Holder: cmd.Holder, Fence: t.fence + 1, Expires: now + cmd.TTL}
+	next := Lease{
+		Scope:   cmd.Scope,
+		Holder:  cmd.Holder,
+		Fence:   t.fence + 1,
+		TTL:     cmd.TTL,
+		Expires: now + cmd.TTL,
+		Settle:  exists && !current.Released,
+	}
 	invariant.Check(next.Fence > current.Fence, "fence-grows",
 		"zone %s would be granted fence %d after %d", cmd.Scope, next.Fence, current.Fence)
 	t.fence = next.Fence
 	t.leases[cmd.Scope] = next
-	return Result{Fence: next.Fence, Settle: exists && !current.Released}
+	return Result{Fence: next.Fence, Settle: next.Settle}
 }
 
 func (t *Table) renew(now time.Duration, cmd Command) Result {
@@ -193,9 +208,10 @@
 
 // extend never shortens a lease: its holder may rely on an earlier answer.
 func (t *Table) extend(now time.Duration, current Lease, ttl time.Duration) Result {
+	current.TTL = ttl
 	current.Expires = max(current.Expires, now+ttl)
 	t.leases[current.Scope] = current
-	return Result{Fence: current.Fence}
+	return Result{Fence: current.Fence, Settle: current.Settle}
 }
 
 // encodedTable is the encoded form of a Table.
--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -56,12 +56,14 @@
 	Restore(data []byte) error
 }
 
-// Observer is told of each new configuration, in order, under the lock of the
-// machine. It must return quickly and must not call the machine.
+// Observer is told of changes, in order, under the lock of the machine. It must
+// return quickly and must not call the machine.
 type Observer interface {
 	// ConfigurationChanged receives the newest configuration. The delta leads to
 	// it from the revision before; nil means that the state was replaced.
 	ConfigurationChanged(c fleet.Configuration, d *fleet.Delta)
+	// LeaseChanged receives a lease that was granted, renewed or released.
+	LeaseChanged(l lease.Lease)
 }
 
 // Machine is the replicated state. It is safe for concurrent use.
@@ -102,7 +104,7 @@
 		}
 		return Response{Fleet: &result}
 	case cmd.Lease != nil:
-		result := m.leases.Apply(now, *cmd.Lease)
+		result := m.applyLease(now, *cmd.Lease)
 		return Response{Lease: &result}
 	case cmd.Claim != nil && m.claims != nil:
 		return Response{Claim: m.claims.Apply(now, cmd.Claim)}
@@ -110,6 +112,14 @@
 	return Response{}
 }
 
+func (m *Machine) applyLease(now time.Duration, cmd lease.Command) lease.Result {
+	result := m.leases.Apply(now, cmd)
+	if l, ok := m.leases.Lease(cmd.Scope); ok && result.Err == nil && m.observer != nil {
+		m.observer.LeaseChanged(l)
+	}
+	return result
+}
+
 func (m *Machine) notify(d *fleet.Delta) {
 	if m.observer != nil {
 		m.observer.ConfigurationChanged(m.fleet.Configuration(), d)
--- a/internal/statemachine/statemachine_test.go
+++ b/internal/statemachine/statemachine_test.go
@@ -16,6 +16,7 @@
 type recorder struct {
 	revisions []uint64
 	replaced  int
+	fences    []uint64
 }
 
 func (r *recorder) ConfigurationChanged(c fleet.Configuration, d *fleet.Delta) {
@@ -25,6 +26,8 @@
 	}
 }
 
+func (r *recorder) LeaseChanged(l lease.Lease) { r.fences = append(r.fences, l.Fence) }
+
 // counter is a SubMachine that counts its commands.
 type counter struct{ N int }
 
@@ -125,7 +128,9 @@
 		t.Errorf("resend after a restore gave %+v", r.Fleet)
 	}
 	send(t, after, Reading{"a", 20}, createTeam(1, "t2"))
-	if diff := cmp.Diff(&recorder{revisions: []uint64{1, 2}, replaced: 1}, seen, cmp.AllowUnexported(recorder{})); diff != "" {
+	send(t, after, Reading{"a", 20}, acquire("h2")) // refused: not reported
+	send(t, after, Reading{"a", 20}, acquire("h1"))
+	if diff := cmp.Diff(&recorder{revisions: []uint64{1, 2}, replaced: 1, fences: []uint64{1}}, seen, cmp.AllowUnexported(recorder{})); diff != "" {
 		t.Error(diff)
 	}
 }
