Add demand: hosts tell their zone what callers bring to them

Cause: the zone's planner must forecast the work of the whole zone, not of one host. Conclusion: the planner can be given the zone's demand.

--- /dev/null
+++ b/internal/demand/demand.go
@@ -0,0 +1,133 @@
+// Package demand meters the work that callers bring to an entry host and keeps
+// the reports of the other hosts of its availability zone, so that the zone's
+// planner sees the whole zone. It has no clock and sends nothing.
+package demand
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// MaxAge is how long a host's report counts.
+const MaxAge = 5 * time.Second
+
+// maxHosts bounds the reports that are kept.
+const maxHosts = 1024
+
+// Rates are amounts of work per second.
+type Rates struct {
+	Requests      float64
+	PromptTokens  float64 // to be computed, without those expected in prefix caches
+	OutputTokens  float64 // expected
+	ContextTokens float64 // prompt and expected output
+}
+
+func (r Rates) plus(o Rates) Rates {
+	return Rates{
+		Requests:      r.Requests + o.Requests,
+		PromptTokens:  r.PromptTokens + o.PromptTokens,
+		OutputTokens:  r.OutputTokens + o.OutputTokens,
+		ContextTokens: r.ContextTokens + o.ContextTokens,
+	}
+}
+
+// Meter counts the work that this host has accepted. Its methods may be called
+// by many goroutines at once.
+type Meter struct {
+	requests atomic.Int64
+	prompt   atomic.Int64
+	output   atomic.Int64
+	context  atomic.Int64
+
+	last time.Duration // time of the last Take; only Take uses it
+}
+
+// Add counts one request; the numbers are tokens.
+func (m *Meter) Add(prompt, cached, output int) {
+	m.requests.Add(1)
+	m.prompt.Add(int64(max(0, prompt-cached)))
+	m.output.Add(int64(output))
+	m.context.Add(int64(prompt + output))
+}
+
+// Take returns the rates since the last call. It must be called by one
+// goroutine only.
+func (m *Meter) Take(now time.Duration) Rates {
+	seconds := (now - m.last).Seconds()
+	m.last = now
+	if seconds <= 0 {
+		return Rates{}
+	}
+	return Rates{
+		Requests:      float64(m.requests.Swap(0)) / seconds,
+		PromptTokens:  float64(m.prompt.Swap(0)) / seconds,
+		OutputTokens:  float64(m.output.Swap(0)) / seconds,
+		ContextTokens: float64(m.context.Swap(0)) / seconds,
+	}
+}
+
+// Report is one host's rates.
+type Report struct {
+	Host        string
+	Incarnation uint64 // of the host
+	Sequence    uint64 // grows with every report of an incarnation
+	Rates       Rates
+	MadeAt      time.Duration // on the local clock
+}
+
+func (r *Report) newer(o *Report) bool {
+	if r.Incarnation != o.Incarnation {
+		return r.Incarnation > o.Incarnation
+	}
+	return r.Sequence > o.Sequence
+}
+
+// Board keeps the newest report of each host. Its methods may be called by many
+// goroutines at once.
+type Board struct {
+	mu      sync.Mutex // guards reports
+	reports map[string]Report
+}
+
+// NewBoard returns an empty Board.
+func NewBoard() *Board { return &Board{reports: make(map[string]Report)} }
+
+// Put takes a report and tells whether it was news.
+func (b *Board) Put(now time.Duration, r Report) (news bool) {
+	if now-r.MadeAt > MaxAge {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, ok := b.reports[r.Host]
+	if ok && !r.newer(&old) || !ok && len(b.reports) >= maxHosts {
+		return false
+	}
+	b.reports[r.Host] = r
+	return true
+}
+
+// Get returns the newest report of a host.
+func (b *Board) Get(host string) (Report, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.reports[host]
+	return r, ok
+}
+
+// Total returns the rates of all hosts whose reports still count, and their
+// number. It forgets the others.
+func (b *Board) Total(now time.Duration) (Rates, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var sum Rates
+	for host, r := range b.reports {
+		if now-r.MadeAt > MaxAge {
+			delete(b.reports, host)
+			continue
+		}
+		sum = sum.plus(r.Rates)
+	}
+	return sum, len(b.reports)
+}
--- /dev/null
+++ b/internal/demand/demand_test.go
@@ -0,0 +1,51 @@
+package demand
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestMeterTakesRates(t *testing.T) {
+	var m Meter
+	m.Add(1000, 400, 50)
+	m.Add(200, 300, 10)
+	want := Rates{Requests: 1, PromptTokens: 300, OutputTokens: 30, ContextTokens: 630}
+	if diff := cmp.Diff(want, m.Take(2*time.Second)); diff != "" {
+		t.Errorf("rates (-want +got):\n%s", diff)
+	}
+	if got := m.Take(3 * time.Second); got != (Rates{}) {
+		t.Errorf("second take %+v, want none", got)
+	}
+}
+
+func TestBoard(t *testing.T) {
+	b := NewBoard()
+	report := func(host string, incarnation, seq uint64, made time.Duration, requests float64) Report {
+		return Report{Host: host, Incarnation: incarnation, Sequence: seq, MadeAt: made, Rates: Rates{Requests: requests}}
+	}
+	cases := []struct {
+		name string
+		r    Report
+		news bool
+	}{
+		{"first", report("a", 1, 5, 0, 10), true},
+		{"again", report("a", 1, 5, 0, 10), false},
+		{"older", report("a", 1, 4, 0, 99), false},
+		{"restarted host", report("a", 2, 1, time.Second, 20), true},
+		{"other host", report("b", 1, 1, time.Second, 3), true},
+		{"too old", report("c", 1, 1, -10*time.Second, 7), false},
+	}
+	for _, tc := range cases {
+		if got := b.Put(time.Second, tc.r); got != tc.news {
+			t.Errorf("%s: news = %v, want %v", tc.name, got, tc.news)
+		}
+	}
+	if sum, n := b.Total(2 * time.Second); sum.Requests != 23 || n != 2 {
+		t.Errorf("total %v of %d hosts, want 23 of 2", sum.Requests, n)
+	}
+	if sum, n := b.Total(time.Minute); sum.Requests != 0 || n != 0 {
+		t.Errorf("total %v of %d hosts after a minute, want none", sum.Requests, n)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"filberthook/internal/cachefeed"
+	"filberthook/internal/demand"
 	"filberthook/internal/directory"
 	"filberthook/internal/distribution"
 	"filberthook/internal/gossip"
@@ -41,6 +42,9 @@
 	maxHeaderBytes    = 32 << 10
 )
 
+// demandInterval is the time between two demand reports.
+const demandInterval = time.Second
+
 // Node is one entry host.
 type Node struct {
 	set       settings.Entry
@@ -50,6 +54,8 @@
 	listeners Listeners
 
 	dir       *directory.Directory
+	meter     *demand.Meter
+	board     *demand.Board // demand of the zone's hosts
 	sched     *scheduler.Scheduler
 	router    *routing.Router
 	gossip    *gossip.Node
@@ -71,6 +77,8 @@
 		started:   time.Now(),
 		listeners: l,
 		dir:       directory.New(),
+		meter:     &demand.Meter{},
+		board:     demand.NewBoard(),
 	}
 	n.base, n.cancelAll = context.WithCancel(context.Background())
 	s.Routing.Zone = s.Zone
@@ -141,7 +149,7 @@
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Metrics: n.metrics,
 		Logger:  n.log,
-	}, n.dir, n.listeners.Gossip)
+	}, n.dir, n.board, n.listeners.Gossip)
 	return err
 }
 
@@ -165,6 +173,7 @@
 	group.Go(func() error { return n.config.Run(groupCtx) })
 	feed := cachefeed.New(n.set.Zone, n.now, n.dir, n.router.Prefixes(), n.metrics, n.log)
 	group.Go(func() error { return feed.Run(groupCtx) })
+	group.Go(func() error { return n.reportDemand(groupCtx) })
 	if n.certs != nil {
 		group.Go(func() error { return n.certs.Run(groupCtx) })
 	}
@@ -190,6 +199,20 @@
 	return errors.Join(group.Wait(), cut)
 }
 
+// reportDemand tells the zone's hosts what callers bring to this one.
+func (n *Node) reportDemand(ctx context.Context) error {
+	ticker := time.NewTicker(demandInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.gossip.Demand(n.meter.Take(n.now()))
+		}
+	}
+}
+
 // stop ends the callers' server gracefully.
 func (n *Node) stop(ctx context.Context, callers *http.Server) error {
 	n.stopping.Store(true)
--- /dev/null
+++ b/internal/gossip/demands.go
@@ -0,0 +1,109 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	gossipv1 "filberthook/api/filberthook/gossip/v1"
+	"filberthook/internal/demand"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// demandSends is how often a host passes one demand report on; the next report
+// makes up for a lost one.
+const demandSends = 3
+
+// demands spreads the demand reports of the hosts of one availability zone.
+// The node's lock guards it.
+type demands struct {
+	zone  string
+	board *demand.Board
+	sent  map[string]int // host to transmissions so far of its newest report
+}
+
+func newDemands(zone string, board *demand.Board) *demands {
+	return &demands{zone: zone, board: board, sent: make(map[string]int)}
+}
+
+// put takes a report and queues it when it is news.
+func (d *demands) put(now time.Duration, r demand.Report) {
+	if d.board.Put(now, r) {
+		d.sent[r.Host] = 0
+	}
+}
+
+// fill adds reports to a packet to a host of the own zone.
+func (d *demands) fill(now time.Duration, p *gossipv1.Packet, toZone string, limit int) {
+	if toZone != d.zone || len(d.sent) == 0 {
+		return
+	}
+	size := proto.Size(p)
+	for _, host := range d.leastSent() {
+		r, ok := d.board.Get(host)
+		if !ok || now-r.MadeAt > demand.MaxAge {
+			delete(d.sent, host)
+			continue
+		}
+		u := toDemand(now, &r)
+		size += proto.Size(u) + updateOverheadBytes
+		if size > limit {
+			return
+		}
+		p.Demands = append(p.Demands, u)
+		d.sent[host]++
+		if d.sent[host] >= demandSends {
+			delete(d.sent, host)
+		}
+	}
+}
+
+func (d *demands) leastSent() []string {
+	hosts := make([]string, 0, len(d.sent))
+	for host := range d.sent {
+		hosts = append(hosts, host)
+	}
+	slices.SortFunc(hosts, func(a, b string) int {
+		return cmp.Or(cmp.Compare(d.sent[a], d.sent[b]), cmp.Compare(a, b))
+	})
+	return hosts
+}
+
+// absorb takes the reports of a packet.
+func (d *demands) absorb(now time.Duration, updates []*gossipv1.DemandUpdate) {
+	for _, u := range updates {
+		if u.GetHost() == "" {
+			continue
+		}
+		d.put(now, fromDemand(now, u))
+	}
+}
+
+func toDemand(now time.Duration, r *demand.Report) *gossipv1.DemandUpdate {
+	return &gossipv1.DemandUpdate{
+		Host:          r.Host,
+		Incarnation:   r.Incarnation,
+		Sequence:      r.Sequence,
+		AgeMs:         uint32(max(0, now-r.MadeAt).Milliseconds()),
+		Requests:      float32(r.Rates.Requests),
+		PromptTokens:  float32(r.Rates.PromptTokens),
+		OutputTokens:  float32(r.Rates.OutputTokens),
+		ContextTokens: float32(r.Rates.ContextTokens),
+	}
+}
+
+func fromDemand(now time.Duration, u *gossipv1.DemandUpdate) demand.Report {
+	return demand.Report{
+		Host:        u.GetHost(),
+		Incarnation: u.GetIncarnation(),
+		Sequence:    u.GetSequence(),
+		MadeAt:      now - time.Duration(u.GetAgeMs())*time.Millisecond,
+		Rates: demand.Rates{
+			Requests:      float64(u.GetRequests()),
+			PromptTokens:  float64(u.GetPromptTokens()),
+			OutputTokens:  float64(u.GetOutputTokens()),
+			ContextTokens: float64(u.GetContextTokens()),
+		},
+	}
+}
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
+	"filberthook/internal/demand"
 	"filberthook/internal/directory"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/membership"
@@ -54,7 +55,7 @@
 		host := membership.Host{Name: name, Zone: fmt.Sprintf("z%d", i%zones), Gossip: name}
 		cfg := membership.Config{Self: host, Incarnation: 1, Seeds: []string{"h000", "h001"}}
 		w.dirs[name] = directory.New()
-		w.machines[name] = newMachine(cfg, rand.New(rand.NewPCG(7, uint64(i))), DefaultSpreadBytes, w.dirs[name])
+		w.machines[name] = newMachine(cfg, rand.New(rand.NewPCG(7, uint64(i))), DefaultSpreadBytes, w.dirs[name], demand.NewBoard())
 		w.names = append(w.names, name)
 	}
 	for i := range workers {
@@ -86,6 +87,9 @@
 			w.announce(t)
 		}
 		for _, name := range w.names {
+			if w.now%time.Second == 0 {
+				w.machines[name].demands.put(w.now, demand.Report{Host: name, Sequence: uint64(w.now), MadeAt: w.now, Rates: demand.Rates{Requests: 1}})
+			}
 			w.send(name, w.machines[name].tick(w.now))
 		}
 	}
@@ -153,6 +157,17 @@
 	}
 }
 
+func TestDemandIsKnownInTheZoneOnly(t *testing.T) {
+	w := newNetwork(12, 0, 4, time.Second)
+	w.run(t, 10*time.Second)
+	for _, name := range w.names {
+		sum, hosts := w.machines[name].demands.board.Total(w.now)
+		if hosts != 3 || sum.Requests != 3 {
+			t.Errorf("%s knows %v requests of %d hosts, want 3 of the 3 of its zone", name, sum.Requests, hosts)
+		}
+	}
+}
+
 // TestLeavingIsKnownWithinTarget checks the promise that an endpoint which is
 // leaving, or whose lease ran out, gets no new work from any entry after 3 s.
 func TestLeavingIsKnownWithinTarget(t *testing.T) {
@@ -305,7 +320,7 @@
 		if err != nil {
 			return
 		}
-		m := newMachine(membership.Config{Self: membership.Host{Name: "self", Zone: "z"}}, rand.New(rand.NewPCG(1, 1)), DefaultSpreadBytes, directory.New())
+		m := newMachine(membership.Config{Self: membership.Host{Name: "self", Zone: "z"}}, rand.New(rand.NewPCG(1, 1)), DefaultSpreadBytes, directory.New(), demand.NewBoard())
 		m.receive(time.Second, "127.0.0.1:1", p)
 		m.tick(2 * time.Second)
 	})
--- a/internal/gossip/machine.go
+++ b/internal/gossip/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
+	"filberthook/internal/demand"
 	"filberthook/internal/directory"
 	"filberthook/internal/membership"
 )
@@ -14,6 +15,7 @@
 type machine struct {
 	core        *membership.Core
 	instances   *instances
+	demands     *demands
 	spreadBytes int
 	events      []membership.Event // not yet taken by the node
 	lastAsked   time.Duration      // when a sender was last asked for missing records
@@ -22,10 +24,11 @@
 // askInterval is the least time between two requests for missing records.
 const askInterval = time.Second
 
-func newMachine(cfg membership.Config, rng *rand.Rand, spreadBytes int, dir *directory.Directory) *machine {
+func newMachine(cfg membership.Config, rng *rand.Rand, spreadBytes int, dir *directory.Directory, board *demand.Board) *machine {
 	return &machine{
 		core:        membership.New(cfg, rng),
 		instances:   newInstances(cfg.Self.Zone, dir),
+		demands:     newDemands(cfg.Self.Zone, board),
 		spreadBytes: spreadBytes,
 	}
 }
@@ -64,6 +67,7 @@
 	out := m.core.Receive(now, from, p)
 	m.followHosts(now)
 	m.instances.absorb(now, p.GetInstances())
+	m.demands.absorb(now, p.GetDemands())
 	if m.instances.missing > missing && now-m.lastAsked >= askInterval {
 		m.lastAsked = now
 		out = append(out, membership.Outgoing{Address: from, Packet: m.core.SyncRequest()})
@@ -86,6 +90,7 @@
 		if req := o.Packet.GetSyncRequest(); req != nil {
 			req.InstanceHashes = m.instances.hashes()
 		}
+		m.demands.fill(now, o.Packet, o.Zone, m.spreadBytes)
 		m.instances.fill(now, o.Packet, o.Zone, hosts, m.spreadBytes)
 	}
 }
@@ -97,5 +102,5 @@
 
 // useless reports whether a packet meant to spread news carries none.
 func useless(o membership.Outgoing) bool {
-	return o.Spread && len(o.Packet.GetHosts()) == 0 && len(o.Packet.GetInstances()) == 0
+	return o.Spread && len(o.Packet.GetHosts()) == 0 && len(o.Packet.GetInstances()) == 0 && len(o.Packet.GetDemands()) == 0
 }
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -16,6 +16,7 @@
 	"time"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
+	"filberthook/internal/demand"
 	"filberthook/internal/directory"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/membership"
@@ -47,16 +48,18 @@
 	cfg  Config
 	conn *net.UDPConn
 
-	mu      sync.Mutex // guards machine
-	machine *machine
+	mu             sync.Mutex // guards the fields below
+	machine        *machine
+	demandSequence uint64
 
 	sentBytes     *metrics.Counter
 	receivedBytes *metrics.Counter
 	refused       *metrics.Counter
 }
 
-// New returns a Node that uses conn, which it closes when Run returns.
-func New(cfg Config, dir *directory.Directory, conn *net.UDPConn) (*Node, error) {
+// New returns a Node that uses conn, which it closes when Run returns. It keeps
+// the directory and the board up to date.
+func New(cfg Config, dir *directory.Directory, board *demand.Board, conn *net.UDPConn) (*Node, error) {
 	if len(cfg.Key) < MinKeyBytes && !conn.LocalAddr().(*net.UDPAddr).IP.IsLoopback() {
 		return nil, fmt.Errorf("gossip key has %d bytes, at least %d are needed outside loopback: set gossip_key", len(cfg.Key), MinKeyBytes)
 	}
@@ -66,7 +69,7 @@
 	return &Node{
 		cfg:           cfg,
 		conn:          conn,
-		machine:       newMachine(cfg.Membership, cfg.Rand, cfg.SpreadBytes, dir),
+		machine:       newMachine(cfg.Membership, cfg.Rand, cfg.SpreadBytes, dir, board),
 		sentBytes:     cfg.Metrics.GetOrCreateCounter("filberthook_gossip_sent_bytes_total"),
 		receivedBytes: cfg.Metrics.GetOrCreateCounter("filberthook_gossip_received_bytes_total"),
 		refused:       cfg.Metrics.GetOrCreateCounter("filberthook_gossip_refused_packets_total"),
@@ -188,6 +191,22 @@
 	return err
 }
 
+// Demand spreads this host's rates to the hosts of its zone.
+func (n *Node) Demand(rates demand.Rates) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	self := n.machine.core.Self()
+	n.demandSequence++
+	now := n.cfg.Now()
+	n.machine.demands.put(now, demand.Report{
+		Host:        self.Name,
+		Incarnation: n.cfg.Membership.Incarnation,
+		Sequence:    n.demandSequence,
+		Rates:       rates,
+		MadeAt:      now,
+	})
+}
+
 // Members returns the other hosts, sorted by name.
 func (n *Node) Members() []membership.Member {
 	n.mu.Lock()
