Prove the core by randomised schedules and seeded faults

Cause: the log must hold under loss, reordering, pauses, crashes, partitions, membership changes and lost disks; the checks themselves must be able to fail. Found by it and mended: removed hosts that come back empty one after another could start a second group, so a removed or re-created replica is now told so and marks its data folder.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -80,7 +80,7 @@
 	log         raftLog
 	memberships []membershipAt // ascending index, never empty; the last is in force
 	snapshot    *Snapshot      // newest one, serves lagging replicas
-	diskLost    bool
+	excluded    Exclusion
 
 	role             Role
 	leader           uint64
@@ -188,13 +188,13 @@
 func (c *Core) checkIncarnation() {
 	self, ok := c.membership().Find(c.cfg.ID)
 	if ok && self.Incarnation != 0 && self.Incarnation != c.cfg.Incarnation && c.fault != faultIgnoreIncarnation {
-		c.diskLost = true
+		c.excluded = ExclusionDiskLost
 	}
 }
 
 // Tick advances the logical clock by one.
 func (c *Core) Tick() {
-	if c.diskLost {
+	if c.excluded != ExclusionNone {
 		return
 	}
 	c.electionElapsed++
--- a/internal/consensus/errors.go
+++ b/internal/consensus/errors.go
@@ -21,7 +21,7 @@
 	ReasonQuorumAtRisk     Reason = "quorum_at_risk"
 	ReasonWrongIncarnation Reason = "wrong_incarnation"
 	ReasonWrongAddressee   Reason = "wrong_addressee"
-	ReasonDiskLost         Reason = "disk_lost"
+	ReasonExcluded         Reason = "excluded"
 )
 
 var remedies = map[Reason]string{
@@ -40,7 +40,7 @@
 	ReasonQuorumAtRisk:     "bring enough of the remaining voters back first",
 	ReasonWrongIncarnation: "join as a learner with a new replica id",
 	ReasonWrongAddressee:   "check the address list of the sender",
-	ReasonDiskLost:         "clear the data folder and join as a learner with a new replica id",
+	ReasonExcluded:         "clear the data folder and join as a learner with a new replica id",
 }
 
 // RefusedError reports a call that had no effect.
--- /dev/null
+++ b/internal/consensus/randomized_test.go
@@ -0,0 +1,62 @@
+package consensus_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+)
+
+const (
+	ciSeeds      = 300
+	runTicks     = 600
+	seedsEnv     = "FILBERTHOOK_SEEDS"
+	firstSeedEnv = "FILBERTHOOK_FIRST_SEED"
+)
+
+func envNumber(t *testing.T, name string, fallback uint64) uint64 {
+	t.Helper()
+	text := os.Getenv(name)
+	if text == "" {
+		return fallback
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("%s=%q is not a number", name, text)
+	}
+	return n
+}
+
+// TestRandomizedSchedules runs schedules of faults, checks the promises after every
+// step and the client histories at the end. FILBERTHOOK_SEEDS sets how many.
+func TestRandomizedSchedules(t *testing.T) {
+	seeds := envNumber(t, seedsEnv, ciSeeds)
+	first := envNumber(t, firstSeedEnv, 1)
+	var operations, entries, leaders, repairs int
+	for seed := first; seed < first+seeds; seed++ {
+		s, err := run(settings{seed: seed, ticks: runTicks})
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		operations += s.done
+		entries += len(s.ledger)
+		leaders += len(s.leaders)
+		repairs += s.operator.repairs
+	}
+	t.Logf("%d schedules: %d calls answered, %d entries, %d terms with a leader, %d repairs", seeds, operations, entries, leaders, repairs)
+	if operations == 0 || leaders < int(seeds) || seeds >= ciSeeds && repairs == 0 {
+		t.Error("the schedules did not exercise the group")
+	}
+}
+
+func TestRandomizedSchedulesRepeat(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		a, errA := run(settings{seed: seed, ticks: runTicks})
+		b, errB := run(settings{seed: seed, ticks: runTicks})
+		if errA != nil || errB != nil {
+			t.Fatalf("seed %d: %v, %v", seed, errA, errB)
+		}
+		if a.trace != b.trace {
+			t.Errorf("seed %d gave two different runs", seed)
+		}
+	}
+}
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -15,8 +15,8 @@
 // over restarts of a replica.
 func (c *Core) ReadIndex(context uint64) error {
 	switch {
-	case c.diskLost:
-		return &RefusedError{Reason: ReasonDiskLost}
+	case c.excluded != ExclusionNone:
+		return &RefusedError{Reason: ReasonExcluded}
 	case c.role == RoleLeader:
 		c.startRead(c.cfg.ID, context)
 	case c.leader != 0:
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -13,7 +13,7 @@
 // Advance once the work is done and must not call other methods in between.
 func (c *Core) Ready() Ready {
 	invariant.Check(c.ready == nil, "ready-advance-order", "Ready called before Advance")
-	if c.diskLost {
+	if c.excluded != ExclusionNone {
 		return Ready{}
 	}
 	if c.role == RoleLeader {
@@ -150,14 +150,14 @@
 	LastIndex  uint64
 	Membership Membership
 	Members    []MemberStatus // filled on the leader only
-	DiskLost   bool           // the group knows this id with another data folder
+	Exclusion  Exclusion
 }
 
 // Status returns the current status.
 func (c *Core) Status() Status {
 	s := Status{
 		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader, Commit: c.log.committed, Applied: c.log.applied,
-		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), Membership: c.membership(), DiskLost: c.diskLost,
+		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), Membership: c.membership(), Exclusion: c.excluded,
 	}
 	if c.role != RoleLeader {
 		return s
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -19,8 +19,8 @@
 func (c *Core) checkPropose(size int) error {
 	refuse := func(r Reason) error { return &RefusedError{Reason: r, Leader: c.leader} }
 	switch {
-	case c.diskLost:
-		return refuse(ReasonDiskLost)
+	case c.excluded != ExclusionNone:
+		return refuse(ReasonExcluded)
 	case c.role != RoleLeader:
 		return refuse(ReasonNotLeader)
 	case c.transferee != 0:
@@ -203,7 +203,7 @@
 
 func (c *Core) handleHeartbeat(m *Message) {
 	if m.Hint != 0 && m.Hint != c.cfg.Incarnation && c.fault != faultIgnoreIncarnation {
-		c.diskLost = true
+		c.excluded = ExclusionDiskLost
 		return
 	}
 	c.log.commitTo(m.Commit)
--- /dev/null
+++ b/internal/consensus/scenario_test.go
@@ -0,0 +1,176 @@
+package consensus_test
+
+import (
+	"testing"
+
+	"filberthook/internal/consensus"
+)
+
+// scenario scripts a schedule that random ones reach too rarely. It must break no
+// promise without a fault.
+type scenario func(s *sim)
+
+// calm returns a running group without faults whose replicas all hold the same log.
+func calm(voters int, fault consensus.Fault) *sim {
+	seed := uint64(1)
+	for ; ; seed++ {
+		s := newSim(settings{seed: seed, fault: fault})
+		s.weather = weather{delay: 1}
+		if len(s.initial) != voters {
+			continue
+		}
+		for !s.finalWrite() {
+			s.step()
+		}
+		s.exchange(4)
+		return s
+	}
+}
+
+// exchange delivers messages for some rounds without letting timeouts pass.
+func (s *sim) exchange(rounds int) {
+	for range rounds {
+		s.now++
+		s.deliver()
+	}
+}
+
+func (s *sim) leaderNode() *node {
+	for _, n := range s.nodes {
+		if n.core != nil && n.core.Role() == consensus.RoleLeader {
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *sim) others(n *node) []*node {
+	var list []*node
+	for _, other := range s.nodes {
+		if other != n {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+// separate cuts both directions between a and each of the others.
+func (s *sim) separate(a *node, others ...*node) {
+	const forever = 1 << 30
+	for _, b := range others {
+		s.cut[[2]uint64{a.id, b.id}] = forever
+		s.cut[[2]uint64{b.id, a.id}] = forever
+	}
+}
+
+func (s *sim) stopNode(n *node) {
+	s.queue = nil
+	s.crash(n)
+}
+
+// stand makes a node start an election at once.
+func (s *sim) stand(n *node) {
+	from := s.others(n)[0]
+	self, _ := s.membership.Find(from.id)
+	_ = n.core.Step(&consensus.Message{
+		Type: consensus.MessageTimeoutNow, From: from.id, To: n.id, Incarnation: self.Incarnation, Term: n.core.Status().Term,
+	})
+	s.pump(n)
+}
+
+func (s *sim) write(n *node, value uint32) *operation {
+	return s.invoke(n, 0, command{kind: opWrite, key: 1, value: value})
+}
+
+// readAtOldLeader reads at a leader that was paused while another took over.
+func readAtOldLeader(s *sim) {
+	old := s.leaderNode()
+	rest := s.others(old)
+	s.write(old, 1)
+	s.exchange(4)
+	s.separate(old, rest...)
+	s.stand(rest[0])
+	s.exchange(4)
+	s.write(rest[0], 2)
+	s.exchange(4)
+	s.invoke(old, 1, command{kind: opRead, key: 1})
+	s.exchange(4)
+	s.checkHistory()
+}
+
+// oldTermOnMajority puts an old term's entries on a majority, whose leader then
+// stops, and lets a replica with a later entry take over (Raft paper, figure 8).
+func oldTermOnMajority(s *sim) {
+	s1 := s.leaderNode()
+	rest := s.others(s1)
+	s2, s3, s4, s5 := rest[0], rest[1], rest[2], rest[3]
+	s.separate(s1, s3, s4, s5)
+	for value := range uint32(7) { // more than one append message
+		s.write(s1, value+1)
+	}
+	s.exchange(4)
+	s.stopNode(s1)
+	s.separate(s5, s2)
+	s.stand(s5)
+	s.exchange(2)
+	s.stopNode(s5)
+	clear(s.cut)
+	s.start(s1)
+	s.stand(s1)
+	s.exchange(3)
+	s.stand(s1)
+	s.exchange(6)
+	s.stopNode(s1)
+	s.start(s5)
+
+	for range 3 {
+		s.stand(s5)
+		s.exchange(3)
+	}
+}
+
+// delayedAppend delivers an old leader's append after its successor has committed
+// another entry at the same index.
+func delayedAppend(s *sim) {
+	old := s.leaderNode()
+	rest := s.others(old)
+	next := rest[1]
+	s.separate(old, next)
+	s.write(old, 1)
+	held := s.queue
+	s.queue = nil
+	s.stand(next)
+	s.exchange(4)
+	s.stopNode(next)
+	s.queue = held
+	s.exchange(1)
+	s.queue = nil
+	for old.core.Role() == consensus.RoleLeader {
+		old.core.Tick() // until it misses its quorum
+	}
+	for range 3 {
+		s.stand(old)
+		s.exchange(3)
+	}
+}
+
+func TestScenariosHoldWithoutFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		voters int
+		script scenario
+	}{
+		{"read at an old leader", 3, readAtOldLeader},
+		{"old term on a majority", 5, oldTermOnMajority},
+		{"delayed append", 3, delayedAppend},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := calm(c.voters, consensus.FaultNone)
+			c.script(s)
+			s.settle()
+			if s.failure != nil {
+				t.Error(s.failure)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/consensus/sim_events_test.go
@@ -0,0 +1,193 @@
+package consensus_test
+
+import (
+	"filberthook/internal/consensus"
+	"filberthook/internal/fsys"
+)
+
+// disturb lets faults happen.
+func (s *sim) disturb() {
+	for _, n := range s.nodes {
+		switch {
+		case n.gone:
+		case n.core == nil:
+			if s.chance(50) {
+				s.start(n)
+			}
+		case s.chance(s.weather.crash):
+			s.crash(n)
+		case s.chance(s.weather.pause):
+			n.resume = s.now + s.rng.IntN(60)
+		}
+		if n.core != nil && n.core.Status().Exclusion != consensus.ExclusionNone {
+			s.abandon(n)
+			n.core, n.gone = nil, true
+		}
+	}
+	if s.chance(s.weather.cut) {
+		s.partition()
+	}
+}
+
+// partition cuts a random side off, in one or both directions.
+func (s *sim) partition() {
+	until := s.now + s.rng.IntN(100)
+	oneWay := s.chance(400)
+	side := s.rng.Uint32()
+	for i, a := range s.nodes {
+		for j, b := range s.nodes {
+			if side>>i&1 == 1 && side>>j&1 == 0 {
+				s.cut[[2]uint64{a.id, b.id}] = until
+				if !oneWay {
+					s.cut[[2]uint64{b.id, a.id}] = until
+				}
+			}
+		}
+	}
+}
+
+// operator replaces hosts whose disk was lost, grows and shrinks the group and
+// moves leadership, one thing at a time.
+type operator struct {
+	lost      uint64 // member to remove once fresh votes, 0 for none
+	fresh     uint64 // member to add and promote, 0 for none
+	repairs   int
+	lossAfter bool // lose a second disk as soon as the repair is complete
+}
+
+func (o *operator) idle() bool { return o.lost == 0 && o.fresh == 0 }
+
+func (s *sim) operate() {
+	if s.operator.idle() {
+		s.plan()
+		return
+	}
+	if s.now%5 != 0 {
+		return
+	}
+	for _, n := range s.nodes {
+		if s.running(n) && n.core.Role() == consensus.RoleLeader {
+			s.advanceRepair(n)
+			s.pump(n)
+		}
+	}
+}
+
+// plan starts a repair or another change when the group is whole.
+func (s *sim) plan() {
+	if !s.bound() {
+		return
+	}
+	second := s.operator.lossAfter
+	s.operator.lossAfter = false
+	voters := s.voters()
+	victim := voters[s.rng.IntN(len(voters))]
+	switch {
+	case second || s.chance(s.weather.loseDisk):
+		s.loseDisk(s.node(victim))
+	case s.chance(1) && len(voters) < 5:
+		s.operator.fresh = s.join()
+	case s.chance(1) && len(voters) > 3:
+		s.operator.lost = victim
+	case s.chance(5):
+		for _, n := range s.nodes {
+			if s.running(n) {
+				_ = n.core.TransferLeadership(victim) // refused at followers
+				s.pump(n)
+			}
+		}
+	}
+}
+
+// loseDisk destroys a voter's files. It may come back under its id, empty.
+func (s *sim) loseDisk(n *node) {
+	s.crash(n)
+	n.fs, n.wiped = fsys.NewMem(), true
+	n.gone = s.chance(300) || s.lastOriginal(n)
+	s.operator = operator{lost: n.id, fresh: s.join(), lossAfter: s.chance(500)}
+}
+
+// lastOriginal reports whether no other first member still has its disk. If all of
+// them came back empty, they could not tell that their group ever existed.
+func (s *sim) lastOriginal(n *node) bool {
+	for _, m := range s.initial {
+		if other := s.node(m.ID); other != n && !other.wiped {
+			return false
+		}
+	}
+	return true
+}
+
+// join starts an empty host with an id that was never used.
+func (s *sim) join() uint64 {
+	s.nextID++
+	return s.addNode(s.nextID).id
+}
+
+// advanceRepair proposes the next step at a leader.
+func (s *sim) advanceRepair(n *node) {
+	o := &s.operator
+	m := s.membership
+	if o.fresh != 0 {
+		if _, ok := m.Find(o.fresh); !ok {
+			_ = s.propose(n, consensus.ChangeAddLearner, o.fresh)
+			return
+		}
+		if !m.IsVoter(o.fresh) {
+			if s.propose(n, consensus.ChangePromote, o.fresh) == nil {
+				s.checkPromotion(n, o.fresh)
+			}
+			return
+		}
+	}
+	if o.lost != 0 {
+		if o.lost == n.id {
+			voters := s.voters()
+			_ = n.core.TransferLeadership(voters[s.rng.IntN(len(voters))])
+			return
+		}
+		if _, ok := m.Find(o.lost); ok {
+			_ = s.propose(n, consensus.ChangeRemove, o.lost)
+			return
+		}
+	}
+	s.operator = operator{repairs: o.repairs + 1, lossAfter: o.lossAfter}
+}
+
+// propose returns the refusal, if any; refused steps are tried again later.
+func (s *sim) propose(n *node, t consensus.ChangeType, id uint64) error {
+	_, _, err := n.core.ProposeMembership(consensus.Change{Type: t, Member: consensus.Member{ID: id}})
+	return err
+}
+
+// settle ends all faults and expects the group to serve again.
+func (s *sim) settle() {
+	s.weather = weather{delay: 1}
+	clear(s.cut)
+	const patience = 2000 // ticks
+	for _, n := range s.nodes {
+		n.resume = s.now
+	}
+	deadline := s.now + patience
+	for s.failure == nil && !s.settled() {
+		if s.now >= deadline {
+			s.fail("no progress after all faults ended: %s", s.describe())
+		}
+		s.step()
+	}
+}
+
+// settled reports whether the repair is complete and all voters have applied a
+// command that was proposed after the faults.
+func (s *sim) settled() bool {
+	if !s.operator.idle() || s.operator.lossAfter || !s.finalWrite() {
+		return false
+	}
+	for _, id := range s.voters() {
+		n := s.node(id)
+		if n.core == nil || n.applied < uint64(len(s.ledger)) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -4,8 +4,8 @@
 // message was dropped; it needs no action besides counting.
 func (c *Core) Step(m *Message) error {
 	switch {
-	case c.diskLost:
-		return &RefusedError{Reason: ReasonDiskLost}
+	case c.excluded != ExclusionNone:
+		return &RefusedError{Reason: ReasonExcluded}
 	case m.To != c.cfg.ID:
 		return &RefusedError{Reason: ReasonWrongAddressee}
 	}
@@ -13,8 +13,8 @@
 		return err
 	}
 	switch m.Type {
-	case MessageDiskLost:
-		c.diskLost = m.Hint != c.cfg.Incarnation
+	case MessageExcluded:
+		c.handleExcluded(m)
 		return nil
 	case MessageReadIndex:
 		c.handleReadIndex(m)
@@ -35,18 +35,36 @@
 func (c *Core) checkSender(m *Message) error {
 	membership := c.membership()
 	if membership.IsRetired(m.From) {
+		c.tellRemoved(m)
 		return &RefusedError{Reason: ReasonRetiredID}
 	}
 	member, ok := membership.Find(m.From)
 	if !ok || member.Incarnation == 0 || member.Incarnation == m.Incarnation || c.fault == faultIgnoreIncarnation {
 		return nil
 	}
-	if m.Type != MessageDiskLost {
-		c.send(Message{Type: MessageDiskLost, To: m.From, Hint: member.Incarnation})
+	if m.Type != MessageExcluded {
+		c.send(Message{Type: MessageExcluded, To: m.From, Hint: member.Incarnation})
 	}
 	return &RefusedError{Reason: ReasonWrongIncarnation}
 }
 
+// tellRemoved answers a removed replica once its removal is committed.
+func (c *Core) tellRemoved(m *Message) {
+	if m.Type != MessageExcluded && c.membershipAt(c.log.committed).IsRetired(m.From) {
+		c.send(Message{Type: MessageExcluded, To: m.From})
+	}
+}
+
+func (c *Core) handleExcluded(m *Message) {
+	switch m.Hint {
+	case c.cfg.Incarnation:
+	case 0:
+		c.excluded = ExclusionRemoved
+	default:
+		c.excluded = ExclusionDiskLost
+	}
+}
+
 // checkTerm enters a newer term or turns an older message away. It reports
 // whether the message is to be handled.
 func (c *Core) checkTerm(m *Message) bool {
@@ -112,7 +130,7 @@
 }
 
 func (c *Core) handleTimeoutNow() {
-	if c.role == RoleFollower && c.membership().IsVoter(c.cfg.ID) {
+	if c.role != RoleLeader && c.membership().IsVoter(c.cfg.ID) {
 		c.campaign(RoleCandidate, true)
 	}
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -60,6 +60,17 @@
 	return "unknown"
 }
 
+// Exclusion says why a replica takes no part in its group any more. It is final.
+type Exclusion uint8
+
+const (
+	ExclusionNone Exclusion = iota
+	// ExclusionDiskLost: the group knows the replica's id with another data folder.
+	ExclusionDiskLost
+	// ExclusionRemoved: the replica was removed from the group.
+	ExclusionRemoved
+)
+
 // MessageType says what a Message asks or answers.
 type MessageType uint8
 
@@ -77,9 +88,9 @@
 	MessageTimeoutNow
 	MessageReadIndex
 	MessageReadIndexResponse
-	// MessageDiskLost tells a replica that its incarnation is not the one that the
-	// group recorded for its id; Hint carries the recorded incarnation.
-	MessageDiskLost
+	// MessageExcluded tells a replica that it is no member any more. Hint carries the
+	// incarnation that the group recorded for its id, 0 when the id was removed.
+	MessageExcluded
 	messageTypeEnd
 )
 
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -31,15 +31,6 @@
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Err }
 
-// DiskLostError reports that the group knows this replica's id with another data
-// folder.
-type DiskLostError struct{ ID uint64 }
-
-// Error implements error.
-func (e *DiskLostError) Error() string {
-	return fmt.Sprintf("the group knows replica %d with another data folder: remove it from the group and join with an empty data folder and a new replica id", e.ID)
-}
-
 // ErrStopped reports a call to a replica that does not run any more.
 var ErrStopped = errors.New("replica has stopped: send the request to another one")
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -117,7 +117,8 @@
 }
 
 // Run serves the replica until ctx ends or the disk fails. It returns nil when ctx
-// ended, *DiskLostError when the replica must not take part any more. It can be
+// ended, *storage.ExcludedError when the replica
+// must not take part any more. It can be
 // called once.
 func (r *Replica) Run(ctx context.Context) error {
 	if !r.started.CompareAndSwap(false, true) {
@@ -213,8 +214,8 @@
 	r.finishWaiters()
 	r.maybeSnapshot()
 	status := r.publishStatus()
-	if status.DiskLost {
-		return &DiskLostError{ID: r.cfg.ID}
+	if status.Exclusion != consensus.ExclusionNone {
+		return r.storage.Exclude(status.Exclusion)
 	}
 	return nil
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -9,6 +9,7 @@
 
 	"filberthook/internal/consensus"
 	"filberthook/internal/fsys"
+	"filberthook/internal/storage"
 )
 
 func TestSingleReplicaKeepsCommandsOverRestart(t *testing.T) {
@@ -159,9 +160,14 @@
 	c.stop(lost)
 	n := c.start(lost, fsys.NewMem(), c.members)
 	<-n.ended
-	var diskLost *DiskLostError
-	if !errors.As(n.err, &diskLost) || diskLost.ID != lost {
-		t.Errorf("Run returned %v", n.err)
+	want := storage.ExcludedError{ID: lost, Exclusion: consensus.ExclusionDiskLost}
+	var excluded *storage.ExcludedError
+	if !errors.As(n.err, &excluded) || *excluded != want {
+		t.Errorf("Run returned %v, want %v", n.err, &want)
+	}
+	_, err := Open(Config{ID: lost, Dir: "data", FS: n.fs}, &journal{}, port{})
+	if !errors.As(err, &excluded) || *excluded != want {
+		t.Errorf("opening the folder again gave %v, want %v", err, &want)
 	}
 }
 
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -28,7 +28,7 @@
 	FirstIndex    uint64
 	LastIndex     uint64
 	Members       []MemberStatus
-	DiskLost      bool
+	Exclusion     consensus.Exclusion
 }
 
 // Status returns the replica's status after its last batch of work.
@@ -39,7 +39,7 @@
 	leader, _ := s.Membership.Find(s.Leader)
 	out := &Status{
 		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: leader.Address, Role: s.Role.String(),
-		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, DiskLost: s.DiskLost,
+		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, Exclusion: s.Exclusion,
 	}
 	for i, m := range s.Membership.Members {
 		ms := MemberStatus{Member: Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner}}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -41,6 +41,8 @@
 	ID          uint64             `json:"id"`
 	Incarnation uint64             `json:"incarnation"`
 	Members     []consensus.Member `json:"members"` // first members of the group
+	// Exclusion is kept so that a restart does not ask the group again.
+	Exclusion consensus.Exclusion `json:"exclusion,omitempty"`
 }
 
 // initialMembership returns the first members when the replica is one of them. Any
@@ -56,6 +58,7 @@
 // Storage is an open data folder. Save and Compact are called by one goroutine;
 // SaveSnapshot may be called by another.
 type Storage struct {
+	options   Options
 	identity  identity
 	log       *wal.Log
 	snapshots *snapshot.Store
@@ -94,7 +97,7 @@
 	if snap == nil {
 		snap = &consensus.Snapshot{Membership: id.initialMembership()}
 	}
-	s := &Storage{identity: id, log: log, snapshots: snapshots}
+	s := &Storage{options: o, identity: id, log: log, snapshots: snapshots}
 	st, err = reconcile(snap, recovered)
 	if err == nil {
 		err = s.alignLog(st)
@@ -170,6 +173,9 @@
 	if id.ID != o.ID {
 		return id, fmt.Errorf("data folder belongs to replica %d, settings say %d: correct the settings or choose another folder", id.ID, o.ID)
 	}
+	if id.Exclusion != consensus.ExclusionNone {
+		return id, &ExcludedError{ID: id.ID, Exclusion: id.Exclusion}
+	}
 	return id, nil
 }
 
@@ -190,14 +196,43 @@
 		}
 		id.Incarnation = binary.LittleEndian.Uint64(random[:])
 	}
+	return id, saveIdentity(o, id)
+}
+
+func saveIdentity(o Options, id identity) error {
 	data, err := json.Marshal(id)
 	if err != nil {
-		return id, fmt.Errorf("encode identity: %w", err)
+		return fmt.Errorf("encode identity: %w", err)
 	}
 	if err := fsys.WriteFile(o.FS, o.path(identityFile), data); err != nil {
-		return id, fmt.Errorf("write identity: %w", err)
+		return fmt.Errorf("write identity: %w", err)
 	}
-	return id, nil
+	return nil
+}
+
+// Exclude marks the data folder as never to be used again and returns the
+// *ExcludedError that opening it will give from now on.
+func (s *Storage) Exclude(e consensus.Exclusion) error {
+	s.identity.Exclusion = e
+	if err := saveIdentity(s.options, s.identity); err != nil {
+		return err
+	}
+	return &ExcludedError{ID: s.identity.ID, Exclusion: e}
+}
+
+// ExcludedError reports a data folder whose replica is no member any more.
+type ExcludedError struct {
+	ID        uint64
+	Exclusion consensus.Exclusion
+}
+
+// Error implements error.
+func (e *ExcludedError) Error() string {
+	cause := "was removed from the group"
+	if e.Exclusion == consensus.ExclusionDiskLost {
+		cause = "is known to the group with another data folder"
+	}
+	return fmt.Sprintf("replica %d %s: join with an empty data folder and a new replica id", e.ID, cause)
 }
 
 // Save makes the durable parts of a Ready durable, the snapshot first: a log must
