Add faultrun: seeded faults, checking callers and an audit

Cause: the promises must be shown under kills, pauses, cuts, crossed answers and crashes in a change, with counts that callers and stand-ins agree on. Change: faultrun draws a plan from a seed, strikes stand-ins behind relays, entry hosts and control replicas, lets callers resend under their keys, and audits wrong, lost, doubled, phantom, false not_run, cut by change, conflicting and stale orders and late work.

--- /dev/null
+++ b/internal/faultrun/bench.go
@@ -0,0 +1,248 @@
+package faultrun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// pollChange is how often a fault looks whether an engine is in a change.
+const pollChange = 5 * time.Millisecond
+
+// bench holds the stand-ins and strikes the system with faults.
+type bench struct {
+	sys      System
+	log      *slog.Logger
+	engines  []*engineWorker
+	services []*serviceWorker
+	hosts    []*host
+	controls []sync.Mutex // each held during a fault of its replica
+	ledger   *ledger
+}
+
+// host is an entry host and what was done to it.
+type host struct {
+	Entry
+	busy sync.Mutex // held during a fault, so that faults of one host follow each other
+
+	mu       sync.Mutex
+	stopping bool // a graceful stop is under way; guarded by mu
+	down     bool // it was killed or has stopped; guarded by mu
+}
+
+func (h *host) set(stopping, down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopping, h.down = stopping, down
+}
+
+// stoppingNow reports whether a graceful stop is under way.
+func (h *host) stoppingNow() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stopping
+}
+
+// newBench starts the stand-ins, spread over the zones of the entry hosts.
+func newBench(sys System, sizes Sizes, led *ledger, log *slog.Logger) (*bench, error) {
+	b := &bench{sys: sys, log: log, ledger: led, controls: make([]sync.Mutex, len(sys.Controls))}
+	for _, e := range sys.Entries {
+		b.hosts = append(b.hosts, &host{Entry: e})
+	}
+	for i := range sizes.Engines {
+		w, err := newEngineWorker(fmt.Sprintf("engine-%d", i), b.zone(i), sys)
+		if err != nil {
+			return nil, errors.Join(err, b.close())
+		}
+		b.engines = append(b.engines, w)
+	}
+	for i := range sizes.Services {
+		w, err := newServiceWorker(fmt.Sprintf("service-%d", i), b.zone(i), sys)
+		if err != nil {
+			return nil, errors.Join(err, b.close())
+		}
+		b.services = append(b.services, w)
+	}
+	return b, nil
+}
+
+func (b *bench) zone(i int) string { return b.hosts[i%len(b.hosts)].Zone() }
+
+// run drives the stand-ins until ctx ends.
+func (b *bench) run(ctx context.Context) {
+	var g errgroup.Group
+	for _, w := range b.engines {
+		g.Go(func() error { return w.engine.Run(ctx) })
+	}
+	for _, w := range b.services {
+		g.Go(func() error { return w.service.Run(ctx) })
+	}
+	_ = g.Wait()
+}
+
+func (b *bench) close() error {
+	for _, w := range b.engines {
+		w.close()
+	}
+	for _, w := range b.services {
+		w.close()
+	}
+	return nil
+}
+
+// heal ends all faults at the end of a run.
+func (b *bench) heal() {
+	for _, w := range b.engines {
+		w.heal()
+	}
+	for _, w := range b.services {
+		w.heal()
+	}
+}
+
+// strike carries out a plan and returns when its last fault has ended.
+func (b *bench) strike(ctx context.Context, plan []Fault, seed uint64) {
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i, f := range plan {
+		sleep(ctx, time.Until(start.Add(f.At)))
+		if ctx.Err() != nil {
+			break
+		}
+		rng := rand.New(rand.NewPCG(seed, uint64(i)+100))
+		wg.Go(func() { b.one(ctx, f, rng) })
+	}
+	wg.Wait()
+}
+
+// one carries out one fault, unless another one has its target.
+func (b *bench) one(ctx context.Context, f Fault, rng *rand.Rand) {
+	if f.Kind == ChangeDeclared {
+		b.ledger.fault(f.Kind, b.change(ctx, rng))
+		return
+	}
+	busy := b.lockOf(f)
+	if !busy.TryLock() {
+		b.ledger.skipped()
+		return
+	}
+	defer busy.Unlock()
+	b.log.Info("fault", "kind", f.Kind, "index", f.Index, "length", f.Length)
+	b.ledger.fault(f.Kind, b.carryOut(ctx, f, rng))
+}
+
+func (b *bench) lockOf(f Fault) *sync.Mutex {
+	switch targetOf(f.Kind) {
+	case onEngine:
+		return &b.engines[f.Index].busy
+	case onService:
+		return &b.services[f.Index].busy
+	case onEntry:
+		return &b.hosts[f.Index].busy
+	default:
+		return &b.controls[f.Index]
+	}
+}
+
+func (b *bench) carryOut(ctx context.Context, f Fault, rng *rand.Rand) error {
+	switch targetOf(f.Kind) {
+	case onEngine:
+		if f.Kind == CrashInChange {
+			return b.crashInChange(ctx, b.engines[f.Index], f.Length, rng)
+		}
+		return b.strikeWorker(ctx, &b.engines[f.Index].worker, f)
+	case onService:
+		return b.strikeWorker(ctx, &b.services[f.Index].worker, f)
+	case onEntry:
+		return b.strikeEntry(ctx, b.hosts[f.Index], f)
+	default:
+		c := b.sys.Controls[f.Index]
+		c.Kill()
+		sleep(ctx, f.Length)
+		return c.Start()
+	}
+}
+
+func (b *bench) strikeWorker(ctx context.Context, w *worker, f Fault) error {
+	faults := w.standin.Faults()
+	switch f.Kind {
+	case CrashEngine, CrashService:
+		w.crash(ctx, f.Length)
+		return nil
+	case LeaveEngine, LeaveService:
+		last, err := w.leave(ctx, f.Length)
+		b.ledger.left(w.name, last)
+		return err
+	case ResetEngine:
+		w.relay.Reset()
+		return nil
+	case CrossEngine, CrossService:
+		faults.CrossAnswers(1)
+		return nil
+	case CutStreams:
+		faults.CutStreams(2, 5)
+		return nil
+	case LoseService:
+		faults.LoseAnswers(1)
+		return nil
+	case PauseEngine, PauseService:
+		faults.Pause()
+	case CutEngine:
+		w.relay.Cut()
+	case CutEngineIn:
+		w.relay.CutThere()
+	case CutEngineOut, CutServiceOut:
+		w.relay.CutBack()
+	case DelayEngine:
+		w.relay.Delay(slowNetwork)
+	}
+	sleep(ctx, f.Length)
+	w.relay.Heal()
+	faults.Resume()
+	return nil
+}
+
+func (b *bench) strikeEntry(ctx context.Context, h *host, f Fault) error {
+	if f.Kind == StopEntry {
+		h.set(true, false)
+		if err := h.Stop(ctx); err != nil {
+			b.ledger.cutByStop(err)
+		}
+		h.set(false, true)
+	} else {
+		h.set(false, true)
+		h.Kill()
+	}
+	sleep(ctx, f.Length)
+	err := h.Start()
+	h.set(false, false)
+	return err
+}
+
+func (b *bench) change(ctx context.Context, rng *rand.Rand) error {
+	if b.sys.ChangeDeclared == nil {
+		return nil
+	}
+	return b.sys.ChangeDeclared(ctx, rng)
+}
+
+// crashInChange asks for a change and crashes the engine if it takes part.
+func (b *bench) crashInChange(ctx context.Context, w *engineWorker, length time.Duration, rng *rand.Rand) error {
+	err := b.change(ctx, rng)
+	until := time.Now().Add(longestFault)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		if w.engine.State().Outstanding.ID != "" {
+			w.crash(ctx, length)
+			b.ledger.crashedInChange()
+			return err
+		}
+		sleep(ctx, pollChange)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/faultrun/plan.go
@@ -0,0 +1,176 @@
+// Package faultrun runs a system of entry hosts and control replicas with
+// stand-ins on loopback under seeded faults, lets callers check each of their
+// answers, and audits the records of the stand-ins afterwards.
+package faultrun
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is one kind of fault or planned change.
+type Kind string
+
+// Kinds of faults.
+const (
+	CrashEngine    Kind = "crash_engine"
+	PauseEngine    Kind = "pause_engine"
+	CutEngine      Kind = "cut_engine"      // neither way
+	CutEngineIn    Kind = "cut_engine_in"   // requests do not arrive, heartbeats do
+	CutEngineOut   Kind = "cut_engine_out"  // answers do not arrive
+	ResetEngine    Kind = "reset_engine"    // connections are reset
+	DelayEngine    Kind = "delay_engine"    // the network is slow
+	CrossEngine    Kind = "cross_engine"    // an answer belongs to another request
+	CutStreams     Kind = "cut_streams"     // streams break in the middle
+	CrashInChange  Kind = "crash_in_change" // an engine crashes during a change
+	LeaveEngine    Kind = "leave_engine"    // planned: an engine drains and leaves
+	CrashService   Kind = "crash_service"
+	PauseService   Kind = "pause_service"
+	LoseService    Kind = "lose_service" // a call runs and its answer is lost
+	CrossService   Kind = "cross_service"
+	CutServiceOut  Kind = "cut_service_out" // answers do not arrive
+	LeaveService   Kind = "leave_service"   // planned: a worker drains and leaves
+	KillEntry      Kind = "kill_entry"
+	StopEntry      Kind = "stop_entry" // planned: graceful stop
+	KillControl    Kind = "kill_control"
+	ChangeDeclared Kind = "change_declared" // planned: an operator changes what engines carry
+)
+
+// target is what a fault strikes.
+type target uint8
+
+const (
+	onEngine target = iota + 1
+	onService
+	onEntry
+	onControl
+	onFleet
+)
+
+// kindOfFault is one kind with what it strikes and its weight in a plan.
+type kindOfFault struct {
+	kind   Kind
+	target target
+	weight int
+}
+
+// kinds lists all kinds.
+var kinds = []kindOfFault{
+	{CrashEngine, onEngine, 3},
+	{PauseEngine, onEngine, 3},
+	{CutEngine, onEngine, 2},
+	{CutEngineIn, onEngine, 2},
+	{CutEngineOut, onEngine, 2},
+	{ResetEngine, onEngine, 3},
+	{DelayEngine, onEngine, 2},
+	{CrossEngine, onEngine, 4},
+	{CutStreams, onEngine, 4},
+	{CrashInChange, onEngine, 2},
+	{LeaveEngine, onEngine, 2},
+	{CrashService, onService, 3},
+	{PauseService, onService, 3},
+	{LoseService, onService, 4},
+	{CrossService, onService, 4},
+	{CutServiceOut, onService, 2},
+	{LeaveService, onService, 2},
+	{KillEntry, onEntry, 3},
+	{StopEntry, onEntry, 2},
+	{KillControl, onControl, 3},
+	{ChangeDeclared, onFleet, 3},
+}
+
+// Fault is one fault of a plan. It begins at At and ends after Length; kinds
+// that happen once have no end.
+type Fault struct {
+	At     time.Duration
+	Kind   Kind
+	Index  int // which engine, service, entry host or control replica
+	Length time.Duration
+}
+
+// String implements fmt.Stringer.
+func (f Fault) String() string {
+	return fmt.Sprintf("%8s %s %d for %s", f.At.Round(time.Millisecond), f.Kind, f.Index, f.Length.Round(time.Millisecond))
+}
+
+// Sizes is the size of the system under faults.
+type Sizes struct {
+	Engines, Services, Entries, Controls int
+}
+
+func (s Sizes) of(t target) int {
+	switch t {
+	case onEngine:
+		return s.Engines
+	case onService:
+		return s.Services
+	case onEntry:
+		return s.Entries
+	case onControl:
+		return s.Controls
+	default:
+		return 1
+	}
+}
+
+// Lengths of faults and the mean time between them.
+const (
+	shortestFault = 200 * time.Millisecond
+	longestFault  = 4 * time.Second
+	meanGap       = 400 * time.Millisecond
+)
+
+// Plan draws the faults of a run. The same arguments give the same plan.
+func Plan(seed uint64, length time.Duration, sizes Sizes) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var plan []Fault
+	for at := gap(rng); at < length; at += gap(rng) {
+		k := draw(rng, sizes)
+		plan = append(plan, Fault{
+			At:     at,
+			Kind:   k.kind,
+			Index:  rng.IntN(sizes.of(k.target)),
+			Length: shortestFault + time.Duration(rng.Int64N(int64(longestFault-shortestFault))),
+		})
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+func gap(rng *rand.Rand) time.Duration {
+	return time.Duration(rng.ExpFloat64() * float64(meanGap))
+}
+
+// draw picks a kind whose target exists.
+func draw(rng *rand.Rand, sizes Sizes) kindOfFault {
+	sum := 0
+	for _, k := range kinds {
+		if sizes.of(k.target) > 0 {
+			sum += k.weight
+		}
+	}
+	left := rng.IntN(sum)
+	for _, k := range kinds {
+		if sizes.of(k.target) == 0 {
+			continue
+		}
+		if left < k.weight {
+			return k
+		}
+		left -= k.weight
+	}
+	return kinds[0]
+}
+
+// targetOf returns what a kind strikes.
+func targetOf(kind Kind) target {
+	for _, k := range kinds {
+		if k.kind == kind {
+			return k.target
+		}
+	}
+	return onFleet
+}
--- /dev/null
+++ b/internal/faultrun/system.go
@@ -0,0 +1,55 @@
+package faultrun
+
+import (
+	"context"
+	"math/rand/v2"
+)
+
+// Entry is one entry host under test.
+type Entry interface {
+	// Zone returns its availability zone.
+	Zone() string
+	// Callers returns the IP:port for callers.
+	Callers() string
+	// Announce returns the IP:port for announcements of endpoint instances.
+	Announce() string
+	// Kill ends it at once, as the death of its process would.
+	Kill()
+	// Stop ends it gracefully and returns an error when that cut a request.
+	Stop(ctx context.Context) error
+	// Start brings it back after Kill or Stop.
+	Start() error
+}
+
+// Control is one control replica under test.
+type Control interface {
+	// Kill ends it at once, as the death of its process would.
+	Kill()
+	// Start brings it back from its data folder.
+	Start() error
+}
+
+// System is what is put under faults.
+type System struct {
+	Entries  []Entry
+	Controls []Control
+	TeamKey  string // key of a team that is approved for both endpoints
+	Endpoint string // endpoint of the model
+	Model    string // model that the engines carry
+	Service  string // endpoint of the plain service, whose calls may not be repeated
+
+	// ChangeDeclared makes one planned change as an operator would. Nil makes
+	// none.
+	ChangeDeclared func(ctx context.Context, rng *rand.Rand) error
+}
+
+// announceTo returns the entry hosts that instances of a zone announce to.
+func (s System) announceTo(zone string) []string {
+	var out []string
+	for _, e := range s.Entries {
+		if e.Zone() == zone {
+			out = append(out, e.Announce())
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/faultrun/workers.go
@@ -0,0 +1,194 @@
+package faultrun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/enginemodel"
+	"filberthook/internal/faultnet"
+	"filberthook/internal/standin"
+)
+
+// Figures of the stand-ins. Changes are shorter than those of real engines, so
+// that a short run sees many.
+const (
+	engineSpeed      = 20
+	engineRoleChange = 20 * time.Second // of the engine's own time
+	engineModelLoad  = 20 * time.Second // of the engine's own time
+	serviceDuration  = 5 * time.Millisecond
+	announceEvery    = 200 * time.Millisecond
+	announceLease    = time.Second
+	leaveGrace       = leaveBound + time.Second
+	leaveLimit       = 30 * time.Second
+	slowNetwork      = 30 * time.Millisecond
+)
+
+// misbehaving is a stand-in of any kind.
+type misbehaving interface {
+	standin.Standin
+	Faults() *standin.Faults
+	Crash()
+	Restart()
+	Stay()
+	LeaveReport() standin.LeaveReport
+}
+
+// worker is one stand-in behind a relay, through which all calls to it pass.
+type worker struct {
+	name    string
+	relay   *faultnet.Relay
+	server  *http.Server
+	standin misbehaving
+
+	busy sync.Mutex // held during a fault, so that faults of one worker follow each other
+}
+
+// engineWorker and serviceWorker know the kinds of their stand-ins.
+type engineWorker struct {
+	worker
+	engine *standin.Engine
+}
+
+type serviceWorker struct {
+	worker
+	service *standin.Service
+}
+
+func newEngineWorker(name, zone string, sys System) (*engineWorker, error) {
+	w := &engineWorker{worker: worker{name: name}}
+	ln, err := w.listen()
+	if err != nil {
+		return nil, err
+	}
+	cfg := standin.EngineConfig{
+		Identity:   w.identity("", zone, sys),
+		Model:      engineFigures(sys.Model),
+		Speed:      engineSpeed,
+		RecordRuns: true,
+	}
+	w.engine, err = standin.NewEngine(cfg, metrics.NewSet(), discard())
+	if err != nil {
+		return nil, errors.Join(err, ln.Close())
+	}
+	w.standin = w.engine
+	w.serve(ln)
+	return w, nil
+}
+
+func engineFigures(model string) enginemodel.Config {
+	m := enginemodel.DefaultConfig()
+	m.RoleChange = engineRoleChange
+	m.ModelLoad = engineModelLoad
+	m.Models = []engineapi.Model{{Name: model, Version: "1"}}
+	return m
+}
+
+func newServiceWorker(name, zone string, sys System) (*serviceWorker, error) {
+	w := &serviceWorker{worker: worker{name: name}}
+	ln, err := w.listen()
+	if err != nil {
+		return nil, err
+	}
+	cfg := standin.ServiceConfig{Identity: w.identity(sys.Service, zone, sys), Duration: serviceDuration}
+	w.service, err = standin.NewService(cfg, metrics.NewSet(), discard())
+	if err != nil {
+		return nil, errors.Join(err, ln.Close())
+	}
+	w.standin = w.service
+	w.serve(ln)
+	return w, nil
+}
+
+// listen opens the worker's listener and the relay before it.
+func (w *worker) listen() (net.Listener, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("no free loopback port: %w", err)
+	}
+	w.relay, err = faultnet.NewRelay(ln.Addr().String())
+	if err != nil {
+		return nil, errors.Join(err, ln.Close())
+	}
+	return ln, nil
+}
+
+func (w *worker) identity(endpoint, zone string, sys System) standin.Identity {
+	return standin.Identity{
+		Instance:      w.name,
+		Incarnation:   uint64(time.Now().UnixNano()),
+		Endpoint:      endpoint,
+		Zone:          zone,
+		Address:       w.relay.Address(),
+		Entries:       sys.announceTo(zone),
+		AnnounceEvery: announceEvery,
+		Lease:         announceLease,
+		LeaveGrace:    leaveGrace,
+	}
+}
+
+func (w *worker) serve(ln net.Listener) {
+	w.server = &http.Server{
+		Handler:           w.standin,
+		ReadHeaderTimeout: 10 * time.Second,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+	}
+	go func() { _ = w.server.Serve(ln) }()
+}
+
+func (w *worker) close() {
+	_ = w.relay.Close()
+	_ = w.server.Close()
+}
+
+// heal ends all faults but a crash.
+func (w *worker) heal() {
+	w.relay.Heal()
+	w.standin.Faults().Clear()
+}
+
+// crash ends the stand-in at once and brings it back after a time.
+func (w *worker) crash(ctx context.Context, length time.Duration) {
+	w.standin.Crash()
+	w.relay.Reset()
+	sleep(ctx, length)
+	w.standin.Restart()
+}
+
+// leave lets the stand-in drain and leave, and brings it back after a time. It
+// returns when the last new request reached it.
+func (w *worker) leave(ctx context.Context, length time.Duration) (time.Duration, error) {
+	limited, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	err := w.standin.Leave(limited)
+	last := w.standin.LeaveReport().Last
+	w.standin.Crash()
+	w.relay.Reset()
+	sleep(ctx, length)
+	w.standin.Stay()
+	w.standin.Restart()
+	if err != nil {
+		return last, fmt.Errorf("worker %s did not finish its work in %s: %w", w.name, leaveLimit, err)
+	}
+	return last, nil
+}
+
+// sleep waits for a time or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -134,6 +134,12 @@
 	return s.gate.wait(ctx, s.idle)
 }
 
+// Stay takes back Leave.
+func (s *Service) Stay() {
+	s.gate.stay()
+	s.ann.soon()
+}
+
 // LeaveReport tells what new work reached the service after Leave.
 func (s *Service) LeaveReport() LeaveReport { return s.gate.arrivals() }
 
