Add experiment: policies on a logical clock, with baselines and a bound

Cause: the policy must be measured against baselines and against what hindsight could reach. Change: traces of both deployments, engines by the engine model, entry hosts with late views that run the routing, admission and planner packages, four baselines, an upper bound by relaxation, table, CSV, JSON and PNG plots; the experiment subcommand by experiment.Register.

--- /dev/null
+++ b/internal/experiment/bound.go
@@ -0,0 +1,166 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+)
+
+// hindsight is an upper bound on the number of good answers that any policy
+// can reach on a trace, with the whole trace known and roles that change at
+// once and for free.
+//
+// It relaxes the problem until it is easy and stays a bound:
+//   - all engines alive are one pool, without zones, delays or memory limits;
+//   - prompt pieces that an earlier arrival has are cached and cost nothing; the
+//     first arrival that has a piece pays for it, as nobody can have computed
+//     it before;
+//   - a prompt token costs the time of a step's prompt part only, and an output
+//     token its own part and the smallest share of a step's fixed part;
+//   - good requests that arrive in [a, b) need all their prompt work done in
+//     [a, b + first-token target), so for each of a tree of intervals no more
+//     requests of a target can be good than fit, the cheapest first;
+//   - all work of good requests fits into the run.
+//
+// A request that no idle engine could serve in time counts as not reachable.
+type hindsight struct {
+	s    *Scenario
+	jobs []boundJob
+}
+
+// boundJob is the least work of one request, in engine seconds.
+type boundJob struct {
+	at      time.Duration
+	target  time.Duration
+	prompt  float64
+	answer  float64
+	counted bool // arrives after the warm-up
+	service bool
+}
+
+// Bound is the bound for the counted requests of a trace.
+type Bound struct {
+	Good int
+}
+
+// newBound computes the bound of a trace.
+func newBound(s *Scenario, trace []arrival) Bound {
+	h := &hindsight{s: s}
+	cached := make(map[uint64]bool)
+	for i := range trace {
+		if j, reachable := h.job(&trace[i], cached); reachable && j.counted {
+			h.jobs = append(h.jobs, j)
+		}
+	}
+	services := 0
+	for i := range h.jobs {
+		if h.jobs[i].service {
+			services++
+		}
+	}
+	h.jobs = slices.DeleteFunc(h.jobs, func(j boundJob) bool { return j.service })
+	good := h.tree(s.Warmup.Duration, s.Duration.Duration)
+	return Bound{Good: services + min(good, h.wholeRun())}
+}
+
+// job returns the least work of an arrival, and whether an idle engine could
+// serve it in time. It adds the arrival's pieces to those cached.
+func (h *hindsight) job(a *arrival, cached map[uint64]bool) (boundJob, bool) {
+	w := &h.s.Fleet.Workloads[a.workload]
+	j := boundJob{at: a.at, counted: a.at >= h.s.Warmup.Duration, service: w.Endpoint != ""}
+	if j.service {
+		return j, w.Deadline.Duration == 0 || a.serviceTime <= w.Deadline.Duration
+	}
+	costs := &h.s.Fleet.Routing.Costs
+	tokens := a.prompt
+	for _, hash := range a.prefixes {
+		if cached[hash] {
+			tokens -= pieceTokens
+		}
+		cached[hash] = true
+	}
+	perToken := costs.StepPerSequence.Seconds() + costs.StepBase.Seconds()/float64(costs.MaxBatch)
+	j.prompt = float64(max(1, tokens)) / costs.PrefillPerSec
+	j.answer = float64(a.output) * perToken
+	j.target = h.s.Fleet.Routing.Targets.Of(w.Class).FirstToken.Duration
+	least := j.prompt + costs.StepBase.Seconds() + 2*h.s.Fleet.ClientDelay.Seconds()
+	return j, least <= j.target.Seconds()
+}
+
+// tree bounds the good requests that arrive in [from, to).
+func (h *hindsight) tree(from, to time.Duration) int {
+	whole := h.fitting(from, to)
+	if to-from <= time.Second {
+		return whole
+	}
+	middle := from + (to-from)/2
+	return min(whole, h.tree(from, middle)+h.tree(middle, to))
+}
+
+// fitting bounds the good requests of an interval by their prompt work: for
+// each target, those with that target or a shorter one must fit, and all others
+// may be good.
+func (h *hindsight) fitting(from, to time.Duration) int {
+	jobs := h.between(from, to)
+	best := len(jobs)
+	for _, target := range h.targets() {
+		var work []float64
+		for _, j := range jobs {
+			if j.target <= target {
+				work = append(work, j.prompt)
+			}
+		}
+		others := len(jobs) - len(work)
+		best = min(best, others+cheapest(work, h.capacity(from, to+target)))
+	}
+	return best
+}
+
+// targets returns the different first-token targets.
+func (h *hindsight) targets() []time.Duration {
+	table := &h.s.Fleet.Routing.Targets
+	all := []time.Duration{table.Interactive.FirstToken.Duration, table.Standard.FirstToken.Duration, table.Background.FirstToken.Duration}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// wholeRun bounds the good requests by all their work in the whole run.
+func (h *hindsight) wholeRun() int {
+	var work []float64
+	for _, j := range h.jobs {
+		work = append(work, j.prompt+j.answer)
+	}
+	return cheapest(work, h.capacity(h.s.Warmup.Duration, h.s.Duration.Duration+drainAfter))
+}
+
+// between returns the jobs that arrive in [from, to).
+func (h *hindsight) between(from, to time.Duration) []boundJob {
+	less := func(j boundJob, t time.Duration) int { return int(j.at - t) }
+	start, _ := slices.BinarySearchFunc(h.jobs, from, less)
+	end, _ := slices.BinarySearchFunc(h.jobs, to, less)
+	return h.jobs[start:end]
+}
+
+// cheapest returns how many jobs fit into the capacity, the cheapest first.
+func cheapest(work []float64, capacity float64) int {
+	slices.Sort(work)
+	for i, w := range work {
+		capacity -= w
+		if capacity < 0 {
+			return i
+		}
+	}
+	return len(work)
+}
+
+// capacity returns the engine seconds of [from, to).
+func (h *hindsight) capacity(from, to time.Duration) float64 {
+	total := float64(h.s.engines()) * (to - from).Seconds()
+	for _, e := range h.s.Events {
+		lost := 1.0
+		if e.Kind == EventZoneLost {
+			lost = float64(h.s.Fleet.Zones[h.s.zone(e.Zone)].engines())
+		}
+		total -= lost * max(0, to-max(from, e.At.Duration)).Seconds()
+	}
+	return total
+}
--- /dev/null
+++ b/internal/experiment/entry.go
@@ -0,0 +1,210 @@
+package experiment
+
+import (
+	"time"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/routing"
+)
+
+// maxAttempts bounds how often one request is placed.
+const maxAttempts = 6
+
+// leaseTime is how long an endpoint that has stopped stays in the view of an
+// entry host.
+const leaseTime = 3 * time.Second
+
+// placer is the part of a policy that runs at one entry host.
+type placer interface {
+	arrive(j *job)       // places, queues or refuses a new request
+	again(j *job)        // places a request whose attempt has failed
+	sent(j *job)         // the attempt has been sent
+	promptDone(j *job)   // the prompt part has ended
+	attemptEnded(j *job) // the attempt has ended, whatever its outcome
+	changed()            // memory may have become free
+	viewChanged(cands []routing.Candidate)
+}
+
+// entry is one entry host: its late view of the endpoints and its requests.
+type entry struct {
+	sim    *sim
+	zone   int
+	name   string
+	alive  bool
+	placer placer
+	cands  []routing.Candidate
+}
+
+// look refreshes the view of all endpoints.
+func (e *entry) look() {
+	if !e.alive {
+		return
+	}
+	s := e.sim
+	cands := make([]routing.Candidate, 0, len(s.workers)+len(s.services))
+	for _, w := range s.workers {
+		if !w.alive && s.clock.now-w.lost > leaseTime {
+			continue
+		}
+		cands = append(cands, w.candidate())
+	}
+	for _, v := range s.services {
+		if v.alive {
+			cands = append(cands, v.candidate())
+		}
+	}
+	e.cands = cands
+	e.placer.viewChanged(cands)
+}
+
+func (w *worker) candidate() routing.Candidate {
+	c := routing.Candidate{
+		Instance:    w.name,
+		Incarnation: 1,
+		Kind:        engineapi.KindModel,
+		Zone:        w.sim.scenario.Fleet.Zones[w.zone].Name,
+		Role:        w.role,
+		Models:      w.sim.models,
+		Pieces:      w.sim.scenario.Fleet.Pieces,
+		Draining:    w.draining,
+		Changing:    w.changing,
+	}
+	w.report(&c)
+	return c
+}
+
+// report puts the engine's late load report into a candidate.
+func (w *worker) report(c *routing.Candidate) {
+	if !w.alive {
+		return
+	}
+	now := w.sim.clock.now
+	c.Load = w.engine.Load(now)
+	c.ReportedAt = now - time.Duration(c.Load.AgeMillis)*time.Millisecond
+}
+
+func (v *service) candidate() routing.Candidate {
+	return routing.Candidate{
+		Instance:   v.name,
+		Kind:       engineapi.KindService,
+		Endpoint:   serviceEndpoint,
+		Zone:       v.sim.scenario.Fleet.Zones[v.zone].Name,
+		Load:       v.load(),
+		ReportedAt: v.sim.clock.now,
+	}
+}
+
+// serviceEndpoint is the endpoint that all plain service workers belong to.
+const serviceEndpoint = "desk"
+
+// carried takes in the load report that an engine's answer carries.
+func (e *entry) carried(w *worker) {
+	for i := range e.cands {
+		if e.cands[i].Instance == w.name {
+			w.report(&e.cands[i])
+			return
+		}
+	}
+}
+
+// send starts an attempt of a request.
+func (e *entry) send(j *job, p placement) {
+	j.place = p
+	j.prompted = false
+	j.attempts++
+	j.state = jobRunning
+	e.placer.sent(j)
+	if p.prompt != nil {
+		e.submit(&attempt{job: j, part: partPrompt}, p.prompt)
+		return
+	}
+	e.submit(&attempt{job: j, part: partWhole}, p.answer)
+}
+
+func (e *entry) submit(a *attempt, w *worker) {
+	e.sim.clock.after(e.delay(w.zone), func() {
+		if !w.submit(a) {
+			e.failed(a, w)
+		}
+	})
+}
+
+// delay returns the time to an endpoint of a zone.
+func (e *entry) delay(zone int) time.Duration {
+	if zone == e.zone {
+		return 0
+	}
+	return e.sim.scenario.Fleet.ZoneDelay.Duration
+}
+
+// finished takes in the end of an attempt's part.
+func (e *entry) finished(a *attempt, w *worker) {
+	j := a.job
+	if !e.alive {
+		return
+	}
+	e.carried(w)
+	if a.part == partPrompt {
+		j.prompted = true
+		e.placer.promptDone(j)
+		e.submit(&attempt{job: j, part: partAnswer}, j.place.answer)
+		e.placer.changed()
+		return
+	}
+	j.state = jobDone
+	j.ended = e.sim.clock.now + e.delay(w.zone)
+	e.placer.attemptEnded(j)
+	e.sim.record.ended(j)
+	e.placer.changed()
+}
+
+// failed places a request again after an attempt has failed.
+func (e *entry) failed(a *attempt, w *worker) {
+	j := a.job
+	if !e.alive || j.state != jobRunning {
+		return
+	}
+	if j.place.prompt != nil && !j.prompted {
+		e.placer.promptDone(j)
+	}
+	e.placer.attemptEnded(j)
+	e.sim.record.retries++
+	j.req.Exclude = append(j.req.Exclude, w.name)
+	j.state = jobWaiting
+	if j.attempts >= maxAttempts {
+		e.giveUp(j, jobFailed)
+		return
+	}
+	e.placer.again(j)
+}
+
+// giveUp ends a request without an answer.
+func (e *entry) giveUp(j *job, state jobState) {
+	j.state = state
+	j.ended = e.sim.clock.now
+	e.sim.record.ended(j)
+}
+
+// call sends a request to a plain service.
+func (e *entry) call(j *job, v *service) {
+	j.state = jobRunning
+	j.attempts++
+	e.placer.sent(j)
+	e.sim.clock.after(e.delay(v.zone), func() {
+		if !v.submit(j) {
+			e.placer.attemptEnded(j)
+			e.giveUp(j, jobFailed)
+		}
+	})
+}
+
+// served takes in the end of a service call.
+func (e *entry) served(j *job) {
+	if !e.alive {
+		return
+	}
+	j.state = jobDone
+	j.ended = e.sim.clock.now
+	e.placer.attemptEnded(j)
+	e.sim.record.ended(j)
+}
--- /dev/null
+++ b/internal/experiment/filberthook.go
@@ -0,0 +1,280 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/admission"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/planner"
+	"filberthook/internal/prefix"
+	"filberthook/internal/routing"
+)
+
+// filberthook is the policy of the daemons: their routing, admission and
+// planner packages.
+type filberthook struct {
+	name    string
+	planner planner.Config
+	zones   []*zonePlanner
+}
+
+// Name implements Policy.
+func (f *filberthook) Name() string { return f.name }
+
+func (f *filberthook) role(declared engineapi.Role) engineapi.Role { return declared }
+
+// Times between the actions of an entry host and of a zone's planner.
+const (
+	dispatchPeriod = 20 * time.Millisecond
+	cachePeriod    = 500 * time.Millisecond
+	planPeriod     = 2 * time.Second
+)
+
+// start implements Policy.
+func (f *filberthook) start(m *sim, end time.Duration) {
+	for zone, entries := range m.entries {
+		for _, e := range entries {
+			p := e.placer.(*routedPlacer)
+			first := time.Duration(m.rng.Int64N(int64(cachePeriod)))
+			m.clock.after(first, func() { m.clock.every(cachePeriod, end, p.readCacheEvents) })
+			m.clock.every(dispatchPeriod, end, p.changed)
+		}
+		first := planPeriod * time.Duration(zone) / time.Duration(len(m.entries))
+		z := f.zones[zone]
+		m.clock.after(first, func() { m.clock.every(planPeriod, end, z.plan) })
+	}
+}
+
+// newPlacer implements Policy.
+func (f *filberthook) newPlacer(e *entry) placer {
+	fleet := &e.sim.scenario.Fleet
+	for len(f.zones) < len(fleet.Zones) {
+		f.zones = append(f.zones, newZonePlanner(e.sim, len(f.zones), f.planner))
+	}
+	cfg := fleet.Routing
+	cfg.Zone = fleet.Zones[e.zone].Name
+	return &routedPlacer{
+		entry:   e,
+		zones:   f.zones,
+		router:  routing.New(cfg, rand.New(rand.NewPCG(e.sim.rng.Uint64(), 7))),
+		queue:   admission.NewQueue[*job](fleet.Admission, modelName, metrics.NewSet()),
+		lengths: admission.NewLengths(fleet.Admission.PriorOutput),
+	}
+}
+
+// routedPlacer is the decision part of one entry host.
+type routedPlacer struct {
+	entry   *entry
+	zones   []*zonePlanner
+	router  *routing.Router
+	queue   *admission.Queue[*job]
+	lengths *admission.Lengths
+	cands   []routing.Candidate
+}
+
+func (p *routedPlacer) viewChanged(cands []routing.Candidate) {
+	p.router.Prepare(cands)
+	p.cands = cands
+	now := p.entry.sim.clock.now
+	for i := range cands {
+		c := &cands[i]
+		if c.Kind == engineapi.KindModel {
+			p.router.Prefixes().Observe(now, c.Instance, c.Incarnation, c.Load.CacheEventsSeq)
+		}
+	}
+}
+
+func (p *routedPlacer) readCacheEvents() {
+	m := p.entry.sim
+	if !p.entry.alive {
+		return
+	}
+	index := p.router.Prefixes()
+	for _, w := range m.workers {
+		if !w.alive || !index.NeedsPage(w.name) {
+			continue
+		}
+		_, after := index.Next(w.name)
+		page := w.engine.CacheEvents(m.clock.now, after)
+		index.Apply(m.clock.now, prefix.Page{Instance: w.name, After: after, CacheEventPage: page})
+	}
+}
+
+func (p *routedPlacer) key(j *job) admission.Key {
+	return admission.Key{Team: j.arrival.team, Endpoint: j.workload.Name}
+}
+
+func (p *routedPlacer) arrive(j *job) {
+	m := p.entry.sim
+	expected := p.lengths.Estimate(p.key(j), m.scenario.Fleet.Admission.Quantile, 0, j.workload.OutputMax)
+	j.req = j.arrival.request(m.scenario, expected)
+	if j.workload.Endpoint != "" {
+		p.call(j)
+		return
+	}
+	p.enqueue(j)
+}
+
+func (p *routedPlacer) again(j *job) {
+	m := p.entry.sim
+	j.req.PromptTokens = j.arrival.prompt + j.generated
+	j.req.ExpectedOutput = max(1, p.lengths.Estimate(p.key(j), m.scenario.Fleet.Admission.Quantile, j.generated, j.workload.OutputMax)-j.generated)
+	if j.workload.Endpoint != "" {
+		p.call(j)
+		return
+	}
+	p.enqueue(j)
+}
+
+func (p *routedPlacer) call(j *job) {
+	m := p.entry.sim
+	d, err := p.router.Pick(m.clock.now, &j.req, p.cands)
+	if err != nil {
+		p.entry.giveUp(j, jobRefused)
+		return
+	}
+	j.decision = d
+	p.entry.call(j, m.service(d.Instance))
+}
+
+// enqueue puts a request into the admission queue. One that has begun to
+// answer is never refused for lateness.
+func (p *routedPlacer) enqueue(j *job) {
+	now := p.entry.sim.clock.now
+	item := admission.Item[*job]{
+		ID:      j.idText(),
+		Team:    j.arrival.team,
+		Class:   j.workload.Class,
+		Pieces:  j.req.Pieces(),
+		Arrived: now,
+		Value:   j,
+	}
+	if j.generated == 0 {
+		item.StartBy = p.startBy(j)
+	}
+	if err := p.queue.Push(now, item); err != nil {
+		p.entry.giveUp(j, jobRefused)
+		return
+	}
+	p.changed()
+}
+
+// startBy returns the latest start that can meet the first-token target on an
+// idle engine.
+func (p *routedPlacer) startBy(j *job) time.Duration {
+	costs := &p.entry.sim.scenario.Fleet.Routing.Costs
+	prompt := float64(j.arrival.prompt) / costs.PrefillRate(0) / 2
+	target := p.entry.sim.targets(j).FirstToken.Duration
+	return j.arrival.at + max(target-time.Duration(prompt*float64(time.Second)), target/8)
+}
+
+// changed places what can be placed and refuses what has become too late.
+func (p *routedPlacer) changed() {
+	if !p.entry.alive || p.queue.Len() == 0 {
+		return
+	}
+	now := p.entry.sim.clock.now
+	for _, x := range p.queue.Expire(now) {
+		p.entry.giveUp(x.Item.Value, jobRefused)
+	}
+	var placed []*job
+	p.queue.Dispatch(now, func(item *admission.Item[*job]) bool {
+		j := item.Value
+		d, err := p.router.Pick(now, &j.req, p.cands)
+		if err != nil {
+			return false
+		}
+		j.decision = d
+		p.router.Started(now, &d, &j.req)
+		placed = append(placed, j)
+		return true
+	})
+	for _, j := range placed {
+		p.start(j)
+	}
+}
+
+func (p *routedPlacer) start(j *job) {
+	m := p.entry.sim
+	d := &j.decision
+	place := placement{answer: m.byName[d.Instance]}
+	prompt := place.answer
+	if d.Prefill != "" {
+		place.prompt = m.byName[d.Prefill]
+		prompt = place.prompt
+	}
+	p.zones[prompt.zone].observe(j)
+	p.entry.send(j, place)
+}
+
+func (p *routedPlacer) sent(j *job) {
+	if j.workload.Endpoint != "" {
+		p.router.Started(p.entry.sim.clock.now, &j.decision, &j.req)
+	}
+}
+
+func (p *routedPlacer) promptDone(j *job) {
+	p.router.PrefillDone(p.entry.sim.clock.now, &j.decision, &j.req)
+}
+
+func (p *routedPlacer) attemptEnded(j *job) {
+	p.router.Finished(p.entry.sim.clock.now, &j.decision, &j.req)
+	if j.state == jobDone && j.workload.Endpoint == "" {
+		p.lengths.Observe(p.key(j), j.generated)
+	}
+}
+
+// zonePlanner runs the planner of one zone.
+type zonePlanner struct {
+	sim      *sim
+	zone     int
+	planner  *planner.Planner
+	forecast *planner.Forecaster
+	horizon  time.Duration
+}
+
+func newZonePlanner(m *sim, zone int, cfg planner.Config) *zonePlanner {
+	fleet := &m.scenario.Fleet
+	cfg.ChangeTime = fleet.Planner.ChangeTime
+	return &zonePlanner{
+		sim:      m,
+		zone:     zone,
+		planner:  planner.New(cfg, fleet.Routing.Costs, fleet.Routing.Targets.Standard.FirstToken.Duration),
+		forecast: planner.NewForecaster(cfg.Window.Duration),
+		horizon:  cfg.ChangeTime.Duration + cfg.DrainTime.Duration,
+	}
+}
+
+// observe counts the work of a request that the zone's engines get.
+func (z *zonePlanner) observe(j *job) {
+	z.forecast.Observe(z.sim.clock.now, planner.Work{
+		Requests:     1,
+		PromptTokens: float64(j.req.PromptTokens - j.decision.CachedTokens),
+		OutputTokens: float64(j.req.ExpectedOutput),
+		Context:      float64(j.req.PromptTokens + j.req.ExpectedOutput),
+	})
+}
+
+func (z *zonePlanner) plan() {
+	if !z.sim.zoneAlive(z.zone) {
+		return
+	}
+	now := z.sim.clock.now
+	view := planner.View{Zone: z.sim.scenario.Fleet.Zones[z.zone].Name, Demand: z.forecast.Forecast(now, z.horizon)}
+	for _, w := range z.sim.workers {
+		if w.zone == z.zone && w.alive && !w.leaving {
+			view.Engines = append(view.Engines, planner.Engine{
+				Instance: w.name, Incarnation: 1, Role: w.role, Models: z.sim.models,
+				Pieces: z.sim.scenario.Fleet.Pieces, Running: w.engine.Load(now).Running,
+				Changing: w.changing, Draining: w.draining, Since: w.since,
+			})
+		}
+	}
+	plan := z.planner.Plan(now, view)
+	if plan.Outcome == planner.OutcomeChange {
+		z.sim.byName[plan.Change.Instance].changeRole(plan.Change.Role)
+	}
+}
--- /dev/null
+++ b/internal/experiment/plot.go
@@ -0,0 +1,182 @@
+package experiment
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"filberthook/internal/routing"
+)
+
+// plotBin is the number of seconds that one point of a plot covers.
+const plotBin = 5
+
+// Size of a plot.
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 4 * vg.Inch
+)
+
+// line is one named line of a plot.
+type line struct {
+	name   string
+	points plotter.XYs
+}
+
+// chart is one plot: a figure over time for each policy.
+type chart struct {
+	file, title, unit string
+	value             func(bin []second, before float64) (y float64, ok bool)
+}
+
+var charts = []chart{
+	{"goodput.png", "Answers in time, share of offered", "share", goodShare},
+	{"role-changes.png", "Role changes since the start", "changes", changesSoFar},
+	{"first-token.png", "Time to first token, 95th percentile", "s", firstTokenP95},
+	{"gap.png", "Time between tokens, 95th percentile", "ms", gapP95},
+	{"memory.png", "Engine memory in use", "share", memoryUsed},
+}
+
+// plot draws the first seed of each policy, and goodput by class per policy.
+func (c *Comparison) plot(dir string) error {
+	firsts := c.firstSeeds()
+	for _, ch := range charts {
+		var lines []line
+		for _, r := range firsts {
+			lines = append(lines, line{r.Policy, ch.points(r.seconds)})
+		}
+		if err := draw(filepath.Join(dir, ch.file), c.Scenario+": "+ch.title, ch.unit, lines); err != nil {
+			return err
+		}
+	}
+	for _, r := range firsts {
+		path := filepath.Join(dir, "goodput-by-class-"+r.Policy+".png")
+		if err := draw(path, c.Scenario+": good answers per second, "+r.Policy, "answers per second", byClass(r.seconds)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Comparison) firstSeeds() []*Result {
+	var out []*Result
+	for i := range c.Runs {
+		if c.Runs[i].Seed == c.Runs[0].Seed {
+			out = append(out, &c.Runs[i])
+		}
+	}
+	return out
+}
+
+func (ch *chart) points(seconds []second) plotter.XYs {
+	var out plotter.XYs
+	before := 0.0
+	for at := 0; at+plotBin <= len(seconds); at += plotBin {
+		y, ok := ch.value(seconds[at:at+plotBin], before)
+		if ok {
+			out = append(out, plotter.XY{X: float64(at), Y: y})
+			before = y
+		}
+	}
+	return out
+}
+
+func goodShare(bin []second, _ float64) (float64, bool) {
+	good, offered := 0, 0
+	for i := range bin {
+		for class := range routing.NumClasses {
+			good += bin[i].Good[class]
+			offered += bin[i].Offered[class]
+		}
+	}
+	return share(good, offered), offered > 0
+}
+
+func changesSoFar(bin []second, before float64) (float64, bool) {
+	for i := range bin {
+		before += float64(bin[i].RoleChanges)
+	}
+	return before, true
+}
+
+func firstTokenP95(bin []second, _ float64) (float64, bool) {
+	all := bin[0].FirstToken
+	for i := range bin[1:] {
+		all = append(all[:len(all):len(all)], bin[i+1].FirstToken...)
+	}
+	return percentile(all, 0.95).Seconds(), len(all) > 0
+}
+
+func gapP95(bin []second, _ float64) (float64, bool) {
+	all := bin[0].Gap
+	for i := range bin[1:] {
+		all = append(all[:len(all):len(all)], bin[i+1].Gap...)
+	}
+	return float64(percentile(all, 0.95).Milliseconds()), len(all) > 0
+}
+
+func memoryUsed(bin []second, _ float64) (float64, bool) {
+	sum := 0.0
+	for i := range bin {
+		sum += bin[i].Memory
+	}
+	return sum / float64(len(bin)), true
+}
+
+// byClass returns offered and good answers per second for each class in use.
+func byClass(seconds []second) []line {
+	var lines []line
+	for class := range routing.NumClasses {
+		offered := line{name: routing.Class(class).String() + " offered"}
+		good := line{name: routing.Class(class).String() + " good"}
+		sum := 0
+		for at := 0; at+plotBin <= len(seconds); at += plotBin {
+			o, g := 0, 0
+			for i := range seconds[at : at+plotBin] {
+				o += seconds[at+i].Offered[class]
+				g += seconds[at+i].Good[class]
+			}
+			sum += o
+			offered.points = append(offered.points, plotter.XY{X: float64(at), Y: float64(o) / plotBin})
+			good.points = append(good.points, plotter.XY{X: float64(at), Y: float64(g) / plotBin})
+		}
+		if sum > 0 {
+			lines = append(lines, offered, good)
+		}
+	}
+	return lines
+}
+
+// draw writes a line plot over time as PNG.
+func draw(path, title, unit string, lines []line) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = unit
+	p.Y.Min = 0
+	p.Legend.Top = false
+	p.Legend.Left = true
+	p.Add(plotter.NewGrid())
+	for i, l := range lines {
+		if len(l.points) == 0 {
+			continue
+		}
+		drawn, err := plotter.NewLine(l.points)
+		if err != nil {
+			return fmt.Errorf("plot %s: %w", path, err)
+		}
+		drawn.Color = plotutil.Color(i)
+		drawn.Dashes = plotutil.Dashes(i)
+		drawn.Width = vg.Points(1.5)
+		p.Add(drawn)
+		p.Legend.Add(l.name, drawn)
+	}
+	if err := p.Save(plotWidth, plotHeight, path); err != nil {
+		return fmt.Errorf("plot %s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/policy.go
@@ -0,0 +1,58 @@
+package experiment
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/planner"
+)
+
+// Policy is one way of placing requests and roles.
+type Policy interface {
+	Name() string
+	role(declared engineapi.Role) engineapi.Role // at the start
+	newPlacer(e *entry) placer
+	start(m *sim, end time.Duration) // sets the timers of its planner
+}
+
+// Names of the policies.
+const (
+	nameRoundRobin = "round-robin"
+	nameLeastLoad  = "least-load"
+	nameNoSplit    = "no-split"
+	nameReactive   = "reactive"
+	nameGoodput    = "filberthook-goodput"
+	nameFewChanges = "filberthook-few-changes"
+	nameDeployment = "filberthook"
+)
+
+// baselineNames are the policies that filberthook is compared with.
+var baselineNames = []string{nameRoundRobin, nameLeastLoad, nameNoSplit, nameReactive}
+
+// allNames are the policies of a comparison.
+var allNames = append(append([]string{}, baselineNames...), nameGoodput, nameFewChanges)
+
+// newPolicy returns the policy with a name, set up for a scenario. Filberthook
+// alone uses the weights of the fleet's own settings.
+func newPolicy(name string, s *Scenario) (Policy, error) {
+	switch name {
+	case nameRoundRobin:
+		return &baseline{name: name, choose: chooseRoundRobin}, nil
+	case nameLeastLoad:
+		return &baseline{name: name, choose: chooseLeastLoad}, nil
+	case nameNoSplit:
+		return &baseline{name: name, choose: chooseLeastLoad, mixed: true}, nil
+	case nameReactive:
+		return &baseline{name: name, choose: chooseLeastLoad, reactive: true}, nil
+	case nameDeployment:
+		return &filberthook{name: name, planner: s.Fleet.Planner}, nil
+	case nameGoodput:
+		return &filberthook{name: name, planner: planner.GoodputConfig()}, nil
+	case nameFewChanges:
+		return &filberthook{name: name, planner: planner.FewChangesConfig()}, nil
+	}
+	names := append(append([]string{}, allNames...), nameDeployment)
+	return nil, fmt.Errorf("unknown policy %q; use all or one of %s", name, strings.Join(names, ", "))
+}
--- /dev/null
+++ b/internal/experiment/sim.go
@@ -0,0 +1,162 @@
+package experiment
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/routing"
+)
+
+// sim is one run of one policy on one trace.
+type sim struct {
+	scenario *Scenario
+	clock    clock
+	rng      *rand.Rand
+	models   []engineapi.Model
+	workers  []*worker
+	byName   map[string]*worker
+	services []*service
+	entries  [][]*entry // by zone
+	jobs     []*job
+	record   *record
+}
+
+// drainAfter is how long a run goes on after its last arrival, so that answers
+// under way can end.
+const drainAfter = 60 * time.Second
+
+// runOne runs one policy on one trace.
+func runOne(s *Scenario, trace []arrival, p Policy, seed uint64) *record {
+	m := &sim{
+		scenario: s,
+		rng:      rand.New(rand.NewPCG(seed, 99)),
+		models:   []engineapi.Model{{Name: modelName, Version: "1"}},
+		byName:   make(map[string]*worker),
+	}
+	m.record = newRecord(m)
+	m.build(p)
+	for i := range trace {
+		a := &trace[i]
+		m.clock.at(a.at, func() { m.arrive(a) })
+	}
+	for _, e := range s.Events {
+		m.clock.at(e.At.Duration, func() { m.happen(e) })
+	}
+	end := s.Duration.Duration + drainAfter
+	m.clock.every(time.Second, end, m.record.sample)
+	p.start(m, end)
+	m.clock.run(end)
+	m.record.close()
+	return m.record
+}
+
+// build makes the endpoints and entry hosts.
+func (m *sim) build(p Policy) {
+	for zone := range m.scenario.Fleet.Zones {
+		z := &m.scenario.Fleet.Zones[zone]
+		for i := range z.engines() {
+			role := engineapi.RoleDecode
+			if i < z.Prefill {
+				role = engineapi.RolePrefill
+			}
+			w := newWorker(m, fmt.Sprintf("%s-engine%d", z.Name, i), zone, p.role(role))
+			m.workers = append(m.workers, w)
+			m.byName[w.name] = w
+		}
+		for i := range z.Services {
+			m.services = append(m.services, &service{sim: m, name: fmt.Sprintf("%s-service%d", z.Name, i), zone: zone, alive: true})
+		}
+	}
+	for zone := range m.scenario.Fleet.Zones {
+		m.entries = append(m.entries, m.buildEntries(p, zone))
+	}
+}
+
+func (m *sim) buildEntries(p Policy, zone int) []*entry {
+	var out []*entry
+	fleet := &m.scenario.Fleet
+	end := m.scenario.Duration.Duration + drainAfter
+	for i := range fleet.EntriesPerZone {
+		e := &entry{sim: m, zone: zone, alive: true, name: fmt.Sprintf("%s-entry%d", fleet.Zones[zone].Name, i)}
+		e.placer = p.newPlacer(e)
+		e.look()
+		poll := fleet.Lags.Poll.Duration
+		first := time.Duration(m.rng.Int64N(int64(poll)))
+		m.clock.after(first, func() { m.clock.every(poll, end, e.look) })
+		out = append(out, e)
+	}
+	return out
+}
+
+// arrive gives a request to the entry host that the balancer has chosen, or to
+// another one when that has stopped.
+func (m *sim) arrive(a *arrival) {
+	e := m.entries[a.zone][a.entry]
+	for step := 1; !e.alive && step < len(m.entries); step++ {
+		e = m.entries[(a.zone+step)%len(m.entries)][a.entry]
+	}
+	j := &job{id: len(m.jobs), arrival: a, workload: &m.scenario.Fleet.Workloads[a.workload], entry: e}
+	m.jobs = append(m.jobs, j)
+	e.placer.arrive(j)
+}
+
+// happen carries out a fleet event.
+func (m *sim) happen(ev FleetEvent) {
+	zone := m.scenario.zone(ev.Zone)
+	if ev.Kind == EventZoneLost {
+		m.loseZone(zone)
+		return
+	}
+	at := slices.IndexFunc(m.workers, func(w *worker) bool {
+		return w.zone == zone && w.alive && !w.leaving && !w.changing && (w.role == ev.Role || w.role == engineapi.RoleMixed)
+	})
+	if at < 0 {
+		at = slices.IndexFunc(m.workers, func(w *worker) bool { return w.zone == zone && w.alive && !w.leaving })
+	}
+	if at < 0 {
+		return
+	}
+	if ev.Kind == EventCrash {
+		m.workers[at].stop()
+		return
+	}
+	m.workers[at].withdraw()
+}
+
+func (m *sim) loseZone(zone int) {
+	for _, e := range m.entries[zone] {
+		e.alive = false
+	}
+	for _, w := range m.workers {
+		if w.zone == zone {
+			w.stop()
+		}
+	}
+	for _, v := range m.services {
+		if v.zone == zone {
+			v.alive = false
+		}
+	}
+}
+
+// zoneAlive reports whether a zone has an entry host that runs.
+func (m *sim) zoneAlive(zone int) bool { return m.entries[zone][0].alive }
+
+func (m *sim) targets(j *job) *routing.Targets {
+	return m.scenario.Fleet.Routing.Targets.Of(j.workload.Class)
+}
+
+func (m *sim) service(name string) *service {
+	for _, v := range m.services {
+		if v.name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/experiment/trace.go
@@ -0,0 +1,218 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/routing"
+)
+
+// arrival is one request of a trace. A trace depends on the scenario and the
+// seed only, so all policies meet the same one.
+type arrival struct {
+	at          time.Duration
+	workload    int
+	zone        int // of the entry host that the platform's balancer chooses
+	entry       int // within the zone
+	team        string
+	prompt      int
+	output      int
+	prefixes    []uint64
+	serviceTime time.Duration
+}
+
+// usualBatch is the batch size at which the work of an output token is counted
+// when rates are worked out from the load.
+const usualBatch = 48
+
+// newTrace draws the arrivals of a scenario, in order of time.
+func newTrace(s *Scenario, seed uint64) []arrival {
+	var out []arrival
+	unit := s.unitRate()
+	for i := range s.Fleet.Workloads {
+		w := &s.Fleet.Workloads[i]
+		rate := w.Share * unit
+		if w.Endpoint != "" {
+			rate = w.Rate
+		}
+		g := &generator{s: s, w: w, index: i, rng: rand.New(rand.NewPCG(seed, uint64(i)+1))}
+		out = append(out, g.arrivals(rate)...)
+	}
+	slices.SortStableFunc(out, func(a, b arrival) int { return int(a.at - b.at) })
+	return out
+}
+
+// unitRate returns the requests per second, over all workloads of model
+// engines, that offer the scenario's load at factor 1.
+func (s *Scenario) unitRate() float64 {
+	work := 0.0
+	for i := range s.Fleet.Workloads {
+		w := &s.Fleet.Workloads[i]
+		if w.Endpoint == "" {
+			work += w.Share * s.work(w)
+		}
+	}
+	return s.Load * float64(s.engines()) / work
+}
+
+// work returns the engine seconds of a mean request when engines run full
+// batches and no prefix is cached.
+func (s *Scenario) work(w *Workload) float64 {
+	costs := &s.Fleet.Routing.Costs
+	prompt := w.Prompt * math.Exp(w.PromptSpread*w.PromptSpread/2)
+	output := w.Output * math.Exp(w.OutputSpread*w.OutputSpread/2)
+	return prompt/costs.PrefillRate(0) + output*costs.Step(usualBatch, 0)/usualBatch
+}
+
+// generator draws the arrivals of one workload.
+type generator struct {
+	s     *Scenario
+	w     *Workload
+	index int
+	rng   *rand.Rand
+	count int
+}
+
+// arrivals draws a Poisson process whose rate follows the workload's profile,
+// by thinning.
+func (g *generator) arrivals(rate float64) []arrival {
+	profile := g.s.profile(g.w.Name)
+	peak := rate * profile.peak()
+	if peak <= 0 {
+		return nil
+	}
+	var out []arrival
+	for at := 0.0; ; {
+		at += g.rng.ExpFloat64() / peak
+		when := time.Duration(at * float64(time.Second))
+		if when >= g.s.Duration.Duration {
+			return out
+		}
+		if g.rng.Float64()*peak < rate*profile.factor(when) {
+			out = append(out, g.draw(when))
+		}
+	}
+}
+
+func (g *generator) draw(at time.Duration) arrival {
+	a := arrival{
+		at:       at,
+		workload: g.index,
+		zone:     g.rng.IntN(len(g.s.Fleet.Zones)),
+		entry:    g.rng.IntN(g.s.Fleet.EntriesPerZone),
+		team:     fmt.Sprintf("%s-%d", g.w.Name, g.rng.IntN(max(1, g.w.Teams))),
+	}
+	g.count++
+	if g.w.Endpoint != "" {
+		a.serviceTime = time.Duration(g.rng.ExpFloat64() * float64(g.w.ServiceTime.Duration))
+		return a
+	}
+	a.prompt = g.length(g.w.Prompt, g.w.PromptSpread, g.w.PromptMax)
+	a.output = g.length(g.w.Output, g.w.OutputSpread, g.w.OutputMax)
+	a.prefixes = g.prefixes(a.prompt)
+	return a
+}
+
+// length draws from a lognormal distribution, cut at most.
+func (g *generator) length(median, spread float64, most int) int {
+	n := int(median * math.Exp(spread*g.rng.NormFloat64()))
+	if most > 0 {
+		n = min(n, most)
+	}
+	return max(8, n)
+}
+
+// prefixes returns the hashes of a prompt that begins with a shared document
+// and goes on with text of its own.
+func (g *generator) prefixes(prompt int) []uint64 {
+	pieces := prompt / engineapi.PieceTokens
+	if pieces == 0 {
+		return nil
+	}
+	shared := 0
+	document := uint64(0)
+	if g.w.Documents > 0 {
+		shared = int(math.Round(g.w.Shared * float64(pieces)))
+		document = g.zipf(g.w.Documents)
+	}
+	hashes := make([]uint64, pieces)
+	for i := range hashes {
+		if i < shared {
+			hashes[i] = mix(uint64(g.index)<<56 ^ document<<16 ^ uint64(i))
+			continue
+		}
+		hashes[i] = mix(uint64(g.index)<<56 ^ 1<<55 ^ uint64(g.count)<<16 ^ uint64(i))
+	}
+	return hashes
+}
+
+// zipf draws a document number below n; the probability falls with the number.
+func (g *generator) zipf(n int) uint64 {
+	return uint64(math.Pow(float64(n), g.rng.Float64())) - 1
+}
+
+// mix spreads the bits of x.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// profile returns the profile of a workload; one without points is constant.
+func (s *Scenario) profile(workload string) Profile {
+	for _, p := range s.Profiles {
+		if p.Workload == workload && len(p.Points) > 0 {
+			return p
+		}
+	}
+	return Profile{Points: []Point{{Factor: 1}}}
+}
+
+func (p Profile) peak() float64 {
+	peak := 0.0
+	for _, point := range p.Points {
+		peak = max(peak, point.Factor)
+	}
+	return peak
+}
+
+// factor returns the rate's factor at a time.
+func (p Profile) factor(at time.Duration) float64 {
+	before := p.Points[0]
+	for _, point := range p.Points {
+		if point.At.Duration > at {
+			span := point.At.Duration - before.At.Duration
+			if span <= 0 {
+				return point.Factor
+			}
+			part := float64(at-before.At.Duration) / float64(span)
+			return before.Factor + part*(point.Factor-before.Factor)
+		}
+		before = point
+	}
+	return before.Factor
+}
+
+// request returns what routing sees of an arrival.
+func (a *arrival) request(s *Scenario, expected int) routing.Request {
+	w := &s.Fleet.Workloads[a.workload]
+	r := routing.Request{
+		Class:          w.Class,
+		Endpoint:       w.Endpoint,
+		Prefixes:       a.prefixes,
+		PromptTokens:   a.prompt,
+		ExpectedOutput: expected,
+		Deadline:       w.Deadline.Duration,
+	}
+	if w.Endpoint == "" {
+		r.Model = modelName
+	}
+	return r
+}
+
+// modelName is the one model that the engines of an experiment carry.
+const modelName = "assist"
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,8 +27,24 @@
 	Window         tomltime.Duration `toml:"forecast_window"`  // of the forecaster
 }
 
-// DefaultConfig returns the settings that favour goodput.
-func DefaultConfig() Config {
+// DefaultConfig returns the settings used when a file names none.
+func DefaultConfig() Config { return GoodputConfig() }
+
+// FewChangesConfig returns settings for deployments that would rather lose some
+// answers than an engine's seconds.
+func FewChangesConfig() Config {
+	cfg := GoodputConfig()
+	cfg.ChangeCost = 300
+	cfg.Confirmations = 5
+	cfg.ChangesPerHour = 6
+	cfg.Burst = 2
+	cfg.MinDwell = tomltime.Of(5 * time.Minute)
+	return cfg
+}
+
+// GoodputConfig returns settings for deployments where each late answer weighs
+// more than a change.
+func GoodputConfig() Config {
 	return Config{
 		GoodputWeight:  1,
 		ChangeCost:     5,
