--- /dev/null
+++ b/internal/middleware/body.go
@@ -0,0 +1,102 @@
+package middleware
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"filberthook/internal/call"
+	"filberthook/internal/limit"
+	"filberthook/internal/request"
+)
+
+// BodySettings bound request bodies.
+type BodySettings struct {
+	MaxBytes    int64         `toml:"max_bytes"`    // of one body
+	MaxHeld     int64         `toml:"max_held"`     // bytes of all bodies together
+	ReadTimeout time.Duration `toml:"read_timeout"` // for the whole body
+}
+
+// DefaultBody returns limits that fit full charter files.
+func DefaultBody() BodySettings {
+	return BodySettings{MaxBytes: 8 << 20, MaxHeld: 512 << 20, ReadTimeout: 10 * time.Second}
+}
+
+// Body reads the request's body within limits of size, time and memory.
+type Body struct {
+	settings BodySettings
+	memory   *limit.Memory
+	next     http.Handler
+}
+
+// NewBody returns the handler.
+func NewBody(settings BodySettings, memory *limit.Memory, next http.Handler) *Body {
+	return &Body{settings: settings, memory: memory, next: next}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Body) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := call.From(r)
+	held, refusal := h.charge(r)
+	if refusal != nil {
+		c.Refuse(w, refusal)
+		return
+	}
+	defer h.memory.Return(held)
+	body, refusal := h.read(w, r)
+	if refusal != nil {
+		c.Refuse(w, refusal)
+		return
+	}
+	c.Body = body
+	h.next.ServeHTTP(w, r)
+}
+
+// charge takes memory for the body: its declared length, or the limit when it
+// declares none.
+func (h *Body) charge(r *http.Request) (int64, *request.Refusal) {
+	need := r.ContentLength
+	if need > h.settings.MaxBytes {
+		return 0, request.Refuse(request.BodyTooLarge, "the body has %d bytes, allowed are %d", need, h.settings.MaxBytes)
+	}
+	if need < 0 {
+		need = h.settings.MaxBytes
+	}
+	if !h.memory.Take(need) {
+		return 0, request.Refuse(request.BodyMemoryFull, "%d bytes are held for requests", h.memory.Used())
+	}
+	return need, nil
+}
+
+func (h *Body) read(w http.ResponseWriter, r *http.Request) ([]byte, *request.Refusal) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(h.settings.ReadTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	limited := http.MaxBytesReader(w, r.Body, h.settings.MaxBytes)
+	if r.ContentLength < 0 {
+		body, err := io.ReadAll(limited)
+		return body, bodyRefusal(err)
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(limited, body)
+	return body, bodyRefusal(err)
+}
+
+func bodyRefusal(err error) *request.Refusal {
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &large):
+		return request.Refuse(request.BodyTooLarge, "more than %d bytes came", large.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return request.Refuse(request.BodyTooSlow, "the body did not come in time")
+	default:
+		return request.Refuse(request.InvalidRequest, "the body broke off").Because(err)
+	}
+}
--- /dev/null
+++ b/internal/middleware/claims.go
@@ -0,0 +1,194 @@
+package middleware
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"filberthook/internal/call"
+	"filberthook/internal/claim"
+	"filberthook/internal/claimlog"
+	"filberthook/internal/ident"
+	"filberthook/internal/request"
+)
+
+// ClaimSettings bound the life of claims.
+type ClaimSettings struct {
+	Host      string        `toml:"-"`         // name of this entry host
+	Grace     time.Duration `toml:"grace"`     // time after the deadline for which an answer is still waited for
+	Retention time.Duration `toml:"retention"` // as the control group keeps keys
+}
+
+// DefaultClaims returns the settings used when none are set.
+func DefaultClaims() ClaimSettings {
+	return ClaimSettings{Grace: 30 * time.Second, Retention: claim.DefaultLimits().Retention}
+}
+
+// HeaderReplayed marks an answer that was stored by an earlier send of the same
+// call.
+const HeaderReplayed = "X-Replayed"
+
+// Claims runs a non-repeatable call only after its claim is committed, and
+// keeps its answer for resends. Repeatable calls pass.
+type Claims struct {
+	settings ClaimSettings
+	log      *claimlog.Client
+	next     http.Handler
+	running  sync.WaitGroup // calls under way, those whose caller has left included
+}
+
+// NewClaims returns the handler.
+func NewClaims(settings ClaimSettings, log *claimlog.Client, next http.Handler) *Claims {
+	return &Claims{settings: settings, log: log, next: next}
+}
+
+// Drain waits until every non-repeatable call has ended and its outcome is in
+// the log, or ctx ends. It returns an error that says what is left.
+func (h *Claims) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		h.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return errors.New("non-repeatable calls are still running; ask for their outcome by key")
+	}
+	if left := h.log.Drain(ctx); left > 0 {
+		return fmt.Errorf("%d outcomes of non-repeatable calls are not stored; ask for them by key", left)
+	}
+	return nil
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Claims) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := call.From(r)
+	if c.Request.Repeatable() {
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	cmd := h.command(c, r)
+	res, err := h.log.Claim(r.Context(), cmd)
+	if err != nil {
+		c.Refuse(w, claimRefusal(err))
+		return
+	}
+	if res.Status != claim.Granted {
+		answerFromClaim(w, c, res)
+		return
+	}
+	h.run(w, r, c, cmd)
+}
+
+func (h *Claims) command(c *call.Call, r *http.Request) claim.Command {
+	return claim.Command{
+		Key:      claimKey(c),
+		Attempt:  ident.New(),
+		Entry:    h.settings.Host,
+		BodyHash: bodyHash(c, r),
+		Hold:     c.Left() + h.settings.Grace,
+	}
+}
+
+func claimKey(c *call.Call) claim.Key {
+	return claim.Key{Team: c.Team, Endpoint: c.Endpoint.Name, Idempotency: c.Key}
+}
+
+// bodyHash covers everything that tells one call from another.
+func bodyHash(c *call.Call, r *http.Request) string {
+	sum := sha256.New()
+	fmt.Fprintf(sum, "%s\n%q\n%q\n%q\n", r.Method, c.Path, c.RawQuery, r.Header.Get("Content-Type"))
+	sum.Write(c.Body)
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+func claimRefusal(err error) *request.Refusal {
+	var unconfirmed *claimlog.UnconfirmedError
+	if errors.As(err, &unconfirmed) {
+		return request.Refuse(request.ClaimUnconfirmed, "the claim of the call could not be confirmed").Because(err)
+	}
+	return request.Refuse(request.ClaimUnavailable, "the call could not be claimed").Because(err)
+}
+
+// run sends the claimed call. The run goes on when the caller leaves or its
+// deadline passes, so that the outcome is known to resends.
+func (h *Claims) run(w http.ResponseWriter, r *http.Request, c *call.Call, cmd claim.Command) {
+	rec := newRecorder()
+	done := make(chan struct{})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), cmd.Hold)
+	h.running.Go(func() {
+		defer close(done)
+		defer cancel()
+		h.next.ServeHTTP(rec, r.WithContext(ctx))
+		h.settle(c, cmd, rec)
+	})
+	select {
+	case <-done:
+		rec.copyTo(w)
+	case <-r.Context().Done():
+		h.leave(w, c)
+	}
+}
+
+// leave answers a caller whose call is still under way.
+func (h *Claims) leave(w http.ResponseWriter, c *call.Call) {
+	refusal := request.Refuse(request.InProgress, "the call is still under way at its deadline")
+	c.Counters.Refused(refusal.Code)
+	c.WriteRefusal(w, refusal)
+}
+
+// settle records the outcome of the run in the log.
+func (h *Claims) settle(c *call.Call, cmd claim.Command, rec *recorder) {
+	outcome := c.Request.Outcome()
+	switch {
+	case c.Request.State() == request.Answered:
+		h.log.Complete(cmd.Key, cmd.Attempt, rec.stored())
+	case outcome != nil && outcome.Disposition == request.NotRun:
+		h.log.Release(cmd.Key, cmd.Attempt)
+	case outcome != nil && outcome.Disposition == request.Ran:
+		h.log.Complete(cmd.Key, cmd.Attempt, &claim.StoredAnswer{Dropped: true})
+	default:
+		h.log.Abandon(cmd.Key, cmd.Attempt)
+	}
+}
+
+// answerFromClaim answers a call that was claimed before.
+func answerFromClaim(w http.ResponseWriter, c *call.Call, res claim.Result) {
+	switch res.Status {
+	case claim.Stored:
+		replay(w, c, res.Answer)
+	case claim.InProgress:
+		c.Refuse(w, request.Refuse(request.InProgress, "the call is under way through host %s", res.Entry))
+	case claim.Unknown:
+		c.Refuse(w, request.Refuse(request.OutcomeUnknown, "the call was sent through host %s and its outcome is not known", res.Entry))
+	case claim.KeyReused:
+		c.Refuse(w, request.Refuse(request.KeyReused, "the idempotency key belongs to another call"))
+	case claim.Full:
+		c.Refuse(w, request.Refuse(request.ClaimsFull, "the limit of remembered calls is reached"))
+	case claim.NotFound:
+		c.Refuse(w, request.Refuse(request.KeyNotFound, "no call is known under the idempotency key"))
+	default:
+		c.Refuse(w, request.Refuse(request.ClaimUnconfirmed, "the claim was answered with %q", res.Status))
+	}
+}
+
+// replay writes a stored answer.
+func replay(w http.ResponseWriter, c *call.Call, answer *claim.StoredAnswer) {
+	if answer == nil || answer.Dropped {
+		c.Refuse(w, request.Refuse(request.AnswerNotKept, "the call has run, its answer was too large to be kept"))
+		return
+	}
+	c.Answered()
+	for _, h := range answer.Headers {
+		w.Header().Add(h.Name, h.Value)
+	}
+	w.Header().Set(HeaderReplayed, "1")
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/internal/middleware/idempotency.go
@@ -0,0 +1,91 @@
+package middleware
+
+import (
+	"crypto/rand"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"filberthook/internal/call"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/request"
+)
+
+// headerLastEventID is the header of a caller that takes a stream up again; it
+// holds the number of output tokens that the caller has.
+const headerLastEventID = "Last-Event-ID"
+
+// mintedPrefix begins the idempotency keys that are made here.
+const mintedPrefix = "fh-"
+
+// Idempotency gives every request an idempotency key and reads where a stream
+// is to be taken up.
+type Idempotency struct {
+	retention time.Duration // time for which claims remember keys
+	next      http.Handler
+}
+
+// NewIdempotency returns the handler.
+func NewIdempotency(retention time.Duration, next http.Handler) *Idempotency {
+	return &Idempotency{retention: retention, next: next}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Idempotency) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := call.From(r)
+	if refusal := h.fill(c, r); refusal != nil {
+		c.Refuse(w, refusal)
+		return
+	}
+	w.Header().Set(engineapi.HeaderIdempotencyKey, c.Key)
+	h.next.ServeHTTP(w, r)
+}
+
+func (h *Idempotency) fill(c *call.Call, r *http.Request) *request.Refusal {
+	key := r.Header.Get(engineapi.HeaderIdempotencyKey)
+	switch {
+	case key == "":
+		c.Key, c.Minted = mintKey(time.Now()), true
+	case !wellFormedID(key):
+		return request.Refuse(request.InvalidRequest, "%s must be 1 to %d visible ASCII characters", engineapi.HeaderIdempotencyKey, maxIDBytes)
+	case !c.Request.Repeatable() && expired(key, time.Now(), h.retention):
+		return request.Refuse(request.KeyExpired, "the key was made more than %v ago", h.retention)
+	default:
+		c.Key = key
+	}
+	return fillDelivered(c, r)
+}
+
+func fillDelivered(c *call.Call, r *http.Request) *request.Refusal {
+	value := r.Header.Get(headerLastEventID)
+	if value == "" {
+		return nil
+	}
+	if !c.Stream || c.Minted {
+		return request.Refuse(request.InvalidRequest, "%s needs a stream and the idempotency key of its first request", headerLastEventID)
+	}
+	n, err := strconv.ParseUint(value, 10, 32)
+	if err != nil || n > maxOutputTokens {
+		return request.Refuse(request.InvalidRequest, "%s must be the number of the last event received", headerLastEventID)
+	}
+	c.Delivered = int(n)
+	return nil
+}
+
+// mintKey makes a key that tells when it was made.
+func mintKey(now time.Time) string {
+	return mintedPrefix + strconv.FormatInt(now.UnixMilli(), 36) + "-" + rand.Text()
+}
+
+// expired reports whether a minted key is older than the claims remember keys.
+// Keys of callers do not tell their age.
+func expired(key string, now time.Time, retention time.Duration) bool {
+	rest, ok := strings.CutPrefix(key, mintedPrefix)
+	if !ok {
+		return false
+	}
+	stamp, _, _ := strings.Cut(rest, "-")
+	ms, err := strconv.ParseInt(stamp, 36, 64)
+	return err == nil && now.Sub(time.UnixMilli(ms)) >= retention
+}
--- /dev/null
+++ b/internal/middleware/limits.go
@@ -0,0 +1,56 @@
+package middleware
+
+import (
+	"net/http"
+
+	"filberthook/internal/call"
+	"filberthook/internal/limit"
+)
+
+// Teams holds each calling team to its concurrency and token rate.
+type Teams struct {
+	settings limit.TeamSettings
+	teams    *limit.Teams
+	next     http.Handler
+}
+
+// NewTeams returns the handler.
+func NewTeams(settings limit.TeamSettings, teams *limit.Teams, next http.Handler) *Teams {
+	return &Teams{settings: settings, teams: teams, next: next}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Teams) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := call.From(r)
+	if refusal := h.teams.Begin(c.Team, h.settings, c.PromptTokens); refusal != nil {
+		c.Refuse(w, refusal)
+		return
+	}
+	defer func() { h.teams.End(c.Team, int(c.Output.Load())) }()
+	h.next.ServeHTTP(w, r)
+}
+
+// Slots lets a bounded number of requests through at once; others wait in
+// their class's queue.
+type Slots struct {
+	gate *limit.Gate
+	next http.Handler
+}
+
+// NewSlots returns the handler.
+func NewSlots(gate *limit.Gate, next http.Handler) *Slots {
+	return &Slots{gate: gate, next: next}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Slots) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := call.From(r)
+	release, refusal := h.gate.Acquire(r.Context(), c.Team, c.Class)
+	if refusal != nil {
+		c.Refuse(w, refusal)
+		return
+	}
+	defer release()
+	c.Request.Admit()
+	h.next.ServeHTTP(w, r)
+}
--- /dev/null
+++ b/internal/middleware/middleware.go
@@ -0,0 +1,64 @@
+// Package middleware holds the handlers that a caller request passes on an
+// entry host before it is sent to an endpoint. Each handler does one job and
+// wraps the next; Chain puts them in order.
+package middleware
+
+import (
+	"net/http"
+	"time"
+
+	"filberthook/internal/claimlog"
+	"filberthook/internal/fleet"
+	"filberthook/internal/limit"
+	"filberthook/internal/request"
+)
+
+// Configuration gives the newest configuration in force.
+type Configuration interface {
+	Snapshot() *fleet.Snapshot
+}
+
+// Settings bound what callers can send and ask for.
+type Settings struct {
+	Body     BodySettings       `toml:"body"`
+	Deadline DeadlineSettings   `toml:"deadline"`
+	Gate     limit.GateSettings `toml:"gate"`
+	Team     limit.TeamSettings `toml:"team"`
+	Claims   ClaimSettings      `toml:"claims"`
+}
+
+// DefaultSettings returns the settings used when none are set.
+func DefaultSettings() Settings {
+	return Settings{
+		Body:     DefaultBody(),
+		Deadline: DefaultDeadline(),
+		Gate:     limit.DefaultGate(),
+		Team:     limit.DefaultTeam(),
+		Claims:   DefaultClaims(),
+	}
+}
+
+// Chain is the handlers between callers and the proxy, in order.
+type Chain struct {
+	http.Handler
+	Stop   *Stop
+	Claims *Claims
+}
+
+// NewChain returns the handlers in front of next. The counters and the client
+// of the claims are shared with the other parts of the entry host.
+func NewChain(s Settings, config Configuration, log *claimlog.Client, counters *request.Counters, next http.Handler) *Chain {
+	claims := NewClaims(s.Claims, log, next)
+	var h http.Handler = claims
+	h = NewSlots(limit.NewGate(s.Gate, time.Now), h)
+	h = NewTeams(s.Team, limit.NewTeams(time.Now), h)
+	h = NewDeadline(s.Deadline, h)
+	h = NewIdempotency(s.Claims.Retention, h)
+	h = NewTarget(config, h)
+	h = NewBody(s.Body, limit.NewMemory(s.Body.MaxHeld), h)
+	h = NewOutcome(log, h)
+	h = NewAuthentication(config, h)
+	stop := NewStop(h)
+	h = NewRequestID(counters, stop)
+	return &Chain{Handler: NewViolation(h), Stop: stop, Claims: claims}
+}
--- /dev/null
+++ b/internal/middleware/requestid.go
@@ -0,0 +1,51 @@
+package middleware
+
+import (
+	"net/http"
+
+	"filberthook/internal/call"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/ident"
+	"filberthook/internal/request"
+)
+
+// maxIDBytes is the longest request identifier or idempotency key taken from a
+// caller.
+const maxIDBytes = 128
+
+// RequestID gives each request its Call and an identifier: the caller's, if it
+// is well formed, or a new one.
+type RequestID struct {
+	counters *request.Counters
+	next     http.Handler
+}
+
+// NewRequestID returns the handler.
+func NewRequestID(counters *request.Counters, next http.Handler) *RequestID {
+	return &RequestID{counters: counters, next: next}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *RequestID) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(engineapi.HeaderRequestID)
+	if !wellFormedID(id) {
+		id = ident.New()
+	}
+	w.Header().Set(engineapi.HeaderRequestID, id)
+	c := call.New(id, h.counters)
+	h.next.ServeHTTP(w, r.WithContext(call.With(r.Context(), c)))
+}
+
+// wellFormedID reports whether an identifier can be logged and passed on as it
+// is: visible ASCII of a bounded length.
+func wellFormedID(id string) bool {
+	if id == "" || len(id) > maxIDBytes {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/middleware/stop.go
@@ -0,0 +1,89 @@
+package middleware
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"filberthook/internal/call"
+	"filberthook/internal/request"
+)
+
+// Stop counts the requests under way, so that an entry host can stop without
+// cutting one, and refuses new ones from then on.
+type Stop struct {
+	next http.Handler
+
+	mu       sync.Mutex    // guards the fields below
+	underWay int           // requests inside next
+	stopping bool          // no request enters any more
+	idle     chan struct{} // closed when stopping and underWay is 0
+	closed   bool          // idle is closed
+}
+
+// NewStop returns the handler.
+func NewStop(next http.Handler) *Stop {
+	return &Stop{next: next, idle: make(chan struct{})}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Stop) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !h.enter() {
+		w.Header().Set("Connection", "close")
+		call.From(r).Refuse(w, request.Refuse(request.Stopping, "this host is stopping"))
+		return
+	}
+	defer h.leave()
+	h.next.ServeHTTP(w, r)
+}
+
+func (h *Stop) enter() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopping {
+		return false
+	}
+	h.underWay++
+	return true
+}
+
+func (h *Stop) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.underWay--
+	h.signal()
+}
+
+// signal closes idle when the last request has left. The caller holds h.mu.
+func (h *Stop) signal() {
+	if h.stopping && h.underWay == 0 && !h.closed {
+		h.closed = true
+		close(h.idle)
+	}
+}
+
+// Begin refuses all requests that come from now on.
+func (h *Stop) Begin() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopping = true
+	h.signal()
+}
+
+// UnderWay returns the number of requests under way.
+func (h *Stop) UnderWay() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.underWay
+}
+
+// Wait waits after Begin until no request is under way or ctx ends. It returns
+// the number of requests that were still under way.
+func (h *Stop) Wait(ctx context.Context) int {
+	select {
+	case <-h.idle:
+		return 0
+	case <-ctx.Done():
+		return h.UnderWay()
+	}
+}
--- /dev/null
+++ b/internal/middleware/target.go
@@ -0,0 +1,107 @@
+package middleware
+
+import (
+	"net/http"
+	"strings"
+
+	"filberthook/internal/call"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/request"
+)
+
+// PathServices is the path prefix of calls to plain services. The endpoint's
+// name follows it, then the path at the service.
+const PathServices = "/services/"
+
+// HeaderPriorityClass is the caller's header that names a request.Class.
+const HeaderPriorityClass = "X-Priority-Class"
+
+// Target finds out what is called, and checks that the team may call it.
+type Target struct {
+	config Configuration
+	next   http.Handler
+}
+
+// NewTarget returns the handler.
+func NewTarget(config Configuration, next http.Handler) *Target {
+	return &Target{config: config, next: next}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := call.From(r)
+	if refusal := h.fill(c, r); refusal != nil {
+		c.Refuse(w, refusal)
+		return
+	}
+	h.next.ServeHTTP(w, r)
+}
+
+func (h *Target) fill(c *call.Call, r *http.Request) *request.Refusal {
+	var refusal *request.Refusal
+	switch {
+	case r.URL.Path == engineapi.PathChatCompletions || r.URL.Path == engineapi.PathCompletions:
+		refusal = h.model(c, r)
+	case strings.HasPrefix(r.URL.Path, PathServices):
+		refusal = h.service(c, r)
+	default:
+		refusal = request.Refuse(request.PathNotFound, "%s is no path for callers", r.URL.Path)
+	}
+	if refusal != nil {
+		return refusal
+	}
+	if c.Endpoint.Repeatable || r.Method == http.MethodGet || r.Method == http.MethodHead {
+		c.Request.AllowRepeats()
+	} else if c.Stream {
+		return request.Refuse(request.InvalidRequest, "calls of endpoint %s may not be repeated, so they cannot be streamed", c.Endpoint.Name)
+	}
+	return fillClass(c, r)
+}
+
+func (h *Target) service(c *call.Call, r *http.Request) *request.Refusal {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+	default:
+		return request.Refuse(request.MethodNotAllowed, "method %s", r.Method)
+	}
+	// The escaped path is cut, so that an escaped slash in a name stays one.
+	name, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), PathServices), "/")
+	endpoint, refusal := authorize(h.config.Snapshot(), r, name)
+	if refusal != nil {
+		return refusal
+	}
+	if endpoint.Kind != engineapi.KindService {
+		return request.Refuse(request.EndpointNotFound, "endpoint %s is no plain service", name)
+	}
+	c.Endpoint = endpoint
+	c.Path = "/" + path
+	c.RawQuery = r.URL.RawQuery
+	return nil
+}
+
+// defaultClass is the class of requests that name none: of calls to plain
+// services and of completions.
+func defaultClass(c *call.Call, r *http.Request) request.Class {
+	switch {
+	case c.Endpoint.Kind == engineapi.KindModel:
+		return request.ClassSummary
+	case r.Method == http.MethodGet || r.Method == http.MethodHead:
+		return request.ClassStatus
+	default:
+		return request.ClassCheck
+	}
+}
+
+func fillClass(c *call.Call, r *http.Request) *request.Refusal {
+	name := r.Header.Get(HeaderPriorityClass)
+	if name == "" {
+		c.Class = defaultClass(c, r)
+		return nil
+	}
+	class, ok := request.ParseClass(name)
+	if !ok {
+		return request.Refuse(request.InvalidRequest, "%s must be status, check, summary or lookup", HeaderPriorityClass)
+	}
+	c.Class = class
+	return nil
+}
--- /dev/null
+++ b/internal/middleware/violation.go
@@ -0,0 +1,34 @@
+package middleware
+
+import (
+	"net/http"
+
+	"filberthook/internal/invariant"
+)
+
+// Violation ends the process when a handler breaks an invariant. Without it the
+// HTTP server would recover the panic and go on.
+type Violation struct{ next http.Handler }
+
+// NewViolation returns the handler.
+func NewViolation(next http.Handler) *Violation { return &Violation{next: next} }
+
+// ServeHTTP implements http.Handler.
+func (h *Violation) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		switch v := recover().(type) {
+		case nil:
+		case *invariant.Violation:
+			stopProcess(v)
+		default:
+			panic(v)
+		}
+	}()
+	h.next.ServeHTTP(w, r)
+}
+
+// stopProcess panics where nothing recovers. It is replaced in tests.
+var stopProcess = func(v *invariant.Violation) {
+	go panic(v)
+	select {}
+}
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -51,6 +51,7 @@
 	InProgress          Code = "in_progress"
 	ClaimUnavailable    Code = "claim_unavailable"
 	ClaimUnconfirmed    Code = "claim_unconfirmed"
+	LookupUnavailable   Code = "lookup_unavailable"
 	ClaimsFull          Code = "claims_full"
 	OutcomeUnknown      Code = "outcome_unknown"
 	CallerGone          Code = "caller_gone"
@@ -101,6 +102,7 @@
 	{InProgress, http.StatusConflict, MayHaveRun, "ask again by idempotency key after the advised time", time.Second},
 	{ClaimUnavailable, http.StatusServiceUnavailable, NotRun, "resend with the same idempotency key after the advised time; a majority of control hosts is out of reach", 2 * time.Second},
 	{ClaimUnconfirmed, http.StatusServiceUnavailable, NotRun, "resend with the same idempotency key after the advised time", 2 * time.Second},
+	{LookupUnavailable, http.StatusServiceUnavailable, MayHaveRun, "ask again after the advised time; a majority of control hosts is out of reach", 2 * time.Second},
 	{ClaimsFull, http.StatusServiceUnavailable, NotRun, "resend after the advised time; operators: raise the limit of claims", 30 * time.Second},
 	{OutcomeUnknown, http.StatusBadGateway, MayHaveRun, "ask by idempotency key, or read the request's effect from the service; a resend does not run it again", 2 * time.Second},
 	{CallerGone, StatusCallerGone, MayHaveRun, "resend with the same idempotency key", 0},
