--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -36,7 +36,7 @@
 	Stream    bool // the answer is to be streamed
 	Delivered int  // output tokens that the caller has from an earlier connection
 
-	Prompt         string // text of the prompt, for model endpoints
+	Prefixes       []uint64 // chained hashes of the whole pieces of the prompt, for model endpoints
 	PromptTokens   int
 	ExpectedOutput int          // tokens
 	Output         atomic.Int64 // tokens passed on so far; added to by the last handler
--- a/internal/middleware/model.go
+++ b/internal/middleware/model.go
@@ -49,8 +49,9 @@
 	c.Path = r.URL.Path
 	c.Body = body
 	c.Stream = completion.Stream
-	c.Prompt = prompt(completion)
-	c.PromptTokens = prefix.CountTokens(c.Prompt)
+	text := prompt(completion)
+	c.Prefixes = prefix.PrefixHashes(endpoint.Model, endpoint.Adapter, text)
+	c.PromptTokens = prefix.CountTokens(text)
 	c.ExpectedOutput = completion.MaxTokens
 	if c.ExpectedOutput == 0 {
 		c.ExpectedOutput = defaultExpectedOutput
--- /dev/null
+++ b/internal/proxy/events.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"filberthook/internal/engineapi"
+)
+
+// streamEnd is the data of the last event of a whole stream.
+const streamEnd = "[DONE]"
+
+// eventWriter writes a stream to a caller. Every event that carries an output
+// token has the number of tokens up to and with it as its id.
+type eventWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	began   bool // the head of the answer is written
+	buf     []byte
+}
+
+func newEventWriter(w http.ResponseWriter) *eventWriter {
+	return &eventWriter{w: w, control: http.NewResponseController(w)}
+}
+
+// begin writes the head of the answer.
+func (e *eventWriter) begin() {
+	if e.began {
+		return
+	}
+	e.began = true
+	e.w.Header().Set("Content-Type", "text/event-stream")
+	e.w.Header().Set("Cache-Control", "no-cache")
+	e.w.WriteHeader(http.StatusOK)
+}
+
+// token writes an event with output token number n, from 1.
+func (e *eventWriter) token(n int, data string) error {
+	e.buf = append(e.buf[:0], "id: "...)
+	e.buf = strconv.AppendInt(e.buf, int64(n), 10)
+	e.buf = append(e.buf, '\n')
+	return e.send(data)
+}
+
+// plain writes an event without a token.
+func (e *eventWriter) plain(data string) error {
+	e.buf = e.buf[:0]
+	return e.send(data)
+}
+
+// failure writes the event that ends a stream without its rest.
+func (e *eventWriter) failure(data []byte) error {
+	e.buf = append(e.buf[:0], "event: error\n"...)
+	return e.send(string(data))
+}
+
+// send appends the data to the buffer and writes it at once.
+func (e *eventWriter) send(data string) error {
+	e.begin()
+	e.buf = appendData(e.buf, data)
+	if _, err := e.w.Write(e.buf); err != nil {
+		return err
+	}
+	return e.control.Flush()
+}
+
+// appendData appends data as the fields of one event.
+func appendData(buf []byte, data string) []byte {
+	for {
+		line, rest, more := strings.Cut(data, "\n")
+		buf = append(buf, "data: "...)
+		buf = append(buf, line...)
+		buf = append(buf, '\n')
+		if !more {
+			return append(buf, '\n')
+		}
+		data = rest
+	}
+}
+
+// tokenMark is in every chunk with a token as engines usually write it; inside
+// a JSON string its quotes would be escaped.
+const tokenMark = `"finish_reason":null`
+
+// carriesToken reports whether a chunk holds an output token. The last chunk
+// of an answer holds a finish reason instead.
+func carriesToken(data string) bool {
+	if strings.Contains(data, tokenMark) {
+		return true
+	}
+	var chunk engineapi.Completion
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) == 0 {
+		return false
+	}
+	return chunk.Choices[0].FinishReason == nil
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,35 +1,27 @@
-// Package proxy answers callers: it authorizes a request, lets the scheduler
-// pick an instance and passes the instance's answer on.
+// Package proxy sends a caller's request to endpoint instances and passes the
+// answer on: it retries what may be repeated within a budget, takes broken
+// streams up again where they broke, and lets no answer of another attempt
+// through.
 package proxy
 
 import (
-	"encoding/json"
+	"context"
 	"errors"
-	"fmt"
-	"io"
+	"math/rand/v2"
 	"net/http"
-	"strings"
+	"sync"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/call"
 	"filberthook/internal/engineapi"
-	"filberthook/internal/fleet"
-	"filberthook/internal/prefix"
+	"filberthook/internal/limit"
 	"filberthook/internal/request"
+	"filberthook/internal/retry"
 	"filberthook/internal/routing"
-
-	"filberthook/internal/ident"
 )
 
-// PathServices is the path prefix of calls to plain services; the endpoint's
-// name follows it.
-const PathServices = "/services/"
-
-// MaxBodyBytes is the longest request body accepted.
-const MaxBodyBytes = 8 << 20
-
-// defaultExpectedOutput is the output length, in tokens, assumed for a request
-// that sets no limit.
-const defaultExpectedOutput = 256
-
 // Scheduler picks instances and is told what becomes of attempts.
 type Scheduler interface {
 	Pick(req *routing.Request) (routing.Decision, error)
@@ -39,212 +31,172 @@
 	Draining(instance string, incarnation uint64)
 }
 
-// Configuration gives the newest configuration that is in force.
-type Configuration interface {
-	Snapshot() *fleet.Snapshot
+// Settings bound attempts and answers.
+type Settings struct {
+	Transport      TransportSettings `toml:"transport"`
+	Retry          retry.Settings    `toml:"retry"`
+	MaxAnswerBytes int64             `toml:"max_answer_bytes"` // of a whole answer
+	MaxHeldBytes   int64             `toml:"max_held_bytes"`   // of all whole answers together
+	MaxEventBytes  int               `toml:"max_event_bytes"`  // of one event of a stream
+	StreamIdle     time.Duration     `toml:"stream_idle"`      // longest gap in an engine's stream before it is taken up elsewhere
+}
+
+// DefaultSettings returns the settings used when none are set.
+func DefaultSettings() Settings {
+	return Settings{
+		Transport:      DefaultTransport(),
+		Retry:          retry.DefaultSettings(),
+		MaxAnswerBytes: 16 << 20,
+		MaxHeldBytes:   512 << 20,
+		MaxEventBytes:  256 << 10,
+		StreamIdle:     10 * time.Second,
+	}
 }
 
-// Proxy is the handler of all caller requests.
+// Proxy is the last handler of a caller request.
 type Proxy struct {
-	config   Configuration
+	settings Settings
 	sched    Scheduler
-	client   *http.Client
-	counters *request.Counters
+	kept     http.RoundTripper // for repeatable requests
+	once     http.RoundTripper // for non-repeatable requests
+	memory   *limit.Memory     // of whole answers
+	attempts *metrics.Counter
+
+	mu       sync.RWMutex
+	policies map[string]*retry.Policy // by endpoint; guarded by mu
 }
 
 // New returns a Proxy.
-func New(config Configuration, sched Scheduler, counters *request.Counters) *Proxy {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
-	return &Proxy{config: config, sched: sched, client: &http.Client{Transport: transport}, counters: counters}
+func New(settings Settings, sched Scheduler, set *metrics.Set) *Proxy {
+	return &Proxy{
+		settings: settings,
+		sched:    sched,
+		kept:     newTransport(settings.Transport),
+		once:     newOnceTransport(settings.Transport),
+		memory:   limit.NewMemory(settings.MaxHeldBytes),
+		attempts: set.GetOrCreateCounter("filberthook_attempts_total"),
+		policies: make(map[string]*retry.Policy),
+	}
 }
 
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	if err != nil {
-		p.refuse(w, request.Refuse(request.BodyTooLarge, "%v", err))
-		return
-	}
-	var target routing.Request
-	var refusal *request.Refusal
-	if strings.HasPrefix(r.URL.Path, PathServices) {
-		target, refusal = p.serviceTarget(r)
-	} else {
-		target, body, refusal = p.modelTarget(r, body)
-	}
-	if refusal != nil {
-		p.refuse(w, refusal)
+	c := call.From(r)
+	p.policy(c).First()
+	if c.Stream {
+		p.serveStream(w, r, c)
 		return
 	}
-	p.forward(w, r, &target, body)
+	p.serveWhole(w, r, c)
 }
 
-// modelTarget reads a completion request and replaces the endpoint's name by
-// its model.
-func (p *Proxy) modelTarget(r *http.Request, body []byte) (routing.Request, []byte, *request.Refusal) {
-	var completion engineapi.CompletionRequest
-	if err := json.Unmarshal(body, &completion); err != nil {
-		return routing.Request{}, nil, request.Refuse(request.InvalidRequest, "%v", err)
-	}
-	endpoint, refusal := p.authorize(r, completion.Model)
-	if refusal != nil {
-		return routing.Request{}, nil, refusal
-	}
-	prompt := completion.Prompt
-	for _, m := range completion.Messages {
-		prompt += m.Content + "\n"
-	}
-	completion.Model = endpoint.Model
-	rewritten, err := json.Marshal(completion)
-	if err != nil {
-		return routing.Request{}, nil, request.Refuse(request.InvalidRequest, "%v", err)
-	}
-	expected := completion.MaxTokens
-	if expected == 0 {
-		expected = defaultExpectedOutput
-	}
-	return routing.Request{
-		ID:             ident.New(),
-		Model:          endpoint.Model,
-		Adapter:        endpoint.Adapter,
-		Version:        endpoint.Version,
-		Kind:           engineapi.KindModel,
-		Prefixes:       prefix.PrefixHashes(endpoint.Model, endpoint.Adapter, prompt),
-		PromptTokens:   prefix.CountTokens(prompt),
-		ExpectedOutput: expected,
-	}, rewritten, nil
+// policy returns the retry policy of the call's endpoint.
+func (p *Proxy) policy(c *call.Call) *retry.Policy {
+	name := c.Endpoint.Name
+	p.mu.RLock()
+	policy := p.policies[name]
+	p.mu.RUnlock()
+	if policy != nil {
+		return policy
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.policies[name] == nil {
+		p.policies[name] = retry.NewPolicy(p.settings.Retry)
+	}
+	return p.policies[name]
 }
 
-func (p *Proxy) serviceTarget(r *http.Request) (routing.Request, *request.Refusal) {
-	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, PathServices), "/")
-	endpoint, refusal := p.authorize(r, name)
-	if refusal != nil {
-		return routing.Request{}, refusal
+// again decides whether another attempt follows a failed one, and waits until
+// then. It returns nil when one follows, else the refusal that ends the call.
+func (p *Proxy) again(ctx context.Context, c *call.Call, f *failure, made int) *request.Refusal {
+	if f.final {
+		return truthful(c, f)
 	}
-	return routing.Request{ID: ident.New(), Endpoint: endpoint.Name, Kind: engineapi.KindService}, nil
-}
-
-// authorize checks that the caller's team may call the endpoint.
-func (p *Proxy) authorize(r *http.Request, name string) (fleet.Endpoint, *request.Refusal) {
-	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	snap := p.config.Snapshot()
-	_, err := snap.Authorize(key, name)
-	var refused *fleet.AuthorizeError
-	if !errors.As(err, &refused) {
-		return snap.Endpoints[name], nil
-	}
-	switch refused.Reason {
-	case fleet.ReasonNotApproved:
-		return fleet.Endpoint{}, request.Refuse(request.TeamNotApproved, "%v", refused)
-	case fleet.ReasonUnknownEndpoint:
-		return fleet.Endpoint{}, request.Refuse(request.EndpointNotFound, "%v", refused)
-	default:
-		return fleet.Endpoint{}, request.Refuse(request.Unauthenticated, "%v", refused)
+	if ctx.Err() != nil || !c.Request.Repeatable() && c.Request.MayHaveRun() {
+		return p.ended(ctx, c, f)
 	}
-}
-
-// forward sends the request to the picked instance and passes the answer on.
-func (p *Proxy) forward(w http.ResponseWriter, r *http.Request, target *routing.Request, body []byte) {
-	d, err := p.sched.Pick(target)
-	if err != nil {
-		p.refuse(w, request.Refuse(request.NoInstance, "%v", err))
-		return
+	verdict := p.policy(c).Retry(made, c.Left(), rand.Float64())
+	if !verdict.Again {
+		if verdict.Denied == retry.DeniedBudget {
+			c.Counters.Retried(request.RetryDenied)
+		}
+		return p.ended(ctx, c, f)
 	}
-	p.sched.Started(&d, target)
-	defer p.sched.Finished(&d, target)
-	out, err := p.outgoing(r, d.Address, target.ID, body)
-	if err != nil {
-		p.refuse(w, request.Refuse(request.InvalidRequest, "%v", err))
-		return
+	if !pause(ctx, verdict.Delay) {
+		return p.ended(ctx, c, f)
 	}
-	resp, err := p.client.Do(out)
-	if err != nil {
-		p.refuse(w, request.Refuse(request.InstanceFailed, "instance %s: %v", d.Instance, err))
-		return
+	if f.reason != "" {
+		c.Counters.Retried(f.reason)
 	}
-	defer resp.Body.Close()
-	p.observe(&d, resp)
-	copyAnswer(w, resp)
-	p.counters.Answered()
+	return nil
 }
 
-func (p *Proxy) outgoing(r *http.Request, address, id string, body []byte) (*http.Request, error) {
-	url := fmt.Sprintf("http://%s%s", address, r.URL.Path)
-	if rest, ok := strings.CutPrefix(r.URL.Path, PathServices); ok {
-		_, path, _ := strings.Cut(rest, "/")
-		url = fmt.Sprintf("http://%s/%s", address, path)
-	}
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, url, strings.NewReader(string(body)))
-	if err != nil {
-		return nil, err
-	}
-	out.Header.Set("Content-Type", r.Header.Get("Content-Type"))
-	out.Header.Set(engineapi.HeaderRequestID, id)
-	out.Header.Set(engineapi.HeaderAttemptID, id)
-	if key := r.Header.Get(engineapi.HeaderIdempotencyKey); key != "" {
-		out.Header.Set(engineapi.HeaderIdempotencyKey, key)
+// pause waits for d; it returns false when ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return out, nil
 }
 
-// observe takes the load report that came with an answer.
-func (p *Proxy) observe(d *routing.Decision, resp *http.Response) {
-	var load engineapi.LoadReport
-	if json.Unmarshal([]byte(resp.Header.Get(engineapi.HeaderEngineLoad)), &load) == nil {
-		p.sched.ObserveLoad(d.Instance, d.Incarnation, load)
+// ended returns the refusal of a call whose last attempt failed.
+func (p *Proxy) ended(ctx context.Context, c *call.Call, f *failure) *request.Refusal {
+	ran := c.Request.MayHaveRun()
+	switch {
+	case ran && !c.Request.Repeatable():
+		return request.Refuse(request.OutcomeUnknown, "instance %s gave no answer to the call", f.instance).Because(f.err)
+	case context.Cause(ctx) == context.Canceled:
+		return p.callerGone(c)
+	case c.Left() <= 0:
+		return p.deadlinePassed(c)
+	case ran:
+		return request.Refuse(request.InstanceFailed, "instance %s failed: %v", f.instance, f.err).Because(f.err)
+	case f.refusal != nil:
+		return f.refusal
+	case f.reason == request.RetryRefused:
+		return request.Refuse(request.InstanceRefused, "instance %s takes no request now: %v", f.instance, f.err).Because(f.err)
+	default:
+		return request.Refuse(request.ConnectFailed, "instance %s was not reached", f.instance).Because(f.err)
 	}
 }
 
-// copyAnswer passes an answer on as it arrives.
-func copyAnswer(w http.ResponseWriter, resp *http.Response) {
-	for _, name := range []string{"Content-Type", engineapi.HeaderRequestID, engineapi.HeaderRunDisposition} {
-		if v := resp.Header.Get(name); v != "" {
-			w.Header().Set(name, v)
-		}
-	}
-	w.WriteHeader(resp.StatusCode)
-	buf := make([]byte, 32<<10)
-	flusher, _ := w.(http.Flusher)
-	for {
-		n, err := resp.Body.Read(buf)
-		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				return
-			}
-			if flusher != nil {
-				flusher.Flush()
-			}
-		}
-		if err != nil {
-			return
-		}
+// truthful returns the failure's refusal, unless it says that the request did
+// not run and an earlier attempt may have.
+func truthful(c *call.Call, f *failure) *request.Refusal {
+	if f.refusal.Disposition != request.NotRun || !c.Request.MayHaveRun() {
+		return f.refusal
 	}
+	return request.Refuse(request.InstanceFailed, "an earlier attempt may have run: %s", f.refusal.Detail).Because(f.refusal)
 }
 
-// errorBody is the body of every refusal.
-type errorBody struct {
-	Error errorDetail `json:"error"`
+// deadlinePassed is the refusal of a call whose time is up.
+func (p *Proxy) deadlinePassed(c *call.Call) *request.Refusal {
+	if c.Request.MayHaveRun() {
+		return request.Refuse(request.DeadlineCutRun, "the deadline passed while the request ran")
+	}
+	return request.Refuse(request.DeadlinePassed, "the deadline passed before the request was sent")
 }
 
-type errorDetail struct {
-	Message     string              `json:"message"`
-	Code        request.Code        `json:"code"`
-	Disposition request.Disposition `json:"disposition"`
-	Remedy      string              `json:"remedy"`
+// callerGone is the refusal of a call whose caller left. Nobody reads it; it
+// is counted.
+func (p *Proxy) callerGone(c *call.Call) *request.Refusal {
+	refusal := request.Refuse(request.CallerGone, "the caller closed its connection")
+	if !c.Request.MayHaveRun() {
+		refusal.Disposition = request.NotRun
+	}
+	return refusal
 }
 
-func (p *Proxy) refuse(w http.ResponseWriter, refusal *request.Refusal) {
-	p.counters.Refused(refusal.Code)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(engineapi.HeaderRunDisposition, string(refusal.Disposition))
-	if refusal.RetryAfter > 0 {
-		w.Header().Set("Retry-After", fmt.Sprint(max(1, int(refusal.RetryAfter.Seconds()))))
-	}
-	w.WriteHeader(refusal.Status)
-	_ = json.NewEncoder(w).Encode(errorBody{Error: errorDetail{
-		Message:     refusal.Error(),
-		Code:        refusal.Code,
-		Disposition: refusal.Disposition,
-		Remedy:      refusal.Remedy,
-	}})
+// notTaken is the refusal of a call whose caller did not take the answer.
+func (p *Proxy) notTaken(c *call.Call, err error) *request.Refusal {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return request.Refuse(request.SlowReader, "the caller did not take its answer in time").Because(err)
+	}
+	return p.callerGone(c).Because(err)
 }
--- /dev/null
+++ b/internal/proxy/stream.go
@@ -0,0 +1,158 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"filberthook/internal/call"
+	"filberthook/internal/request"
+	"filberthook/internal/retry"
+)
+
+// stream passes one streamed answer on to its caller, over as many attempts as
+// it takes.
+type stream struct {
+	proxy     *Proxy
+	call      *call.Call
+	out       *eventWriter
+	delivered int  // output tokens that the caller has; the next attempt starts after them
+	finished  bool // the caller has the last chunk of the answer
+	broken    int  // times that the stream broke after its first event
+}
+
+// serveStream streams an answer.
+func (p *Proxy) serveStream(w http.ResponseWriter, r *http.Request, c *call.Call) {
+	s := &stream{
+		proxy:     p,
+		call:      c,
+		out:       newEventWriter(w),
+		delivered: c.Delivered,
+	}
+	var exclude []string
+	for made := 1; ; made++ {
+		f := s.attempt(r, exclude)
+		if f == nil {
+			c.Answered()
+			return
+		}
+		if refusal := s.again(r.Context(), f, made); refusal != nil {
+			s.refuse(w, refusal)
+			return
+		}
+		exclude = excluded(exclude, f)
+	}
+}
+
+// again decides whether the stream is taken up once more.
+func (s *stream) again(ctx context.Context, f *failure, made int) *request.Refusal {
+	if !s.out.began || f.final {
+		return s.proxy.again(ctx, s.call, f, made)
+	}
+	s.broken++
+	verdict := s.proxy.policy(s.call).Resume(s.broken, s.call.Left(), rand.Float64())
+	if !verdict.Again && verdict.Denied == retry.DeniedBudget {
+		s.call.Counters.Retried(request.RetryDenied)
+	}
+	if !verdict.Again || ctx.Err() != nil || !pause(ctx, verdict.Delay) {
+		return s.ended(ctx, f)
+	}
+	s.call.Counters.Retried(request.RetryResume)
+	return nil
+}
+
+// ended returns the refusal of a stream that breaks off for good.
+func (s *stream) ended(ctx context.Context, f *failure) *request.Refusal {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return s.proxy.callerGone(s.call)
+	case s.call.Left() <= 0:
+		return s.proxy.deadlinePassed(s.call)
+	default:
+		return request.Refuse(request.StreamBroken, "the stream broke after %d tokens", s.delivered).Because(f.err)
+	}
+}
+
+// refuse ends the stream without its rest: by a refusal when nothing has been
+// written, else by an event.
+func (s *stream) refuse(w http.ResponseWriter, refusal *request.Refusal) {
+	if !s.out.began {
+		s.call.Refuse(w, refusal)
+		return
+	}
+	s.call.End(refusal)
+	_ = s.out.failure(s.call.RefusalJSON(refusal))
+}
+
+// attempt streams from one instance. It returns nil after the end of the whole
+// answer.
+func (s *stream) attempt(r *http.Request, exclude []string) *failure {
+	s.proxy.attempts.Inc()
+	a, f := s.proxy.begin(r.Context(), r, exclude, s.delivered)
+	if f != nil {
+		return f
+	}
+	defer a.end()
+	if a.resp.StatusCode != http.StatusOK {
+		return a.failure(request.RetryStatus, errors.New(a.resp.Status))
+	}
+	idle := time.AfterFunc(s.proxy.settings.StreamIdle, a.cancel)
+	defer idle.Stop()
+	cfg := &sse.ReadConfig{MaxEventSize: s.proxy.settings.MaxEventBytes}
+	for event, err := range sse.Read(a.resp.Body, cfg) {
+		if err != nil && s.finished {
+			return s.finish()
+		}
+		if err != nil {
+			return a.failure(request.RetryBroken, err)
+		}
+		idle.Reset(s.proxy.settings.StreamIdle)
+		if event.Data == streamEnd {
+			return s.finish()
+		}
+		if f := s.pass(a, event.Data); f != nil {
+			return f
+		}
+	}
+	if s.finished {
+		return s.finish()
+	}
+	return a.failure(request.RetryBroken, errors.New("the stream ended before its last event"))
+}
+
+// pass writes one event of the open attempt.
+func (s *stream) pass(a *attempt, data string) *failure {
+	if !s.call.Request.Accepts(a.id) {
+		s.call.Counters.Dropped(request.DropLate)
+		return a.failure(request.RetryCrossed, errors.New("the attempt is no longer open"))
+	}
+	s.call.Request.Stream()
+	if !carriesToken(data) {
+		s.finished = true
+		return s.written(s.out.plain(data))
+	}
+	if err := s.out.token(s.delivered+1, data); err != nil {
+		return s.written(err)
+	}
+	s.delivered++
+	s.call.Output.Add(1)
+	return nil
+}
+
+// finish writes the end of the whole answer.
+func (s *stream) finish() *failure {
+	return s.written(s.out.plain(streamEnd))
+}
+
+// written turns an error of writing to the caller into a failure that no other
+// attempt can mend.
+func (s *stream) written(err error) *failure {
+	if err == nil {
+		return nil
+	}
+	return &failure{final: true, refusal: s.proxy.notTaken(s.call, err), err: err}
+}
--- /dev/null
+++ b/internal/proxy/whole.go
@@ -0,0 +1,109 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"filberthook/internal/call"
+	"filberthook/internal/request"
+)
+
+// answer is a whole answer of an instance.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	held   int64 // bytes charged to Proxy.memory
+}
+
+// serveWhole gets a whole answer and writes it. It is kept until it is whole,
+// so that a broken one can be asked for again.
+func (p *Proxy) serveWhole(w http.ResponseWriter, r *http.Request, c *call.Call) {
+	got, refusal := p.whole(r, c)
+	if refusal != nil {
+		c.Refuse(w, refusal)
+		return
+	}
+	defer p.memory.Return(got.held)
+	copyHeaders(w.Header(), got.header, ownAnswerHeaders)
+	c.Output.Add(int64(c.ExpectedOutput))
+	w.WriteHeader(got.status)
+	if _, err := w.Write(got.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		c.End(p.notTaken(c, err))
+		return
+	}
+	c.Answered()
+}
+
+// whole makes attempts until one gives a whole answer.
+func (p *Proxy) whole(r *http.Request, c *call.Call) (*answer, *request.Refusal) {
+	var exclude []string
+	for made := 1; ; made++ {
+		got, f := p.wholeAttempt(r, exclude)
+		if f == nil {
+			return got, nil
+		}
+		if refusal := p.again(r.Context(), c, f, made); refusal != nil {
+			return nil, refusal
+		}
+		exclude = excluded(exclude, f)
+	}
+}
+
+// excluded returns the instances that the next attempt avoids. When none is
+// left the failed ones are tried again.
+func excluded(exclude []string, f *failure) []string {
+	if f.instance == "" {
+		return nil
+	}
+	return append(exclude, f.instance)
+}
+
+func (p *Proxy) wholeAttempt(r *http.Request, exclude []string) (*answer, *failure) {
+	p.attempts.Inc()
+	a, f := p.begin(r.Context(), r, exclude, 0)
+	if f != nil {
+		return nil, f
+	}
+	defer a.end()
+	return a.readWhole(r.Context())
+}
+
+// errAnswerMemory tells that too many answers are held.
+var errAnswerMemory = errors.New("too many bytes of answers are held")
+
+// readWhole reads the body within the limits of size and memory.
+func (a *attempt) readWhole(ctx context.Context) (*answer, *failure) {
+	limit := a.proxy.settings.MaxAnswerBytes
+	need := a.resp.ContentLength
+	if need < 0 {
+		need = limit
+	}
+	if need > limit {
+		return nil, a.tooLarge()
+	}
+	// The answer of a non-repeatable call must not be lost for lack of memory.
+	if !a.proxy.memory.Take(need) {
+		if a.call.Request.Repeatable() {
+			refusal := request.Refuse(request.AnswerMemoryFull, "the answer has no room at this host")
+			return nil, &failure{final: true, refusal: refusal, instance: a.decision.Instance, err: errAnswerMemory}
+		}
+		need = 0
+	}
+	body, err := io.ReadAll(io.LimitReader(a.resp.Body, limit+1))
+	if err == nil && int64(len(body)) <= limit && a.call.Request.Accepts(a.id) {
+		return &answer{status: a.resp.StatusCode, header: a.resp.Header, body: body, held: need}, nil
+	}
+	a.proxy.memory.Return(need)
+	if err != nil {
+		return nil, a.failure(request.RetryBroken, err)
+	}
+	return nil, a.tooLarge()
+}
+
+func (a *attempt) tooLarge() *failure {
+	refusal := request.Refuse(request.AnswerTooLarge, "the answer has more than %d bytes", a.proxy.settings.MaxAnswerBytes)
+	return &failure{final: true, refusal: refusal, instance: a.decision.Instance}
+}
