--- /dev/null
+++ b/internal/claimlog/replicas.go
@@ -0,0 +1,52 @@
+package claimlog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+)
+
+// Caller calls one replica of the control group.
+type Caller interface {
+	Call(ctx context.Context, method string, params, result any) error
+}
+
+// Replicas is a Log that is reached through the replicas of the control group.
+type Replicas struct {
+	callers    []Caller
+	method     string
+	notApplied func(error) bool
+	preferred  atomic.Uint64 // index of the replica that answered last, modulo their number
+}
+
+// NewReplicas returns a Log over the replicas' method. notApplied tells errors
+// of calls that surely had no effect from all others.
+func NewReplicas(callers []Caller, method string, notApplied func(error) bool) *Replicas {
+	return &Replicas{callers: callers, method: method, notApplied: notApplied}
+}
+
+// errNoReplica tells that the settings name no replica.
+var errNoReplica = errors.New("no replica is set: list control.replicas")
+
+// Propose implements Log. It goes on to the next replica while nothing was
+// applied.
+func (r *Replicas) Propose(ctx context.Context, batch json.RawMessage) (json.RawMessage, error) {
+	err := errNoReplica
+	for range r.callers {
+		at := r.preferred.Load()
+		var result json.RawMessage
+		err = r.callers[at%uint64(len(r.callers))].Call(ctx, r.method, batch, &result)
+		if err == nil {
+			return result, nil
+		}
+		r.preferred.CompareAndSwap(at, at+1)
+		if !r.notApplied(err) {
+			return nil, err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, &NotAppliedError{Err: err}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -52,11 +52,9 @@
 		return nil, &failure{final: true, refusal: p.deadlinePassed(c)}
 	}
 	a := &attempt{id: ident.New(), call: c, proxy: p, target: p.target(c, exclude)}
-	decision, err := p.sched.Pick(a.target)
-	if err != nil {
+	if err := a.pick(); err != nil {
 		return nil, pickFailure(err)
 	}
-	a.decision = decision
 	ctx, a.cancel = context.WithCancel(ctx)
 	c.Request.Dispatch(a.id)
 	p.sched.Started(&a.decision, a.target)
@@ -71,6 +69,17 @@
 	return a, nil
 }
 
+// pick chooses the instance. When only instances are left that have failed the
+// call, they are tried again.
+func (a *attempt) pick() (err error) {
+	a.decision, err = a.proxy.sched.Pick(a.target)
+	if err != nil && len(a.target.Exclude) > 0 {
+		a.target.Exclude = nil
+		a.decision, err = a.proxy.sched.Pick(a.target)
+	}
+	return err
+}
+
 // end closes the attempt's connection, unless its answer was read whole, and
 // reports its end. It may be called more than once.
 func (a *attempt) end() {
--- /dev/null
+++ b/internal/proxy/harness_test.go
@@ -0,0 +1,420 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/call"
+	"filberthook/internal/claim"
+	"filberthook/internal/claimlog"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/fleet"
+	"filberthook/internal/middleware"
+	"filberthook/internal/proxy"
+	"filberthook/internal/request"
+	"filberthook/internal/routing"
+)
+
+// Names used by all tests.
+const (
+	team     = "desk"
+	teamKey  = "secret"
+	model    = "chat"
+	booking  = "booking"
+	pathBook = middleware.PathServices + booking + "/chairs"
+)
+
+// config is a Configuration with one model endpoint and one plain service.
+type config struct{ snap *fleet.Snapshot }
+
+func (c config) Snapshot() *fleet.Snapshot { return c.snap }
+
+func newConfig() config {
+	approved := map[string]uint64{team: 1}
+	endpoint := func(s fleet.EndpointSettings) fleet.Endpoint {
+		s.DefaultDeadline = 20 * time.Second
+		return fleet.Endpoint{EndpointSettings: s, Approved: approved}
+	}
+	return config{fleet.NewSnapshot(fleet.Configuration{
+		Revision: 1,
+		Teams: map[string]fleet.Team{
+			team:    {Name: team, Keys: []fleet.TeamKey{{ID: "1", Hash: fleet.HashKey(teamKey)}}},
+			"other": {Name: "other", Keys: []fleet.TeamKey{{ID: "1", Hash: fleet.HashKey("other")}}},
+		},
+		Endpoints: map[string]fleet.Endpoint{
+			model:   endpoint(fleet.EndpointSettings{Name: model, Kind: engineapi.KindModel, Model: "m", Repeatable: true}),
+			booking: endpoint(fleet.EndpointSettings{Name: booking, Kind: engineapi.KindService}),
+		},
+	})}
+}
+
+// scheduler picks the first instance that is not excluded.
+type scheduler struct {
+	mu        sync.Mutex
+	instances []string // addresses; guarded by mu
+	underWay  int      // guarded by mu
+	draining  []string // guarded by mu
+}
+
+func (s *scheduler) Pick(req *routing.Request) (routing.Decision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range s.instances {
+		if !slices.Contains(req.Exclude, address) {
+			return routing.Decision{Instance: address, Address: address, Incarnation: 1}, nil
+		}
+	}
+	return routing.Decision{}, &routing.NoCandidateError{Model: req.Model, Endpoint: req.Endpoint}
+}
+
+func (s *scheduler) Started(*routing.Decision, *routing.Request)  { s.add(1) }
+func (s *scheduler) Finished(*routing.Decision, *routing.Request) { s.add(-1) }
+func (s *scheduler) ObserveLoad(string, uint64, engineapi.LoadReport) {
+}
+
+func (s *scheduler) add(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.underWay += n
+}
+
+func (s *scheduler) Draining(instance string, _ uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = append(s.draining, instance)
+}
+
+// memoryLog is a replicated log of one replica that can be cut off.
+type memoryLog struct {
+	mu      sync.Mutex
+	replica claim.Replica
+	start   time.Time
+	down    bool // guarded by mu
+}
+
+func newMemoryLog() *memoryLog {
+	return &memoryLog{replica: claim.NewReplica(claim.DefaultLimits()), start: time.Now()}
+}
+
+func (l *memoryLog) Propose(_ context.Context, batch json.RawMessage) (json.RawMessage, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, &claimlog.NotAppliedError{Err: errors.New("no leader")}
+	}
+	return l.replica.Apply(time.Since(l.start), batch), nil
+}
+
+func (l *memoryLog) cut(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// entry is one entry host.
+type entry struct {
+	t       *testing.T
+	server  *httptest.Server
+	chain   *middleware.Chain
+	claims  *claimlog.Client
+	sched   *scheduler
+	metrics *metrics.Set
+}
+
+// options change the settings of an entry.
+type options struct {
+	middleware middleware.Settings
+	proxy      proxy.Settings
+	claims     claimlog.Settings
+}
+
+func newEntry(t *testing.T, log claimlog.Log, instances []string, change ...func(*options)) *entry {
+	o := options{middleware.DefaultSettings(), proxy.DefaultSettings(), claimlog.DefaultSettings()}
+	o.claims.ClaimTimeout = 100 * time.Millisecond
+	for _, f := range change {
+		f(&o)
+	}
+	set := metrics.NewSet()
+	counters := request.NewCounters(set)
+	e := &entry{t: t, sched: &scheduler{instances: instances}, metrics: set}
+	e.claims = claimlog.New(log, o.claims, counters, set)
+	last := proxy.New(o.proxy, e.sched, set)
+	e.chain = middleware.NewChain(o.middleware, newConfig(), e.claims, counters, last)
+	e.server = httptest.NewServer(e.chain)
+	t.Cleanup(func() {
+		e.server.Close()
+		e.claims.Close()
+	})
+	return e
+}
+
+// metric returns the value of a counter.
+func (e *entry) metric(name string) int {
+	var out strings.Builder
+	e.metrics.WritePrometheus(&out)
+	for line := range strings.Lines(out.String()) {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			n, _ := strconv.Atoi(strings.TrimSpace(rest))
+			return n
+		}
+	}
+	e.t.Fatalf("no counter %s", name)
+	return 0
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	code   request.Code // of a refusal
+}
+
+// send makes a request of the team; header holds names and values in turn.
+func (e *entry) send(ctx context.Context, method, path, body string, header ...string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, e.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+teamKey)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	return e.server.Client().Do(req)
+}
+
+func (e *entry) do(method, path, body string, header ...string) reply {
+	e.t.Helper()
+	resp, err := e.send(e.t.Context(), method, path, body, header...)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	r := reply{status: resp.StatusCode, header: resp.Header, body: string(data)}
+	var refusal call.RefusalBody
+	if json.Unmarshal(data, &refusal) == nil {
+		r.code = refusal.Error.Code
+	}
+	return r
+}
+
+// book sends one chair booking.
+func (e *entry) book(key, body string, header ...string) reply {
+	e.t.Helper()
+	return e.do(http.MethodPost, pathBook, body, append(header, engineapi.HeaderIdempotencyKey, key)...)
+}
+
+// want checks a refusal.
+func (r reply) want(t *testing.T, code request.Code) {
+	t.Helper()
+	reason, _ := request.Lookup(code)
+	got := r.header.Get(engineapi.HeaderRunDisposition)
+	if r.code != code || r.status != reason.Status || got != string(reason.Disposition) {
+		t.Errorf("status %d, code %q, disposition %q, want %d, %q, %q (%s)",
+			r.status, r.code, got, reason.Status, code, reason.Disposition, r.body)
+	}
+	if reason.RetryAfter > 0 && r.header.Get("Retry-After") == "" {
+		t.Errorf("%s does not say when to come back", code)
+	}
+}
+
+// service is a plain service that counts its runs.
+type service struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	runs   map[string]int // by idempotency key; guarded by mu
+}
+
+// newService starts a service; act makes the answer after the run is counted.
+// A nil act confirms.
+func newService(t *testing.T, act http.HandlerFunc) *service {
+	s := &service{runs: map[string]int{}}
+	if act == nil {
+		act = confirm
+	}
+	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.runs[r.Header.Get(engineapi.HeaderIdempotencyKey)]++
+		s.mu.Unlock()
+		w.Header().Set(engineapi.HeaderAttemptID, r.Header.Get(engineapi.HeaderAttemptID))
+		act(w, r)
+	}))
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func confirm(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("X-Confirmation", "c-"+r.Header.Get(engineapi.HeaderAttemptID))
+	w.WriteHeader(http.StatusCreated)
+	fmt.Fprintf(w, "booked %s at %s by %s", body, r.URL.Path, r.Header.Get(engineapi.HeaderAttemptID))
+}
+
+// drop closes the connection without an answer.
+func drop(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// refuseNotRun answers that nothing was run.
+func refuseNotRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(engineapi.HeaderRunDisposition, string(request.NotRun))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = io.WriteString(w, `{"error":{"code":"leaving","message":"leaving"}}`)
+}
+
+func (s *service) address() string { return strings.TrimPrefix(s.server.URL, "http://") }
+
+func (s *service) ran(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+// closedAddress is an address that refuses connections.
+func closedAddress() string {
+	s := httptest.NewServer(http.NotFoundHandler())
+	defer s.Close()
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// engine streams a fixed number of tokens; fault acts before each event and
+// may write, wait or panic.
+type engine struct {
+	tokens int
+	fault  func(w http.ResponseWriter, r *http.Request, token int)
+}
+
+func newEngine(t *testing.T, e engine) string {
+	s := httptest.NewServer(e)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// token is the text of output token i, from 1.
+func token(i int) string { return fmt.Sprintf("t%d ", i) }
+
+// endOfTokens is given to fault before the last chunk, endOfStream after it.
+const (
+	endOfTokens = -1
+	endOfStream = -2
+)
+
+// ServeHTTP implements http.Handler.
+func (e engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var req engineapi.CompletionRequest
+	_ = json.NewDecoder(r.Body).Decode(&req)
+	w.Header().Set(engineapi.HeaderAttemptID, r.Header.Get(engineapi.HeaderAttemptID))
+	if e.fault == nil {
+		e.fault = func(http.ResponseWriter, *http.Request, int) {}
+	}
+	from, _ := strconv.Atoi(r.Header.Get(engineapi.HeaderResumeFrom))
+	if !req.Stream {
+		e.fault(w, r, 1)
+		_, _ = io.WriteString(w, `{"model":"`+req.Model+`"}`)
+		return
+	}
+	for i := from + 1; i <= e.tokens; i++ {
+		e.fault(w, r, i)
+		e.event(w, fmt.Sprintf(`{"choices":[{"text":%q,"finish_reason":null}]}`, token(i)))
+	}
+	e.fault(w, r, endOfTokens)
+	e.event(w, `{"choices":[{"text":"","finish_reason":"stop"}]}`)
+	e.fault(w, r, endOfStream)
+	e.event(w, "[DONE]")
+}
+
+func (e engine) event(w http.ResponseWriter, data string) {
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// received is a stream as a caller gets it.
+type received struct {
+	text     string
+	lastID   string
+	finished int // last chunks
+	done     int // end marks
+	failure  request.Code
+}
+
+// read collects a stream until its end, or until stop tokens have come.
+func read(t *testing.T, body io.Reader, stop int) received {
+	t.Helper()
+	var got received
+	lines := bufio.NewScanner(body)
+	for n := 0; (stop == 0 || n < stop) && lines.Scan(); {
+		line := lines.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			got.lastID = id
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			got.done++
+			continue
+		}
+		n += got.add(t, data)
+	}
+	return got
+}
+
+// add takes one event's data and returns the number of tokens in it.
+func (g *received) add(t *testing.T, data string) int {
+	t.Helper()
+	var refusal call.RefusalBody
+	if json.Unmarshal([]byte(data), &refusal) == nil && refusal.Error.Code != "" {
+		g.failure = refusal.Error.Code
+		return 0
+	}
+	var chunk engineapi.Completion
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) != 1 {
+		t.Errorf("chunk %q: %v", data, err)
+		return 0
+	}
+	if chunk.Choices[0].FinishReason != nil {
+		g.finished++
+		return 0
+	}
+	g.text += chunk.Choices[0].Text
+	return 1
+}
+
+// expected is the text of tokens from+1 to n.
+func expected(from, n int) string {
+	var b strings.Builder
+	for i := from + 1; i <= n; i++ {
+		b.WriteString(token(i))
+	}
+	return b.String()
+}
+
+const streamBody = `{"model":"chat","prompt":"hello","stream":true}`
+
+// stream requests a stream and reads it whole.
+func (e *entry) stream(header ...string) (received, *http.Response) {
+	e.t.Helper()
+	resp, err := e.send(e.t.Context(), http.MethodPost, engineapi.PathCompletions, streamBody, header...)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return read(e.t, resp.Body, 0), resp
+}
--- a/internal/proxy/whole.go
+++ b/internal/proxy/whole.go
@@ -52,11 +52,10 @@
 	}
 }
 
-// excluded returns the instances that the next attempt avoids. When none is
-// left the failed ones are tried again.
+// excluded returns the instances that the next attempt avoids.
 func excluded(exclude []string, f *failure) []string {
 	if f.instance == "" {
-		return nil
+		return exclude
 	}
 	return append(exclude, f.instance)
 }
