Serve callers through the middleware chain: claims, retries, resumed streams

Cause: through the thin path a booking sent 12 times ran 12 times, a broken stream was cut, and crossed answers were passed on. The entry host uses the chain.

--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"errors"
+
+	"filberthook/internal/claimlog"
+	"filberthook/internal/controlnode"
+	"filberthook/internal/middleware"
+	"filberthook/internal/operator"
+	"filberthook/internal/proxy"
+	"filberthook/internal/request"
+)
+
+// callerHandlers joins the handlers that a caller's request passes.
+func (n *Node) callerHandlers() {
+	counters := request.NewCounters(n.metrics)
+	var replicas []claimlog.Caller
+	for _, r := range n.replicas {
+		replicas = append(replicas, r)
+	}
+	log := claimlog.NewReplicas(replicas, controlnode.MethodClaims, notApplied)
+	n.claims = claimlog.New(log, claimlog.DefaultSettings(), counters, n.metrics)
+	last := proxy.New(proxy.DefaultSettings(), n.sched, n.metrics)
+	s := middleware.DefaultSettings()
+	s.Claims.Host = n.set.Host
+	n.callers = middleware.NewChain(s, n.config, n.claims, counters, last)
+	n.metrics.NewGauge("filberthook_requests_in_flight", func() float64 { return float64(n.callers.Stop.UnderWay()) })
+}
+
+// notApplied reports whether a call to a replica surely had no effect.
+func notApplied(err error) bool {
+	var na *operator.NotAppliedError
+	return errors.As(controlnode.RemoteOutcome(err), &na)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,14 +18,14 @@
 	"time"
 
 	"filberthook/internal/cachefeed"
+	"filberthook/internal/claimlog"
 	"filberthook/internal/directory"
 	"filberthook/internal/distribution"
 	"filberthook/internal/gossip"
 	"filberthook/internal/keys"
 	"filberthook/internal/membership"
+	"filberthook/internal/middleware"
 	"filberthook/internal/peer"
-	"filberthook/internal/proxy"
-	"filberthook/internal/request"
 	"filberthook/internal/routing"
 	"filberthook/internal/scheduler"
 	"filberthook/internal/settings"
@@ -56,7 +56,8 @@
 	config    *distribution.Client
 	replicas  []*peer.Client
 	certs     *keys.Source // nil without TLS
-	requests  *inFlight
+	claims    *claimlog.Client
+	callers   *middleware.Chain
 	stopping  atomic.Bool
 	cancelAll context.CancelFunc // ends the requests under way
 	base      context.Context    // parent of all requests
@@ -82,8 +83,7 @@
 	if err := n.joinHosts(); err != nil {
 		return nil, err
 	}
-	n.requests = &inFlight{next: proxy.New(n.config, n.sched, request.NewCounters(set))}
-	set.NewGauge("filberthook_requests_in_flight", func() float64 { return float64(n.requests.count.Load()) })
+	n.callerHandlers()
 	return n, nil
 }
 
@@ -168,7 +168,7 @@
 	if n.certs != nil {
 		group.Go(func() error { return n.certs.Run(groupCtx) })
 	}
-	callers := n.server(n.requests)
+	callers := n.server(n.callers)
 	announce := n.server(newAnnounceHandler(n.gossip, n.self(), n.metrics))
 	status := n.server(n.statusHandler())
 	group.Go(func() error { return ignoreClosed(callers.Serve(n.listeners.Callers)) })
@@ -184,6 +184,7 @@
 	stopBackground()
 	announce.Close()
 	status.Close()
+	n.claims.Close()
 	for _, c := range n.replicas {
 		c.Close()
 	}
@@ -193,15 +194,16 @@
 // stop ends the callers' server gracefully.
 func (n *Node) stop(ctx context.Context, callers *http.Server) error {
 	n.stopping.Store(true)
-	n.log.Info("entry host stops", "requests_in_flight", n.requests.count.Load())
+	n.log.Info("entry host stops", "requests_in_flight", n.callers.Stop.UnderWay())
 	sleep(ctx, n.set.Stop.ReadyGrace.Value())
 	limit, cancel := context.WithTimeout(n.base, n.set.Stop.Limit.Value())
 	defer cancel()
+	n.callers.Stop.Begin()
 	err := callers.Shutdown(limit)
 	if err == nil {
-		return nil
+		return n.callers.Claims.Drain(limit)
 	}
-	cut := &CutError{Requests: int(n.requests.count.Load())}
+	cut := &CutError{Requests: n.callers.Stop.UnderWay()}
 	n.cancelAll()
 	callers.Close()
 	return cut
