Live placement runs the admission queues; split prefill between engines

Change: scheduler.Place estimates lengths, starts at once where there is room and else waits in the model's queue; late requests get their refusal at once; the proxy has prefill engines compute the prompt and the picked engine import it.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -38,6 +38,7 @@
 
 	Prefixes       []uint64 // chained hashes of the whole pieces of the prompt, for model endpoints
 	PromptTokens   int
+	MaxTokens      int          // limit of the answer that the caller set; 0 is none
 	ExpectedOutput int          // tokens
 	Output         atomic.Int64 // tokens passed on so far; added to by the last handler
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,7 +84,8 @@
 	n.base, n.cancelAll = context.WithCancel(context.Background())
 	s.Routing.Zone = s.Zone
 	n.router = routing.New(s.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.sched = scheduler.New(n.now, n.dir, n.router)
+	schedule := scheduler.Settings{Routing: s.Routing, Admission: s.Admission}
+	n.sched = scheduler.New(schedule, n.now, n.dir, n.router, n.meter, set)
 	if err := n.connectControl(); err != nil {
 		return nil, err
 	}
@@ -174,6 +175,7 @@
 	feed := cachefeed.New(n.set.Zone, n.now, n.dir, n.router.Prefixes(), n.metrics, n.log)
 	group.Go(func() error { return feed.Run(groupCtx) })
 	group.Go(func() error { return n.reportDemand(groupCtx) })
+	group.Go(func() error { return n.sched.Run(groupCtx) })
 	if n.certs != nil {
 		group.Go(func() error { return n.certs.Run(groupCtx) })
 	}
--- a/internal/middleware/model.go
+++ b/internal/middleware/model.go
@@ -52,6 +52,7 @@
 	text := prompt(completion)
 	c.Prefixes = prefix.PrefixHashes(endpoint.Model, endpoint.Adapter, text)
 	c.PromptTokens = prefix.CountTokens(text)
+	c.MaxTokens = completion.MaxTokens
 	c.ExpectedOutput = completion.MaxTokens
 	if c.ExpectedOutput == 0 {
 		c.ExpectedOutput = defaultExpectedOutput
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -13,11 +13,13 @@
 	"strconv"
 	"sync"
 
+	"filberthook/internal/admission"
 	"filberthook/internal/call"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/ident"
 	"filberthook/internal/request"
 	"filberthook/internal/routing"
+	"filberthook/internal/scheduler"
 )
 
 // failure tells why an attempt gave no answer.
@@ -38,6 +40,7 @@
 	proxy    *Proxy
 	resp     *http.Response
 	cancel   context.CancelFunc
+	cache    string // imported KV cache to start from; empty when there is none
 	ended    sync.Once
 
 	mu   sync.Mutex
@@ -52,12 +55,12 @@
 		return nil, &failure{final: true, refusal: p.deadlinePassed(c)}
 	}
 	a := &attempt{id: ident.New(), call: c, proxy: p, target: p.target(c, exclude)}
-	if err := a.pick(); err != nil {
-		return nil, pickFailure(err)
+	if err := a.place(ctx, resumeFrom); err != nil {
+		return nil, placeFailure(err)
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
+	a.prefill(ctx)
 	c.Request.Dispatch(a.id)
-	p.sched.Started(&a.decision, a.target)
 	if f := a.send(ctx, r, resumeFrom); f != nil {
 		a.end()
 		return nil, f
@@ -69,14 +72,16 @@
 	return a, nil
 }
 
-// pick chooses the instance. When only instances are left that have failed the
-// call, they are tried again.
-func (a *attempt) pick() (err error) {
-	a.decision, err = a.proxy.sched.Pick(a.target)
-	if err != nil && len(a.target.Exclude) > 0 {
-		a.target.Exclude = nil
-		a.decision, err = a.proxy.sched.Pick(a.target)
-	}
+// place chooses the instance, waiting for room if need be.
+func (a *attempt) place(ctx context.Context, resumeFrom int) (err error) {
+	c := a.call
+	a.decision, err = a.proxy.sched.Place(ctx, scheduler.Placement{
+		Team:      c.Team,
+		Endpoint:  c.Endpoint.Name,
+		Left:      c.Left(),
+		MaxTokens: c.MaxTokens,
+		Generated: resumeFrom,
+	}, a.target)
 	return err
 }
 
@@ -162,6 +167,9 @@
 	out.Header.Set(engineapi.HeaderIdempotencyKey, c.Key)
 	out.Header.Set(engineapi.HeaderPriority, strconv.Itoa(int(c.Class)))
 	out.Header.Set(engineapi.HeaderDeadline, strconv.FormatInt(max(c.Left().Milliseconds(), 1), 10))
+	if a.cache != "" {
+		out.Header.Set(engineapi.HeaderKVHandle, a.cache)
+	}
 	if resumeFrom > 0 {
 		out.Header.Set(engineapi.HeaderResumeFrom, strconv.Itoa(resumeFrom))
 	}
@@ -256,12 +264,33 @@
 	}
 }
 
-// pickFailure describes a call for which no instance can be picked.
-func pickFailure(err error) *failure {
-	refusal := request.Refuse(request.NoInstance, "%v", err).Because(err)
+// placeFailure describes a call for which no instance has room in time.
+func placeFailure(err error) *failure {
+	var refused *admission.RefusedError
+	var canceled *scheduler.CanceledError
 	var none *routing.NoCandidateError
-	if errors.As(err, &none) && none.Main() == routing.ReasonDeadline {
-		refusal = request.Refuse(request.DeadlineUnreachable, "%v", err).Because(err)
+	code := request.NoInstance
+	switch {
+	case errors.As(err, &refused):
+		return refusedFailure(refused)
+	case errors.As(err, &canceled):
+		return &failure{err: err, refusal: request.Refuse(request.CallerGone, "%v", err).Because(err)}
+	case errors.As(err, &none) && none.Main() == routing.ReasonDeadline:
+		code = request.DeadlineUnreachable
+	}
+	return &failure{refusal: request.Refuse(code, "%v", err).Because(err), err: err}
+}
+
+// refusedFailure ends a call that admission has given up: its answer is due at
+// once, and other attempts would meet the same queue.
+func refusedFailure(err *admission.RefusedError) *failure {
+	code := request.QueueFull
+	if err.Reason == admission.RefusedDeadline {
+		code = request.DeadlineUnreachable
+	}
+	refusal := request.Refuse(code, "%v", err).Because(err)
+	if err.RetryAfter > 0 {
+		refusal = refusal.After(err.RetryAfter)
 	}
-	return &failure{refusal: refusal, err: err}
+	return &failure{final: true, refusal: refusal, err: err}
 }
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -27,6 +27,7 @@
 	"filberthook/internal/proxy"
 	"filberthook/internal/request"
 	"filberthook/internal/routing"
+	placing "filberthook/internal/scheduler"
 )
 
 // Names used by all tests.
@@ -81,8 +82,22 @@
 	return routing.Decision{}, &routing.NoCandidateError{Model: req.Model, Endpoint: req.Endpoint}
 }
 
-func (s *scheduler) Started(*routing.Decision, *routing.Request)  { s.add(1) }
-func (s *scheduler) Finished(*routing.Decision, *routing.Request) { s.add(-1) }
+// Place tries the excluded instances again when no other is left.
+func (s *scheduler) Place(_ context.Context, _ placing.Placement, req *routing.Request) (routing.Decision, error) {
+	d, err := s.Pick(req)
+	if err != nil && len(req.Exclude) > 0 {
+		req.Exclude = nil
+		d, err = s.Pick(req)
+	}
+	if err == nil {
+		s.add(1)
+	}
+	return d, err
+}
+
+func (s *scheduler) PrefillDone(*routing.Decision, *routing.Request) {}
+func (s *scheduler) AnswerLength(string, string, int)                {}
+func (s *scheduler) Finished(*routing.Decision, *routing.Request)    { s.add(-1) }
 func (s *scheduler) ObserveLoad(string, uint64, engineapi.LoadReport) {
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -20,13 +20,19 @@
 	"filberthook/internal/request"
 	"filberthook/internal/retry"
 	"filberthook/internal/routing"
+	"filberthook/internal/scheduler"
 )
 
 // Scheduler picks instances and is told what becomes of attempts.
 type Scheduler interface {
-	Pick(req *routing.Request) (routing.Decision, error)
-	Started(d *routing.Decision, req *routing.Request)
+	// Place picks an instance, waits for room there if need be, and notes the
+	// start. Nothing has run after an error.
+	Place(ctx context.Context, p scheduler.Placement, req *routing.Request) (routing.Decision, error)
+	// PrefillDone notes that the prompt of a split request is computed or given up.
+	PrefillDone(d *routing.Decision, req *routing.Request)
 	Finished(d *routing.Decision, req *routing.Request)
+	// AnswerLength notes the length in tokens of a whole answer.
+	AnswerLength(team, endpoint string, tokens int)
 	ObserveLoad(instance string, incarnation uint64, load engineapi.LoadReport)
 	Draining(instance string, incarnation uint64)
 }
@@ -62,6 +68,9 @@
 	memory   *limit.Memory     // of whole answers
 	attempts *metrics.Counter
 
+	splitDone   *metrics.Counter // prompts computed on another engine
+	splitFailed *metrics.Counter // prompts that the picked engine had to compute after all
+
 	mu       sync.RWMutex
 	policies map[string]*retry.Policy // by endpoint; guarded by mu
 }
@@ -76,6 +85,9 @@
 		memory:   limit.NewMemory(settings.MaxHeldBytes),
 		attempts: set.GetOrCreateCounter("filberthook_attempts_total"),
 		policies: make(map[string]*retry.Policy),
+
+		splitDone:   set.GetOrCreateCounter(`filberthook_split_prefills_total{outcome="imported"}`),
+		splitFailed: set.GetOrCreateCounter(`filberthook_split_prefills_total{outcome="failed"}`),
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/split.go
@@ -0,0 +1,95 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/ident"
+)
+
+// maxHandleBytes bounds an engine's answer that names a KV cache.
+const maxHandleBytes = 16 << 10
+
+// prefill lets another engine compute the prompt and has the picked engine
+// import the KV cache, which moves between the engines and never passes through
+// this host. When any step fails the picked engine computes the prompt itself;
+// that costs time and nothing else, so the reason is only counted.
+func (a *attempt) prefill(ctx context.Context) {
+	if a.decision.Prefill == "" {
+		return
+	}
+	defer a.proxy.sched.PrefillDone(&a.decision, a.target)
+	handle, err := a.computePrompt(ctx)
+	if err == nil {
+		err = a.importCache(ctx, handle)
+	}
+	if err != nil {
+		a.proxy.splitFailed.Inc()
+		return
+	}
+	a.proxy.splitDone.Inc()
+	a.cache = handle.ID
+}
+
+// computePrompt asks the prefill engine for the prompt's KV cache.
+func (a *attempt) computePrompt(ctx context.Context) (engineapi.KVHandle, error) {
+	var handle engineapi.KVHandle
+	url := "http://" + a.decision.PrefillAddress + a.call.Path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(a.call.Body))
+	if err != nil {
+		return handle, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(engineapi.HeaderRequestID, a.call.Request.ID())
+	req.Header.Set(engineapi.HeaderAttemptID, ident.New())
+	req.Header.Set(engineapi.HeaderPrefillOnly, "1")
+	req.Header.Set(engineapi.HeaderPriority, strconv.Itoa(int(a.call.Class)))
+	resp, err := a.proxy.kept.RoundTrip(req)
+	if err != nil {
+		return handle, err
+	}
+	defer resp.Body.Close()
+	a.observePrefill(resp)
+	if resp.StatusCode != http.StatusOK {
+		return handle, fmt.Errorf("prefill engine answered %s", resp.Status)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxHandleBytes)).Decode(&handle)
+	return handle, err
+}
+
+// observePrefill passes the prefill engine's load report to the scheduler.
+func (a *attempt) observePrefill(resp *http.Response) {
+	var load engineapi.LoadReport
+	if json.Unmarshal([]byte(resp.Header.Get(engineapi.HeaderEngineLoad)), &load) == nil {
+		a.proxy.sched.ObserveLoad(a.decision.Prefill, a.decision.PrefillIncarnation, load)
+	}
+}
+
+// importCache has the picked engine fetch a KV cache.
+func (a *attempt) importCache(ctx context.Context, handle engineapi.KVHandle) error {
+	body, err := json.Marshal(handle)
+	if err != nil {
+		return err
+	}
+	url := "http://" + a.decision.Address + engineapi.PathKVImport
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := a.proxy.kept.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("import of KV cache %s: %s", handle.ID, resp.Status)
+	}
+	return nil
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -145,6 +145,7 @@
 
 // finish writes the end of the whole answer.
 func (s *stream) finish() *failure {
+	s.proxy.sched.AnswerLength(s.call.Team, s.call.Endpoint.Name, s.delivered)
 	return s.written(s.out.plain(streamEnd))
 }
 
--- a/internal/proxy/whole.go
+++ b/internal/proxy/whole.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 
 	"filberthook/internal/call"
+	"filberthook/internal/engineapi"
 	"filberthook/internal/request"
 )
 
@@ -28,7 +30,7 @@
 	}
 	defer p.memory.Return(got.held)
 	copyHeaders(w.Header(), got.header, ownAnswerHeaders)
-	c.Output.Add(int64(c.ExpectedOutput))
+	p.noteLength(c, got)
 	w.WriteHeader(got.status)
 	if _, err := w.Write(got.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		c.End(p.notTaken(c, err))
@@ -37,6 +39,21 @@
 	c.Answered()
 }
 
+// noteLength takes the number of output tokens from a model's whole answer.
+func (p *Proxy) noteLength(c *call.Call, got *answer) {
+	if c.Endpoint.Kind != engineapi.KindModel || got.status != http.StatusOK {
+		return
+	}
+	var completion engineapi.Completion
+	if err := json.Unmarshal(got.body, &completion); err != nil || completion.Usage == nil {
+		c.Output.Add(int64(c.ExpectedOutput))
+		return
+	}
+	tokens := completion.Usage.CompletionTokens
+	c.Output.Add(int64(tokens))
+	p.sched.AnswerLength(c.Team, c.Endpoint.Name, tokens)
+}
+
 // whole makes attempts until one gives a whole answer.
 func (p *Proxy) whole(r *http.Request, c *call.Call) (*answer, *request.Refusal) {
 	var exclude []string
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,23 +11,46 @@
 	"sync/atomic"
 	"time"
 
+	"filberthook/internal/admission"
 	"filberthook/internal/directory"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/routing"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Clock returns the time on the process's monotonic clock.
 type Clock func() time.Duration
 
+// Meter counts the work that starts in the own availability zone.
+type Meter interface {
+	Add(prompt, cached, output int)
+}
+
+// Settings are the settings of a Scheduler.
+type Settings struct {
+	Routing   routing.Config
+	Admission admission.Config
+}
+
 // Scheduler picks instances for requests. Its methods may be called by many
-// goroutines at once.
+// goroutines at once; Run must run once.
 type Scheduler struct {
-	now    Clock
-	dir    *directory.Directory
-	router *routing.Router
+	now       Clock
+	dir       *directory.Directory
+	router    *routing.Router
+	routing   routing.Config
+	admission admission.Config
+	lengths   *admission.Lengths
+	meter     Meter
+	metrics   *metrics.Set
+	wake      chan struct{}
 
 	current atomic.Pointer[candidates]
 	rebuild sync.Mutex // held while candidates are built; never with another lock of this package
+
+	queuesMu sync.RWMutex // guards queues
+	queues   map[string]*admission.Queue[*waiter]
 }
 
 // candidates is the immutable list for one generation of the directory.
@@ -36,9 +59,21 @@
 	list       []routing.Candidate
 }
 
-// New returns a Scheduler over a directory and a router.
-func New(now Clock, dir *directory.Directory, router *routing.Router) *Scheduler {
-	s := &Scheduler{now: now, dir: dir, router: router}
+// New returns a Scheduler over a directory and a router. The router must have
+// been made with the routing settings.
+func New(settings Settings, now Clock, dir *directory.Directory, router *routing.Router, meter Meter, set *metrics.Set) *Scheduler {
+	s := &Scheduler{
+		now:       now,
+		dir:       dir,
+		router:    router,
+		routing:   settings.Routing,
+		admission: settings.Admission,
+		lengths:   admission.NewLengths(settings.Admission.PriorOutput),
+		meter:     meter,
+		metrics:   set,
+		wake:      make(chan struct{}, 1),
+		queues:    make(map[string]*admission.Queue[*waiter]),
+	}
 	s.current.Store(&candidates{})
 	return s
 }
@@ -53,11 +88,15 @@
 // Finished follows.
 func (s *Scheduler) Started(d *routing.Decision, req *routing.Request) {
 	s.router.Started(s.now(), d, req)
+	if req.Kind == engineapi.KindModel {
+		s.meter.Add(req.PromptTokens, d.CachedTokens, req.ExpectedOutput)
+	}
 }
 
 // Finished notes that the attempt has ended, whatever its outcome.
 func (s *Scheduler) Finished(d *routing.Decision, req *routing.Request) {
 	s.router.Finished(s.now(), d, req)
+	s.wakeUp()
 }
 
 // PrefillDone notes that the prompt of a split request has been computed or
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -1,14 +1,19 @@
 package scheduler
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"filberthook/internal/admission"
+	"filberthook/internal/demand"
 	"filberthook/internal/directory"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/routing"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 func newScheduler(t *testing.T, announcements ...engineapi.Announcement) (*Scheduler, *directory.Directory) {
@@ -22,7 +27,9 @@
 	cfg := routing.DefaultConfig()
 	cfg.Zone = "bio"
 	router := routing.New(cfg, rand.New(rand.NewPCG(1, 2)))
-	return New(func() time.Duration { return time.Second }, dir, router), dir
+	settings := Settings{Routing: cfg, Admission: admission.DefaultConfig()}
+	now := func() time.Duration { return time.Second }
+	return New(settings, now, dir, router, &demand.Meter{}, metrics.NewSet()), dir
 }
 
 func engine(name string) engineapi.Announcement {
@@ -69,3 +76,72 @@
 		t.Error("candidates were built twice for one generation")
 	}
 }
+
+// TestFullEngineMakesRequestsWait checks that a request without room waits, is
+// placed when room comes about, and that nothing is left behind.
+func TestFullEngineMakesRequestsWait(t *testing.T) {
+	small := engine("w1")
+	small.Pieces = 2
+	s, _ := newScheduler(t, small)
+	big := func() *routing.Request {
+		r := request()
+		r.PromptTokens = 3000
+		return r
+	}
+	place := Placement{Team: "t", Endpoint: "e", Left: time.Minute, MaxTokens: 100}
+	first := big()
+	d, err := s.Place(context.Background(), place, first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	placed := make(chan error, 1)
+	go func() {
+		_, err := s.Place(context.Background(), place, big())
+		placed <- err
+	}()
+	for s.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.dispatchAll()
+	if s.Waiting() != 1 {
+		t.Fatal("placed although the engine is full")
+	}
+	s.Finished(&d, first)
+	s.dispatchAll()
+	if err := <-placed; err != nil {
+		t.Errorf("second request: %v", err)
+	}
+}
+
+func TestCallerThatLeavesFreesItsPlaceInTheQueue(t *testing.T) {
+	small := engine("w1")
+	small.Pieces = 2
+	s, _ := newScheduler(t, small)
+	r := request()
+	r.PromptTokens = 3000
+	place := Placement{Team: "t", Endpoint: "e", Left: time.Minute, MaxTokens: 100}
+	if _, err := s.Place(context.Background(), place, r); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	second := request()
+	second.PromptTokens = 3000
+	var canceled *CanceledError
+	if _, err := s.Place(ctx, place, second); !errors.As(err, &canceled) {
+		t.Errorf("got %v, want a CanceledError", err)
+	}
+	if s.Waiting() != 0 {
+		t.Error("the caller that left still waits")
+	}
+}
+
+func TestImpossibleRequestIsRefusedAtOnce(t *testing.T) {
+	s, _ := newScheduler(t, engine("w1"))
+	r := request()
+	r.Model = "unknown"
+	var none *routing.NoCandidateError
+	if _, err := s.Place(context.Background(), Placement{Left: time.Minute}, r); !errors.As(err, &none) {
+		t.Errorf("got %v, want a NoCandidateError", err)
+	}
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"filberthook/internal/admission"
 	"filberthook/internal/routing"
 )
 
@@ -15,16 +16,17 @@
 
 // Entry holds the settings of the entry daemon.
 type Entry struct {
-	Host    string         `toml:"host"`     // name of this host, unique in the deployment
-	Zone    string         `toml:"zone"`     // availability zone
-	DataDir string         `toml:"data_dir"` // keeps the last configuration; empty keeps none
-	Listen  EntryListen    `toml:"listen"`
-	Control EntryControl   `toml:"control"`
-	Gossip  EntryGossip    `toml:"gossip"`
-	Stop    EntryStop      `toml:"stop"`
-	Routing routing.Config `toml:"routing"`
-	TLS     TLS            `toml:"tls"`
-	Log     Log            `toml:"log"`
+	Host      string           `toml:"host"`     // name of this host, unique in the deployment
+	Zone      string           `toml:"zone"`     // availability zone
+	DataDir   string           `toml:"data_dir"` // keeps the last configuration; empty keeps none
+	Listen    EntryListen      `toml:"listen"`
+	Control   EntryControl     `toml:"control"`
+	Gossip    EntryGossip      `toml:"gossip"`
+	Stop      EntryStop        `toml:"stop"`
+	Routing   routing.Config   `toml:"routing"`
+	Admission admission.Config `toml:"admission"`
+	TLS       TLS              `toml:"tls"`
+	Log       Log              `toml:"log"`
 }
 
 // EntryListen holds the addresses that the entry daemon listens on.
@@ -62,8 +64,9 @@
 // DefaultEntry returns the settings that a file may leave out.
 func DefaultEntry() Entry {
 	return Entry{
-		Stop:    EntryStop{ReadyGrace: Duration(DefaultReadyGrace), Limit: Duration(DefaultStopLimit)},
-		Routing: routing.DefaultConfig(),
+		Stop:      EntryStop{ReadyGrace: Duration(DefaultReadyGrace), Limit: Duration(DefaultStopLimit)},
+		Routing:   routing.DefaultConfig(),
+		Admission: admission.DefaultConfig(),
 	}
 }
 
