--- /dev/null
+++ b/internal/consensus/membership_test.go
@@ -0,0 +1,105 @@
+package consensus_test
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"filberthook/internal/consensus"
+)
+
+// lone returns a core that leads a group of one, and lets it do its work.
+func lone(t *rapid.T) *consensus.Core {
+	c, err := consensus.New(consensus.Config{ID: 1, Incarnation: 1, Seed: 1}, consensus.State{
+		Snapshot: consensus.Snapshot{Membership: consensus.NewMembership([]consensus.Member{{ID: 1}})},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for c.Role() != consensus.RoleLeader {
+		c.Tick()
+	}
+	return c
+}
+
+// answer plays the other replicas: those in alive acknowledge everything.
+func answer(c *consensus.Core, alive map[uint64]bool) {
+	for {
+		rd := c.Ready()
+		if rd.Empty() {
+			return
+		}
+		c.Advance()
+		for _, m := range append(rd.Early, rd.Messages...) {
+			if m.Type != consensus.MessageAppend || !alive[m.To] {
+				continue
+			}
+			_ = c.Step(&consensus.Message{
+				Type: consensus.MessageAppendResponse, From: m.To, To: 1, Incarnation: m.To, Term: m.Term, Index: m.Index + uint64(len(m.Entries)),
+			})
+		}
+	}
+}
+
+// TestMembershipRules drives a leader with random changes and compares it with the
+// rules: one change at a time, no id used twice, at most MaxVoters voters, only
+// learners that answered are promoted, and successive quorums overlap.
+func TestMembershipRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := lone(t)
+		alive := map[uint64]bool{}
+		used := map[uint64]bool{1: true}
+		answer(c, alive)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			id := rapid.Uint64Range(1, 12).Draw(t, "id")
+			kind := consensus.ChangeType(rapid.IntRange(1, 3).Draw(t, "kind"))
+			before := c.Status().Membership
+			_, _, err := c.ProposeMembership(consensus.Change{Type: kind, Member: consensus.Member{ID: id}})
+			after := c.Status().Membership
+			var refused *consensus.RefusedError
+			if err != nil && !errors.As(err, &refused) {
+				t.Fatalf("refused with %v", err)
+			}
+			if err == nil && kind == consensus.ChangeAddLearner {
+				if used[id] {
+					t.Fatalf("id %d was used twice", id)
+				}
+				used[id] = true
+			}
+			if err == nil && kind == consensus.ChangePromote && !alive[id] {
+				t.Fatalf("learner %d never answered and was promoted", id)
+			}
+			checkStep(t, before, after)
+			if rapid.Bool().Draw(t, "answers") && id != 1 {
+				alive[id] = true
+			}
+			answer(c, alive)
+			if c.PendingChanges() > 1 {
+				t.Fatalf("%d changes in progress", c.PendingChanges())
+			}
+		}
+	})
+}
+
+func checkStep(t *rapid.T, before, after consensus.Membership) {
+	if after.Voters() > consensus.MaxVoters {
+		t.Fatalf("%d voters", after.Voters())
+	}
+	common := 0
+	for _, m := range before.Members {
+		if !m.Learner && after.IsVoter(m.ID) {
+			common++
+		}
+	}
+	// Two quorums overlap when they hold more than all voters of either set.
+	all := before.Voters() + after.Voters() - common
+	if before.Quorum()+after.Quorum() <= all {
+		t.Fatalf("quorums of %v and %v need not overlap", before, after)
+	}
+	for _, m := range after.Members {
+		if after.IsRetired(m.ID) {
+			t.Fatalf("retired id %d is a member", m.ID)
+		}
+	}
+}
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -91,15 +91,15 @@
 	return nil
 }
 
-// OldestIndex returns the index of the oldest snapshot kept, from which on the log
-// must be kept too. It is 0 until there are two snapshots.
+// OldestIndex returns the index of the older of the newest two snapshots, from which
+// on the log must be kept too. It is 0 until there are two snapshots.
 func (s *Store) OldestIndex() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.files) < filesToKeep {
 		return 0
 	}
-	return s.files[0].index
+	return s.files[len(s.files)-filesToKeep].index
 }
 
 // Load returns the newest intact snapshot, or nil when the folder holds none, and
