Add filberthook-load faults: a whole system under seeded faults

Change: faultrun.StartCluster puts relays before the entry hosts of a deployment; filberthook-load faults runs and audits it. Killing a control replica is a stop in this process, not a kill -9.

--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -30,6 +30,7 @@
 	commands := []command{
 		overheadCommand(app),
 		runCommand(app),
+		faultsCommand(app),
 	}
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
--- a/internal/faultnet/relay.go
+++ b/internal/faultnet/relay.go
@@ -32,6 +32,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{} // open connections of both sides; guarded by mu
+	down  bool                  // new connections are closed at once; guarded by mu
 }
 
 // NewRelay returns a relay on a free loopback port. Close ends it.
@@ -81,6 +82,22 @@
 	r.back.heal()
 }
 
+// Down closes all open connections and each new one, as the death of the target
+// would, until Up.
+func (r *Relay) Down() {
+	r.mu.Lock()
+	r.down = true
+	r.mu.Unlock()
+	r.Reset()
+}
+
+// Up ends Down.
+func (r *Relay) Up() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = false
+}
+
 // Reset closes all open connections.
 func (r *Relay) Reset() {
 	r.mu.Lock()
@@ -107,17 +124,17 @@
 		}
 		if !r.track(conn) {
 			_ = conn.Close()
-			return
+			continue
 		}
 		r.wg.Go(func() { r.serve(conn) })
 	}
 }
 
-// track remembers a connection; false when the relay is closed.
+// track remembers a connection; false when the relay is closed or down.
 func (r *Relay) track(c net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ctx.Err() != nil {
+	if r.down || r.ctx.Err() != nil {
 		return false
 	}
 	r.conns[c] = struct{}{}
--- a/internal/faultnet/relay_test.go
+++ b/internal/faultnet/relay_test.go
@@ -135,6 +135,22 @@
 	}
 }
 
+func TestDownClosesOldAndNewConnections(t *testing.T) {
+	r := newRelay(t, echoServer(t))
+	c := dial(t, r)
+	if !exchange(t, c, soon) {
+		t.Fatal("no answer through a whole relay")
+	}
+	r.Down()
+	if exchange(t, c, soon) || exchange(t, dial(t, r), soon) {
+		t.Error("answer through a relay that is down")
+	}
+	r.Up()
+	if !exchange(t, dial(t, r), soon) {
+		t.Error("no answer after the relay came up")
+	}
+}
+
 func TestEndOfStreamPasses(t *testing.T) {
 	r := newRelay(t, echoServer(t))
 	c := dial(t, r)
--- /dev/null
+++ b/internal/faultrun/cluster.go
@@ -0,0 +1,233 @@
+package faultrun
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	filberthookv1 "filberthook/api/filberthook/v1"
+	"filberthook/api/filberthook/v1/filberthookv1connect"
+	"filberthook/internal/deployment"
+	"filberthook/internal/faultnet"
+	"filberthook/internal/fleet"
+)
+
+// Names and times of a cluster under faults.
+const (
+	clusterModel    = "assist-7b"
+	clusterEndpoint = "summaries"
+	clusterService  = "bookings"
+	clusterTeam     = "dispatch"
+	clusterOwner    = "operations"
+	clusterDeadline = 15 * time.Second
+	applyLimit      = 20 * time.Second
+	applyPause      = 50 * time.Millisecond
+)
+
+// ClusterConfig describes the system under faults.
+type ClusterConfig struct {
+	Dir            string // data folder of all hosts
+	Zones          []string
+	Controls       int
+	EntriesPerZone int
+	Logger         *slog.Logger
+}
+
+// Cluster is a deployment on loopback whose entry hosts are reached through
+// relays.
+type Cluster struct {
+	deployment *deployment.Deployment
+	entries    []*clusterEntry
+	teamKey    string
+	changes    atomic.Uint64 // changes asked for, to name them
+}
+
+// StartCluster starts a deployment without stand-ins, creates its endpoints and
+// approves one team.
+func StartCluster(ctx context.Context, cfg ClusterConfig) (*Cluster, error) {
+	d, err := deployment.Start(deployment.Options{
+		Dir:            filepath.Clean(cfg.Dir),
+		Zones:          cfg.Zones,
+		Controls:       cfg.Controls,
+		EntriesPerZone: cfg.EntriesPerZone,
+		Logger:         cfg.Logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{deployment: d}
+	if err := c.open(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return c, nil
+}
+
+func (c *Cluster) open(ctx context.Context) error {
+	for _, e := range c.deployment.Entries {
+		relay, err := faultnet.NewRelay(e.Callers)
+		if err != nil {
+			return err
+		}
+		c.entries = append(c.entries, &clusterEntry{host: e, relay: relay})
+	}
+	if err := c.configure(ctx); err != nil {
+		return err
+	}
+	return c.deployment.AwaitReady(ctx)
+}
+
+// Close stops everything.
+func (c *Cluster) Close() error {
+	for _, e := range c.entries {
+		_ = e.relay.Close()
+	}
+	return c.deployment.Stop()
+}
+
+// System returns the cluster as a system to put under faults.
+func (c *Cluster) System() System {
+	sys := System{
+		TeamKey:        c.teamKey,
+		Endpoint:       clusterEndpoint,
+		Model:          clusterModel,
+		Service:        clusterService,
+		ChangeDeclared: c.changeDeclared,
+	}
+	for _, e := range c.entries {
+		sys.Entries = append(sys.Entries, e)
+	}
+	for _, h := range c.deployment.Controls {
+		sys.Controls = append(sys.Controls, clusterControl{h})
+	}
+	return sys
+}
+
+func (c *Cluster) configure(ctx context.Context) error {
+	key, sum := fleet.NewKey()
+	c.teamKey = key
+	return c.apply(ctx, []*filberthookv1.Change{
+		createEndpoint(&filberthookv1.Endpoint{
+			Name: clusterEndpoint, Owner: clusterOwner, Kind: filberthookv1.Kind_KIND_MODEL,
+			Repeatable: true, DefaultDeadlineMs: clusterDeadline.Milliseconds(), Model: clusterModel,
+		}),
+		createEndpoint(&filberthookv1.Endpoint{
+			Name: clusterService, Owner: clusterOwner, Kind: filberthookv1.Kind_KIND_SERVICE,
+			DefaultDeadlineMs: clusterDeadline.Milliseconds(),
+		}),
+		{Change: &filberthookv1.Change_CreateTeam{CreateTeam: &filberthookv1.CreateTeam{
+			Team: clusterTeam, Key: &filberthookv1.TeamKey{Id: "first", Sha256: string(sum)},
+		}}},
+		approve(clusterEndpoint),
+		approve(clusterService),
+	})
+}
+
+func createEndpoint(e *filberthookv1.Endpoint) *filberthookv1.Change {
+	return &filberthookv1.Change{Change: &filberthookv1.Change_CreateEndpoint{
+		CreateEndpoint: &filberthookv1.CreateEndpoint{Endpoint: e},
+	}}
+}
+
+func approve(endpoint string) *filberthookv1.Change {
+	return &filberthookv1.Change{Change: &filberthookv1.Change_ApproveTeam{
+		ApproveTeam: &filberthookv1.ApproveTeam{Endpoint: endpoint, Team: clusterTeam},
+	}}
+}
+
+// changeDeclared changes the adapters that one engine is to carry.
+func (c *Cluster) changeDeclared(ctx context.Context, rng *rand.Rand) error {
+	engine := fmt.Sprintf("engine-%d", rng.IntN(4))
+	adapter := fmt.Sprintf("adapter-%d", rng.IntN(3))
+	return c.apply(ctx, []*filberthookv1.Change{{Change: &filberthookv1.Change_SetDeclaration{
+		SetDeclaration: &filberthookv1.SetDeclaration{Declaration: &filberthookv1.Declaration{
+			Engine: engine,
+			Models: []*filberthookv1.Model{{Name: clusterModel, Version: "1", Adapters: []string{adapter}}},
+		}},
+	}}})
+}
+
+// apply asks the control replicas in turn until one has applied the changes. A
+// resend keeps its change id, so that the changes are applied once.
+func (c *Cluster) apply(ctx context.Context, changes []*filberthookv1.Change) error {
+	ctx, cancel := context.WithTimeout(ctx, applyLimit)
+	defer cancel()
+	id := "faults-" + strconv.FormatUint(c.changes.Add(1), 10)
+	for replica := 0; ; replica++ {
+		err := c.applyOnce(ctx, c.deployment.Operator(replica%len(c.deployment.Controls), c.deployment.AdminKey()), id, changes)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("change %s was not applied within %s: %w", id, applyLimit, err)
+		}
+		sleep(ctx, applyPause)
+	}
+}
+
+func (c *Cluster) applyOnce(ctx context.Context, op filberthookv1connect.OperatorServiceClient, id string, changes []*filberthookv1.Change) error {
+	ctx, cancel := context.WithTimeout(ctx, applyLimit/4)
+	defer cancel()
+	current, err := op.GetConfiguration(ctx, connect.NewRequest(&filberthookv1.GetConfigurationRequest{}))
+	if err != nil {
+		return err
+	}
+	revision := current.Msg.GetConfiguration().GetRevision()
+	_, err = op.Apply(ctx, connect.NewRequest(&filberthookv1.ApplyRequest{
+		ChangeId: id, ExpectedRevision: &revision, Changes: changes,
+	}))
+	return err
+}
+
+// clusterEntry is one entry host behind a relay.
+type clusterEntry struct {
+	host  *deployment.EntryHost
+	relay *faultnet.Relay
+}
+
+// Zone implements Entry.
+func (e *clusterEntry) Zone() string { return e.host.Zone }
+
+// Callers implements Entry.
+func (e *clusterEntry) Callers() string { return e.relay.Address() }
+
+// Announce implements Entry.
+func (e *clusterEntry) Announce() string { return e.host.Announce }
+
+// Kill implements Entry. Callers lose their connections at once; what the host
+// does after that reaches no one.
+func (e *clusterEntry) Kill() {
+	e.relay.Down()
+	_ = e.host.Stop()
+}
+
+// Stop implements Entry.
+func (e *clusterEntry) Stop(context.Context) error {
+	err := e.host.Stop()
+	e.relay.Down()
+	return err
+}
+
+// Start implements Entry.
+func (e *clusterEntry) Start() error {
+	err := e.host.Start()
+	e.relay.Up()
+	return err
+}
+
+// clusterControl is one control replica.
+type clusterControl struct{ host *deployment.ControlHost }
+
+// Kill implements Control. The replica stops without a chance to finish what it
+// was asked; its data folder stays.
+func (c clusterControl) Kill() { _ = c.host.Stop() }
+
+// Start implements Control.
+func (c clusterControl) Start() error { return c.host.Start() }
