--- a/internal/faultrun/cluster.go
+++ b/internal/faultrun/cluster.go
@@ -231,3 +231,12 @@
 
 // Start implements Control.
 func (c clusterControl) Start() error { return c.host.Start() }
+
+// Entries returns the addresses for callers of all entry hosts, past the relays.
+func (c *Cluster) Entries() []string {
+	var out []string
+	for _, e := range c.deployment.Entries {
+		out = append(out, e.Callers)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/loadgen/cost.go
@@ -0,0 +1,183 @@
+package loadgen
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// CostConfig describes a measurement of the processor time that an entry host
+// spends on a call.
+type CostConfig struct {
+	Direct   string // IP:port of a model engine
+	Entry    string // IP:port of an entry host that reaches that engine
+	TeamKey  string
+	Model    string // model that the engine carries
+	Endpoint string // endpoint of that model at the entry host; empty for Model
+	EntryPID int    // process of the entry host; 0 when it runs in this process
+	Calls    int    // per block
+	Blocks   int    // blocks of each kind, in turn
+	Workers  int    // calls under way
+	Prompt   int    // prompt tokens
+	Short    int    // output tokens of short answers
+	Long     int    // output tokens of long answers
+	Timeout  time.Duration
+	Seed     uint64
+}
+
+// CostReport is what an entry host spends. With the host in this process it is
+// the difference between calls through the host and direct calls, and holds the
+// kernel's share of the second connection.
+type CostReport struct {
+	Calls      int           `json:"calls"` // through the entry host
+	Failed     int           `json:"failed"`
+	PerRequest time.Duration `json:"per_request_ns"` // processor time of a call with a short answer
+	PerToken   time.Duration `json:"per_token_ns"`   // processor time of each further token
+	CallRate   float64       `json:"call_rate"`      // short calls per second that were reached
+	TokenRate  float64       `json:"token_rate"`     // tokens per second of long answers that were reached
+}
+
+// RequestsPerCore returns the short calls that one core carries in a second.
+func (r CostReport) RequestsPerCore() float64 { return perCore(r.PerRequest) }
+
+// TokensPerCore returns the further tokens that one core carries in a second.
+func (r CostReport) TokensPerCore() float64 { return perCore(r.PerToken) }
+
+func perCore(d time.Duration) float64 {
+	if d <= 0 {
+		return 0
+	}
+	return float64(time.Second) / float64(d)
+}
+
+// Print writes the report for people.
+func (r CostReport) Print(w io.Writer) {
+	fmt.Fprintf(w, "processor time of the entry host over %d calls, %d failed:\n", r.Calls, r.Failed)
+	fmt.Fprintf(w, "  per request %s: %.0f requests/s per core; reached %.0f requests/s\n", r.PerRequest, r.RequestsPerCore(), r.CallRate)
+	fmt.Fprintf(w, "  per token   %s: %.0f tokens/s per core; reached %.0f tokens/s\n", r.PerToken, r.TokensPerCore(), r.TokenRate)
+}
+
+// block is the sum of blocks of one kind.
+type block struct {
+	calls, failed, tokens int
+	cpu, elapsed          time.Duration
+}
+
+func (b *block) add(o block) {
+	b.calls += o.calls
+	b.failed += o.failed
+	b.tokens += o.tokens
+	b.cpu += o.cpu
+	b.elapsed += o.elapsed
+}
+
+// perCall returns the processor time of one call.
+func (b block) perCall() time.Duration { return b.cpu / time.Duration(max(b.calls, 1)) }
+
+// Cost measures with calls as fast as the workers can make them, in alternating
+// blocks of short and long answers, direct and through the entry host.
+func Cost(ctx context.Context, cfg CostConfig) (CostReport, error) {
+	c := &cost{cfg: cfg, direct: NewCaller(cfg.Direct, ""), entry: NewCaller(cfg.Entry, cfg.TeamKey)}
+	defer c.direct.Close()
+	defer c.entry.Close()
+	var sums [2][2]block // by length, then by way
+	for i := range cfg.Blocks + 1 {
+		for length, output := range []int{cfg.Short, cfg.Long} {
+			for way, caller := range []*Caller{c.direct, c.entry} {
+				b, err := c.block(ctx, caller, output, cfg.Seed+uint64(4*i+2*length+way))
+				if err != nil {
+					return CostReport{}, err
+				}
+				if i > 0 { // the first round warms up
+					sums[length][way].add(b)
+				}
+			}
+		}
+	}
+	return c.report(sums[0], sums[1]), ctx.Err()
+}
+
+type cost struct {
+	cfg    CostConfig
+	direct *Caller
+	entry  *Caller
+}
+
+// report compares the blocks of short and of long answers, each by way.
+func (c *cost) report(short, long [2]block) CostReport {
+	added := func(b [2]block) time.Duration {
+		if c.cfg.EntryPID != 0 {
+			return b[1].perCall()
+		}
+		return b[1].perCall() - b[0].perCall()
+	}
+	r := CostReport{
+		Calls:      short[1].calls + long[1].calls,
+		Failed:     short[0].failed + short[1].failed + long[0].failed + long[1].failed,
+		PerRequest: added(short),
+		CallRate:   float64(short[1].calls) / short[1].elapsed.Seconds(),
+		TokenRate:  float64(long[1].tokens) / long[1].elapsed.Seconds(),
+	}
+	r.PerToken = (added(long) - added(short)) / time.Duration(max(c.cfg.Long-c.cfg.Short, 1))
+	return r
+}
+
+func (c *cost) cpu() (time.Duration, error) {
+	if c.cfg.EntryPID != 0 {
+		return ProcessCPU(c.cfg.EntryPID)
+	}
+	return OwnCPU()
+}
+
+// block makes the calls of one block.
+func (c *cost) block(ctx context.Context, caller *Caller, output int, seed uint64) (block, error) {
+	chats := c.chats(caller == c.entry, output, seed)
+	before, err := c.cpu()
+	if err != nil {
+		return block{}, err
+	}
+	start := time.Now()
+	b := block{calls: len(chats)}
+	b.failed, b.tokens = c.call(ctx, caller, chats)
+	b.elapsed = time.Since(start)
+	after, err := c.cpu()
+	b.cpu = after - before
+	return b, err
+}
+
+func (c *cost) chats(throughEntry bool, output int, seed uint64) []Chat {
+	prompts := NewPrompts(seed)
+	chats := make([]Chat, c.cfg.Calls)
+	for i := range chats {
+		chats[i] = Chat{Model: c.cfg.Model, Engine: c.cfg.Model, Prompt: prompts.Prompt(seed, c.cfg.Prompt, output), Stream: true}
+		if throughEntry {
+			chats[i].Model = cmp.Or(c.cfg.Endpoint, c.cfg.Model)
+		}
+	}
+	return chats
+}
+
+// call makes calls with all workers and counts failures and tokens.
+func (c *cost) call(ctx context.Context, caller *Caller, chats []Chat) (failed, tokens int) {
+	var next, bad, sum atomic.Int64
+	var wg sync.WaitGroup
+	for range c.cfg.Workers {
+		wg.Go(func() {
+			for i := next.Add(1) - 1; i < int64(len(chats)) && ctx.Err() == nil; i = next.Add(1) - 1 {
+				limited, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+				r := caller.Chat(limited, chats[i])
+				cancel()
+				sum.Add(int64(r.Tokens))
+				if r.Outcome != Whole {
+					bad.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return int(bad.Load()), int(sum.Load())
+}
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -185,3 +185,14 @@
 		t.Errorf("quantiles = %+v, want median 1 and max 3", got)
 	}
 }
+
+func TestCostCountsCallsAndTokens(t *testing.T) {
+	_, address := startEngine(t)
+	report, err := Cost(t.Context(), CostConfig{
+		Direct: address, Entry: address, Model: "m", Calls: 10, Blocks: 2, Workers: 4,
+		Prompt: 20, Short: 1, Long: 20, Timeout: testTimeout, EntryPID: os.Getpid(),
+	})
+	if err != nil || report.Failed != 0 || report.Calls != 40 || report.TokenRate <= 0 {
+		t.Errorf("report = %+v, %v; want 40 whole calls", report, err)
+	}
+}
