--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,14 +18,15 @@
 	"time"
 
 	"filberthook/internal/cachefeed"
+	"filberthook/internal/claimlog"
+	"filberthook/internal/demand"
 	"filberthook/internal/directory"
 	"filberthook/internal/distribution"
 	"filberthook/internal/gossip"
 	"filberthook/internal/keys"
 	"filberthook/internal/membership"
+	"filberthook/internal/middleware"
 	"filberthook/internal/peer"
-	"filberthook/internal/proxy"
-	"filberthook/internal/request"
 	"filberthook/internal/routing"
 	"filberthook/internal/scheduler"
 	"filberthook/internal/settings"
@@ -41,6 +42,9 @@
 	maxHeaderBytes    = 32 << 10
 )
 
+// demandInterval is the time between two demand reports.
+const demandInterval = time.Second
+
 // Node is one entry host.
 type Node struct {
 	set       settings.Entry
@@ -50,13 +54,16 @@
 	listeners Listeners
 
 	dir       *directory.Directory
+	meter     *demand.Meter
+	board     *demand.Board // demand of the zone's hosts
 	sched     *scheduler.Scheduler
 	router    *routing.Router
 	gossip    *gossip.Node
 	config    *distribution.Client
 	replicas  []*peer.Client
 	certs     *keys.Source // nil without TLS
-	requests  *inFlight
+	claims    *claimlog.Client
+	callers   *middleware.Chain
 	stopping  atomic.Bool
 	cancelAll context.CancelFunc // ends the requests under way
 	base      context.Context    // parent of all requests
@@ -71,19 +78,21 @@
 		started:   time.Now(),
 		listeners: l,
 		dir:       directory.New(),
+		meter:     &demand.Meter{},
+		board:     demand.NewBoard(),
 	}
 	n.base, n.cancelAll = context.WithCancel(context.Background())
 	s.Routing.Zone = s.Zone
 	n.router = routing.New(s.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.sched = scheduler.New(n.now, n.dir, n.router)
+	schedule := scheduler.Settings{Routing: s.Routing, Admission: s.Admission}
+	n.sched = scheduler.New(schedule, n.now, n.dir, n.router, n.meter, set)
 	if err := n.connectControl(); err != nil {
 		return nil, err
 	}
 	if err := n.joinHosts(); err != nil {
 		return nil, err
 	}
-	n.requests = &inFlight{next: proxy.New(n.config, n.sched, request.NewCounters(set))}
-	set.NewGauge("filberthook_requests_in_flight", func() float64 { return float64(n.requests.count.Load()) })
+	n.callerHandlers()
 	return n, nil
 }
 
@@ -141,7 +150,7 @@
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Metrics: n.metrics,
 		Logger:  n.log,
-	}, n.dir, n.listeners.Gossip)
+	}, n.dir, n.board, n.listeners.Gossip)
 	return err
 }
 
@@ -165,10 +174,12 @@
 	group.Go(func() error { return n.config.Run(groupCtx) })
 	feed := cachefeed.New(n.set.Zone, n.now, n.dir, n.router.Prefixes(), n.metrics, n.log)
 	group.Go(func() error { return feed.Run(groupCtx) })
+	group.Go(func() error { return n.reportDemand(groupCtx) })
+	group.Go(func() error { return n.sched.Run(groupCtx) })
 	if n.certs != nil {
 		group.Go(func() error { return n.certs.Run(groupCtx) })
 	}
-	callers := n.server(n.requests)
+	callers := n.server(n.callers)
 	announce := n.server(newAnnounceHandler(n.gossip, n.self(), n.metrics))
 	status := n.server(n.statusHandler())
 	group.Go(func() error { return ignoreClosed(callers.Serve(n.listeners.Callers)) })
@@ -184,24 +195,40 @@
 	stopBackground()
 	announce.Close()
 	status.Close()
+	n.claims.Close()
 	for _, c := range n.replicas {
 		c.Close()
 	}
 	return errors.Join(group.Wait(), cut)
 }
 
+// reportDemand tells the zone's hosts what callers bring to this one.
+func (n *Node) reportDemand(ctx context.Context) error {
+	ticker := time.NewTicker(demandInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.gossip.Demand(n.meter.Take(n.now()))
+		}
+	}
+}
+
 // stop ends the callers' server gracefully.
 func (n *Node) stop(ctx context.Context, callers *http.Server) error {
 	n.stopping.Store(true)
-	n.log.Info("entry host stops", "requests_in_flight", n.requests.count.Load())
+	n.log.Info("entry host stops", "requests_in_flight", n.callers.Stop.UnderWay())
 	sleep(ctx, n.set.Stop.ReadyGrace.Value())
 	limit, cancel := context.WithTimeout(n.base, n.set.Stop.Limit.Value())
 	defer cancel()
+	n.callers.Stop.Begin()
 	err := callers.Shutdown(limit)
 	if err == nil {
-		return nil
+		return n.callers.Claims.Drain(limit)
 	}
-	cut := &CutError{Requests: int(n.requests.count.Load())}
+	cut := &CutError{Requests: n.callers.Stop.UnderWay()}
 	n.cancelAll()
 	callers.Close()
 	return cut
--- /dev/null
+++ b/internal/proxy/attempt.go
@@ -0,0 +1,296 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync"
+
+	"filberthook/internal/admission"
+	"filberthook/internal/call"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/ident"
+	"filberthook/internal/request"
+	"filberthook/internal/routing"
+	"filberthook/internal/scheduler"
+)
+
+// failure tells why an attempt gave no answer.
+type failure struct {
+	reason   request.RetryReason
+	instance string // empty when none was picked
+	refusal  *request.Refusal
+	final    bool // no other attempt can help
+	err      error
+}
+
+// attempt is one dispatch of a call to an instance.
+type attempt struct {
+	id       string
+	decision routing.Decision
+	target   *routing.Request
+	call     *call.Call
+	proxy    *Proxy
+	resp     *http.Response
+	cancel   context.CancelFunc
+	cache    string // imported KV cache to start from; empty when there is none
+	ended    sync.Once
+
+	mu   sync.Mutex
+	conn net.Conn // guarded by mu; nil until a connection is there
+}
+
+// begin picks an instance, sends the call and returns once the head of the
+// answer has arrived and belongs to this attempt. The caller must call end.
+func (p *Proxy) begin(ctx context.Context, r *http.Request, exclude []string, resumeFrom int) (*attempt, *failure) {
+	c := call.From(r)
+	if c.Left() <= 0 {
+		return nil, &failure{final: true, refusal: p.deadlinePassed(c)}
+	}
+	a := &attempt{id: ident.New(), call: c, proxy: p, target: p.target(c, exclude)}
+	if err := a.place(ctx, resumeFrom); err != nil {
+		return nil, placeFailure(err)
+	}
+	ctx, a.cancel = context.WithCancel(ctx)
+	a.prefill(ctx)
+	c.Request.Dispatch(a.id)
+	if f := a.send(ctx, r, resumeFrom); f != nil {
+		a.end()
+		return nil, f
+	}
+	if f := a.check(); f != nil {
+		a.end()
+		return nil, f
+	}
+	return a, nil
+}
+
+// place chooses the instance, waiting for room if need be.
+func (a *attempt) place(ctx context.Context, resumeFrom int) (err error) {
+	c := a.call
+	a.decision, err = a.proxy.sched.Place(ctx, scheduler.Placement{
+		Team:      c.Team,
+		Endpoint:  c.Endpoint.Name,
+		Left:      c.Left(),
+		MaxTokens: c.MaxTokens,
+		Generated: resumeFrom,
+	}, a.target)
+	return err
+}
+
+// end closes the attempt's connection, unless its answer was read whole, and
+// reports its end. It may be called more than once.
+func (a *attempt) end() {
+	a.ended.Do(func() {
+		if a.resp != nil {
+			a.resp.Body.Close()
+		}
+		a.cancel()
+		a.proxy.sched.Finished(&a.decision, a.target)
+	})
+}
+
+// target describes the call to the scheduler.
+func (p *Proxy) target(c *call.Call, exclude []string) *routing.Request {
+	t := &routing.Request{
+		ID:             c.Request.ID(),
+		Kind:           c.Endpoint.Kind,
+		Class:          routing.Class(c.Class),
+		PromptTokens:   c.PromptTokens,
+		ExpectedOutput: c.ExpectedOutput,
+		Deadline:       c.Left(),
+		Exclude:        exclude,
+	}
+	if c.Endpoint.Kind == engineapi.KindService {
+		t.Endpoint = c.Endpoint.Name
+		return t
+	}
+	t.Model, t.Adapter, t.Version = c.Endpoint.Model, c.Endpoint.Adapter, c.Endpoint.Version
+	t.Prefixes = c.Prefixes
+	return t
+}
+
+func (a *attempt) send(ctx context.Context, r *http.Request, resumeFrom int) *failure {
+	out, err := a.outgoing(ctx, r, resumeFrom)
+	if err != nil {
+		refusal := request.Refuse(request.InvalidRequest, "the path cannot be sent on").Because(err)
+		return &failure{final: true, refusal: refusal, err: err}
+	}
+	transport := a.proxy.kept
+	if !a.call.Request.Repeatable() {
+		transport = a.proxy.once
+	}
+	resp, err := transport.RoundTrip(out)
+	if err != nil {
+		return a.failed(err)
+	}
+	a.resp = resp
+	return nil
+}
+
+// failed describes an attempt without an answer.
+func (a *attempt) failed(err error) *failure {
+	reason := request.RetryBroken
+	if !a.connected() {
+		reason = request.RetryConnect
+	}
+	return &failure{reason: reason, instance: a.decision.Instance, err: err}
+}
+
+// outgoing builds the request to the instance. Its body cannot be sent twice
+// by the transport.
+func (a *attempt) outgoing(ctx context.Context, r *http.Request, resumeFrom int) (*http.Request, error) {
+	c := a.call
+	url := "http://" + a.decision.Address + c.Path
+	if c.RawQuery != "" {
+		url += "?" + c.RawQuery
+	}
+	var body io.Reader
+	if len(c.Body) > 0 {
+		body = io.NopCloser(bytes.NewReader(c.Body))
+	}
+	out, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, a.trace()), r.Method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	out.ContentLength = int64(len(c.Body))
+	copyHeaders(out.Header, r.Header, ownRequestHeaders)
+	out.Header.Set(engineapi.HeaderRequestID, c.Request.ID())
+	out.Header.Set(engineapi.HeaderAttemptID, a.id)
+	out.Header.Set(engineapi.HeaderIdempotencyKey, c.Key)
+	out.Header.Set(engineapi.HeaderPriority, strconv.Itoa(int(c.Class)))
+	out.Header.Set(engineapi.HeaderDeadline, strconv.FormatInt(max(c.Left().Milliseconds(), 1), 10))
+	if a.cache != "" {
+		out.Header.Set(engineapi.HeaderKVHandle, a.cache)
+	}
+	if resumeFrom > 0 {
+		out.Header.Set(engineapi.HeaderResumeFrom, strconv.Itoa(resumeFrom))
+	}
+	return out, nil
+}
+
+// trace notes the moment from which a byte may have left: when the transport
+// gets a connection, before it writes.
+func (a *attempt) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		a.call.Request.Sent(a.id)
+		a.mu.Lock()
+		a.conn = info.Conn
+		a.mu.Unlock()
+	}}
+}
+
+func (a *attempt) connected() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.conn != nil
+}
+
+// closeConn closes the connection, so that it is not used again.
+func (a *attempt) closeConn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		a.conn.Close()
+	}
+}
+
+// check tells whether the answer belongs to this attempt and is one to pass on.
+func (a *attempt) check() *failure {
+	a.observe()
+	got := a.resp.Header.Get(engineapi.HeaderAttemptID)
+	if !a.call.Request.Accepts(got) {
+		a.call.Counters.Dropped(request.DropCrossed)
+		a.closeConn()
+		return a.failure(request.RetryCrossed, fmt.Errorf("answer of attempt %q came to attempt %q", got, a.id))
+	}
+	if a.resp.Header.Get(engineapi.HeaderRunDisposition) == string(request.NotRun) {
+		return a.refused()
+	}
+	if a.call.Endpoint.Kind == engineapi.KindModel && a.resp.StatusCode >= http.StatusInternalServerError {
+		return a.failure(request.RetryStatus, fmt.Errorf("status %d", a.resp.StatusCode))
+	}
+	return nil
+}
+
+func (a *attempt) failure(reason request.RetryReason, err error) *failure {
+	return &failure{reason: reason, instance: a.decision.Instance, err: err}
+}
+
+// maxRefusalBytes bounds what is read of an instance's refusal.
+const maxRefusalBytes = 16 << 10
+
+// refused handles an instance's word that it did not run the attempt. A fault
+// of the request itself is final; other instances would find it too.
+func (a *attempt) refused() *failure {
+	a.call.Request.ProvenNotRun(a.id)
+	f := a.failure(request.RetryRefused, fmt.Errorf("refused with status %d", a.resp.StatusCode))
+	var body struct {
+		Error struct {
+			Code    string `json:"code"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	_ = json.NewDecoder(io.LimitReader(a.resp.Body, maxRefusalBytes)).Decode(&body)
+	switch status := a.resp.StatusCode; {
+	case status == http.StatusServiceUnavailable && isLeaving(body.Error.Code):
+		a.proxy.sched.Draining(a.decision.Instance, a.decision.Incarnation)
+	case status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge || status == http.StatusNotFound:
+		f.final = true
+		f.refusal = request.Refuse(request.InvalidRequest, "the instance refused it: %s: %s", body.Error.Code, body.Error.Message)
+	}
+	return f
+}
+
+// isLeaving reports whether an instance refuses because it takes no new work.
+func isLeaving(code string) bool { return code == "leaving" || code == "draining" }
+
+// observe passes the load report on the answer to the scheduler.
+func (a *attempt) observe() {
+	report := a.resp.Header.Get(engineapi.HeaderEngineLoad)
+	if report == "" {
+		return
+	}
+	var load engineapi.LoadReport
+	if err := json.Unmarshal([]byte(report), &load); err == nil {
+		a.proxy.sched.ObserveLoad(a.decision.Instance, a.decision.Incarnation, load)
+	}
+}
+
+// placeFailure describes a call for which no instance has room in time.
+func placeFailure(err error) *failure {
+	var refused *admission.RefusedError
+	var canceled *scheduler.CanceledError
+	var none *routing.NoCandidateError
+	code := request.NoInstance
+	switch {
+	case errors.As(err, &refused):
+		return refusedFailure(refused)
+	case errors.As(err, &canceled):
+		return &failure{err: err, refusal: request.Refuse(request.CallerGone, "%v", err).Because(err)}
+	case errors.As(err, &none) && none.Main() == routing.ReasonDeadline:
+		code = request.DeadlineUnreachable
+	}
+	return &failure{refusal: request.Refuse(code, "%v", err).Because(err), err: err}
+}
+
+// refusedFailure ends a call that admission has given up: its answer is due at
+// once, and other attempts would meet the same queue.
+func refusedFailure(err *admission.RefusedError) *failure {
+	code := request.QueueFull
+	if err.Reason == admission.RefusedDeadline {
+		code = request.DeadlineUnreachable
+	}
+	refusal := request.Refuse(code, "%v", err).Because(err)
+	if err.RetryAfter > 0 {
+		refusal = refusal.After(err.RetryAfter)
+	}
+	return &failure{final: true, refusal: refusal, err: err}
+}
