--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -98,6 +98,7 @@
 	Fence       uint64      `json:"fence"`                 // highest fencing number accepted
 	Outstanding OrderStatus `json:"outstanding,omitempty"` // order under way; ID is empty when there is none
 	LastOrder   OrderStatus `json:"last_order,omitempty"`
+	Drained     bool        `json:"drained,omitempty"` // an order told the engine to take no new work
 }
 
 // Model is one model that an engine has loaded, with its adapters.
--- a/internal/enginemodel/orders.go
+++ b/internal/enginemodel/orders.go
@@ -282,6 +282,7 @@
 		Models:    cloneModels(e.models),
 		Fence:     e.orders.fence,
 		LastOrder: e.orders.statuses[e.orders.lastID],
+		Drained:   e.draining,
 	}
 	if e.orders.running != nil {
 		st.Outstanding = e.orders.statuses[e.orders.running.ID]
--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -26,6 +26,7 @@
 		Fence:       a.State.Fence,
 		Outstanding: toOrder(a.State.Outstanding),
 		LastOrder:   toOrder(a.State.LastOrder),
+		Drained:     a.State.Drained,
 	}
 	return u
 }
@@ -95,6 +96,7 @@
 			Fence:       a.GetFence(),
 			Outstanding: fromOrder(a.GetOutstanding()),
 			LastOrder:   fromOrder(a.GetLastOrder()),
+			Drained:     a.GetDrained(),
 		},
 		Load: fromLoad(u.GetLoad()),
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -150,7 +150,7 @@
 		Role:        a.State.Role,
 		Models:      a.State.Models,
 		Pieces:      a.Pieces,
-		Draining:    a.Draining,
+		Draining:    a.Draining || a.State.Drained,
 		Changing:    a.State.Outstanding.ID != "",
 		Load:        a.Load,
 		ReportedAt:  rec.LoadAt,
