--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -86,7 +86,7 @@
 
 // cluster is a group of replicas with files in memory and a logical clock.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	net     *network
 	members []Member
 	every   uint64 // entries between snapshots
@@ -94,7 +94,7 @@
 	driver  sync.WaitGroup
 }
 
-func newCluster(t *testing.T, size int, every uint64) *cluster {
+func newCluster(t testing.TB, size int, every uint64) *cluster {
 	c := &cluster{t: t, net: &network{nodes: map[uint64]*node{}, cut: map[uint64]bool{}}, every: every, quit: make(chan struct{})}
 	for id := uint64(1); id <= uint64(size); id++ {
 		c.members = append(c.members, Member{ID: id, Address: fmt.Sprintf("host-%d", id), Zone: fmt.Sprintf("zone-%d", id)})
@@ -103,16 +103,18 @@
 		c.start(m.ID, fsys.NewMem(), c.members)
 	}
 	c.driver.Go(c.drive)
-	t.Cleanup(func() {
-		close(c.quit)
-		c.driver.Wait()
-		for id := range c.net.nodes {
-			c.stop(id)
-		}
-	})
+	t.Cleanup(c.close)
 	return c
 }
 
+func (c *cluster) close() {
+	close(c.quit)
+	c.driver.Wait()
+	for id := range c.net.nodes {
+		c.stop(id)
+	}
+}
+
 // drive lets logical time pass for as long as the test runs.
 func (c *cluster) drive() {
 	for {
@@ -146,10 +148,11 @@
 func (c *cluster) start(id uint64, fs *fsys.Mem, members []Member) *node {
 	c.t.Helper()
 	n := &node{machine: &journal{}, fs: fs, ticks: make(chan time.Time), ended: make(chan struct{})}
-	r, err := Open(Config{
+	cfg := Config{
 		ID: id, Dir: "data", Members: members, SnapshotEvery: c.every, FS: fs, Ticks: n.ticks,
 		Logger: slog.New(slog.DiscardHandler),
-	}, n.machine, port{net: c.net, from: id})
+	}
+	r, err := Open(cfg, n.machine, port{net: c.net, from: id})
 	if err != nil {
 		c.t.Fatalf("open replica %d: %v", id, err)
 	}
