Status page, call history, explain and requests at the entry host

Cause: operators must see zones, roles, load, revisions and refusals, and ask why a call went where it went.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -13,6 +13,7 @@
 
 	"filberthook/internal/engineapi"
 	"filberthook/internal/fleet"
+	"filberthook/internal/history"
 	"filberthook/internal/request"
 	"filberthook/internal/retry"
 )
@@ -22,6 +23,7 @@
 type Call struct {
 	Request  *request.Request
 	Counters *request.Counters
+	History  *history.Entry // may be nil
 
 	Team     string         // calling team
 	Endpoint fleet.Endpoint // what is called
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -5,6 +5,7 @@
 
 	"filberthook/internal/claimlog"
 	"filberthook/internal/controlnode"
+	"filberthook/internal/history"
 	"filberthook/internal/middleware"
 	"filberthook/internal/operator"
 	"filberthook/internal/proxy"
@@ -13,17 +14,18 @@
 
 // callerHandlers joins the handlers that a caller's request passes.
 func (n *Node) callerHandlers() {
-	counters := request.NewCounters(n.metrics)
+	n.counters = request.NewCounters(n.metrics)
+	n.calls = history.NewLog()
 	var replicas []claimlog.Caller
 	for _, r := range n.replicas {
 		replicas = append(replicas, r)
 	}
 	log := claimlog.NewReplicas(replicas, controlnode.MethodClaims, notApplied)
-	n.claims = claimlog.New(log, claimlog.DefaultSettings(), counters, n.metrics)
+	n.claims = claimlog.New(log, claimlog.DefaultSettings(), n.counters, n.metrics)
 	last := proxy.New(proxy.DefaultSettings(), n.sched, n.metrics)
 	s := middleware.DefaultSettings()
 	s.Claims.Host = n.set.Host
-	n.callers = middleware.NewChain(s, n.config, n.claims, counters, last)
+	n.callers = middleware.NewChain(s, n.config, n.claims, n.counters, n.calls, last)
 	n.metrics.NewGauge("filberthook_requests_in_flight", func() float64 { return float64(n.callers.Stop.UnderWay()) })
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,10 +23,12 @@
 	"filberthook/internal/directory"
 	"filberthook/internal/distribution"
 	"filberthook/internal/gossip"
+	"filberthook/internal/history"
 	"filberthook/internal/keys"
 	"filberthook/internal/membership"
 	"filberthook/internal/middleware"
 	"filberthook/internal/peer"
+	"filberthook/internal/request"
 	"filberthook/internal/routing"
 	"filberthook/internal/scheduler"
 	"filberthook/internal/settings"
@@ -64,6 +66,8 @@
 	certs     *keys.Source // nil without TLS
 	claims    *claimlog.Client
 	callers   *middleware.Chain
+	counters  *request.Counters
+	calls     *history.Log
 	stopping  atomic.Bool
 	cancelAll context.CancelFunc // ends the requests under way
 	base      context.Context    // parent of all requests
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -3,13 +3,18 @@
 import (
 	"fmt"
 	"net/http"
+
+	"filberthook/internal/statuspage"
 )
 
-// statusHandler serves metrics and health checks.
+// statusHandler serves metrics, health checks, explanations and the status page.
 func (n *Node) statusHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET "+PathExplain, n.serveExplain)
+	mux.HandleFunc("GET "+PathRequests, n.serveRequests)
+	mux.Handle("GET /{$}", statuspage.Handler(n.page))
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if reason := n.notReady(); reason != "" {
 			http.Error(w, reason, http.StatusServiceUnavailable)
--- a/internal/middleware/middleware.go
+++ b/internal/middleware/middleware.go
@@ -9,6 +9,7 @@
 
 	"filberthook/internal/claimlog"
 	"filberthook/internal/fleet"
+	"filberthook/internal/history"
 	"filberthook/internal/limit"
 	"filberthook/internal/request"
 )
@@ -45,9 +46,9 @@
 	Claims *Claims
 }
 
-// NewChain returns the handlers in front of next. The counters and the client
-// of the claims are shared with the other parts of the entry host.
-func NewChain(s Settings, config Configuration, log *claimlog.Client, counters *request.Counters, next http.Handler) *Chain {
+// NewChain returns the handlers in front of next. The counters, the history and
+// the client of the claims are shared with the other parts of the entry host.
+func NewChain(s Settings, config Configuration, log *claimlog.Client, counters *request.Counters, calls *history.Log, next http.Handler) *Chain {
 	claims := NewClaims(s.Claims, log, next)
 	var h http.Handler = claims
 	h = NewSlots(limit.NewGate(s.Gate, time.Now), h)
@@ -59,6 +60,7 @@
 	h = NewOutcome(log, h)
 	h = NewAuthentication(config, h)
 	stop := NewStop(h)
-	h = NewRequestID(counters, stop)
+	h = NewHistory(calls, stop)
+	h = NewRequestID(counters, h)
 	return &Chain{Handler: NewViolation(h), Stop: stop, Claims: claims}
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -16,6 +16,7 @@
 	"filberthook/internal/admission"
 	"filberthook/internal/call"
 	"filberthook/internal/engineapi"
+	"filberthook/internal/history"
 	"filberthook/internal/ident"
 	"filberthook/internal/request"
 	"filberthook/internal/routing"
@@ -56,8 +57,10 @@
 	}
 	a := &attempt{id: ident.New(), call: c, proxy: p, target: p.target(c, exclude)}
 	if err := a.place(ctx, resumeFrom); err != nil {
+		c.History.Tried(history.Attempt{ResumedFrom: resumeFrom, Problem: err.Error()})
 		return nil, placeFailure(err)
 	}
+	c.History.Tried(a.decided(resumeFrom))
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.prefill(ctx)
 	c.Request.Dispatch(a.id)
@@ -85,6 +88,19 @@
 	return err
 }
 
+// decided describes the decision for the history.
+func (a *attempt) decided(resumeFrom int) history.Attempt {
+	d := &a.decision
+	return history.Attempt{
+		Instance:    d.Instance,
+		Prefill:     d.Prefill,
+		Predicted:   d.FirstToken,
+		Score:       d.Score,
+		CachedHope:  d.CachedTokens,
+		ResumedFrom: resumeFrom,
+	}
+}
+
 // end closes the attempt's connection, unless its answer was read whole, and
 // reports its end. It may be called more than once.
 func (a *attempt) end() {
@@ -141,7 +157,7 @@
 	if !a.connected() {
 		reason = request.RetryConnect
 	}
-	return &failure{reason: reason, instance: a.decision.Instance, err: err}
+	return a.failure(reason, err)
 }
 
 // outgoing builds the request to the instance. Its body cannot be sent twice
@@ -221,6 +237,7 @@
 }
 
 func (a *attempt) failure(reason request.RetryReason, err error) *failure {
+	a.call.History.Failed(string(reason) + ": " + err.Error())
 	return &failure{reason: reason, instance: a.decision.Instance, err: err}
 }
 
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -23,6 +23,7 @@
 	"filberthook/internal/claimlog"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/fleet"
+	"filberthook/internal/history"
 	"filberthook/internal/middleware"
 	"filberthook/internal/proxy"
 	"filberthook/internal/request"
@@ -168,7 +169,7 @@
 	e := &entry{t: t, sched: &scheduler{instances: instances}, metrics: set}
 	e.claims = claimlog.New(log, o.claims, counters, set)
 	last := proxy.New(o.proxy, e.sched, set)
-	e.chain = middleware.NewChain(o.middleware, newConfig(), e.claims, counters, last)
+	e.chain = middleware.NewChain(o.middleware, newConfig(), e.claims, counters, history.NewLog(), last)
 	e.server = httptest.NewServer(e.chain)
 	t.Cleanup(func() {
 		e.server.Close()
--- a/internal/request/counters.go
+++ b/internal/request/counters.go
@@ -68,6 +68,34 @@
 	return c
 }
 
+// Total is the value of one counter.
+type Total struct {
+	Name  string
+	Value uint64
+}
+
+// Refusals returns the counts of the reasons that have occurred.
+func (c *Counters) Refusals() []Total {
+	var out []Total
+	for _, r := range reasons {
+		if n := c.refused[r.Code].Get(); n > 0 {
+			out = append(out, Total{Name: string(r.Code), Value: n})
+		}
+	}
+	return out
+}
+
+// Retries returns the counts of the retry reasons that have occurred.
+func (c *Counters) Retries() []Total {
+	var out []Total
+	for _, r := range retryReasons {
+		if n := c.retried[r].Get(); n > 0 {
+			out = append(out, Total{Name: string(r), Value: n})
+		}
+	}
+	return out
+}
+
 // Answered counts a whole answer.
 func (c *Counters) Answered() { c.answered.Inc() }
 
