Cut entry hosts off from callers and from the control group in fault runs

Cause: the fault run struck instances only; a cut-off entry host must go on serving and must not run a booking twice. Change: relays stand before each entry host and between it and each control replica; the report tells how many bookings of unknown end never ran.

--- a/internal/faultrun/bench.go
+++ b/internal/faultrun/bench.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"filberthook/internal/faultnet"
 )
 
 // pollChange is how often a fault looks whether an engine is in a change.
@@ -209,15 +211,19 @@
 }
 
 func (b *bench) strikeEntry(ctx context.Context, h *host, f Fault) error {
-	if f.Kind == StopEntry {
+	switch f.Kind {
+	case StopEntry:
 		h.set(true, false)
 		if err := h.Stop(ctx); err != nil {
 			b.ledger.cutByStop(err)
 		}
 		h.set(false, true)
-	} else {
+	case KillEntry:
 		h.set(false, true)
 		h.Kill()
+	default:
+		cutEntry(ctx, h.Network(), f)
+		return nil
 	}
 	sleep(ctx, f.Length)
 	err := h.Start()
@@ -225,6 +231,28 @@
 	return err
 }
 
+// cutEntry cuts one side of an entry host off for a time.
+func cutEntry(ctx context.Context, n EntryNetwork, f Fault) {
+	relays := n.Control
+	if f.Kind == CutEntryIn || f.Kind == CutEntryOut {
+		relays = []*faultnet.Relay{n.Callers}
+	}
+	for _, r := range relays {
+		switch f.Kind {
+		case CutControl:
+			r.Cut()
+		case CutEntryIn:
+			r.CutThere()
+		default:
+			r.CutBack()
+		}
+	}
+	sleep(ctx, f.Length)
+	for _, r := range relays {
+		r.Heal()
+	}
+}
+
 func (b *bench) change(ctx context.Context, rng *rand.Rand) error {
 	if b.sys.ChangeDeclared == nil {
 		return nil
--- a/internal/faultrun/cluster.go
+++ b/internal/faultrun/cluster.go
@@ -18,6 +18,7 @@
 	"filberthook/internal/deployment"
 	"filberthook/internal/faultnet"
 	"filberthook/internal/fleet"
+	"filberthook/internal/settings"
 )
 
 // Names and times of a cluster under faults.
@@ -46,6 +47,7 @@
 type Cluster struct {
 	deployment *deployment.Deployment
 	entries    []*clusterEntry
+	control    map[string][]*faultnet.Relay // by entry host, to each control replica
 	teamKey    string
 	changes    atomic.Uint64 // changes asked for, to name them
 }
@@ -53,30 +55,48 @@
 // StartCluster starts a deployment without stand-ins, creates its endpoints and
 // approves one team.
 func StartCluster(ctx context.Context, cfg ClusterConfig) (*Cluster, error) {
+	c := &Cluster{control: make(map[string][]*faultnet.Relay)}
+	var relayErr error
 	d, err := deployment.Start(deployment.Options{
 		Dir:            filepath.Clean(cfg.Dir),
 		Zones:          cfg.Zones,
 		Controls:       cfg.Controls,
 		EntriesPerZone: cfg.EntriesPerZone,
 		Logger:         cfg.Logger,
+		Entry:          func(s *settings.Entry) { relayErr = errors.Join(relayErr, c.relayControl(s)) },
 	})
-	if err != nil {
+	if err = errors.Join(err, relayErr); err != nil {
 		return nil, err
 	}
-	c := &Cluster{deployment: d}
+	c.deployment = d
 	if err := c.open(ctx); err != nil {
 		return nil, errors.Join(err, c.Close())
 	}
 	return c, nil
 }
 
+// relayControl puts relays between an entry host and the control replicas.
+func (c *Cluster) relayControl(s *settings.Entry) error {
+	relayed := make([]string, 0, len(s.Control.Replicas))
+	for _, address := range s.Control.Replicas {
+		r, err := faultnet.NewRelay(address)
+		if err != nil {
+			return err
+		}
+		c.control[s.Host] = append(c.control[s.Host], r)
+		relayed = append(relayed, r.Address())
+	}
+	s.Control.Replicas = relayed
+	return nil
+}
+
 func (c *Cluster) open(ctx context.Context) error {
 	for _, e := range c.deployment.Entries {
 		relay, err := faultnet.NewRelay(e.Callers)
 		if err != nil {
 			return err
 		}
-		c.entries = append(c.entries, &clusterEntry{host: e, relay: relay})
+		c.entries = append(c.entries, &clusterEntry{host: e, relay: relay, control: c.control[e.Name]})
 	}
 	if err := c.configure(ctx); err != nil {
 		return err
@@ -89,7 +109,13 @@
 	for _, e := range c.entries {
 		_ = e.relay.Close()
 	}
-	return c.deployment.Stop()
+	err := c.deployment.Stop()
+	for _, relays := range c.control {
+		for _, r := range relays {
+			_ = r.Close()
+		}
+	}
+	return err
 }
 
 // System returns the cluster as a system to put under faults.
@@ -188,8 +214,9 @@
 
 // clusterEntry is one entry host behind a relay.
 type clusterEntry struct {
-	host  *deployment.EntryHost
-	relay *faultnet.Relay
+	host    *deployment.EntryHost
+	relay   *faultnet.Relay
+	control []*faultnet.Relay
 }
 
 // Zone implements Entry.
@@ -198,6 +225,11 @@
 // Callers implements Entry.
 func (e *clusterEntry) Callers() string { return e.relay.Address() }
 
+// Network implements Entry.
+func (e *clusterEntry) Network() EntryNetwork {
+	return EntryNetwork{Callers: e.relay, Control: e.control}
+}
+
 // Announce implements Entry.
 func (e *clusterEntry) Announce() string { return e.host.Announce }
 
--- a/internal/faultrun/faultrun_test.go
+++ b/internal/faultrun/faultrun_test.go
@@ -50,6 +50,7 @@
 func (e *fakeEntry) Zone() string               { return "bio" }
 func (e *fakeEntry) Callers() string            { return e.server.Listener.Addr().String() }
 func (e *fakeEntry) Announce() string           { return e.Callers() }
+func (e *fakeEntry) Network() EntryNetwork      { return EntryNetwork{} }
 func (e *fakeEntry) Kill()                      {}
 func (e *fakeEntry) Stop(context.Context) error { return nil }
 func (e *fakeEntry) Start() error               { return nil }
--- a/internal/faultrun/ledger.go
+++ b/internal/faultrun/ledger.go
@@ -43,6 +43,7 @@
 	Whole     int `json:"whole"`     // ended with the whole right answer
 	Abandoned int `json:"abandoned"` // ended with a refusal that said not run
 	Unknown   int `json:"unknown"`   // ended with an honest "may have run"
+	NeverRan  int `json:"never_ran"` // of the unknown ones, those that never ran
 }
 
 // Report is what became of a run.
@@ -67,8 +68,8 @@
 		name string
 		Calls
 	}{{"chats", r.Chats}, {"bookings", r.Bookings}, {"status", r.Status}} {
-		fmt.Fprintf(w, "%-9s %d sessions, %d attempts: %d whole, %d refused as not run, %d unknown\n",
-			c.name, c.Sessions, c.Attempts, c.Whole, c.Abandoned, c.Unknown)
+		fmt.Fprintf(w, "%-9s %d sessions, %d attempts: %d whole, %d refused as not run, %d unknown of which %d never ran\n",
+			c.name, c.Sessions, c.Attempts, c.Whole, c.Abandoned, c.Unknown, c.NeverRan)
 	}
 	printCounts(w, "attempts ", r.Outcomes)
 	printCounts(w, "refusals ", r.Codes)
@@ -97,6 +98,7 @@
 	report    Report
 	abandoned map[string]bool // keys of calls whose every answer said not run
 	answered  map[string]bool // keys of bookings with a whole answer
+	unknown   []string        // keys of bookings whose end is not known
 }
 
 func newLedger() *ledger {
@@ -200,6 +202,7 @@
 		l.abandoned[key] = true
 	case endUnknown:
 		c.Unknown++
+		l.unknown = append(l.unknown, key)
 	case endLost:
 		l.report.Violations.Lost++
 		l.note("key %s lost, last answer: %s %s %v", key, last.Outcome, last.Code, last.Err)
@@ -229,6 +232,11 @@
 			l.note("booking %s was answered and never ran", key)
 		}
 	}
+	for _, key := range l.unknown {
+		if bookings[key] == 0 {
+			l.report.Bookings.NeverRan++
+		}
+	}
 	v.CutByChange += orders.Aborted
 	v.Conflicts = orders.Conflicts
 	v.StaleTaken = orders.StaleTaken
--- a/internal/faultrun/plan.go
+++ b/internal/faultrun/plan.go
@@ -34,7 +34,11 @@
 	CutServiceOut  Kind = "cut_service_out" // answers do not arrive
 	LeaveService   Kind = "leave_service"   // planned: a worker drains and leaves
 	KillEntry      Kind = "kill_entry"
-	StopEntry      Kind = "stop_entry" // planned: graceful stop
+	StopEntry      Kind = "stop_entry"      // planned: graceful stop
+	CutEntryIn     Kind = "cut_entry_in"    // callers' requests do not arrive
+	CutEntryOut    Kind = "cut_entry_out"   // callers get no answers
+	CutControl     Kind = "cut_control"     // an entry host and the control group, neither way
+	CutControlOut  Kind = "cut_control_out" // an entry host gets no answers from the control group
 	KillControl    Kind = "kill_control"
 	ChangeDeclared Kind = "change_declared" // planned: an operator changes what engines carry
 )
@@ -78,6 +82,10 @@
 	{LeaveService, onService, 2},
 	{KillEntry, onEntry, 3},
 	{StopEntry, onEntry, 2},
+	{CutEntryIn, onEntry, 1},
+	{CutEntryOut, onEntry, 1},
+	{CutControl, onEntry, 2},
+	{CutControlOut, onEntry, 2},
 	{KillControl, onControl, 3},
 	{ChangeDeclared, onFleet, 3},
 }
--- a/internal/faultrun/sessions.go
+++ b/internal/faultrun/sessions.go
@@ -12,7 +12,7 @@
 
 // Behaviour of callers.
 const (
-	callTimeout   = 20 * time.Second
+	callTimeout   = 10 * time.Second
 	shortBackoff  = 20 * time.Millisecond
 	longBackoff   = time.Second
 	abandonChance = 0.25 // of giving up after the first refusal that says not run
--- a/internal/faultrun/system.go
+++ b/internal/faultrun/system.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+
+	"filberthook/internal/faultnet"
 )
 
 // Entry is one entry host under test.
@@ -13,6 +15,8 @@
 	Callers() string
 	// Announce returns the IP:port for announcements of endpoint instances.
 	Announce() string
+	// Network returns the relays that its connections pass.
+	Network() EntryNetwork
 	// Kill ends it at once, as the death of its process would.
 	Kill()
 	// Stop ends it gracefully and returns an error when that cut a request.
@@ -21,6 +25,12 @@
 	Start() error
 }
 
+// EntryNetwork holds the relays of one entry host.
+type EntryNetwork struct {
+	Callers *faultnet.Relay   // from callers to it
+	Control []*faultnet.Relay // from it to each control replica
+}
+
 // Control is one control replica under test.
 type Control interface {
 	// Kill ends it at once, as the death of its process would.
