--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -195,6 +195,12 @@
 	if got := l.Estimate(k, 0.9, 0, 0); got < 175 || got > 260 {
 		t.Errorf("0.9 quantile %d of lengths from 100 to 199", got)
 	}
+	if got := l.Mean(k); got < 145 || got > 160 {
+		t.Errorf("mean %.0f of lengths from 100 to 199", got)
+	}
+	if got := l.Mean(Key{}); got != 300 {
+		t.Errorf("mean %.0f without history, want the prior", got)
+	}
 	if got := l.Estimate(k, 0.9, 0, 128); got != 128 {
 		t.Errorf("estimate %d above the cap 128", got)
 	}
--- a/internal/admission/lengths.go
+++ b/internal/admission/lengths.go
@@ -31,11 +31,13 @@
 type histogram struct {
 	counts [lengthBuckets]float32
 	total  float32
+	tokens float32 // sum of the counted lengths
 }
 
 func (h *histogram) add(tokens int) {
 	h.counts[bucketOf(tokens)]++
 	h.total++
+	h.tokens += float32(tokens)
 	if h.total < halveAt {
 		return
 	}
@@ -43,6 +45,7 @@
 		h.counts[i] /= 2
 	}
 	h.total /= 2
+	h.tokens /= 2
 }
 
 // above returns the number of counted lengths beyond bucket at.
@@ -121,6 +124,19 @@
 	return n
 }
 
+// Mean returns the mean length in tokens.
+func (l *Lengths) Mean(k Key) float64 {
+	s := l.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.hist[k]
+	if h == nil {
+		return float64(l.prior)
+	}
+	prior := float32(l.prior) * priorCount
+	return float64((h.tokens + prior) / (h.total + priorCount))
+}
+
 func (l *Lengths) quantile(k Key, quantile float64, generated int) int {
 	s := l.shard(k)
 	s.mu.Lock()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -18,6 +18,7 @@
 	MaxTeamShare float64           `toml:"max_team_share"`      // largest part of the queue that one calling team may fill
 	AgeStep      tomltime.Duration `toml:"age_step"`            // waiting this long makes a request one class more urgent
 	ReserveAfter tomltime.Duration `toml:"reserve_after"`       // a request that has waited this long is not passed by others
+	LateFactor   float64           `toml:"late_factor"`         // a first token predicted beyond this many targets is refused; 0 refuses none
 	Quantile     float64           `toml:"output_quantile"`     // share of answers that the expected length covers
 	PriorOutput  int               `toml:"output_prior_tokens"` // assumed answer length without history
 	Weights      []TeamWeight      `toml:"team_weights"`        // teams that are not listed have weight 1
@@ -36,11 +37,22 @@
 		MaxTeamShare: 0.5,
 		AgeStep:      tomltime.Of(2 * time.Second),
 		ReserveAfter: tomltime.Of(5 * time.Second),
+		LateFactor:   1.5,
 		Quantile:     0.8,
 		PriorOutput:  300,
 	}
 }
 
+// TooLate reports whether a request should be refused now, because its first
+// token is predicted too far beyond the target: running it would only make
+// others late.
+func (c *Config) TooLate(waited, predicted, target time.Duration) bool {
+	if c.LateFactor <= 0 || target <= 0 {
+		return false
+	}
+	return (waited + predicted).Seconds() > c.LateFactor*target.Seconds()
+}
+
 // Item is one waiting request.
 type Item[T any] struct {
 	ID      string
--- a/internal/experiment/baselines.go
+++ b/internal/experiment/baselines.go
@@ -248,7 +248,7 @@
 
 func (z *reactivePlanner) change(w *worker, role engineapi.Role) {
 	z.last = z.sim.clock.now
-	w.changeRole(role)
+	w.changeRole(role, "threshold")
 }
 
 // backlog returns the prompt tokens waiting per engine.
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -46,6 +46,8 @@
 		return &baseline{name: name, choose: chooseLeastLoad, mixed: true}, nil
 	case nameReactive:
 		return &baseline{name: name, choose: chooseLeastLoad, reactive: true}, nil
+	case "filberthook-mixed":
+		return &filberthook{name: name, planner: s.Fleet.Planner, mixed: true}, nil
 	case nameDeployment:
 		return &filberthook{name: name, planner: s.Fleet.Planner}, nil
 	case nameGoodput:
--- a/internal/experiment/record.go
+++ b/internal/experiment/record.go
@@ -27,20 +27,20 @@
 	sim     *sim
 	seconds []second
 
-	roleChanges int
-	retries     int
-	cut         int // attempts cut by an order
-	pauses      int
-	refused     int
-	failed      int
-	unfinished  int
-	offered     int // counted requests
-	good        int
-	late        int                     // first token late
-	slow        int                     // too many slow gaps
-	firstToken  *hdrhistogram.Histogram // microseconds
-	gap         *hdrhistogram.Histogram // microseconds, of each answer's 95th percentile
-	memoryPeak  float64
+	changes    []roleChange
+	retries    int
+	cut        int // attempts cut by an order
+	pauses     int
+	refused    int
+	failed     int
+	unfinished int
+	offered    int // counted requests
+	good       int
+	late       int                     // first token late
+	slow       int                     // too many slow gaps
+	firstToken *hdrhistogram.Histogram // microseconds
+	gap        *hdrhistogram.Histogram // microseconds, of each answer's 95th percentile
+	memoryPeak float64
 }
 
 func newRecord(s *sim) *record {
@@ -60,10 +60,18 @@
 	return &r.seconds[i]
 }
 
+// roleChange is one change of an engine's role, at the time its drain begins.
+type roleChange struct {
+	At       time.Duration
+	Instance string
+	From, To engineapi.Role
+	Reason   string
+}
+
 // roleChange notes a role change that begins.
-func (r *record) roleChange(t time.Duration) {
-	r.roleChanges++
-	r.at(t).RoleChanges++
+func (r *record) roleChange(c roleChange) {
+	r.changes = append(r.changes, c)
+	r.at(c.At).RoleChanges++
 }
 
 // ended takes in the latencies of a request that has ended.
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -35,6 +35,7 @@
 	MemoryPeak  float64       `json:"memory_peak"`
 
 	seconds []second
+	changes []roleChange
 }
 
 func newResult(r *record, policy string, seed uint64, bound Bound) Result {
@@ -50,7 +51,7 @@
 		OfOffered:   share(r.good, r.offered),
 		OfBound:     share(r.good, bound.Good),
 		GoodPerSec:  float64(r.good) / counted,
-		RoleChanges: r.roleChanges,
+		RoleChanges: len(r.changes),
 		Late:        r.late,
 		Slow:        r.slow,
 		Refused:     r.refused,
@@ -65,6 +66,7 @@
 		GapP95:      micros(r.gap.ValueAtQuantile(95)),
 		MemoryPeak:  r.memoryPeak,
 		seconds:     r.seconds,
+		changes:     r.changes,
 	}
 }
 
@@ -103,6 +105,8 @@
 	RoleChanges Spread `json:"role_changes"`
 	FirstP95    Spread `json:"first_token_p95_seconds"`
 	GapP95      Spread `json:"gap_p95_millis"`
+	Late        Spread `json:"first_token_late"`
+	Slow        Spread `json:"gaps_or_deadline_missed"`
 	NotRun      Spread `json:"refused_failed_unfinished"`
 }
 
@@ -116,6 +120,8 @@
 		RoleChanges: spreadOf(results, func(r *Result) float64 { return float64(r.RoleChanges) }),
 		FirstP95:    spreadOf(results, func(r *Result) float64 { return r.FirstP95.Seconds() }),
 		GapP95:      spreadOf(results, func(r *Result) float64 { return float64(r.GapP95.Microseconds()) / 1000 }),
+		Late:        spreadOf(results, func(r *Result) float64 { return float64(r.Late) }),
+		Slow:        spreadOf(results, func(r *Result) float64 { return float64(r.Slow) }),
 		NotRun:      spreadOf(results, func(r *Result) float64 { return float64(r.Refused + r.Failed + r.Unfinished) }),
 	}
 }
--- a/internal/experiment/sim.go
+++ b/internal/experiment/sim.go
@@ -81,7 +81,7 @@
 	fleet := &m.scenario.Fleet
 	end := m.scenario.Duration.Duration + drainAfter
 	for i := range fleet.EntriesPerZone {
-		e := &entry{sim: m, zone: zone, alive: true, name: fmt.Sprintf("%s-entry%d", fleet.Zones[zone].Name, i)}
+		e := &entry{sim: m, zone: zone, alive: true, name: entryName(fleet, zone, i)}
 		e.placer = p.newPlacer(e)
 		e.look()
 		poll := fleet.Lags.Poll.Duration
@@ -92,6 +92,11 @@
 	return out
 }
 
+// entryName returns the name of an entry host.
+func entryName(fleet *Fleet, zone, i int) string {
+	return fmt.Sprintf("%s-entry%02d", fleet.Zones[zone].Name, i)
+}
+
 // arrive gives a request to the entry host that the balancer has chosen, or to
 // another one when that has stopped.
 func (m *sim) arrive(a *arrival) {
--- a/internal/experiment/worker.go
+++ b/internal/experiment/worker.go
@@ -182,10 +182,10 @@
 const drainPoll = 50 * time.Millisecond
 
 // changeRole drains the engine, changes its role and lets it work again.
-func (w *worker) changeRole(role engineapi.Role) {
+func (w *worker) changeRole(role engineapi.Role, reason string) {
 	w.draining = true
 	w.order(engineapi.Order{Kind: engineapi.OrderDrain})
-	w.sim.record.roleChange(w.sim.clock.now)
+	w.sim.record.roleChange(roleChange{At: w.sim.clock.now, Instance: w.name, From: w.role, To: role, Reason: reason})
 	w.afterDrain(func() {
 		w.changing = true
 		w.order(engineapi.Order{Kind: engineapi.OrderSetRole, Role: role})
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -297,7 +297,8 @@
 	answers := d.Requests * p.cfg.GoodputWeight
 	change.Gain = (after - inTime) * answers * p.cfg.Horizon.Seconds()
 	change.Cost = (inTime-during)*answers*away + p.cfg.ChangeCost
-	change.Reason = fmt.Sprintf("in time now %.3f, during the change %.3f, after it %.3f", inTime, during, after)
+	change.Reason = fmt.Sprintf("in time now %.3f, during the change %.3f, after it %.3f, at %.1f requests, %.0f prompt and %.0f output tokens a second",
+		inTime, during, after, d.Requests, d.PromptTokens, d.OutputTokens)
 	return change
 }
 
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -66,6 +66,7 @@
 	SampleRemote  int               `toml:"sample_remote"`  // candidates of other zones that are scored
 	Holders       int               `toml:"sample_holders"` // candidates scored for their cached prefixes
 	RemotePenalty tomltime.Duration `toml:"remote_penalty"` // added to the first token of other zones
+	AwayCost      float64           `toml:"away_cost"`      // added to the score of engines whose home is another entry host, in targets
 	MemoryGrowth  float64           `toml:"memory_growth"`  // pieces kept free per running request for its further output
 	Split         bool              `toml:"split"`          // allow prefill and decode on two engines
 	Targets       TargetTable       `toml:"targets"`
@@ -86,6 +87,7 @@
 		SampleRemote:  2,
 		Holders:       2,
 		RemotePenalty: tomltime.Of(50 * time.Millisecond),
+		AwayCost:      0.2,
 		MemoryGrowth:  0.25,
 		Split:         true,
 		Targets:       TargetTable{Urgent: answer, Interactive: answer, Standard: answer, Background: background},
--- a/internal/routing/own.go
+++ b/internal/routing/own.go
@@ -23,6 +23,33 @@
 	changes []change // in order of at; guarded by mu
 	running int      // own requests in flight; guarded by mu
 	pieces  int      // memory of own requests in flight, whole answers included; guarded by mu
+
+	prompts int           // tokens of own prompts sent and not yet computed; guarded by mu
+	busy    time.Duration // when the engine was last known to begin one of them; guarded by mu
+}
+
+// promptSent notes an own prompt whose end promptDone will tell.
+func (o *ownLoad) promptSent(now time.Duration, tokens int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.prompts == 0 {
+		o.busy = now
+	}
+	o.prompts += tokens
+}
+
+// promptDone notes that an own prompt has been computed or given up.
+func (o *ownLoad) promptDone(now time.Duration, tokens int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.prompts -= tokens
+	o.busy = now
+}
+
+// waiting returns the tokens of own prompts not yet computed when the engine
+// computes them at the given rate. The caller holds o.mu.
+func (o *ownLoad) waiting(now time.Duration, rate float64) float64 {
+	return max(0, float64(o.prompts)-rate*(now-o.busy).Seconds())
 }
 
 func (o *ownLoad) add(ch change) {
@@ -55,19 +82,21 @@
 		pieces:  float64(c.Load.UsedPieces),
 		age:     max(0, now-c.ReportedAt),
 	}
+	drain := rate * (1 - c.unseen)
 	o := c.own
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	at := c.ReportedAt
 	for i := o.firstAfter(at); i < len(o.changes); i++ {
 		ch := &o.changes[i]
-		e.drain(rate, ch.at-at)
+		e.drain(drain, ch.at-at)
 		at = ch.at
-		e.backlog += float64(ch.prefill)
+		e.backlog += float64(ch.prefill) * c.sharers
 		e.running += float64(ch.running)
 		e.pieces += float64(ch.pieces)
 	}
-	e.drain(rate, now-at)
+	e.drain(drain, now-at)
+	e.backlog = max(e.backlog, c.sharers*o.waiting(now, rate))
 	e.running = max(e.running, float64(o.running))
 	e.pieces = max(e.pieces, float64(o.pieces))
 	return e
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -1,12 +1,14 @@
 package routing
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"filberthook/internal/engineapi"
 	"filberthook/internal/prefix"
 )
 
@@ -26,6 +28,9 @@
 	mu    sync.RWMutex
 	own   map[string]*ownLoad // by instance; guarded by mu
 	zones []string            // position is the zone's number; guarded by mu
+	self  string              // name of this entry host; guarded by mu
+	peers []string            // entry hosts of the own zone with this one, sorted; guarded by mu
+	all   int                 // entry hosts of all zones; guarded by mu
 
 	zoneCount atomic.Int32 // length of zones, for Pick
 }
@@ -52,6 +57,24 @@
 // Prefixes returns the index that Pick reads. The caller feeds it cache events.
 func (r *Router) Prefixes() *prefix.Index { return r.index }
 
+// SetPeers tells which entry hosts run in the own zone. Each engine of the zone
+// is then the home engine of one of them, which prefers it: hosts that share
+// late reports do not all pick the same engine, and each knows best what its
+// own engines do. It takes effect with the next Prepare.
+//
+// All is the number of entry hosts of all zones: work of their own that this
+// host cannot see yet is taken to be like its own.
+func (r *Router) SetPeers(self string, peers []string, all int) {
+	sorted := slices.Clone(peers)
+	if !slices.Contains(sorted, self) {
+		sorted = append(sorted, self)
+	}
+	slices.Sort(sorted)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.self, r.peers, r.all = self, slices.Compact(sorted), max(all, len(sorted))
+}
+
 // Prepare readies candidates for Pick. Call it once for each new snapshot,
 // before other goroutines see it. Work in flight of known instances is kept.
 func (r *Router) Prepare(cands []Candidate) {
@@ -60,9 +83,68 @@
 	for i := range cands {
 		c := &cands[i]
 		c.own = r.ownOf(c.Instance)
+		c.sharers, c.unseen = 1, 0
+		if c.Zone != r.cfg.Zone && r.all > 0 {
+			c.sharers, c.unseen = float64(r.all), unseenInflow
+		}
 		c.slot = r.index.Slot(c.Instance)
 		c.zone = r.zoneOf(c.Zone)
 	}
+	rankEngines(cands)
+	r.markHome(cands)
+}
+
+// markHome marks the engines of the own zone whose home is this entry host.
+// The engines of each role are dealt out in order of name; roles with fewer
+// engines than entry hosts are shared. The caller holds r.mu.
+func (r *Router) markHome(cands []Candidate) {
+	if len(r.peers) < 2 {
+		return
+	}
+	self := slices.Index(r.peers, r.self)
+	for _, role := range []engineapi.Role{engineapi.RolePrefill, engineapi.RoleDecode, engineapi.RoleMixed} {
+		var engines []*Candidate
+		for i := range cands {
+			c := &cands[i]
+			if c.Kind == engineapi.KindModel && c.Zone == r.cfg.Zone && c.Role == role {
+				engines = append(engines, c)
+			}
+		}
+		slices.SortFunc(engines, func(a, b *Candidate) int { return cmp.Compare(a.Instance, b.Instance) })
+		for i, c := range engines {
+			if len(engines) < len(r.peers) {
+				c.sharers = float64(len(r.peers)) / float64(len(engines))
+				continue
+			}
+			if i%len(r.peers) != self {
+				c.away, c.sharers, c.unseen = true, float64(len(r.peers)), unseenInflow
+			}
+		}
+	}
+}
+
+// rankEngines numbers the engines of each zone in order of their names. All
+// entry hosts come to the same ranks.
+func rankEngines(cands []Candidate) {
+	byName := make([]*Candidate, 0, len(cands))
+	for i := range cands {
+		if cands[i].Kind == engineapi.KindModel {
+			byName = append(byName, &cands[i])
+		}
+	}
+	slices.SortFunc(byName, func(a, b *Candidate) int {
+		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.Instance, b.Instance))
+	})
+	for from := 0; from < len(byName); {
+		to := from
+		for to < len(byName) && byName[to].zone == byName[from].zone {
+			to++
+		}
+		for i := from; i < to; i++ {
+			byName[i].rank = float64(i-from) / float64(max(1, to-from-1))
+		}
+		from = to
+	}
 }
 
 // ownOf returns the own load of an instance. The caller holds r.mu.
@@ -145,6 +227,7 @@
 	if d.prefill != nil {
 		computes = d.Prefill
 		d.prefill.add(change{at: now, prefill: prompt, running: 1, pieces: PiecesFor(req.PromptTokens)})
+		d.prefill.promptSent(now, prompt)
 	} else {
 		whole.prefill = prompt
 	}
@@ -157,6 +240,7 @@
 func (r *Router) PrefillDone(now time.Duration, d *Decision, req *Request) {
 	if d.prefill != nil {
 		d.prefill.add(change{at: now, running: -1, pieces: -PiecesFor(req.PromptTokens)})
+		d.prefill.promptDone(now, req.PromptTokens-d.CachedTokens)
 	}
 }
 
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -11,8 +11,10 @@
 	lateWeight    = 5.0  // of the part of a prediction beyond its target
 	memoryWeight  = 0.5  // of memory in use, squared
 	ageWeight     = 0.05 // per second of a report's age
-	breakSeconds  = 0.02 // cost of one long step to one running answer
-	chunkSpread   = 3.0  // a long step computes this many times the mean chunk
+	breakWeight   = 0.07 // cost of one long step to one running answer, in answers
+	slowShare     = 0.05 // share of an answer's gaps that may exceed the target
+	partWeight    = 1.0  // keeps prompts and answers on different mixed engines
+	unseenInflow  = 0.7  // share of an engine's capacity that others are taken to fill
 	batchWaitSecs = 4.0  // wait for a place in a full batch of answers
 )
 
@@ -89,9 +91,9 @@
 	uncached := float64(q.req.PromptTokens - cached)
 	p := prediction{cached: cached}
 	p.first = s.r.distance(c) + (backlogShare[q.req.Class]*load.backlog+uncached)/rate
-	p.cost = load.scarcity(c) + ageWeight*load.age.Seconds()
+	p.cost = load.scarcity(c) + ageWeight*load.age.Seconds() + s.r.awayCost(c)
 	if c.Role != engineapi.RolePrefill {
-		p.cost += s.r.interference(q, load.running, uncached)
+		p.cost += s.r.interference(q, load.running, uncached) + partWeight*c.rank
 	}
 	return p, Admitted
 }
@@ -106,7 +108,7 @@
 		return 0
 	}
 	steps := uncached / float64(costs.PrefillChunk)
-	return running * max(1, steps) * breakSeconds
+	return running * max(1, steps) * breakWeight
 }
 
 // decodeScorer predicts the generation of the answer.
@@ -123,14 +125,33 @@
 	batch := min(running, float64(costs.MaxBatch))
 	p := prediction{gap: costs.Step(batch, 0), first: costs.Step(batch, 0)}
 	if c.Role != engineapi.RoleDecode {
-		meanChunk := c.Load.PrefillPerSec * c.Load.StepMillis / 1000
-		p.gap += chunkSpread * meanChunk / costs.PrefillPerSec
+		p.gap += s.r.longSteps(q, c, load.backlog, p.gap)
+		p.cost += partWeight * (1 - c.rank)
 	}
 	p.first += batchWaitSecs * (running - batch) / float64(costs.MaxBatch)
-	p.cost = load.scarcity(c)
+	p.cost += load.scarcity(c) + s.r.awayCost(c)
 	return p, Admitted
 }
 
+// longSteps returns what prompts computed on the same engine add to the 95th
+// percentile of an answer's gaps: nothing while they are rare, a whole chunk
+// when they fill more than slowShare of its steps.
+func (r *Router) longSteps(q *query, c *Candidate, backlog, step float64) float64 {
+	chunk := float64(r.cfg.Costs.PrefillChunk)
+	output := float64(max(1, q.req.ExpectedOutput))
+	recent := c.Load.PrefillPerSec * step / chunk
+	share := recent + backlog/chunk/output
+	return min(1, share/slowShare) * chunk / r.cfg.Costs.PrefillPerSec
+}
+
+// awayCost is the cost of an engine that is the home engine of another host.
+func (r *Router) awayCost(c *Candidate) float64 {
+	if !c.away {
+		return 0
+	}
+	return r.cfg.AwayCost
+}
+
 // serviceScorer predicts calls of plain services.
 type serviceScorer struct{ r *Router }
 
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -73,9 +73,13 @@
 	Load        engineapi.LoadReport
 	ReportedAt  time.Duration // on the clock of Pick's now: when the figures in Load were true
 
-	own  *ownLoad    // set by Prepare
-	slot prefix.Slot // set by Prepare
-	zone int         // number of Zone, set by Prepare
+	own     *ownLoad    // set by Prepare
+	slot    prefix.Slot // set by Prepare
+	away    bool        // another entry host of the zone is its home, set by Prepare
+	sharers float64     // entry hosts that send to it as much as this one, set by Prepare
+	unseen  float64     // share of its capacity that others are taken to use unseen, set by Prepare
+	zone    int         // number of Zone, set by Prepare
+	rank    float64     // place among the zone's engines in order of name, from 0 to 1, set by Prepare
 }
 
 // Request is what routing needs to know about a request.
