--- /dev/null
+++ b/internal/authority/authority_test.go
@@ -0,0 +1,289 @@
+package authority
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/enginemodel"
+	"filberthook/internal/lease"
+)
+
+// takeover is long enough for a lease to run out, to be granted and to settle.
+const takeover = DefaultTTL + FlightTime + 4*time.Second
+
+func TestOrderRunsOnceAndEnds(t *testing.T) {
+	inWorld(t, true, func(t *testing.T, w *world, a, b *host) {
+		a.order(t, setRole(engineapi.RoleDecode))
+		var busy *BusyError
+		if _, err := a.manager.Order(context.Background(), "e1", setRole(engineapi.RolePrefill)); !errors.As(err, &busy) {
+			t.Errorf("a second order gave %v, want a busy engine", err)
+		}
+		var notHolder *NotHolderError
+		if _, err := b.manager.Order(context.Background(), "e1", setRole(engineapi.RolePrefill)); !errors.As(err, &notHolder) {
+			t.Errorf("an order of the other host gave %v", err)
+		}
+		settle(10 * time.Second)
+		if diff := cmp.Diff([]Outcome{OutcomeDone}, a.outcomes()); diff != "" {
+			t.Error(diff)
+		}
+		if role := w.role("e1"); role != engineapi.RoleDecode {
+			t.Errorf("role %s", role)
+		}
+		if c := w.counts("e1"); c.Conflicts != 0 {
+			t.Errorf("counts %+v", c)
+		}
+	})
+}
+
+func TestLostAnswersRunTheOrderOnce(t *testing.T) {
+	inWorld(t, true, func(t *testing.T, w *world, a, _ *host) {
+		before := w.counts("e1").Accepted
+		a.set(func(h *host) { h.loseAnswer = 3 })
+		if _, err := a.manager.Order(context.Background(), "e1", setRole(engineapi.RoleDecode)); err == nil {
+			t.Fatal("a lost answer was reported as one")
+		}
+		settle(10 * time.Second)
+		if c := w.counts("e1"); c.Accepted != before+1 || c.Conflicts != 0 {
+			t.Errorf("counts %+v, want one more than %d accepted", c, before)
+		}
+		if diff := cmp.Diff([]Outcome{OutcomeDone}, a.outcomes()); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestCrashInTheMiddleOfAnOrder(t *testing.T) {
+	inWorld(t, false, func(t *testing.T, w *world, a, _ *host) {
+		a.order(t, setRole(engineapi.RoleDecode))
+		settle(time.Second)
+		w.crash("e1")
+		settle(2 * time.Second)
+		if diff := cmp.Diff([]Outcome{OutcomeCrashed}, a.outcomes()); diff != "" {
+			t.Error(diff)
+		}
+		a.order(t, setRole(engineapi.RoleDecode)) // repeated by the planner
+		settle(10 * time.Second)
+		if role := w.role("e1"); role != engineapi.RoleDecode {
+			t.Errorf("role %s after the repeated order", role)
+		}
+	})
+}
+
+// TestCrashWithoutAnnouncement sees the crash by the lost order, before the
+// engine has announced its new incarnation.
+func TestCrashWithoutAnnouncement(t *testing.T) {
+	inWorld(t, true, func(t *testing.T, w *world, a, _ *host) {
+		a.order(t, setRole(engineapi.RoleDecode))
+		settle(time.Second)
+		w.mu.Lock()
+		e := w.engines["e1"]
+		e.config.Incarnation++
+		e.model = enginemodel.New(e.config)
+		w.mu.Unlock()
+		settle(2 * time.Second)
+		if diff := cmp.Diff([]Outcome{OutcomeCrashed}, a.outcomes()); diff != "" {
+			t.Error(diff)
+		}
+		if _, err := a.manager.Order(context.Background(), "e1", setRole(engineapi.RoleDecode)); err == nil {
+			t.Error("an order was sent to an engine whose state is not known")
+		}
+	})
+}
+
+func TestSuccessorWaitsAndRepairs(t *testing.T) {
+	for _, checksFence := range []bool{true, false} {
+		t.Run(names(checksFence), func(t *testing.T) {
+			inWorld(t, checksFence, func(t *testing.T, w *world, a, b *host) {
+				a.set(func(h *host) { h.cut = true })
+				for a.holding() {
+					settle(50 * time.Millisecond)
+				}
+				if b.holding() {
+					t.Fatal("two holders at once")
+				}
+				for !b.holding() {
+					settle(50 * time.Millisecond)
+				}
+				var settling *SettlingError
+				if _, err := b.manager.Order(context.Background(), "e1", setRole(engineapi.RoleDecode)); !errors.As(err, &settling) {
+					t.Errorf("an order right after the takeover gave %v", err)
+				}
+				settle(takeover)
+				b.order(t, setRole(engineapi.RoleDecode))
+				settle(10 * time.Second)
+				if c := w.counts("e1"); c.Conflicts != 0 || c.StaleTaken != 0 {
+					t.Errorf("counts %+v", c)
+				}
+			})
+		})
+	}
+}
+
+// TestTakeoverDuringAnOrder lets the successor find an order of its predecessor
+// under way.
+func TestTakeoverDuringAnOrder(t *testing.T) {
+	inWorld(t, false, func(t *testing.T, w *world, a, b *host) {
+		w.mu.Lock()
+		w.engines["e1"].config.RoleChange = time.Minute
+		w.mu.Unlock()
+		w.crash("e1") // takes the new length into use
+		settle(2 * time.Second)
+		a.order(t, setRole(engineapi.RoleDecode))
+		a.set(func(h *host) { h.cut = true })
+		settle(takeover)
+		var busy *BusyError
+		if _, err := b.manager.Order(context.Background(), "e1", setRole(engineapi.RolePrefill)); !errors.As(err, &busy) {
+			t.Errorf("an order during the predecessor's gave %v", err)
+		}
+		settle(time.Minute)
+		b.order(t, setRole(engineapi.RolePrefill))
+		if c := w.counts("e1"); c.Conflicts != 0 || c.StaleTaken != 0 {
+			t.Errorf("counts %+v", c)
+		}
+	})
+}
+
+// TestPausedBetweenCheckAndSend pauses the holder after its last check for much
+// longer than its lease. An engine that checks fencing numbers refuses the late
+// order; one that does not takes it, which is the gap that remains, and the
+// successor sees the result and repairs it.
+func TestPausedBetweenCheckAndSend(t *testing.T) {
+	const pause = takeover + 20*time.Second
+	for _, checksFence := range []bool{true, false} {
+		t.Run(names(checksFence), func(t *testing.T) {
+			inWorld(t, checksFence, func(t *testing.T, w *world, a, b *host) {
+				a.set(func(h *host) { h.pause, h.cut = pause, true })
+				go a.manager.Order(context.Background(), "e1", setRole(engineapi.RolePrefill))
+				settle(takeover)
+				b.order(t, setRole(engineapi.RoleDecode))
+				settle(pause - takeover - time.Second)
+				if role := w.role("e1"); role != engineapi.RoleDecode {
+					t.Fatalf("role %s before the late order", role)
+				}
+				settle(20 * time.Second)
+				c := w.counts("e1")
+				if checksFence {
+					if c.OldFence == 0 || c.StaleTaken != 0 || w.role("e1") != engineapi.RoleDecode {
+						t.Errorf("counts %+v, role %s; want the late order refused", c, w.role("e1"))
+					}
+					return
+				}
+				if c.StaleTaken != 1 {
+					t.Fatalf("counts %+v, want the late order taken", c)
+				}
+				if v := b.manager.Views()[0]; !v.Known || v.State.Role != engineapi.RolePrefill {
+					t.Fatalf("the successor sees %+v, want the deviation", v.State)
+				}
+				b.order(t, setRole(engineapi.RoleDecode))
+				settle(10 * time.Second)
+				if role := w.role("e1"); role != engineapi.RoleDecode {
+					t.Errorf("role %s after the repair", role)
+				}
+			})
+		})
+	}
+}
+
+func TestReleaseHandsOverAtOnce(t *testing.T) {
+	inWorld(t, false, func(t *testing.T, _ *world, a, b *host) {
+		a.set(func(h *host) { h.cut = false })
+		if err := a.manager.Close(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if a.holding() {
+			t.Error("the lease is still held after its release")
+		}
+		for i := 0; !b.holding() && !a.holding() && i < 100; i++ {
+			settle(100 * time.Millisecond)
+		}
+		next := a
+		if b.holding() {
+			next = b
+		}
+		settle(time.Second)
+		next.order(t, setRole(engineapi.RoleDecode)) // without settling
+	})
+}
+
+// chaos runs two hosts that send orders all the time through random cuts and
+// delays below the flight time, and returns whether two held the lease at once.
+func chaos(t *testing.T, seed uint64, checksFence bool, wrap func(Granter) Granter) (w *world, overlap bool) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		ctx, cancel := context.WithCancel(context.Background())
+		w = newWorld()
+		w.addEngine("e1", checksFence)
+		hosts := []*host{w.addHost(ctx, "a"), w.addHost(ctx, "b")}
+		for _, h := range hosts {
+			h.holder.granter = wrap(h)
+		}
+		roles := []engineapi.Role{engineapi.RoleMixed, engineapi.RoleDecode, engineapi.RolePrefill}
+		for range 400 {
+			h := hosts[random.IntN(2)]
+			h.set(func(h *host) {
+				h.cut = random.IntN(3) == 0
+				h.delay = time.Duration(random.IntN(int(StartDeadline)))
+				h.loseAnswer = random.IntN(2)
+			})
+			if random.IntN(20) == 0 {
+				w.crash("e1")
+			}
+			role := roles[random.IntN(len(roles))]
+			go h.manager.Order(ctx, "e1", setRole(role))
+			time.Sleep(time.Duration(random.IntN(int(2 * time.Second))))
+			overlap = overlap || hosts[0].holding() && hosts[1].holding()
+		}
+		cancel()
+		synctest.Wait()
+		time.Sleep(time.Minute)
+	})
+	return w, overlap
+}
+
+func TestRandomCutsAndDelays(t *testing.T) {
+	accepted := 0
+	for _, checksFence := range []bool{true, false} {
+		for seed := range uint64(15) {
+			w, overlap := chaos(t, seed, checksFence, func(g Granter) Granter { return g })
+			c := w.engines["e1"].counts()
+			accepted += c.Accepted
+			if overlap {
+				t.Errorf("%s, seed %d: two holders at once", names(checksFence), seed)
+			}
+			if c.Conflicts != 0 || c.StaleTaken != 0 {
+				t.Errorf("%s, seed %d: conflicting or stale orders: %+v", names(checksFence), seed, c)
+			}
+		}
+	}
+	if accepted < 500 {
+		t.Errorf("only %d orders were accepted; the test does not exercise the sender", accepted)
+	}
+}
+
+// earlyGranter grants a lease before the former one has ended.
+type earlyGranter struct{ Granter }
+
+func (g earlyGranter) Lease(ctx context.Context, cmd lease.Command) (lease.Result, error) {
+	r, err := g.Granter.Lease(ctx, cmd)
+	if err == nil && r.Err != nil && r.Err.Code == lease.CodeHeld {
+		return lease.Result{Fence: 1}, nil
+	}
+	return r, err
+}
+
+// TestEarlyGrantIsCaught shows that the checks of TestRandomCutsAndDelays can
+// fail.
+func TestEarlyGrantIsCaught(t *testing.T) {
+	_, overlap := chaos(t, 1, false, func(g Granter) Granter { return earlyGranter{g} })
+	if !overlap {
+		t.Error("a granter that grants early was not noticed")
+	}
+}
--- /dev/null
+++ b/internal/authority/holder.go
@@ -0,0 +1,230 @@
+// Package authority is the planner's side of the authority over the engines of
+// an availability zone: it holds the zone's lease, sends orders under its
+// fencing number and repairs after taking over.
+//
+// Orders to one engine never overlap: at most one is outstanding, none is sent
+// without a valid lease, and a new holder first reads what each engine does.
+package authority
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/invariant"
+	"filberthook/internal/lease"
+)
+
+// Timing of leases and orders.
+const (
+	// DefaultTTL is the duration of a lease.
+	DefaultTTL = 5 * time.Second
+	// renewals is the number of renewals in the duration of a lease.
+	renewals = 3
+	// retryPause is the pause after a lease call that failed.
+	retryPause = 200 * time.Millisecond
+	// SendTimeout bounds the sending of one order.
+	SendTimeout = 2 * time.Second
+	// StartDeadline bounds the time between the receipt of an order by the engine
+	// and its start.
+	StartDeadline = 2 * time.Second
+	// FlightTime is the longest time between the moment at which an order is sent
+	// and its start.
+	FlightTime = SendTimeout + StartDeadline
+)
+
+// driftMargin returns how much earlier a holder counts its lease as ended, for
+// clocks that differ in speed by up to 2%.
+func driftMargin(ttl time.Duration) time.Duration { return ttl/50 + 20*time.Millisecond }
+
+// Granter grants leases. The control group implements it.
+type Granter interface {
+	// Lease has a command applied. After an error it may have been applied.
+	Lease(ctx context.Context, cmd lease.Command) (lease.Result, error)
+}
+
+// HolderSettings are the settings of a Holder.
+type HolderSettings struct {
+	Host    string
+	Zone    string
+	Session string        // unique for this run of the process
+	TTL     time.Duration // 0 takes DefaultTTL
+	Clock   Clock
+	Random  func() float64 // in [0,1), for jitter
+	Logger  *slog.Logger
+	Metrics *metrics.Set
+}
+
+// Grant is a lease as its holder sees it.
+type Grant struct {
+	Fence      uint64
+	ValidUntil time.Duration // by the holder's clock
+	SettledAt  time.Duration // by the holder's clock; no order of a former holder is in flight later
+}
+
+// validAt reports whether orders may be sent under the grant.
+func (g Grant) validAt(now time.Duration) bool { return g.Fence != 0 && now < g.ValidUntil }
+
+// Holder tries to hold the lease of one zone. It is safe for concurrent use.
+type Holder struct {
+	settings HolderSettings
+	granter  Granter
+	acquired *metrics.Counter
+	lost     *metrics.Counter
+	failed   *metrics.Counter
+
+	mu      sync.Mutex
+	grant   Grant  // newest grant, also when it has ended
+	highest uint64 // highest fencing number ever granted to this process
+}
+
+// NewHolder returns a holder without a lease; Run acquires it.
+func NewHolder(settings HolderSettings, granter Granter) *Holder {
+	if settings.TTL == 0 {
+		settings.TTL = DefaultTTL
+	}
+	set := settings.Metrics
+	h := &Holder{
+		settings: settings,
+		granter:  granter,
+		acquired: set.GetOrCreateCounter("filberthook_lease_acquired_total"),
+		lost:     set.GetOrCreateCounter("filberthook_lease_lost_total"),
+		failed:   set.GetOrCreateCounter("filberthook_lease_call_errors_total"),
+	}
+	set.GetOrCreateGauge("filberthook_lease_fence", func() float64 {
+		grant, _ := h.Grant()
+		return float64(grant.Fence)
+	})
+	return h
+}
+
+// Grant returns the lease and whether it is valid now.
+func (h *Holder) Grant() (Grant, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.grant.validAt(h.settings.Clock()) {
+		return Grant{}, false
+	}
+	return h.grant, true
+}
+
+// Check returns an error unless the lease with a fencing number is valid at
+// this moment. It is called right before an order is written.
+func (h *Holder) Check(fence uint64) error {
+	grant, ok := h.Grant()
+	if !ok || grant.Fence != fence {
+		return &NotHolderError{Zone: h.settings.Zone}
+	}
+	return nil
+}
+
+// Run acquires and renews the lease until ctx ends.
+func (h *Holder) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, h.step(ctx))
+	}
+	return nil
+}
+
+// Release gives the lease back, so that a successor starts at once. The caller
+// must have no order in flight.
+func (h *Holder) Release(ctx context.Context) error {
+	grant, ok := h.Grant()
+	if !ok {
+		return nil
+	}
+	h.drop()
+	_, err := h.granter.Lease(ctx, h.command(lease.Release, grant.Fence))
+	return err
+}
+
+// step makes one lease call and returns the pause before the next one.
+func (h *Holder) step(ctx context.Context) time.Duration {
+	asked := h.settings.Clock()
+	grant, holding := h.Grant()
+	cmd := h.command(lease.Acquire, 0)
+	if holding {
+		cmd = h.command(lease.Renew, grant.Fence)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, h.settings.TTL/2)
+	defer cancel()
+	result, err := h.granter.Lease(callCtx, cmd)
+	switch {
+	case err != nil:
+		h.failed.Inc()
+		return h.jittered(retryPause)
+	case result.Err != nil:
+		return h.refused(result.Err)
+	}
+	h.take(asked, result, holding)
+	return h.settings.TTL / renewals
+}
+
+func (h *Holder) command(kind lease.Kind, fence uint64) lease.Command {
+	return lease.Command{
+		Kind:   kind,
+		Scope:  h.settings.Zone,
+		Holder: lease.Holder{Host: h.settings.Host, Session: h.settings.Session},
+		Fence:  fence,
+		TTL:    h.settings.TTL,
+	}
+}
+
+// take records a grant or a renewal. The lease counts from the moment at which
+// it was asked for, because it may have been granted right then.
+func (h *Holder) take(asked time.Duration, result lease.Result, renewed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	invariant.Check(result.Fence >= h.highest, "fence-grows",
+		"zone %s was granted fence %d after %d", h.settings.Zone, result.Fence, h.highest)
+	h.highest = result.Fence
+	until := asked + h.settings.TTL - driftMargin(h.settings.TTL)
+	if renewed && result.Fence == h.grant.Fence {
+		h.grant.ValidUntil = max(h.grant.ValidUntil, until)
+		return
+	}
+	h.grant = Grant{Fence: result.Fence, ValidUntil: until}
+	if result.Settle {
+		h.grant.SettledAt = h.settings.Clock() + FlightTime
+	}
+	h.acquired.Inc()
+	h.settings.Logger.Info("lease acquired", "zone", h.settings.Zone, "fence", result.Fence, "settle", result.Settle)
+}
+
+// refused handles a refused command and returns the pause before the next one.
+func (h *Holder) refused(err *lease.Error) time.Duration {
+	if err.Code == lease.CodeLost {
+		h.drop()
+		return h.jittered(retryPause)
+	}
+	// Remaining is what the lease has at least; asking sooner is of no use.
+	return max(err.Remaining, 0) + h.jittered(h.settings.TTL/renewals)
+}
+
+// drop gives up the lease at once.
+func (h *Holder) drop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.grant.Fence == 0 {
+		return
+	}
+	h.lost.Inc()
+	h.settings.Logger.Warn("lease given up", "zone", h.settings.Zone, "fence", h.grant.Fence)
+	h.grant = Grant{}
+}
+
+func (h *Holder) jittered(d time.Duration) time.Duration {
+	return time.Duration((0.5 + 0.5*h.settings.Random()) * float64(d))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/authority/manager.go
@@ -0,0 +1,368 @@
+package authority
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"filberthook/internal/engineapi"
+)
+
+// Timing and limits of the calls to engines.
+const (
+	pollInterval = 250 * time.Millisecond
+	pollTimeout  = time.Second
+	maxPolls     = 16
+	// refreshInterval is the time between readings of an idle engine's state.
+	refreshInterval = 5 * time.Second
+)
+
+// Transport calls engines.
+type Transport interface {
+	// Order sends an order. It calls check right before it writes the order and
+	// does not write it when check fails. A *NotSentError tells that the engine
+	// cannot have received the order.
+	Order(ctx context.Context, ref EngineRef, order engineapi.Order, check func() error) (engineapi.OrderStatus, error)
+	// OrderStatus returns the state of an order, or *UnknownOrderError.
+	OrderStatus(ctx context.Context, ref EngineRef, id string) (engineapi.OrderStatus, error)
+	// State returns an engine's state and the incarnation that answered.
+	State(ctx context.Context, ref EngineRef) (engineapi.EngineState, uint64, error)
+}
+
+// Change is what an order shall change.
+type Change struct {
+	Kind  engineapi.OrderKind
+	Role  engineapi.Role
+	Model engineapi.Model
+}
+
+// Settings are the settings of a Manager.
+type Settings struct {
+	Clock   Clock
+	OnEnded func(Ended) // told how each order ended; must return quickly; may be nil
+	Logger  *slog.Logger
+	Metrics *metrics.Set
+}
+
+// Manager sends orders to the engines of a zone. It is safe for concurrent use.
+type Manager struct {
+	settings  Settings
+	holder    *Holder
+	transport Transport
+
+	mu      sync.RWMutex // guards records
+	records map[string]*record
+}
+
+// record is one engine with its locks.
+type record struct {
+	calls sync.Mutex // held during a call, so that calls to one engine never overlap
+
+	mu     sync.Mutex // guards the fields below; taken after calls
+	engine engine
+	readAt time.Duration
+}
+
+// NewManager returns a manager without engines.
+func NewManager(settings Settings, holder *Holder, transport Transport) *Manager {
+	return &Manager{settings: settings, holder: holder, transport: transport, records: map[string]*record{}}
+}
+
+// SetEngines replaces the engines, as they announced themselves last.
+func (m *Manager) SetEngines(refs []EngineRef) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present := make(map[string]bool, len(refs))
+	for _, ref := range refs {
+		present[ref.Instance] = true
+		rec, ok := m.records[ref.Instance]
+		if !ok {
+			m.records[ref.Instance] = &record{engine: engine{ref: ref}}
+			continue
+		}
+		rec.mu.Lock()
+		m.ended(rec.engine.observe(ref))
+		rec.mu.Unlock()
+	}
+	for instance, rec := range m.records {
+		if !present[instance] {
+			rec.mu.Lock()
+			m.ended(rec.engine.end(OutcomeGone, "the engine left"))
+			rec.mu.Unlock()
+			delete(m.records, instance)
+		}
+	}
+}
+
+// Order sends an order to an engine and returns its first state. When the
+// answer is lost, the order is outstanding all the same and is sent again under
+// its id.
+func (m *Manager) Order(ctx context.Context, instance string, change Change) (engineapi.OrderStatus, error) {
+	rec, ok := m.record(instance)
+	if !ok {
+		return engineapi.OrderStatus{}, m.refuse(&UnknownEngineError{Instance: instance})
+	}
+	rec.calls.Lock()
+	defer rec.calls.Unlock()
+	grant, ok := m.holder.Grant()
+	if !ok {
+		return engineapi.OrderStatus{}, m.refuse(&NotHolderError{Zone: m.holder.settings.Zone})
+	}
+	order, ref, err := m.begin(rec, grant, change, false)
+	if err != nil {
+		return engineapi.OrderStatus{}, m.refuse(err)
+	}
+	return m.send(ctx, rec, ref, order)
+}
+
+func (m *Manager) record(instance string) (*record, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	rec, ok := m.records[instance]
+	return rec, ok
+}
+
+// begin makes a new order the outstanding one. The caller holds rec.calls.
+func (m *Manager) begin(rec *record, grant Grant, change Change, raise bool) (engineapi.Order, EngineRef, error) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	m.ended(rec.engine.adopt(grant.Fence))
+	if err := rec.engine.admits(m.settings.Clock(), grant); err != nil {
+		var overtaken *OvertakenError
+		if errors.As(err, &overtaken) {
+			m.holder.drop()
+		}
+		return engineapi.Order{}, EngineRef{}, err
+	}
+	order := engineapi.Order{
+		ID:             rand.Text(),
+		Fence:          grant.Fence,
+		Kind:           change.Kind,
+		Role:           change.Role,
+		Model:          change.Model,
+		DeadlineMillis: StartDeadline.Milliseconds(),
+		Incarnation:    rec.engine.ref.Incarnation,
+	}
+	rec.engine.begin(order, grant, raise)
+	return order, rec.engine.ref, nil
+}
+
+// send sends the outstanding order. The caller holds rec.calls.
+func (m *Manager) send(ctx context.Context, rec *record, ref EngineRef, order engineapi.Order) (engineapi.OrderStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, SendTimeout)
+	defer cancel()
+	m.count("filberthook_orders_sent_total", "kind", string(order.Kind))
+	status, err := m.transport.Order(ctx, ref, order, func() error { return m.holder.Check(order.Fence) })
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if err != nil {
+		var notSent *NotSentError
+		sent := !errors.As(err, &notSent)
+		rec.engine.unanswered(order.ID, sent)
+		if sent {
+			m.count("filberthook_orders_unanswered_total", "kind", string(order.Kind))
+		}
+		return engineapi.OrderStatus{}, err
+	}
+	m.ended(rec.engine.answered(status))
+	return status, nil
+}
+
+// Run follows the outstanding orders and reads the engines' states while the
+// lease is held, until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		m.pollAll(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Manager) pollAll(ctx context.Context) {
+	grant, ok := m.holder.Grant()
+	if !ok {
+		return
+	}
+	var polls errgroup.Group
+	polls.SetLimit(maxPolls)
+	for _, rec := range m.all() {
+		polls.Go(func() error {
+			m.poll(ctx, rec, grant)
+			return nil
+		})
+	}
+	_ = polls.Wait() // polls report no errors
+}
+
+func (m *Manager) all() []*record {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := make([]*record, 0, len(m.records))
+	for _, rec := range m.records {
+		all = append(all, rec)
+	}
+	return all
+}
+
+// poll makes the one call that an engine needs now, if any.
+func (m *Manager) poll(ctx context.Context, rec *record, grant Grant) {
+	if !rec.calls.TryLock() {
+		return // an order is being sent
+	}
+	defer rec.calls.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	next, ref, order := m.nextCall(rec, grant)
+	switch next {
+	case callResend:
+		m.count("filberthook_orders_resent_total", "kind", string(order.Kind))
+		_, err := m.send(ctx, rec, ref, order)
+		m.logFailed(ref, err)
+	case callStatus:
+		m.readStatus(ctx, rec, ref, order.ID)
+	case callState:
+		m.readState(ctx, rec, ref, grant.Fence)
+	case callRaise:
+		m.raise(ctx, rec, grant)
+	}
+}
+
+// raise tells an engine the fencing number of the lease by an order that
+// changes nothing: it sets the role that the engine has.
+func (m *Manager) raise(ctx context.Context, rec *record, grant Grant) {
+	rec.mu.Lock()
+	change := Change{Kind: engineapi.OrderSetRole, Role: rec.engine.state.Role}
+	rec.mu.Unlock()
+	order, ref, err := m.begin(rec, grant, change, true)
+	if err == nil {
+		_, err = m.send(ctx, rec, ref, order)
+	}
+	m.logFailed(ref, err)
+}
+
+// nextCall tells which call an engine needs.
+type nextCall int
+
+const (
+	callNone nextCall = iota
+	callResend
+	callStatus
+	callState
+	callRaise
+)
+
+func (m *Manager) nextCall(rec *record, grant Grant) (nextCall, EngineRef, engineapi.Order) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	now := m.settings.Clock()
+	e := &rec.engine
+	m.ended(e.adopt(grant.Fence))
+	switch {
+	case e.order != nil && !e.order.answered:
+		return callResend, e.ref, e.order.order
+	case e.order != nil:
+		return callStatus, e.ref, e.order.order
+	case now < grant.SettledAt:
+		return callNone, e.ref, engineapi.Order{}
+	case e.needsRaise(now, grant):
+		return callRaise, e.ref, engineapi.Order{}
+	case e.readFence != grant.Fence || e.state.Outstanding.ID != "" || now-rec.readAt >= refreshInterval:
+		return callState, e.ref, engineapi.Order{}
+	}
+	return callNone, e.ref, engineapi.Order{}
+}
+
+func (m *Manager) readStatus(ctx context.Context, rec *record, ref EngineRef, id string) {
+	status, err := m.transport.OrderStatus(ctx, ref, id)
+	var unknown *UnknownOrderError
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	switch {
+	case errors.As(err, &unknown):
+		m.ended(rec.engine.forgotten(id))
+	case err != nil:
+		m.logFailed(ref, err)
+	default:
+		m.ended(rec.engine.answered(status))
+	}
+}
+
+func (m *Manager) readState(ctx context.Context, rec *record, ref EngineRef, fence uint64) {
+	state, incarnation, err := m.transport.State(ctx, ref)
+	if err != nil {
+		m.logFailed(ref, err)
+		return
+	}
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	ended, foreign := rec.engine.stateRead(fence, incarnation, state)
+	rec.readAt = m.settings.Clock()
+	m.ended(ended)
+	if foreign {
+		m.settings.Metrics.GetOrCreateCounter("filberthook_orders_foreign_total").Inc()
+		m.settings.Logger.Warn("the engine carries out an order of another lease; its end is awaited",
+			"engine", ref.Instance, "order", state.Outstanding.ID, "fence", state.Outstanding.Fence)
+	}
+}
+
+func (m *Manager) logFailed(ref EngineRef, err error) {
+	if err == nil {
+		return
+	}
+	m.settings.Metrics.GetOrCreateCounter("filberthook_engine_call_errors_total").Inc()
+	m.settings.Logger.Warn("call to engine failed, repeated shortly", "engine", ref.Instance, "err", err)
+}
+
+// ended counts and reports the end of an order; nil is ignored.
+func (m *Manager) ended(e *Ended) {
+	if e == nil {
+		return
+	}
+	m.count("filberthook_orders_ended_total", "outcome", string(e.Outcome))
+	m.settings.Logger.Info("order ended", "engine", e.Instance, "order", e.Order.ID, "kind", e.Order.Kind,
+		"fence", e.Order.Fence, "outcome", e.Outcome, "reason", e.Reason)
+	if m.settings.OnEnded != nil && !e.Raise {
+		m.settings.OnEnded(*e)
+	}
+}
+
+func (m *Manager) count(name, label, value string) {
+	m.settings.Metrics.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", name, label, value)).Inc()
+}
+
+// refuse counts a refused order by its reason.
+func (m *Manager) refuse(err error) error {
+	m.count("filberthook_orders_refused_total", "reason", refusalReason(err))
+	return err
+}
+
+func refusalReason(err error) string {
+	switch err.(type) {
+	case *NotHolderError:
+		return "not_holder"
+	case *SettlingError:
+		return "settling"
+	case *UnknownEngineError:
+		return "unknown_engine"
+	case *UnreadError:
+		return "state_unread"
+	case *BusyError:
+		return "busy"
+	case *OvertakenError:
+		return "overtaken"
+	default:
+		return "other"
+	}
+}
--- /dev/null
+++ b/internal/authority/view.go
@@ -0,0 +1,80 @@
+package authority
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"filberthook/internal/distribution"
+	"filberthook/internal/engineapi"
+)
+
+// View is what the holder knows of one engine.
+type View struct {
+	Ref         EngineRef
+	State       engineapi.EngineState
+	Known       bool   // State was read under the present lease
+	Outstanding string // id of the order under way, of any holder; empty when there is none
+}
+
+// Views returns all engines in the order of their names. Without a valid lease
+// nothing is known.
+func (m *Manager) Views() []View {
+	grant, holding := m.holder.Grant()
+	var views []View
+	for _, rec := range m.all() {
+		views = append(views, rec.view(holding, grant.Fence))
+	}
+	slices.SortFunc(views, func(a, b View) int { return strings.Compare(a.Ref.Instance, b.Ref.Instance) })
+	return views
+}
+
+func (r *record) view(holding bool, fence uint64) View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := View{
+		Ref:         r.engine.ref,
+		State:       r.engine.state,
+		Known:       holding && r.engine.readFence == fence,
+		Outstanding: r.engine.outstandingID(),
+	}
+	if v.Outstanding == "" {
+		v.Outstanding = r.engine.state.Outstanding.ID
+	}
+	return v
+}
+
+// Reports returns the engines for the status of the deployment, nil without a
+// valid lease.
+func (m *Manager) Reports() []distribution.EngineReport {
+	if _, holding := m.holder.Grant(); !holding {
+		return nil
+	}
+	reports := []distribution.EngineReport{}
+	for _, v := range m.Views() {
+		reports = append(reports, distribution.EngineReport{
+			Instance:    v.Ref.Instance,
+			Zone:        m.holder.settings.Zone,
+			ChecksFence: v.Ref.ChecksFence,
+			Draining:    v.Ref.Draining,
+			State:       v.State,
+		})
+	}
+	return reports
+}
+
+// Close gives the lease back if no order is outstanding. Otherwise the lease
+// runs out, and the successor waits until the orders have settled.
+func (m *Manager) Close(ctx context.Context) error {
+	for _, rec := range m.all() {
+		rec.calls.Lock()
+		defer rec.calls.Unlock()
+		rec.mu.Lock()
+		outstanding := rec.engine.order != nil
+		rec.mu.Unlock()
+		if outstanding {
+			return nil
+		}
+	}
+	return m.holder.Release(ctx)
+}
--- /dev/null
+++ b/internal/authority/world_test.go
@@ -0,0 +1,270 @@
+package authority
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/engineapi"
+	"filberthook/internal/enginemodel"
+	"filberthook/internal/lease"
+)
+
+// world is a zone in virtual time: a lease table, engines and hosts.
+type world struct {
+	start time.Time
+
+	mu      sync.Mutex // guards everything below and the engines
+	table   *lease.Table
+	engines map[string]*fakeEngine
+	hosts   map[string]*host
+}
+
+// fakeEngine is a model of one engine.
+type fakeEngine struct {
+	config enginemodel.Config
+	model  *enginemodel.Engine
+	past   enginemodel.OrderCounts // of incarnations that crashed
+}
+
+func (e *fakeEngine) counts() enginemodel.OrderCounts { return e.past.Add(e.model.OrderCounts()) }
+
+// host is one planner host with faults that a test sets.
+type host struct {
+	world   *world
+	name    string
+	holder  *Holder
+	manager *Manager
+	ended   []Ended
+
+	cut        bool          // from the control group
+	delay      time.Duration // of each message to an engine and back
+	pause      time.Duration // between the check and the write of the next order
+	loseAnswer int           // answers to orders that are lost
+}
+
+func newWorld() *world {
+	return &world{start: time.Now(), table: lease.NewTable(), engines: map[string]*fakeEngine{}, hosts: map[string]*host{}}
+}
+
+func (w *world) now() time.Duration { return time.Since(w.start) }
+
+func (w *world) addEngine(name string, checksFence bool) {
+	config := enginemodel.DefaultConfig()
+	config.ChecksFence = checksFence
+	w.engines[name] = &fakeEngine{config: config, model: enginemodel.New(config)}
+}
+
+// crash restarts an engine with an empty memory.
+func (w *world) crash(name string) {
+	w.mu.Lock()
+	e := w.engines[name]
+	e.past = e.counts()
+	e.config.Incarnation++
+	e.model = enginemodel.New(e.config)
+	w.mu.Unlock()
+	w.announce()
+}
+
+// announce tells every host about every engine.
+func (w *world) announce() {
+	w.mu.Lock()
+	var refs []EngineRef
+	for name, e := range w.engines {
+		refs = append(refs, EngineRef{Instance: name, Incarnation: e.config.Incarnation, Address: name, ChecksFence: e.config.ChecksFence})
+	}
+	hosts := w.hosts
+	w.mu.Unlock()
+	for _, h := range hosts {
+		h.manager.SetEngines(refs)
+	}
+}
+
+// addHost starts a planner host.
+func (w *world) addHost(ctx context.Context, name string) *host {
+	h := &host{world: w, name: name, delay: time.Millisecond}
+	set := metrics.NewSet()
+	logger := slog.New(slog.DiscardHandler)
+	h.holder = NewHolder(HolderSettings{
+		Host: name, Zone: "bio", Session: name, Clock: w.now,
+		Random: func() float64 { return 0.5 }, Logger: logger, Metrics: set,
+	}, h)
+	onEnded := func(e Ended) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		h.ended = append(h.ended, e)
+	}
+	h.manager = NewManager(Settings{Clock: w.now, OnEnded: onEnded, Logger: logger, Metrics: set}, h.holder, h)
+	w.mu.Lock()
+	w.hosts[name] = h
+	w.mu.Unlock()
+	w.announce()
+	go h.holder.Run(ctx)
+	go h.manager.Run(ctx)
+	return h
+}
+
+// set changes faults of a host.
+func (h *host) set(change func(h *host)) {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	change(h)
+}
+
+// Lease implements Granter.
+func (h *host) Lease(ctx context.Context, cmd lease.Command) (lease.Result, error) {
+	h.world.mu.Lock()
+	cut := h.cut
+	h.world.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return lease.Result{}, ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	h.world.mu.Lock()
+	result := h.world.table.Apply(h.world.now(), cmd)
+	h.world.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	return result, nil
+}
+
+var errLost = errors.New("answer lost")
+
+// Order implements Transport. The order arrives even when the sender has given
+// up waiting, as on a network.
+func (h *host) Order(ctx context.Context, ref EngineRef, order engineapi.Order, check func() error) (engineapi.OrderStatus, error) {
+	if err := check(); err != nil {
+		return engineapi.OrderStatus{}, &NotSentError{Err: err}
+	}
+	h.world.mu.Lock()
+	pause, delay := h.pause, h.delay
+	h.pause = 0
+	lost := h.loseAnswer > 0
+	if lost {
+		h.loseAnswer--
+	}
+	h.world.mu.Unlock()
+	answer := make(chan engineapi.OrderStatus, 1)
+	go func() {
+		time.Sleep(pause + delay)
+		h.world.mu.Lock()
+		status := h.world.engines[ref.Instance].model.Order(h.world.now(), order)
+		h.world.mu.Unlock()
+		time.Sleep(delay)
+		answer <- status
+	}()
+	select {
+	case status := <-answer:
+		if lost {
+			return engineapi.OrderStatus{}, errLost
+		}
+		return status, nil
+	case <-ctx.Done():
+		return engineapi.OrderStatus{}, ctx.Err()
+	}
+}
+
+// OrderStatus implements Transport.
+func (h *host) OrderStatus(_ context.Context, ref EngineRef, id string) (engineapi.OrderStatus, error) {
+	time.Sleep(h.latency())
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	status, ok := h.world.engines[ref.Instance].model.OrderStatus(h.world.now(), id)
+	if !ok {
+		return status, &UnknownOrderError{Order: id}
+	}
+	return status, nil
+}
+
+// State implements Transport.
+func (h *host) State(_ context.Context, ref EngineRef) (engineapi.EngineState, uint64, error) {
+	time.Sleep(h.latency())
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	e := h.world.engines[ref.Instance]
+	return e.model.State(h.world.now()), e.config.Incarnation, nil
+}
+
+func (h *host) latency() time.Duration {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	return h.delay
+}
+
+// outcomes returns how the host's orders ended so far.
+func (h *host) outcomes() []Outcome {
+	h.world.mu.Lock()
+	defer h.world.mu.Unlock()
+	var all []Outcome
+	for _, e := range h.ended {
+		all = append(all, e.Outcome)
+	}
+	return all
+}
+
+// role returns the role of an engine now.
+func (w *world) role(name string) engineapi.Role {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.engines[name].model.State(w.now()).Role
+}
+
+func (w *world) counts(name string) enginemodel.OrderCounts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.engines[name].counts()
+}
+
+// holding reports whether a host's lease is valid now.
+func (h *host) holding() bool {
+	_, ok := h.holder.Grant()
+	return ok
+}
+
+// settle lets virtual time pass.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// inWorld runs a test in virtual time with hosts a and b; a holds the lease and
+// has settled.
+func inWorld(t *testing.T, checksFence bool, test func(t *testing.T, w *world, a, b *host)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		w := newWorld()
+		w.addEngine("e1", checksFence)
+		a := w.addHost(ctx, "a")
+		settle(time.Second)
+		b := w.addHost(ctx, "b")
+		settle(time.Second)
+		if !a.holding() || b.holding() {
+			t.Fatalf("a holds %t, b holds %t; want a only", a.holding(), b.holding())
+		}
+		test(t, w, a, b)
+		cancel()
+		synctest.Wait()
+		time.Sleep(time.Minute) // messages under way arrive
+	})
+}
+
+func setRole(role engineapi.Role) Change { return Change{Kind: engineapi.OrderSetRole, Role: role} }
+
+// order sends an order and fails the test when it is refused.
+func (h *host) order(t *testing.T, change Change) {
+	t.Helper()
+	if _, err := h.manager.Order(context.Background(), "e1", change); err != nil {
+		t.Fatalf("host %s: %v", h.name, err)
+	}
+}
+
+func names(checksFence bool) string { return fmt.Sprintf("checks fence %t", checksFence) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,6 +65,7 @@
 	replicas  []*peer.Client
 	certs     *keys.Source // nil without TLS
 	claims    *claimlog.Client
+	zone      *zonePlanner
 	callers   *middleware.Chain
 	counters  *request.Counters
 	calls     *history.Log
@@ -97,6 +98,7 @@
 		return nil, err
 	}
 	n.callerHandlers()
+	n.zone = n.newZonePlanner()
 	return n, nil
 }
 
@@ -131,6 +133,7 @@
 	config, err := distribution.NewClient(distribution.Settings{
 		Replicas: callers,
 		Dir:      dir,
+		Engines:  n.engineReports,
 		Logger:   n.log,
 		Metrics:  n.metrics,
 	}, nil)
@@ -180,6 +183,7 @@
 	group.Go(func() error { return feed.Run(groupCtx) })
 	group.Go(func() error { return n.reportDemand(groupCtx) })
 	group.Go(func() error { return n.sched.Run(groupCtx) })
+	n.zone.run(groupCtx, group.Go)
 	if n.certs != nil {
 		group.Go(func() error { return n.certs.Run(groupCtx) })
 	}
@@ -196,6 +200,7 @@
 	case <-groupCtx.Done():
 	}
 	cut := n.stop(groupCtx, callers)
+	n.zone.release(n.log)
 	stopBackground()
 	announce.Close()
 	status.Close()
--- a/internal/entry/page.go
+++ b/internal/entry/page.go
@@ -33,6 +33,13 @@
 		p.Instances = append(p.Instances, n.pageInstance(r))
 	}
 	p.Endpoints = n.pageEndpoints()
+	planner := n.zone.planner.Status()
+	p.Planner = statuspage.Planner{
+		Holding: planner.Holding,
+		Outcome: string(planner.Plan.Outcome),
+		Change:  planner.Change,
+		Step:    planner.Step,
+	}
 	for _, t := range n.counters.Refusals() {
 		p.Refusals = append(p.Refusals, statuspage.Count(t))
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -35,6 +35,7 @@
 	Fence    uint64        `json:"fence"`
 	Expires  time.Duration `json:"expires"`  // logical time
 	Released bool          `json:"released"` // given back by the holder with no order in flight
+	Settle   bool          `json:"settle"`   // see Result.Settle
 }
 
 // heldAt reports whether the lease excludes other holders at a logical time.
@@ -63,7 +64,7 @@
 type Result struct {
 	Fence uint64 `json:"fence,omitempty"`
 	// Settle is true when the predecessor's lease ran out instead of being
-	// released: its last orders may still be in flight.
+	// released: at the time of the grant its last orders may still be in flight.
 	Settle bool   `json:"settle,omitempty"`
 	Err    *Error `json:"err,omitempty"`
 }
@@ -158,12 +159,18 @@
 	if held {
 		return Result{Err: &Error{Code: CodeHeld, Scope: cmd.Scope, Holder: current.Holder.Host, Remaining: current.Expires - now}}
 	}
-	next := Lease{Scope: cmd.Scope, Holder: cmd.Holder, Fence: t.fence + 1, Expires: now + cmd.TTL}
+	next := Lease{
+		Scope:   cmd.Scope,
+		Holder:  cmd.Holder,
+		Fence:   t.fence + 1,
+		Expires: now + cmd.TTL,
+		Settle:  exists && !current.Released,
+	}
 	invariant.Check(next.Fence > current.Fence, "fence-grows",
 		"zone %s would be granted fence %d after %d", cmd.Scope, next.Fence, current.Fence)
 	t.fence = next.Fence
 	t.leases[cmd.Scope] = next
-	return Result{Fence: next.Fence, Settle: exists && !current.Released}
+	return Result{Fence: next.Fence, Settle: next.Settle}
 }
 
 func (t *Table) renew(now time.Duration, cmd Command) Result {
@@ -195,7 +202,7 @@
 func (t *Table) extend(now time.Duration, current Lease, ttl time.Duration) Result {
 	current.Expires = max(current.Expires, now+ttl)
 	t.leases[current.Scope] = current
-	return Result{Fence: current.Fence}
+	return Result{Fence: current.Fence, Settle: current.Settle}
 }
 
 // encodedTable is the encoded form of a Table.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -61,6 +61,11 @@
 			{0, acquire(h1), 1, false, ""},
 			{time.Millisecond, acquire(h1), 1, false, ""},
 		}},
+		{"resent acquire after a run-out lease settles all the same", []step{
+			{0, acquire(h1), 1, false, ""},
+			{time.Second, acquire(h2), 2, true, ""},
+			{time.Second, acquire(h2), 2, true, ""},
+		}},
 		{"released lease is free at once", []step{
 			{0, acquire(h1), 1, false, ""},
 			{1, release(h1, 1), 1, false, ""},
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filberthook/internal/admission"
+	"filberthook/internal/planner"
 	"filberthook/internal/routing"
 )
 
@@ -25,6 +26,7 @@
 	Stop      EntryStop        `toml:"stop"`
 	Routing   routing.Config   `toml:"routing"`
 	Admission admission.Config `toml:"admission"`
+	Planner   planner.Config   `toml:"planner"`
 	TLS       TLS              `toml:"tls"`
 	Log       Log              `toml:"log"`
 }
@@ -67,6 +69,7 @@
 		Stop:      EntryStop{ReadyGrace: Duration(DefaultReadyGrace), Limit: Duration(DefaultStopLimit)},
 		Routing:   routing.DefaultConfig(),
 		Admission: admission.DefaultConfig(),
+		Planner:   planner.DefaultConfig(),
 	}
 }
 
--- /dev/null
+++ b/internal/zoneplanner/zoneplanner.go
@@ -0,0 +1,299 @@
+// Package zoneplanner runs the planner of one availability zone while this host
+// holds the zone's lease: it gives package planner the zone's engines and
+// demand, and carries the changes out through package authority, one at a time.
+//
+// A change drains the engine first and is given up when requests still run
+// after a limit, so that no request is cut.
+package zoneplanner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"filberthook/internal/authority"
+	"filberthook/internal/demand"
+	"filberthook/internal/directory"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/fleet"
+	"filberthook/internal/planner"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Timing of the planner.
+const (
+	tickInterval      = 250 * time.Millisecond
+	planInterval      = 2 * time.Second
+	DefaultDrainLimit = 2 * time.Minute
+)
+
+// Orders sends orders under the zone's lease. *authority.Manager implements it.
+type Orders interface {
+	SetEngines(refs []authority.EngineRef)
+	Views() []authority.View
+	Order(ctx context.Context, instance string, change authority.Change) (engineapi.OrderStatus, error)
+}
+
+// Instances lists the known instances.
+type Instances interface {
+	Snapshot() *directory.Snapshot
+}
+
+// Configuration gives the newest configuration in force.
+type Configuration interface {
+	Snapshot() *fleet.Snapshot
+}
+
+// Settings are the settings of a Planner.
+type Settings struct {
+	Zone       string
+	Now        func() time.Duration
+	Planner    planner.Config // the deployment's policy is applied on top
+	NewPlanner func(planner.Config) *planner.Planner
+	DrainLimit time.Duration
+	Logger     *slog.Logger
+	Metrics    *metrics.Set
+}
+
+// Planner runs one zone's planner. Run runs once.
+type Planner struct {
+	settings  Settings
+	orders    Orders
+	instances Instances
+	board     *demand.Board
+	config    Configuration
+
+	planner  *planner.Planner
+	policy   fleet.Policy // that planner was made for
+	forecast *planner.Forecaster
+	since    map[string]time.Duration // time of an engine's last role change seen here
+	roles    map[string]engineapi.Role
+	carrier  *carrier // change under way; nil when there is none
+	lastPlan time.Duration
+
+	mu     sync.Mutex // guards status
+	status Status
+}
+
+// Status is what the planner is doing, for operators.
+type Status struct {
+	Holding bool         `json:"holding"`
+	Plan    planner.Plan `json:"plan"`
+	Change  string       `json:"change,omitempty"` // change under way
+	Step    string       `json:"step,omitempty"`
+}
+
+// New returns a Planner.
+func New(settings Settings, orders Orders, instances Instances, board *demand.Board, config Configuration) *Planner {
+	if settings.DrainLimit == 0 {
+		settings.DrainLimit = DefaultDrainLimit
+	}
+	return &Planner{
+		settings:  settings,
+		orders:    orders,
+		instances: instances,
+		board:     board,
+		config:    config,
+		forecast:  planner.NewForecaster(settings.Planner.Window.Duration),
+		since:     make(map[string]time.Duration),
+		roles:     make(map[string]engineapi.Role),
+	}
+}
+
+// Run plans until ctx ends.
+func (p *Planner) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			p.tick(ctx)
+		}
+	}
+}
+
+// Status returns what the planner is doing.
+func (p *Planner) Status() Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.status
+}
+
+// tick looks at the zone once.
+func (p *Planner) tick(ctx context.Context) {
+	now := p.settings.Now()
+	z := p.zone(now)
+	p.orders.SetEngines(z.refs)
+	z.views = p.orders.Views()
+	p.noteRoles(now, z)
+	p.observeDemand(now)
+	holding := len(z.views) > 0 && anyKnown(z.views)
+	if !holding {
+		p.carrier = nil // a successor repairs
+	} else {
+		p.work(ctx, now, z)
+	}
+	p.publish(holding)
+}
+
+func anyKnown(views []authority.View) bool {
+	for _, v := range views {
+		if v.Known {
+			return true
+		}
+	}
+	return false
+}
+
+// work goes on with the change under way or looks for the next one.
+func (p *Planner) work(ctx context.Context, now time.Duration, z *zone) {
+	if p.carrier != nil {
+		p.carry(ctx, now, z)
+		return
+	}
+	if p.repair(ctx, z) {
+		return
+	}
+	if t, ok := reconcile(z, p.config.Snapshot()); ok {
+		p.begin(now, t)
+		return
+	}
+	if now-p.lastPlan >= planInterval {
+		p.lastPlan = now
+		p.plan(now, z)
+	}
+}
+
+func (p *Planner) begin(now time.Duration, t target) {
+	p.settings.Logger.Info("change begins", "change", t.String(), "reason", t.reason)
+	p.carrier = newCarrier(now, t)
+}
+
+// carry moves the change under way on.
+func (p *Planner) carry(ctx context.Context, now time.Duration, z *zone) {
+	c := p.carrier
+	o, present := z.observe(c.target.instance)
+	if !present {
+		c.finish(OutcomeGone)
+	}
+	change, ok := c.next(now, o, p.settings.DrainLimit)
+	if c.step == stepDone {
+		p.end(c)
+		return
+	}
+	if !ok {
+		return
+	}
+	if _, err := p.orders.Order(ctx, c.target.instance, change); err != nil {
+		p.settings.Logger.Warn("order not sent", "change", c.target.String(), "step", c.step.String(), "err", err)
+		return
+	}
+	c.sent()
+}
+
+func (p *Planner) end(c *carrier) {
+	p.carrier = nil
+	p.settings.Metrics.GetOrCreateCounter(`filberthook_planner_changes_total{kind="` + string(c.target.change.Kind) + `",outcome="` + string(c.outcome) + `"}`).Inc()
+	p.settings.Logger.Info("change ended", "change", c.target.String(), "outcome", string(c.outcome))
+	if c.outcome != OutcomeApplied && c.target.change.Kind == engineapi.OrderSetRole && p.planner != nil {
+		p.planner.Refund()
+	}
+}
+
+// repair lets an engine take work again that a former holder left drained. It
+// reports whether it did something.
+func (p *Planner) repair(ctx context.Context, z *zone) bool {
+	for _, v := range z.views {
+		if !v.Known || !v.State.Drained || v.Outstanding != "" || v.Ref.Draining {
+			continue
+		}
+		p.settings.Logger.Info("engine left drained by a former holder takes work again", "instance", v.Ref.Instance)
+		_, err := p.orders.Order(ctx, v.Ref.Instance, authority.Change{Kind: engineapi.OrderUndrain})
+		if err != nil {
+			p.settings.Logger.Warn("repair not sent", "instance", v.Ref.Instance, "err", err)
+		}
+		return true
+	}
+	return false
+}
+
+// plan asks the planner for a change of role.
+func (p *Planner) plan(now time.Duration, z *zone) {
+	p.applyPolicy(p.config.Snapshot().Policy)
+	ahead := p.settings.Planner.ChangeTime.Duration + p.settings.Planner.DrainTime.Duration
+	plan := p.planner.Plan(now, planner.View{
+		Zone:    p.settings.Zone,
+		Engines: z.engines(p.since),
+		Demand:  p.forecast.Forecast(now, ahead),
+	})
+	p.settings.Metrics.GetOrCreateCounter(`filberthook_planner_plans_total{outcome="` + string(plan.Outcome) + `"}`).Inc()
+	p.mu.Lock()
+	p.status.Plan = plan
+	p.mu.Unlock()
+	if plan.Outcome != planner.OutcomeChange || plan.Change.Kind != planner.ChangeRole {
+		return
+	}
+	p.begin(now, target{
+		instance:    plan.Change.Instance,
+		incarnation: plan.Change.Incarnation,
+		change:      authority.Change{Kind: engineapi.OrderSetRole, Role: plan.Change.Role},
+		reason:      plan.Change.Reason,
+	})
+}
+
+// applyPolicy makes the planner anew when operators have changed the policy.
+func (p *Planner) applyPolicy(policy fleet.Policy) {
+	if p.planner != nil && policy == p.policy {
+		return
+	}
+	cfg := p.settings.Planner
+	cfg.GoodputWeight *= policy.GoodputWeight
+	cfg.ChangeCost *= policy.RoleChangeWeight
+	if policy.MaxRoleChangesPerHour > 0 {
+		cfg.ChangesPerHour = min(cfg.ChangesPerHour, float64(policy.MaxRoleChangesPerHour))
+	}
+	p.planner = p.settings.NewPlanner(cfg)
+	p.policy = policy
+}
+
+func (p *Planner) observeDemand(now time.Duration) {
+	rates, _ := p.board.Total(now)
+	seconds := tickInterval.Seconds()
+	p.forecast.Observe(now, planner.Work{
+		Requests:     rates.Requests * seconds,
+		PromptTokens: rates.PromptTokens * seconds,
+		OutputTokens: rates.OutputTokens * seconds,
+		Context:      rates.ContextTokens * seconds,
+	})
+}
+
+// noteRoles keeps the time at which each engine took its role.
+func (p *Planner) noteRoles(now time.Duration, z *zone) {
+	for instance, rec := range z.records {
+		role := rec.Announcement.State.Role
+		if old, ok := p.roles[instance]; ok && old != role {
+			p.since[instance] = now
+		}
+		p.roles[instance] = role
+	}
+	for instance := range p.roles {
+		if z.records[instance] == nil {
+			delete(p.roles, instance)
+			delete(p.since, instance)
+		}
+	}
+}
+
+func (p *Planner) publish(holding bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.status.Holding = holding
+	p.status.Change, p.status.Step = "", ""
+	if p.carrier != nil {
+		p.status.Change, p.status.Step = p.carrier.target.String(), p.carrier.step.String()
+	}
+}
