--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -202,13 +202,19 @@
 		c.tickLeader()
 		return
 	}
-	if c.electionElapsed >= c.electionTimeout {
+	if c.electionElapsed >= c.electionTimeout || c.alone() {
 		c.electionElapsed = 0
 		c.resetElectionTimeout()
 		c.startElection()
 	}
 }
 
+// alone reports whether this replica is the only voter, which need not wait for others.
+func (c *Core) alone() bool {
+	m := c.membership()
+	return m.Voters() == 1 && m.IsVoter(c.cfg.ID)
+}
+
 func (c *Core) tickLeader() {
 	c.heartbeatElapsed++
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
--- a/internal/fsys/fsys.go
+++ b/internal/fsys/fsys.go
@@ -4,10 +4,12 @@
 package fsys
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 )
 
 // File is a file open for writing at its end.
@@ -31,6 +33,9 @@
 	Rename(from, to string) error
 	Remove(name string) error
 	Truncate(name string, size int64) error
+	// Lock takes a file's lock until the returned Closer is closed or the process
+	// ends. It fails with ErrLocked when another holds it.
+	Lock(name string) (io.Closer, error)
 	// SyncDir makes creations, renames and removals in dir durable.
 	SyncDir(dir string) error
 }
@@ -111,6 +116,26 @@
 	return f.Sync()
 }
 
+// ErrLocked reports that another process, or another part of this one, uses a folder.
+var ErrLocked = errors.New("folder is in use: stop the other process or choose another data folder")
+
+// Lock implements FS.
+func (OS) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_WRONLY, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if err != nil {
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			err = ErrLocked
+		}
+		return nil, fmt.Errorf("lock %s: %w", name, err)
+	}
+	return f, nil
+}
+
 // SyncDir implements FS.
 func (OS) SyncDir(dir string) error {
 	d, err := os.Open(dir)
--- a/internal/fsys/mem.go
+++ b/internal/fsys/mem.go
@@ -1,6 +1,8 @@
 package fsys
 
 import (
+	"fmt"
+	"io"
 	"io/fs"
 	"maps"
 	"path/filepath"
@@ -14,6 +16,7 @@
 	mu         sync.Mutex
 	files      map[string]*memFile // as the running process sees them
 	durable    map[string]*memFile // names that survive a crash
+	locks      map[string]*memLock
 	ignoreSync bool
 	failSync   error
 }
@@ -25,7 +28,7 @@
 
 // NewMem returns an empty file system.
 func NewMem() *Mem {
-	return &Mem{files: map[string]*memFile{}, durable: map[string]*memFile{}}
+	return &Mem{files: map[string]*memFile{}, durable: map[string]*memFile{}, locks: map[string]*memLock{}}
 }
 
 // IgnoreSync makes all later syncs of files report success without effect.
@@ -58,6 +61,7 @@
 		after[name] = &memFile{data: slices.Clone(f.data[:size]), synced: size}
 	}
 	m.files = after
+	clear(m.locks)
 	m.durable = maps.Clone(after)
 }
 
@@ -162,6 +166,33 @@
 	return nil
 }
 
+type memLock struct {
+	fs   *Mem
+	name string
+}
+
+// Lock implements FS. A crash releases all locks.
+func (m *Mem) Lock(name string) (io.Closer, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.locks[name] != nil {
+		return nil, fmt.Errorf("lock %s: %w", name, ErrLocked)
+	}
+	l := &memLock{fs: m, name: name}
+	m.locks[name] = l
+	return l, nil
+}
+
+// Close releases the lock.
+func (l *memLock) Close() error {
+	l.fs.mu.Lock()
+	defer l.fs.mu.Unlock()
+	if l.fs.locks[l.name] == l {
+		delete(l.fs.locks, l.name)
+	}
+	return nil
+}
+
 // SyncDir implements FS.
 func (m *Mem) SyncDir(dir string) error {
 	m.mu.Lock()
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -12,7 +12,7 @@
 // waiter ends a call once its condition holds.
 type waiter struct {
 	ctx   context.Context
-	ready func(consensus.Status) bool
+	ready func(consensus.Status) (bool, error)
 	done  chan error
 }
 
@@ -33,14 +33,20 @@
 		return err
 	}
 	commit := r.Status().Commit
-	return r.wait(ctx, func(s consensus.Status) bool {
-		for _, m := range s.Members {
-			if m.ID == id {
-				return m.Match >= commit
-			}
+	return r.wait(ctx, func(s consensus.Status) (bool, error) { return holds(s, id, commit) }, nil)
+}
+
+// holds reports whether a member holds the log up to index. Only a leader knows.
+func holds(s consensus.Status, id, index uint64) (bool, error) {
+	if s.Role != consensus.RoleLeader {
+		return false, &UnknownOutcomeError{Err: errLeadershipLost}
+	}
+	for _, m := range s.Members {
+		if m.ID == id {
+			return m.Match >= index, nil
 		}
-		return false
-	}, nil)
+	}
+	return false, nil
 }
 
 // RemoveMember removes a replica other than the leader. Its id cannot be used again.
@@ -51,7 +57,7 @@
 // TransferLeadership hands leadership to a voter and returns once it leads.
 func (r *Replica) TransferLeadership(ctx context.Context, to uint64) error {
 	start := func() error { return r.refusal(r.core.TransferLeadership(to)) }
-	return r.wait(ctx, func(s consensus.Status) bool { return s.Leader == to }, start)
+	return r.wait(ctx, func(s consensus.Status) (bool, error) { return s.Leader == to, nil }, start)
 }
 
 func (r *Replica) change(ctx context.Context, change consensus.Change) error {
@@ -60,7 +66,7 @@
 }
 
 // wait runs start in the loop and returns once ready holds.
-func (r *Replica) wait(ctx context.Context, ready func(consensus.Status) bool, start func() error) error {
+func (r *Replica) wait(ctx context.Context, ready func(consensus.Status) (bool, error), start func() error) error {
 	w := &waiter{ctx: ctx, ready: ready, done: make(chan error, 1)}
 	run := func(*command) {
 		if start != nil {
@@ -96,9 +102,9 @@
 	s := r.core.Status()
 	var kept []*waiter
 	for _, w := range r.waiters {
-		switch {
-		case w.ready(s):
-			w.done <- nil
+		switch ok, err := w.ready(s); {
+		case ok || err != nil:
+			w.done <- err
 		case w.ctx.Err() == nil:
 			kept = append(kept, w)
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 	queueLength = 4096
 	// batchLength bounds what the loop takes from one queue before it writes.
 	batchLength = 1024
+	// maxQueuedBytes bounds the received messages that wait for the loop.
+	maxQueuedBytes = 64 << 20
 )
 
 // Replica is one running member. All fields below core are used by the loop's
@@ -32,7 +35,8 @@
 	started   atomic.Bool
 	stopped   chan struct{} // closed when the loop has ended
 
-	messages  chan *consensus.Message
+	messages  chan received
+	queued    atomic.Int64 // bytes in messages
 	proposals chan *proposal
 	barriers  chan *barrier
 	commands  chan *command
@@ -92,7 +96,7 @@
 		cfg: cfg, transport: tr, machine: sm, storage: disk, core: core,
 		counters:     newCounters(cfg.Metrics),
 		stopped:      make(chan struct{}),
-		messages:     make(chan *consensus.Message, queueLength),
+		messages:     make(chan received, queueLength),
 		proposals:    make(chan *proposal, queueLength),
 		barriers:     make(chan *barrier, queueLength),
 		commands:     make(chan *command, queueLength),
@@ -105,6 +109,7 @@
 	// restart must not be taken for the answer to a later one.
 	r.reads.next = seed
 	r.publishStatus()
+	r.registerGauges()
 	return r, nil
 }
 
@@ -116,6 +121,15 @@
 	return binary.LittleEndian.Uint64(b[:]), nil
 }
 
+// Close releases the data folder of a replica that was never run.
+func (r *Replica) Close() error {
+	if !r.started.CompareAndSwap(false, true) {
+		return nil // Run releases it
+	}
+	close(r.stopped)
+	return r.storage.Close()
+}
+
 // Run serves the replica until ctx ends or the disk fails. It returns nil when ctx
 // ended, *storage.ExcludedError when the replica
 // must not take part any more. It can be
@@ -129,7 +143,7 @@
 	g.Go(func() error { return r.writeSnapshots(loopCtx) })
 	err := g.Wait()
 	r.storage.Close()
-	if ctx.Err() != nil {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
 		return nil
 	}
 	return err
@@ -149,7 +163,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return r.handOver()
 		case <-ticks:
 			r.handleTick()
 		case m := <-r.messages:
@@ -185,8 +199,9 @@
 	}
 }
 
-func (r *Replica) step(m *consensus.Message) {
-	if err := r.core.Step(m); err != nil {
+func (r *Replica) step(m received) {
+	r.queued.Add(-m.size)
+	if err := r.core.Step(m.message); err != nil {
 		r.counters.dropped(err)
 	}
 }
@@ -310,10 +325,23 @@
 		return err
 	}
 	r.counters.received(len(msg))
+	size := int64(len(msg))
+	if r.queued.Add(size) > maxQueuedBytes {
+		r.queued.Add(-size)
+		r.counters.queueFull.Inc()
+		return nil
+	}
 	select {
-	case r.messages <- m:
+	case r.messages <- received{message: m, size: size}:
 	default:
+		r.queued.Add(-size)
 		r.counters.queueFull.Inc()
 	}
 	return nil
 }
+
+// received is a message and its encoded size in bytes.
+type received struct {
+	message *consensus.Message
+	size    int64
+}
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -48,7 +48,9 @@
 		}
 		out.Members = append(out.Members, ms)
 	}
-	r.status.Store(out)
+	if previous := r.status.Swap(out); previous != nil && previous.Role != "leader" && out.Role == "leader" {
+		r.counters.elected.Inc()
+	}
 	return out
 }
 
@@ -62,6 +64,7 @@
 	readRetries    *metrics.Counter
 	readTimeouts   *metrics.Counter
 	snapshots      *metrics.Counter
+	elected        *metrics.Counter
 	snapshotErrors *metrics.Counter
 	sentBytes      *metrics.Counter
 	receivedBytes  *metrics.Counter
@@ -76,6 +79,7 @@
 		proposed:       set.GetOrCreateCounter(`filberthook_replica_proposals_applied_total`),
 		readRetries:    set.GetOrCreateCounter(`filberthook_replica_read_retries_total`),
 		readTimeouts:   set.GetOrCreateCounter(`filberthook_replica_read_timeouts_total`),
+		elected:        set.GetOrCreateCounter(`filberthook_replica_elections_won_total`),
 		snapshots:      set.GetOrCreateCounter(`filberthook_replica_snapshots_written_total`),
 		snapshotErrors: set.GetOrCreateCounter(`filberthook_replica_snapshot_errors_total`),
 		sentBytes:      set.GetOrCreateCounter(`filberthook_replica_sent_bytes_total`),
@@ -83,6 +87,24 @@
 	}
 }
 
+// registerGauges makes the replica's position visible.
+func (r *Replica) registerGauges() {
+	gauges := []struct {
+		name  string
+		value func(*Status) uint64
+	}{
+		{"term", func(s *Status) uint64 { return s.Term }},
+		{"leader", func(s *Status) uint64 { return s.Leader }},
+		{"commit_index", func(s *Status) uint64 { return s.Commit }},
+		{"applied_index", func(s *Status) uint64 { return s.Applied }},
+		{"last_index", func(s *Status) uint64 { return s.LastIndex }},
+	}
+	for _, g := range gauges {
+		name := fmt.Sprintf(`filberthook_replica_%s{replica="%d"}`, g.name, r.cfg.ID)
+		r.cfg.Metrics.GetOrCreateGauge(name, func() float64 { return float64(g.value(r.status.Load())) })
+	}
+}
+
 func (c *counters) sent(n int)     { c.sentBytes.Add(n) }
 func (c *counters) received(n int) { c.receivedBytes.Add(n) }
 
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -20,6 +20,7 @@
 
 const (
 	identityFile   = "identity.json"
+	lockFile       = "lock"
 	logFolder      = "log"
 	snapshotFolder = "snapshots"
 )
@@ -59,6 +60,7 @@
 // SaveSnapshot may be called by another.
 type Storage struct {
 	options   Options
+	lock      io.Closer
 	identity  identity
 	log       *wal.Log
 	snapshots *snapshot.Store
@@ -77,6 +79,23 @@
 	if err := o.FS.MkdirAll(o.Dir); err != nil {
 		return nil, st, rec, fmt.Errorf("create data folder: %w", err)
 	}
+	lock, err := o.FS.Lock(o.path(lockFile))
+	if err != nil {
+		return nil, st, rec, err
+	}
+	s, st, rec, err := openLocked(o)
+	if err != nil {
+		lock.Close()
+		return nil, st, rec, err
+	}
+	s.lock = lock
+	return s, st, rec, nil
+}
+
+// openLocked needs the folder's lock.
+func openLocked(o Options) (*Storage, consensus.State, Recovery, error) {
+	var st consensus.State
+	var rec Recovery
 	id, err := loadIdentity(o)
 	if err != nil {
 		return nil, st, rec, err
@@ -112,8 +131,8 @@
 // Incarnation returns the random number of the data folder.
 func (s *Storage) Incarnation() uint64 { return s.identity.Incarnation }
 
-// Close releases the files.
-func (s *Storage) Close() error { return s.log.Close() }
+// Close releases the files and the folder's lock.
+func (s *Storage) Close() error { return errors.Join(s.log.Close(), s.lock.Close()) }
 
 // SaveSnapshot makes a snapshot of this replica's state machine durable.
 func (s *Storage) SaveSnapshot(snap *consensus.Snapshot) error { return s.snapshots.Save(snap) }
