--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -131,6 +131,9 @@
 // Role returns the replica's current role.
 func (c *Core) Role() Role { return c.role }
 
+// Leader returns the leader of the current term, 0 when unknown.
+func (c *Core) Leader() uint64 { return c.leader }
+
 // MemberStatus is what a leader knows about a member.
 type MemberStatus struct {
 	Member
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"filberthook/internal/consensus"
 )
@@ -25,17 +26,33 @@
 	})
 }
 
-// Promote gives a learner a vote. It is refused until the learner holds everything
+// Promote gives a learner a vote. It waits until the learner holds everything
 // committed, and returns once the learner also holds the change itself: from then
 // on it replaces a lost voter in full.
 func (r *Replica) Promote(ctx context.Context, id uint64) error {
-	if err := r.change(ctx, consensus.Change{Type: consensus.ChangePromote, Member: consensus.Member{ID: id}}); err != nil {
+	change := consensus.Change{Type: consensus.ChangePromote, Member: consensus.Member{ID: id}}
+	err := r.change(ctx, change)
+	for isBehind(err) {
+		commit := r.Status().Commit
+		caughtUp := func(s consensus.Status) (bool, error) { return holds(s, id, commit) }
+		if r.wait(ctx, caughtUp, nil) != nil {
+			return err
+		}
+		err = r.change(ctx, change)
+	}
+	if err != nil {
 		return err
 	}
 	commit := r.Status().Commit
 	return r.wait(ctx, func(s consensus.Status) (bool, error) { return holds(s, id, commit) }, nil)
 }
 
+// isBehind reports whether a promotion was refused because of the learner's log.
+func isBehind(err error) bool {
+	var refused *consensus.RefusedError
+	return errors.As(err, &refused) && refused.Reason == consensus.ReasonNotCaughtUp
+}
+
 // holds reports whether a member holds the log up to index. Only a leader knows.
 func holds(s consensus.Status, id, index uint64) (bool, error) {
 	if s.Role != consensus.RoleLeader {
--- a/internal/replica/reads.go
+++ b/internal/replica/reads.go
@@ -29,6 +29,7 @@
 // readQueue holds the barriers of a replica by the stage they are in.
 type readQueue struct {
 	next     uint64 // context of the next ReadIndex
+	leader   uint64 // that the batches were asked of, 0 for none
 	fresh    []*barrier
 	asked    map[uint64]*readBatch
 	answer   []*readBatch // answered, wait until index is applied
@@ -89,11 +90,15 @@
 	}
 }
 
-// retryReads asks again for the batches without answer; callers that left are dropped.
+// retryReads asks again for the batches without answer, all of them when there is a
+// new leader. Barriers whose callers have left are dropped.
 func (r *Replica) retryReads() {
 	q := &r.reads
+	leader := r.core.Leader()
+	changed := leader != 0 && leader != q.leader
+	q.leader = leader
 	for id, batch := range q.asked {
-		if r.tick-batch.asked < retryReadTicks {
+		if !changed && r.tick-batch.asked < retryReadTicks {
 			continue
 		}
 		delete(q.asked, id)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -215,6 +215,9 @@
 
 // process carries out everything that the core has ready.
 func (r *Replica) process() error {
+	if r.core.Leader() != r.reads.leader {
+		r.retryReads()
+	}
 	r.startReads()
 	for {
 		rd := r.core.Ready()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -200,6 +200,24 @@
 	}
 }
 
+func TestPromoteWaitsForTheLearner(t *testing.T) {
+	c := newCluster(t, 3, 10)
+	for i := range 30 {
+		c.propose(fmt.Sprint(i))
+	}
+	c.start(4, fsys.NewMem(), nil)
+	c.until("add learner", func(ctx context.Context) error {
+		return c.node(c.leader()).replica.AddLearner(ctx, Member{ID: 4})
+	})
+	leader := c.node(c.leader()).replica
+	if err := leader.Promote(context.Background(), 4); err != nil {
+		t.Fatal(err)
+	}
+	if s := leader.Status(); member(s, 4).Learner || member(s, 4).Match < 31 {
+		t.Errorf("promoted member is %+v", member(s, 4))
+	}
+}
+
 func TestFailedSyncStopsReplicaWithUnknownOutcome(t *testing.T) {
 	c := newCluster(t, 1, 0)
 	c.propose("a")
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -48,12 +49,28 @@
 		}
 		out.Members = append(out.Members, ms)
 	}
-	if previous := r.status.Swap(out); previous != nil && previous.Role != "leader" && out.Role == "leader" {
-		r.counters.elected.Inc()
+	if previous := r.status.Swap(out); previous != nil {
+		r.noteChange(previous, out)
 	}
 	return out
 }
 
+// noteChange logs and counts changes of leadership and membership.
+func (r *Replica) noteChange(previous, now *Status) {
+	if now.Role == roleLeader && previous.Role != roleLeader {
+		r.counters.elected.Inc()
+	}
+	if now.Leader != previous.Leader {
+		r.cfg.Logger.Info("leader changed", slog.Uint64("replica", now.ID), slog.Uint64("leader", now.Leader),
+			slog.Uint64("term", now.Term), slog.Uint64("commit", now.Commit))
+	}
+	if len(now.Members) != len(previous.Members) {
+		r.cfg.Logger.Info("membership changed", slog.Uint64("replica", now.ID), slog.Int("members", len(now.Members)))
+	}
+}
+
+var roleLeader = consensus.RoleLeader.String()
+
 // counters are the replica's metrics.
 type counters struct {
 	set            *metrics.Set
