Add slopes: the cost of one more host, watcher and instance

Change: slopes runs gossiping hosts, configuration watchers and announcing instances in one process and fits lines; faultnet counts bytes.

--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -31,6 +31,7 @@
 		overheadCommand(app),
 		runCommand(app),
 		faultsCommand(app),
+		slopesCommand(app),
 	}
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
--- a/internal/faultnet/direction.go
+++ b/internal/faultnet/direction.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // direction is the state of one direction of a relay.
 type direction struct {
+	bytes atomic.Uint64 // passed on since the start
+
 	mu    sync.Mutex
 	open  chan struct{} // closed while bytes pass; guarded by mu
 	delay time.Duration // guarded by mu
--- a/internal/faultnet/relay.go
+++ b/internal/faultnet/relay.go
@@ -69,6 +69,11 @@
 	r.CutBack()
 }
 
+// Bytes returns how many bytes have passed since the start, each way.
+func (r *Relay) Bytes() (there, back uint64) {
+	return r.there.bytes.Load(), r.back.bytes.Load()
+}
+
 // Delay holds each chunk of bytes for a time in each direction.
 func (r *Relay) Delay(d time.Duration) {
 	r.there.slow(d)
@@ -189,6 +194,7 @@
 		if _, err := to.Write(c.data); err != nil {
 			break
 		}
+		d.bytes.Add(uint64(len(c.data)))
 	}
 	if d.pass(ctx, time.Now()) {
 		closeWrite(to)
--- a/internal/faultnet/relay_test.go
+++ b/internal/faultnet/relay_test.go
@@ -164,4 +164,7 @@
 	if string(got) != "ab" || err != nil {
 		t.Errorf("read %q, %v; want ab and the end", got, err)
 	}
+	if there, back := r.Bytes(); there != 2 || back != 2 {
+		t.Errorf("relay passed %d and %d bytes, want 2 and 2", there, back)
+	}
 }
--- a/internal/faultrun/cluster.go
+++ b/internal/faultrun/cluster.go
@@ -50,6 +50,7 @@
 	control    map[string][]*faultnet.Relay // by entry host, to each control replica
 	teamKey    string
 	changes    atomic.Uint64 // changes asked for, to name them
+	revision   atomic.Uint64 // newest one that was applied
 }
 
 // StartCluster starts a deployment without stand-ins, creates its endpoints and
@@ -125,7 +126,7 @@
 		Endpoint:       clusterEndpoint,
 		Model:          clusterModel,
 		Service:        clusterService,
-		ChangeDeclared: c.changeDeclared,
+		ChangeDeclared: c.ChangeDeclared,
 	}
 	for _, e := range c.entries {
 		sys.Entries = append(sys.Entries, e)
@@ -168,8 +169,8 @@
 	}}
 }
 
-// changeDeclared changes the adapters that one engine is to carry.
-func (c *Cluster) changeDeclared(ctx context.Context, rng *rand.Rand) error {
+// ChangeDeclared changes the adapters that one engine is to carry.
+func (c *Cluster) ChangeDeclared(ctx context.Context, rng *rand.Rand) error {
 	engine := fmt.Sprintf("engine-%d", rng.IntN(4))
 	adapter := fmt.Sprintf("adapter-%d", rng.IntN(3))
 	return c.apply(ctx, []*filberthookv1.Change{{Change: &filberthookv1.Change_SetDeclaration{
@@ -206,12 +207,37 @@
 		return err
 	}
 	revision := current.Msg.GetConfiguration().GetRevision()
-	_, err = op.Apply(ctx, connect.NewRequest(&filberthookv1.ApplyRequest{
+	applied, err := op.Apply(ctx, connect.NewRequest(&filberthookv1.ApplyRequest{
 		ChangeId: id, ExpectedRevision: &revision, Changes: changes,
 	}))
+	if err == nil {
+		c.observe(applied.Msg.GetRevision())
+	}
 	return err
 }
 
+// observe remembers the newest revision that an operator was told.
+func (c *Cluster) observe(revision uint64) {
+	for {
+		old := c.revision.Load()
+		if revision <= old || c.revision.CompareAndSwap(old, revision) {
+			return
+		}
+	}
+}
+
+// Revision returns the newest revision that was applied.
+func (c *Cluster) Revision() uint64 { return c.revision.Load() }
+
+// Replicas returns the addresses for other hosts of all control replicas.
+func (c *Cluster) Replicas() []string {
+	var out []string
+	for _, h := range c.deployment.Controls {
+		out = append(out, h.Peers)
+	}
+	return out
+}
+
 // clusterEntry is one entry host behind a relay.
 type clusterEntry struct {
 	host    *deployment.EntryHost
--- /dev/null
+++ b/internal/slopes/instances.go
@@ -0,0 +1,76 @@
+package slopes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"filberthook/internal/faultrun"
+	"filberthook/internal/standin"
+)
+
+// instanceSettle is how long instances announce themselves before a
+// measurement.
+const instanceSettle = 2 * time.Second
+
+// Instances measures endpoint instances that announce themselves to one entry
+// host.
+func Instances(ctx context.Context, sizes []int, length time.Duration) (Series, error) {
+	s := Series{Name: fmt.Sprintf("instances that announce themselves to one entry host every %s, both ends", standin.DefaultAnnounceEvery), Unit: "instance"}
+	for _, size := range sizes {
+		sample, err := instances(ctx, size, length)
+		if err != nil {
+			return s, fmt.Errorf("%d instances: %w", size, err)
+		}
+		s.Samples = append(s.Samples, sample)
+	}
+	return s, nil
+}
+
+func instances(ctx context.Context, size int, length time.Duration) (sample Sample, err error) {
+	dir, err := os.MkdirTemp("", "filberthook-slopes-")
+	if err != nil {
+		return sample, err
+	}
+	defer os.RemoveAll(dir)
+	cluster, err := faultrun.StartCluster(ctx, faultrun.ClusterConfig{
+		Dir: dir, Zones: []string{"z1"}, Controls: 1, EntriesPerZone: 1, Logger: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		return sample, err
+	}
+	defer func() { err = errors.Join(err, cluster.Close()) }()
+	return announcing(ctx, cluster.System(), size, length)
+}
+
+func announcing(ctx context.Context, sys faultrun.System, size int, length time.Duration) (Sample, error) {
+	base := newBaseline()
+	running, stop := context.WithCancel(ctx)
+	var group errgroup.Group
+	defer func() {
+		stop()
+		_ = group.Wait()
+	}()
+	for i := range size {
+		id := standin.Identity{
+			Instance: fmt.Sprintf("worker-%d", i),
+			Endpoint: sys.Service,
+			Zone:     "z1",
+			Address:  fmt.Sprintf("127.0.0.1:%d", 20000+i),
+			Entries:  []string{sys.Entries[0].Announce()},
+		}
+		service, err := standin.NewService(standin.ServiceConfig{Identity: id}, metrics.NewSet(), slog.New(slog.DiscardHandler))
+		if err != nil {
+			return Sample{}, err
+		}
+		group.Go(func() error { return service.Run(running) })
+	}
+	time.Sleep(instanceSettle)
+	return base.measure(size, length, nil)
+}
