--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"filberthook/internal/experiment"
 )
 
 // Exit codes.
@@ -33,6 +35,7 @@
 		faultsCommand(app),
 		slopesCommand(app),
 	}
+	experiment.Register(app) // runs during Parse
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "filberthook-load:", err)
