--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -33,6 +33,7 @@
 		overheadCommand(app),
 		runCommand(app),
 		faultsCommand(app),
+		slopesCommand(app),
 	}
 	experiment.Register(app) // runs during Parse
 	chosen, err := app.Parse(os.Args[1:])
