--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -24,6 +24,7 @@
 	Request  *request.Request
 	Counters *request.Counters
 	History  *history.Entry // may be nil
+	Arrived  time.Time
 
 	Team     string         // calling team
 	Endpoint fleet.Endpoint // what is called
@@ -47,7 +48,7 @@
 
 // New returns a Call for a request that has just arrived.
 func New(id string, counters *request.Counters) *Call {
-	return &Call{Request: request.New(id), Counters: counters}
+	return &Call{Request: request.New(id), Counters: counters, Arrived: time.Now()}
 }
 
 // contextKey is the key of the Call in a request's context.
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
+	"filberthook/internal/buildinfo"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
 	"filberthook/internal/keys"
@@ -60,6 +61,7 @@
 // New opens the data folder and the listeners. Run must be called next.
 func New(s settings.Control, logger *slog.Logger, set *metrics.Set) (*Node, error) {
 	n := &Node{settings: s, logger: logger.With("host", s.Host, "zone", s.Zone), metrics: set}
+	buildinfo.Register(set)
 	if err := n.openKeys(); err != nil {
 		return nil, err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"filberthook/internal/buildinfo"
 	"filberthook/internal/cachefeed"
 	"filberthook/internal/claimlog"
 	"filberthook/internal/demand"
@@ -99,6 +100,7 @@
 	}
 	n.callerHandlers()
 	n.zone = n.newZonePlanner()
+	buildinfo.Register(set)
 	return n, nil
 }
 
--- /dev/null
+++ b/internal/proxy/latency.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/call"
+	"filberthook/internal/request"
+)
+
+// latencies are the histograms of what callers wait for, by class, in seconds.
+type latencies struct {
+	firstToken [request.NumClasses]*metrics.Histogram // from arrival to the first token passed on
+	longestGap [request.NumClasses]*metrics.Histogram // between two tokens of one stream
+	answer     [request.NumClasses]*metrics.Histogram // from arrival to the end of the whole answer
+}
+
+func newLatencies(set *metrics.Set) *latencies {
+	l := &latencies{}
+	for i := range request.NumClasses {
+		class := request.Class(i).String()
+		histogram := func(name string) *metrics.Histogram {
+			return set.GetOrCreateHistogram(fmt.Sprintf(`%s{class=%q}`, name, class))
+		}
+		l.firstToken[i] = histogram("filberthook_first_token_seconds")
+		l.longestGap[i] = histogram("filberthook_longest_gap_seconds")
+		l.answer[i] = histogram("filberthook_answer_seconds")
+	}
+	return l
+}
+
+// whole notes the end of a whole answer.
+func (l *latencies) whole(c *call.Call) {
+	l.answer[c.Class].Update(time.Since(c.Arrived).Seconds())
+}
+
+// tokenTimes measures one stream.
+type tokenTimes struct {
+	last    time.Time // of the last token; zero before the first one
+	longest time.Duration
+}
+
+// token notes a token that has been passed on.
+func (t *tokenTimes) token(l *latencies, c *call.Call) {
+	now := time.Now()
+	if t.last.IsZero() {
+		l.firstToken[c.Class].Update(now.Sub(c.Arrived).Seconds())
+	} else {
+		t.longest = max(t.longest, now.Sub(t.last))
+	}
+	t.last = now
+}
+
+// finish notes the end of the whole stream.
+func (t *tokenTimes) finish(l *latencies, c *call.Call) {
+	if t.longest > 0 {
+		l.longestGap[c.Class].Update(t.longest.Seconds())
+	}
+	l.whole(c)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -67,6 +67,7 @@
 	once     http.RoundTripper // for non-repeatable requests
 	memory   *limit.Memory     // of whole answers
 	attempts *metrics.Counter
+	latency  *latencies
 
 	splitDone   *metrics.Counter // prompts computed on another engine
 	splitFailed *metrics.Counter // prompts that the picked engine had to compute after all
@@ -84,6 +85,7 @@
 		once:     newOnceTransport(settings.Transport),
 		memory:   limit.NewMemory(settings.MaxHeldBytes),
 		attempts: set.GetOrCreateCounter("filberthook_attempts_total"),
+		latency:  newLatencies(set),
 		policies: make(map[string]*retry.Policy),
 
 		splitDone:   set.GetOrCreateCounter(`filberthook_split_prefills_total{outcome="imported"}`),
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -23,6 +23,7 @@
 	delivered int  // output tokens that the caller has; the next attempt starts after them
 	finished  bool // the caller has the last chunk of the answer
 	broken    int  // times that the stream broke after its first event
+	times     tokenTimes
 }
 
 // serveStream streams an answer.
@@ -37,6 +38,7 @@
 	for made := 1; ; made++ {
 		f := s.attempt(r, exclude)
 		if f == nil {
+			s.times.finish(p.latency, c)
 			c.Answered()
 			return
 		}
@@ -139,6 +141,7 @@
 		return s.written(err)
 	}
 	s.delivered++
+	s.times.token(s.proxy.latency, s.call)
 	s.call.Output.Add(1)
 	return nil
 }
--- a/internal/proxy/whole.go
+++ b/internal/proxy/whole.go
@@ -36,6 +36,7 @@
 		c.End(p.notTaken(c, err))
 		return
 	}
+	p.latency.whole(c)
 	c.Answered()
 }
 
