Bind votes and answers to the data folder that asked for them

Cause: a long run ( of the sources before) showed a leader without a committed entry: a candidate lost its disk after it had asked for votes, its empty successor under the same id stood in the same term and took the votes that arrived. Change: messages name the incarnation that they are meant for and are dropped by any other; the durable vote keeps the incarnation voted for; a script repeats the case and is caught when the check is switched off.

--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -56,7 +56,7 @@
 func EncodeMessage(m *Message) []byte {
 	buf := make([]byte, 0, 96+entriesSize(m.Entries))
 	buf = append(buf, messageVersion, byte(m.Type))
-	for _, v := range [...]uint64{m.From, m.To, m.Incarnation, m.Term, m.LogTerm, m.Index, m.Commit, m.Context, m.Hint} {
+	for _, v := range [...]uint64{m.From, m.To, m.Incarnation, m.ToIncarnation, m.Term, m.LogTerm, m.Index, m.Commit, m.Context, m.Hint} {
 		buf = binary.AppendUvarint(buf, v)
 	}
 	buf = appendBool(buf, m.Reject)
@@ -91,7 +91,7 @@
 		return nil, &FormatError{Detail: fmt.Sprintf("message version %d, want %d", v, messageVersion)}
 	}
 	m := &Message{Type: MessageType(d.byte())}
-	for _, p := range [...]*uint64{&m.From, &m.To, &m.Incarnation, &m.Term, &m.LogTerm, &m.Index, &m.Commit, &m.Context, &m.Hint} {
+	for _, p := range [...]*uint64{&m.From, &m.To, &m.Incarnation, &m.ToIncarnation, &m.Term, &m.LogTerm, &m.Index, &m.Commit, &m.Context, &m.Hint} {
 		*p = d.uvarint()
 	}
 	m.Reject = d.bool()
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -75,7 +75,9 @@
 	cfg  Config
 	rand *rand.Rand
 
-	term, vote  uint64
+	term        uint64
+	vote        uint64    // replica voted for in term, 0 for none
+	voteFolder  uint64    // incarnation of that replica
 	saved       HardState // last one handed out and acknowledged
 	log         raftLog
 	memberships []membershipAt // ascending index, never empty; the last is in force
@@ -121,6 +123,7 @@
 		rand:        rand.New(rand.NewPCG(cfg.Seed, cfg.ID)),
 		term:        st.HardState.Term,
 		vote:        st.HardState.Vote,
+		voteFolder:  st.HardState.VoteIncarnation,
 		saved:       st.HardState,
 		snapshot:    &snap,
 		memberships: []membershipAt{{snap.Index, snap.Membership}},
@@ -252,14 +255,19 @@
 func (c *Core) setTerm(term uint64) {
 	invariant.Check(term >= c.term, "term-grows", "term %d after %d", term, c.term)
 	if term > c.term {
-		c.term, c.vote, c.leader = term, 0, 0
+		c.term, c.leader = term, 0
+		c.vote, c.voteFolder = 0, 0
 	}
 }
 
-func (c *Core) setVote(id uint64) {
-	invariant.Check(c.vote == 0 || c.vote == id || c.fault == faultVoteTwice, "one-vote-per-term",
+func (c *Core) setVote(id, incarnation uint64) {
+	invariant.Check(c.vote == 0 || c.votedFor(id, incarnation) || c.fault == faultVoteTwice, "one-vote-per-term",
 		"term %d: voted for %d, now for %d", c.term, c.vote, id)
-	c.vote = id
+	c.vote, c.voteFolder = id, incarnation
+}
+
+func (c *Core) votedFor(id, incarnation uint64) bool {
+	return c.vote == id && c.voteFolder == incarnation
 }
 
 func (c *Core) setLeader(id uint64) {
@@ -287,10 +295,20 @@
 	c.messages = append(c.messages, m)
 }
 
+// reply queues an answer for the sender of m and no later owner of its id.
+func (c *Core) reply(m *Message, answer Message) {
+	answer.To = m.From
+	answer.ToIncarnation = m.Incarnation
+	c.send(answer)
+}
+
 // sendEarly queues a leader's message that promises nothing about its own disk.
 func (c *Core) sendEarly(m Message) {
 	m.From = c.cfg.ID
 	m.Incarnation = c.cfg.Incarnation
 	m.Term = c.term
+	if p := c.progress[m.To]; p != nil {
+		m.ToIncarnation = p.incarnation
+	}
 	c.early = append(c.early, m)
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -22,7 +22,7 @@
 	if role == RoleCandidate {
 		request = MessageVote
 		c.setTerm(term)
-		c.setVote(c.cfg.ID)
+		c.setVote(c.cfg.ID, c.cfg.Incarnation)
 	}
 	c.role = role
 	c.votes = map[uint64]ballot{c.cfg.ID: {granted: true, incarnation: c.cfg.Incarnation}}
@@ -33,7 +33,7 @@
 		if member.Learner || member.ID == c.cfg.ID {
 			continue
 		}
-		c.send(Message{Type: request, To: member.ID, Term: term, Index: c.log.lastIndex(), LogTerm: c.log.lastTerm(), Force: force})
+		c.send(Message{Type: request, To: member.ID, ToIncarnation: member.Incarnation, Term: term, Index: c.log.lastIndex(), LogTerm: c.log.lastTerm(), Force: force})
 	}
 }
 
@@ -99,20 +99,20 @@
 
 func (c *Core) handleVoteRequest(m *Message) {
 	pre := m.Type == MessagePreVote
-	response := Message{Type: MessageVoteResponse, To: m.From, Term: c.term, Reject: true}
+	response := Message{Type: MessageVoteResponse, Term: c.term, Reject: true}
 	if pre {
 		response.Type = MessagePreVoteResponse
 	}
-	free := c.vote == m.From || c.vote == 0 && c.leader == 0 || pre && m.Term > c.term || c.fault == faultVoteTwice
+	free := c.votedFor(m.From, m.Incarnation) || c.vote == 0 && c.leader == 0 || pre && m.Term > c.term || c.fault == faultVoteTwice
 	recent := c.log.upToDate(m.LogTerm, m.Index) || c.fault == faultVoteStaleLog
 	if free && recent {
 		response.Term, response.Reject = m.Term, false
 		if !pre {
 			c.electionElapsed = 0
-			c.setVote(m.From)
+			c.setVote(m.From, m.Incarnation)
 		}
 	}
-	c.send(response)
+	c.reply(m, response)
 }
 
 func (c *Core) handleVoteResponse(m *Message) {
--- a/internal/consensus/faults_test.go
+++ b/internal/consensus/faults_test.go
@@ -24,6 +24,7 @@
 	{name: "apply before commit", settings: settings{fault: consensus.FaultApplyUncommitted}},
 	{name: "read without a quorum", settings: settings{fault: consensus.FaultReadWithoutQuorum}, voters: 3, script: readAtOldLeader},
 	{name: "count the vote of an empty disk", settings: settings{fault: consensus.FaultIgnoreIncarnation}},
+	{name: "take votes given to a lost disk", settings: settings{fault: consensus.FaultIgnoreIncarnation}, voters: 3, script: votesForLostDisk},
 	{name: "promote a learner that lags", settings: settings{fault: consensus.FaultPromoteEarly}},
 	{name: "two membership changes at once", settings: settings{fault: consensus.FaultOverlappingChanges}, firstSeed: 110},
 	{name: "skip the sync of files", settings: settings{ignoreSync: true}},
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -46,11 +46,11 @@
 // attachHardState adds the hard state when something durable depends on it. A new
 // commit index alone does not: a restarted replica learns it from the leader.
 func (c *Core) attachHardState(r *Ready) {
-	hs := HardState{Term: c.term, Vote: c.vote, Commit: c.log.committed}
+	hs := HardState{Term: c.term, Vote: c.vote, VoteIncarnation: c.voteFolder, Commit: c.log.committed}
 	if c.fault == faultForgetVote {
-		hs.Vote = 0
+		hs.Vote, hs.VoteIncarnation = 0, 0
 	}
-	changed := hs.Term != c.saved.Term || hs.Vote != c.saved.Vote
+	changed := hs.Term != c.saved.Term || hs.Vote != c.saved.Vote || hs.VoteIncarnation != c.saved.VoteIncarnation
 	if changed {
 		// The term is not durable yet, so nothing may be sent under it.
 		r.Messages = append(r.Early, r.Messages...)
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -87,12 +87,8 @@
 	c.sendAppends, c.sendBeats = false, false
 }
 
-// sendHeartbeat names the incarnation that match belongs to, since only that
-// replica holds the log up to the commit index.
 func (c *Core) sendHeartbeat(to uint64, p *progress) {
-	c.sendEarly(Message{
-		Type: MessageHeartbeat, To: to, Commit: min(p.match, c.log.committed), Context: c.readSeq, Hint: p.incarnation,
-	})
+	c.sendEarly(Message{Type: MessageHeartbeat, To: to, Commit: min(p.match, c.log.committed), Context: c.readSeq})
 }
 
 // sendAppend sends entries until the replica holds all or its window is full.
@@ -122,10 +118,10 @@
 }
 
 func (c *Core) handleAppend(m *Message) {
-	response := Message{Type: MessageAppendResponse, To: m.From, Term: c.term}
+	response := Message{Type: MessageAppendResponse, Term: c.term}
 	if m.Index < c.log.committed {
 		response.Index = c.log.committed
-		c.send(response)
+		c.reply(m, response)
 		return
 	}
 	if !c.log.matches(m.Index, m.LogTerm) && (c.fault != faultSkipLogCheck || m.Index > c.log.lastIndex()) {
@@ -133,13 +129,13 @@
 		response.Index = m.Index
 		response.Hint = c.log.conflict(m.Index, m.LogTerm)
 		response.LogTerm, _ = c.log.term(response.Hint)
-		c.send(response)
+		c.reply(m, response)
 		return
 	}
 	c.appendLog(c.log.missing(m.Entries))
 	response.Index = m.Index + uint64(len(m.Entries))
 	c.log.commitTo(min(m.Commit, response.Index))
-	c.send(response)
+	c.reply(m, response)
 }
 
 func (c *Core) handleAppendResponse(p *progress, m *Message) {
@@ -202,12 +198,8 @@
 }
 
 func (c *Core) handleHeartbeat(m *Message) {
-	if m.Hint != 0 && m.Hint != c.cfg.Incarnation && c.fault != faultIgnoreIncarnation {
-		c.excluded = ExclusionDiskLost
-		return
-	}
 	c.log.commitTo(m.Commit)
-	c.send(Message{Type: MessageHeartbeatResponse, To: m.From, Term: c.term, Context: m.Context})
+	c.reply(m, Message{Type: MessageHeartbeatResponse, Term: c.term, Context: m.Context})
 }
 
 // handleHeartbeatResponse also repeats what was lost: nothing was acknowledged
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"filberthook/internal/consensus"
+	"filberthook/internal/fsys"
 )
 
 // scenario scripts a schedule that random ones reach too rarely. It must break no
@@ -69,11 +70,14 @@
 }
 
 // stand makes a node start an election at once.
-func (s *sim) stand(n *node) {
+func (s *sim) stand(n *node) { s.standAfter(n, n.core.Status().Term) }
+
+// standAfter makes a node stand in the term after the given one.
+func (s *sim) standAfter(n *node, term uint64) {
 	from := s.others(n)[0]
-	self, _ := s.membership.Find(from.id)
+	sender, _ := s.membership.Find(from.id)
 	_ = n.core.Step(&consensus.Message{
-		Type: consensus.MessageTimeoutNow, From: from.id, To: n.id, Incarnation: self.Incarnation, Term: n.core.Status().Term,
+		Type: consensus.MessageTimeoutNow, From: from.id, To: n.id, Incarnation: sender.Incarnation, Term: term,
 	})
 	s.pump(n)
 }
@@ -154,6 +158,24 @@
 	}
 }
 
+// votesForLostDisk lets a candidate lose its disk after it asked for votes, and its
+// empty successor stand in the same term when the votes arrive. Random schedules
+// reach it too rarely.
+func votesForLostDisk(s *sim) {
+	n := s.others(s.leaderNode())[0]
+	term := n.core.Status().Term
+	s.stand(n)
+	s.exchange(1)
+	votes := s.queue
+	s.stopNode(n)
+	n.fs, n.wiped = fsys.NewMem(), true
+	s.start(n)
+	s.standAfter(n, term)
+	s.queue = votes
+	s.exchange(3)
+	s.operator = operator{lost: n.id, fresh: s.join()}
+}
+
 func TestScenariosHoldWithoutFaults(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -163,6 +185,7 @@
 		{"read at an old leader", 3, readAtOldLeader},
 		{"old term on a majority", 5, oldTermOnMajority},
 		{"delayed append", 3, delayedAppend},
+		{"votes for a lost disk", 3, votesForLostDisk},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := calm(c.voters, consensus.FaultNone)
--- a/internal/consensus/sim_checks_test.go
+++ b/internal/consensus/sim_checks_test.go
@@ -15,18 +15,23 @@
 	ledger     []consensus.Entry // every entry that any replica applied
 	decided    []uint64          // term of the first replica to apply it, at that time
 	leaders    map[uint64]uint64 // by term
-	votes      map[ballotKey]uint64
+	votes      map[ballotKey]candidate
 	membership consensus.Membership // newest one applied
 	changedAt  uint64               // its index
-	trace      uint64               // hash of all messages, to show that runs repeat
+	crashes    int
+	installs   int    // snapshots received and installed
+	trace      uint64 // hash of all messages, to show that runs repeat
 }
 
 type ballotKey struct {
 	term, voter, incarnation uint64
 }
 
+// candidate is a replica's id and incarnation.
+type candidate struct{ id, incarnation uint64 }
+
 func newRecord() record {
-	return record{leaders: map[uint64]uint64{}, votes: map[ballotKey]uint64{}}
+	return record{leaders: map[uint64]uint64{}, votes: map[ballotKey]candidate{}}
 }
 
 func (s *sim) fail(format string, args ...any) {
@@ -56,10 +61,11 @@
 		return
 	}
 	key := ballotKey{m.Term, n.id, m.Incarnation}
-	if earlier, ok := s.votes[key]; ok && earlier != m.To {
-		s.fail("replica %d voted for %d and %d in term %d", n.id, earlier, m.To, m.Term)
+	to := candidate{m.To, m.ToIncarnation}
+	if earlier, ok := s.votes[key]; ok && earlier != to {
+		s.fail("replica %d voted for %v and %v in term %d", n.id, earlier, to, m.Term)
 	}
-	s.votes[key] = m.To
+	s.votes[key] = to
 }
 
 // check verifies a node's state against the record.
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -154,7 +154,7 @@
 		return
 	}
 	core, err := consensus.New(consensus.Config{
-		ID: n.id, Incarnation: disk.Incarnation(), Seed: s.rng.Uint64(), ElectionTicks: 10, ChunkBytes: 64, MaxAppendBytes: 200,
+		ID: n.id, Incarnation: disk.Incarnation(), Seed: s.rng.Uint64(), ElectionTicks: 10, ChunkBytes: 5, MaxAppendBytes: 200,
 	}, st)
 	if err != nil {
 		s.fail("node %d did not start: %v", n.id, err)
@@ -178,6 +178,7 @@
 
 // crash ends the process and loses what its disk had not synced, torn at random.
 func (s *sim) crash(n *node) {
+	s.crashes++
 	s.abandon(n)
 	n.core = nil
 	n.fs.Crash(func(unsynced int) int { return s.rng.IntN(unsynced + 1) })
@@ -267,7 +268,10 @@
 			return
 		}
 		n.core.Advance()
-		s.maybeSnapshot(n)
+		if !s.maybeSnapshot(n) {
+			s.crash(n)
+			return
+		}
 	}
 	s.check(n)
 }
@@ -289,6 +293,7 @@
 		s.send(n, rd.Messages)
 	}
 	if rd.Snapshot != nil {
+		s.installs++
 		n.machine = decodeRegisters(rd.Snapshot.Data)
 		n.applied, n.snapped = rd.Snapshot.Index, rd.Snapshot.Index
 		s.abandonPending(n, rd.Snapshot.Index)
@@ -303,16 +308,22 @@
 	return true
 }
 
-func (s *sim) maybeSnapshot(n *node) {
+// maybeSnapshot returns false when the process crashes.
+func (s *sim) maybeSnapshot(n *node) bool {
 	if n.applied < n.snapped+snapshotEvery {
-		return
+		return true
 	}
 	n.snapped = n.applied
 	snap := n.core.Compact(n.applied, n.machine.encode(), snapshotEvery/2)
-	if err := n.disk.SaveSnapshot(snap); err != nil {
-		s.fail("snapshot at %d: %v", n.id, err)
+	const snapshotCrash = 50 // per mille of snapshots, in runs with crashes
+	if s.weather.crash > 0 && s.chance(snapshotCrash) {
+		n.fs.FailSync(fmt.Errorf("crash during sync"))
+	}
+	if n.disk.SaveSnapshot(snap) != nil || s.chance(s.weather.crash) {
+		return false
 	}
 	if err := n.disk.Compact(); err != nil {
 		s.fail("compaction at %d: %v", n.id, err)
 	}
+	return true
 }
--- a/internal/consensus/snapshot.go
+++ b/internal/consensus/snapshot.go
@@ -1,10 +1,6 @@
 package consensus
 
-import (
-	"github.com/cespare/xxhash/v2"
-
-	"filberthook/internal/invariant"
-)
+import "github.com/cespare/xxhash/v2"
 
 // MaxSnapshotBytes bounds the data of one snapshot.
 const MaxSnapshotBytes = 1 << 30
@@ -45,7 +41,7 @@
 	chunk := m.Chunk
 	if chunk.Index <= c.log.committed {
 		c.incoming = nil
-		c.send(Message{Type: MessageAppendResponse, To: m.From, Term: c.term, Index: c.log.committed})
+		c.reply(m, Message{Type: MessageAppendResponse, Term: c.term, Index: c.log.committed})
 		return
 	}
 	if !c.incoming.belongs(m) {
@@ -66,11 +62,11 @@
 		return
 	}
 	c.install(&Snapshot{Index: chunk.Index, Term: chunk.Term, Membership: chunk.Membership, Data: in.data})
-	c.send(Message{Type: MessageAppendResponse, To: m.From, Term: c.term, Index: chunk.Index})
+	c.reply(m, Message{Type: MessageAppendResponse, Term: c.term, Index: chunk.Index})
 }
 
 func (c *Core) requestChunk(m *Message, offset uint64) {
-	c.send(Message{Type: MessageSnapshotResponse, To: m.From, Term: c.term, Index: m.Chunk.Index, Hint: offset})
+	c.reply(m, Message{Type: MessageSnapshotResponse, Term: c.term, Index: m.Chunk.Index, Hint: offset})
 }
 
 // install takes over a complete snapshot. When the log already holds the entry at
@@ -88,11 +84,9 @@
 }
 
 func (c *Core) handleSnapshotResponse(p *progress, m *Message) {
-	if p.state != stateSnapshot || m.Index != p.snapshot.Index {
+	if p.state != stateSnapshot || m.Index != p.snapshot.Index || m.Hint > uint64(len(p.snapshot.Data)) {
 		return
 	}
-	total := uint64(len(p.snapshot.Data))
-	invariant.Check(m.Hint <= total, "snapshot-offset", "replica %d wants offset %d of %d", m.From, m.Hint, total)
 	if m.Hint == p.offset && m.Hint != 0 {
 		return // answer to a repeated chunk
 	}
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -9,6 +9,9 @@
 	case m.To != c.cfg.ID:
 		return &RefusedError{Reason: ReasonWrongAddressee}
 	}
+	if err := c.checkAddressee(m); err != nil {
+		return err
+	}
 	if err := c.checkSender(m); err != nil {
 		return err
 	}
@@ -30,6 +33,19 @@
 	return nil
 }
 
+// checkAddressee drops messages meant for another data folder under this id, such
+// as votes that this replica's predecessor asked for. A leader sends heartbeats only
+// to the replica it knows, so one for another folder shows that this disk was lost.
+func (c *Core) checkAddressee(m *Message) error {
+	if m.ToIncarnation == 0 || m.ToIncarnation == c.cfg.Incarnation || c.fault == faultIgnoreIncarnation {
+		return nil
+	}
+	if m.Type == MessageHeartbeat {
+		c.excluded = ExclusionDiskLost
+	}
+	return &RefusedError{Reason: ReasonWrongIncarnation}
+}
+
 // checkSender drops messages of removed replicas and of replicas that lost the
 // data folder under which the group knows them.
 func (c *Core) checkSender(m *Message) error {
@@ -43,7 +59,7 @@
 		return nil
 	}
 	if m.Type != MessageExcluded {
-		c.send(Message{Type: MessageExcluded, To: m.From, Hint: member.Incarnation})
+		c.reply(m, Message{Type: MessageExcluded, Hint: member.Incarnation})
 	}
 	return &RefusedError{Reason: ReasonWrongIncarnation}
 }
@@ -51,7 +67,7 @@
 // tellRemoved answers a removed replica once its removal is committed.
 func (c *Core) tellRemoved(m *Message) {
 	if m.Type != MessageExcluded && c.membershipAt(c.log.committed).IsRetired(m.From) {
-		c.send(Message{Type: MessageExcluded, To: m.From})
+		c.reply(m, Message{Type: MessageExcluded})
 	}
 }
 
@@ -90,9 +106,9 @@
 func (c *Core) turnAway(m *Message) bool {
 	switch m.Type {
 	case MessageAppend, MessageHeartbeat, MessageSnapshotChunk:
-		c.send(Message{Type: MessageAppendResponse, To: m.From, Term: c.term, Index: m.Index, Reject: true})
+		c.reply(m, Message{Type: MessageAppendResponse, Term: c.term, Index: m.Index, Reject: true})
 	case MessagePreVote:
-		c.send(Message{Type: MessagePreVoteResponse, To: m.From, Term: c.term, Reject: true})
+		c.reply(m, Message{Type: MessagePreVoteResponse, Term: c.term, Reject: true})
 	}
 	return false
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -20,9 +20,12 @@
 
 // HardState must be durable before any message of the same Ready is sent.
 type HardState struct {
-	Term   uint64
-	Vote   uint64 // replica voted for in Term, 0 for none
-	Commit uint64
+	Term uint64
+	Vote uint64 // replica voted for in Term, 0 for none
+	// VoteIncarnation is the incarnation of that replica: the vote must not count
+	// for the same id with another data folder.
+	VoteIncarnation uint64
+	Commit          uint64
 }
 
 // Snapshot is the state machine's state after the entry at Index was applied.
@@ -100,16 +103,19 @@
 	From        uint64
 	To          uint64
 	Incarnation uint64 // of the sender
-	Term        uint64
-	LogTerm     uint64 // term of the entry at Index
-	Index       uint64 // previous, last or matched index, by type
-	Commit      uint64
-	Context     uint64 // read sequence number or read context
-	Hint        uint64 // follower's last possible match, next chunk offset or incarnation
-	Reject      bool
-	Force       bool // vote request of a leadership transfer: passes the lease check
-	Entries     []Entry
-	Chunk       *SnapshotChunk
+	// ToIncarnation is the one that the message is meant for, 0 when unknown. A
+	// replica with another data folder must not take it for its own.
+	ToIncarnation uint64
+	Term          uint64
+	LogTerm       uint64 // term of the entry at Index
+	Index         uint64 // previous, last or matched index, by type
+	Commit        uint64
+	Context       uint64 // read sequence number or read context
+	Hint          uint64 // follower's last possible match, next chunk offset or incarnation
+	Reject        bool
+	Force         bool // vote request of a leadership transfer: passes the lease check
+	Entries       []Entry
+	Chunk         *SnapshotChunk
 }
 
 // SnapshotChunk is one bounded piece of a snapshot's data.
--- a/internal/wal/frame.go
+++ b/internal/wal/frame.go
@@ -80,7 +80,7 @@
 
 func (l *Log) addHardState(h consensus.HardState) {
 	l.hard = h
-	l.addRecord(recordHardState, encodeUvarints(h.Term, h.Vote, h.Commit))
+	l.addRecord(recordHardState, encodeUvarints(h.Term, h.Vote, h.VoteIncarnation, h.Commit))
 }
 
 func (l *Log) addStart(at Position) {
--- a/internal/wal/read.go
+++ b/internal/wal/read.go
@@ -173,7 +173,7 @@
 	switch t {
 	case recordHardState:
 		h := &r.out.HardState
-		if !decodeUvarints(data, &h.Term, &h.Vote, &h.Commit) {
+		if !decodeUvarints(data, &h.Term, &h.Vote, &h.VoteIncarnation, &h.Commit) {
 			return "hard state"
 		}
 	case recordEntry:
