--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -13,7 +13,7 @@
 // Advance once the work is done and must not call other methods in between.
 func (c *Core) Ready() Ready {
 	invariant.Check(c.ready == nil, "ready-advance-order", "Ready called before Advance")
-	if c.diskLost {
+	if c.excluded != ExclusionNone {
 		return Ready{}
 	}
 	if c.role == RoleLeader {
@@ -46,11 +46,11 @@
 // attachHardState adds the hard state when something durable depends on it. A new
 // commit index alone does not: a restarted replica learns it from the leader.
 func (c *Core) attachHardState(r *Ready) {
-	hs := HardState{Term: c.term, Vote: c.vote, Commit: c.log.committed}
+	hs := HardState{Term: c.term, Vote: c.vote, VoteIncarnation: c.voteFolder, Commit: c.log.committed}
 	if c.fault == faultForgetVote {
-		hs.Vote = 0
+		hs.Vote, hs.VoteIncarnation = 0, 0
 	}
-	changed := hs.Term != c.saved.Term || hs.Vote != c.saved.Vote
+	changed := hs.Term != c.saved.Term || hs.Vote != c.saved.Vote || hs.VoteIncarnation != c.saved.VoteIncarnation
 	if changed {
 		// The term is not durable yet, so nothing may be sent under it.
 		r.Messages = append(r.Early, r.Messages...)
@@ -131,6 +131,9 @@
 // Role returns the replica's current role.
 func (c *Core) Role() Role { return c.role }
 
+// Leader returns the leader of the current term, 0 when unknown.
+func (c *Core) Leader() uint64 { return c.leader }
+
 // MemberStatus is what a leader knows about a member.
 type MemberStatus struct {
 	Member
@@ -150,14 +153,14 @@
 	LastIndex  uint64
 	Membership Membership
 	Members    []MemberStatus // filled on the leader only
-	DiskLost   bool           // the group knows this id with another data folder
+	Exclusion  Exclusion
 }
 
 // Status returns the current status.
 func (c *Core) Status() Status {
 	s := Status{
 		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader, Commit: c.log.committed, Applied: c.log.applied,
-		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), Membership: c.membership(), DiskLost: c.diskLost,
+		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), Membership: c.membership(), Exclusion: c.excluded,
 	}
 	if c.role != RoleLeader {
 		return s
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -20,9 +20,12 @@
 
 // HardState must be durable before any message of the same Ready is sent.
 type HardState struct {
-	Term   uint64
-	Vote   uint64 // replica voted for in Term, 0 for none
-	Commit uint64
+	Term uint64
+	Vote uint64 // replica voted for in Term, 0 for none
+	// VoteIncarnation is the incarnation of that replica: the vote must not count
+	// for the same id with another data folder.
+	VoteIncarnation uint64
+	Commit          uint64
 }
 
 // Snapshot is the state machine's state after the entry at Index was applied.
@@ -60,6 +63,17 @@
 	return "unknown"
 }
 
+// Exclusion says why a replica takes no part in its group any more. It is final.
+type Exclusion uint8
+
+const (
+	ExclusionNone Exclusion = iota
+	// ExclusionDiskLost: the group knows the replica's id with another data folder.
+	ExclusionDiskLost
+	// ExclusionRemoved: the replica was removed from the group.
+	ExclusionRemoved
+)
+
 // MessageType says what a Message asks or answers.
 type MessageType uint8
 
@@ -77,9 +91,9 @@
 	MessageTimeoutNow
 	MessageReadIndex
 	MessageReadIndexResponse
-	// MessageDiskLost tells a replica that its incarnation is not the one that the
-	// group recorded for its id; Hint carries the recorded incarnation.
-	MessageDiskLost
+	// MessageExcluded tells a replica that it is no member any more. Hint carries the
+	// incarnation that the group recorded for its id, 0 when the id was removed.
+	MessageExcluded
 	messageTypeEnd
 )
 
@@ -89,16 +103,19 @@
 	From        uint64
 	To          uint64
 	Incarnation uint64 // of the sender
-	Term        uint64
-	LogTerm     uint64 // term of the entry at Index
-	Index       uint64 // previous, last or matched index, by type
-	Commit      uint64
-	Context     uint64 // read sequence number or read context
-	Hint        uint64 // follower's last possible match, next chunk offset or incarnation
-	Reject      bool
-	Force       bool // vote request of a leadership transfer: passes the lease check
-	Entries     []Entry
-	Chunk       *SnapshotChunk
+	// ToIncarnation is the one that the message is meant for, 0 when unknown. A
+	// replica with another data folder must not take it for its own.
+	ToIncarnation uint64
+	Term          uint64
+	LogTerm       uint64 // term of the entry at Index
+	Index         uint64 // previous, last or matched index, by type
+	Commit        uint64
+	Context       uint64 // read sequence number or read context
+	Hint          uint64 // follower's last possible match, next chunk offset or incarnation
+	Reject        bool
+	Force         bool // vote request of a leadership transfer: passes the lease check
+	Entries       []Entry
+	Chunk         *SnapshotChunk
 }
 
 // SnapshotChunk is one bounded piece of a snapshot's data.
--- a/internal/faultnet/relay_test.go
+++ b/internal/faultnet/relay_test.go
@@ -135,6 +135,22 @@
 	}
 }
 
+func TestDownClosesOldAndNewConnections(t *testing.T) {
+	r := newRelay(t, echoServer(t))
+	c := dial(t, r)
+	if !exchange(t, c, soon) {
+		t.Fatal("no answer through a whole relay")
+	}
+	r.Down()
+	if exchange(t, c, soon) || exchange(t, dial(t, r), soon) {
+		t.Error("answer through a relay that is down")
+	}
+	r.Up()
+	if !exchange(t, dial(t, r), soon) {
+		t.Error("no answer after the relay came up")
+	}
+}
+
 func TestEndOfStreamPasses(t *testing.T) {
 	r := newRelay(t, echoServer(t))
 	c := dial(t, r)
@@ -148,4 +164,7 @@
 	if string(got) != "ab" || err != nil {
 		t.Errorf("read %q, %v; want ab and the end", got, err)
 	}
+	if there, back := r.Bytes(); there != 2 || back != 2 {
+		t.Errorf("relay passed %d and %d bytes, want 2 and 2", there, back)
+	}
 }
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -28,7 +29,7 @@
 	FirstIndex    uint64
 	LastIndex     uint64
 	Members       []MemberStatus
-	DiskLost      bool
+	Exclusion     consensus.Exclusion
 }
 
 // Status returns the replica's status after its last batch of work.
@@ -39,7 +40,7 @@
 	leader, _ := s.Membership.Find(s.Leader)
 	out := &Status{
 		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: leader.Address, Role: s.Role.String(),
-		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, DiskLost: s.DiskLost,
+		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, Exclusion: s.Exclusion,
 	}
 	for i, m := range s.Membership.Members {
 		ms := MemberStatus{Member: Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner}}
@@ -48,10 +49,28 @@
 		}
 		out.Members = append(out.Members, ms)
 	}
-	r.status.Store(out)
+	if previous := r.status.Swap(out); previous != nil {
+		r.noteChange(previous, out)
+	}
 	return out
 }
 
+// noteChange logs and counts changes of leadership and membership.
+func (r *Replica) noteChange(previous, now *Status) {
+	if now.Role == roleLeader && previous.Role != roleLeader {
+		r.counters.elected.Inc()
+	}
+	if now.Leader != previous.Leader {
+		r.cfg.Logger.Info("leader changed", slog.Uint64("replica", now.ID), slog.Uint64("leader", now.Leader),
+			slog.Uint64("term", now.Term), slog.Uint64("commit", now.Commit))
+	}
+	if len(now.Members) != len(previous.Members) {
+		r.cfg.Logger.Info("membership changed", slog.Uint64("replica", now.ID), slog.Int("members", len(now.Members)))
+	}
+}
+
+var roleLeader = consensus.RoleLeader.String()
+
 // counters are the replica's metrics.
 type counters struct {
 	set            *metrics.Set
@@ -62,6 +81,7 @@
 	readRetries    *metrics.Counter
 	readTimeouts   *metrics.Counter
 	snapshots      *metrics.Counter
+	elected        *metrics.Counter
 	snapshotErrors *metrics.Counter
 	sentBytes      *metrics.Counter
 	receivedBytes  *metrics.Counter
@@ -76,6 +96,7 @@
 		proposed:       set.GetOrCreateCounter(`filberthook_replica_proposals_applied_total`),
 		readRetries:    set.GetOrCreateCounter(`filberthook_replica_read_retries_total`),
 		readTimeouts:   set.GetOrCreateCounter(`filberthook_replica_read_timeouts_total`),
+		elected:        set.GetOrCreateCounter(`filberthook_replica_elections_won_total`),
 		snapshots:      set.GetOrCreateCounter(`filberthook_replica_snapshots_written_total`),
 		snapshotErrors: set.GetOrCreateCounter(`filberthook_replica_snapshot_errors_total`),
 		sentBytes:      set.GetOrCreateCounter(`filberthook_replica_sent_bytes_total`),
@@ -83,6 +104,24 @@
 	}
 }
 
+// registerGauges makes the replica's position visible.
+func (r *Replica) registerGauges() {
+	gauges := []struct {
+		name  string
+		value func(*Status) uint64
+	}{
+		{"term", func(s *Status) uint64 { return s.Term }},
+		{"leader", func(s *Status) uint64 { return s.Leader }},
+		{"commit_index", func(s *Status) uint64 { return s.Commit }},
+		{"applied_index", func(s *Status) uint64 { return s.Applied }},
+		{"last_index", func(s *Status) uint64 { return s.LastIndex }},
+	}
+	for _, g := range gauges {
+		name := fmt.Sprintf(`filberthook_replica_%s{replica="%d"}`, g.name, r.cfg.ID)
+		r.cfg.Metrics.GetOrCreateGauge(name, func() float64 { return float64(g.value(r.status.Load())) })
+	}
+}
+
 func (c *counters) sent(n int)     { c.sentBytes.Add(n) }
 func (c *counters) received(n int) { c.receivedBytes.Add(n) }
 
