Distribution: leave a silent or stale replica sooner; date the reports of engines

Cause: a host whose replica failed silently had a change in force after up to 5.5 s (bound of the test, virtual time); reports of engines by a former planner looked as fresh as its host. Change: a watch ends when its replica becomes stale; the grace of a watch is 500 ms; engines are reported at most every 2 s and carry their own age. Conclusion: under 2 s also when one replica fails silently.

--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -65,10 +65,12 @@
 	watched     atomic.Pointer[string]
 
 	// The fields below belong to the goroutine of Run.
-	index   int // replica in use
-	full    bool
-	failed  int // tries in a row that failed
-	started time.Duration
+	index      int // replica in use
+	full       bool
+	failed     int // tries in a row that failed
+	started    time.Duration
+	reported   bool // a report of engines was sent, at reportedAt
+	reportedAt time.Duration
 }
 
 const noConfirmation = -1
@@ -193,9 +195,7 @@
 		Confirm:    have == 0 && c.confirmedAt.Load() == noConfirmation,
 		WaitMillis: WatchWait.Milliseconds(),
 	}
-	if c.settings.Engines != nil {
-		req.Engines = c.settings.Engines()
-	}
+	req.Engines = c.engineReport()
 	var resp WatchResponse
 	err := replica.Call(ctx, MethodWatch, req, &resp)
 	if err != nil {
@@ -204,6 +204,17 @@
 	return resp, err
 }
 
+// engineReport returns the report of engines when one is due, otherwise nil.
+func (c *Client) engineReport() []EngineReport {
+	now := c.settings.Clock()
+	if c.settings.Engines == nil || (c.reported && now-c.reportedAt < EngineReportInterval) {
+		return nil
+	}
+	c.reported = true
+	c.reportedAt = now
+	return c.settings.Engines()
+}
+
 // errBehind and errStale make the client try another replica.
 var (
 	errBehind = errors.New("the replica is older than this host; another one may be newer")
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -165,6 +165,10 @@
 	})
 }
 
+// inForceLimit is the longest time until a change is in force at a host whose
+// replica fails silently, in virtual time.
+const inForceLimit = 1700 * time.Millisecond
+
 func TestWatcherLeavesAReplicaThatFails(t *testing.T) {
 	tests := []struct {
 		name string
@@ -174,21 +178,28 @@
 		{"replica does not answer", func(r *replica) { r.down.Store(true) }},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := newGroup(3)
-				g.commit(t)
-				c := g.watcher(t, "")
-				settle(time.Second)
-				tt.fail(g.replicas[0])
-				g.commit(t)
-				settle(StaleAfter + 2*(WatchWait+WatchGrace))
-				wantRevision(t, c, 2)
+		for phase := time.Duration(0); phase < 2*WatchWait; phase += 100 * time.Millisecond {
+			t.Run(fmt.Sprint(tt.name, " after ", phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					watchThroughFailure(t, phase, tt.fail)
+				})
 			})
-		})
+		}
 	}
 }
 
+// watchThroughFailure lets the replica that is watched fail right before a
+// change, at a phase of its watches.
+func watchThroughFailure(t *testing.T, phase time.Duration, fail func(*replica)) {
+	g := newGroup(3)
+	g.commit(t)
+	c := g.watcher(t, "")
+	settle(time.Second + phase)
+	fail(g.replicas[0])
+	g.commit(t)
+	settle(inForceLimit)
+	wantRevision(t, c, 2)
+}
 func TestWatcherNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dir := t.TempDir()
--- a/internal/distribution/hub.go
+++ b/internal/distribution/hub.go
@@ -105,7 +105,7 @@
 }
 
 // Watch answers as soon as this replica has something newer than the watcher,
-// or after the wait that the watcher asked for.
+// becomes stale, or after the wait that the watcher asked for.
 func (h *Hub) Watch(ctx context.Context, req WatchRequest) (WatchResponse, error) {
 	wait := min(time.Duration(req.WaitMillis)*time.Millisecond, WatchWait)
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -114,20 +114,38 @@
 		// A failure shows as Stale in the answer.
 		_ = h.Confirm(ctx)
 	}
+	wasStale := h.Stale()
 	for {
 		resp, changed, err := h.answer(req)
-		if err != nil || !resp.idle(req) {
+		if err != nil || !resp.idle(req) || (resp.Stale && !wasStale) {
 			return resp, err
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		if !h.await(ctx, changed) {
 			resp, _, err := h.answer(req)
 			return resp, err
 		}
 	}
 }
 
+// await waits for a change or for the moment at which this replica becomes
+// stale unless it is confirmed before. It returns false when ctx ends.
+func (h *Hub) await(ctx context.Context, changed <-chan struct{}) bool {
+	var stale <-chan time.Time
+	if left := h.freshFor(); left > 0 {
+		timer := time.NewTimer(left)
+		defer timer.Stop()
+		stale = timer.C
+	}
+	select {
+	case <-changed:
+		return true
+	case <-stale:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // idle reports whether the answer holds no news for the watcher.
 func (r WatchResponse) idle(req WatchRequest) bool {
 	return r.Revision == req.Have && !req.Full
@@ -168,6 +186,17 @@
 	return h.stale()
 }
 
+// freshFor returns how long this replica stays fresh without a confirmation,
+// 0 when it is stale.
+func (h *Hub) freshFor() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stale() {
+		return 0
+	}
+	return h.confirmedAt + StaleAfter - h.clock() + time.Millisecond
+}
+
 // stale is Stale for callers that hold h.mu.
 func (h *Hub) stale() bool {
 	return !h.confirmed || h.clock()-h.confirmedAt > StaleAfter
--- a/internal/distribution/protocol.go
+++ b/internal/distribution/protocol.go
@@ -20,10 +20,12 @@
 	WatchWait = time.Second
 	// WatchGrace is how much longer a watcher waits before it tries another
 	// replica.
-	WatchGrace = time.Second
+	WatchGrace = 500 * time.Millisecond
 	// StaleAfter is the time after which a replica that could not confirm its
 	// revision with the leader tells its watchers so.
 	StaleAfter = 1500 * time.Millisecond
+	// EngineReportInterval is the shortest time between reports of engines.
+	EngineReportInterval = 2 * time.Second
 	// LiveFor is how long a host counts as live after its last report.
 	LiveFor = 5 * time.Second
 	// ForgetAfter is how long a silent host stays in the status.
--- a/internal/distribution/registry.go
+++ b/internal/distribution/registry.go
@@ -13,12 +13,14 @@
 
 // HostReport is the newest report of one host, as one replica knows it.
 type HostReport struct {
-	Host     string         `json:"host"`
-	Zone     string         `json:"zone"`
-	Revision uint64         `json:"revision"`
-	Age      time.Duration  `json:"age"`     // since the report, by the replica's clock
-	Replica  string         `json:"replica"` // host name of the replica
-	Engines  []EngineReport `json:"engines,omitempty"`
+	Host     string        `json:"host"`
+	Zone     string        `json:"zone"`
+	Revision uint64        `json:"revision"`
+	Age      time.Duration `json:"age"`     // since the report, by the replica's clock
+	Replica  string        `json:"replica"` // host name of the replica
+
+	Engines    []EngineReport `json:"engines,omitempty"` // last report of engines
+	EnginesAge time.Duration  `json:"engines_age,omitempty"`
 }
 
 // Live reports whether the host counts as live.
@@ -35,8 +37,9 @@
 }
 
 type hostRecord struct {
-	report HostReport
-	at     time.Duration
+	report    HostReport
+	at        time.Duration
+	enginesAt time.Duration // of report.Engines
 }
 
 // NewRegistry returns an empty registry of the replica with a host name.
@@ -53,12 +56,15 @@
 	if !known && len(r.hosts) >= maxHosts {
 		return
 	}
+	now := r.clock()
+	enginesAt := now
 	if engines == nil {
-		engines = old.report.Engines
+		engines, enginesAt = old.report.Engines, old.enginesAt
 	}
 	r.hosts[host] = hostRecord{
-		report: HostReport{Host: host, Zone: zone, Revision: revision, Replica: r.replica, Engines: engines},
-		at:     r.clock(),
+		report:    HostReport{Host: host, Zone: zone, Revision: revision, Replica: r.replica, Engines: engines},
+		at:        now,
+		enginesAt: enginesAt,
 	}
 }
 
@@ -72,6 +78,7 @@
 	for _, rec := range r.hosts {
 		report := rec.report
 		report.Age = now - rec.at
+		report.EnginesAge = now - rec.enginesAt
 		all = append(all, report)
 	}
 	return all
--- a/internal/operator/read.go
+++ b/internal/operator/read.go
@@ -127,8 +127,8 @@
 	for _, r := range reports {
 		for _, e := range r.Engines {
 			known, ok := engines[e.Instance]
-			if !ok || r.Age.Milliseconds() < known.AgeMs {
-				engines[e.Instance] = engineStatusOf(e, r.Age)
+			if !ok || r.EnginesAge.Milliseconds() < known.AgeMs {
+				engines[e.Instance] = engineStatusOf(e, r.EnginesAge)
 			}
 		}
 	}
