--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -136,6 +136,7 @@
 		}
 		if resp.InForce {
 			a.progress("revision %d is in force at all live hosts", revision)
+			a.warnSilent(resp)
 			return nil
 		}
 		late = lateHosts(resp)
@@ -143,6 +144,20 @@
 	}
 }
 
+// warnSilent names the hosts that have not reported lately and lack the
+// revision, for example in a zone that is cut off.
+func (a *app) warnSilent(resp *filberthookv1.GetStatusResponse) {
+	var silent []string
+	for _, h := range resp.Hosts {
+		if !h.Live && !h.Applied {
+			silent = append(silent, h.Host)
+		}
+	}
+	if len(silent) > 0 {
+		a.progress("warning: not in force at hosts that do not report: %v", silent)
+	}
+}
+
 func lateHosts(resp *filberthookv1.GetStatusResponse) []string {
 	var late []string
 	for _, h := range resp.Hosts {
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -37,9 +39,30 @@
 // running is one node with its settings; it can be stopped and started.
 type running struct {
 	settings settings.Control
+	logs     lockedBuffer
 	stop     func()
 }
 
+// lockedBuffer collects the log lines of a node.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns what was written so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -58,15 +81,7 @@
 		members = append(members, settings.ControlMember{ID: uint64(i + 1), Address: freeAddress(t), Zone: fmt.Sprint("z", i+1)})
 	}
 	for _, m := range members {
-		s := settings.Control{
-			Host:    fmt.Sprint("c", m.ID),
-			Zone:    m.Zone,
-			DataDir: filepath.Join(t.TempDir(), "data"),
-			Listen:  settings.ControlListen{Peers: m.Address, Operators: freeAddress(t), Status: freeAddress(t)},
-			Replica: settings.ControlReplica{ID: m.ID, Members: members},
-			Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
-		}
-		c.nodes = append(c.nodes, &running{settings: s})
+		c.add(m, settings.ControlReplica{ID: m.ID, Members: members})
 	}
 	for i := range c.nodes {
 		c.start(i)
@@ -74,10 +89,23 @@
 	return c
 }
 
+// add adds a node that is not started yet.
+func (c *cluster) add(m settings.ControlMember, r settings.ControlReplica) {
+	c.nodes = append(c.nodes, &running{settings: settings.Control{
+		Host:    fmt.Sprint("c", m.ID),
+		Zone:    m.Zone,
+		DataDir: filepath.Join(c.t.TempDir(), "data"),
+		Listen:  settings.ControlListen{Peers: m.Address, Operators: freeAddress(c.t), Status: freeAddress(c.t)},
+		Replica: r,
+		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
+	}})
+}
+
 func (c *cluster) start(i int) {
 	c.t.Helper()
 	n := c.nodes[i]
-	node, err := New(n.settings, slog.New(slog.DiscardHandler), metrics.NewSet())
+	logger := slog.New(slog.NewTextHandler(&n.logs, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	node, err := New(n.settings, logger, metrics.NewSet())
 	if err != nil {
 		c.t.Fatal(err)
 	}
