--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -191,6 +191,19 @@
 	}
 }
 
+// TestLateOrderAfterAQuietTakeover delivers an order of the former holder after
+// a takeover in which the successor had nothing to order.
+func TestLateOrderAfterAQuietTakeover(t *testing.T) {
+	inWorld(t, true, func(t *testing.T, w *world, a, _ *host) {
+		a.set(func(h *host) { h.pause, h.cut = takeover+20*time.Second, true })
+		go a.manager.Order(context.Background(), "e1", setRole(engineapi.RolePrefill))
+		settle(takeover + 40*time.Second)
+		if c := w.counts("e1"); c.OldFence == 0 || w.role("e1") != engineapi.RoleMixed {
+			t.Errorf("counts %+v, role %s; want the late order refused", c, w.role("e1"))
+		}
+	})
+}
+
 func TestReleaseHandsOverAtOnce(t *testing.T) {
 	inWorld(t, false, func(t *testing.T, _ *world, a, b *host) {
 		a.set(func(h *host) { h.cut = false })
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -124,7 +124,14 @@
 		return set.GetOrCreateCounter(fmt.Sprintf(`filberthook_configuration_retries_total{reason=%q}`, reason))
 	}
 	set.GetOrCreateGauge("filberthook_configuration_revision", func() float64 { return float64(c.Snapshot().Revision) })
-	set.GetOrCreateGauge("filberthook_configuration_age_seconds", func() float64 { return c.Status().Age.Seconds() })
+	created := c.settings.Clock()
+	set.GetOrCreateGauge("filberthook_configuration_age_seconds", func() float64 {
+		status := c.Status()
+		if !status.Known {
+			return (c.settings.Clock() - created).Seconds()
+		}
+		return status.Age.Seconds()
+	})
 	return clientMetrics{
 		updates:  set.GetOrCreateCounter("filberthook_configuration_updates_total"),
 		switches: set.GetOrCreateCounter("filberthook_configuration_replica_switches_total"),
