--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -32,7 +34,9 @@
 
 // startControl runs a control group of one replica and points the command line
 // at it.
-func startControl(t *testing.T) {
+func startControl(t *testing.T) { startControlWith(t, settings.TLS{}) }
+
+func startControlWith(t *testing.T, tls settings.TLS) {
 	t.Helper()
 	peers := freeAddress(t)
 	s := settings.Control{
@@ -40,6 +44,7 @@
 		Listen:  settings.ControlListen{Peers: peers, Operators: freeAddress(t), Status: freeAddress(t)},
 		Replica: settings.ControlReplica{ID: 1, Members: []settings.ControlMember{{ID: 1, Address: peers, Zone: "bio"}}},
 		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey("admin"))},
+		TLS:     tls,
 	}
 	node, err := controlnode.New(s, slog.New(slog.DiscardHandler), metrics.NewSet())
 	if err != nil {
@@ -140,6 +145,7 @@
 		{"keys", "ca", "--dir", dir},
 		{"keys", "host", "c1", "--ip", "127.0.0.1", "--dir", dir},
 		{"keys", "check", filepath.Join(dir, "c1.pem")},
+		{"keys", "gossip", "--file", filepath.Join(dir, "gossip.key")},
 		{"key", "new"},
 	}
 	for _, args := range steps {
@@ -155,6 +161,59 @@
 	}
 }
 
+// TestOverTLS issues certificates by the command line and uses them.
+func TestOverTLS(t *testing.T) {
+	dir := t.TempDir()
+	for _, args := range [][]string{{"keys", "ca", "--dir", dir}, {"keys", "host", "c1", "--ip", "127.0.0.1", "--dir", dir}} {
+		if got := run(args...); got.code != ExitOK {
+			t.Fatalf("%v: %+v", args, got)
+		}
+	}
+	ca := filepath.Join(dir, "ca.pem")
+	startControlWith(t, settings.TLS{CA: ca, Certificate: filepath.Join(dir, "c1.pem"), Key: filepath.Join(dir, "c1.key")})
+	if got := run("--ca", ca, "team", "create", "a"); got.code != ExitOK {
+		t.Errorf("with the CA: %+v", got)
+	}
+	if got := run("--timeout", "300ms", "status"); got.code == ExitOK {
+		t.Error("plaintext was served")
+	}
+	other := t.TempDir()
+	run("keys", "ca", "--dir", other)
+	if got := run("--ca", filepath.Join(other, "ca.pem"), "--timeout", "300ms", "status"); got.code == ExitOK {
+		t.Error("a control host of another CA was trusted")
+	}
+}
+
+func TestExplainAsksTheEntryHost(t *testing.T) {
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("request_id") == "unknown" {
+			http.Error(w, "not remembered", http.StatusNotFound)
+			return
+		}
+		json.NewEncoder(w).Encode(r.URL.String())
+	}))
+	defer entry.Close()
+	address := strings.TrimPrefix(entry.URL, "http://")
+	tests := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{"requests", []string{"requests"}, ExitOK, "/requests"},
+		{"call", []string{"explain", "r1"}, ExitOK, "/explain?request_id=r1"},
+		{"request now", []string{"explain", "--endpoint", "e", "--deadline", "20s"}, ExitOK, "deadline=20s"},
+		{"neither", []string{"explain"}, ExitUsage, "request id or --endpoint"},
+		{"unknown call", []string{"explain", "unknown"}, ExitUsage, "not remembered"},
+	}
+	for _, tt := range tests {
+		got := run(append(tt.args, "--entry", address)...)
+		if got.code != tt.code || !strings.Contains(got.out+got.errOut, tt.want) {
+			t.Errorf("%s: %+v", tt.name, got)
+		}
+	}
+}
+
 func TestHelpNamesExitCodes(t *testing.T) {
 	if got := run("--help"); got.code != ExitOK || !strings.Contains(got.out, "Exit codes") {
 		t.Errorf("exit code %d, %d bytes", got.code, len(got.out))
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -44,6 +44,10 @@
 	hostDir := host.Flag("dir", "Folder with the CA, to write to.").Default("keys").String()
 	a.command(host, func(context.Context) error { return a.newHost(*hostDir, *name, *addresses) })
 
+	gossip := parent.Command("gossip", "Make the key that entry hosts sign their packets with; the same file goes to every entry host.")
+	gossipFile := gossip.Flag("file", "File to write.").Default("keys/gossip.key").String()
+	a.command(gossip, func(context.Context) error { return a.newGossipKey(*gossipFile) })
+
 	check := parent.Command("check", "Show when certificates end.")
 	files := check.Arg("file", "Certificate files.").Required().Strings()
 	a.command(check, func(context.Context) error { return a.checkKeys(*files) })
@@ -81,6 +85,17 @@
 	return nil
 }
 
+func (a *app) newGossipKey(file string) error {
+	if err := os.MkdirAll(filepath.Dir(file), 0o700); err != nil {
+		return usage("make the folder: %w; correct --file", err)
+	}
+	if err := keys.WriteShared(file); err != nil {
+		return usage("%w", err)
+	}
+	fmt.Fprintf(a.out, "wrote %s\n", file)
+	return nil
+}
+
 func readPair(certificate, key string) (keys.Pair, error) {
 	var p keys.Pair
 	var err error
--- a/internal/cli/requests.go
+++ b/internal/cli/requests.go
@@ -26,11 +26,36 @@
 	entry := requests.Flag("entry", "Status address of the entry host.").Envar("FILBERTHOOK_ENTRY").Required().String()
 	a.command(requests, func(ctx context.Context) error { return a.askEntry(ctx, *entry, requestsPath, nil) })
 
-	explain := parser.Command("explain", "Show the decisions that an entry host took for a call.")
-	explainEntry := explain.Flag("entry", "Status address of the entry host.").Envar("FILBERTHOOK_ENTRY").Required().String()
-	id := explain.Arg("request-id", "Request id of the call, from the answer's X-Request-Id.").Required().String()
+	a.addExplain(parser)
+}
+
+// addExplain adds the command that tells what an entry host decided for a call,
+// or would decide for a request now.
+func (a *app) addExplain(parser *kingpin.Application) {
+	explain := parser.Command("explain", "Show what an entry host decided for a call, or with --endpoint what it would decide now, and why.")
+	entry := explain.Flag("entry", "Status address of the entry host.").Envar("FILBERTHOOK_ENTRY").Required().String()
+	id := explain.Arg("request-id", "Request id of the call, from the answer's X-Request-Id.").String()
+	query := map[string]*string{
+		"endpoint":      explain.Flag("endpoint", "Endpoint of the request.").String(),
+		"prompt_tokens": explain.Flag("prompt-tokens", "Length of the prompt.").String(),
+		"output_tokens": explain.Flag("output-tokens", "Expected length of the answer.").String(),
+		"class":         explain.Flag("class", "Class of the request.").String(),
+		"deadline":      explain.Flag("deadline", "Deadline with its unit, such as 20s.").String(),
+	}
 	a.command(explain, func(ctx context.Context) error {
-		return a.askEntry(ctx, *explainEntry, explainPath, url.Values{"request_id": {*id}})
+		values := url.Values{}
+		for name, value := range query {
+			if *value != "" {
+				values.Set(name, *value)
+			}
+		}
+		if (*id == "") == (values.Get("endpoint") == "") {
+			return usage("name either a request id or --endpoint")
+		}
+		if *id != "" {
+			values = url.Values{"request_id": {*id}}
+		}
+		return a.askEntry(ctx, *entry, explainPath, values)
 	})
 }
 
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -33,6 +33,7 @@
 // cluster is a control group whose nodes run in this process.
 type cluster struct {
 	t     *testing.T
+	tls   func(host string) settings.TLS
 	nodes []*running
 }
 
@@ -74,8 +75,13 @@
 }
 
 func startCluster(t *testing.T, size int) *cluster {
+	return startClusterWith(t, size, func(string) settings.TLS { return settings.TLS{} })
+}
+
+// startClusterWith starts nodes with the TLS settings of their hosts.
+func startClusterWith(t *testing.T, size int, tls func(host string) settings.TLS) *cluster {
 	t.Helper()
-	c := &cluster{t: t}
+	c := &cluster{t: t, tls: tls}
 	var members []settings.ControlMember
 	for i := range size {
 		members = append(members, settings.ControlMember{ID: uint64(i + 1), Address: freeAddress(t), Zone: fmt.Sprint("z", i+1)})
@@ -98,6 +104,7 @@
 		Listen:  settings.ControlListen{Peers: m.Address, Operators: freeAddress(c.t), Status: freeAddress(c.t)},
 		Replica: r,
 		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
+		TLS:     c.tls(fmt.Sprint("c", m.ID)),
 	}})
 }
 
--- a/internal/keys/issue.go
+++ b/internal/keys/issue.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/hex"
 	"encoding/pem"
 	"errors"
 	"fmt"
@@ -144,6 +145,16 @@
 	return writeNew(certificateFile, p.Certificate, 0o644)
 }
 
+// sharedKeyBytes is the length of a key that hosts share.
+const sharedKeyBytes = 32
+
+// WriteShared writes a new random key in hexadecimal to a new file.
+func WriteShared(file string) error {
+	key := make([]byte, sharedKeyBytes)
+	rand.Read(key) // never fails, see package crypto/rand
+	return writeNew(file, []byte(hex.EncodeToString(key)+"\n"), 0o600)
+}
+
 func writeNew(file string, data []byte, mode os.FileMode) error {
 	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
 	if err != nil {
