--- /dev/null
+++ b/internal/replica/receive.go
@@ -0,0 +1,36 @@
+package replica
+
+import "filberthook/internal/consensus"
+
+// maxQueuedBytes bounds the received messages that wait for the loop.
+const maxQueuedBytes = 64 << 20
+
+// Receive takes an encoded message from the transport. It keeps msg. It returns an
+// error for malformed messages; a message that finds the queue full is dropped.
+func (r *Replica) Receive(msg []byte) error {
+	m, err := consensus.DecodeMessage(msg)
+	if err != nil {
+		r.counters.malformed.Inc()
+		return err
+	}
+	r.counters.received(len(msg))
+	size := int64(len(msg))
+	if r.queued.Add(size) > maxQueuedBytes {
+		r.queued.Add(-size)
+		r.counters.queueFull.Inc()
+		return nil
+	}
+	select {
+	case r.messages <- received{message: m, size: size}:
+	default:
+		r.queued.Add(-size)
+		r.counters.queueFull.Inc()
+	}
+	return nil
+}
+
+// received is a message and its encoded size in bytes.
+type received struct {
+	message *consensus.Message
+	size    int64
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -21,8 +18,6 @@
 	queueLength = 4096
 	// batchLength bounds what the loop takes from one queue before it writes.
 	batchLength = 1024
-	// maxQueuedBytes bounds the received messages that wait for the loop.
-	maxQueuedBytes = 64 << 20
 )
 
 // Replica is one running member. All fields below core are used by the loop's
@@ -54,86 +49,9 @@
 	writing      bool // the snapshot writer is busy
 }
 
-// Open recovers the replica from its data folder. The state machine must be empty.
-func Open(cfg Config, sm StateMachine, tr Transport) (*Replica, error) {
-	cfg = cfg.withDefaults()
-	if err := cfg.validate(); err != nil {
-		return nil, err
-	}
-	disk, st, recovery, err := storage.Open(cfg.storageOptions())
-	if err != nil {
-		return nil, fmt.Errorf("open replica %d: %w", cfg.ID, err)
-	}
-	if recovery != (storage.Recovery{}) {
-		cfg.Logger.Warn("recovered from incomplete writes",
-			slog.Int("snapshots", recovery.DamagedSnapshots), slog.Int64("log_bytes", recovery.TornBytes))
-	}
-	r, err := assemble(cfg, sm, tr, disk, st)
-	if err != nil {
-		disk.Close()
-		return nil, fmt.Errorf("open replica %d: %w", cfg.ID, err)
-	}
-	return r, nil
-}
-
-func assemble(cfg Config, sm StateMachine, tr Transport, disk *storage.Storage, st consensus.State) (*Replica, error) {
-	if st.Snapshot.Index > 0 {
-		if err := sm.Restore(st.Snapshot.Data); err != nil {
-			return nil, fmt.Errorf("restore snapshot %d: %w", st.Snapshot.Index, err)
-		}
-	}
-	seed, err := randomUint64()
-	if err != nil {
-		return nil, err
-	}
-	core, err := consensus.New(consensus.Config{
-		ID: cfg.ID, Incarnation: disk.Incarnation(), ElectionTicks: cfg.ElectionTicks, Seed: seed,
-	}, st)
-	if err != nil {
-		return nil, err
-	}
-	r := &Replica{
-		cfg: cfg, transport: tr, machine: sm, storage: disk, core: core,
-		counters:     newCounters(cfg.Metrics),
-		stopped:      make(chan struct{}),
-		messages:     make(chan received, queueLength),
-		proposals:    make(chan *proposal, queueLength),
-		barriers:     make(chan *barrier, queueLength),
-		commands:     make(chan *command, queueLength),
-		snapshots:    make(chan *consensus.Snapshot, 1),
-		written:      make(chan struct{}, 1),
-		pending:      map[uint64]*proposal{},
-		lastSnapshot: st.Snapshot.Index,
-	}
-	// Read contexts start at a random number: an answer to a read made before a
-	// restart must not be taken for the answer to a later one.
-	r.reads.next = seed
-	r.publishStatus()
-	r.registerGauges()
-	return r, nil
-}
-
-func randomUint64() (uint64, error) {
-	var b [8]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return 0, fmt.Errorf("draw random number: %w", err)
-	}
-	return binary.LittleEndian.Uint64(b[:]), nil
-}
-
-// Close releases the data folder of a replica that was never run.
-func (r *Replica) Close() error {
-	if !r.started.CompareAndSwap(false, true) {
-		return nil // Run releases it
-	}
-	close(r.stopped)
-	return r.storage.Close()
-}
-
-// Run serves the replica until ctx ends or the disk fails. It returns nil when ctx
-// ended, *storage.ExcludedError when the replica
-// must not take part any more. It can be
-// called once.
+// Run serves the replica until ctx ends or the disk fails; a leader then hands over
+// first. It returns nil when ctx ended and *storage.ExcludedError when the replica
+// must not take part any more. It can be called once.
 func (r *Replica) Run(ctx context.Context) error {
 	if !r.started.CompareAndSwap(false, true) {
 		return fmt.Errorf("replica %d was started before: open it again", r.cfg.ID)
@@ -318,33 +236,3 @@
 		w.done <- ErrStopped
 	}
 }
-
-// Receive takes an encoded message from the transport. It keeps msg. It returns an
-// error for malformed messages; a message that finds the queue full is dropped.
-func (r *Replica) Receive(msg []byte) error {
-	m, err := consensus.DecodeMessage(msg)
-	if err != nil {
-		r.counters.malformed.Inc()
-		return err
-	}
-	r.counters.received(len(msg))
-	size := int64(len(msg))
-	if r.queued.Add(size) > maxQueuedBytes {
-		r.queued.Add(-size)
-		r.counters.queueFull.Inc()
-		return nil
-	}
-	select {
-	case r.messages <- received{message: m, size: size}:
-	default:
-		r.queued.Add(-size)
-		r.counters.queueFull.Inc()
-	}
-	return nil
-}
-
-// received is a message and its encoded size in bytes.
-type received struct {
-	message *consensus.Message
-	size    int64
-}
