--- /dev/null
+++ b/internal/claim/machine.go
@@ -0,0 +1,289 @@
+// Package claim decides which attempt may dispatch a non-repeatable call. It is
+// a deterministic state machine, meant to be applied from a replicated log: a
+// call is dispatched only after its claim is committed, by the one attempt that
+// the claim was granted to, so that a resend through any entry host finds the
+// claim and does not run the call again.
+//
+// A key is remembered for the retention period from its claim; within it the
+// call runs at most once. The machine never forgets a key early: at its limit
+// it refuses new claims instead.
+package claim
+
+import (
+	"container/heap"
+	"time"
+
+	"filberthook/internal/invariant"
+)
+
+// Limits bound a Machine. All replicas must use the same limits.
+type Limits struct {
+	MaxClaims      int           // keys remembered at once
+	MaxAnswerBytes int           // per answer; larger ones are not kept
+	MaxStoredBytes int           // all answers together; answers beyond it are not kept
+	MaxHold        time.Duration // longest time that a claim may stay in progress
+	Retention      time.Duration // time from a claim until its key is forgotten
+	Withdrawn      time.Duration // time for which a released attempt is remembered
+}
+
+// DefaultLimits returns the limits of a deployment with a few booking workers.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxClaims:      1 << 20,
+		MaxAnswerBytes: 64 << 10,
+		MaxStoredBytes: 256 << 20,
+		MaxHold:        10 * time.Minute,
+		Retention:      24 * time.Hour,
+		Withdrawn:      10 * time.Minute,
+	}
+}
+
+// phase is the state of one claim.
+type phase string
+
+const (
+	phaseRunning phase = "running" // dispatched or about to be; the outcome is pending
+	phaseStored  phase = "stored"  // the call ran and its answer is known
+	phaseUnknown phase = "unknown" // overdue or abandoned; a late answer may still come
+)
+
+// record is one claim.
+type record struct {
+	Key      Key           `json:"key"`
+	Attempt  string        `json:"attempt"`
+	Entry    string        `json:"entry"`
+	BodyHash string        `json:"body_hash"`
+	Phase    phase         `json:"phase"`
+	HoldTill time.Duration `json:"hold_till"` // time at which a running claim becomes unknown
+	KeepTill time.Duration `json:"keep_till"` // time at which the key is forgotten
+	Answer   *StoredAnswer `json:"answer,omitempty"`
+
+	timer *timer // in Machine.timers while the record is in Machine.claims
+}
+
+// Machine holds all claims. It is not safe for concurrent use: the log applies
+// one command at a time.
+type Machine struct {
+	limits      Limits
+	now         time.Duration // of the newest command; only grows
+	claims      map[Key]*record
+	withdrawn   map[string]time.Duration // released attempts, with the time to forget them; at most MaxClaims
+	storedBytes int                      // sum of the sizes of kept answers
+	timers      timers                   // one per claim and per withdrawn attempt, the earliest first
+}
+
+// NewMachine returns an empty Machine.
+func NewMachine(limits Limits) *Machine {
+	return &Machine{limits: limits, claims: make(map[Key]*record), withdrawn: make(map[string]time.Duration)}
+}
+
+// Len returns the number of claims held.
+func (m *Machine) Len() int { return len(m.claims) }
+
+// StoredBytes returns the memory charged for kept answers, in bytes.
+func (m *Machine) StoredBytes() int { return m.storedBytes }
+
+// Apply runs one command. now is the time of the replicated log, the same at
+// every replica; it only grows and never runs ahead of real time.
+func (m *Machine) Apply(now time.Duration, cmd Command) Result {
+	m.advance(now)
+	switch cmd.Kind {
+	case KindClaim:
+		return m.claim(cmd)
+	case KindComplete:
+		return m.complete(cmd)
+	case KindRelease:
+		return m.release(cmd)
+	case KindAbandon:
+		return m.abandon(cmd)
+	case KindLookup:
+		return m.lookup(cmd)
+	default:
+		return Result{Status: Invalid}
+	}
+}
+
+// advance moves the clock, ends claims that are overdue and forgets old ones.
+func (m *Machine) advance(now time.Duration) {
+	invariant.Check(now >= m.now, "claim-clock-grows", "was %v, is %v", m.now, now)
+	m.now = now
+	for len(m.timers) > 0 && m.timers[0].at <= now {
+		m.fire(m.timers[0])
+	}
+}
+
+// fire handles the earliest timer.
+func (m *Machine) fire(t *timer) {
+	switch {
+	case t.rec == nil:
+		heap.Pop(&m.timers)
+		delete(m.withdrawn, t.attempt)
+	case t.rec.Phase == phaseRunning:
+		t.rec.Phase = phaseUnknown
+		m.reset(t.rec)
+	default:
+		m.remove(t.rec)
+	}
+}
+
+func (m *Machine) claim(cmd Command) Result {
+	if cmd.Attempt == "" || cmd.Key.Idempotency == "" || cmd.BodyHash == "" || cmd.Hold <= 0 {
+		return Result{Status: Invalid}
+	}
+	if rec, ok := m.claims[cmd.Key]; ok {
+		return m.existing(rec, cmd)
+	}
+	if _, ok := m.withdrawn[cmd.Attempt]; ok {
+		return Result{Status: Withdrawn, Attempt: cmd.Attempt}
+	}
+	if len(m.claims) >= m.limits.MaxClaims {
+		return Result{Status: Full}
+	}
+	rec := &record{
+		Key:      cmd.Key,
+		Attempt:  cmd.Attempt,
+		Entry:    cmd.Entry,
+		BodyHash: cmd.BodyHash,
+		Phase:    phaseRunning,
+		HoldTill: m.now + min(cmd.Hold, m.limits.MaxHold),
+		KeepTill: m.now + max(m.limits.Retention, m.limits.MaxHold),
+	}
+	m.add(rec)
+	return Result{Status: Granted, Attempt: rec.Attempt, Entry: rec.Entry}
+}
+
+// add stores a claim and starts its timer.
+func (m *Machine) add(rec *record) {
+	rec.timer = &timer{at: rec.nextChange(), rec: rec}
+	m.claims[rec.Key] = rec
+	heap.Push(&m.timers, rec.timer)
+}
+
+// remove forgets a claim.
+func (m *Machine) remove(rec *record) {
+	heap.Remove(&m.timers, rec.timer.index)
+	m.storedBytes -= rec.Answer.size()
+	delete(m.claims, rec.Key)
+}
+
+// nextChange is the time at which the claim's phase or presence changes.
+func (r *record) nextChange() time.Duration {
+	if r.Phase == phaseRunning {
+		return r.HoldTill
+	}
+	return r.KeepTill
+}
+
+// existing answers a claim on a key that is already claimed.
+func (m *Machine) existing(rec *record, cmd Command) Result {
+	if rec.BodyHash != cmd.BodyHash {
+		return Result{Status: KeyReused}
+	}
+	if rec.Attempt == cmd.Attempt && rec.Phase == phaseRunning {
+		// The same attempt proposes again after it did not learn the first result.
+		return Result{Status: Granted, Attempt: rec.Attempt, Entry: rec.Entry}
+	}
+	return m.view(rec)
+}
+
+// view describes a claim to others than its holder.
+func (m *Machine) view(rec *record) Result {
+	res := Result{Attempt: rec.Attempt, Entry: rec.Entry}
+	switch rec.Phase {
+	case phaseRunning:
+		res.Status = InProgress
+		res.Rest = rec.HoldTill - m.now
+	case phaseStored:
+		res.Status = Stored
+		res.Answer = rec.Answer
+	case phaseUnknown:
+		res.Status = Unknown
+	}
+	return res
+}
+
+func (m *Machine) complete(cmd Command) Result {
+	if cmd.Answer == nil {
+		return Result{Status: Invalid}
+	}
+	rec, ok := m.claims[cmd.Key]
+	if !ok || rec.Attempt != cmd.Attempt {
+		return Result{Status: NotHeld}
+	}
+	if rec.Phase == phaseStored {
+		return Result{Status: Done, Attempt: rec.Attempt}
+	}
+	rec.Phase = phaseStored
+	rec.Answer = m.keep(cmd.Answer)
+	m.reset(rec)
+	return Result{Status: Done, Attempt: rec.Attempt}
+}
+
+// reset moves a claim's timer after a change of its phase.
+func (m *Machine) reset(rec *record) {
+	rec.timer.at = rec.nextChange()
+	heap.Fix(&m.timers, rec.timer.index)
+}
+
+// keep returns the answer as it is stored: without its body when the limits do
+// not allow it.
+func (m *Machine) keep(answer *StoredAnswer) *StoredAnswer {
+	size := answer.size()
+	if answer.Dropped || size > m.limits.MaxAnswerBytes || m.storedBytes+size > m.limits.MaxStoredBytes {
+		return &StoredAnswer{Status: answer.Status, Dropped: true}
+	}
+	m.storedBytes += size
+	return answer
+}
+
+func (m *Machine) release(cmd Command) Result {
+	if cmd.Attempt == "" {
+		return Result{Status: Invalid}
+	}
+	rec, ok := m.claims[cmd.Key]
+	if !ok || rec.Attempt != cmd.Attempt {
+		// The claim may still be on its way; it must not be granted any more.
+		m.withdraw(cmd.Attempt)
+		return Result{Status: NotHeld}
+	}
+	if rec.Phase == phaseStored {
+		return Result{Status: NotHeld}
+	}
+	// The holder says that it did not dispatch, also when it says so late.
+	m.remove(rec)
+	m.withdraw(cmd.Attempt)
+	return Result{Status: Done, Attempt: cmd.Attempt}
+}
+
+func (m *Machine) abandon(cmd Command) Result {
+	rec, ok := m.claims[cmd.Key]
+	if !ok || rec.Attempt != cmd.Attempt || rec.Phase != phaseRunning {
+		return Result{Status: NotHeld}
+	}
+	rec.Phase = phaseUnknown
+	m.reset(rec)
+	return Result{Status: Done, Attempt: cmd.Attempt}
+}
+
+// withdraw remembers that an attempt must not be granted its claim any more.
+// A forgotten withdrawal costs only time: the key stays claimed until its hold
+// ends, by an attempt that is never dispatched.
+func (m *Machine) withdraw(attempt string) {
+	if _, ok := m.withdrawn[attempt]; ok || len(m.withdrawn) >= m.limits.MaxClaims {
+		return
+	}
+	m.addWithdrawn(attempt, m.now+m.limits.Withdrawn)
+}
+
+func (m *Machine) addWithdrawn(attempt string, till time.Duration) {
+	m.withdrawn[attempt] = till
+	heap.Push(&m.timers, &timer{at: till, attempt: attempt})
+}
+
+func (m *Machine) lookup(cmd Command) Result {
+	rec, ok := m.claims[cmd.Key]
+	if !ok {
+		return Result{Status: NotFound}
+	}
+	return m.view(rec)
+}
--- /dev/null
+++ b/internal/prefix/hash.go
@@ -0,0 +1,62 @@
+// Package prefix computes chained hashes of prompt prefixes and keeps an index
+// of the prefixes that engines have cached. The index is built from cache
+// events that arrive late and with gaps.
+package prefix
+
+import (
+	"encoding/binary"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filberthook/internal/engineapi"
+)
+
+// CountTokens returns the number of tokens in text. A token is a run of bytes
+// without white space.
+func CountTokens(text string) int {
+	n := 0
+	for range strings.FieldsSeq(text) {
+		n++
+	}
+	return n
+}
+
+// PrefixHashes returns one chained hash for each whole piece of PieceTokens
+// tokens in text. Hash i covers the model, the adapter and the text from its
+// start to the end of piece i; a partial last piece has no hash.
+func PrefixHashes(model, adapter, text string) []uint64 {
+	var hashes []uint64
+	previous := chain(xxhash.Sum64String(model), xxhash.Sum64String(adapter))
+	start, tokens := 0, 0
+	inToken := false
+	for i := range len(text) {
+		space := isSpace(text[i])
+		if inToken && space {
+			tokens++
+		}
+		inToken = !space
+		if tokens == engineapi.PieceTokens {
+			previous = chain(previous, xxhash.Sum64String(text[start:i]))
+			hashes = append(hashes, previous)
+			start, tokens = i, 0
+		}
+	}
+	if inToken && tokens == engineapi.PieceTokens-1 {
+		previous = chain(previous, xxhash.Sum64String(text[start:]))
+		hashes = append(hashes, previous)
+	}
+	return hashes
+}
+
+func isSpace(b byte) bool {
+	return b == ' ' || b == '\n' || b == '\t' || b == '\r' || b == '\v' || b == '\f'
+}
+
+// chain combines the hash of everything before a piece with the piece's own.
+func chain(previous, piece uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], previous)
+	binary.LittleEndian.PutUint64(buf[8:], piece)
+	return xxhash.Sum64(buf[:])
+}
