Refuse positions out of range and commands of a wrong size early

Cause: a term near the end of its range overflowed when a candidate added one; an oversized command waited in the queue before it was refused; an empty one would have been taken for a no-op. Conclusion: limits hold at the edge.

--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -12,6 +12,8 @@
 	MaxMessageBytes      = 8 << 20
 	maxEntriesPerMessage = 1 << 16
 	messageVersion       = 1
+	// maxPosition bounds terms and indexes, so that adding to them cannot overflow.
+	maxPosition = 1 << 62
 )
 
 // FormatError reports bytes that are not a valid message, entry or membership.
@@ -121,6 +123,9 @@
 	if m.From == 0 || m.To == 0 || m.From == m.To {
 		return &FormatError{Detail: fmt.Sprintf("message from %d to %d", m.From, m.To)}
 	}
+	if max(m.Term, m.LogTerm, m.Index, m.Commit) > maxPosition {
+		return &FormatError{Detail: fmt.Sprintf("term %d, index %d or commit %d out of range", m.Term, m.Index, m.Commit)}
+	}
 	for i, e := range m.Entries {
 		if e.Index != m.Index+uint64(i)+1 || e.Term > m.Term {
 			return &FormatError{Detail: fmt.Sprintf("entry %d of term %d does not follow", e.Index, e.Term)}
@@ -134,7 +139,7 @@
 		return nil
 	}
 	c := m.Chunk
-	if c == nil || c.Index == 0 || c.Total > MaxSnapshotBytes || c.Offset > c.Total || uint64(len(c.Data)) > c.Total-c.Offset {
+	if c == nil || c.Index == 0 || max(c.Index, c.Term) > maxPosition || c.Total > MaxSnapshotBytes || c.Offset > c.Total || uint64(len(c.Data)) > c.Total-c.Offset {
 		return &FormatError{Detail: "snapshot chunk out of bounds"}
 	}
 	return nil
--- a/internal/consensus/codec_test.go
+++ b/internal/consensus/codec_test.go
@@ -59,6 +59,8 @@
 		{"too long", make([]byte, consensus.MaxMessageBytes+1)},
 		{"no sender", change(func(m *consensus.Message) { m.From = 0 })},
 		{"to itself", change(func(m *consensus.Message) { m.To = m.From })},
+		{"term out of range", change(func(m *consensus.Message) { m.Term = 1 << 63 })},
+		{"index out of range", change(func(m *consensus.Message) { m.Index, m.Entries = 1<<63, nil })},
 		{"unknown type", change(func(m *consensus.Message) { m.Type = 200 })},
 		{"gap between entries", change(func(m *consensus.Message) { m.Entries[1].Index++ })},
 		{"entry of a later term", change(func(m *consensus.Message) { m.Entries[1].Term = 4 })},
--- a/internal/consensus/errors.go
+++ b/internal/consensus/errors.go
@@ -9,7 +9,7 @@
 	ReasonNotLeader        Reason = "not_leader"
 	ReasonTransferring     Reason = "leadership_transfer"
 	ReasonBusy             Reason = "uncommitted_limit"
-	ReasonTooLarge         Reason = "entry_too_large"
+	ReasonSize             Reason = "command_size"
 	ReasonChangePending    Reason = "membership_change_pending"
 	ReasonNotReady         Reason = "no_commit_in_term"
 	ReasonKnownMember      Reason = "known_member"
@@ -28,7 +28,7 @@
 	ReasonNotLeader:        "send the request to the leader",
 	ReasonTransferring:     "retry after the leadership transfer, within an election timeout",
 	ReasonBusy:             "retry with backoff",
-	ReasonTooLarge:         "split the change into smaller ones",
+	ReasonSize:             "send a command that is not empty and at most 1 MiB long",
 	ReasonChangePending:    "retry once the membership change in progress has been committed",
 	ReasonNotReady:         "retry once the new leader has committed an entry",
 	ReasonKnownMember:      "use a replica id that is not a member",
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -26,7 +26,7 @@
 	case c.transferee != 0:
 		return refuse(ReasonTransferring)
 	case size > MaxEntryBytes:
-		return refuse(ReasonTooLarge)
+		return refuse(ReasonSize)
 	case c.uncommitted > 0 && c.uncommitted+size > c.cfg.MaxUncommittedBytes:
 		return refuse(ReasonBusy)
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -35,6 +35,11 @@
 // *consensus.RefusedError when it was refused without effect, and
 // *UnknownOutcomeError when it may have been or may yet be applied.
 func (r *Replica) Propose(ctx context.Context, data []byte) (any, error) {
+	if len(data) == 0 || len(data) > consensus.MaxEntryBytes {
+		err := &consensus.RefusedError{Reason: consensus.ReasonSize}
+		r.counters.outcome(err)
+		return nil, err
+	}
 	p := &proposal{ctx: ctx, data: data, done: make(chan outcome, 1)}
 	return r.submit(p)
 }
