--- /dev/null
+++ b/internal/replica/outcomes_test.go
@@ -0,0 +1,158 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"filberthook/internal/consensus"
+	"filberthook/internal/fsys"
+)
+
+type discard struct{}
+
+func (discard) Send(uint64, []byte) {}
+
+// bench is a replica whose loop the test plays itself; so it plays replicas 2 and 3.
+type bench struct {
+	*Replica
+	t *testing.T
+}
+
+func newBench(t *testing.T) bench {
+	r, err := Open(Config{
+		ID: 1, Dir: "data", FS: fsys.NewMem(), Members: []Member{{ID: 1}, {ID: 2}, {ID: 3}}, Logger: slog.New(slog.DiscardHandler),
+	}, &journal{}, discard{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.storage.Close() })
+	return bench{r, t}
+}
+
+// receive steps a message of replica from and does the work that follows.
+func (b bench) receive(from uint64, m consensus.Message) {
+	b.t.Helper()
+	m.From, m.Incarnation, m.To = from, from, 1
+	if err := b.core.Step(&m); err != nil {
+		b.t.Fatal(err)
+	}
+	b.work()
+}
+
+func (b bench) work() {
+	b.t.Helper()
+	if err := b.process(); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// lead makes the replica the leader of the next term.
+func (b bench) lead() {
+	b.t.Helper()
+	for b.core.Role() != consensus.RolePreCandidate {
+		b.handleTick()
+		b.work()
+	}
+	term := b.Status().Term + 1
+	for _, answer := range []consensus.MessageType{consensus.MessagePreVoteResponse, consensus.MessageVoteResponse} {
+		for from := uint64(2); from <= 3; from++ {
+			b.receive(from, consensus.Message{Type: answer, Term: term})
+		}
+	}
+	if b.core.Role() != consensus.RoleLeader {
+		b.t.Fatalf("replica is %s", b.core.Role())
+	}
+}
+
+// propose makes n proposals and returns them.
+func (b bench) propose(n int) (list []*proposal) {
+	for range n {
+		p := &proposal{ctx: context.Background(), data: []byte("command"), done: make(chan outcome, 1)}
+		b.Replica.propose(p)
+		list = append(list, p)
+	}
+	b.work()
+	return list
+}
+
+// replace lets replica 2 lead the next term and put its own entry after index.
+func (b bench) replace(after, commit uint64) {
+	s := b.Status()
+	b.receive(2, consensus.Message{
+		Type: consensus.MessageAppend, Term: s.Term + 1, Index: after, LogTerm: s.Term, Commit: commit,
+		Entries: []consensus.Entry{{Term: s.Term + 1, Index: after + 1, Type: consensus.EntryNormal, Data: []byte("other")}},
+	})
+}
+
+// A caller may be told that its command was not applied only if it never will be.
+func TestOutcomesOfUndecidedProposals(t *testing.T) {
+	cases := []struct {
+		name    string
+		then    func(b bench, last uint64)
+		unknown bool // otherwise surely not applied
+	}{
+		{"another entry committed in its place", func(b bench, last uint64) { b.replace(last-1, last) }, false},
+		{"received snapshot passes it", func(b bench, last uint64) {
+			b.receive(2, consensus.Message{Type: consensus.MessageSnapshotChunk, Term: b.Status().Term + 1, Chunk: &consensus.SnapshotChunk{
+				Index: last + 5, Term: b.Status().Term + 1, Membership: consensus.NewMembership([]consensus.Member{{ID: 1}, {ID: 2}, {ID: 3}}),
+				Total: 2, Data: []byte("[]"), Checksum: xxhash.Sum64String("[]"),
+			}})
+		}, true},
+		{"its place is taken in this log alone", func(b bench, last uint64) {
+			b.replace(last-3, 0)
+			b.lead()
+			b.propose(1)
+		}, true},
+		{"leadership lost for long", func(b bench, last uint64) {
+			b.receive(2, consensus.Message{Type: consensus.MessageHeartbeat, Term: b.Status().Term + 1})
+			for range (unresolvedTimeouts + 1) * DefaultElectionTicks {
+				b.handleTick()
+				b.work()
+			}
+		}, true},
+		{"replica stops", func(b bench, _ uint64) { b.stop() }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.lead()
+			list := b.propose(3)
+			c.then(b, b.Status().LastIndex)
+			select {
+			case o := <-list[2].done:
+				var unknown *UnknownOutcomeError
+				var notLeader *NotLeaderError
+				if errors.As(o.err, &unknown) != c.unknown || errors.As(o.err, &notLeader) == c.unknown {
+					t.Errorf("outcome %v, want unknown: %v", o.err, c.unknown)
+				}
+			default:
+				t.Error("proposal got no outcome")
+			}
+		})
+	}
+}
+
+func TestCancelledCallHasUnknownOutcome(t *testing.T) {
+	b := newBench(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() {
+		_, err := b.Replica.Propose(ctx, []byte("command"))
+		done <- err
+	}()
+	p := <-b.proposals // the loop has taken it
+	cancel()
+	var unknown *UnknownOutcomeError
+	if err := <-done; !errors.As(err, &unknown) {
+		t.Errorf("proposal gave %v", err)
+	}
+	b.Replica.propose(p)
+	var refused *consensus.RefusedError
+	if o := <-p.done; !errors.As(o.err, &refused) {
+		t.Errorf("cancelled proposal was taken: %v", o.err)
+	}
+}
