Check members at every commit; show that early membership changes are caught

Change: the simulation compares each replica's members with those of the log, starts some groups with one voter, and has a fifteenth seeded fault with a script.

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -34,7 +34,7 @@
 		if c.changePending() {
 			return Membership{}, ReasonChangePending
 		}
-		if !c.committedInTerm() {
+		if !c.committedInTerm() && c.fault != faultChangeBeforeCommit {
 			return Membership{}, ReasonNotReady
 		}
 	}
--- a/internal/consensus/export_test.go
+++ b/internal/consensus/export_test.go
@@ -17,6 +17,7 @@
 	FaultIgnoreIncarnation  = faultIgnoreIncarnation
 	FaultPromoteEarly       = faultPromoteEarly
 	FaultOverlappingChanges = faultOverlappingChanges
+	FaultChangeBeforeCommit = faultChangeBeforeCommit
 	FaultEnd                = faultEnd
 )
 
@@ -40,5 +41,8 @@
 	return n
 }
 
+// MembershipAt returns the membership that was in force at an index.
+func (c *Core) MembershipAt(index uint64) Membership { return c.membershipAt(index) }
+
 // Installing reports whether a received snapshot is not handed out yet.
 func (c *Core) Installing() bool { return c.installed != nil }
--- a/internal/consensus/faults.go
+++ b/internal/consensus/faults.go
@@ -17,13 +17,14 @@
 	faultIgnoreIncarnation
 	faultPromoteEarly
 	faultOverlappingChanges
+	faultChangeBeforeCommit
 	faultEnd
 )
 
 var faultNames = [...]string{
 	"none", "vote-twice", "forget-vote", "vote-stale-log", "commit-old-term", "accept-stale-append",
 	"skip-log-check", "apply-uncommitted", "read-without-quorum", "ignore-incarnation",
-	"promote-early", "overlapping-changes",
+	"promote-early", "overlapping-changes", "change-before-commit",
 }
 
 // String returns the fault's name as used by the seeded-fault tests.
--- a/internal/consensus/faults_test.go
+++ b/internal/consensus/faults_test.go
@@ -27,6 +27,7 @@
 	{name: "take votes given to a lost disk", settings: settings{fault: consensus.FaultIgnoreIncarnation}, voters: 3, script: votesForLostDisk},
 	{name: "promote a learner that lags", settings: settings{fault: consensus.FaultPromoteEarly}},
 	{name: "two membership changes at once", settings: settings{fault: consensus.FaultOverlappingChanges}, firstSeed: 160},
+	{name: "change members before a commit in the term", settings: settings{fault: consensus.FaultChangeBeforeCommit}, voters: 5, script: changeBeforeCommit},
 	{name: "skip the sync of files", settings: settings{ignoreSync: true}},
 	{name: "send before the state is durable", settings: settings{sendFirst: true}},
 }
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -64,6 +64,11 @@
 	}
 }
 
+func (s *sim) reconnect(a, b *node) {
+	delete(s.cut, [2]uint64{a.id, b.id})
+	delete(s.cut, [2]uint64{b.id, a.id})
+}
+
 func (s *sim) stopNode(n *node) {
 	s.queue = nil
 	s.crash(n)
@@ -74,12 +79,15 @@
 
 // standAfter makes a node stand in the term after the given one.
 func (s *sim) standAfter(n *node, term uint64) {
-	from := s.others(n)[0]
-	sender, _ := s.membership.Find(from.id)
-	_ = n.core.Step(&consensus.Message{
-		Type: consensus.MessageTimeoutNow, From: from.id, To: n.id, Incarnation: sender.Incarnation, Term: term,
-	})
-	s.pump(n)
+	for _, sender := range s.membership.Members {
+		if sender.ID != n.id && !sender.Learner {
+			_ = n.core.Step(&consensus.Message{
+				Type: consensus.MessageTimeoutNow, From: sender.ID, To: n.id, Incarnation: sender.Incarnation, Term: term,
+			})
+			s.pump(n)
+			return
+		}
+	}
 }
 
 func (s *sim) write(n *node, value uint32) *operation {
@@ -176,6 +184,54 @@
 	s.operator = operator{lost: n.id, fresh: s.join()}
 }
 
+// change proposes a membership change; a refusal leaves the members as they are.
+func (s *sim) change(n *node, t consensus.ChangeType, id uint64) {
+	_ = s.propose(n, t, id)
+	s.pump(n)
+}
+
+// changeBeforeCommit lets two leaders each promote a learner in a group of four. If
+// the second may do so before it has committed an entry of its term, the quorums of
+// their two groups of five need not meet.
+func changeBeforeCommit(s *sim) {
+	s1 := s.leaderNode()
+	rest := s.others(s1)
+	s2, s3, s4, s5 := rest[0], rest[1], rest[2], rest[3]
+	s.change(s1, consensus.ChangeRemove, s5.id)
+	s.exchange(6)
+	s5.gone = true
+	s.stopNode(s5)
+	first, second := s.node(s.join()), s.node(s.join())
+	for _, n := range []*node{first, second} {
+		s.change(s1, consensus.ChangeAddLearner, n.id)
+		s.exchange(10)
+	}
+	s.separate(s1, s2, s3, s4, second)
+	s.separate(first, s2, s3, s4, second)
+	s.change(s1, consensus.ChangePromote, first.id)
+	s.exchange(3)
+	s.stand(s2)
+	s.exchange(2)
+	s.separate(s2, s3, s4)
+	s.exchange(4)
+	s.change(s2, consensus.ChangePromote, second.id)
+	s.reconnect(s2, s3)
+	for range 8 {
+		s.now++
+		s2.core.Tick() // heartbeats make it repeat what was lost
+		s.pump(s2)
+		s.deliver()
+	}
+	for s1.core.Role() == consensus.RoleLeader {
+		s1.core.Tick() // until it misses its quorum
+	}
+	s.reconnect(s1, s4)
+	for range 3 {
+		s.stand(s1)
+		s.exchange(3)
+	}
+}
+
 func TestScenariosHoldWithoutFaults(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -186,6 +242,7 @@
 		{"old term on a majority", 5, oldTermOnMajority},
 		{"delayed append", 3, delayedAppend},
 		{"votes for a lost disk", 3, votesForLostDisk},
+		{"change before a commit in the term", 5, changeBeforeCommit},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := calm(c.voters, consensus.FaultNone)
--- a/internal/consensus/sim_checks_test.go
+++ b/internal/consensus/sim_checks_test.go
@@ -11,16 +11,18 @@
 // record is what an observer of the whole group knows; promises are checked
 // against it.
 type record struct {
-	failure    error
-	ledger     []consensus.Entry // every entry that any replica applied
-	decided    []uint64          // term of the first replica to apply it, at that time
-	leaders    map[uint64]uint64 // by term
-	votes      map[ballotKey]candidate
-	membership consensus.Membership // newest one applied
-	changedAt  uint64               // its index
-	crashes    int
-	installs   int    // snapshots received and installed
-	trace      uint64 // hash of all messages, to show that runs repeat
+	failure error
+	ledger  []consensus.Entry // every entry that any replica applied
+	// memberships are the ones in force after each entry of the ledger.
+	memberships []consensus.Membership
+	decided     []uint64          // term of the first replica to apply it, at that time
+	leaders     map[uint64]uint64 // by term
+	votes       map[ballotKey]candidate
+	membership  consensus.Membership // newest one applied
+	changedAt   uint64               // its index
+	crashes     int
+	installs    int    // snapshots received and installed
+	trace       uint64 // hash of all messages, to show that runs repeat
 }
 
 type ballotKey struct {
@@ -77,6 +79,9 @@
 	if st.Commit < n.commit {
 		s.fail("commit of %d went back from %d to %d", n.id, n.commit, st.Commit)
 	}
+	if st.Commit != n.commit && !n.core.Installing() {
+		s.checkMembership(n, st.Commit)
+	}
 	n.commit = st.Commit
 	if st.Applied > st.Commit || st.Applied != n.applied && st.Exclusion == consensus.ExclusionNone && !n.core.Installing() {
 		s.fail("replica %d applied %d, says %d, committed %d", n.id, n.applied, st.Applied, st.Commit)
@@ -91,6 +96,17 @@
 	}
 }
 
+// checkMembership compares the members at an index that another replica applied.
+func (s *sim) checkMembership(n *node, index uint64) {
+	if index == 0 || index > uint64(len(s.ledger)) {
+		return
+	}
+	want := s.memberships[index-1].Encode()
+	if got := n.core.MembershipAt(index).Encode(); !bytes.Equal(got, want) {
+		s.fail("replica %d has other members at %d: %x, want %x", n.id, index, got, want)
+	}
+}
+
 // checkLeader verifies that the term has one leader, which holds all that was
 // committed in earlier terms.
 func (s *sim) checkLeader(n *node, st consensus.Status) {
@@ -138,8 +154,7 @@
 	n.applied = e.Index
 	switch known := uint64(len(s.ledger)); {
 	case e.Index == known+1:
-		s.ledger = append(s.ledger, e)
-		s.decided = append(s.decided, n.core.Status().Term)
+		s.extendLedger(n, e)
 	case e.Index > known:
 		s.fail("replica %d applied %d beyond the ledger's %d", n.id, e.Index, known)
 	default:
@@ -148,15 +163,21 @@
 			s.fail("replica %d applied another entry %d: term %d, want term %d", n.id, e.Index, e.Term, want.Term)
 		}
 	}
-	if e.Type == consensus.EntryMembership && e.Index > s.changedAt {
+	s.complete(n, e)
+}
+
+// extendLedger records the first application of an entry.
+func (s *sim) extendLedger(n *node, e consensus.Entry) {
+	if e.Type == consensus.EntryMembership {
 		m, err := consensus.DecodeMembership(e.Data)
 		if err != nil {
 			s.fail("membership entry %d: %v", e.Index, err)
-			return
 		}
 		s.membership, s.changedAt = m, e.Index
 	}
-	s.complete(n, e)
+	s.ledger = append(s.ledger, e)
+	s.memberships = append(s.memberships, s.membership)
+	s.decided = append(s.decided, n.core.Status().Term)
 }
 
 func (s *sim) describe() string {
--- a/internal/consensus/sim_events_test.go
+++ b/internal/consensus/sim_events_test.go
@@ -83,6 +83,8 @@
 	voters := s.voters()
 	victim := s.victim(voters)
 	switch {
+	case len(voters) < 3:
+		s.operator.fresh = s.join()
 	case second || s.chance(s.weather.loseDisk):
 		s.loseDisk(s.node(victim))
 	case s.chance(1) && len(voters) < 5:
--- a/internal/consensus/sim_test.go
+++ b/internal/consensus/sim_test.go
@@ -110,7 +110,7 @@
 		drop: pick(0, 10, 100, 250), duplicate: pick(0, 20, 100), batch: 300, delay: pick(1, 2, 5, 15),
 		crash: pick(0, 2, 8), pause: pick(0, 2, 8), cut: pick(0, 5, 20), loseDisk: pick(0, 3, 10), op: pick(20, 60, 200),
 	}
-	voters := pick(3, 3, 5)
+	voters := pick(1, 3, 3, 5)
 	for id := uint64(1); id <= uint64(voters); id++ {
 		s.initial = append(s.initial, consensus.Member{ID: id})
 	}
