--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -85,12 +85,14 @@
 	c.propose("first")
 	behind := c.leader()%3 + 1
 	c.setCut(behind, true)
-	for i := range 60 {
-		c.propose(fmt.Sprint(i))
-	}
-	if s := c.node(c.leader()).replica.Status(); s.FirstIndex <= c.node(behind).replica.Status().LastIndex {
-		t.Fatalf("leader's log starts at %d: the replica would not need a snapshot", s.FirstIndex)
-	}
+	c.until("leader drops entries", func(context.Context) error {
+		c.propose("more")
+		last := c.node(behind).replica.Status().LastIndex
+		if s := c.node(c.leader()).replica.Status(); s.FirstIndex <= last {
+			return fmt.Errorf("leader's log starts at %d, the replica's ends at %d", s.FirstIndex, last)
+		}
+		return nil
+	})
 	c.setCut(behind, false)
 	c.barrier(behind)
 	want := c.node(c.leader()).machine.list()
