Make membership calls safe to repeat

Cause: an operator who resends a change of members after a lost answer got a refusal that asks for another id. Change: adding, promoting or removing a member again returns once the change is committed; the repair test sends each step twice.

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -88,6 +88,8 @@
 	m := c.membership()
 	member, ok := m.Find(id)
 	switch {
+	case m.IsRetired(id):
+		return m, ReasonRetiredID
 	case !ok:
 		return m, ReasonUnknownMember
 	case id == c.cfg.ID:
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -18,21 +18,35 @@
 }
 
 // AddLearner adds a replica without a vote, to which the log is then copied. Its
-// id must never have been a member's.
+// id must never have been a member's. Repeating the call is harmless.
 func (r *Replica) AddLearner(ctx context.Context, m Member) error {
-	return r.change(ctx, consensus.Change{
+	err := r.change(ctx, consensus.Change{
 		Type:   consensus.ChangeAddLearner,
 		Member: consensus.Member{ID: m.ID, Address: m.Address, Zone: m.Zone},
 	})
+	if refusedFor(err, consensus.ReasonKnownMember) && r.isMember(m) {
+		return r.decided(ctx)
+	}
+	return err
+}
+
+// isMember reports whether the group has the member as described.
+func (r *Replica) isMember(m Member) bool {
+	for _, known := range r.Status().Members {
+		if known.ID == m.ID {
+			return known.Address == m.Address && known.Zone == m.Zone
+		}
+	}
+	return false
 }
 
 // Promote gives a learner a vote. It waits until the learner holds everything
 // committed, and returns once the learner also holds the change itself: from then
-// on it replaces a lost voter in full.
+// on it replaces a lost voter in full. Repeating the call is harmless.
 func (r *Replica) Promote(ctx context.Context, id uint64) error {
 	change := consensus.Change{Type: consensus.ChangePromote, Member: consensus.Member{ID: id}}
 	err := r.change(ctx, change)
-	for isBehind(err) {
+	for refusedFor(err, consensus.ReasonNotCaughtUp) {
 		commit := r.Status().Commit
 		caughtUp := func(s consensus.Status) (bool, error) { return holds(s, id, commit) }
 		if r.wait(ctx, caughtUp, nil) != nil {
@@ -40,6 +54,9 @@
 		}
 		err = r.change(ctx, change)
 	}
+	if refusedFor(err, consensus.ReasonKnownMember) {
+		err = r.decided(ctx)
+	}
 	if err != nil {
 		return err
 	}
@@ -47,10 +64,31 @@
 	return r.wait(ctx, func(s consensus.Status) (bool, error) { return holds(s, id, commit) }, nil)
 }
 
-// isBehind reports whether a promotion was refused because of the learner's log.
-func isBehind(err error) bool {
+// RemoveMember removes a replica other than the leader. Its id cannot be used
+// again. Repeating the call is harmless.
+func (r *Replica) RemoveMember(ctx context.Context, id uint64) error {
+	err := r.change(ctx, consensus.Change{Type: consensus.ChangeRemove, Member: consensus.Member{ID: id}})
+	if refusedFor(err, consensus.ReasonRetiredID) {
+		return r.decided(ctx)
+	}
+	return err
+}
+
+// decided returns once the leader's log, with a change made earlier, is committed.
+func (r *Replica) decided(ctx context.Context) error {
+	last := r.Status().LastIndex
+	return r.wait(ctx, func(s consensus.Status) (bool, error) {
+		if s.Role != consensus.RoleLeader {
+			return false, &UnknownOutcomeError{Err: errLeadershipLost}
+		}
+		return s.Commit >= last, nil
+	}, nil)
+}
+
+// refusedFor reports whether err is a refusal for the reason.
+func refusedFor(err error, reason consensus.Reason) bool {
 	var refused *consensus.RefusedError
-	return errors.As(err, &refused) && refused.Reason == consensus.ReasonNotCaughtUp
+	return errors.As(err, &refused) && refused.Reason == reason
 }
 
 // holds reports whether a member holds the log up to index. Only a leader knows.
@@ -66,11 +104,6 @@
 	return false, nil
 }
 
-// RemoveMember removes a replica other than the leader. Its id cannot be used again.
-func (r *Replica) RemoveMember(ctx context.Context, id uint64) error {
-	return r.change(ctx, consensus.Change{Type: consensus.ChangeRemove, Member: consensus.Member{ID: id}})
-}
-
 // TransferLeadership hands leadership to a voter and returns once it leads.
 func (r *Replica) TransferLeadership(ctx context.Context, to uint64) error {
 	start := func() error { return r.refusal(r.core.TransferLeadership(to)) }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -125,24 +125,16 @@
 	c.t.Helper()
 	steps := []struct {
 		name string
-		done func(Status) bool
 		step func(ctx context.Context, r *Replica) error
 	}{
-		{"add learner", func(s Status) bool { return member(s, m.ID) != nil },
-			func(ctx context.Context, r *Replica) error { return r.AddLearner(ctx, m) }},
-		{"promote", func(s Status) bool { return !member(s, m.ID).Learner },
-			func(ctx context.Context, r *Replica) error { return r.Promote(ctx, m.ID) }},
-		{"remove", func(s Status) bool { return member(s, lost) == nil },
-			func(ctx context.Context, r *Replica) error { return r.RemoveMember(ctx, lost) }},
+		{"add learner", func(ctx context.Context, r *Replica) error { return r.AddLearner(ctx, m) }},
+		{"promote", func(ctx context.Context, r *Replica) error { return r.Promote(ctx, m.ID) }},
+		{"remove", func(ctx context.Context, r *Replica) error { return r.RemoveMember(ctx, lost) }},
 	}
 	for _, s := range steps {
-		c.until(s.name, func(ctx context.Context) error {
-			r := c.node(c.leader()).replica
-			if err := s.step(ctx, r); err != nil && !s.done(r.Status()) {
-				return err
-			}
-			return nil
-		})
+		for range 2 { // an operator resends after a lost answer
+			c.until(s.name, func(ctx context.Context) error { return s.step(ctx, c.node(c.leader()).replica) })
+		}
 	}
 }
 
