Fault runs: relays take their ports before the deployment chooses its own

Change: relays open first and get their target later; parts that start again wait until their port is free.

--- a/internal/faultnet/relay.go
+++ b/internal/faultnet/relay.go
@@ -22,7 +22,6 @@
 
 // Relay forwards connections to one target.
 type Relay struct {
-	target string
 	ln     net.Listener
 	there  *direction // from the caller to the target
 	back   *direction // from the target to the caller
@@ -30,12 +29,14 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{} // open connections of both sides; guarded by mu
-	down  bool                  // new connections are closed at once; guarded by mu
+	mu     sync.Mutex
+	target string                // IP:port; guarded by mu
+	conns  map[net.Conn]struct{} // open connections of both sides; guarded by mu
+	down   bool                  // new connections are closed at once; guarded by mu
 }
 
-// NewRelay returns a relay on a free loopback port. Close ends it.
+// NewRelay returns a relay on a free loopback port. The target may be empty
+// until Retarget. Close ends it.
 func NewRelay(target string) (*Relay, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -56,6 +57,13 @@
 // Address returns the IP:port that the relay listens on.
 func (r *Relay) Address() string { return r.ln.Addr().String() }
 
+// Retarget sends new connections to another target.
+func (r *Relay) Retarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
 // CutThere holds all bytes from callers to the target until Heal. Connections
 // stay open, as they do over a silent network.
 func (r *Relay) CutThere() { r.there.cut() }
@@ -160,7 +168,10 @@
 	if !r.there.pass(r.ctx, time.Now()) {
 		return
 	}
-	target, err := net.DialTimeout("tcp", r.target, dialTimeout)
+	r.mu.Lock()
+	address := r.target
+	r.mu.Unlock()
+	target, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return
 	}
--- a/internal/faultnet/relay_test.go
+++ b/internal/faultnet/relay_test.go
@@ -151,6 +151,17 @@
 	}
 }
 
+func TestRetargetMovesNewConnections(t *testing.T) {
+	r := newRelay(t, "")
+	if exchange(t, dial(t, r), soon) {
+		t.Error("answer through a relay without a target")
+	}
+	r.Retarget(echoServer(t))
+	if !exchange(t, dial(t, r), soon) {
+		t.Error("no answer from the new target")
+	}
+}
+
 func TestEndOfStreamPasses(t *testing.T) {
 	r := newRelay(t, echoServer(t))
 	c := dial(t, r)
--- a/internal/faultrun/bench.go
+++ b/internal/faultrun/bench.go
@@ -17,6 +17,12 @@
 // pollChange is how often a fault looks whether an engine is in a change.
 const pollChange = 5 * time.Millisecond
 
+// Limits of starting a part again.
+const (
+	startAgainLimit = 20 * time.Second
+	startAgainPause = 100 * time.Millisecond
+)
+
 // bench holds the stand-ins and strikes the system with faults.
 type bench struct {
 	sys      System
@@ -167,7 +173,7 @@
 		c := b.sys.Controls[f.Index]
 		c.Kill()
 		sleep(ctx, f.Length)
-		return c.Start()
+		return startAgain(ctx, c.Start)
 	}
 }
 
@@ -226,11 +232,24 @@
 		return nil
 	}
 	sleep(ctx, f.Length)
-	err := h.Start()
+	err := startAgain(ctx, h.Start)
 	h.set(false, false)
 	return err
 }
 
+// startAgain starts a part again. Its addresses may be in use for a moment by
+// connections that leave this process.
+func startAgain(ctx context.Context, start func() error) error {
+	until := time.Now().Add(startAgainLimit)
+	for {
+		err := start()
+		if err == nil || ctx.Err() != nil || time.Now().After(until) {
+			return err
+		}
+		sleep(ctx, startAgainPause)
+	}
+}
+
 // cutEntry cuts one side of an entry host off for a time.
 func cutEntry(ctx context.Context, n EntryNetwork, f Fault) {
 	relays := n.Control
--- a/internal/faultrun/cluster.go
+++ b/internal/faultrun/cluster.go
@@ -47,6 +47,8 @@
 type Cluster struct {
 	deployment *deployment.Deployment
 	entries    []*clusterEntry
+	relays     []*faultnet.Relay
+	used       int                          // relays that have a target
 	control    map[string][]*faultnet.Relay // by entry host, to each control replica
 	teamKey    string
 	changes    atomic.Uint64 // changes asked for, to name them
@@ -57,17 +59,20 @@
 // approves one team.
 func StartCluster(ctx context.Context, cfg ClusterConfig) (*Cluster, error) {
 	c := &Cluster{control: make(map[string][]*faultnet.Relay)}
-	var relayErr error
+	hosts := len(cfg.Zones) * cfg.EntriesPerZone
+	if err := c.openRelays(hosts * (1 + cfg.Controls)); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
 	d, err := deployment.Start(deployment.Options{
 		Dir:            filepath.Clean(cfg.Dir),
 		Zones:          cfg.Zones,
 		Controls:       cfg.Controls,
 		EntriesPerZone: cfg.EntriesPerZone,
 		Logger:         cfg.Logger,
-		Entry:          func(s *settings.Entry) { relayErr = errors.Join(relayErr, c.relayControl(s)) },
+		Entry:          c.relayControl,
 	})
-	if err = errors.Join(err, relayErr); err != nil {
-		return nil, err
+	if err != nil {
+		return nil, errors.Join(err, c.Close())
 	}
 	c.deployment = d
 	if err := c.open(ctx); err != nil {
@@ -76,28 +81,41 @@
 	return c, nil
 }
 
-// relayControl puts relays between an entry host and the control replicas.
-func (c *Cluster) relayControl(s *settings.Entry) error {
-	relayed := make([]string, 0, len(s.Control.Replicas))
-	for _, address := range s.Control.Replicas {
-		r, err := faultnet.NewRelay(address)
+// openRelays opens all relays before the deployment chooses its addresses, so
+// that none takes one of them.
+func (c *Cluster) openRelays(n int) error {
+	for range n {
+		r, err := faultnet.NewRelay("")
 		if err != nil {
 			return err
 		}
+		c.relays = append(c.relays, r)
+	}
+	return nil
+}
+
+// nextRelay returns an unused relay to an address.
+func (c *Cluster) nextRelay(target string) *faultnet.Relay {
+	r := c.relays[c.used]
+	c.used++
+	r.Retarget(target)
+	return r
+}
+
+// relayControl puts relays between an entry host and the control replicas.
+func (c *Cluster) relayControl(s *settings.Entry) {
+	relayed := make([]string, 0, len(s.Control.Replicas))
+	for _, address := range s.Control.Replicas {
+		r := c.nextRelay(address)
 		c.control[s.Host] = append(c.control[s.Host], r)
 		relayed = append(relayed, r.Address())
 	}
 	s.Control.Replicas = relayed
-	return nil
 }
 
 func (c *Cluster) open(ctx context.Context) error {
 	for _, e := range c.deployment.Entries {
-		relay, err := faultnet.NewRelay(e.Callers)
-		if err != nil {
-			return err
-		}
-		c.entries = append(c.entries, &clusterEntry{host: e, relay: relay, control: c.control[e.Name]})
+		c.entries = append(c.entries, &clusterEntry{host: e, relay: c.nextRelay(e.Callers), control: c.control[e.Name]})
 	}
 	if err := c.configure(ctx); err != nil {
 		return err
@@ -108,13 +126,14 @@
 // Close stops everything.
 func (c *Cluster) Close() error {
 	for _, e := range c.entries {
-		_ = e.relay.Close()
+		e.relay.Down()
 	}
-	err := c.deployment.Stop()
-	for _, relays := range c.control {
-		for _, r := range relays {
-			_ = r.Close()
-		}
+	var err error
+	if c.deployment != nil {
+		err = c.deployment.Stop()
+	}
+	for _, r := range c.relays {
+		_ = r.Close()
 	}
 	return err
 }
