Fault runs: long cuts that outlast leases, engines without fencing, version changes

Cause: no fault outlasted the 5 s lease of a zone's planner, all engines checked fencing numbers, and no operator change needed a drain. Change: cuts from the control group and towards engines last up to 12 s, some engines of each zone ignore fencing numbers, operators change versions.

--- a/internal/faultrun/bench.go
+++ b/internal/faultrun/bench.go
@@ -57,14 +57,15 @@
 	return h.stopping
 }
 
-// newBench starts the stand-ins, spread over the zones of the entry hosts.
+// newBench starts the stand-ins, spread over the zones of the entry hosts. In
+// each zone some engines check fencing numbers and some ignore them.
 func newBench(sys System, sizes Sizes, led *ledger, log *slog.Logger) (*bench, error) {
 	b := &bench{sys: sys, log: log, ledger: led, controls: make([]sync.Mutex, len(sys.Controls))}
 	for _, e := range sys.Entries {
 		b.hosts = append(b.hosts, &host{Entry: e})
 	}
 	for i := range sizes.Engines {
-		w, err := newEngineWorker(fmt.Sprintf("engine-%d", i), b.zone(i), sys)
+		w, err := newEngineWorker(fmt.Sprintf("engine-%d", i), b.zone(i), i/len(b.hosts)%2 == 0, sys)
 		if err != nil {
 			return nil, errors.Join(err, b.close())
 		}
--- a/internal/faultrun/cluster.go
+++ b/internal/faultrun/cluster.go
@@ -188,14 +188,14 @@
 	}}
 }
 
-// ChangeDeclared changes the adapters that one engine is to carry.
+// ChangeDeclared changes the version and adapters that one engine is to carry.
 func (c *Cluster) ChangeDeclared(ctx context.Context, rng *rand.Rand) error {
 	engine := fmt.Sprintf("engine-%d", rng.IntN(4))
 	adapter := fmt.Sprintf("adapter-%d", rng.IntN(3))
 	return c.apply(ctx, []*filberthookv1.Change{{Change: &filberthookv1.Change_SetDeclaration{
 		SetDeclaration: &filberthookv1.SetDeclaration{Declaration: &filberthookv1.Declaration{
 			Engine: engine,
-			Models: []*filberthookv1.Model{{Name: clusterModel, Version: "1", Adapters: []string{adapter}}},
+			Models: []*filberthookv1.Model{{Name: clusterModel, Version: strconv.Itoa(1 + rng.IntN(2)), Adapters: []string{adapter}}},
 		}},
 	}}})
 }
--- a/internal/faultrun/plan.go
+++ b/internal/faultrun/plan.go
@@ -59,35 +59,36 @@
 	kind   Kind
 	target target
 	weight int
+	long   bool // lasts long enough for a lease to run out
 }
 
 // kinds lists all kinds.
 var kinds = []kindOfFault{
-	{CrashEngine, onEngine, 3},
-	{PauseEngine, onEngine, 3},
-	{CutEngine, onEngine, 2},
-	{CutEngineIn, onEngine, 2},
-	{CutEngineOut, onEngine, 2},
-	{ResetEngine, onEngine, 3},
-	{DelayEngine, onEngine, 2},
-	{CrossEngine, onEngine, 4},
-	{CutStreams, onEngine, 4},
-	{CrashInChange, onEngine, 2},
-	{LeaveEngine, onEngine, 2},
-	{CrashService, onService, 3},
-	{PauseService, onService, 3},
-	{LoseService, onService, 4},
-	{CrossService, onService, 4},
-	{CutServiceOut, onService, 2},
-	{LeaveService, onService, 2},
-	{KillEntry, onEntry, 3},
-	{StopEntry, onEntry, 2},
-	{CutEntryIn, onEntry, 1},
-	{CutEntryOut, onEntry, 1},
-	{CutControl, onEntry, 2},
-	{CutControlOut, onEntry, 2},
-	{KillControl, onControl, 3},
-	{ChangeDeclared, onFleet, 3},
+	{CrashEngine, onEngine, 3, false},
+	{PauseEngine, onEngine, 3, false},
+	{CutEngine, onEngine, 2, false},
+	{CutEngineIn, onEngine, 2, true},
+	{CutEngineOut, onEngine, 2, false},
+	{ResetEngine, onEngine, 3, false},
+	{DelayEngine, onEngine, 2, false},
+	{CrossEngine, onEngine, 4, false},
+	{CutStreams, onEngine, 4, false},
+	{CrashInChange, onEngine, 2, false},
+	{LeaveEngine, onEngine, 2, false},
+	{CrashService, onService, 3, false},
+	{PauseService, onService, 3, false},
+	{LoseService, onService, 4, false},
+	{CrossService, onService, 4, false},
+	{CutServiceOut, onService, 2, false},
+	{LeaveService, onService, 2, false},
+	{KillEntry, onEntry, 3, false},
+	{StopEntry, onEntry, 2, false},
+	{CutEntryIn, onEntry, 1, false},
+	{CutEntryOut, onEntry, 1, false},
+	{CutControl, onEntry, 2, true},
+	{CutControlOut, onEntry, 2, true},
+	{KillControl, onControl, 3, false},
+	{ChangeDeclared, onFleet, 3, false},
 }
 
 // Fault is one fault of a plan. It begins at At and ends after Length; kinds
@@ -128,20 +129,25 @@
 const (
 	shortestFault = 200 * time.Millisecond
 	longestFault  = 4 * time.Second
+	longFactor    = 3 // of the lengths of long faults
 	meanGap       = 400 * time.Millisecond
 )
 
 // Plan draws the faults of a run. The same arguments give the same plan.
-func Plan(seed uint64, length time.Duration, sizes Sizes) []Fault {
+func Plan(seed uint64, total time.Duration, sizes Sizes) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	var plan []Fault
-	for at := gap(rng); at < length; at += gap(rng) {
+	for at := gap(rng); at < total; at += gap(rng) {
 		k := draw(rng, sizes)
+		length := shortestFault + time.Duration(rng.Int64N(int64(longestFault-shortestFault)))
+		if k.long {
+			length *= longFactor
+		}
 		plan = append(plan, Fault{
 			At:     at,
 			Kind:   k.kind,
 			Index:  rng.IntN(sizes.of(k.target)),
-			Length: shortestFault + time.Duration(rng.Int64N(int64(longestFault-shortestFault))),
+			Length: length,
 		})
 	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
--- a/internal/faultrun/workers.go
+++ b/internal/faultrun/workers.go
@@ -63,7 +63,7 @@
 	service *standin.Service
 }
 
-func newEngineWorker(name, zone string, sys System) (*engineWorker, error) {
+func newEngineWorker(name, zone string, checksFence bool, sys System) (*engineWorker, error) {
 	w := &engineWorker{worker: worker{name: name}}
 	ln, err := w.listen()
 	if err != nil {
@@ -71,7 +71,7 @@
 	}
 	cfg := standin.EngineConfig{
 		Identity:   w.identity("", zone, sys),
-		Model:      engineFigures(sys.Model),
+		Model:      engineFigures(sys.Model, checksFence),
 		Speed:      engineSpeed,
 		RecordRuns: true,
 	}
@@ -84,8 +84,9 @@
 	return w, nil
 }
 
-func engineFigures(model string) enginemodel.Config {
+func engineFigures(model string, checksFence bool) enginemodel.Config {
 	m := enginemodel.DefaultConfig()
+	m.ChecksFence = checksFence
 	m.RoleChange = engineRoleChange
 	m.ModelLoad = engineModelLoad
 	m.Models = []engineapi.Model{{Name: model, Version: "1"}}
