--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -34,6 +34,7 @@
 		runCommand(app),
 		faultsCommand(app),
 		slopesCommand(app),
+		soakCommand(app),
 	}
 	experiment.Register(app) // runs during Parse
 	chosen, err := app.Parse(os.Args[1:])
--- a/cmd/filberthook-load/run.go
+++ b/cmd/filberthook-load/run.go
@@ -4,12 +4,16 @@
 	"context"
 	"fmt"
 	"os"
+	"strconv"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"filberthook/internal/loadgen"
 )
 
+// defaultMix is the share of each class when no flag sets it.
+var defaultMix = loadgen.Mix{Summary: 1, Check: 6, Lookup: 2, Booking: 1, Status: 1}
+
 // runCommand puts a bounded load on entry hosts.
 func runCommand(app *kingpin.Application) command {
 	cmd := app.Command("run", "Puts a bounded load on entry hosts and verifies each answer.")
@@ -19,11 +23,11 @@
 	cmd.Flag("model", "Model that the engines carry.").Default("assist").StringVar(&cfg.Model)
 	cmd.Flag("endpoint", "Endpoint of that model at the entry hosts, when its name differs.").StringVar(&cfg.Endpoint)
 	cmd.Flag("service", "Path prefix of the plain service.").Default("/services/bookings").StringVar(&cfg.Service)
-	cmd.Flag("summary", "Share of long summaries.").Default("1").Float64Var(&cfg.Mix.Summary)
-	cmd.Flag("check", "Share of short checks.").Default("6").Float64Var(&cfg.Mix.Check)
-	cmd.Flag("lookup", "Share of lookups that may wait.").Default("2").Float64Var(&cfg.Mix.Lookup)
-	cmd.Flag("booking", "Share of bookings, which run at most once.").Default("1").Float64Var(&cfg.Mix.Booking)
-	cmd.Flag("status", "Share of status reads.").Default("1").Float64Var(&cfg.Mix.Status)
+	cmd.Flag("summary", "Share of long summaries.").Default(share(defaultMix.Summary)).Float64Var(&cfg.Mix.Summary)
+	cmd.Flag("check", "Share of short checks.").Default(share(defaultMix.Check)).Float64Var(&cfg.Mix.Check)
+	cmd.Flag("lookup", "Share of lookups that may wait.").Default(share(defaultMix.Lookup)).Float64Var(&cfg.Mix.Lookup)
+	cmd.Flag("booking", "Share of bookings, which run at most once.").Default(share(defaultMix.Booking)).Float64Var(&cfg.Mix.Booking)
+	cmd.Flag("status", "Share of status reads.").Default(share(defaultMix.Status)).Float64Var(&cfg.Mix.Status)
 	cmd.Flag("rate", "Calls per second.").Default("20").Float64Var(&cfg.Rate)
 	cmd.Flag("calls", "Number of calls.").Default("400").IntVar(&cfg.Calls)
 	cmd.Flag("subjects", "Different beginnings of prompts.").Default("20").IntVar(&cfg.Subjects)
@@ -39,3 +43,5 @@
 		return nil
 	}}
 }
+
+func share(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
--- /dev/null
+++ b/internal/soak/flat.go
@@ -0,0 +1,70 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Bounds of growth between the second and the last quarter of a process's life.
+const (
+	growthFactor    = 1.25
+	slackBytes      = 16 << 20
+	slackFiles      = 32
+	slackGoroutines = 64
+	fewestSamples   = 8 // a process that lived shorter is not judged
+)
+
+// Growth is how one figure of one process grew.
+type Growth struct {
+	Process string
+	PID     int
+	Figure  string
+	Early   float64 // median of the second quarter of its samples
+	Late    float64 // median of the last quarter
+	Flat    bool
+}
+
+// String implements fmt.Stringer.
+func (g Growth) String() string {
+	verdict := "flat"
+	if !g.Flat {
+		verdict = "GROWS"
+	}
+	return fmt.Sprintf("%s (process %d) %s %.0f to %.0f: %s", g.Process, g.PID, g.Figure, g.Early, g.Late, verdict)
+}
+
+// Judge compares the early with the late samples of one process.
+func Judge(name string, samples []Sample) []Growth {
+	if len(samples) < fewestSamples {
+		return nil
+	}
+	figures := []struct {
+		name  string
+		value func(Sample) float64
+		slack float64
+	}{
+		{"resident bytes", func(s Sample) float64 { return float64(s.Resident) }, slackBytes},
+		{"open files", func(s Sample) float64 { return float64(s.Files) }, slackFiles},
+		{"goroutines", func(s Sample) float64 { return float64(s.Goroutines) }, slackGoroutines},
+	}
+	quarter := len(samples) / 4
+	var out []Growth
+	for _, f := range figures {
+		g := Growth{
+			Process: name,
+			PID:     samples[0].PID,
+			Figure:  f.name,
+			Early:   median(samples[quarter:2*quarter], f.value),
+			Late:    median(samples[len(samples)-quarter:], f.value),
+		}
+		g.Flat = g.Late <= growthFactor*g.Early+f.slack
+		out = append(out, g)
+	}
+	return out
+}
+
+func median(samples []Sample, value func(Sample) float64) float64 {
+	sorted := slices.SortedFunc(slices.Values(samples), func(a, b Sample) int { return cmp.Compare(value(a), value(b)) })
+	return value(sorted[len(sorted)/2])
+}
