Callers take up broken streams by Last-Event-ID and read error events

Cause: a caller that loses its entry host in the middle of a stream continues through another one; the fault run resent such calls from the start only. Change: loadgen sends Last-Event-ID, verifies the rest and the event ids, and reads the event that ends a stream without its rest; the fault run takes broken streams up and counts them.

--- a/internal/faultrun/ledger.go
+++ b/internal/faultrun/ledger.go
@@ -58,6 +58,7 @@
 	Codes      map[string]int          `json:"codes"`    // refusals by code
 	Outcomes   map[loadgen.Outcome]int `json:"outcomes"` // of attempts
 	Orders     enginemodel.OrderCounts `json:"orders"`
+	Resumed    int                     `json:"resumed"`     // attempts that took up a broken stream
 	LastNew    time.Duration           `json:"last_new_ns"` // latest new request at a leaving instance
 	Notes      []string                `json:"notes,omitempty"`
 }
@@ -73,6 +74,7 @@
 	}
 	printCounts(w, "attempts ", r.Outcomes)
 	printCounts(w, "refusals ", r.Codes)
+	fmt.Fprintf(w, "streams   %d taken up by callers after a break\n", r.Resumed)
 	printCounts(w, "faults   ", r.Faults)
 	fmt.Fprintf(w, "faults    %d skipped, target busy; %d engines crashed in a change\n", r.Skipped, r.InChange)
 	fmt.Fprintf(w, "orders    %+v\n", r.Orders)
@@ -164,6 +166,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c.Attempts++
+	if r.Resumed > 0 {
+		l.report.Resumed++
+	}
 	l.report.Outcomes[r.Outcome]++
 	if r.Code != "" {
 		l.report.Codes[r.Code]++
--- a/internal/faultrun/sessions.go
+++ b/internal/faultrun/sessions.go
@@ -68,7 +68,8 @@
 	return fmt.Sprintf("%s%d-%d-%d", prefix, c.seed, c.id, c.made)
 }
 
-// chat makes one chat call and resends it until it has its whole answer.
+// chat makes one chat call and resends it until it has its whole answer. A
+// stream that broke is taken up behind the tokens that the caller has.
 func (c *caller) chat(ctx context.Context) {
 	key := c.key(chatPrefix)
 	chat := loadgen.Chat{
@@ -79,7 +80,11 @@
 		Key:    key,
 	}
 	c.session(ctx, &c.ledger.report.Chats, key, func(ctx context.Context, to *loadgen.Caller) loadgen.Result {
-		return to.Chat(ctx, chat)
+		r := to.Chat(ctx, chat)
+		if chat.Stream {
+			chat.ResumeFrom = max(chat.ResumeFrom, r.Tokens)
+		}
+		return r
 	})
 }
 
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -26,8 +26,12 @@
 	dialTimeout        = 2 * time.Second
 )
 
-// streamEnd is the data of the last event of a stream.
-const streamEnd = "[DONE]"
+// Parts of a stream.
+const (
+	streamEnd         = "[DONE]" // data of the last event
+	streamError       = "error"  // type of the event that ends a stream without its rest
+	headerLastEventID = "Last-Event-ID"
+)
 
 // Caller calls one entry host or endpoint on behalf of a team.
 type Caller struct {
@@ -61,6 +65,10 @@
 	Key       string // idempotency key; empty sends none
 	Priority  int    // 0 sends none
 	Deadline  time.Duration
+
+	// ResumeFrom is the number of tokens that the caller has from an earlier
+	// stream under the same key; the answer holds the rest.
+	ResumeFrom int
 }
 
 // Chat sends a chat completion and verifies its answer.
@@ -80,9 +88,11 @@
 	}
 	setNumber(req, engineapi.HeaderPriority, int64(chat.Priority))
 	setNumber(req, engineapi.HeaderDeadline, chat.Deadline.Milliseconds())
+	setNumber(req, headerLastEventID, int64(chat.ResumeFrom))
 	answer := enginemodel.NewAnswer(cmp.Or(chat.Engine, chat.Model), chat.Prompt, chat.MaxTokens)
 	return c.send(req, func(r *Result, resp *http.Response, start time.Time) error {
 		if chat.Stream {
+			r.Tokens, r.Resumed = chat.ResumeFrom, chat.ResumeFrom
 			return readStream(r, resp.Body, answer, start)
 		}
 		return readWhole(r, resp.Body, answer, start)
@@ -172,7 +182,7 @@
 		r.Key = key
 	}
 	if resp.StatusCode != http.StatusOK {
-		r.refused(resp)
+		r.fail(refusedError(resp))
 	} else if err := read(&r, resp, start); err != nil {
 		r.fail(err)
 	} else {
@@ -186,13 +196,15 @@
 func readStream(r *Result, body io.Reader, answer enginemodel.Answer, start time.Time) error {
 	finished := false
 	for event, err := range sse.Read(body, nil) {
-		if err != nil {
+		switch {
+		case err != nil:
 			return err
-		}
-		if event.Data == streamEnd {
+		case event.Type == streamError:
+			return endedError(r.Status, []byte(event.Data))
+		case event.Data == streamEnd:
 			return checkEnd(r, answer, finished)
 		}
-		done, err := readChunk(r, event.Data, answer, start)
+		done, err := readChunk(r, event, answer, start)
 		if err != nil {
 			return err
 		}
@@ -202,10 +214,10 @@
 }
 
 // readChunk verifies one chunk and reports whether it holds the finish reason.
-func readChunk(r *Result, data string, answer enginemodel.Answer, start time.Time) (finished bool, err error) {
+func readChunk(r *Result, event sse.Event, answer enginemodel.Answer, start time.Time) (finished bool, err error) {
 	var chunk engineapi.Completion
-	if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) != 1 {
-		return false, fmt.Errorf("chunk %q is not readable: %w", data, errCutShort)
+	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil || len(chunk.Choices) != 1 {
+		return false, fmt.Errorf("chunk %q is not readable: %w", event.Data, errCutShort)
 	}
 	choice := chunk.Choices[0]
 	if choice.FinishReason != nil {
@@ -214,13 +226,16 @@
 	if choice.Delta == nil || choice.Delta.Content == "" {
 		return false, nil
 	}
-	if r.Tokens == 0 {
+	if r.Tokens == r.Resumed {
 		r.FirstToken = time.Since(start)
 	}
 	if want := answer.Token(r.Tokens); r.Tokens >= answer.Len() || choice.Delta.Content != want {
 		return false, &WrongAnswerError{fmt.Sprintf("token %d of %d is %q, want %q", r.Tokens, answer.Len(), choice.Delta.Content, want)}
 	}
 	r.Tokens++
+	if event.LastEventID != "" && event.LastEventID != strconv.Itoa(r.Tokens) {
+		return false, &WrongAnswerError{fmt.Sprintf("token %d has the event id %s", r.Tokens, event.LastEventID)}
+	}
 	return false, nil
 }
 
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -103,6 +103,8 @@
 		{"too long", []int{0, 1, 2, 3}, end, true, false},
 		{"ends early as if whole", []int{0, 1}, end, true, false},
 		{"cut", []int{0, 1, 2}, "", false, false},
+		{"another event id", []int{0, 1}, "id: 9\n" + chunk(answer.Token(2), nil) + end, true, false},
+		{"ended by an error", []int{0, 1}, "event: error\ndata: {\"error\":{\"code\":\"stream_broken\",\"disposition\":\"ran\"}}\n\n", false, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -121,6 +123,17 @@
 	}
 }
 
+func TestResumedStreamHoldsTheRest(t *testing.T) {
+	answer := enginemodel.NewAnswer("m", "p [out=3]", 0)
+	var body bytes.Buffer
+	fmt.Fprintf(&body, "id: 3\ndata: {\"choices\":[{\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", answer.Token(2))
+	body.WriteString("data: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+	r := Result{Tokens: 2, Resumed: 2}
+	if err := readStream(&r, &body, answer, time.Now()); err != nil || r.Tokens != 3 {
+		t.Errorf("readStream = %v with %d tokens, want the whole answer with 3", err, r.Tokens)
+	}
+}
+
 func TestOverheadPairsCalls(t *testing.T) {
 	_, address := startEngine(t)
 	cfg := OverheadConfig{Direct: address, Entry: address, Model: "m", Pairs: 30, Warmup: 2, Rate: 1000, Prompt: 20, Output: 5, Timeout: testTimeout, EntryPID: os.Getpid()}
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -40,21 +40,25 @@
 
 	FirstToken time.Duration // from sending to the first token, or to the answer
 	Total      time.Duration
-	Tokens     int
+	Tokens     int // that the caller has, with those of an earlier stream
+	Resumed    int // of them, those of an earlier stream
 }
 
 // PerToken returns the mean time between tokens after the first one.
 func (r Result) PerToken() time.Duration {
-	if r.Tokens < 2 {
+	received := r.Tokens - r.Resumed
+	if received < 2 {
 		return 0
 	}
-	return (r.Total - r.FirstToken) / time.Duration(r.Tokens-1)
+	return (r.Total - r.FirstToken) / time.Duration(received-1)
 }
 
-// RefusedError reports a refusal by an entry host or an endpoint.
+// RefusedError reports a refusal by an entry host or an endpoint, or the event
+// that ends a stream without its rest.
 type RefusedError struct {
 	Status  int
 	Code    string
+	Outcome Outcome // what the refusal says about the run
 	Message string
 }
 
@@ -77,27 +81,45 @@
 // errorBody is the part of a refusal's body that callers read.
 type errorBody struct {
 	Error struct {
-		Code    string `json:"code"`
-		Message string `json:"message"`
+		Code        string `json:"code"`
+		Message     string `json:"message"`
+		Disposition string `json:"disposition"`
 	} `json:"error"`
 }
 
 // maxErrorBytes bounds what is read of a refusal's body.
 const maxErrorBytes = 64 << 10
 
-// refused reads a refusal.
-func (r *Result) refused(resp *http.Response) {
+// refusedError reads a refusal.
+func refusedError(resp *http.Response) error {
+	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	var body errorBody
-	_ = json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&body)
-	r.Code = body.Error.Code
-	r.Err = &RefusedError{Status: resp.StatusCode, Code: r.Code, Message: body.Error.Message}
-	switch Outcome(resp.Header.Get(engineapi.HeaderRunDisposition)) {
-	case NotRun:
-		r.Outcome = NotRun
-	case Ran:
-		r.Outcome = Ran
+	_ = json.Unmarshal(data, &body)
+	return &RefusedError{
+		Status:  resp.StatusCode,
+		Code:    body.Error.Code,
+		Outcome: outcomeOf(resp.Header.Get(engineapi.HeaderRunDisposition)),
+		Message: body.Error.Message,
+	}
+}
+
+// endedError reads the event that ends a stream without its rest.
+func endedError(status int, data []byte) error {
+	var body errorBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return fmt.Errorf("error event is not readable: %w", err)
+	}
+	return &RefusedError{Status: status, Code: body.Error.Code, Outcome: outcomeOf(body.Error.Disposition), Message: body.Error.Message}
+}
+
+// outcomeOf reads what a refusal says about the run. One that says nothing may
+// have run.
+func outcomeOf(disposition string) Outcome {
+	switch o := Outcome(disposition); o {
+	case NotRun, Ran:
+		return o
 	default:
-		r.Outcome = Unknown
+		return Unknown
 	}
 }
 
@@ -106,7 +128,11 @@
 	r.Err = err
 	r.Outcome = Broken
 	var wrong *WrongAnswerError
-	if errors.As(err, &wrong) {
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &wrong):
 		r.Outcome = Wrong
+	case errors.As(err, &refused):
+		r.Outcome, r.Code = refused.Outcome, refused.Code
 	}
 }
