Routing: pack answers, let mixed engines share a zone; stronger reactive baseline

Cause: at high load answers spread over all engines and kept prompts away from mixed ones; the planner held mixed engines for less able than they are. Change: a gap below its target counts by its 4th power; ranks among mixed engines only, weight 0.3; mixed engines count fully in the planner. New policy of the comparison: all engines mixed.

--- a/internal/experiment/baselines.go
+++ b/internal/experiment/baselines.go
@@ -204,10 +204,9 @@
 // Thresholds of the reactive planner.
 const (
 	reactivePeriod  = 5 * time.Second
-	promptBacklog   = 8000 // prompt tokens waiting per prefill engine that call for another one
-	promptQuiet     = 1500 // below this a prefill engine can go
-	answersBusy     = 0.75 // share of batch places or memory in use that calls for another decode engine
-	answersQuiet    = 0.6
+	promptBacklog   = 16000             // prompt tokens waiting per prefill engine that call for another one
+	promptQuiet     = 1500             // below this a prefill engine can go
+	answersBusy     = 0.9             // share of batch places or memory in use that calls for another decode engine
 	reactiveRecover = 10 * time.Second // least time between changes of a zone
 )
 
@@ -241,8 +240,6 @@
 		z.change(answers[0], engineapi.RolePrefill)
 	case busy > answersBusy && backlog < promptQuiet && len(prompts) > 1:
 		z.change(prompts[0], engineapi.RoleDecode)
-	case backlog < promptQuiet/2 && busy > answersQuiet && len(prompts) > 1:
-		z.change(prompts[0], engineapi.RoleDecode)
 	}
 }
 
--- a/internal/experiment/filberthook.go
+++ b/internal/experiment/filberthook.go
@@ -18,7 +18,7 @@
 type filberthook struct {
 	name    string
 	planner planner.Config
-	mixed   bool
+	mixed   bool // every engine starts in the mixed role
 	zones   []*zonePlanner
 }
 
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -17,7 +17,8 @@
 	start(m *sim, end time.Duration) // sets the timers of its planner
 }
 
-// Names of the policies.
+// Names of the policies. Those of filberthook start from the declared roles like
+// the baselines, but for nameMixed: there operators declare every engine mixed.
 const (
 	nameRoundRobin = "round-robin"
 	nameLeastLoad  = "least-load"
@@ -25,6 +26,7 @@
 	nameReactive   = "reactive"
 	nameGoodput    = "filberthook-goodput"
 	nameFewChanges = "filberthook-few-changes"
+	nameMixed      = "filberthook-mixed"
 	nameDeployment = "filberthook"
 )
 
@@ -32,7 +34,7 @@
 var baselineNames = []string{nameRoundRobin, nameLeastLoad, nameNoSplit, nameReactive}
 
 // allNames are the policies of a comparison.
-var allNames = append(append([]string{}, baselineNames...), nameGoodput, nameFewChanges)
+var allNames = append(append([]string{}, baselineNames...), nameGoodput, nameFewChanges, nameMixed)
 
 // newPolicy returns the policy with a name, set up for a scenario. Filberthook
 // alone uses the weights of the fleet's own settings.
@@ -46,8 +48,8 @@
 		return &baseline{name: name, choose: chooseLeastLoad, mixed: true}, nil
 	case nameReactive:
 		return &baseline{name: name, choose: chooseLeastLoad, reactive: true}, nil
-	case "filberthook-mixed":
-		return &filberthook{name: name, planner: s.Fleet.Planner, mixed: true}, nil
+	case nameMixed:
+		return &filberthook{name: name, planner: planner.FewChangesConfig(), mixed: true}, nil
 	case nameDeployment:
 		return &filberthook{name: name, planner: s.Fleet.Planner}, nil
 	case nameGoodput:
--- a/internal/planner/utility.go
+++ b/internal/planner/utility.go
@@ -27,10 +27,10 @@
 
 // Constants of the queueing approximation.
 const (
-	lateAtFull      = 0.1  // share of late answers where demand equals capacity
-	mixedEfficiency = 0.85 // work that a mixed engine does, relative to one with a role
-	mixedSteps      = 16   // ways of sharing mixed engines between prompts and answers that are tried
-	firstTokenSlack = 0.6  // part of the first-token target that may be spent waiting
+	lateAtFull      = 0.1 // share of late answers where demand equals capacity
+	mixedEfficiency = 1.0 // work that a mixed engine does, relative to one with a role
+	mixedSteps      = 16  // ways of sharing mixed engines between prompts and answers that are tried
+	firstTokenSlack = 0.6 // part of the first-token target that may be spent waiting
 )
 
 // model predicts the share of answers in time for a fleet and a demand.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -123,13 +123,16 @@
 	}
 }
 
-// rankEngines numbers the engines of each zone in order of their names. All
-// entry hosts come to the same ranks.
+// rankEngines numbers the mixed engines of each zone in order of their names.
+// All entry hosts come to the same ranks. An engine that is the only mixed one
+// of its zone keeps neither part away.
 func rankEngines(cands []Candidate) {
 	byName := make([]*Candidate, 0, len(cands))
 	for i := range cands {
-		if cands[i].Kind == engineapi.KindModel {
-			byName = append(byName, &cands[i])
+		c := &cands[i]
+		c.promptRank, c.answerRank = 0, 0
+		if c.Kind == engineapi.KindModel && c.Role != engineapi.RolePrefill && c.Role != engineapi.RoleDecode {
+			byName = append(byName, c)
 		}
 	}
 	slices.SortFunc(byName, func(a, b *Candidate) int {
@@ -140,8 +143,9 @@
 		for to < len(byName) && byName[to].zone == byName[from].zone {
 			to++
 		}
-		for i := from; i < to; i++ {
-			byName[i].rank = float64(i-from) / float64(max(1, to-from-1))
+		for i := from; i < to && to-from > 1; i++ {
+			byName[i].promptRank = float64(i-from) / float64(to-from-1)
+			byName[i].answerRank = 1 - byName[i].promptRank
 		}
 		from = to
 	}
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"filberthook/internal/engineapi"
@@ -11,9 +12,10 @@
 	lateWeight    = 5.0  // of the part of a prediction beyond its target
 	memoryWeight  = 0.5  // of memory in use, squared
 	ageWeight     = 0.05 // per second of a report's age
+	gapPower      = 4.0  // of a gap's share of its target
 	breakWeight   = 0.07 // cost of one long step to one running answer, in answers
 	slowShare     = 0.05 // share of an answer's gaps that may exceed the target
-	partWeight    = 1.0  // keeps prompts and answers on different mixed engines
+	partWeight    = 0.3  // keeps prompts and answers on different mixed engines
 	unseenInflow  = 0.7  // share of an engine's capacity that others are taken to fill
 	batchWaitSecs = 4.0  // wait for a place in a full batch of answers
 )
@@ -38,7 +40,18 @@
 
 // total turns a prediction into a score; lower is better.
 func (p prediction) total(t *Targets) float64 {
-	return share(p.first, t.FirstToken.Seconds()) + share(p.gap, t.Gap.Seconds()) + p.cost
+	return share(p.first, t.FirstToken.Seconds()) + gapShare(p.gap, t.Gap.Seconds()) + p.cost
+}
+
+// gapShare returns a gap as a share of its target, raised to a power: what is
+// well below the target is all the same, so that answers are packed on few
+// engines.
+func gapShare(gap, target float64) float64 {
+	s := share(gap, target)
+	if s >= 1 {
+		return s
+	}
+	return math.Pow(s, gapPower)
 }
 
 // share returns value as a share of its target; what is late weighs more.
@@ -93,7 +106,7 @@
 	p.first = s.r.distance(c) + (backlogShare[q.req.Class]*load.backlog+uncached)/rate
 	p.cost = load.scarcity(c) + ageWeight*load.age.Seconds() + s.r.awayCost(c)
 	if c.Role != engineapi.RolePrefill {
-		p.cost += s.r.interference(q, load.running, uncached) + partWeight*c.rank
+		p.cost += s.r.interference(q, load.running, uncached) + partWeight*c.promptRank
 	}
 	return p, Admitted
 }
@@ -126,7 +139,7 @@
 	p := prediction{gap: costs.Step(batch, 0), first: costs.Step(batch, 0)}
 	if c.Role != engineapi.RoleDecode {
 		p.gap += s.r.longSteps(q, c, load.backlog, p.gap)
-		p.cost += partWeight * (1 - c.rank)
+		p.cost += partWeight * c.answerRank
 	}
 	p.first += batchWaitSecs * (running - batch) / float64(costs.MaxBatch)
 	p.cost += load.scarcity(c) + s.r.awayCost(c)
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -79,7 +79,9 @@
 	sharers float64     // entry hosts that send to it as much as this one, set by Prepare
 	unseen  float64     // share of its capacity that others are taken to use unseen, set by Prepare
 	zone    int         // number of Zone, set by Prepare
-	rank    float64     // place among the zone's engines in order of name, from 0 to 1, set by Prepare
+	// Places among the zone's mixed engines, from 0, which is preferred, to 1,
+	// set by Prepare: prompts and answers fill them from opposite ends.
+	promptRank, answerRank float64
 }
 
 // Request is what routing needs to know about a request.
