--- a/internal/experiment/baselines.go
+++ b/internal/experiment/baselines.go
@@ -204,9 +204,9 @@
 // Thresholds of the reactive planner.
 const (
 	reactivePeriod  = 5 * time.Second
-	promptBacklog   = 16000             // prompt tokens waiting per prefill engine that call for another one
+	promptBacklog   = 16000            // prompt tokens waiting per prefill engine that call for another one
 	promptQuiet     = 1500             // below this a prefill engine can go
-	answersBusy     = 0.9             // share of batch places or memory in use that calls for another decode engine
+	answersBusy     = 0.9              // share of batch places or memory in use that calls for another decode engine
 	reactiveRecover = 10 * time.Second // least time between changes of a zone
 )
 
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -102,6 +102,12 @@
 	return f.level.scale(1 / f.weight)
 }
 
+// Ready reports whether the forecaster has seen its window of work.
+func (f *Forecaster) Ready(now time.Duration) bool {
+	f.roll(now)
+	return f.weight >= 1-1/math.E
+}
+
 // Forecast returns the demand expected ahead of now. The trend is followed no
 // further than the forecaster's window.
 func (f *Forecaster) Forecast(now, ahead time.Duration) Demand {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -47,12 +47,12 @@
 func GoodputConfig() Config {
 	return Config{
 		GoodputWeight:  1,
-		ChangeCost:     5,
+		ChangeCost:     20,
 		Horizon:        tomltime.Of(60 * time.Second),
 		ChangeTime:     tomltime.Of(4 * time.Second),
 		DrainTime:      tomltime.Of(8 * time.Second),
 		MinDwell:       tomltime.Of(60 * time.Second),
-		Confirmations:  3,
+		Confirmations:  6,
 		ChangesPerHour: 30,
 		Burst:          3,
 		SmallZone:      6,
