Bound slow senders and slow readers; test what strangers can send

Cause: a body that stopped half way was refused after its time, but the server then read on for the rest of it without a deadline: the connection and its handler hung for good, also for callers without a team key. Change: Pace sets the read deadline before any handler, so that it also ends the server's own reading of a refused body; Body clears it once the body is whole.

--- a/internal/middleware/body.go
+++ b/internal/middleware/body.go
@@ -14,17 +14,17 @@
 
 // BodySettings bound request bodies.
 type BodySettings struct {
-	MaxBytes    int64         `toml:"max_bytes"`    // of one body
-	MaxHeld     int64         `toml:"max_held"`     // bytes of all bodies together
-	ReadTimeout time.Duration `toml:"read_timeout"` // for the whole body
+	MaxBytes int64 `toml:"max_bytes"` // of one body
+	MaxHeld  int64 `toml:"max_held"`  // bytes of all bodies together
 }
 
 // DefaultBody returns limits that fit full charter files.
 func DefaultBody() BodySettings {
-	return BodySettings{MaxBytes: 8 << 20, MaxHeld: 512 << 20, ReadTimeout: 10 * time.Second}
+	return BodySettings{MaxBytes: 8 << 20, MaxHeld: 512 << 20}
 }
 
-// Body reads the request's body within limits of size, time and memory.
+// Body reads the request's body within limits of size and memory. Pace limits
+// the time.
 type Body struct {
 	settings BodySettings
 	memory   *limit.Memory
@@ -50,6 +50,7 @@
 		c.Refuse(w, refusal)
 		return
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{}) // see Pace
 	c.Body = body
 	h.next.ServeHTTP(w, r)
 }
@@ -74,9 +75,6 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(h.settings.ReadTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	limited := http.MaxBytesReader(w, r.Body, h.settings.MaxBytes)
 	if r.ContentLength < 0 {
 		body, err := io.ReadAll(limited)
--- a/internal/middleware/middleware.go
+++ b/internal/middleware/middleware.go
@@ -25,6 +25,7 @@
 	Gate     limit.GateSettings `toml:"gate"`
 	Team     limit.TeamSettings `toml:"team"`
 	Claims   ClaimSettings      `toml:"claims"`
+	Pace     PaceSettings       `toml:"pace"`
 }
 
 // DefaultSettings returns the settings used when none are set.
@@ -35,6 +36,7 @@
 		Gate:     limit.DefaultGate(),
 		Team:     limit.DefaultTeam(),
 		Claims:   DefaultClaims(),
+		Pace:     DefaultPace(),
 	}
 }
 
@@ -60,5 +62,6 @@
 	h = NewAuthentication(config, h)
 	stop := NewStop(h)
 	h = NewRequestID(counters, stop)
+	h = NewPace(s.Pace, h)
 	return &Chain{Handler: NewViolation(h), Stop: stop, Claims: claims}
 }
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -142,6 +142,16 @@
 	claims     claimlog.Settings
 }
 
+// fuzzEntry returns the handlers of an entry without a server.
+func fuzzEntry(f *testing.F, instance string) http.Handler {
+	set := metrics.NewSet()
+	counters := request.NewCounters(set)
+	claims := claimlog.New(newMemoryLog(), claimlog.DefaultSettings(), counters, set)
+	f.Cleanup(claims.Close)
+	last := proxy.New(proxy.DefaultSettings(), &scheduler{instances: []string{instance}}, set)
+	return middleware.NewChain(middleware.DefaultSettings(), newConfig(), claims, counters, last)
+}
+
 func newEntry(t *testing.T, log claimlog.Log, instances []string, change ...func(*options)) *entry {
 	o := options{middleware.DefaultSettings(), proxy.DefaultSettings(), claimlog.DefaultSettings()}
 	o.claims.ClaimTimeout = time.Minute
