--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"filberthook/internal/experiment"
 )
 
 // Exit codes.
@@ -30,7 +32,10 @@
 	commands := []command{
 		overheadCommand(app),
 		runCommand(app),
+		faultsCommand(app),
+		slopesCommand(app),
 	}
+	experiment.Register(app) // runs during Parse
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "filberthook-load:", err)
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -13,6 +13,7 @@
 
 	"filberthook/internal/engineapi"
 	"filberthook/internal/fleet"
+	"filberthook/internal/history"
 	"filberthook/internal/request"
 	"filberthook/internal/retry"
 )
@@ -22,6 +23,8 @@
 type Call struct {
 	Request  *request.Request
 	Counters *request.Counters
+	History  *history.Entry // may be nil
+	Arrived  time.Time
 
 	Team     string         // calling team
 	Endpoint fleet.Endpoint // what is called
@@ -38,13 +41,14 @@
 
 	Prefixes       []uint64 // chained hashes of the whole pieces of the prompt, for model endpoints
 	PromptTokens   int
+	MaxTokens      int          // limit of the answer that the caller set; 0 is none
 	ExpectedOutput int          // tokens
 	Output         atomic.Int64 // tokens passed on so far; added to by the last handler
 }
 
 // New returns a Call for a request that has just arrived.
 func New(id string, counters *request.Counters) *Call {
-	return &Call{Request: request.New(id), Counters: counters}
+	return &Call{Request: request.New(id), Counters: counters, Arrived: time.Now()}
 }
 
 // contextKey is the key of the Call in a request's context.
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -4,17 +4,20 @@
 // message was dropped; it needs no action besides counting.
 func (c *Core) Step(m *Message) error {
 	switch {
-	case c.diskLost:
-		return &RefusedError{Reason: ReasonDiskLost}
+	case c.excluded != ExclusionNone:
+		return &RefusedError{Reason: ReasonExcluded}
 	case m.To != c.cfg.ID:
 		return &RefusedError{Reason: ReasonWrongAddressee}
 	}
+	if err := c.checkAddressee(m); err != nil {
+		return err
+	}
 	if err := c.checkSender(m); err != nil {
 		return err
 	}
 	switch m.Type {
-	case MessageDiskLost:
-		c.diskLost = m.Hint != c.cfg.Incarnation
+	case MessageExcluded:
+		c.handleExcluded(m)
 		return nil
 	case MessageReadIndex:
 		c.handleReadIndex(m)
@@ -30,23 +33,54 @@
 	return nil
 }
 
+// checkAddressee drops messages meant for another data folder under this id, such
+// as votes that this replica's predecessor asked for. A leader sends heartbeats only
+// to the replica it knows, so one for another folder shows that this disk was lost.
+func (c *Core) checkAddressee(m *Message) error {
+	if m.ToIncarnation == 0 || m.ToIncarnation == c.cfg.Incarnation || c.fault == faultIgnoreIncarnation {
+		return nil
+	}
+	if m.Type == MessageHeartbeat {
+		c.excluded = ExclusionDiskLost
+	}
+	return &RefusedError{Reason: ReasonWrongIncarnation}
+}
+
 // checkSender drops messages of removed replicas and of replicas that lost the
 // data folder under which the group knows them.
 func (c *Core) checkSender(m *Message) error {
 	membership := c.membership()
 	if membership.IsRetired(m.From) {
+		c.tellRemoved(m)
 		return &RefusedError{Reason: ReasonRetiredID}
 	}
 	member, ok := membership.Find(m.From)
 	if !ok || member.Incarnation == 0 || member.Incarnation == m.Incarnation || c.fault == faultIgnoreIncarnation {
 		return nil
 	}
-	if m.Type != MessageDiskLost {
-		c.send(Message{Type: MessageDiskLost, To: m.From, Hint: member.Incarnation})
+	if m.Type != MessageExcluded {
+		c.reply(m, Message{Type: MessageExcluded, Hint: member.Incarnation})
 	}
 	return &RefusedError{Reason: ReasonWrongIncarnation}
 }
 
+// tellRemoved answers a removed replica once its removal is committed.
+func (c *Core) tellRemoved(m *Message) {
+	if m.Type != MessageExcluded && c.membershipAt(c.log.committed).IsRetired(m.From) {
+		c.reply(m, Message{Type: MessageExcluded})
+	}
+}
+
+func (c *Core) handleExcluded(m *Message) {
+	switch m.Hint {
+	case c.cfg.Incarnation:
+	case 0:
+		c.excluded = ExclusionRemoved
+	default:
+		c.excluded = ExclusionDiskLost
+	}
+}
+
 // checkTerm enters a newer term or turns an older message away. It reports
 // whether the message is to be handled.
 func (c *Core) checkTerm(m *Message) bool {
@@ -72,9 +106,9 @@
 func (c *Core) turnAway(m *Message) bool {
 	switch m.Type {
 	case MessageAppend, MessageHeartbeat, MessageSnapshotChunk:
-		c.send(Message{Type: MessageAppendResponse, To: m.From, Term: c.term, Index: m.Index, Reject: true})
+		c.reply(m, Message{Type: MessageAppendResponse, Term: c.term, Index: m.Index, Reject: true})
 	case MessagePreVote:
-		c.send(Message{Type: MessagePreVoteResponse, To: m.From, Term: c.term, Reject: true})
+		c.reply(m, Message{Type: MessagePreVoteResponse, Term: c.term, Reject: true})
 	}
 	return false
 }
@@ -112,7 +146,7 @@
 }
 
 func (c *Core) handleTimeoutNow() {
-	if c.role == RoleFollower && c.membership().IsVoter(c.cfg.ID) {
+	if c.role != RoleLeader && c.membership().IsVoter(c.cfg.ID) {
 		c.campaign(RoleCandidate, true)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,15 +17,19 @@
 	"sync/atomic"
 	"time"
 
+	"filberthook/internal/buildinfo"
 	"filberthook/internal/cachefeed"
 	"filberthook/internal/claimlog"
+	"filberthook/internal/demand"
 	"filberthook/internal/directory"
 	"filberthook/internal/distribution"
 	"filberthook/internal/gossip"
+	"filberthook/internal/history"
 	"filberthook/internal/keys"
 	"filberthook/internal/membership"
 	"filberthook/internal/middleware"
 	"filberthook/internal/peer"
+	"filberthook/internal/request"
 	"filberthook/internal/routing"
 	"filberthook/internal/scheduler"
 	"filberthook/internal/settings"
@@ -41,6 +45,9 @@
 	maxHeaderBytes    = 32 << 10
 )
 
+// demandInterval is the time between two demand reports.
+const demandInterval = time.Second
+
 // Node is one entry host.
 type Node struct {
 	set       settings.Entry
@@ -50,6 +57,8 @@
 	listeners Listeners
 
 	dir       *directory.Directory
+	meter     *demand.Meter
+	board     *demand.Board // demand of the zone's hosts
 	sched     *scheduler.Scheduler
 	router    *routing.Router
 	gossip    *gossip.Node
@@ -57,7 +66,10 @@
 	replicas  []*peer.Client
 	certs     *keys.Source // nil without TLS
 	claims    *claimlog.Client
+	zone      *zonePlanner
 	callers   *middleware.Chain
+	counters  *request.Counters
+	calls     *history.Log
 	stopping  atomic.Bool
 	cancelAll context.CancelFunc // ends the requests under way
 	base      context.Context    // parent of all requests
@@ -72,11 +84,14 @@
 		started:   time.Now(),
 		listeners: l,
 		dir:       directory.New(),
+		meter:     &demand.Meter{},
+		board:     demand.NewBoard(),
 	}
 	n.base, n.cancelAll = context.WithCancel(context.Background())
 	s.Routing.Zone = s.Zone
 	n.router = routing.New(s.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.sched = scheduler.New(n.now, n.dir, n.router)
+	schedule := scheduler.Settings{Routing: s.Routing, Admission: s.Admission}
+	n.sched = scheduler.New(schedule, n.now, n.dir, n.router, n.meter, set)
 	if err := n.connectControl(); err != nil {
 		return nil, err
 	}
@@ -84,6 +99,8 @@
 		return nil, err
 	}
 	n.callerHandlers()
+	n.zone = n.newZonePlanner()
+	buildinfo.Register(set)
 	return n, nil
 }
 
@@ -118,6 +135,7 @@
 	config, err := distribution.NewClient(distribution.Settings{
 		Replicas: callers,
 		Dir:      dir,
+		Engines:  n.engineReports,
 		Logger:   n.log,
 		Metrics:  n.metrics,
 	}, nil)
@@ -141,7 +159,7 @@
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Metrics: n.metrics,
 		Logger:  n.log,
-	}, n.dir, n.listeners.Gossip)
+	}, n.dir, n.board, n.listeners.Gossip)
 	return err
 }
 
@@ -165,6 +183,9 @@
 	group.Go(func() error { return n.config.Run(groupCtx) })
 	feed := cachefeed.New(n.set.Zone, n.now, n.dir, n.router.Prefixes(), n.metrics, n.log)
 	group.Go(func() error { return feed.Run(groupCtx) })
+	group.Go(func() error { return n.reportDemand(groupCtx) })
+	group.Go(func() error { return n.sched.Run(groupCtx) })
+	n.zone.run(groupCtx, group.Go)
 	if n.certs != nil {
 		group.Go(func() error { return n.certs.Run(groupCtx) })
 	}
@@ -181,6 +202,7 @@
 	case <-groupCtx.Done():
 	}
 	cut := n.stop(groupCtx, callers)
+	n.zone.release(n.log)
 	stopBackground()
 	announce.Close()
 	status.Close()
@@ -191,6 +213,20 @@
 	return errors.Join(group.Wait(), cut)
 }
 
+// reportDemand tells the zone's hosts what callers bring to this one.
+func (n *Node) reportDemand(ctx context.Context) error {
+	ticker := time.NewTicker(demandInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.gossip.Demand(n.meter.Take(n.now()))
+		}
+	}
+}
+
 // stop ends the callers' server gracefully.
 func (n *Node) stop(ctx context.Context, callers *http.Server) error {
 	n.stopping.Store(true)
--- a/internal/faultnet/relay.go
+++ b/internal/faultnet/relay.go
@@ -32,6 +32,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{} // open connections of both sides; guarded by mu
+	down  bool                  // new connections are closed at once; guarded by mu
 }
 
 // NewRelay returns a relay on a free loopback port. Close ends it.
@@ -68,6 +69,11 @@
 	r.CutBack()
 }
 
+// Bytes returns how many bytes have passed since the start, each way.
+func (r *Relay) Bytes() (there, back uint64) {
+	return r.there.bytes.Load(), r.back.bytes.Load()
+}
+
 // Delay holds each chunk of bytes for a time in each direction.
 func (r *Relay) Delay(d time.Duration) {
 	r.there.slow(d)
@@ -81,6 +87,22 @@
 	r.back.heal()
 }
 
+// Down closes all open connections and each new one, as the death of the target
+// would, until Up.
+func (r *Relay) Down() {
+	r.mu.Lock()
+	r.down = true
+	r.mu.Unlock()
+	r.Reset()
+}
+
+// Up ends Down.
+func (r *Relay) Up() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = false
+}
+
 // Reset closes all open connections.
 func (r *Relay) Reset() {
 	r.mu.Lock()
@@ -107,17 +129,17 @@
 		}
 		if !r.track(conn) {
 			_ = conn.Close()
-			return
+			continue
 		}
 		r.wg.Go(func() { r.serve(conn) })
 	}
 }
 
-// track remembers a connection; false when the relay is closed.
+// track remembers a connection; false when the relay is closed or down.
 func (r *Relay) track(c net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ctx.Err() != nil {
+	if r.down || r.ctx.Err() != nil {
 		return false
 	}
 	r.conns[c] = struct{}{}
@@ -172,6 +194,7 @@
 		if _, err := to.Write(c.data); err != nil {
 			break
 		}
+		d.bytes.Add(uint64(len(c.data)))
 	}
 	if d.pass(ctx, time.Now()) {
 		closeWrite(to)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -27,8 +27,24 @@
 	Window         tomltime.Duration `toml:"forecast_window"`  // of the forecaster
 }
 
-// DefaultConfig returns the settings that favour goodput.
-func DefaultConfig() Config {
+// DefaultConfig returns the settings used when a file names none.
+func DefaultConfig() Config { return GoodputConfig() }
+
+// FewChangesConfig returns settings for deployments that would rather lose some
+// answers than an engine's seconds.
+func FewChangesConfig() Config {
+	cfg := GoodputConfig()
+	cfg.ChangeCost = 300
+	cfg.Confirmations = 5
+	cfg.ChangesPerHour = 6
+	cfg.Burst = 2
+	cfg.MinDwell = tomltime.Of(5 * time.Minute)
+	return cfg
+}
+
+// GoodputConfig returns settings for deployments where each late answer weighs
+// more than a change.
+func GoodputConfig() Config {
 	return Config{
 		GoodputWeight:  1,
 		ChangeCost:     5,
@@ -281,7 +297,8 @@
 	answers := d.Requests * p.cfg.GoodputWeight
 	change.Gain = (after - inTime) * answers * p.cfg.Horizon.Seconds()
 	change.Cost = (inTime-during)*answers*away + p.cfg.ChangeCost
-	change.Reason = fmt.Sprintf("in time now %.3f, during the change %.3f, after it %.3f", inTime, during, after)
+	change.Reason = fmt.Sprintf("in time now %.3f, during the change %.3f, after it %.3f, at %.1f requests, %.0f prompt and %.0f output tokens a second",
+		inTime, during, after, d.Requests, d.PromptTokens, d.OutputTokens)
 	return change
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -13,11 +13,14 @@
 	"strconv"
 	"sync"
 
+	"filberthook/internal/admission"
 	"filberthook/internal/call"
 	"filberthook/internal/engineapi"
+	"filberthook/internal/history"
 	"filberthook/internal/ident"
 	"filberthook/internal/request"
 	"filberthook/internal/routing"
+	"filberthook/internal/scheduler"
 )
 
 // failure tells why an attempt gave no answer.
@@ -38,6 +41,7 @@
 	proxy    *Proxy
 	resp     *http.Response
 	cancel   context.CancelFunc
+	cache    string // imported KV cache to start from; empty when there is none
 	ended    sync.Once
 
 	mu   sync.Mutex
@@ -52,12 +56,14 @@
 		return nil, &failure{final: true, refusal: p.deadlinePassed(c)}
 	}
 	a := &attempt{id: ident.New(), call: c, proxy: p, target: p.target(c, exclude)}
-	if err := a.pick(); err != nil {
-		return nil, pickFailure(err)
+	if err := a.place(ctx, resumeFrom); err != nil {
+		c.History.Tried(history.Attempt{ResumedFrom: resumeFrom, Problem: err.Error()})
+		return nil, placeFailure(err)
 	}
+	c.History.Tried(a.decided(resumeFrom))
 	ctx, a.cancel = context.WithCancel(ctx)
+	a.prefill(ctx)
 	c.Request.Dispatch(a.id)
-	p.sched.Started(&a.decision, a.target)
 	if f := a.send(ctx, r, resumeFrom); f != nil {
 		a.end()
 		return nil, f
@@ -69,17 +75,32 @@
 	return a, nil
 }
 
-// pick chooses the instance. When only instances are left that have failed the
-// call, they are tried again.
-func (a *attempt) pick() (err error) {
-	a.decision, err = a.proxy.sched.Pick(a.target)
-	if err != nil && len(a.target.Exclude) > 0 {
-		a.target.Exclude = nil
-		a.decision, err = a.proxy.sched.Pick(a.target)
-	}
+// place chooses the instance, waiting for room if need be.
+func (a *attempt) place(ctx context.Context, resumeFrom int) (err error) {
+	c := a.call
+	a.decision, err = a.proxy.sched.Place(ctx, scheduler.Placement{
+		Team:      c.Team,
+		Endpoint:  c.Endpoint.Name,
+		Left:      c.Left(),
+		MaxTokens: c.MaxTokens,
+		Generated: resumeFrom,
+	}, a.target)
 	return err
 }
 
+// decided describes the decision for the history.
+func (a *attempt) decided(resumeFrom int) history.Attempt {
+	d := &a.decision
+	return history.Attempt{
+		Instance:    d.Instance,
+		Prefill:     d.Prefill,
+		Predicted:   d.FirstToken,
+		Score:       d.Score,
+		CachedHope:  d.CachedTokens,
+		ResumedFrom: resumeFrom,
+	}
+}
+
 // end closes the attempt's connection, unless its answer was read whole, and
 // reports its end. It may be called more than once.
 func (a *attempt) end() {
@@ -136,7 +157,7 @@
 	if !a.connected() {
 		reason = request.RetryConnect
 	}
-	return &failure{reason: reason, instance: a.decision.Instance, err: err}
+	return a.failure(reason, err)
 }
 
 // outgoing builds the request to the instance. Its body cannot be sent twice
@@ -162,6 +183,9 @@
 	out.Header.Set(engineapi.HeaderIdempotencyKey, c.Key)
 	out.Header.Set(engineapi.HeaderPriority, strconv.Itoa(int(c.Class)))
 	out.Header.Set(engineapi.HeaderDeadline, strconv.FormatInt(max(c.Left().Milliseconds(), 1), 10))
+	if a.cache != "" {
+		out.Header.Set(engineapi.HeaderKVHandle, a.cache)
+	}
 	if resumeFrom > 0 {
 		out.Header.Set(engineapi.HeaderResumeFrom, strconv.Itoa(resumeFrom))
 	}
@@ -213,6 +237,7 @@
 }
 
 func (a *attempt) failure(reason request.RetryReason, err error) *failure {
+	a.call.History.Failed(string(reason) + ": " + err.Error())
 	return &failure{reason: reason, instance: a.decision.Instance, err: err}
 }
 
@@ -256,12 +281,33 @@
 	}
 }
 
-// pickFailure describes a call for which no instance can be picked.
-func pickFailure(err error) *failure {
-	refusal := request.Refuse(request.NoInstance, "%v", err).Because(err)
+// placeFailure describes a call for which no instance has room in time.
+func placeFailure(err error) *failure {
+	var refused *admission.RefusedError
+	var canceled *scheduler.CanceledError
 	var none *routing.NoCandidateError
-	if errors.As(err, &none) && none.Main() == routing.ReasonDeadline {
-		refusal = request.Refuse(request.DeadlineUnreachable, "%v", err).Because(err)
+	code := request.NoInstance
+	switch {
+	case errors.As(err, &refused):
+		return refusedFailure(refused)
+	case errors.As(err, &canceled):
+		return &failure{err: err, refusal: request.Refuse(request.CallerGone, "%v", err).Because(err)}
+	case errors.As(err, &none) && none.Main() == routing.ReasonDeadline:
+		code = request.DeadlineUnreachable
+	}
+	return &failure{refusal: request.Refuse(code, "%v", err).Because(err), err: err}
+}
+
+// refusedFailure ends a call that admission has given up: its answer is due at
+// once, and other attempts would meet the same queue.
+func refusedFailure(err *admission.RefusedError) *failure {
+	code := request.QueueFull
+	if err.Reason == admission.RefusedDeadline {
+		code = request.DeadlineUnreachable
+	}
+	refusal := request.Refuse(code, "%v", err).Because(err)
+	if err.RetryAfter > 0 {
+		refusal = refusal.After(err.RetryAfter)
 	}
-	return &failure{refusal: refusal, err: err}
+	return &failure{final: true, refusal: refusal, err: err}
 }
