--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -165,7 +165,7 @@
 	claims := claimlog.New(newMemoryLog(), claimlog.DefaultSettings(), counters, set)
 	f.Cleanup(claims.Close)
 	last := proxy.New(proxy.DefaultSettings(), &scheduler{instances: []string{instance}}, set)
-	return middleware.NewChain(middleware.DefaultSettings(), newConfig(), claims, counters, last)
+	return middleware.NewChain(middleware.DefaultSettings(), newConfig(), claims, counters, history.NewLog(), last)
 }
 
 func newEntry(t *testing.T, log claimlog.Log, instances []string, change ...func(*options)) *entry {
