--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -41,6 +41,7 @@
 	proxy    *Proxy
 	resp     *http.Response
 	cancel   context.CancelFunc
+	watch    *watch // nil for a non-repeatable call, which is never given up
 	cache    string // imported KV cache to start from; empty when there is none
 	ended    sync.Once
 
@@ -62,6 +63,9 @@
 	}
 	c.History.Tried(a.decided(resumeFrom))
 	ctx, a.cancel = context.WithCancel(ctx)
+	if c.Request.Repeatable() {
+		a.watch = startWatch(a)
+	}
 	a.prefill(ctx)
 	c.Request.Dispatch(a.id)
 	if f := a.send(ctx, r, resumeFrom); f != nil {
@@ -105,6 +109,7 @@
 // reports its end. It may be called more than once.
 func (a *attempt) end() {
 	a.ended.Do(func() {
+		a.watch.stop()
 		if a.resp != nil {
 			a.resp.Body.Close()
 		}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -70,6 +70,14 @@
 	instances []string // addresses; guarded by mu
 	underWay  int      // guarded by mu
 	draining  []string // guarded by mu
+	gone      []string // instances whose lease has run out; guarded by mu
+}
+
+// Live implements proxy.Scheduler.
+func (s *scheduler) Live(instance string, _ uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.Contains(s.gone, instance)
 }
 
 func (s *scheduler) Pick(req *routing.Request) (routing.Decision, error) {
@@ -164,10 +172,26 @@
 	counters := request.NewCounters(set)
 	claims := claimlog.New(newMemoryLog(), claimlog.DefaultSettings(), counters, set)
 	f.Cleanup(claims.Close)
+	return benchChain(claims, counters, set, instance)
+}
+
+// benchChain returns the handlers of an entry that knows one instance.
+func benchChain(claims *claimlog.Client, counters *request.Counters, set *metrics.Set, instance string) http.Handler {
 	last := proxy.New(proxy.DefaultSettings(), &scheduler{instances: []string{instance}}, set)
 	return middleware.NewChain(middleware.DefaultSettings(), newConfig(), claims, counters, history.NewLog(), last)
 }
 
+// countTokens counts the events with an id.
+func countTokens(body io.Reader) int {
+	n := 0
+	for lines := bufio.NewScanner(body); lines.Scan(); {
+		if strings.HasPrefix(lines.Text(), "id: ") {
+			n++
+		}
+	}
+	return n
+}
+
 func newEntry(t *testing.T, log claimlog.Log, instances []string, change ...func(*options)) *entry {
 	o := options{middleware.DefaultSettings(), proxy.DefaultSettings(), claimlog.DefaultSettings()}
 	o.claims.ClaimTimeout = time.Minute
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -35,6 +35,8 @@
 	AnswerLength(team, endpoint string, tokens int)
 	ObserveLoad(instance string, incarnation uint64, load engineapi.LoadReport)
 	Draining(instance string, incarnation uint64)
+	// Live reports whether an instance holds its lease.
+	Live(instance string, incarnation uint64) bool
 }
 
 // Settings bound attempts and answers.
@@ -45,6 +47,8 @@
 	MaxHeldBytes   int64             `toml:"max_held_bytes"`   // of all whole answers together
 	MaxEventBytes  int               `toml:"max_event_bytes"`  // of one event of a stream
 	StreamIdle     time.Duration     `toml:"stream_idle"`      // longest gap in an engine's stream before it is taken up elsewhere
+	GoneIdle       time.Duration     `toml:"gone_idle"`        // the same when the instance's lease has run out, also before the first event
+	WatchInterval  time.Duration     `toml:"watch_interval"`   // between looks at the progress of an attempt
 }
 
 // DefaultSettings returns the settings used when none are set.
@@ -56,6 +60,8 @@
 		MaxHeldBytes:   512 << 20,
 		MaxEventBytes:  256 << 10,
 		StreamIdle:     10 * time.Second,
+		GoneIdle:       time.Second,
+		WatchInterval:  500 * time.Millisecond,
 	}
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -102,8 +101,7 @@
 	if a.resp.StatusCode != http.StatusOK {
 		return a.failure(request.RetryStatus, errors.New(a.resp.Status))
 	}
-	idle := time.AfterFunc(s.proxy.settings.StreamIdle, a.cancel)
-	defer idle.Stop()
+	a.watch.event()
 	cfg := &sse.ReadConfig{MaxEventSize: s.proxy.settings.MaxEventBytes}
 	for event, err := range sse.Read(a.resp.Body, cfg) {
 		if err != nil && s.finished {
@@ -112,7 +110,7 @@
 		if err != nil {
 			return a.failure(request.RetryBroken, err)
 		}
-		idle.Reset(s.proxy.settings.StreamIdle)
+		a.watch.event()
 		if event.Data == streamEnd {
 			return s.finish()
 		}
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -78,7 +78,10 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			instances := []string{newEngine(t, engine{tokens: tokens, fault: tt.first}), newEngine(t, engine{tokens: tokens})}
-			e := newEntry(t, newMemoryLog(), instances, func(o *options) { o.proxy.StreamIdle = 50 * time.Millisecond })
+			e := newEntry(t, newMemoryLog(), instances, func(o *options) {
+				o.proxy.StreamIdle = 50 * time.Millisecond
+				o.proxy.WatchInterval = 10 * time.Millisecond
+			})
 			got, resp := e.stream()
 			if got.text != expected(0, tokens) || got.finished != 1 || got.done != 1 || got.lastID != "40" {
 				t.Errorf("status %d, got %+v, want %d tokens and one end", resp.StatusCode, got, tokens)
@@ -169,6 +172,40 @@
 	}
 }
 
+// TestInstanceThatLostItsLeaseIsGivenUp hangs at an instance before its first
+// byte. Repeatable requests go elsewhere; a non-repeatable one stays with it.
+func TestInstanceThatLostItsLeaseIsGivenUp(t *testing.T) {
+	quick := func(o *options) {
+		o.proxy.GoneIdle = 20 * time.Millisecond
+		o.proxy.WatchInterval = 10 * time.Millisecond
+	}
+	instances := []string{newEngine(t, engine{tokens: tokens, fault: at(stall, 1, 1)}), newEngine(t, engine{tokens: tokens})}
+	e := newEntry(t, newMemoryLog(), instances, quick)
+	e.sched.gone = instances[:1]
+	if got, _ := e.stream(); got.text != expected(0, tokens) {
+		t.Errorf("got %+v", got)
+	}
+	whole := e.do(http.MethodPost, engineapi.PathCompletions, `{"model":"chat","prompt":"hello"}`)
+	if whole.status != http.StatusOK {
+		t.Errorf("got %+v", whole)
+	}
+
+	hold := make(chan struct{})
+	s := newService(t, func(w http.ResponseWriter, r *http.Request) {
+		<-hold
+		confirm(w, r)
+	})
+	e = newEntry(t, newMemoryLog(), []string{s.address()}, quick)
+	e.sched.gone = []string{s.address()}
+	e.book("k", "chair 7", engineapi.HeaderDeadline, "300").want(t, request.InProgress)
+	close(hold)
+	settle(t, e)
+	check(t, e.book("k", "chair 7"), "")
+	if got := s.ran("k"); got != 1 {
+		t.Errorf("%d runs, want 1", got)
+	}
+}
+
 func TestLeavingInstanceIsReported(t *testing.T) {
 	instances := []string{newEngine(t, engine{tokens: 1, fault: at(notRun, 1)}), newEngine(t, engine{tokens: 1})}
 	e := newEntry(t, newMemoryLog(), instances)
--- /dev/null
+++ b/internal/proxy/watch.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// watch gives up a repeatable attempt that makes no progress: a stream with too
+// long a gap, or any attempt at an instance whose lease has run out. An
+// instance that is waited for, or that goes on streaming, is left alone.
+type watch struct {
+	attempt   *attempt
+	started   time.Time
+	progress  atomic.Int64 // time of the last progress, in nanoseconds since started
+	streaming atomic.Bool  // the answer has begun to come in events
+
+	mu    sync.Mutex
+	timer *time.Timer // guarded by mu; nil after stop
+}
+
+// startWatch begins to watch an attempt.
+func startWatch(a *attempt) *watch {
+	w := &watch{attempt: a, started: time.Now()}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(a.proxy.settings.WatchInterval, w.check)
+	return w
+}
+
+// event notes progress of a stream.
+func (w *watch) event() {
+	w.progress.Store(int64(time.Since(w.started)))
+	w.streaming.Store(true)
+}
+
+// stop ends the watch. It may be called more than once, and on nil.
+func (w *watch) stop() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil {
+		w.timer.Stop()
+		w.timer = nil
+	}
+}
+
+func (w *watch) check() {
+	stuck := w.stuck()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.timer == nil:
+	case stuck:
+		w.attempt.cancel()
+	default:
+		w.timer.Reset(w.attempt.proxy.settings.WatchInterval)
+	}
+}
+
+func (w *watch) stuck() bool {
+	s := &w.attempt.proxy.settings
+	quiet := time.Since(w.started) - time.Duration(w.progress.Load())
+	if w.streaming.Load() && quiet >= s.StreamIdle {
+		return true
+	}
+	d := &w.attempt.decision
+	return quiet >= s.GoneIdle && !w.attempt.proxy.sched.Live(d.Instance, d.Incarnation)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -115,6 +115,13 @@
 	s.dir.MarkDraining(instance, incarnation)
 }
 
+// Live reports whether an instance holds its lease. A newer incarnation of it
+// is another instance.
+func (s *Scheduler) Live(instance string, incarnation uint64) bool {
+	rec := s.dir.Snapshot().Find(instance)
+	return rec != nil && rec.Announcement.Incarnation == incarnation
+}
+
 // Candidates returns the candidates of the directory's newest snapshot. They
 // must not be changed.
 func (s *Scheduler) Candidates() []routing.Candidate {
