--- a/internal/middleware/middleware.go
+++ b/internal/middleware/middleware.go
@@ -26,6 +26,7 @@
 	Gate     limit.GateSettings `toml:"gate"`
 	Team     limit.TeamSettings `toml:"team"`
 	Claims   ClaimSettings      `toml:"claims"`
+	Pace     PaceSettings       `toml:"pace"`
 }
 
 // DefaultSettings returns the settings used when none are set.
@@ -36,6 +37,7 @@
 		Gate:     limit.DefaultGate(),
 		Team:     limit.DefaultTeam(),
 		Claims:   DefaultClaims(),
+		Pace:     DefaultPace(),
 	}
 }
 
@@ -62,5 +64,6 @@
 	stop := NewStop(h)
 	h = NewHistory(calls, stop)
 	h = NewRequestID(counters, h)
+	h = NewPace(s.Pace, h)
 	return &Chain{Handler: NewViolation(h), Stop: stop, Claims: claims}
 }
