Authority: raise the fencing number by repeating the drain state

Cause: the order that raises an engine's fencing number set the role that the engine has; an engine might restart its batches for that. Change: the order repeats whether the engine takes new work.

--- a/internal/authority/manager.go
+++ b/internal/authority/manager.go
@@ -263,10 +263,14 @@
 }
 
 // raise tells an engine the fencing number of the lease by an order that
-// changes nothing: it sets the role that the engine has.
+// changes nothing: it repeats whether the engine takes new work. A role would
+// not do: an engine may restart its batches for the role that it has.
 func (m *Manager) raise(ctx context.Context, rec *record, grant Grant) {
 	rec.mu.Lock()
-	change := Change{Kind: engineapi.OrderSetRole, Role: rec.engine.state.Role}
+	change := Change{Kind: engineapi.OrderUndrain}
+	if rec.engine.state.Drained {
+		change.Kind = engineapi.OrderDrain
+	}
 	rec.mu.Unlock()
 	order, ref, err := m.begin(rec, grant, change, true)
 	if err == nil {
