Live runs: play the experiment's traces against a running deployment

Change: internal/liverun and filberthook-load live play a scenario's trace in real time against entry hosts, control replicas and stand-ins in one process, with the fleet's own settings, verify every answer and print the model's figures beside.

--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -33,6 +33,7 @@
 		overheadCommand(app),
 		runCommand(app),
 		faultsCommand(app),
+		liveCommand(app),
 		slopesCommand(app),
 		soakCommand(app),
 	}
--- /dev/null
+++ b/internal/experiment/export.go
@@ -0,0 +1,55 @@
+package experiment
+
+import "time"
+
+// Call is one request of a trace, for runs outside the logical clock.
+type Call struct {
+	At          time.Duration
+	Workload    *Workload
+	Zone, Entry int // entry host that the platform's balancer chooses
+	Team        string
+	Prompt      int      // tokens
+	Output      int      // tokens
+	Pieces      []uint64 // one value per whole piece of the prompt; equal beginnings are shared text
+	ServiceTime time.Duration
+}
+
+// Trace returns the requests of a scenario in order of time, the same that a
+// run of the experiment with this seed has.
+func (s *Scenario) Trace(seed uint64) []Call {
+	arrivals := newTrace(s, seed)
+	out := make([]Call, len(arrivals))
+	for i := range arrivals {
+		a := &arrivals[i]
+		out[i] = Call{
+			At:          a.at,
+			Workload:    &s.Fleet.Workloads[a.workload],
+			Zone:        a.zone,
+			Entry:       a.entry,
+			Team:        a.team,
+			Prompt:      a.prompt,
+			Output:      a.output,
+			Pieces:      a.prefixes,
+			ServiceTime: a.serviceTime,
+		}
+	}
+	return out
+}
+
+// InTime reports whether a whole answer met the targets of its class: the time
+// to the first token, the 95th percentile of the gaps between tokens, and the
+// deadline for the whole answer.
+func (s *Scenario) InTime(w *Workload, first, gapP95, whole time.Duration) bool {
+	if deadline := w.Deadline.Duration; deadline > 0 && whole > deadline {
+		return false
+	}
+	if w.Endpoint != "" {
+		return true
+	}
+	targets := s.Fleet.Routing.Targets.Of(w.Class)
+	return first <= targets.FirstToken.Duration && gapP95 <= targets.Gap.Duration
+}
+
+// DeploymentPolicy is the policy of the daemons with the weights of the fleet's
+// own settings.
+const DeploymentPolicy = nameDeployment
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -31,6 +31,7 @@
 	streamEnd         = "[DONE]" // data of the last event
 	streamError       = "error"  // type of the event that ends a stream without its rest
 	headerLastEventID = "Last-Event-ID"
+	headerClass       = "X-Priority-Class"
 )
 
 // Caller calls one entry host or endpoint on behalf of a team.
@@ -65,6 +66,7 @@
 	Key       string // idempotency key; empty sends none
 	Priority  int    // 0 sends none
 	Deadline  time.Duration
+	Class     string // priority class at an entry host; empty sends none
 
 	// ResumeFrom is the number of tokens that the caller has from an earlier
 	// stream under the same key; the answer holds the rest.
@@ -89,6 +91,9 @@
 	setNumber(req, engineapi.HeaderPriority, int64(chat.Priority))
 	setNumber(req, engineapi.HeaderDeadline, chat.Deadline.Milliseconds())
 	setNumber(req, headerLastEventID, int64(chat.ResumeFrom))
+	if chat.Class != "" {
+		req.Header.Set(headerClass, chat.Class)
+	}
 	answer := enginemodel.NewAnswer(cmp.Or(chat.Engine, chat.Model), chat.Prompt, chat.MaxTokens)
 	return c.send(req, func(r *Result, resp *http.Response, start time.Time) error {
 		if chat.Stream {
@@ -226,9 +231,7 @@
 	if choice.Delta == nil || choice.Delta.Content == "" {
 		return false, nil
 	}
-	if r.Tokens == r.Resumed {
-		r.FirstToken = time.Since(start)
-	}
+	r.token(time.Since(start))
 	if want := answer.Token(r.Tokens); r.Tokens >= answer.Len() || choice.Delta.Content != want {
 		return false, &WrongAnswerError{fmt.Sprintf("token %d of %d is %q, want %q", r.Tokens, answer.Len(), choice.Delta.Content, want)}
 	}
--- a/internal/loadgen/result.go
+++ b/internal/loadgen/result.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"filberthook/internal/engineapi"
@@ -42,6 +44,29 @@
 	Total      time.Duration
 	Tokens     int // that the caller has, with those of an earlier stream
 	Resumed    int // of them, those of an earlier stream
+
+	last time.Duration   // time of the last token, from sending
+	gaps []time.Duration // between tokens, in order of arrival
+}
+
+// token notes the arrival of a token of a stream.
+func (r *Result) token(at time.Duration) {
+	if r.Tokens == r.Resumed {
+		r.FirstToken = at
+	} else {
+		r.gaps = append(r.gaps, at-r.last)
+	}
+	r.last = at
+}
+
+// GapP95 returns the time that 95 in 100 gaps between tokens of a stream do not
+// exceed.
+func (r Result) GapP95() time.Duration {
+	if len(r.gaps) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(r.gaps))
+	return sorted[int(math.Ceil(0.95*float64(len(sorted))))-1]
 }
 
 // PerToken returns the mean time between tokens after the first one.
