Add storm and claims: cost of a retry storm, claims a second

Change: storm makes five outages and counts arrivals at engines, prompt-only ones apart; claims compares claimed calls with status reads at several rates.

--- a/cmd/filberthook-load/faults.go
+++ b/cmd/filberthook-load/faults.go
@@ -38,25 +38,20 @@
 	return command{clause: cmd, run: func(ctx context.Context) error { return runFaults(ctx, o) }}
 }
 
-func runFaults(ctx context.Context, o faultOptions) (err error) {
-	dir, err := os.MkdirTemp("", "filberthook-faults-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
+func runFaults(ctx context.Context, o faultOptions) error {
 	log := slog.New(slog.DiscardHandler)
 	if o.verbose {
 		log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
-	cluster, err := faultrun.StartCluster(ctx, faultrun.ClusterConfig{
-		Dir: dir, Zones: o.zones, Controls: o.controls, EntriesPerZone: o.entries, Logger: log,
+	cluster, closeCluster, err := temporaryCluster(ctx, faultrun.ClusterConfig{
+		Zones: o.zones, Controls: o.controls, EntriesPerZone: o.entries, Logger: log,
 	})
 	if err != nil {
 		return err
 	}
 	start := time.Now()
 	report, err := faultrun.Run(ctx, o.run, cluster.System(), log)
-	if closeErr := cluster.Close(); err == nil {
+	if closeErr := closeCluster(); err == nil {
 		err = closeErr
 	}
 	report.Print(os.Stdout)
--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -35,6 +35,8 @@
 		faultsCommand(app),
 		slopesCommand(app),
 		soakCommand(app),
+		stormCommand(app),
+		claimsCommand(app),
 	}
 	experiment.Register(app) // runs during Parse
 	chosen, err := app.Parse(os.Args[1:])
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -209,3 +209,20 @@
 		t.Errorf("report = %+v, %v; want 40 whole calls", report, err)
 	}
 }
+
+func TestClaimsCompareKinds(t *testing.T) {
+	service, err := standin.NewService(standin.ServiceConfig{}, metrics.NewSet(), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := serve(t, http.StripPrefix("/services/b", service))
+	reports := Claims(t.Context(), ClaimsConfig{Entries: []string{address}, Service: "/services/b", Rates: []float64{100, 200}, Length: 200 * time.Millisecond, Timeout: testTimeout, Seed: 1})
+	if len(reports) != 2 {
+		t.Fatalf("%d reports, want 2", len(reports))
+	}
+	for _, r := range reports {
+		if r.Outcomes[Whole] != int(r.Claimed.Count) || r.Claimed.Count+r.Reads.Count != int64(2*r.Rate*0.2) {
+			t.Errorf("report = %+v, want all calls whole", r)
+		}
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,6 +53,9 @@
 	metrics engineMetrics
 	mux     *http.ServeMux
 
+	arrivals atomic.Uint64 // callers' requests that reached the engine, also while it was crashed or paused
+	prefills atomic.Uint64 // of prompts only
+
 	mu          sync.Mutex // guards all fields below
 	incarnation uint64
 	model       *enginemodel.Engine
@@ -135,6 +139,14 @@
 	return e.pastOrders.Add(e.model.OrderCounts())
 }
 
+// Arrivals returns the number of callers' requests that reached the engine,
+// also while it was crashed or paused. Prefills counts those for the prompt only,
+// which a whole request to another engine follows; Arrivals counts all others.
+func (e *Engine) Arrivals() uint64 { return e.arrivals.Load() }
+
+// Prefills returns the number of requests for the prompt only; see Arrivals.
+func (e *Engine) Prefills() uint64 { return e.prefills.Load() }
+
 // Runs returns how often the engine began to run each idempotency key. It is
 // empty unless RecordRuns is set.
 func (e *Engine) Runs() map[string]int {
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,6 +17,9 @@
 // maxBodyBytes is the largest request that a stand-in reads.
 const maxBodyBytes = 16 << 20
 
+// pathCallers begins the paths of callers' requests.
+const pathCallers = "/v1/"
+
 // pathCache is the call by which another engine fetches an exported KV cache.
 const pathCache = "/engine/kv/cache/"
 
@@ -71,6 +75,7 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.countArrival(r)
 	if !e.faults.pass(r.Context()) {
 		return
 	}
@@ -78,6 +83,16 @@
 	e.mux.ServeHTTP(w, r)
 }
 
+func (e *Engine) countArrival(r *http.Request) {
+	switch {
+	case r.Method != http.MethodPost || !strings.HasPrefix(r.URL.Path, pathCallers):
+	case r.Header.Get(engineapi.HeaderPrefillOnly) == "1":
+		e.prefills.Add(1)
+	default:
+		e.arrivals.Add(1)
+	}
+}
+
 // Incarnation returns the incarnation of the engine.
 func (e *Engine) Incarnation() uint64 {
 	e.mu.Lock()
