--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -191,6 +191,19 @@
 	}
 }
 
+// TestLateOrderAfterAQuietTakeover delivers an order of the former holder after
+// a takeover in which the successor had nothing to order.
+func TestLateOrderAfterAQuietTakeover(t *testing.T) {
+	inWorld(t, true, func(t *testing.T, w *world, a, _ *host) {
+		a.set(func(h *host) { h.pause, h.cut = takeover+20*time.Second, true })
+		go a.manager.Order(context.Background(), "e1", setRole(engineapi.RolePrefill))
+		settle(takeover + 40*time.Second)
+		if c := w.counts("e1"); c.OldFence == 0 || w.role("e1") != engineapi.RoleMixed {
+			t.Errorf("counts %+v, role %s; want the late order refused", c, w.role("e1"))
+		}
+	})
+}
+
 func TestReleaseHandsOverAtOnce(t *testing.T) {
 	inWorld(t, false, func(t *testing.T, _ *world, a, b *host) {
 		a.set(func(h *host) { h.cut = false })
@@ -221,10 +234,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		w = newWorld()
 		w.addEngine("e1", checksFence)
-		hosts := []*host{w.addHost(ctx, "a"), w.addHost(ctx, "b")}
-		for _, h := range hosts {
-			h.holder.granter = wrap(h)
-		}
+		hosts := []*host{w.addHostWith(ctx, "a", wrap), w.addHostWith(ctx, "b", wrap)}
 		roles := []engineapi.Role{engineapi.RoleMixed, engineapi.RoleDecode, engineapi.RolePrefill}
 		for range 400 {
 			h := hosts[random.IntN(2)]
@@ -268,22 +278,23 @@
 	}
 }
 
-// earlyGranter grants a lease before the former one has ended.
-type earlyGranter struct{ Granter }
+// rashGranter grants every lease that it is asked for.
+type rashGranter struct{}
 
-func (g earlyGranter) Lease(ctx context.Context, cmd lease.Command) (lease.Result, error) {
-	r, err := g.Granter.Lease(ctx, cmd)
-	if err == nil && r.Err != nil && r.Err.Code == lease.CodeHeld {
-		return lease.Result{Fence: 1}, nil
-	}
-	return r, err
+// Lease implements Granter.
+func (rashGranter) Lease(context.Context, lease.Command) (lease.Result, error) {
+	time.Sleep(time.Millisecond)
+	return lease.Result{Fence: 1}, nil
 }
 
-// TestEarlyGrantIsCaught shows that the checks of TestRandomCutsAndDelays can
+// TestRashGrantsAreCaught shows that the checks of TestRandomCutsAndDelays can
 // fail.
-func TestEarlyGrantIsCaught(t *testing.T) {
-	_, overlap := chaos(t, 1, false, func(g Granter) Granter { return earlyGranter{g} })
+func TestRashGrantsAreCaught(t *testing.T) {
+	w, overlap := chaos(t, 1, false, func(Granter) Granter { return rashGranter{} })
 	if !overlap {
-		t.Error("a granter that grants early was not noticed")
+		t.Error("two holders at once were not noticed")
+	}
+	if c := w.engines["e1"].counts(); c.Conflicts == 0 {
+		t.Errorf("conflicting orders were not noticed: %+v", c)
 	}
 }
--- a/internal/authority/world_test.go
+++ b/internal/authority/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -46,7 +47,7 @@
 
 	cut        bool          // from the control group
 	delay      time.Duration // of each message to an engine and back
-	pause      time.Duration // between the check and the write of the next order
+	pause      time.Duration // between the check and the write of an order
 	loseAnswer int           // answers to orders that are lost
 }
 
@@ -80,7 +81,7 @@
 	for name, e := range w.engines {
 		refs = append(refs, EngineRef{Instance: name, Incarnation: e.config.Incarnation, Address: name, ChecksFence: e.config.ChecksFence})
 	}
-	hosts := w.hosts
+	hosts := maps.Clone(w.hosts)
 	w.mu.Unlock()
 	for _, h := range hosts {
 		h.manager.SetEngines(refs)
@@ -89,13 +90,18 @@
 
 // addHost starts a planner host.
 func (w *world) addHost(ctx context.Context, name string) *host {
+	return w.addHostWith(ctx, name, func(g Granter) Granter { return g })
+}
+
+// addHostWith starts a planner host behind another granter.
+func (w *world) addHostWith(ctx context.Context, name string, wrap func(Granter) Granter) *host {
 	h := &host{world: w, name: name, delay: time.Millisecond}
 	set := metrics.NewSet()
 	logger := slog.New(slog.DiscardHandler)
 	h.holder = NewHolder(HolderSettings{
 		Host: name, Zone: "bio", Session: name, Clock: w.now,
 		Random: func() float64 { return 0.5 }, Logger: logger, Metrics: set,
-	}, h)
+	}, wrap(h))
 	onEnded := func(e Ended) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -145,7 +151,6 @@
 	}
 	h.world.mu.Lock()
 	pause, delay := h.pause, h.delay
-	h.pause = 0
 	lost := h.loseAnswer > 0
 	if lost {
 		h.loseAnswer--
--- a/internal/distribution/hub.go
+++ b/internal/distribution/hub.go
@@ -31,7 +31,8 @@
 	data     json.RawMessage
 }
 
-// Hub answers watchers at one replica. It implements statemachine.Observer.
+// Hub answers watchers at one replica. The machine tells it of each new
+// configuration.
 type Hub struct {
 	clock     Clock
 	confirmer Confirmer
@@ -52,7 +53,8 @@
 	return &Hub{clock: clock, confirmer: confirmer, logger: logger, changed: make(chan struct{})}
 }
 
-// ConfigurationChanged implements statemachine.Observer.
+// ConfigurationChanged makes a configuration the newest one. The delta leads to
+// it from the revision before; nil means that the state was replaced.
 func (h *Hub) ConfigurationChanged(c fleet.Configuration, d *fleet.Delta) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -103,7 +105,7 @@
 }
 
 // Watch answers as soon as this replica has something newer than the watcher,
-// or after the wait that the watcher asked for.
+// becomes stale, or after the wait that the watcher asked for.
 func (h *Hub) Watch(ctx context.Context, req WatchRequest) (WatchResponse, error) {
 	wait := min(time.Duration(req.WaitMillis)*time.Millisecond, WatchWait)
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -112,20 +114,38 @@
 		// A failure shows as Stale in the answer.
 		_ = h.Confirm(ctx)
 	}
+	wasStale := h.Stale()
 	for {
 		resp, changed, err := h.answer(req)
-		if err != nil || !resp.idle(req) {
+		if err != nil || !resp.idle(req) || (resp.Stale && !wasStale) {
 			return resp, err
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		if !h.await(ctx, changed) {
 			resp, _, err := h.answer(req)
 			return resp, err
 		}
 	}
 }
 
+// await waits for a change or for the moment at which this replica becomes
+// stale unless it is confirmed before. It returns false when ctx ends.
+func (h *Hub) await(ctx context.Context, changed <-chan struct{}) bool {
+	var stale <-chan time.Time
+	if left := h.freshFor(); left > 0 {
+		timer := time.NewTimer(left)
+		defer timer.Stop()
+		stale = timer.C
+	}
+	select {
+	case <-changed:
+		return true
+	case <-stale:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // idle reports whether the answer holds no news for the watcher.
 func (r WatchResponse) idle(req WatchRequest) bool {
 	return r.Revision == req.Have && !req.Full
@@ -166,6 +186,17 @@
 	return h.stale()
 }
 
+// freshFor returns how long this replica stays fresh without a confirmation,
+// 0 when it is stale.
+func (h *Hub) freshFor() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stale() {
+		return 0
+	}
+	return h.confirmedAt + StaleAfter - h.clock() + time.Millisecond
+}
+
 // stale is Stale for callers that hold h.mu.
 func (h *Hub) stale() bool {
 	return !h.confirmed || h.clock()-h.confirmedAt > StaleAfter
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -33,6 +33,7 @@
 	Scope    string        `json:"scope"` // availability zone
 	Holder   Holder        `json:"holder"`
 	Fence    uint64        `json:"fence"`
+	TTL      time.Duration `json:"ttl"`      // of the newest grant or renewal
 	Expires  time.Duration `json:"expires"`  // logical time
 	Released bool          `json:"released"` // given back by the holder with no order in flight
 	Settle   bool          `json:"settle"`   // see Result.Settle
@@ -109,6 +110,12 @@
 // NewTable returns a table without leases.
 func NewTable() *Table { return &Table{leases: map[string]Lease{}} }
 
+// Lease returns the newest grant of a scope.
+func (t *Table) Lease(scope string) (Lease, bool) {
+	l, ok := t.leases[scope]
+	return l, ok
+}
+
 // Leases returns the newest grant of each scope, also those that have ended.
 func (t *Table) Leases() []Lease {
 	all := make([]Lease, 0, len(t.leases))
@@ -163,6 +170,7 @@
 		Scope:   cmd.Scope,
 		Holder:  cmd.Holder,
 		Fence:   t.fence + 1,
+		TTL:     cmd.TTL,
 		Expires: now + cmd.TTL,
 		Settle:  exists && !current.Released,
 	}
@@ -200,6 +208,7 @@
 
 // extend never shortens a lease: its holder may rely on an earlier answer.
 func (t *Table) extend(now time.Duration, current Lease, ttl time.Duration) Result {
+	current.TTL = ttl
 	current.Expires = max(current.Expires, now+ttl)
 	t.leases[current.Scope] = current
 	return Result{Fence: current.Fence, Settle: current.Settle}
