--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -36,6 +36,8 @@
 		liveCommand(app),
 		slopesCommand(app),
 		soakCommand(app),
+		stormCommand(app),
+		claimsCommand(app),
 	}
 	experiment.Register(app) // runs during Parse
 	chosen, err := app.Parse(os.Args[1:])
