Routing: home engines for groups of entry hosts

Change: where a zone has more hosts than engines of a role, the hosts are dealt out to home engines in groups and count on as many alike as the group has.

--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -95,8 +95,8 @@
 }
 
 // markHome marks the engines of the own zone whose home is this entry host.
-// The engines of each role are dealt out in order of name; roles with fewer
-// engines than entry hosts are shared. The caller holds r.mu.
+// The engines of each role are dealt out in order of name. Where entry hosts are
+// more than engines, several share a home engine. The caller holds r.mu.
 func (r *Router) markHome(cands []Candidate) {
 	if len(r.peers) < 2 {
 		return
@@ -112,17 +112,27 @@
 		}
 		slices.SortFunc(engines, func(a, b *Candidate) int { return cmp.Compare(a.Instance, b.Instance) })
 		for i, c := range engines {
-			if len(engines) < len(r.peers) {
-				c.sharers = float64(len(r.peers)) / float64(len(engines))
-				continue
-			}
-			if i%len(r.peers) != self {
-				c.away, c.sharers, c.unseen = true, float64(len(r.peers)), unseenInflow
-			}
+			r.setHome(c, i, len(engines), self)
 		}
 	}
 }
 
+// setHome tells whether engine i of n has its home at the entry host with the
+// number self of its zone, and how many hosts send to it alike. The caller
+// holds r.mu.
+func (r *Router) setHome(c *Candidate, i, n, self int) {
+	hosts := len(r.peers)
+	if hosts > n {
+		c.away = self%n != i
+		c.sharers = float64(hosts) / float64(n)
+		return
+	}
+	c.away = i%hosts != self
+	if c.away {
+		c.sharers, c.unseen = float64(hosts), unseenInflow
+	}
+}
+
 // rankEngines numbers the mixed engines of each zone in order of their names.
 // All entry hosts come to the same ranks. An engine that is the only mixed one
 // of its zone keeps neither part away.
