--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -191,6 +191,13 @@
 }
 
 func TestUnknownNamesAreRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.toml")
+	if err := os.WriteFile(path, []byte("lod = 0.5\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := LoadScenario(path); err == nil || !strings.Contains(err.Error(), "correct or remove") {
+		t.Errorf("misspelt setting: %v", err)
+	}
 	s := short(t, "liggetidsnemnd-burst", 10*time.Second)
 	if _, err := newPolicy("best", s); err == nil || !strings.Contains(err.Error(), nameGoodput) {
 		t.Errorf("unknown policy: %v", err)
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -5,6 +5,7 @@
 package experiment
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -157,8 +158,9 @@
 	if err != nil {
 		return fmt.Errorf("read scenario: %w", err)
 	}
-	if err := toml.Unmarshal(data, into); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return fmt.Errorf("%s: correct or remove what the file's reader does not know: %w", path, err)
 	}
 	return nil
 }
