--- /dev/null
+++ b/internal/controlnode/protocol.go
@@ -0,0 +1,69 @@
+package controlnode
+
+import (
+	"encoding/json"
+
+	"filberthook/internal/distribution"
+	"filberthook/internal/fleet"
+	"filberthook/internal/lease"
+	"filberthook/internal/operator"
+	"filberthook/internal/statemachine"
+)
+
+// Peer calls that a control replica serves, besides distribution.MethodWatch.
+const (
+	MethodClaims       = "control.claims"        // encoded claim.Batch to encoded claim.BatchResult; from entry hosts, at any replica
+	methodPropose      = "control.propose"       // proposeRequest to statemachine.Response; between replicas, at the leader
+	methodReports      = "control.reports"       // reportsRequest to reportsResponse; between replicas
+	methodMembers      = "control.members"       // membersRequest to membersResponse; between replicas, at the leader
+	methodChangeMember = "control.change_member" // operator.MemberChange to changeMemberResponse; between replicas, at the leader
+	methodRaft         = "control.raft"          // raftBatch, a notification; between replicas
+)
+
+// proposeRequest asks the leader to propose a command with its own clock.
+type proposeRequest struct {
+	Fleet  *fleet.Command  `json:"fleet,omitempty"`
+	Lease  *lease.Command  `json:"lease,omitempty"`
+	Claims json.RawMessage `json:"claims,omitempty"` // encoded claim.Batch
+}
+
+type reportsRequest struct{}
+
+type reportsResponse struct {
+	Reports []distribution.HostReport `json:"reports"`
+}
+
+type membersRequest struct{}
+
+type membersResponse struct {
+	Members []operator.Member `json:"members"`
+	Commit  uint64            `json:"commit"`
+}
+
+type changeMemberResponse struct{}
+
+// raftBatch carries encoded messages of the replicated log.
+type raftBatch struct {
+	Messages [][]byte `json:"messages"`
+}
+
+// Codes of errors between replicas.
+const (
+	codeTryAgain       = 101 // nothing was applied, for want of a leader
+	codeRefused        = 102 // nothing was applied
+	codeOutcomeUnknown = 103
+)
+
+// callError carries the outcome of a refused proposal to another process.
+type callError struct {
+	Code    int64  `json:"code"`
+	Message string `json:"message"`
+}
+
+// Error implements error.
+func (e *callError) Error() string { return e.Message }
+
+// RPCCode implements peer.CodedError.
+func (e *callError) RPCCode() int64 { return e.Code }
+
+var _ statemachine.SubMachine = (*claims)(nil)
--- /dev/null
+++ b/internal/replica/members.go
@@ -0,0 +1,163 @@
+package replica
+
+import (
+	"context"
+	"errors"
+
+	"filberthook/internal/consensus"
+)
+
+// command is a function that the loop runs.
+type command struct{ run func(*command) }
+
+// waiter ends a call once its condition holds.
+type waiter struct {
+	ctx   context.Context
+	ready func(consensus.Status) (bool, error)
+	done  chan error
+}
+
+// AddLearner adds a replica without a vote, to which the log is then copied. Its
+// id must never have been a member's. Repeating the call is harmless.
+func (r *Replica) AddLearner(ctx context.Context, m Member) error {
+	err := r.change(ctx, consensus.Change{
+		Type:   consensus.ChangeAddLearner,
+		Member: consensus.Member{ID: m.ID, Address: m.Address, Zone: m.Zone},
+	})
+	if refusedFor(err, consensus.ReasonKnownMember) && r.isMember(m) {
+		return r.decided(ctx)
+	}
+	return err
+}
+
+// isMember reports whether the group has the member as described.
+func (r *Replica) isMember(m Member) bool {
+	for _, known := range r.Status().Members {
+		if known.ID == m.ID {
+			return known.Address == m.Address && known.Zone == m.Zone
+		}
+	}
+	return false
+}
+
+// Promote gives a learner a vote. It waits until the learner holds everything
+// committed, and returns once the learner also holds the change itself: from then
+// on it replaces a lost voter in full. Repeating the call is harmless.
+func (r *Replica) Promote(ctx context.Context, id uint64) error {
+	change := consensus.Change{Type: consensus.ChangePromote, Member: consensus.Member{ID: id}}
+	err := r.change(ctx, change)
+	for refusedFor(err, consensus.ReasonNotCaughtUp) {
+		commit := r.Status().Commit
+		caughtUp := func(s consensus.Status) (bool, error) { return holds(s, id, commit) }
+		if r.wait(ctx, caughtUp, nil) != nil {
+			return err
+		}
+		err = r.change(ctx, change)
+	}
+	if refusedFor(err, consensus.ReasonKnownMember) {
+		err = r.decided(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	commit := r.Status().Commit
+	return r.wait(ctx, func(s consensus.Status) (bool, error) { return holds(s, id, commit) }, nil)
+}
+
+// RemoveMember removes a replica other than the leader. Its id cannot be used
+// again. Repeating the call is harmless.
+func (r *Replica) RemoveMember(ctx context.Context, id uint64) error {
+	err := r.change(ctx, consensus.Change{Type: consensus.ChangeRemove, Member: consensus.Member{ID: id}})
+	if refusedFor(err, consensus.ReasonRetiredID) {
+		return r.decided(ctx)
+	}
+	return err
+}
+
+// decided returns once the leader's log, with a change made earlier, is committed.
+func (r *Replica) decided(ctx context.Context) error {
+	last := r.Status().LastIndex
+	return r.wait(ctx, func(s consensus.Status) (bool, error) {
+		if s.Role != consensus.RoleLeader {
+			return false, &UnknownOutcomeError{Err: errLeadershipLost}
+		}
+		return s.Commit >= last, nil
+	}, nil)
+}
+
+// refusedFor reports whether err is a refusal for the reason.
+func refusedFor(err error, reason consensus.Reason) bool {
+	var refused *consensus.RefusedError
+	return errors.As(err, &refused) && refused.Reason == reason
+}
+
+// holds reports whether a member holds the log up to index. Only a leader knows.
+func holds(s consensus.Status, id, index uint64) (bool, error) {
+	if s.Role != consensus.RoleLeader {
+		return false, &UnknownOutcomeError{Err: errLeadershipLost}
+	}
+	for _, m := range s.Members {
+		if m.ID == id {
+			return m.Match >= index, nil
+		}
+	}
+	return false, nil
+}
+
+// TransferLeadership hands leadership to a voter and returns once it leads.
+func (r *Replica) TransferLeadership(ctx context.Context, to uint64) error {
+	start := func() error { return r.refusal(r.core.TransferLeadership(to)) }
+	return r.wait(ctx, func(s consensus.Status) (bool, error) { return s.Leader == to, nil }, start)
+}
+
+func (r *Replica) change(ctx context.Context, change consensus.Change) error {
+	_, err := r.submit(&proposal{ctx: ctx, change: &change, done: make(chan outcome, 1)})
+	return err
+}
+
+// wait runs start in the loop and returns once ready holds.
+func (r *Replica) wait(ctx context.Context, ready func(consensus.Status) (bool, error), start func() error) error {
+	w := &waiter{ctx: ctx, ready: ready, done: make(chan error, 1)}
+	run := func(*command) {
+		if start != nil {
+			if err := start(); err != nil {
+				w.done <- err
+				return
+			}
+		}
+		r.waiters = append(r.waiters, w)
+	}
+	select {
+	case r.commands <- &command{run: run}:
+	case <-r.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-r.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return &UnknownOutcomeError{Err: context.Cause(ctx)}
+	}
+}
+
+// finishWaiters runs in the loop after every batch of work.
+func (r *Replica) finishWaiters() {
+	if len(r.waiters) == 0 {
+		return
+	}
+	s := r.core.Status()
+	var kept []*waiter
+	for _, w := range r.waiters {
+		switch ok, err := w.ready(s); {
+		case ok || err != nil:
+			w.done <- err
+		case w.ctx.Err() == nil:
+			kept = append(kept, w)
+		}
+	}
+	r.waiters = kept
+}
--- /dev/null
+++ b/internal/replica/status.go
@@ -0,0 +1,150 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/consensus"
+)
+
+// MemberStatus describes a member. Match and Active are known on the leader only.
+type MemberStatus struct {
+	Member
+	Match  uint64 // highest index known to be durable there
+	Active bool   // heard from within the last election timeout
+}
+
+// Status describes a replica at one moment.
+type Status struct {
+	ID            uint64
+	Term          uint64
+	Leader        uint64 // 0 when unknown
+	LeaderAddress string // empty when unknown
+	Role          string // follower, pre-candidate, candidate or leader
+	Commit        uint64
+	Applied       uint64
+	FirstIndex    uint64
+	LastIndex     uint64
+	Members       []MemberStatus
+	Exclusion     consensus.Exclusion
+}
+
+// Status returns the replica's status after its last batch of work.
+func (r *Replica) Status() Status { return *r.status.Load() }
+
+func (r *Replica) publishStatus() *Status {
+	s := r.core.Status()
+	leader, _ := s.Membership.Find(s.Leader)
+	out := &Status{
+		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: leader.Address, Role: s.Role.String(),
+		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, Exclusion: s.Exclusion,
+	}
+	for i, m := range s.Membership.Members {
+		ms := MemberStatus{Member: Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner}}
+		if len(s.Members) > 0 {
+			ms.Match, ms.Active = s.Members[i].Match, s.Members[i].Active
+		}
+		out.Members = append(out.Members, ms)
+	}
+	if previous := r.status.Swap(out); previous != nil {
+		r.noteChange(previous, out)
+	}
+	return out
+}
+
+// noteChange logs and counts changes of leadership and membership.
+func (r *Replica) noteChange(previous, now *Status) {
+	if now.Role == roleLeader && previous.Role != roleLeader {
+		r.counters.elected.Inc()
+	}
+	if now.Leader != previous.Leader {
+		r.cfg.Logger.Info("leader changed", slog.Uint64("replica", now.ID), slog.Uint64("leader", now.Leader),
+			slog.Uint64("term", now.Term), slog.Uint64("commit", now.Commit))
+	}
+	if len(now.Members) != len(previous.Members) {
+		r.cfg.Logger.Info("membership changed", slog.Uint64("replica", now.ID), slog.Int("members", len(now.Members)))
+	}
+}
+
+var roleLeader = consensus.RoleLeader.String()
+
+// counters are the replica's metrics.
+type counters struct {
+	set            *metrics.Set
+	malformed      *metrics.Counter
+	queueFull      *metrics.Counter
+	unknown        *metrics.Counter
+	proposed       *metrics.Counter
+	readRetries    *metrics.Counter
+	readTimeouts   *metrics.Counter
+	snapshots      *metrics.Counter
+	elected        *metrics.Counter
+	snapshotErrors *metrics.Counter
+	sentBytes      *metrics.Counter
+	receivedBytes  *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) *counters {
+	return &counters{
+		set:            set,
+		malformed:      set.GetOrCreateCounter(`filberthook_replica_messages_dropped_total{reason="malformed"}`),
+		queueFull:      set.GetOrCreateCounter(`filberthook_replica_messages_dropped_total{reason="queue_full"}`),
+		unknown:        set.GetOrCreateCounter(`filberthook_replica_proposals_refused_total{reason="unknown_outcome"}`),
+		proposed:       set.GetOrCreateCounter(`filberthook_replica_proposals_applied_total`),
+		readRetries:    set.GetOrCreateCounter(`filberthook_replica_read_retries_total`),
+		readTimeouts:   set.GetOrCreateCounter(`filberthook_replica_read_timeouts_total`),
+		elected:        set.GetOrCreateCounter(`filberthook_replica_elections_won_total`),
+		snapshots:      set.GetOrCreateCounter(`filberthook_replica_snapshots_written_total`),
+		snapshotErrors: set.GetOrCreateCounter(`filberthook_replica_snapshot_errors_total`),
+		sentBytes:      set.GetOrCreateCounter(`filberthook_replica_sent_bytes_total`),
+		receivedBytes:  set.GetOrCreateCounter(`filberthook_replica_received_bytes_total`),
+	}
+}
+
+// registerGauges makes the replica's position visible.
+func (r *Replica) registerGauges() {
+	gauges := []struct {
+		name  string
+		value func(*Status) uint64
+	}{
+		{"term", func(s *Status) uint64 { return s.Term }},
+		{"leader", func(s *Status) uint64 { return s.Leader }},
+		{"commit_index", func(s *Status) uint64 { return s.Commit }},
+		{"applied_index", func(s *Status) uint64 { return s.Applied }},
+		{"last_index", func(s *Status) uint64 { return s.LastIndex }},
+	}
+	for _, g := range gauges {
+		name := fmt.Sprintf(`filberthook_replica_%s{replica="%d"}`, g.name, r.cfg.ID)
+		r.cfg.Metrics.GetOrCreateGauge(name, func() float64 { return float64(g.value(r.status.Load())) })
+	}
+}
+
+func (c *counters) sent(n int)     { c.sentBytes.Add(n) }
+func (c *counters) received(n int) { c.receivedBytes.Add(n) }
+
+// dropped counts a message that the core turned away.
+func (c *counters) dropped(err error) {
+	var refused *consensus.RefusedError
+	if errors.As(err, &refused) {
+		c.set.GetOrCreateCounter(fmt.Sprintf(`filberthook_replica_messages_dropped_total{reason=%q}`, refused.Reason)).Inc()
+	}
+}
+
+// outcome counts how a proposal ended.
+func (c *counters) outcome(err error) {
+	var refused *consensus.RefusedError
+	var notLeader *NotLeaderError
+	switch {
+	case err == nil:
+		c.proposed.Inc()
+	case errors.As(err, &refused):
+		c.set.GetOrCreateCounter(fmt.Sprintf(`filberthook_replica_proposals_refused_total{reason=%q}`, refused.Reason)).Inc()
+	case errors.As(err, &notLeader):
+		c.set.GetOrCreateCounter(`filberthook_replica_proposals_refused_total{reason="not_leader"}`).Inc()
+	default:
+		c.unknown.Inc()
+	}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,165 @@
+// Package scheduler joins the directory of instances with routing: it keeps the
+// candidates that requests are routed among up to date and tells the directory
+// what answers show about instances.
+//
+// It does not decide where a request runs, package routing does; and it sends
+// nothing.
+package scheduler
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"filberthook/internal/admission"
+	"filberthook/internal/directory"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/routing"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Clock returns the time on the process's monotonic clock.
+type Clock func() time.Duration
+
+// Meter counts the work that starts in the own availability zone.
+type Meter interface {
+	Add(prompt, cached, output int)
+}
+
+// Settings are the settings of a Scheduler.
+type Settings struct {
+	Routing   routing.Config
+	Admission admission.Config
+}
+
+// Scheduler picks instances for requests. Its methods may be called by many
+// goroutines at once; Run must run once.
+type Scheduler struct {
+	now       Clock
+	dir       *directory.Directory
+	router    *routing.Router
+	routing   routing.Config
+	admission admission.Config
+	lengths   *admission.Lengths
+	meter     Meter
+	metrics   *metrics.Set
+	wake      chan struct{}
+
+	current atomic.Pointer[candidates]
+	rebuild sync.Mutex // held while candidates are built; never with another lock of this package
+
+	queuesMu sync.RWMutex // guards queues
+	queues   map[string]*admission.Queue[*waiter]
+}
+
+// candidates is the immutable list for one generation of the directory.
+type candidates struct {
+	generation uint64
+	list       []routing.Candidate
+}
+
+// New returns a Scheduler over a directory and a router. The router must have
+// been made with the routing settings.
+func New(settings Settings, now Clock, dir *directory.Directory, router *routing.Router, meter Meter, set *metrics.Set) *Scheduler {
+	s := &Scheduler{
+		now:       now,
+		dir:       dir,
+		router:    router,
+		routing:   settings.Routing,
+		admission: settings.Admission,
+		lengths:   admission.NewLengths(settings.Admission.PriorOutput),
+		meter:     meter,
+		metrics:   set,
+		wake:      make(chan struct{}, 1),
+		queues:    make(map[string]*admission.Queue[*waiter]),
+	}
+	s.current.Store(&candidates{})
+	return s
+}
+
+// Pick returns where the request should run now. The error is a
+// *routing.NoCandidateError; nothing has run then.
+func (s *Scheduler) Pick(req *routing.Request) (routing.Decision, error) {
+	return s.router.Pick(s.now(), req, s.Candidates())
+}
+
+// Started notes that the request has been sent as decided. Exactly one call of
+// Finished follows.
+func (s *Scheduler) Started(d *routing.Decision, req *routing.Request) {
+	s.router.Started(s.now(), d, req)
+	if req.Kind == engineapi.KindModel {
+		s.meter.Add(req.PromptTokens, d.CachedTokens, req.ExpectedOutput)
+	}
+}
+
+// Finished notes that the attempt has ended, whatever its outcome.
+func (s *Scheduler) Finished(d *routing.Decision, req *routing.Request) {
+	s.router.Finished(s.now(), d, req)
+	s.wakeUp()
+}
+
+// PrefillDone notes that the prompt of a split request has been computed or
+// given up.
+func (s *Scheduler) PrefillDone(d *routing.Decision, req *routing.Request) {
+	s.router.PrefillDone(s.now(), d, req)
+}
+
+// ObserveLoad takes a load report that came with an answer.
+func (s *Scheduler) ObserveLoad(instance string, incarnation uint64, load engineapi.LoadReport) {
+	s.dir.ObserveLoad(s.now(), instance, incarnation, load)
+}
+
+// Draining takes an instance's refusal of new work because it is leaving.
+func (s *Scheduler) Draining(instance string, incarnation uint64) {
+	s.dir.MarkDraining(instance, incarnation)
+}
+
+// Live reports whether an instance holds its lease. A newer incarnation of it
+// is another instance.
+func (s *Scheduler) Live(instance string, incarnation uint64) bool {
+	rec := s.dir.Snapshot().Find(instance)
+	return rec != nil && rec.Announcement.Incarnation == incarnation
+}
+
+// Candidates returns the candidates of the directory's newest snapshot. They
+// must not be changed.
+func (s *Scheduler) Candidates() []routing.Candidate {
+	snap := s.dir.Snapshot()
+	cur := s.current.Load()
+	if cur.generation == snap.Generation {
+		return cur.list
+	}
+	s.rebuild.Lock()
+	defer s.rebuild.Unlock()
+	cur = s.current.Load()
+	if cur.generation >= snap.Generation {
+		return cur.list
+	}
+	next := &candidates{generation: snap.Generation, list: make([]routing.Candidate, len(snap.Records))}
+	for i, rec := range snap.Records {
+		next.list[i] = candidate(rec)
+	}
+	s.router.Prepare(next.list)
+	s.current.Store(next)
+	return next.list
+}
+
+func candidate(rec *directory.Record) routing.Candidate {
+	a := &rec.Announcement
+	return routing.Candidate{
+		Instance:    a.Instance,
+		Incarnation: a.Incarnation,
+		Endpoint:    a.Endpoint,
+		Kind:        a.Kind,
+		Zone:        a.Zone,
+		Address:     a.Address,
+		Role:        a.State.Role,
+		Models:      a.State.Models,
+		Pieces:      a.Pieces,
+		Draining:    a.Draining || a.State.Drained,
+		Changing:    a.State.Outstanding.ID != "",
+		Load:        a.Load,
+		ReportedAt:  rec.LoadAt,
+	}
+}
