--- a/internal/experiment/filberthook.go
+++ b/internal/experiment/filberthook.go
@@ -288,7 +288,7 @@
 
 func (z *zonePlanner) plan() {
 	now := z.sim.clock.now
-	if !z.sim.zoneAlive(z.zone) || !z.forecast.Ready(now) {
+	if !z.sim.zoneAlive(z.zone) {
 		return
 	}
 	view := planner.View{Zone: z.sim.scenario.Fleet.Zones[z.zone].Name, Demand: z.forecast.Forecast(now, z.horizon)}
--- a/internal/planner/forecast.go
+++ b/internal/planner/forecast.go
@@ -102,16 +102,17 @@
 	return f.level.scale(1 / f.weight)
 }
 
-// Ready reports whether the forecaster has seen its window of work.
-func (f *Forecaster) Ready(now time.Duration) bool {
-	f.roll(now)
-	return f.weight >= 1-1/math.E
-}
+// ready reports whether the forecaster has seen its window of work.
+func (f *Forecaster) ready() bool { return f.weight >= 1-1/math.E }
 
-// Forecast returns the demand expected ahead of now. The trend is followed no
-// further than the forecaster's window.
+// Forecast returns the demand expected ahead of now. It is zero until the
+// forecaster has seen its window of work. The trend is followed no further than
+// the window.
 func (f *Forecaster) Forecast(now, ahead time.Duration) Demand {
 	f.roll(now)
+	if !f.ready() {
+		return Demand{}
+	}
 	d := f.average()
 	d.add(f.trend.scale(min(ahead, f.window).Seconds()))
 	return Demand{
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -171,17 +171,13 @@
 
 func TestForecastFollowsLevelAndTrend(t *testing.T) {
 	f := NewForecaster(20 * time.Second)
-	if f.Ready(15 * time.Second) {
-		t.Error("ready before it has seen its window")
-	}
-	f = NewForecaster(20 * time.Second)
 	for s := range 200 {
 		f.Observe(time.Duration(s)*time.Second, Work{Requests: 10, PromptTokens: 1000})
+		if d := f.Forecast(time.Duration(s)*time.Second, 0); s < 15 && d != (Demand{}) {
+			t.Errorf("forecast %+v after %d s of a window of 20 s", d, s)
+		}
 	}
 	now := 200 * time.Second
-	if !f.Ready(now) {
-		t.Error("not ready after ten windows")
-	}
 	if d := f.Forecast(now, 10*time.Second); d.Requests < 9.5 || d.Requests > 10.5 {
 		t.Errorf("steady 10 requests a second forecast as %.2f", d.Requests)
 	}
