Control node: check the admin at the leader too; tests listen on addresses of their own

Cause: a host with a certificate could ask the leader to change members without an operator; TestLeaderLossAndRestart failed once because the port of a stopped node was taken by another connection. Change: forwarded changes of members carry the operator, whose role and key sum the leader checks; package testnet gives each test address its own loopback number, so nothing else can take its port.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -20,28 +19,19 @@
 	"filberthook/internal/controlnode"
 	"filberthook/internal/fleet"
 	"filberthook/internal/settings"
+	"filberthook/internal/testnet"
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // startControl runs a control group of one replica and points the command line
 // at it.
-func startControl(t *testing.T) { startControlWith(t, settings.TLS{}) }
+func startControl(t *testing.T) { startControlAt(t, testnet.String(), settings.TLS{}) }
 
-func startControlWith(t *testing.T, tls settings.TLS) {
+func startControlAt(t *testing.T, operators string, tls settings.TLS) {
 	t.Helper()
-	peers := freeAddress(t)
+	peers := testnet.String()
 	s := settings.Control{
 		Host: "c1", Zone: "bio", DataDir: filepath.Join(t.TempDir(), "data"),
-		Listen:  settings.ControlListen{Peers: peers, Operators: freeAddress(t), Status: freeAddress(t)},
+		Listen:  settings.ControlListen{Peers: peers, Operators: operators, Status: testnet.String()},
 		Replica: settings.ControlReplica{ID: 1, Members: []settings.ControlMember{{ID: 1, Address: peers, Zone: "bio"}}},
 		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey("admin"))},
 		TLS:     tls,
@@ -163,14 +153,14 @@
 
 // TestOverTLS issues certificates by the command line and uses them.
 func TestOverTLS(t *testing.T) {
-	dir := t.TempDir()
-	for _, args := range [][]string{{"keys", "ca", "--dir", dir}, {"keys", "host", "c1", "--ip", "127.0.0.1", "--dir", dir}} {
+	dir, operators := t.TempDir(), testnet.Address()
+	for _, args := range [][]string{{"keys", "ca", "--dir", dir}, {"keys", "host", "c1", "--ip", operators.Addr().String(), "--dir", dir}} {
 		if got := run(args...); got.code != ExitOK {
 			t.Fatalf("%v: %+v", args, got)
 		}
 	}
 	ca := filepath.Join(dir, "ca.pem")
-	startControlWith(t, settings.TLS{CA: ca, Certificate: filepath.Join(dir, "c1.pem"), Key: filepath.Join(dir, "c1.key")})
+	startControlAt(t, operators.String(), settings.TLS{CA: ca, Certificate: filepath.Join(dir, "c1.pem"), Key: filepath.Join(dir, "c1.key")})
 	if got := run("--ca", ca, "team", "create", "a"); got.code != ExitOK {
 		t.Errorf("with the CA: %+v", got)
 	}
--- a/internal/controlnode/calls.go
+++ b/internal/controlnode/calls.go
@@ -7,7 +7,6 @@
 
 	"filberthook/internal/authority"
 	"filberthook/internal/distribution"
-	"filberthook/internal/fleet"
 	"filberthook/internal/lease"
 	"filberthook/internal/operator"
 	"filberthook/internal/peer"
@@ -47,11 +46,10 @@
 
 // registerReplicaCalls registers the calls of other replicas.
 func (n *Node) registerReplicaCalls() {
-	bootstrap := fleet.KeyHash(n.settings.Operate.BootstrapKeySHA256)
 	peer.Handle(n.mux, methodPropose, func(ctx context.Context, _ peer.Identity, req proposeRequest) (statemachine.Response, error) {
 		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 		defer cancel()
-		return n.group.serveProposal(ctx, req, bootstrap)
+		return n.group.serveProposal(ctx, req)
 	})
 	peer.Handle(n.mux, methodReports, func(context.Context, peer.Identity, reportsRequest) (reportsResponse, error) {
 		return reportsResponse{Reports: n.registry.Reports()}, nil
--- a/internal/controlnode/group.go
+++ b/internal/controlnode/group.go
@@ -32,9 +32,11 @@
 // group is the control group as seen from this replica. It implements
 // operator.Group.
 type group struct {
-	log     Log
-	clock   clock
-	clients *clientPool
+	log       Log
+	clock     clock
+	clients   *clientPool
+	state     operator.State
+	bootstrap fleet.KeyHash // of the settings file
 }
 
 // ReadBarrier implements operator.Group.
@@ -111,18 +113,27 @@
 	return resp, nil
 }
 
-// serveProposal proposes a command that another replica forwarded. The key of
-// the settings file is checked here, because it is not part of the state.
-func (g *group) serveProposal(ctx context.Context, req proposeRequest, bootstrap fleet.KeyHash) (statemachine.Response, error) {
-	cmd := statemachine.Command{Fleet: req.Fleet, Lease: req.Lease, Claim: req.Claims}
-	if req.Fleet != nil && req.Fleet.Actor.Bootstrap && req.Fleet.Actor.Key != bootstrap {
-		err := errors.New("the replicas have different bootstrap keys; set the same operators.bootstrap_key_sha256 at all")
-		return statemachine.Response{}, wireOutcome(&operator.NotAppliedError{Err: err})
+// serveProposal proposes a command that another replica forwarded.
+func (g *group) serveProposal(ctx context.Context, req proposeRequest) (statemachine.Response, error) {
+	if req.Fleet != nil {
+		if err := g.checkBootstrap(req.Fleet.Actor); err != nil {
+			return statemachine.Response{}, wireOutcome(&operator.NotAppliedError{Err: err})
+		}
 	}
+	cmd := statemachine.Command{Fleet: req.Fleet, Lease: req.Lease, Claim: req.Claims}
 	resp, err := g.proposeHere(ctx, cmd)
 	return resp, wireOutcome(err)
 }
 
+// checkBootstrap refuses a forged operator of the settings file. Its key is
+// checked here because it is not part of the state.
+func (g *group) checkBootstrap(actor fleet.Actor) error {
+	if actor.Bootstrap && actor.Key != g.bootstrap {
+		return errors.New("the replicas have different bootstrap keys; set the same operators.bootstrap_key_sha256 at all")
+	}
+	return nil
+}
+
 // lease proposes a lease command for a planner.
 func (g *group) lease(ctx context.Context, cmd lease.Command) (lease.Result, error) {
 	resp, err := g.Propose(ctx, statemachine.Command{Lease: &cmd})
--- a/internal/controlnode/members.go
+++ b/internal/controlnode/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"filberthook/internal/fleet"
 	"filberthook/internal/operator"
 	"filberthook/internal/replica"
 )
@@ -52,6 +53,9 @@
 }
 
 func (g *group) changeMemberHere(ctx context.Context, change operator.MemberChange) error {
+	if err := g.checkAdmin(change.Actor); err != nil {
+		return &operator.NotAppliedError{Err: err}
+	}
 	var err error
 	switch change.Action {
 	case operator.AddLearner:
@@ -68,3 +72,20 @@
 	}
 	return nil
 }
+
+// checkAdmin refuses actors that are not admins. Replicas forward the actor
+// whom they have authenticated; a host that is no replica does not know the sum
+// of an admin's key.
+func (g *group) checkAdmin(actor fleet.Actor) error {
+	if err := g.checkBootstrap(actor); err != nil {
+		return err
+	}
+	role, refused := g.state.Configuration().RoleOf(actor)
+	if refused != nil {
+		return refused
+	}
+	if role != fleet.RoleAdmin {
+		return fmt.Errorf("operator %q has role %s; ask an admin to change members", actor.Name, role)
+	}
+	return nil
+}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -108,11 +108,12 @@
 	n.rpc = newClientPool(n.peerOptions())
 	n.raftRPC = newClientPool(n.peerOptions())
 	n.claims = newClaims()
-	n.group = &group{clock: newClock(), clients: n.rpc}
+	n.group = &group{clock: newClock(), clients: n.rpc, bootstrap: fleet.KeyHash(n.settings.Operate.BootstrapKeySHA256)}
 	n.hub = distribution.NewHub(n.group.clock.elapsed, n.group, n.logger)
 	n.registry = distribution.NewRegistry(n.group.clock.elapsed, n.settings.Host)
 	n.gate = lease.NewGate()
 	n.machine = statemachine.New(&observer{Hub: n.hub, gate: n.gate, clock: n.group.clock}, n.claims)
+	n.group.state = n.machine
 }
 
 func (n *Node) openReplica() error {
@@ -267,7 +268,7 @@
 func (n *Node) operatorHandler() http.Handler {
 	s := operator.Settings{
 		Replica:   n.settings.Host,
-		Bootstrap: fleet.KeyHash(n.settings.Operate.BootstrapKeySHA256),
+		Bootstrap: n.group.bootstrap,
 		Now:       time.Now,
 		Logger:    n.logger,
 		Metrics:   n.metrics,
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"path/filepath"
 	"sync"
@@ -26,6 +25,7 @@
 	"filberthook/internal/operator"
 	"filberthook/internal/peer"
 	"filberthook/internal/settings"
+	"filberthook/internal/testnet"
 )
 
 const bootstrapKey = "test-admin-key"
@@ -33,7 +33,7 @@
 // cluster is a control group whose nodes run in this process.
 type cluster struct {
 	t     *testing.T
-	tls   func(host string) settings.TLS
+	tls   func(host, address string) settings.TLS
 	nodes []*running
 }
 
@@ -64,27 +64,17 @@
 	return b.text.String()
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 func startCluster(t *testing.T, size int) *cluster {
-	return startClusterWith(t, size, func(string) settings.TLS { return settings.TLS{} })
+	return startClusterWith(t, size, func(string, string) settings.TLS { return settings.TLS{} })
 }
 
 // startClusterWith starts nodes with the TLS settings of their hosts.
-func startClusterWith(t *testing.T, size int, tls func(host string) settings.TLS) *cluster {
+func startClusterWith(t *testing.T, size int, tls func(host, address string) settings.TLS) *cluster {
 	t.Helper()
 	c := &cluster{t: t, tls: tls}
 	var members []settings.ControlMember
 	for i := range size {
-		members = append(members, settings.ControlMember{ID: uint64(i + 1), Address: freeAddress(t), Zone: fmt.Sprint("z", i+1)})
+		members = append(members, settings.ControlMember{ID: uint64(i + 1), Address: testnet.String(), Zone: fmt.Sprint("z", i+1)})
 	}
 	for _, m := range members {
 		c.add(m, settings.ControlReplica{ID: m.ID, Members: members})
@@ -101,10 +91,10 @@
 		Host:    fmt.Sprint("c", m.ID),
 		Zone:    m.Zone,
 		DataDir: filepath.Join(c.t.TempDir(), "data"),
-		Listen:  settings.ControlListen{Peers: m.Address, Operators: freeAddress(c.t), Status: freeAddress(c.t)},
+		Listen:  settings.ControlListen{Peers: m.Address, Operators: testnet.String(), Status: testnet.String()},
 		Replica: r,
 		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
-		TLS:     c.tls(fmt.Sprint("c", m.ID)),
+		TLS:     c.tls(fmt.Sprint("c", m.ID), m.Address),
 	}})
 }
 
@@ -371,4 +361,11 @@
 	if !errors.As(err, &remote) || remote.Code != codeRefused {
 		t.Errorf("got %v, want a refusal", err)
 	}
+	for _, actor := range []fleet.Actor{{}, cmd.Actor, {Name: "nobody", Key: fleet.HashKey("x")}} {
+		change := operator.MemberChange{Actor: actor, Action: operator.RemoveMember, ID: 1}
+		err := c.peer(0, "e1").Call(t.Context(), methodChangeMember, change, nil)
+		if !errors.As(err, &remote) || remote.Code != codeRefused {
+			t.Errorf("a change of members by %+v gave %v, want a refusal", actor, err)
+		}
+	}
 }
--- a/internal/controlnode/tls_test.go
+++ b/internal/controlnode/tls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
@@ -16,6 +17,7 @@
 	"filberthook/internal/lease"
 	"filberthook/internal/peer"
 	"filberthook/internal/settings"
+	"filberthook/internal/testnet"
 )
 
 // issuer issues certificates into a folder.
@@ -34,10 +36,11 @@
 	return &issuer{t: t, dir: t.TempDir(), ca: ca}
 }
 
-// tls returns the settings of a host with a new certificate.
-func (i *issuer) tls(host string) settings.TLS {
+// tls returns the settings of a host with a new certificate for its address.
+func (i *issuer) tls(host, address string) settings.TLS {
 	i.t.Helper()
-	pair, err := keys.NewHost(i.ca, host, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now())
+	ip := netip.MustParseAddrPort(address).Addr().AsSlice()
+	pair, err := keys.NewHost(i.ca, host, []net.IP{ip}, time.Now())
 	if err != nil {
 		i.t.Fatal(err)
 	}
@@ -57,7 +60,7 @@
 // call asks a node for a lease as a host with a certificate of this issuer.
 func (i *issuer) call(address, host string) (lease.Result, error) {
 	i.t.Helper()
-	s := i.tls(host)
+	s := i.tls(host, testnet.String())
 	files := keys.Files{CA: s.CA, Certificate: s.Certificate, Key: s.Key}
 	source, err := keys.Open(files, slog.New(slog.DiscardHandler), metrics.NewSet())
 	if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -137,7 +137,7 @@
 	if err := checkCommand(cmd); err != nil {
 		return nil, err
 	}
-	if _, err := f.config.roleOf(cmd.Actor); err != nil {
+	if _, err := f.config.RoleOf(cmd.Actor); err != nil {
 		return nil, err
 	}
 	if cmd.ExpectedRevision != f.config.Revision {
--- a/internal/fleet/operator.go
+++ b/internal/fleet/operator.go
@@ -46,8 +46,8 @@
 	return Operator{}, false
 }
 
-// roleOf returns the role of an actor at this revision.
-func (c Configuration) roleOf(actor Actor) (Role, *Error) {
+// RoleOf returns the role of an actor at this revision.
+func (c Configuration) RoleOf(actor Actor) (Role, *Error) {
 	if actor.Bootstrap {
 		return RoleAdmin, nil
 	}
--- a/internal/operator/members.go
+++ b/internal/operator/members.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
+	"filberthook/internal/fleet"
 )
 
 // Member is one replica of the control group.
@@ -33,6 +34,7 @@
 
 // MemberChange adds, promotes or removes one replica.
 type MemberChange struct {
+	Actor   fleet.Actor  `json:"actor"` // an admin; checked again at the leader
 	Action  MemberAction `json:"action"`
 	ID      uint64       `json:"id"`
 	Address string       `json:"address,omitempty"` // for AddLearner
@@ -64,6 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
+	change.Actor = callerOf(ctx).actor
 	if err := s.group.ChangeMember(ctx, change); err != nil {
 		return nil, proposalError(err)
 	}
--- /dev/null
+++ b/internal/testnet/testnet.go
@@ -0,0 +1,34 @@
+// Package testnet gives tests loopback addresses that they can listen on again
+// after a stop. Each address has an IP number of its own, so that neither other
+// tests nor the source ports of connections can take it in the meantime.
+package testnet
+
+import (
+	"net/netip"
+	"os"
+	"sync/atomic"
+)
+
+// port is the port of all addresses; the IP numbers differ.
+const port = 7101
+
+// Bits of the IP number after 127.
+const (
+	counterBits = 12
+	processBits = 12
+)
+
+// given counts the addresses that this process has given out.
+var given atomic.Uint32
+
+// Address returns an address that this process has not given out lately.
+func Address() netip.AddrPort {
+	process := uint32(os.Getpid())%(1<<processBits-1) + 1 // not 0, so never 127.0.0.x
+	n := given.Add(1) % (1 << counterBits)
+	bits := process<<counterBits | n
+	ip := netip.AddrFrom4([4]byte{127, byte(bits >> 16), byte(bits >> 8), byte(bits)})
+	return netip.AddrPortFrom(ip, port)
+}
+
+// String returns Address as text, for settings.
+func String() string { return Address().String() }
