Count lease refusals, proposal retries and answers to watchers; refuse unreadable log entries

Cause: each refusal and retry reason needs a counter; a replica of an older release would have passed over a kind of change that it does not know and come to another state.

--- a/internal/controlnode/calls.go
+++ b/internal/controlnode/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"filberthook/internal/authority"
@@ -19,7 +20,7 @@
 // buildCalls registers the calls of other hosts.
 func (n *Node) buildCalls() {
 	n.mux = peer.NewMux()
-	distribution.Register(n.mux, n.hub, n.registry)
+	distribution.Register(n.mux, n.hub, n.registry, n.metrics)
 	n.registerHostCalls()
 	n.registerReplicaCalls()
 }
@@ -33,9 +34,12 @@
 		cmd.Holder.Host = from.Host
 		cmd.Scope = from.Zone
 		if refusal := n.gate.Refusal(n.group.clock.elapsed(), cmd); refusal != nil {
+			n.countLease(cmd.Kind, "waiting")
 			return lease.Result{Err: refusal}, nil
 		}
-		return n.group.lease(ctx, cmd)
+		result, err := n.group.lease(ctx, cmd)
+		n.countLease(cmd.Kind, leaseOutcome(result, err))
+		return result, err
 	})
 	peer.Handle(n.mux, MethodClaims, func(ctx context.Context, _ peer.Identity, batch json.RawMessage) (json.RawMessage, error) {
 		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
@@ -71,3 +75,23 @@
 		return struct{}{}, nil
 	})
 }
+
+// countLease counts a planner's lease command by its outcome.
+func (n *Node) countLease(kind lease.Kind, outcome string) {
+	if !kind.Known() {
+		kind = "unknown"
+	}
+	name := fmt.Sprintf(`filberthook_control_leases_total{kind=%q,outcome=%q}`, kind, outcome)
+	n.metrics.GetOrCreateCounter(name).Inc()
+}
+
+func leaseOutcome(result lease.Result, err error) string {
+	switch {
+	case err != nil:
+		return "no_outcome"
+	case result.Err != nil:
+		return string(result.Err.Code)
+	default:
+		return "ok"
+	}
+}
--- a/internal/controlnode/group.go
+++ b/internal/controlnode/group.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"filberthook/internal/fleet"
 	"filberthook/internal/lease"
 	"filberthook/internal/operator"
@@ -37,6 +39,7 @@
 	clients   *clientPool
 	state     operator.State
 	bootstrap fleet.KeyHash // of the settings file
+	retries   *metrics.Counter
 }
 
 // ReadBarrier implements operator.Group.
@@ -76,6 +79,7 @@
 		if err == nil || !retryable(err) || !pause(ctx, noLeaderPause) {
 			return err
 		}
+		g.retries.Inc()
 	}
 }
 
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -108,7 +108,12 @@
 	n.rpc = newClientPool(n.peerOptions())
 	n.raftRPC = newClientPool(n.peerOptions())
 	n.claims = newClaims()
-	n.group = &group{clock: newClock(), clients: n.rpc, bootstrap: fleet.KeyHash(n.settings.Operate.BootstrapKeySHA256)}
+	n.group = &group{
+		clock:     newClock(),
+		clients:   n.rpc,
+		bootstrap: fleet.KeyHash(n.settings.Operate.BootstrapKeySHA256),
+		retries:   n.metrics.GetOrCreateCounter(`filberthook_control_proposal_retries_total{reason="no_leader"}`),
+	}
 	n.hub = distribution.NewHub(n.group.clock.elapsed, n.group, n.logger)
 	n.registry = distribution.NewRegistry(n.group.clock.elapsed, n.settings.Host)
 	n.gate = lease.NewGate()
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
 	"filberthook/internal/fleet"
@@ -349,7 +350,7 @@
 	g.commit(t)
 	mux := peer.NewMux()
 	registry := g.replicas[0].registry
-	Register(mux, g.replicas[0].hub, registry)
+	Register(mux, g.replicas[0].hub, registry, metrics.NewSet())
 	address := servePeer(t, mux)
 	client := peer.NewClient(address, peer.Options{Self: peer.Identity{Host: "h1", Zone: "bio"}})
 	t.Cleanup(func() { client.Close() })
--- a/internal/distribution/server.go
+++ b/internal/distribution/server.go
@@ -2,15 +2,36 @@
 
 import (
 	"context"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/peer"
 )
 
 // Register serves watchers on a mux. Each watch reports the revision that the
 // host has in force.
-func Register(mux *peer.Mux, hub *Hub, registry *Registry) {
+func Register(mux *peer.Mux, hub *Hub, registry *Registry, set *metrics.Set) {
 	peer.Handle(mux, MethodWatch, func(ctx context.Context, from peer.Identity, req WatchRequest) (WatchResponse, error) {
 		registry.Report(from.Host, from.Zone, req.Have, req.Engines)
-		return hub.Watch(ctx, req)
+		resp, err := hub.Watch(ctx, req)
+		set.GetOrCreateCounter(fmt.Sprintf(`filberthook_watch_answers_total{kind=%q}`, resp.kind())).Inc()
+		return resp, err
 	})
 }
+
+// kind tells what an answer holds.
+func (r WatchResponse) kind() string {
+	switch {
+	case r.Behind:
+		return "behind"
+	case r.Configuration != nil:
+		return "whole"
+	case len(r.Deltas) > 0:
+		return "deltas"
+	case r.Stale:
+		return "stale"
+	default:
+		return "nothing_new"
+	}
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -52,6 +52,9 @@
 	Release Kind = "release" // gives a lease back; the holder has no order in flight
 )
 
+// Known reports whether the kind is one of the above.
+func (k Kind) Known() bool { return k == Acquire || k == Renew || k == Release }
+
 // Command asks for a change of one lease.
 type Command struct {
 	Kind   Kind          `json:"kind"`
@@ -143,7 +146,7 @@
 func (c Command) check() *Error {
 	invalid := func(detail string) *Error { return &Error{Code: CodeInvalid, Scope: c.Scope, Detail: detail} }
 	switch {
-	case c.Kind != Acquire && c.Kind != Renew && c.Kind != Release:
+	case !c.Kind.Known():
 		return invalid(fmt.Sprintf("kind %q is unknown; use acquire, renew or release", c.Kind))
 	case c.Scope == "":
 		return invalid("the scope is empty; name the availability zone")
--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -4,6 +4,7 @@
 package statemachine
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"sync"
@@ -82,10 +83,19 @@
 	return &Machine{observer: observer, fleet: fleet.New(), leases: lease.NewTable(), claims: claims}
 }
 
+// decodeCommand refuses fields that this program does not know: a replica that
+// passed over them would come to another state than the others.
+func decodeCommand(data []byte) (Command, error) {
+	var cmd Command
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&cmd)
+	return cmd, err
+}
+
 // Apply applies one entry of the log and returns a Response.
 func (m *Machine) Apply(index uint64, data []byte) any {
-	var cmd Command
-	err := json.Unmarshal(data, &cmd)
+	cmd, err := decodeCommand(data)
 	invariant.Check(err == nil && cmd.Version <= commandVersion, "log-readable",
 		"entry %d has version %d, this program reads up to %d (%v); run a release that is not older than the leader's",
 		index, cmd.Version, commandVersion, err)
--- a/internal/statemachine/statemachine_test.go
+++ b/internal/statemachine/statemachine_test.go
@@ -141,11 +141,21 @@
 	}
 }
 
-func TestNewerCommandStopsTheProcess(t *testing.T) {
-	defer func() {
-		if v, ok := recover().(*invariant.Violation); !ok || v.Name != "log-readable" {
-			t.Errorf("recovered %v, want a violation of log-readable", v)
-		}
-	}()
-	New(nil, nil).Apply(1, []byte(`{"version":99}`))
+func TestUnreadableCommandStopsTheProcess(t *testing.T) {
+	tests := []struct{ name, entry string }{
+		{"newer version", `{"version":99}`},
+		{"unknown part", `{"version":1,"quota":{}}`},
+		{"unknown kind of change", `{"version":1,"fleet":{"change_id":"c","changes":[{"rename_team":{}}]}}`},
+		{"no JSON", `entry`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			defer func() {
+				if v, ok := recover().(*invariant.Violation); !ok || v.Name != "log-readable" {
+					t.Errorf("recovered %v, want a violation of log-readable", v)
+				}
+			}()
+			New(nil, nil).Apply(1, []byte(tt.entry))
+		})
+	}
 }
