--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -298,6 +298,7 @@
 		{"missing delta", WatchResponse{Revision: 6, Deltas: []json.RawMessage{delta(6)}}, 4, true},
 		{"deltas end early", WatchResponse{Revision: 6, Deltas: []json.RawMessage{delta(5)}}, 4, true},
 		{"older configuration", WatchResponse{Revision: 5, Configuration: delta(3)}, 4, false},
+		{"configuration of another revision", WatchResponse{Revision: 5, Configuration: delta(6)}, 4, true},
 		{"older answer", WatchResponse{Revision: 3}, 4, false},
 	}
 	for _, tt := range tests {
--- a/internal/distribution/view.go
+++ b/internal/distribution/view.go
@@ -14,7 +14,7 @@
 		return current, nil
 	}
 	if resp.Configuration != nil {
-		return replaced(current, resp.Configuration)
+		return replaced(current, resp)
 	}
 	snapshot := current
 	for _, data := range resp.Deltas {
@@ -36,14 +36,17 @@
 	return snapshot, nil
 }
 
-func replaced(current *fleet.Snapshot, data []byte) (*fleet.Snapshot, error) {
+func replaced(current *fleet.Snapshot, resp WatchResponse) (*fleet.Snapshot, error) {
 	var c fleet.Configuration
-	if err := json.Unmarshal(data, &c); err != nil {
+	if err := json.Unmarshal(resp.Configuration, &c); err != nil {
 		return current, fmt.Errorf("decode configuration: %w", err)
 	}
 	if c.Revision < current.Revision {
 		return current, nil
 	}
+	if c.Revision != resp.Revision {
+		return current, &GapError{Have: c.Revision, Got: resp.Revision}
+	}
 	return fleet.NewSnapshot(c), nil
 }
 
