--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
 	"filberthook/internal/fleet"
@@ -297,6 +298,7 @@
 		{"missing delta", WatchResponse{Revision: 6, Deltas: []json.RawMessage{delta(6)}}, 4, true},
 		{"deltas end early", WatchResponse{Revision: 6, Deltas: []json.RawMessage{delta(5)}}, 4, true},
 		{"older configuration", WatchResponse{Revision: 5, Configuration: delta(3)}, 4, false},
+		{"configuration of another revision", WatchResponse{Revision: 5, Configuration: delta(6)}, 4, true},
 		{"older answer", WatchResponse{Revision: 3}, 4, false},
 	}
 	for _, tt := range tests {
@@ -349,7 +351,7 @@
 	g.commit(t)
 	mux := peer.NewMux()
 	registry := g.replicas[0].registry
-	Register(mux, g.replicas[0].hub, registry)
+	Register(mux, g.replicas[0].hub, registry, metrics.NewSet())
 	address := servePeer(t, mux)
 	client := peer.NewClient(address, peer.Options{Self: peer.Identity{Host: "h1", Zone: "bio"}})
 	t.Cleanup(func() { client.Close() })
