Limits of callers' requests as checked settings

Cause: the limits of bodies, teams, queues, claims and retries could not be set. Durations use tomltime. Conclusion: a wrong value is one error that names key and remedy.

--- a/internal/claimlog/claimlog.go
+++ b/internal/claimlog/claimlog.go
@@ -18,6 +18,7 @@
 	"filberthook/internal/claim"
 	"filberthook/internal/request"
 	"filberthook/internal/retry"
+	"filberthook/internal/tomltime"
 )
 
 // Log appends an encoded claim.Batch to the replicated log and returns the
@@ -45,9 +46,9 @@
 	Proposers      int                   `toml:"proposers"`       // proposals under way at once
 	Queue          int                   `toml:"queue"`           // commands that wait for a proposer
 	Background     int                   `toml:"background"`      // commands that are retried in the background
-	ProposeTimeout time.Duration         `toml:"propose_timeout"` // for one proposal
-	ClaimTimeout   time.Duration         `toml:"claim_timeout"`   // for all proposals of one claim
-	ProbeInterval  time.Duration         `toml:"probe_interval"`  // between claims that are tried while the log is down
+	ProposeTimeout tomltime.Duration     `toml:"propose_timeout"` // for one proposal
+	ClaimTimeout   tomltime.Duration     `toml:"claim_timeout"`   // for all proposals of one claim
+	ProbeInterval  tomltime.Duration     `toml:"probe_interval"`  // between claims that are tried while the log is down
 	Backoff        retry.BackoffSettings `toml:"backoff"`
 }
 
@@ -58,10 +59,10 @@
 		Proposers:      4,
 		Queue:          4096,
 		Background:     4096,
-		ProposeTimeout: time.Second,
-		ClaimTimeout:   2 * time.Second,
-		ProbeInterval:  250 * time.Millisecond,
-		Backoff:        retry.BackoffSettings{Base: 20 * time.Millisecond, Max: 500 * time.Millisecond},
+		ProposeTimeout: tomltime.Of(time.Second),
+		ClaimTimeout:   tomltime.Of(2 * time.Second),
+		ProbeInterval:  tomltime.Of(250 * time.Millisecond),
+		Backoff:        retry.BackoffSettings{Base: tomltime.Of(20 * time.Millisecond), Max: tomltime.Of(500 * time.Millisecond)},
 	}
 }
 
@@ -158,7 +159,7 @@
 	if !c.health.mayTry(time.Now(), c.settings) {
 		return claim.Result{}, &UnavailableError{Err: errDown}
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.settings.ClaimTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.settings.ClaimTimeout.Duration)
 	defer cancel()
 	doubtful := false
 	for n := 1; ; n++ {
@@ -202,7 +203,7 @@
 
 // Lookup reads the claim of a key. The error is an *UnavailableError.
 func (c *Client) Lookup(ctx context.Context, key claim.Key) (claim.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.settings.ClaimTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.settings.ClaimTimeout.Duration)
 	defer cancel()
 	res, err := c.submit(ctx, claim.Command{Kind: claim.KindLookup, Key: key})
 	if err != nil {
--- a/internal/claimlog/claimlog_test.go
+++ b/internal/claimlog/claimlog_test.go
@@ -136,7 +136,7 @@
 				if tt.err != nil && !errors.As(err, tt.err) {
 					t.Errorf("error %v, want a %T", err, tt.err)
 				}
-				if took := time.Since(start); took > DefaultSettings().ClaimTimeout {
+				if took := time.Since(start); took > DefaultSettings().ClaimTimeout.Duration {
 					t.Errorf("answered after %v, longer than the claim timeout", took)
 				}
 				log.heal()
@@ -162,7 +162,7 @@
 		log := newFakeLog(func() fault { return faultSilent })
 		c := newClient(t, log, DefaultSettings())
 		_, _ = c.Claim(t.Context(), command("a", "1"))
-		time.Sleep(DefaultSettings().ClaimTimeout)
+		time.Sleep(DefaultSettings().ClaimTimeout.Duration)
 		probe := make(chan struct{})
 		go func() {
 			defer close(probe)
--- a/internal/claimlog/health.go
+++ b/internal/claimlog/health.go
@@ -35,7 +35,7 @@
 
 // isDown expects h.mu to be held.
 func (h *health) isDown(now time.Time, s Settings) bool {
-	return !h.failed.IsZero() && now.Sub(h.failed) >= s.ClaimTimeout
+	return !h.failed.IsZero() && now.Sub(h.failed) >= s.ClaimTimeout.Duration
 }
 
 // mayTry reports whether a claim may be tried now: always while the log
@@ -49,6 +49,6 @@
 	if now.Before(h.nextProbe) {
 		return false
 	}
-	h.nextProbe = now.Add(s.ProbeInterval)
+	h.nextProbe = now.Add(s.ProbeInterval.Duration)
 	return true
 }
--- a/internal/claimlog/propose.go
+++ b/internal/claimlog/propose.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, &NotAppliedError{Err: err}
 	}
-	ctx, cancel := context.WithTimeout(c.stopping, c.settings.ProposeTimeout)
+	ctx, cancel := context.WithTimeout(c.stopping, c.settings.ProposeTimeout.Duration)
 	defer cancel()
 	answer, err := c.log.Propose(ctx, data)
 	if err != nil {
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -21,9 +21,9 @@
 		replicas = append(replicas, r)
 	}
 	log := claimlog.NewReplicas(replicas, controlnode.MethodClaims, notApplied)
-	n.claims = claimlog.New(log, claimlog.DefaultSettings(), n.counters, n.metrics)
-	last := proxy.New(proxy.DefaultSettings(), n.sched, n.metrics)
-	s := middleware.DefaultSettings()
+	n.claims = claimlog.New(log, n.set.Callers.Claiming, n.counters, n.metrics)
+	last := proxy.New(n.set.Callers.Proxy, n.sched, n.metrics)
+	s := n.set.Callers.Settings
 	s.Claims.Host = n.set.Host
 	n.callers = middleware.NewChain(s, n.config, n.claims, n.counters, n.calls, last)
 	n.metrics.NewGauge("filberthook_requests_in_flight", func() float64 { return float64(n.callers.Stop.UnderWay()) })
--- a/internal/middleware/claims.go
+++ b/internal/middleware/claims.go
@@ -15,18 +15,19 @@
 	"filberthook/internal/claimlog"
 	"filberthook/internal/ident"
 	"filberthook/internal/request"
+	"filberthook/internal/tomltime"
 )
 
 // ClaimSettings bound the life of claims.
 type ClaimSettings struct {
-	Host      string        `toml:"-"`         // name of this entry host
-	Grace     time.Duration `toml:"grace"`     // time after the deadline for which an answer is still waited for
-	Retention time.Duration `toml:"retention"` // as the control group keeps keys
+	Host      string            `toml:"-"`         // name of this entry host
+	Grace     tomltime.Duration `toml:"grace"`     // time after the deadline for which an answer is still waited for
+	Retention tomltime.Duration `toml:"retention"` // as the control group keeps keys
 }
 
 // DefaultClaims returns the settings used when none are set.
 func DefaultClaims() ClaimSettings {
-	return ClaimSettings{Grace: 30 * time.Second, Retention: claim.DefaultLimits().Retention}
+	return ClaimSettings{Grace: tomltime.Of(30 * time.Second), Retention: tomltime.Of(claim.DefaultLimits().Retention)}
 }
 
 // HeaderReplayed marks an answer that was stored by an earlier send of the same
@@ -92,7 +93,7 @@
 		Attempt:  ident.New(),
 		Entry:    h.settings.Host,
 		BodyHash: bodyHash(c, r),
-		Hold:     c.Left() + h.settings.Grace,
+		Hold:     c.Left() + h.settings.Grace.Duration,
 	}
 }
 
--- a/internal/middleware/deadline.go
+++ b/internal/middleware/deadline.go
@@ -9,17 +9,18 @@
 	"filberthook/internal/call"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/request"
+	"filberthook/internal/tomltime"
 )
 
 // DeadlineSettings bound the deadlines of requests.
 type DeadlineSettings struct {
-	Min time.Duration `toml:"min"` // a request with less time left is refused
-	Max time.Duration `toml:"max"` // longest deadline that a caller can ask for
+	Min tomltime.Duration `toml:"min"` // a request with less time left is refused
+	Max tomltime.Duration `toml:"max"` // longest deadline that a caller can ask for
 }
 
 // DefaultDeadline returns the limits used when none are set.
 func DefaultDeadline() DeadlineSettings {
-	return DeadlineSettings{Min: 5 * time.Millisecond, Max: time.Hour}
+	return DeadlineSettings{Min: tomltime.Of(5 * time.Millisecond), Max: tomltime.Of(time.Hour)}
 }
 
 // Deadline sets the time by which the answer is due: the caller's, or the
@@ -51,7 +52,7 @@
 func (h *Deadline) allowed(r *http.Request, def time.Duration) (time.Duration, *request.Refusal) {
 	value := r.Header.Get(engineapi.HeaderDeadline)
 	if value == "" {
-		return min(def, h.settings.Max), nil
+		return min(def, h.settings.Max.Duration), nil
 	}
 	ms, err := strconv.ParseInt(value, 10, 64)
 	if err != nil || ms < 0 || ms > h.settings.Max.Milliseconds() {
@@ -59,7 +60,7 @@
 			engineapi.HeaderDeadline, h.settings.Max.Milliseconds())
 	}
 	allowed := time.Duration(ms) * time.Millisecond
-	if allowed < h.settings.Min {
+	if allowed < h.settings.Min.Duration {
 		return 0, request.Refuse(request.DeadlineUnreachable, "%v are left, at least %v are needed", allowed, h.settings.Min)
 	}
 	return allowed, nil
--- a/internal/middleware/middleware.go
+++ b/internal/middleware/middleware.go
@@ -56,7 +56,7 @@
 	h = NewSlots(limit.NewGate(s.Gate, time.Now), h)
 	h = NewTeams(s.Team, limit.NewTeams(time.Now), h)
 	h = NewDeadline(s.Deadline, h)
-	h = NewIdempotency(s.Claims.Retention, h)
+	h = NewIdempotency(s.Claims.Retention.Duration, h)
 	h = NewTarget(config, h)
 	h = NewBody(s.Body, limit.NewMemory(s.Body.MaxHeld), h)
 	h = NewOutcome(log, h)
--- a/internal/middleware/pace.go
+++ b/internal/middleware/pace.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"filberthook/internal/tomltime"
 )
 
 // maxWriteBytes is the most that is written under one deadline.
@@ -10,13 +12,13 @@
 
 // PaceSettings bound how slowly a caller may send and read.
 type PaceSettings struct {
-	ReadTimeout  time.Duration `toml:"read_timeout"`  // for the whole body of a request
-	WriteTimeout time.Duration `toml:"write_timeout"` // for the caller to take one part of its answer
+	ReadTimeout  tomltime.Duration `toml:"read_timeout"`  // for the whole body of a request
+	WriteTimeout tomltime.Duration `toml:"write_timeout"` // for the caller to take one part of its answer
 }
 
 // DefaultPace returns the limits used when none are set.
 func DefaultPace() PaceSettings {
-	return PaceSettings{ReadTimeout: 10 * time.Second, WriteTimeout: 15 * time.Second}
+	return PaceSettings{ReadTimeout: tomltime.Of(10 * time.Second), WriteTimeout: tomltime.Of(15 * time.Second)}
 }
 
 // Pace bounds the time that a caller may take to send its body and to read
@@ -33,15 +35,15 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Pace) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	paced := &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), timeout: h.settings.WriteTimeout}
+	paced := &pacedWriter{ResponseWriter: w, control: http.NewResponseController(w), timeout: h.settings.WriteTimeout.Duration}
 	if r.ContentLength != 0 {
 		// The deadline also ends the server's own reading of a refused body.
 		// Body clears it once it has the whole body. Without a body the server
 		// reads ahead, and a deadline would look like a caller that left.
-		_ = paced.control.SetReadDeadline(time.Now().Add(h.settings.ReadTimeout))
+		_ = paced.control.SetReadDeadline(time.Now().Add(h.settings.ReadTimeout.Duration))
 	}
 	// Covers what the server flushes after the handler; it then clears the deadline.
-	defer func() { _ = paced.control.SetWriteDeadline(time.Now().Add(h.settings.WriteTimeout)) }()
+	defer func() { _ = paced.control.SetWriteDeadline(time.Now().Add(h.settings.WriteTimeout.Duration)) }()
 	h.next.ServeHTTP(paced, r)
 }
 
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -29,6 +29,7 @@
 	"filberthook/internal/request"
 	"filberthook/internal/routing"
 	placing "filberthook/internal/scheduler"
+	"filberthook/internal/tomltime"
 )
 
 // Names used by all tests.
@@ -194,7 +195,7 @@
 
 func newEntry(t *testing.T, log claimlog.Log, instances []string, change ...func(*options)) *entry {
 	o := options{middleware.DefaultSettings(), proxy.DefaultSettings(), claimlog.DefaultSettings()}
-	o.claims.ClaimTimeout = time.Minute
+	o.claims.ClaimTimeout = tomltime.Of(time.Minute)
 	for _, f := range change {
 		f(&o)
 	}
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -12,6 +12,7 @@
 	"filberthook/internal/engineapi"
 	"filberthook/internal/middleware"
 	"filberthook/internal/request"
+	"filberthook/internal/tomltime"
 )
 
 // TestNonRepeatableCalls sends a booking, then the same booking again through
@@ -157,7 +158,7 @@
 func TestZoneWithoutMajority(t *testing.T) {
 	s := newService(t, nil)
 	log := newMemoryLog()
-	e := newEntry(t, log, []string{s.address()}, func(o *options) { o.claims.ClaimTimeout = 100 * time.Millisecond })
+	e := newEntry(t, log, []string{s.address()}, func(o *options) { o.claims.ClaimTimeout = tomltime.Of(100 * time.Millisecond) })
 	log.cut(true)
 	e.book("k", "chair 7").want(t, request.ClaimUnavailable)
 	if got := s.ran("k"); got != 0 {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"filberthook/internal/retry"
 	"filberthook/internal/routing"
 	"filberthook/internal/scheduler"
+	"filberthook/internal/tomltime"
 )
 
 // Scheduler picks instances and is told what becomes of attempts.
@@ -46,9 +47,9 @@
 	MaxAnswerBytes int64             `toml:"max_answer_bytes"` // of a whole answer
 	MaxHeldBytes   int64             `toml:"max_held_bytes"`   // of all whole answers together
 	MaxEventBytes  int               `toml:"max_event_bytes"`  // of one event of a stream
-	StreamIdle     time.Duration     `toml:"stream_idle"`      // longest gap in an engine's stream before it is taken up elsewhere
-	GoneIdle       time.Duration     `toml:"gone_idle"`        // the same when the instance's lease has run out, also before the first event
-	WatchInterval  time.Duration     `toml:"watch_interval"`   // between looks at the progress of an attempt
+	StreamIdle     tomltime.Duration `toml:"stream_idle"`      // longest gap in an engine's stream before it is taken up elsewhere
+	GoneIdle       tomltime.Duration `toml:"gone_idle"`        // the same when the instance's lease has run out, also before the first event
+	WatchInterval  tomltime.Duration `toml:"watch_interval"`   // between looks at the progress of an attempt
 }
 
 // DefaultSettings returns the settings used when none are set.
@@ -59,9 +60,9 @@
 		MaxAnswerBytes: 16 << 20,
 		MaxHeldBytes:   512 << 20,
 		MaxEventBytes:  256 << 10,
-		StreamIdle:     10 * time.Second,
-		GoneIdle:       time.Second,
-		WatchInterval:  500 * time.Millisecond,
+		StreamIdle:     tomltime.Of(10 * time.Second),
+		GoneIdle:       tomltime.Of(time.Second),
+		WatchInterval:  tomltime.Of(500 * time.Millisecond),
 	}
 }
 
--- a/internal/proxy/stranger_test.go
+++ b/internal/proxy/stranger_test.go
@@ -14,6 +14,7 @@
 	"filberthook/internal/engineapi"
 	"filberthook/internal/middleware"
 	"filberthook/internal/request"
+	"filberthook/internal/tomltime"
 )
 
 func TestRefusedBeforeAnythingRuns(t *testing.T) {
@@ -89,7 +90,7 @@
 	}
 	e := newEntry(t, newMemoryLog(), nil, func(o *options) {
 		o.middleware.Body.MaxBytes = 2 << 10
-		o.middleware.Pace.ReadTimeout = 100 * time.Millisecond
+		o.middleware.Pace.ReadTimeout = tomltime.Of(100 * time.Millisecond)
 		o.middleware.Body.MaxHeld = 4 << 10
 	})
 	for _, tt := range tests {
@@ -126,7 +127,7 @@
 		}
 		_, _ = w.Write(large)
 	}})
-	e := newEntry(t, newMemoryLog(), []string{instance}, func(o *options) { o.middleware.Pace.WriteTimeout = 100 * time.Millisecond })
+	e := newEntry(t, newMemoryLog(), []string{instance}, func(o *options) { o.middleware.Pace.WriteTimeout = tomltime.Of(100 * time.Millisecond) })
 	conn, err := net.Dial("tcp", e.server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -11,6 +11,7 @@
 	"filberthook/internal/engineapi"
 	"filberthook/internal/proxy"
 	"filberthook/internal/request"
+	"filberthook/internal/tomltime"
 )
 
 const tokens = 40
@@ -79,8 +80,8 @@
 		t.Run(tt.name, func(t *testing.T) {
 			instances := []string{newEngine(t, engine{tokens: tokens, fault: tt.first}), newEngine(t, engine{tokens: tokens})}
 			e := newEntry(t, newMemoryLog(), instances, func(o *options) {
-				o.proxy.StreamIdle = 50 * time.Millisecond
-				o.proxy.WatchInterval = 10 * time.Millisecond
+				o.proxy.StreamIdle = tomltime.Of(50 * time.Millisecond)
+				o.proxy.WatchInterval = tomltime.Of(10 * time.Millisecond)
 			})
 			got, resp := e.stream()
 			if got.text != expected(0, tokens) || got.finished != 1 || got.done != 1 || got.lastID != "40" {
@@ -176,8 +177,8 @@
 // byte. Repeatable requests go elsewhere; a non-repeatable one stays with it.
 func TestInstanceThatLostItsLeaseIsGivenUp(t *testing.T) {
 	quick := func(o *options) {
-		o.proxy.GoneIdle = 20 * time.Millisecond
-		o.proxy.WatchInterval = 10 * time.Millisecond
+		o.proxy.GoneIdle = tomltime.Of(20 * time.Millisecond)
+		o.proxy.WatchInterval = tomltime.Of(10 * time.Millisecond)
 	}
 	instances := []string{newEngine(t, engine{tokens: tokens, fault: at(stall, 1, 1)}), newEngine(t, engine{tokens: tokens})}
 	e := newEntry(t, newMemoryLog(), instances, quick)
--- a/internal/proxy/transport.go
+++ b/internal/proxy/transport.go
@@ -4,22 +4,24 @@
 	"net"
 	"net/http"
 	"time"
+
+	"filberthook/internal/tomltime"
 )
 
 // TransportSettings bound the connections to endpoints.
 type TransportSettings struct {
-	DialTimeout  time.Duration `toml:"dial_timeout"`
-	IdlePerHost  int           `toml:"idle_per_host"` // connections kept open to one instance
-	IdleTimeout  time.Duration `toml:"idle_timeout"`
-	MaxHeaderLen int64         `toml:"max_header_bytes"` // of an answer
+	DialTimeout  tomltime.Duration `toml:"dial_timeout"`
+	IdlePerHost  int               `toml:"idle_per_host"` // connections kept open to one instance
+	IdleTimeout  tomltime.Duration `toml:"idle_timeout"`
+	MaxHeaderLen int64             `toml:"max_header_bytes"` // of an answer
 }
 
 // DefaultTransport returns the settings used when none are set.
 func DefaultTransport() TransportSettings {
 	return TransportSettings{
-		DialTimeout:  time.Second,
+		DialTimeout:  tomltime.Of(time.Second),
 		IdlePerHost:  256,
-		IdleTimeout:  30 * time.Second,
+		IdleTimeout:  tomltime.Of(30 * time.Second),
 		MaxHeaderLen: 64 << 10,
 	}
 }
@@ -28,9 +30,9 @@
 // requests. It follows no redirects and decompresses nothing.
 func newTransport(s TransportSettings) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: s.DialTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: s.DialTimeout.Duration}).DialContext,
 		MaxIdleConnsPerHost:    s.IdlePerHost,
-		IdleConnTimeout:        s.IdleTimeout,
+		IdleConnTimeout:        s.IdleTimeout.Duration,
 		MaxResponseHeaderBytes: s.MaxHeaderLen,
 		DisableCompression:     true,
 	}
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -24,7 +24,7 @@
 	w := &watch{attempt: a, started: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(a.proxy.settings.WatchInterval, w.check)
+	w.timer = time.AfterFunc(a.proxy.settings.WatchInterval.Duration, w.check)
 	return w
 }
 
@@ -56,16 +56,16 @@
 	case stuck:
 		w.attempt.cancel()
 	default:
-		w.timer.Reset(w.attempt.proxy.settings.WatchInterval)
+		w.timer.Reset(w.attempt.proxy.settings.WatchInterval.Duration)
 	}
 }
 
 func (w *watch) stuck() bool {
 	s := &w.attempt.proxy.settings
 	quiet := time.Since(w.started) - time.Duration(w.progress.Load())
-	if w.streaming.Load() && quiet >= s.StreamIdle {
+	if w.streaming.Load() && quiet >= s.StreamIdle.Duration {
 		return true
 	}
 	d := &w.attempt.decision
-	return quiet >= s.GoneIdle && !w.attempt.proxy.sched.Live(d.Instance, d.Incarnation)
+	return quiet >= s.GoneIdle.Duration && !w.attempt.proxy.sched.Live(d.Instance, d.Incarnation)
 }
--- a/internal/retry/backoff.go
+++ b/internal/retry/backoff.go
@@ -1,16 +1,20 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"filberthook/internal/tomltime"
+)
 
 // BackoffSettings are the delays between attempts.
 type BackoffSettings struct {
-	Base time.Duration `toml:"base"`
-	Max  time.Duration `toml:"max"`
+	Base tomltime.Duration `toml:"base"`
+	Max  tomltime.Duration `toml:"max"`
 }
 
 // DefaultBackoff returns delays that fit endpoints within one data centre.
 func DefaultBackoff() BackoffSettings {
-	return BackoffSettings{Base: 10 * time.Millisecond, Max: time.Second}
+	return BackoffSettings{Base: tomltime.Of(10 * time.Millisecond), Max: tomltime.Of(time.Second)}
 }
 
 // Backoff returns the delay before the attempt that follows n failed ones, n
@@ -18,11 +22,11 @@
 // n, so that callers who failed together do not come back together. random is
 // from 0 to 1.
 func Backoff(s BackoffSettings, n int, random float64) time.Duration {
-	limit := s.Base
-	for i := 1; i < n && limit < s.Max; i++ {
+	limit := s.Base.Duration
+	for i := 1; i < n && limit < s.Max.Duration; i++ {
 		limit *= 2
 	}
-	return time.Duration(random * float64(min(limit, s.Max)))
+	return time.Duration(random * float64(min(limit, s.Max.Duration)))
 }
 
 // ReturnAdvice spreads the time at which refused callers come back over half
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -1,16 +1,20 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"filberthook/internal/tomltime"
+)
 
 // Settings are the limits on sending one request again.
 type Settings struct {
-	MaxAttempts int             `toml:"max_attempts"` // all attempts of a request, the first included
-	MaxResumes  int             `toml:"max_resumes"`  // times that one broken stream is taken up again
-	Budget      BudgetSettings  `toml:"budget"`
-	Resume      BudgetSettings  `toml:"resume_budget"` // for streams, which lose more by a refusal
-	Hedge       BudgetSettings  `toml:"hedge_budget"`
-	HedgeAfter  time.Duration   `toml:"hedge_after"` // 0 turns hedging off
-	Backoff     BackoffSettings `toml:"backoff"`
+	MaxAttempts int               `toml:"max_attempts"` // all attempts of a request, the first included
+	MaxResumes  int               `toml:"max_resumes"`  // times that one broken stream is taken up again
+	Budget      BudgetSettings    `toml:"budget"`
+	Resume      BudgetSettings    `toml:"resume_budget"` // for streams, which lose more by a refusal
+	Hedge       BudgetSettings    `toml:"hedge_budget"`
+	HedgeAfter  tomltime.Duration `toml:"hedge_after"` // 0 turns hedging off
+	Backoff     BackoffSettings   `toml:"backoff"`
 }
 
 // DefaultSettings returns the limits used when none are set.
@@ -96,11 +100,11 @@
 // Hedge reports whether a second attempt may start beside a first one that has
 // been under way for waited, and charges it.
 func (p *Policy) Hedge(waited time.Duration) bool {
-	if p.settings.HedgeAfter <= 0 || waited < p.settings.HedgeAfter {
+	if p.settings.HedgeAfter.Duration <= 0 || waited < p.settings.HedgeAfter.Duration {
 		return false
 	}
 	return p.hedges.Take()
 }
 
 // HedgeAfter returns how long an attempt runs alone; 0 when hedging is off.
-func (p *Policy) HedgeAfter() time.Duration { return p.settings.HedgeAfter }
+func (p *Policy) HedgeAfter() time.Duration { return p.settings.HedgeAfter.Duration }
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"filberthook/internal/tomltime"
 )
 
 // outage sends n requests to an endpoint that always fails and returns the
@@ -33,7 +35,7 @@
 
 func TestVerdicts(t *testing.T) {
 	settings := DefaultSettings()
-	settings.Backoff = BackoffSettings{Base: 10 * time.Millisecond, Max: 40 * time.Millisecond}
+	settings.Backoff = BackoffSettings{Base: tomltime.Of(10 * time.Millisecond), Max: tomltime.Of(40 * time.Millisecond)}
 	empty := settings
 	empty.Budget = BudgetSettings{}
 	tests := []struct {
@@ -78,9 +80,9 @@
 }
 
 func TestBackoffIsBounded(t *testing.T) {
-	s := BackoffSettings{Base: time.Millisecond, Max: time.Second}
+	s := BackoffSettings{Base: tomltime.Of(time.Millisecond), Max: tomltime.Of(time.Second)}
 	for n := 1; n < 100; n++ {
-		if d := Backoff(s, n, 1); d <= 0 || d > s.Max {
+		if d := Backoff(s, n, 1); d <= 0 || d > s.Max.Duration {
 			t.Fatalf("delay %v before attempt %d", d, n+1)
 		}
 	}
@@ -94,7 +96,7 @@
 	if NewPolicy(s).Hedge(time.Hour) {
 		t.Error("hedged although hedging is off")
 	}
-	s.HedgeAfter = time.Second
+	s.HedgeAfter = tomltime.Of(time.Second)
 	s.Hedge = BudgetSettings{Burst: 1}
 	p := NewPolicy(s)
 	if p.Hedge(time.Millisecond) || !p.Hedge(time.Second) || p.Hedge(time.Second) {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -27,6 +27,7 @@
 	Routing   routing.Config   `toml:"routing"`
 	Admission admission.Config `toml:"admission"`
 	Planner   planner.Config   `toml:"planner"`
+	Callers   EntryCallers     `toml:"callers"`
 	TLS       TLS              `toml:"tls"`
 	Log       Log              `toml:"log"`
 }
@@ -68,6 +69,7 @@
 	return Entry{
 		Stop:      EntryStop{ReadyGrace: Duration(DefaultReadyGrace), Limit: Duration(DefaultStopLimit)},
 		Routing:   routing.DefaultConfig(),
+		Callers:   DefaultEntryCallers(),
 		Admission: admission.DefaultConfig(),
 		Planner:   planner.DefaultConfig(),
 	}
@@ -95,6 +97,7 @@
 	}
 	c.Between("stop.ready_grace", s.Stop.ReadyGrace, 0, MaxStopLimit)
 	c.Between("stop.limit", s.Stop.Limit, 0, MaxStopLimit)
+	s.Callers.Check(c, "callers")
 	s.TLS.Check(c, "tls")
 	s.Log.Check(c, "log")
 }
