--- a/internal/authority/manager.go
+++ b/internal/authority/manager.go
@@ -63,13 +63,34 @@
 
 // record is one engine with its locks.
 type record struct {
-	calls sync.Mutex // held during a call, so that calls to one engine never overlap
+	calls chan struct{} // holds a token during a call, so that calls to one engine never overlap
 
-	mu     sync.Mutex // guards the fields below; taken after calls
+	mu     sync.Mutex // guards the fields below; taken after the token of calls
 	engine engine
 	readAt time.Duration
 }
 
+// lock waits until no call to the engine is under way.
+func (r *record) lock(ctx context.Context) error {
+	select {
+	case r.calls <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *record) tryLock() bool {
+	select {
+	case r.calls <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *record) unlock() { <-r.calls }
+
 // NewManager returns a manager without engines.
 func NewManager(settings Settings, holder *Holder, transport Transport) *Manager {
 	return &Manager{settings: settings, holder: holder, transport: transport, records: map[string]*record{}}
@@ -84,7 +105,7 @@
 		present[ref.Instance] = true
 		rec, ok := m.records[ref.Instance]
 		if !ok {
-			m.records[ref.Instance] = &record{engine: engine{ref: ref}}
+			m.records[ref.Instance] = &record{calls: make(chan struct{}, 1), engine: engine{ref: ref}}
 			continue
 		}
 		rec.mu.Lock()
@@ -109,8 +130,10 @@
 	if !ok {
 		return engineapi.OrderStatus{}, m.refuse(&UnknownEngineError{Instance: instance})
 	}
-	rec.calls.Lock()
-	defer rec.calls.Unlock()
+	if err := rec.lock(ctx); err != nil {
+		return engineapi.OrderStatus{}, m.refuse(&NotSentError{Err: err})
+	}
+	defer rec.unlock()
 	grant, ok := m.holder.Grant()
 	if !ok {
 		return engineapi.OrderStatus{}, m.refuse(&NotHolderError{Zone: m.holder.settings.Zone})
@@ -129,7 +152,7 @@
 	return rec, ok
 }
 
-// begin makes a new order the outstanding one. The caller holds rec.calls.
+// begin makes a new order the outstanding one. The caller holds the token of rec.calls.
 func (m *Manager) begin(rec *record, grant Grant, change Change, raise bool) (engineapi.Order, EngineRef, error) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
@@ -154,7 +177,7 @@
 	return order, rec.engine.ref, nil
 }
 
-// send sends the outstanding order. The caller holds rec.calls.
+// send sends the outstanding order. The caller holds the token of rec.calls.
 func (m *Manager) send(ctx context.Context, rec *record, ref EngineRef, order engineapi.Order) (engineapi.OrderStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, SendTimeout)
 	defer cancel()
@@ -218,10 +241,10 @@
 
 // poll makes the one call that an engine needs now, if any.
 func (m *Manager) poll(ctx context.Context, rec *record, grant Grant) {
-	if !rec.calls.TryLock() {
+	if !rec.tryLock() {
 		return // an order is being sent
 	}
-	defer rec.calls.Unlock()
+	defer rec.unlock()
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	next, ref, order := m.nextCall(rec, grant)
--- a/internal/authority/view.go
+++ b/internal/authority/view.go
@@ -67,8 +67,10 @@
 // runs out, and the successor waits until the orders have settled.
 func (m *Manager) Close(ctx context.Context) error {
 	for _, rec := range m.all() {
-		rec.calls.Lock()
-		defer rec.calls.Unlock()
+		if err := rec.lock(ctx); err != nil {
+			return err
+		}
+		defer rec.unlock()
 		rec.mu.Lock()
 		outstanding := rec.engine.order != nil
 		rec.mu.Unlock()
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +18,7 @@
 
 	filberthookv1 "filberthook/api/filberthook/v1"
 	"filberthook/api/filberthook/v1/filberthookv1connect"
+	"filberthook/internal/authority"
 	"filberthook/internal/claim"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
@@ -30,15 +33,37 @@
 // cluster is a control group whose nodes run in this process.
 type cluster struct {
 	t     *testing.T
+	tls   func(host string) settings.TLS
 	nodes []*running
 }
 
 // running is one node with its settings; it can be stopped and started.
 type running struct {
 	settings settings.Control
+	logs     lockedBuffer
 	stop     func()
 }
 
+// lockedBuffer collects the log lines of a node.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns what was written so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -50,22 +75,19 @@
 }
 
 func startCluster(t *testing.T, size int) *cluster {
+	return startClusterWith(t, size, func(string) settings.TLS { return settings.TLS{} })
+}
+
+// startClusterWith starts nodes with the TLS settings of their hosts.
+func startClusterWith(t *testing.T, size int, tls func(host string) settings.TLS) *cluster {
 	t.Helper()
-	c := &cluster{t: t}
+	c := &cluster{t: t, tls: tls}
 	var members []settings.ControlMember
 	for i := range size {
 		members = append(members, settings.ControlMember{ID: uint64(i + 1), Address: freeAddress(t), Zone: fmt.Sprint("z", i+1)})
 	}
 	for _, m := range members {
-		s := settings.Control{
-			Host:    fmt.Sprint("c", m.ID),
-			Zone:    m.Zone,
-			DataDir: filepath.Join(t.TempDir(), "data"),
-			Listen:  settings.ControlListen{Peers: m.Address, Operators: freeAddress(t), Status: freeAddress(t)},
-			Replica: settings.ControlReplica{ID: m.ID, Members: members},
-			Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
-		}
-		c.nodes = append(c.nodes, &running{settings: s})
+		c.add(m, settings.ControlReplica{ID: m.ID, Members: members})
 	}
 	for i := range c.nodes {
 		c.start(i)
@@ -73,10 +95,24 @@
 	return c
 }
 
+// add adds a node that is not started yet.
+func (c *cluster) add(m settings.ControlMember, r settings.ControlReplica) {
+	c.nodes = append(c.nodes, &running{settings: settings.Control{
+		Host:    fmt.Sprint("c", m.ID),
+		Zone:    m.Zone,
+		DataDir: filepath.Join(c.t.TempDir(), "data"),
+		Listen:  settings.ControlListen{Peers: m.Address, Operators: freeAddress(c.t), Status: freeAddress(c.t)},
+		Replica: r,
+		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
+		TLS:     c.tls(fmt.Sprint("c", m.ID)),
+	}})
+}
+
 func (c *cluster) start(i int) {
 	c.t.Helper()
 	n := c.nodes[i]
-	node, err := New(n.settings, slog.New(slog.DiscardHandler), metrics.NewSet())
+	logger := slog.New(slog.NewTextHandler(&n.logs, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	node, err := New(n.settings, logger, metrics.NewSet())
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -271,10 +307,10 @@
 	ctx := t.Context()
 	acquire := lease.Command{Kind: lease.Acquire, Holder: lease.Holder{Session: "s"}, TTL: time.Minute}
 	var granted, held lease.Result
-	if err := c.peer(0, "e1").Call(ctx, MethodLease, acquire, &granted); err != nil || granted.Fence != 1 {
+	if err := c.peer(0, "e1").Call(ctx, authority.MethodLease, acquire, &granted); err != nil || granted.Fence != 1 {
 		t.Fatalf("%+v, %v", granted, err)
 	}
-	if err := c.peer(1, "e2").Call(ctx, MethodLease, acquire, &held); err != nil || held.Err == nil || held.Err.Holder != "e1" {
+	if err := c.peer(1, "e2").Call(ctx, authority.MethodLease, acquire, &held); err != nil || held.Err == nil || held.Err.Holder != "e1" {
 		t.Fatalf("%+v, %v", held, err)
 	}
 	cmd := claim.Command{
--- a/internal/faultrun/bench.go
+++ b/internal/faultrun/bench.go
@@ -17,6 +17,12 @@
 // pollChange is how often a fault looks whether an engine is in a change.
 const pollChange = 5 * time.Millisecond
 
+// Limits of starting a part again.
+const (
+	startAgainLimit = 20 * time.Second
+	startAgainPause = 100 * time.Millisecond
+)
+
 // bench holds the stand-ins and strikes the system with faults.
 type bench struct {
 	sys      System
@@ -51,14 +57,15 @@
 	return h.stopping
 }
 
-// newBench starts the stand-ins, spread over the zones of the entry hosts.
+// newBench starts the stand-ins, spread over the zones of the entry hosts. In
+// each zone some engines check fencing numbers and some ignore them.
 func newBench(sys System, sizes Sizes, led *ledger, log *slog.Logger) (*bench, error) {
 	b := &bench{sys: sys, log: log, ledger: led, controls: make([]sync.Mutex, len(sys.Controls))}
 	for _, e := range sys.Entries {
 		b.hosts = append(b.hosts, &host{Entry: e})
 	}
 	for i := range sizes.Engines {
-		w, err := newEngineWorker(fmt.Sprintf("engine-%d", i), b.zone(i), sys)
+		w, err := newEngineWorker(fmt.Sprintf("engine-%d", i), b.zone(i), i/len(b.hosts)%2 == 0, sys)
 		if err != nil {
 			return nil, errors.Join(err, b.close())
 		}
@@ -167,7 +174,7 @@
 		c := b.sys.Controls[f.Index]
 		c.Kill()
 		sleep(ctx, f.Length)
-		return c.Start()
+		return startAgain(ctx, c.Start)
 	}
 }
 
@@ -226,11 +233,24 @@
 		return nil
 	}
 	sleep(ctx, f.Length)
-	err := h.Start()
+	err := startAgain(ctx, h.Start)
 	h.set(false, false)
 	return err
 }
 
+// startAgain starts a part again. Its addresses may be in use for a moment by
+// connections that leave this process.
+func startAgain(ctx context.Context, start func() error) error {
+	until := time.Now().Add(startAgainLimit)
+	for {
+		err := start()
+		if err == nil || ctx.Err() != nil || time.Now().After(until) {
+			return err
+		}
+		sleep(ctx, startAgainPause)
+	}
+}
+
 // cutEntry cuts one side of an entry host off for a time.
 func cutEntry(ctx context.Context, n EntryNetwork, f Fault) {
 	relays := n.Control
