Leave slots for urgent classes; assert the claim before each dispatch

Cause: a request keeps its slot while it waits for an engine, so waiting lookups could fill a host and keep status reads out. And nothing inside the program would have noticed a dispatch without a claim. Change: each class may use a share of the slots (1, 0.9, 0.75, 0.5); the request aggregate asserts claim-before-dispatch for non-repeatable requests. Figures: in the test, a host of 10 slots full of lookups (5) lets 5 status reads in at once; before, lookups took all 10.

--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -13,16 +13,18 @@
 
 // GateSettings bound a Gate.
 type GateSettings struct {
-	Slots     int                     `toml:"slots"`      // requests under way at once
-	Queue     [request.NumClasses]int `toml:"queue"`      // waiting requests per class, the most urgent first
-	Weights   [request.NumClasses]int `toml:"weights"`    // share of freed slots per class
-	TeamShare float64                 `toml:"team_share"` // part of a class's queue that one team may fill
+	Slots     int                         `toml:"slots"`      // requests under way at once
+	Shares    [request.NumClasses]float64 `toml:"shares"`     // part of the slots that may be in use when a request of the class takes one
+	Queue     [request.NumClasses]int     `toml:"queue"`      // waiting requests per class, the most urgent first
+	Weights   [request.NumClasses]int     `toml:"weights"`    // share of freed slots per class
+	TeamShare float64                     `toml:"team_share"` // part of a class's queue that one team may fill
 }
 
 // DefaultGate returns limits for a small entry host.
 func DefaultGate() GateSettings {
 	return GateSettings{
 		Slots:     1024,
+		Shares:    [request.NumClasses]float64{1, 0.9, 0.75, 0.5},
 		Queue:     [request.NumClasses]int{256, 512, 1024, 4096},
 		Weights:   [request.NumClasses]int{16, 8, 4, 1},
 		TeamShare: 0.5,
@@ -43,7 +45,7 @@
 
 	mu       sync.Mutex
 	used     int           // guarded by mu; 0 to settings.Slots
-	waiting  *queue        // guarded by mu; empty while slots are free
+	waiting  *queue        // guarded by mu; holds no class that is open
 	lastFree time.Time     // guarded by mu; when a slot last went to a waiter, zero when none waits
 	interval time.Duration // guarded by mu; mean time between slots that go to waiters
 }
@@ -78,7 +80,7 @@
 func (g *Gate) enter(ctx context.Context, team string, class request.Class) (*waiter, *request.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.used < g.settings.Slots {
+	if g.open(class) {
 		g.used++
 		return nil, nil
 	}
@@ -93,6 +95,13 @@
 	return w, nil
 }
 
+// open reports whether a request of the class may take a slot. The slots that
+// less urgent classes leave are there for the more urgent ones. The caller
+// holds g.mu.
+func (g *Gate) open(class request.Class) bool {
+	return float64(g.used) < g.settings.Shares[class]*float64(g.settings.Slots)
+}
+
 // refuse tells why a request may not wait, nil when it may. The caller holds
 // g.mu.
 func (g *Gate) refuse(ctx context.Context, team string, class request.Class) *request.Refusal {
@@ -139,24 +148,29 @@
 	return true
 }
 
-// free gives a slot to the next waiter, or back.
+// free gives a slot back and lets in the waiters for whom there is room.
 func (g *Gate) free() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w := g.waiting.pop()
-	if w == nil {
-		g.used--
-		return
+	g.used--
+	for w := g.waiting.pop(g.open); w != nil; w = g.waiting.pop(g.open) {
+		g.used++
+		g.noteInterval()
+		close(w.granted)
 	}
+}
+
+// noteInterval takes the time since the last slot that went to a waiter into
+// the mean. The caller holds g.mu.
+func (g *Gate) noteInterval() {
 	now := g.now()
 	sample := now.Sub(g.lastFree)
 	g.lastFree = now
 	if g.interval == 0 {
 		g.interval = sample
-	} else {
-		g.interval += time.Duration(smoothing * float64(sample-g.interval))
+		return
 	}
-	close(w.granted)
+	g.interval += time.Duration(smoothing * float64(sample-g.interval))
 }
 
 // Load returns the slots in use and the requests that wait.
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -19,6 +19,7 @@
 func testGate(slots int) GateSettings {
 	return GateSettings{
 		Slots:     slots,
+		Shares:    [request.NumClasses]float64{1, 1, 1, 1},
 		Queue:     [request.NumClasses]int{40, 40, 40, 40},
 		Weights:   [request.NumClasses]int{8, 4, 2, 1},
 		TeamShare: 0.5,
@@ -67,6 +68,36 @@
 	}
 }
 
+// TestLookupsLeaveRoomForStatusReads fills a gate with the least urgent class.
+func TestLookupsLeaveRoomForStatusReads(t *testing.T) {
+	settings := testGate(10)
+	settings.Shares = [request.NumClasses]float64{1, 0.9, 0.75, 0.5}
+	g := NewGate(settings, newClock().now)
+	fill := func(class request.Class, want int) {
+		t.Helper()
+		entered := 0
+		for mustEnter(t, g, "t", class) == nil {
+			entered++
+		}
+		if entered != want {
+			t.Errorf("%d of class %s entered at once, want %d", entered, class, want)
+		}
+	}
+	fill(request.ClassLookup, 5)
+	fill(request.ClassStatus, 5)
+	for range 6 {
+		g.free()
+	}
+	// The status read that waited has a slot; the lookup needs one more.
+	if used, waiting := g.Load(); used != 5 || waiting != 1 {
+		t.Errorf("%d used and %d waiting, want 5 and 1", used, waiting)
+	}
+	g.free()
+	if used, waiting := g.Load(); used != 5 || waiting != 0 {
+		t.Errorf("%d used and %d waiting, want 5 and 0", used, waiting)
+	}
+}
+
 func TestTeamsTakeTurns(t *testing.T) {
 	g := NewGate(testGate(1), newClock().now)
 	mustEnter(t, g, "x", request.ClassCheck)
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -101,9 +101,9 @@
 	return n
 }
 
-// pop removes the next waiter, nil when there is none. Among the classes that
-// wait, each is served in proportion to its weight.
-func (q *queue) pop() *waiter {
+// pop removes the next waiter among the classes that are open, nil when there
+// is none. Among those that wait, each is served in proportion to its weight.
+func (q *queue) pop(open func(request.Class) bool) *waiter {
 	best, total := -1, 0
 	for i := range q.classes {
 		c := &q.classes[i]
@@ -111,6 +111,9 @@
 			c.credit = 0
 			continue
 		}
+		if !open(request.Class(i)) {
+			continue
+		}
 		c.credit += q.weights[i]
 		total += q.weights[i]
 		if best < 0 || c.credit > q.classes[best].credit {
--- a/internal/middleware/claims.go
+++ b/internal/middleware/claims.go
@@ -84,6 +84,7 @@
 		answerFromClaim(w, c, res)
 		return
 	}
+	c.Request.Claimed()
 	h.run(w, r, c, cmd)
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -67,6 +67,7 @@
 
 	mu         sync.Mutex // guards the fields below
 	repeatable bool       // set before admission only
+	claimed    bool       // the durable claim of a non-repeatable request is granted
 	state      State
 	attempts   map[string]*attempt
 	open       string // newest attempt; answers of others are not accepted
@@ -91,6 +92,14 @@
 // ID returns the request's identifier.
 func (r *Request) ID() string { return r.id }
 
+// Claimed records that the request's durable claim was granted. A
+// non-repeatable request is not dispatched without it.
+func (r *Request) Claimed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.claimed = true
+}
+
 // Repeatable reports whether the request may run more than once.
 func (r *Request) Repeatable() bool {
 	r.mu.Lock()
@@ -125,6 +134,8 @@
 	defer r.mu.Unlock()
 	_, seen := r.attempts[attemptID]
 	invariant.Check(!seen, "attempt-id-unique", "request %s: attempt %s dispatched twice", r.id, attemptID)
+	invariant.Check(r.repeatable || r.claimed, "claim-before-dispatch",
+		"request %s: attempt %s dispatched without a claim", r.id, attemptID)
 	invariant.Check(r.repeatable || !r.mayHaveRun(), "at-most-once",
 		"request %s: attempt %s dispatched after a byte of an earlier one may have left", r.id, attemptID)
 	r.move(Dispatched)
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -32,6 +32,7 @@
 	}
 	admitted := func(repeatable bool) *Request {
 		r := received(repeatable)
+		r.Claimed()
 		r.Admit()
 		return r
 	}
@@ -53,6 +54,11 @@
 		state  State
 	}{
 		{"dispatch before admission", received(true), func(r *Request) { r.Dispatch("a") }, "request-move-legal", Received},
+		{"non-repeatable without a claim", func() *Request {
+			r := received(false)
+			r.Admit()
+			return r
+		}(), func(r *Request) { r.Dispatch("a") }, "claim-before-dispatch", Admitted},
 		{"repeats allowed too late", admitted(false), (*Request).AllowRepeats, "repeats-decided-first", Admitted},
 		{"refuse received", received(true), func(r *Request) { r.Refuse(Refuse(QueueFull, "")) }, "", Refused},
 		{"answer from store", received(false), (*Request).Answer, "", Answered},
@@ -105,6 +111,7 @@
 		if repeatable {
 			r.AllowRepeats()
 		}
+		r.Claimed()
 		var sent, proven = map[string]bool{}, map[string]bool{}
 		mayHaveRun := func() bool {
 			for id := range sent {
--- a/internal/settings/callers.go
+++ b/internal/settings/callers.go
@@ -86,6 +86,7 @@
 	for class := range request.Class(request.NumClasses) {
 		list = append(list,
 			limit{fmt.Sprintf("gate.queue[%d]", class), float64(s.Gate.Queue[class])},
+			limit{fmt.Sprintf("gate.shares[%d]", class), s.Gate.Shares[class]},
 			limit{fmt.Sprintf("gate.weights[%d]", class), float64(s.Gate.Weights[class])},
 		)
 	}
