Tell callers whose requests are cut by a stop how to go on

Cause: when the limit of a graceful stop, or a second signal, ended requests, their callers were counted as gone and their connections closed at once. Change: the stop is the cause of the cancellation; a stream ends with stream_broken and its remedy, so that its caller goes on through another host; a request that was not sent is refused as stopping, not run. The host waits up to a second for these words to leave. Conclusion: a stop hands streams over instead of dropping them.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,7 @@
 	"filberthook/internal/membership"
 	"filberthook/internal/middleware"
 	"filberthook/internal/peer"
+	"filberthook/internal/proxy"
 	"filberthook/internal/request"
 	"filberthook/internal/routing"
 	"filberthook/internal/scheduler"
@@ -43,6 +44,7 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
+	tellLimit         = time.Second // for telling callers that their requests are cut
 )
 
 // demandInterval is the time between two demand reports.
@@ -71,7 +73,7 @@
 	counters  *request.Counters
 	calls     *history.Log
 	stopping  atomic.Bool
-	cancelAll context.CancelFunc // ends the requests under way
+	cancelAll func() // ends the requests under way; their callers are told
 	base      context.Context    // parent of all requests
 }
 
@@ -87,7 +89,9 @@
 		meter:     &demand.Meter{},
 		board:     demand.NewBoard(),
 	}
-	n.base, n.cancelAll = context.WithCancel(context.Background())
+	var cancel context.CancelCauseFunc
+	n.base, cancel = context.WithCancelCause(context.Background())
+	n.cancelAll = func() { cancel(proxy.ErrStopped) }
 	s.Routing.Zone = s.Zone
 	n.router = routing.New(s.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	schedule := scheduler.Settings{Routing: s.Routing, Admission: s.Admission}
@@ -241,6 +245,9 @@
 	}
 	cut := &CutError{Requests: n.callers.Stop.UnderWay()}
 	n.cancelAll()
+	told, cancelTold := context.WithTimeout(context.Background(), tellLimit)
+	defer cancelTold()
+	n.callers.Stop.Wait(told)
 	callers.Close()
 	return cut
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// ErrStopped is the cause with which a host ends the requests that outlast its
+// graceful stop. Their callers are told to go on through another host.
+var ErrStopped = errors.New("this host stopped")
+
+// stopped reports whether the request was ended by the stop of this host.
+func stopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopped) }
+
 // Proxy is the last handler of a caller request.
 type Proxy struct {
 	settings Settings
@@ -173,6 +180,8 @@
 		return request.Refuse(request.OutcomeUnknown, "instance %s gave no answer to the call", f.instance).Because(f.err)
 	case context.Cause(ctx) == context.Canceled:
 		return p.callerGone(c)
+	case stopped(ctx) && !ran:
+		return request.Refuse(request.Stopping, "this host stopped before the request was sent")
 	case c.Left() <= 0:
 		return p.deadlinePassed(c)
 	case ran:
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -69,8 +69,10 @@
 // ended returns the refusal of a stream that breaks off for good.
 func (s *stream) ended(ctx context.Context, f *failure) *request.Refusal {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case context.Cause(ctx) == context.Canceled:
 		return s.proxy.callerGone(s.call)
+	case stopped(ctx):
+		return request.Refuse(request.StreamBroken, "this host stopped after %d tokens", s.delivered)
 	case s.call.Left() <= 0:
 		return s.proxy.deadlinePassed(s.call)
 	default:
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -122,6 +122,31 @@
 	}
 }
 
+// TestStreamIsHandedOverWhenItsHostStops ends a stream with the cause of a stop
+// that does not wait any longer. The caller goes on through another host.
+func TestStreamIsHandedOverWhenItsHostStops(t *testing.T) {
+	instances := []string{newEngine(t, engine{tokens: tokens, fault: at(stall, 10)})}
+	base, stop := context.WithCancelCause(t.Context())
+	a := newEntry(t, newMemoryLog(), instances, func(o *options) { o.base = base })
+	b := newEntry(t, newMemoryLog(), instances)
+	resp, err := a.send(t.Context(), http.MethodPost, engineapi.PathCompletions, streamBody, engineapi.HeaderIdempotencyKey, "k")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	first := read(t, resp.Body, 9)
+	stop(proxy.ErrStopped)
+	if end := read(t, resp.Body, 0); end.failure != request.StreamBroken || end.text != "" {
+		t.Errorf("the stream ended with %+v, want the reason", end)
+	}
+	rest, _ := b.stream(engineapi.HeaderIdempotencyKey, "k", "Last-Event-ID", first.lastID)
+	if first.text+rest.text != expected(0, tokens) || rest.done != 1 {
+		t.Errorf("the rest is %+v", rest)
+	}
+	unsent := a.do(http.MethodPost, engineapi.PathCompletions, streamBody)
+	unsent.want(t, request.Stopping)
+}
+
 func TestStreamThatCannotGoOnSaysSo(t *testing.T) {
 	var broken atomic.Int64
 	e := newEntry(t, newMemoryLog(), []string{newEngine(t, engine{tokens: tokens, fault: func(w http.ResponseWriter, r *http.Request, token int) {
