Gossip: the hosts that watch a lease choose which loads are spread

Change: home hosts choose by the number of the announcement, the same ones at all of them, and mark those meant for all zones; others pass on what they get.

--- a/internal/gossip/instances.go
+++ b/internal/gossip/instances.go
@@ -26,14 +26,16 @@
 	loadSends        = 3 // transmissions of a load; the next load makes up for a lost one
 )
 
-// The loads of one instance are passed on at most once per interval. The
-// interval grows with the number of instances, so that the bytes per host stay
-// flat as the fleet grows.
+// The loads of one instance are spread about once per interval. The interval
+// grows with the number of instances, so that the bytes per host stay flat as
+// the fleet grows. The hosts that an instance announces to decide by the number
+// of the announcement, so that they choose the same ones; the others pass on
+// what they get.
 const (
-	minLoadInterval       = 450 * time.Millisecond
-	ownZoneLoadSpacing    = 16 * time.Millisecond // per instance of the own availability zone
-	otherZonesLoadSpacing = 20 * time.Millisecond // per instance of the other zones
-	minOtherZonesInterval = time.Second
+	ownZoneInterval    = 450 * time.Millisecond
+	ownZoneSpacing     = 16 * time.Millisecond // per instance of the own availability zone
+	otherZonesInterval = time.Second
+	otherZonesSpacing  = 20 * time.Millisecond // per instance of the other zones
 )
 
 // urgency orders news; lower values are sent first.
@@ -50,7 +52,7 @@
 	urgency  urgency
 	ended    directory.Version // set when the news is the end of the lease
 	isEnd    bool
-	ownZone  bool // of no use to hosts of other zones yet
+	wide     bool // goes to hosts of all zones
 	sent     int
 	queuedAt time.Duration
 }
@@ -58,32 +60,69 @@
 // instances spreads the directory's news. It is used by one goroutine at a
 // time; the node's lock guards it.
 type instances struct {
-	zone       string
-	dir        *directory.Directory
-	queue      map[string]*pending
-	ownZone    pace   // of loads that go to hosts of the own zone
-	otherZones pace   // of loads that go to all hosts
-	missing    uint64 // renewals whose full record was not known
+	zone    string
+	dir     *directory.Directory
+	queue   map[string]*pending
+	missing uint64 // renewals whose full record was not known
 }
 
 func newInstances(zone string, dir *directory.Directory) *instances {
 	return &instances{
-		zone:       zone,
-		dir:        dir,
-		queue:      make(map[string]*pending),
-		ownZone:    make(pace),
-		otherZones: make(pace),
+		zone:  zone,
+		dir:   dir,
+		queue: make(map[string]*pending),
 	}
 }
 
 // announced takes an announcement made to this host.
 func (s *instances) announced(now time.Duration, a engineapi.Announcement) (bool, error) {
-	before := s.stateSequence(a.Instance)
+	snap := s.dir.Snapshot()
+	before := snap.Find(a.Instance)
 	news, err := s.dir.Put(now, a)
-	if news {
-		s.enqueue(now, a.Instance, a.Zone, before != s.stateSequence(a.Instance))
+	if !news {
+		return news, err
+	}
+	if before == nil || s.stateSequence(a.Instance) != stateOf(before) {
+		s.enqueueState(now, a.Instance)
+		return true, nil
+	}
+	own, others := s.counts(snap)
+	period := announcePeriod(now, before, &a)
+	if due(a.Sequence, period, max(otherZonesInterval, time.Duration(others)*otherZonesSpacing)) {
+		s.enqueueLoad(now, a.Instance, true)
+	} else if due(a.Sequence, period, max(ownZoneInterval, time.Duration(own)*ownZoneSpacing)) {
+		s.enqueueLoad(now, a.Instance, false)
 	}
-	return news, err
+	return true, nil
+}
+
+// announcePeriod returns the time between two announcements of an instance.
+func announcePeriod(now time.Duration, before *directory.Record, a *engineapi.Announcement) time.Duration {
+	steps := a.Sequence - before.Announcement.Sequence
+	if steps == 0 || now <= before.HeardAt {
+		return 0
+	}
+	return (now - before.HeardAt) / time.Duration(steps)
+}
+
+// due reports whether the announcement with a number is one of those that are
+// spread, about one per interval.
+func due(sequence uint64, period, interval time.Duration) bool {
+	if period <= 0 {
+		return true
+	}
+	every := (interval + period/2) / period
+	return every <= 1 || sequence%uint64(every) == 0
+}
+
+// counts returns the number of instances of the own zone and of other zones.
+func (s *instances) counts(snap *directory.Snapshot) (own, others int) {
+	for _, r := range snap.Records {
+		if r.Announcement.Zone == s.zone {
+			own++
+		}
+	}
+	return own, len(snap.Records) - own
 }
 
 // stateSequence returns the state that the directory holds of an instance.
@@ -92,25 +131,27 @@
 	if r == nil {
 		return directory.Version{}
 	}
+	return stateOf(r)
+}
+
+func stateOf(r *directory.Record) directory.Version {
 	return directory.Version{Incarnation: r.Announcement.Incarnation, Sequence: r.StateSequence}
 }
 
-// enqueue queues news of an instance.
-func (s *instances) enqueue(now time.Duration, instance, zone string, stateChanged bool) {
+// enqueueState queues a change of state.
+func (s *instances) enqueueState(now time.Duration, instance string) {
+	s.put(&pending{instance: instance, urgency: urgentState, wide: true, queuedAt: now})
+}
+
+// enqueueLoad queues a load, unless a change of state waits: the newest load
+// travels with it.
+func (s *instances) enqueueLoad(now time.Duration, instance string, wide bool) {
 	old := s.queue[instance]
-	if stateChanged {
-		s.put(&pending{instance: instance, urgency: urgentState, queuedAt: now})
-		return
-	}
 	if old != nil && old.urgency == urgentState {
-		return // the newest record travels with it
-	}
-	own := zone == s.zone
-	everywhere := s.otherZones.due(now, instance, minOtherZonesInterval, otherZonesLoadSpacing)
-	if !everywhere && (!own || !s.ownZone.due(now, instance, minLoadInterval, ownZoneLoadSpacing)) {
 		return
 	}
-	s.put(&pending{instance: instance, urgency: routineLoad, ownZone: !everywhere, queuedAt: now})
+	wide = wide || old != nil && old.wide
+	s.put(&pending{instance: instance, urgency: routineLoad, wide: wide, queuedAt: now})
 }
 
 func (s *instances) put(p *pending) {
@@ -120,20 +161,6 @@
 	s.queue[p.instance] = p
 }
 
-// pace spaces out the loads of each instance.
-type pace map[string]time.Duration // instance to the time of its last load
-
-// due reports whether a load may be passed on now, and notes that it is. The
-// interval grows with the number of instances.
-func (p pace) due(now time.Duration, instance string, least, spacing time.Duration) bool {
-	last, ok := p[instance]
-	if ok && now-last < max(least, time.Duration(len(p))*spacing) {
-		return false
-	}
-	p[instance] = now
-	return true
-}
-
 // expire ends the leases that have run out and queues the news.
 func (s *instances) expire(now time.Duration) {
 	for _, r := range s.dir.Expire(now) {
@@ -142,9 +169,7 @@
 }
 
 func (s *instances) ended(now time.Duration, instance string, v directory.Version) {
-	delete(s.ownZone, instance)
-	delete(s.otherZones, instance)
-	s.put(&pending{instance: instance, urgency: urgentState, isEnd: true, ended: v, queuedAt: now})
+	s.put(&pending{instance: instance, urgency: urgentState, isEnd: true, wide: true, ended: v, queuedAt: now})
 }
 
 // fill adds news to a packet for as long as it stays within the byte limit.
@@ -154,7 +179,7 @@
 	}
 	size := proto.Size(p)
 	for _, item := range s.byUrgency() {
-		if item.ownZone && toZone != s.zone {
+		if !item.wide && toZone != s.zone {
 			continue
 		}
 		u := s.update(now, item)
@@ -216,7 +241,9 @@
 	if item.urgency == urgentState {
 		return fullUpdate(now, r)
 	}
-	return renewal(now, r)
+	u := renewal(now, r)
+	u.Wide = item.wide
+	return u
 }
 
 // absorb takes the news of a packet.
@@ -237,8 +264,8 @@
 	case u.GetAnnouncement() != nil:
 		before := s.stateSequence(u.GetInstance())
 		news, err := s.dir.Learn(now, age, fromUpdate(u), u.GetStateSequence())
-		if err == nil && news {
-			s.enqueue(now, u.GetInstance(), u.GetAnnouncement().GetZone(), before != s.stateSequence(u.GetInstance()))
+		if err == nil && news && before != s.stateSequence(u.GetInstance()) {
+			s.enqueueState(now, u.GetInstance())
 		}
 	case u.GetLoad() != nil:
 		s.renew(now, age, version, u)
@@ -255,11 +282,8 @@
 	if missing {
 		s.missing++
 	}
-	if !news {
-		return
-	}
-	if r := s.dir.Snapshot().Find(u.GetInstance()); r != nil {
-		s.enqueue(now, u.GetInstance(), r.Announcement.Zone, false)
+	if news {
+		s.enqueueLoad(now, u.GetInstance(), u.GetWide())
 	}
 }
 
