Stand-ins read their settings as the other daemons do

Cause: the stand-in had a strict decoder of its own beside package settings, and its examples stood twice. Change: standin.Settings implements settings.Checked, reports all problems at once and bounds durations; its log form is a setting; examples/ holds the only examples. The flags that replaced single settings are gone, nothing used them. Conclusion: one decoder, one form of error for all daemons.

--- a/cmd/filberthook-standin/main.go
+++ b/cmd/filberthook-standin/main.go
@@ -17,59 +17,38 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"filberthook/internal/engineapi"
+	"filberthook/internal/settings"
 	"filberthook/internal/standin"
 )
 
-// Exit codes.
-const (
-	exitFailed   = 1
-	exitSettings = 2
-)
+// exitFailed is the exit code after an error that is not in the settings.
+const exitFailed = 1
 
 func main() {
 	app := kingpin.New("filberthook-standin", "Runs one stand-in for an endpoint: a model engine or a plain service.")
-	path := app.Flag("settings", "Settings file in TOML.").Required().String()
-	check := app.Flag("check", "Validate the settings and exit.").Bool()
-	instance := app.Flag("instance", "Instance name in place of the one in the settings.").String()
-	listen := app.Flag("listen", "IP:port in place of listen in the settings.").String()
-	zone := app.Flag("zone", "Availability zone in place of the one in the settings.").String()
+	file := app.Flag("settings", "Settings file (TOML).").Required().String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
-	settings, err := standin.LoadSettings(*path)
-	if err == nil {
-		override(&settings, *instance, *listen, *zone)
-		err = settings.Validate()
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "filberthook-standin:", err)
-		os.Exit(exitSettings)
+	var s standin.Settings
+	if err := settings.Load(*file, &s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(settings.ExitCode)
 	}
 	if *check {
 		fmt.Println("settings are valid")
 		return
 	}
-	if err := run(settings); err != nil {
+	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, "filberthook-standin:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func override(s *standin.Settings, instance, listen, zone string) {
-	if instance != "" {
-		s.Instance = instance
-	}
-	if listen != "" {
-		s.Listen, s.Address = listen, ""
-	}
-	if zone != "" {
-		s.Zone = zone
-	}
-}
-
 // run serves the stand-in until a signal. The first signal lets it finish its
 // work, the second one ends the process.
 func run(s standin.Settings) error {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := s.Log.Logger(os.Stderr)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	context.AfterFunc(ctx, stop)
@@ -94,8 +73,8 @@
 }
 
 func leaveLimit(s standin.Settings) time.Duration {
-	if s.LeaveLimit.Duration > 0 {
-		return s.LeaveLimit.Duration
+	if s.LeaveLimit > 0 {
+		return s.LeaveLimit.Value()
 	}
 	return standin.DefaultLeaveLimit
 }
--- a/internal/loadgen/pacer.go
+++ b/internal/loadgen/pacer.go
@@ -13,8 +13,14 @@
 	n     int64
 }
 
+// newPacer returns a pacer of a number of calls per second; 0 or less sets no
+// pace.
 func newPacer(rate float64) *pacer {
-	return &pacer{start: time.Now(), every: time.Duration(float64(time.Second) / rate)}
+	p := &pacer{start: time.Now()}
+	if rate > 0 {
+		p.every = time.Duration(float64(time.Second) / rate)
+	}
+	return p
 }
 
 // wait returns when the next call is due; false when ctx ended first.
--- a/internal/standin/service_test.go
+++ b/internal/standin/service_test.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"filberthook/internal/engineapi"
+	"filberthook/internal/settings"
 )
 
 func startService(t *testing.T, cfg ServiceConfig) (*Service, *httptest.Server) {
@@ -143,6 +142,8 @@
 		{"valid", good, ""},
 		{"unknown key", good + "colour = 1\n", "colour"},
 		{"bad unit", good + "lease = \"3 parsecs\"\n", "lease"},
+		{"negative duration", good + "lease = \"-3s\"\n", "lease"},
+		{"negative speed", good + "[engine]\nspeed = -1.0\n", "engine.speed"},
 		{"entry twice", strings.Replace(good, `"127.0.0.1:2"`, `"127.0.0.1:2", "127.0.0.1:2"`, 1), "entries"},
 		{"no zone", strings.Replace(good, "zone = \"bio\"\n", "", 1), "zone"},
 		{"host name", strings.Replace(good, "127.0.0.1:1", "localhost:1", 1), "listen"},
@@ -150,14 +151,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			path := filepath.Join(t.TempDir(), "s.toml")
-			if err := os.WriteFile(path, []byte(tt.text), 0o600); err != nil {
-				t.Fatal(err)
-			}
-			s, err := LoadSettings(path)
-			if err == nil {
-				err = s.Validate()
-			}
+			err := settings.Decode("s.toml", []byte(tt.text), &Settings{})
 			if (err == nil) != (tt.want == "") || (err != nil && !strings.Contains(err.Error(), tt.want)) {
 				t.Errorf("error = %v, want one that names %q", err, tt.want)
 			}
@@ -167,12 +161,8 @@
 
 func TestExampleSettingsAreValid(t *testing.T) {
 	for _, name := range []string{"engine", "service"} {
-		s, err := LoadSettings("../../cmd/filberthook-standin/" + name + ".example.toml")
-		if err == nil {
-			err = s.Validate()
-		}
-		if err != nil {
-			t.Errorf("%s: %v", name, err)
+		if err := settings.Load("../../examples/"+name+".toml", &Settings{}); err != nil {
+			t.Error(err)
 		}
 	}
 }
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -1,17 +1,12 @@
 package standin
 
 import (
-	"errors"
 	"fmt"
-	"net/netip"
-	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"filberthook/internal/engineapi"
 	"filberthook/internal/enginemodel"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/settings"
 )
 
 // Settings is the settings file of one stand-in process.
@@ -23,12 +18,13 @@
 	Listen        string            `toml:"listen"`         // IP:port to listen on
 	Address       string            `toml:"address"`        // IP:port that is announced; empty for listen
 	Entries       []string          `toml:"entries"`        // IP:port of entry hosts to announce to
-	AnnounceEvery tomltime.Duration `toml:"announce_every"` // empty for 500ms
-	Lease         tomltime.Duration `toml:"lease"`          // empty for 3s
-	LeaveGrace    tomltime.Duration `toml:"leave_grace"`    // empty for 3s
-	LeaveLimit    tomltime.Duration `toml:"leave_limit"`    // longest time to finish work; empty for 1m
+	AnnounceEvery settings.Duration `toml:"announce_every"` // empty for 500ms
+	Lease         settings.Duration `toml:"lease"`          // empty for 3s
+	LeaveGrace    settings.Duration `toml:"leave_grace"`    // empty for 3s
+	LeaveLimit    settings.Duration `toml:"leave_limit"`    // longest time to finish work; empty for 1m
 	Engine        EngineSettings    `toml:"engine"`
 	Service       ServiceSettings   `toml:"service"`
+	Log           settings.Log      `toml:"log"`
 }
 
 // EngineSettings is the part for model engines. Empty values stand for the
@@ -40,9 +36,9 @@
 	MaxQueue    int               `toml:"max_queue"`
 	Role        engineapi.Role    `toml:"role"`
 	IgnoreFence bool              `toml:"ignore_fence"`
-	StepBase    tomltime.Duration `toml:"step_base"`
-	RoleChange  tomltime.Duration `toml:"role_change"`
-	ModelLoad   tomltime.Duration `toml:"model_load"`
+	StepBase    settings.Duration `toml:"step_base"`
+	RoleChange  settings.Duration `toml:"role_change"`
+	ModelLoad   settings.Duration `toml:"model_load"`
 	Models      []ModelSettings   `toml:"models"`
 }
 
@@ -55,106 +51,73 @@
 
 // ServiceSettings is the part for plain services.
 type ServiceSettings struct {
-	Duration tomltime.Duration `toml:"duration"` // time of one call
+	Duration settings.Duration `toml:"duration"` // time of one call
 	Workers  int               `toml:"workers"`  // calls that run together; 0 sets no limit
 }
 
 // DefaultLeaveLimit bounds how long a leaving stand-in finishes its work.
 const DefaultLeaveLimit = time.Minute
 
-// SettingsError reports one wrong key of a settings file.
-type SettingsError struct {
-	Key    string
-	Remedy string
-}
-
-// Error implements error.
-func (e *SettingsError) Error() string { return fmt.Sprintf("settings key %s: %s", e.Key, e.Remedy) }
+// longestSetting bounds the durations of a settings file.
+const longestSetting = time.Hour
 
-// LoadSettings reads a settings file strictly.
-func LoadSettings(path string) (Settings, error) {
-	var s Settings
-	f, err := os.Open(path)
-	if err != nil {
-		return s, fmt.Errorf("settings file: %w", err)
+// Check implements settings.Checked.
+func (s *Settings) Check(c *settings.Checker) {
+	if s.Kind != engineapi.KindModel && s.Kind != engineapi.KindService {
+		c.Add("kind", fmt.Sprintf("%q is unknown", s.Kind), "use model or service")
 	}
-	defer f.Close()
-	if err := toml.NewDecoder(f).DisallowUnknownFields().Decode(&s); err != nil {
-		return s, decodeError(err)
+	c.Required("instance", s.Instance, "give this worker a stable name")
+	c.Required("zone", s.Zone, "name the availability zone")
+	s.checkAddresses(c)
+	s.checkDurations(c)
+	s.Log.Check(c, "log")
+	if s.Kind == engineapi.KindService {
+		c.Required("endpoint", s.Endpoint, "name the endpoint that this service belongs to")
 	}
-	return s, nil
-}
-
-func decodeError(err error) error {
-	var unknown *toml.StrictMissingError
-	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
-		first := unknown.Errors[0]
-		line, _ := first.Position()
-		return &SettingsError{Key: fmt.Sprint(first.Key()), Remedy: fmt.Sprintf("unknown in line %d: remove it or correct its name", line)}
+	if s.Service.Workers < 0 {
+		c.Add("service.workers", "is negative", "use 0 for no limit")
 	}
-	var wrong *toml.DecodeError
-	if errors.As(err, &wrong) {
-		line, _ := wrong.Position()
-		return &SettingsError{Key: fmt.Sprint(wrong.Key()), Remedy: fmt.Sprintf("line %d: %s", line, wrong.Error())}
+	if s.Engine.Speed < 0 {
+		c.Add("engine.speed", "is negative", "use 1 for real time")
 	}
-	return fmt.Errorf("settings file: %w", err)
-}
-
-// Validate reports the first wrong key.
-func (s Settings) Validate() error {
-	switch {
-	case s.Kind != engineapi.KindModel && s.Kind != engineapi.KindService:
-		return &SettingsError{"kind", "use model or service"}
-	case s.Instance == "":
-		return &SettingsError{"instance", "missing: give this worker a stable name"}
-	case s.Zone == "":
-		return &SettingsError{"zone", "missing: name the availability zone"}
-	case s.Kind == engineapi.KindService && s.Endpoint == "":
-		return &SettingsError{"endpoint", "missing: name the endpoint that this service belongs to"}
-	case s.Engine.Speed < 0:
-		return &SettingsError{"engine.speed", "negative: use a positive number, 1 for real time"}
-	case s.Service.Workers < 0:
-		return &SettingsError{"service.workers", "negative: use 0 for no limit"}
+	if s.Kind != engineapi.KindModel {
+		return
 	}
-	if err := s.validateAddresses(); err != nil {
-		return err
+	if err := s.EngineConfig().Model.Validate(); err != nil {
+		c.Add("engine", err.Error(), "correct the value")
 	}
-	if s.Kind == engineapi.KindModel {
-		return s.EngineConfig().Model.Validate()
-	}
-	return nil
 }
 
-func (s Settings) validateAddresses() error {
-	if err := checkAddress("listen", s.Listen); err != nil {
-		return err
-	}
-	if s.Address != "" {
-		if err := checkAddress("address", s.Address); err != nil {
-			return err
-		}
+func (s *Settings) checkAddresses(c *settings.Checker) {
+	c.UniqueAddress("listen", s.Listen)
+	if s.Address != "" && s.Address != s.Listen {
+		c.UniqueAddress("address", s.Address)
 	}
 	if len(s.Entries) == 0 {
-		return &SettingsError{"entries", "missing: name at least one entry host to announce to"}
+		c.Add("entries", "is empty", "name at least one entry host to announce to")
 	}
-	seen := make(map[string]bool)
 	for _, e := range s.Entries {
-		if err := checkAddress("entries", e); err != nil {
-			return err
-		}
-		if seen[e] {
-			return &SettingsError{"entries", e + " stands twice: remove one"}
-		}
-		seen[e] = true
+		c.UniqueAddress("entries", e)
 	}
-	return nil
 }
 
-func checkAddress(key, address string) error {
-	if _, err := netip.ParseAddrPort(address); err != nil {
-		return &SettingsError{key, fmt.Sprintf("%q is no IP:port: write it as in 127.0.0.1:7400", address)}
+// checkDurations reports durations that no worker can have.
+func (s *Settings) checkDurations(c *settings.Checker) {
+	for _, d := range []struct {
+		key   string
+		value settings.Duration
+	}{
+		{"announce_every", s.AnnounceEvery},
+		{"lease", s.Lease},
+		{"leave_grace", s.LeaveGrace},
+		{"leave_limit", s.LeaveLimit},
+		{"engine.step_base", s.Engine.StepBase},
+		{"engine.role_change", s.Engine.RoleChange},
+		{"engine.model_load", s.Engine.ModelLoad},
+		{"service.duration", s.Service.Duration},
+	} {
+		c.Between(d.key, d.value, 0, longestSetting)
 	}
-	return nil
 }
 
 func (s Settings) identity() Identity {
@@ -168,9 +131,9 @@
 		Zone:          s.Zone,
 		Address:       address,
 		Entries:       s.Entries,
-		AnnounceEvery: s.AnnounceEvery.Duration,
-		Lease:         s.Lease.Duration,
-		LeaveGrace:    s.LeaveGrace.Duration,
+		AnnounceEvery: s.AnnounceEvery.Value(),
+		Lease:         s.Lease.Value(),
+		LeaveGrace:    s.LeaveGrace.Value(),
 	}
 }
 
@@ -180,9 +143,9 @@
 	set(&m.Pieces, s.Engine.Pieces)
 	set(&m.MaxBatch, s.Engine.MaxBatch)
 	set(&m.Role, s.Engine.Role)
-	set(&m.StepBase, s.Engine.StepBase.Duration)
-	set(&m.RoleChange, s.Engine.RoleChange.Duration)
-	set(&m.ModelLoad, s.Engine.ModelLoad.Duration)
+	set(&m.StepBase, s.Engine.StepBase.Value())
+	set(&m.RoleChange, s.Engine.RoleChange.Value())
+	set(&m.ModelLoad, s.Engine.ModelLoad.Value())
 	m.ChecksFence = !s.Engine.IgnoreFence
 	for _, model := range s.Engine.Models {
 		m.Models = append(m.Models, engineapi.Model{Name: model.Name, Version: model.Version, Adapters: model.Adapters})
@@ -192,7 +155,7 @@
 
 // ServiceConfig returns the configuration of a plain service.
 func (s Settings) ServiceConfig() ServiceConfig {
-	return ServiceConfig{Identity: s.identity(), Duration: s.Service.Duration.Duration, Workers: s.Service.Workers}
+	return ServiceConfig{Identity: s.identity(), Duration: s.Service.Duration.Value(), Workers: s.Service.Workers}
 }
 
 // set replaces a default by a value that is not empty.
