Control node: listen before opening the data folder

Cause: a second process with the same settings opened the data folder of a running one before it failed on the addresses. Change: addresses first; a test starts a second process. Conclusion: the running node goes on.

--- a/internal/authority/manager.go
+++ b/internal/authority/manager.go
@@ -36,7 +36,7 @@
 // Settings are the settings of a Manager.
 type Settings struct {
 	Clock   Clock
-	OnEnded func(Ended) // told how each order ended; must return quickly; may be nil
+	OnEnded func(Ended) // told how each order ended, under locks: must return quickly and not call the manager; may be nil
 	Logger  *slog.Logger
 	Metrics *metrics.Set
 }
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -58,8 +58,17 @@
 	listeners   listeners
 }
 
+// listeners are the open addresses; nil ones are not open yet.
 type listeners struct{ peers, operators, status net.Listener }
 
+func (l listeners) close() {
+	for _, ln := range []net.Listener{l.peers, l.operators, l.status} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
 // New opens the data folder and the listeners. Run must be called next.
 func New(s settings.Control, logger *slog.Logger, set *metrics.Set) (*Node, error) {
 	n := &Node{settings: s, logger: logger.With("host", s.Host, "zone", s.Zone), metrics: set}
@@ -67,15 +76,17 @@
 	if err := n.openKeys(); err != nil {
 		return nil, err
 	}
+	// The addresses come first: a second process with the same settings fails on
+	// them before it touches the data folder of the first.
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
 	n.buildState()
 	if err := n.openReplica(); err != nil {
+		n.listeners.close()
 		return nil, err
 	}
 	n.buildCalls()
-	if err := n.listen(); err != nil {
-		n.stopRaft()
-		return nil, err
-	}
 	return n, nil
 }
 
@@ -164,20 +175,22 @@
 func (n *Node) listen() error {
 	var err error
 	if n.listeners.peers, err = net.Listen("tcp", n.settings.Listen.Peers); err != nil {
-		return fmt.Errorf("listen.peers: %w; choose a free address of this host", err)
+		return n.notListening("listen.peers", err)
 	}
 	if n.listeners.operators, err = n.listenOperators(); err != nil {
-		n.listeners.peers.Close()
-		return fmt.Errorf("listen.operators: %w; choose a free address of this host", err)
+		return n.notListening("listen.operators", err)
 	}
 	if n.listeners.status, err = net.Listen("tcp", n.settings.Listen.Status); err != nil {
-		n.listeners.peers.Close()
-		n.listeners.operators.Close()
-		return fmt.Errorf("listen.status: %w; choose a free address of this host", err)
+		return n.notListening("listen.status", err)
 	}
 	return nil
 }
 
+func (n *Node) notListening(key string, err error) error {
+	n.listeners.close()
+	return fmt.Errorf("%s: %w; choose a free address of this host, or stop the process that uses it", key, err)
+}
+
 func (n *Node) listenOperators() (net.Listener, error) {
 	ln, err := net.Listen("tcp", n.settings.Listen.Operators)
 	if err != nil || n.keys == nil {
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -351,6 +351,20 @@
 	wantReason(t, err, "invalid")
 }
 
+func TestSecondProcessLeavesTheDataFolderAlone(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 1)
+	if got := c.change(0, 0, 0); got.revision != 1 {
+		t.Fatalf("got %+v", got)
+	}
+	if _, err := New(c.nodes[0].settings, slog.New(slog.DiscardHandler), metrics.NewSet()); err == nil {
+		t.Fatal("a second process started on the same settings")
+	}
+	if got := c.change(0, 1, 1); got.revision != 2 {
+		t.Errorf("after the second start: %+v", got)
+	}
+}
+
 func TestForeignBootstrapKeyIsRefused(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 1)
