--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -230,6 +230,45 @@
 	})
 }
 
+// healLimit is the longest time until a change is in force at a host after a cut
+// has ended, in virtual time: one watch, one pause and one answer.
+const healLimit = WatchWait + WatchGrace + retryMax + 500*time.Millisecond
+
+// TestCutOffZoneGoesOn cuts a host off, with a replica of its zone or without
+// any, and lets it go on with its last configuration until the cut ends.
+func TestCutOffZoneGoesOn(t *testing.T) {
+	for _, withReplica := range []bool{true, false} {
+		t.Run(fmt.Sprint("with a replica ", withReplica), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(3)
+				g.commit(t)
+				c := g.watcher(t, "")
+				settle(time.Second)
+				own := g.replicas[0]
+				own.cut.Store(true)
+				for _, r := range g.replicas {
+					r.down.Store(!withReplica || r != own)
+				}
+				g.commit(t)
+				for range 60 {
+					settle(time.Second)
+					wantRevision(t, c, 1)
+				}
+				if s := c.Status(); s.Age < 50*time.Second {
+					t.Errorf("the host takes its configuration for %s old after a cut of a minute", s.Age)
+				}
+				for _, r := range g.replicas {
+					r.down.Store(false)
+				}
+				own.cut.Store(false)
+				own.catchUp()
+				settle(healLimit)
+				wantRevision(t, c, 2)
+			})
+		})
+	}
+}
+
 // TestColdStartPrefersAConfirmedReplica starts a host without a disk while the
 // first replica lags; the host must not take the older revision.
 func TestColdStartPrefersAConfirmedReplica(t *testing.T) {
--- a/internal/distribution/protocol.go
+++ b/internal/distribution/protocol.go
@@ -29,7 +29,7 @@
 	// LiveFor is how long a host counts as live after its last report.
 	LiveFor = 5 * time.Second
 	// ForgetAfter is how long a silent host stays in the status.
-	ForgetAfter = 10 * time.Minute
+	ForgetAfter = 24 * time.Hour
 )
 
 // WatchRequest asks for everything newer than a revision. It also reports the
