Public library package: embed an entry host or a control replica

Cause: the system ships as a library with thin daemons. Conclusion: the daemons are flag parsing and signals only.

--- a/cmd/filberthook-control/main.go
+++ b/cmd/filberthook-control/main.go
@@ -13,8 +13,13 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/controlnode"
-	"filberthook/internal/settings"
+	"filberthook"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
 )
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -25,12 +30,12 @@
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	if _, err := app.Parse(args); err != nil {
 		fmt.Fprintf(os.Stderr, "filberthook-control: %v; see --help\n", err)
-		return settings.ExitCode
+		return exitSettings
 	}
-	var s settings.Control
-	if err := settings.Load(*file, &s); err != nil {
+	s, err := filberthook.LoadControlSettings(*file)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return settings.ExitCode
+		return exitSettings
 	}
 	if *check {
 		fmt.Println("settings are valid")
@@ -40,18 +45,18 @@
 }
 
 // serve runs the daemon until it is told to stop.
-func serve(s settings.Control) int {
+func serve(s filberthook.ControlSettings) int {
 	logger := s.Log.Logger(os.Stderr)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	node, err := controlnode.New(s, logger, metrics.NewSet())
+	node, err := filberthook.NewControl(s, logger, metrics.NewSet())
 	if err != nil {
 		logger.Error("not started", "err", err)
-		return 1
+		return exitFailed
 	}
 	if err := node.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		logger.Error("stopped", "err", err)
-		return 1
+		return exitFailed
 	}
 	return 0
 }
--- a/cmd/filberthook-entry/main.go
+++ b/cmd/filberthook-entry/main.go
@@ -9,8 +9,7 @@
 	"os/signal"
 	"syscall"
 
-	"filberthook/internal/entry"
-	"filberthook/internal/settings"
+	"filberthook"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kingpin/v2"
@@ -18,8 +17,9 @@
 
 // Exit codes.
 const (
-	exitFailed = 1
-	exitCut    = 3 // requests were cut by the stop
+	exitFailed   = 1
+	exitSettings = 2
+	exitCut      = 3 // requests were cut by the stop
 )
 
 func main() {
@@ -28,10 +28,10 @@
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
-	s := settings.DefaultEntry()
-	if err := settings.Load(*file, &s); err != nil {
+	s, err := filberthook.LoadEntrySettings(*file)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(settings.ExitCode)
+		os.Exit(exitSettings)
 	}
 	if *check {
 		fmt.Println("settings are valid")
@@ -42,25 +42,20 @@
 
 // run serves until a signal and returns the exit code. A second signal cuts
 // the requests under way.
-func run(s settings.Entry) int {
+func run(s filberthook.EntrySettings) int {
 	log := s.Log.Logger(os.Stderr)
-	listeners, err := entry.Listen(s.Listen)
-	if err != nil {
-		log.Error("entry host not started", "err", err)
-		return exitFailed
-	}
 	set := metrics.NewSet()
 	set.RegisterMetricsWriter(metrics.WriteProcessMetrics)
-	node, err := entry.New(s, listeners, log, set)
+	host, err := filberthook.NewEntry(s, log, set)
 	if err != nil {
 		log.Error("entry host not started", "err", err)
 		return exitFailed
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	context.AfterFunc(ctx, func() { killOnSignal(node) })
-	err = node.Run(ctx)
-	var cut *entry.CutError
+	context.AfterFunc(ctx, func() { killOnSignal(host) })
+	err = host.Run(ctx)
+	var cut *filberthook.CutError
 	if errors.As(err, &cut) {
 		log.Error("entry host stopped", "err", err)
 		return exitCut
@@ -74,9 +69,9 @@
 }
 
 // killOnSignal waits for a second signal.
-func killOnSignal(node *entry.Node) {
+func killOnSignal(host *filberthook.Entry) {
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, os.Interrupt, syscall.SIGTERM)
 	<-again
-	node.Kill()
+	host.Kill()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,8 +73,8 @@
 	counters  *request.Counters
 	calls     *history.Log
 	stopping  atomic.Bool
-	cancelAll func() // ends the requests under way; their callers are told
-	base      context.Context    // parent of all requests
+	cancelAll func()          // ends the requests under way; their callers are told
+	base      context.Context // parent of all requests
 }
 
 // New assembles a node on open listeners, which it takes over.
@@ -108,6 +108,12 @@
 	return n, nil
 }
 
+// CallersAddress returns the address that serves callers.
+func (n *Node) CallersAddress() string { return n.listeners.Callers.Addr().String() }
+
+// StatusAddress returns the address of metrics, health and the status page.
+func (n *Node) StatusAddress() string { return n.listeners.Status.Addr().String() }
+
 // now is the monotonic clock of the process.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
