--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filberthook/internal/consensus"
 )
 
@@ -129,3 +131,42 @@
 		t.Errorf("commit %d, last %d after a damaged snapshot", s.Commit, s.LastIndex)
 	}
 }
+
+// A snapshot that the log already covers must not drop the entries after it, which
+// this replica has acknowledged.
+func TestSnapshotWithinTheLogKeepsItsTail(t *testing.T) {
+	c := follower(t)
+	data := []byte("data")
+	m := consensus.Message{Type: consensus.MessageSnapshotChunk, From: 2, To: 1, Incarnation: 2, Term: 1, Chunk: &consensus.SnapshotChunk{
+		Index: 2, Term: 1, Total: 4, Data: data, Checksum: xxhash.Sum64(data), Membership: c.Status().Membership,
+	}}
+	if err := c.Step(&m); err != nil {
+		t.Fatal(err)
+	}
+	if s := c.Status(); s.Commit != 2 || s.LastIndex != 3 || c.Installing() {
+		t.Errorf("commit %d, last %d, installing %v", s.Commit, s.LastIndex, c.Installing())
+	}
+}
+
+// What a learner acknowledged before it lost its disk does not count for the one
+// that came back empty, and the other way round.
+func TestLearnerIsKnownByItsDataFolder(t *testing.T) {
+	c, err := consensus.New(consensus.Config{ID: 1, Incarnation: 1, Seed: 1}, consensus.State{Snapshot: consensus.Snapshot{
+		Membership: consensus.NewMembership([]consensus.Member{{ID: 1, Incarnation: 1}, {ID: 2, Learner: true}}),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Tick()
+	c.Ready()
+	c.Advance()
+	for _, step := range []struct{ incarnation, index, match uint64 }{{5, 0, 0}, {6, 1, 0}, {5, 1, 1}} {
+		m := consensus.Message{Type: consensus.MessageAppendResponse, From: 2, To: 1, Incarnation: step.incarnation, Term: 1, Index: step.index}
+		if err := c.Step(&m); err != nil {
+			t.Fatal(err)
+		}
+		if match := c.Status().Members[1].Match; match != step.match {
+			t.Errorf("folder %d acknowledged %d: match %d, want %d", step.incarnation, step.index, match, step.match)
+		}
+	}
+}
--- a/internal/consensus/membership_test.go
+++ b/internal/consensus/membership_test.go
@@ -48,13 +48,13 @@
 func TestMembershipRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := lone(t)
-		alive := map[uint64]bool{}
+		alive, answered := map[uint64]bool{}, map[uint64]bool{}
 		used := map[uint64]bool{1: true}
 		answer(c, alive)
-		for range rapid.IntRange(1, 30).Draw(t, "steps") {
-			id := rapid.Uint64Range(1, 12).Draw(t, "id")
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			id := rapid.Uint64Range(1, 8).Draw(t, "id")
 			kind := consensus.ChangeType(rapid.IntRange(1, 3).Draw(t, "kind"))
-			before := c.Status().Membership
+			before := c.Status()
 			_, _, err := c.ProposeMembership(consensus.Change{Type: kind, Member: consensus.Member{ID: id}})
 			after := c.Status().Membership
 			var refused *consensus.RefusedError
@@ -67,13 +67,15 @@
 				}
 				used[id] = true
 			}
-			if err == nil && kind == consensus.ChangePromote && !alive[id] {
+			if err == nil && kind == consensus.ChangePromote && !answered[id] {
 				t.Fatalf("learner %d never answered and was promoted", id)
 			}
-			checkStep(t, before, after)
-			if rapid.Bool().Draw(t, "answers") && id != 1 {
-				alive[id] = true
+			if err == nil && kind == consensus.ChangeRemove && !keepsQuorum(before, after) {
+				t.Fatalf("removed %d of %+v though too few of the rest hold what is committed", id, before.Members)
 			}
+			checkStep(t, before.Membership, after)
+			alive[id] = rapid.IntRange(0, 3).Draw(t, "answers") > 0
+			answered[id] = answered[id] || alive[id]
 			answer(c, alive)
 			if c.PendingChanges() > 1 {
 				t.Fatalf("%d changes in progress", c.PendingChanges())
@@ -82,6 +84,18 @@
 	})
 }
 
+// keepsQuorum reports whether a quorum of the remaining voters holds everything
+// committed.
+func keepsQuorum(before consensus.Status, after consensus.Membership) bool {
+	holding := 0
+	for _, m := range before.Members {
+		if after.IsVoter(m.ID) && m.Match >= before.Commit {
+			holding++
+		}
+	}
+	return holding >= after.Quorum()
+}
+
 func checkStep(t *rapid.T, before, after consensus.Membership) {
 	if after.Voters() > consensus.MaxVoters {
 		t.Fatalf("%d voters", after.Voters())
