Say why a new group has no leader yet

Cause: the first election needs all first members; a missing one left no trace. Change: a warning every ten election timeouts; a test that two of three first members elect nobody. Conclusion: the operator sees what to do.

--- a/internal/replica/outcomes_test.go
+++ b/internal/replica/outcomes_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log/slog"
@@ -156,3 +157,23 @@
 		t.Errorf("cancelled proposal was taken: %v", o.err)
 	}
 }
+
+// A new group says why it has no leader while a first member is missing.
+func TestFirstStartWaitsForAllMembers(t *testing.T) {
+	b := newBench(t)
+	var out bytes.Buffer
+	b.cfg.Logger = slog.New(slog.NewTextHandler(&out, nil))
+	for range 4 * firstStartTimeouts * DefaultElectionTicks {
+		b.handleTick()
+		b.work()
+		if b.core.Role() == consensus.RolePreCandidate {
+			b.receive(2, consensus.Message{Type: consensus.MessagePreVoteResponse, Term: b.Status().Term + 1})
+		}
+	}
+	if role := b.core.Role(); role != consensus.RolePreCandidate {
+		t.Errorf("replica is %s with two of three first members", role)
+	}
+	if !bytes.Contains(out.Bytes(), []byte("start the others")) {
+		t.Errorf("log says %q", out.String())
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,8 @@
 	queueLength = 4096
 	// batchLength bounds what the loop takes from one queue before it writes.
 	batchLength = 1024
+	// firstStartTimeouts is how many election timeouts pass between two warnings.
+	firstStartTimeouts = 10
 )
 
 // Replica is one running member. All fields below core are used by the loop's
@@ -129,6 +132,19 @@
 	r.core.Tick()
 	r.expireProposals()
 	r.retryReads()
+	r.warnOfFirstStart()
+}
+
+// warnOfFirstStart tells why a new group has no leader yet.
+func (r *Replica) warnOfFirstStart() {
+	if r.tick%uint64(firstStartTimeouts*r.cfg.ElectionTicks) != 0 {
+		return
+	}
+	s := r.core.Status()
+	if s.Leader == 0 && s.Membership.IsVoter(s.ID) && !s.Membership.Bound() {
+		r.cfg.Logger.Warn("a new group starts only once all of its first members are up: start the others",
+			slog.Uint64("replica", s.ID), slog.Int("members", s.Membership.Voters()))
+	}
 }
 
 // process carries out everything that the core has ready.
