--- /dev/null
+++ b/internal/controlnode/lease_test.go
@@ -0,0 +1,79 @@
+package controlnode
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/authority"
+)
+
+// leaseTTL is long enough for an election on a busy machine.
+const leaseTTL = 12 * time.Second
+
+// startHolder runs a planner host's lease against all replicas.
+func (c *cluster) startHolder(host string) *authority.Holder {
+	c.t.Helper()
+	var replicas []authority.Caller
+	for i := range c.nodes {
+		replicas = append(replicas, c.peer(i, host))
+	}
+	holder := authority.NewHolder(authority.HolderSettings{
+		Host: host, Zone: "z1", Session: host, TTL: leaseTTL, Clock: authority.NewClock(),
+		Random: func() float64 { return 0.5 }, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+	}, authority.NewPeerGranter(replicas))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- holder.Run(ctx) }()
+	c.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return holder
+}
+
+// await polls until a condition holds; the test's deadline bounds it.
+func (c *cluster) await(condition func() bool) {
+	for !condition() && c.t.Context().Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestLeaseSurvivesTheLossOfTheLeader stops the leader between a grant and its
+// renewal.
+func TestLeaseSurvivesTheLossOfTheLeader(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 3)
+	holder := c.startHolder("e1")
+	var granted authority.Grant
+	c.await(func() bool {
+		grant, ok := holder.Grant()
+		granted = grant
+		return ok
+	})
+	leader := c.leader()
+	c.nodes[leader].stop()
+	c.await(func() bool {
+		grant, ok := holder.Grant()
+		return !ok || grant.ValidUntil > granted.ValidUntil
+	})
+	grant, ok := holder.Grant()
+	if !ok || grant.Fence != granted.Fence {
+		t.Errorf("after the loss of replica %d: %+v, valid %t; want fence %d renewed", leader+1, grant, ok, granted.Fence)
+	}
+}
+
+// leader returns the position of the node that leads.
+func (c *cluster) leader() int {
+	for {
+		for i, n := range c.nodes {
+			if n.node.replica.Status().Role == leaderRole {
+				return i
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -41,6 +41,7 @@
 type running struct {
 	settings settings.Control
 	logs     lockedBuffer
+	node     *Node
 	stop     func()
 }
 
@@ -106,6 +107,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	n.node = node
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- node.Run(ctx) }()
