Fleet: a resend that read a newer revision gets the first outcome

Cause: a script which sends a file again after a lost answer, and lets the command line read the newest revision, was told that its change id was reused. Change: the content of a change id is its changes, without the expected revision. Conclusion: tests of acceptance, refusal and conflict sent again, also over a restart.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,14 +31,12 @@
 	Changes          []Change `json:"changes"`
 }
 
-// digest identifies the content of a command, so that a change id that is used
-// again for other content is noticed. The time is left out: resends differ in
-// it.
+// digest identifies the changes of a command, so that a change id that is used
+// again for other changes is noticed. The expected revision and the time are left
+// out: a script that sends its changes again may have read a newer revision in
+// the meantime, and must still learn the first outcome.
 func (c Command) digest() string {
-	data, err := json.Marshal(struct {
-		Expected uint64
-		Changes  []Change
-	}{c.ExpectedRevision, c.Changes})
+	data, err := json.Marshal(c.Changes)
 	if err != nil {
 		return ""
 	}
@@ -119,6 +117,7 @@
 	result := Result{Revision: first.Revision, Repeated: true, Err: first.Err}
 	if first.Err != nil && first.Err.Code == CodeConflict {
 		result.Err = f.conflict(cmd)
+		result.Err.Message = first.Err.Message
 	}
 	return result
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -158,6 +158,11 @@
 		if r := f.Apply(accepted); r.Err != nil || !r.Repeated || r.Revision != 2 {
 			t.Errorf("restored %t: resend gave %+v, want the acceptance at revision 2", restored, r)
 		}
+		reread := accepted
+		reread.ExpectedRevision = f.Revision()
+		if r := f.Apply(reread); r.Err != nil || !r.Repeated || r.Revision != 2 {
+			t.Errorf("restored %t: resend with a newer revision gave %+v, want the acceptance at revision 2", restored, r)
+		}
 		if r := f.Apply(refused); r.Err == nil || r.Err.Code != CodeNotFound || !r.Repeated {
 			t.Errorf("restored %t: resend gave %+v, want the first refusal", restored, r)
 		}
@@ -172,6 +177,20 @@
 	}
 }
 
+func TestResendOfAConflictStaysOne(t *testing.T) {
+	f := example(t)
+	cmd := Command{ChangeID: "c", ExpectedRevision: 0, Actor: admin, Changes: []Change{withdraw("summaries", "a")}}
+	first := f.Apply(cmd)
+	cmd.ExpectedRevision = f.Revision()
+	again := f.Apply(cmd)
+	if first.Err == nil || again.Err == nil || again.Err.Code != CodeConflict || again.Err.Message != first.Err.Message {
+		t.Errorf("got %v, then %v; want the same conflict", first.Err, again.Err)
+	}
+	if again.Err.Current == nil || again.Err.Current.Endpoints["summaries"] == nil {
+		t.Error("the repeated conflict does not show the current value")
+	}
+}
+
 func TestForgottenChangeIDIsAConflict(t *testing.T) {
 	f := example(t)
 	first := Command{ChangeID: "first", ExpectedRevision: 1, Actor: admin, Changes: []Change{withdraw("summaries", "a")}}
