--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -52,6 +52,7 @@
 	TickInterval  time.Duration // 0 for DefaultTickInterval
 	ElectionTicks int           // 0 for DefaultElectionTicks
 	SnapshotEvery uint64        // entries between snapshots, 0 for DefaultSnapshotEvery
+	SnapshotBytes uint64        // bytes of commands between snapshots, 0 for DefaultSnapshotBytes
 	Metrics       *metrics.Set  // nil for a private set
 	Logger        *slog.Logger  // nil for the default one
 	FS            fsys.FS       // nil for the operating system's
@@ -63,6 +64,7 @@
 	DefaultTickInterval  = 50 * time.Millisecond
 	DefaultElectionTicks = 10
 	DefaultSnapshotEvery = 10_000
+	DefaultSnapshotBytes = 64 << 20
 )
 
 func (c Config) withDefaults() Config {
@@ -75,6 +77,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
--- a/internal/replica/outcomes_test.go
+++ b/internal/replica/outcomes_test.go
@@ -177,3 +177,32 @@
 		t.Errorf("log says %q", out.String())
 	}
 }
+
+func TestSnapshotIsDueByEntriesAndBytes(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		entries, bytes uint64
+		want           bool
+	}{
+		{"neither", 100, 1000, false},
+		{"entries", 3, 1000, true},
+		{"bytes", 100, 20, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.cfg.SnapshotEvery, b.cfg.SnapshotBytes = c.entries, c.bytes
+			b.lead()
+			b.receive(2, consensus.Message{Type: consensus.MessageAppendResponse, Term: 1, Index: 1})
+			b.lastSnapshot, b.appliedBytes = 1, 0 // the first entry is the group's
+			b.writing = false
+			for len(b.snapshots) > 0 {
+				<-b.snapshots
+			}
+			b.propose(3)
+			b.receive(2, consensus.Message{Type: consensus.MessageAppendResponse, Term: 1, Index: 4})
+			if taken := len(b.snapshots) > 0; taken != c.want {
+				t.Errorf("snapshot taken: %v, want %v", taken, c.want)
+			}
+		})
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,8 +48,9 @@
 	pending      map[uint64]*proposal
 	reads        readQueue
 	waiters      []*waiter
-	lastSnapshot uint64
-	writing      bool // the snapshot writer is busy
+	lastSnapshot uint64 // index
+	appliedBytes uint64 // since the last snapshot
+	writing      bool   // the snapshot writer is busy
 }
 
 // Run serves the replica until ctx ends or the disk fails; a leader then hands over
@@ -212,6 +213,7 @@
 
 func (r *Replica) apply(e consensus.Entry) {
 	var result any
+	r.appliedBytes += uint64(len(e.Data))
 	if e.Type == consensus.EntryNormal && len(e.Data) > 0 {
 		result = r.machine.Apply(e.Index, e.Data)
 	}
@@ -231,7 +233,7 @@
 	if err := r.machine.Restore(snap.Data); err != nil {
 		return fmt.Errorf("restore received snapshot %d: %w", snap.Index, err)
 	}
-	r.lastSnapshot = snap.Index
+	r.lastSnapshot, r.appliedBytes = snap.Index, 0
 	for index, p := range r.pending {
 		if index <= snap.Index {
 			delete(r.pending, index)
--- a/internal/replica/snapshots.go
+++ b/internal/replica/snapshots.go
@@ -5,23 +5,24 @@
 	"log/slog"
 )
 
-// maybeSnapshot takes a snapshot when enough entries were applied since the last
-// one. The file is written by another goroutine; one write is under way at most.
+// maybeSnapshot takes a snapshot when enough was applied since the last one. The
+// file is written by another goroutine; one write is under way at most.
 func (r *Replica) maybeSnapshot() {
 	applied := r.core.Applied()
-	if r.writing || applied < r.lastSnapshot+r.cfg.SnapshotEvery {
+	entries := applied - r.lastSnapshot
+	due := entries >= r.cfg.SnapshotEvery || r.appliedBytes >= r.cfg.SnapshotBytes
+	if r.writing || !due {
 		return
 	}
+	r.lastSnapshot, r.appliedBytes = applied, 0 // also after an error: not at every entry
 	data, err := r.machine.Snapshot()
 	if err != nil {
 		r.counters.snapshotErrors.Inc()
 		r.cfg.Logger.Error("state machine gave no snapshot", slog.Any("error", err))
-		r.lastSnapshot = applied // try again after the same number of entries
 		return
 	}
 	// Followers that lag by less than one snapshot's worth get entries.
-	snap := r.core.Compact(applied, data, r.cfg.SnapshotEvery)
-	r.lastSnapshot = applied
+	snap := r.core.Compact(applied, data, entries)
 	r.writing = true
 	r.snapshots <- snap
 }
