--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -5,7 +5,8 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -18,28 +19,22 @@
 	"filberthook/internal/controlnode"
 	"filberthook/internal/fleet"
 	"filberthook/internal/settings"
+	"filberthook/internal/testnet"
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // startControl runs a control group of one replica and points the command line
 // at it.
-func startControl(t *testing.T) {
+func startControl(t *testing.T) { startControlAt(t, testnet.String(), settings.TLS{}) }
+
+func startControlAt(t *testing.T, operators string, tls settings.TLS) {
 	t.Helper()
-	peers := freeAddress(t)
+	peers := testnet.String()
 	s := settings.Control{
 		Host: "c1", Zone: "bio", DataDir: filepath.Join(t.TempDir(), "data"),
-		Listen:  settings.ControlListen{Peers: peers, Operators: freeAddress(t), Status: freeAddress(t)},
+		Listen:  settings.ControlListen{Peers: peers, Operators: operators, Status: testnet.String()},
 		Replica: settings.ControlReplica{ID: 1, Members: []settings.ControlMember{{ID: 1, Address: peers, Zone: "bio"}}},
 		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey("admin"))},
+		TLS:     tls,
 	}
 	node, err := controlnode.New(s, slog.New(slog.DiscardHandler), metrics.NewSet())
 	if err != nil {
@@ -82,7 +77,7 @@
 	}{
 		{"dry run", []string{"apply", "-f", "../../examples/changes.toml", "--dry-run"}, ExitOK, "would make revision 1; nothing was changed"},
 		{"apply", []string{"apply", "-f", "../../examples/changes.toml", "--change-id", "first"}, ExitOK, "accepted at revision 1"},
-		{"resend", []string{"apply", "-f", "../../examples/changes.toml", "--change-id", "first", "--expected-revision", "0"}, ExitOK, "accepted before at revision 1"},
+		{"resend", []string{"apply", "-f", "../../examples/changes.toml", "--change-id", "first"}, ExitOK, "accepted before at revision 1"},
 		{"reused change id", []string{"team", "remove", "agents", "--change-id", "first"}, ExitRefused, "new change id"},
 		{"conflict", []string{"team", "remove", "agents", "--expected-revision", "0"}, ExitConflict, "current team agents"},
 		{"wait", []string{"team", "create", "dispatch", "--wait"}, ExitOK, "in force at all live hosts"},
@@ -140,6 +135,7 @@
 		{"keys", "ca", "--dir", dir},
 		{"keys", "host", "c1", "--ip", "127.0.0.1", "--dir", dir},
 		{"keys", "check", filepath.Join(dir, "c1.pem")},
+		{"keys", "gossip", "--file", filepath.Join(dir, "gossip.key")},
 		{"key", "new"},
 	}
 	for _, args := range steps {
@@ -155,6 +151,59 @@
 	}
 }
 
+// TestOverTLS issues certificates by the command line and uses them.
+func TestOverTLS(t *testing.T) {
+	dir, operators := t.TempDir(), testnet.Address()
+	for _, args := range [][]string{{"keys", "ca", "--dir", dir}, {"keys", "host", "c1", "--ip", operators.Addr().String(), "--dir", dir}} {
+		if got := run(args...); got.code != ExitOK {
+			t.Fatalf("%v: %+v", args, got)
+		}
+	}
+	ca := filepath.Join(dir, "ca.pem")
+	startControlAt(t, operators.String(), settings.TLS{CA: ca, Certificate: filepath.Join(dir, "c1.pem"), Key: filepath.Join(dir, "c1.key")})
+	if got := run("--ca", ca, "team", "create", "a"); got.code != ExitOK {
+		t.Errorf("with the CA: %+v", got)
+	}
+	if got := run("--timeout", "300ms", "status"); got.code == ExitOK {
+		t.Error("plaintext was served")
+	}
+	other := t.TempDir()
+	run("keys", "ca", "--dir", other)
+	if got := run("--ca", filepath.Join(other, "ca.pem"), "--timeout", "300ms", "status"); got.code == ExitOK {
+		t.Error("a control host of another CA was trusted")
+	}
+}
+
+func TestExplainAsksTheEntryHost(t *testing.T) {
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("request_id") == "unknown" {
+			http.Error(w, "not remembered", http.StatusNotFound)
+			return
+		}
+		json.NewEncoder(w).Encode(r.URL.String())
+	}))
+	defer entry.Close()
+	address := strings.TrimPrefix(entry.URL, "http://")
+	tests := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{"requests", []string{"requests"}, ExitOK, "/requests"},
+		{"call", []string{"explain", "r1"}, ExitOK, "/explain?request_id=r1"},
+		{"request now", []string{"explain", "--endpoint", "e", "--deadline", "20s"}, ExitOK, "deadline=20s"},
+		{"neither", []string{"explain"}, ExitUsage, "request id or --endpoint"},
+		{"unknown call", []string{"explain", "unknown"}, ExitUsage, "not remembered"},
+	}
+	for _, tt := range tests {
+		got := run(append(tt.args, "--entry", address)...)
+		if got.code != tt.code || !strings.Contains(got.out+got.errOut, tt.want) {
+			t.Errorf("%s: %+v", tt.name, got)
+		}
+	}
+}
+
 func TestHelpNamesExitCodes(t *testing.T) {
 	if got := run("--help"); got.code != ExitOK || !strings.Contains(got.out, "Exit codes") {
 		t.Errorf("exit code %d, %d bytes", got.code, len(got.out))
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -1,13 +1,14 @@
 package controlnode
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	filberthookv1 "filberthook/api/filberthook/v1"
 	"filberthook/api/filberthook/v1/filberthookv1connect"
+	"filberthook/internal/authority"
 	"filberthook/internal/claim"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
@@ -23,6 +25,7 @@
 	"filberthook/internal/operator"
 	"filberthook/internal/peer"
 	"filberthook/internal/settings"
+	"filberthook/internal/testnet"
 )
 
 const bootstrapKey = "test-admin-key"
@@ -30,42 +33,52 @@
 // cluster is a control group whose nodes run in this process.
 type cluster struct {
 	t     *testing.T
+	tls   func(host, address string) settings.TLS
 	nodes []*running
 }
 
 // running is one node with its settings; it can be stopped and started.
 type running struct {
 	settings settings.Control
+	logs     lockedBuffer
+	node     *Node
 	stop     func()
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
+// lockedBuffer collects the log lines of a node.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns what was written so far.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
 }
 
 func startCluster(t *testing.T, size int) *cluster {
+	return startClusterWith(t, size, func(string, string) settings.TLS { return settings.TLS{} })
+}
+
+// startClusterWith starts nodes with the TLS settings of their hosts.
+func startClusterWith(t *testing.T, size int, tls func(host, address string) settings.TLS) *cluster {
 	t.Helper()
-	c := &cluster{t: t}
+	c := &cluster{t: t, tls: tls}
 	var members []settings.ControlMember
 	for i := range size {
-		members = append(members, settings.ControlMember{ID: uint64(i + 1), Address: freeAddress(t), Zone: fmt.Sprint("z", i+1)})
+		members = append(members, settings.ControlMember{ID: uint64(i + 1), Address: testnet.String(), Zone: fmt.Sprint("z", i+1)})
 	}
 	for _, m := range members {
-		s := settings.Control{
-			Host:    fmt.Sprint("c", m.ID),
-			Zone:    m.Zone,
-			DataDir: filepath.Join(t.TempDir(), "data"),
-			Listen:  settings.ControlListen{Peers: m.Address, Operators: freeAddress(t), Status: freeAddress(t)},
-			Replica: settings.ControlReplica{ID: m.ID, Members: members},
-			Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
-		}
-		c.nodes = append(c.nodes, &running{settings: s})
+		c.add(m, settings.ControlReplica{ID: m.ID, Members: members})
 	}
 	for i := range c.nodes {
 		c.start(i)
@@ -73,13 +86,28 @@
 	return c
 }
 
+// add adds a node that is not started yet.
+func (c *cluster) add(m settings.ControlMember, r settings.ControlReplica) {
+	c.nodes = append(c.nodes, &running{settings: settings.Control{
+		Host:    fmt.Sprint("c", m.ID),
+		Zone:    m.Zone,
+		DataDir: filepath.Join(c.t.TempDir(), "data"),
+		Listen:  settings.ControlListen{Peers: m.Address, Operators: testnet.String(), Status: testnet.String()},
+		Replica: r,
+		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
+		TLS:     c.tls(fmt.Sprint("c", m.ID), m.Address),
+	}})
+}
+
 func (c *cluster) start(i int) {
 	c.t.Helper()
 	n := c.nodes[i]
-	node, err := New(n.settings, slog.New(slog.DiscardHandler), metrics.NewSet())
+	logger := slog.New(slog.NewTextHandler(&n.logs, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	node, err := New(n.settings, logger, metrics.NewSet())
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	n.node = node
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- node.Run(ctx) }()
@@ -271,10 +299,10 @@
 	ctx := t.Context()
 	acquire := lease.Command{Kind: lease.Acquire, Holder: lease.Holder{Session: "s"}, TTL: time.Minute}
 	var granted, held lease.Result
-	if err := c.peer(0, "e1").Call(ctx, MethodLease, acquire, &granted); err != nil || granted.Fence != 1 {
+	if err := c.peer(0, "e1").Call(ctx, authority.MethodLease, acquire, &granted); err != nil || granted.Fence != 1 {
 		t.Fatalf("%+v, %v", granted, err)
 	}
-	if err := c.peer(1, "e2").Call(ctx, MethodLease, acquire, &held); err != nil || held.Err == nil || held.Err.Holder != "e1" {
+	if err := c.peer(1, "e2").Call(ctx, authority.MethodLease, acquire, &held); err != nil || held.Err == nil || held.Err.Holder != "e1" {
 		t.Fatalf("%+v, %v", held, err)
 	}
 	cmd := claim.Command{
@@ -325,6 +353,20 @@
 	wantReason(t, err, "invalid")
 }
 
+func TestSecondProcessLeavesTheDataFolderAlone(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 1)
+	if got := c.change(0, 0, 0); got.revision != 1 {
+		t.Fatalf("got %+v", got)
+	}
+	if _, err := New(c.nodes[0].settings, slog.New(slog.DiscardHandler), metrics.NewSet()); err == nil {
+		t.Fatal("a second process started on the same settings")
+	}
+	if got := c.change(0, 1, 1); got.revision != 2 {
+		t.Errorf("after the second start: %+v", got)
+	}
+}
+
 func TestForeignBootstrapKeyIsRefused(t *testing.T) {
 	t.Parallel()
 	c := startCluster(t, 1)
@@ -335,4 +377,11 @@
 	if !errors.As(err, &remote) || remote.Code != codeRefused {
 		t.Errorf("got %v, want a refusal", err)
 	}
+	for _, actor := range []fleet.Actor{{}, cmd.Actor, {Name: "nobody", Key: fleet.HashKey("x")}} {
+		change := operator.MemberChange{Actor: actor, Action: operator.RemoveMember, ID: 1}
+		err := c.peer(0, "e1").Call(t.Context(), methodChangeMember, change, nil)
+		if !errors.As(err, &remote) || remote.Code != codeRefused {
+			t.Errorf("a change of members by %+v gave %v, want a refusal", actor, err)
+		}
+	}
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -33,6 +33,7 @@
 	Scope    string        `json:"scope"` // availability zone
 	Holder   Holder        `json:"holder"`
 	Fence    uint64        `json:"fence"`
+	TTL      time.Duration `json:"ttl"`      // of the newest grant or renewal
 	Expires  time.Duration `json:"expires"`  // logical time
 	Released bool          `json:"released"` // given back by the holder with no order in flight
 	Settle   bool          `json:"settle"`   // see Result.Settle
@@ -51,6 +52,9 @@
 	Release Kind = "release" // gives a lease back; the holder has no order in flight
 )
 
+// Known reports whether the kind is one of the above.
+func (k Kind) Known() bool { return k == Acquire || k == Renew || k == Release }
+
 // Command asks for a change of one lease.
 type Command struct {
 	Kind   Kind          `json:"kind"`
@@ -109,6 +113,12 @@
 // NewTable returns a table without leases.
 func NewTable() *Table { return &Table{leases: map[string]Lease{}} }
 
+// Lease returns the newest grant of a scope.
+func (t *Table) Lease(scope string) (Lease, bool) {
+	l, ok := t.leases[scope]
+	return l, ok
+}
+
 // Leases returns the newest grant of each scope, also those that have ended.
 func (t *Table) Leases() []Lease {
 	all := make([]Lease, 0, len(t.leases))
@@ -136,7 +146,7 @@
 func (c Command) check() *Error {
 	invalid := func(detail string) *Error { return &Error{Code: CodeInvalid, Scope: c.Scope, Detail: detail} }
 	switch {
-	case c.Kind != Acquire && c.Kind != Renew && c.Kind != Release:
+	case !c.Kind.Known():
 		return invalid(fmt.Sprintf("kind %q is unknown; use acquire, renew or release", c.Kind))
 	case c.Scope == "":
 		return invalid("the scope is empty; name the availability zone")
@@ -163,6 +173,7 @@
 		Scope:   cmd.Scope,
 		Holder:  cmd.Holder,
 		Fence:   t.fence + 1,
+		TTL:     cmd.TTL,
 		Expires: now + cmd.TTL,
 		Settle:  exists && !current.Released,
 	}
@@ -200,6 +211,7 @@
 
 // extend never shortens a lease: its holder may rely on an earlier answer.
 func (t *Table) extend(now time.Duration, current Lease, ttl time.Duration) Result {
+	current.TTL = ttl
 	current.Expires = max(current.Expires, now+ttl)
 	t.leases[current.Scope] = current
 	return Result{Fence: current.Fence, Settle: current.Settle}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/tmaxmax/go-sse"
 
@@ -70,8 +69,10 @@
 // ended returns the refusal of a stream that breaks off for good.
 func (s *stream) ended(ctx context.Context, f *failure) *request.Refusal {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case context.Cause(ctx) == context.Canceled:
 		return s.proxy.callerGone(s.call)
+	case stopped(ctx):
+		return request.Refuse(request.StreamBroken, "this host stopped after %d tokens", s.delivered)
 	case s.call.Left() <= 0:
 		return s.proxy.deadlinePassed(s.call)
 	default:
@@ -102,8 +103,7 @@
 	if a.resp.StatusCode != http.StatusOK {
 		return a.failure(request.RetryStatus, errors.New(a.resp.Status))
 	}
-	idle := time.AfterFunc(s.proxy.settings.StreamIdle, a.cancel)
-	defer idle.Stop()
+	a.watch.event()
 	cfg := &sse.ReadConfig{MaxEventSize: s.proxy.settings.MaxEventBytes}
 	for event, err := range sse.Read(a.resp.Body, cfg) {
 		if err != nil && s.finished {
@@ -112,7 +112,7 @@
 		if err != nil {
 			return a.failure(request.RetryBroken, err)
 		}
-		idle.Reset(s.proxy.settings.StreamIdle)
+		a.watch.event()
 		if event.Data == streamEnd {
 			return s.finish()
 		}
--- a/internal/statemachine/statemachine.go
+++ b/internal/statemachine/statemachine.go
@@ -4,6 +4,7 @@
 package statemachine
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"sync"
@@ -56,12 +57,14 @@
 	Restore(data []byte) error
 }
 
-// Observer is told of each new configuration, in order, under the lock of the
-// machine. It must return quickly and must not call the machine.
+// Observer is told of changes, in order, under the lock of the machine. It must
+// return quickly and must not call the machine.
 type Observer interface {
 	// ConfigurationChanged receives the newest configuration. The delta leads to
 	// it from the revision before; nil means that the state was replaced.
 	ConfigurationChanged(c fleet.Configuration, d *fleet.Delta)
+	// LeaseChanged receives a lease that was granted, renewed or released.
+	LeaseChanged(l lease.Lease)
 }
 
 // Machine is the replicated state. It is safe for concurrent use.
@@ -80,10 +83,19 @@
 	return &Machine{observer: observer, fleet: fleet.New(), leases: lease.NewTable(), claims: claims}
 }
 
+// decodeCommand refuses fields that this program does not know: a replica that
+// passed over them would come to another state than the others.
+func decodeCommand(data []byte) (Command, error) {
+	var cmd Command
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&cmd)
+	return cmd, err
+}
+
 // Apply applies one entry of the log and returns a Response.
 func (m *Machine) Apply(index uint64, data []byte) any {
-	var cmd Command
-	err := json.Unmarshal(data, &cmd)
+	cmd, err := decodeCommand(data)
 	invariant.Check(err == nil && cmd.Version <= commandVersion, "log-readable",
 		"entry %d has version %d, this program reads up to %d (%v); run a release that is not older than the leader's",
 		index, cmd.Version, commandVersion, err)
@@ -102,7 +114,7 @@
 		}
 		return Response{Fleet: &result}
 	case cmd.Lease != nil:
-		result := m.leases.Apply(now, *cmd.Lease)
+		result := m.applyLease(now, *cmd.Lease)
 		return Response{Lease: &result}
 	case cmd.Claim != nil && m.claims != nil:
 		return Response{Claim: m.claims.Apply(now, cmd.Claim)}
@@ -110,6 +122,14 @@
 	return Response{}
 }
 
+func (m *Machine) applyLease(now time.Duration, cmd lease.Command) lease.Result {
+	result := m.leases.Apply(now, cmd)
+	if l, ok := m.leases.Lease(cmd.Scope); ok && result.Err == nil && m.observer != nil {
+		m.observer.LeaseChanged(l)
+	}
+	return result
+}
+
 func (m *Machine) notify(d *fleet.Delta) {
 	if m.observer != nil {
 		m.observer.ConfigurationChanged(m.fleet.Configuration(), d)
--- a/internal/statemachine/statemachine_test.go
+++ b/internal/statemachine/statemachine_test.go
@@ -16,6 +16,7 @@
 type recorder struct {
 	revisions []uint64
 	replaced  int
+	fences    []uint64
 }
 
 func (r *recorder) ConfigurationChanged(c fleet.Configuration, d *fleet.Delta) {
@@ -25,6 +26,8 @@
 	}
 }
 
+func (r *recorder) LeaseChanged(l lease.Lease) { r.fences = append(r.fences, l.Fence) }
+
 // counter is a SubMachine that counts its commands.
 type counter struct{ N int }
 
@@ -125,7 +128,9 @@
 		t.Errorf("resend after a restore gave %+v", r.Fleet)
 	}
 	send(t, after, Reading{"a", 20}, createTeam(1, "t2"))
-	if diff := cmp.Diff(&recorder{revisions: []uint64{1, 2}, replaced: 1}, seen, cmp.AllowUnexported(recorder{})); diff != "" {
+	send(t, after, Reading{"a", 20}, acquire("h2")) // refused: not reported
+	send(t, after, Reading{"a", 20}, acquire("h1"))
+	if diff := cmp.Diff(&recorder{revisions: []uint64{1, 2}, replaced: 1, fences: []uint64{1}}, seen, cmp.AllowUnexported(recorder{})); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -136,11 +141,21 @@
 	}
 }
 
-func TestNewerCommandStopsTheProcess(t *testing.T) {
-	defer func() {
-		if v, ok := recover().(*invariant.Violation); !ok || v.Name != "log-readable" {
-			t.Errorf("recovered %v, want a violation of log-readable", v)
-		}
-	}()
-	New(nil, nil).Apply(1, []byte(`{"version":99}`))
+func TestUnreadableCommandStopsTheProcess(t *testing.T) {
+	tests := []struct{ name, entry string }{
+		{"newer version", `{"version":99}`},
+		{"unknown part", `{"version":1,"quota":{}}`},
+		{"unknown kind of change", `{"version":1,"fleet":{"change_id":"c","changes":[{"rename_team":{}}]}}`},
+		{"no JSON", `entry`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			defer func() {
+				if v, ok := recover().(*invariant.Violation); !ok || v.Name != "log-readable" {
+					t.Errorf("recovered %v, want a violation of log-readable", v)
+				}
+			}()
+			New(nil, nil).Apply(1, []byte(tt.entry))
+		})
+	}
 }
