--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -21,7 +21,7 @@
 
 // Error implements error.
 func (e *FormatError) Error() string {
-	return "malformed data: " + e.Detail + "; check that the sender runs the same version"
+	return "malformed data: " + e.Detail + "; check that its writer runs the same version"
 }
 
 func appendBool(buf []byte, v bool) []byte {
--- a/internal/consensus/errors.go
+++ b/internal/consensus/errors.go
@@ -53,3 +53,12 @@
 func (e *RefusedError) Error() string {
 	return fmt.Sprintf("refused, %s: %s", e.Reason, remedies[e.Reason])
 }
+
+// ConfigError reports a setting out of range.
+type ConfigError struct {
+	Problem string
+	Remedy  string
+}
+
+// Error implements error.
+func (e *ConfigError) Error() string { return e.Problem + ": " + e.Remedy }
--- a/internal/fsys/fsys.go
+++ b/internal/fsys/fsys.go
@@ -176,5 +176,13 @@
 	return f.Sync()
 }
 
+// StrayFileError reports a file that does not belong in a folder of the program's own.
+type StrayFileError struct{ Name string }
+
+// Error implements error.
+func (e *StrayFileError) Error() string {
+	return fmt.Sprintf("file %s is none of the program's: move it out of the data folder", e.Name)
+}
+
 // TempSuffix ends the names of files that were not completed.
 const TempSuffix = ".tmp"
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -4,7 +4,6 @@
 package replica
 
 import (
-	"errors"
 	"log/slog"
 	"time"
 
@@ -95,11 +94,11 @@
 func (c Config) validate() error {
 	switch {
 	case c.ID == 0:
-		return errors.New("replica id is 0: set a positive id that no other replica ever had")
+		return &consensus.ConfigError{Problem: "replica id is 0", Remedy: "set a positive one that no other replica ever had"}
 	case c.Dir == "":
-		return errors.New("replica has no data folder: set one")
+		return &consensus.ConfigError{Problem: "replica has no data folder", Remedy: "set one"}
 	case c.TickInterval < 0:
-		return errors.New("tick interval is negative: set a positive one")
+		return &consensus.ConfigError{Problem: "tick interval is negative", Remedy: "set a positive one"}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/storage/identity.go
@@ -0,0 +1,123 @@
+package storage
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	iofs "io/fs"
+
+	"filberthook/internal/consensus"
+	"filberthook/internal/fsys"
+)
+
+const identityFile = "identity.json"
+
+// identity belongs to one data folder for its whole life.
+type identity struct {
+	ID          uint64             `json:"id"`
+	Incarnation uint64             `json:"incarnation"`
+	Members     []consensus.Member `json:"members"` // first members of the group
+	// Exclusion is kept so that a restart does not ask the group again.
+	Exclusion consensus.Exclusion `json:"exclusion,omitempty"`
+}
+
+// initialMembership returns the first members when the replica is one of them. Any
+// other replica starts with none and waits to be added.
+func (id identity) initialMembership() consensus.Membership {
+	m := consensus.NewMembership(id.Members)
+	if _, ok := m.Find(id.ID); !ok {
+		return consensus.Membership{}
+	}
+	return m
+}
+
+func loadIdentity(o Options) (identity, error) {
+	var id identity
+	data, err := o.FS.ReadFile(o.path(identityFile))
+	if errors.Is(err, iofs.ErrNotExist) {
+		return createIdentity(o)
+	}
+	if err != nil {
+		return id, fmt.Errorf("read identity: %w", err)
+	}
+	if err := json.Unmarshal(data, &id); err != nil || id.Incarnation == 0 {
+		return id, &FolderError{"identity file is damaged", "join this host as a learner with a new replica id and an empty data folder"}
+	}
+	if id.ID != o.ID {
+		return id, &FolderError{fmt.Sprintf("data folder belongs to replica %d, settings say %d", id.ID, o.ID), "correct the settings or choose another folder"}
+	}
+	if id.Exclusion != consensus.ExclusionNone {
+		return id, &ExcludedError{ID: id.ID, Exclusion: id.Exclusion}
+	}
+	return id, nil
+}
+
+func createIdentity(o Options) (identity, error) {
+	id := identity{ID: o.ID, Members: o.Members}
+	for _, folder := range []string{logFolder, snapshotFolder} {
+		names, err := o.FS.List(o.path(folder))
+		if err == nil && len(names) > 0 {
+			return id, &FolderError{"data folder has contents but no identity file", "start with an empty folder and a new replica id"}
+		}
+	}
+	source := o.Random
+	if source == nil {
+		source = rand.Reader
+	}
+	var random [8]byte
+	for id.Incarnation == 0 {
+		if _, err := io.ReadFull(source, random[:]); err != nil {
+			return id, fmt.Errorf("draw incarnation: %w", err)
+		}
+		id.Incarnation = binary.LittleEndian.Uint64(random[:])
+	}
+	return id, saveIdentity(o, id)
+}
+
+func saveIdentity(o Options, id identity) error {
+	data, err := json.Marshal(id)
+	if err != nil {
+		return fmt.Errorf("encode identity: %w", err)
+	}
+	if err := fsys.WriteFile(o.FS, o.path(identityFile), data); err != nil {
+		return fmt.Errorf("write identity: %w", err)
+	}
+	return nil
+}
+
+// Exclude marks the data folder as never to be used again and returns the
+// *ExcludedError that opening it will give from now on.
+func (s *Storage) Exclude(e consensus.Exclusion) error {
+	s.identity.Exclusion = e
+	if err := saveIdentity(s.options, s.identity); err != nil {
+		return err
+	}
+	return &ExcludedError{ID: s.identity.ID, Exclusion: e}
+}
+
+// ExcludedError reports a data folder whose replica is no member any more.
+type ExcludedError struct {
+	ID        uint64
+	Exclusion consensus.Exclusion
+}
+
+// Error implements error.
+func (e *ExcludedError) Error() string {
+	cause := "was removed from the group"
+	if e.Exclusion == consensus.ExclusionDiskLost {
+		cause = "is known to the group with another data folder"
+	}
+	return fmt.Sprintf("replica %d %s: join with an empty data folder and a new replica id", e.ID, cause)
+}
+
+// FolderError reports a data folder that cannot be used.
+type FolderError struct {
+	Problem string
+	Remedy  string
+}
+
+// Error implements error.
+func (e *FolderError) Error() string { return e.Problem + ": " + e.Remedy }
