Let a transport read a message's sender

Cause: the core trusts the sender that a message names; only the transport knows the peer's certificate. Change: consensus.MessageSender reads it without decoding the rest. Conclusion: the transport can compare the two.

--- a/internal/consensus/codec.go
+++ b/internal/consensus/codec.go
@@ -115,6 +115,17 @@
 	return m, m.validate()
 }
 
+// MessageSender returns the replica that an encoded message names as its sender,
+// so that a transport can compare it with the peer that sent it.
+func MessageSender(data []byte) (uint64, error) {
+	if len(data) < 2 || data[0] != messageVersion {
+		return 0, &FormatError{Detail: "message header"}
+	}
+	d := decoder{buf: data[2:]}
+	from := d.uvarint()
+	return from, d.err
+}
+
 // validate checks what the algorithm takes for granted about a message.
 func (m *Message) validate() error {
 	if m.Type == 0 || m.Type >= messageTypeEnd {
--- a/internal/consensus/codec_test.go
+++ b/internal/consensus/codec_test.go
@@ -37,6 +37,9 @@
 		if diff := cmp.Diff(&m, got, cmpopts.EquateEmpty()); diff != "" {
 			t.Errorf("round trip (-want +got):\n%s", diff)
 		}
+		if from, err := consensus.MessageSender(consensus.EncodeMessage(&m)); from != m.From || err != nil {
+			t.Errorf("sender %d, error %v, want %d", from, err, m.From)
+		}
 	}
 }
 
@@ -68,6 +71,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			_, _ = consensus.MessageSender(c.data) // must not panic
 			var format *consensus.FormatError
 			if _, err := consensus.DecodeMessage(c.data); !errors.As(err, &format) {
 				t.Errorf("decoding gave %v", err)
