Fault runs: a resend of a call that ran must not be refused as not run

Cause: the audit looked at not_run only for calls whose every answer said so. A caller that resends a booking under its key after a broken answer and reads not run would book again under another key. Change: each refusal of a booking that says not run is checked against the services' records of earlier sends; the count is a violation of its own.

--- a/internal/faultrun/ledger.go
+++ b/internal/faultrun/ledger.go
@@ -25,6 +25,7 @@
 	Doubled     int `json:"doubled"`       // calls that ran more than once against their nature
 	Phantom     int `json:"phantom"`       // whole answers to calls that never ran
 	FalseNotRun int `json:"false_not_run"` // refusals that said not run of calls that ran
+	DeniedRun   int `json:"denied_run"`    // answers to resends that said not run although an earlier send under the key had run
 	CutByChange int `json:"cut_by_change"` // requests cut by orders or by graceful stops
 	Conflicts   int `json:"conflicts"`     // orders that reached an engine during another one
 	StaleTaken  int `json:"stale_taken"`   // orders that took effect after one with a higher fencing number
@@ -33,7 +34,7 @@
 
 // Sum returns the number of violations.
 func (v Violations) Sum() int {
-	return v.Wrong + v.Lost + v.Doubled + v.Phantom + v.FalseNotRun + v.CutByChange + v.Conflicts + v.StaleTaken + v.LateWork
+	return v.Wrong + v.Lost + v.Doubled + v.Phantom + v.FalseNotRun + v.DeniedRun + v.CutByChange + v.Conflicts + v.StaleTaken + v.LateWork
 }
 
 // Calls counts the sessions of one class by their end.
@@ -183,6 +184,14 @@
 	}
 }
 
+// denied records an answer that said not run although the call had run before.
+func (l *ledger) denied(r loadgen.Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.report.Violations.DeniedRun++
+	l.note("key %s ran, and a resend was refused as not run with code %s", r.Key, r.Code)
+}
+
 // end is how a session ended.
 type end uint8
 
--- a/internal/faultrun/run.go
+++ b/internal/faultrun/run.go
@@ -139,6 +139,16 @@
 	return b.ledger.audit(bookings, chats, orders)
 }
 
+// ran reports whether a booking has run at any service.
+func (b *bench) ran(key string) bool {
+	for _, w := range b.services {
+		if w.service.Ran(key) {
+			return true
+		}
+	}
+	return false
+}
+
 func addRuns(to, runs map[string]int) {
 	for key, n := range runs {
 		to[key] += n
--- a/internal/faultrun/sessions.go
+++ b/internal/faultrun/sessions.go
@@ -111,7 +111,11 @@
 	unknown, onlyNotRun := 0, true
 	var last loadgen.Result
 	for ctx.Err() == nil {
+		before := isBooking(key) && c.bench.ran(key)
 		last = c.attempt(ctx, calls, send)
+		if before && last.Outcome == loadgen.NotRun {
+			c.ledger.denied(last)
+		}
 		onlyNotRun = onlyNotRun && last.Outcome == loadgen.NotRun
 		switch last.Outcome {
 		case loadgen.Whole:
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -156,6 +156,13 @@
 	return maps.Clone(s.runs)
 }
 
+// Ran reports whether an idempotency key has run, at least in part.
+func (s *Service) Ran(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key] > 0
+}
+
 func (s *Service) announcement() engineapi.Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
