--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
 	"filberthook/internal/fleet"
@@ -229,6 +230,45 @@
 	})
 }
 
+// healLimit is the longest time until a change is in force at a host after a cut
+// has ended, in virtual time: one watch, one pause and one answer.
+const healLimit = WatchWait + WatchGrace + retryMax + 500*time.Millisecond
+
+// TestCutOffZoneGoesOn cuts a host off, with a replica of its zone or without
+// any, and lets it go on with its last configuration until the cut ends.
+func TestCutOffZoneGoesOn(t *testing.T) {
+	for _, withReplica := range []bool{true, false} {
+		t.Run(fmt.Sprint("with a replica ", withReplica), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(3)
+				g.commit(t)
+				c := g.watcher(t, "")
+				settle(time.Second)
+				own := g.replicas[0]
+				own.cut.Store(true)
+				for _, r := range g.replicas {
+					r.down.Store(!withReplica || r != own)
+				}
+				g.commit(t)
+				for range 60 {
+					settle(time.Second)
+					wantRevision(t, c, 1)
+				}
+				if s := c.Status(); s.Age < 50*time.Second {
+					t.Errorf("the host takes its configuration for %s old after a cut of a minute", s.Age)
+				}
+				for _, r := range g.replicas {
+					r.down.Store(false)
+				}
+				own.cut.Store(false)
+				own.catchUp()
+				settle(healLimit)
+				wantRevision(t, c, 2)
+			})
+		})
+	}
+}
+
 // TestColdStartPrefersAConfirmedReplica starts a host without a disk while the
 // first replica lags; the host must not take the older revision.
 func TestColdStartPrefersAConfirmedReplica(t *testing.T) {
@@ -297,6 +337,7 @@
 		{"missing delta", WatchResponse{Revision: 6, Deltas: []json.RawMessage{delta(6)}}, 4, true},
 		{"deltas end early", WatchResponse{Revision: 6, Deltas: []json.RawMessage{delta(5)}}, 4, true},
 		{"older configuration", WatchResponse{Revision: 5, Configuration: delta(3)}, 4, false},
+		{"configuration of another revision", WatchResponse{Revision: 5, Configuration: delta(6)}, 4, true},
 		{"older answer", WatchResponse{Revision: 3}, 4, false},
 	}
 	for _, tt := range tests {
@@ -349,7 +390,7 @@
 	g.commit(t)
 	mux := peer.NewMux()
 	registry := g.replicas[0].registry
-	Register(mux, g.replicas[0].hub, registry)
+	Register(mux, g.replicas[0].hub, registry, metrics.NewSet())
 	address := servePeer(t, mux)
 	client := peer.NewClient(address, peer.Options{Self: peer.Identity{Host: "h1", Zone: "bio"}})
 	t.Cleanup(func() { client.Close() })
