Fault runs ask later for the end of bookings; loads name their class

Cause: callers are told to ask for an unknown end by key, and nothing tried it; loads sent a number that entry hosts do not read. Change: after all faults have healed, each booking of unknown end is asked for by GET /v1/requests/bookings/{key} and compared with the services' records; loads send X-Priority-Class.

--- a/internal/faultrun/ledger.go
+++ b/internal/faultrun/ledger.go
@@ -45,6 +45,7 @@
 	Abandoned int `json:"abandoned"` // ended with a refusal that said not run
 	Unknown   int `json:"unknown"`   // ended with an honest "may have run"
 	NeverRan  int `json:"never_ran"` // of the unknown ones, those that never ran
+	Told      int `json:"told"`      // of the unknown ones, those whose answer was got by asking later
 }
 
 // Report is what became of a run.
@@ -70,8 +71,8 @@
 		name string
 		Calls
 	}{{"chats", r.Chats}, {"bookings", r.Bookings}, {"status", r.Status}} {
-		fmt.Fprintf(w, "%-9s %d sessions, %d attempts: %d whole, %d refused as not run, %d unknown of which %d never ran\n",
-			c.name, c.Sessions, c.Attempts, c.Whole, c.Abandoned, c.Unknown, c.NeverRan)
+		fmt.Fprintf(w, "%-9s %d sessions, %d attempts: %d whole, %d refused as not run, %d unknown (%d never ran, %d told later)\n",
+			c.name, c.Sessions, c.Attempts, c.Whole, c.Abandoned, c.Unknown, c.NeverRan, c.Told)
 	}
 	printCounts(w, "attempts ", r.Outcomes)
 	printCounts(w, "refusals ", r.Codes)
@@ -192,6 +193,30 @@
 	l.note("key %s ran, and a resend was refused as not run with code %s", r.Key, r.Code)
 }
 
+// asked records the answer to a caller that asked later for the end of a
+// booking.
+func (l *ledger) asked(key string, r loadgen.Result, ran bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case r.Outcome == loadgen.Whole:
+		l.report.Bookings.Told++
+	case r.Outcome == loadgen.Wrong:
+		l.report.Violations.Wrong++
+		l.note("asked for %s: %v", key, r.Err)
+	case r.Outcome == loadgen.NotRun && ran:
+		l.report.Violations.DeniedRun++
+		l.note("asked for %s: it ran, and was said not to have run with code %s", key, r.Code)
+	}
+}
+
+// unknownBookings returns the keys of the bookings whose end is not known.
+func (l *ledger) unknownBookings() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.unknown)
+}
+
 // end is how a session ended.
 type end uint8
 
--- a/internal/faultrun/run.go
+++ b/internal/faultrun/run.go
@@ -60,6 +60,7 @@
 		return Report{}, err
 	}
 	s.underFaults(ctx, cfg, plan)
+	s.askLater(ctx)
 	return b.audit(), ctx.Err()
 }
 
--- a/internal/faultrun/sessions.go
+++ b/internal/faultrun/sessions.go
@@ -91,12 +91,28 @@
 // book makes one booking and resends it under its key until its end is known.
 func (c *caller) book(ctx context.Context) {
 	key := c.key(bookingPrefix)
-	body := []byte(`{"passenger":"` + key + `"}`)
 	c.session(ctx, &c.ledger.report.Bookings, key, func(ctx context.Context, to *loadgen.Caller) loadgen.Result {
-		return to.CallThrough(ctx, "/services/"+c.bench.sys.Service, "/bookings", key, body)
+		return to.CallThrough(ctx, "/services/"+c.bench.sys.Service, bookingPath, key, bookingBody(key))
 	})
 }
 
+// bookingPath is the path of bookings at the service.
+const bookingPath = "/bookings"
+
+func bookingBody(key string) []byte { return []byte(`{"passenger":"` + key + `"}`) }
+
+// askLater asks for the end of each booking whose end is not known. All faults
+// must have healed.
+func (s *sessions) askLater(ctx context.Context) {
+	for i, key := range s.ledger.unknownBookings() {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		to := s.callers[i%len(s.callers)]
+		r := to.Ask(limited, s.bench.sys.Service, bookingPath, key, bookingBody(key))
+		cancel()
+		s.ledger.asked(key, r, s.bench.ran(key))
+	}
+}
+
 // status makes one status read.
 func (c *caller) status(ctx context.Context) {
 	key := c.key("status-")
--- a/internal/loadgen/caller.go
+++ b/internal/loadgen/caller.go
@@ -34,6 +34,10 @@
 	headerClass       = "X-Priority-Class"
 )
 
+// pathRequests begins the path under which callers ask for the end of an earlier
+// call.
+const pathRequests = "/v1/requests/"
+
 // Caller calls one entry host or endpoint on behalf of a team.
 type Caller struct {
 	address string
@@ -64,7 +68,6 @@
 	MaxTokens int
 	Stream    bool
 	Key       string // idempotency key; empty sends none
-	Priority  int    // 0 sends none
 	Deadline  time.Duration
 	Class     string // priority class at an entry host; empty sends none
 
@@ -88,7 +91,6 @@
 	if err != nil {
 		return Result{Outcome: Broken, Err: err}
 	}
-	setNumber(req, engineapi.HeaderPriority, int64(chat.Priority))
 	setNumber(req, engineapi.HeaderDeadline, chat.Deadline.Milliseconds())
 	setNumber(req, headerLastEventID, int64(chat.ResumeFrom))
 	if chat.Class != "" {
@@ -121,7 +123,12 @@
 	if err != nil {
 		return Result{Outcome: Broken, Err: err}
 	}
-	return c.send(req, func(r *Result, resp *http.Response, start time.Time) error {
+	return c.send(req, verifyService(path, key, body))
+}
+
+// verifyService returns what verifies the answer to a call to a plain service.
+func verifyService(path, key string, body []byte) func(*Result, *http.Response, time.Time) error {
+	return func(r *Result, resp *http.Response, start time.Time) error {
 		var got standin.ServiceAnswer
 		if err := readJSON(r, resp.Body, start, &got); err != nil {
 			return err
@@ -130,7 +137,17 @@
 			return &WrongAnswerError{err.Error()}
 		}
 		return nil
-	})
+	}
+}
+
+// Ask asks an entry host for the end of an earlier call to a plain service, and
+// verifies the answer if there is one.
+func (c *Caller) Ask(ctx context.Context, endpoint, path, key string, body []byte) Result {
+	req, err := c.request(ctx, http.MethodGet, pathRequests+endpoint+"/"+key, "", nil)
+	if err != nil {
+		return Result{Outcome: Broken, Err: err}
+	}
+	return c.send(req, verifyService(path, key, body))
 }
 
 // Status sends a status read to a plain service and verifies its answer.
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -31,18 +31,17 @@
 type shape struct {
 	promptLow, promptHigh int
 	outputLow, outputHigh int
-	priority              int
 }
 
 // shapeOf returns the sizes of a class; model is false for service classes.
 func shapeOf(c Class) (s shape, model bool) {
 	switch c {
 	case ClassSummary:
-		return shape{3000, 9000, 150, 300, 1}, true
+		return shape{3000, 9000, 150, 300}, true
 	case ClassCheck:
-		return shape{40, 200, 8, 30, 0}, true
+		return shape{40, 200, 8, 30}, true
 	case ClassLookup:
-		return shape{400, 1500, 60, 150, 3}, true
+		return shape{400, 1500, 60, 150}, true
 	}
 	return shape{}, false
 }
@@ -213,7 +212,7 @@
 	}
 	prompt, output := prompts.Between(s.promptLow, s.promptHigh), prompts.Between(s.outputLow, s.outputHigh)
 	subject := uint64(prompts.Between(1, max(l.cfg.Subjects, 1)))
-	c.chat = Chat{Model: cmp.Or(l.cfg.Endpoint, l.cfg.Model), Engine: l.cfg.Model, Prompt: prompts.Prompt(subject, prompt, output), Stream: i%4 != 0, Priority: s.priority, Deadline: l.cfg.Timeout}
+	c.chat = Chat{Model: cmp.Or(l.cfg.Endpoint, l.cfg.Model), Engine: l.cfg.Model, Prompt: prompts.Prompt(subject, prompt, output), Stream: i%4 != 0, Class: string(class), Deadline: l.cfg.Timeout}
 	return c
 }
 
