--- /dev/null
+++ b/internal/experiment/targets_test.go
@@ -0,0 +1,78 @@
+//go:build !race
+
+// A run has one goroutine and takes minutes under the race detector; the other
+// tests of the package run policies under it.
+
+package experiment
+
+import (
+	"context"
+	"testing"
+)
+
+// Targets of the users for every trace that the fleet can carry.
+const (
+	leastOfBound       = 0.95
+	goodputChanges     = 0.25 // of the reactive planner's role changes
+	fewChanges         = 0.10
+	fewChangesMostLoss = 0.02
+)
+
+// TestTargets runs the shift of the token mix for both deployments against the
+// baselines.
+func TestTargets(t *testing.T) {
+	tests := []struct {
+		fleet    string
+		policies []string
+	}{
+		{"asociacion", []string{nameRoundRobin, nameReactive, nameGoodput, nameFewChanges, nameMixed}},
+		{"liggetidsnemnd", allNames},
+	}
+	for _, tt := range tests {
+		t.Run(tt.fleet, func(t *testing.T) {
+			s, err := LoadScenario(scenarioDir + "/" + tt.fleet + "-shift.toml")
+			if err != nil {
+				t.Fatal(err)
+			}
+			c, err := Run(context.Background(), s, tt.policies, []uint64{1}, 2)
+			if err != nil {
+				t.Fatal(err)
+			}
+			runs := make(map[string]Result)
+			for _, r := range c.Runs {
+				runs[r.Policy] = r
+			}
+			checkTargets(t, runs)
+		})
+	}
+}
+
+func checkTargets(t *testing.T, runs map[string]Result) {
+	t.Helper()
+	best := 0
+	for _, name := range baselineNames {
+		best = max(best, runs[name].Good)
+	}
+	for _, name := range []string{nameGoodput, nameFewChanges, nameMixed} {
+		r := runs[name]
+		if r.OfBound < leastOfBound {
+			t.Errorf("%s: %.3f of the bound, want %v", name, r.OfBound, leastOfBound)
+		}
+		if r.Good <= best {
+			t.Errorf("%s: %d good answers, best baseline %d", name, r.Good, best)
+		}
+		if r.Cut != 0 {
+			t.Errorf("%s: role changes cut %d attempts", name, r.Cut)
+		}
+	}
+	reactive, goodput, few := runs[nameReactive], runs[nameGoodput], runs[nameFewChanges]
+	if limit := goodputChanges * float64(reactive.RoleChanges); float64(goodput.RoleChanges) > limit {
+		t.Errorf("goodput weights: %d role changes, limit %.1f", goodput.RoleChanges, limit)
+	}
+	if limit := fewChanges * float64(reactive.RoleChanges); float64(few.RoleChanges) > limit {
+		t.Errorf("few-changes weights: %d role changes, limit %.1f", few.RoleChanges, limit)
+	}
+	if loss := goodput.OfOffered - few.OfOffered; loss > fewChangesMostLoss {
+		t.Errorf("few-changes weights lose %.3f of the answers, limit %v", loss, fewChangesMostLoss)
+	}
+}
