--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -15,6 +15,9 @@
 // plotBin is the number of seconds that one point of a plot covers.
 const plotBin = 5
 
+// legendShare is the part of the time axis added for the legend.
+const legendShare = 0.35
+
 // Size of a plot.
 const (
 	plotWidth  = 9 * vg.Inch
@@ -158,8 +161,7 @@
 	p.X.Label.Text = "seconds"
 	p.Y.Label.Text = unit
 	p.Y.Min = 0
-	p.Legend.Top = false
-	p.Legend.Left = true
+	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
 	for i, l := range lines {
 		if len(l.points) == 0 {
@@ -175,6 +177,7 @@
 		p.Add(drawn)
 		p.Legend.Add(l.name, drawn)
 	}
+	p.X.Max += legendShare * (p.X.Max - p.X.Min)
 	if err := p.Save(plotWidth, plotHeight, path); err != nil {
 		return fmt.Errorf("plot %s: %w", path, err)
 	}
