--- a/internal/fleet/memory.go
+++ b/internal/fleet/memory.go
@@ -1,8 +1,8 @@
 package fleet
 
 // MaxOutcomes is the number of change ids that are remembered. A change whose
-// id was forgotten cannot be applied twice either: its expected revision is
-// then older than the newest revision, which is a conflict.
+// id was forgotten cannot be applied twice either when it is sent again with the
+// revision that it expected at first: that is a conflict then.
 const MaxOutcomes = 4096
 
 // MaxAudit is the number of accepted commands kept in the state. Older ones
