--- /dev/null
+++ b/internal/controlnode/main_test.go
@@ -0,0 +1,21 @@
+package controlnode
+
+import (
+	"net/http"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// closingTests closes the connections of the tests' HTTP client after the tests.
+type closingTests struct{ *testing.M }
+
+// Run implements goleak.TestingM.
+func (m closingTests) Run() int {
+	code := m.M.Run()
+	http.DefaultClient.CloseIdleConnections()
+	return code
+}
+
+// TestMain checks that stopped nodes leave no goroutine behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(closingTests{m}) }
