--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -254,8 +254,9 @@
 	if r.Err != nil || r.Revision != 3 {
 		t.Fatalf("restore gave %+v", r)
 	}
-	if len(r.Delta.Endpoints) != 2 || len(r.Delta.Teams) != 0 {
-		t.Errorf("restore touches %d endpoints and %d teams, want the 2 changed endpoints only", len(r.Delta.Endpoints), len(r.Delta.Teams))
+	if len(r.Delta.Endpoints) != 2 || len(r.Delta.Teams) != 0 || r.Delta.Policy != nil {
+		t.Errorf("restore touches %d endpoints, %d teams and policy %v, want the 2 changed endpoints only",
+			len(r.Delta.Endpoints), len(r.Delta.Teams), r.Delta.Policy)
 	}
 	c := f.Configuration()
 	if _, ok := c.Endpoints["extra"]; ok || len(c.Endpoints["summaries"].Approved) != 1 {
--- a/internal/fleet/restore.go
+++ b/internal/fleet/restore.go
@@ -30,8 +30,11 @@
 	replace(&d.delta.Operators, d.base.Operators, a.Backup.Operators, func(o *Operator) *uint64 { return &o.Revision }, rev)
 	replace(&d.delta.Declarations, d.base.Declarations, a.Backup.Declarations, func(e *Declaration) *uint64 { return &e.Revision }, rev)
 	policy := a.Backup.Policy
-	policy.Revision = rev
-	d.delta.Policy = &policy
+	policy.Revision = d.base.Policy.Revision
+	if policy != d.base.Policy {
+		policy.Revision = rev
+		d.delta.Policy = &policy
+	}
 	return nil
 }
 
