--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -33,8 +33,11 @@
 		overheadCommand(app),
 		runCommand(app),
 		faultsCommand(app),
+		liveCommand(app),
 		slopesCommand(app),
 		soakCommand(app),
+		stormCommand(app),
+		claimsCommand(app),
 	}
 	experiment.Register(app) // runs during Parse
 	chosen, err := app.Parse(os.Args[1:])
