Bound the connections of callers

Cause: body, queue and answer memory were bounded, idle connections were not. Change: limit.Listener closes connections beyond callers.max_connections at once and counts them; it keeps CloseWrite, which the HTTP server needs so that a caller that still sends can read its refusal. Conclusion: memory per host stays bounded also against idle callers.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"net"
 
 	"filberthook/internal/claimlog"
 	"filberthook/internal/controlnode"
 	"filberthook/internal/history"
+	"filberthook/internal/limit"
 	"filberthook/internal/middleware"
 	"filberthook/internal/operator"
 	"filberthook/internal/proxy"
@@ -29,6 +31,14 @@
 	n.metrics.NewGauge("filberthook_requests_in_flight", func() float64 { return float64(n.callers.Stop.UnderWay()) })
 }
 
+// callerListener bounds the connections of callers.
+func (n *Node) callerListener() net.Listener {
+	refused := n.metrics.GetOrCreateCounter("filberthook_connections_refused_total")
+	ln := limit.NewListener(n.listeners.Callers, n.set.Callers.MaxConnections, refused)
+	n.metrics.GetOrCreateGauge("filberthook_connections_open", func() float64 { return float64(ln.Open()) })
+	return ln
+}
+
 // notApplied reports whether a call to a replica surely had no effect.
 func notApplied(err error) bool {
 	var na *operator.NotAppliedError
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -202,7 +202,7 @@
 	callers := n.server(n.callers)
 	announce := n.server(newAnnounceHandler(n.gossip, n.self(), n.metrics))
 	status := n.server(n.statusHandler())
-	group.Go(func() error { return ignoreClosed(callers.Serve(n.listeners.Callers)) })
+	group.Go(func() error { return ignoreClosed(callers.Serve(n.callerListener())) })
 	group.Go(func() error { return ignoreClosed(announce.Serve(n.listeners.Announce)) })
 	group.Go(func() error { return ignoreClosed(status.Serve(n.listeners.Status)) })
 	n.log.Info("entry host serves", "callers", n.listeners.Callers.Addr().String())
--- /dev/null
+++ b/internal/limit/listener_test.go
@@ -0,0 +1,52 @@
+package limit
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+func TestListenerClosesConnectionsBeyondItsLimit(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := metrics.NewSet().NewCounter("refused")
+	l := NewListener(ln, 1, refused)
+	accepted := make(chan net.Conn)
+	go func() {
+		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+			accepted <- conn
+		}
+		close(accepted)
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	dial()
+	first := <-accepted
+	if _, ok := first.(interface{ CloseWrite() error }); !ok {
+		t.Error("the HTTP server cannot close one side of the connection")
+	}
+	if _, err := dial().Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the second connection read %v, want its end", err)
+	}
+	first.Close()
+	first.Close()
+	dial()
+	second := <-accepted
+	if l.Open() != 1 || refused.Get() != 1 {
+		t.Errorf("%d open and %d refused, want 1 and 1", l.Open(), refused.Get())
+	}
+	second.Close()
+	ln.Close()
+	<-accepted
+}
--- a/internal/settings/callers.go
+++ b/internal/settings/callers.go
@@ -13,16 +13,21 @@
 // EntryCallers holds the limits of callers' requests.
 type EntryCallers struct {
 	middleware.Settings
-	Claiming claimlog.Settings `toml:"claiming"` // proposals of claims
-	Proxy    proxy.Settings    `toml:"proxy"`    // attempts at endpoint instances
+	MaxConnections int               `toml:"max_connections"` // of callers to this host
+	Claiming       claimlog.Settings `toml:"claiming"`        // proposals of claims
+	Proxy          proxy.Settings    `toml:"proxy"`           // attempts at endpoint instances
 }
 
+// DefaultMaxConnections is the number of connections of callers to one host.
+const DefaultMaxConnections = 8192
+
 // DefaultEntryCallers returns the limits used when none are set.
 func DefaultEntryCallers() EntryCallers {
 	return EntryCallers{
-		Settings: middleware.DefaultSettings(),
-		Claiming: claimlog.DefaultSettings(),
-		Proxy:    proxy.DefaultSettings(),
+		Settings:       middleware.DefaultSettings(),
+		MaxConnections: DefaultMaxConnections,
+		Claiming:       claimlog.DefaultSettings(),
+		Proxy:          proxy.DefaultSettings(),
 	}
 }
 
@@ -57,6 +62,7 @@
 func (s *EntryCallers) limits() []limit {
 	seconds := func(d tomltime.Duration) float64 { return d.Seconds() }
 	list := []limit{
+		{"max_connections", float64(s.MaxConnections)},
 		{"body.max_bytes", float64(s.Body.MaxBytes)},
 		{"deadline.max", seconds(s.Deadline.Max)},
 		{"gate.slots", float64(s.Gate.Slots)},
--- a/internal/settings/callers_test.go
+++ b/internal/settings/callers_test.go
@@ -27,7 +27,7 @@
 	for line := range strings.Lines(exampleEntry(t)) {
 		text, comment := strings.CutPrefix(line, "# ")
 		if comment && strings.HasPrefix(text, "[") {
-			in = strings.HasPrefix(text, "[callers.")
+			in = strings.HasPrefix(text, "[callers")
 		}
 		if comment && in {
 			out.WriteString(text)
