Bound the non-repeatable calls that outlast their callers

Cause: a call goes on when its caller leaves or its deadline passes, but its slot and its team's place were free again, so slow services could gather calls without a bound. Change: claims.max_running bounds them; beyond it calls are refused as queue_full, not run, before a claim is made.

--- a/internal/middleware/claims.go
+++ b/internal/middleware/claims.go
@@ -20,14 +20,19 @@
 
 // ClaimSettings bound the life of claims.
 type ClaimSettings struct {
-	Host      string            `toml:"-"`         // name of this entry host
-	Grace     tomltime.Duration `toml:"grace"`     // time after the deadline for which an answer is still waited for
-	Retention tomltime.Duration `toml:"retention"` // as the control group keeps keys
+	Host       string            `toml:"-"`           // name of this entry host
+	Grace      tomltime.Duration `toml:"grace"`       // time after the deadline for which an answer is still waited for
+	Retention  tomltime.Duration `toml:"retention"`   // as the control group keeps keys
+	MaxRunning int               `toml:"max_running"` // calls under way, those whose caller has left included
 }
 
 // DefaultClaims returns the settings used when none are set.
 func DefaultClaims() ClaimSettings {
-	return ClaimSettings{Grace: tomltime.Of(30 * time.Second), Retention: tomltime.Of(claim.DefaultLimits().Retention)}
+	return ClaimSettings{
+		Grace:      tomltime.Of(30 * time.Second),
+		Retention:  tomltime.Of(claim.DefaultLimits().Retention),
+		MaxRunning: 4096,
+	}
 }
 
 // HeaderReplayed marks an answer that was stored by an earlier send of the same
@@ -41,11 +46,12 @@
 	log      *claimlog.Client
 	next     http.Handler
 	running  sync.WaitGroup // calls under way, those whose caller has left included
+	places   chan struct{}  // holds one item for each of them
 }
 
 // NewClaims returns the handler.
 func NewClaims(settings ClaimSettings, log *claimlog.Client, next http.Handler) *Claims {
-	return &Claims{settings: settings, log: log, next: next}
+	return &Claims{settings: settings, log: log, next: next, places: make(chan struct{}, settings.MaxRunning)}
 }
 
 // Drain waits until every non-repeatable call has ended and its outcome is in
@@ -74,18 +80,33 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
+	select {
+	case h.places <- struct{}{}:
+	default:
+		c.Refuse(w, request.Refuse(request.QueueFull, "%d non-repeatable calls are under way", cap(h.places)))
+		return
+	}
 	cmd := h.command(c, r)
+	if !h.claim(w, r, c, cmd) {
+		<-h.places
+		return
+	}
+	h.run(w, r, c, cmd)
+}
+
+// claim reports whether the claim was granted; when not, it answers the call.
+func (h *Claims) claim(w http.ResponseWriter, r *http.Request, c *call.Call, cmd claim.Command) bool {
 	res, err := h.log.Claim(r.Context(), cmd)
 	if err != nil {
 		c.Refuse(w, claimRefusal(err))
-		return
+		return false
 	}
 	if res.Status != claim.Granted {
 		answerFromClaim(w, c, res)
-		return
+		return false
 	}
 	c.Request.Claimed()
-	h.run(w, r, c, cmd)
+	return true
 }
 
 func (h *Claims) command(c *call.Call, r *http.Request) claim.Command {
@@ -125,6 +146,7 @@
 	done := make(chan struct{})
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), cmd.Hold)
 	h.running.Go(func() {
+		defer func() { <-h.places }()
 		defer close(done)
 		defer cancel()
 		h.next.ServeHTTP(rec, r.WithContext(ctx))
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -114,13 +114,15 @@
 		confirm(w, r)
 	})
 	log := newMemoryLog()
-	a, b := newEntry(t, log, []string{s.address()}), newEntry(t, log, []string{s.address()})
+	a := newEntry(t, log, []string{s.address()}, func(o *options) { o.middleware.Claims.MaxRunning = 1 })
+	b := newEntry(t, log, []string{s.address()})
 	a.book("k", "chair 7", engineapi.HeaderDeadline, "50").want(t, request.InProgress)
+	a.book("k2", "chair 8").want(t, request.QueueFull) // the first call still runs
 	b.book("k", "chair 7").want(t, request.InProgress)
 	close(hold)
 	settle(t, a)
-	late := b.book("k", "chair 7")
-	check(t, late, "")
+	check(t, b.book("k", "chair 7"), "")
+	check(t, a.book("k2", "chair 8"), "")
 	if got := s.ran("k"); got != 1 {
 		t.Errorf("%d runs, want 1", got)
 	}
--- a/internal/settings/callers.go
+++ b/internal/settings/callers.go
@@ -71,6 +71,7 @@
 		{"team.tokens_per_second", s.Team.TokensPerSecond},
 		{"team.token_burst", float64(s.Team.TokenBurst)},
 		{"claims.grace", seconds(s.Claims.Grace)},
+		{"claims.max_running", float64(s.Claims.MaxRunning)},
 		{"claims.retention", seconds(s.Claims.Retention)},
 		{"pace.read_timeout", seconds(s.Pace.ReadTimeout)},
 		{"pace.write_timeout", seconds(s.Pace.WriteTimeout)},
