Live placement follows the policy's newest rules

Change: the entry host tells the router which hosts share the zone's engines, at every change of membership; the scheduler refuses what would be too late where it would run, with advice when to come back; the meter counts mean lengths.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,10 +169,30 @@
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Metrics: n.metrics,
 		Logger:  n.log,
+		OnEvent: func(membership.Event) { n.tellRouter() },
 	}, n.dir, n.board, n.listeners.Gossip)
+	if err == nil {
+		n.tellRouter()
+	}
 	return err
 }
 
+// tellRouter tells the router which entry hosts share the engines.
+func (n *Node) tellRouter() {
+	local := []string{n.set.Host}
+	all := 1
+	for _, m := range n.gossip.Members() {
+		if !m.Reachable() {
+			continue
+		}
+		all++
+		if m.Zone == n.set.Zone {
+			local = append(local, m.Name)
+		}
+	}
+	n.router.SetPeers(n.set.Host, local, all)
+}
+
 func (n *Node) self() membership.Host {
 	return membership.Host{
 		Name:     n.set.Host,
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -30,6 +30,8 @@
 
 // waiter is a request in a queue.
 type waiter struct {
+	place    Placement
+	arrived  time.Duration
 	req      *routing.Request
 	decision routing.Decision
 	err      error
@@ -57,14 +59,15 @@
 		req.ExpectedOutput = s.expectedOutput(p)
 		req.PromptTokens += p.Generated
 	}
+	w := &waiter{place: p, arrived: s.now(), req: req, done: make(chan struct{})}
 	q := s.queue(req)
 	if q == nil || q.Len() == 0 {
-		d, err := s.startNow(req)
+		d, err := s.startNow(w)
 		if err == nil || q == nil || !waitable(err) {
 			return d, err
 		}
 	}
-	return s.wait(ctx, q, p, req)
+	return s.wait(ctx, q, w)
 }
 
 // expectedOutput estimates the output tokens that are still to come.
@@ -86,20 +89,58 @@
 }
 
 // startNow picks an instance and notes the start. When only instances are left
-// that have failed the request, they are tried again.
-func (s *Scheduler) startNow(req *routing.Request) (routing.Decision, error) {
-	d, err := s.Pick(req)
-	if err != nil && len(req.Exclude) > 0 {
-		req.Exclude = nil
-		d, err = s.Pick(req)
+// that have failed the request, they are tried again. A request that would be
+// too late where it would run is refused.
+func (s *Scheduler) startNow(w *waiter) (routing.Decision, error) {
+	d, err := s.Pick(w.req)
+	if err != nil && len(w.req.Exclude) > 0 {
+		w.req.Exclude = nil
+		d, err = s.Pick(w.req)
 	}
 	if err != nil {
 		return d, err
 	}
-	s.Started(&d, req)
+	if late := s.tooLate(w, &d); late != nil {
+		return d, late
+	}
+	s.Started(&d, w.req)
+	s.meterStart(w, &d)
 	return d, nil
 }
 
+// minReturnAdvice is the least time after which a request that would be too
+// late is worth sending again.
+const minReturnAdvice = time.Second
+
+// tooLate returns the refusal of a request whose answer has not begun and
+// cannot begin in time.
+func (s *Scheduler) tooLate(w *waiter, d *routing.Decision) error {
+	if w.req.Kind != engineapi.KindModel || w.place.Generated > 0 {
+		return nil
+	}
+	waited := s.now() - w.arrived
+	target := s.routing.Targets.Of(w.req.Class).FirstToken.Duration
+	if !s.admission.TooLate(waited, d.FirstToken, target) {
+		return nil
+	}
+	return &admission.RefusedError{
+		ID:         w.req.ID,
+		Reason:     admission.RefusedDeadline,
+		RetryAfter: max(minReturnAdvice, waited+d.FirstToken-target),
+	}
+}
+
+// meterStart counts the work that starts at an engine of the own zone. Answers
+// count with their mean length: the quantile that reserves memory would make
+// the planner see more work than there is.
+func (s *Scheduler) meterStart(w *waiter, d *routing.Decision) {
+	if w.req.Kind != engineapi.KindModel {
+		return
+	}
+	mean := s.lengths.Mean(admission.Key{Team: w.place.Team, Endpoint: w.place.Endpoint})
+	s.meter.Add(w.req.PromptTokens, d.CachedTokens, max(1, int(mean)-w.place.Generated))
+}
+
 // queue returns the queue of the request's model, nil for plain services and
 // when there are too many models.
 func (s *Scheduler) queue(req *routing.Request) *admission.Queue[*waiter] {
@@ -123,19 +164,17 @@
 }
 
 // wait queues the request until it is placed, refused or its caller leaves.
-func (s *Scheduler) wait(ctx context.Context, q *admission.Queue[*waiter], p Placement, req *routing.Request) (routing.Decision, error) {
-	now := s.now()
-	w := &waiter{req: req, done: make(chan struct{})}
+func (s *Scheduler) wait(ctx context.Context, q *admission.Queue[*waiter], w *waiter) (routing.Decision, error) {
 	item := admission.Item[*waiter]{
 		ID:      ident.New(),
-		Team:    p.Team,
-		Class:   req.Class,
-		Pieces:  req.Pieces(),
-		Arrived: now,
-		StartBy: s.startBy(now, p, req),
+		Team:    w.place.Team,
+		Class:   w.req.Class,
+		Pieces:  w.req.Pieces(),
+		Arrived: w.arrived,
+		StartBy: s.startBy(w.arrived, w.place, w.req),
 		Value:   w,
 	}
-	if err := q.Push(now, item); err != nil {
+	if err := q.Push(s.now(), item); err != nil {
 		return routing.Decision{}, err
 	}
 	s.wakeUp()
@@ -149,7 +188,7 @@
 	}
 	<-w.done // it left the queue at the same moment
 	if w.err == nil {
-		s.abandon(&w.decision, req)
+		s.abandon(&w.decision, w.req)
 	}
 	return routing.Decision{}, &CanceledError{Err: ctx.Err()}
 }
@@ -223,7 +262,7 @@
 	}
 	q.Dispatch(now, func(item *admission.Item[*waiter]) bool {
 		w := item.Value
-		d, err := s.startNow(w.req)
+		d, err := s.startNow(w)
 		if err != nil && waitable(err) {
 			return false
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -88,9 +88,6 @@
 // Finished follows.
 func (s *Scheduler) Started(d *routing.Decision, req *routing.Request) {
 	s.router.Started(s.now(), d, req)
-	if req.Kind == engineapi.KindModel {
-		s.meter.Add(req.PromptTokens, d.CachedTokens, req.ExpectedOutput)
-	}
 }
 
 // Finished notes that the attempt has ended, whatever its outcome.
