--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -170,3 +170,46 @@
 		}
 	}
 }
+
+// When an append is lost and nothing follows it, the answers to heartbeats show it.
+func TestLostAppendIsRepeated(t *testing.T) {
+	c, err := consensus.New(consensus.Config{ID: 1, Incarnation: 1, Seed: 1}, consensus.State{Snapshot: consensus.Snapshot{
+		Membership: consensus.NewMembership([]consensus.Member{{ID: 1, Incarnation: 1}, {ID: 2, Learner: true}}),
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	work := func() (appends int) {
+		for rd := c.Ready(); !rd.Empty(); rd = c.Ready() {
+			c.Advance()
+			for _, m := range append(rd.Early, rd.Messages...) {
+				if m.Type == consensus.MessageAppend && len(m.Entries) > 0 {
+					appends++
+				}
+			}
+		}
+		return appends
+	}
+	answer := func(m consensus.Message) {
+		m.From, m.To, m.Incarnation, m.Term = 2, 1, 2, 1
+		if err := c.Step(&m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Tick()
+	work()
+	answer(consensus.Message{Type: consensus.MessageAppendResponse, Index: 1})
+	work()
+	if _, _, err := c.Propose([]byte("command")); err != nil {
+		t.Fatal(err)
+	}
+	if sent := work(); sent != 1 {
+		t.Fatalf("%d appends for a command", sent)
+	}
+	answer(consensus.Message{Type: consensus.MessageHeartbeatResponse})
+	repeated := work()
+	answer(consensus.Message{Type: consensus.MessageHeartbeatResponse})
+	if repeated += work(); repeated != 1 {
+		t.Errorf("lost append was repeated %d times after two heartbeats", repeated)
+	}
+}
--- a/internal/replica/outcomes_test.go
+++ b/internal/replica/outcomes_test.go
@@ -206,3 +206,28 @@
 		})
 	}
 }
+
+// A promotion is complete only once the leader knows that the member holds it.
+func TestHolds(t *testing.T) {
+	leader := consensus.Status{Role: consensus.RoleLeader, Members: []consensus.MemberStatus{{Member: consensus.Member{ID: 4}, Match: 7}}}
+	for _, c := range []struct {
+		name    string
+		status  consensus.Status
+		index   uint64
+		want    bool
+		unknown bool
+	}{
+		{"holds all", leader, 7, true, false},
+		{"lacks one", leader, 8, false, false},
+		{"not a member", consensus.Status{Role: consensus.RoleLeader}, 0, false, false},
+		{"not leader any more", consensus.Status{}, 0, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := holds(c.status, 4, c.index)
+			var unknown *UnknownOutcomeError
+			if got != c.want || errors.As(err, &unknown) != c.unknown {
+				t.Errorf("holds gave %v, %v", got, err)
+			}
+		})
+	}
+}
