--- a/internal/proxy/fakes_test.go
+++ b/internal/proxy/fakes_test.go
@@ -22,6 +22,24 @@
 	server *httptest.Server
 	mu     sync.Mutex
 	runs   map[string]int // by idempotency key; guarded by mu
+	seen   []seenCall     // guarded by mu
+}
+
+// seenCall is one request that reached the service.
+type seenCall struct{ key, attempt string }
+
+// ranBesides counts the runs of a key without the attempts that the service
+// refused as not run.
+func (s *service) ranBesides(key string, refused *sync.Map) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, c := range s.seen {
+		if _, ok := refused.Load(c.attempt); c.key == key && !ok {
+			n++
+		}
+	}
+	return n
 }
 
 // newService starts a service; act makes the answer after the run is counted.
@@ -33,7 +51,9 @@
 	}
 	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		s.runs[r.Header.Get(engineapi.HeaderIdempotencyKey)]++
+		key := r.Header.Get(engineapi.HeaderIdempotencyKey)
+		s.runs[key]++
+		s.seen = append(s.seen, seenCall{key, r.Header.Get(engineapi.HeaderAttemptID)})
 		s.mu.Unlock()
 		w.Header().Set(engineapi.HeaderAttemptID, r.Header.Get(engineapi.HeaderAttemptID))
 		act(w, r)
