--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -28,20 +28,24 @@
 	engineapi.HeaderEngineLoad, engineapi.HeaderIncarnation, engineapi.HeaderRunDisposition,
 }
 
-// copyHeaders copies the headers that are to be passed on.
+// copyHeaders copies the headers that are to be passed on. Those that are the
+// receiver's own stay as they are in to.
 func copyHeaders(to, from http.Header, own []string) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
+	kept := make(map[string]bool, len(hopHeaders)+len(own))
+	for _, name := range hopHeaders {
+		kept[name] = true
+	}
+	for _, name := range own {
+		kept[http.CanonicalHeaderKey(name)] = true
 	}
 	for _, field := range from.Values("Connection") {
 		for name := range strings.SplitSeq(field, ",") {
-			to.Del(strings.TrimSpace(name))
+			kept[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
-	for _, name := range hopHeaders {
-		to.Del(name)
-	}
-	for _, name := range own {
-		to.Del(name)
+	for name, values := range from {
+		if !kept[http.CanonicalHeaderKey(name)] {
+			to[name] = append([]string(nil), values...)
+		}
 	}
 }
