--- a/internal/replica/outcomes_test.go
+++ b/internal/replica/outcomes_test.go
@@ -17,13 +17,13 @@
 
 func (discard) Send(uint64, []byte) {}
 
-// bench is a replica whose loop the test plays itself; so it plays replicas 2 and 3.
-type bench struct {
+// handDriven is a replica whose loop the test plays itself; so it plays replicas 2 and 3.
+type handDriven struct {
 	*Replica
 	t *testing.T
 }
 
-func newBench(t *testing.T) bench {
+func newHandDriven(t *testing.T) handDriven {
 	r, err := Open(Config{
 		ID: 1, Dir: "data", FS: fsys.NewMem(), Members: []Member{{ID: 1}, {ID: 2}, {ID: 3}}, Logger: slog.New(slog.DiscardHandler),
 	}, &journal{}, discard{})
@@ -31,11 +31,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { r.storage.Close() })
-	return bench{r, t}
+	return handDriven{r, t}
 }
 
 // receive steps a message of replica from and does the work that follows.
-func (b bench) receive(from uint64, m consensus.Message) {
+func (b handDriven) receive(from uint64, m consensus.Message) {
 	b.t.Helper()
 	m.From, m.Incarnation, m.To = from, from, 1
 	if err := b.core.Step(&m); err != nil {
@@ -44,7 +44,7 @@
 	b.work()
 }
 
-func (b bench) work() {
+func (b handDriven) work() {
 	b.t.Helper()
 	if err := b.process(); err != nil {
 		b.t.Fatal(err)
@@ -52,7 +52,7 @@
 }
 
 // lead makes the replica the leader of the next term.
-func (b bench) lead() {
+func (b handDriven) lead() {
 	b.t.Helper()
 	for b.core.Role() != consensus.RolePreCandidate {
 		b.handleTick()
@@ -70,7 +70,7 @@
 }
 
 // propose makes n proposals and returns them.
-func (b bench) propose(n int) (list []*proposal) {
+func (b handDriven) propose(n int) (list []*proposal) {
 	for range n {
 		p := &proposal{ctx: context.Background(), data: []byte("command"), done: make(chan outcome, 1)}
 		b.Replica.propose(p)
@@ -81,7 +81,7 @@
 }
 
 // replace lets replica 2 lead the next term and put its own entry after index.
-func (b bench) replace(after, commit uint64) {
+func (b handDriven) replace(after, commit uint64) {
 	s := b.Status()
 	b.receive(2, consensus.Message{
 		Type: consensus.MessageAppend, Term: s.Term + 1, Index: after, LogTerm: s.Term, Commit: commit,
@@ -93,33 +93,33 @@
 func TestOutcomesOfUndecidedProposals(t *testing.T) {
 	cases := []struct {
 		name    string
-		then    func(b bench, last uint64)
+		then    func(b handDriven, last uint64)
 		unknown bool // otherwise surely not applied
 	}{
-		{"another entry committed in its place", func(b bench, last uint64) { b.replace(last-1, last) }, false},
-		{"received snapshot passes it", func(b bench, last uint64) {
+		{"another entry committed in its place", func(b handDriven, last uint64) { b.replace(last-1, last) }, false},
+		{"received snapshot passes it", func(b handDriven, last uint64) {
 			b.receive(2, consensus.Message{Type: consensus.MessageSnapshotChunk, Term: b.Status().Term + 1, Chunk: &consensus.SnapshotChunk{
 				Index: last + 5, Term: b.Status().Term + 1, Membership: consensus.NewMembership([]consensus.Member{{ID: 1}, {ID: 2}, {ID: 3}}),
 				Total: 2, Data: []byte("[]"), Checksum: xxhash.Sum64String("[]"),
 			}})
 		}, true},
-		{"its place is taken in this log alone", func(b bench, last uint64) {
+		{"its place is taken in this log alone", func(b handDriven, last uint64) {
 			b.replace(last-3, 0)
 			b.lead()
 			b.propose(1)
 		}, true},
-		{"leadership lost for long", func(b bench, last uint64) {
+		{"leadership lost for long", func(b handDriven, last uint64) {
 			b.receive(2, consensus.Message{Type: consensus.MessageHeartbeat, Term: b.Status().Term + 1})
 			for range (unresolvedTimeouts + 1) * DefaultElectionTicks {
 				b.handleTick()
 				b.work()
 			}
 		}, true},
-		{"replica stops", func(b bench, _ uint64) { b.stop() }, true},
+		{"replica stops", func(b handDriven, _ uint64) { b.stop() }, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newHandDriven(t)
 			b.lead()
 			list := b.propose(3)
 			c.then(b, b.Status().LastIndex)
@@ -138,7 +138,7 @@
 }
 
 func TestCancelledCallHasUnknownOutcome(t *testing.T) {
-	b := newBench(t)
+	b := newHandDriven(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() {
@@ -160,7 +160,7 @@
 
 // A new group says why it has no leader while a first member is missing.
 func TestFirstStartWaitsForAllMembers(t *testing.T) {
-	b := newBench(t)
+	b := newHandDriven(t)
 	var out bytes.Buffer
 	b.cfg.Logger = slog.New(slog.NewTextHandler(&out, nil))
 	for range 4 * firstStartTimeouts * DefaultElectionTicks {
@@ -189,7 +189,7 @@
 		{"bytes", 100, 20, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			b := newBench(t)
+			b := newHandDriven(t)
 			b.cfg.SnapshotEvery, b.cfg.SnapshotBytes = c.entries, c.bytes
 			b.lead()
 			b.receive(2, consensus.Message{Type: consensus.MessageAppendResponse, Term: 1, Index: 1})
