--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -140,6 +140,29 @@
 	}
 }
 
+func TestTooLate(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name                      string
+		factor                    float64
+		waited, predicted, target time.Duration
+		want                      bool
+	}{
+		{"in time", 0.75, 100 * ms, 600 * ms, 1000 * ms, false},
+		{"late", 0.75, 100 * ms, 700 * ms, 1000 * ms, true},
+		{"off", 0, 100 * ms, 9000 * ms, 1000 * ms, false},
+		{"no target", 0.75, 100 * ms, 9000 * ms, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := Config{LateFactor: tt.factor}
+			if got := cfg.TooLate(tt.waited, tt.predicted, tt.target); got != tt.want {
+				t.Errorf("TooLate = %v", got)
+			}
+		})
+	}
+}
+
 func TestExpireAnswersAtOnce(t *testing.T) {
 	q := newQueue(func(*Config) {})
 	a := item("a", "x", 1, 0)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -18,7 +18,7 @@
 	MaxTeamShare float64           `toml:"max_team_share"`      // largest part of the queue that one calling team may fill
 	AgeStep      tomltime.Duration `toml:"age_step"`            // waiting this long makes a request one class more urgent
 	ReserveAfter tomltime.Duration `toml:"reserve_after"`       // a request that has waited this long is not passed by others
-	LateFactor   float64           `toml:"late_factor"`         // a first token predicted beyond this many targets is refused; 0 refuses none
+	LateFactor   float64           `toml:"late_factor"`         // a first token predicted beyond this share of its target is refused; 0 refuses none
 	Quantile     float64           `toml:"output_quantile"`     // share of answers that the expected length covers
 	PriorOutput  int               `toml:"output_prior_tokens"` // assumed answer length without history
 	Weights      []TeamWeight      `toml:"team_weights"`        // teams that are not listed have weight 1
@@ -37,15 +37,16 @@
 		MaxTeamShare: 0.5,
 		AgeStep:      tomltime.Of(2 * time.Second),
 		ReserveAfter: tomltime.Of(5 * time.Second),
-		LateFactor:   1.5,
+		LateFactor:   0.75,
 		Quantile:     0.8,
 		PriorOutput:  300,
 	}
 }
 
 // TooLate reports whether a request should be refused now, because its first
-// token is predicted too far beyond the target: running it would only make
-// others late.
+// token is predicted too near its target or beyond it: running it would only
+// make others late. Predictions leave out what other entry hosts have sent in
+// the last moments, so a LateFactor below 1 refuses those that would be late.
 func (c *Config) TooLate(waited, predicted, target time.Duration) bool {
 	if c.LateFactor <= 0 || target <= 0 {
 		return false
