--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,7 @@
 	"filberthook/internal/membership"
 	"filberthook/internal/middleware"
 	"filberthook/internal/peer"
+	"filberthook/internal/proxy"
 	"filberthook/internal/request"
 	"filberthook/internal/routing"
 	"filberthook/internal/scheduler"
@@ -43,6 +44,7 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
+	tellLimit         = time.Second // for telling callers that their requests are cut
 )
 
 // demandInterval is the time between two demand reports.
@@ -71,8 +73,8 @@
 	counters  *request.Counters
 	calls     *history.Log
 	stopping  atomic.Bool
-	cancelAll context.CancelFunc // ends the requests under way
-	base      context.Context    // parent of all requests
+	cancelAll func()          // ends the requests under way; their callers are told
+	base      context.Context // parent of all requests
 }
 
 // New assembles a node on open listeners, which it takes over.
@@ -87,7 +89,9 @@
 		meter:     &demand.Meter{},
 		board:     demand.NewBoard(),
 	}
-	n.base, n.cancelAll = context.WithCancel(context.Background())
+	var cancel context.CancelCauseFunc
+	n.base, cancel = context.WithCancelCause(context.Background())
+	n.cancelAll = func() { cancel(proxy.ErrStopped) }
 	s.Routing.Zone = s.Zone
 	n.router = routing.New(s.Routing, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	schedule := scheduler.Settings{Routing: s.Routing, Admission: s.Admission}
@@ -104,6 +108,12 @@
 	return n, nil
 }
 
+// CallersAddress returns the address that serves callers.
+func (n *Node) CallersAddress() string { return n.listeners.Callers.Addr().String() }
+
+// StatusAddress returns the address of metrics, health and the status page.
+func (n *Node) StatusAddress() string { return n.listeners.Status.Addr().String() }
+
 // now is the monotonic clock of the process.
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
@@ -159,10 +169,30 @@
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Metrics: n.metrics,
 		Logger:  n.log,
+		OnEvent: func(membership.Event) { n.tellRouter() },
 	}, n.dir, n.board, n.listeners.Gossip)
+	if err == nil {
+		n.tellRouter()
+	}
 	return err
 }
 
+// tellRouter tells the router which entry hosts share the engines.
+func (n *Node) tellRouter() {
+	local := []string{n.set.Host}
+	all := 1
+	for _, m := range n.gossip.Members() {
+		if !m.Reachable() {
+			continue
+		}
+		all++
+		if m.Zone == n.set.Zone {
+			local = append(local, m.Name)
+		}
+	}
+	n.router.SetPeers(n.set.Host, local, all)
+}
+
 func (n *Node) self() membership.Host {
 	return membership.Host{
 		Name:     n.set.Host,
@@ -192,7 +222,7 @@
 	callers := n.server(n.callers)
 	announce := n.server(newAnnounceHandler(n.gossip, n.self(), n.metrics))
 	status := n.server(n.statusHandler())
-	group.Go(func() error { return ignoreClosed(callers.Serve(n.listeners.Callers)) })
+	group.Go(func() error { return ignoreClosed(callers.Serve(n.callerListener())) })
 	group.Go(func() error { return ignoreClosed(announce.Serve(n.listeners.Announce)) })
 	group.Go(func() error { return ignoreClosed(status.Serve(n.listeners.Status)) })
 	n.log.Info("entry host serves", "callers", n.listeners.Callers.Addr().String())
@@ -241,6 +271,9 @@
 	}
 	cut := &CutError{Requests: n.callers.Stop.UnderWay()}
 	n.cancelAll()
+	told, cancelTold := context.WithTimeout(context.Background(), tellLimit)
+	defer cancelTold()
+	n.callers.Stop.Wait(told)
 	callers.Close()
 	return cut
 }
--- a/internal/replica/outcomes_test.go
+++ b/internal/replica/outcomes_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log/slog"
@@ -156,3 +157,77 @@
 		t.Errorf("cancelled proposal was taken: %v", o.err)
 	}
 }
+
+// A new group says why it has no leader while a first member is missing.
+func TestFirstStartWaitsForAllMembers(t *testing.T) {
+	b := newBench(t)
+	var out bytes.Buffer
+	b.cfg.Logger = slog.New(slog.NewTextHandler(&out, nil))
+	for range 4 * firstStartTimeouts * DefaultElectionTicks {
+		b.handleTick()
+		b.work()
+		if b.core.Role() == consensus.RolePreCandidate {
+			b.receive(2, consensus.Message{Type: consensus.MessagePreVoteResponse, Term: b.Status().Term + 1})
+		}
+	}
+	if role := b.core.Role(); role != consensus.RolePreCandidate {
+		t.Errorf("replica is %s with two of three first members", role)
+	}
+	if !bytes.Contains(out.Bytes(), []byte("start the others")) {
+		t.Errorf("log says %q", out.String())
+	}
+}
+
+func TestSnapshotIsDueByEntriesAndBytes(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		entries, bytes uint64
+		want           bool
+	}{
+		{"neither", 100, 1000, false},
+		{"entries", 3, 1000, true},
+		{"bytes", 100, 20, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.cfg.SnapshotEvery, b.cfg.SnapshotBytes = c.entries, c.bytes
+			b.lead()
+			b.receive(2, consensus.Message{Type: consensus.MessageAppendResponse, Term: 1, Index: 1})
+			b.lastSnapshot, b.appliedBytes = 1, 0 // the first entry is the group's
+			b.writing = false
+			for len(b.snapshots) > 0 {
+				<-b.snapshots
+			}
+			b.propose(3)
+			b.receive(2, consensus.Message{Type: consensus.MessageAppendResponse, Term: 1, Index: 4})
+			if taken := len(b.snapshots) > 0; taken != c.want {
+				t.Errorf("snapshot taken: %v, want %v", taken, c.want)
+			}
+		})
+	}
+}
+
+// A promotion is complete only once the leader knows that the member holds it.
+func TestHolds(t *testing.T) {
+	leader := consensus.Status{Role: consensus.RoleLeader, Members: []consensus.MemberStatus{{Member: consensus.Member{ID: 4}, Match: 7}}}
+	for _, c := range []struct {
+		name    string
+		status  consensus.Status
+		index   uint64
+		want    bool
+		unknown bool
+	}{
+		{"holds all", leader, 7, true, false},
+		{"lacks one", leader, 8, false, false},
+		{"not a member", consensus.Status{Role: consensus.RoleLeader}, 0, false, false},
+		{"not leader any more", consensus.Status{}, 0, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := holds(c.status, 4, c.index)
+			var unknown *UnknownOutcomeError
+			if got != c.want || errors.As(err, &unknown) != c.unknown {
+				t.Errorf("holds gave %v, %v", got, err)
+			}
+		})
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,8 @@
 	queueLength = 4096
 	// batchLength bounds what the loop takes from one queue before it writes.
 	batchLength = 1024
+	// firstStartTimeouts is how many election timeouts pass between two warnings.
+	firstStartTimeouts = 10
 )
 
 // Replica is one running member. All fields below core are used by the loop's
@@ -45,8 +48,9 @@
 	pending      map[uint64]*proposal
 	reads        readQueue
 	waiters      []*waiter
-	lastSnapshot uint64
-	writing      bool // the snapshot writer is busy
+	lastSnapshot uint64 // index
+	appliedBytes uint64 // since the last snapshot
+	writing      bool   // the snapshot writer is busy
 }
 
 // Run serves the replica until ctx ends or the disk fails; a leader then hands over
@@ -129,6 +133,19 @@
 	r.core.Tick()
 	r.expireProposals()
 	r.retryReads()
+	r.warnOfFirstStart()
+}
+
+// warnOfFirstStart tells why a new group has no leader yet.
+func (r *Replica) warnOfFirstStart() {
+	if r.tick%uint64(firstStartTimeouts*r.cfg.ElectionTicks) != 0 {
+		return
+	}
+	s := r.core.Status()
+	if s.Leader == 0 && s.Membership.IsVoter(s.ID) && !s.Membership.Bound() {
+		r.cfg.Logger.Warn("a new group starts only once all of its first members are up: start the others",
+			slog.Uint64("replica", s.ID), slog.Int("members", s.Membership.Voters()))
+	}
 }
 
 // process carries out everything that the core has ready.
@@ -196,6 +213,7 @@
 
 func (r *Replica) apply(e consensus.Entry) {
 	var result any
+	r.appliedBytes += uint64(len(e.Data))
 	if e.Type == consensus.EntryNormal && len(e.Data) > 0 {
 		result = r.machine.Apply(e.Index, e.Data)
 	}
@@ -215,7 +233,7 @@
 	if err := r.machine.Restore(snap.Data); err != nil {
 		return fmt.Errorf("restore received snapshot %d: %w", snap.Index, err)
 	}
-	r.lastSnapshot = snap.Index
+	r.lastSnapshot, r.appliedBytes = snap.Index, 0
 	for index, p := range r.pending {
 		if index <= snap.Index {
 			delete(r.pending, index)
