--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -258,10 +260,24 @@
 	return w, overlap
 }
 
+// seeds returns the number of seeds to run, 15 unless FILBERTHOOK_SEEDS is set.
+func seeds(t *testing.T) uint64 {
+	t.Helper()
+	text := os.Getenv("FILBERTHOOK_SEEDS")
+	if text == "" {
+		return 15
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("FILBERTHOOK_SEEDS: %v", err)
+	}
+	return n
+}
+
 func TestRandomCutsAndDelays(t *testing.T) {
 	accepted := 0
 	for _, checksFence := range []bool{true, false} {
-		for seed := range uint64(15) {
+		for seed := range seeds(t) {
 			w, overlap := chaos(t, seed, checksFence, func(g Granter) Granter { return g })
 			c := w.engines["e1"].counts()
 			accepted += c.Accepted
