--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -4,7 +4,6 @@
 package replica
 
 import (
-	"errors"
 	"log/slog"
 	"time"
 
@@ -52,6 +51,7 @@
 	TickInterval  time.Duration // 0 for DefaultTickInterval
 	ElectionTicks int           // 0 for DefaultElectionTicks
 	SnapshotEvery uint64        // entries between snapshots, 0 for DefaultSnapshotEvery
+	SnapshotBytes uint64        // bytes of commands between snapshots, 0 for DefaultSnapshotBytes
 	Metrics       *metrics.Set  // nil for a private set
 	Logger        *slog.Logger  // nil for the default one
 	FS            fsys.FS       // nil for the operating system's
@@ -63,6 +63,7 @@
 	DefaultTickInterval  = 50 * time.Millisecond
 	DefaultElectionTicks = 10
 	DefaultSnapshotEvery = 10_000
+	DefaultSnapshotBytes = 64 << 20
 )
 
 func (c Config) withDefaults() Config {
@@ -75,6 +76,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
 	}
@@ -90,11 +94,11 @@
 func (c Config) validate() error {
 	switch {
 	case c.ID == 0:
-		return errors.New("replica id is 0: set a positive id that no other replica ever had")
+		return &consensus.ConfigError{Problem: "replica id is 0", Remedy: "set a positive one that no other replica ever had"}
 	case c.Dir == "":
-		return errors.New("replica has no data folder: set one")
+		return &consensus.ConfigError{Problem: "replica has no data folder", Remedy: "set one"}
 	case c.TickInterval < 0:
-		return errors.New("tick interval is negative: set a positive one")
+		return &consensus.ConfigError{Problem: "tick interval is negative", Remedy: "set a positive one"}
 	}
 	return nil
 }
