--- a/internal/lease/gate.go
+++ b/internal/lease/gate.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Gate refuses hopeless acquisitions at a replica, so that hosts that wait for
+// Gate refuses early acquisitions at a replica, so that hosts that wait for
 // a lease do not fill the replicated log. It only ever refuses what the log
 // would refuse too, or what can be asked again later; grants are decided by the
 // log alone. It is safe for concurrent use.
