Hedge slow reads of plain services

Cause: a status read at a paused worker waited until its lease had run out, while an officer is on the phone. Change: a read that takes longer than hedge_after (200 ms) gets a second attempt at another instance, charged to the budget of retries; the first whole answer counts. A request can have two open attempts; the second one opens only while none has answered. The separate hedge budget went: the sum of both would have passed 1.1 attempts per request. Late answers of an own attempt are counted as late, not as crossed.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -32,6 +32,14 @@
 	err      error
 }
 
+// try tells how an attempt is made.
+type try struct {
+	exclude    []string     // instances to avoid while there are others
+	resumeFrom int          // output tokens that the caller has
+	beside     bool         // another attempt stays open
+	picked     func(string) // told the instance when the attempt is dispatched; may be nil
+}
+
 // attempt is one dispatch of a call to an instance.
 type attempt struct {
 	id       string
@@ -51,24 +59,28 @@
 
 // begin picks an instance, sends the call and returns once the head of the
 // answer has arrived and belongs to this attempt. The caller must call end.
-func (p *Proxy) begin(ctx context.Context, r *http.Request, exclude []string, resumeFrom int) (*attempt, *failure) {
+func (p *Proxy) begin(ctx context.Context, r *http.Request, t try) (*attempt, *failure) {
 	c := call.From(r)
+	p.attempts.Inc()
 	if c.Left() <= 0 {
 		return nil, &failure{final: true, refusal: p.deadlinePassed(c)}
 	}
-	a := &attempt{id: ident.New(), call: c, proxy: p, target: p.target(c, exclude)}
-	if err := a.place(ctx, resumeFrom); err != nil {
-		c.History.Tried(history.Attempt{ResumedFrom: resumeFrom, Problem: err.Error()})
+	a := &attempt{id: ident.New(), call: c, proxy: p, target: p.target(c, t.exclude)}
+	if err := a.place(ctx, t.resumeFrom); err != nil {
+		c.History.Tried(history.Attempt{ResumedFrom: t.resumeFrom, Problem: err.Error()})
 		return nil, placeFailure(err)
 	}
-	c.History.Tried(a.decided(resumeFrom))
+	c.History.Tried(a.decided(t.resumeFrom))
 	ctx, a.cancel = context.WithCancel(ctx)
 	if c.Request.Repeatable() {
 		a.watch = startWatch(a)
 	}
 	a.prefill(ctx)
-	c.Request.Dispatch(a.id)
-	if f := a.send(ctx, r, resumeFrom); f != nil {
+	if !a.dispatch(t) {
+		a.end()
+		return nil, a.failure(request.RetryHedge, errAnswered)
+	}
+	if f := a.send(ctx, r, t.resumeFrom); f != nil {
 		a.end()
 		return nil, f
 	}
@@ -79,6 +91,21 @@
 	return a, nil
 }
 
+// errAnswered tells that another attempt was quicker.
+var errAnswered = errors.New("another attempt has answered the request")
+
+// dispatch opens the attempt, unless another one has answered the request.
+func (a *attempt) dispatch(t try) bool {
+	if t.beside {
+		return a.call.Request.DispatchBeside(a.id)
+	}
+	a.call.Request.Dispatch(a.id)
+	if t.picked != nil {
+		t.picked(a.decision.Instance)
+	}
+	return true
+}
+
 // place chooses the instance, waiting for room if need be.
 func (a *attempt) place(ctx context.Context, resumeFrom int) (err error) {
 	c := a.call
@@ -228,7 +255,7 @@
 	a.observe()
 	got := a.resp.Header.Get(engineapi.HeaderAttemptID)
 	if !a.call.Request.Accepts(got) {
-		a.call.Counters.Dropped(request.DropCrossed)
+		a.call.Counters.Dropped(dropReason(got == a.id))
 		a.closeConn()
 		return a.failure(request.RetryCrossed, fmt.Errorf("answer of attempt %q came to attempt %q", got, a.id))
 	}
@@ -241,6 +268,15 @@
 	return nil
 }
 
+// dropReason tells why an answer is dropped: its own attempt is closed, or it
+// belongs to another one.
+func dropReason(own bool) request.DropReason {
+	if own {
+		return request.DropLate
+	}
+	return request.DropCrossed
+}
+
 func (a *attempt) failure(reason request.RetryReason, err error) *failure {
 	a.call.History.Failed(string(reason) + ": " + err.Error())
 	return &failure{reason: reason, instance: a.decision.Instance, err: err}
--- /dev/null
+++ b/internal/proxy/hedge.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"filberthook/internal/call"
+	"filberthook/internal/engineapi"
+	"filberthook/internal/request"
+)
+
+// hedge is one attempt, and a second one beside it when the first is slow.
+type hedge struct {
+	proxy   *Proxy
+	r       *http.Request
+	results chan hedgeResult // room for both, so that neither waits
+	started int              // attempts
+	ended   int
+
+	mu       sync.Mutex
+	instance string // of the first attempt, empty until it is dispatched; guarded by mu
+}
+
+type hedgeResult struct {
+	answer  *answer
+	failure *failure
+}
+
+// hedged makes an attempt. A read of a plain service that takes long gets a
+// second one at another instance, within the budget of retries; the first whole
+// answer counts.
+func (p *Proxy) hedged(r *http.Request, c *call.Call, exclude []string) (*answer, *failure) {
+	after := p.policy(c).HedgeAfter()
+	if after <= 0 || !c.Request.Repeatable() || c.Endpoint.Kind != engineapi.KindService {
+		return p.wholeAttempt(r, try{exclude: exclude})
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	h := &hedge{proxy: p, r: r.WithContext(ctx), results: make(chan hedgeResult, 2)}
+	h.start(try{exclude: exclude, picked: h.picked})
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	for {
+		select {
+		case res := <-h.results:
+			h.ended++
+			if res.failure == nil || h.ended == h.started {
+				h.leaveRest()
+				return res.answer, res.failure
+			}
+		case <-timer.C:
+			h.second(c, exclude, after)
+		}
+	}
+}
+
+func (h *hedge) start(t try) {
+	h.started++
+	go func() {
+		got, f := h.proxy.wholeAttempt(h.r, t)
+		h.results <- hedgeResult{got, f}
+	}()
+}
+
+// picked notes the instance of the first attempt.
+func (h *hedge) picked(instance string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.instance = instance
+}
+
+// second starts the second attempt, unless the first still waits for room.
+func (h *hedge) second(c *call.Call, exclude []string, waited time.Duration) {
+	h.mu.Lock()
+	first := h.instance
+	h.mu.Unlock()
+	if first == "" || !h.proxy.policy(c).Hedge(waited) {
+		return
+	}
+	c.Counters.Retried(request.RetryHedge)
+	h.start(try{exclude: append([]string{first}, exclude...), beside: true})
+}
+
+// leaveRest gives back the memory of an answer that comes too late.
+func (h *hedge) leaveRest() {
+	if h.ended == h.started {
+		return
+	}
+	go func() {
+		if late := <-h.results; late.answer != nil {
+			h.proxy.memory.Return(late.answer.held)
+		}
+	}()
+}
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
@@ -240,3 +241,56 @@
 	}
 	settle(t, e)
 }
+
+// TestSlowReadIsHedged holds a status read at one instance; another answers.
+func TestSlowReadIsHedged(t *testing.T) {
+	hold := make(chan struct{})
+	slow := newService(t, func(w http.ResponseWriter, r *http.Request) {
+		<-hold
+		confirm(w, r)
+	})
+	defer close(hold)
+	quick := newService(t, nil)
+	e := newEntry(t, newMemoryLog(), []string{slow.address(), quick.address()}, func(o *options) {
+		o.proxy.Retry.HedgeAfter = tomltime.Of(10 * time.Millisecond)
+	})
+	check(t, e.do(http.MethodGet, pathBook, ""), "")
+	if got := e.metric(`filberthook_retries_total{reason="hedged"}`); got != 1 {
+		t.Errorf("%d hedged attempts, want 1", got)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	if resp, err := e.send(ctx, http.MethodPost, pathBook, "chair 7"); err == nil {
+		t.Errorf("a booking was answered by another instance: %v", resp.Status)
+	}
+	if got := len(quick.seen); got != 1 {
+		t.Errorf("%d requests reached the other instance, want the read only", got)
+	}
+}
+
+// TestHedgesRace lets answers and second attempts meet at the same moment. A
+// dispatch after the answer would break an invariant and end the process.
+func TestHedgesRace(t *testing.T) {
+	const reads = 400
+	near := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(time.Duration(rand.IntN(2000)) * time.Microsecond)
+		confirm(w, r)
+	}
+	instances := []string{newService(t, near).address(), newService(t, near).address()}
+	e := newEntry(t, newMemoryLog(), instances, func(o *options) {
+		o.proxy.Retry.HedgeAfter = tomltime.Of(time.Millisecond)
+		o.proxy.Retry.Budget.Burst = reads
+	})
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range reads / 8 {
+				check(t, e.do(http.MethodGet, pathBook, ""), "")
+			}
+		})
+	}
+	wg.Wait()
+	if e.metric(`filberthook_retries_total{reason="hedged"}`) == 0 {
+		t.Error("no attempt was hedged")
+	}
+}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -94,8 +94,7 @@
 // attempt streams from one instance. It returns nil after the end of the whole
 // answer.
 func (s *stream) attempt(r *http.Request, exclude []string) *failure {
-	s.proxy.attempts.Inc()
-	a, f := s.proxy.begin(r.Context(), r, exclude, s.delivered)
+	a, f := s.proxy.begin(r.Context(), r, try{exclude: exclude, resumeFrom: s.delivered})
 	if f != nil {
 		return f
 	}
--- a/internal/proxy/whole.go
+++ b/internal/proxy/whole.go
@@ -59,7 +59,7 @@
 func (p *Proxy) whole(r *http.Request, c *call.Call) (*answer, *request.Refusal) {
 	var exclude []string
 	for made := 1; ; made++ {
-		got, f := p.wholeAttempt(r, exclude)
+		got, f := p.hedged(r, c, exclude)
 		if f == nil {
 			return got, nil
 		}
@@ -78,9 +78,8 @@
 	return append(exclude, f.instance)
 }
 
-func (p *Proxy) wholeAttempt(r *http.Request, exclude []string) (*answer, *failure) {
-	p.attempts.Inc()
-	a, f := p.begin(r.Context(), r, exclude, 0)
+func (p *Proxy) wholeAttempt(r *http.Request, t try) (*answer, *failure) {
+	a, f := p.begin(r.Context(), r, t)
 	if f != nil {
 		return nil, f
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -56,6 +56,7 @@
 
 // attempt is one dispatch to an endpoint instance.
 type attempt struct {
+	open         bool // its answer is accepted
 	sent         bool // a byte may have left
 	provenNotRun bool // the instance said that it did not run the attempt
 }
@@ -70,7 +71,6 @@
 	claimed    bool       // the durable claim of a non-repeatable request is granted
 	state      State
 	attempts   map[string]*attempt
-	open       string // newest attempt; answers of others are not accepted
 	outcome    *Refusal
 }
 
@@ -128,10 +128,31 @@
 	r.move(Admitted)
 }
 
-// Dispatch opens a new attempt. The attempt's identifier must be new.
+// Dispatch opens a new attempt in place of all earlier ones, whose answers are
+// not accepted any more. The attempt's identifier must be new.
 func (r *Request) Dispatch(attemptID string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for _, a := range r.attempts {
+		a.open = false
+	}
+	r.dispatch(attemptID)
+}
+
+// DispatchBeside opens a new attempt beside those that are open. It returns
+// false, and opens none, when one of them has answered the request meanwhile.
+func (r *Request) DispatchBeside(attemptID string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != Dispatched {
+		return false
+	}
+	r.dispatch(attemptID)
+	return true
+}
+
+// dispatch expects r.mu to be held.
+func (r *Request) dispatch(attemptID string) {
 	_, seen := r.attempts[attemptID]
 	invariant.Check(!seen, "attempt-id-unique", "request %s: attempt %s dispatched twice", r.id, attemptID)
 	invariant.Check(r.repeatable || r.claimed, "claim-before-dispatch",
@@ -139,8 +160,7 @@
 	invariant.Check(r.repeatable || !r.mayHaveRun(), "at-most-once",
 		"request %s: attempt %s dispatched after a byte of an earlier one may have left", r.id, attemptID)
 	r.move(Dispatched)
-	r.attempts[attemptID] = &attempt{}
-	r.open = attemptID
+	r.attempts[attemptID] = &attempt{open: true}
 }
 
 // Sent records that a byte of the attempt may have left for the instance.
@@ -162,11 +182,12 @@
 }
 
 // Accepts reports whether an answer with this attempt identifier belongs to
-// the open attempt.
+// an open attempt.
 func (r *Request) Accepts(attemptID string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.state.Final() && r.open != "" && r.open == attemptID
+	a := r.attempts[attemptID]
+	return !r.state.Final() && a != nil && a.open
 }
 
 // MayHaveRun reports whether any attempt may have run at an endpoint.
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -96,10 +96,17 @@
 	if r.Accepts("a") || r.Accepts("") || !r.Accepts("b") {
 		t.Error("an answer of a closed attempt is accepted, or the open one is not")
 	}
+	r.DispatchBeside("c")
+	if r.Accepts("a") || !r.Accepts("b") || !r.Accepts("c") {
+		t.Error("an answer of one of two open attempts is not accepted, or a closed one is")
+	}
 	r.Answer()
 	if r.Accepts("b") {
 		t.Error("an answer is accepted after the request ended")
 	}
+	if r.DispatchBeside("d") || r.State() != Answered {
+		t.Error("an attempt was opened after the request ended")
+	}
 }
 
 // TestRandomMovesKeepPromises runs random calls; whatever is not stopped by an
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -12,8 +12,7 @@
 	MaxResumes  int               `toml:"max_resumes"`  // times that one broken stream is taken up again
 	Budget      BudgetSettings    `toml:"budget"`
 	Resume      BudgetSettings    `toml:"resume_budget"` // for streams, which lose more by a refusal
-	Hedge       BudgetSettings    `toml:"hedge_budget"`
-	HedgeAfter  tomltime.Duration `toml:"hedge_after"` // 0 turns hedging off
+	HedgeAfter  tomltime.Duration `toml:"hedge_after"`   // time that a read of a plain service waits alone; 0 turns hedging off
 	Backoff     BackoffSettings   `toml:"backoff"`
 }
 
@@ -24,7 +23,7 @@
 		MaxResumes:  8,
 		Budget:      DefaultBudget(),
 		Resume:      BudgetSettings{Ratio: 0.1, Burst: 256},
-		Hedge:       BudgetSettings{Ratio: 0.02, Burst: 5},
+		HedgeAfter:  tomltime.Of(200 * time.Millisecond),
 		Backoff:     DefaultBackoff(),
 	}
 }
@@ -52,7 +51,6 @@
 	settings Settings
 	retries  *Budget
 	resumes  *Budget
-	hedges   *Budget
 }
 
 // NewPolicy returns a Policy with full budgets.
@@ -61,7 +59,6 @@
 		settings: s,
 		retries:  NewBudget(s.Budget),
 		resumes:  NewBudget(s.Resume),
-		hedges:   NewBudget(s.Hedge),
 	}
 }
 
@@ -69,7 +66,6 @@
 func (p *Policy) First() {
 	p.retries.First()
 	p.resumes.First()
-	p.hedges.First()
 }
 
 // Retry decides after the failure of attempt number made, from 1. left is the
@@ -98,12 +94,12 @@
 }
 
 // Hedge reports whether a second attempt may start beside a first one that has
-// been under way for waited, and charges it.
+// been under way for waited, and charges it to the budget of retries.
 func (p *Policy) Hedge(waited time.Duration) bool {
 	if p.settings.HedgeAfter.Duration <= 0 || waited < p.settings.HedgeAfter.Duration {
 		return false
 	}
-	return p.hedges.Take()
+	return p.retries.Take()
 }
 
 // HedgeAfter returns how long an attempt runs alone; 0 when hedging is off.
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -93,11 +93,12 @@
 
 func TestHedge(t *testing.T) {
 	s := DefaultSettings()
+	s.HedgeAfter = tomltime.Of(0)
 	if NewPolicy(s).Hedge(time.Hour) {
 		t.Error("hedged although hedging is off")
 	}
 	s.HedgeAfter = tomltime.Of(time.Second)
-	s.Hedge = BudgetSettings{Burst: 1}
+	s.Budget = BudgetSettings{Burst: 1}
 	p := NewPolicy(s)
 	if p.Hedge(time.Millisecond) || !p.Hedge(time.Second) || p.Hedge(time.Second) {
 		t.Error("hedging ignores its delay or its budget")
