Host certificates carry zone and roles

Cause: any host with a certificate of the CA could name another zone, whose lease it then got, and send messages of the replicated log. Change: certificates name host, zone and roles; the handshake refuses a host that says otherwise; calls between replicas need the role control. New test cases for both in TestClusterOverTLS fail without the checks.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -133,7 +133,7 @@
 	dir := t.TempDir()
 	steps := [][]string{
 		{"keys", "ca", "--dir", dir},
-		{"keys", "host", "c1", "--ip", "127.0.0.1", "--dir", dir},
+		{"keys", "host", "c1", "--zone", "bio", "--role", "control", "--ip", "127.0.0.1", "--dir", dir},
 		{"keys", "check", filepath.Join(dir, "c1.pem")},
 		{"keys", "gossip", "--file", filepath.Join(dir, "gossip.key")},
 		{"key", "new"},
@@ -154,7 +154,7 @@
 // TestOverTLS issues certificates by the command line and uses them.
 func TestOverTLS(t *testing.T) {
 	dir, operators := t.TempDir(), testnet.Address()
-	for _, args := range [][]string{{"keys", "ca", "--dir", dir}, {"keys", "host", "c1", "--ip", operators.Addr().String(), "--dir", dir}} {
+	for _, args := range [][]string{{"keys", "ca", "--dir", dir}, {"keys", "host", "c1", "--zone", "bio", "--role", "control", "--ip", operators.Addr().String(), "--dir", dir}} {
 		if got := run(args...); got.code != ExitOK {
 			t.Fatalf("%v: %+v", args, got)
 		}
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -12,6 +11,7 @@
 
 	"filberthook/internal/fleet"
 	"filberthook/internal/keys"
+	"filberthook/internal/peer"
 )
 
 func (a *app) addKey(parser *kingpin.Application) {
@@ -40,9 +40,17 @@
 
 	host := parent.Command("host", "Issue the certificate of a host.")
 	name := host.Arg("host", "Name of the host, as in its settings.").Required().String()
+	zone := host.Flag("zone", "Availability zone of the host, as in its settings.").Required().String()
+	roles := host.Flag("role", "What the host runs: entry or control; repeat it for both.").Required().Enums(string(peer.RoleEntry), string(peer.RoleControl))
 	addresses := host.Flag("ip", "IP number that the host is dialed at; repeat it for more.").Required().IPList()
 	hostDir := host.Flag("dir", "Folder with the CA, to write to.").Default("keys").String()
-	a.command(host, func(context.Context) error { return a.newHost(*hostDir, *name, *addresses) })
+	a.command(host, func(context.Context) error {
+		h := keys.Host{Name: *name, Zone: *zone, Addresses: *addresses}
+		for _, role := range *roles {
+			h.Roles = append(h.Roles, peer.Role(role))
+		}
+		return a.newHost(*hostDir, h)
+	})
 
 	gossip := parent.Command("gossip", "Make the key that entry hosts sign their packets with; the same file goes to every entry host.")
 	gossipFile := gossip.Flag("file", "File to write.").Default("keys/gossip.key").String()
@@ -68,16 +76,16 @@
 	return nil
 }
 
-func (a *app) newHost(dir, host string, addresses []net.IP) error {
+func (a *app) newHost(dir string, host keys.Host) error {
 	ca, err := readPair(filepath.Join(dir, "ca.pem"), filepath.Join(dir, "ca.key"))
 	if err != nil {
 		return err
 	}
-	pair, err := keys.NewHost(ca, host, addresses, time.Now())
+	pair, err := keys.NewHost(ca, host, time.Now())
 	if err != nil {
 		return usage("%w", err)
 	}
-	certificate, key := filepath.Join(dir, host+".pem"), filepath.Join(dir, host+".key")
+	certificate, key := filepath.Join(dir, host.Name+".pem"), filepath.Join(dir, host.Name+".key")
 	if err := pair.Write(certificate, key); err != nil {
 		return usage("%w", err)
 	}
--- a/internal/controlnode/calls.go
+++ b/internal/controlnode/calls.go
@@ -50,23 +50,23 @@
 
 // registerReplicaCalls registers the calls of other replicas.
 func (n *Node) registerReplicaCalls() {
-	peer.Handle(n.mux, methodPropose, func(ctx context.Context, _ peer.Identity, req proposeRequest) (statemachine.Response, error) {
+	handleReplica(n.mux, methodPropose, func(ctx context.Context, req proposeRequest) (statemachine.Response, error) {
 		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 		defer cancel()
 		return n.group.serveProposal(ctx, req)
 	})
-	peer.Handle(n.mux, methodReports, func(context.Context, peer.Identity, reportsRequest) (reportsResponse, error) {
+	handleReplica(n.mux, methodReports, func(context.Context, reportsRequest) (reportsResponse, error) {
 		return reportsResponse{Reports: n.registry.Reports()}, nil
 	})
-	peer.Handle(n.mux, methodMembers, func(context.Context, peer.Identity, membersRequest) (membersResponse, error) {
+	handleReplica(n.mux, methodMembers, func(context.Context, membersRequest) (membersResponse, error) {
 		return membersOf(n.replica.Status()), nil
 	})
-	peer.Handle(n.mux, methodChangeMember, func(ctx context.Context, _ peer.Identity, change operator.MemberChange) (changeMemberResponse, error) {
+	handleReplica(n.mux, methodChangeMember, func(ctx context.Context, change operator.MemberChange) (changeMemberResponse, error) {
 		ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
 		defer cancel()
 		return changeMemberResponse{}, wireOutcome(n.group.changeMemberHere(ctx, change))
 	})
-	peer.Handle(n.mux, methodRaft, func(_ context.Context, _ peer.Identity, batch raftBatch) (struct{}, error) {
+	handleReplica(n.mux, methodRaft, func(_ context.Context, batch raftBatch) (struct{}, error) {
 		for _, msg := range batch.Messages {
 			if err := n.replica.Receive(msg); err != nil {
 				return struct{}{}, err
@@ -76,6 +76,17 @@
 	})
 }
 
+// handleReplica registers a call that only other control replicas may make.
+func handleReplica[Req, Resp any](mux *peer.Mux, method string, fn func(context.Context, Req) (Resp, error)) {
+	peer.Handle(mux, method, func(ctx context.Context, from peer.Identity, req Req) (Resp, error) {
+		if err := from.Require(peer.RoleControl); err != nil {
+			var none Resp
+			return none, err
+		}
+		return fn(ctx, req)
+	})
+}
+
 // countLease counts a planner's lease command by its outcome.
 func (n *Node) countLease(kind lease.Kind, outcome string) {
 	if !kind.Known() {
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -33,7 +33,7 @@
 // cluster is a control group whose nodes run in this process.
 type cluster struct {
 	t     *testing.T
-	tls   func(host, address string) settings.TLS
+	tls   tlsFunc
 	nodes []*running
 }
 
@@ -66,11 +66,11 @@
 }
 
 func startCluster(t *testing.T, size int) *cluster {
-	return startClusterWith(t, size, func(string, string) settings.TLS { return settings.TLS{} })
+	return startClusterWith(t, size, func(string, string, string) settings.TLS { return settings.TLS{} })
 }
 
 // startClusterWith starts nodes with the TLS settings of their hosts.
-func startClusterWith(t *testing.T, size int, tls func(host, address string) settings.TLS) *cluster {
+func startClusterWith(t *testing.T, size int, tls tlsFunc) *cluster {
 	t.Helper()
 	c := &cluster{t: t, tls: tls}
 	var members []settings.ControlMember
@@ -95,7 +95,7 @@
 		Listen:  settings.ControlListen{Peers: m.Address, Operators: testnet.String(), Status: testnet.String()},
 		Replica: r,
 		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
-		TLS:     c.tls(fmt.Sprint("c", m.ID), m.Address),
+		TLS:     c.tls(fmt.Sprint("c", m.ID), m.Zone, m.Address),
 	}})
 }
 
--- a/internal/controlnode/tls_test.go
+++ b/internal/controlnode/tls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -37,10 +38,10 @@
 }
 
 // tls returns the settings of a host with a new certificate for its address.
-func (i *issuer) tls(host, address string) settings.TLS {
+func (i *issuer) tls(host, zone, address string, role peer.Role) settings.TLS {
 	i.t.Helper()
 	ip := netip.MustParseAddrPort(address).Addr().AsSlice()
-	pair, err := keys.NewHost(i.ca, host, []net.IP{ip}, time.Now())
+	pair, err := keys.NewHost(i.ca, keys.Host{Name: host, Zone: zone, Roles: []peer.Role{role}, Addresses: []net.IP{ip}}, time.Now())
 	if err != nil {
 		i.t.Fatal(err)
 	}
@@ -57,20 +58,34 @@
 	return s
 }
 
-// call asks a node for a lease as a host with a certificate of this issuer.
-func (i *issuer) call(address, host string) (lease.Result, error) {
+// tlsFunc returns the TLS settings of a control host at an address.
+type tlsFunc func(host, zone, address string) settings.TLS
+
+// control implements tlsFunc.
+func (i *issuer) control(host, zone, address string) settings.TLS {
+	return i.tls(host, zone, address, peer.RoleControl)
+}
+
+// client returns a client with a certificate of this issuer for an entry host of
+// zone z1, which says that it is of another zone when claimed differs.
+func (i *issuer) client(address, host, claimed string) *peer.Client {
 	i.t.Helper()
-	s := i.tls(host, testnet.String())
+	s := i.tls(host, "z1", testnet.String(), peer.RoleEntry)
 	files := keys.Files{CA: s.CA, Certificate: s.Certificate, Key: s.Key}
 	source, err := keys.Open(files, slog.New(slog.DiscardHandler), metrics.NewSet())
 	if err != nil {
 		i.t.Fatal(err)
 	}
-	client := peer.NewClient(address, peer.Options{Self: peer.Identity{Host: host, Zone: "z1"}, TLS: source.Config()})
-	defer client.Close()
+	client := peer.NewClient(address, peer.Options{Self: peer.Identity{Host: host, Zone: claimed}, TLS: source.Config()})
+	i.t.Cleanup(func() { client.Close() })
+	return client
+}
+
+// acquire asks for the lease of zone z1.
+func acquire(client *peer.Client) (lease.Result, error) {
 	cmd := lease.Command{Kind: lease.Acquire, Holder: lease.Holder{Session: "s"}, TTL: time.Minute}
 	var result lease.Result
-	err = client.Call(context.Background(), authority.MethodLease, cmd, &result)
+	err := client.Call(context.Background(), authority.MethodLease, cmd, &result)
 	return result, err
 }
 
@@ -79,14 +94,22 @@
 func TestClusterOverTLS(t *testing.T) {
 	t.Parallel()
 	own, strangers := newIssuer(t), newIssuer(t)
-	c := startClusterWith(t, 3, own.tls)
+	c := startClusterWith(t, 3, own.control)
 	address := c.nodes[1].settings.Listen.Peers
-	if got, err := own.call(address, "e1"); err != nil || got.Fence != 1 {
+	if got, err := acquire(own.client(address, "e1", "z1")); err != nil || got.Fence != 1 {
 		t.Errorf("a host of the deployment got %+v, %v", got, err)
 	}
-	if _, err := strangers.call(address, "e2"); err == nil {
+	if _, err := acquire(strangers.client(address, "e2", "z1")); err == nil {
 		t.Error("a host with a certificate of another CA was served")
 	}
+	if _, err := acquire(own.client(address, "e4", "z2")); err == nil {
+		t.Error("a host that names another zone than its certificate was served")
+	}
+	var remote *peer.RemoteError
+	entry := own.client(address, "e5", "z1")
+	if err := entry.Call(t.Context(), methodMembers, membersRequest{}, nil); !errors.As(err, &remote) || remote.Code != peer.CodeIdentity {
+		t.Errorf("an entry host made a call between replicas: %v", err)
+	}
 	plain := c.peer(1, "e3")
 	if err := plain.Call(t.Context(), authority.MethodLease, lease.Command{}, nil); err == nil {
 		t.Error("a host without TLS was served")
--- a/internal/keys/issue.go
+++ b/internal/keys/issue.go
@@ -14,6 +14,8 @@
 	"net"
 	"os"
 	"time"
+
+	"filberthook/internal/peer"
 )
 
 // Validity of certificates.
@@ -46,12 +48,31 @@
 	return sign(template, template, key, key)
 }
 
-// NewHost makes a host certificate signed by a CA. The host's name becomes the
-// common name that other hosts check; the addresses are those that it is dialed
-// at.
-func NewHost(ca Pair, host string, addresses []net.IP, now time.Time) (Pair, error) {
-	if host == "" || len(addresses) == 0 {
-		return Pair{}, errors.New("a host certificate needs a host name and an IP number; give both")
+// Host is what a host certificate says.
+type Host struct {
+	Name      string      // as in its settings; the common name
+	Zone      string      // availability zone; the organisational unit
+	Roles     []peer.Role // the organisations
+	Addresses []net.IP    // that the host is dialed at
+}
+
+func (h Host) check() error {
+	if h.Name == "" || h.Zone == "" || len(h.Addresses) == 0 || len(h.Roles) == 0 {
+		return errors.New("a host certificate needs a host name, a zone, a role and an IP number; give them all")
+	}
+	for _, role := range h.Roles {
+		if role != peer.RoleEntry && role != peer.RoleControl {
+			return fmt.Errorf("role %q is unknown; use %s or %s", role, peer.RoleEntry, peer.RoleControl)
+		}
+	}
+	return nil
+}
+
+// NewHost makes a host certificate signed by a CA. Other hosts check its name,
+// zone and roles.
+func NewHost(ca Pair, host Host, now time.Time) (Pair, error) {
+	if err := host.check(); err != nil {
+		return Pair{}, err
 	}
 	parent, signer, err := ca.parse()
 	if err != nil {
@@ -61,13 +82,17 @@
 	if err != nil {
 		return Pair{}, err
 	}
-	template, err := template(host, now, HostValidity)
+	template, err := template(host.Name, now, HostValidity)
 	if err != nil {
 		return Pair{}, err
 	}
+	template.Subject.OrganizationalUnit = []string{host.Zone}
+	for _, role := range host.Roles {
+		template.Subject.Organization = append(template.Subject.Organization, string(role))
+	}
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
-	template.IPAddresses = addresses
+	template.IPAddresses = host.Addresses
 	return sign(template, parent, key, signer)
 }
 
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -19,7 +19,7 @@
 // write issues a host certificate into a folder and returns its files.
 func write(t *testing.T, dir string, ca Pair, host string) Files {
 	t.Helper()
-	pair, err := NewHost(ca, host, loopback, time.Now())
+	pair, err := NewHost(ca, Host{Name: host, Zone: "bio", Roles: []peer.Role{peer.RoleEntry}, Addresses: loopback}, time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,7 +75,7 @@
 
 func whoami(t *testing.T, address string, s *Source, host string) (string, error) {
 	t.Helper()
-	client := peer.NewClient(address, peer.Options{TLS: s.Config(), Self: peer.Identity{Host: host}})
+	client := peer.NewClient(address, peer.Options{TLS: s.Config(), Self: peer.Identity{Host: host, Zone: "bio"}})
 	defer client.Close()
 	var name string
 	err := client.Call(context.Background(), "whoami", struct{}{}, &name)
@@ -151,7 +151,7 @@
 
 func TestHostNeedsMatchingCAKey(t *testing.T) {
 	mixed := Pair{Certificate: newCA(t).Certificate, Key: newCA(t).Key}
-	if _, err := NewHost(mixed, "h", loopback, time.Now()); err == nil {
+	if _, err := NewHost(mixed, Host{Name: "h", Zone: "bio", Roles: []peer.Role{peer.RoleEntry}, Addresses: loopback}, time.Now()); err == nil {
 		t.Error("a key of another CA was accepted")
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,9 +7,11 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -34,11 +36,57 @@
 	DefaultRedialDelay      = 200 * time.Millisecond
 )
 
+// Role is what a process with a certificate may do.
+type Role string
+
+// Roles of processes.
+const (
+	RoleEntry   Role = "entry"   // entry hosts: watch, claim, hold their zone's lease
+	RoleControl Role = "control" // control replicas: also all calls between replicas
+)
+
 // Identity names the process at the other end of a connection.
 type Identity struct {
 	Host     string `json:"host"`
 	Zone     string `json:"zone"`
-	Verified bool   `json:"-"` // true when a client certificate names the host
+	Verified bool   `json:"-"` // a client certificate names host, zone and roles
+	Roles    []Role `json:"-"` // of the certificate
+}
+
+// Require returns an error unless the process has a role. Without TLS, on
+// loopback, every process has all roles.
+func (i Identity) Require(role Role) error {
+	if !i.Verified || slices.Contains(i.Roles, role) {
+		return nil
+	}
+	return &RoleError{Host: i.Host, Role: role}
+}
+
+// RoleError refuses a call of a process whose certificate lacks a role.
+type RoleError struct {
+	Host string `json:"host"`
+	Role Role   `json:"role"`
+}
+
+func (e *RoleError) Error() string {
+	return fmt.Sprintf("the certificate of host %q lacks the role %s: issue one with it", e.Host, e.Role)
+}
+
+// RPCCode implements CodedError.
+func (e *RoleError) RPCCode() int64 { return CodeIdentity }
+
+// certIdentity reads what a host certificate of package keys says: the common
+// name is the host, the organisational unit its zone, the organisations its
+// roles.
+func certIdentity(cert *x509.Certificate) Identity {
+	id := Identity{Host: cert.Subject.CommonName, Verified: true}
+	if units := cert.Subject.OrganizationalUnit; len(units) == 1 {
+		id.Zone = units[0]
+	}
+	for _, role := range cert.Subject.Organization {
+		id.Roles = append(id.Roles, Role(role))
+	}
+	return id
 }
 
 // Options are the settings of a server or client. Zero values take defaults.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -80,7 +80,7 @@
 
 // serveConn runs one connection to its end.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	secured, host, err := s.secure(conn)
+	secured, cert, err := s.secure(conn)
 	if err != nil {
 		s.opts.Logger.Warn("peer connection refused", "remote", conn.RemoteAddr().String(), "err", err)
 		conn.Close()
@@ -89,9 +89,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sess := &session{
-		srv:      s,
-		certHost: host,
-		slots:    make(chan struct{}, s.opts.MaxCalls),
+		srv:   s,
+		cert:  cert,
+		slots: make(chan struct{}, s.opts.MaxCalls),
 	}
 	wrapped := &deadlineConn{Conn: secured, writeTimeout: s.opts.WriteTimeout}
 	stream := jsonrpc2.NewBufferedStream(wrapped, codec{maxBytes: s.opts.MaxMessageBytes})
@@ -113,37 +113,37 @@
 	sess.calls.Wait()
 }
 
-// secure completes TLS, or checks that plaintext is allowed. It returns the
-// host name in the client's certificate, empty for plaintext.
-func (s *Server) secure(conn net.Conn) (net.Conn, string, error) {
+// secure completes TLS, or checks that plaintext is allowed. It returns what
+// the client's certificate says, nothing for plaintext.
+func (s *Server) secure(conn net.Conn) (net.Conn, Identity, error) {
 	if s.opts.TLS == nil {
 		if err := requireLoopback(conn.RemoteAddr()); err != nil {
 			s.refusedPlaintext.Inc()
-			return nil, "", err
+			return nil, Identity{}, err
 		}
-		return conn, "", nil
+		return conn, Identity{}, nil
 	}
 	tc := tls.Server(conn, s.opts.TLS)
 	ctx, cancel := context.WithTimeout(context.Background(), DefaultHandshakeTimeout)
 	defer cancel()
 	if err := tc.HandshakeContext(ctx); err != nil {
 		s.refusedTLS.Inc()
-		return nil, "", err
+		return nil, Identity{}, err
 	}
 	certs := tc.ConnectionState().PeerCertificates
 	if len(certs) == 0 {
 		s.refusedTLS.Inc()
-		return nil, "", errors.New("no client certificate: set tls.certificate and tls.key at the peer")
+		return nil, Identity{}, errors.New("no client certificate: set tls.certificate and tls.key at the peer")
 	}
-	return tc, certs[0].Subject.CommonName, nil
+	return tc, certIdentity(certs[0]), nil
 }
 
 // session is the server's side of one connection.
 type session struct {
-	srv      *Server
-	certHost string
-	slots    chan struct{}
-	calls    sync.WaitGroup
+	srv   *Server
+	cert  Identity // of the client's certificate; not verified without TLS
+	slots chan struct{}
+	calls sync.WaitGroup
 
 	mu   sync.Mutex
 	from *Identity // guarded by mu; nil until the handshake
@@ -206,12 +206,16 @@
 		s.srv.refusedHello.Inc()
 		return nil, &jsonrpc2.Error{Code: CodeVersion, Message: err.Error()}
 	}
-	if s.srv.opts.TLS != nil && h.Host != s.certHost {
-		s.srv.refusedHello.Inc()
-		return nil, &jsonrpc2.Error{Code: CodeIdentity, Message: fmt.Sprintf("host %q does not match certificate %q: issue a certificate for this host", h.Host, s.certHost)}
-	}
 	id := h.Identity
-	id.Verified = s.srv.opts.TLS != nil
+	if s.cert.Verified {
+		if h.Host != s.cert.Host || h.Zone != s.cert.Zone {
+			s.srv.refusedHello.Inc()
+			return nil, &jsonrpc2.Error{Code: CodeIdentity, Message: fmt.Sprintf(
+				"host %q of zone %q does not match its certificate, which is for %q of zone %q: issue a certificate for this host",
+				h.Host, h.Zone, s.cert.Host, s.cert.Zone)}
+		}
+		id = s.cert
+	}
 	s.mu.Lock()
 	s.from = &id
 	s.mu.Unlock()
