End a transfer of leadership that fails

Cause: the call waited for its caller's deadline when the voter did not take over. Change: it is refused once the leader gives up or another voter leads; a test.

--- a/internal/consensus/errors.go
+++ b/internal/consensus/errors.go
@@ -8,6 +8,7 @@
 const (
 	ReasonNotLeader        Reason = "not_leader"
 	ReasonTransferring     Reason = "leadership_transfer"
+	ReasonTransferFailed   Reason = "transfer_timeout"
 	ReasonBusy             Reason = "uncommitted_limit"
 	ReasonSize             Reason = "command_size"
 	ReasonChangePending    Reason = "membership_change_pending"
@@ -27,6 +28,7 @@
 var remedies = map[Reason]string{
 	ReasonNotLeader:        "send the request to the leader",
 	ReasonTransferring:     "retry after the leadership transfer, within an election timeout",
+	ReasonTransferFailed:   "check that the voter is reachable, or choose another one",
 	ReasonBusy:             "retry with backoff",
 	ReasonSize:             "send a command that is not empty and at most 1 MiB long",
 	ReasonChangePending:    "retry once the membership change in progress has been committed",
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -147,6 +147,7 @@
 	Role       Role
 	Term       uint64
 	Leader     uint64 // 0 when unknown
+	Transferee uint64 // voter that is asked to take over, 0 for none; on the leader only
 	Commit     uint64
 	Applied    uint64
 	FirstIndex uint64 // first index still in the log
@@ -159,7 +160,7 @@
 // Status returns the current status.
 func (c *Core) Status() Status {
 	s := Status{
-		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader, Commit: c.log.committed, Applied: c.log.applied,
+		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader, Transferee: c.transferee, Commit: c.log.committed, Applied: c.log.applied,
 		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), Membership: c.membership(), Exclusion: c.excluded,
 	}
 	if c.role != RoleLeader {
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -91,6 +91,19 @@
 	return errors.As(err, &refused) && refused.Reason == reason
 }
 
+// tookOver reports whether a voter leads, or the refusal once the leader gave up.
+func tookOver(s consensus.Status, to uint64) (bool, error) {
+	if s.Leader == to {
+		return true, nil
+	}
+	gaveUp := s.Role == consensus.RoleLeader && s.Transferee != to
+	another := s.Leader != 0 && s.Leader != s.ID
+	if gaveUp || another {
+		return false, &consensus.RefusedError{Reason: consensus.ReasonTransferFailed, Leader: s.Leader}
+	}
+	return false, nil
+}
+
 // holds reports whether a member holds the log up to index. Only a leader knows.
 func holds(s consensus.Status, id, index uint64) (bool, error) {
 	if s.Role != consensus.RoleLeader {
@@ -104,10 +117,11 @@
 	return false, nil
 }
 
-// TransferLeadership hands leadership to a voter and returns once it leads.
+// TransferLeadership hands leadership to a voter and returns once it leads. It is
+// refused when the voter does not take over within an election timeout.
 func (r *Replica) TransferLeadership(ctx context.Context, to uint64) error {
 	start := func() error { return r.refusal(r.core.TransferLeadership(to)) }
-	return r.wait(ctx, func(s consensus.Status) (bool, error) { return s.Leader == to, nil }, start)
+	return r.wait(ctx, func(s consensus.Status) (bool, error) { return tookOver(s, to) }, start)
 }
 
 func (r *Replica) change(ctx context.Context, change consensus.Change) error {
--- a/internal/replica/outcomes_test.go
+++ b/internal/replica/outcomes_test.go
@@ -231,3 +231,25 @@
 		})
 	}
 }
+
+func TestTransferToSilentVoterIsRefused(t *testing.T) {
+	b := newHandDriven(t)
+	b.lead()
+	done := make(chan error)
+	go func() { done <- b.TransferLeadership(context.Background(), 2) }()
+	c := <-b.commands // the loop has taken it
+	c.run(c)
+	b.work()
+	for range 2 * DefaultElectionTicks {
+		b.receive(3, consensus.Message{Type: consensus.MessageHeartbeatResponse, Term: b.Status().Term})
+		b.handleTick()
+		b.work()
+	}
+	var refused *consensus.RefusedError
+	if err := <-done; !errors.As(err, &refused) || refused.Reason != consensus.ReasonTransferFailed {
+		t.Errorf("transfer gave %v", err)
+	}
+	if role := b.core.Role(); role != consensus.RoleLeader {
+		t.Errorf("replica is %s after a failed transfer", role)
+	}
+}
