Measure with ample deadlines; crossed answers always differ

Cause: of 6000 calls of the cost measurement 2853 were refused as deadline_unreachable, because entry hosts expect an engine of usual speed, and cheap refusals made the processor time look small. One run of the tests crossed an answer with a cancelled twin of the same prompt and saw a right answer. Change: overhead and cost send a deadline of 10 minutes and their output length; cost names failures and tells no figure when calls failed; a crossed answer is taken from an attempt whose answer differs.

--- a/internal/loadgen/cost.go
+++ b/internal/loadgen/cost.go
@@ -39,6 +39,8 @@
 	PerToken   time.Duration `json:"per_token_ns"`   // processor time of each further token
 	CallRate   float64       `json:"call_rate"`      // short calls per second that were reached
 	TokenRate  float64       `json:"token_rate"`     // tokens per second of long answers that were reached
+
+	Failures map[string]int `json:"failures,omitempty"` // failed calls by code, or by error without one
 }
 
 // RequestsPerCore returns the short calls that one core carries in a second.
@@ -57,6 +59,13 @@
 // Print writes the report for people.
 func (r CostReport) Print(w io.Writer) {
 	fmt.Fprintf(w, "processor time of the entry host over %d calls, %d failed:\n", r.Calls, r.Failed)
+	for reason, n := range r.Failures {
+		fmt.Fprintf(w, "  failed: %s %d\n", reason, n)
+	}
+	if r.Failed > 0 {
+		fmt.Fprintln(w, "  not told, because failed calls cost less than whole ones")
+		return
+	}
 	fmt.Fprintf(w, "  per request %s: %.0f requests/s per core; reached %.0f requests/s\n", r.PerRequest, r.RequestsPerCore(), r.CallRate)
 	fmt.Fprintf(w, "  per token   %s: %.0f tokens/s per core; reached %.0f tokens/s\n", r.PerToken, r.TokensPerCore(), r.TokenRate)
 }
@@ -81,7 +90,7 @@
 // Cost measures with calls as fast as the workers can make them, in alternating
 // blocks of short and long answers, direct and through the entry host.
 func Cost(ctx context.Context, cfg CostConfig) (CostReport, error) {
-	c := &cost{cfg: cfg, direct: NewCaller(cfg.Direct, ""), entry: NewCaller(cfg.Entry, cfg.TeamKey)}
+	c := &cost{cfg: cfg, direct: NewCaller(cfg.Direct, ""), entry: NewCaller(cfg.Entry, cfg.TeamKey), failures: make(map[string]int)}
 	defer c.direct.Close()
 	defer c.entry.Close()
 	var sums [2][2]block // by length, then by way
@@ -105,6 +114,16 @@
 	cfg    CostConfig
 	direct *Caller
 	entry  *Caller
+
+	mu       sync.Mutex
+	failures map[string]int // guarded by mu
+}
+
+// fail counts a failed call.
+func (c *cost) fail(r Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures[cmp.Or(r.Code, fmt.Sprint(r.Err))]++
 }
 
 // report compares the blocks of short and of long answers, each by way.
@@ -121,6 +140,7 @@
 		PerRequest: added(short),
 		CallRate:   float64(short[1].calls) / short[1].elapsed.Seconds(),
 		TokenRate:  float64(long[1].tokens) / long[1].elapsed.Seconds(),
+		Failures:   c.failures,
 	}
 	r.PerToken = (added(long) - added(short)) / time.Duration(max(c.cfg.Long-c.cfg.Short, 1))
 	return r
@@ -153,7 +173,14 @@
 	prompts := NewPrompts(seed)
 	chats := make([]Chat, c.cfg.Calls)
 	for i := range chats {
-		chats[i] = Chat{Model: c.cfg.Model, Engine: c.cfg.Model, Prompt: prompts.Prompt(seed, c.cfg.Prompt, output), Stream: true}
+		chats[i] = Chat{
+			Model:     c.cfg.Model,
+			Engine:    c.cfg.Model,
+			Prompt:    prompts.Prompt(seed, c.cfg.Prompt, output),
+			MaxTokens: output,
+			Stream:    true,
+			Deadline:  ampleDeadline,
+		}
 		if throughEntry {
 			chats[i].Model = cmp.Or(c.cfg.Endpoint, c.cfg.Model)
 		}
@@ -174,6 +201,7 @@
 				sum.Add(int64(r.Tokens))
 				if r.Outcome != Whole {
 					bad.Add(1)
+					c.fail(r)
 				}
 			}
 		})
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -201,13 +201,19 @@
 
 func TestCostCountsCallsAndTokens(t *testing.T) {
 	_, address := startEngine(t)
-	report, err := Cost(t.Context(), CostConfig{
+	cfg := CostConfig{
 		Direct: address, Entry: address, Model: "m", Calls: 10, Blocks: 2, Workers: 4,
 		Prompt: 20, Short: 1, Long: 20, Timeout: testTimeout, EntryPID: os.Getpid(),
-	})
+	}
+	report, err := Cost(t.Context(), cfg)
 	if err != nil || report.Failed != 0 || report.Calls != 40 || report.TokenRate <= 0 {
 		t.Errorf("report = %+v, %v; want 40 whole calls", report, err)
 	}
+	cfg.Model = "other"
+	report, err = Cost(t.Context(), cfg)
+	if err != nil || report.Failed != 80 || report.Failures[string(enginemodel.RefusedModel)] != 120 {
+		t.Errorf("report = %+v, %v; want all calls refused, with those of the warm-up", report, err)
+	}
 }
 
 func TestClaimsCompareKinds(t *testing.T) {
--- a/internal/loadgen/overhead.go
+++ b/internal/loadgen/overhead.go
@@ -138,6 +138,9 @@
 			Model:  o.cfg.Model,
 			Prompt: prompts.Prompt(uint64(i), o.cfg.Prompt, o.cfg.Output),
 			Stream: true,
+
+			MaxTokens: o.cfg.Output,
+			Deadline:  ampleDeadline,
 		}
 		order := rng.Perm(callsPerPair)
 		if !pacer.wait(ctx) {
@@ -149,6 +152,10 @@
 	return pairs
 }
 
+// ampleDeadline keeps entry hosts from refusing a measured call because they
+// expect a usual engine, which is slower than a stand-in at high speed.
+const ampleDeadline = 10 * time.Minute
+
 // callsPerPair is the number of calls of a pair, with the control.
 const callsPerPair = 3
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -32,7 +32,7 @@
 type EngineConfig struct {
 	Identity
 	Model    enginemodel.Config
-	Speed    float64 // engine seconds per second; 0 stands for 1
+	Speed    float64 // engine seconds per second; 0 stands for 1. Load reports tell engine seconds
 	MaxQueue int     // requests that may wait; 0 sets no limit
 
 	// RecordRuns keeps a count of the runs of each idempotency key. The record
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -290,3 +290,17 @@
 		t.Error("stream was cut by a pause")
 	}
 }
+
+// TestCrossedAnswerDiffers crosses an answer while another attempt with the same
+// answer is held.
+func TestCrossedAnswerDiffers(t *testing.T) {
+	e, _ := startEngine(t, nil)
+	answer := enginemodel.NewAnswer("m", "p", 0)
+	s := &stream{attempt: "a", answer: answer, req: chat("p", true)}
+	e.mu.Lock()
+	e.streams["twin"] = &stream{attempt: "twin", answer: answer}
+	e.mu.Unlock()
+	if got, id := e.another(s); got == answer || id == "twin" {
+		t.Errorf("crossed answer is the one of attempt %s, which is right for this request too", id)
+	}
+}
--- a/internal/standin/writer.go
+++ b/internal/standin/writer.go
@@ -56,12 +56,12 @@
 	return a
 }
 
-// another returns the answer and identifier of another attempt.
+// another returns the answer and identifier of an attempt with another answer.
 func (e *Engine) another(s *stream) (enginemodel.Answer, string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for id, o := range e.streams {
-		if o != s {
+		if o.answer != s.answer {
 			return o.answer, id
 		}
 	}
