--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 
 	"filberthook/internal/engineapi"
 	"filberthook/internal/prefix"
@@ -286,6 +287,59 @@
 	return cands
 }
 
+// TestConcurrentUse picks, starts and ends requests while snapshots, prefixes
+// and peers change; in the end no work may be left.
+func TestConcurrentUse(t *testing.T) {
+	r := newRouter("z0", 1)
+	r.Prepare(fleet(18))
+	var group errgroup.Group
+	for worker := range 4 {
+		group.Go(func() error {
+			for i := range 200 {
+				now := time.Duration(i) * time.Millisecond
+				cands := fleet(18)
+				r.SetPeers("e1", []string{"e1", "e2"}, 8)
+				r.Prepare(cands)
+				req := Request{Model: "m", PromptTokens: 4000, ExpectedOutput: 100, Prefixes: []uint64{uint64(worker), uint64(i)}}
+				d, err := r.Pick(now, &req, cands)
+				if err != nil {
+					return err
+				}
+				r.Started(now, &d, &req)
+				r.Prefixes().Observe(now, d.Instance, 1, uint64(i))
+				r.PrefillDone(now, &d, &req)
+				r.Finished(now, &d, &req)
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for name, own := range r.own {
+		if own.running != 0 || own.pieces != 0 || own.prompts != 0 {
+			t.Errorf("%s keeps %d requests, %d pieces, %d prompt tokens", name, own.running, own.pieces, own.prompts)
+		}
+	}
+}
+
+// BenchmarkPickParallel shows whether decisions wait for each other.
+func BenchmarkPickParallel(b *testing.B) {
+	r := newRouter("z0", 1)
+	cands := fleet(120)
+	r.Prepare(cands)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		req := Request{Model: "m", PromptTokens: 8000, ExpectedOutput: 200, Prefixes: []uint64{1, 2, 3, 4}}
+		for pb.Next() {
+			if _, err := r.Pick(time.Second, &req, cands); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{9, 18, 120, 600} {
 		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
