Control node: lock the data folder

Cause: two processes with different addresses and the same data folder would write one log together; only the listen addresses kept them apart. Change: a file lock that ends with the process; the log lives in a folder below. Conclusion: the second process refuses to start and says why.

--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -10,12 +10,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
 	"filberthook/internal/buildinfo"
+	"filberthook/internal/dirlock"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
 	"filberthook/internal/keys"
@@ -34,8 +36,12 @@
 	sweepInterval   = time.Second
 )
 
+// replicaFolder holds the replicated log within the data folder.
+const replicaFolder = "replica"
+
 // Node is one control daemon.
 type Node struct {
+	lock     *dirlock.Lock // of the data folder
 	settings settings.Control
 	logger   *slog.Logger
 	metrics  *metrics.Set
@@ -76,15 +82,19 @@
 	if err := n.openKeys(); err != nil {
 		return nil, err
 	}
-	// The addresses come first: a second process with the same settings fails on
-	// them before it touches the data folder of the first.
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
+	lock, err := dirlock.Acquire(s.DataDir)
+	if err != nil {
+		n.listeners.close()
+		return nil, err
+	}
+	n.lock = lock
 	n.buildState()
 	if err := n.openReplica(); err != nil {
 		n.listeners.close()
-		return nil, err
+		return nil, errors.Join(err, lock.Release())
 	}
 	n.buildCalls()
 	return n, nil
@@ -137,7 +147,7 @@
 	n.raft = newTransport(n.raftContext, n.raftRPC, n.memberAddress, n.metrics)
 	config := replica.Config{
 		ID:      n.settings.Replica.ID,
-		Dir:     n.settings.DataDir,
+		Dir:     filepath.Join(n.settings.DataDir, replicaFolder),
 		Metrics: n.metrics,
 		Logger:  n.logger,
 	}
@@ -217,7 +227,7 @@
 	}
 	n.logger.Info("control replica started", "id", n.settings.Replica.ID, "revision", n.machine.Configuration().Revision,
 		"peers", n.settings.Listen.Peers, "operators", n.settings.Listen.Operators)
-	err := tasks.Wait()
+	err := errors.Join(tasks.Wait(), n.lock.Release())
 	n.logger.Info("control replica stopped", "err", err)
 	return err
 }
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -20,6 +20,7 @@
 	"filberthook/internal/authority"
 	"filberthook/internal/claim"
 	"filberthook/internal/distribution"
+	"filberthook/internal/dirlock"
 	"filberthook/internal/fleet"
 	"filberthook/internal/lease"
 	"filberthook/internal/operator"
@@ -362,6 +363,12 @@
 	if _, err := New(c.nodes[0].settings, slog.New(slog.DiscardHandler), metrics.NewSet()); err == nil {
 		t.Fatal("a second process started on the same settings")
 	}
+	elsewhere := c.nodes[0].settings
+	elsewhere.Listen = settings.ControlListen{Peers: testnet.String(), Operators: testnet.String(), Status: testnet.String()}
+	var held *dirlock.HeldError
+	if _, err := New(elsewhere, slog.New(slog.DiscardHandler), metrics.NewSet()); !errors.As(err, &held) {
+		t.Fatalf("a second process with other addresses on the same folder: %v, want a HeldError", err)
+	}
 	if got := c.change(0, 1, 1); got.revision != 2 {
 		t.Errorf("after the second start: %+v", got)
 	}
