Entry hosts follow the control group's addresses without a restart

Cause: after a repair at a new address entry hosts went on with the replicas of their settings, so that a second loss could leave them without any. Change: watch answers bring the group's addresses when they differ from what the host was told; package controlpeers repoints the slots whose replica has gone; control.follow = false keeps the settings' addresses (relays, address translation). Conclusion: a repaired group is followed.

--- a/internal/controlnode/calls.go
+++ b/internal/controlnode/calls.go
@@ -20,7 +20,7 @@
 // buildCalls registers the calls of other hosts.
 func (n *Node) buildCalls() {
 	n.mux = peer.NewMux()
-	distribution.Register(n.mux, n.hub, n.registry, n.metrics)
+	distribution.Register(n.mux, n.hub, n.registry, n.memberAddresses, n.metrics)
 	n.registerHostCalls()
 	n.registerReplicaCalls()
 }
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -166,6 +166,15 @@
 	return nil
 }
 
+// memberAddresses returns the addresses of the replicas, learners included.
+func (n *Node) memberAddresses() []string {
+	var out []string
+	for _, m := range n.replica.Status().Members {
+		out = append(out, m.Address)
+	}
+	return out
+}
+
 // memberAddress returns the address of a replica, from the agreed members or,
 // before they are known, from the settings.
 func (n *Node) memberAddress(id uint64) string {
--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -38,8 +38,11 @@
 	Clock    Clock                 // nil takes the process's monotonic clock
 	Random   func() float64        // in [0,1), for jitter; nil takes math/rand
 	Engines  func() []EngineReport // report of the zone's engines, nil when this host is not its planner
-	Logger   *slog.Logger
-	Metrics  *metrics.Set
+	// OnReplicas is told of the control group's addresses when they differ from
+	// those told before; it may be nil.
+	OnReplicas func(addresses []string)
+	Logger     *slog.Logger
+	Metrics    *metrics.Set
 }
 
 // Status is what a host knows of its configuration.
@@ -65,7 +68,8 @@
 	watched     atomic.Pointer[string]
 
 	// The fields below belong to the goroutine of Run.
-	index      int // replica in use
+	index      int    // replica in use
+	addresses  uint64 // sum of the replicas' addresses told last
 	full       bool
 	failed     int // tries in a row that failed
 	started    time.Duration
@@ -201,6 +205,7 @@
 		Full:       c.full,
 		Confirm:    have == 0 && c.confirmedAt.Load() == noConfirmation,
 		WaitMillis: WatchWait.Milliseconds(),
+		Replicas:   c.addresses,
 	}
 	req.Engines = c.engineReport()
 	var resp WatchResponse
@@ -250,9 +255,20 @@
 		return errStale
 	}
 	c.confirmedAt.Store(int64(asked))
+	c.takeReplicas(resp.Replicas)
 	return nil
 }
 
+// takeReplicas passes on the control group's addresses, as a replica that has
+// confirmed its revision tells them.
+func (c *Client) takeReplicas(addresses []string) {
+	if len(addresses) == 0 || c.settings.OnReplicas == nil {
+		return
+	}
+	c.addresses = addressSum(addresses)
+	c.settings.OnReplicas(addresses)
+}
+
 // mustConfirm reports whether an unconfirmed answer is refused: a host without
 // any configuration may have had a newer one before its restart.
 func (c *Client) mustConfirm() bool {
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -390,7 +390,7 @@
 	g.commit(t)
 	mux := peer.NewMux()
 	registry := g.replicas[0].registry
-	Register(mux, g.replicas[0].hub, registry, metrics.NewSet())
+	Register(mux, g.replicas[0].hub, registry, func() []string { return []string{"10.0.0.1:7101", "10.0.0.2:7101"} }, metrics.NewSet())
 	address := servePeer(t, mux)
 	client := peer.NewClient(address, peer.Options{Self: peer.Identity{Host: "h1", Zone: "bio"}})
 	t.Cleanup(func() { client.Close() })
@@ -398,9 +398,14 @@
 	if err := client.Call(context.Background(), MethodWatch, WatchRequest{WaitMillis: 1000}, &resp); err != nil {
 		t.Fatal(err)
 	}
-	if resp.Revision != 1 || len(resp.Deltas) != 1 {
+	if resp.Revision != 1 || len(resp.Deltas) != 1 || len(resp.Replicas) != 2 {
 		t.Errorf("got %+v", resp)
 	}
+	known := WatchRequest{Have: 1, WaitMillis: 1, Replicas: addressSum(resp.Replicas)}
+	resp = WatchResponse{}
+	if err := client.Call(context.Background(), MethodWatch, known, &resp); err != nil || resp.Replicas != nil {
+		t.Errorf("addresses told again: %+v, %v", resp, err)
+	}
 	if reports := registry.Reports(); len(reports) != 1 || reports[0].Host != "h1" {
 		t.Errorf("reports %+v", reports)
 	}
--- a/internal/distribution/protocol.go
+++ b/internal/distribution/protocol.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filberthook/internal/engineapi"
 )
 
@@ -39,7 +41,8 @@
 	Full       bool           `json:"full,omitempty"`    // send the whole configuration
 	Confirm    bool           `json:"confirm,omitempty"` // confirm with the leader before answering
 	WaitMillis int64          `json:"wait_ms"`
-	Engines    []EngineReport `json:"engines,omitempty"` // from the planner that holds the zone's lease
+	Replicas   uint64         `json:"replicas,omitempty"` // sum of the replicas' addresses that the host knows
+	Engines    []EngineReport `json:"engines,omitempty"`  // from the planner that holds the zone's lease
 }
 
 // WatchResponse brings a watcher up to Revision.
@@ -49,6 +52,16 @@
 	Deltas        []json.RawMessage `json:"deltas,omitempty"`        // fleet.Delta, contiguous from Have+1
 	Behind        bool              `json:"behind,omitempty"`        // the replica is older than the watcher
 	Stale         bool              `json:"stale,omitempty"`         // the replica cannot confirm that nothing newer is agreed
+	Replicas      []string          `json:"replicas,omitempty"`      // addresses of the control group, when they differ from the host's
+}
+
+// addressSum sums up a list of addresses, whatever their order.
+func addressSum(addresses []string) uint64 {
+	var sum uint64
+	for _, address := range addresses {
+		sum += xxhash.Sum64String(address)
+	}
+	return sum
 }
 
 // EngineReport is what a planner knows of one engine.
--- a/internal/distribution/server.go
+++ b/internal/distribution/server.go
@@ -11,10 +11,13 @@
 
 // Register serves watchers on a mux. Each watch reports the revision that the
 // host has in force.
-func Register(mux *peer.Mux, hub *Hub, registry *Registry, set *metrics.Set) {
+func Register(mux *peer.Mux, hub *Hub, registry *Registry, replicas func() []string, set *metrics.Set) {
 	peer.Handle(mux, MethodWatch, func(ctx context.Context, from peer.Identity, req WatchRequest) (WatchResponse, error) {
 		registry.Report(from.Host, from.Zone, req.Have, req.Engines)
 		resp, err := hub.Watch(ctx, req)
+		if addresses := replicas(); addressSum(addresses) != req.Replicas {
+			resp.Replicas = addresses
+		}
 		set.GetOrCreateCounter(fmt.Sprintf(`filberthook_watch_answers_total{kind=%q}`, resp.kind())).Inc()
 		return resp, err
 	})
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -19,7 +19,7 @@
 	n.counters = request.NewCounters(n.metrics)
 	n.calls = history.NewLog()
 	var replicas []claimlog.Caller
-	for _, r := range n.replicas {
+	for _, r := range n.replicas.Slots() {
 		replicas = append(replicas, r)
 	}
 	log := claimlog.NewReplicas(replicas, controlnode.MethodClaims, notApplied)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"filberthook/internal/buildinfo"
 	"filberthook/internal/cachefeed"
 	"filberthook/internal/claimlog"
+	"filberthook/internal/controlpeers"
 	"filberthook/internal/demand"
 	"filberthook/internal/directory"
 	"filberthook/internal/distribution"
@@ -65,7 +66,7 @@
 	router    *routing.Router
 	gossip    *gossip.Node
 	config    *distribution.Client
-	replicas  []*peer.Client
+	replicas  *controlpeers.Set
 	certs     *keys.Source // nil without TLS
 	claims    *claimlog.Client
 	zone      *zonePlanner
@@ -133,22 +134,25 @@
 		opts.TLS = certs.Config()
 	}
 	var callers []distribution.Caller
-	for _, address := range n.set.Control.Replicas {
-		c := peer.NewClient(address, opts)
-		n.replicas = append(n.replicas, c)
-		callers = append(callers, c)
+	n.replicas = controlpeers.New(n.set.Control.Replicas, opts)
+	for _, slot := range n.replicas.Slots() {
+		callers = append(callers, slot)
 	}
 	dir := ""
 	if n.set.DataDir != "" {
 		dir = filepath.Join(n.set.DataDir, "entry")
 	}
-	config, err := distribution.NewClient(distribution.Settings{
+	watch := distribution.Settings{
 		Replicas: callers,
 		Dir:      dir,
 		Engines:  n.engineReports,
 		Logger:   n.log,
 		Metrics:  n.metrics,
-	}, nil)
+	}
+	if n.set.Control.Follow {
+		watch.OnReplicas = n.replicas.Update
+	}
+	config, err := distribution.NewClient(watch, nil)
 	n.config = config
 	return err
 }
@@ -237,9 +241,7 @@
 	announce.Close()
 	status.Close()
 	n.claims.Close()
-	for _, c := range n.replicas {
-		c.Close()
-	}
+	n.replicas.Close()
 	return errors.Join(group.Wait(), cut)
 }
 
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -30,7 +30,7 @@
 
 func (n *Node) newZonePlanner() *zonePlanner {
 	var callers []authority.Caller
-	for _, r := range n.replicas {
+	for _, r := range n.replicas.Slots() {
 		callers = append(callers, r)
 	}
 	clock := authority.NewClock()
--- a/internal/faultrun/cluster.go
+++ b/internal/faultrun/cluster.go
@@ -111,6 +111,7 @@
 		relayed = append(relayed, r.Address())
 	}
 	s.Control.Replicas = relayed
+	s.Control.Follow = false // the members' own addresses would go around the relays
 }
 
 func (c *Cluster) open(ctx context.Context) error {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -43,6 +43,7 @@
 // EntryControl names the replicas of the control group.
 type EntryControl struct {
 	Replicas []string `toml:"replicas"` // their listen.peers
+	Follow   bool     `toml:"follow"`   // take new addresses of the group without a restart; true by default
 }
 
 // EntryGossip holds the settings of the protocol between entry hosts.
@@ -67,6 +68,7 @@
 // DefaultEntry returns the settings that a file may leave out.
 func DefaultEntry() Entry {
 	return Entry{
+		Control:   EntryControl{Follow: true},
 		Stop:      EntryStop{ReadyGrace: Duration(DefaultReadyGrace), Limit: Duration(DefaultStopLimit)},
 		Routing:   routing.DefaultConfig(),
 		Callers:   DefaultEntryCallers(),
