Do not say not_run of a resend whose earlier send may have run

That was true of the send and false of the booking; a caller that believes it books again. Ruled out: reading the claim first does not help, it is out of reach. Change: a refusal of a non-repeatable call with the caller's own key says unknown until the claims have been read; without a key, or once the claim was granted, it says not_run as before. The tests that expected not_run for such sends now expect unknown, and not_run for the same call without a key; that is stricter. Counters carry the disposition that was told.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -33,6 +33,11 @@
 	Key      string    // idempotency key, of the caller or minted
 	Minted   bool      // the key was made here
 
+	// Resend tells that the caller brought the key of a non-repeatable call, so
+	// that an earlier send of it may have run. It is cleared once the claims
+	// show that none did.
+	Resend bool
+
 	Path      string // path at the endpoint
 	RawQuery  string
 	Body      []byte
@@ -71,6 +76,9 @@
 // Refuse ends the call without its answer and writes the refusal. Nothing may
 // have been written before.
 func (c *Call) Refuse(w http.ResponseWriter, refusal *request.Refusal) {
+	if c.Resend {
+		refusal = refusal.OfResend()
+	}
 	c.End(refusal)
 	c.WriteRefusal(w, refusal)
 }
@@ -78,7 +86,7 @@
 // End ends the call without its answer and writes nothing.
 func (c *Call) End(refusal *request.Refusal) {
 	c.Request.Refuse(refusal)
-	c.Counters.Refused(refusal.Code)
+	c.Counters.Refused(refusal.Code, refusal.Disposition)
 }
 
 // Answered ends the call with its whole answer.
--- a/internal/middleware/claims.go
+++ b/internal/middleware/claims.go
@@ -101,6 +101,7 @@
 		c.Refuse(w, claimRefusal(err))
 		return false
 	}
+	c.Resend = false // the claim tells what became of earlier sends
 	if res.Status != claim.Granted {
 		answerFromClaim(w, c, res)
 		return false
@@ -163,7 +164,7 @@
 // leave answers a caller whose call is still under way.
 func (h *Claims) leave(w http.ResponseWriter, c *call.Call) {
 	refusal := request.Refuse(request.InProgress, "the call is still under way at its deadline")
-	c.Counters.Refused(refusal.Code)
+	c.Counters.Refused(refusal.Code, refusal.Disposition)
 	c.WriteRefusal(w, refusal)
 }
 
--- a/internal/middleware/idempotency.go
+++ b/internal/middleware/idempotency.go
@@ -53,6 +53,7 @@
 		return request.Refuse(request.KeyExpired, "the key was made more than %v ago", h.retention)
 	default:
 		c.Key = key
+		c.Resend = !c.Request.Repeatable()
 	}
 	return fillDelivered(c, r)
 }
--- a/internal/middleware/requestid.go
+++ b/internal/middleware/requestid.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"filberthook/internal/call"
 	"filberthook/internal/engineapi"
@@ -33,9 +34,20 @@
 	}
 	w.Header().Set(engineapi.HeaderRequestID, id)
 	c := call.New(id, h.counters)
+	c.Resend = mayBeResend(r)
 	h.next.ServeHTTP(w, r.WithContext(call.With(r.Context(), c)))
 }
 
+// mayBeResend reports whether an earlier send of the same call to a plain
+// service may have run. Target knows better once it knows the endpoint.
+func mayBeResend(r *http.Request) bool {
+	return strings.HasPrefix(r.URL.Path, PathServices) && !safe(r.Method) &&
+		wellFormedID(r.Header.Get(engineapi.HeaderIdempotencyKey))
+}
+
+// safe reports whether a method only reads.
+func safe(method string) bool { return method == http.MethodGet || method == http.MethodHead }
+
 // wellFormedID reports whether an identifier can be logged and passed on as it
 // is: visible ASCII of a bounded length.
 func wellFormedID(id string) bool {
--- a/internal/middleware/target.go
+++ b/internal/middleware/target.go
@@ -50,8 +50,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	if c.Endpoint.Repeatable || r.Method == http.MethodGet || r.Method == http.MethodHead {
+	if c.Endpoint.Repeatable || safe(r.Method) {
 		c.Request.AllowRepeats()
+		c.Resend = false
 	} else if c.Stream {
 		return request.Refuse(request.InvalidRequest, "calls of endpoint %s may not be repeated, so they cannot be streamed", c.Endpoint.Name)
 	}
@@ -85,7 +86,7 @@
 	switch {
 	case c.Endpoint.Kind == engineapi.KindModel:
 		return request.ClassSummary
-	case r.Method == http.MethodGet || r.Method == http.MethodHead:
+	case safe(r.Method):
 		return request.ClassStatus
 	default:
 		return request.ClassCheck
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -278,14 +278,21 @@
 	return e.do(http.MethodPost, pathBook, body, append(header, engineapi.HeaderIdempotencyKey, key)...)
 }
 
-// want checks a refusal.
+// want checks a refusal that has the disposition of its reason.
 func (r reply) want(t *testing.T, code request.Code) {
+	t.Helper()
+	reason, _ := request.Lookup(code)
+	r.wantAs(t, code, reason.Disposition)
+}
+
+// wantAs checks a refusal.
+func (r reply) wantAs(t *testing.T, code request.Code, d request.Disposition) {
 	t.Helper()
 	reason, _ := request.Lookup(code)
 	got := r.header.Get(engineapi.HeaderRunDisposition)
-	if r.code != code || r.status != reason.Status || got != string(reason.Disposition) {
+	if r.code != code || r.status != reason.Status || got != string(d) {
 		t.Errorf("status %d, code %q, disposition %q, want %d, %q, %q (%s)",
-			r.status, r.code, got, reason.Status, code, reason.Disposition, r.body)
+			r.status, r.code, got, reason.Status, code, d, r.body)
 	}
 	if reason.RetryAfter > 0 && r.header.Get("Retry-After") == "" {
 		t.Errorf("%s does not say when to come back", code)
--- a/internal/proxy/once_test.go
+++ b/internal/proxy/once_test.go
@@ -118,7 +118,7 @@
 	a := newEntry(t, log, []string{s.address()}, func(o *options) { o.middleware.Claims.MaxRunning = 1 })
 	b := newEntry(t, log, []string{s.address()})
 	a.book("k", "chair 7", engineapi.HeaderDeadline, "50").want(t, request.InProgress)
-	a.book("k2", "chair 8").want(t, request.QueueFull) // the first call still runs
+	a.book("k2", "chair 8").wantAs(t, request.QueueFull, request.MayHaveRun) // the first call still runs
 	b.book("k", "chair 7").want(t, request.InProgress)
 	close(hold)
 	settle(t, a)
@@ -163,7 +163,8 @@
 	log := newMemoryLog()
 	e := newEntry(t, log, []string{s.address()}, func(o *options) { o.claims.ClaimTimeout = tomltime.Of(100 * time.Millisecond) })
 	log.cut(true)
-	e.book("k", "chair 7").want(t, request.ClaimUnavailable)
+	e.book("k", "chair 7").wantAs(t, request.ClaimUnavailable, request.MayHaveRun)
+	e.do(http.MethodPost, pathBook, "chair 7").want(t, request.ClaimUnavailable) // certainly the first send
 	if got := s.ran("k"); got != 0 {
 		t.Errorf("a call that was refused as not run ran %d times", got)
 	}
@@ -174,6 +175,37 @@
 	check(t, newEntry(t, log, []string{s.address()}).book("k", "chair 7"), "")
 }
 
+// TestResendIsNotDeniedItsRun refuses resends of a booking that has run, before
+// its claim can be read. None may say that the booking did not run.
+func TestResendIsNotDeniedItsRun(t *testing.T) {
+	s := newService(t, nil)
+	log := newMemoryLog()
+	first := newEntry(t, log, []string{s.address()})
+	check(t, first.book("k", "chair 7"), "")
+	settle(t, first)
+	tests := []struct {
+		name   string
+		change func(*options)
+		down   bool
+		header []string
+		want   request.Code
+	}{
+		{"log is down", func(o *options) { o.claims.ClaimTimeout = tomltime.Of(50 * time.Millisecond) }, true, nil, request.ClaimUnavailable},
+		{"no slot", func(o *options) { o.middleware.Gate.Slots, o.middleware.Gate.Queue = 0, [4]int{} }, false, nil, request.QueueFull},
+		{"team at its limit", func(o *options) { o.middleware.Team.Concurrency = 0 }, false, nil, request.TeamConcurrency},
+		{"no memory", func(o *options) { o.middleware.Body.MaxHeld = 1 }, false, nil, request.BodyMemoryFull},
+		{"no time", func(*options) {}, false, []string{engineapi.HeaderDeadline, "0"}, request.DeadlineUnreachable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEntry(t, log, []string{s.address()}, tt.change)
+			log.cut(tt.down)
+			defer log.cut(false)
+			e.book("k", "chair 7", tt.header...).wantAs(t, tt.want, request.MayHaveRun)
+		})
+	}
+}
+
 // TestResendsAtOnceRunOnce sends the same bookings through three hosts at the
 // same time.
 func TestResendsAtOnceRunOnce(t *testing.T) {
@@ -225,7 +257,8 @@
 	go func() { answer <- e.book("k", "chair 7") }()
 	<-arrived
 	e.chain.Stop.Begin()
-	e.book("k2", "chair 8").want(t, request.Stopping)
+	e.book("k2", "chair 8").wantAs(t, request.Stopping, request.MayHaveRun)
+	e.do(http.MethodPost, pathBook, "chair 8").want(t, request.Stopping)
 	ended, end := context.WithCancel(t.Context())
 	end()
 	if left := e.chain.Stop.Wait(ended); left != 1 {
--- a/internal/request/counters.go
+++ b/internal/request/counters.go
@@ -39,10 +39,29 @@
 
 var dropReasons = []DropReason{DropCrossed, DropLate, DropDoubled}
 
+// ending is one way to end without an answer.
+type ending struct {
+	code        Code
+	disposition Disposition
+}
+
+// dispositions lists those that refusals of the reason can have, without
+// doubles: its own, and that of a resend, or of a caller who left early.
+func (r Reason) dispositions() []Disposition {
+	switch {
+	case r.Disposition == NotRun:
+		return []Disposition{NotRun, MayHaveRun}
+	case r.Code == CallerGone:
+		return []Disposition{MayHaveRun, NotRun}
+	default:
+		return []Disposition{r.Disposition}
+	}
+}
+
 // Counters count requests by their end, retries and dropped answers.
 type Counters struct {
 	answered *metrics.Counter
-	refused  map[Code]*metrics.Counter
+	refused  map[ending]*metrics.Counter
 	retried  map[RetryReason]*metrics.Counter
 	dropped  map[DropReason]*metrics.Counter
 }
@@ -51,13 +70,15 @@
 func NewCounters(set *metrics.Set) *Counters {
 	c := &Counters{
 		answered: set.GetOrCreateCounter("filberthook_requests_answered_total"),
-		refused:  make(map[Code]*metrics.Counter, len(reasons)),
+		refused:  make(map[ending]*metrics.Counter, 2*len(reasons)),
 		retried:  make(map[RetryReason]*metrics.Counter, len(retryReasons)),
 		dropped:  make(map[DropReason]*metrics.Counter, len(dropReasons)),
 	}
 	for _, r := range reasons {
-		name := fmt.Sprintf(`filberthook_requests_refused_total{reason=%q,disposition=%q}`, r.Code, r.Disposition)
-		c.refused[r.Code] = set.GetOrCreateCounter(name)
+		for _, d := range r.dispositions() {
+			name := fmt.Sprintf(`filberthook_requests_refused_total{reason=%q,disposition=%q}`, r.Code, d)
+			c.refused[ending{r.Code, d}] = set.GetOrCreateCounter(name)
+		}
 	}
 	for _, r := range retryReasons {
 		c.retried[r] = set.GetOrCreateCounter(fmt.Sprintf(`filberthook_retries_total{reason=%q}`, r))
@@ -78,7 +99,11 @@
 func (c *Counters) Refusals() []Total {
 	var out []Total
 	for _, r := range reasons {
-		if n := c.refused[r.Code].Get(); n > 0 {
+		var n uint64
+		for _, d := range r.dispositions() {
+			n += c.refused[ending{r.Code, d}].Get()
+		}
+		if n > 0 {
 			out = append(out, Total{Name: string(r.Code), Value: n})
 		}
 	}
@@ -100,7 +125,7 @@
 func (c *Counters) Answered() { c.answered.Inc() }
 
 // Refused counts a request that ended without its answer.
-func (c *Counters) Refused(code Code) { c.refused[code].Inc() }
+func (c *Counters) Refused(code Code, d Disposition) { c.refused[ending{code, d}].Inc() }
 
 // Retried counts one more dispatch of a request.
 func (c *Counters) Retried(reason RetryReason) { c.retried[reason].Inc() }
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -158,6 +158,22 @@
 	return r
 }
 
+// remedyOfResend is the remedy when an earlier send may have run.
+const remedyOfResend = "resend with the same idempotency key after the advised time; it runs at most once"
+
+// OfResend returns the refusal of a send that may not be the first one of its
+// call: "not run" would be true of this send only.
+func (r *Refusal) OfResend() *Refusal {
+	if r.Disposition != NotRun {
+		return r
+	}
+	resent := *r
+	resent.Disposition = MayHaveRun
+	resent.Remedy = remedyOfResend
+	resent.Detail += "; this send did not run, an earlier one under the same key may have"
+	return &resent
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("%s (%s): %s; %s", r.Code, r.Disposition, r.Detail, r.Remedy)
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -186,7 +186,7 @@
 		if (r.Status == 429 || r.Status == 503) && r.RetryAfter == 0 {
 			t.Errorf("%s does not say when to come back", r.Code)
 		}
-		counters.Refused(r.Code)
+		counters.Refused(r.Code, r.Disposition)
 		name := `{reason="` + string(r.Code) + `"`
 		var out strings.Builder
 		set.WritePrometheus(&out)
