--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -19,6 +19,7 @@
 	"filberthook/api/filberthook/v1/filberthookv1connect"
 	"filberthook/internal/authority"
 	"filberthook/internal/claim"
+	"filberthook/internal/dirlock"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
 	"filberthook/internal/lease"
@@ -33,7 +34,7 @@
 // cluster is a control group whose nodes run in this process.
 type cluster struct {
 	t     *testing.T
-	tls   func(host, address string) settings.TLS
+	tls   tlsFunc
 	nodes []*running
 }
 
@@ -66,11 +67,11 @@
 }
 
 func startCluster(t *testing.T, size int) *cluster {
-	return startClusterWith(t, size, func(string, string) settings.TLS { return settings.TLS{} })
+	return startClusterWith(t, size, func(string, string, string) settings.TLS { return settings.TLS{} })
 }
 
 // startClusterWith starts nodes with the TLS settings of their hosts.
-func startClusterWith(t *testing.T, size int, tls func(host, address string) settings.TLS) *cluster {
+func startClusterWith(t *testing.T, size int, tls tlsFunc) *cluster {
 	t.Helper()
 	c := &cluster{t: t, tls: tls}
 	var members []settings.ControlMember
@@ -95,7 +96,7 @@
 		Listen:  settings.ControlListen{Peers: m.Address, Operators: testnet.String(), Status: testnet.String()},
 		Replica: r,
 		Operate: settings.Operators{BootstrapKeySHA256: string(fleet.HashKey(bootstrapKey))},
-		TLS:     c.tls(fmt.Sprint("c", m.ID), m.Address),
+		TLS:     c.tls(fmt.Sprint("c", m.ID), m.Zone, m.Address),
 	}})
 }
 
@@ -362,6 +363,12 @@
 	if _, err := New(c.nodes[0].settings, slog.New(slog.DiscardHandler), metrics.NewSet()); err == nil {
 		t.Fatal("a second process started on the same settings")
 	}
+	elsewhere := c.nodes[0].settings
+	elsewhere.Listen = settings.ControlListen{Peers: testnet.String(), Operators: testnet.String(), Status: testnet.String()}
+	var held *dirlock.HeldError
+	if _, err := New(elsewhere, slog.New(slog.DiscardHandler), metrics.NewSet()); !errors.As(err, &held) {
+		t.Fatalf("a second process with other addresses on the same folder: %v, want a HeldError", err)
+	}
 	if got := c.change(0, 1, 1); got.revision != 2 {
 		t.Errorf("after the second start: %+v", got)
 	}
