Cache feed: bound the bytes read, not only the polls

Cause: at the target size prompts of 5,000 GB/s of KV cache make thousands of cache events a second per zone; reading them all would cost an entry host far more than the 15 KB/s it may spend, whatever the number of polls. Change: a budget of 4 KiB/s with a burst of one page; engines that are not read lose confidence in the index, and own expectations take over.

--- a/internal/cachefeed/cachefeed.go
+++ b/internal/cachefeed/cachefeed.go
@@ -1,6 +1,7 @@
 // Package cachefeed reads the cache events of engines into the prefix index. It
 // asks only engines whose load report tells of events that the index lacks, and
-// keeps to a rate, so that its cost does not grow with the fleet.
+// keeps to a rate of polls and of bytes, so that its cost does not grow with the
+// fleet. Engines that it does not get to lose confidence in the index instead.
 package cachefeed
 
 import (
@@ -29,6 +30,8 @@
 	pollsPerSec   = 20
 	pollsAtOnce   = 4
 	pollBurst     = 20
+	bytesPerSec   = 4 << 10
+	bytesBurst    = maxPageBytes    // a page may be read as a whole; its bytes are paid for afterwards
 	retryInterval = 2 * time.Second // after a failed poll of an engine
 )
 
@@ -53,7 +56,8 @@
 	source Source
 	index  Index
 	client *http.Client
-	limit  *rate.Limiter
+	limit  *rate.Limiter // of polls
+	bytes  *rate.Limiter // of bytes read
 	slots  chan struct{}
 	log    *slog.Logger
 
@@ -63,6 +67,7 @@
 	known   map[string]bool          // engines of the last scan
 
 	polls  *metrics.Counter
+	read   *metrics.Counter
 	failed *metrics.Counter
 	gaps   *metrics.Counter
 }
@@ -76,12 +81,14 @@
 		index:   index,
 		client:  &http.Client{Timeout: pollTimeout},
 		limit:   rate.NewLimiter(pollsPerSec, pollBurst),
+		bytes:   rate.NewLimiter(bytesPerSec, bytesBurst),
 		slots:   make(chan struct{}, pollsAtOnce),
 		log:     log,
 		busy:    make(map[string]bool),
 		notTill: make(map[string]time.Duration),
 		known:   make(map[string]bool),
 		polls:   set.GetOrCreateCounter("filberthook_cache_event_polls_total"),
+		read:    set.GetOrCreateCounter("filberthook_cache_event_read_bytes_total"),
 		failed:  set.GetOrCreateCounter("filberthook_cache_event_poll_failures_total"),
 		gaps:    set.GetOrCreateCounter("filberthook_cache_event_gaps_total"),
 	}
@@ -135,7 +142,7 @@
 		if f.busy[a.Instance] || now < f.notTill[a.Instance] || !f.index.NeedsPage(a.Instance) {
 			continue
 		}
-		if !f.limit.Allow() {
+		if f.bytes.Tokens() <= 0 || !f.limit.Allow() {
 			break
 		}
 		f.busy[a.Instance] = true
@@ -195,6 +202,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return page, fmt.Errorf("status %s", resp.Status)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&page)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	f.pay(len(body))
+	if err != nil {
+		return page, err
+	}
+	err = json.Unmarshal(body, &page)
 	return page, err
 }
+
+// pay takes the bytes of a page from the budget; no poll starts until they have
+// been earned back.
+func (f *Feed) pay(n int) {
+	f.read.Add(n)
+	f.bytes.ReserveN(time.Now(), min(n, bytesBurst))
+}
--- a/internal/cachefeed/cachefeed_test.go
+++ b/internal/cachefeed/cachefeed_test.go
@@ -83,3 +83,12 @@
 		t.Error("polled again at once after a failure")
 	}
 }
+
+func TestBytesAreBounded(t *testing.T) {
+	f, _ := newFeed(t, fakeEngine(t, http.StatusOK, engineapi.CacheEventPage{Incarnation: 4, Complete: true}))
+	f.pay(bytesBurst)
+	f.pay(bytesBurst)
+	if due := f.scan(); len(due) != 0 {
+		t.Error("an engine is polled although the bytes are spent")
+	}
+}
