Routing: allow for prompts not seen yet in the predicted first token

Change: the prediction given out adds half of the wait behind other prompts, not of the own computation, and late_factor is 1.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -37,16 +37,16 @@
 		MaxTeamShare: 0.5,
 		AgeStep:      tomltime.Of(2 * time.Second),
 		ReserveAfter: tomltime.Of(5 * time.Second),
-		LateFactor:   0.75,
+		LateFactor:   1.0,
 		Quantile:     0.8,
 		PriorOutput:  300,
 	}
 }
 
 // TooLate reports whether a request should be refused now, because its first
-// token is predicted too near its target or beyond it: running it would only
-// make others late. Predictions leave out what other entry hosts have sent in
-// the last moments, so a LateFactor below 1 refuses those that would be late.
+// token is predicted too far beyond the target: running it would only make
+// others late. Predicted is routing's Decision.FirstToken, which allows for
+// prompts that other entry hosts have just sent.
 func (c *Config) TooLate(waited, predicted, target time.Duration) bool {
 	if c.LateFactor <= 0 || target <= 0 {
 		return false
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -131,6 +131,7 @@
 // add puts the prediction of the prompt's engine before that of the answer's.
 func (p *prediction) add(prompt prediction) {
 	p.first += prompt.first
+	p.wait = prompt.wait
 	p.cost += prompt.cost
 	p.cached = prompt.cached
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -217,7 +217,7 @@
 		Address:      ch.instance.Address,
 		Incarnation:  ch.instance.Incarnation,
 		CachedTokens: ch.predicted.cached,
-		FirstToken:   seconds(ch.predicted.first),
+		FirstToken:   seconds(ch.predicted.first + unseenWait*ch.predicted.wait),
 		Gap:          seconds(ch.predicted.gap),
 		Score:        ch.score,
 		Steps:        q.steps,
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -17,6 +17,7 @@
 	slowShare     = 0.05 // share of an answer's gaps that may exceed the target
 	partWeight    = 0.3  // keeps prompts and answers on different mixed engines
 	unseenInflow  = 0.7  // share of an engine's capacity that others are taken to fill
+	unseenWait    = 0.5  // share of a wait that is added for prompts not seen yet
 	batchWaitSecs = 4.0  // wait for a place in a full batch of answers
 )
 
@@ -27,6 +28,7 @@
 // prediction is what a candidate would do for a request.
 type prediction struct {
 	first  float64 // seconds to the first token
+	wait   float64 // part of first that is spent behind other prompts, seconds
 	gap    float64 // seconds between tokens, at the 95th percentile
 	cost   float64 // harm to other answers and scarce memory, in shares of a target
 	cached int     // prompt tokens expected in the prefix cache
@@ -103,7 +105,8 @@
 	cached := s.r.cachedTokens(q, c)
 	uncached := float64(q.req.PromptTokens - cached)
 	p := prediction{cached: cached}
-	p.first = s.r.distance(c) + (backlogShare[q.req.Class]*load.backlog+uncached)/rate
+	p.wait = backlogShare[q.req.Class] * load.backlog / rate
+	p.first = s.r.distance(c) + p.wait + uncached/rate
 	p.cost = load.scarcity(c) + ageWeight*load.age.Seconds() + s.r.awayCost(c)
 	if c.Role != engineapi.RolePrefill {
 		p.cost += s.r.interference(q, load.running, uncached) + partWeight*c.promptRank
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -126,7 +126,7 @@
 	PrefillAddress     string        `json:"prefill_address,omitempty"`
 	PrefillIncarnation uint64        `json:"prefill_incarnation,omitempty"`
 	CachedTokens       int           `json:"cached_tokens"` // expected prefix cache hit, at the engine that computes the prompt
-	FirstToken         time.Duration `json:"first_token"`   // predicted
+	FirstToken         time.Duration `json:"first_token"`   // predicted, with an allowance for prompts not seen yet
 	Gap                time.Duration `json:"gap"`           // predicted time between tokens
 	Score              float64       `json:"score"`
 	Steps              []Step        `json:"steps,omitempty"`
