--- a/internal/directory/record.go
+++ b/internal/directory/record.go
@@ -24,8 +24,8 @@
 	MaxModels         = 64
 	MaxAdapters       = 256
 	MaxPieces         = 1 << 20
-	BackstopLease     = 60 * time.Second // of instances heard of through other hosts only
-	TombstoneDuration = 60 * time.Second // how long an expired instance's version is remembered
+	BackstopLease     = 2 * time.Minute // of instances heard of through other hosts only
+	TombstoneDuration = 3 * time.Minute // how long an expired instance's version is remembered
 )
 
 // Version orders the announcements of one instance. A higher incarnation wins,
--- a/internal/gossip/instances.go
+++ b/internal/gossip/instances.go
@@ -33,9 +33,9 @@
 // what they get.
 const (
 	ownZoneInterval    = 450 * time.Millisecond
-	ownZoneSpacing     = 16 * time.Millisecond // per instance of the own availability zone
+	ownZoneSpacing     = 32 * time.Millisecond // per instance of the own availability zone
 	otherZonesInterval = time.Second
-	otherZonesSpacing  = 20 * time.Millisecond // per instance of the other zones
+	otherZonesSpacing  = 40 * time.Millisecond // per instance of the other zones
 )
 
 // urgency orders news; lower values are sent first.
