--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -18,7 +18,7 @@
 	MaxTeamShare float64           `toml:"max_team_share"`      // largest part of the queue that one calling team may fill
 	AgeStep      tomltime.Duration `toml:"age_step"`            // waiting this long makes a request one class more urgent
 	ReserveAfter tomltime.Duration `toml:"reserve_after"`       // a request that has waited this long is not passed by others
-	LateFactor   float64           `toml:"late_factor"`         // a first token predicted beyond this many targets is refused; 0 refuses none
+	LateFactor   float64           `toml:"late_factor"`         // a first token predicted beyond this share of its target is refused; 0 refuses none
 	Quantile     float64           `toml:"output_quantile"`     // share of answers that the expected length covers
 	PriorOutput  int               `toml:"output_prior_tokens"` // assumed answer length without history
 	Weights      []TeamWeight      `toml:"team_weights"`        // teams that are not listed have weight 1
@@ -37,7 +37,7 @@
 		MaxTeamShare: 0.5,
 		AgeStep:      tomltime.Of(2 * time.Second),
 		ReserveAfter: tomltime.Of(5 * time.Second),
-		LateFactor:   1.5,
+		LateFactor:   1.0,
 		Quantile:     0.8,
 		PriorOutput:  300,
 	}
@@ -45,7 +45,8 @@
 
 // TooLate reports whether a request should be refused now, because its first
 // token is predicted too far beyond the target: running it would only make
-// others late.
+// others late. Predicted is routing's Decision.FirstToken, which allows for
+// prompts that other entry hosts have just sent.
 func (c *Config) TooLate(waited, predicted, target time.Duration) bool {
 	if c.LateFactor <= 0 || target <= 0 {
 		return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"filberthook/internal/buildinfo"
 	"filberthook/internal/cachefeed"
 	"filberthook/internal/claimlog"
+	"filberthook/internal/controlpeers"
 	"filberthook/internal/demand"
 	"filberthook/internal/directory"
 	"filberthook/internal/distribution"
@@ -65,7 +66,7 @@
 	router    *routing.Router
 	gossip    *gossip.Node
 	config    *distribution.Client
-	replicas  []*peer.Client
+	replicas  *controlpeers.Set
 	certs     *keys.Source // nil without TLS
 	claims    *claimlog.Client
 	zone      *zonePlanner
@@ -133,22 +134,25 @@
 		opts.TLS = certs.Config()
 	}
 	var callers []distribution.Caller
-	for _, address := range n.set.Control.Replicas {
-		c := peer.NewClient(address, opts)
-		n.replicas = append(n.replicas, c)
-		callers = append(callers, c)
+	n.replicas = controlpeers.New(n.set.Control.Replicas, opts)
+	for _, slot := range n.replicas.Slots() {
+		callers = append(callers, slot)
 	}
 	dir := ""
 	if n.set.DataDir != "" {
 		dir = filepath.Join(n.set.DataDir, "entry")
 	}
-	config, err := distribution.NewClient(distribution.Settings{
+	watch := distribution.Settings{
 		Replicas: callers,
 		Dir:      dir,
 		Engines:  n.engineReports,
 		Logger:   n.log,
 		Metrics:  n.metrics,
-	}, nil)
+	}
+	if n.set.Control.Follow {
+		watch.OnReplicas = n.replicas.Update
+	}
+	config, err := distribution.NewClient(watch, nil)
 	n.config = config
 	return err
 }
@@ -169,10 +173,30 @@
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Metrics: n.metrics,
 		Logger:  n.log,
+		OnEvent: func(membership.Event) { n.tellRouter() },
 	}, n.dir, n.board, n.listeners.Gossip)
+	if err == nil {
+		n.tellRouter()
+	}
 	return err
 }
 
+// tellRouter tells the router which entry hosts share the engines.
+func (n *Node) tellRouter() {
+	local := []string{n.set.Host}
+	all := 1
+	for _, m := range n.gossip.Members() {
+		if !m.Reachable() {
+			continue
+		}
+		all++
+		if m.Zone == n.set.Zone {
+			local = append(local, m.Name)
+		}
+	}
+	n.router.SetPeers(n.set.Host, local, all)
+}
+
 func (n *Node) self() membership.Host {
 	return membership.Host{
 		Name:     n.set.Host,
@@ -217,9 +241,7 @@
 	announce.Close()
 	status.Close()
 	n.claims.Close()
-	for _, c := range n.replicas {
-		c.Close()
-	}
+	n.replicas.Close()
 	return errors.Join(group.Wait(), cut)
 }
 
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -96,10 +96,17 @@
 	if r.Accepts("a") || r.Accepts("") || !r.Accepts("b") {
 		t.Error("an answer of a closed attempt is accepted, or the open one is not")
 	}
+	r.DispatchBeside("c")
+	if r.Accepts("a") || !r.Accepts("b") || !r.Accepts("c") {
+		t.Error("an answer of one of two open attempts is not accepted, or a closed one is")
+	}
 	r.Answer()
 	if r.Accepts("b") {
 		t.Error("an answer is accepted after the request ended")
 	}
+	if r.DispatchBeside("d") || r.State() != Answered {
+		t.Error("an attempt was opened after the request ended")
+	}
 }
 
 // TestRandomMovesKeepPromises runs random calls; whatever is not stopped by an
@@ -179,7 +186,7 @@
 		if (r.Status == 429 || r.Status == 503) && r.RetryAfter == 0 {
 			t.Errorf("%s does not say when to come back", r.Code)
 		}
-		counters.Refused(r.Code)
+		counters.Refused(r.Code, r.Disposition)
 		name := `{reason="` + string(r.Code) + `"`
 		var out strings.Builder
 		set.WritePrometheus(&out)
