One type for service classes

Cause: request.Class and routing.Class named the same four classes by different words, converted by number in between. Change: package class with the names that callers send; settings and scenarios use them too. Conclusion: one word per class.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"filberthook/internal/routing"
+	"filberthook/internal/class"
 	"filberthook/internal/tomltime"
 )
 
@@ -20,7 +20,7 @@
 	return NewQueue[int](cfg, "m", metrics.NewSet())
 }
 
-func item(id, team string, class routing.Class, at time.Duration) Item[int] {
+func item(id, team string, class class.Class, at time.Duration) Item[int] {
 	return Item[int]{ID: id, Team: team, Class: class, Pieces: 1, Arrived: at}
 }
 
@@ -45,10 +45,10 @@
 		now   time.Duration
 		want  []string
 	}{
-		{"urgent first", []Item[int]{item("a", "x", routing.ClassBackground, 0), item("b", "x", routing.ClassUrgent, 0)}, 0, []string{"b", "a"}},
+		{"urgent first", []Item[int]{item("a", "x", class.Lookup, 0), item("b", "x", class.Status, 0)}, 0, []string{"b", "a"}},
 		{"arrival within a team", []Item[int]{item("a", "x", 1, 0), item("b", "x", 1, 0)}, 0, []string{"a", "b"}},
-		{"ageing passes newer and more urgent work", []Item[int]{item("a", "x", routing.ClassBackground, 0), item("b", "x", routing.ClassInteractive, 5*s)}, 5 * s, []string{"a", "b"}},
-		{"ageing never passes urgent work", []Item[int]{item("a", "x", routing.ClassBackground, 0), item("b", "x", routing.ClassUrgent, 90*s)}, 90 * s, []string{"b", "a"}},
+		{"ageing passes newer and more urgent work", []Item[int]{item("a", "x", class.Lookup, 0), item("b", "x", class.Check, 5*s)}, 5 * s, []string{"a", "b"}},
+		{"ageing never passes urgent work", []Item[int]{item("a", "x", class.Lookup, 0), item("b", "x", class.Status, 90*s)}, 90 * s, []string{"b", "a"}},
 		{"teams take turns", []Item[int]{item("a", "x", 1, 0), item("b", "x", 1, 0), item("c", "y", 1, 1)}, 1, []string{"a", "c", "b"}},
 	}
 	for _, tt := range tests {
@@ -70,7 +70,7 @@
 	q := newQueue(func(c *Config) { c.Weights = []TeamWeight{{Team: "x", Weight: 3}} })
 	for i := range 80 {
 		for _, team := range []string{"x", "y"} {
-			if err := q.Push(0, item(fmt.Sprintf("%s%02d", team, i), team, routing.ClassStandard, 0)); err != nil {
+			if err := q.Push(0, item(fmt.Sprintf("%s%02d", team, i), team, class.Summary, 0)); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -243,7 +243,7 @@
 			now += time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond
 			switch rapid.IntRange(0, 3).Draw(rt, "op") {
 			case 0, 1:
-				i := item(fmt.Sprint(n), rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "team"), routing.Class(rapid.IntRange(0, 3).Draw(rt, "class")), now)
+				i := item(fmt.Sprint(n), rapid.SampledFrom([]string{"x", "y", "z"}).Draw(rt, "team"), class.Class(rapid.IntRange(0, 3).Draw(rt, "class")), now)
 				i.StartBy = now + time.Duration(rapid.IntRange(1, 5).Draw(rt, "by"))*time.Second
 				if q.Push(now, i) == nil {
 					in[i.ID] = true
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -8,7 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/routing"
+	"filberthook/internal/class"
 	"filberthook/internal/tomltime"
 )
 
@@ -58,7 +58,7 @@
 type Item[T any] struct {
 	ID      string
 	Team    string
-	Class   routing.Class
+	Class   class.Class
 	Pieces  int           // engine memory for the whole request
 	Arrived time.Duration // when the request came
 	StartBy time.Duration // latest start that can meet the deadline; 0 is none
@@ -96,7 +96,7 @@
 // flow holds the waiting requests of one team in one class, in order of arrival.
 type flow[T any] struct {
 	team  string
-	class routing.Class
+	class class.Class
 	items []*Item[T]
 }
 
@@ -200,7 +200,7 @@
 }
 
 // flow returns the flow of a team and class. The caller holds q.mu.
-func (q *Queue[T]) flow(team string, class routing.Class) *flow[T] {
+func (q *Queue[T]) flow(team string, class class.Class) *flow[T] {
 	for _, f := range q.flows {
 		if f.team == team && f.class == class {
 			return f
@@ -214,11 +214,11 @@
 // rank returns the class of a request with its age taken into account. Ageing
 // never makes a request as urgent as ClassUrgent.
 func (q *Queue[T]) rank(now time.Duration, item *Item[T]) int {
-	if item.Class <= routing.ClassInteractive || q.cfg.AgeStep.Duration <= 0 {
+	if item.Class <= class.Check || q.cfg.AgeStep.Duration <= 0 {
 		return int(item.Class)
 	}
 	steps := int((now - item.Arrived) / q.cfg.AgeStep.Duration)
-	return max(int(routing.ClassInteractive), int(item.Class)-steps)
+	return max(int(class.Check), int(item.Class)-steps)
 }
 
 // Dispatch offers waiting requests to place, the most urgent first and teams of
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"filberthook/internal/class"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/fleet"
 	"filberthook/internal/history"
@@ -28,7 +29,7 @@
 
 	Team     string         // calling team
 	Endpoint fleet.Endpoint // what is called
-	Class    request.Class
+	Class    class.Class
 	Deadline time.Time // the answer is due by then
 	Key      string    // idempotency key, of the caller or minted
 	Minted   bool      // the key was made here
--- /dev/null
+++ b/internal/class/class_test.go
@@ -0,0 +1,15 @@
+package class
+
+import "testing"
+
+func TestNames(t *testing.T) {
+	for c := range Class(Count) {
+		got, err := Parse(c.String())
+		if err != nil || got != c {
+			t.Errorf("%v read back as %v, %v", c, got, err)
+		}
+	}
+	if _, err := Parse("urgent"); err == nil {
+		t.Error("an unknown class was read")
+	}
+}
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -9,9 +9,9 @@
 	"strconv"
 	"time"
 
+	"filberthook/internal/class"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/prefix"
-	"filberthook/internal/request"
 	"filberthook/internal/routing"
 )
 
@@ -126,13 +126,9 @@
 	return v, nil
 }
 
-func classParam(q url.Values) (routing.Class, error) {
+func classParam(q url.Values) (class.Class, error) {
 	if q.Get("class") == "" {
-		return routing.ClassStandard, nil
+		return class.Summary, nil
 	}
-	class, ok := request.ParseClass(q.Get("class"))
-	if !ok {
-		return 0, fmt.Errorf("class %q is unknown: use status, check, summary or lookup", q.Get("class"))
-	}
-	return routing.Class(class), nil
+	return class.Parse(q.Get("class"))
 }
--- a/internal/entry/planner.go
+++ b/internal/entry/planner.go
@@ -64,7 +64,7 @@
 }
 
 func (n *Node) newPlanner(cfg planner.Config) *planner.Planner {
-	return planner.New(cfg, n.set.Routing.Costs, n.set.Routing.Targets.Standard.FirstToken.Duration)
+	return planner.New(cfg, n.set.Routing.Costs, n.set.Routing.Targets.Summary.FirstToken.Duration)
 }
 
 // engineReports returns what this host knows of the zone's engines while it
--- a/internal/experiment/bound.go
+++ b/internal/experiment/bound.go
@@ -118,7 +118,7 @@
 // targets returns the different first-token targets.
 func (h *hindsight) targets() []time.Duration {
 	table := &h.s.Fleet.Routing.Targets
-	all := []time.Duration{table.Interactive.FirstToken.Duration, table.Standard.FirstToken.Duration, table.Background.FirstToken.Duration}
+	all := []time.Duration{table.Check.FirstToken.Duration, table.Summary.FirstToken.Duration, table.Lookup.FirstToken.Duration}
 	slices.Sort(all)
 	return slices.Compact(all)
 }
--- a/internal/experiment/filberthook.go
+++ b/internal/experiment/filberthook.go
@@ -270,7 +270,7 @@
 	return &zonePlanner{
 		sim:      m,
 		zone:     zone,
-		planner:  planner.New(cfg, fleet.Routing.Costs, fleet.Routing.Targets.Standard.FirstToken.Duration),
+		planner:  planner.New(cfg, fleet.Routing.Costs, fleet.Routing.Targets.Summary.FirstToken.Duration),
 		forecast: planner.NewForecaster(cfg.Window.Duration),
 		horizon:  cfg.ChangeTime.Duration + cfg.DrainTime.Duration,
 	}
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -9,7 +9,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"filberthook/internal/routing"
+	"filberthook/internal/class"
 )
 
 // plotBin is the number of seconds that one point of a plot covers.
@@ -91,9 +91,9 @@
 func goodShare(bin []second, _ float64) (float64, bool) {
 	good, offered := 0, 0
 	for i := range bin {
-		for class := range routing.NumClasses {
-			good += bin[i].Good[class]
-			offered += bin[i].Offered[class]
+		for c := range class.Count {
+			good += bin[i].Good[c]
+			offered += bin[i].Offered[c]
 		}
 	}
 	return share(good, offered), offered > 0
@@ -133,15 +133,15 @@
 // byClass returns offered and good answers per second for each class in use.
 func byClass(seconds []second) []line {
 	var lines []line
-	for class := range routing.NumClasses {
-		offered := line{name: routing.Class(class).String() + " offered"}
-		good := line{name: routing.Class(class).String() + " good"}
+	for k := range class.Count {
+		offered := line{name: class.Class(k).String() + " offered"}
+		good := line{name: class.Class(k).String() + " good"}
 		sum := 0
 		for at := 0; at+plotBin <= len(seconds); at += plotBin {
 			o, g := 0, 0
 			for i := range seconds[at : at+plotBin] {
-				o += seconds[at+i].Offered[class]
-				g += seconds[at+i].Good[class]
+				o += seconds[at+i].Offered[k]
+				g += seconds[at+i].Good[k]
 			}
 			sum += o
 			offered.points = append(offered.points, plotter.XY{X: float64(at), Y: float64(o) / plotBin})
--- a/internal/experiment/record.go
+++ b/internal/experiment/record.go
@@ -6,15 +6,15 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"filberthook/internal/class"
 	"filberthook/internal/engineapi"
-	"filberthook/internal/routing"
 )
 
 // second is what one second of a run has seen. Requests count in the second of
 // their arrival.
 type second struct {
-	Offered     [routing.NumClasses]int
-	Good        [routing.NumClasses]int
+	Offered     [class.Count]int
+	Good        [class.Count]int
 	RoleChanges int
 	FirstToken  []time.Duration // of the model answers that arrived then
 	Gap         []time.Duration // 95th percentile of each answer's gaps
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"filberthook/internal/routing"
+	"filberthook/internal/class"
 )
 
 // WriteTable writes the summaries as an aligned table.
@@ -73,8 +73,8 @@
 func (r *Result) writeCSV(w io.Writer) error {
 	out := csv.NewWriter(w)
 	header := []string{"second"}
-	for class := range routing.NumClasses {
-		name := routing.Class(class).String()
+	for k := range class.Count {
+		name := class.Class(k).String()
 		header = append(header, "offered_"+name, "good_"+name)
 	}
 	header = append(header, "role_changes", "first_token_p95_ms", "gap_p95_ms", "memory", "prefill_engines")
@@ -106,8 +106,8 @@
 
 func (s *second) row(at int) []string {
 	row := []string{strconv.Itoa(at)}
-	for class := range routing.NumClasses {
-		row = append(row, strconv.Itoa(s.Offered[class]), strconv.Itoa(s.Good[class]))
+	for c := range class.Count {
+		row = append(row, strconv.Itoa(s.Offered[c]), strconv.Itoa(s.Good[c]))
 	}
 	return append(row, strconv.Itoa(s.RoleChanges), millis(percentile(s.FirstToken, 0.95)),
 		millis(percentile(s.Gap, 0.95)), decimal(s.Memory), decimal(s.Prompts))
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -15,6 +15,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"filberthook/internal/admission"
+	"filberthook/internal/class"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/enginemodel"
 	"filberthook/internal/planner"
@@ -53,7 +54,7 @@
 // services; the others are answered by model engines.
 type Workload struct {
 	Name         string            `toml:"name"`
-	Class        routing.Class     `toml:"class"`
+	Class        class.Class       `toml:"class"`
 	Teams        int               `toml:"teams"`         // calling teams that send it
 	Share        float64           `toml:"share"`         // of the requests to model engines
 	Prompt       float64           `toml:"prompt"`        // median prompt tokens
--- a/internal/limit/gate.go
+++ b/internal/limit/gate.go
@@ -8,25 +8,26 @@
 	"sync"
 	"time"
 
+	"filberthook/internal/class"
 	"filberthook/internal/request"
 )
 
 // GateSettings bound a Gate.
 type GateSettings struct {
-	Slots     int                         `toml:"slots"`      // requests under way at once
-	Shares    [request.NumClasses]float64 `toml:"shares"`     // part of the slots that may be in use when a request of the class takes one
-	Queue     [request.NumClasses]int     `toml:"queue"`      // waiting requests per class, the most urgent first
-	Weights   [request.NumClasses]int     `toml:"weights"`    // share of freed slots per class
-	TeamShare float64                     `toml:"team_share"` // part of a class's queue that one team may fill
+	Slots     int                  `toml:"slots"`      // requests under way at once
+	Shares    [class.Count]float64 `toml:"shares"`     // part of the slots that may be in use when a request of the class takes one
+	Queue     [class.Count]int     `toml:"queue"`      // waiting requests per class, the most urgent first
+	Weights   [class.Count]int     `toml:"weights"`    // share of freed slots per class
+	TeamShare float64              `toml:"team_share"` // part of a class's queue that one team may fill
 }
 
 // DefaultGate returns limits for a small entry host.
 func DefaultGate() GateSettings {
 	return GateSettings{
 		Slots:     1024,
-		Shares:    [request.NumClasses]float64{1, 0.9, 0.75, 0.5},
-		Queue:     [request.NumClasses]int{256, 512, 1024, 4096},
-		Weights:   [request.NumClasses]int{16, 8, 4, 1},
+		Shares:    [class.Count]float64{1, 0.9, 0.75, 0.5},
+		Queue:     [class.Count]int{256, 512, 1024, 4096},
+		Weights:   [class.Count]int{16, 8, 4, 1},
 		TeamShare: 0.5,
 	}
 }
@@ -58,7 +59,7 @@
 
 // Acquire waits for a slot until ctx ends. The caller must call release once
 // when the error is nil. A refusal's disposition is NotRun.
-func (g *Gate) Acquire(ctx context.Context, team string, class request.Class) (release func(), refusal *request.Refusal) {
+func (g *Gate) Acquire(ctx context.Context, team string, class class.Class) (release func(), refusal *request.Refusal) {
 	w, refusal := g.enter(ctx, team, class)
 	if refusal != nil {
 		return nil, refusal
@@ -77,7 +78,7 @@
 }
 
 // enter takes a free slot, or returns a waiter in a queue.
-func (g *Gate) enter(ctx context.Context, team string, class request.Class) (*waiter, *request.Refusal) {
+func (g *Gate) enter(ctx context.Context, team string, class class.Class) (*waiter, *request.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.open(class) {
@@ -98,13 +99,13 @@
 // open reports whether a request of the class may take a slot. The slots that
 // less urgent classes leave are there for the more urgent ones. The caller
 // holds g.mu.
-func (g *Gate) open(class request.Class) bool {
+func (g *Gate) open(class class.Class) bool {
 	return float64(g.used) < g.settings.Shares[class]*float64(g.settings.Slots)
 }
 
 // refuse tells why a request may not wait, nil when it may. The caller holds
 // g.mu.
-func (g *Gate) refuse(ctx context.Context, team string, class request.Class) *request.Refusal {
+func (g *Gate) refuse(ctx context.Context, team string, class class.Class) *request.Refusal {
 	q := &g.waiting.classes[class]
 	limit := g.settings.Queue[class]
 	wait := g.estimate(class)
@@ -124,7 +125,7 @@
 
 // estimate is the expected wait of a new request of the class: the time until
 // its share of freed slots has served those before it. The caller holds g.mu.
-func (g *Gate) estimate(class request.Class) time.Duration {
+func (g *Gate) estimate(class class.Class) time.Duration {
 	total := 0
 	for i := range g.waiting.classes {
 		if g.waiting.classes[i].length > 0 || i == int(class) {
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"filberthook/internal/class"
 	"filberthook/internal/request"
 )
 
@@ -19,15 +20,15 @@
 func testGate(slots int) GateSettings {
 	return GateSettings{
 		Slots:     slots,
-		Shares:    [request.NumClasses]float64{1, 1, 1, 1},
-		Queue:     [request.NumClasses]int{40, 40, 40, 40},
-		Weights:   [request.NumClasses]int{8, 4, 2, 1},
+		Shares:    [class.Count]float64{1, 1, 1, 1},
+		Queue:     [class.Count]int{40, 40, 40, 40},
+		Weights:   [class.Count]int{8, 4, 2, 1},
 		TeamShare: 0.5,
 	}
 }
 
 // mustEnter queues a request and returns its waiter.
-func mustEnter(t *testing.T, g *Gate, team string, class request.Class) *waiter {
+func mustEnter(t *testing.T, g *Gate, team string, class class.Class) *waiter {
 	t.Helper()
 	w, refusal := g.enter(context.Background(), team, class)
 	if refusal != nil {
@@ -52,18 +53,18 @@
 
 func TestClassesAreServedByWeightAndNoneStarves(t *testing.T) {
 	g := NewGate(testGate(1), newClock().now)
-	mustEnter(t, g, "t", request.ClassStatus) // takes the slot
+	mustEnter(t, g, "t", class.Status) // takes the slot
 	var waiters []*waiter
-	for class := range request.Class(request.NumClasses) {
+	for c := range class.Class(class.Count) {
 		for i := range 30 {
-			waiters = append(waiters, mustEnter(t, g, fmt.Sprintf("t%d", i%2), class))
+			waiters = append(waiters, mustEnter(t, g, fmt.Sprintf("t%d", i%2), c))
 		}
 	}
-	var served [request.NumClasses]int
+	var served [class.Count]int
 	for range 30 {
 		served[granted(g, waiters).class]++
 	}
-	if want := [request.NumClasses]int{16, 8, 4, 2}; served != want {
+	if want := [class.Count]int{16, 8, 4, 2}; served != want {
 		t.Errorf("served %v of the classes, want %v", served, want)
 	}
 }
@@ -71,9 +72,9 @@
 // TestLookupsLeaveRoomForStatusReads fills a gate with the least urgent class.
 func TestLookupsLeaveRoomForStatusReads(t *testing.T) {
 	settings := testGate(10)
-	settings.Shares = [request.NumClasses]float64{1, 0.9, 0.75, 0.5}
+	settings.Shares = [class.Count]float64{1, 0.9, 0.75, 0.5}
 	g := NewGate(settings, newClock().now)
-	fill := func(class request.Class, want int) {
+	fill := func(class class.Class, want int) {
 		t.Helper()
 		entered := 0
 		for mustEnter(t, g, "t", class) == nil {
@@ -83,8 +84,8 @@
 			t.Errorf("%d of class %s entered at once, want %d", entered, class, want)
 		}
 	}
-	fill(request.ClassLookup, 5)
-	fill(request.ClassStatus, 5)
+	fill(class.Lookup, 5)
+	fill(class.Status, 5)
 	for range 6 {
 		g.free()
 	}
@@ -100,12 +101,12 @@
 
 func TestTeamsTakeTurns(t *testing.T) {
 	g := NewGate(testGate(1), newClock().now)
-	mustEnter(t, g, "x", request.ClassCheck)
+	mustEnter(t, g, "x", class.Check)
 	var waiters []*waiter
 	for range 20 {
-		waiters = append(waiters, mustEnter(t, g, "busy", request.ClassCheck))
+		waiters = append(waiters, mustEnter(t, g, "busy", class.Check))
 	}
-	waiters = append(waiters, mustEnter(t, g, "small", request.ClassCheck))
+	waiters = append(waiters, mustEnter(t, g, "small", class.Check))
 	if first, second := granted(g, waiters), granted(g, waiters); first.team != "busy" || second.team != "small" {
 		t.Errorf("served %s then %s, want busy then small", first.team, second.team)
 	}
@@ -116,14 +117,14 @@
 		return func(t *testing.T, g *Gate, _ *clock) {
 			for i := range teams {
 				for range each {
-					mustEnter(t, g, fmt.Sprintf("t%d", i), request.ClassCheck)
+					mustEnter(t, g, fmt.Sprintf("t%d", i), class.Check)
 				}
 			}
 		}
 	}
 	slowDrain := func(t *testing.T, g *Gate, c *clock) {
-		mustEnter(t, g, "a", request.ClassCheck)
-		mustEnter(t, g, "a", request.ClassCheck)
+		mustEnter(t, g, "a", class.Check)
+		mustEnter(t, g, "a", class.Check)
 		c.add(10 * time.Second)
 		g.free()
 	}
@@ -145,11 +146,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := newClock()
 			g := NewGate(testGate(1), c.now)
-			mustEnter(t, g, "holder", request.ClassCheck)
+			mustEnter(t, g, "holder", class.Check)
 			tt.setup(t, g, c)
 			ctx, cancel := context.WithDeadline(context.Background(), c.t.Add(tt.left))
 			defer cancel()
-			_, refusal := g.enter(ctx, tt.team, request.ClassCheck)
+			_, refusal := g.enter(ctx, tt.team, class.Check)
 			var got request.Code
 			if refusal != nil {
 				got = refusal.Code
@@ -166,10 +167,10 @@
 
 func TestWaiterThatGivesUpLeavesNoTrace(t *testing.T) {
 	g := NewGate(testGate(1), time.Now)
-	release, _ := g.Acquire(context.Background(), "a", request.ClassCheck)
+	release, _ := g.Acquire(context.Background(), "a", class.Check)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if _, refusal := g.Acquire(ctx, "b", request.ClassCheck); refusal == nil {
+	if _, refusal := g.Acquire(ctx, "b", class.Check); refusal == nil {
 		t.Fatal("a slot was granted that is not free")
 	}
 	if used, waiting := g.Load(); used != 1 || waiting != 0 {
@@ -225,7 +226,7 @@
 	g := NewGate(DefaultGate(), time.Now)
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			release, refusal := g.Acquire(context.Background(), "t", request.ClassCheck)
+			release, refusal := g.Acquire(context.Background(), "t", class.Check)
 			if refusal == nil {
 				release()
 			}
--- a/internal/limit/queue.go
+++ b/internal/limit/queue.go
@@ -1,11 +1,11 @@
 package limit
 
-import "filberthook/internal/request"
+import "filberthook/internal/class"
 
 // waiter is one request that waits for a slot.
 type waiter struct {
 	team    string
-	class   request.Class
+	class   class.Class
 	granted chan struct{} // closed when the slot is granted
 	queued  bool          // true while in a queue
 }
@@ -81,11 +81,11 @@
 
 // queue serves classes by weight, so that urgent ones go first and none starves.
 type queue struct {
-	classes [request.NumClasses]classQueue
-	weights [request.NumClasses]int
+	classes [class.Count]classQueue
+	weights [class.Count]int
 }
 
-func newQueue(weights [request.NumClasses]int) *queue {
+func newQueue(weights [class.Count]int) *queue {
 	q := &queue{weights: weights}
 	for i := range q.classes {
 		q.classes[i].teams = make(map[string]*teamQueue)
@@ -103,7 +103,7 @@
 
 // pop removes the next waiter among the classes that are open, nil when there
 // is none. Among those that wait, each is served in proportion to its weight.
-func (q *queue) pop(open func(request.Class) bool) *waiter {
+func (q *queue) pop(open func(class.Class) bool) *waiter {
 	best, total := -1, 0
 	for i := range q.classes {
 		c := &q.classes[i]
@@ -111,7 +111,7 @@
 			c.credit = 0
 			continue
 		}
-		if !open(request.Class(i)) {
+		if !open(class.Class(i)) {
 			continue
 		}
 		c.credit += q.weights[i]
--- a/internal/liverun/liverun.go
+++ b/internal/liverun/liverun.go
@@ -265,7 +265,7 @@
 			Prompt:    prompt(c, number),
 			MaxTokens: c.Workload.OutputMax,
 			Stream:    true,
-			Class:     className(c.Workload),
+			Class:     c.Workload.Class.String(),
 			Deadline:  c.Workload.Deadline.Duration,
 		})
 	}
@@ -302,11 +302,6 @@
 	r.report.Late++
 }
 
-// className returns the name that entry hosts have for a workload's class.
-func className(w *experiment.Workload) string {
-	return [...]string{"status", "check", "summary", "lookup"}[w.Class]
-}
-
 // prompt writes a prompt of the call's length whose pieces are equal where the
 // trace says so, and whose answer has the call's length.
 func prompt(c *experiment.Call, number int) string {
--- a/internal/middleware/target.go
+++ b/internal/middleware/target.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"filberthook/internal/call"
+	"filberthook/internal/class"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/request"
 )
@@ -13,7 +14,7 @@
 // name follows it, then the path at the service.
 const PathServices = "/services/"
 
-// HeaderPriorityClass is the caller's header that names a request.Class.
+// HeaderPriorityClass is the caller's header that names a class.Class.
 const HeaderPriorityClass = "X-Priority-Class"
 
 // Target finds out what is called, and checks that the team may call it.
@@ -82,14 +83,14 @@
 
 // defaultClass is the class of requests that name none: of calls to plain
 // services and of completions.
-func defaultClass(c *call.Call, r *http.Request) request.Class {
+func defaultClass(c *call.Call, r *http.Request) class.Class {
 	switch {
 	case c.Endpoint.Kind == engineapi.KindModel:
-		return request.ClassSummary
+		return class.Summary
 	case safe(r.Method):
-		return request.ClassStatus
+		return class.Status
 	default:
-		return request.ClassCheck
+		return class.Check
 	}
 }
 
@@ -99,10 +100,10 @@
 		c.Class = defaultClass(c, r)
 		return nil
 	}
-	class, ok := request.ParseClass(name)
-	if !ok {
+	parsed, err := class.Parse(name)
+	if err != nil {
 		return request.Refuse(request.InvalidRequest, "%s must be status, check, summary or lookup", HeaderPriorityClass)
 	}
-	c.Class = class
+	c.Class = parsed
 	return nil
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -150,7 +150,7 @@
 	t := &routing.Request{
 		ID:             c.Request.ID(),
 		Kind:           c.Endpoint.Kind,
-		Class:          routing.Class(c.Class),
+		Class:          c.Class,
 		PromptTokens:   c.PromptTokens,
 		ExpectedOutput: c.ExpectedOutput,
 		Deadline:       c.Left(),
--- a/internal/proxy/latency.go
+++ b/internal/proxy/latency.go
@@ -7,20 +7,20 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/call"
-	"filberthook/internal/request"
+	"filberthook/internal/class"
 )
 
 // latencies are the histograms of what callers wait for, by class, in seconds.
 type latencies struct {
-	firstToken [request.NumClasses]*metrics.Histogram // from arrival to the first token passed on
-	longestGap [request.NumClasses]*metrics.Histogram // between two tokens of one stream
-	answer     [request.NumClasses]*metrics.Histogram // from arrival to the end of the whole answer
+	firstToken [class.Count]*metrics.Histogram // from arrival to the first token passed on
+	longestGap [class.Count]*metrics.Histogram // between two tokens of one stream
+	answer     [class.Count]*metrics.Histogram // from arrival to the end of the whole answer
 }
 
 func newLatencies(set *metrics.Set) *latencies {
 	l := &latencies{}
-	for i := range request.NumClasses {
-		class := request.Class(i).String()
+	for i := range class.Count {
+		class := class.Class(i).String()
 		histogram := func(name string) *metrics.Histogram {
 			return set.GetOrCreateHistogram(fmt.Sprintf(`%s{class=%q}`, name, class))
 		}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filberthook/internal/class"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/prefix"
 	"filberthook/internal/tomltime"
@@ -16,23 +17,23 @@
 
 // TargetTable holds the targets of all classes.
 type TargetTable struct {
-	Urgent      Targets `toml:"urgent"`
-	Interactive Targets `toml:"interactive"`
-	Standard    Targets `toml:"standard"`
-	Background  Targets `toml:"background"`
+	Status  Targets `toml:"status"`
+	Check   Targets `toml:"check"`
+	Summary Targets `toml:"summary"`
+	Lookup  Targets `toml:"lookup"`
 }
 
 // Of returns the targets of a class.
-func (t *TargetTable) Of(c Class) *Targets {
+func (t *TargetTable) Of(c class.Class) *Targets {
 	switch c {
-	case ClassUrgent:
-		return &t.Urgent
-	case ClassInteractive:
-		return &t.Interactive
-	case ClassStandard:
-		return &t.Standard
+	case class.Status:
+		return &t.Status
+	case class.Check:
+		return &t.Check
+	case class.Summary:
+		return &t.Summary
 	default:
-		return &t.Background
+		return &t.Lookup
 	}
 }
 
@@ -90,7 +91,7 @@
 		AwayCost:      0.2,
 		MemoryGrowth:  0.25,
 		Split:         true,
-		Targets:       TargetTable{Urgent: answer, Interactive: answer, Standard: answer, Background: background},
+		Targets:       TargetTable{Status: answer, Check: answer, Summary: answer, Lookup: background},
 		Costs: Costs{
 			StepBase:        tomltime.Of(12 * time.Millisecond),
 			StepPerSequence: tomltime.Of(250 * time.Microsecond),
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
+	"filberthook/internal/class"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/prefix"
 )
@@ -37,7 +38,7 @@
 	busy := func(c *Candidate) { c.Load.Running = 60 }
 	queue := func(c *Candidate) { c.Load.QueuedPrefill = 40000 }
 	full := func(c *Candidate) { c.Load.UsedPieces = 199 }
-	request := Request{Model: "m", PromptTokens: 8000, ExpectedOutput: 200, Class: ClassStandard}
+	request := Request{Model: "m", PromptTokens: 8000, ExpectedOutput: 200, Class: class.Summary}
 	tests := []struct {
 		name        string
 		req         Request
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"filberthook/internal/class"
 	"filberthook/internal/engineapi"
 )
 
@@ -23,7 +24,7 @@
 
 // backlogShare is the part of a backlog that goes before a request: engines
 // run the more urgent first.
-var backlogShare = [NumClasses]float64{ClassUrgent: 0.1, ClassInteractive: 0.35, ClassStandard: 1, ClassBackground: 1}
+var backlogShare = [class.Count]float64{class.Status: 0.1, class.Check: 0.35, class.Summary: 1, class.Lookup: 1}
 
 // prediction is what a candidate would do for a request.
 type prediction struct {
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -9,52 +9,11 @@
 	"strings"
 	"time"
 
+	"filberthook/internal/class"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/prefix"
 )
 
-// Class is the service class of a request. A lower value is more urgent.
-type Class uint8
-
-// Service classes.
-const (
-	ClassUrgent      Class = iota // status reads and bookings
-	ClassInteractive              // short checks
-	ClassStandard                 // summaries, handover notes, assessments
-	ClassBackground               // lookups that may wait
-	NumClasses       = 4
-)
-
-var classNames = [NumClasses]string{"urgent", "interactive", "standard", "background"}
-
-// String returns the name of the class as settings spell it.
-func (c Class) String() string {
-	if int(c) >= len(classNames) {
-		return fmt.Sprintf("class(%d)", uint8(c))
-	}
-	return classNames[c]
-}
-
-// ParseClass returns the class with the given name.
-func ParseClass(name string) (Class, error) {
-	for i, known := range classNames {
-		if name == known {
-			return Class(i), nil
-		}
-	}
-	return 0, fmt.Errorf("unknown class %q; use one of %s", name, strings.Join(classNames[:], ", "))
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (c *Class) UnmarshalText(text []byte) error {
-	parsed, err := ParseClass(string(text))
-	*c = parsed
-	return err
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (c Class) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
-
 // Candidate is one endpoint instance as an entry host knows it. Candidates are
 // immutable once they are part of a snapshot that Prepare has seen.
 type Candidate struct {
@@ -92,7 +51,7 @@
 	Version        string // empty accepts every version
 	Endpoint       string // set for plain services, and for engines that serve one endpoint only
 	Kind           engineapi.Kind
-	Class          Class
+	Class          class.Class
 	Prefixes       []uint64 // chained hashes of the prompt's whole pieces
 	PromptTokens   int
 	ExpectedOutput int           // tokens
--- a/internal/settings/callers.go
+++ b/internal/settings/callers.go
@@ -4,9 +4,9 @@
 	"fmt"
 
 	"filberthook/internal/claimlog"
+	"filberthook/internal/class"
 	"filberthook/internal/middleware"
 	"filberthook/internal/proxy"
-	"filberthook/internal/request"
 	"filberthook/internal/tomltime"
 )
 
@@ -90,11 +90,11 @@
 		{"proxy.transport.dial_timeout", seconds(s.Proxy.Transport.DialTimeout)},
 		{"proxy.retry.max_attempts", float64(s.Proxy.Retry.MaxAttempts)},
 	}
-	for class := range request.Class(request.NumClasses) {
+	for c := range class.Class(class.Count) {
 		list = append(list,
-			limit{fmt.Sprintf("gate.queue[%d]", class), float64(s.Gate.Queue[class])},
-			limit{fmt.Sprintf("gate.shares[%d]", class), s.Gate.Shares[class]},
-			limit{fmt.Sprintf("gate.weights[%d]", class), float64(s.Gate.Weights[class])},
+			limit{fmt.Sprintf("gate.queue[%d]", c), float64(s.Gate.Queue[c])},
+			limit{fmt.Sprintf("gate.shares[%d]", c), s.Gate.Shares[c]},
+			limit{fmt.Sprintf("gate.weights[%d]", c), float64(s.Gate.Weights[c])},
 		)
 	}
 	return list
--- a/internal/zoneplanner/zoneplanner_test.go
+++ b/internal/zoneplanner/zoneplanner_test.go
@@ -50,7 +50,7 @@
 		Now:     func() time.Duration { return w.now },
 		Planner: planner.DefaultConfig(),
 		NewPlanner: func(c planner.Config) *planner.Planner {
-			return planner.New(c, cfg.Costs, cfg.Targets.Standard.FirstToken.Duration)
+			return planner.New(c, cfg.Costs, cfg.Targets.Summary.FirstToken.Duration)
 		},
 		DrainLimit: 10 * time.Second,
 		Logger:     slog.New(slog.DiscardHandler),
