--- a/cmd/filberthook-standin/main.go
+++ b/cmd/filberthook-standin/main.go
@@ -73,8 +73,8 @@
 }
 
 func leaveLimit(s standin.Settings) time.Duration {
-	if s.LeaveLimit > 0 {
-		return s.LeaveLimit.Value()
+	if s.LeaveLimit.Duration > 0 {
+		return s.LeaveLimit.Duration
 	}
 	return standin.DefaultLeaveLimit
 }
--- a/filberthook_test.go
+++ b/filberthook_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"filberthook/internal/tomltime"
+
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -61,7 +63,7 @@
 	s.Host, s.Zone = "entry-1", "bio"
 	s.Listen.Callers, s.Listen.Announce, s.Listen.Status, s.Listen.Gossip = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	s.Control.Replicas = []string{"127.0.0.1:1"}
-	s.Stop.ReadyGrace = 0
+	s.Stop.ReadyGrace = tomltime.Of(0)
 	e, err := NewEntry(s, slog.New(slog.DiscardHandler), metrics.NewSet())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/changefile/changefile.go
+++ b/internal/changefile/changefile.go
@@ -7,6 +7,7 @@
 
 	filberthookv1 "filberthook/api/filberthook/v1"
 	"filberthook/internal/settings"
+	"filberthook/internal/tomltime"
 )
 
 // File is a list of changes.
@@ -54,7 +55,7 @@
 	Owner           string            `toml:"owner"`
 	Kind            string            `toml:"kind"` // model or service
 	Repeatable      bool              `toml:"repeatable"`
-	DefaultDeadline settings.Duration `toml:"default_deadline"`
+	DefaultDeadline tomltime.Duration `toml:"default_deadline"`
 	Model           string            `toml:"model"`
 	Adapter         string            `toml:"adapter"`
 	Version         string            `toml:"version"`
--- a/internal/changefile/message.go
+++ b/internal/changefile/message.go
@@ -33,7 +33,7 @@
 		Owner:             e.Owner,
 		Kind:              Kinds[e.Kind],
 		Repeatable:        e.Repeatable,
-		DefaultDeadlineMs: e.DefaultDeadline.Value().Milliseconds(),
+		DefaultDeadlineMs: e.DefaultDeadline.Duration.Milliseconds(),
 		Model:             e.Model,
 		Adapter:           e.Adapter,
 		Version:           e.Version,
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -22,6 +22,7 @@
 	"filberthook/internal/fleet"
 	"filberthook/internal/settings"
 	"filberthook/internal/standin"
+	"filberthook/internal/tomltime"
 
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
@@ -207,7 +208,7 @@
 		s.Listen = settings.EntryListen{Callers: e.Callers, Announce: e.Announce, Gossip: addresses[4*i+2], Status: e.Status}
 		s.Control.Replicas = replicas
 		s.Gossip.Seeds = seeds
-		s.Stop.ReadyGrace = settings.Duration(200 * time.Millisecond)
+		s.Stop.ReadyGrace = tomltime.Of(200 * time.Millisecond)
 		if d.opts.Entry != nil {
 			d.opts.Entry(&s)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -263,8 +263,8 @@
 func (n *Node) stop(ctx context.Context, callers *http.Server) error {
 	n.stopping.Store(true)
 	n.log.Info("entry host stops", "requests_in_flight", n.callers.Stop.UnderWay())
-	sleep(ctx, n.set.Stop.ReadyGrace.Value())
-	limit, cancel := context.WithTimeout(n.base, n.set.Stop.Limit.Value())
+	sleep(ctx, n.set.Stop.ReadyGrace.Duration)
+	limit, cancel := context.WithTimeout(n.base, n.set.Stop.Limit.Duration)
 	defer cancel()
 	n.callers.Stop.Begin()
 	err := callers.Shutdown(limit)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/settings"
+	"filberthook/internal/tomltime"
 )
 
 // startNode runs an entry host whose control replicas are out of reach. stop
@@ -23,7 +24,7 @@
 	t.Helper()
 	s := settings.DefaultEntry()
 	s.Host, s.Zone = "entry-1", "bio"
-	s.Stop.ReadyGrace = 0
+	s.Stop.ReadyGrace = tomltime.Of(0)
 	s.Listen = settings.EntryListen{Callers: "127.0.0.1:0", Announce: "127.0.0.1:0", Gossip: "127.0.0.1:0", Status: "127.0.0.1:0"}
 	s.Control.Replicas = []string{"127.0.0.1:1"}
 	change(&s)
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"time"
+
+	"filberthook/internal/tomltime"
 )
 
 // Checker collects the problems of a settings structure.
@@ -59,9 +61,9 @@
 }
 
 // Between reports a duration outside a range.
-func (c *Checker) Between(key string, value Duration, low, high time.Duration) {
-	if value.Value() < low || value.Value() > high {
-		c.Add(key, fmt.Sprintf("%s is out of range", value.Value()), fmt.Sprintf("use %s to %s", low, high))
+func (c *Checker) Between(key string, value tomltime.Duration, low, high time.Duration) {
+	if value.Duration < low || value.Duration > high {
+		c.Add(key, fmt.Sprintf("%s is out of range", value.Duration), fmt.Sprintf("use %s to %s", low, high))
 	}
 }
 
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -3,28 +3,8 @@
 import (
 	"fmt"
 	"log/slog"
-	"time"
 )
 
-// Duration is a duration with its unit, such as "1500ms" or "2s".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("%q is not a duration; write a number with a unit, such as 1500ms or 2s", text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(d.Value().String()), nil }
-
-// Value returns the duration.
-func (d Duration) Value() time.Duration { return time.Duration(d) }
-
 // TLS names the files for mutual TLS between hosts. All are set or none.
 type TLS struct {
 	CA          string `toml:"ca"`
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -10,6 +10,7 @@
 	"filberthook/internal/admission"
 	"filberthook/internal/planner"
 	"filberthook/internal/routing"
+	"filberthook/internal/tomltime"
 )
 
 // MinGossipKeyBytes is the least length of the key that signs gossip packets.
@@ -54,8 +55,8 @@
 
 // EntryStop bounds a graceful stop.
 type EntryStop struct {
-	ReadyGrace Duration `toml:"ready_grace"` // time between failing readiness and refusing new requests
-	Limit      Duration `toml:"limit"`       // time for the requests under way
+	ReadyGrace tomltime.Duration `toml:"ready_grace"` // time between failing readiness and refusing new requests
+	Limit      tomltime.Duration `toml:"limit"`       // time for the requests under way
 }
 
 // Defaults and limits of EntryStop.
@@ -69,7 +70,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		Control:   EntryControl{Follow: true},
-		Stop:      EntryStop{ReadyGrace: Duration(DefaultReadyGrace), Limit: Duration(DefaultStopLimit)},
+		Stop:      EntryStop{ReadyGrace: tomltime.Of(DefaultReadyGrace), Limit: tomltime.Of(DefaultStopLimit)},
 		Routing:   routing.DefaultConfig(),
 		Callers:   DefaultEntryCallers(),
 		Admission: admission.DefaultConfig(),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -66,13 +66,3 @@
 		})
 	}
 }
-
-func TestDurationNeedsUnit(t *testing.T) {
-	var d Duration
-	if err := d.UnmarshalText([]byte("5")); err == nil {
-		t.Error("a number without unit was accepted")
-	}
-	if err := d.UnmarshalText([]byte("1500ms")); err != nil || d.Value().Milliseconds() != 1500 {
-		t.Errorf("got %v, %v", d.Value(), err)
-	}
-}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -7,6 +7,7 @@
 	"filberthook/internal/engineapi"
 	"filberthook/internal/enginemodel"
 	"filberthook/internal/settings"
+	"filberthook/internal/tomltime"
 )
 
 // Settings is the settings file of one stand-in process.
@@ -18,10 +19,10 @@
 	Listen        string            `toml:"listen"`         // IP:port to listen on
 	Address       string            `toml:"address"`        // IP:port that is announced; empty for listen
 	Entries       []string          `toml:"entries"`        // IP:port of entry hosts to announce to
-	AnnounceEvery settings.Duration `toml:"announce_every"` // empty for 500ms
-	Lease         settings.Duration `toml:"lease"`          // empty for 3s
-	LeaveGrace    settings.Duration `toml:"leave_grace"`    // empty for 3s
-	LeaveLimit    settings.Duration `toml:"leave_limit"`    // longest time to finish work; empty for 1m
+	AnnounceEvery tomltime.Duration `toml:"announce_every"` // empty for 500ms
+	Lease         tomltime.Duration `toml:"lease"`          // empty for 3s
+	LeaveGrace    tomltime.Duration `toml:"leave_grace"`    // empty for 3s
+	LeaveLimit    tomltime.Duration `toml:"leave_limit"`    // longest time to finish work; empty for 1m
 	Engine        EngineSettings    `toml:"engine"`
 	Service       ServiceSettings   `toml:"service"`
 	Log           settings.Log      `toml:"log"`
@@ -36,9 +37,9 @@
 	MaxQueue    int               `toml:"max_queue"`
 	Role        engineapi.Role    `toml:"role"`
 	IgnoreFence bool              `toml:"ignore_fence"`
-	StepBase    settings.Duration `toml:"step_base"`
-	RoleChange  settings.Duration `toml:"role_change"`
-	ModelLoad   settings.Duration `toml:"model_load"`
+	StepBase    tomltime.Duration `toml:"step_base"`
+	RoleChange  tomltime.Duration `toml:"role_change"`
+	ModelLoad   tomltime.Duration `toml:"model_load"`
 	Models      []ModelSettings   `toml:"models"`
 }
 
@@ -51,7 +52,7 @@
 
 // ServiceSettings is the part for plain services.
 type ServiceSettings struct {
-	Duration settings.Duration `toml:"duration"` // time of one call
+	Duration tomltime.Duration `toml:"duration"` // time of one call
 	Workers  int               `toml:"workers"`  // calls that run together; 0 sets no limit
 }
 
@@ -105,7 +106,7 @@
 func (s *Settings) checkDurations(c *settings.Checker) {
 	for _, d := range []struct {
 		key   string
-		value settings.Duration
+		value tomltime.Duration
 	}{
 		{"announce_every", s.AnnounceEvery},
 		{"lease", s.Lease},
@@ -131,9 +132,9 @@
 		Zone:          s.Zone,
 		Address:       address,
 		Entries:       s.Entries,
-		AnnounceEvery: s.AnnounceEvery.Value(),
-		Lease:         s.Lease.Value(),
-		LeaveGrace:    s.LeaveGrace.Value(),
+		AnnounceEvery: s.AnnounceEvery.Duration,
+		Lease:         s.Lease.Duration,
+		LeaveGrace:    s.LeaveGrace.Duration,
 	}
 }
 
@@ -143,9 +144,9 @@
 	set(&m.Pieces, s.Engine.Pieces)
 	set(&m.MaxBatch, s.Engine.MaxBatch)
 	set(&m.Role, s.Engine.Role)
-	set(&m.StepBase, s.Engine.StepBase.Value())
-	set(&m.RoleChange, s.Engine.RoleChange.Value())
-	set(&m.ModelLoad, s.Engine.ModelLoad.Value())
+	set(&m.StepBase, s.Engine.StepBase.Duration)
+	set(&m.RoleChange, s.Engine.RoleChange.Duration)
+	set(&m.ModelLoad, s.Engine.ModelLoad.Duration)
 	m.ChecksFence = !s.Engine.IgnoreFence
 	for _, model := range s.Engine.Models {
 		m.Models = append(m.Models, engineapi.Model{Name: model.Name, Version: model.Version, Adapters: model.Adapters})
@@ -155,7 +156,7 @@
 
 // ServiceConfig returns the configuration of a plain service.
 func (s Settings) ServiceConfig() ServiceConfig {
-	return ServiceConfig{Identity: s.identity(), Duration: s.Service.Duration.Value(), Workers: s.Service.Workers}
+	return ServiceConfig{Identity: s.identity(), Duration: s.Service.Duration.Duration, Workers: s.Service.Workers}
 }
 
 // set replaces a default by a value that is not empty.
