Routing: short prompts run whole on mixed engines

Change: the rank weighs by the share of a step that the prompt fills; a split costs 0.05 of a target. TestShortPromptsRunWhole fails without it.

--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -122,6 +122,7 @@
 		}
 		pair.predicted.add(p)
 		pair.predicted.first += float64(q.req.PromptTokens) / r.cfg.Costs.TransferPerSec
+		pair.predicted.cost += splitCost
 		pair.prefill = c
 		best.consider(q, pair, Admitted)
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -189,6 +189,28 @@
 	}
 }
 
+// TestShortPromptsRunWhole checks that a prompt far below a step's size is not
+// moved between mixed engines: that costs two more calls and saves nothing.
+func TestShortPromptsRunWhole(t *testing.T) {
+	r := newRouter("bio", 1)
+	var cands []Candidate
+	for i := range 4 {
+		cands = append(cands, engine(fmt.Sprint("e", i), "bio", engineapi.RoleMixed))
+	}
+	r.Prepare(cands)
+	for i := range 20 {
+		req := Request{ID: fmt.Sprint(i), Model: "m", PromptTokens: 100, ExpectedOutput: 50}
+		d, err := r.Pick(0, &req, cands)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.Prefill != "" {
+			t.Fatalf("request %d: prompt of 100 tokens on %s, answer on %s", i, d.Prefill, d.Instance)
+		}
+		r.Started(0, &d, &req)
+	}
+}
+
 func TestHomeEngines(t *testing.T) {
 	tests := []struct {
 		name    string
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -17,6 +17,7 @@
 	breakWeight   = 0.07 // cost of one long step to one running answer, in answers
 	slowShare     = 0.05 // share of an answer's gaps that may exceed the target
 	partWeight    = 0.3  // keeps prompts and answers on different mixed engines
+	splitCost     = 0.05 // of two more calls and one more engine that can fail
 	unseenInflow  = 0.7  // share of an engine's capacity that others are taken to fill
 	unseenWait    = 0.5  // share of a wait that is added for prompts not seen yet
 	batchWaitSecs = 4.0  // wait for a place in a full batch of answers
@@ -110,11 +111,17 @@
 	p.first = s.r.distance(c) + p.wait + uncached/rate
 	p.cost = load.scarcity(c) + ageWeight*load.age.Seconds() + s.r.awayCost(c)
 	if c.Role != engineapi.RolePrefill {
-		p.cost += s.r.interference(q, load.running, uncached) + partWeight*c.promptRank
+		p.cost += s.r.interference(q, load.running, uncached) + partWeight*c.promptRank*s.r.chunkShare(uncached)
 	}
 	return p, Admitted
 }
 
+// chunkShare returns how much of a full step of prompt tokens a prompt fills, at
+// most 1: a short prompt does answers on the same engine little harm.
+func (r *Router) chunkShare(uncached float64) float64 {
+	return min(1, uncached/float64(r.cfg.Costs.PrefillChunk))
+}
+
 // interference is the harm that computing a prompt does to answers under way
 // on the same engine.
 func (r *Router) interference(q *query, running, uncached float64) float64 {
