Watchers that do not follow addresses are not told them

Cause: slopes showed 224 bytes/s per watcher, 147 before: those that do not follow the group's addresses were told them with every answer. Change: a watch with sum 0 asks for none. Figures: 147 -> 224 bytes/s before this change (slopes, 50 to 200 watchers).

--- a/internal/distribution/client.go
+++ b/internal/distribution/client.go
@@ -69,7 +69,7 @@
 
 	// The fields below belong to the goroutine of Run.
 	index      int    // replica in use
-	addresses  uint64 // sum of the replicas' addresses told last
+	addresses  uint64 // sum of the replicas' addresses told last; 0 when nobody wants to know
 	full       bool
 	failed     int // tries in a row that failed
 	started    time.Duration
@@ -103,9 +103,15 @@
 	}
 	c.snapshot.Store(snapshot)
 	c.stored.Store(true)
+	if settings.OnReplicas != nil {
+		c.addresses = noAddresses
+	}
 	return c, nil
 }
 
+// noAddresses stands for the sum of addresses before any were told.
+const noAddresses = 1
+
 func (s Settings) withDefaults() Settings {
 	if s.Clock == nil {
 		start := time.Now()
--- a/internal/distribution/protocol.go
+++ b/internal/distribution/protocol.go
@@ -41,7 +41,7 @@
 	Full       bool           `json:"full,omitempty"`    // send the whole configuration
 	Confirm    bool           `json:"confirm,omitempty"` // confirm with the leader before answering
 	WaitMillis int64          `json:"wait_ms"`
-	Replicas   uint64         `json:"replicas,omitempty"` // sum of the replicas' addresses that the host knows
+	Replicas   uint64         `json:"replicas,omitempty"` // sum of the addresses of the replicas that the host was told; 0 asks for none
 	Engines    []EngineReport `json:"engines,omitempty"`  // from the planner that holds the zone's lease
 }
 
