Read idle engines' states every 30 s, cache events within 2 KiB/s

Change: announcements bring states; readings every 30 s, and after orders and takeovers as before. Cache events get 2 KiB/s in place of 4.

--- a/internal/authority/poll.go
+++ b/internal/authority/poll.go
@@ -16,7 +16,7 @@
 	pollTimeout  = time.Second
 	maxPolls     = 16
 	// refreshInterval is the time between readings of an idle engine's state.
-	refreshInterval = 5 * time.Second
+	refreshInterval = 30 * time.Second
 )
 
 // Run follows the outstanding orders and reads the engines' states while the
--- a/internal/cachefeed/cachefeed.go
+++ b/internal/cachefeed/cachefeed.go
@@ -30,7 +30,7 @@
 	pollsPerSec   = 20
 	pollsAtOnce   = 4
 	pollBurst     = 20
-	bytesPerSec   = 4 << 10
+	bytesPerSec   = 2 << 10
 	bytesBurst    = maxPageBytes    // a page may be read as a whole; its bytes are paid for afterwards
 	retryInterval = 2 * time.Second // after a failed poll of an engine
 )
