--- a/internal/authority/holder.go
+++ b/internal/authority/holder.go
@@ -16,6 +16,7 @@
 
 	"filberthook/internal/invariant"
 	"filberthook/internal/lease"
+	"filberthook/internal/pause"
 )
 
 // Timing of leases and orders.
@@ -124,7 +125,7 @@
 // Run acquires and renews the lease until ctx ends.
 func (h *Holder) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, h.step(ctx))
+		pause.For(ctx, h.step(ctx))
 	}
 	return nil
 }
@@ -219,12 +220,3 @@
 func (h *Holder) jittered(d time.Duration) time.Duration {
 	return time.Duration((0.5 + 0.5*h.settings.Random()) * float64(d))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -15,6 +15,7 @@
 
 	"filberthook/api/filberthook/v1/filberthookv1connect"
 	"filberthook/internal/operator"
+	"filberthook/internal/pause"
 )
 
 // Timing of retries between control hosts.
@@ -144,7 +145,7 @@
 			last = err
 			sent = sent || maybeApplied(err)
 		}
-		if !wait(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			return nil, &unreachedError{names: c.names, err: last, sent: sent}
 		}
 	}
@@ -171,17 +172,6 @@
 	return !refusedConnection(err)
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // refusedConnection reports whether no connection was made, so that the host
 // cannot have taken the call.
 func refusedConnection(err error) bool {
--- a/internal/controlnode/group.go
+++ b/internal/controlnode/group.go
@@ -12,6 +12,7 @@
 	"filberthook/internal/fleet"
 	"filberthook/internal/lease"
 	"filberthook/internal/operator"
+	"filberthook/internal/pause"
 	"filberthook/internal/replica"
 	"filberthook/internal/statemachine"
 )
@@ -76,7 +77,7 @@
 				err = RemoteOutcome(err)
 			}
 		}
-		if err == nil || !retryable(err) || !pause(ctx, noLeaderPause) {
+		if err == nil || !retryable(err) || !pause.For(ctx, noLeaderPause) {
 			return err
 		}
 		g.retries.Inc()
@@ -89,17 +90,6 @@
 	return errors.As(err, &notApplied) && notApplied.Retry
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // proposeHere proposes a command at this replica, stamped with its clock.
 func (g *group) proposeHere(ctx context.Context, cmd statemachine.Command) (statemachine.Response, error) {
 	data, err := cmd.Encode(g.clock.reading())
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,7 @@
 	"filberthook/internal/keys"
 	"filberthook/internal/membership"
 	"filberthook/internal/middleware"
+	"filberthook/internal/pause"
 	"filberthook/internal/peer"
 	"filberthook/internal/proxy"
 	"filberthook/internal/request"
@@ -245,7 +246,7 @@
 // reportDemand tells the zone's hosts what callers bring to this one.
 func (n *Node) reportDemand(ctx context.Context) error {
 	for {
-		sleep(ctx, demand.Interval(n.hostsInZone()))
+		pause.For(ctx, demand.Interval(n.hostsInZone()))
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -269,7 +270,7 @@
 func (n *Node) stop(ctx context.Context, callers *http.Server) error {
 	n.stopping.Store(true)
 	n.log.Info("entry host stops", "requests_in_flight", n.callers.Stop.UnderWay())
-	sleep(ctx, n.set.Stop.ReadyGrace.Duration)
+	pause.For(ctx, n.set.Stop.ReadyGrace.Duration)
 	limit, cancel := context.WithTimeout(n.base, n.set.Stop.Limit.Duration)
 	defer cancel()
 	n.callers.Stop.Begin()
@@ -296,15 +297,6 @@
 	return fmt.Sprintf("%d requests were cut by the stop: raise stop.limit, or wait longer before a second signal", e.Requests)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (n *Node) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
--- a/internal/faultrun/bench.go
+++ b/internal/faultrun/bench.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"filberthook/internal/faultnet"
+	"filberthook/internal/pause"
 )
 
 // pollChange is how often a fault looks whether an engine is in a change.
@@ -120,7 +121,7 @@
 	start := time.Now()
 	var wg sync.WaitGroup
 	for i, f := range plan {
-		sleep(ctx, time.Until(start.Add(f.At)))
+		pause.For(ctx, time.Until(start.Add(f.At)))
 		if ctx.Err() != nil {
 			break
 		}
@@ -173,7 +174,7 @@
 	default:
 		c := b.sys.Controls[f.Index]
 		c.Kill()
-		sleep(ctx, f.Length)
+		pause.For(ctx, f.Length)
 		return startAgain(ctx, c.Start)
 	}
 }
@@ -211,7 +212,7 @@
 	case DelayEngine:
 		w.relay.Delay(slowNetwork)
 	}
-	sleep(ctx, f.Length)
+	pause.For(ctx, f.Length)
 	w.relay.Heal()
 	faults.Resume()
 	return nil
@@ -232,7 +233,7 @@
 		cutEntry(ctx, h.Network(), f)
 		return nil
 	}
-	sleep(ctx, f.Length)
+	pause.For(ctx, f.Length)
 	err := startAgain(ctx, h.Start)
 	h.set(false, false)
 	return err
@@ -247,7 +248,7 @@
 		if err == nil || ctx.Err() != nil || time.Now().After(until) {
 			return err
 		}
-		sleep(ctx, startAgainPause)
+		pause.For(ctx, startAgainPause)
 	}
 }
 
@@ -267,7 +268,7 @@
 			r.CutBack()
 		}
 	}
-	sleep(ctx, f.Length)
+	pause.For(ctx, f.Length)
 	for _, r := range relays {
 		r.Heal()
 	}
@@ -290,7 +291,7 @@
 			b.ledger.crashedInChange()
 			return err
 		}
-		sleep(ctx, pollChange)
+		pause.For(ctx, pollChange)
 	}
 	return err
 }
--- a/internal/faultrun/cluster.go
+++ b/internal/faultrun/cluster.go
@@ -19,6 +19,7 @@
 	"filberthook/internal/deployment"
 	"filberthook/internal/faultnet"
 	"filberthook/internal/fleet"
+	"filberthook/internal/pause"
 	"filberthook/internal/settings"
 )
 
@@ -230,7 +231,7 @@
 		if ctx.Err() != nil {
 			return fmt.Errorf("change %s was not applied within %s: %w", id, applyLimit, err)
 		}
-		sleep(ctx, applyPause)
+		pause.For(ctx, applyPause)
 	}
 }
 
--- a/internal/faultrun/outage.go
+++ b/internal/faultrun/outage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filberthook/internal/loadgen"
+	"filberthook/internal/pause"
 )
 
 // Outage is one way in which engines are out of order.
@@ -79,7 +80,7 @@
 		b.begin(outage)
 		out = append(out, b.storm(ctx, cfg, outage, cfg.Seed+uint64(i)))
 		b.end(outage)
-		sleep(ctx, settleAfterOutage)
+		pause.For(ctx, settleAfterOutage)
 	}
 	return out, ctx.Err()
 }
--- a/internal/faultrun/run.go
+++ b/internal/faultrun/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filberthook/internal/enginemodel"
+	"filberthook/internal/pause"
 )
 
 // Times of a run beside the faults.
@@ -103,7 +104,7 @@
 	}
 	s.bench.strike(ctx, plan, cfg.Seed)
 	s.bench.heal()
-	sleep(ctx, time.Second)
+	pause.For(ctx, time.Second)
 	stopNew()
 	limit := time.AfterFunc(settleLimit, cut)
 	defer limit.Stop()
@@ -122,7 +123,7 @@
 	}
 	for working.Err() == nil {
 		call(ending)
-		sleep(working, callerPause)
+		pause.For(working, callerPause)
 	}
 }
 
--- a/internal/faultrun/sessions.go
+++ b/internal/faultrun/sessions.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filberthook/internal/loadgen"
+	"filberthook/internal/pause"
 )
 
 // Behaviour of callers.
@@ -152,7 +153,7 @@
 				return
 			}
 		}
-		sleep(ctx, backoff+time.Duration(c.rng.Int64N(int64(backoff))))
+		pause.For(ctx, backoff+time.Duration(c.rng.Int64N(int64(backoff))))
 		backoff = min(2*backoff, longBackoff)
 	}
 	c.ledger.session(calls, key, endLost, last)
--- a/internal/faultrun/workers.go
+++ b/internal/faultrun/workers.go
@@ -15,6 +15,7 @@
 	"filberthook/internal/engineapi"
 	"filberthook/internal/enginemodel"
 	"filberthook/internal/faultnet"
+	"filberthook/internal/pause"
 	"filberthook/internal/standin"
 )
 
@@ -160,7 +161,7 @@
 func (w *worker) crash(ctx context.Context, length time.Duration) {
 	w.standin.Crash()
 	w.relay.Reset()
-	sleep(ctx, length)
+	pause.For(ctx, length)
 	w.standin.Restart()
 }
 
@@ -173,7 +174,7 @@
 	last := w.standin.LeaveReport().Last
 	w.standin.Crash()
 	w.relay.Reset()
-	sleep(ctx, length)
+	pause.For(ctx, length)
 	w.standin.Stay()
 	w.standin.Restart()
 	if err != nil {
@@ -182,14 +183,4 @@
 	return last, nil
 }
 
-// sleep waits for a time or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func discard() *slog.Logger { return slog.New(slog.DiscardHandler) }
--- a/internal/liverun/liverun.go
+++ b/internal/liverun/liverun.go
@@ -21,6 +21,7 @@
 	"filberthook/internal/experiment"
 	"filberthook/internal/fleet"
 	"filberthook/internal/loadgen"
+	"filberthook/internal/pause"
 	"filberthook/internal/settings"
 
 	"connectrpc.com/connect"
@@ -165,7 +166,7 @@
 	if err := r.dep.AwaitReady(ctx); err != nil {
 		return err
 	}
-	if !sleep(ctx, settleTime) {
+	if !pause.For(ctx, settleTime) {
 		return ctx.Err()
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.scenario.Duration.Duration+drainTime)
@@ -173,7 +174,7 @@
 	start := time.Now()
 	var under sync.WaitGroup
 	for i := range calls {
-		if !sleep(ctx, calls[i].At-time.Since(start)) {
+		if !pause.For(ctx, calls[i].At-time.Since(start)) {
 			break
 		}
 		under.Go(func() { r.call(ctx, &calls[i], i) })
@@ -184,20 +185,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // configure creates the endpoints and the calling teams.
 func (r *run) configure(ctx context.Context, calls []experiment.Call) error {
 	changes := []*filberthookv1.Change{createEndpoint(endpoint, filberthookv1.Kind_KIND_MODEL)}
@@ -245,7 +232,7 @@
 		_, err := operator.Apply(ctx, connect.NewRequest(&filberthookv1.ApplyRequest{
 			ChangeId: "liverun", ExpectedRevision: &revision, Changes: changes,
 		}))
-		if err == nil || connect.CodeOf(err) != connect.CodeUnavailable || !sleep(ctx, applyPause) {
+		if err == nil || connect.CodeOf(err) != connect.CodeUnavailable || !pause.For(ctx, applyPause) {
 			return err
 		}
 	}
--- a/internal/operator/read.go
+++ b/internal/operator/read.go
@@ -12,6 +12,7 @@
 	filberthookv1 "filberthook/api/filberthook/v1"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
+	"filberthook/internal/pause"
 )
 
 // Limits on reads.
@@ -53,25 +54,13 @@
 	deadline := s.settings.Now().Add(wait)
 	for {
 		resp := s.status(ctx, req.Msg.WaitRevision)
-		if resp.InForce || !s.settings.Now().Before(deadline) || !pause(ctx, statusInterval) {
+		if resp.InForce || !s.settings.Now().Before(deadline) || !pause.For(ctx, statusInterval) {
 			resp.Stale = callerOf(ctx).stale
 			return connect.NewResponse(resp), nil
 		}
 	}
 }
 
-// pause waits and reports whether the call goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Service) status(ctx context.Context, wanted uint64) *filberthookv1.GetStatusResponse {
 	reports, unreachable := s.hosts.Reports(ctx)
 	resp := &filberthookv1.GetStatusResponse{
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"filberthook/internal/call"
 	"filberthook/internal/engineapi"
 	"filberthook/internal/limit"
+	"filberthook/internal/pause"
 	"filberthook/internal/request"
 	"filberthook/internal/retry"
 	"filberthook/internal/routing"
@@ -151,7 +152,7 @@
 		}
 		return p.ended(ctx, c, f)
 	}
-	if !pause(ctx, verdict.Delay) {
+	if !pause.For(ctx, verdict.Delay) {
 		return p.ended(ctx, c, f)
 	}
 	if f.reason != "" {
@@ -160,18 +161,6 @@
 	return nil
 }
 
-// pause waits for d; it returns false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // ended returns the refusal of a call whose last attempt failed.
 func (p *Proxy) ended(ctx context.Context, c *call.Call, f *failure) *request.Refusal {
 	ran := c.Request.MayHaveRun()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -9,6 +9,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"filberthook/internal/call"
+	"filberthook/internal/pause"
 	"filberthook/internal/request"
 	"filberthook/internal/retry"
 )
@@ -59,7 +60,7 @@
 	if !verdict.Again && verdict.Denied == retry.DeniedBudget {
 		s.call.Counters.Retried(request.RetryDenied)
 	}
-	if !verdict.Again || ctx.Err() != nil || !pause(ctx, verdict.Delay) {
+	if !verdict.Again || ctx.Err() != nil || !pause.For(ctx, verdict.Delay) {
 		return s.ended(ctx, f)
 	}
 	s.call.Counters.Retried(request.RetryResume)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"filberthook/internal/loadgen"
+	"filberthook/internal/pause"
 )
 
 // Lengths of pauses that a soak makes.
@@ -155,7 +156,7 @@
 		return
 	}
 	rng := rand.New(rand.NewPCG(r.cfg.Seed, 9))
-	for sleep(ctx, r.cfg.FaultEvery) {
+	for pause.For(ctx, r.cfg.FaultEvery) {
 		p := r.cfg.Struck[rng.IntN(len(r.cfg.Struck))]
 		length := shortestPause + time.Duration(rng.Int64N(int64(longestPause-shortestPause)))
 		if rng.IntN(2) == 0 {
@@ -180,7 +181,7 @@
 	if signal(p, syscall.SIGSTOP) != nil {
 		return
 	}
-	sleep(ctx, length)
+	pause.For(ctx, length)
 	_ = signal(p, syscall.SIGCONT)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -198,15 +199,3 @@
 	}
 	return process.Signal(s)
 }
-
-// sleep waits for a time and reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
