Remove package dirlock: package storage locks the data folder already

Cause: the read of the whole change found the lock twice; storage takes one through fsys.Lock, with a message that names the remedy. Change: dirlock goes; the test of two processes on one folder asks for fsys.ErrLocked. Conclusion: the same start is refused, by one piece of code.

--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -17,7 +17,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"filberthook/internal/buildinfo"
-	"filberthook/internal/dirlock"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
 	"filberthook/internal/keys"
@@ -43,7 +42,6 @@
 
 // Node is one control daemon.
 type Node struct {
-	lock     *dirlock.Lock // of the data folder
 	settings settings.Control
 	logger   *slog.Logger
 	metrics  *metrics.Set
@@ -87,16 +85,10 @@
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	lock, err := dirlock.Acquire(s.DataDir)
-	if err != nil {
-		n.listeners.close()
-		return nil, err
-	}
-	n.lock = lock
 	n.buildState()
 	if err := n.openReplica(); err != nil {
 		n.listeners.close()
-		return nil, errors.Join(err, lock.Release())
+		return nil, err
 	}
 	n.buildCalls()
 	return n, nil
@@ -238,7 +230,7 @@
 	}
 	n.logger.Info("control replica started", "id", n.settings.Replica.ID, "revision", n.machine.Configuration().Revision,
 		"peers", n.settings.Listen.Peers, "operators", n.settings.Listen.Operators)
-	err := errors.Join(tasks.Wait(), n.lock.Release())
+	err := tasks.Wait()
 	n.logger.Info("control replica stopped", "err", err)
 	return err
 }
--- a/internal/controlnode/node_test.go
+++ b/internal/controlnode/node_test.go
@@ -19,9 +19,9 @@
 	"filberthook/api/filberthook/v1/filberthookv1connect"
 	"filberthook/internal/authority"
 	"filberthook/internal/claim"
-	"filberthook/internal/dirlock"
 	"filberthook/internal/distribution"
 	"filberthook/internal/fleet"
+	"filberthook/internal/fsys"
 	"filberthook/internal/lease"
 	"filberthook/internal/loopback"
 	"filberthook/internal/operator"
@@ -365,9 +365,8 @@
 	}
 	elsewhere := c.nodes[0].settings
 	elsewhere.Listen = settings.ControlListen{Peers: loopback.String(), Operators: loopback.String(), Status: loopback.String()}
-	var held *dirlock.HeldError
-	if _, err := New(elsewhere, slog.New(slog.DiscardHandler), metrics.NewSet()); !errors.As(err, &held) {
-		t.Fatalf("a second process with other addresses on the same folder: %v, want a HeldError", err)
+	if _, err := New(elsewhere, slog.New(slog.DiscardHandler), metrics.NewSet()); !errors.Is(err, fsys.ErrLocked) {
+		t.Fatalf("a second process with other addresses on the same folder: %v, want ErrLocked", err)
 	}
 	if got := c.change(0, 1, 1); got.revision != 2 {
 		t.Errorf("after the second start: %+v", got)
