--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -278,6 +278,15 @@
 	s.tombstones[name] = tombstone{version: rec.Version(), until: now + TombstoneDuration}
 }
 
+// Find returns the record of one instance, nil when it is not known. It looks
+// at one shard only and builds no snapshot.
+func (d *Directory) Find(instance string) *Record {
+	s := d.shard(instance)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.records[instance]
+}
+
 // Snapshot returns the newest view. It builds a new one only when something
 // has changed since the last call.
 func (d *Directory) Snapshot() *Snapshot {
--- a/internal/faultnet/direction.go
+++ b/internal/faultnet/direction.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"filberthook/internal/pause"
 )
 
 // direction is the state of one direction of a relay.
@@ -59,7 +61,7 @@
 	d.mu.Lock()
 	open, delay := d.open, d.delay
 	d.mu.Unlock()
-	if !sleepUntil(ctx, readAt.Add(delay)) {
+	if !pause.For(ctx, time.Until(readAt.Add(delay))) {
 		return false
 	}
 	select {
@@ -69,18 +71,3 @@
 		return false
 	}
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	left := time.Until(at)
-	if left <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gossip/codec.go
+++ b/internal/gossip/codec.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
-	"encoding/binary"
 	"errors"
 	"fmt"
 
@@ -69,5 +68,3 @@
 func (e *VersionError) Error() string {
 	return fmt.Sprintf("gossip packet of protocol %d, this host speaks %d: upgrade the older host", e.Theirs, membership.ProtocolVersion)
 }
-
-func putUint64(b []byte, v uint64) { binary.BigEndian.PutUint64(b, v) }
--- a/internal/gossip/instances.go
+++ b/internal/gossip/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -76,8 +77,7 @@
 
 // announced takes an announcement made to this host.
 func (s *instances) announced(now time.Duration, a engineapi.Announcement) (bool, error) {
-	snap := s.dir.Snapshot()
-	before := snap.Find(a.Instance)
+	before := s.dir.Find(a.Instance)
 	news, err := s.dir.Put(now, a)
 	if !news {
 		return news, err
@@ -86,7 +86,7 @@
 		s.enqueueState(now, a.Instance)
 		return true, nil
 	}
-	own, others := s.counts(snap)
+	own, others := s.counts()
 	period := announcePeriod(now, before, &a)
 	number := a.Sequence + xxhash.Sum64String(a.Instance) // spreads instances that started together
 	if due(number, period, max(otherZonesInterval, time.Duration(others)*otherZonesSpacing)) {
@@ -117,18 +117,19 @@
 }
 
 // counts returns the number of instances of the own zone and of other zones.
-func (s *instances) counts(snap *directory.Snapshot) (own, others int) {
-	for _, r := range snap.Records {
+func (s *instances) counts() (own, others int) {
+	records := s.dir.Snapshot().Records
+	for _, r := range records {
 		if r.Announcement.Zone == s.zone {
 			own++
 		}
 	}
-	return own, len(snap.Records) - own
+	return own, len(records) - own
 }
 
 // stateSequence returns the state that the directory holds of an instance.
 func (s *instances) stateSequence(instance string) directory.Version {
-	r := s.dir.Snapshot().Find(instance)
+	r := s.dir.Find(instance)
 	if r == nil {
 		return directory.Version{}
 	}
@@ -235,7 +236,7 @@
 			Expired:     true,
 		}
 	}
-	r := s.dir.Snapshot().Find(item.instance)
+	r := s.dir.Find(item.instance)
 	if r == nil {
 		return nil
 	}
@@ -303,8 +304,8 @@
 	d := xxhash.New()
 	_, _ = d.WriteString(r.Announcement.Instance)
 	var b [16]byte
-	putUint64(b[:8], r.Announcement.Incarnation)
-	putUint64(b[8:], r.StateSequence)
+	binary.BigEndian.PutUint64(b[:8], r.Announcement.Incarnation)
+	binary.BigEndian.PutUint64(b[8:], r.StateSequence)
 	_, _ = d.Write(b[:])
 	return d.Sum64()
 }
