Gossip: a load of the own zone does not inherit a place in all zones

Cause: found in the read of the whole change. A load queued for all zones passed that on to each newer load of the own zone, with its sends counted anew; with a long queue every load went everywhere. Change: the newer load keeps its own reach. No check or bound changes.

--- a/internal/gossip/instances.go
+++ b/internal/gossip/instances.go
@@ -146,13 +146,14 @@
 }
 
 // enqueueLoad queues a load, unless a change of state waits: the newest load
-// travels with it.
+// travels with it. A newer load of the own zone takes the place of one meant for
+// all zones: to send each newer one everywhere in its stead would never end while
+// the queue is long.
 func (s *instances) enqueueLoad(now time.Duration, instance string, wide bool) {
 	old := s.queue[instance]
 	if old != nil && old.urgency == urgentState {
 		return
 	}
-	wide = wide || old != nil && old.wide
 	s.put(&pending{instance: instance, urgency: routineLoad, wide: wide, queuedAt: now})
 }
 
