--- /dev/null
+++ b/cmd/filberthook-host/host.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/controlhost"
+	"filberthook/internal/entryhost"
+	"filberthook/internal/logsink"
+	"filberthook/internal/pause"
+	"filberthook/internal/settings"
+	"filberthook/platform"
+)
+
+const (
+	// memoryShare of the limit is where the garbage collector works harder.
+	memoryShare = 0.6
+	// gcPercent lets the heap grow before a collection: it is small beside the limit.
+	gcPercent = 300
+	// reloadInterval is how often the settings file is looked at.
+	reloadInterval = time.Second
+	// statusHeaderTimeout bounds the header of a request for metrics.
+	statusHeaderTimeout = 5 * time.Second
+)
+
+// process is what both kinds of host share.
+type process struct {
+	file   string
+	sink   *logsink.Sink
+	logger *slog.Logger
+	set    *metrics.Set
+}
+
+func newProcess(file string, log settings.Log, memoryMB int) *process {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memoryMB) * (1 << 20)))
+	}
+	debug.SetGCPercent(gcPercent)
+	sink := logsink.New(os.Stdout)
+	set := metrics.NewSet()
+	set.RegisterMetricsWriter(metrics.WriteProcessMetrics)
+	set.GetOrCreateGauge("filberthook_log_lines_dropped", func() float64 { return float64(sink.Dropped()) })
+	return &process{file: file, sink: sink, logger: log.Logger(sink), set: set}
+}
+
+// run serves until a signal to stop. setSeeds is told new seeds of the settings file.
+func (p *process) run(status string, seeds []string, serve func(context.Context) error, load func() ([]string, error), setSeeds func([]string)) int {
+	defer p.sink.Close()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	go p.serveStatus(ctx, status)
+	go p.reload(ctx, seeds, load, setSeeds)
+	if err := serve(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		p.logger.Error("host failed", "err", err)
+		return exitFailed
+	}
+	return 0
+}
+
+// serveStatus serves the metrics. The host works without them.
+func (p *process) serveStatus(ctx context.Context, address string) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		p.logger.Error("metrics not served", "address", address, "err", err)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.set.WritePrometheus(w) })
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: statusHeaderTimeout}
+	context.AfterFunc(ctx, func() { server.Close() })
+	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		p.logger.Error("metrics not served any more", "address", address, "err", err)
+	}
+}
+
+// reload takes new seeds from the settings file, on SIGHUP and when it has changed.
+func (p *process) reload(ctx context.Context, seeds []string, load func() ([]string, error), set func([]string)) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	last := modified(p.file)
+	for {
+		wait, cancel := context.WithTimeout(ctx, reloadInterval)
+		signalled := false
+		select {
+		case <-hup:
+			signalled = true
+		case <-wait.Done():
+		}
+		cancel()
+		if !pause.For(ctx, 0) {
+			return
+		}
+		now := modified(p.file)
+		if !signalled && now == last {
+			continue
+		}
+		last = now
+		next, err := load()
+		if err != nil {
+			p.logger.Error("settings not reloaded, the old ones stay", "err", err)
+			continue
+		}
+		p.logger.Info("settings reloaded", "signal", signalled, "seeds_changed", !slices.Equal(seeds, next))
+		if !slices.Equal(seeds, next) {
+			seeds = next
+			set(next)
+		}
+	}
+}
+
+// fileState tells whether a file was written again.
+type fileState struct {
+	at   int64
+	size int64
+}
+
+func modified(file string) fileState {
+	info, err := os.Stat(file)
+	if err != nil {
+		return fileState{} // a missing file is reported when it is loaded
+	}
+	return fileState{info.ModTime().UnixNano(), info.Size()}
+}
+
+func runEntry(file string, s entryhost.Settings) int {
+	p := newProcess(file, s.Log, s.MemoryMB)
+	host := entryhost.New(s, entryhost.Platform{
+		Dialect:      platform.Headers{},
+		DecodeConfig: platform.DecodeConfig,
+		Readiness:    platform.Readiness,
+	}, p.logger, p.set)
+	load := func() ([]string, error) {
+		var next entryhost.Settings
+		err := settings.Load(file, &next)
+		return next.Seeds, err
+	}
+	return p.run(s.Listen.Status, s.Seeds, host.Run, load, host.SetSeeds)
+}
+
+func runControl(file string, s controlhost.Settings) int {
+	p := newProcess(file, s.Log, s.MemoryMB)
+	handler := func(service controlhost.Service) http.Handler { return platform.Control(service, p.logger) }
+	host, err := controlhost.New(s, handler, p.logger, p.set)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	load := func() ([]string, error) {
+		var next controlhost.Settings
+		err := settings.Load(file, &next)
+		return next.Seeds, err
+	}
+	return p.run(s.Listen.Status, s.Seeds, host.Run, load, host.SetSeeds)
+}
--- /dev/null
+++ b/cmd/filberthook-host/main.go
@@ -0,0 +1,57 @@
+// Command filberthook-host runs an entry host or a control host on a platform that
+// gives a process seeds in place of a list of hosts.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"filberthook/internal/controlhost"
+	"filberthook/internal/entryhost"
+	"filberthook/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = settings.ExitCode
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	app := kingpin.New("filberthook-host", "Runs one host of filberthook that finds the others from seeds.")
+	file := app.Flag("settings", "Settings file in TOML.").Required().String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	entry := app.Command("entry", "Serve callers.")
+	control := app.Command("control", "Serve operators and endpoint instances.")
+	command, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "filberthook-host: %v; see --help\n", err)
+		return exitSettings
+	}
+	switch command {
+	case entry.FullCommand():
+		var s entryhost.Settings
+		return start(*file, *check, &s, func() int { return runEntry(*file, s) })
+	case control.FullCommand():
+		var s controlhost.Settings
+		return start(*file, *check, &s, func() int { return runControl(*file, s) })
+	}
+	return exitSettings
+}
+
+// start loads the settings and runs the host, unless they were only to be checked.
+func start(file string, check bool, s settings.Checked, serve func() int) int {
+	if err := settings.Load(file, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	return serve()
+}
--- /dev/null
+++ b/internal/controlapi/controlapi.go
@@ -0,0 +1,56 @@
+// Package controlapi defines the calls between control hosts, and from entry hosts
+// to control hosts. They are carried by package peer.
+package controlapi
+
+import "filberthook/internal/instances"
+
+// Methods of control hosts.
+const (
+	MethodWatch    = "control.watch"    // WatchRequest to WatchResponse; at any control host
+	MethodDocument = "control.document" // DocumentRequest to document.Document; at any control host
+	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
+	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
+)
+
+// MaxMessageBytes bounds a call: the largest configuration, which JSON carries in
+// base64, and its envelope.
+const MaxMessageBytes = 8 << 20
+
+// WatchRequest asks for what changed at a control host since the last answer. The
+// answer is held back until something has.
+type WatchRequest struct {
+	Epoch    string `json:"epoch"`    // of the control process that answered last
+	Position uint64 `json:"position"` // of the last answer
+	Version  uint64 `json:"version"`  // of the configuration in force at the asking host
+	WaitMS   int64  `json:"wait_ms"`  // longest time to hold the answer back
+}
+
+// WatchResponse lists what changed.
+type WatchResponse struct {
+	Epoch    string             `json:"epoch"` // differs in each control process
+	Position uint64             `json:"position"`
+	Changes  []instances.Change `json:"changes,omitempty"`
+	Version  uint64             `json:"version"`         // of the configuration in force at the control host
+	Peers    []string           `json:"peers,omitempty"` // addresses of the control hosts of the group
+	Hosts    int                `json:"hosts"`           // entry hosts that watch the control host
+}
+
+// DocumentRequest asks for the configuration in force.
+type DocumentRequest struct{}
+
+// ProposeResponse tells the version in force after a proposal.
+type ProposeResponse struct {
+	Version uint64 `json:"version"`
+}
+
+// JoinRequest asks to become a member of the group.
+type JoinRequest struct {
+	ID      uint64 `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
+// JoinResponse tells that the request was taken.
+type JoinResponse struct {
+	Peers []string `json:"peers,omitempty"`
+}
--- /dev/null
+++ b/internal/controlhost/group.go
@@ -0,0 +1,232 @@
+package controlhost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"filberthook/internal/controlapi"
+	"filberthook/internal/document"
+	"filberthook/internal/formation"
+	"filberthook/internal/pause"
+	"filberthook/internal/replica"
+)
+
+// Timing of the group.
+const (
+	// joinInterval is the pause between two requests to be taken into the group.
+	joinInterval = 300 * time.Millisecond
+	// adjustInterval is how often the leader looks at the members.
+	adjustInterval = 250 * time.Millisecond
+	// changeTimeout bounds one change of membership.
+	changeTimeout = 2 * time.Second
+	// proposeRetry is the pause before a proposal is sent again that found no leader.
+	proposeRetry = 50 * time.Millisecond
+	// callTimeout bounds a call to another control host.
+	callTimeout = time.Second
+)
+
+// joins holds the requests to be taken into the group, by address.
+type joins struct {
+	mu      sync.Mutex
+	pending map[string]controlapi.JoinRequest
+}
+
+func (j *joins) add(req controlapi.JoinRequest) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.pending[req.Address] = req
+}
+
+// take removes and returns all requests.
+func (j *joins) take() []controlapi.JoinRequest {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	out := make([]controlapi.JoinRequest, 0, len(j.pending))
+	for _, req := range j.pending {
+		out = append(out, req)
+	}
+	clear(j.pending)
+	return out
+}
+
+// join asks the group to take this host's replica until it is a member.
+func (m *membership) join(ctx context.Context, opened *member) {
+	h := m.host
+	req := controlapi.JoinRequest{ID: opened.id, Address: h.settings.Listen.Peers, Zone: h.settings.Zone}
+	known := map[string]bool{}
+	for !isMember(opened.replica.Status(), opened.id) {
+		for _, f := range formation.Founders(h.seeds(), h.peerPort) {
+			known[f.Address] = true
+		}
+		for address := range known {
+			if address == req.Address {
+				continue
+			}
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			var resp controlapi.JoinResponse
+			err := h.rpc.Get(address).Call(call, controlapi.MethodJoin, req, &resp)
+			cancel()
+			if err != nil {
+				h.logger.Info("request to join the group failed", "at", address, "err", err)
+				continue
+			}
+			for _, peer := range resp.Peers {
+				known[peer] = true
+			}
+			break
+		}
+		if !pause.For(ctx, joinInterval) {
+			return
+		}
+	}
+	h.logger.Info("this host is a member of the control group", "id", opened.id)
+}
+
+func isMember(status replica.Status, id uint64) bool {
+	for _, m := range status.Members {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// serveJoin takes a request to join, or passes it on to the leader.
+func (h *Host) serveJoin(ctx context.Context, req controlapi.JoinRequest) (controlapi.JoinResponse, error) {
+	status, ok := h.member.status()
+	if !ok {
+		return controlapi.JoinResponse{}, &UnavailableError{errClosed}
+	}
+	if status.Role == leaderRole {
+		h.joins.add(req)
+		return controlapi.JoinResponse{Peers: h.member.addresses()}, nil
+	}
+	if status.LeaderAddress == "" || status.LeaderAddress == h.settings.Listen.Peers {
+		return controlapi.JoinResponse{}, &UnavailableError{errors.New("no leader is known")}
+	}
+	var resp controlapi.JoinResponse
+	err := h.rpc.Get(status.LeaderAddress).Call(ctx, controlapi.MethodJoin, req, &resp)
+	return resp, err
+}
+
+// adjust keeps the membership as package formation wants it while this host leads.
+func (h *Host) adjust(ctx context.Context) {
+	gone := map[uint64]time.Time{} // since when members are inactive
+	for pause.For(ctx, adjustInterval) {
+		opened := h.member.current.Load()
+		if opened == nil || opened.replica.Status().Role != leaderRole {
+			clear(gone)
+			continue
+		}
+		for _, req := range h.joins.take() {
+			h.admit(ctx, opened, req)
+		}
+		status := opened.replica.Status()
+		h.carryOut(ctx, opened, formation.NextStep(healthOf(status, gone, time.Now()), status.ID,
+			formation.Tolerance{Hosts: h.settings.Tolerate.Hosts, Zones: h.settings.Tolerate.Zones},
+			h.settings.ReplaceAfter.Duration))
+	}
+}
+
+// healthOf joins the replica's status with the time since members are inactive.
+func healthOf(status replica.Status, gone map[uint64]time.Time, now time.Time) []formation.Health {
+	out := make([]formation.Health, 0, len(status.Members))
+	for _, m := range status.Members {
+		active := m.Active || m.ID == status.ID
+		if active {
+			delete(gone, m.ID)
+		} else if _, ok := gone[m.ID]; !ok {
+			gone[m.ID] = now
+		}
+		health := formation.Health{Member: m.Member, Active: active, CaughtUp: m.Match >= status.Commit}
+		if !active {
+			health.InactiveFor = now.Sub(gone[m.ID])
+		}
+		out = append(out, health)
+	}
+	return out
+}
+
+// admit adds a host as a learner. A member of the same address with another id has
+// lost its disk and is removed first: its vote must not count without its log.
+func (h *Host) admit(ctx context.Context, opened *member, req controlapi.JoinRequest) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	for _, m := range opened.replica.Status().Members {
+		if m.Address == req.Address && m.ID != req.ID {
+			step := formation.Step{Kind: formation.Remove, ID: m.ID, Why: "its host came back without its disk"}
+			err := opened.replica.RemoveMember(ctx, m.ID)
+			logChange(h.logger, step, err)
+			if err != nil {
+				return // the host asks again
+			}
+		}
+	}
+	err := opened.replica.AddLearner(ctx, replica.Member{ID: req.ID, Address: req.Address, Zone: req.Zone})
+	h.logger.Info("host joins the control group", "member", req.ID, "address", req.Address, "zone", req.Zone, "err", err)
+}
+
+func (h *Host) carryOut(ctx context.Context, opened *member, step formation.Step) {
+	if step.Kind == formation.Nothing {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	var err error
+	if step.Kind == formation.Promote {
+		err = opened.replica.Promote(ctx, step.ID)
+	} else {
+		err = opened.replica.RemoveMember(ctx, step.ID)
+	}
+	logChange(h.logger, step, err)
+}
+
+// propose puts a document into the log. It repeats the proposal until ctx ends, as
+// a document that is in force already changes nothing.
+func (h *Host) propose(ctx context.Context, d document.Document) (uint64, error) {
+	for {
+		version, err := h.proposeOnce(ctx, d)
+		if err == nil {
+			return version, nil
+		}
+		if !pause.For(ctx, proposeRetry) {
+			return 0, &UnavailableError{err}
+		}
+	}
+}
+
+func (h *Host) proposeOnce(ctx context.Context, d document.Document) (uint64, error) {
+	version, err := h.proposeHere(ctx, d)
+	var notLeader *replica.NotLeaderError
+	if !errors.As(err, &notLeader) || notLeader.Address == "" {
+		return version, err
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var resp controlapi.ProposeResponse
+	err = h.rpc.Get(notLeader.Address).Call(call, controlapi.MethodPropose, d, &resp)
+	return resp.Version, err
+}
+
+// proposeHere proposes at this host's replica.
+func (h *Host) proposeHere(ctx context.Context, d document.Document) (uint64, error) {
+	opened := h.member.current.Load()
+	if opened == nil {
+		return 0, errClosed
+	}
+	result, err := opened.replica.Propose(ctx, d.Encode())
+	if err != nil {
+		return 0, err
+	}
+	switch v := result.(type) {
+	case uint64:
+		return v, nil
+	case error:
+		return 0, v
+	default:
+		return 0, fmt.Errorf("the log returned %T", result)
+	}
+}
--- /dev/null
+++ b/internal/controlhost/host.go
@@ -0,0 +1,352 @@
+// Package controlhost runs a control host that finds its group from seeds: a
+// replica of the configuration, the registry of the instances that send their
+// heartbeats here, and the watch by which entry hosts follow both.
+package controlhost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"filberthook/internal/controlapi"
+	"filberthook/internal/document"
+	"filberthook/internal/instances"
+	"filberthook/internal/netopt"
+	"filberthook/internal/pause"
+	"filberthook/internal/peer"
+	"filberthook/internal/raftnet"
+)
+
+// Timing of the host.
+const (
+	// expireInterval is how often silent instances are looked for.
+	expireInterval = 300 * time.Millisecond
+	// deliveryTimeout bounds how long the answer to an instance that leaves is held
+	// back until all entry hosts know: instances wait a second for it.
+	deliveryTimeout = 600 * time.Millisecond
+	// proposeTimeout bounds an operator's change: operators try another host after
+	// a second.
+	proposeTimeout = 2500 * time.Millisecond
+	// readTimeout bounds an operator's read.
+	readTimeout = 900 * time.Millisecond
+	// maxWatchWait bounds how long an answer to a watch is held back.
+	maxWatchWait = 2 * time.Second
+	// stopTimeout bounds the end of operators' calls at a stop.
+	stopTimeout = 1500 * time.Millisecond
+	// headerTimeout bounds the header of a call.
+	headerTimeout = 5 * time.Second
+)
+
+// Service is what a control host does for operators and endpoint instances.
+type Service interface {
+	// Announce takes a heartbeat. It returns once the entry hosts know, when the
+	// instance leaves.
+	Announce(ctx context.Context, in instances.Instance) error
+	// Leave takes the end of an instance; born may be 0 when it is not known.
+	Leave(ctx context.Context, id string, born int64) error
+	// Replace puts a valid configuration into force unless one with the same or a
+	// higher version is. It returns an *UnavailableError when the outcome is not known.
+	Replace(ctx context.Context, d document.Document) error
+	// Read returns the newest configuration, or an *UnavailableError when it is not
+	// sure which that is.
+	Read(ctx context.Context) (document.Document, error)
+}
+
+// Host is one control host.
+type Host struct {
+	settings Settings
+	logger   *slog.Logger
+	metrics  *metrics.Set
+	peerPort uint16
+	epoch    string
+	handler  func(Service) http.Handler
+
+	member    *membership
+	joins     joins
+	registry  *instances.Registry
+	watchers  *watchers
+	rpc       *raftnet.Pool // calls to other control hosts
+	raftRPC   *raftnet.Pool // messages of the replicated log
+	transport *raftnet.Transport
+	seedList  atomic.Pointer[[]string]
+
+	mu      sync.Mutex
+	version uint64        // highest that came into force here
+	body    []byte        // of that version
+	changed chan struct{} // closed when version changes
+
+	proposals *metrics.Histogram
+	beats     *metrics.Counter
+}
+
+// New returns a Host that serves operators and instances with the handler.
+func New(s Settings, handler func(Service) http.Handler, logger *slog.Logger, set *metrics.Set) (*Host, error) {
+	at, err := netip.ParseAddrPort(s.Listen.Peers)
+	if err != nil {
+		return nil, fmt.Errorf("listen.peers: %w", err)
+	}
+	h := &Host{
+		settings: s,
+		logger:   logger.With("host", s.Host, "zone", s.Zone),
+		metrics:  set,
+		peerPort: at.Port(),
+		epoch:    s.Host + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
+		handler:  handler,
+		joins:    joins{pending: map[string]controlapi.JoinRequest{}},
+		registry: instances.NewRegistry(s.Heartbeat.Duration),
+		watchers: newWatchers(),
+		changed:  make(chan struct{}),
+	}
+	h.seedList.Store(&s.Seeds)
+	h.member = &membership{host: h}
+	h.rpc = raftnet.NewPool(h.peerOptions())
+	h.raftRPC = raftnet.NewPool(h.peerOptions())
+	h.proposals = set.GetOrCreateHistogram("filberthook_control_replace_seconds")
+	h.beats = set.GetOrCreateCounter("filberthook_control_heartbeats_total")
+	set.GetOrCreateGauge("filberthook_control_config_version", func() float64 { return float64(h.currentVersion()) })
+	return h, nil
+}
+
+func (h *Host) peerOptions() peer.Options {
+	return peer.Options{
+		Self:            peer.Identity{Host: h.settings.Host, Zone: h.settings.Zone},
+		TrustedNetwork:  h.settings.TrustedNetwork,
+		DropOnTimeout:   true,
+		MaxMessageBytes: controlapi.MaxMessageBytes,
+		DialTimeout:     netopt.DialTimeout,
+		Dial:            netopt.Dial,
+		Metrics:         h.metrics,
+		Logger:          h.logger,
+	}
+}
+
+// SetSeeds replaces the seeds.
+func (h *Host) SetSeeds(seeds []string) {
+	h.seedList.Store(&seeds)
+	h.logger.Info("seeds replaced", "seeds", seeds)
+}
+
+func (h *Host) seeds() []string { return *h.seedList.Load() }
+
+// Run serves until ctx ends.
+func (h *Host) Run(ctx context.Context) error {
+	peers, err := net.Listen("tcp", h.settings.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listen.peers: %w", err)
+	}
+	control, err := net.Listen("tcp", h.settings.Listen.Control)
+	if err != nil {
+		peers.Close()
+		return fmt.Errorf("listen.control: %w", err)
+	}
+	if h.settings.TrustedNetwork {
+		h.logger.Warn("plaintext between hosts: trusted_network is set", "peers", h.settings.Listen.Peers)
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	h.transport = raftnet.NewTransport(background, h.raftRPC, h.member.addressOf, h.metrics)
+	defer h.rpc.Close()
+	defer h.raftRPC.Close()
+	h.logger.Info("control host started", "control", h.settings.Listen.Control, "peers", h.settings.Listen.Peers,
+		"seeds", h.seeds(), "bootstrap", h.settings.Bootstrap, "epoch", h.epoch)
+	tasks, ctx := errgroup.WithContext(ctx)
+	tasks.Go(func() error {
+		defer stop() // peers are served until the replica has handed over
+		return h.member.run(ctx)
+	})
+	tasks.Go(func() error { return peer.NewServer(h.peerOptions(), h.mux()).Serve(background, peers) })
+	tasks.Go(func() error { return h.serveControl(ctx, control) })
+	tasks.Go(func() error { h.adjust(ctx); return nil })
+	tasks.Go(func() error { h.expire(ctx); return nil })
+	err = tasks.Wait()
+	h.logger.Info("control host stopped", "err", err)
+	return err
+}
+
+// serveControl serves operators and instances.
+func (h *Host) serveControl(ctx context.Context, ln net.Listener) error {
+	server := &http.Server{Handler: h.handler(h), ReadHeaderTimeout: headerTimeout}
+	ended := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(ended)
+		limited, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if err := server.Shutdown(limited); err != nil {
+			h.logger.Warn("operators' calls cut by the stop", "err", err)
+		}
+	})
+	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("listen.control: %w", err)
+	}
+	<-ended
+	return nil
+}
+
+func (h *Host) mux() *peer.Mux {
+	m := peer.NewMux()
+	peer.Handle(m, raftnet.Method, func(_ context.Context, _ peer.Identity, batch raftnet.Batch) (struct{}, error) {
+		return struct{}{}, h.receive(batch)
+	})
+	peer.Handle(m, controlapi.MethodWatch, func(ctx context.Context, from peer.Identity, req controlapi.WatchRequest) (controlapi.WatchResponse, error) {
+		return h.watch(ctx, from.Host, req), nil
+	})
+	peer.Handle(m, controlapi.MethodDocument, func(context.Context, peer.Identity, struct{}) (document.Document, error) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return document.Document{Version: h.version, Body: h.body}, nil
+	})
+	peer.Handle(m, controlapi.MethodPropose, func(ctx context.Context, _ peer.Identity, d document.Document) (controlapi.ProposeResponse, error) {
+		version, err := h.proposeHere(ctx, d)
+		return controlapi.ProposeResponse{Version: version}, err
+	})
+	peer.Handle(m, controlapi.MethodJoin, func(ctx context.Context, _ peer.Identity, req controlapi.JoinRequest) (controlapi.JoinResponse, error) {
+		return h.serveJoin(ctx, req)
+	})
+	return m
+}
+
+// receive passes messages of the replicated log on. They are lost while the
+// replica is closed, as on a lossy network.
+func (h *Host) receive(batch raftnet.Batch) error {
+	opened := h.member.current.Load()
+	if opened == nil {
+		return nil
+	}
+	for _, msg := range batch.Messages {
+		if err := opened.replica.Receive(msg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// configurationChanged takes a document that came into force at this replica.
+func (h *Host) configurationChanged(d document.Document) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if d.Version <= h.version {
+		return
+	}
+	h.version, h.body = d.Version, d.Body
+	close(h.changed)
+	h.changed = make(chan struct{})
+	h.logger.Info("configuration in force", "version", d.Version, "bytes", len(d.Body))
+}
+
+func (h *Host) currentVersion() uint64 {
+	version, _ := h.versionAndChange()
+	return version
+}
+
+func (h *Host) versionAndChange() (uint64, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.version, h.changed
+}
+
+// watch answers once something has changed for the asking host.
+func (h *Host) watch(ctx context.Context, from string, req controlapi.WatchRequest) controlapi.WatchResponse {
+	position := req.Position
+	if req.Epoch != h.epoch {
+		position = 0
+	}
+	timer := time.NewTimer(min(time.Duration(req.WaitMS)*time.Millisecond, maxWatchWait))
+	defer timer.Stop()
+	hosts := h.watchers.asked(from, position, time.Now())
+	for waiting := true; ; {
+		changes, reached, changed := h.registry.Since(position)
+		version, newVersion := h.versionAndChange()
+		if len(changes) > 0 || version > req.Version || req.Epoch != h.epoch || !waiting {
+			return controlapi.WatchResponse{
+				Epoch: h.epoch, Position: reached, Changes: changes,
+				Version: version, Peers: h.member.addresses(), Hosts: hosts,
+			}
+		}
+		select {
+		case <-changed:
+		case <-newVersion:
+		case <-timer.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
+	}
+}
+
+// expire marks instances that are silent.
+func (h *Host) expire(ctx context.Context) {
+	for pause.For(ctx, expireInterval) {
+		for _, id := range h.registry.Expire(time.Now()) {
+			h.logger.Info("instance silent", "instance", id, "reason", "no heartbeat here")
+		}
+	}
+}
+
+// Announce implements Service.
+func (h *Host) Announce(ctx context.Context, in instances.Instance) error {
+	h.beats.Inc()
+	position, changed := h.registry.Observe(in, time.Now())
+	if !changed {
+		return nil
+	}
+	h.logger.Info("instance changed", "instance", in.ID, "born", in.Born, "sequence", in.Sequence, "endpoint", in.Endpoint,
+		"address", in.Address, "instance_zone", in.Zone, "state", in.State.String(), "stage", in.Stage.String())
+	if in.State != instances.Ready {
+		h.awaitDelivery(ctx, in.ID, position)
+	}
+	return nil
+}
+
+// Leave implements Service.
+func (h *Host) Leave(ctx context.Context, id string, born int64) error {
+	position, changed := h.registry.Leave(id, born, time.Now())
+	if changed {
+		h.logger.Info("instance changed", "instance", id, "born", born, "state", instances.Gone.String())
+		h.awaitDelivery(ctx, id, position)
+	}
+	return nil
+}
+
+// awaitDelivery waits until the entry hosts know that an instance leaves, so that
+// the news outlives this process.
+func (h *Host) awaitDelivery(ctx context.Context, id string, position uint64) {
+	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
+	defer cancel()
+	if late := h.watchers.await(ctx, position); len(late) > 0 {
+		h.logger.Warn("entry hosts do not know yet that an instance leaves", "instance", id, "hosts", late)
+	}
+}
+
+// Replace implements Service.
+func (h *Host) Replace(ctx context.Context, d document.Document) error {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	version, err := h.propose(ctx, d)
+	h.proposals.UpdateDuration(start)
+	h.logger.Info("configuration proposed", "version", d.Version, "in_force", version, "bytes", len(d.Body),
+		"ms", time.Since(start).Milliseconds(), "err", err)
+	return err
+}
+
+// Read implements Service.
+func (h *Host) Read(ctx context.Context) (document.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	d, err := h.member.barrier(ctx)
+	if err == nil && d.Version == 0 {
+		err = &UnavailableError{errors.New("no configuration was accepted yet")}
+	}
+	return d, err
+}
--- /dev/null
+++ b/internal/controlhost/member.go
@@ -0,0 +1,254 @@
+package controlhost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"filberthook/internal/document"
+	"filberthook/internal/formation"
+	"filberthook/internal/fsys"
+	"filberthook/internal/pause"
+	"filberthook/internal/replica"
+	"filberthook/internal/storage"
+)
+
+// replicaFolder holds the replicated log within the data folder.
+const replicaFolder = "replica"
+
+// Timing and sizes of the replica.
+const (
+	// reopenDelay is the pause before a replica whose disk failed is opened again.
+	reopenDelay = 500 * time.Millisecond
+	// snapshotBytes of commands between snapshots keeps the log within a small disk.
+	snapshotBytes = 8 << 20
+	// transferTimeout bounds the handover of leadership at a stop.
+	transferTimeout = time.Second
+)
+
+// member is one opened replica with its state.
+type member struct {
+	replica *replica.Replica
+	machine *document.Machine
+	id      uint64
+}
+
+// membership runs the replica of this host, and opens it again after a failure of
+// the disk or when the group has excluded its data folder.
+type membership struct {
+	host    *Host
+	current atomic.Pointer[member] // nil while the replica is closed
+}
+
+// run keeps a replica open until ctx ends.
+func (m *membership) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := m.runOnce(ctx)
+		m.current.Store(nil)
+		if ctx.Err() != nil {
+			return nil
+		}
+		m.host.logger.Error("replica stopped, it is opened again", "err", err, "delay", reopenDelay)
+		if unusable(err) {
+			m.discard(err)
+		}
+		pause.For(ctx, reopenDelay)
+	}
+	return nil
+}
+
+// unusable reports whether the data folder can never be used again. Its host then
+// joins as a new member.
+func unusable(err error) bool {
+	var excluded *storage.ExcludedError
+	var folder *storage.FolderError
+	return errors.As(err, &excluded) || errors.As(err, &folder)
+}
+
+func (m *membership) discard(cause error) {
+	m.host.logger.Warn("data folder discarded, this host joins as a new member", "cause", cause)
+	if err := os.RemoveAll(m.dir()); err != nil {
+		m.host.logger.Error("data folder not discarded", "err", err)
+	}
+}
+
+func (m *membership) dir() string { return filepath.Join(m.host.settings.DataDir, replicaFolder) }
+
+func (m *membership) runOnce(ctx context.Context) error {
+	opened, err := m.open()
+	if err != nil {
+		return err
+	}
+	m.current.Store(opened)
+	// The replica runs a little longer than ctx, so that a leader can hand over.
+	runContext, stop := context.WithCancel(context.Background())
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- opened.replica.Run(runContext) }()
+	joined := make(chan struct{})
+	go func() {
+		defer close(joined)
+		m.join(runContext, opened)
+	}()
+	defer func() { <-joined }()
+	defer stop()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	m.handOver(opened)
+	stop()
+	return <-ended
+}
+
+func (m *membership) open() (*member, error) {
+	id, founders, err := m.identity()
+	if err != nil {
+		return nil, err
+	}
+	machine := document.NewMachine(m.host.configurationChanged)
+	r, err := replica.Open(replica.Config{
+		ID:            id,
+		Dir:           m.dir(),
+		Members:       founders,
+		SnapshotBytes: snapshotBytes,
+		Logger:        m.host.logger,
+	}, machine, m.host.transport)
+	if err != nil {
+		return nil, err
+	}
+	// A snapshot on disk is restored before the observer is of use.
+	m.host.configurationChanged(machine.Current())
+	m.host.logger.Info("replica opened", "id", id, "founder", len(founders) > 0, "version", machine.Current().Version)
+	return &member{replica: r, machine: machine, id: id}, nil
+}
+
+// identity returns the replica id and, for a founder, the first members. A folder
+// that has an identity keeps it.
+func (m *membership) identity() (uint64, []replica.Member, error) {
+	s := m.host.settings
+	id, err := storage.ReadID(fsys.OS{}, m.dir())
+	if err != nil {
+		return 0, nil, err
+	}
+	founders := formation.Founders(m.host.seeds(), m.host.peerPort)
+	for i := range founders {
+		if founders[i].Address == s.Listen.Peers {
+			founders[i].Zone = s.Zone
+		}
+	}
+	own := formation.FounderID(s.Listen.Peers)
+	isFounder := false
+	for _, f := range founders {
+		isFounder = isFounder || f.ID == own
+	}
+	switch {
+	case id == own && isFounder, id == 0 && isFounder && s.Bootstrap:
+		return own, founders, nil
+	case id != 0:
+		return id, nil, nil
+	}
+	for id == 0 {
+		id = rand.Uint64()
+	}
+	return id, nil, nil
+}
+
+// handOver gives the leadership to another voter that is up.
+func (m *membership) handOver(opened *member) {
+	status := opened.replica.Status()
+	if status.Role != leaderRole {
+		return
+	}
+	for _, other := range status.Members {
+		if other.ID == status.ID || other.Learner || !other.Active {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+		err := opened.replica.TransferLeadership(ctx, other.ID)
+		cancel()
+		m.host.logger.Info("leadership handed over", "to", other.ID, "err", err)
+		if err == nil {
+			return
+		}
+	}
+}
+
+// leaderRole is the role of a leading replica in replica.Status.
+const leaderRole = "leader"
+
+// status returns the replica's status; ok is false while it is closed.
+func (m *membership) status() (replica.Status, bool) {
+	opened := m.current.Load()
+	if opened == nil {
+		return replica.Status{}, false
+	}
+	return opened.replica.Status(), true
+}
+
+// addresses returns the peers' addresses of the group's members.
+func (m *membership) addresses() []string {
+	status, _ := m.status()
+	out := make([]string, 0, len(status.Members))
+	for _, other := range status.Members {
+		out = append(out, other.Address)
+	}
+	return out
+}
+
+// addressOf returns the address of a member, empty when unknown.
+func (m *membership) addressOf(id uint64) string {
+	status, _ := m.status()
+	for _, other := range status.Members {
+		if other.ID == id {
+			return other.Address
+		}
+	}
+	for _, f := range formation.Founders(m.host.seeds(), m.host.peerPort) {
+		if f.ID == id {
+			return f.Address
+		}
+	}
+	return ""
+}
+
+// UnavailableError tells that a call found no quorum. It may be repeated.
+type UnavailableError struct{ Err error }
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("the control group has no quorum here: try again, or at another control host: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+var errClosed = errors.New("the replica of this host is closed")
+
+// barrier returns the document after a linearizable read.
+func (m *membership) barrier(ctx context.Context) (document.Document, error) {
+	opened := m.current.Load()
+	if opened == nil {
+		return document.Document{}, &UnavailableError{errClosed}
+	}
+	if err := opened.replica.ReadBarrier(ctx); err != nil {
+		return document.Document{}, &UnavailableError{err}
+	}
+	return opened.machine.Current(), nil
+}
+
+// logChange records a change of membership.
+func logChange(l *slog.Logger, step formation.Step, err error) {
+	if err != nil {
+		l.Warn("membership not changed", "step", step.Kind.String(), "member", step.ID, "why", step.Why, "err", err)
+		return
+	}
+	l.Info("membership changed", "step", step.Kind.String(), "member", step.ID, "why", step.Why)
+}
--- /dev/null
+++ b/internal/controlhost/settings.go
@@ -0,0 +1,79 @@
+package controlhost
+
+import (
+	"fmt"
+	"net/netip"
+
+	"filberthook/internal/settings"
+	"filberthook/internal/tomltime"
+)
+
+// Settings of a control host that finds its group from seeds.
+type Settings struct {
+	Host           string            `toml:"host"`
+	Zone           string            `toml:"zone"` // availability zone
+	DataDir        string            `toml:"data_dir"`
+	Seeds          []string          `toml:"seeds"`           // control addresses of some control hosts
+	Bootstrap      bool              `toml:"bootstrap"`       // the whole system starts for the first time
+	TrustedNetwork bool              `toml:"trusted_network"` // plaintext between hosts, which nothing else may reach
+	MemoryMB       int               `toml:"memory_mb"`       // limit of this process, 0 for none
+	Heartbeat      tomltime.Duration `toml:"heartbeat"`       // interval of the instances
+	Listen         Listen            `toml:"listen"`
+	Tolerate       Tolerate          `toml:"tolerate"`
+	ReplaceAfter   tomltime.Duration `toml:"replace_after"` // a voter that is gone for longer yields to another host
+	Log            settings.Log      `toml:"log"`
+}
+
+// Listen holds the addresses of a control host.
+type Listen struct {
+	Control string `toml:"control"` // operators and endpoint instances
+	Peers   string `toml:"peers"`   // other hosts of the system
+	Status  string `toml:"status"`  // /metrics
+}
+
+// Tolerate is what the group must survive at once.
+type Tolerate struct {
+	Hosts int `toml:"hosts"`
+	Zones int `toml:"zones"`
+}
+
+// Check implements settings.Checked.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Required("host", s.Host, "name this host")
+	c.Required("zone", s.Zone, "name the availability zone of this host")
+	c.Required("data_dir", s.DataDir, "name a folder on a disk")
+	c.UniqueAddress("listen.control", s.Listen.Control)
+	c.UniqueAddress("listen.peers", s.Listen.Peers)
+	c.UniqueAddress("listen.status", s.Listen.Status)
+	CheckSeeds(c, s.Seeds)
+	CheckTrust(c, s.TrustedNetwork, s.Listen.Peers)
+	if s.Heartbeat.Duration <= 0 {
+		c.Add("heartbeat", "is missing", "set the interval of the instances' heartbeats, such as 1.2s")
+	}
+	if s.ReplaceAfter.Duration <= 0 {
+		c.Add("replace_after", "is missing", "set how long a lost voter is waited for, such as 4s")
+	}
+	if s.Tolerate.Hosts < 0 || s.Tolerate.Zones < 0 {
+		c.Add("tolerate", "is below 0", "use 0 or more")
+	}
+	s.Log.Check(c, "log")
+}
+
+// CheckSeeds reports missing and wrong seeds.
+func CheckSeeds(c *settings.Checker, seeds []string) {
+	if len(seeds) == 0 {
+		c.Add("seeds", "is empty", "list the control addresses of one to three control hosts")
+	}
+	for i, seed := range seeds {
+		c.Address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+}
+
+// CheckTrust reports an address outside loopback that is served in plaintext
+// without trusted_network.
+func CheckTrust(c *settings.Checker, trusted bool, address string) {
+	at, err := netip.ParseAddrPort(address)
+	if err == nil && !at.Addr().IsLoopback() && !trusted {
+		c.Add("trusted_network", "is not set and listen.peers is outside loopback", "set it to true if only hosts of the system reach this network")
+	}
+}
--- /dev/null
+++ b/internal/controlhost/watchers.go
@@ -0,0 +1,76 @@
+package controlhost
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// watcherKept is how long an entry host that does not ask again counts as watching:
+// longer than one held answer and the dial after it.
+const watcherKept = 2500 * time.Millisecond
+
+// watcher is an entry host that follows this control host.
+type watcher struct {
+	position uint64 // it has everything up to here
+	asked    time.Time
+}
+
+// watchers knows how far the entry hosts have read.
+type watchers struct {
+	mu      sync.Mutex
+	hosts   map[string]watcher
+	changed chan struct{} // closed when one has read on
+}
+
+func newWatchers() *watchers {
+	return &watchers{hosts: map[string]watcher{}, changed: make(chan struct{})}
+}
+
+// asked takes a host's question and returns how many hosts watch.
+func (w *watchers) asked(host string, position uint64, now time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.hosts[host]
+	w.hosts[host] = watcher{position: position, asked: now}
+	if position != before.position {
+		close(w.changed)
+		w.changed = make(chan struct{})
+	}
+	for name, o := range w.hosts {
+		if now.Sub(o.asked) > watcherKept {
+			delete(w.hosts, name)
+		}
+	}
+	return len(w.hosts)
+}
+
+// behind returns the hosts that have not read up to position, and a channel that is
+// closed when one reads on.
+func (w *watchers) behind(position uint64, now time.Time) ([]string, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for name, o := range w.hosts {
+		if o.position < position && now.Sub(o.asked) <= watcherKept {
+			out = append(out, name)
+		}
+	}
+	return out, w.changed
+}
+
+// await waits until every watching host has read up to position. It returns the
+// hosts that had not when ctx ended.
+func (w *watchers) await(ctx context.Context, position uint64) []string {
+	for {
+		late, changed := w.behind(position, time.Now())
+		if len(late) == 0 {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return late
+		}
+	}
+}
--- a/internal/controlnode/calls.go
+++ b/internal/controlnode/calls.go
@@ -11,6 +11,7 @@
 	"filberthook/internal/lease"
 	"filberthook/internal/operator"
 	"filberthook/internal/peer"
+	"filberthook/internal/raftnet"
 	"filberthook/internal/statemachine"
 )
 
@@ -66,7 +67,7 @@
 		defer cancel()
 		return changeMemberResponse{}, wireOutcome(n.group.changeMemberHere(ctx, change))
 	})
-	handleReplica(n.mux, methodRaft, func(_ context.Context, batch raftBatch) (struct{}, error) {
+	handleReplica(n.mux, raftnet.Method, func(_ context.Context, batch raftnet.Batch) (struct{}, error) {
 		for _, msg := range batch.Messages {
 			if err := n.replica.Receive(msg); err != nil {
 				return struct{}{}, err
--- a/internal/controlnode/group.go
+++ b/internal/controlnode/group.go
@@ -13,6 +13,7 @@
 	"filberthook/internal/lease"
 	"filberthook/internal/operator"
 	"filberthook/internal/pause"
+	"filberthook/internal/raftnet"
 	"filberthook/internal/replica"
 	"filberthook/internal/statemachine"
 )
@@ -37,7 +38,7 @@
 type group struct {
 	log       Log
 	clock     clock
-	clients   *clientPool
+	clients   *raftnet.Pool
 	state     operator.State
 	bootstrap fleet.KeyHash // of the settings file
 	retries   *metrics.Counter
@@ -60,7 +61,7 @@
 		},
 		func(ctx context.Context, leader string) error {
 			req := proposeRequest{Fleet: cmd.Fleet, Lease: cmd.Lease, Claims: cmd.Claim}
-			return g.clients.get(leader).Call(ctx, methodPropose, req, &resp)
+			return g.clients.Get(leader).Call(ctx, methodPropose, req, &resp)
 		})
 	return resp, err
 }
--- a/internal/controlnode/hosts.go
+++ b/internal/controlnode/hosts.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"filberthook/internal/distribution"
+	"filberthook/internal/raftnet"
 )
 
 // reportsTimeout bounds the question for the reports of another replica.
@@ -19,7 +20,7 @@
 	registry *distribution.Registry
 	self     uint64
 	log      Log
-	clients  *clientPool
+	clients  *raftnet.Pool
 }
 
 // Reports implements operator.Hosts.
@@ -36,7 +37,7 @@
 		}
 		asked.Go(func() error {
 			var resp reportsResponse
-			if err := h.clients.get(m.Address).Call(ctx, methodReports, reportsRequest{}, &resp); err != nil {
+			if err := h.clients.Get(m.Address).Call(ctx, methodReports, reportsRequest{}, &resp); err != nil {
 				failed[i] = m.Address
 				return nil
 			}
--- a/internal/controlnode/members.go
+++ b/internal/controlnode/members.go
@@ -21,7 +21,7 @@
 		return resp.Members, resp.Commit, nil
 	}
 	var resp membersResponse
-	if err := g.clients.get(status.LeaderAddress).Call(ctx, methodMembers, membersRequest{}, &resp); err != nil {
+	if err := g.clients.Get(status.LeaderAddress).Call(ctx, methodMembers, membersRequest{}, &resp); err != nil {
 		return nil, 0, err
 	}
 	return resp.Members, resp.Commit, nil
@@ -48,7 +48,7 @@
 	return g.atLeader(ctx,
 		func(ctx context.Context) error { return g.changeMemberHere(ctx, change) },
 		func(ctx context.Context, leader string) error {
-			return g.clients.get(leader).Call(ctx, methodChangeMember, change, &changeMemberResponse{})
+			return g.clients.Get(leader).Call(ctx, methodChangeMember, change, &changeMemberResponse{})
 		})
 }
 
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -23,6 +23,7 @@
 	"filberthook/internal/lease"
 	"filberthook/internal/operator"
 	"filberthook/internal/peer"
+	"filberthook/internal/raftnet"
 	"filberthook/internal/replica"
 	"filberthook/internal/settings"
 	"filberthook/internal/statemachine"
@@ -54,9 +55,9 @@
 	registry *distribution.Registry
 	replica  *replica.Replica
 	group    *group
-	raft     *transport
-	rpc      *clientPool // calls to other replicas
-	raftRPC  *clientPool // messages of the replicated log
+	raft     *raftnet.Transport
+	rpc      *raftnet.Pool // calls to other replicas
+	raftRPC  *raftnet.Pool // messages of the replicated log
 	mux      *peer.Mux
 
 	raftContext context.Context // ends with the replica
@@ -120,8 +121,8 @@
 }
 
 func (n *Node) buildState() {
-	n.rpc = newClientPool(n.peerOptions())
-	n.raftRPC = newClientPool(n.peerOptions())
+	n.rpc = raftnet.NewPool(n.peerOptions())
+	n.raftRPC = raftnet.NewPool(n.peerOptions())
 	n.claims = newClaims()
 	n.group = &group{
 		clock:     newClock(),
@@ -138,7 +139,7 @@
 
 func (n *Node) openReplica() error {
 	n.raftContext, n.stopRaft = context.WithCancel(context.Background())
-	n.raft = newTransport(n.raftContext, n.raftRPC, n.memberAddress, n.metrics)
+	n.raft = raftnet.NewTransport(n.raftContext, n.raftRPC, n.memberAddress, n.metrics)
 	config := replica.Config{
 		ID:      n.settings.Replica.ID,
 		Dir:     filepath.Join(n.settings.DataDir, replicaFolder),
@@ -215,8 +216,8 @@
 // Run serves until ctx ends, then hands over and stops. It returns nil after a
 // graceful stop.
 func (n *Node) Run(ctx context.Context) error {
-	defer n.rpc.close()
-	defer n.raftRPC.close()
+	defer n.rpc.Close()
+	defer n.raftRPC.Close()
 	defer n.stopRaft()
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error { return n.runReplica(ctx) })
@@ -238,7 +239,7 @@
 // runReplica runs the replica a little longer than ctx, so that a leader can
 // hand over.
 func (n *Node) runReplica(ctx context.Context) error {
-	defer n.raft.wait()
+	defer n.raft.Wait()
 	defer n.stopRaft()
 	stopped := make(chan error, 1)
 	go func() { stopped <- n.replica.Run(n.raftContext) }()
--- a/internal/controlnode/protocol.go
+++ b/internal/controlnode/protocol.go
@@ -17,7 +17,6 @@
 	methodReports      = "control.reports"       // reportsRequest to reportsResponse; between replicas
 	methodMembers      = "control.members"       // membersRequest to membersResponse; between replicas, at the leader
 	methodChangeMember = "control.change_member" // operator.MemberChange to changeMemberResponse; between replicas, at the leader
-	methodRaft         = "control.raft"          // raftBatch, a notification; between replicas
 )
 
 // proposeRequest asks the leader to propose a command with its own clock.
@@ -42,11 +41,6 @@
 
 type changeMemberResponse struct{}
 
-// raftBatch carries encoded messages of the replicated log.
-type raftBatch struct {
-	Messages [][]byte `json:"messages"`
-}
-
 // Codes of errors between replicas.
 const (
 	codeTryAgain       = 101 // nothing was applied, for want of a leader
--- /dev/null
+++ b/internal/controlwatch/watcher.go
@@ -0,0 +1,214 @@
+// Package controlwatch lets an entry host follow the control hosts: it finds them
+// from seeds, watches each of them for changes of instances, and fetches the
+// configuration when one of them has a newer version.
+package controlwatch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"filberthook/internal/controlapi"
+	"filberthook/internal/document"
+	"filberthook/internal/instances"
+	"filberthook/internal/pause"
+	"filberthook/internal/raftnet"
+)
+
+const (
+	// watchWait is how long a control host may hold an answer back.
+	watchWait = time.Second
+	// watchTimeout is when an answer that is held back counts as lost: a second more
+	// than it may be held.
+	watchTimeout = watchWait + time.Second
+	// fetchTimeout bounds the transfer of a large configuration over a slow link.
+	fetchTimeout = 3 * time.Second
+	// firstRetry and maxRetry bound the pause after a failed call.
+	firstRetry = 150 * time.Millisecond
+	maxRetry   = time.Second
+	// forgetAfter is when a control host that nothing names any more is given up.
+	forgetAfter = 30 * time.Second
+	// tickInterval is how often what lost control hosts said is looked at.
+	tickInterval = 500 * time.Millisecond
+)
+
+// Configuration is where the newest configuration goes.
+type Configuration interface {
+	// Version returns the version in force, 0 for none.
+	Version() uint64
+	// Offer puts a newer document into force.
+	Offer(d document.Document, from string) error
+}
+
+// Watcher follows the control hosts.
+type Watcher struct {
+	clients *raftnet.Pool
+	view    *instances.View
+	config  Configuration
+	logger  *slog.Logger
+
+	mu       sync.Mutex
+	watched  map[string]*watched // by peers' address
+	fetching bool
+}
+
+// watched is one control host.
+type watched struct {
+	named time.Time // last time that a seed or a control host named it
+	up    bool
+	hosts int // entry hosts that watch it
+}
+
+// New returns a Watcher that keeps view and config up to date.
+func New(clients *raftnet.Pool, view *instances.View, config Configuration, logger *slog.Logger) *Watcher {
+	return &Watcher{clients: clients, view: view, config: config, logger: logger, watched: map[string]*watched{}}
+}
+
+// Run follows the control hosts until ctx ends. Addresses are those of the seeds at
+// the port for other hosts; they are asked for again from time to time.
+func (w *Watcher) Run(ctx context.Context, seeds func() []string) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	w.name(ctx, &running, seeds())
+	for pause.For(ctx, tickInterval) {
+		w.name(ctx, &running, seeds())
+		w.view.Tick(time.Now())
+	}
+}
+
+// Hosts returns how many entry hosts follow the control hosts, this one included.
+func (w *Watcher) Hosts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	most := 1
+	for _, t := range w.watched {
+		most = max(most, t.hosts)
+	}
+	return most
+}
+
+// Connected returns how many control hosts are reached.
+func (w *Watcher) Connected() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, t := range w.watched {
+		if t.up {
+			n++
+		}
+	}
+	return n
+}
+
+// name notes that addresses are control hosts and follows new ones.
+func (w *Watcher) name(ctx context.Context, running *sync.WaitGroup, addresses []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, address := range addresses {
+		if t, ok := w.watched[address]; ok {
+			t.named = time.Now()
+			continue
+		}
+		t := &watched{named: time.Now()}
+		w.watched[address] = t
+		running.Go(func() { w.follow(ctx, running, address, t) })
+	}
+}
+
+// follow watches one control host.
+func (w *Watcher) follow(ctx context.Context, running *sync.WaitGroup, address string, t *watched) {
+	delay := firstRetry
+	for ctx.Err() == nil {
+		resp, err := w.ask(ctx, address)
+		if err != nil {
+			w.failed(address, t, err)
+			if w.forgotten(address, t) || !pause.For(ctx, delay) {
+				return
+			}
+			delay = min(2*delay, maxRetry)
+			continue
+		}
+		delay = firstRetry
+		w.reached(address, t, resp)
+		w.name(ctx, running, resp.Peers)
+		w.view.Update(address, resp.Epoch, resp.Position, resp.Changes, time.Now())
+		if resp.Version > w.config.Version() {
+			w.fetch(ctx, address)
+		}
+	}
+}
+
+func (w *Watcher) ask(ctx context.Context, address string) (controlapi.WatchResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	epoch, position := w.view.Position(address)
+	req := controlapi.WatchRequest{
+		Epoch: epoch, Position: position,
+		Version: w.config.Version(), WaitMS: watchWait.Milliseconds(),
+	}
+	var resp controlapi.WatchResponse
+	err := w.clients.Get(address).Call(ctx, controlapi.MethodWatch, req, &resp)
+	return resp, err
+}
+
+func (w *Watcher) reached(address string, t *watched, resp controlapi.WatchResponse) {
+	w.mu.Lock()
+	before := t.up
+	t.up, t.hosts, t.named = true, resp.Hosts, time.Now()
+	w.mu.Unlock()
+	if !before {
+		w.logger.Info("control host reached", "control", address, "epoch", resp.Epoch,
+			"instances", len(resp.Changes), "config", resp.Version)
+	}
+}
+
+func (w *Watcher) failed(address string, t *watched, err error) {
+	w.mu.Lock()
+	before := t.up
+	t.up = false
+	w.mu.Unlock()
+	w.view.Lost(address, time.Now())
+	if before {
+		w.logger.Warn("control host lost", "control", address, "err", err)
+	}
+}
+
+// forgotten gives up a control host that fails and that nothing names any more.
+func (w *Watcher) forgotten(address string, t *watched) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(t.named) < forgetAfter {
+		return false
+	}
+	delete(w.watched, address)
+	w.logger.Info("control host forgotten", "control", address)
+	return true
+}
+
+// fetch gets the configuration, one fetch at a time: all control hosts announce a
+// new version at about the same moment.
+func (w *Watcher) fetch(ctx context.Context, address string) {
+	w.mu.Lock()
+	busy := w.fetching
+	w.fetching = true
+	w.mu.Unlock()
+	if busy {
+		return // the next watch tells whether a newer one is left
+	}
+	defer func() {
+		w.mu.Lock()
+		w.fetching = false
+		w.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var d document.Document
+	err := w.clients.Get(address).Call(ctx, controlapi.MethodDocument, struct{}{}, &d)
+	if err == nil {
+		err = w.config.Offer(d, address)
+	}
+	if err != nil {
+		w.logger.Warn("configuration not fetched", "control", address, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/entryhost/config.go
@@ -0,0 +1,50 @@
+package entryhost
+
+import (
+	"fmt"
+	"log/slog"
+	"sync"
+
+	"filberthook/internal/document"
+	"filberthook/internal/forward"
+	"filberthook/internal/routes"
+)
+
+// configuration puts the newest configuration into force. It implements
+// controlwatch.Configuration. Invariant: the version never decreases.
+type configuration struct {
+	decode func([]byte) (*routes.Config, error)
+	server *forward.Server
+	logger *slog.Logger
+
+	mu sync.Mutex // held while a document is put into force
+}
+
+// Version implements controlwatch.Configuration.
+func (c *configuration) Version() uint64 {
+	if t := c.server.Table(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// Offer implements controlwatch.Configuration.
+func (c *configuration) Offer(d document.Document, from string) error {
+	if d.Version <= c.Version() {
+		return nil
+	}
+	config, err := c.decode(d.Body)
+	if err != nil {
+		return fmt.Errorf("version %d of the control group cannot be read, upgrade this host: %w", d.Version, err)
+	}
+	table := routes.NewTable(config)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.Version()
+	if d.Version <= before {
+		return nil
+	}
+	c.server.SetTable(table)
+	c.logger.Info("configuration in force", "version", d.Version, "before", before, "from", from, "routes", len(config.Routes))
+	return nil
+}
--- /dev/null
+++ b/internal/entryhost/settings.go
@@ -0,0 +1,70 @@
+package entryhost
+
+import (
+	"fmt"
+
+	"filberthook/internal/controlhost"
+	"filberthook/internal/settings"
+	"filberthook/internal/tomltime"
+)
+
+// Settings of an entry host that finds its control hosts from seeds.
+type Settings struct {
+	Host           string            `toml:"host"`
+	Zone           string            `toml:"zone"`            // availability zone
+	Seeds          []string          `toml:"seeds"`           // control addresses of some control hosts
+	PeerPort       uint16            `toml:"peer_port"`       // of the control hosts, for other hosts
+	TrustedNetwork bool              `toml:"trusted_network"` // plaintext between hosts, which nothing else may reach
+	MemoryMB       int               `toml:"memory_mb"`       // limit of this process, 0 for none
+	Heartbeat      tomltime.Duration `toml:"heartbeat"`       // interval of the instances
+	Grace          tomltime.Duration `toml:"grace"`           // time from the signal to stop to the kill
+	Listen         Listen            `toml:"listen"`
+	Retry          Retry             `toml:"retry"`
+	Log            settings.Log      `toml:"log"`
+}
+
+// Listen holds the addresses of an entry host.
+type Listen struct {
+	Callers string `toml:"callers"`
+	Ready   string `toml:"ready"`  // the balancer's question
+	Status  string `toml:"status"` // /metrics
+}
+
+// Retry bounds the requests that all entry hosts send again to one endpoint.
+type Retry struct {
+	Ratio  float64           `toml:"ratio"`  // of the requests in a window
+	Slack  float64           `toml:"slack"`  // more in each window
+	Window tomltime.Duration `toml:"window"` // sliding
+}
+
+// Check implements settings.Checked.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Required("host", s.Host, "name this host")
+	c.Required("zone", s.Zone, "name the availability zone of this host")
+	c.UniqueAddress("listen.callers", s.Listen.Callers)
+	c.UniqueAddress("listen.ready", s.Listen.Ready)
+	c.UniqueAddress("listen.status", s.Listen.Status)
+	controlhost.CheckSeeds(c, s.Seeds)
+	if s.PeerPort == 0 {
+		c.Add("peer_port", "is missing", "set the port of the control hosts' listen.peers")
+	}
+	for _, seed := range s.Seeds {
+		controlhost.CheckTrust(c, s.TrustedNetwork, seed)
+	}
+	if s.Heartbeat.Duration <= 0 {
+		c.Add("heartbeat", "is missing", "set the interval of the instances' heartbeats, such as 1.2s")
+	}
+	if s.Grace.Duration <= 0 {
+		c.Add("grace", "is missing", "set the time from the signal to stop to the kill, such as 8s")
+	}
+	if s.Retry.Ratio < 0 || s.Retry.Ratio > 1 {
+		c.Add("retry.ratio", fmt.Sprintf("is %v", s.Retry.Ratio), "use a part of 1")
+	}
+	if s.Retry.Slack < 0 {
+		c.Add("retry.slack", fmt.Sprintf("is %v", s.Retry.Slack), "use 0 or more")
+	}
+	if s.Retry.Window.Duration <= 0 {
+		c.Add("retry.window", "is missing", "set a window, such as 10s")
+	}
+	s.Log.Check(c, "log")
+}
--- /dev/null
+++ b/internal/forward/budget.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// BudgetSettings bound the requests that are sent again to one endpoint, by all
+// entry hosts together.
+type BudgetSettings struct {
+	Ratio  float64       // of the requests for the endpoint in a window
+	Slack  float64       // more in each window
+	Window time.Duration // sliding
+}
+
+const (
+	// budgetShare leaves room for hosts that count differently and windows that slide.
+	budgetShare = 0.7
+	// budgetSlots divides the window.
+	budgetSlots = 10
+)
+
+// Budgets holds the budget of each endpoint at this host.
+type Budgets struct {
+	settings BudgetSettings
+	hosts    func() int // entry hosts that share the budget
+
+	mu   sync.Mutex
+	list map[string]*Budget
+}
+
+// NewBudgets returns Budgets of which this host takes its part.
+func NewBudgets(s BudgetSettings, hosts func() int) *Budgets {
+	return &Budgets{settings: s, hosts: hosts, list: map[string]*Budget{}}
+}
+
+// Of returns the budget of an endpoint.
+func (b *Budgets) Of(endpoint string) *Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.list[endpoint]
+	if budget == nil {
+		budget = &Budget{settings: b.settings, hosts: b.hosts}
+		b.list[endpoint] = budget
+	}
+	return budget
+}
+
+// Budget counts first and repeated requests for one endpoint in a sliding window.
+type Budget struct {
+	settings BudgetSettings
+	hosts    func() int
+
+	mu       sync.Mutex
+	firsts   [budgetSlots]float64
+	repeats  [budgetSlots]float64
+	position int64 // of the newest slot
+}
+
+// First counts a caller's request.
+func (b *Budget) First(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.firsts[b.turn(now)]++
+}
+
+// Take reports whether a request may be sent once more, and counts it if so.
+func (b *Budget) Take(now time.Time) bool {
+	hosts := float64(max(1, b.hosts()))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slot := b.turn(now)
+	firsts, repeats := sum(b.firsts), sum(b.repeats)
+	if repeats+1 > budgetShare*(b.settings.Ratio*firsts+b.settings.Slack/hosts) {
+		return false
+	}
+	b.repeats[slot]++
+	return true
+}
+
+// turn clears the slots that have passed and returns the newest. The caller holds b.mu.
+func (b *Budget) turn(now time.Time) int64 {
+	position := now.UnixNano() / int64(b.settings.Window/budgetSlots)
+	for step := b.position + 1; step <= position && step <= b.position+budgetSlots; step++ {
+		b.firsts[step%budgetSlots], b.repeats[step%budgetSlots] = 0, 0
+	}
+	b.position = max(b.position, position)
+	return b.position % budgetSlots
+}
+
+func sum(slots [budgetSlots]float64) float64 {
+	total := 0.0
+	for _, v := range slots {
+		total += v
+	}
+	return total
+}
--- /dev/null
+++ b/internal/forward/events.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// event is one whole event of a stream, as it came.
+type event struct {
+	raw []byte // with the blank line that ends it
+	id  string // empty when the event has none
+}
+
+// eventReader splits a stream into whole events. An instance may stop in the middle
+// of one; what it has sent of that one is never passed on.
+type eventReader struct {
+	lines *bufio.Reader
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(r, 2<<10)}
+}
+
+var errTornEvent = errors.New("the stream ended within an event")
+
+// EventSizeError refuses an event over the limit.
+type EventSizeError struct{ Limit int }
+
+// Error implements error.
+func (e *EventSizeError) Error() string {
+	return fmt.Sprintf("an event has more than %d bytes", e.Limit)
+}
+
+// next returns the next whole event, or io.EOF after the last one.
+func (r *eventReader) next() (event, error) {
+	var e event
+	for {
+		line, err := r.lines.ReadBytes('\n')
+		e.raw = append(e.raw, line...)
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0 {
+				return event{}, errTornEvent
+			}
+			return event{}, err
+		}
+		if len(e.raw) > maxEventBytes {
+			return event{}, &EventSizeError{maxEventBytes}
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return e, nil
+		}
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			e.id = string(bytes.TrimSpace(id))
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,278 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"filberthook/internal/dialect"
+	"filberthook/internal/placement"
+	"filberthook/internal/upstream"
+)
+
+// maxHandleBytes bounds the answer to a prefill.
+const maxHandleBytes = 64 << 10
+
+// progress is what the caller has of its stream.
+type progress struct {
+	started bool   // the header was sent
+	lastID  string // of the last event that was passed on
+	events  int
+}
+
+// result is how a run of a stream ended.
+type result uint8
+
+const (
+	finished result = iota // the caller has its final answer
+	notRun                 // the instance did not run the request
+	broken                 // it may have run and did not end
+)
+
+// serveStream serves a generation: it has the prompt read, passes the events on, and
+// goes on at another instance after a break where the route allows it.
+func (c *call) serveStream() {
+	var p progress
+	whole := !c.route.Prompted
+	for {
+		prompt := c.prompt(whole)
+		plan, err := c.server.fleet.Place(prompt, time.Now())
+		if err != nil {
+			c.notPlaced(err, &p)
+			return
+		}
+		source := ""
+		if plan.Read != nil {
+			var ok bool
+			if source, ok = c.readApart(*plan.Read, prompt, plan.Tokens); !ok {
+				c.excluded[plan.Read.ID] = true
+				if !c.mayResend() {
+					c.endUnfinished("prompt_not_read", &p)
+					return
+				}
+				continue
+			}
+			plan.Tokens = 0
+		}
+		ended, reason := c.run(plan, prompt, source, &p)
+		if ended == finished {
+			return
+		}
+		c.excluded[plan.Run.ID] = true
+		whole = true
+		if !c.mayGoOn(ended) {
+			c.endUnfinished(reason, &p)
+			return
+		}
+	}
+}
+
+// mayGoOn reports whether a run that ended may be followed by another, and charges
+// the budget for it.
+func (c *call) mayGoOn(ended result) bool {
+	if ended == broken && (!c.route.Resumable || c.ran >= c.route.MaxAttempts) {
+		return false
+	}
+	return c.mayResend()
+}
+
+func (c *call) prompt(whole bool) *placement.Prompt {
+	return &placement.Prompt{
+		Endpoint: c.endpoint, Model: c.meta.Model, Parts: c.meta.Parts, Tokens: c.meta.PromptTokens,
+		Left: c.left(), Whole: whole, Excluded: c.excluded,
+	}
+}
+
+// notPlaced ends a call for which there is no engine.
+func (c *call) notPlaced(err error, p *progress) {
+	var hopeless *placement.HopelessError
+	if errors.As(err, &hopeless) && c.ran == 0 {
+		c.refuse("hopeless", max(hopeless.RetryAfter(), c.returnAfter()))
+		return
+	}
+	c.endUnfinished("no_instance", p)
+}
+
+// endUnfinished ends a call whose stream did not end. A stream that has begun is
+// broken off, so that it does not look complete.
+func (c *call) endUnfinished(reason string, p *progress) {
+	if !p.started {
+		c.giveUp(reason)
+		return
+	}
+	c.outcome, c.reason = "broken_off", reason
+	if c.callerGone() {
+		c.outcome = "caller_left"
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// readApart has a prefill engine read the prompt. It returns the source from which
+// the generating engine takes the KV cache.
+func (c *call) readApart(target placement.Target, prompt *placement.Prompt, tokens int) (source string, ok bool) {
+	start := time.Now()
+	outcome := placement.Cut
+	reading := c.server.fleet.BeginPrompt(target.ID, prompt, tokens, start)
+	defer func() {
+		c.note(target.ID, "read", outcome, start)
+		c.server.fleet.EndPrompt(reading, outcome, time.Now())
+	}()
+	send := dialect.Send{Instance: target.ID, Model: true, Prefill: true}
+	answer, err := c.server.pool.Send(c.ctx, target.Address, c.request(send))
+	if err != nil {
+		outcome = c.contactOutcome()
+		var lost *upstream.LostError
+		if errors.As(err, &lost) {
+			c.arrivals++
+		}
+		return "", false
+	}
+	c.arrivals++
+	defer answer.Close()
+	body, err := answer.ReadAll(maxHandleBytes)
+	if err != nil {
+		outcome = c.contactOutcome()
+		return "", false
+	}
+	said := c.server.dialect.Answer(answer.StatusCode, answer.Header)
+	switch {
+	case said.Moved:
+		outcome = placement.Replaced
+		return "", false
+	case said.NotRun:
+		outcome = placement.Full
+		return "", false
+	}
+	handle, err := c.server.dialect.Handle(body)
+	if answer.StatusCode != http.StatusOK || err != nil {
+		outcome = placement.Failed
+		return "", false
+	}
+	outcome = placement.Answered
+	c.server.fleet.PromptRead(reading, time.Now())
+	if c.ctx.Err() != nil {
+		c.server.free(target, handle)
+		return "", false
+	}
+	return c.server.dialect.Source(target.Address, handle), true
+}
+
+// freeTimeout bounds the call that frees a handle; its engine frees it anyway.
+const freeTimeout = time.Second
+
+// free frees a handle that nobody will take.
+func (s *Server) free(target placement.Target, handle dialect.Handle) {
+	method, path := s.dialect.Free(handle)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+		defer cancel()
+		answer, err := s.pool.Send(ctx, target.Address, &upstream.Request{Method: method, Target: path, Host: target.Address, Header: http.Header{}})
+		if err != nil {
+			s.logger.Info("handle not freed", "instance", target.ID, "handle", handle.ID, "err", err)
+			return
+		}
+		defer answer.Close()
+		if _, err := answer.ReadAll(maxHandleBytes); err != nil {
+			s.logger.Info("handle not freed", "instance", target.ID, "handle", handle.ID, "err", err)
+		}
+	}()
+}
+
+// run sends the request to the engine that generates and passes its events on.
+func (c *call) run(plan placement.Plan, prompt *placement.Prompt, source string, p *progress) (result, string) {
+	start := time.Now()
+	outcome := placement.Cut
+	reading := c.server.fleet.BeginPrompt(plan.Run.ID, prompt, plan.Tokens, start)
+	step := "run"
+	if p.started {
+		step = "resume"
+	}
+	defer func() {
+		c.note(plan.Run.ID, step, outcome, start)
+		c.server.fleet.EndPrompt(reading, outcome, time.Now())
+	}()
+	send := dialect.Send{Instance: plan.Run.ID, Model: true, Source: source, LastEventID: p.lastID}
+	answer, err := c.server.pool.Send(c.ctx, plan.Run.Address, c.request(send))
+	var notSent *upstream.NotSentError
+	if errors.As(err, &notSent) {
+		outcome = c.contactOutcome()
+		return notRun, "no_contact"
+	}
+	c.arrivals++
+	c.ran++ // until the instance denies it
+	if err != nil {
+		outcome = c.contactOutcome()
+		return broken, reasonOf(err, nil)
+	}
+	defer answer.Close()
+	if answer.StatusCode != http.StatusOK || answer.Header.Get("Content-Encoding") != "" {
+		ended, judged := c.passRefusal(answer, p)
+		outcome = judged
+		return ended, "endpoint_refused"
+	}
+	if err = c.passEvents(answer, reading, p); err == nil {
+		outcome = placement.Answered
+		c.outcome, c.status = "answered", answer.StatusCode
+		return finished, ""
+	}
+	outcome = c.contactOutcome()
+	return broken, reasonOf(err, nil)
+}
+
+// passRefusal takes an answer that is no stream. It is the caller's final answer
+// unless the instance did not run the request, or the stream has begun.
+func (c *call) passRefusal(answer *upstream.Answer, p *progress) (result, placement.Outcome) {
+	got := &whole{status: answer.StatusCode, header: answer.Header, answer: c.server.dialect.Answer(answer.StatusCode, answer.Header)}
+	var err error
+	if got.body, err = answer.ReadAll(maxAnswerBytes); err != nil && !got.answer.NotRun {
+		return broken, c.contactOutcome()
+	}
+	outcome, err := c.classify(got)
+	switch {
+	case got.answer.NotRun:
+		return notRun, outcome
+	case err != nil, p.started, c.route.Resumable && got.status >= http.StatusInternalServerError && c.left() > 0:
+		return broken, outcome
+	}
+	c.passWhole(got)
+	return finished, outcome
+}
+
+// passEvents passes the events of an answer on as they arrive, until its end.
+func (c *call) passEvents(answer *upstream.Answer, reading *placement.Reading, p *progress) error {
+	controller := http.NewResponseController(c.w)
+	events := newEventReader(answer)
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			if !p.started {
+				return errTornEvent // a stream without events is not complete
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if p.events == 0 {
+			c.firstMS = time.Since(c.start).Milliseconds()
+		}
+		if !p.started {
+			p.started = true
+			copyHeader(c.w.Header(), answer.Header)
+			c.w.WriteHeader(answer.StatusCode)
+		}
+		c.server.fleet.PromptRead(reading, time.Now())
+		p.events++
+		if e.id != "" {
+			p.lastID = e.id
+		}
+		if _, err := c.w.Write(e.raw); err != nil {
+			return err
+		}
+		if err := controller.Flush(); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/instances/instance.go
@@ -0,0 +1,90 @@
+// Package instances knows the endpoint instances of a deployment. A Registry at
+// each control host takes their heartbeats and lists what changed; a View at each
+// entry host merges the lists of all control hosts.
+//
+// An instance is identified by its id and the time of its start. Nothing that is
+// said of an older start, or with a lower sequence number of the same start, takes
+// effect after a newer one.
+package instances
+
+import "time"
+
+// State of an instance.
+type State uint8
+
+const (
+	Ready    State = iota
+	Draining       // finishes what it has and takes no new requests
+	Gone           // has deregistered
+)
+
+// String returns the state's name in logs.
+func (s State) String() string { return [...]string{"ready", "draining", "gone"}[s] }
+
+// Stage is the part of a generation that a model engine serves.
+type Stage uint8
+
+const (
+	AnyStage Stage = iota // plain service
+	Prefill
+	Decode
+)
+
+// String returns the stage's name in logs.
+func (s Stage) String() string { return [...]string{"any", "prefill", "decode"}[s] }
+
+// Model is a model that an engine has loaded.
+type Model struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"` // of the weights
+}
+
+// Instance is what an endpoint instance says of itself.
+type Instance struct {
+	ID       string  `json:"id"`
+	Born     int64   `json:"born"`     // Unix ms of its start
+	Sequence uint64  `json:"sequence"` // increases with each heartbeat since its start
+	Endpoint string  `json:"endpoint"`
+	Address  string  `json:"address"` // IP:port
+	Zone     string  `json:"zone"`
+	Slots    int     `json:"slots"`
+	State    State   `json:"state"`
+	Stage    Stage   `json:"stage"`
+	Models   []Model `json:"models,omitempty"`
+}
+
+// Change is an instance as one control host knows it.
+type Change struct {
+	Instance
+	Silent bool `json:"silent,omitempty"` // no heartbeat came lately
+}
+
+// silentBeats is the number of heartbeat intervals without one after which an
+// instance counts as silent: heartbeats may be late by more than one interval.
+const silentBeats = 3
+
+// goneKept is how long a deregistered instance is remembered, so that a late
+// heartbeat cannot bring it back.
+const goneKept = 5 * time.Minute
+
+// supersedes reports whether what a says replaces what b says of the same id.
+func (a *Instance) supersedes(b *Instance) bool {
+	if a.Born != b.Born {
+		return a.Born > b.Born
+	}
+	return a.Sequence > b.Sequence
+}
+
+// sameAs reports whether a and b differ in nothing that routing uses.
+func (a *Instance) sameAs(b *Instance) bool {
+	if a.Born != b.Born || a.Endpoint != b.Endpoint || a.Address != b.Address || a.Zone != b.Zone ||
+		a.Slots != b.Slots || a.State != b.State || a.Stage != b.Stage || len(a.Models) != len(b.Models) {
+		return false
+	}
+	for i := range a.Models {
+		if a.Models[i] != b.Models[i] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/instances/registry.go
@@ -0,0 +1,127 @@
+package instances
+
+import (
+	"sync"
+	"time"
+)
+
+// entry is what a Registry keeps of one instance.
+type entry struct {
+	Change
+	at    uint64    // position of its last change
+	heard time.Time // of its last heartbeat
+}
+
+// Registry keeps the instances that send their heartbeats to this control host.
+// Positions count its changes; readers ask for what changed after a position.
+type Registry struct {
+	beat time.Duration // interval of heartbeats
+
+	mu       sync.Mutex
+	position uint64
+	entries  map[string]*entry // by id
+	changed  chan struct{}     // closed at the next change
+}
+
+// NewRegistry returns an empty Registry for instances that send a heartbeat each
+// interval.
+func NewRegistry(beat time.Duration) *Registry {
+	return &Registry{beat: beat, entries: map[string]*entry{}, changed: make(chan struct{})}
+}
+
+// Observe takes a heartbeat. It returns the position after which readers know of
+// it, and whether anything changed. A late heartbeat of a known start changes nothing.
+func (r *Registry) Observe(in Instance, now time.Time) (position uint64, changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, known := r.entries[in.ID]
+	if known && !in.supersedes(&e.Instance) || r.replacedAt(in) {
+		return r.position, false
+	}
+	if known && e.Born == in.Born && e.State != Ready && in.State == Ready {
+		return r.position, false // one that is leaving does not come back
+	}
+	if !known {
+		e = &entry{}
+		r.entries[in.ID] = e
+	}
+	changed = !known || e.Silent || !e.sameAs(&in)
+	e.Instance, e.Silent, e.heard = in, false, now
+	if changed {
+		r.touch(e)
+	}
+	return r.position, changed
+}
+
+// replacedAt reports whether a later start took the address of in.
+func (r *Registry) replacedAt(in Instance) bool {
+	for _, e := range r.entries {
+		if e.Address == in.Address && e.ID != in.ID && e.Born > in.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// Leave marks an instance as gone. Of an unknown one it keeps the id, so that a
+// late heartbeat of that start does not announce it. A born of 0 means the start
+// that is known.
+func (r *Registry) Leave(id string, born int64, now time.Time) (position uint64, changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, known := r.entries[id]
+	if known && (e.State == Gone || born != 0 && born < e.Born) {
+		return r.position, false
+	}
+	if !known {
+		e = &entry{Change: Change{Instance: Instance{ID: id, Born: born}}}
+		r.entries[id] = e
+	}
+	if born > e.Born {
+		e.Born = born
+	}
+	e.State, e.Silent, e.heard = Gone, false, now
+	r.touch(e)
+	return r.position, true
+}
+
+// Expire marks instances as silent that have sent nothing lately and forgets those
+// that are long gone. It returns the ids that became silent.
+func (r *Registry) Expire(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var silent []string
+	for id, e := range r.entries {
+		quiet := now.Sub(e.heard)
+		if quiet > goneKept {
+			delete(r.entries, id)
+		} else if !e.Silent && e.State != Gone && quiet > silentBeats*r.beat {
+			e.Silent = true
+			silent = append(silent, id)
+			r.touch(e)
+		}
+	}
+	return silent
+}
+
+// touch gives an entry the next position and wakes the readers. The caller holds r.mu.
+func (r *Registry) touch(e *entry) {
+	r.position++
+	e.at = r.position
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Since returns what changed after a position, the position reached, and a channel
+// that is closed at the next change.
+func (r *Registry) Since(position uint64) ([]Change, uint64, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Change
+	for _, e := range r.entries {
+		if e.at > position {
+			out = append(out, e.Change)
+		}
+	}
+	return out, r.position, r.changed
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -46,7 +46,10 @@
 		return &UnreachableError{Address: c.addr, Err: err}
 	}
 	err = conn.Call(ctx, method, params, result)
-	if errors.Is(err, jsonrpc2.ErrClosed) {
+	// A call without an answer may mean a connection that went silent without a
+	// reset.
+	silent := c.opts.DropOnTimeout && errors.Is(err, context.DeadlineExceeded)
+	if errors.Is(err, jsonrpc2.ErrClosed) || silent {
 		c.drop(conn)
 	}
 	return remoteError(err)
@@ -178,7 +181,7 @@
 
 func (c *Client) secure(ctx context.Context, raw net.Conn) (net.Conn, error) {
 	if c.opts.TLS == nil {
-		return raw, requireLoopback(raw.RemoteAddr())
+		return raw, c.opts.allowPlaintext(raw.RemoteAddr())
 	}
 	cfg := c.opts.TLS.Clone()
 	if cfg.ServerName == "" {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -93,6 +93,8 @@
 type Options struct {
 	Self            Identity
 	TLS             *tls.Config // nil allows plaintext, on loopback only
+	TrustedNetwork  bool        // allows plaintext outside loopback too
+	DropOnTimeout   bool        // a call that times out ends the client's connection
 	MaxMessageBytes int
 	MaxCalls        int // calls served at once per connection
 	MaxConnections  int // connections served at once
@@ -137,6 +139,14 @@
 	}
 }
 
+// allowPlaintext refuses plaintext outside loopback unless the settings trust the network.
+func (o Options) allowPlaintext(addr net.Addr) error {
+	if o.TrustedNetwork {
+		return nil
+	}
+	return requireLoopback(addr)
+}
+
 // requireLoopback refuses plaintext to and from other machines.
 func requireLoopback(addr net.Addr) error {
 	tcp, ok := addr.(*net.TCPAddr)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -117,7 +117,7 @@
 // the client's certificate says, nothing for plaintext.
 func (s *Server) secure(conn net.Conn) (net.Conn, Identity, error) {
 	if s.opts.TLS == nil {
-		if err := requireLoopback(conn.RemoteAddr()); err != nil {
+		if err := s.opts.allowPlaintext(conn.RemoteAddr()); err != nil {
 			s.refusedPlaintext.Inc()
 			return nil, Identity{}, err
 		}
--- /dev/null
+++ b/internal/placement/average.go
@@ -0,0 +1,33 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// average is a mean that forgets with time and follows new values quickly.
+type average struct {
+	value float64
+	at    time.Time
+}
+
+// sampleWeight is the weight of one new value.
+const sampleWeight = 0.3
+
+// add takes a value.
+func (a *average) add(value float64, now time.Time) {
+	if a.at.IsZero() {
+		a.value, a.at = value, now
+		return
+	}
+	a.value += sampleWeight * (value - a.value)
+	a.at = now
+}
+
+// decayed returns the mean, halved for each half-life since the last value.
+func (a *average) decayed(now time.Time, halfLife time.Duration) float64 {
+	if a.at.IsZero() || a.value == 0 {
+		return 0
+	}
+	return a.value * math.Exp2(-float64(now.Sub(a.at))/float64(halfLife))
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,131 @@
+// Package placement decides which endpoint instance a request goes to, and when it
+// is refused. It does no I/O and reads no clock: the caller tells what was sent,
+// what came back and what time it is.
+//
+// The load it answers: prompts of which most is shared with other requests, on
+// engines of which some only read prompts, with a mix of long prompts and short
+// checks that turns around within seconds. A prompt goes where its shared parts are
+// held, unless the engine is so busy that another one, which fetches or reads them,
+// answers sooner. Turns of the mix are met by where prompts are read, since a change
+// of an engine's stage takes longer than the turn lasts.
+package placement
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"filberthook/internal/instances"
+)
+
+// Settings are the estimates that placement starts from.
+type Settings struct {
+	// PrefillRate is the prompt tokens that a prefill engine reads in a millisecond
+	// before it was observed.
+	PrefillRate float64
+	// DecodeShare is the part of that rate at which a decode engine reads prompts.
+	DecodeShare float64
+}
+
+// DefaultSettings start from the rates of the engines described in the brief.
+func DefaultSettings() Settings { return Settings{PrefillRate: 60, DecodeShare: 0.5} }
+
+// instance is what this host knows of one endpoint instance beside its announcement.
+type instance struct {
+	instances.Instance
+	outstanding int       // requests of this host under way
+	backlog     float64   // prompt tokens of this host that wait to be read there
+	wait        average   // time beyond the expected one until prompts were read
+	latency     average   // time to the answer of a plain service
+	failures    average   // part of the requests that failed, 0 to 1
+	ejected     time.Time // gets no request before
+	strikes     int       // ejections in a row
+	held        map[uint64]time.Time
+}
+
+// Fleet is what this host knows of the instances of all endpoints. It is safe for
+// concurrent use.
+type Fleet struct {
+	settings Settings
+
+	mu    sync.Mutex
+	known map[string]*instance // by id
+	lists map[string][]*instance
+	draw  func() float64 // random number from [0, 1)
+}
+
+// New returns an empty Fleet; draw returns random numbers from [0, 1).
+func New(s Settings, draw func() float64) *Fleet {
+	return &Fleet{settings: s, known: map[string]*instance{}, lists: map[string][]*instance{}, draw: draw}
+}
+
+// Update takes a new list of instances. What was learned of an instance is kept
+// while it is the same start.
+func (f *Fleet) Update(s *instances.Snapshot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := make(map[string]*instance, len(f.known))
+	lists := make(map[string][]*instance, len(s.ByEndpoint))
+	for name, list := range s.ByEndpoint {
+		for _, in := range list {
+			state := f.known[in.ID]
+			if state == nil || state.Born != in.Born || state.Stage != in.Stage {
+				state = &instance{held: map[uint64]time.Time{}}
+			}
+			state.Instance = in
+			known[in.ID] = state
+			lists[name] = append(lists[name], state)
+		}
+	}
+	f.known, f.lists = known, lists
+}
+
+// Addresses returns the addresses of all instances.
+func (f *Fleet) Addresses() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]bool, len(f.known))
+	for _, in := range f.known {
+		out[in.Address] = true
+	}
+	return out
+}
+
+// Target is an instance that a request is sent to.
+type Target struct {
+	ID      string
+	Address string
+	Zone    string
+	Stage   instances.Stage
+}
+
+func (in *instance) target() Target {
+	return Target{ID: in.ID, Address: in.Address, Zone: in.Zone, Stage: in.Stage}
+}
+
+// NoneError tells that no instance can take a request.
+type NoneError struct {
+	Endpoint string
+	Known    int // instances that are announced
+	Excluded int // of which were tried already
+}
+
+// Error implements error.
+func (e *NoneError) Error() string {
+	return fmt.Sprintf("no instance of %q can take the request: %d announced, %d tried already", e.Endpoint, e.Known, e.Excluded)
+}
+
+// HopelessError tells that a request cannot be answered in time.
+type HopelessError struct {
+	Expected time.Duration // until its answer
+	Left     time.Duration // until it is of no use
+}
+
+// Error implements error.
+func (e *HopelessError) Error() string {
+	return fmt.Sprintf("the answer is expected in %v, %v are left: come back after the load has passed", e.Expected, e.Left)
+}
+
+// RetryAfter returns when the work queued before the request has passed so far that
+// it would be in time.
+func (e *HopelessError) RetryAfter() time.Duration { return max(0, e.Expected-e.Left) }
--- /dev/null
+++ b/internal/placement/service.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// otherZonePenalty keeps requests in their zone while it is about as fast.
+	otherZonePenalty = 1.15
+	// unknownLatency stands for instances without an answer yet, in ms.
+	unknownLatency = 20.0
+	// failurePower is how strongly failures count against an instance.
+	failurePower = 3
+)
+
+// Service picks the instance of a plain service for a request from a zone. The load
+// it answers: short calls on few slots, some instances slower than others or failing
+// a part of their calls while they announce themselves as ready.
+func (f *Fleet) Service(endpoint, zone string, excluded map[string]bool, now time.Time) (Target, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	candidates := available(f.lists[endpoint], excluded, now)
+	if len(candidates) == 0 {
+		return Target{}, &NoneError{Endpoint: endpoint, Known: len(f.lists[endpoint]), Excluded: len(excluded)}
+	}
+	best, bestScore := candidates[0], math.Inf(1)
+	for _, in := range candidates {
+		// A small random part spreads requests over equals.
+		score := in.serviceScore(zone, now) * (1 + 0.05*f.draw())
+		if score < bestScore {
+			best, bestScore = in, score
+		}
+	}
+	return best.target(), nil
+}
+
+// serviceScore is the expected time to an answer, in ms, weighed with failures.
+func (in *instance) serviceScore(zone string, now time.Time) float64 {
+	latency := unknownLatency
+	if !in.latency.at.IsZero() {
+		latency = max(1, in.latency.value)
+	}
+	occupied := float64(in.outstanding) / float64(max(1, in.Slots))
+	healthy := 1 - min(0.95, in.failures.decayed(now, failureHalfLife))
+	score := latency * (1 + 4*occupied) / math.Pow(healthy, failurePower)
+	if in.Zone != zone {
+		score *= otherZonePenalty
+	}
+	return score
+}
+
+// Begin records that a request is sent to an instance.
+func (f *Fleet) Begin(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if in := f.known[id]; in != nil {
+		in.outstanding++
+	}
+}
+
+// End records how a request of a plain service ended after a time.
+func (f *Fleet) End(id string, o Outcome, took time.Duration, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	in := f.known[id]
+	if in == nil {
+		return
+	}
+	in.outstanding = max(0, in.outstanding-1)
+	if o == Answered || o == Failed {
+		in.latency.add(float64(took)/float64(time.Millisecond), now)
+	}
+	in.judge(o, now)
+}
--- /dev/null
+++ b/internal/raftnet/doc.go
@@ -0,0 +1,11 @@
+// Package raftnet carries the messages of a replicated log between its replicas
+// over package peer, and keeps the connections for calls between replicas.
+package raftnet
+
+// Method names the notification that carries a Batch.
+const Method = "control.raft"
+
+// Batch carries encoded messages of the replicated log.
+type Batch struct {
+	Messages [][]byte `json:"messages"`
+}
--- a/internal/controlnode/clients.go
+++ b/internal/raftnet/pool.go
@@ -1,4 +1,4 @@
-package controlnode
+package raftnet
 
 import (
 	"sync"
@@ -6,21 +6,21 @@
 	"filberthook/internal/peer"
 )
 
-// clientPool keeps one client for each address.
-type clientPool struct {
+// Pool keeps one client for each address.
+type Pool struct {
 	options peer.Options
 
 	mu      sync.Mutex
 	clients map[string]*peer.Client // by address; nil once closed
 }
 
-func newClientPool(options peer.Options) *clientPool {
-	return &clientPool{options: options, clients: map[string]*peer.Client{}}
+func NewPool(options peer.Options) *Pool {
+	return &Pool{options: options, clients: map[string]*peer.Client{}}
 }
 
-// get returns the client of an address. After close it returns a client that
+// Get returns the client of an address. After Close it returns a client that
 // the caller's calls alone keep open.
-func (p *clientPool) get(address string) *peer.Client {
+func (p *Pool) Get(address string) *peer.Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c, ok := p.clients[address]; ok {
@@ -33,8 +33,8 @@
 	return c
 }
 
-// close ends all connections.
-func (p *clientPool) close() {
+// Close ends all connections.
+func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.clients {
--- a/internal/controlnode/transport.go
+++ b/internal/raftnet/transport.go
@@ -1,4 +1,4 @@
-package controlnode
+package raftnet
 
 import (
 	"context"
@@ -10,16 +10,16 @@
 
 // Limits of the queue to one replica.
 const (
-	raftQueueLength = 1024
-	raftBatchBytes  = 2 << 20 // messages are sent together up to this size
-	raftSendTimeout = 2 * time.Second
+	queueLength = 1024
+	batchBytes  = 2 << 20 // messages are sent together up to this size
+	sendTimeout = 2 * time.Second
 )
 
-// transport carries the messages of the replicated log to the other replicas,
+// Transport carries the messages of the replicated log to the other replicas,
 // one queue and one connection for each. It implements replica.Transport.
-type transport struct {
+type Transport struct {
 	ctx     context.Context
-	clients *clientPool
+	clients *Pool
 	address func(id uint64) string // empty when unknown
 	dropped *metrics.Counter
 	failed  *metrics.Counter
@@ -29,9 +29,9 @@
 	senders sync.WaitGroup
 }
 
-// newTransport returns a transport whose senders end with ctx.
-func newTransport(ctx context.Context, clients *clientPool, address func(uint64) string, set *metrics.Set) *transport {
-	return &transport{
+// NewTransport returns a transport whose senders end with ctx.
+func NewTransport(ctx context.Context, clients *Pool, address func(uint64) string, set *metrics.Set) *Transport {
+	return &Transport{
 		ctx:     ctx,
 		clients: clients,
 		address: address,
@@ -42,7 +42,7 @@
 }
 
 // Send implements replica.Transport.
-func (t *transport) Send(to uint64, msg []byte) {
+func (t *Transport) Send(to uint64, msg []byte) {
 	select {
 	case t.queue(to) <- msg:
 	default:
@@ -51,22 +51,22 @@
 }
 
 // queue returns the queue of a replica and starts its sender at the first use.
-func (t *transport) queue(to uint64) chan<- []byte {
+func (t *Transport) queue(to uint64) chan<- []byte {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q, ok := t.queues[to]
 	if !ok {
-		q = make(chan []byte, raftQueueLength)
+		q = make(chan []byte, queueLength)
 		t.queues[to] = q
 		t.senders.Go(func() { t.send(to, q) })
 	}
 	return q
 }
 
-// wait returns once all senders have ended.
-func (t *transport) wait() { t.senders.Wait() }
+// Wait returns once all senders have ended.
+func (t *Transport) Wait() { t.senders.Wait() }
 
-func (t *transport) send(to uint64, queue <-chan []byte) {
+func (t *Transport) send(to uint64, queue <-chan []byte) {
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -78,10 +78,10 @@
 }
 
 // collect adds the messages that wait already.
-func collect(first []byte, queue <-chan []byte) raftBatch {
-	batch := raftBatch{Messages: [][]byte{first}}
+func collect(first []byte, queue <-chan []byte) Batch {
+	batch := Batch{Messages: [][]byte{first}}
 	size := len(first)
-	for size < raftBatchBytes {
+	for size < batchBytes {
 		select {
 		case msg := <-queue:
 			batch.Messages = append(batch.Messages, msg)
@@ -93,15 +93,15 @@
 	return batch
 }
 
-func (t *transport) sendBatch(to uint64, batch raftBatch) {
+func (t *Transport) sendBatch(to uint64, batch Batch) {
 	address := t.address(to)
 	if address == "" {
 		t.failed.Add(len(batch.Messages))
 		return
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, raftSendTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
 	defer cancel()
-	if err := t.clients.get(address).Notify(ctx, methodRaft, batch); err != nil {
+	if err := t.clients.Get(address).Notify(ctx, Method, batch); err != nil {
 		t.failed.Add(len(batch.Messages))
 	}
 }
--- /dev/null
+++ b/internal/routes/validate.go
@@ -0,0 +1,72 @@
+package routes
+
+import "fmt"
+
+// InvalidError refuses a configuration. Nothing of it takes effect.
+type InvalidError struct {
+	Field  string // where the problem is, such as routes[3].timeout
+	Reason string
+	Remedy string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("configuration: %s: %s; %s", e.Field, e.Reason, e.Remedy)
+}
+
+// place is what a request is matched by.
+type place struct{ host, prefix string }
+
+// Validate returns an *InvalidError for the first problem.
+func (c *Config) Validate() error {
+	places := make(map[place]string, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		field := fmt.Sprintf("routes[%d]", i)
+		if r.Name != "" {
+			field = fmt.Sprintf("routes[%d] %q", i, r.Name)
+		}
+		if err := c.validateRoute(field, r); err != nil {
+			return err
+		}
+		at := place{r.Host, r.Prefix}
+		if first, ok := places[at]; ok {
+			return &InvalidError{field, fmt.Sprintf("host %q and prefix %q are those of %s too", r.Host, r.Prefix, first), "give each route a place of its own"}
+		}
+		places[at] = field
+	}
+	return nil
+}
+
+func (c *Config) validateRoute(field string, r *Route) error {
+	if r.Host == "" {
+		return &InvalidError{field, "has no host", "name the host that callers send"}
+	}
+	if len(r.Prefix) == 0 || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/' {
+		return &InvalidError{field, fmt.Sprintf("path prefix %q does not begin and end with a slash", r.Prefix), "write it like /summaries/"}
+	}
+	if r.Timeout <= 0 {
+		return &InvalidError{field, "its timeout is 0", "set a timeout above 0"}
+	}
+	return c.validateShares(field, r.Shares)
+}
+
+func (c *Config) validateShares(field string, shares []Share) error {
+	total := 0.0
+	for _, s := range shares {
+		if _, ok := c.Endpoints[s.Endpoint]; !ok {
+			return &InvalidError{field, fmt.Sprintf("endpoint %q is unknown", s.Endpoint), "list it in the configuration or name another one"}
+		}
+		if s.Weight < 0 {
+			return &InvalidError{field, fmt.Sprintf("endpoint %q has weight %v", s.Endpoint, s.Weight), "use 0 or more"}
+		}
+		total += s.Weight
+	}
+	if len(shares) == 0 {
+		return &InvalidError{field, "names no endpoint", "name at least one"}
+	}
+	if total <= 0 {
+		return &InvalidError{field, "the weights of its endpoints add up to 0", "give at least one endpoint a weight above 0"}
+	}
+	return nil
+}
--- a/internal/storage/identity.go
+++ b/internal/storage/identity.go
@@ -121,3 +121,23 @@
 
 // Error implements error.
 func (e *FolderError) Error() string { return e.Problem + ": " + e.Remedy }
+
+// ReadID returns the replica id of a data folder, 0 for an empty one. A folder that
+// cannot be used any more gives an *ExcludedError or a *FolderError.
+func ReadID(fs fsys.FS, dir string) (uint64, error) {
+	data, err := fs.ReadFile(Options{Dir: dir}.path(identityFile))
+	if errors.Is(err, iofs.ErrNotExist) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("read identity: %w", err)
+	}
+	var id identity
+	if err := json.Unmarshal(data, &id); err != nil || id.Incarnation == 0 {
+		return 0, &FolderError{"identity file is damaged", "join this host as a learner with a new replica id and an empty data folder"}
+	}
+	if id.Exclusion != consensus.ExclusionNone {
+		return 0, &ExcludedError{ID: id.ID, Exclusion: id.Exclusion}
+	}
+	return id.ID, nil
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,187 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// Request is what is sent to an instance.
+type Request struct {
+	Method string
+	Target string // path and query as the caller wrote them
+	Host   string
+	Header http.Header
+	Body   []byte // nil for none
+	// Once demands a connection that is fresh or proven, as the request must not
+	// run twice and cannot be repeated when a kept connection breaks.
+	Once bool
+	// Accept tells whether an answer belongs to the request. Others are skipped.
+	Accept func(*http.Response) bool
+}
+
+const (
+	// inlineBodyBytes may be written before the answer is read: they fit the
+	// smallest send buffer.
+	inlineBodyBytes = 2 << 10
+	// maxSkipped bounds the answers that belong to other requests.
+	maxSkipped = 2
+	// maxSkippedBytes bounds the body of such an answer.
+	maxSkippedBytes = 1 << 20
+)
+
+// Answer is the answer of an instance. Close must be called.
+type Answer struct {
+	*http.Response
+	pool    *Pool
+	conn    *conn
+	ctx     context.Context
+	stop    func() bool // detaches the connection from ctx
+	written chan error  // one result, when the request is written
+	whole   bool        // the body was read to its end
+	tainted bool        // another answer came on the connection
+}
+
+// Send sends a request and returns the answer once its header is in. The answer's
+// body must be read before ctx ends; the connection is closed when ctx does.
+func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Answer, error) {
+	c, err := p.get(ctx, address, r.Once)
+	if err != nil {
+		return nil, &NotSentError{Address: address, Err: err}
+	}
+	if ctx.Err() != nil {
+		p.put(c)
+		return nil, &NotSentError{Address: address, Err: ctx.Err()}
+	}
+	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1)}
+	a.stop = context.AfterFunc(ctx, func() { c.Close() })
+	head := r.head()
+	if len(head)+len(r.Body) <= inlineBodyBytes {
+		_, err := c.Write(append(head, r.Body...))
+		a.written <- err
+	} else {
+		go a.write(head, r.Body)
+	}
+	if err := a.readHeader(r); err != nil {
+		a.abandon()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, &LostError{Address: address, Err: err}
+	}
+	return a, nil
+}
+
+// head returns the request line and the header.
+func (r *Request) head() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	// A bytes.Buffer takes every write.
+	_ = r.Header.Write(&b)
+	if r.Body != nil {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+func (a *Answer) write(head, body []byte) {
+	_, err := a.conn.Write(head)
+	if err == nil {
+		_, err = a.conn.Write(body)
+	}
+	a.written <- err
+}
+
+var errForeign = errors.New("only answers to other requests came")
+
+// readHeader reads answers until one belongs to the request.
+func (a *Answer) readHeader(r *Request) error {
+	for range maxSkipped + 1 {
+		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return err
+		}
+		if response.StatusCode < 200 {
+			continue // informational answers concern this connection only
+		}
+		if r.Accept == nil || r.Accept(response) {
+			a.Response = response
+			return nil
+		}
+		a.tainted = true
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil {
+			return err
+		}
+	}
+	return errForeign
+}
+
+// TooLargeError refuses a body over the limit.
+type TooLargeError struct{ Limit int64 }
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
+}
+
+// ReadAll reads the whole body, at most limit bytes.
+func (a *Answer) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
+	if err != nil {
+		return nil, a.lost(err)
+	}
+	if int64(len(body)) > limit {
+		return nil, a.lost(&TooLargeError{limit})
+	}
+	a.whole = true
+	return body, nil
+}
+
+// Read reads from the body.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.Body.Read(b)
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+		return n, io.EOF
+	}
+	if err != nil {
+		return n, a.lost(err)
+	}
+	return n, nil
+}
+
+func (a *Answer) lost(err error) error {
+	if a.ctx.Err() != nil {
+		err = a.ctx.Err()
+	}
+	return &LostError{Address: a.conn.address, Err: err}
+}
+
+// Close keeps the connection when the exchange is complete and nothing more came,
+// and closes it otherwise.
+func (a *Answer) Close() {
+	detached := a.stop()
+	complete := false
+	select {
+	case err := <-a.written:
+		complete = err == nil
+	default: // an instance may answer before it has read the body
+	}
+	if !detached || !complete || !a.whole || a.tainted || a.Response.Close || a.conn.reader.Buffered() > 0 {
+		a.conn.Close()
+		return
+	}
+	a.conn.idleLimit = keepAlive(a.Header)
+	a.pool.put(a.conn)
+}
+
+// abandon closes the connection of an exchange that failed.
+func (a *Answer) abandon() {
+	a.stop()
+	a.conn.Close()
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,167 @@
+// Package upstream sends requests to endpoint instances over connections that it
+// keeps. It sends each request once: unlike net/http's transport it never repeats
+// one by itself, and it tells which failures prove that the request did not run.
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/netopt"
+)
+
+// Times that a kept connection may have been idle for.
+const (
+	// unannouncedIdle holds for instances that announce no limit.
+	unannouncedIdle = 4 * time.Second
+	// onceIdle holds for requests that must not run twice when no limit is announced.
+	onceIdle = 1500 * time.Millisecond
+	// idleMargin is left of an announced limit, which the instance counts from an
+	// earlier moment.
+	idleMargin = 700 * time.Millisecond
+)
+
+// maxIdle bounds the kept connections to one instance.
+const maxIdle = 6
+
+// NotSentError tells that a request did not reach the instance.
+type NotSentError struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("request not sent to %s: %v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// LostError tells that a request was sent and has no whole answer: it may have run.
+type LostError struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("answer of %s lost, the request may have run: %v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
+
+// Pool keeps connections to instances.
+type Pool struct {
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	dials  *metrics.Counter
+	fails  *metrics.Counter
+	reuses *metrics.Counter
+
+	mu     sync.Mutex
+	idle   map[string][]*conn // by address, the last used at the end
+	closed bool
+}
+
+// NewPool returns an empty Pool.
+func NewPool(set *metrics.Set) *Pool {
+	dialer := netopt.Dialer(netopt.DialTimeout)
+	return &Pool{
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+		dials:  set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="open"}`),
+		fails:  set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="failed"}`),
+		reuses: set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="reused"}`),
+		idle:   map[string][]*conn{},
+	}
+}
+
+// get returns a kept connection or dials one. With once, a kept one must be proven.
+func (p *Pool) get(ctx context.Context, address string, once bool) (*conn, error) {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if c.usable(once, time.Now()) {
+			c.reused = true
+			p.reuses.Inc()
+			return c, nil
+		}
+		c.Close()
+	}
+	raw, err := p.dial(ctx, address)
+	if err != nil {
+		p.fails.Inc()
+		return nil, err
+	}
+	p.dials.Inc()
+	return newConn(raw, address), nil
+}
+
+// usable reports whether an idle connection may take the next request.
+func (c *conn) usable(once bool, now time.Time) bool {
+	limit := unannouncedIdle
+	if once {
+		limit = onceIdle
+	}
+	if c.idleLimit > 0 {
+		limit = max(c.idleLimit-idleMargin, c.idleLimit/4)
+	}
+	return now.Sub(c.idleSince) < limit && c.quiet()
+}
+
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.address]
+	if p.closed || len(list) >= maxIdle {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(list, c)
+}
+
+// Forget closes the idle connections to addresses for which keep is false.
+func (p *Pool) Forget(keep func(address string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		if keep(address) {
+			continue
+		}
+		for _, c := range list {
+			c.Close()
+		}
+		delete(p.idle, address)
+	}
+}
+
+// Close closes the idle connections; those in use are closed when they come back.
+func (p *Pool) Close() {
+	p.Forget(func(string) bool { return false })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+}
