Placing: shared load of all hosts, one reading and one generating home a subject

Cause: entry hosts placed prompts blind to each other, subjects were read at many engines, and cached parts gave way to what was read since. Decode engines that read prompts held up their streams.

Change: hosts exchange their backlog over the first control host they reach; a subject has one home that reads and one that generates, each fetches from the other; reading at decode engines weighs its disturbance.

Conclusion: decode engines have little to generate and prefill engines too much to read; the stages do not fit the mix.

--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -10,6 +10,7 @@
 	MethodDocument = "control.document" // DocumentRequest to document.Document; at any control host
 	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
 	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
+	MethodLoad     = "control.load"     // LoadReport to LoadReport; at the first control host that is reached
 )
 
 // MaxMessageBytes bounds a call: the largest configuration, which JSON carries in
@@ -54,3 +55,10 @@
 type JoinResponse struct {
 	Peers []string `json:"peers,omitempty"`
 }
+
+// LoadReport is the work that entry hosts have under way at engines: in a request
+// that of the asking host, in the answer that of all others.
+type LoadReport struct {
+	// Tokens are the prompt tokens still to be read, by instance and priority from 0.
+	Tokens map[string][]int64 `json:"tokens,omitempty"`
+}
--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -76,6 +76,7 @@
 	joins     joins
 	registry  *instances.Registry
 	watchers  *watchers
+	loads     loads
 	rpc       *raftnet.Pool // calls to other control hosts
 	raftRPC   *raftnet.Pool // messages of the replicated log
 	transport *raftnet.Transport
@@ -106,6 +107,7 @@
 		joins:    joins{pending: map[string]controlapi.JoinRequest{}},
 		registry: instances.NewRegistry(s.Heartbeat.Duration),
 		watchers: newWatchers(),
+		loads:    loads{hosts: map[string]hostLoad{}},
 		changed:  make(chan struct{}),
 	}
 	h.seedList.Store(&s.Seeds)
@@ -213,6 +215,9 @@
 	peer.Handle(m, controlapi.MethodJoin, func(ctx context.Context, _ peer.Identity, req controlapi.JoinRequest) (controlapi.JoinResponse, error) {
 		return h.serveJoin(ctx, req)
 	})
+	peer.Handle(m, controlapi.MethodLoad, func(_ context.Context, from peer.Identity, report controlapi.LoadReport) (controlapi.LoadReport, error) {
+		return h.loads.exchange(from.Host, report, time.Now()), nil
+	})
 	return m
 }
 
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -32,6 +32,7 @@
 	Model       bool          // the instance is a model engine
 	Prefill     bool          // read the prompt only
 	Source      string        // where the prompt's KV cache is, as Handle.Source
+	Fetch       string        // address of an engine to fetch kept prompt parts from
 	LastEventID string        // a resumed stream goes on after this event
 }
 
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -150,6 +150,7 @@
 	tasks, background := errgroup.WithContext(background)
 	tasks.Go(func() error { h.watcher.Run(background, h.peers); return nil })
 	tasks.Go(func() error { h.refresh(background); return nil })
+	tasks.Go(func() error { h.watcher.ShareLoad(background, h.fleet); return nil })
 	tasks.Go(func() error { return h.serveReady(background, ready) })
 	tasks.Go(func() error {
 		defer stop()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -165,6 +165,9 @@
 	Step     string `json:"step"` // run, read or resume
 	Outcome  string `json:"outcome"`
 	MS       int64  `json:"ms"`
+	Tokens   int    `json:"tokens,omitempty"`   // expected to be read
+	Expected int64  `json:"expected,omitempty"` // ms until they are read, as estimated
+	Fetch    string `json:"fetch,omitempty"`    // engine that shared parts are fetched from
 }
 
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route) *call {
@@ -330,7 +333,14 @@
 
 // note records an attempt.
 func (c *call) note(instance, step string, o placement.Outcome, since time.Time) {
-	c.trail = append(c.trail, attempt{instance, step, o.String(), time.Since(since).Milliseconds()})
+	c.trail = append(c.trail, attempt{Instance: instance, Step: step, Outcome: o.String(), MS: time.Since(since).Milliseconds()})
+}
+
+// notePrompt records an attempt at an engine, with the estimates that chose it.
+func (c *call) notePrompt(instance, step string, o placement.Outcome, since time.Time, plan placement.Plan) {
+	c.note(instance, step, o, since)
+	last := &c.trail[len(c.trail)-1]
+	last.Tokens, last.Expected, last.Fetch = plan.Tokens, plan.Expected.Milliseconds(), plan.Fetch
 }
 
 // finish counts and logs the request.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -46,7 +46,7 @@
 		source := ""
 		if plan.Read != nil {
 			var ok bool
-			if source, ok = c.readApart(*plan.Read, prompt, plan.Tokens); !ok {
+			if source, ok = c.readApart(&plan, prompt); !ok {
 				c.excluded[plan.Read.ID] = true
 				if !c.mayResend() {
 					c.endUnfinished("prompt_not_read", &p)
@@ -54,7 +54,7 @@
 				}
 				continue
 			}
-			plan.Tokens = 0
+			plan.Tokens, plan.Fetch = 0, ""
 		}
 		ended, reason := c.run(plan, prompt, source, &p)
 		if ended == finished {
@@ -81,10 +81,23 @@
 func (c *call) prompt(whole bool) *placement.Prompt {
 	return &placement.Prompt{
 		Endpoint: c.endpoint, Model: c.meta.Model, Parts: c.meta.Parts, Tokens: c.meta.PromptTokens,
-		Left: c.left(), Whole: whole, Excluded: c.excluded,
+		Priority: c.route.Priority, Left: min(c.left(), c.patience()), Whole: whole, Excluded: c.excluded,
 	}
 }
 
+// Callers abandon a stream without a first event after the longest of these.
+const (
+	minPatience    = 2 * time.Second
+	goalPatience   = 4 // times the goal
+	pausesPatience = 8 // times the longest pause between events
+)
+
+// patience returns how long the caller waits for the first event from now on.
+func (c *call) patience() time.Duration {
+	all := max(minPatience, goalPatience*c.route.Goal, pausesPatience*c.route.GapGoal)
+	return all - time.Since(c.start)
+}
+
 // notPlaced ends a call for which there is no engine.
 func (c *call) notPlaced(err error, p *progress) {
 	var hopeless *placement.HopelessError
@@ -111,15 +124,16 @@
 
 // readApart has a prefill engine read the prompt. It returns the source from which
 // the generating engine takes the KV cache.
-func (c *call) readApart(target placement.Target, prompt *placement.Prompt, tokens int) (source string, ok bool) {
+func (c *call) readApart(plan *placement.Plan, prompt *placement.Prompt) (source string, ok bool) {
 	start := time.Now()
+	target := *plan.Read
 	outcome := placement.Cut
-	reading := c.server.fleet.BeginPrompt(target.ID, prompt, tokens, start)
+	reading := c.server.fleet.BeginPrompt(target.ID, prompt, plan.Tokens, start)
 	defer func() {
-		c.note(target.ID, "read", outcome, start)
+		c.notePrompt(target.ID, "read", outcome, start, *plan)
 		c.server.fleet.EndPrompt(reading, outcome, time.Now())
 	}()
-	send := dialect.Send{Instance: target.ID, Model: true, Prefill: true}
+	send := dialect.Send{Instance: target.ID, Model: true, Prefill: true, Fetch: plan.Fetch}
 	answer, err := c.server.pool.Send(c.ctx, target.Address, c.request(send))
 	if err != nil {
 		outcome = c.contactOutcome()
@@ -190,10 +204,10 @@
 		step = "resume"
 	}
 	defer func() {
-		c.note(plan.Run.ID, step, outcome, start)
+		c.notePrompt(plan.Run.ID, step, outcome, start, plan)
 		c.server.fleet.EndPrompt(reading, outcome, time.Now())
 	}()
-	send := dialect.Send{Instance: plan.Run.ID, Model: true, Source: source, LastEventID: p.lastID}
+	send := dialect.Send{Instance: plan.Run.ID, Model: true, Source: source, Fetch: plan.Fetch, LastEventID: p.lastID}
 	answer, err := c.server.pool.Send(c.ctx, plan.Run.Address, c.request(send))
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,13 +28,15 @@
 }
 
 // DefaultSettings start from the rates of the engines described in the brief.
-func DefaultSettings() Settings { return Settings{PrefillRate: 60, DecodeShare: 0.5} }
+func DefaultSettings() Settings { return Settings{PrefillRate: 55, DecodeShare: 0.37} }
 
 // instance is what this host knows of one endpoint instance beside its announcement.
 type instance struct {
 	instances.Instance
 	outstanding int       // requests of this host under way
-	backlog     float64   // prompt tokens of this host that wait to be read there
+	own         Backlog   // prompt tokens of this host that wait to be read there
+	others      Backlog   // the same of the other hosts, as last told
+	othersAt    time.Time // when they were told
 	wait        average   // time beyond the expected one until prompts were read
 	latency     average   // time to the answer of a plain service
 	failures    average   // part of the requests that failed, 0 to 1
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -19,19 +19,29 @@
 	maxHeld = 4096
 	// transferOverhead is the set-up of a transfer of KV cache and the second call.
 	transferOverhead = 8.0 // ms
+	// transferTime is what a transfer takes on a free link.
+	transferTime = 0.0007 // ms for each token
 	// transferCost weighs the price of moved KV cache against time.
-	transferCost = 0.0015 // ms for each token
+	transferCost = 0.0018 // ms for each token
+	// minFetch is how many shared tokens are worth a transfer between engines.
+	minFetch = 1000
+	// disturbance weighs the tokens read at an engine that generates: its streams
+	// pause meanwhile.
+	disturbance = 2.0
+	// runCost is what a running request costs one more at the same engine.
+	runCost = 3.0 // ms
 	// firstTokenTime is the time from a read prompt to the first event.
 	firstTokenTime = 15.0 // ms
 	// waitHalfLife is how fast an observed wait is forgotten: queues of engines last
 	// a few prompts.
-	waitHalfLife = 600 * time.Millisecond
-	// homes is how many engines of a subject are preferred to all others.
-	homes = 2
-	// otherHomePenalty keeps a subject at its first engine while that is about as fast.
-	otherHomePenalty = 6.0 // ms
-	// foreignEnginePenalty keeps prompts at the engines of their subject.
-	foreignEnginePenalty = 12.0 // ms
+	waitHalfLife = 400 * time.Millisecond
+	// othersFor is how long the other hosts' load counts after it was told.
+	othersFor = time.Second
+	// awayCost keeps a subject at its homes: a part that is held once more takes the
+	// place of another that will be asked for.
+	awayCost = 0.005 // ms for each shared token
+	// spread keeps hosts with the same view from choosing the same engine.
+	spread = 6.0 // ms
 	// hopelessFactor allows for estimates that are too long.
 	hopelessFactor = 1.3
 )
@@ -42,6 +52,7 @@
 	Model    string
 	Parts    []dialect.Part
 	Tokens   int           // of the whole prompt
+	Priority int           // 0 is the most urgent
 	Left     time.Duration // until the answer is of no use
 	Whole    bool          // read and generate at one engine only
 	Excluded map[string]bool
@@ -51,7 +62,8 @@
 type Plan struct {
 	Read     *Target // prefill engine that reads the prompt first; nil to read at Run
 	Run      Target
-	Tokens   int // expected to be read
+	Fetch    string // address of an engine from which the reader fetches shared parts; may be empty
+	Tokens   int    // expected to be read
 	Expected time.Duration
 }
 
@@ -109,61 +121,96 @@
 	return false
 }
 
-// best compares reading at the best decode engine with reading at the best prefill
-// engine. The result is infinite when there is no engine.
+// best compares the engines that may read a prompt. The result is infinite when there
+// is none that generates.
 func (f *Fleet) best(p *Prompt, keys []uint64, candidates []*instance, now time.Time) (Plan, float64) {
-	whole, wholeTime := f.bestReader(p, keys, candidates, func(in *instance) bool { return in.Stage != instances.Prefill }, now)
-	if whole == nil {
+	runners, readers := byStage(candidates)
+	if len(runners) == 0 {
 		return Plan{}, math.Inf(1)
 	}
-	plan := Plan{Run: whole.target(), Tokens: whole.unread(p, keys, now)}
-	wholeTime += firstTokenTime
 	if p.Whole {
-		return plan, wholeTime
+		readers = nil
 	}
-	reader, readTime := f.bestReader(p, keys, candidates, func(in *instance) bool { return in.Stage == instances.Prefill }, now)
-	if reader == nil {
-		return plan, wholeTime
+	place := subject(keys, p)
+	homes := homes{read: f.home(readers, place), run: f.home(runners, place)}
+	best := option{score: math.Inf(1)}
+	for _, in := range append(readers, runners...) {
+		o := f.option(p, keys, in, homes, now)
+		o.score += spread * f.draw()
+		if o.score < best.score {
+			best = o
+		}
 	}
-	apart := readTime + transferOverhead + firstTokenTime
-	if apart+transferCost*float64(p.Tokens) >= wholeTime {
-		return plan, wholeTime
+	plan := best.plan()
+	if best.in.Stage == instances.Prefill {
+		read := plan.Run
+		plan.Read, plan.Run = &read, f.bestRunner(p, runners, homes.run, now).target()
 	}
-	runner := f.bestRunner(candidates)
-	target := reader.target()
-	return Plan{Read: &target, Run: runner.target(), Tokens: reader.unread(p, keys, now)}, apart
+	return plan, best.ms + firstTokenTime
+}
+
+// homes are the two engines that keep a subject's shared parts. Each fetches from the
+// other what it has lost.
+type homes struct {
+	read *instance // reads prompts only; nil when there is none
+	run  *instance // generates
 }
 
-// bestReader returns the engine that would have read the prompt first, and after
-// how many ms.
-func (f *Fleet) bestReader(p *Prompt, keys []uint64, candidates []*instance, of func(*instance) bool, now time.Time) (*instance, float64) {
-	var list []*instance
+// byStage returns the engines that generate and those that read prompts only.
+func byStage(candidates []*instance) (runners, readers []*instance) {
 	for _, in := range candidates {
-		if of(in) {
-			list = append(list, in)
+		if in.Stage == instances.Prefill {
+			readers = append(readers, in)
+		} else {
+			runners = append(runners, in)
 		}
 	}
-	rank := ranks(list, subject(keys, p))
-	var best *instance
-	bestScore, bestTime := math.Inf(1), math.Inf(1)
-	for i, in := range list {
-		home := rank[i] < homes
-		tokens := in.unread(p, keys, now)
-		if rank[i] == 0 {
-			tokens = p.own()
-		}
-		ms := f.readTime(in, tokens, now)
-		score := ms
-		if rank[i] == 1 {
-			score += otherHomePenalty
-		} else if !home {
-			score += foreignEnginePenalty
-		}
-		if score < bestScore {
-			best, bestScore, bestTime = in, score, ms
-		}
+	return runners, readers
+}
+
+// option is an engine that may read a prompt.
+type option struct {
+	in     *instance
+	fetch  *instance // engine to fetch shared parts from; nil for none
+	tokens int       // to be read
+	ms     float64   // until the prompt is where its answer is generated
+	score  float64   // ms, and what else speaks against it
+}
+
+func (o option) plan() Plan {
+	plan := Plan{Run: o.in.target(), Tokens: o.tokens}
+	if o.fetch != nil {
+		plan.Fetch = o.fetch.Address
 	}
-	return best, bestTime
+	return plan
+}
+
+// option estimates a prompt's reading at an engine.
+func (f *Fleet) option(p *Prompt, keys []uint64, in *instance, h homes, now time.Time) option {
+	o := option{in: in, tokens: in.unread(p, keys, now)}
+	shared := max(0, o.tokens-p.own())
+	moved := 0
+	switch {
+	case in == h.read:
+		o.tokens, o.fetch = min(o.tokens, p.own()), h.run
+	case in == h.run:
+		o.tokens, o.fetch = min(o.tokens, p.own()), h.read
+	case shared >= minFetch:
+		o.tokens, o.fetch, moved = p.own(), h.run, shared
+	}
+	if p.Tokens-p.own() < minFetch {
+		o.fetch = nil
+	}
+	o.ms = f.waiting(in, p.Priority, now) + float64(o.tokens)/f.rate(in) + float64(moved)*transferTime
+	o.score = o.ms + float64(moved)*(transferCost+awayCost)
+	if in.Stage == instances.Prefill {
+		transfer := transferOverhead + float64(p.Tokens)*transferTime
+		o.ms += transfer
+		o.score += transfer + float64(p.Tokens)*transferCost
+	} else {
+		o.score += disturbance * float64(o.tokens) / f.rate(in)
+	}
+	return o
 }
 
 // subject returns what prompts are kept together by: the last shared part, or the
@@ -178,23 +225,20 @@
 	return 0
 }
 
-// ranks orders engines by rendezvous hashing, so that every host finds the same
-// home for a subject from the same list, and few subjects move when the list changes.
-func ranks(list []*instance, subject uint64) []int {
-	weights := make([]uint64, len(list))
+// home returns the engine of a list that keeps a subject's shared parts, nil for an
+// empty list. It is found by rendezvous hashing, so that every host finds the same one
+// from the same list and few subjects move when the list changes. There is one, not
+// several: parts that are held twice take the place of others that will be asked for.
+func (f *Fleet) home(list []*instance, subject uint64) *instance {
 	prefix := strconv.FormatUint(subject, 36) + "/"
-	for i, in := range list {
-		weights[i] = xxhash.Sum64String(prefix + in.ID)
-	}
-	out := make([]int, len(list))
-	for i := range weights {
-		for j := range weights {
-			if weights[j] > weights[i] {
-				out[i]++
-			}
+	var best *instance
+	highest := uint64(0)
+	for _, in := range list {
+		if weight := xxhash.Sum64String(prefix + in.ID); best == nil || weight > highest {
+			best, highest = in, weight
 		}
 	}
-	return out
+	return best
 }
 
 // own returns the tokens that no other request shares.
@@ -221,10 +265,14 @@
 	return max(0, tokens)
 }
 
-// readTime returns after how many ms an engine would have read tokens.
-func (f *Fleet) readTime(in *instance, tokens int, now time.Time) float64 {
-	waiting := max(in.backlog/f.rate(in), in.wait.decayed(now, waitHalfLife))
-	return waiting + float64(tokens)/f.rate(in)
+// waiting returns after how many ms an engine would begin to read a prompt: what is
+// as urgent or more comes first.
+func (f *Fleet) waiting(in *instance, priority int, now time.Time) float64 {
+	tokens := in.own.upTo(priority)
+	if now.Sub(in.othersAt) < othersFor {
+		tokens += in.others.upTo(priority)
+	}
+	return max(tokens/f.rate(in), in.wait.decayed(now, waitHalfLife))
 }
 
 // rate returns the prompt tokens that an engine reads in a millisecond.
@@ -235,16 +283,16 @@
 	return f.settings.PrefillRate * f.settings.DecodeShare
 }
 
-// bestRunner returns the engine that generates with the fewest requests of this
-// host. There is one when there was a reader that generates.
-func (f *Fleet) bestRunner(candidates []*instance) *instance {
+// bestRunner returns the engine that generates the answer to a prompt read elsewhere:
+// the home of its subject, unless that is much busier than others.
+func (f *Fleet) bestRunner(p *Prompt, runners []*instance, home *instance, now time.Time) *instance {
 	var best *instance
 	bestScore := math.Inf(1)
-	for _, in := range candidates {
-		if in.Stage == instances.Prefill {
-			continue
+	for _, in := range runners {
+		score := f.waiting(in, lowestPriority, now) + runCost*float64(in.outstanding) + spread*f.draw()
+		if in != home {
+			score += awayCost * float64(p.Tokens-p.own())
 		}
-		score := float64(in.outstanding) + in.backlog/1000 + f.draw()
 		if score < bestScore {
 			best, bestScore = in, score
 		}
@@ -254,21 +302,22 @@
 
 // Reading is a prompt under way at an engine.
 type Reading struct {
-	id     string
-	tokens float64
-	keys   []uint64
-	sent   time.Time
-	read   bool
+	id       string
+	tokens   float64
+	priority int
+	keys     []uint64
+	sent     time.Time
+	read     bool
 }
 
 // BeginPrompt records that a prompt is sent to an engine that reads tokens of it.
 func (f *Fleet) BeginPrompt(id string, p *Prompt, tokens int, now time.Time) *Reading {
-	r := &Reading{id: id, tokens: float64(tokens), keys: chain(p.Model, p.Parts), sent: now}
+	r := &Reading{id: id, tokens: float64(tokens), priority: p.Priority, keys: chain(p.Model, p.Parts), sent: now}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if in := f.known[id]; in != nil {
 		in.outstanding++
-		in.backlog += r.tokens
+		in.own.add(r.priority, r.tokens)
 	}
 	return r
 }
@@ -296,7 +345,7 @@
 func (f *Fleet) settle(in *instance, r *Reading) {
 	if !r.read {
 		r.read = true
-		in.backlog = max(0, in.backlog-r.tokens)
+		in.own.add(r.priority, -r.tokens)
 	}
 }
 
