Stages follow the demand; hosts tell which engines hold which parts

Cause: answers are some 130 tokens long (pieces hold up to ten), which a full batch generates easily, while 11 of 18 engines generated and 7 read. Hosts took shared parts for held at their home before anything was read, so cold subjects queued at one engine and were read again elsewhere.

Change: the leader of the control group orders stages by the measured demand (staging, stagekeeper), each order after a proof of leadership and not within a lease of another holder's; news of held parts go with the exchange of load.

--- a/cmd/filberthook-host/host.go
+++ b/cmd/filberthook-host/host.go
@@ -21,6 +21,7 @@
 	"filberthook/internal/logsink"
 	"filberthook/internal/pause"
 	"filberthook/internal/settings"
+	"filberthook/internal/upstream"
 	"filberthook/platform"
 )
 
@@ -153,7 +154,7 @@
 func runControl(file string, s controlhost.Settings) int {
 	p := newProcess(file, s.Log, s.MemoryMB)
 	handler := func(service controlhost.Service) http.Handler { return platform.Control(service, p.logger) }
-	host, err := controlhost.New(s, handler, p.logger, p.set)
+	host, err := controlhost.New(s, handler, platform.Orders{Pool: upstream.NewPool(p.set)}, p.logger, p.set)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -2,7 +2,10 @@
 // to control hosts. They are carried by package peer.
 package controlapi
 
-import "filberthook/internal/instances"
+import (
+	"filberthook/internal/instances"
+	"filberthook/internal/placement"
+)
 
 // Methods of control hosts.
 const (
@@ -10,7 +13,7 @@
 	MethodDocument = "control.document" // DocumentRequest to document.Document; at any control host
 	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
 	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
-	MethodLoad     = "control.load"     // LoadReport to LoadReport; at the first control host that is reached
+	MethodLoad     = "control.load"     // LoadReport to LoadReport; at the leader, or the first control host that is reached
 )
 
 // MaxMessageBytes bounds a call: the largest configuration, which JSON carries in
@@ -24,6 +27,7 @@
 	Position uint64 `json:"position"` // of the last answer
 	Version  uint64 `json:"version"`  // of the configuration in force at the asking host
 	WaitMS   int64  `json:"wait_ms"`  // longest time to hold the answer back
+	Observer bool   `json:"observer"` // a control host asks, which serves no callers
 }
 
 // WatchResponse lists what changed.
@@ -31,9 +35,10 @@
 	Epoch    string             `json:"epoch"` // differs in each control process
 	Position uint64             `json:"position"`
 	Changes  []instances.Change `json:"changes,omitempty"`
-	Version  uint64             `json:"version"`         // of the configuration in force at the control host
-	Peers    []string           `json:"peers,omitempty"` // addresses of the control hosts of the group
-	Hosts    int                `json:"hosts"`           // entry hosts that watch the control host
+	Version  uint64             `json:"version"`          // of the configuration in force at the control host
+	Peers    []string           `json:"peers,omitempty"`  // addresses of the control hosts of the group
+	Hosts    int                `json:"hosts"`            // entry hosts that watch the control host
+	Leader   string             `json:"leader,omitempty"` // address of the group's leader
 }
 
 // DocumentRequest asks for the configuration in force.
@@ -61,4 +66,18 @@
 type LoadReport struct {
 	// Tokens are the prompt tokens still to be read, by instance and priority from 0.
 	Tokens map[string][]int64 `json:"tokens,omitempty"`
+	// Demand is what callers ask, by endpoint; in requests only.
+	Demand map[string]Demand `json:"demand,omitempty"`
+	// Held is which engines hold prompt parts: in a request what is new, in the answer
+	// what other hosts told after NewsPosition.
+	Held []placement.Held `json:"held,omitempty"`
+	// NewsEpoch and NewsPosition are those of the last answer.
+	NewsEpoch    string `json:"news_epoch,omitempty"`
+	NewsPosition uint64 `json:"news_position,omitempty"`
+}
+
+// Demand is a rate of work.
+type Demand struct {
+	PromptTokens float64 `json:"prompt_tokens"` // to be read in a second
+	OutputTokens float64 `json:"output_tokens"` // to be generated in a second
 }
--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -26,6 +26,7 @@
 	"filberthook/internal/pause"
 	"filberthook/internal/peer"
 	"filberthook/internal/raftnet"
+	"filberthook/internal/stagekeeper"
 )
 
 // Timing of the host.
@@ -71,6 +72,7 @@
 	peerPort uint16
 	epoch    string
 	handler  func(Service) http.Handler
+	engines  stagekeeper.Engines // nil to give no orders
 
 	member    *membership
 	joins     joins
@@ -91,8 +93,9 @@
 	beats     *metrics.Counter
 }
 
-// New returns a Host that serves operators and instances with the handler.
-func New(s Settings, handler func(Service) http.Handler, logger *slog.Logger, set *metrics.Set) (*Host, error) {
+// New returns a Host that serves operators and instances with the handler, and gives
+// orders by engines, which may be nil.
+func New(s Settings, handler func(Service) http.Handler, engines stagekeeper.Engines, logger *slog.Logger, set *metrics.Set) (*Host, error) {
 	at, err := netip.ParseAddrPort(s.Listen.Peers)
 	if err != nil {
 		return nil, fmt.Errorf("listen.peers: %w", err)
@@ -104,12 +107,14 @@
 		peerPort: at.Port(),
 		epoch:    s.Host + "/" + strconv.FormatInt(time.Now().UnixNano(), 36),
 		handler:  handler,
+		engines:  engines,
 		joins:    joins{pending: map[string]controlapi.JoinRequest{}},
 		registry: instances.NewRegistry(s.Heartbeat.Duration),
 		watchers: newWatchers(),
 		loads:    loads{hosts: map[string]hostLoad{}},
 		changed:  make(chan struct{}),
 	}
+	h.loads.epoch = h.epoch
 	h.seedList.Store(&s.Seeds)
 	h.member = &membership{host: h}
 	h.rpc = raftnet.NewPool(h.peerOptions())
@@ -171,6 +176,9 @@
 	tasks.Go(func() error { return h.serveControl(ctx, control) })
 	tasks.Go(func() error { h.adjust(ctx); return nil })
 	tasks.Go(func() error { h.expire(ctx); return nil })
+	if h.engines != nil {
+		h.keepStages(ctx, tasks)
+	}
 	err = tasks.Wait()
 	h.logger.Info("control host stopped", "err", err)
 	return err
@@ -268,14 +276,17 @@
 	}
 	timer := time.NewTimer(min(time.Duration(req.WaitMS)*time.Millisecond, maxWatchWait))
 	defer timer.Stop()
-	hosts := h.watchers.asked(from, position, time.Now())
+	hosts := 0
+	if !req.Observer {
+		hosts = h.watchers.asked(from, position, time.Now())
+	}
 	for waiting := true; ; {
 		changes, reached, changed := h.registry.Since(position)
 		version, newVersion := h.versionAndChange()
 		if len(changes) > 0 || version > req.Version || req.Epoch != h.epoch || !waiting {
 			return controlapi.WatchResponse{
 				Epoch: h.epoch, Position: reached, Changes: changes,
-				Version: version, Peers: h.member.addresses(), Hosts: hosts,
+				Version: version, Peers: h.member.addresses(), Hosts: hosts, Leader: h.member.leader(),
 			}
 		}
 		select {
--- a/internal/controlhost/loads.go
+++ b/internal/controlhost/loads.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"filberthook/internal/controlapi"
+	"filberthook/internal/placement"
+	"filberthook/internal/staging"
 )
 
 // loadKept is how long the load of an entry host that reports no more counts.
@@ -15,8 +17,22 @@
 type loads struct {
 	mu    sync.Mutex
 	hosts map[string]hostLoad
+	epoch string // of this control process
+	news  []news // oldest first
+	last  uint64 // position of the newest news
 }
 
+// news is what one host told about prompt parts.
+type news struct {
+	position uint64
+	host     string
+	held     []placement.Held
+	at       time.Time
+}
+
+// newsKept is how long news are kept for hosts that ask seldom.
+const newsKept = 3 * time.Second
+
 type hostLoad struct {
 	report controlapi.LoadReport
 	at     time.Time
@@ -40,7 +56,58 @@
 			sum[id] = add(sum[id], tokens)
 		}
 	}
-	return controlapi.LoadReport{Tokens: sum}
+	answer := controlapi.LoadReport{Tokens: sum, NewsEpoch: l.epoch, NewsPosition: l.last}
+	answer.Held = l.newsFor(host, report, now)
+	answer.NewsPosition = l.last
+	return answer
+}
+
+// newsFor takes a host's news and returns those of the others that it has not been
+// told. The caller holds l.mu.
+func (l *loads) newsFor(host string, report controlapi.LoadReport, now time.Time) []placement.Held {
+	for len(l.news) > 0 && now.Sub(l.news[0].at) > newsKept {
+		l.news = l.news[1:]
+	}
+	from := report.NewsPosition
+	if report.NewsEpoch != l.epoch {
+		from = 0
+	}
+	var out []placement.Held
+	for _, n := range l.news {
+		if n.position > from && n.host != host {
+			out = append(out, n.held...)
+		}
+	}
+	if len(report.Held) > 0 {
+		l.last++
+		l.news = append(l.news, news{position: l.last, host: host, held: report.Held, at: now})
+	}
+	return out
+}
+
+// Demand implements stagekeeper.Load: the sum of what the hosts reported lately. It is
+// loaded once callers ask for anything.
+func (l *loads) Demand() (map[string]staging.Demand, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := map[string]staging.Demand{}
+	loaded := false
+	for _, host := range l.hosts {
+		if time.Since(host.at) > loadKept {
+			continue
+		}
+		for endpoint, d := range host.report.Demand {
+			total := sum[endpoint]
+			total.PromptTokens += d.PromptTokens
+			total.OutputTokens += d.OutputTokens
+			sum[endpoint] = total
+			loaded = loaded || d.PromptTokens > 0
+		}
+	}
+	if !loaded {
+		clear(sum) // nothing is known before the first requests
+	}
+	return sum, loaded
 }
 
 // add returns the sums of two lists, of which the shorter one ends in zeros.
--- a/internal/controlhost/settings.go
+++ b/internal/controlhost/settings.go
@@ -21,9 +21,21 @@
 	Listen         Listen            `toml:"listen"`
 	Tolerate       Tolerate          `toml:"tolerate"`
 	ReplaceAfter   tomltime.Duration `toml:"replace_after"` // a voter that is gone for longer yields to another host
+	Stages         Stages            `toml:"stages"`
 	Log            settings.Log      `toml:"log"`
 }
 
+// Stages tells how engines are divided into those that read prompts and those that
+// generate.
+type Stages struct {
+	// Lease is the time within which orders of two holders must not follow each other.
+	Lease tomltime.Duration `toml:"lease"`
+	// ExpectedPromptTokens and ExpectedOutputTokens are the demand in a second that is
+	// assumed before callers' demand is known. Only their ratio counts.
+	ExpectedPromptTokens float64 `toml:"expected_prompt_tokens"`
+	ExpectedOutputTokens float64 `toml:"expected_output_tokens"`
+}
+
 // Listen holds the addresses of a control host.
 type Listen struct {
 	Control string `toml:"control"` // operators and endpoint instances
@@ -56,6 +68,12 @@
 	if s.Tolerate.Hosts < 0 || s.Tolerate.Zones < 0 {
 		c.Add("tolerate", "is below 0", "use 0 or more")
 	}
+	if s.Stages.Lease.Duration <= 0 {
+		c.Add("stages.lease", "is missing", "set the lease of the authority over engines, such as 3s")
+	}
+	if s.Stages.ExpectedPromptTokens < 0 || s.Stages.ExpectedOutputTokens < 0 {
+		c.Add("stages", "expects a demand below 0", "use 0 or more")
+	}
 	s.Log.Check(c, "log")
 }
 
--- a/internal/controlwatch/load.go
+++ b/internal/controlwatch/load.go
@@ -22,31 +22,41 @@
 )
 
 // ShareLoad exchanges the load of this host with that of the others until ctx ends.
-// All hosts ask the first control host that they reach, in the order of addresses.
+// All hosts ask the leader of the control group or, while it is not reached, the first
+// control host in the order of addresses.
 func (w *Watcher) ShareLoad(ctx context.Context, fleet *placement.Fleet) {
+	var epoch string
+	var position uint64
 	for pause.For(ctx, loadInterval*time.Duration(1+w.Hosts()/fewHosts)) {
-		address := w.firstReached()
+		address := w.loadHost()
 		if address == "" {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, loadTimeout)
+		report := encodeLoads(fleet.Loads(), fleet.Demand(time.Now()))
+		report.Held, report.NewsEpoch, report.NewsPosition = fleet.News(), epoch, position
 		var others controlapi.LoadReport
-		err := w.clients.Get(address).Call(call, controlapi.MethodLoad, encodeLoads(fleet.Loads()), &others)
+		err := w.clients.Get(address).Call(call, controlapi.MethodLoad, report, &others)
 		cancel()
 		if err != nil {
 			// The watch of the same control host reports when it is lost.
 			w.logger.Debug("load not exchanged", "control", address, "err", err)
 			continue
 		}
+		epoch, position = others.NewsEpoch, others.NewsPosition
 		fleet.SetOthers(decodeLoads(others), time.Now())
+		fleet.SetHeld(others.Held, time.Now())
 	}
 }
 
-// firstReached returns the address of a control host on which all hosts agree while
+// loadHost returns the address of a control host on which all hosts agree while
 // they reach the same ones, empty when none is reached.
-func (w *Watcher) firstReached() string {
+func (w *Watcher) loadHost() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if t, ok := w.watched[w.leader]; ok && t.up {
+		return w.leader
+	}
 	var reached []string
 	for address, t := range w.watched {
 		if t.up {
@@ -59,7 +69,7 @@
 	return slices.Min(reached)
 }
 
-func encodeLoads(loads map[string]placement.Backlog) controlapi.LoadReport {
+func encodeLoads(loads map[string]placement.Backlog, demand map[string]placement.Demand) controlapi.LoadReport {
 	out := make(map[string][]int64, len(loads))
 	for id, backlog := range loads {
 		var tokens []int64
@@ -73,7 +83,11 @@
 		}
 		out[id] = tokens
 	}
-	return controlapi.LoadReport{Tokens: out}
+	asked := make(map[string]controlapi.Demand, len(demand))
+	for endpoint, d := range demand {
+		asked[endpoint] = controlapi.Demand(d)
+	}
+	return controlapi.LoadReport{Tokens: out, Demand: asked}
 }
 
 func decodeLoads(report controlapi.LoadReport) map[string]placement.Backlog {
--- a/internal/controlwatch/watcher.go
+++ b/internal/controlwatch/watcher.go
@@ -47,9 +47,11 @@
 	view    *instances.View
 	config  Configuration
 	logger  *slog.Logger
+	observe bool // this is a control host
 
 	mu       sync.Mutex
 	watched  map[string]*watched // by peers' address
+	leader   string              // of the control group, as last told
 	fetching bool
 }
 
@@ -65,6 +67,14 @@
 	return &Watcher{clients: clients, view: view, config: config, logger: logger, watched: map[string]*watched{}}
 }
 
+// NewObserver returns a Watcher for a control host, which is not counted among the
+// entry hosts.
+func NewObserver(clients *raftnet.Pool, view *instances.View, config Configuration, logger *slog.Logger) *Watcher {
+	w := New(clients, view, config, logger)
+	w.observe = true
+	return w
+}
+
 // Run follows the control hosts until ctx ends. Addresses are those of the seeds at
 // the port for other hosts; they are asked for again from time to time.
 func (w *Watcher) Run(ctx context.Context, seeds func() []string) {
@@ -145,7 +155,7 @@
 	epoch, position := w.view.Position(address)
 	req := controlapi.WatchRequest{
 		Epoch: epoch, Position: position,
-		Version: w.config.Version(), WaitMS: watchWait.Milliseconds(),
+		Version: w.config.Version(), WaitMS: watchWait.Milliseconds(), Observer: w.observe,
 	}
 	var resp controlapi.WatchResponse
 	err := w.clients.Get(address).Call(ctx, controlapi.MethodWatch, req, &resp)
@@ -156,6 +166,9 @@
 	w.mu.Lock()
 	before := t.up
 	t.up, t.hosts, t.named = true, resp.Hosts, time.Now()
+	if resp.Leader != "" {
+		w.leader = resp.Leader
+	}
 	w.mu.Unlock()
 	if !before {
 		w.logger.Info("control host reached", "control", address, "epoch", resp.Epoch,
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -20,6 +20,7 @@
 	Model        string
 	PromptTokens int
 	OutputTokens int // most that may be generated
+	LengthHint   int // tokens that the caller expects to be generated, 0 when not said
 	Parts        []Part
 	LastEventID  string // of a stream that the caller resumes
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -81,10 +81,20 @@
 func (c *call) prompt(whole bool) *placement.Prompt {
 	return &placement.Prompt{
 		Endpoint: c.endpoint, Model: c.meta.Model, Parts: c.meta.Parts, Tokens: c.meta.PromptTokens,
-		Priority: c.route.Priority, Left: min(c.left(), c.patience()), Whole: whole, Excluded: c.excluded,
+		Output: c.expectedOutput(), Goal: c.route.Goal, Priority: c.route.Priority, Left: min(c.left(), c.patience()), Whole: whole, Excluded: c.excluded,
 	}
 }
 
+// hintlessShare of the most output is expected of callers that give no hint.
+const hintlessShare = 0.25
+
+func (c *call) expectedOutput() int {
+	if c.meta.LengthHint > 0 {
+		return c.meta.LengthHint
+	}
+	return int(hintlessShare * float64(c.meta.OutputTokens))
+}
+
 // Callers abandon a stream without a first event after the longest of these.
 const (
 	minPatience    = 2 * time.Second
--- /dev/null
+++ b/internal/placement/demand.go
@@ -0,0 +1,61 @@
+package placement
+
+import "time"
+
+// demandWindow is over how long callers' demand is averaged: longer than a turn of
+// the mix, so that stages follow its mean.
+const demandWindow = 6 * time.Second
+
+// Demand is what callers ask of an endpoint's engines through this host.
+type Demand struct {
+	PromptTokens float64 // to be read in a second, what engines hold left out
+	OutputTokens float64 // to be generated in a second
+}
+
+// meter sums demand, and forgets it with time.
+type meter struct {
+	prompt, output decaying
+}
+
+// decaying is a sum whose parts lose weight with time.
+type decaying struct {
+	sum float64
+	at  time.Time
+}
+
+func (d *decaying) add(v float64, now time.Time) {
+	d.sum = d.value(now) + v
+	d.at = now
+}
+
+func (d *decaying) value(now time.Time) float64 {
+	if d.at.IsZero() {
+		return 0
+	}
+	return max(0, d.sum*(1-float64(now.Sub(d.at))/float64(demandWindow)))
+}
+
+// asked counts a prompt that was placed. The caller holds f.mu.
+func (f *Fleet) asked(p *Prompt, now time.Time) {
+	m := f.meters[p.Endpoint]
+	if m == nil {
+		m = &meter{}
+		f.meters[p.Endpoint] = m
+	}
+	m.prompt.add(float64(p.own()), now)
+	m.output.add(float64(p.Output), now)
+}
+
+// Demand returns the rates of callers' demand, by endpoint.
+func (f *Fleet) Demand(now time.Time) map[string]Demand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]Demand, len(f.meters))
+	for endpoint, m := range f.meters {
+		out[endpoint] = Demand{
+			PromptTokens: m.prompt.value(now) / demandWindow.Seconds(),
+			OutputTokens: m.output.value(now) / demandWindow.Seconds(),
+		}
+	}
+	return out
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,16 +33,16 @@
 // instance is what this host knows of one endpoint instance beside its announcement.
 type instance struct {
 	instances.Instance
-	outstanding int       // requests of this host under way
-	own         Backlog   // prompt tokens of this host that wait to be read there
-	others      Backlog   // the same of the other hosts, as last told
-	othersAt    time.Time // when they were told
-	wait        average   // time beyond the expected one until prompts were read
-	latency     average   // time to the answer of a plain service
-	failures    average   // part of the requests that failed, 0 to 1
-	ejected     time.Time // gets no request before
-	strikes     int       // ejections in a row
-	held        map[uint64]time.Time
+	outstanding int                  // requests of this host under way
+	own         Backlog              // prompt tokens of this host that wait to be read there
+	others      Backlog              // the same of the other hosts, as last told
+	othersAt    time.Time            // when they were told
+	wait        average              // time beyond the expected one until prompts were read
+	latency     average              // time to the answer of a plain service
+	failures    average              // part of the requests that failed, 0 to 1
+	ejected     time.Time            // gets no request before
+	strikes     int                  // ejections in a row
+	held        map[uint64]time.Time // shared parts, by key, to when they were last asked for
 }
 
 // Fleet is what this host knows of the instances of all endpoints. It is safe for
@@ -54,11 +54,16 @@
 	known map[string]*instance // by id
 	lists map[string][]*instance
 	draw  func() float64 // random number from [0, 1)
+
+	meters map[string]*meter // by endpoint
+
+	news      map[string][]uint64 // parts newly held, by instance
+	newsCount int
 }
 
 // New returns an empty Fleet; draw returns random numbers from [0, 1).
 func New(s Settings, draw func() float64) *Fleet {
-	return &Fleet{settings: s, known: map[string]*instance{}, lists: map[string][]*instance{}, draw: draw}
+	return &Fleet{settings: s, known: map[string]*instance{}, lists: map[string][]*instance{}, draw: draw, meters: map[string]*meter{}, news: map[string][]uint64{}}
 }
 
 // Update takes a new list of instances. What was learned of an instance is kept
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -13,10 +13,9 @@
 
 // Estimates of engines' work.
 const (
-	// heldFor is how long this host counts on a part that it had read at an engine.
-	heldFor = 30 * time.Second
-	// maxHeld bounds the parts remembered of one engine.
-	maxHeld = 4096
+	// heldFor is how long a part is counted on after it was last asked for at an
+	// engine: its memory is read over in somewhat more.
+	heldFor = 10 * time.Second
 	// transferOverhead is the set-up of a transfer of KV cache and the second call.
 	transferOverhead = 8.0 // ms
 	// transferTime is what a transfer takes on a free link.
@@ -37,6 +36,11 @@
 	waitHalfLife = 400 * time.Millisecond
 	// othersFor is how long the other hosts' load counts after it was told.
 	othersFor = time.Second
+	// easyShare of the goal is expected to be met for sure.
+	easyShare = 0.3
+	// easyWeight and lateWeight weigh expected time within that share and beyond it.
+	easyWeight = 0.4
+	lateWeight = 1.5
 	// awayCost keeps a subject at its homes: a part that is held once more takes the
 	// place of another that will be asked for.
 	awayCost = 0.005 // ms for each shared token
@@ -52,7 +56,9 @@
 	Model    string
 	Parts    []dialect.Part
 	Tokens   int           // of the whole prompt
+	Output   int           // tokens expected to be generated
 	Priority int           // 0 is the most urgent
+	Goal     time.Duration // to the first event
 	Left     time.Duration // until the answer is of no use
 	Whole    bool          // read and generate at one engine only
 	Excluded map[string]bool
@@ -90,6 +96,9 @@
 	defer f.mu.Unlock()
 	keys := chain(p.Model, p.Parts)
 	list := f.lists[p.Endpoint]
+	if len(p.Excluded) == 0 {
+		f.asked(p, now)
+	}
 	candidates := available(withModel(list, p.Model), p.Excluded, now)
 	plan, expected := f.best(p, keys, candidates, now)
 	if math.IsInf(expected, 1) {
@@ -132,10 +141,11 @@
 		readers = nil
 	}
 	place := subject(keys, p)
-	homes := homes{read: f.home(readers, place), run: f.home(runners, place)}
+	home := homes{read: f.home(readers, place), run: f.home(runners, place)}
+	holder := newestHolder(candidates, keys, now)
 	best := option{score: math.Inf(1)}
 	for _, in := range append(readers, runners...) {
-		o := f.option(p, keys, in, homes, now)
+		o := f.option(p, keys, in, home, holder, now)
 		o.score += spread * f.draw()
 		if o.score < best.score {
 			best = o
@@ -144,18 +154,41 @@
 	plan := best.plan()
 	if best.in.Stage == instances.Prefill {
 		read := plan.Run
-		plan.Read, plan.Run = &read, f.bestRunner(p, runners, homes.run, now).target()
+		plan.Read, plan.Run = &read, f.bestRunner(p, runners, home.run, now).target()
 	}
 	return plan, best.ms + firstTokenTime
 }
 
-// homes are the two engines that keep a subject's shared parts. Each fetches from the
-// other what it has lost.
+// homes are the two engines that keep a subject's shared parts.
 type homes struct {
 	read *instance // reads prompts only; nil when there is none
 	run  *instance // generates
 }
 
+// newestHolder returns the two engines that were last sent a prompt with the same
+// shared parts, nil where there is none. The second one is the source for the first.
+func newestHolder(candidates []*instance, keys []uint64, now time.Time) [2]*instance {
+	var out [2]*instance
+	if len(keys) == 0 {
+		return out
+	}
+	var at [2]time.Time
+	last := keys[len(keys)-1]
+	for _, in := range candidates {
+		seen, ok := in.held[last]
+		if !ok || now.Sub(seen) > heldFor {
+			continue
+		}
+		if seen.After(at[0]) {
+			out[1], at[1] = out[0], at[0]
+			out[0], at[0] = in, seen
+		} else if seen.After(at[1]) {
+			out[1], at[1] = in, seen
+		}
+	}
+	return out
+}
+
 // byStage returns the engines that generate and those that read prompts only.
 func byStage(candidates []*instance) (runners, readers []*instance) {
 	for _, in := range candidates {
@@ -186,33 +219,43 @@
 }
 
 // option estimates a prompt's reading at an engine.
-func (f *Fleet) option(p *Prompt, keys []uint64, in *instance, h homes, now time.Time) option {
+func (f *Fleet) option(p *Prompt, keys []uint64, in *instance, home homes, holder [2]*instance, now time.Time) option {
 	o := option{in: in, tokens: in.unread(p, keys, now)}
-	shared := max(0, o.tokens-p.own())
-	moved := 0
-	switch {
-	case in == h.read:
-		o.tokens, o.fetch = min(o.tokens, p.own()), h.run
-	case in == h.run:
-		o.tokens, o.fetch = min(o.tokens, p.own()), h.read
-	case shared >= minFetch:
-		o.tokens, o.fetch, moved = p.own(), h.run, shared
+	missing := max(0, o.tokens-p.own())
+	source := holder[0]
+	if source == in {
+		source = holder[1]
 	}
-	if p.Tokens-p.own() < minFetch {
-		o.fetch = nil
+	moved := 0
+	if p.Tokens-p.own() >= minFetch && source != nil {
+		o.fetch = source // costs nothing where the engine holds the parts
+		if missing > 0 {
+			o.tokens, moved = p.own(), missing
+		}
 	}
 	o.ms = f.waiting(in, p.Priority, now) + float64(o.tokens)/f.rate(in) + float64(moved)*transferTime
-	o.score = o.ms + float64(moved)*(transferCost+awayCost)
 	if in.Stage == instances.Prefill {
-		transfer := transferOverhead + float64(p.Tokens)*transferTime
-		o.ms += transfer
-		o.score += transfer + float64(p.Tokens)*transferCost
+		o.ms += transferOverhead + float64(p.Tokens)*transferTime
+	}
+	o.score = hurry(o.ms, p.Goal) + float64(moved)*transferCost
+	if in != home.read && in != home.run {
+		o.score += awayCost * float64(missing)
+	}
+	if in.Stage == instances.Prefill {
+		o.score += float64(p.Tokens) * transferCost
 	} else {
 		o.score += disturbance * float64(o.tokens) / f.rate(in)
 	}
 	return o
 }
 
+// hurry weighs an expected time: little while it is well within the goal, as estimates
+// are short of what happens, and much beyond.
+func hurry(ms float64, goal time.Duration) float64 {
+	easy := easyShare * float64(goal) / float64(time.Millisecond)
+	return easyWeight*min(ms, easy) + lateWeight*max(0, ms-easy)
+}
+
 // subject returns what prompts are kept together by: the last shared part, or the
 // prompt itself.
 func subject(keys []uint64, p *Prompt) uint64 {
@@ -318,6 +361,7 @@
 	if in := f.known[id]; in != nil {
 		in.outstanding++
 		in.own.add(r.priority, r.tokens)
+		f.hold(in, r.keys, now)
 	}
 	return r
 }
@@ -333,12 +377,6 @@
 	f.settle(in, r)
 	took := float64(now.Sub(r.sent)) / float64(time.Millisecond)
 	in.wait.add(max(0, took-r.tokens/f.rate(in)-firstTokenTime), now)
-	if len(in.held)+len(r.keys) > maxHeld {
-		clear(in.held)
-	}
-	for _, key := range r.keys {
-		in.held[key] = now
-	}
 }
 
 // settle takes the prompt out of the engine's backlog. The caller holds f.mu.
--- /dev/null
+++ b/internal/stagekeeper/keeper.go
@@ -0,0 +1,167 @@
+// Package stagekeeper gives engines the orders that package staging decides on. Only
+// the leader of the control group gives orders, with the term of its leadership as
+// fencing number, which no other host ever has.
+//
+// Engines may not check fencing numbers. So a new leader gives no order until the
+// orders of the one before it can no longer arrive, and a leader confirms with a
+// quorum that it still leads before each order.
+package stagekeeper
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/instances"
+	"filberthook/internal/pause"
+	"filberthook/internal/staging"
+)
+
+// Timing of orders.
+const (
+	// interval is how often the stages are looked at.
+	interval = 500 * time.Millisecond
+	// confirmTimeout bounds the proof of leadership and the order after it together.
+	confirmTimeout = 300 * time.Millisecond
+	// takeoverMargin is added to the lease: an order is on its way for less.
+	takeoverMargin = 1500 * time.Millisecond
+	// settled is how long an engine that was ordered is left alone: an order that was
+	// not answered may be carried out seconds later.
+	settled = 15 * time.Second
+)
+
+// Group is the leadership of the control group.
+type Group interface {
+	// Leads returns the term of this host's leadership; ok is false when it does not lead.
+	Leads() (term uint64, ok bool)
+	// Confirm returns nil when a quorum agrees that this host still leads.
+	Confirm(ctx context.Context) error
+}
+
+// Order is an order to one engine.
+type Order struct {
+	Engine instances.Instance
+	Stage  instances.Stage
+	Holder string // of the authority
+	Fence  uint64
+}
+
+// Engines carries orders to engines.
+type Engines interface {
+	// SetStage returns whether the engine took the order.
+	SetStage(ctx context.Context, o Order) (taken bool, err error)
+}
+
+// Load tells what callers ask of each endpoint.
+type Load interface {
+	Demand() (byEndpoint map[string]staging.Demand, loaded bool)
+}
+
+// Keeper keeps the stages of engines as staging wants them.
+type Keeper struct {
+	Host     string
+	Lease    time.Duration // within which orders of two holders must not follow each other
+	Settings staging.Settings
+	Expected staging.Demand // until callers' demand is known
+	Group    Group
+	Engines  Engines
+	Load     Load
+	Instance func() *instances.Snapshot
+	Logger   *slog.Logger
+	Metrics  *metrics.Set
+
+	term    uint64    // of the leadership that is held
+	since   time.Time // when it was first seen
+	ordered map[string]ordered
+}
+
+// ordered is the last order to an engine.
+type ordered struct {
+	to instances.Stage
+	at time.Time
+}
+
+// Run gives orders until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	k.ordered = map[string]ordered{}
+	for pause.For(ctx, interval) {
+		term, leads := k.Group.Leads()
+		if !leads {
+			k.term = 0
+			continue
+		}
+		if term != k.term {
+			k.term, k.since = term, time.Now()
+		}
+		if time.Since(k.since) < k.Lease+takeoverMargin {
+			continue
+		}
+		k.look(ctx)
+	}
+}
+
+// look gives the orders that are due.
+func (k *Keeper) look(ctx context.Context) {
+	changing := map[string]instances.Stage{}
+	for id, o := range k.ordered {
+		if time.Since(o.at) > settled {
+			delete(k.ordered, id)
+			continue
+		}
+		changing[id] = o.to
+	}
+	demands, loaded := k.Load.Demand()
+	for endpoint, list := range k.Instance().ByEndpoint {
+		engines := withStage(list)
+		if len(engines) == 0 {
+			continue
+		}
+		demand, known := demands[endpoint]
+		if !known {
+			demand = k.Expected
+		}
+		for _, c := range k.Settings.Next(engines, changing, demand, loaded) {
+			if !k.order(ctx, c, demand, known) {
+				return // leadership is not sure
+			}
+		}
+	}
+}
+
+func withStage(list []instances.Instance) []instances.Instance {
+	var out []instances.Instance
+	for _, in := range list {
+		if in.Stage != instances.AnyStage {
+			out = append(out, in)
+		}
+	}
+	return out
+}
+
+// order gives one order. It returns false when this host may not lead any more.
+func (k *Keeper) order(ctx context.Context, c staging.Change, d staging.Demand, measured bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := k.Group.Confirm(ctx); err != nil {
+		k.Logger.Warn("no order given, leadership not confirmed", "instance", c.Engine.ID, "term", k.term, "err", err)
+		return false
+	}
+	if term, leads := k.Group.Leads(); !leads || term != k.term {
+		return false
+	}
+	k.ordered[c.Engine.ID] = ordered{c.To, time.Now()}
+	taken, err := k.Engines.SetStage(ctx, Order{Engine: c.Engine, Stage: c.To, Holder: k.Host, Fence: k.term})
+	outcome := "taken"
+	if err != nil {
+		outcome = "unknown"
+	} else if !taken {
+		outcome = "refused"
+	}
+	k.Metrics.GetOrCreateCounter(`filberthook_control_orders_total{outcome="` + outcome + `"}`).Inc()
+	k.Logger.Info("order to engine", "instance", c.Engine.ID, "endpoint", c.Engine.Endpoint, "stage", c.To.String(),
+		"fence", k.term, "outcome", outcome, "prompt_tokens_s", int(d.PromptTokens), "output_tokens_s", int(d.OutputTokens),
+		"measured", measured, "err", err)
+	return true
+}
--- /dev/null
+++ b/internal/staging/staging.go
@@ -0,0 +1,141 @@
+// Package staging decides which engines only read prompts and which generate. It does
+// no I/O and reads no clock.
+//
+// The load it answers: long prompts with short answers, whose mix turns around faster
+// than an engine changes its stage. Placement meets the turns; the stages follow the
+// mean of the mix, so changes are rare. An engine that generates while it reads makes
+// the streams of all its requests pause, so there are no more generating engines than
+// answers need, with one in each availability zone where engines allow it. The others
+// read: the time to the first event grows with the prompts that wait, while generated
+// tokens have room up to a full batch.
+package staging
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"filberthook/internal/instances"
+)
+
+// Demand is what callers ask of an endpoint's engines.
+type Demand struct {
+	PromptTokens float64 // to be read in a second, what engines hold left out
+	OutputTokens float64 // to be generated in a second
+}
+
+// Settings of the decision.
+type Settings struct {
+	PrefillRate float64 // prompt tokens that an engine reads in a second
+	DecodeRate  float64 // tokens that an engine generates in a second for a full batch
+	Headroom    float64 // generating engines for each one that the answers need
+	MinChange   int     // engines by which the stages must be off before one changes
+	MaxChanging float64 // part of the engines that may change at once under load
+}
+
+// DefaultSettings fit the engines of the brief: a step of about 6 ms for a batch of
+// some 55 requests, and reading in pieces of 2,048 tokens.
+func DefaultSettings() Settings {
+	return Settings{PrefillRate: 55_000, DecodeRate: 9_000, Headroom: 2, MinChange: 2, MaxChanging: 0.35}
+}
+
+// minGenerating is how many generating engines are kept for a loss: with a third of
+// them lost the others carry on.
+const minGenerating = 3
+
+// Wanted returns how many of n engines in a number of zones should generate.
+func (s Settings) Wanted(n, zones int, d Demand) int {
+	if n <= 1 {
+		return n
+	}
+	read := d.PromptTokens / s.PrefillRate
+	generate := s.Headroom * d.OutputTokens / s.DecodeRate
+	if total := read + generate; total > float64(n) {
+		generate *= float64(n) / total // both fall short by the same part
+	}
+	wanted := int(math.Ceil(generate))
+	least := min(max(minGenerating, zones), max(1, n/3))
+	return min(max(wanted, least), n-1)
+}
+
+// Change moves an engine to a stage.
+type Change struct {
+	Engine instances.Instance
+	To     instances.Stage
+}
+
+// Next returns the changes to make now. Engines in changing are on their way and
+// count where they go. Without load all changes are made at once.
+func (s Settings) Next(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool) []Change {
+	n := len(engines)
+	generating := 0
+	for _, e := range engines {
+		if stageOf(e, changing) == instances.Decode {
+			generating++
+		}
+	}
+	wanted := s.Wanted(n, zonesOf(engines), d)
+	off := wanted - generating
+	if max(off, -off) < s.MinChange && generating > 0 {
+		return nil
+	}
+	allowed := max(off, -off)
+	if loaded {
+		allowed = min(allowed, max(1, int(s.MaxChanging*float64(n)))-len(changing))
+	}
+	to := instances.Decode
+	if off < 0 {
+		to = instances.Prefill
+	}
+	return pick(engines, changing, to, allowed)
+}
+
+func stageOf(e instances.Instance, changing map[string]instances.Stage) instances.Stage {
+	if to, ok := changing[e.ID]; ok {
+		return to
+	}
+	return e.Stage
+}
+
+func zonesOf(engines []instances.Instance) int {
+	zones := map[string]bool{}
+	for _, e := range engines {
+		zones[e.Zone] = true
+	}
+	return len(zones)
+}
+
+// pick chooses engines that are to change to a stage, each from the zone that has
+// most of the other stage, so that the zones stay even.
+func pick(engines []instances.Instance, changing map[string]instances.Stage, to instances.Stage, most int) []Change {
+	candidates := map[string][]instances.Instance{} // by zone
+	count := map[string]int{}                       // of the other stage, by zone
+	for _, e := range engines {
+		if stageOf(e, changing) == to {
+			continue
+		}
+		count[e.Zone]++
+		if _, busy := changing[e.ID]; !busy {
+			candidates[e.Zone] = append(candidates[e.Zone], e)
+		}
+	}
+	for _, list := range candidates {
+		slices.SortFunc(list, func(a, b instances.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	var out []Change
+	for len(out) < most {
+		zone := ""
+		for z, list := range candidates {
+			if len(list) > 0 && (zone == "" || count[z] > count[zone] || count[z] == count[zone] && z < zone) {
+				zone = z
+			}
+		}
+		if zone == "" {
+			break
+		}
+		out = append(out, Change{Engine: candidates[zone][0], To: to})
+		candidates[zone] = candidates[zone][1:]
+		count[zone]--
+	}
+	return out
+}
