--- a/internal/controlhost/group.go
+++ b/internal/controlhost/group.go
@@ -200,17 +200,34 @@
 
 func (h *Host) proposeOnce(ctx context.Context, d document.Document) (uint64, error) {
 	version, err := h.proposeHere(ctx, d)
-	var notLeader *replica.NotLeaderError
-	if !errors.As(err, &notLeader) || notLeader.Address == "" {
+	leader := h.leaderElsewhere(err)
+	if leader == "" {
 		return version, err
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var resp controlapi.ProposeResponse
-	err = h.rpc.Get(notLeader.Address).Call(call, controlapi.MethodPropose, d, &resp)
+	err = h.rpc.Get(leader).Call(call, controlapi.MethodPropose, d, &resp)
 	return resp.Version, err
 }
 
+// leaderElsewhere returns the address of the leader that a failed proposal should go
+// to: as this replica knows it or, while that is closed or knows none, as the other
+// control hosts say.
+func (h *Host) leaderElsewhere(err error) string {
+	var notLeader *replica.NotLeaderError
+	switch {
+	case errors.As(err, &notLeader) && notLeader.Address != "":
+		return notLeader.Address
+	case notLeader == nil && !errors.Is(err, errClosed) && !errors.Is(err, replica.ErrStopped):
+		return ""
+	}
+	if leader := h.watcher.Leader(); leader != h.settings.Listen.Peers {
+		return leader
+	}
+	return ""
+}
+
 // proposeHere proposes at this host's replica.
 func (h *Host) proposeHere(ctx context.Context, d document.Document) (uint64, error) {
 	opened := h.member.current.Load()
--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"filberthook/internal/controlapi"
+	"filberthook/internal/controlwatch"
 	"filberthook/internal/document"
 	"filberthook/internal/instances"
 	"filberthook/internal/netopt"
@@ -75,6 +76,8 @@
 	engines  stagekeeper.Engines // nil to give no orders
 
 	member    *membership
+	view      *instances.View // of all control hosts: each hears a part of the heartbeats
+	watcher   *controlwatch.Watcher
 	joins     joins
 	registry  *instances.Registry
 	watchers  *watchers
@@ -119,6 +122,8 @@
 	h.member = &membership{host: h}
 	h.rpc = raftnet.NewPool(h.peerOptions())
 	h.raftRPC = raftnet.NewPool(h.peerOptions())
+	h.view = instances.NewView(s.Heartbeat.Duration)
+	h.watcher = controlwatch.NewObserver(h.rpc, h.view, ownConfiguration{}, h.logger)
 	h.proposals = set.GetOrCreateHistogram("filberthook_control_replace_seconds")
 	h.beats = set.GetOrCreateCounter("filberthook_control_heartbeats_total")
 	set.GetOrCreateGauge("filberthook_control_config_version", func() float64 { return float64(h.currentVersion()) })
@@ -176,8 +181,9 @@
 	tasks.Go(func() error { return h.serveControl(ctx, control) })
 	tasks.Go(func() error { h.adjust(ctx); return nil })
 	tasks.Go(func() error { h.expire(ctx); return nil })
+	tasks.Go(func() error { h.watcher.Run(ctx, h.peers); return nil })
 	if h.engines != nil {
-		h.keepStages(ctx, tasks)
+		tasks.Go(func() error { h.keepStages(ctx); return nil })
 	}
 	err = tasks.Wait()
 	h.logger.Info("control host stopped", "err", err)
--- a/internal/controlhost/loads.go
+++ b/internal/controlhost/loads.go
@@ -30,8 +30,9 @@
 	at       time.Time
 }
 
-// newsKept is how long news are kept for hosts that ask seldom.
-const newsKept = 3 * time.Second
+// newsKept is how long news are kept for hosts that ask seldom or
+// have just started.
+const newsKept = 10 * time.Second
 
 type hostLoad struct {
 	report controlapi.LoadReport
--- a/internal/controlhost/member.go
+++ b/internal/controlhost/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"math/rand/v2"
 	"os"
@@ -73,11 +74,27 @@
 
 func (m *membership) discard(cause error) {
 	m.host.logger.Warn("data folder discarded, this host joins as a new member", "cause", cause)
+	if err := fsys.WriteFile(fsys.OS{}, m.marker(), nil); err != nil {
+		m.host.logger.Error("data folder not discarded", "err", err)
+		return
+	}
 	if err := os.RemoveAll(m.dir()); err != nil {
 		m.host.logger.Error("data folder not discarded", "err", err)
 	}
 }
 
+// marker is the file that tells that this host was a member before: it never founds
+// a group again.
+func (m *membership) marker() string { return filepath.Join(m.host.settings.DataDir, "rejoin") }
+
+func (m *membership) mayFound() bool {
+	if !m.host.settings.Bootstrap {
+		return false
+	}
+	_, err := os.Stat(m.marker())
+	return errors.Is(err, fs.ErrNotExist)
+}
+
 func (m *membership) dir() string { return filepath.Join(m.host.settings.DataDir, replicaFolder) }
 
 func (m *membership) runOnce(ctx context.Context) error {
@@ -150,7 +167,7 @@
 		isFounder = isFounder || f.ID == own
 	}
 	switch {
-	case id == own && isFounder, id == 0 && isFounder && s.Bootstrap:
+	case id == own && isFounder, id == 0 && isFounder && m.mayFound():
 		return own, founders, nil
 	case id != 0:
 		return id, nil, nil
--- a/internal/controlhost/stages.go
+++ b/internal/controlhost/stages.go
@@ -5,20 +5,13 @@
 	"net"
 	"strconv"
 
-	"golang.org/x/sync/errgroup"
-
-	"filberthook/internal/controlwatch"
 	"filberthook/internal/document"
-	"filberthook/internal/instances"
 	"filberthook/internal/stagekeeper"
 	"filberthook/internal/staging"
 )
 
-// keepStages runs the orders to engines and the view of instances that they need:
-// each control host hears a part of the heartbeats only.
-func (h *Host) keepStages(ctx context.Context, tasks *errgroup.Group) {
-	view := instances.NewView(h.settings.Heartbeat.Duration)
-	watcher := controlwatch.NewObserver(h.rpc, view, ownConfiguration{h}, h.logger)
+// keepStages gives the orders to engines while this host leads.
+func (h *Host) keepStages(ctx context.Context) {
 	keeper := &stagekeeper.Keeper{
 		Host:     h.settings.Host,
 		Lease:    h.settings.Stages.Lease.Duration,
@@ -30,12 +23,11 @@
 		Group:    h.member,
 		Engines:  h.engines,
 		Load:     &h.loads,
-		Instance: view.Snapshot,
+		Instance: h.view.Snapshot,
 		Logger:   h.logger,
 		Metrics:  h.metrics,
 	}
-	tasks.Go(func() error { watcher.Run(ctx, h.peers); return nil })
-	tasks.Go(func() error { keeper.Run(ctx); return nil })
+	keeper.Run(ctx)
 }
 
 // peers returns the seeds' hosts at the port for other hosts.
@@ -51,7 +43,7 @@
 
 // ownConfiguration tells the watcher of a control host that it needs none: the
 // replicated log brings it. It implements controlwatch.Configuration.
-type ownConfiguration struct{ host *Host }
+type ownConfiguration struct{}
 
 // Version implements controlwatch.Configuration.
 func (c ownConfiguration) Version() uint64 { return ^uint64(0) }
--- a/internal/controlwatch/load.go
+++ b/internal/controlwatch/load.go
@@ -15,7 +15,9 @@
 	// engine reads one long prompt.
 	loadInterval = 120 * time.Millisecond
 	// loadTimeout bounds one exchange.
-	loadTimeout = 400 * time.Millisecond
+	loadTimeout = 250 * time.Millisecond
+	// loadPause is how long a control host that did not answer is not asked.
+	loadPause = 2 * time.Second
 	// fewHosts exchange their load each interval; more do so less often, so that the
 	// control host's part does not grow with their number.
 	fewHosts = 24
@@ -41,6 +43,8 @@
 		if err != nil {
 			// The watch of the same control host reports when it is lost.
 			w.logger.Debug("load not exchanged", "control", address, "err", err)
+			fleet.Untold(report.Held)
+			w.avoidForLoad(address)
 			continue
 		}
 		epoch, position = others.NewsEpoch, others.NewsPosition
@@ -54,12 +58,13 @@
 func (w *Watcher) loadHost() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if t, ok := w.watched[w.leader]; ok && t.up {
+	now := time.Now()
+	if t, ok := w.watched[w.leader]; ok && t.up && now.After(t.noLoadBefore) {
 		return w.leader
 	}
 	var reached []string
 	for address, t := range w.watched {
-		if t.up {
+		if t.up && now.After(t.noLoadBefore) {
 			reached = append(reached, address)
 		}
 	}
@@ -69,6 +74,15 @@
 	return slices.Min(reached)
 }
 
+// avoidForLoad has another control host asked for a while.
+func (w *Watcher) avoidForLoad(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t, ok := w.watched[address]; ok {
+		t.noLoadBefore = time.Now().Add(loadPause)
+	}
+}
+
 func encodeLoads(loads map[string]placement.Backlog, demand map[string]placement.Demand) controlapi.LoadReport {
 	out := make(map[string][]int64, len(loads))
 	for id, backlog := range loads {
--- a/internal/controlwatch/watcher.go
+++ b/internal/controlwatch/watcher.go
@@ -60,6 +60,8 @@
 	named time.Time // last time that a seed or a control host named it
 	up    bool
 	hosts int // entry hosts that watch it
+	// noLoadBefore is when it may be asked for the load of other hosts again.
+	noLoadBefore time.Time
 }
 
 // New returns a Watcher that keeps view and config up to date.
@@ -98,6 +100,14 @@
 	return most
 }
 
+// Leader returns the address of the control group's leader as last told, empty when
+// none was.
+func (w *Watcher) Leader() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leader
+}
+
 // Connected returns how many control hosts are reached.
 func (w *Watcher) Connected() int {
 	w.mu.Lock()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -138,15 +138,17 @@
 	start := time.Now()
 	target := *plan.Read
 	outcome := placement.Cut
-	reading := c.server.fleet.BeginPrompt(target.ID, prompt, plan.Tokens, start)
+	reading := c.server.fleet.BeginPrompt(target.ID, "", prompt, plan.Tokens, start)
 	defer func() {
 		c.notePrompt(target.ID, "read", outcome, start, *plan)
 		c.server.fleet.EndPrompt(reading, outcome, time.Now())
 	}()
 	send := dialect.Send{Instance: target.ID, Model: true, Prefill: true, Fetch: plan.Fetch}
-	answer, err := c.server.pool.Send(c.ctx, target.Address, c.request(send))
+	watch := c.watchSilence(target.ID, readPatience+patienceFactor*plan.Expected)
+	defer watch.stop()
+	answer, err := c.server.pool.Send(watch.ctx, target.Address, c.request(send))
 	if err != nil {
-		outcome = c.contactOutcome()
+		outcome = watch.outcome()
 		var lost *upstream.LostError
 		if errors.As(err, &lost) {
 			c.arrivals++
@@ -157,9 +159,10 @@
 	defer answer.Close()
 	body, err := answer.ReadAll(maxHandleBytes)
 	if err != nil {
-		outcome = c.contactOutcome()
+		outcome = watch.outcome()
 		return "", false
 	}
+	c.server.fleet.Progress(target.ID, time.Now())
 	said := c.server.dialect.Answer(answer.StatusCode, answer.Header)
 	switch {
 	case said.Moved:
@@ -208,7 +211,11 @@
 func (c *call) run(plan placement.Plan, prompt *placement.Prompt, source string, p *progress) (result, string) {
 	start := time.Now()
 	outcome := placement.Cut
-	reading := c.server.fleet.BeginPrompt(plan.Run.ID, prompt, plan.Tokens, start)
+	reader := ""
+	if plan.Read != nil {
+		reader = plan.Read.ID
+	}
+	reading := c.server.fleet.BeginPrompt(plan.Run.ID, reader, prompt, plan.Tokens, start)
 	step := "run"
 	if p.started {
 		step = "resume"
@@ -218,16 +225,22 @@
 		c.server.fleet.EndPrompt(reading, outcome, time.Now())
 	}()
 	send := dialect.Send{Instance: plan.Run.ID, Model: true, Source: source, Fetch: plan.Fetch, LastEventID: p.lastID}
-	answer, err := c.server.pool.Send(c.ctx, plan.Run.Address, c.request(send))
+	patience := time.Duration(0) // a stream that cannot go on elsewhere is waited for
+	if c.route.Resumable && c.ran+1 < c.route.MaxAttempts {
+		patience = runPatience + patienceFactor*plan.Expected
+	}
+	watch := c.watchSilence(plan.Run.ID, patience)
+	defer watch.stop()
+	answer, err := c.server.pool.Send(watch.ctx, plan.Run.Address, c.request(send))
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
-		outcome = c.contactOutcome()
+		outcome = watch.outcome()
 		return notRun, "no_contact"
 	}
 	c.arrivals++
 	c.ran++ // until the instance denies it
 	if err != nil {
-		outcome = c.contactOutcome()
+		outcome = watch.outcome()
 		return broken, reasonOf(err, nil)
 	}
 	defer answer.Close()
@@ -236,12 +249,12 @@
 		outcome = judged
 		return ended, "endpoint_refused"
 	}
-	if err = c.passEvents(answer, reading, p); err == nil {
+	if err = c.passEvents(answer, reading, p, watch); err == nil {
 		outcome = placement.Answered
 		c.outcome, c.status = "answered", answer.StatusCode
 		return finished, ""
 	}
-	outcome = c.contactOutcome()
+	outcome = watch.outcome()
 	return broken, reasonOf(err, nil)
 }
 
@@ -265,7 +278,7 @@
 }
 
 // passEvents passes the events of an answer on as they arrive, until its end.
-func (c *call) passEvents(answer *upstream.Answer, reading *placement.Reading, p *progress) error {
+func (c *call) passEvents(answer *upstream.Answer, reading *placement.Reading, p *progress, watch *silence) error {
 	controller := http.NewResponseController(c.w)
 	events := newEventReader(answer)
 	for {
@@ -288,6 +301,7 @@
 			c.w.WriteHeader(answer.StatusCode)
 		}
 		c.server.fleet.PromptRead(reading, time.Now())
+		watch.progress()
 		p.events++
 		if e.id != "" {
 			p.lastID = e.id
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -10,6 +10,8 @@
 	maxEjection = 4 * time.Second
 	// fullEjection lets an instance that had no room work off a part of its queue.
 	fullEjection = 150 * time.Millisecond
+	// replacedEjection lasts until the next heartbeat tells what the instance is now.
+	replacedEjection = 800 * time.Millisecond
 	// failureHalfLife is how fast failures are forgotten.
 	failureHalfLife = 5 * time.Second
 )
@@ -22,13 +24,14 @@
 	Failed            // it answered that it failed, or its answer was no good
 	Full              // it had no room and did not run the request
 	NoContact         // no connection, or it broke
-	Replaced          // another instance answers at its address
+	Silent            // nothing came from it, for this request or any other
+	Replaced          // another instance answers at its address, or it changed its stage
 	Cut               // the caller left or the time was over: nothing is known
 )
 
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "full", "no_contact", "replaced", "cut"}[o]
+	return [...]string{"answered", "failed", "full", "no_contact", "silent", "replaced", "cut"}[o]
 }
 
 // judge takes an outcome. The caller holds f.mu.
@@ -41,7 +44,9 @@
 		in.failures.add(1, now)
 	case Full:
 		in.eject(now, fullEjection)
-	case NoContact, Replaced:
+	case Replaced:
+		in.eject(now, replacedEjection)
+	case NoContact, Silent:
 		in.failures.add(1, now)
 		in.strikes++
 		in.eject(now, min(firstEjection<<(in.strikes-1), maxEjection))
@@ -73,3 +78,20 @@
 	}
 	return out
 }
+
+// Progress notes that something came from an instance.
+func (f *Fleet) Progress(id string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if in := f.known[id]; in != nil {
+		in.progress = now
+	}
+}
+
+// ProgressSince reports whether anything came from an instance after a time.
+func (f *Fleet) ProgressSince(id string, since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	in := f.known[id]
+	return in != nil && in.progress.After(since)
+}
--- a/internal/placement/held.go
+++ b/internal/placement/held.go
@@ -54,6 +54,16 @@
 	return out
 }
 
+// Untold takes back news that could not be told.
+func (f *Fleet) Untold(news []Held) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range news {
+		f.news[n.Instance] = append(f.news[n.Instance], n.Keys...)
+		f.newsCount += len(n.Keys)
+	}
+}
+
 // SetHeld takes the news of other hosts.
 func (f *Fleet) SetHeld(news []Held, now time.Time) {
 	f.mu.Lock()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -40,6 +40,8 @@
 	wait        average              // time beyond the expected one until prompts were read
 	latency     average              // time to the answer of a plain service
 	failures    average              // part of the requests that failed, 0 to 1
+	transfer    average              // time beyond the expected one that KV cache read here took to arrive
+	progress    time.Time            // of the last byte that came from it
 	ejected     time.Time            // gets no request before
 	strikes     int                  // ejections in a row
 	held        map[uint64]time.Time // shared parts, by key, to when they were last asked for
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -34,6 +34,9 @@
 	// waitHalfLife is how fast an observed wait is forgotten: queues of engines last
 	// a few prompts.
 	waitHalfLife = 400 * time.Millisecond
+	// transferHalfLife is how fast slow transfers are forgotten: a slow link stays so
+	// for seconds.
+	transferHalfLife = 2 * time.Second
 	// othersFor is how long the other hosts' load counts after it was told.
 	othersFor = time.Second
 	// easyShare of the goal is expected to be met for sure.
@@ -235,7 +238,7 @@
 	}
 	o.ms = f.waiting(in, p.Priority, now) + float64(o.tokens)/f.rate(in) + float64(moved)*transferTime
 	if in.Stage == instances.Prefill {
-		o.ms += transferOverhead + float64(p.Tokens)*transferTime
+		o.ms += transferOverhead + float64(p.Tokens)*transferTime + in.transfer.decayed(now, transferHalfLife)
 	}
 	o.score = hurry(o.ms, p.Goal) + float64(moved)*transferCost
 	if in != home.read && in != home.run {
@@ -332,7 +335,7 @@
 	var best *instance
 	bestScore := math.Inf(1)
 	for _, in := range runners {
-		score := f.waiting(in, lowestPriority, now) + runCost*float64(in.outstanding) + spread*f.draw()
+		score := max(f.waiting(in, lowestPriority, now), in.wait.decayed(now, transferHalfLife)) + runCost*float64(in.outstanding) + spread*f.draw()
 		if in != home {
 			score += awayCost * float64(p.Tokens-p.own())
 		}
@@ -346,6 +349,7 @@
 // Reading is a prompt under way at an engine.
 type Reading struct {
 	id       string
+	source   string // engine that read the prompt; empty when this one does
 	tokens   float64
 	priority int
 	keys     []uint64
@@ -354,8 +358,9 @@
 }
 
 // BeginPrompt records that a prompt is sent to an engine that reads tokens of it.
-func (f *Fleet) BeginPrompt(id string, p *Prompt, tokens int, now time.Time) *Reading {
-	r := &Reading{id: id, tokens: float64(tokens), priority: p.Priority, keys: chain(p.Model, p.Parts), sent: now}
+// Source is the engine that read it before, if any.
+func (f *Fleet) BeginPrompt(id, source string, p *Prompt, tokens int, now time.Time) *Reading {
+	r := &Reading{id: id, source: source, tokens: float64(tokens), priority: p.Priority, keys: chain(p.Model, p.Parts), sent: now}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if in := f.known[id]; in != nil {
@@ -376,7 +381,11 @@
 	}
 	f.settle(in, r)
 	took := float64(now.Sub(r.sent)) / float64(time.Millisecond)
-	in.wait.add(max(0, took-r.tokens/f.rate(in)-firstTokenTime), now)
+	beyond := max(0, took-r.tokens/f.rate(in)-firstTokenTime)
+	in.wait.add(beyond, now)
+	if reader := f.known[r.source]; reader != nil {
+		reader.transfer.add(max(0, beyond-transferOverhead), now)
+	}
 }
 
 // settle takes the prompt out of the engine's backlog. The caller holds f.mu.
--- a/internal/stagekeeper/keeper.go
+++ b/internal/stagekeeper/keeper.go
@@ -27,6 +27,9 @@
 	confirmTimeout = 300 * time.Millisecond
 	// takeoverMargin is added to the lease: an order is on its way for less.
 	takeoverMargin = 1500 * time.Millisecond
+	// persistence is how long a change must be due under load: longer than a turn of
+	// the mix, or the loss of engines that come back.
+	persistence = 5 * time.Second
 	// settled is how long an engine that was ordered is left alone: an order that was
 	// not answered may be carried out seconds later.
 	settled = 15 * time.Second
@@ -75,6 +78,7 @@
 	term    uint64    // of the leadership that is held
 	since   time.Time // when it was first seen
 	ordered map[string]ordered
+	due     map[string]time.Time // since when changes are due, by endpoint
 }
 
 // ordered is the last order to an engine.
@@ -85,7 +89,7 @@
 
 // Run gives orders until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	k.ordered = map[string]ordered{}
+	k.ordered, k.due = map[string]ordered{}, map[string]time.Time{}
 	for pause.For(ctx, interval) {
 		term, leads := k.Group.Leads()
 		if !leads {
@@ -122,7 +126,11 @@
 		if !known {
 			demand = k.Expected
 		}
-		for _, c := range k.Settings.Next(engines, changing, demand, loaded) {
+		changes := k.Settings.Next(engines, changing, demand, loaded)
+		if loaded && !k.lasts(endpoint, len(changes) > 0) {
+			continue
+		}
+		for _, c := range changes {
 			if !k.order(ctx, c, demand, known) {
 				return // leadership is not sure
 			}
@@ -130,6 +138,20 @@
 	}
 }
 
+// lasts reports whether changes have been due for long enough to be no turn of the mix.
+func (k *Keeper) lasts(endpoint string, due bool) bool {
+	if !due {
+		delete(k.due, endpoint)
+		return false
+	}
+	since, ok := k.due[endpoint]
+	if !ok {
+		k.due[endpoint] = time.Now()
+		return false
+	}
+	return time.Since(since) >= persistence
+}
+
 func withStage(list []instances.Instance) []instances.Instance {
 	var out []instances.Instance
 	for _, in := range list {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,11 @@
 	idleMargin = 700 * time.Millisecond
 )
 
+// dialTimeout bounds the set-up of a connection to an instance: many round trips
+// within a region, and short beside the goals of plain services, so that another
+// instance can be tried.
+const dialTimeout = 200 * time.Millisecond
+
 // maxIdle bounds the kept connections to one instance.
 const maxIdle = 6
 
@@ -71,7 +76,7 @@
 
 // NewPool returns an empty Pool.
 func NewPool(set *metrics.Set) *Pool {
-	dialer := netopt.Dialer(netopt.DialTimeout)
+	dialer := netopt.Dialer(dialTimeout)
 	return &Pool{
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
