Long prompts are read by prefill engines only; stages within a band of headroom

Cause: after engines were lost, generating engines read long prompts whose shared parts were gone; their streams slowed, callers left and returned, and the load stayed above what the engines could do long after the loss.

--- a/internal/controlhost/settings.go
+++ b/internal/controlhost/settings.go
@@ -30,8 +30,8 @@
 type Stages struct {
 	// Lease is the time within which orders of two holders must not follow each other.
 	Lease tomltime.Duration `toml:"lease"`
-	// ExpectedPromptTokens and ExpectedOutputTokens are the demand in a second that is
-	// assumed before callers' demand is known. Only their ratio counts.
+	// ExpectedPromptTokens and ExpectedOutputTokens are the demand on each engine in a
+	// second that is assumed before callers' demand is known.
 	ExpectedPromptTokens float64 `toml:"expected_prompt_tokens"`
 	ExpectedOutputTokens float64 `toml:"expected_output_tokens"`
 }
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -11,12 +11,12 @@
 // Times without a byte from an engine, for any request, after which it is given up.
 const (
 	// readPatience and runPatience are added to what the estimate allows.
-	readPatience = 350 * time.Millisecond
-	runPatience  = 450 * time.Millisecond
+	readPatience = 900 * time.Millisecond
+	runPatience  = 900 * time.Millisecond
 	// patienceFactor allows for estimates that are short of what happens.
-	patienceFactor = 3
+	patienceFactor = 4
 	// stallPatience holds between two events: longer than a pause that is on time.
-	stallPatience = 600 * time.Millisecond
+	stallPatience = 1000 * time.Millisecond
 )
 
 // silence watches an attempt and ends it when nothing comes from its engine any more,
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -24,6 +24,9 @@
 	transferCost = 0.0018 // ms for each token
 	// minFetch is how many shared tokens are worth a transfer between engines.
 	minFetch = 1000
+	// maxWhole is the longest prompt that a generating engine reads itself while there
+	// are others: should the parts not be held there, its streams pause for so long.
+	maxWhole = 2500 // tokens
 	// disturbance weighs the tokens read at an engine that generates: its streams
 	// pause meanwhile.
 	disturbance = 2.0
@@ -44,9 +47,11 @@
 	// easyWeight and lateWeight weigh expected time within that share and beyond it.
 	easyWeight = 0.4
 	lateWeight = 1.5
-	// awayCost keeps a subject at its homes: a part that is held once more takes the
-	// place of another that will be asked for.
-	awayCost = 0.005 // ms for each shared token
+	// secondCost and farCost keep a subject at its homes.
+	secondCost = 0.008 // ms for each shared token, at the second home
+	farCost    = 0.030 // ms for each shared token, at any other engine
+	// runAwayCost keeps answers at the engine that holds their subject.
+	runAwayCost = 0.005 // ms for each shared token
 	// spread keeps hosts with the same view from choosing the same engine.
 	spread = 6.0 // ms
 	// hopelessFactor allows for estimates that are too long.
@@ -141,13 +146,19 @@
 		return Plan{}, math.Inf(1)
 	}
 	if p.Whole {
-		readers = nil
+		readers, candidates = nil, runners
 	}
 	place := subject(keys, p)
-	home := homes{read: f.home(readers, place), run: f.home(runners, place)}
+	var home homes
+	home.read, home.second = f.homes(readers, place)
+	home.run, _ = f.homes(runners, place)
 	holder := newestHolder(candidates, keys, now)
 	best := option{score: math.Inf(1)}
-	for _, in := range append(readers, runners...) {
+	options := candidates
+	if len(readers) > 0 && p.Tokens > maxWhole {
+		options = readers
+	}
+	for _, in := range options {
 		o := f.option(p, keys, in, home, holder, now)
 		o.score += spread * f.draw()
 		if o.score < best.score {
@@ -162,10 +173,11 @@
 	return plan, best.ms + firstTokenTime
 }
 
-// homes are the two engines that keep a subject's shared parts.
+// homes are the engines that keep a subject's shared parts.
 type homes struct {
-	read *instance // reads prompts only; nil when there is none
-	run  *instance // generates
+	read   *instance // reads prompts only; nil when there is none
+	second *instance // reads prompts only, when the first is much busier
+	run    *instance // generates
 }
 
 // newestHolder returns the two engines that were last sent a prompt with the same
@@ -241,8 +253,12 @@
 		o.ms += transferOverhead + float64(p.Tokens)*transferTime + in.transfer.decayed(now, transferHalfLife)
 	}
 	o.score = hurry(o.ms, p.Goal) + float64(moved)*transferCost
-	if in != home.read && in != home.run {
-		o.score += awayCost * float64(missing)
+	switch in {
+	case home.read, home.run:
+	case home.second:
+		o.score += secondCost * float64(p.Tokens-p.own())
+	default:
+		o.score += farCost * float64(p.Tokens-p.own())
 	}
 	if in.Stage == instances.Prefill {
 		o.score += float64(p.Tokens) * transferCost
@@ -271,20 +287,25 @@
 	return 0
 }
 
-// home returns the engine of a list that keeps a subject's shared parts, nil for an
-// empty list. It is found by rendezvous hashing, so that every host finds the same one
-// from the same list and few subjects move when the list changes. There is one, not
-// several: parts that are held twice take the place of others that will be asked for.
-func (f *Fleet) home(list []*instance, subject uint64) *instance {
+// homes returns the engine of a list that keeps a subject's shared parts, and the next
+// one; nil where the list is too short. They are found by rendezvous hashing, so that
+// every host finds the same ones from the same list and few subjects move when the
+// list changes. There are no more: parts that are held at many engines take the place
+// of others that will be asked for, which are then read again and make the load worse.
+func (f *Fleet) homes(list []*instance, subject uint64) (home, second *instance) {
 	prefix := strconv.FormatUint(subject, 36) + "/"
-	var best *instance
-	highest := uint64(0)
+	var highest, next uint64
 	for _, in := range list {
-		if weight := xxhash.Sum64String(prefix + in.ID); best == nil || weight > highest {
-			best, highest = in, weight
+		weight := xxhash.Sum64String(prefix + in.ID)
+		switch {
+		case home == nil || weight > highest:
+			second, next = home, highest
+			home, highest = in, weight
+		case second == nil || weight > next:
+			second, next = in, weight
 		}
 	}
-	return best
+	return home, second
 }
 
 // own returns the tokens that no other request shares.
@@ -337,7 +358,7 @@
 	for _, in := range runners {
 		score := max(f.waiting(in, lowestPriority, now), in.wait.decayed(now, transferHalfLife)) + runCost*float64(in.outstanding) + spread*f.draw()
 		if in != home {
-			score += awayCost * float64(p.Tokens-p.own())
+			score += runAwayCost * float64(p.Tokens-p.own())
 		}
 		if score < bestScore {
 			best, bestScore = in, score
--- a/internal/stagekeeper/keeper.go
+++ b/internal/stagekeeper/keeper.go
@@ -67,7 +67,7 @@
 	Host     string
 	Lease    time.Duration // within which orders of two holders must not follow each other
 	Settings staging.Settings
-	Expected staging.Demand // until callers' demand is known
+	Expected staging.Demand // on each engine, until callers' demand is known
 	Group    Group
 	Engines  Engines
 	Load     Load
@@ -124,7 +124,10 @@
 		}
 		demand, known := demands[endpoint]
 		if !known {
-			demand = k.Expected
+			demand = staging.Demand{
+				PromptTokens: k.Expected.PromptTokens * float64(len(engines)),
+				OutputTokens: k.Expected.OutputTokens * float64(len(engines)),
+			}
 		}
 		changes := k.Settings.Next(engines, changing, demand, loaded)
 		if loaded && !k.lasts(endpoint, len(changes) > 0) {
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -29,14 +29,15 @@
 	PrefillRate float64 // prompt tokens that an engine reads in a second
 	DecodeRate  float64 // tokens that an engine generates in a second for a full batch
 	Headroom    float64 // generating engines for each one that the answers need
-	MinChange   int     // engines by which the stages must be off before one changes
+	Fewest      float64 // headroom below which engines change to generating
+	Most        float64 // headroom above which they change to reading
 	MaxChanging float64 // part of the engines that may change at once under load
 }
 
 // DefaultSettings fit the engines of the brief: a step of about 6 ms for a batch of
 // some 55 requests, and reading in pieces of 2,048 tokens.
 func DefaultSettings() Settings {
-	return Settings{PrefillRate: 55_000, DecodeRate: 9_000, Headroom: 2, MinChange: 2, MaxChanging: 0.35}
+	return Settings{PrefillRate: 55_000, DecodeRate: 9_000, Headroom: 3, Fewest: 2, Most: 5, MaxChanging: 0.35}
 }
 
 // minGenerating is how many generating engines are kept for a loss: with a third of
@@ -44,12 +45,15 @@
 const minGenerating = 3
 
 // Wanted returns how many of n engines in a number of zones should generate.
-func (s Settings) Wanted(n, zones int, d Demand) int {
+func (s Settings) Wanted(n, zones int, d Demand) int { return s.generating(n, zones, d, s.Headroom) }
+
+// generating returns how many engines generate with a headroom.
+func (s Settings) generating(n, zones int, d Demand, headroom float64) int {
 	if n <= 1 {
 		return n
 	}
 	read := d.PromptTokens / s.PrefillRate
-	generate := s.Headroom * d.OutputTokens / s.DecodeRate
+	generate := headroom * d.OutputTokens / s.DecodeRate
 	if total := read + generate; total > float64(n) {
 		generate *= float64(n) / total // both fall short by the same part
 	}
@@ -64,7 +68,8 @@
 	To     instances.Stage
 }
 
-// Next returns the changes to make now. Engines in changing are on their way and
+// Next returns the changes to make now: none under load while the headroom is between
+// Fewest and Most, as each change takes an engine away and its subjects with it. Engines in changing are on their way and
 // count where they go. Without load all changes are made at once.
 func (s Settings) Next(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool) []Change {
 	n := len(engines)
@@ -74,9 +79,10 @@
 			generating++
 		}
 	}
-	wanted := s.Wanted(n, zonesOf(engines), d)
-	off := wanted - generating
-	if max(off, -off) < s.MinChange && generating > 0 {
+	zones := zonesOf(engines)
+	off := s.Wanted(n, zones, d) - generating
+	enough := generating >= s.generating(n, zones, d, s.Fewest) && generating <= s.generating(n, zones, d, s.Most)
+	if loaded && enough {
 		return nil
 	}
 	allowed := max(off, -off)
