--- /dev/null
+++ b/internal/forward/budget_test.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// In any window, all hosts together send no more repeats than the stated budget,
+// whatever callers do.
+func TestHostsTogetherKeepTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		s := BudgetSettings{Ratio: 0.2, Slack: 56, Window: window}
+		hosts := rapid.IntRange(1, 8).Draw(t, "hosts")
+		var budgets []*Budget
+		for range hosts {
+			budgets = append(budgets, NewBudgets(s, func() int { return hosts }).Of("e"))
+		}
+		now := time.Unix(1_800_000_000, 0)
+		type sent struct {
+			at     time.Time
+			repeat bool
+		}
+		var log []sent
+		for range rapid.IntRange(10, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			b.First(now)
+			log = append(log, sent{now, false})
+			for range rapid.IntRange(0, 5).Draw(t, "repeats") {
+				if b.Take(now) {
+					log = append(log, sent{now, true})
+				}
+			}
+		}
+		for i, end := range log {
+			firsts, repeats := 0.0, 0.0
+			for _, other := range log[:i+1] {
+				if end.at.Sub(other.at) >= window {
+					continue
+				}
+				if other.repeat {
+					repeats++
+				} else {
+					firsts++
+				}
+			}
+			if repeats > s.Ratio*firsts+s.Slack {
+				t.Fatalf("%v repeats for %v requests in a window", repeats, firsts)
+			}
+		}
+	})
+}
+
+func TestBudgetRefillsAfterItsWindow(t *testing.T) {
+	b := NewBudgets(BudgetSettings{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, func() int { return 1 }).Of("e")
+	now := time.Unix(1_800_000_000, 0)
+	taken := 0
+	for b.Take(now) {
+		taken++
+	}
+	if taken != 7 {
+		t.Errorf("%d repeats from a slack of 10, want 7", taken)
+	}
+	if b.Take(now.Add(9 * time.Second)) {
+		t.Error("a repeat within the window of a used budget")
+	}
+	if !b.Take(now.Add(12 * time.Second)) {
+		t.Error("no repeat after the window")
+	}
+}
--- /dev/null
+++ b/internal/forward/stream_test.go
@@ -0,0 +1,271 @@
+package forward
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"filberthook/internal/dialect"
+	"filberthook/internal/instances"
+	"filberthook/internal/routes"
+)
+
+// streamer generates events up to last; it goes on after Last-Event-Id.
+func streamer(last int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		for id := from + 1; id <= last; id++ {
+			writeEvent(w, id)
+		}
+	}
+}
+
+// breaking generates events up to one, a part of the next, and hangs up.
+func breaking(after int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		streamer(after)(w, r)
+		fmt.Fprintf(w, "id: %d\ndata: pie", after+1)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func engine(id string, stage instances.Stage, serve http.HandlerFunc) *instance {
+	return &instance{id: id, stage: stage, serve: serve}
+}
+
+func events(body string) []string {
+	var out []string
+	for e := range strings.SplitSeq(body, "\n\n") {
+		if id, ok := strings.CutPrefix(strings.SplitN(e, "\n", 2)[0], "id: "); ok {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func resumable(r *routes.Route) { r.Resumable = true }
+
+func TestStreamsArriveWholeAndInOrder(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*routes.Route)
+		first  http.HandlerFunc
+		want   string // ids of the events
+		broken bool   // the answer must not look complete
+		runs   int
+	}{
+		{"whole", nil, streamer(4), "1 2 3 4", false, 1},
+		{"resumed at another engine", resumable, breaking(2), "1 2 3 4", false, 2},
+		{"not resumable", nil, breaking(2), "1 2", true, 1},
+		{"broken before the first event", resumable, breaking(0), "1 2 3 4", false, 2},
+		{"one attempt only", func(r *routes.Route) { r.Resumable, r.MaxAttempts = true, 1 }, breaking(2), "1 2", true, 1},
+		{"no room, sent elsewhere", nil, status(503, true), "1 2 3 4", false, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := engine("a", instances.Decode, tt.first)
+			b := engine("b", instances.Decode, streamer(4))
+			h := start(t, route(routes.Stream, tt.change), a, b)
+			_, _, body, err := h.do(t, nil)
+			if got := strings.Join(events(body), " "); got != tt.want {
+				t.Errorf("events %q, want %q", got, tt.want)
+			}
+			if (err != nil) != tt.broken {
+				t.Errorf("ended with %v, broken off should be %v", err, tt.broken)
+			}
+			if strings.Contains(body, "pie\n") || strings.HasSuffix(body, "pie") {
+				t.Error("a torn event was passed on")
+			}
+			if n := a.runs() + b.runs(); n != tt.runs {
+				t.Errorf("sent %d times, want %d", n, tt.runs)
+			}
+		})
+	}
+}
+
+func TestEventsArriveAsTheyAreMade(t *testing.T) {
+	second := make(chan struct{})
+	a := engine("a", instances.Decode, func(w http.ResponseWriter, _ *http.Request) {
+		writeEvent(w, 1)
+		<-second
+		writeEvent(w, 2)
+	})
+	h := start(t, route(routes.Stream, nil), a)
+	resp, err := http.DefaultClient.Do(h.request(t, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	reader := bufio.NewReader(resp.Body)
+	if line, err := reader.ReadString('\n'); err != nil || line != "id: 1\n" {
+		t.Fatalf("got %q, %v before the second event was made", line, err)
+	}
+	close(second)
+	if rest, err := io.ReadAll(reader); err != nil || !strings.Contains(string(rest), "id: 2") {
+		t.Errorf("got %q, %v", rest, err)
+	}
+}
+
+// prefiller answers prefills with a handle.
+func prefiller(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		return
+	}
+	_ = json.NewEncoder(w).Encode(dialect.Handle{ID: "h1", Tokens: 8000})
+}
+
+func prompted(r *routes.Route) { r.Prompted, r.Resumable = true, true }
+
+func withParts(r *http.Request) { r.Header.Set("X-Parts", "shared,own") }
+
+func TestPromptIsReadApart(t *testing.T) {
+	p := engine("p", instances.Prefill, prefiller)
+	d := engine("d", instances.Decode, streamer(3))
+	h := start(t, route(routes.Stream, prompted), p, d)
+	_, _, body, err := h.do(t, withParts)
+	if err != nil || len(events(body)) != 3 {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	if got, want := d.last().Header.Get("X-Source"), p.server.Listener.Addr().String()+"/h1"; got != want {
+		t.Errorf("the generating engine was given the source %q, want %q", got, want)
+	}
+}
+
+func TestLostPrefillIsReadElsewhere(t *testing.T) {
+	p := engine("p", instances.Prefill, hangUp)
+	d := engine("d", instances.Decode, streamer(3))
+	h := start(t, route(routes.Stream, prompted), p, d)
+	if _, _, body, err := h.do(t, withParts); err != nil || len(events(body)) != 3 {
+		t.Errorf("got %q, %v, want the stream of the engine that reads the prompt itself", body, err)
+	}
+	if n := d.runs(); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+func TestLostHandleIsNoRun(t *testing.T) {
+	p := engine("p", instances.Prefill, prefiller)
+	a := engine("a", instances.Decode, status(503, true))
+	b := engine("b", instances.Decode, streamer(2))
+	h := start(t, route(routes.Stream, func(r *routes.Route) { r.Prompted = true }), p, a, b)
+	if _, _, body, err := h.do(t, withParts); err != nil || len(events(body)) != 2 {
+		t.Errorf("got %q, %v, want a run elsewhere: the first engine did not run it", body, err)
+	}
+}
+
+// A caller that leaves ends the work of its request in each state.
+func TestCallerThatLeavesAStream(t *testing.T) {
+	tests := []struct {
+		name string
+		list func(hang http.HandlerFunc) []*instance
+	}{
+		{"while it is read", func(hang http.HandlerFunc) []*instance {
+			return []*instance{engine("p", instances.Prefill, hang), engine("d", instances.Decode, streamer(1))}
+		}},
+		{"before the first event", func(hang http.HandlerFunc) []*instance {
+			return []*instance{engine("d", instances.Decode, hang)}
+		}},
+		{"between events", func(hang http.HandlerFunc) []*instance {
+			return []*instance{engine("d", instances.Decode, func(w http.ResponseWriter, r *http.Request) {
+				writeEvent(w, 1)
+				hang(w, r)
+			})}
+		}},
+		{"after it was resumed", func(hang http.HandlerFunc) []*instance {
+			return []*instance{engine("a", instances.Decode, breaking(1)), engine("b", instances.Decode, hang)}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ended := make(chan bool, 4)
+			hang := func(_ http.ResponseWriter, r *http.Request) { ended <- closed(r.Context(), 700*time.Millisecond) }
+			h := start(t, route(routes.Stream, prompted), tt.list(hang)...)
+			client := &http.Client{Timeout: 150 * time.Millisecond}
+			resp, err := client.Do(h.request(t, withParts))
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				resp.Body.Close()
+			}
+			if err == nil {
+				t.Fatal("the stream ended by itself")
+			}
+			if !<-ended {
+				t.Error("the engine still works half a second after the caller left")
+			}
+		})
+	}
+}
+
+// An engine that falls silent without a reset is given up where the route allows it.
+func TestSilentEngineIsGivenUp(t *testing.T) {
+	hang := func(w http.ResponseWriter, r *http.Request) {
+		writeEvent(w, 1)
+		closed(r.Context(), 5*time.Second)
+	}
+	a := engine("a", instances.Decode, hang)
+	b := engine("b", instances.Decode, streamer(3))
+	h := start(t, route(routes.Stream, resumable), a, b)
+	_, _, body, err := h.do(t, nil)
+	if got := strings.Join(events(body), " "); err != nil || got != "1 2 3" {
+		t.Errorf("events %q, %v, want the rest from another engine", got, err)
+	}
+}
+
+func TestStreamThatCannotGoOnIsWaitedFor(t *testing.T) {
+	a := engine("a", instances.Decode, func(w http.ResponseWriter, _ *http.Request) {
+		writeEvent(w, 1)
+		time.Sleep(stallPatience + 300*time.Millisecond)
+		writeEvent(w, 2)
+	})
+	h := start(t, route(routes.Stream, nil), a, engine("b", instances.Decode, streamer(2)))
+	_, _, body, err := h.do(t, nil)
+	if got := strings.Join(events(body), " "); err != nil || got != "1 2" {
+		t.Errorf("events %q, %v: an engine's silence is no reason to end an answer", got, err)
+	}
+}
+
+func TestHopelessPromptIsRefusedAtOnce(t *testing.T) {
+	d := engine("d", instances.Decode, streamer(1))
+	h := start(t, route(routes.Stream, prompted), d)
+	begin := time.Now()
+	code, header, _, err := h.do(t, func(r *http.Request) {
+		r.Header.Set("X-Parts", strings.Repeat("p,", 40)+"own") // 164,000 tokens
+		r.Header.Set("X-Deadline", "1s")
+	})
+	if err != nil || code != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("got %d, %v, want 503 with a time to return", code, err)
+	}
+	if took := time.Since(begin); took > 300*time.Millisecond {
+		t.Errorf("refused after %v, want at once", took)
+	}
+	if n := d.runs(); n != 0 {
+		t.Error("a refused request reached an engine")
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\nid: 2\n\n")
+	f.Add("data: torn")
+	f.Add("\r\n\r\n: comment\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := newEventReader(strings.NewReader(text))
+		var passed strings.Builder
+		for {
+			e, err := r.next()
+			if err != nil {
+				break
+			}
+			passed.Write(e.raw)
+		}
+		if !strings.HasPrefix(text, passed.String()) {
+			t.Errorf("passed on %q of %q: bytes were changed or lost", passed.String(), text)
+		}
+	})
+}
--- a/internal/instances/registry.go
+++ b/internal/instances/registry.go
@@ -70,8 +70,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, known := r.entries[id]
-	if known && (e.State == Gone || born != 0 && born < e.Born) {
-		return r.position, false
+	if known && (e.State == Gone && born <= e.Born || born != 0 && born < e.Born) {
+		return r.position, false // told before, or an older start
 	}
 	if !known {
 		e = &entry{Change: Change{Instance: Instance{ID: id, Born: born}}}
