Late choice of the generating engine; idle connections close without cutting a request

Change: the generating engine is chosen once the prompt is read; a caller's connection knows whether bytes of a request were handed out, and is closed as idle only if none were.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -185,7 +185,7 @@
 		h.drain()
 		server.Close()
 	})
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(callerListener{ln}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("listen.callers: %w", err)
 	}
 	<-ended
@@ -202,6 +202,8 @@
 	h.logger.Info("stopping", "requests", h.server.Active(), "grace", h.settings.Grace.Duration)
 	last := start.Add(h.settings.Grace.Duration - stopMargin)
 	pause.For(context.Background(), min(lameDuck, time.Until(last)))
+	h.idle.closeAll()
+	pause.For(context.Background(), stopPoll)
 	for h.server.Active() > 0 && time.Now().Before(last) {
 		pause.For(context.Background(), stopPoll)
 	}
--- a/internal/entryhost/idle.go
+++ b/internal/entryhost/idle.go
@@ -16,30 +16,92 @@
 // request that is on its way is still served.
 const stopIdle = 1500 * time.Millisecond
 
+// callerConn is a caller's connection that can be closed only while it is quiet.
+// Invariant: once bytes of a request have been handed out, closeQuiet does nothing, and
+// once it has closed the connection, no more bytes are handed out. So no request is
+// both read and cut.
+type callerConn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	quiet  bool // nothing was read since it became idle
+	closed bool // by closeQuiet
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if n > 0 {
+		c.quiet = false
+	}
+	return n, err
+}
+
+// idle notes that the connection waits for its next request.
+func (c *callerConn) idle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quiet = true
+}
+
+// closeQuiet closes the connection unless a request has begun.
+func (c *callerConn) closeQuiet() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.quiet {
+		c.closed = true
+		c.Conn.Close()
+	}
+}
+
+// callerListener accepts callers' connections as callerConn.
+type callerListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: c, quiet: true}, nil
+}
+
 // idleConnections closes callers' connections that are idle for too long. The limit
 // is that of the configuration in force, also for connections that are open already.
 type idleConnections struct {
 	server *forward.Server
 
 	mu       sync.Mutex
-	timers   map[net.Conn]*time.Timer
+	timers   map[*callerConn]*time.Timer
 	stopping bool
 }
 
 func newIdleConnections(server *forward.Server) *idleConnections {
-	return &idleConnections{server: server, timers: map[net.Conn]*time.Timer{}}
+	return &idleConnections{server: server, timers: map[*callerConn]*time.Timer{}}
 }
 
 // track is the hook of http.Server for changes of a connection's state.
-func (i *idleConnections) track(c net.Conn, state http.ConnState) {
+func (i *idleConnections) track(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if timer, ok := i.timers[c]; ok {
 		timer.Stop()
 		delete(i.timers, c)
 	}
+	if state == http.StateIdle {
+		c.idle()
+	}
 	if state == http.StateIdle || state == http.StateNew {
-		i.timers[c] = time.AfterFunc(i.limit(), func() { c.Close() })
+		i.timers[c] = time.AfterFunc(i.limit(), c.closeQuiet)
 	}
 }
 
@@ -65,3 +127,12 @@
 		}
 	}
 }
+
+// closeAll closes the connections that are idle, at the end of a stop.
+func (i *idleConnections) closeAll() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.timers {
+		c.closeQuiet()
+	}
+}
--- /dev/null
+++ b/internal/entryhost/idle_test.go
@@ -0,0 +1,68 @@
+package entryhost
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// pair returns the two ends of a connection, the first as a callerConn.
+func pair(t *testing.T) (*callerConn, net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { caller.Close() })
+	c, err := callerListener{ln}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*callerConn), caller
+}
+
+func TestConnectionWithARequestIsNotClosedAsIdle(t *testing.T) {
+	c, caller := pair(t)
+	io.WriteString(caller, "GET")
+	if _, err := c.Read(make([]byte, 3)); err != nil {
+		t.Fatal(err)
+	}
+	c.closeQuiet()
+	if _, err := io.WriteString(c, "answer"); err != nil {
+		t.Errorf("a connection with a request under way was closed: %v", err)
+	}
+	c.idle()
+	c.closeQuiet()
+	if _, err := io.WriteString(c, "answer"); err == nil {
+		t.Error("an idle connection was not closed")
+	}
+}
+
+// A request that crosses the close is either served or never read.
+func TestRequestThatCrossesTheCloseIsNotReadAndCut(t *testing.T) {
+	for range 300 {
+		c, caller := pair(t)
+		var wait sync.WaitGroup
+		wait.Go(func() { io.WriteString(caller, "GET") })
+		wait.Go(func() {
+			time.Sleep(20 * time.Microsecond)
+			c.closeQuiet()
+		})
+		n, _ := c.Read(make([]byte, 3)) // either outcome is right
+		wait.Wait()
+		c.mu.Lock()
+		closed := c.closed
+		c.mu.Unlock()
+		if n > 0 && closed {
+			t.Fatal("bytes of a request were handed out and the connection was closed as idle")
+		}
+	}
+}
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -16,8 +16,9 @@
 const (
 	// budgetShare leaves room for hosts that count differently and windows that slide.
 	budgetShare = 0.7
-	// budgetSlots divides the window.
-	budgetSlots = 10
+	// windowSlots divide the window. One more is kept, since the newest is not full.
+	windowSlots = 10
+	budgetSlots = windowSlots + 1
 )
 
 // Budgets holds the budget of each endpoint at this host.
@@ -80,7 +81,7 @@
 
 // turn clears the slots that have passed and returns the newest. The caller holds b.mu.
 func (b *Budget) turn(now time.Time) int64 {
-	position := now.UnixNano() / int64(b.settings.Window/budgetSlots)
+	position := now.UnixNano() / int64(b.settings.Window/windowSlots)
 	for step := b.position + 1; step <= position && step <= b.position+budgetSlots; step++ {
 		b.firsts[step%budgetSlots], b.repeats[step%budgetSlots] = 0, 0
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,10 +43,10 @@
 			c.notPlaced(err, &p)
 			return
 		}
-		source := ""
+		var handle dialect.Handle
 		if plan.Read != nil {
 			var ok bool
-			if source, ok = c.readApart(&plan, prompt); !ok {
+			if handle, ok = c.readApart(&plan, prompt); !ok {
 				c.excluded[plan.Read.ID] = true
 				if !c.mayResend() {
 					c.endUnfinished("prompt_not_read", &p)
@@ -55,8 +55,13 @@
 				continue
 			}
 			plan.Tokens, plan.Fetch = 0, ""
+			if plan.Run, err = c.server.fleet.Runner(prompt, time.Now()); err != nil {
+				c.server.free(*plan.Read, handle)
+				c.notPlaced(err, &p)
+				return
+			}
 		}
-		ended, reason := c.run(plan, prompt, source, &p)
+		ended, reason := c.run(plan, prompt, handle, &p)
 		if ended == finished {
 			return
 		}
@@ -132,9 +137,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// readApart has a prefill engine read the prompt. It returns the source from which
-// the generating engine takes the KV cache.
-func (c *call) readApart(plan *placement.Plan, prompt *placement.Prompt) (source string, ok bool) {
+// readApart has a prefill engine read the prompt. It returns the handle of the KV
+// cache that the generating engine takes.
+func (c *call) readApart(plan *placement.Plan, prompt *placement.Prompt) (handle dialect.Handle, ok bool) {
 	start := time.Now()
 	target := *plan.Read
 	outcome := placement.Cut
@@ -153,37 +158,37 @@
 		if errors.As(err, &lost) {
 			c.arrivals++
 		}
-		return "", false
+		return handle, false
 	}
 	c.arrivals++
 	defer answer.Close()
 	body, err := answer.ReadAll(maxHandleBytes)
 	if err != nil {
 		outcome = watch.outcome()
-		return "", false
+		return handle, false
 	}
 	c.server.fleet.Progress(target.ID, time.Now())
 	said := c.server.dialect.Answer(answer.StatusCode, answer.Header)
 	switch {
 	case said.Moved:
 		outcome = placement.Replaced
-		return "", false
+		return handle, false
 	case said.NotRun:
 		outcome = placement.Full
-		return "", false
+		return handle, false
 	}
-	handle, err := c.server.dialect.Handle(body)
+	handle, err = c.server.dialect.Handle(body)
 	if answer.StatusCode != http.StatusOK || err != nil {
 		outcome = placement.Failed
-		return "", false
+		return handle, false
 	}
 	outcome = placement.Answered
 	c.server.fleet.PromptRead(reading, time.Now())
 	if c.ctx.Err() != nil {
 		c.server.free(target, handle)
-		return "", false
+		return handle, false
 	}
-	return c.server.dialect.Source(target.Address, handle), true
+	return handle, true
 }
 
 // freeTimeout bounds the call that frees a handle; its engine frees it anyway.
@@ -208,12 +213,12 @@
 }
 
 // run sends the request to the engine that generates and passes its events on.
-func (c *call) run(plan placement.Plan, prompt *placement.Prompt, source string, p *progress) (result, string) {
+func (c *call) run(plan placement.Plan, prompt *placement.Prompt, handle dialect.Handle, p *progress) (result, string) {
 	start := time.Now()
 	outcome := placement.Cut
-	reader := ""
+	reader, source := "", ""
 	if plan.Read != nil {
-		reader = plan.Read.ID
+		reader, source = plan.Read.ID, c.server.dialect.Source(plan.Read.Address, handle)
 	}
 	reading := c.server.fleet.BeginPrompt(plan.Run.ID, reader, prompt, plan.Tokens, start)
 	step := "run"
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -75,9 +75,9 @@
 // Plan is where a prompt is read and where its answer is generated.
 type Plan struct {
 	Read     *Target // prefill engine that reads the prompt first; nil to read at Run
-	Run      Target
-	Fetch    string // address of an engine from which the reader fetches shared parts; may be empty
-	Tokens   int    // expected to be read
+	Run      Target  // engine that reads and generates, when Read is nil; see Fleet.Runner
+	Fetch    string  // address of an engine from which the reader fetches shared parts; may be empty
+	Tokens   int     // expected to be read
 	Expected time.Duration
 }
 
@@ -165,12 +165,7 @@
 			best = o
 		}
 	}
-	plan := best.plan()
-	if best.in.Stage == instances.Prefill {
-		read := plan.Run
-		plan.Read, plan.Run = &read, f.bestRunner(p, runners, home.run, now).target()
-	}
-	return plan, best.ms + firstTokenTime
+	return best.plan(), best.ms + firstTokenTime
 }
 
 // homes are the engines that keep a subject's shared parts.
@@ -226,7 +221,13 @@
 }
 
 func (o option) plan() Plan {
-	plan := Plan{Run: o.in.target(), Tokens: o.tokens}
+	plan := Plan{Tokens: o.tokens}
+	target := o.in.target()
+	if target.Stage == instances.Prefill {
+		plan.Read = &target
+	} else {
+		plan.Run = target
+	}
 	if o.fetch != nil {
 		plan.Fetch = o.fetch.Address
 	}
@@ -350,6 +351,21 @@
 	return f.settings.PrefillRate * f.settings.DecodeShare
 }
 
+// Runner returns the engine that generates the answer to a prompt that was read
+// elsewhere. It is asked for once the prompt is read: by then the engine that would
+// have been chosen before may leave or be busy.
+func (f *Fleet) Runner(p *Prompt, now time.Time) (Target, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.lists[p.Endpoint]
+	runners, _ := byStage(available(withModel(list, p.Model), p.Excluded, now))
+	if len(runners) == 0 {
+		return Target{}, &NoneError{Endpoint: p.Endpoint, Known: len(list), Excluded: len(p.Excluded)}
+	}
+	home, _ := f.homes(runners, subject(chain(p.Model, p.Parts), p))
+	return f.bestRunner(p, runners, home, now).target(), nil
+}
+
 // bestRunner returns the engine that generates the answer to a prompt read elsewhere:
 // the home of its subject, unless that is much busier than others.
 func (f *Fleet) bestRunner(p *Prompt, runners []*instance, home *instance, now time.Time) *instance {
