Tests of placement, staging, stagekeeper, controlhost; no call begins while a peer server waits

Cause: the race detector in the new test of a control group: a call that the reader of a connection delivered after the connection was closed was counted while the server waited for the calls under way.

Change: a session takes no call once it has ended.

Measured: TestLostDiskUnderTheOldAddressIsANewMember and four others reported the race before, none after.

--- /dev/null
+++ b/internal/controlhost/host_test.go
@@ -0,0 +1,364 @@
+package controlhost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/controlapi"
+	"filberthook/internal/document"
+	"filberthook/internal/instances"
+	"filberthook/internal/tomltime"
+)
+
+// Ports that all hosts of a test use, each at an address of its own.
+const (
+	controlPort = 7480
+	peersPort   = 7481
+	statusPort  = 7482
+)
+
+// group is a control group on loopback.
+type group struct {
+	t     *testing.T
+	net   string // first three numbers of the addresses
+	seeds []string
+	mu    sync.Mutex
+	nodes map[int]*node
+}
+
+type node struct {
+	host *Host
+	stop context.CancelFunc
+	done chan struct{}
+	dir  string
+}
+
+func newGroup(t *testing.T, seeds ...int) *group {
+	g := &group{t: t, net: fmt.Sprintf("127.%d.%d", 60+rand.IntN(190), rand.IntN(250)), nodes: map[int]*node{}}
+	for _, n := range seeds {
+		g.seeds = append(g.seeds, g.address(n, controlPort))
+	}
+	t.Cleanup(func() {
+		for n := range g.nodes {
+			g.stop(n)
+		}
+	})
+	return g
+}
+
+func (g *group) address(n, port int) string { return fmt.Sprintf("%s.%d:%d", g.net, n, port) }
+
+// start starts a host. A first start uses an empty folder and bootstrap.
+func (g *group) start(n int, bootstrap bool) *Host {
+	g.t.Helper()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	dir := ""
+	if before := g.nodes[n]; before != nil {
+		dir = before.dir
+	} else {
+		dir = g.t.TempDir()
+	}
+	s := Settings{
+		Host: fmt.Sprint("c", n), Zone: fmt.Sprint("z", n), DataDir: dir, Seeds: g.seeds, Bootstrap: bootstrap,
+		Heartbeat: tomltime.Of(200 * time.Millisecond),
+		Listen: Listen{
+			Control: g.address(n, controlPort), Peers: g.address(n, peersPort), Status: g.address(n, statusPort),
+		},
+		Tolerate:     Tolerate{Hosts: 1, Zones: 1},
+		ReplaceAfter: tomltime.Of(1500 * time.Millisecond),
+		Stages:       Stages{Lease: tomltime.Of(time.Second)},
+	}
+	handler := func(Service) http.Handler { return http.NotFoundHandler() }
+	h, err := New(s, handler, nil, slog.New(slog.DiscardHandler), metrics.NewSet())
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &node{host: h, stop: cancel, done: make(chan struct{}), dir: dir}
+	g.nodes[n] = started
+	go func() {
+		defer close(started.done)
+		if err := h.Run(ctx); err != nil {
+			g.t.Errorf("host %d: %v", n, err)
+		}
+	}()
+	return h
+}
+
+func (g *group) stop(n int) {
+	g.mu.Lock()
+	stopped := g.nodes[n]
+	g.mu.Unlock()
+	stopped.stop()
+	<-stopped.done
+}
+
+// wipe empties the folder of a host that is stopped.
+func (g *group) wipe(n int) {
+	if err := os.RemoveAll(g.nodes[n].dir); err != nil {
+		g.t.Fatal(err)
+	}
+	if err := os.MkdirAll(g.nodes[n].dir, 0o755); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+func eventually(t *testing.T, within time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", within, what)
+}
+
+// accept puts a version into force at a host, repeating it as operators do.
+func accept(t *testing.T, h *Host, version uint64, body string) {
+	t.Helper()
+	eventually(t, 15*time.Second, fmt.Sprintf("version %d acknowledged", version), func() bool {
+		return h.Replace(context.Background(), document.Document{Version: version, Body: []byte(body)}) == nil
+	})
+}
+
+// reads waits until a host reads a version.
+func reads(t *testing.T, h *Host, version uint64, body string) {
+	t.Helper()
+	eventually(t, 15*time.Second, fmt.Sprintf("version %d read", version), func() bool {
+		d, err := h.Read(context.Background())
+		return err == nil && d.Version == version && string(d.Body) == body
+	})
+}
+
+func (g *group) members(n int) (voters, all int) {
+	status, _ := g.nodes[n].host.member.status()
+	for _, m := range status.Members {
+		all++
+		if !m.Learner {
+			voters++
+		}
+	}
+	return voters, all
+}
+
+func TestOneGroupFormsInAnyOrderOfStarts(t *testing.T) {
+	for _, order := range [][]int{{1, 2, 3, 4}, {4, 3, 2, 1}, {4, 2, 1, 3}} {
+		t.Run(fmt.Sprint(order), func(t *testing.T) {
+			t.Parallel()
+			g := newGroup(t, 1, 2, 3)
+			for _, n := range order {
+				g.start(n, true)
+				time.Sleep(100 * time.Millisecond)
+			}
+			accept(t, g.nodes[4].host, 3, "three")
+			for _, n := range order {
+				reads(t, g.nodes[n].host, 3, "three")
+			}
+			eventually(t, 10*time.Second, "three voters of four members", func() bool {
+				voters, all := g.members(1)
+				return voters == 3 && all == 4
+			})
+			status, _ := g.nodes[1].host.member.status()
+			for _, n := range order {
+				other, _ := g.nodes[n].host.member.status()
+				if other.Leader != status.Leader {
+					t.Errorf("host %d follows %d, host 1 follows %d: two groups", n, other.Leader, status.Leader)
+				}
+			}
+		})
+	}
+}
+
+func TestNoGroupFormsWhileASeedHasNeverBeenUp(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1, 2, 3)
+	g.start(1, true)
+	g.start(2, true)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var unavailable *UnavailableError
+	if err := g.nodes[1].host.Replace(ctx, document.Document{Version: 1}); !errors.As(err, &unavailable) {
+		t.Fatalf("got %v from two of three founders, want no quorum", err)
+	}
+	g.start(3, true)
+	accept(t, g.nodes[2].host, 1, "one")
+}
+
+func TestConfigurationOfLowerOrEqualVersionChangesNothing(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1)
+	h := g.start(1, true)
+	if _, err := h.Read(context.Background()); err == nil {
+		t.Error("a configuration was read before any was accepted")
+	}
+	accept(t, h, 5, "five")
+	accept(t, h, 4, "four")
+	accept(t, h, 5, "other content")
+	accept(t, h, 5, "five") // a resend
+	reads(t, h, 5, "five")
+}
+
+func TestLostDiskUnderTheOldAddressIsANewMember(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1, 2, 3)
+	for n := 1; n <= 4; n++ {
+		g.start(n, true)
+	}
+	accept(t, g.nodes[1].host, 1, "one")
+	before, _ := g.nodes[2].host.member.status()
+	g.stop(2)
+	g.wipe(2)
+	accept(t, g.nodes[1].host, 2, "two")
+	g.start(2, false)
+	reads(t, g.nodes[2].host, 2, "two")
+	after, _ := g.nodes[2].host.member.status()
+	if after.ID == before.ID {
+		t.Errorf("the host without its disk kept its id %d: its vote counts for a log that it lost", before.ID)
+	}
+	eventually(t, 10*time.Second, "three voters of four members", func() bool {
+		voters, all := g.members(1)
+		return voters == 3 && all == 4
+	})
+	accept(t, g.nodes[2].host, 3, "three")
+}
+
+func TestRemovedHostJoinsAgainUnderANewId(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1, 2, 3)
+	for n := 1; n <= 4; n++ {
+		g.start(n, true)
+	}
+	accept(t, g.nodes[4].host, 1, "one")
+	g.stop(3)
+	eventually(t, 15*time.Second, "the lost voter is replaced", func() bool {
+		for _, n := range []int{1, 2} {
+			if voters, all := g.members(n); voters == 3 && all == 3 {
+				return true
+			}
+		}
+		return false
+	})
+	// Bootstrap is still set, as when a process restarts soon after the first start.
+	g.start(3, true)
+	accept(t, g.nodes[1].host, 2, "two")
+	reads(t, g.nodes[3].host, 2, "two")
+	eventually(t, 10*time.Second, "four members", func() bool { _, all := g.members(1); return all == 4 })
+}
+
+func TestAllHostsStoppedAtOnceLoseNothing(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1, 2, 3)
+	for n := 1; n <= 3; n++ {
+		g.start(n, true)
+	}
+	accept(t, g.nodes[1].host, 9, "nine")
+	for n := 1; n <= 3; n++ {
+		g.stop(n)
+	}
+	for n := 1; n <= 3; n++ {
+		g.start(n, false)
+	}
+	for n := 1; n <= 3; n++ {
+		reads(t, g.nodes[n].host, 9, "nine")
+	}
+}
+
+func TestMinorityReadsAndAcknowledgesNothing(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1, 2, 3)
+	for n := 1; n <= 3; n++ {
+		g.start(n, true)
+	}
+	accept(t, g.nodes[1].host, 1, "one")
+	g.stop(2)
+	g.stop(3)
+	if d, err := g.nodes[1].host.Read(context.Background()); err == nil {
+		t.Errorf("a minority read version %d", d.Version)
+	}
+	if err := g.nodes[1].host.Replace(context.Background(), document.Document{Version: 2}); err == nil {
+		t.Error("a minority acknowledged a change")
+	}
+}
+
+func TestInstanceThatLeavesIsAcknowledgedOnceWatchersKnow(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1)
+	h := g.start(1, true)
+	in := instances.Instance{ID: "i", Born: 1, Sequence: 1, Endpoint: "e", Address: "127.0.0.1:1", Slots: 1}
+	if err := h.Announce(context.Background(), in); err != nil {
+		t.Fatal(err)
+	}
+	first := h.watch(context.Background(), "entry", controlapi.WatchRequest{})
+	if len(first.Changes) != 1 || first.Hosts != 1 {
+		t.Fatalf("first answer %+v", first)
+	}
+	acknowledged := make(chan time.Time, 1)
+	in.Sequence, in.State = 2, instances.Draining
+	go func() {
+		_ = h.Announce(context.Background(), in)
+		acknowledged <- time.Now()
+	}()
+	second := h.watch(context.Background(), "entry", controlapi.WatchRequest{Epoch: first.Epoch, Position: first.Position, WaitMS: 2000})
+	if len(second.Changes) != 1 || second.Changes[0].State != instances.Draining {
+		t.Fatalf("second answer %+v", second)
+	}
+	time.Sleep(50 * time.Millisecond)
+	select {
+	case <-acknowledged:
+		t.Fatal("acknowledged before the entry host had the news")
+	default:
+	}
+	asked := time.Now()
+	go h.watch(context.Background(), "entry", controlapi.WatchRequest{Epoch: second.Epoch, Position: second.Position, WaitMS: 100})
+	select {
+	case at := <-acknowledged:
+		if at.Sub(asked) > 200*time.Millisecond {
+			t.Errorf("acknowledged %v after the entry host had the news", at.Sub(asked))
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("not acknowledged")
+	}
+}
+
+func TestLostWatcherDelaysAnAcknowledgementForALimitedTime(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1)
+	h := g.start(1, true)
+	h.watch(context.Background(), "entry", controlapi.WatchRequest{})
+	begin := time.Now()
+	if err := h.Leave(context.Background(), "i", 1); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(begin); took > deliveryTimeout+300*time.Millisecond {
+		t.Errorf("acknowledged after %v; instances wait one second", took)
+	}
+}
+
+func TestLoadsOfOtherHostsAreSummed(t *testing.T) {
+	l := loads{hosts: map[string]hostLoad{}, epoch: "1"}
+	now := time.Unix(1_800_000_000, 0)
+	report := func(tokens ...int64) controlapi.LoadReport {
+		return controlapi.LoadReport{Tokens: map[string][]int64{"e": tokens}}
+	}
+	l.exchange("a", report(1, 2), now)
+	l.exchange("b", report(10), now)
+	got := l.exchange("c", report(100, 100, 100), now).Tokens["e"]
+	if len(got) != 2 || got[0] != 11 || got[1] != 2 {
+		t.Errorf("sum %v, want [11 2]", got)
+	}
+	got = l.exchange("c", report(), now.Add(2*loadKept)).Tokens["e"]
+	if len(got) != 0 {
+		t.Errorf("load %v of hosts that report no more", got)
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -110,7 +110,7 @@
 	}
 	rpc.Close()
 	cancel()
-	sess.calls.Wait()
+	sess.end()
 }
 
 // secure completes TLS, or checks that plaintext is allowed. It returns what
@@ -144,6 +144,7 @@
 	cert  Identity // of the client's certificate; not verified without TLS
 	slots chan struct{}
 	calls sync.WaitGroup
+	ended bool // guarded by mu; no call begins any more
 
 	mu   sync.Mutex
 	from *Identity // guarded by mu; nil until the handshake
@@ -190,10 +191,35 @@
 		})
 		return
 	}
-	s.calls.Go(func() {
+	if !s.begin() {
+		<-s.slots
+		return // the connection is closed, nobody waits for a reply
+	}
+	go func() {
+		defer s.calls.Done()
 		defer func() { <-s.slots }()
 		s.reply(ctx, conn, req, serve)
-	})
+	}()
+}
+
+// begin counts a call, unless the session has ended: the reader may still deliver one
+// that it read before the connection was closed.
+func (s *session) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return false
+	}
+	s.calls.Add(1)
+	return true
+}
+
+// end takes no more calls and waits for those under way.
+func (s *session) end() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	s.calls.Wait()
 }
 
 func (s *session) hello(params json.RawMessage) (any, error) {
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,301 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"filberthook/internal/dialect"
+	"filberthook/internal/instances"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// fleetOf returns a Fleet with prefill engines p0.. and decode engines d0.. .
+func fleetOf(prefill, decode int) *Fleet {
+	f := New(DefaultSettings(), rand.New(rand.NewPCG(1, 2)).Float64)
+	var list []instances.Instance
+	add := func(name string, n int, stage instances.Stage) {
+		for i := range n {
+			list = append(list, instances.Instance{
+				ID: fmt.Sprint(name, i), Born: 1, Endpoint: "lm", Address: fmt.Sprint(name, i), Zone: fmt.Sprint("z", i%4),
+				Slots: 64, Stage: stage, Models: []instances.Model{{Name: "m"}},
+			})
+		}
+	}
+	add("p", prefill, instances.Prefill)
+	add("d", decode, instances.Decode)
+	f.Update(&instances.Snapshot{Number: 1, ByEndpoint: map[string][]instances.Instance{"lm": list}})
+	return f
+}
+
+// about returns a prompt on a subject.
+func about(subject string, shared, own int) *Prompt {
+	return &Prompt{
+		Endpoint: "lm", Model: "m", Tokens: shared + own, Goal: 600 * time.Millisecond, Left: 2400 * time.Millisecond,
+		Parts: []dialect.Part{{ID: subject, Tokens: shared}, {ID: "own", Tokens: own}},
+	}
+}
+
+func mustPlace(t *testing.T, f *Fleet, p *Prompt, now time.Time) Plan {
+	t.Helper()
+	plan, err := f.Place(p, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return plan
+}
+
+func reader(plan Plan) string {
+	if plan.Read != nil {
+		return plan.Read.ID
+	}
+	return plan.Run.ID
+}
+
+func TestSubjectKeepsItsHomeOnEveryHost(t *testing.T) {
+	one, two := fleetOf(10, 4), fleetOf(10, 4)
+	used := map[string]bool{}
+	for i := range 60 {
+		p := about(fmt.Sprint("subject", i), 13000, 3000)
+		a, b := reader(mustPlace(t, one, p, start)), reader(mustPlace(t, two, p, start))
+		if a != b {
+			t.Errorf("subject %d is read at %s by one host and at %s by another", i, a, b)
+		}
+		used[a] = true
+	}
+	if len(used) < 8 {
+		t.Errorf("60 subjects have their homes at %d of 10 engines", len(used))
+	}
+}
+
+func TestLongPromptsAreNotReadByGeneratingEngines(t *testing.T) {
+	f := fleetOf(3, 4)
+	for i := range 200 {
+		p := about(fmt.Sprint("subject", i%20), 13000, 3000)
+		plan, err := f.Place(p, after(i))
+		if errors.As(err, new(*HopelessError)) {
+			continue // refused rather than read by a generating engine
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if plan.Read == nil {
+			t.Fatalf("prompt %d of %d tokens is read by a generating engine", i, p.Tokens)
+		}
+		f.BeginPrompt(plan.Read.ID, "", p, plan.Tokens, after(i))
+	}
+	if plan := mustPlace(t, fleetOf(0, 3), about("s", 13000, 3000), start); plan.Read != nil || plan.Run.ID == "" {
+		t.Errorf("without engines that only read: %+v", plan)
+	}
+}
+
+func TestBusyHomeIsLeftForTheSecondOneWhichFetches(t *testing.T) {
+	f := fleetOf(10, 4)
+	p := about("s", 13000, 3000)
+	home := mustPlace(t, f, p, start)
+	r := f.BeginPrompt(home.Read.ID, "", p, home.Tokens, start)
+	f.PromptRead(r, after(300))
+	f.EndPrompt(r, Answered, after(300))
+	again := mustPlace(t, f, p, after(400))
+	if reader(again) != reader(home) || again.Tokens != 3000 {
+		t.Fatalf("the parts that the home holds are read again: %d tokens at %s", again.Tokens, reader(again))
+	}
+	f.SetOthers(map[string]Backlog{home.Read.ID: {0: 100_000}}, after(400))
+	away := mustPlace(t, f, p, after(400))
+	if reader(away) == reader(home) {
+		t.Fatal("a prompt waits behind 100,000 tokens of other hosts")
+	}
+	if away.Fetch != home.Read.Address || away.Tokens != 3000 {
+		t.Errorf("read %d tokens with source %q, want the shared parts fetched from the home", away.Tokens, away.Fetch)
+	}
+}
+
+func TestUrgentPromptsWaitForUrgentOnesOnly(t *testing.T) {
+	f := fleetOf(1, 1)
+	f.SetOthers(map[string]Backlog{"p0": {2: 80_000}, "d0": {2: 80_000}}, start)
+	urgent, patient := about("s", 0, 3000), about("s", 0, 3000)
+	patient.Priority = 2
+	if a, b := mustPlace(t, f, urgent, start).Expected, mustPlace(t, f, patient, start).Expected; a*4 > b {
+		t.Errorf("expected %v for the urgent prompt, %v for the other", a, b)
+	}
+}
+
+func TestHopelessPromptsAreRefusedWithATimeToReturn(t *testing.T) {
+	f := fleetOf(1, 1)
+	p := about("s", 0, 3000)
+	if _, err := f.Place(p, start); err != nil {
+		t.Fatalf("refused with an idle engine: %v", err)
+	}
+	f.SetOthers(map[string]Backlog{"p0": {0: 500_000}, "d0": {0: 500_000}}, start)
+	_, err := f.Place(p, start)
+	var hopeless *HopelessError
+	if !errors.As(err, &hopeless) || hopeless.RetryAfter() <= 0 {
+		t.Fatalf("got %v, want a HopelessError with a time to return", err)
+	}
+	// Once that time has passed the work before it is done in time.
+	left := 500_000 - hopeless.RetryAfter().Seconds()*1000*f.settings.PrefillRate
+	f.SetOthers(map[string]Backlog{"p0": {0: left}, "d0": {0: left}}, after(5000))
+	if _, err := f.Place(p, after(5000)); err != nil {
+		t.Errorf("refused again at the time it was told to return: %v", err)
+	}
+}
+
+func TestNoEngineIsNoHopelessness(t *testing.T) {
+	f := fleetOf(2, 0)
+	_, err := f.Place(about("s", 0, 10), start)
+	var none *NoneError
+	if !errors.As(err, &none) || none.Known != 2 {
+		t.Errorf("got %v, want a NoneError of 2 engines", err)
+	}
+}
+
+func TestRunnerIsChosenAmongThoseThatAreStillThere(t *testing.T) {
+	f := fleetOf(2, 2)
+	p := about("s", 13000, 3000)
+	first, err := f.Runner(p, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []instances.Instance
+	for _, in := range f.lists["lm"] {
+		if in.ID != first.ID {
+			list = append(list, in.Instance)
+		}
+	}
+	f.Update(&instances.Snapshot{Number: 2, ByEndpoint: map[string][]instances.Instance{"lm": list}})
+	if second, err := f.Runner(p, start); err != nil || second.ID == first.ID {
+		t.Errorf("runner %s, %v after it left", second.ID, err)
+	}
+}
+
+func TestInstancesThatFailAreTriedAgainLater(t *testing.T) {
+	f := fleetOf(0, 2)
+	p := about("s", 0, 100)
+	home := mustPlace(t, f, p, start).Run.ID
+	r := f.BeginPrompt(home, "", p, 100, start)
+	f.EndPrompt(r, NoContact, start)
+	used := func(ms int) bool {
+		for range 50 {
+			if mustPlace(t, f, p, after(ms)).Run.ID == home {
+				return true
+			}
+		}
+		return false
+	}
+	if used(100) {
+		t.Error("an engine without contact is used again at once")
+	}
+	if !used(60_000) {
+		t.Error("an engine without contact is not used again a minute later")
+	}
+}
+
+func TestOnlyEjectedInstancesAreBetterThanNone(t *testing.T) {
+	f := fleetOf(0, 1)
+	p := about("s", 0, 100)
+	r := f.BeginPrompt("d0", "", p, 100, start)
+	f.EndPrompt(r, NoContact, start)
+	if got := mustPlace(t, f, p, after(1)).Run.ID; got != "d0" {
+		t.Errorf("placed at %q", got)
+	}
+}
+
+func services(n int) *Fleet {
+	f := New(DefaultSettings(), rand.New(rand.NewPCG(3, 4)).Float64)
+	var list []instances.Instance
+	for i := range n {
+		list = append(list, instances.Instance{ID: fmt.Sprint("s", i), Born: 1, Endpoint: "b", Zone: fmt.Sprint("z", i), Slots: 6})
+	}
+	f.Update(&instances.Snapshot{Number: 1, ByEndpoint: map[string][]instances.Instance{"b": list}})
+	return f
+}
+
+// A plain service of four instances of which one fails 40% of its calls, or takes
+// eight times as long, while it announces itself as ready.
+func TestFailingAndSlowInstancesGetFewCalls(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(random *rand.Rand) (Outcome, time.Duration)
+	}{
+		{"fails", func(r *rand.Rand) (Outcome, time.Duration) {
+			if r.Float64() < 0.4 {
+				return Failed, 5 * time.Millisecond
+			}
+			return Answered, 30 * time.Millisecond
+		}},
+		{"slow", func(*rand.Rand) (Outcome, time.Duration) { return Answered, 240 * time.Millisecond }},
+	}
+	for _, tt := range tests {
+		f := services(4)
+		random := rand.New(rand.NewPCG(5, 6))
+		bad := 0
+		const calls = 2000
+		for i := range calls {
+			now := after(i * 25)
+			target, err := f.Service("b", fmt.Sprint("z", i%4), nil, now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.Begin(target.ID)
+			if target.ID == "s0" {
+				bad++
+				o, took := tt.end(random)
+				f.End(target.ID, o, took, now.Add(took))
+			} else {
+				f.End(target.ID, Answered, 30*time.Millisecond, now.Add(30*time.Millisecond))
+			}
+		}
+		if bad > calls/8 {
+			t.Errorf("%s: the bad instance got %d of %d calls, want less than half of its share", tt.name, bad, calls)
+		}
+	}
+}
+
+func TestCallsStayInTheirZoneWhileItIsAboutAsFast(t *testing.T) {
+	f := services(4)
+	home := 0
+	for i := range 200 {
+		now := after(i * 50)
+		target, err := f.Service("b", "z2", nil, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if target.ID == "s2" {
+			home++
+		}
+		f.Begin(target.ID)
+		f.End(target.ID, Answered, 30*time.Millisecond, now)
+	}
+	if home < 180 {
+		t.Errorf("%d of 200 calls stayed in their zone", home)
+	}
+}
+
+func TestNewsTellWhatEnginesHold(t *testing.T) {
+	a, b := fleetOf(6, 2), fleetOf(6, 2)
+	p := about("s", 13000, 3000)
+	a.BeginPrompt("p3", "", p, 16000, start)
+	news := a.News()
+	if len(news) != 1 || news[0].Instance != "p3" || len(news[0].Keys) != 1 {
+		t.Fatalf("news %+v", news)
+	}
+	b.SetHeld(news, start)
+	if got := b.known["p3"].unread(p, chain(p.Model, p.Parts), after(100)); got != 3000 {
+		t.Errorf("another host expects %d tokens to be read, want 3000", got)
+	}
+	if again := a.News(); len(again) != 0 {
+		t.Errorf("news told twice: %v", again)
+	}
+	a.Untold(news)
+	if again := a.News(); len(again) != 1 {
+		t.Error("news that could not be told are lost")
+	}
+	if got := b.known["p3"].unread(p, chain(p.Model, p.Parts), after(60_000)); got != 16000 {
+		t.Errorf("a minute later %d tokens are expected to be read, want all", got)
+	}
+}
--- /dev/null
+++ b/internal/stagekeeper/keeper_test.go
@@ -0,0 +1,170 @@
+package stagekeeper
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/instances"
+	"filberthook/internal/staging"
+)
+
+// fakeGroup is the leadership of several hosts in one test.
+type fakeGroup struct {
+	mu     sync.Mutex
+	term   uint64
+	leads  bool
+	quorum bool
+}
+
+func (g *fakeGroup) set(term uint64, leads, quorum bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.term, g.leads, g.quorum = term, leads, quorum
+}
+
+func (g *fakeGroup) Leads() (uint64, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.term, g.leads
+}
+
+func (g *fakeGroup) Confirm(context.Context) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.quorum {
+		return errors.New("no quorum")
+	}
+	return nil
+}
+
+// fakeEngines records orders.
+type fakeEngines struct {
+	mu     sync.Mutex
+	orders []Order
+	times  []time.Time
+	err    error
+}
+
+func (e *fakeEngines) SetStage(_ context.Context, o Order) (bool, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+	e.times = append(e.times, time.Now())
+	return e.err == nil, e.err
+}
+
+func (e *fakeEngines) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.orders)
+}
+
+type noLoad struct{}
+
+func (noLoad) Demand() (map[string]staging.Demand, bool) { return nil, false }
+
+func keeper(host string, g Group, e Engines, lease time.Duration) *Keeper {
+	list := []instances.Instance{
+		{ID: "a", Stage: instances.Decode, Zone: "1"}, {ID: "b", Stage: instances.Decode, Zone: "1"},
+		{ID: "c", Stage: instances.Decode, Zone: "1"}, {ID: "d", Stage: instances.Decode, Zone: "1"},
+	}
+	return &Keeper{
+		Host: host, Lease: lease, Settings: staging.DefaultSettings(),
+		Expected: staging.Demand{PromptTokens: 50_000, OutputTokens: 100},
+		Group:    g, Engines: e, Load: noLoad{},
+		Instance: func() *instances.Snapshot {
+			return &instances.Snapshot{ByEndpoint: map[string][]instances.Instance{"lm": list}}
+		},
+		Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+	}
+}
+
+// run starts a keeper until the test ends.
+func run(t *testing.T, k *Keeper) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); k.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func eventually(t *testing.T, within time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", within, what)
+}
+
+func TestNewLeaderWaitsForTheOrdersOfTheOneBefore(t *testing.T) {
+	const lease = 500 * time.Millisecond
+	g, e := &fakeGroup{}, &fakeEngines{}
+	begin := time.Now()
+	g.set(7, true, true)
+	run(t, keeper("h", g, e, lease))
+	eventually(t, 5*time.Second, "an order", func() bool { return e.count() > 0 })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if waited := e.times[0].Sub(begin); waited < lease+takeoverMargin {
+		t.Errorf("first order %v after the start of leadership, want at least %v", waited, lease+takeoverMargin)
+	}
+	for _, o := range e.orders {
+		if o.Fence != 7 || o.Holder != "h" {
+			t.Errorf("order with fencing number %d of %q, want the term 7 of h", o.Fence, o.Holder)
+		}
+	}
+}
+
+func TestNoOrderWithoutAQuorum(t *testing.T) {
+	g, e := &fakeGroup{}, &fakeEngines{}
+	g.set(7, true, false)
+	run(t, keeper("h", g, e, 10*time.Millisecond))
+	time.Sleep(takeoverMargin + 1500*time.Millisecond)
+	if n := e.count(); n != 0 {
+		t.Errorf("%d orders from a leader that reaches no quorum", n)
+	}
+	g.set(7, true, true)
+	eventually(t, 3*time.Second, "an order once there is a quorum", func() bool { return e.count() > 0 })
+}
+
+func TestLeaderOfALaterTermWaitsAgain(t *testing.T) {
+	g, e := &fakeGroup{}, &fakeEngines{}
+	g.set(7, false, true)
+	run(t, keeper("h", g, e, 10*time.Millisecond))
+	time.Sleep(300 * time.Millisecond)
+	if e.count() != 0 {
+		t.Fatal("a follower gave an order")
+	}
+	began := time.Now()
+	g.set(9, true, true)
+	eventually(t, 5*time.Second, "an order", func() bool { return e.count() > 0 })
+	if waited := time.Since(began); waited < takeoverMargin {
+		t.Errorf("first order after %v", waited)
+	}
+}
+
+// An order without an answer may be carried out seconds later: it is not repeated
+// and no other follows to the same engine meanwhile.
+func TestUnansweredOrderIsNotRepeated(t *testing.T) {
+	g, e := &fakeGroup{}, &fakeEngines{err: errors.New("no answer")}
+	g.set(7, true, true)
+	run(t, keeper("h", g, e, 10*time.Millisecond))
+	eventually(t, 4*time.Second, "orders", func() bool { return e.count() > 0 })
+	time.Sleep(1500 * time.Millisecond)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seen := map[string]int{}
+	for _, o := range e.orders {
+		seen[o.Engine.ID]++
+		if seen[o.Engine.ID] > 1 {
+			t.Errorf("engine %s got %d orders", o.Engine.ID, seen[o.Engine.ID])
+		}
+	}
+}
--- /dev/null
+++ b/internal/staging/staging_test.go
@@ -0,0 +1,125 @@
+package staging
+
+import (
+	"fmt"
+	"testing"
+
+	"filberthook/internal/instances"
+)
+
+func engines(prefill, decode, zones int) []instances.Instance {
+	var out []instances.Instance
+	for i := range prefill + decode {
+		stage := instances.Prefill
+		if i >= prefill {
+			stage = instances.Decode
+		}
+		out = append(out, instances.Instance{ID: fmt.Sprintf("e%02d", i), Zone: fmt.Sprint("z", i%zones), Stage: stage})
+	}
+	return out
+}
+
+func apply(list []instances.Instance, changes []Change) []instances.Instance {
+	out := append([]instances.Instance{}, list...)
+	for _, c := range changes {
+		for i := range out {
+			if out[i].ID == c.Engine.ID {
+				out[i].Stage = c.To
+			}
+		}
+	}
+	return out
+}
+
+func count(list []instances.Instance, stage instances.Stage) (n int, zones map[string]int) {
+	zones = map[string]int{}
+	for _, e := range list {
+		if e.Stage == stage {
+			n++
+			zones[e.Zone]++
+		}
+	}
+	return n, zones
+}
+
+func TestBeforeTrafficStagesFollowTheExpectedMix(t *testing.T) {
+	s := DefaultSettings()
+	list := engines(7, 11, 4)
+	d := Demand{PromptTokens: 234_000, OutputTokens: 15_500}
+	list = apply(list, s.Next(list, nil, d, false))
+	n, zones := count(list, instances.Decode)
+	if n != s.Wanted(18, 4, d) || n < 5 || n > 7 {
+		t.Errorf("%d engines generate, wanted %d", n, s.Wanted(18, 4, d))
+	}
+	if len(zones) != 4 {
+		t.Errorf("generating engines in zones %v, want all four", zones)
+	}
+	if more := s.Next(list, nil, d, false); len(more) != 0 {
+		t.Errorf("further changes %v", more)
+	}
+}
+
+// A mix that turns around every few seconds must not move engines: a change takes
+// longer than the turn lasts.
+func TestTurnsOfTheMixMoveNothing(t *testing.T) {
+	s := DefaultSettings()
+	list := engines(12, 6, 4)
+	for _, d := range []Demand{
+		{PromptTokens: 236_000, OutputTokens: 13_800},
+		{PromptTokens: 330_000, OutputTokens: 10_500},
+		{PromptTokens: 170_000, OutputTokens: 17_500},
+	} {
+		if changes := s.Next(list, nil, d, true); len(changes) != 0 {
+			t.Errorf("demand %+v moves %d engines", d, len(changes))
+		}
+	}
+}
+
+func TestLastingShiftsMoveEngines(t *testing.T) {
+	s := DefaultSettings()
+	tests := []struct {
+		name string
+		list []instances.Instance
+		d    Demand
+		to   instances.Stage
+	}{
+		{"many answers, few generate", engines(15, 3, 4), Demand{100_000, 40_000}, instances.Decode},
+		{"few answers, many generate", engines(3, 15, 4), Demand{300_000, 3_000}, instances.Prefill},
+		{"none generates", engines(6, 0, 2), Demand{50_000, 5_000}, instances.Decode},
+	}
+	for _, tt := range tests {
+		changes := s.Next(tt.list, nil, tt.d, true)
+		if len(changes) == 0 {
+			t.Errorf("%s: no change", tt.name)
+		}
+		for _, c := range changes {
+			if c.To != tt.to {
+				t.Errorf("%s: engine moves to %v", tt.name, c.To)
+			}
+		}
+		if most := int(s.MaxChanging * float64(len(tt.list))); len(changes) > most {
+			t.Errorf("%s: %d engines at once, at most %d under load", tt.name, len(changes), most)
+		}
+		busy := map[string]instances.Stage{}
+		for _, c := range changes {
+			busy[c.Engine.ID] = c.To
+		}
+		if more := s.Next(tt.list, busy, tt.d, true); len(more) > 0 && len(changes) == int(s.MaxChanging*float64(len(tt.list))) {
+			t.Errorf("%s: %d more while as many as allowed are changing", tt.name, len(more))
+		}
+	}
+}
+
+func TestOneEngineServesBoth(t *testing.T) {
+	s := DefaultSettings()
+	for n := 1; n <= 40; n++ {
+		for zones := 1; zones <= min(n, 5); zones++ {
+			for _, d := range []Demand{{}, {1e6, 0}, {0, 1e6}, {1e6, 1e6}} {
+				got := s.Wanted(n, zones, d)
+				if got < 1 || got > n || n > 1 && got == n {
+					t.Fatalf("%d of %d engines generate for %+v", got, n, d)
+				}
+			}
+		}
+	}
+}
