Rates of engines are learned and shared; fewer generating engines

Change: the highest of the last eight observations is an engine's rate, told with the news; headroom 2, changes below 1.2 and above 4.

--- a/internal/placement/held.go
+++ b/internal/placement/held.go
@@ -11,11 +11,13 @@
 	maxNews = 4096
 )
 
-// Held tells that an engine was sent prompts with shared parts, so it holds them now
-// or soon. Keys stand for the parts up to each of them.
+// Held tells what a host learned of an engine. It was sent prompts with shared parts,
+// so it holds them now or soon; keys stand for the parts up to each of them.
 type Held struct {
 	Instance string   `json:"instance"`
-	Keys     []uint64 `json:"keys"`
+	Keys     []uint64 `json:"keys,omitempty"`
+	// Rate is at which it was seen to read, in tokens in a millisecond; 0 when it was not.
+	Rate float64 `json:"rate,omitempty"`
 }
 
 // hold notes that an engine is sent parts. The caller holds f.mu.
@@ -23,7 +25,7 @@
 	for _, key := range keys {
 		before, ok := in.held[key]
 		if !ok || now.Sub(before) > newsAfter {
-			f.news[in.ID] = append(f.news[in.ID], key)
+			f.newsOf(in.ID).Keys = append(f.newsOf(in.ID).Keys, key)
 			f.newsCount++
 			in.note(key, now)
 		}
@@ -34,6 +36,16 @@
 	}
 }
 
+// newsOf returns the news of an instance that wait to be told. The caller holds f.mu.
+func (f *Fleet) newsOf(id string) *Held {
+	h := f.news[id]
+	if h == nil {
+		h = &Held{Instance: id}
+		f.news[id] = h
+	}
+	return h
+}
+
 func (in *instance) note(key uint64, now time.Time) {
 	if len(in.held) >= maxHeld {
 		clear(in.held)
@@ -46,8 +58,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]Held, 0, len(f.news))
-	for id, keys := range f.news {
-		out = append(out, Held{Instance: id, Keys: keys})
+	for _, h := range f.news {
+		out = append(out, *h)
 	}
 	clear(f.news)
 	f.newsCount = 0
@@ -59,7 +71,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, n := range news {
-		f.news[n.Instance] = append(f.news[n.Instance], n.Keys...)
+		h := f.newsOf(n.Instance)
+		h.Keys = append(h.Keys, n.Keys...)
 		f.newsCount += len(n.Keys)
 	}
 }
@@ -73,6 +86,9 @@
 			for _, key := range n.Keys {
 				in.note(key, now)
 			}
+			if n.Rate > 0 {
+				in.rates.add(n.Rate)
+			}
 		}
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -40,6 +40,7 @@
 	wait        average              // time beyond the expected one until prompts were read
 	latency     average              // time to the answer of a plain service
 	failures    average              // part of the requests that failed, 0 to 1
+	rates       rates                // at which it was seen to read
 	transfer    average              // time beyond the expected one that KV cache read here took to arrive
 	progress    time.Time            // of the last byte that came from it
 	ejected     time.Time            // gets no request before
@@ -59,13 +60,13 @@
 
 	meters map[string]*meter // by endpoint
 
-	news      map[string][]uint64 // parts newly held, by instance
+	news      map[string]*Held // by instance, not told yet
 	newsCount int
 }
 
 // New returns an empty Fleet; draw returns random numbers from [0, 1).
 func New(s Settings, draw func() float64) *Fleet {
-	return &Fleet{settings: s, known: map[string]*instance{}, lists: map[string][]*instance{}, draw: draw, meters: map[string]*meter{}, news: map[string][]uint64{}}
+	return &Fleet{settings: s, known: map[string]*instance{}, lists: map[string][]*instance{}, draw: draw, meters: map[string]*meter{}, news: map[string]*Held{}}
 }
 
 // Update takes a new list of instances. What was learned of an instance is kept
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -343,14 +343,6 @@
 	return max(tokens/f.rate(in), in.wait.decayed(now, waitHalfLife))
 }
 
-// rate returns the prompt tokens that an engine reads in a millisecond.
-func (f *Fleet) rate(in *instance) float64 {
-	if in.Stage == instances.Prefill {
-		return f.settings.PrefillRate
-	}
-	return f.settings.PrefillRate * f.settings.DecodeShare
-}
-
 // Runner returns the engine that generates the answer to a prompt that was read
 // elsewhere. It is asked for once the prompt is read: by then the engine that would
 // have been chosen before may leave or be busy.
@@ -418,6 +410,7 @@
 	}
 	f.settle(in, r)
 	took := float64(now.Sub(r.sent)) / float64(time.Millisecond)
+	f.observe(in, r.tokens, took)
 	beyond := max(0, took-r.tokens/f.rate(in)-firstTokenTime)
 	in.wait.add(beyond, now)
 	if reader := f.known[r.source]; reader != nil {
