Estimates are corrected by what prompts took, so hopeless ones are refused at once

Change: the mean of taken over expected times corrects the estimate; a prompt that is expected after its caller leaves is refused with the time to return.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,6 +60,7 @@
 
 	meters map[string]*meter // by endpoint
 
+	estimates estimates
 	news      map[string]*Held // by instance, not told yet
 	newsCount int
 }
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -54,8 +54,6 @@
 	runAwayCost = 0.005 // ms for each shared token
 	// spread keeps hosts with the same view from choosing the same engine.
 	spread = 6.0 // ms
-	// hopelessFactor allows for estimates that are too long.
-	hopelessFactor = 1.3
 )
 
 // Prompt is a generation request to place.
@@ -112,8 +110,8 @@
 	if math.IsInf(expected, 1) {
 		return Plan{}, &NoneError{Endpoint: p.Endpoint, Known: len(list), Excluded: len(p.Excluded)}
 	}
-	plan.Expected = time.Duration(expected * float64(time.Millisecond))
-	if p.Left > 0 && plan.Expected > time.Duration(hopelessFactor*float64(p.Left)) {
+	plan.Expected = time.Duration(expected * f.estimates.bias() * float64(time.Millisecond))
+	if p.Left > 0 && plan.Expected > p.Left {
 		return Plan{}, &HopelessError{Expected: plan.Expected, Left: p.Left}
 	}
 	return plan, nil
@@ -382,6 +380,7 @@
 	tokens   float64
 	priority int
 	keys     []uint64
+	expected float64 // ms until it is read
 	sent     time.Time
 	read     bool
 }
@@ -394,6 +393,7 @@
 	defer f.mu.Unlock()
 	if in := f.known[id]; in != nil {
 		in.outstanding++
+		r.expected = f.waiting(in, r.priority, now) + r.tokens/f.rate(in)
 		in.own.add(r.priority, r.tokens)
 		f.hold(in, r.keys, now)
 	}
@@ -411,6 +411,7 @@
 	f.settle(in, r)
 	took := float64(now.Sub(r.sent)) / float64(time.Millisecond)
 	f.observe(in, r.tokens, took)
+	f.estimates.add(r, took)
 	beyond := max(0, took-r.tokens/f.rate(in)-firstTokenTime)
 	in.wait.add(beyond, now)
 	if reader := f.known[r.source]; reader != nil {
