Refuse prompts whose queue alone takes longer than twice their goal

Change: only the wait before the reading begins counts, so long prompts are treated like short ones.

--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -42,6 +42,11 @@
 	transferHalfLife = 2 * time.Second
 	// othersFor is how long the other hosts' load counts after it was told.
 	othersFor = time.Second
+	// queueGoals is how many goals a prompt may wait before an engine begins to read it.
+	// Beyond, the queue would make all that follow late: it is refused and comes back
+	// when the queue has passed. The prompt's own length does not count, so that long
+	// ones are treated like short ones.
+	queueGoals = 2
 	// easyShare of the goal is expected to be met for sure.
 	easyShare = 0.3
 	// easyWeight and lateWeight weigh expected time within that share and beyond it.
@@ -106,14 +111,18 @@
 		f.asked(p, now)
 	}
 	candidates := available(withModel(list, p.Model), p.Excluded, now)
-	plan, expected := f.best(p, keys, candidates, now)
-	if math.IsInf(expected, 1) {
+	plan, best := f.best(p, keys, candidates, now)
+	if best.in == nil {
 		return Plan{}, &NoneError{Endpoint: p.Endpoint, Known: len(list), Excluded: len(p.Excluded)}
 	}
-	plan.Expected = time.Duration(expected * f.estimates.bias() * float64(time.Millisecond))
+	bias := f.estimates.bias()
+	plan.Expected = time.Duration((best.ms + firstTokenTime) * bias * float64(time.Millisecond))
 	if p.Left > 0 && plan.Expected > p.Left {
 		return Plan{}, &HopelessError{Expected: plan.Expected, Left: p.Left}
 	}
+	if waiting := time.Duration(best.wait * bias * float64(time.Millisecond)); p.Goal > 0 && waiting > queueGoals*p.Goal {
+		return Plan{}, &HopelessError{Expected: waiting, Left: queueGoals * p.Goal}
+	}
 	return plan, nil
 }
 
@@ -136,12 +145,12 @@
 	return false
 }
 
-// best compares the engines that may read a prompt. The result is infinite when there
+// best compares the engines that may read a prompt. The option names none when there
 // is none that generates.
-func (f *Fleet) best(p *Prompt, keys []uint64, candidates []*instance, now time.Time) (Plan, float64) {
+func (f *Fleet) best(p *Prompt, keys []uint64, candidates []*instance, now time.Time) (Plan, option) {
 	runners, readers := byStage(candidates)
 	if len(runners) == 0 {
-		return Plan{}, math.Inf(1)
+		return Plan{}, option{}
 	}
 	if p.Whole {
 		readers, candidates = nil, runners
@@ -163,7 +172,7 @@
 			best = o
 		}
 	}
-	return best.plan(), best.ms + firstTokenTime
+	return best.plan(), best
 }
 
 // homes are the engines that keep a subject's shared parts.
@@ -214,6 +223,7 @@
 	in     *instance
 	fetch  *instance // engine to fetch shared parts from; nil for none
 	tokens int       // to be read
+	wait   float64   // ms until the engine begins to read it
 	ms     float64   // until the prompt is where its answer is generated
 	score  float64   // ms, and what else speaks against it
 }
@@ -247,7 +257,8 @@
 			o.tokens, moved = p.own(), missing
 		}
 	}
-	o.ms = f.waiting(in, p.Priority, now) + float64(o.tokens)/f.rate(in) + float64(moved)*transferTime
+	o.wait = f.waiting(in, p.Priority, now)
+	o.ms = o.wait + float64(o.tokens)/f.rate(in) + float64(moved)*transferTime
 	if in.Stage == instances.Prefill {
 		o.ms += transferOverhead + float64(p.Tokens)*transferTime + in.transfer.decayed(now, transferHalfLife)
 	}
