Paths to zones are judged; homes are taken for warm by a host that has just started

Change: three failed contacts in a row leave a zone out for a second; sent bytes may stay unacknowledged for 0.7 s; in its first 8 s a host takes homes that have served for 30 s for warm. The time to return covers all limits.

Found by tests: an average whose last value lay ahead grew without end; the time to return was too short when two limits applied.

--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -16,7 +16,7 @@
 	// trips of the slowest link, and less than the second after which a lost first
 	// packet is sent again, so that the caller can dial anew.
 	DialTimeout = 500 * time.Millisecond
-	// userTimeout is how long sent bytes may stay unacknowledged.
+	// userTimeout is how long bytes to other hosts of the system may stay unacknowledged.
 	userTimeout = 1500 * time.Millisecond
 	// Idle connections are probed so that a dead one ends within about 3 s.
 	probeIdle     = 2 * time.Second
@@ -24,24 +24,27 @@
 	probeCount    = 3
 )
 
-// Dialer returns a dialer for connections to other hosts.
-func Dialer(timeout time.Duration) *net.Dialer {
+// Dialer returns a dialer for connections to other hosts. Bytes that stay
+// unacknowledged for longer than unacknowledged end a connection.
+func Dialer(timeout, unacknowledged time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-		Control:         control,
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return setUserTimeout(c, unacknowledged)
+		},
 	}
 }
 
 // Dial connects within timeout.
 func Dial(network, address string, timeout time.Duration) (net.Conn, error) {
-	return Dialer(timeout).DialContext(context.Background(), network, address)
+	return Dialer(timeout, userTimeout).DialContext(context.Background(), network, address)
 }
 
-func control(_, _ string, c syscall.RawConn) error {
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var err error
 	controlErr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if controlErr != nil {
 		return controlErr
--- a/internal/placement/average.go
+++ b/internal/placement/average.go
@@ -29,5 +29,5 @@
 	if a.at.IsZero() || a.value == 0 {
 		return 0
 	}
-	return a.value * math.Exp2(-float64(now.Sub(a.at))/float64(halfLife))
+	return a.value * math.Exp2(-float64(max(0, now.Sub(a.at)))/float64(halfLife))
 }
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -60,14 +60,53 @@
 	}
 }
 
+// contacts is what this host knows of its path to an availability zone.
+type contacts struct {
+	failures int       // in a row, of any instance of the zone
+	avoided  time.Time // the zone gets no request before
+}
+
+const (
+	// cutOffFailures is how many failed contacts in a row speak for a cut path to a
+	// zone rather than for single instances that are down.
+	cutOffFailures = 3
+	// zoneAvoidance is how long a zone without contact is left out before the next try.
+	zoneAvoidance = time.Second
+)
+
+// judgeZone takes an outcome as a sign of the path to a zone. The caller holds f.mu.
+func (f *Fleet) judgeZone(zone string, o Outcome, now time.Time) {
+	z := f.zones[zone]
+	if z == nil {
+		z = &contacts{}
+		f.zones[zone] = z
+	}
+	switch o {
+	case Answered, Failed, Full, Replaced:
+		*z = contacts{}
+	case NoContact, Silent:
+		z.failures++
+		if z.failures >= cutOffFailures {
+			z.avoided = now.Add(zoneAvoidance)
+		}
+	case Cut:
+	}
+}
+
+func (f *Fleet) avoids(zone string, now time.Time) bool {
+	z := f.zones[zone]
+	return z != nil && z.avoided.After(now)
+}
+
 // available returns the instances that may get a request: neither excluded nor
-// ejected. When all are ejected, they all may, as one of them must be tried.
-func available(list []*instance, excluded map[string]bool, now time.Time) []*instance {
+// ejected, in zones that are not avoided. When there is none, one of the ejected must
+// be tried.
+func (f *Fleet) available(list []*instance, excluded map[string]bool, now time.Time) []*instance {
 	var out, ejected []*instance
 	for _, in := range list {
 		switch {
 		case excluded[in.ID]:
-		case in.ejected.After(now):
+		case in.ejected.After(now), f.avoids(in.Zone, now):
 			ejected = append(ejected, in)
 		default:
 			out = append(out, in)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,6 +60,8 @@
 
 	meters map[string]*meter // by endpoint
 
+	zones     map[string]*contacts
+	since     time.Time // of the first prompt
 	estimates estimates
 	news      map[string]*Held // by instance, not told yet
 	newsCount int
@@ -67,7 +69,7 @@
 
 // New returns an empty Fleet; draw returns random numbers from [0, 1).
 func New(s Settings, draw func() float64) *Fleet {
-	return &Fleet{settings: s, known: map[string]*instance{}, lists: map[string][]*instance{}, draw: draw, meters: map[string]*meter{}, news: map[string]*Held{}}
+	return &Fleet{settings: s, known: map[string]*instance{}, lists: map[string][]*instance{}, draw: draw, meters: map[string]*meter{}, news: map[string]*Held{}, zones: map[string]*contacts{}}
 }
 
 // Update takes a new list of instances. What was learned of an instance is kept
@@ -126,17 +128,17 @@
 	return fmt.Sprintf("no instance of %q can take the request: %d announced, %d tried already", e.Endpoint, e.Known, e.Excluded)
 }
 
-// HopelessError tells that a request cannot be answered in time.
+// HopelessError tells that a request would wait too long to be answered in time.
 type HopelessError struct {
-	Expected time.Duration // until its answer
-	Left     time.Duration // until it is of no use
+	Wait time.Duration // expected before its work begins
+	Most time.Duration // that it may wait
 }
 
 // Error implements error.
 func (e *HopelessError) Error() string {
-	return fmt.Sprintf("the answer is expected in %v, %v are left: come back after the load has passed", e.Expected, e.Left)
+	return fmt.Sprintf("the request would wait %v and may wait %v: come back after the load has passed", e.Wait, e.Most)
 }
 
 // RetryAfter returns when the work queued before the request has passed so far that
 // it would be in time.
-func (e *HopelessError) RetryAfter() time.Duration { return max(0, e.Expected-e.Left) }
+func (e *HopelessError) RetryAfter() time.Duration { return max(0, e.Wait-e.Most) }
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -22,6 +22,10 @@
 	transferTime = 0.0007 // ms for each token
 	// transferCost weighs the price of moved KV cache against time.
 	transferCost = 0.0018 // ms for each token
+	// learning is how long after its start a host does not know what engines hold, and
+	// served how long an engine must have served to hold its subjects.
+	learning = 8 * time.Second
+	served   = 30 * time.Second
 	// minFetch is how many shared tokens are worth a transfer between engines.
 	minFetch = 1000
 	// maxWhole is the longest prompt that a generating engine reads itself while there
@@ -100,8 +104,8 @@
 	return out
 }
 
-// Place plans a prompt. It returns a *HopelessError when no engine would answer in
-// time, and a *NoneError when there is none.
+// Place plans a prompt. It returns a *HopelessError when no engine would begin to read
+// it in time, and a *NoneError when there is none.
 func (f *Fleet) Place(p *Prompt, now time.Time) (Plan, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -110,22 +114,33 @@
 	if len(p.Excluded) == 0 {
 		f.asked(p, now)
 	}
-	candidates := available(withModel(list, p.Model), p.Excluded, now)
+	candidates := f.available(withModel(list, p.Model), p.Excluded, now)
 	plan, best := f.best(p, keys, candidates, now)
 	if best.in == nil {
 		return Plan{}, &NoneError{Endpoint: p.Endpoint, Known: len(list), Excluded: len(p.Excluded)}
 	}
 	bias := f.estimates.bias()
 	plan.Expected = time.Duration((best.ms + firstTokenTime) * bias * float64(time.Millisecond))
-	if p.Left > 0 && plan.Expected > p.Left {
-		return Plan{}, &HopelessError{Expected: plan.Expected, Left: p.Left}
-	}
-	if waiting := time.Duration(best.wait * bias * float64(time.Millisecond)); p.Goal > 0 && waiting > queueGoals*p.Goal {
-		return Plan{}, &HopelessError{Expected: waiting, Left: queueGoals * p.Goal}
+	wait := time.Duration(best.wait * bias * float64(time.Millisecond))
+	if most, limited := p.longestWait(plan.Expected - wait); limited && wait > most {
+		return Plan{}, &HopelessError{Wait: wait, Most: most}
 	}
 	return plan, nil
 }
 
+// longestWait returns how long a prompt may wait before an engine begins to read it,
+// when it takes so long from then to its first event.
+func (p *Prompt) longestWait(rest time.Duration) (most time.Duration, limited bool) {
+	switch {
+	case p.Left > 0 && p.Goal > 0:
+		return max(0, min(p.Left-rest, queueGoals*p.Goal)), true
+	case p.Left > 0:
+		return max(0, p.Left-rest), true
+	default:
+		return queueGoals * p.Goal, p.Goal > 0
+	}
+}
+
 func withModel(list []*instance, model string) []*instance {
 	out := make([]*instance, 0, len(list))
 	for _, in := range list {
@@ -257,6 +272,9 @@
 			o.tokens, moved = p.own(), missing
 		}
 	}
+	if source == nil && in == home.read && f.assumesHeld(in, now) {
+		o.tokens, missing = min(o.tokens, p.own()), 0
+	}
 	o.wait = f.waiting(in, p.Priority, now)
 	o.ms = o.wait + float64(o.tokens)/f.rate(in) + float64(moved)*transferTime
 	if in.Stage == instances.Prefill {
@@ -278,6 +296,15 @@
 	return o
 }
 
+// assumesHeld reports whether an engine is taken to hold the parts of the subjects that
+// it is home of: it has served for long, and this host has only begun to learn.
+func (f *Fleet) assumesHeld(in *instance, now time.Time) bool {
+	if f.since.IsZero() {
+		f.since = now
+	}
+	return now.Sub(f.since) < learning && now.UnixMilli()-in.Born > served.Milliseconds()
+}
+
 // hurry weighs an expected time: little while it is well within the goal, as estimates
 // are short of what happens, and much beyond.
 func hurry(ms float64, goal time.Duration) float64 {
@@ -359,7 +386,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := f.lists[p.Endpoint]
-	runners, _ := byStage(available(withModel(list, p.Model), p.Excluded, now))
+	runners, _ := byStage(f.available(withModel(list, p.Model), p.Excluded, now))
 	if len(runners) == 0 {
 		return Target{}, &NoneError{Endpoint: p.Endpoint, Known: len(list), Excluded: len(p.Excluded)}
 	}
@@ -449,4 +476,5 @@
 	f.settle(in, r)
 	in.outstanding = max(0, in.outstanding-1)
 	in.judge(o, now)
+	f.judgeZone(in.Zone, o, now)
 }
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -20,7 +20,7 @@
 func (f *Fleet) Service(endpoint, zone string, excluded map[string]bool, now time.Time) (Target, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	candidates := available(f.lists[endpoint], excluded, now)
+	candidates := f.available(f.lists[endpoint], excluded, now)
 	if len(candidates) == 0 {
 		return Target{}, &NoneError{Endpoint: endpoint, Known: len(f.lists[endpoint]), Excluded: len(excluded)}
 	}
@@ -72,4 +72,5 @@
 		in.latency.add(float64(took)/float64(time.Millisecond), now)
 	}
 	in.judge(o, now)
+	f.judgeZone(in.Zone, o, now)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -31,6 +31,10 @@
 // instance can be tried.
 const dialTimeout = 200 * time.Millisecond
 
+// unacknowledged is how long sent bytes may stay without acknowledgement before the
+// instance counts as cut off: some repeated losses of a packet.
+const unacknowledged = 700 * time.Millisecond
+
 // maxIdle bounds the kept connections to one instance.
 const maxIdle = 6
 
@@ -76,7 +80,7 @@
 
 // NewPool returns an empty Pool.
 func NewPool(set *metrics.Set) *Pool {
-	dialer := netopt.Dialer(dialTimeout)
+	dialer := netopt.Dialer(dialTimeout, unacknowledged)
 	return &Pool{
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
