A silent engine is given up only when the request can go on elsewhere

Its engine was given up as silent without knowing whether another could take it or the budget allowed it.

Change: another engine and the budget are asked before the attempt ends.

Measured: TestSilentEngineWithoutAnotherIsWaitedFor fails before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -152,6 +152,7 @@
 	excluded map[string]bool // instances that were tried
 	arrivals int             // requests that reached an instance of the endpoint
 	ran      int             // of them those that may have run
+	reserved atomic.Bool     // the budget was charged for one more before it was sent
 	trail    []attempt
 	outcome  string
 	status   int
@@ -275,8 +276,8 @@
 	if c.ctx.Err() != nil {
 		return false
 	}
-	if c.arrivals == 0 {
-		return true // nothing has reached an instance yet
+	if c.arrivals == 0 || c.reserved.Swap(false) {
+		return true // nothing has reached an instance yet, or it was charged before
 	}
 	return c.server.budgets.Of(c.endpoint).Take(time.Now())
 }
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -58,12 +59,32 @@
 	case s.call.server.fleet.ProgressSince(s.id, s.since):
 		s.timer.Reset(s.patience)
 		s.since = time.Now()
+	case !s.call.canGoOnWithout(s.id):
+		s.timer.Reset(s.patience)
 	default:
 		s.silent = true
 		s.end()
 	}
 }
 
+// canGoOnWithout reports whether the request can be sent to another engine than the
+// one that is silent, and charges the budget for it. Otherwise the silent one is still
+// its best chance.
+func (c *call) canGoOnWithout(id string) bool {
+	excluded := maps.Clone(c.excluded)
+	excluded[id] = true
+	p := c.prompt(true)
+	p.Excluded = excluded
+	if _, err := c.server.fleet.Runner(p, time.Now()); err != nil {
+		return false
+	}
+	if !c.server.budgets.Of(c.endpoint).Take(time.Now()) {
+		return false
+	}
+	c.reserved.Store(true)
+	return true
+}
+
 // progress notes an event of the attempt.
 func (s *silence) progress() {
 	now := time.Now()
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -218,6 +218,19 @@
 	}
 }
 
+func TestSilentEngineWithoutAnotherIsWaitedFor(t *testing.T) {
+	a := engine("a", instances.Decode, func(w http.ResponseWriter, _ *http.Request) {
+		writeEvent(w, 1)
+		time.Sleep(stallPatience + 400*time.Millisecond)
+		writeEvent(w, 2)
+	})
+	h := start(t, route(routes.Stream, resumable), a)
+	_, _, body, err := h.do(t, nil)
+	if got := strings.Join(events(body), " "); err != nil || got != "1 2" {
+		t.Errorf("events %q, %v: the only engine was given up", got, err)
+	}
+}
+
 func TestStreamThatCannotGoOnIsWaitedFor(t *testing.T) {
 	a := engine("a", instances.Decode, func(w http.ResponseWriter, _ *http.Request) {
 		writeEvent(w, 1)
