--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -125,6 +125,9 @@
 	if most, limited := p.longestWait(plan.Expected - wait); limited && wait > most {
 		return Plan{}, &HopelessError{Wait: wait, Most: most}
 	}
+	if alone := time.Duration((best.ms - best.wait) * float64(time.Millisecond)); p.Left > 0 && alone > p.Left {
+		return Plan{}, &HopelessError{Wait: alone, Most: p.Left} // too long even for an idle engine
+	}
 	return plan, nil
 }
 
