--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -95,7 +95,7 @@
 	}
 	route := t.Match(r.Host, r.URL.Path)
 	if route == nil {
-		s.logger.Info("request refused", "id", s.dialect.Decode(r.Header).ID, "host", r.Host, "path", r.URL.Path,
+		s.logger.Info("request refused", "id", s.dialect.Decode(r.Header).ID, "authority", r.Host, "path", r.URL.Path,
 			"config", t.Version, "reason", "no_route", "status", http.StatusNotFound)
 		s.count("none", "no_route")
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
@@ -118,7 +118,7 @@
 
 // refuseEarly refuses a request before its route is known.
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, status int, reason string, after time.Duration) {
-	s.logger.Info("request refused", "id", s.dialect.Decode(r.Header).ID, "host", r.Host, "path", r.URL.Path,
+	s.logger.Info("request refused", "id", s.dialect.Decode(r.Header).ID, "authority", r.Host, "path", r.URL.Path,
 		"reason", reason, "status", status)
 	s.count("none", reason)
 	w.Header().Set("Retry-After", seconds(after))
@@ -158,7 +158,7 @@
 	status   int
 	reason   string
 	detail   string // what the reason was drawn from
-	firstMS  int64 // until the first event or the answer
+	firstMS  int64  // until the first event or the answer
 }
 
 // attempt is one entry of the request's trail in the log.
@@ -359,6 +359,15 @@
 	kind := c.route.Kind.String()
 	c.server.count(kind, c.outcome)
 	c.server.metrics.GetOrCreateHistogram(`filberthook_entry_request_seconds{kind="` + kind + `"}`).Update(took.Seconds())
+	if c.firstMS > 0 {
+		c.server.metrics.GetOrCreateHistogram(`filberthook_entry_first_event_seconds{kind="` + kind + `"}`).Update(float64(c.firstMS) / 1000)
+	}
+	for _, a := range c.trail {
+		c.server.metrics.GetOrCreateCounter(`filberthook_entry_attempts_total{step="` + a.Step + `",outcome="` + a.Outcome + `"}`).Inc()
+	}
+	if c.reason != "" {
+		c.server.metrics.GetOrCreateCounter(`filberthook_entry_refusals_total{reason="` + c.reason + `"}`).Inc()
+	}
 	view := c.server.view.Snapshot()
 	c.server.logger.Info("request", "id", c.meta.ID, "route", c.route.Name, "kind", kind, "endpoint", c.endpoint,
 		"config", c.version, "view", view.Number, "view_age_ms", time.Since(view.At).Milliseconds(),
