--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -165,7 +165,6 @@
 	if h.settings.TrustedNetwork {
 		h.logger.Warn("plaintext between hosts: trusted_network is set", "peers", h.settings.Listen.Peers)
 	}
-	h.recall(time.Now())
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	h.transport = raftnet.NewTransport(background, h.raftRPC, h.member.addressOf, h.metrics)
@@ -182,7 +181,6 @@
 	tasks.Go(func() error { return h.serveControl(ctx, control) })
 	tasks.Go(func() error { h.adjust(ctx); return nil })
 	tasks.Go(func() error { h.expire(ctx); return nil })
-	tasks.Go(func() error { h.remember(ctx); return nil })
 	tasks.Go(func() error { h.watcher.Run(ctx, h.peers); return nil })
 	if h.engines != nil {
 		tasks.Go(func() error { h.keepStages(ctx); return nil })
--- a/internal/instances/registry.go
+++ b/internal/instances/registry.go
@@ -125,22 +125,3 @@
 	}
 	return out, r.position, r.changed
 }
-
-// Restore takes what a control process before this one knew. Instances that it heard
-// count as heard a while ago: they are used at once, and become silent soon unless
-// their heartbeats come.
-func (r *Registry) Restore(known []Change, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range known {
-		if _, heard := r.entries[c.ID]; heard || c.Silent {
-			continue
-		}
-		e := &entry{Change: c, heard: now.Add(-r.beat)}
-		if c.State != Ready {
-			e.heard = now
-		}
-		r.entries[c.ID] = e
-		r.touch(e)
-	}
-}
