--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -22,6 +22,7 @@
 	"filberthook/internal/controlapi"
 	"filberthook/internal/controlwatch"
 	"filberthook/internal/document"
+	"filberthook/internal/formation"
 	"filberthook/internal/instances"
 	"filberthook/internal/netopt"
 	"filberthook/internal/pause"
@@ -151,6 +152,9 @@
 
 func (h *Host) seeds() []string { return *h.seedList.Load() }
 
+// peers returns where the seeds' hosts serve other hosts.
+func (h *Host) peers() []string { return formation.PeerAddresses(h.seeds(), h.peerPort) }
+
 // Run serves until ctx ends.
 func (h *Host) Run(ctx context.Context) error {
 	peers, err := net.Listen("tcp", h.settings.Listen.Peers)
--- a/internal/controlhost/stages.go
+++ b/internal/controlhost/stages.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
 
 	"filberthook/internal/document"
 	"filberthook/internal/stagekeeper"
@@ -30,17 +28,6 @@
 	keeper.Run(ctx)
 }
 
-// peers returns the seeds' hosts at the port for other hosts.
-func (h *Host) peers() []string {
-	var out []string
-	for _, seed := range h.seeds() {
-		if ip, _, err := net.SplitHostPort(seed); err == nil { // the settings were checked
-			out = append(out, net.JoinHostPort(ip, strconv.Itoa(int(h.peerPort))))
-		}
-	}
-	return out
-}
-
 // ownConfiguration tells the watcher of a control host that it needs none: the
 // replicated log brings it. It implements controlwatch.Configuration.
 type ownConfiguration struct{}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +20,7 @@
 	"filberthook/internal/controlapi"
 	"filberthook/internal/controlwatch"
 	"filberthook/internal/dialect"
+	"filberthook/internal/formation"
 	"filberthook/internal/forward"
 	"filberthook/internal/instances"
 	"filberthook/internal/netopt"
@@ -108,19 +108,9 @@
 	h.logger.Info("seeds replaced", "seeds", seeds)
 }
 
-// peers returns the addresses of the seeds' hosts for other hosts.
+// peers returns where the seeds' hosts serve other hosts.
 func (h *Host) peers() []string {
-	seeds := *h.seedList.Load()
-	out := make([]string, 0, len(seeds))
-	for _, seed := range seeds {
-		ip, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			h.logger.Warn("seed left out", "seed", seed, "err", err)
-			continue
-		}
-		out = append(out, net.JoinHostPort(ip, strconv.Itoa(int(h.settings.PeerPort))))
-	}
-	return out
+	return formation.PeerAddresses(*h.seedList.Load(), h.settings.PeerPort)
 }
 
 // Ready reports whether the balancer may send new connections here.
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -27,16 +27,23 @@
 	return max(1, xxhash.Sum64String("founder "+address))
 }
 
+// PeerAddresses returns where the seeds' hosts serve other hosts: the port is the same
+// on all hosts. Seeds that cannot be read are left out; settings are checked before.
+func PeerAddresses(seeds []string, port uint16) []string {
+	out := make([]string, 0, len(seeds))
+	for _, seed := range seeds {
+		if ip, _, err := net.SplitHostPort(seed); err == nil {
+			out = append(out, net.JoinHostPort(ip, strconv.Itoa(int(port))))
+		}
+	}
+	return out
+}
+
 // Founders returns the first members of a group: the seeds' hosts at the port for
 // control hosts.
 func Founders(seeds []string, port uint16) []replica.Member {
 	var out []replica.Member
-	for _, seed := range seeds {
-		ip, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			continue // the settings were checked
-		}
-		address := net.JoinHostPort(ip, strconv.Itoa(int(port)))
+	for _, address := range PeerAddresses(seeds, port) {
 		m := replica.Member{ID: FounderID(address), Address: address}
 		if !slices.ContainsFunc(out, func(o replica.Member) bool { return o.ID == m.ID }) {
 			out = append(out, m)
