Idle limits are learned from connections that instances dropped without notice

Cause: the grown deployments' workers may drop idle connections sooner than they announce; what is sent next is reset, and a booking then ends with 502.

Change: a reset on a kept connection halves the idle time that is used there.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,6 +20,7 @@
 	address   string
 	reused    bool
 	idleSince time.Time
+	idleFor   time.Duration // before the request under way, when reused
 	idleLimit time.Duration // announced by the instance, 0 when it was not
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 )
 
 // Request is what is sent to an instance.
@@ -67,6 +68,9 @@
 		go a.write(head, r.Body)
 	}
 	if err := a.readHeader(r); err != nil {
+		if c.reused && errors.Is(err, syscall.ECONNRESET) {
+			p.dropped(c)
+		}
 		a.abandon()
 		if ctx.Err() != nil {
 			err = ctx.Err()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,6 +21,9 @@
 	unannouncedIdle = 4 * time.Second
 	// onceIdle holds for requests that must not run twice when no limit is announced.
 	onceIdle = 1500 * time.Millisecond
+	// shortestIdle is the least limit that is learned: connections that are used again
+	// at once are not idle.
+	shortestIdle = 50 * time.Millisecond
 	// idleMargin is left of an announced limit, which the instance counts from an
 	// earlier moment.
 	idleMargin = 700 * time.Millisecond
@@ -74,7 +77,8 @@
 	reuses *metrics.Counter
 
 	mu     sync.Mutex
-	idle   map[string][]*conn // by address, the last used at the end
+	idle   map[string][]*conn       // by address, the last used at the end
+	limits map[string]time.Duration // learned idle limits, by address
 	closed bool
 }
 
@@ -89,6 +93,7 @@
 		fails:  set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="failed"}`),
 		reuses: set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="reused"}`),
 		idle:   map[string][]*conn{},
+		limits: map[string]time.Duration{},
 	}
 }
 
@@ -99,8 +104,9 @@
 		if c == nil {
 			break
 		}
-		if c.usable(once, time.Now()) {
-			c.reused = true
+		now := time.Now()
+		if c.usable(once, p.learned(address), now) {
+			c.reused, c.idleFor = true, now.Sub(c.idleSince)
 			p.reuses.Inc()
 			return c, nil
 		}
@@ -115,8 +121,29 @@
 	return newConn(raw, address), nil
 }
 
+// learned returns the idle limit that broken connections to an address have shown.
+func (p *Pool) learned(address string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit, ok := p.limits[address]; ok {
+		return limit
+	}
+	return unannouncedIdle
+}
+
+// dropped notes that an instance had dropped a kept connection without notice: what
+// was sent next was reset. Later ones are used after half of that time at most.
+func (p *Pool) dropped(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := max(c.idleFor/2, shortestIdle)
+	if before, ok := p.limits[c.address]; !ok || limit < before {
+		p.limits[c.address] = limit
+	}
+}
+
 // usable reports whether an idle connection may take the next request.
-func (c *conn) usable(once bool, now time.Time) bool {
+func (c *conn) usable(once bool, learned time.Duration, now time.Time) bool {
 	limit := unannouncedIdle
 	if once {
 		limit = onceIdle
@@ -124,7 +151,7 @@
 	if c.idleLimit > 0 {
 		limit = max(c.idleLimit-idleMargin, c.idleLimit/4)
 	}
-	return now.Sub(c.idleSince) < limit && c.quiet()
+	return now.Sub(c.idleSince) < min(limit, learned) && c.quiet()
 }
 
 func (p *Pool) pop(address string) *conn {
@@ -164,6 +191,7 @@
 			c.Close()
 		}
 		delete(p.idle, address)
+		delete(p.limits, address)
 	}
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -270,7 +270,7 @@
 		a, b := net.Pipe()
 		c := newConn(a, "x")
 		c.idleLimit, c.idleSince = tt.limit, now.Add(-tt.idle)
-		if got := c.usable(tt.once, now); got != tt.want {
+		if got := c.usable(tt.once, unannouncedIdle, now); got != tt.want {
 			t.Errorf("%s: usable %v, want %v", tt.name, got, tt.want)
 		}
 		a.Close()
@@ -322,3 +322,36 @@
 		t.Error("the instance's connection is still open a second after the caller left")
 	}
 }
+
+// An instance drops idle connections sooner than it announces, without notice.
+func TestDroppedIdleConnectionsShortenTheLimit(t *testing.T) {
+	e := listen(t, func(c net.Conn, next func() (*http.Request, string)) {
+		r, _ := next()
+		if r == nil {
+			return
+		}
+		io.WriteString(c, answer(r.Header.Get("X-Id"), "ok"))
+		next() // the second request on the connection is reset
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+	})
+	p := newPool(t)
+	if _, err := fetch(t, p, e.address(), get("1")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	var lost *LostError
+	if _, err := fetch(t, p, e.address(), get("2")); !errors.As(err, &lost) {
+		t.Fatalf("got %v, want a LostError", err)
+	}
+	if limit := p.learned(e.address()); limit > 200*time.Millisecond {
+		t.Errorf("learned a limit of %v after a connection idle for 300 ms was reset", limit)
+	}
+	for _, id := range []string{"3", "4"} {
+		if _, err := fetch(t, p, e.address(), get(id)); err != nil {
+			t.Errorf("request %s: %v", id, err)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
