A prompt that was read is offered to a second engine; begun streams are never hopeless

Change: the handle goes to a second engine, as a full one has not taken it; a prompt that must be read again is placed like a new one; what a caller has begun to get is waited for.

--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -73,7 +73,7 @@
 func (c *call) canGoOnWithout(id string) bool {
 	excluded := maps.Clone(c.excluded)
 	excluded[id] = true
-	p := c.prompt(true)
+	p := c.prompt(&progress{})
 	p.Excluded = excluded
 	if _, err := c.server.fleet.Runner(p, time.Now()); err != nil {
 		return false
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -35,38 +35,27 @@
 // goes on at another instance after a break where the route allows it.
 func (c *call) serveStream() {
 	var p progress
-	whole := !c.route.Prompted
 	for {
-		prompt := c.prompt(whole)
+		prompt := c.prompt(&p)
 		plan, err := c.server.fleet.Place(prompt, time.Now())
 		if err != nil {
 			c.notPlaced(err, &p)
 			return
 		}
-		var handle dialect.Handle
-		if plan.Read != nil {
-			var ok bool
-			if handle, ok = c.readApart(&plan, prompt); !ok {
-				c.excluded[plan.Read.ID] = true
-				if !c.mayResend() {
-					c.endUnfinished("prompt_not_read", &p)
-					return
-				}
-				continue
-			}
-			plan.Tokens, plan.Fetch = 0, ""
-			if plan.Run, err = c.server.fleet.Runner(prompt, time.Now()); err != nil {
-				c.server.free(*plan.Read, handle)
-				c.notPlaced(err, &p)
-				return
-			}
+		var ended result
+		var reason string
+		if plan.Read == nil {
+			ended, reason = c.run(plan, prompt, dialect.Handle{}, &p)
+			c.excluded[plan.Run.ID] = true
+		} else if handle, ok := c.readApart(&plan, prompt); ok {
+			ended, reason = c.runRead(plan, prompt, handle, &p)
+		} else {
+			c.excluded[plan.Read.ID] = true
+			ended, reason = notRun, "prompt_not_read"
 		}
-		ended, reason := c.run(plan, prompt, handle, &p)
 		if ended == finished {
 			return
 		}
-		c.excluded[plan.Run.ID] = true
-		whole = true
 		if !c.mayGoOn(ended) {
 			c.endUnfinished(reason, &p)
 			return
@@ -74,6 +63,28 @@
 	}
 }
 
+// runsOfHandle is how many engines are offered a prompt that was read: one that is full
+// has not taken the handle.
+const runsOfHandle = 2
+
+// runRead has the answer to a prompt that was read generated.
+func (c *call) runRead(plan placement.Plan, prompt *placement.Prompt, handle dialect.Handle, p *progress) (result, string) {
+	plan.Tokens, plan.Fetch = 0, ""
+	for offers := 1; ; offers++ {
+		var err error
+		if plan.Run, err = c.server.fleet.Runner(prompt, time.Now()); err != nil {
+			c.server.free(*plan.Read, handle)
+			c.detail = err.Error()
+			return notRun, "no_instance"
+		}
+		ended, reason := c.run(plan, prompt, handle, p)
+		c.excluded[plan.Run.ID] = true
+		if ended != notRun || offers == runsOfHandle || !c.mayResend() {
+			return ended, reason
+		}
+	}
+}
+
 // mayGoOn reports whether a run that ended may be followed by another, and charges
 // the budget for it.
 func (c *call) mayGoOn(ended result) bool {
@@ -83,11 +94,17 @@
 	return c.mayResend()
 }
 
-func (c *call) prompt(whole bool) *placement.Prompt {
-	return &placement.Prompt{
+// prompt describes the request to placement. A stream that has begun is never hopeless:
+// its caller waits for the rest.
+func (c *call) prompt(p *progress) *placement.Prompt {
+	prompt := &placement.Prompt{
 		Endpoint: c.endpoint, Model: c.meta.Model, Parts: c.meta.Parts, Tokens: c.meta.PromptTokens,
-		Output: c.expectedOutput(), Goal: c.route.Goal, Priority: c.route.Priority, Left: min(c.left(), c.patience()), Whole: whole, Excluded: c.excluded,
+		Output: c.expectedOutput(), Priority: c.route.Priority, Whole: !c.route.Prompted, Excluded: c.excluded,
+	}
+	if !p.started {
+		prompt.Goal, prompt.Left = c.route.Goal, min(c.left(), c.patience())
 	}
+	return prompt
 }
 
 // hintlessShare of the most output is expected of callers that give no hint.
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -160,6 +160,29 @@
 	}
 }
 
+// An engine without room has not taken the handle: another one gets it, and the prompt
+// is not read again.
+func TestFullEngineDoesNotCostTheHandle(t *testing.T) {
+	p := engine("p", instances.Prefill, prefiller)
+	a := engine("a", instances.Decode, status(503, true))
+	b := engine("b", instances.Decode, streamer(2))
+	h := start(t, route(routes.Stream, prompted), p, a, b)
+	for range 6 {
+		if _, _, body, err := h.do(t, withParts); err != nil || len(events(body)) != 2 {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	}
+	p.mu.Lock()
+	reads := len(p.requests)
+	p.mu.Unlock()
+	if reads != 6 {
+		t.Errorf("6 prompts were read %d times", reads)
+	}
+	if got, want := b.last().Header.Get("X-Source"), p.server.Listener.Addr().String()+"/h1"; got != want {
+		t.Errorf("the second engine was given the source %q, want %q", got, want)
+	}
+}
+
 // A caller that leaves ends the work of its request in each state.
 func TestCallerThatLeavesAStream(t *testing.T) {
 	tests := []struct {
