--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -172,19 +172,22 @@
 	ended := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(ended)
-		h.drain()
+		h.drain(ln)
 		server.Close()
 	})
-	if err := server.Serve(callerListener{ln}); !errors.Is(err, http.ErrServerClosed) {
+	err := server.Serve(callerListener{ln})
+	if ctx.Err() == nil {
 		return fmt.Errorf("listen.callers: %w", err)
 	}
-	<-ended
+	<-ended // the end of the listener is a part of the stop
 	return nil
 }
 
-// drain fails readiness at once, goes on serving until the balancer has noticed,
-// and waits for the requests under way.
-func (h *Host) drain() {
+// drain fails readiness at once, goes on serving until the balancer has noticed, then
+// takes no more connections and waits for the requests under way. The balancer may send
+// connections to hosts that are not ready, when too few are: without the end of the
+// listener there would always be a request that the end of the process cuts.
+func (h *Host) drain(ln net.Listener) {
 	start := time.Now()
 	h.stopping.Store(true)
 	h.server.Stop()
@@ -192,10 +195,14 @@
 	h.logger.Info("stopping", "requests", h.server.Active(), "grace", h.settings.Grace.Duration)
 	last := start.Add(h.settings.Grace.Duration - stopMargin)
 	pause.For(context.Background(), min(lameDuck, time.Until(last)))
-	h.idle.closeAll()
-	pause.For(context.Background(), stopPoll)
-	for h.server.Active() > 0 && time.Now().Before(last) {
-		pause.For(context.Background(), stopPoll)
+	if err := ln.Close(); err != nil {
+		h.logger.Warn("listener of callers not closed", "err", err)
+	}
+	for time.Now().Before(last) {
+		h.idle.closeAll()
+		if !pause.For(context.Background(), stopPoll) || h.server.Active() == 0 {
+			return
+		}
 	}
 }
 
