One handover of leadership before a stop, in package replica

Cause: reading the whole change: controlhost had copied controlnode's loop and the name of the leading role; forward.Settings.Host was read nowhere.

Change: replica.HandOver and replica.RoleLeader serve both; the unused field goes. Behaviour stays, but for a log line on a handover that succeeds.

--- a/internal/controlhost/group.go
+++ b/internal/controlhost/group.go
@@ -100,7 +100,7 @@
 	if !ok {
 		return controlapi.JoinResponse{}, &UnavailableError{errClosed}
 	}
-	if status.Role == leaderRole {
+	if status.Role == replica.RoleLeader {
 		h.joins.add(req)
 		return controlapi.JoinResponse{Peers: h.member.addresses()}, nil
 	}
@@ -117,7 +117,7 @@
 	gone := map[uint64]time.Time{} // since when members are inactive
 	for pause.For(ctx, adjustInterval) {
 		opened := h.member.current.Load()
-		if opened == nil || opened.replica.Status().Role != leaderRole {
+		if opened == nil || opened.replica.Status().Role != replica.RoleLeader {
 			clear(gone)
 			continue
 		}
--- a/internal/controlhost/member.go
+++ b/internal/controlhost/member.go
@@ -120,7 +120,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	m.handOver(opened)
+	opened.replica.HandOver(transferTimeout)
 	stop()
 	return <-ended
 }
@@ -178,29 +178,6 @@
 	return id, nil, nil
 }
 
-// handOver gives the leadership to another voter that is up.
-func (m *membership) handOver(opened *member) {
-	status := opened.replica.Status()
-	if status.Role != leaderRole {
-		return
-	}
-	for _, other := range status.Members {
-		if other.ID == status.ID || other.Learner || !other.Active {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
-		err := opened.replica.TransferLeadership(ctx, other.ID)
-		cancel()
-		m.host.logger.Info("leadership handed over", "to", other.ID, "err", err)
-		if err == nil {
-			return
-		}
-	}
-}
-
-// leaderRole is the role of a leading replica in replica.Status.
-const leaderRole = "leader"
-
 // status returns the replica's status; ok is false while it is closed.
 func (m *membership) status() (replica.Status, bool) {
 	opened := m.current.Load()
--- a/internal/controlhost/stages.go
+++ b/internal/controlhost/stages.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"filberthook/internal/document"
+	"filberthook/internal/replica"
 	"filberthook/internal/stagekeeper"
 	"filberthook/internal/staging"
 )
@@ -41,7 +42,7 @@
 // Leads implements stagekeeper.Group.
 func (m *membership) Leads() (uint64, bool) {
 	status, ok := m.status()
-	return status.Term, ok && status.Role == leaderRole
+	return status.Term, ok && status.Role == replica.RoleLeader
 }
 
 // Confirm implements stagekeeper.Group.
--- a/internal/controlnode/lease_test.go
+++ b/internal/controlnode/lease_test.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/authority"
+	"filberthook/internal/replica"
 )
 
 // leaseTTL is long enough for an election on a busy machine.
@@ -70,7 +71,7 @@
 func (c *cluster) leader() int {
 	for {
 		for i, n := range c.nodes {
-			if n.node.replica.Status().Role == leaderRole {
+			if n.node.replica.Status().Role == replica.RoleLeader {
 				return i
 			}
 		}
--- a/internal/controlnode/members.go
+++ b/internal/controlnode/members.go
@@ -9,14 +9,11 @@
 	"filberthook/internal/replica"
 )
 
-// leaderRole is the role of a leading replica in replica.Status.
-const leaderRole = "leader"
-
 // Members implements operator.Group. The positions of the members are known at
 // the leader, which is asked.
 func (g *group) Members(ctx context.Context) ([]operator.Member, uint64, error) {
 	status := g.log.Status()
-	if status.Role == leaderRole || status.LeaderAddress == "" {
+	if status.Role == replica.RoleLeader || status.LeaderAddress == "" {
 		resp := membersOf(status)
 		return resp.Members, resp.Commit, nil
 	}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -251,31 +251,11 @@
 		return fmt.Errorf("replica: %w", err)
 	case <-ctx.Done():
 	}
-	n.handOver()
+	n.replica.HandOver(transferTimeout)
 	n.stopRaft()
 	return <-stopped
 }
 
-// handOver gives the leadership to another voter that is up.
-func (n *Node) handOver() {
-	status := n.replica.Status()
-	if status.Role != leaderRole {
-		return
-	}
-	for _, m := range status.Members {
-		if m.ID == status.ID || m.Learner || !m.Active {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
-		err := n.replica.TransferLeadership(ctx, m.ID)
-		cancel()
-		if err == nil {
-			return
-		}
-		n.logger.Warn("leadership not handed over", "to", m.ID, "err", err)
-	}
-}
-
 // emptyBatch is an encoded claim.Batch without commands.
 var emptyBatch = []byte(`{"commands":[]}`)
 
@@ -289,7 +269,7 @@
 			return
 		case <-ticker.C:
 		}
-		if n.claims.count.Load() == 0 || n.replica.Status().Role != leaderRole {
+		if n.claims.count.Load() == 0 || n.replica.Status().Role != replica.RoleLeader {
 			continue
 		}
 		// A lost sweep is made up for by the next one.
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -81,7 +81,7 @@
 	budgets := forward.NewBudgets(forward.BudgetSettings{
 		Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Duration,
 	}, func() int { return h.watcher.Hosts() })
-	h.server = forward.New(forward.Settings{Host: s.Host, Zone: s.Zone, ReadTimeout: bodyTimeout},
+	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout},
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.logger, set)
 	h.idle = newIdleConnections(h.server)
 	h.clients = raftnet.NewPool(peer.Options{
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -31,7 +31,6 @@
 
 // Settings of a Server.
 type Settings struct {
-	Host string // name of this entry host
 	Zone string // its availability zone
 	// ReadTimeout bounds the arrival of a request's body.
 	ReadTimeout time.Duration
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -160,7 +160,7 @@
 	pool := upstream.NewPool(set)
 	t.Cleanup(pool.Close)
 	budgets := NewBudgets(BudgetSettings{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, func() int { return 1 })
-	s := New(Settings{Host: "h", Zone: "z", ReadTimeout: time.Second}, testDialect{}, fleet, view, pool, budgets,
+	s := New(Settings{Zone: "z", ReadTimeout: time.Second}, testDialect{}, fleet, view, pool, budgets,
 		slog.New(slog.DiscardHandler), set)
 	s.SetTable(routes.NewTable(&routes.Config{
 		Version: 1, Routes: []routes.Route{r}, Endpoints: map[string]routes.Endpoint{"e": {Name: "e"}},
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"time"
 
 	"filberthook/internal/consensus"
@@ -30,6 +31,29 @@
 	return r.process()
 }
 
+// HandOver gives the leadership to another voter that is up, before a planned stop of a
+// host that still serves. Each voter that is asked has the timeout to take over. It does
+// nothing when this replica does not lead.
+func (r *Replica) HandOver(timeout time.Duration) {
+	status := r.Status()
+	if status.Role != RoleLeader {
+		return
+	}
+	for _, m := range status.Members {
+		if m.ID == status.ID || m.Learner || !m.Active {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		err := r.TransferLeadership(ctx, m.ID)
+		cancel()
+		if err == nil {
+			r.cfg.Logger.Info("leadership handed over", "to", m.ID)
+			return
+		}
+		r.cfg.Logger.Warn("leadership not handed over", "to", m.ID, "err", err)
+	}
+}
+
 // successor returns the reachable voter that holds most of the leader's log, or 0.
 func successor(s consensus.Status) uint64 {
 	var best consensus.MemberStatus
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -57,7 +57,7 @@
 
 // noteChange logs and counts changes of leadership and membership.
 func (r *Replica) noteChange(previous, now *Status) {
-	if now.Role == roleLeader && previous.Role != roleLeader {
+	if now.Role == RoleLeader && previous.Role != RoleLeader {
 		r.counters.elected.Inc()
 	}
 	if now.Leader != previous.Leader {
@@ -69,7 +69,8 @@
 	}
 }
 
-var roleLeader = consensus.RoleLeader.String()
+// RoleLeader is the Role of a leading replica in Status.
+var RoleLeader = consensus.RoleLeader.String()
 
 // counters are the replica's metrics.
 type counters struct {
