--- a/internal/controlhost/host_test.go
+++ b/internal/controlhost/host_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 type group struct {
 	t     *testing.T
 	net   string // first three numbers of the addresses
+	root  string // holds the hosts' data folders
 	seeds []string
 	mu    sync.Mutex
 	nodes map[int]*node
@@ -45,10 +47,16 @@
 
 func newGroup(t *testing.T, seeds ...int) *group {
 	g := &group{t: t, net: fmt.Sprintf("127.%d.%d", 60+rand.IntN(190), rand.IntN(250)), nodes: map[int]*node{}}
+	// Registered before the stop below, so that the folder goes after the hosts that
+	// write into it: cleanups run last in, first out.
+	g.root = t.TempDir()
 	for _, n := range seeds {
 		g.seeds = append(g.seeds, g.address(n, controlPort))
 	}
 	t.Cleanup(func() {
+		if _, err := os.Stat(g.root); err != nil {
+			t.Errorf("data folders removed before the hosts have stopped: %v", err)
+		}
 		for n := range g.nodes {
 			g.stop(n)
 		}
@@ -67,7 +75,10 @@
 	if before := g.nodes[n]; before != nil {
 		dir = before.dir
 	} else {
-		dir = g.t.TempDir()
+		dir = filepath.Join(g.root, fmt.Sprint(n))
+		if err := os.Mkdir(dir, 0o755); err != nil {
+			g.t.Fatal(err)
+		}
 	}
 	s := Settings{
 		Host: fmt.Sprint("c", n), Zone: fmt.Sprint("z", n), DataDir: dir, Seeds: g.seeds, Bootstrap: bootstrap,
