Trial: answers generated in the zone where the prompt was read; a generating engine in each zone of three

Change: Runner prefers the reader's zone; a fetch across zones weighs more; staging gives a zone of three engines or more a generating one.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -72,7 +72,7 @@
 	plan.Tokens, plan.Fetch = 0, ""
 	for offers := 1; ; offers++ {
 		var err error
-		if plan.Run, err = c.server.fleet.Runner(prompt, time.Now()); err != nil {
+		if plan.Run, err = c.server.fleet.Runner(prompt, plan.Read.Zone, time.Now()); err != nil {
 			c.server.free(*plan.Read, handle)
 			c.detail = err.Error()
 			return notRun, "no_instance"
--- a/internal/placement/option.go
+++ b/internal/placement/option.go
@@ -112,11 +112,15 @@
 	if source == in {
 		source = holder[1]
 	}
-	moved := 0
+	moved, movedCost := 0, 0.0 // tokens fetched, and their transfer as a part of the score
 	if p.Tokens-p.own() >= minFetch && source != nil {
 		o.fetch = source // costs nothing where the engine holds the parts
 		if missing > 0 {
 			o.tokens, moved = p.own(), missing
+			movedCost = transferCost * float64(moved)
+			if source.Zone != in.Zone {
+				movedCost += otherZoneCost * float64(moved)
+			}
 		}
 	}
 	if source == nil && in == home.read && f.assumesHeld(in, now) {
@@ -127,7 +131,7 @@
 	if in.Stage == instances.Prefill {
 		o.ms += transferOverhead + float64(p.Tokens)*transferTime + in.transfer.decayed(now, transferHalfLife)
 	}
-	o.score = hurry(o.ms, p.Goal) + float64(moved)*transferCost
+	o.score = hurry(o.ms, p.Goal) + movedCost
 	switch in {
 	case home.read, home.run:
 	case home.second:
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -157,7 +157,7 @@
 func TestRunnerIsChosenAmongThoseThatAreStillThere(t *testing.T) {
 	f := fleetOf(2, 2)
 	p := about("s", 13000, 3000)
-	first, err := f.Runner(p, start)
+	first, err := f.Runner(p, "z0", start)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -168,11 +168,31 @@
 		}
 	}
 	f.Update(&instances.Snapshot{Number: 2, ByEndpoint: map[string][]instances.Instance{"lm": list}})
-	if second, err := f.Runner(p, start); err != nil || second.ID == first.ID {
+	if second, err := f.Runner(p, "z0", start); err != nil || second.ID == first.ID {
 		t.Errorf("runner %s, %v after it left", second.ID, err)
 	}
 }
 
+// A day of long prompts, read at engines of four zones: moving their KV cache between
+// zones takes and costs twice as much as within one. A busy engine sends it on.
+func TestAnswersAreGeneratedInTheZoneWhereTheirPromptWasRead(t *testing.T) {
+	f := fleetOf(8, 8)
+	p := about("s", 13000, 3000)
+	for _, zone := range []string{"z0", "z1", "z2", "z3"} {
+		got, err := f.Runner(p, zone, start)
+		if err != nil || got.Zone != zone {
+			t.Errorf("read in %s, generated in %s (%v)", zone, got.Zone, err)
+		}
+	}
+	for range 40 {
+		f.BeginPrompt("d0", "", p, 0, start)
+		f.BeginPrompt("d4", "", p, 0, start)
+	}
+	if got, err := f.Runner(p, "z0", start); err != nil || got.Zone == "z0" {
+		t.Errorf("generated at %s (%v), whose batch is full while others are idle", got.ID, err)
+	}
+}
+
 func TestInstancesThatFailAreTriedAgainLater(t *testing.T) {
 	f := fleetOf(0, 2)
 	p := about("s", 0, 100)
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -64,8 +64,9 @@
 	// second home must be 100 ms faster, any other engine 400 ms.
 	secondCost = 0.008 // ms for each shared token, at the second home
 	farCost    = 0.030 // ms for each shared token, at any other engine
-	// runAwayCost keeps answers at the engine that holds their subject.
-	runAwayCost = 0.005 // ms for each shared token
+	// otherZoneCost keeps transfers of KV cache within an availability zone: between
+	// zones they take and cost twice as much.
+	otherZoneCost = transferTime + transferCost // ms for each token
 	// spread keeps hosts with the same view from choosing the same engine.
 	spread = 6.0 // ms
 )
--- a/internal/staging/staging.go
+++ b/internal/staging/staging.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -44,6 +45,10 @@
 // them lost the others carry on.
 const minGenerating = 3
 
+// ownGenerating is how many engines a zone has to have to keep a generating one for
+// itself: of two, the one taken from reading would be missed more than it is of use.
+const ownGenerating = 3
+
 // Wanted returns how many of n engines in a number of zones should generate.
 func (s Settings) Wanted(n, zones int, d Demand) int { return s.generating(n, zones, d, s.Headroom) }
 
@@ -68,32 +73,64 @@
 	To     instances.Stage
 }
 
-// Next returns the changes to make now: none under load while the headroom is between
-// Fewest and Most, as each change takes an engine away and its subjects with it. Engines in changing are on their way and
-// count where they go. Without load all changes are made at once.
+// Next returns the changes to make now. A zone of ownGenerating engines of which none
+// generates gets one: cut off from the others it could answer nothing. Else there are none under load while the
+// headroom is between Fewest and Most, as each change takes an engine away and its
+// subjects with it. Engines in changing are on their way and count where they go.
+// Without load all changes are made at once.
 func (s Settings) Next(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool) []Change {
-	n := len(engines)
+	allowed := len(engines)
+	if loaded {
+		allowed = max(1, int(s.MaxChanging*float64(len(engines)))) - len(changing)
+	}
+	changes := fillZones(engines, changing, allowed)
+	after := maps.Clone(changing)
+	if after == nil {
+		after = map[string]instances.Stage{}
+	}
+	for _, c := range changes {
+		after[c.Engine.ID] = c.To
+	}
+	return append(changes, s.follow(engines, after, d, loaded, allowed-len(changes))...)
+}
+
+// fillZones gives zones of ownGenerating engines a generating one where they have none.
+func fillZones(engines []instances.Instance, changing map[string]instances.Stage, most int) []Change {
+	byZone := map[string][]instances.Instance{}
+	for _, e := range engines {
+		byZone[e.Zone] = append(byZone[e.Zone], e)
+	}
+	var out []Change
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		list := byZone[zone]
+		generates := func(e instances.Instance) bool { return stageOf(e, changing) == instances.Decode }
+		if len(list) < ownGenerating || len(out) >= most || slices.ContainsFunc(list, generates) {
+			continue
+		}
+		out = append(out, pick(list, changing, instances.Decode, 1)...)
+	}
+	return out
+}
+
+// follow returns the changes that the demand asks for.
+func (s Settings) follow(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool, most int) []Change {
+	n, zones := len(engines), zonesOf(engines)
 	generating := 0
 	for _, e := range engines {
 		if stageOf(e, changing) == instances.Decode {
 			generating++
 		}
 	}
-	zones := zonesOf(engines)
-	off := s.Wanted(n, zones, d) - generating
 	enough := generating >= s.generating(n, zones, d, s.Fewest) && generating <= s.generating(n, zones, d, s.Most)
 	if loaded && enough {
 		return nil
 	}
-	allowed := max(off, -off)
-	if loaded {
-		allowed = min(allowed, max(1, int(s.MaxChanging*float64(n)))-len(changing))
-	}
+	off := s.Wanted(n, zones, d) - generating
 	to := instances.Decode
 	if off < 0 {
 		to = instances.Prefill
 	}
-	return pick(engines, changing, to, allowed)
+	return pick(engines, changing, to, min(max(off, -off), most))
 }
 
 func stageOf(e instances.Instance, changing map[string]instances.Stage) instances.Stage {
@@ -112,11 +149,14 @@
 }
 
 // pick chooses engines that are to change to a stage, each from the zone that has
-// most of the other stage, so that the zones stay even.
+// most of the other stage, so that the zones stay even. A zone of
+// ownGenerating engines keeps one that generates.
 func pick(engines []instances.Instance, changing map[string]instances.Stage, to instances.Stage, most int) []Change {
 	candidates := map[string][]instances.Instance{} // by zone
 	count := map[string]int{}                       // of the other stage, by zone
+	size := map[string]int{}
 	for _, e := range engines {
+		size[e.Zone]++
 		if stageOf(e, changing) == to {
 			continue
 		}
@@ -132,6 +172,9 @@
 	for len(out) < most {
 		zone := ""
 		for z, list := range candidates {
+			if to == instances.Prefill && count[z] == 1 && size[z] >= ownGenerating {
+				continue
+			}
 			if len(list) > 0 && (zone == "" || count[z] > count[zone] || count[z] == count[zone] && z < zone) {
 				zone = z
 			}
--- a/internal/staging/staging_test.go
+++ b/internal/staging/staging_test.go
@@ -139,3 +139,55 @@
 		}
 	}
 }
+
+// A zone whose generating engine was taken away is cut off later: callers there get
+// answers only when another engine of the zone generates by then.
+func TestZoneThatLosesItsGeneratingEngineGetsAnother(t *testing.T) {
+	s := DefaultSettings()
+	d := Demand{PromptTokens: 234_000, OutputTokens: 12_000}
+	var list []instances.Instance
+	for _, e := range engines(12, 6, 4) {
+		if e.Zone != "z1" || e.Stage != instances.Decode {
+			list = append(list, e)
+		}
+	}
+	changes := s.Next(list, nil, d, true)
+	if len(changes) != 1 || changes[0].Engine.Zone != "z1" || changes[0].To != instances.Decode {
+		t.Fatalf("changes %v, want one engine of zone z1 to generate", changes)
+	}
+	busy := map[string]instances.Stage{changes[0].Engine.ID: instances.Decode}
+	if more := s.Next(list, busy, d, true); len(more) != 0 {
+		t.Errorf("further changes %v", more)
+	}
+	if more := s.Next(apply(list, changes), nil, d, true); len(more) != 0 {
+		t.Errorf("changes after it %v", more)
+	}
+}
+
+// Zones of three engines have one that generates, whatever the demand, and stay so.
+func TestZonesKeepAGeneratingEngine(t *testing.T) {
+	s := DefaultSettings()
+	for _, loaded := range []bool{false, true} {
+		for _, d := range []Demand{{PromptTokens: 1e6, OutputTokens: 1}, {PromptTokens: 1, OutputTokens: 1e6}} {
+			list := engines(3, 15, 6)
+			for range 30 {
+				list = apply(list, s.Next(list, nil, d, loaded))
+			}
+			if _, zones := count(list, instances.Decode); len(zones) != 6 {
+				t.Errorf("demand %v: generating engines by zone %v, want one in each of 6", d, zones)
+			}
+			if more := s.Next(list, nil, d, loaded); len(more) != 0 {
+				t.Errorf("demand %v: changes go on: %v", d, more)
+			}
+		}
+	}
+}
+
+// Prompts wait when half of the engines of a small deployment are kept for answers.
+func TestZonesOfTwoEnginesFollowTheDemandAlone(t *testing.T) {
+	s := DefaultSettings()
+	list := engines(7, 3, 5)
+	if changes := s.Next(list, nil, Demand{PromptTokens: 200_000, OutputTokens: 8_000}, true); len(changes) != 0 {
+		t.Errorf("changes %v", changes)
+	}
+}
