--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -10,7 +10,7 @@
 // Methods of control hosts.
 const (
 	MethodWatch    = "control.watch"    // WatchRequest to WatchResponse; at any control host
-	MethodDocument = "control.document" // DocumentRequest to document.Document; at any control host
+	MethodDocument = "control.document" // DocumentRequest to document.Packed; at any control host
 	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
 	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
 	MethodLoad     = "control.load"     // LoadReport to LoadReport; at the leader, or the first control host that is reached
--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -89,9 +89,10 @@
 	seedList  atomic.Pointer[[]string]
 
 	mu      sync.Mutex
-	version uint64        // highest that came into force here
-	body    []byte        // of that version
-	changed chan struct{} // closed when version changes
+	version uint64          // highest that came into force here
+	body    []byte          // of that version
+	packed  document.Packed // of the version that entry hosts asked for last
+	changed chan struct{}   // closed when version changes
 
 	proposals *metrics.Histogram
 	beats     *metrics.Counter
@@ -139,6 +140,7 @@
 		MaxMessageBytes: controlapi.MaxMessageBytes,
 		DialTimeout:     netopt.DialTimeout,
 		Dial:            netopt.Dial,
+		RedialDelay:     netopt.RedialDelay,
 		Metrics:         h.metrics,
 		Logger:          h.logger,
 	}
@@ -221,10 +223,8 @@
 	peer.Handle(m, controlapi.MethodWatch, func(ctx context.Context, from peer.Identity, req controlapi.WatchRequest) (controlapi.WatchResponse, error) {
 		return h.watch(ctx, from.Host, req), nil
 	})
-	peer.Handle(m, controlapi.MethodDocument, func(context.Context, peer.Identity, struct{}) (document.Document, error) {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		return document.Document{Version: h.version, Body: h.body}, nil
+	peer.Handle(m, controlapi.MethodDocument, func(context.Context, peer.Identity, controlapi.DocumentRequest) (document.Packed, error) {
+		return h.packedDocument()
 	})
 	peer.Handle(m, controlapi.MethodPropose, func(ctx context.Context, _ peer.Identity, d document.Document) (controlapi.ProposeResponse, error) {
 		version, err := h.proposeHere(ctx, d)
@@ -267,6 +267,21 @@
 	h.logger.Info("configuration in force", "version", d.Version, "bytes", len(d.Body))
 }
 
+// packedDocument returns the configuration in force for entry hosts, which all ask for
+// it at about the same moment.
+func (h *Host) packedDocument() (document.Packed, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.packed.Version != h.version {
+		packed, err := document.Pack(document.Document{Version: h.version, Body: h.body})
+		if err != nil {
+			return document.Packed{}, fmt.Errorf("configuration %d not packed: %w", h.version, err)
+		}
+		h.packed = packed
+	}
+	return h.packed, nil
+}
+
 func (h *Host) currentVersion() uint64 {
 	version, _ := h.versionAndChange()
 	return version
--- a/internal/controlwatch/watcher.go
+++ b/internal/controlwatch/watcher.go
@@ -24,9 +24,10 @@
 	watchTimeout = watchWait + time.Second
 	// fetchTimeout bounds the transfer of a large configuration over a slow link.
 	fetchTimeout = 3 * time.Second
-	// firstRetry and maxRetry bound the pause after a failed call.
-	firstRetry = 150 * time.Millisecond
-	maxRetry   = time.Second
+	// firstRetry and maxRetry bound the pause after a failed call: hosts that lost power
+	// together are back within a second or two, at different times.
+	firstRetry = 60 * time.Millisecond
+	maxRetry   = 400 * time.Millisecond
 	// forgetAfter is when a control host that nothing names any more is given up.
 	forgetAfter = 30 * time.Second
 	// tickInterval is how often what lost control hosts said is looked at.
@@ -226,12 +227,19 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	var d document.Document
-	err := w.clients.Get(address).Call(ctx, controlapi.MethodDocument, struct{}{}, &d)
-	if err == nil {
-		err = w.config.Offer(d, address)
+	if err := w.fetchFrom(ctx, address); err != nil {
+		w.logger.Warn("configuration not fetched", "control", address, "err", err)
 	}
+}
+
+func (w *Watcher) fetchFrom(ctx context.Context, address string) error {
+	var packed document.Packed
+	if err := w.clients.Get(address).Call(ctx, controlapi.MethodDocument, controlapi.DocumentRequest{}, &packed); err != nil {
+		return err
+	}
+	d, err := packed.Unpack()
 	if err != nil {
-		w.logger.Warn("configuration not fetched", "control", address, "err", err)
+		return err
 	}
+	return w.config.Offer(d, address)
 }
--- /dev/null
+++ b/internal/document/packed.go
@@ -0,0 +1,47 @@
+package document
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+)
+
+// MaxBytes bounds the body of a document: what a control host takes from an operator.
+const MaxBytes = 8 << 20
+
+// Packed is a compressed document, for entry hosts on slow links: a configuration of
+// 1,800 routes shrinks from 315 kB to about a tenth.
+type Packed struct {
+	Version uint64 `json:"version"`
+	Deflate []byte `json:"deflate"` // the body, RFC 1951
+}
+
+// Pack compresses a document.
+func Pack(d Document) (Packed, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return Packed{}, err
+	}
+	if _, err := w.Write(d.Body); err != nil {
+		return Packed{}, err
+	}
+	if err := w.Close(); err != nil {
+		return Packed{}, err
+	}
+	return Packed{Version: d.Version, Deflate: out.Bytes()}, nil
+}
+
+// Unpack returns the document.
+func (p Packed) Unpack() (Document, error) {
+	r := io.LimitReader(flate.NewReader(bytes.NewReader(p.Deflate)), MaxBytes+1)
+	body, err := io.ReadAll(r)
+	if err != nil {
+		return Document{}, fmt.Errorf("version %d cannot be unpacked, fetch it from another control host: %w", p.Version, err)
+	}
+	if len(body) > MaxBytes {
+		return Document{}, fmt.Errorf("version %d is larger than %d bytes: have the operator send a smaller configuration", p.Version, MaxBytes)
+	}
+	return Document{Version: p.Version, Body: body}, nil
+}
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -91,6 +91,7 @@
 		MaxMessageBytes: controlapi.MaxMessageBytes,
 		DialTimeout:     netopt.DialTimeout,
 		Dial:            netopt.Dial,
+		RedialDelay:     netopt.RedialDelay,
 		Metrics:         set,
 		Logger:          h.logger,
 	})
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -12,10 +12,16 @@
 )
 
 const (
-	// DialTimeout bounds the set-up of a connection within a deployment: some round
-	// trips of the slowest link, and less than the second after which a lost first
-	// packet is sent again, so that the caller can dial anew.
+	// DialTimeout bounds the set-up of a connection within a deployment, the first
+	// answer of the other host included, which may be busy.
 	DialTimeout = 500 * time.Millisecond
+	// connectTimeout bounds the TCP handshake, which needs no process of the other host:
+	// many round trips of the slowest link. A lost first packet is sent again after a
+	// second only, and hosts that start together find each other down at first, so that
+	// dialling anew is faster.
+	connectTimeout = 200 * time.Millisecond
+	// RedialDelay is the pause after a failed dial for all that use a connection.
+	RedialDelay = 50 * time.Millisecond
 	// userTimeout is how long bytes to other hosts of the system may stay unacknowledged.
 	userTimeout = 1500 * time.Millisecond
 	// Idle connections are probed so that a dead one ends within about 3 s.
@@ -36,9 +42,9 @@
 	}
 }
 
-// Dial connects within timeout.
+// Dial connects within timeout, and a time that suits hosts of one deployment.
 func Dial(network, address string, timeout time.Duration) (net.Conn, error) {
-	return Dialer(timeout, userTimeout).DialContext(context.Background(), network, address)
+	return Dialer(min(timeout, connectTimeout), userTimeout).DialContext(context.Background(), network, address)
 }
 
 func setUserTimeout(c syscall.RawConn, d time.Duration) error {
