Log lines of requests that went well are bounded to 100 a second

Before: only the queue was bounded, so that a flood of good requests could push out the lines of failed ones. Now a line is left out only for a request that was answered at the first attempt of each step, and the log says how many.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -24,6 +24,7 @@
 
 	"filberthook/internal/dialect"
 	"filberthook/internal/instances"
+	"filberthook/internal/logsink"
 	"filberthook/internal/placement"
 	"filberthook/internal/routes"
 	"filberthook/internal/upstream"
@@ -55,6 +56,7 @@
 	pool     *upstream.Pool
 	budgets  *Budgets
 	logger   *slog.Logger
+	answered *logsink.Sampler // for the lines of requests that went well
 	metrics  *metrics.Set
 
 	table    atomic.Pointer[routes.Table]
@@ -65,7 +67,10 @@
 // New returns a Server without a configuration.
 func New(s Settings, d dialect.Dialect, fleet *placement.Fleet, view *instances.View, pool *upstream.Pool,
 	budgets *Budgets, logger *slog.Logger, set *metrics.Set) *Server {
-	return &Server{settings: s, dialect: d, fleet: fleet, view: view, pool: pool, budgets: budgets, logger: logger, metrics: set}
+	return &Server{
+		settings: s, dialect: d, fleet: fleet, view: view, pool: pool, budgets: budgets,
+		logger: logger, answered: logsink.NewSampler(answeredLines), metrics: set,
+	}
 }
 
 // SetTable puts a configuration into force for requests that arrive from now on.
@@ -160,18 +165,6 @@
 	firstMS  int64  // until the first event or the answer
 }
 
-// attempt is one entry of the request's trail in the log.
-type attempt struct {
-	Instance string `json:"instance"`
-	Step     string `json:"step"` // run, read or resume
-	Outcome  string `json:"outcome"`
-	MS       int64  `json:"ms"`
-	Tokens   int    `json:"tokens,omitempty"`   // expected to be read
-	Expected int64  `json:"expected,omitempty"` // ms until they are read, as estimated
-	Fetch    string `json:"fetch,omitempty"`    // engine that shared parts are fetched from
-	Err      string `json:"err,omitempty"`      // why it failed
-}
-
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route) *call {
 	now := time.Now()
 	c := &call{
@@ -332,44 +325,3 @@
 	}
 	http.Error(c.w, reason, status)
 }
-
-// note records an attempt.
-func (c *call) note(instance, step string, o placement.Outcome, since time.Time, err error) {
-	a := attempt{Instance: instance, Step: step, Outcome: o.String(), MS: time.Since(since).Milliseconds()}
-	if err != nil {
-		a.Err = err.Error()
-	}
-	c.trail = append(c.trail, a)
-}
-
-// notePrompt records an attempt at an engine, with the estimates that chose it.
-func (c *call) notePrompt(instance, step string, o placement.Outcome, since time.Time, err error, plan placement.Plan) {
-	c.note(instance, step, o, since, err)
-	last := &c.trail[len(c.trail)-1]
-	last.Tokens, last.Expected, last.Fetch = plan.Tokens, plan.Expected.Milliseconds(), plan.Fetch
-}
-
-// finish counts and logs the request.
-func (c *call) finish() {
-	took := time.Since(c.start)
-	if c.outcome == "" {
-		c.outcome = "cut"
-	}
-	kind := c.route.Kind.String()
-	c.server.count(kind, c.outcome)
-	c.server.metrics.GetOrCreateHistogram(`filberthook_entry_request_seconds{kind="` + kind + `"}`).Update(took.Seconds())
-	if c.firstMS > 0 {
-		c.server.metrics.GetOrCreateHistogram(`filberthook_entry_first_event_seconds{kind="` + kind + `"}`).Update(float64(c.firstMS) / 1000)
-	}
-	for _, a := range c.trail {
-		c.server.metrics.GetOrCreateCounter(`filberthook_entry_attempts_total{step="` + a.Step + `",outcome="` + a.Outcome + `"}`).Inc()
-	}
-	if c.reason != "" {
-		c.server.metrics.GetOrCreateCounter(`filberthook_entry_refusals_total{reason="` + c.reason + `"}`).Inc()
-	}
-	view := c.server.view.Snapshot()
-	c.server.logger.Info("request", "id", c.meta.ID, "route", c.route.Name, "kind", kind, "endpoint", c.endpoint,
-		"config", c.version, "view", view.Number, "view_age_ms", time.Since(view.At).Milliseconds(),
-		"tokens", c.meta.PromptTokens, "attempts", c.trail, "outcome", c.outcome, "status", c.status,
-		"reason", c.reason, "detail", c.detail, "first_ms", c.firstMS, "ms", took.Milliseconds())
-}
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -127,6 +127,25 @@
 type harness struct {
 	server *Server
 	front  *httptest.Server
+	log    *lockedBuffer
+}
+
+// lockedBuffer keeps log lines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.data.Write(p)
+}
+
+func (b *lockedBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.data.String(), text)
 }
 
 // route returns a route of the harness's only endpoint.
@@ -160,13 +179,14 @@
 	pool := upstream.NewPool(set)
 	t.Cleanup(pool.Close)
 	budgets := NewBudgets(BudgetSettings{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, func() int { return 1 })
+	lines := &lockedBuffer{}
 	s := New(Settings{Zone: "z", ReadTimeout: time.Second}, testDialect{}, fleet, view, pool, budgets,
-		slog.New(slog.DiscardHandler), set)
+		slog.New(slog.NewJSONHandler(lines, nil)), set)
 	s.SetTable(routes.NewTable(&routes.Config{
 		Version: 1, Routes: []routes.Route{r}, Endpoints: map[string]routes.Endpoint{"e": {Name: "e"}},
 		Limits: routes.Limits{HeaderBytes: 4096, BodyBytes: 1000},
 	}))
-	h := &harness{server: s, front: httptest.NewServer(s)}
+	h := &harness{server: s, front: httptest.NewServer(s), log: lines}
 	t.Cleanup(h.front.Close)
 	return h
 }
