--- a/internal/placement/option.go
+++ b/internal/placement/option.go
@@ -116,7 +116,7 @@
 	if p.Tokens-p.own() >= minFetch && source != nil {
 		o.fetch = source // costs nothing where the engine holds the parts
 		if missing > 0 {
-			o.tokens, moved, missing = p.own(), missing, 0
+			o.tokens, moved = p.own(), missing
 			movedCost = transferCost * float64(moved)
 			if source.Zone != in.Zone {
 				movedCost += otherZoneCost * float64(moved)
@@ -131,7 +131,14 @@
 	if in.Stage == instances.Prefill {
 		o.ms += transferOverhead + float64(p.Tokens)*transferTime + in.transfer.decayed(now, transferHalfLife)
 	}
-	o.score = hurry(o.ms, p.Goal) + movedCost + f.awayCost(p, in, home, moved, missing)
+	o.score = hurry(o.ms, p.Goal) + movedCost
+	switch in {
+	case home.read, home.run:
+	case home.second:
+		o.score += secondCost * float64(p.Tokens-p.own())
+	default:
+		o.score += farCost * float64(p.Tokens-p.own())
+	}
 	if in.Stage == instances.Prefill {
 		o.score += float64(p.Tokens) * transferCost
 	} else {
@@ -140,19 +147,6 @@
 	return o
 }
 
-// awayCost is what speaks against an engine that is not the home of a prompt's subject:
-// shared parts are moved to it or read again.
-func (f *Fleet) awayCost(p *Prompt, in *instance, home homes, moved, missing int) float64 {
-	switch in {
-	case home.read, home.run:
-		return 0
-	case home.second:
-		return secondCost*float64(moved+missing) + readAgainCost*float64(missing)
-	default:
-		return farCost*float64(moved+missing) + readAgainCost*float64(missing)
-	}
-}
-
 // assumesHeld reports whether an engine is taken to hold the parts of the subjects that
 // it is home of: it has served for long, and this host has only begun to learn.
 func (f *Fleet) assumesHeld(in *instance, now time.Time) bool {
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -60,14 +60,10 @@
 	// easyWeight and lateWeight weigh expected time within that share and beyond it.
 	easyWeight = 0.4
 	lateWeight = 1.5
-	// readAgainCost weighs the price of shared parts that are read though another engine
-	// has read them: 15 times that of moving them.
-	readAgainCost = 15 * transferCost // ms for each token
-	// secondCost and farCost keep a subject at its homes where parts would have to be
-	// brought to an engine: with 13,000 shared tokens the second home must be 13 ms
-	// faster, any other engine 50 ms.
-	secondCost = 0.001 // ms for each shared token, at the second home
-	farCost    = 0.004 // ms for each shared token, at any other engine
+	// secondCost and farCost keep a subject at its homes: with 13,000 shared tokens the
+	// second home must be 100 ms faster, any other engine 400 ms.
+	secondCost = 0.008 // ms for each shared token, at the second home
+	farCost    = 0.030 // ms for each shared token, at any other engine
 	// otherZoneCost keeps transfers of KV cache within an availability zone: between
 	// zones they take and cost twice as much.
 	otherZoneCost = transferTime + transferCost // ms for each token
