Shared parts are fetched only from engines that have read them

Cause: hosts noted parts as held when a prompt was sent. While the first engine still read them another one fetched nothing and read them again, and an engine that was never reached counted as holder. Change: a part is a source for others once this host saw it read, or 500 ms after it was sent; parts of a failed prompt are forgotten. Tests fail before: PartsAreFetchedOnlyOnceTheyAreRead, PartsOfAFailedPromptAreNotCountedOn.

--- a/internal/placement/held.go
+++ b/internal/placement/held.go
@@ -9,8 +9,27 @@
 	newsAfter = 3 * time.Second
 	// maxNews bounds the news that wait to be told.
 	maxNews = 4096
+	// readWithin is how long after parts were sent to an engine they count as read where
+	// this host did not see it: 13,000 tokens and a queue as long.
+	readWithin = 500 * time.Millisecond
 )
 
+// heldPart is what this host knows of shared parts at an engine.
+type heldPart struct {
+	first time.Time // when they were first sent there
+	last  time.Time // when they were last asked for
+	read  bool      // this host saw that they were read
+}
+
+// fresh reports whether the parts are counted on.
+func (h heldPart) fresh(now time.Time) bool { return !h.last.IsZero() && now.Sub(h.last) <= heldFor }
+
+// movable reports whether another engine can fetch the parts. While they are still
+// being read there, a fetch brings nothing and they are read twice.
+func (h heldPart) movable(now time.Time) bool {
+	return h.fresh(now) && (h.read || now.Sub(h.first) >= readWithin)
+}
+
 // Held tells what a host learned of an engine. It was sent prompts with shared parts,
 // so it holds them now or soon; keys stand for the parts up to each of them.
 type Held struct {
@@ -23,8 +42,7 @@
 // hold notes that an engine is sent parts. The caller holds f.mu.
 func (f *Fleet) hold(in *instance, keys []uint64, now time.Time) {
 	for _, key := range keys {
-		before, ok := in.held[key]
-		if !ok || now.Sub(before) > newsAfter {
+		if before := in.held[key]; now.Sub(before.last) > newsAfter {
 			f.newsOf(in.ID).Keys = append(f.newsOf(in.ID).Keys, key)
 			f.newsCount++
 			in.note(key, now)
@@ -46,11 +64,36 @@
 	return h
 }
 
+// note notes that parts were asked for at an engine.
 func (in *instance) note(key uint64, now time.Time) {
 	if len(in.held) >= maxHeld {
 		clear(in.held)
 	}
-	in.held[key] = now
+	part := in.held[key]
+	if !part.fresh(now) {
+		part = heldPart{first: now}
+	}
+	part.last = now
+	in.held[key] = part
+}
+
+// partsRead notes that the shared parts of a prompt were read at an engine.
+func (in *instance) partsRead(keys []uint64) {
+	for _, key := range keys {
+		if part, ok := in.held[key]; ok {
+			part.read = true
+			in.held[key] = part
+		}
+	}
+}
+
+// partsLost forgets parts that came to an engine with a prompt that it did not read.
+func (in *instance) partsLost(keys []uint64, sent time.Time) {
+	for _, key := range keys {
+		if part := in.held[key]; !part.read && part.first.Equal(sent) {
+			delete(in.held, key)
+		}
+	}
 }
 
 // News returns what engines hold as far as it was not told yet, and forgets it.
--- a/internal/placement/option.go
+++ b/internal/placement/option.go
@@ -45,7 +45,8 @@
 }
 
 // newestHolder returns the two engines that were last sent a prompt with the same
-// shared parts, nil where there is none. The second one is the source for the first.
+// shared parts and have read them, nil where there is none. The second one is the
+// source for the first.
 func newestHolder(candidates []*instance, keys []uint64, now time.Time) [2]*instance {
 	var out [2]*instance
 	if len(keys) == 0 {
@@ -54,10 +55,11 @@
 	var at [2]time.Time
 	last := keys[len(keys)-1]
 	for _, in := range candidates {
-		seen, ok := in.held[last]
-		if !ok || now.Sub(seen) > heldFor {
+		part := in.held[last]
+		if !part.movable(now) {
 			continue
 		}
+		seen := part.last
 		if seen.After(at[0]) {
 			out[1], at[1] = out[0], at[0]
 			out[0], at[0] = in, seen
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,20 +33,20 @@
 // instance is what this host knows of one endpoint instance beside its announcement.
 type instance struct {
 	instances.Instance
-	outstanding int                  // requests of this host under way
-	own         Backlog              // prompt tokens of this host that wait to be read there
-	others      Backlog              // the same of the other hosts, as last told
-	othersAt    time.Time            // when they were told
-	wait        average              // time beyond the expected one until prompts were read
-	latency     average              // time to the answer of a plain service
-	failures    average              // part of the requests that failed, 0 to 1
-	rates       rates                // at which it was seen to read
-	transfer    average              // time beyond the expected one that KV cache read here took to arrive
-	progress    time.Time            // of the last byte that came from it
-	ejected     time.Time            // gets no request before
-	strikes     int                  // ejections in a row
-	refusals    int                  // for want of room, in a row
-	held        map[uint64]time.Time // shared parts, by key, to when they were last asked for
+	outstanding int                 // requests of this host under way
+	own         Backlog             // prompt tokens of this host that wait to be read there
+	others      Backlog             // the same of the other hosts, as last told
+	othersAt    time.Time           // when they were told
+	wait        average             // time beyond the expected one until prompts were read
+	latency     average             // time to the answer of a plain service
+	failures    average             // part of the requests that failed, 0 to 1
+	rates       rates               // at which it was seen to read
+	transfer    average             // time beyond the expected one that KV cache read here took to arrive
+	progress    time.Time           // of the last byte that came from it
+	ejected     time.Time           // gets no request before
+	strikes     int                 // ejections in a row
+	refusals    int                 // for want of room, in a row
+	held        map[uint64]heldPart // shared parts, by key
 }
 
 // Fleet is what this host knows of the instances of all endpoints. It is safe for
@@ -84,7 +84,7 @@
 		for _, in := range list {
 			state := f.known[in.ID]
 			if state == nil || state.Born != in.Born || state.Stage != in.Stage {
-				state = &instance{held: map[uint64]time.Time{}}
+				state = &instance{held: map[uint64]heldPart{}}
 			}
 			state.Instance = in
 			known[in.ID] = state
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -414,3 +414,43 @@
 		t.Errorf("another host's rate %v, want 40", got)
 	}
 }
+
+// Many callers ask about a subject that no engine holds yet. While the first prompt is
+// being read a fetch would bring nothing, so the others wait behind it: elsewhere all
+// parts would be read once more.
+func TestPartsAreFetchedOnlyOnceTheyAreRead(t *testing.T) {
+	f := fleetOf(4, 2)
+	p := about("s", 13000, 1000)
+	first := mustPlace(t, f, p, start)
+	r := f.BeginPrompt(first.Read.ID, "", p, first.Tokens, start)
+	soon := start.Add(50 * time.Millisecond)
+	excluded := about("s", 13000, 1000)
+	excluded.Excluded = map[string]bool{first.Read.ID: true}
+	if elsewhere := mustPlace(t, f, excluded, soon); elsewhere.Fetch != "" || elsewhere.Tokens != 14000 {
+		t.Errorf("%d tokens to read, fetches from %q, which is still reading", elsewhere.Tokens, elsewhere.Fetch)
+	}
+	if second := mustPlace(t, f, p, soon); second.Read.ID != first.Read.ID || second.Fetch != "" {
+		t.Errorf("the second prompt is read at %s and fetches from %q, want it at %s behind the first", second.Read.ID, second.Fetch, first.Read.ID)
+	}
+	f.PromptRead(r, start.Add(250*time.Millisecond))
+	f.EndPrompt(r, Answered, start.Add(250*time.Millisecond))
+	for range 20 {
+		f.BeginPrompt(first.Read.ID, "", about("other", 13000, 3000), 16000, start.Add(260*time.Millisecond))
+	}
+	later := mustPlace(t, f, p, start.Add(270*time.Millisecond))
+	if later.Read.ID == first.Read.ID || later.Fetch == "" {
+		t.Errorf("read at %s, fetches from %q: want another engine that fetches the parts", later.Read.ID, later.Fetch)
+	}
+}
+
+// An engine that was not reached holds nothing.
+func TestPartsOfAFailedPromptAreNotCountedOn(t *testing.T) {
+	f := fleetOf(4, 2)
+	p := about("s", 13000, 1000)
+	first := mustPlace(t, f, p, start)
+	r := f.BeginPrompt(first.Read.ID, "", p, first.Tokens, start)
+	f.EndPrompt(r, NoContact, start.Add(200*time.Millisecond))
+	if got := mustPlace(t, f, p, start.Add(300*time.Millisecond)); got.Tokens != 14000 || got.Fetch != "" {
+		t.Errorf("%d tokens to read at %s, fetch from %q: want all 14000", got.Tokens, got.Read.ID, got.Fetch)
+	}
+}
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -218,7 +218,7 @@
 	}
 	tokens = max(tokens, p.Tokens)
 	for i, key := range keys {
-		if at, ok := in.held[key]; !ok || now.Sub(at) > heldFor {
+		if !in.held[key].fresh(now) {
 			break
 		}
 		tokens -= p.Parts[i].Tokens
--- a/internal/placement/reading.go
+++ b/internal/placement/reading.go
@@ -38,6 +38,7 @@
 		return
 	}
 	f.settle(in, r)
+	in.partsRead(r.keys)
 	took := float64(now.Sub(r.sent)) / float64(time.Millisecond)
 	f.observe(in, r.tokens, took)
 	f.estimates.add(r, took)
@@ -64,6 +65,11 @@
 	if in == nil {
 		return
 	}
+	if o == Answered {
+		in.partsRead(r.keys)
+	} else if !r.read {
+		in.partsLost(r.keys, r.sent)
+	}
 	f.settle(in, r)
 	in.outstanding = max(0, in.outstanding-1)
 	in.judge(o, now)
