Other hosts fetch parts once they are told that they were read

Under load prompts wait for 0.5 to 1.6 s, but parts counted as read 0.5 s after they were sent: the fetch brought nothing. Ruled out: subjects new or older than 10 s (170 planned reads of all parts, not priced), two hosts at once (8 in 20 s). Change: news between hosts tell parts that were sent and parts that were read; only the latter are a source. Test fails before.

--- a/internal/placement/held.go
+++ b/internal/placement/held.go
@@ -9,16 +9,13 @@
 	newsAfter = 3 * time.Second
 	// maxNews bounds the news that wait to be told.
 	maxNews = 4096
-	// readWithin is how long after parts were sent to an engine they count as read where
-	// this host did not see it: 13,000 tokens and a queue as long.
-	readWithin = 500 * time.Millisecond
 )
 
 // heldPart is what this host knows of shared parts at an engine.
 type heldPart struct {
 	first time.Time // when they were first sent there
 	last  time.Time // when they were last asked for
-	read  bool      // this host saw that they were read
+	read  bool      // they were read, as this host or another one saw
 }
 
 // fresh reports whether the parts are counted on.
@@ -26,15 +23,14 @@
 
 // movable reports whether another engine can fetch the parts. While they are still
 // being read there, a fetch brings nothing and they are read twice.
-func (h heldPart) movable(now time.Time) bool {
-	return h.fresh(now) && (h.read || now.Sub(h.first) >= readWithin)
-}
+func (h heldPart) movable(now time.Time) bool { return h.fresh(now) && h.read }
 
-// Held tells what a host learned of an engine. It was sent prompts with shared parts,
-// so it holds them now or soon; keys stand for the parts up to each of them.
+// Held tells what a host learned of an engine. Keys stand for the shared parts up to
+// each of them.
 type Held struct {
 	Instance string   `json:"instance"`
-	Keys     []uint64 `json:"keys,omitempty"`
+	Keys     []uint64 `json:"keys,omitempty"` // sent there: it holds them soon
+	Read     []uint64 `json:"read,omitempty"` // read there: others can fetch them
 	// Rate is at which it was seen to read, in tokens in a millisecond; 0 when it was not.
 	Rate float64 `json:"rate,omitempty"`
 }
@@ -43,7 +39,12 @@
 func (f *Fleet) hold(in *instance, keys []uint64, now time.Time) {
 	for _, key := range keys {
 		if before := in.held[key]; now.Sub(before.last) > newsAfter {
-			f.newsOf(in.ID).Keys = append(f.newsOf(in.ID).Keys, key)
+			h := f.newsOf(in.ID)
+			if before.movable(now) {
+				h.Read = append(h.Read, key)
+			} else {
+				h.Keys = append(h.Keys, key)
+			}
 			f.newsCount++
 			in.note(key, now)
 		}
@@ -77,12 +78,15 @@
 	in.held[key] = part
 }
 
-// partsRead notes that the shared parts of a prompt were read at an engine.
-func (in *instance) partsRead(keys []uint64) {
+// partsRead notes that the shared parts of a prompt were read at an engine. The caller
+// holds f.mu.
+func (f *Fleet) partsRead(in *instance, keys []uint64) {
 	for _, key := range keys {
-		if part, ok := in.held[key]; ok {
+		if part, ok := in.held[key]; ok && !part.read {
 			part.read = true
 			in.held[key] = part
+			f.newsOf(in.ID).Read = append(f.newsOf(in.ID).Read, key)
+			f.newsCount++
 		}
 	}
 }
@@ -116,7 +120,8 @@
 	for _, n := range news {
 		h := f.newsOf(n.Instance)
 		h.Keys = append(h.Keys, n.Keys...)
-		f.newsCount += len(n.Keys)
+		h.Read = append(h.Read, n.Read...)
+		f.newsCount += len(n.Keys) + len(n.Read)
 	}
 }
 
@@ -129,6 +134,12 @@
 			for _, key := range n.Keys {
 				in.note(key, now)
 			}
+			for _, key := range n.Read {
+				in.note(key, now)
+				part := in.held[key]
+				part.read = true
+				in.held[key] = part
+			}
 			if n.Rate > 0 {
 				in.rates.add(n.Rate)
 			}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -320,6 +320,27 @@
 	}
 }
 
+// Another host may fetch parts once it is told that they were read, not when they were
+// sent: under load they wait for a second.
+func TestOtherHostsFetchOnlyWhatWasRead(t *testing.T) {
+	a, b := fleetOf(6, 2), fleetOf(6, 2)
+	p := about("s", 13000, 3000)
+	r := a.BeginPrompt("p3", "", p, 16000, start)
+	b.SetHeld(a.News(), start)
+	for range 20 {
+		b.BeginPrompt("p3", "", about("other", 13000, 3000), 16000, after(800)) // others are less busy
+	}
+	if got := mustPlace(t, b, p, after(900)); got.Fetch != "" {
+		t.Errorf("fetches from %s, which has not read the parts", got.Fetch)
+	}
+	a.PromptRead(r, after(1000))
+	b.SetHeld(a.News(), after(1100))
+	got := mustPlace(t, b, p, after(1100))
+	if got.Read.ID == "p3" || got.Fetch != "p3" {
+		t.Errorf("read at %s, fetches from %q, want another engine that fetches from p3", got.Read.ID, got.Fetch)
+	}
+}
+
 // A host that starts while engines have served for long reads subjects at their homes,
 // where the hosts before it had them read; at the first start of all it knows that
 // nothing is held.
--- a/internal/placement/reading.go
+++ b/internal/placement/reading.go
@@ -38,7 +38,7 @@
 		return
 	}
 	f.settle(in, r)
-	in.partsRead(r.keys)
+	f.partsRead(in, r.keys)
 	took := float64(now.Sub(r.sent)) / float64(time.Millisecond)
 	f.observe(in, r.tokens, took)
 	f.estimates.add(r, took)
@@ -66,7 +66,7 @@
 		return
 	}
 	if o == Answered {
-		in.partsRead(r.keys)
+		f.partsRead(in, r.keys)
 	} else if !r.read {
 		in.partsLost(r.keys, r.sent)
 	}
