Subjects stay at their homes; control hosts bound what waits for a replica

Cause: further engines that fetch a subject drop others from their memory, and what hosts count on there is gone.

Found by reading: 1,024 messages of up to 512 kB each could wait for every replica, and an operator's repeated call put a configuration of 315 kB into the log each time while no quorum answered. Now 8 MB wait for a replica at most and a version waits once. Test: a queue to an unreachable replica stays bounded.

--- a/internal/controlhost/group.go
+++ b/internal/controlhost/group.go
@@ -228,12 +228,36 @@
 	return ""
 }
 
-// proposeHere proposes at this host's replica.
+// proposeHere proposes at this host's replica. A version that waits for its quorum
+// already is not put into the log again: operators repeat their calls, and without a
+// quorum each repetition would take the memory of a whole configuration.
 func (h *Host) proposeHere(ctx context.Context, d document.Document) (uint64, error) {
 	opened := h.member.current.Load()
 	if opened == nil {
 		return 0, errClosed
 	}
+	status := opened.replica.Status()
+	if status.Role != replica.RoleLeader {
+		return appendDocument(ctx, opened, d) // tells who leads
+	}
+	key := fmt.Sprint(status.ID, "/", status.Term, "/", d.Version)
+	outcome := h.proposing.DoChan(key, func() (any, error) {
+		limited, cancel := context.WithTimeout(context.Background(), entryTimeout)
+		defer cancel()
+		return appendDocument(limited, opened, d)
+	})
+	select {
+	case o := <-outcome:
+		if o.Err != nil {
+			return 0, o.Err
+		}
+		return o.Val.(uint64), nil
+	case <-ctx.Done():
+		return 0, context.Cause(ctx)
+	}
+}
+
+func appendDocument(ctx context.Context, opened *member, d document.Document) (uint64, error) {
 	result, err := opened.replica.Propose(ctx, d.Encode())
 	if err != nil {
 		return 0, err
--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -18,6 +18,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"filberthook/internal/controlapi"
 	"filberthook/internal/controlwatch"
@@ -41,6 +42,9 @@
 	// proposeTimeout bounds an operator's change: operators try another host after
 	// a second.
 	proposeTimeout = 2500 * time.Millisecond
+	// entryTimeout bounds the wait of an entry of the log for its quorum, before the same
+	// version may be put into the log again.
+	entryTimeout = 10 * time.Second
 	// readTimeout bounds an operator's read.
 	readTimeout = 900 * time.Millisecond
 	// maxWatchWait bounds how long an answer to a watch is held back.
@@ -83,6 +87,7 @@
 	registry  *instances.Registry
 	watchers  *watchers
 	loads     loads
+	proposing singleflight.Group // by replica, term and version
 	rpc       *raftnet.Pool // calls to other control hosts
 	raftRPC   *raftnet.Pool // messages of the replicated log
 	transport *raftnet.Transport
--- a/internal/placement/prompt.go
+++ b/internal/placement/prompt.go
@@ -61,9 +61,10 @@
 	easyWeight = 0.4
 	lateWeight = 1.5
 	// secondCost and farCost keep a subject at its homes: with 13,000 shared tokens the
-	// second home must be 100 ms faster, any other engine 400 ms.
-	secondCost = 0.008 // ms for each shared token, at the second home
-	farCost    = 0.030 // ms for each shared token, at any other engine
+	// second home must be 400 ms faster, any other engine 1.6 s. Each further engine that
+	// holds a subject drops others that will be asked for, and what is fetched may be gone.
+	secondCost = 0.030 // ms for each shared token, at the second home
+	farCost    = 0.120 // ms for each shared token, at any other engine
 	// otherZoneCost keeps transfers of KV cache within an availability zone: between
 	// zones they take and cost twice as much.
 	otherZoneCost = transferTime + transferCost // ms for each token
--- a/internal/raftnet/transport.go
+++ b/internal/raftnet/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -11,8 +12,11 @@
 // Limits of the queue to one replica.
 const (
 	queueLength = 1024
-	batchBytes  = 2 << 20 // messages are sent together up to this size
+	batchBytes  = 1 << 20 // messages are sent together up to this size
 	sendTimeout = 2 * time.Second
+	// queueBytes bounds the messages that wait for one replica: a message larger than a
+	// few configurations fits, and all queues together take a part of a small host's memory.
+	queueBytes = 8 << 20
 )
 
 // Transport carries the messages of the replicated log to the other replicas,
@@ -25,7 +29,7 @@
 	failed  *metrics.Counter
 
 	mu      sync.Mutex
-	queues  map[uint64]chan []byte
+	queues  map[uint64]*queue
 	senders sync.WaitGroup
 }
 
@@ -37,26 +41,46 @@
 		address: address,
 		dropped: set.GetOrCreateCounter(`filberthook_control_raft_dropped_total{reason="queue_full"}`),
 		failed:  set.GetOrCreateCounter(`filberthook_control_raft_dropped_total{reason="not_sent"}`),
-		queues:  map[uint64]chan []byte{},
+		queues:  map[uint64]*queue{},
 	}
 }
 
-// Send implements replica.Transport.
-func (t *Transport) Send(to uint64, msg []byte) {
+// queue holds the messages that wait for one replica.
+type queue struct {
+	messages chan []byte
+	bytes    atomic.Int64
+}
+
+// put adds a message unless there is no room. A message of any size fits an empty queue.
+func (q *queue) put(msg []byte) bool {
+	size := int64(len(msg))
+	if total := q.bytes.Add(size); total > queueBytes && total > size {
+		q.bytes.Add(-size)
+		return false
+	}
 	select {
-	case t.queue(to) <- msg:
+	case q.messages <- msg:
+		return true
 	default:
+		q.bytes.Add(-size)
+		return false
+	}
+}
+
+// Send implements replica.Transport.
+func (t *Transport) Send(to uint64, msg []byte) {
+	if !t.queue(to).put(msg) {
 		t.dropped.Inc()
 	}
 }
 
 // queue returns the queue of a replica and starts its sender at the first use.
-func (t *Transport) queue(to uint64) chan<- []byte {
+func (t *Transport) queue(to uint64) *queue {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q, ok := t.queues[to]
 	if !ok {
-		q = make(chan []byte, queueLength)
+		q = &queue{messages: make(chan []byte, queueLength)}
 		t.queues[to] = q
 		t.senders.Go(func() { t.send(to, q) })
 	}
@@ -66,19 +90,21 @@
 // Wait returns once all senders have ended.
 func (t *Transport) Wait() { t.senders.Wait() }
 
-func (t *Transport) send(to uint64, queue <-chan []byte) {
+func (t *Transport) send(to uint64, q *queue) {
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
-		case msg := <-queue:
-			t.sendBatch(to, collect(msg, queue))
+		case msg := <-q.messages:
+			batch, size := collect(msg, q.messages)
+			t.sendBatch(to, batch)
+			q.bytes.Add(-size)
 		}
 	}
 }
 
-// collect adds the messages that wait already.
-func collect(first []byte, queue <-chan []byte) Batch {
+// collect adds the messages that wait already, and returns the size of all.
+func collect(first []byte, queue <-chan []byte) (Batch, int64) {
 	batch := Batch{Messages: [][]byte{first}}
 	size := len(first)
 	for size < batchBytes {
@@ -87,10 +113,10 @@
 			batch.Messages = append(batch.Messages, msg)
 			size += len(msg)
 		default:
-			return batch
+			return batch, int64(size)
 		}
 	}
-	return batch
+	return batch, int64(size)
 }
 
 func (t *Transport) sendBatch(to uint64, batch Batch) {
--- /dev/null
+++ b/internal/raftnet/transport_test.go
@@ -0,0 +1,54 @@
+package raftnet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/peer"
+)
+
+// A replica cannot be reached while a configuration of 300 kB is changed again and
+// again: what waits for it is bounded by bytes, or a host with 280 MB would end.
+func TestQueueToAnUnreachableReplicaIsBounded(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	clients := NewPool(peer.Options{Self: peer.Identity{Host: "a"}, DialTimeout: 50 * time.Millisecond})
+	set := metrics.NewSet()
+	held := make(chan struct{})
+	tr := NewTransport(ctx, clients, func(uint64) string { <-held; return "" }, set)
+	defer func() { close(held); cancel(); tr.Wait(); clients.Close() }()
+	const size = 300 << 10
+	for range 300 {
+		tr.Send(2, make([]byte, size))
+	}
+	tr.mu.Lock()
+	waiting := tr.queues[2].bytes.Load()
+	tr.mu.Unlock()
+	if waiting > queueBytes+batchBytes {
+		t.Errorf("%d MB wait for one replica", waiting>>20)
+	}
+	if tr.dropped.Get() == 0 {
+		t.Error("nothing was dropped")
+	}
+	tr.Send(3, make([]byte, queueBytes+1))
+	if waiting := tr.queue(3).bytes.Load(); waiting == 0 {
+		t.Error("a message larger than the bound never gets through")
+	}
+}
+
+func TestQueueIsFreedOnceSent(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	clients := NewPool(peer.Options{Self: peer.Identity{Host: "a"}})
+	tr := NewTransport(ctx, clients, func(uint64) string { return "" }, metrics.NewSet())
+	defer func() { cancel(); tr.Wait(); clients.Close() }()
+	for range 1000 {
+		tr.Send(2, make([]byte, 1<<10))
+	}
+	for end := time.Now().Add(2 * time.Second); tr.queue(2).bytes.Load() != 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes still counted", tr.queue(2).bytes.Load())
+		}
+	}
+}
