News between hosts: told once, bounded, compact, on connections of their own

An answer to an exchange of load had 93 kB, as every host's news were passed on to all 64 though most hosts tell the same; after a change of the leader all news of ten seconds went to each host at once (2.6 MB each). An exchange that took longer than 250 ms ended the connection that the watch uses too, and its news were told again, so the overload fed itself. Ruled out: the replicated log (9 kB configurations), watches (35 changes). Tests: an answer to a host that knows nothing has at most 125 kB (2.6 MB before), the same news are told once.

--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -88,8 +88,8 @@
 	watchers  *watchers
 	loads     loads
 	proposing singleflight.Group // by replica, term and version
-	rpc       *raftnet.Pool // calls to other control hosts
-	raftRPC   *raftnet.Pool // messages of the replicated log
+	rpc       *raftnet.Pool      // calls to other control hosts
+	raftRPC   *raftnet.Pool      // messages of the replicated log
 	transport *raftnet.Transport
 	seedList  atomic.Pointer[[]string]
 
--- a/internal/controlhost/loads.go
+++ b/internal/controlhost/loads.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"filberthook/internal/controlapi"
-	"filberthook/internal/placement"
 	"filberthook/internal/staging"
 )
 
@@ -23,22 +22,9 @@
 	expired time.Time // when hosts were last looked over
 
 	epoch string // of this control process
-	news  []news // oldest first
-	last  uint64 // position of the newest news
+	news  board
 }
 
-// news is what one host told about prompt parts.
-type news struct {
-	position uint64
-	host     string
-	held     []placement.Held
-	at       time.Time
-}
-
-// newsKept is how long news are kept for hosts that ask seldom or
-// have just started.
-const newsKept = 10 * time.Second
-
 type hostLoad struct {
 	report controlapi.LoadReport
 	at     time.Time
@@ -59,8 +45,13 @@
 	for id, tokens := range report.Tokens {
 		l.total[id] = add(l.total[id], tokens, 1)
 	}
-	answer.Held = l.newsFor(host, report, now)
-	answer.NewsPosition = l.last
+	from := report.NewsPosition
+	if report.NewsEpoch != l.epoch {
+		from = 0
+	}
+	answer.Held = l.news.since(host, from)
+	l.news.add(host, report.Held, now)
+	answer.NewsPosition = l.news.last
 	return answer
 }
 
@@ -90,29 +81,6 @@
 	delete(l.hosts, host)
 }
 
-// newsFor takes a host's news and returns those of the others that it has not been
-// told. The caller holds l.mu.
-func (l *loads) newsFor(host string, report controlapi.LoadReport, now time.Time) []placement.Held {
-	for len(l.news) > 0 && now.Sub(l.news[0].at) > newsKept {
-		l.news = l.news[1:]
-	}
-	from := report.NewsPosition
-	if report.NewsEpoch != l.epoch {
-		from = 0
-	}
-	var out []placement.Held
-	for _, n := range l.news {
-		if n.position > from && n.host != host {
-			out = append(out, n.held...)
-		}
-	}
-	if len(report.Held) > 0 {
-		l.last++
-		l.news = append(l.news, news{position: l.last, host: host, held: report.Held, at: now})
-	}
-	return out
-}
-
 // Demand implements stagekeeper.Load: the sum of what the hosts reported lately. It is
 // loaded once callers ask for anything.
 func (l *loads) Demand() (map[string]staging.Demand, bool) {
--- /dev/null
+++ b/internal/controlhost/loads_test.go
@@ -0,0 +1,120 @@
+package controlhost
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"filberthook/internal/controlapi"
+	"filberthook/internal/placement"
+)
+
+// busyReport is what a host of a large deployment reports: 20 of 140 engines with
+// prompts, and the parts of a third of a second.
+func busyReport(host int) controlapi.LoadReport {
+	r := controlapi.LoadReport{
+		Tokens: map[string][]int64{}, Demand: map[string]controlapi.Demand{"lm": {PromptTokens: 20_000, OutputTokens: 200}},
+	}
+	for e := range 20 {
+		id := fmt.Sprintf("i-%010x", (host*20+e)%140)
+		r.Tokens[id] = []int64{0, 1700, 12000}
+		r.Held = append(r.Held, placement.Held{Instance: id, Keys: placement.Keys{uint64(host)<<40 | uint64(e), 1 << 60}})
+	}
+	return r
+}
+
+// 64 hosts tell for ten seconds what engines hold, mostly the same, then a new leader
+// has to tell all of it to each of them at once, on links of 10 Mbit/s.
+func TestNewsForAHostThatKnowsNothingAreBounded(t *testing.T) {
+	l := loads{hosts: map[string]hostLoad{}, total: map[string][]int64{}, epoch: "1"}
+	now := time.Unix(1_800_000_000, 0)
+	for round := range 28 {
+		for host := range 64 {
+			report := busyReport(host)
+			for i := range report.Held { // half of the subjects are asked for everywhere
+				report.Held[i].Keys = placement.Keys{uint64(i), uint64(host)<<40 | uint64(round)<<20 | uint64(i)}
+			}
+			l.exchange(fmt.Sprint(host), report, now)
+		}
+		now = now.Add(360 * time.Millisecond)
+	}
+	answer, err := json.Marshal(l.exchange("new", controlapi.LoadReport{}, now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// 100 ms of the link.
+	if len(answer) > 125_000 {
+		t.Errorf("an answer of %d bytes", len(answer))
+	}
+	if n := len(l.news.notes); n > maxNews+64*40 {
+		t.Errorf("%d notes are kept", n)
+	}
+}
+
+func TestTheSameNewsAreToldOnce(t *testing.T) {
+	var b board
+	now := time.Unix(1_800_000_000, 0)
+	held := func(keys, read placement.Keys) []placement.Held {
+		return []placement.Held{{Instance: "i", Keys: keys, Read: read}}
+	}
+	b.add("a", held(placement.Keys{7}, nil), now)
+	b.add("b", held(placement.Keys{7}, nil), now.Add(time.Second))
+	first := b.since("c", 0)
+	if len(first) != 1 || len(first[0].Keys) != 1 {
+		t.Errorf("news %v, want one key once", first)
+	}
+	at := b.last
+	b.add("b", held(nil, placement.Keys{7}), now.Add(2*time.Second))
+	if more := b.since("c", at); len(more) != 1 || len(more[0].Read) != 1 {
+		t.Errorf("news %v, want that the parts were read", more)
+	}
+	at = b.last
+	b.add("a", held(placement.Keys{7}, nil), now.Add(2500*time.Millisecond))
+	if more := b.since("c", at); len(more) != 0 {
+		t.Errorf("news %v of parts that are known to be read", more)
+	}
+	b.add("a", held(nil, placement.Keys{7}), now.Add(2*time.Second+newsRepeated))
+	if more := b.since("c", at); len(more) != 1 {
+		t.Errorf("news %v, want them again after %v", more, newsRepeated)
+	}
+	if own := b.since("a", at); len(own) != 0 {
+		t.Errorf("a host is told its own news: %v", own)
+	}
+	b.add("a", nil, now.Add(time.Minute))
+	if len(b.notes) != 0 || len(b.known) != 0 {
+		t.Errorf("%d notes are kept for a minute", len(b.notes))
+	}
+}
+
+// BenchmarkExchange measures one exchange of load, decoding and encoding included, in a
+// group of 64 entry hosts.
+func BenchmarkExchange(b *testing.B) {
+	l := loads{hosts: map[string]hostLoad{}, total: map[string][]int64{}, epoch: "1"}
+	now := time.Unix(1_800_000_000, 0)
+	position := make([]uint64, 64)
+	bytes := 0
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		h := i % 64
+		now = now.Add(360 * time.Millisecond / 64)
+		report := busyReport(h)
+		report.NewsEpoch, report.NewsPosition = "1", position[h]
+		request, err := json.Marshal(report)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var got controlapi.LoadReport
+		if err := json.Unmarshal(request, &got); err != nil {
+			b.Fatal(err)
+		}
+		answer := l.exchange(fmt.Sprint(h), got, now)
+		position[h] = answer.NewsPosition
+		out, err := json.Marshal(answer)
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes += len(out)
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "answer-bytes/op")
+}
--- a/internal/controlwatch/load.go
+++ b/internal/controlwatch/load.go
@@ -8,6 +8,7 @@
 	"filberthook/internal/controlapi"
 	"filberthook/internal/pause"
 	"filberthook/internal/placement"
+	"filberthook/internal/raftnet"
 )
 
 const (
@@ -15,9 +16,10 @@
 	// engine reads one long prompt.
 	loadInterval = 120 * time.Millisecond
 	// loadTimeout bounds one exchange.
-	loadTimeout = 250 * time.Millisecond
-	// loadPause is how long a control host that did not answer is not asked.
-	loadPause = 2 * time.Second
+	loadTimeout = 500 * time.Millisecond
+	// maxLoadPause bounds the pause after exchanges that failed in a row, which doubles: a
+	// control host that is short of time must not get the same work again at once.
+	maxLoadPause = 2 * time.Second
 	// fewHosts exchange their load each interval; more do so less often, so that the
 	// control host's part does not grow with their number.
 	fewHosts = 24
@@ -25,46 +27,63 @@
 
 // ShareLoad exchanges the load of this host with that of the others until ctx ends.
 // All hosts ask the leader of the control group or, while it is not reached, the first
-// control host in the order of addresses.
-func (w *Watcher) ShareLoad(ctx context.Context, fleet *placement.Fleet) {
-	var epoch string
-	var position uint64
-	for pause.For(ctx, loadInterval*time.Duration(1+w.Hosts()/fewHosts)) {
-		address := w.loadHost()
-		if address == "" {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, loadTimeout)
-		report := encodeLoads(fleet.Loads(), fleet.Demand(time.Now()))
-		report.Held, report.NewsEpoch, report.NewsPosition = fleet.News(), epoch, position
-		var others controlapi.LoadReport
-		err := w.clients.Get(address).Call(call, controlapi.MethodLoad, report, &others)
-		cancel()
-		if err != nil {
+// control host in the order of addresses. The calls have connections of their own:
+// one that is late must not end the watch of the same control host.
+func (w *Watcher) ShareLoad(ctx context.Context, clients *raftnet.Pool, fleet *placement.Fleet) {
+	e := exchange{watcher: w, clients: clients, fleet: fleet}
+	interval := loadInterval * time.Duration(1+w.Hosts()/fewHosts)
+	for delay := interval; pause.For(ctx, delay); {
+		interval = loadInterval * time.Duration(1+w.Hosts()/fewHosts)
+		if err := e.once(ctx); err != nil {
 			// The watch of the same control host reports when it is lost.
-			w.logger.Debug("load not exchanged", "control", address, "err", err)
-			fleet.Untold(report.Held)
-			w.avoidForLoad(address)
+			w.logger.Debug("load not exchanged", "err", err)
+			delay = min(2*delay, maxLoadPause)
 			continue
 		}
-		epoch, position = others.NewsEpoch, others.NewsPosition
-		fleet.SetOthers(decodeLoads(others), time.Now())
-		fleet.SetHeld(others.Held, time.Now())
+		delay = interval
 	}
 }
 
+// exchange is the exchange of load with the control hosts.
+type exchange struct {
+	watcher  *Watcher
+	clients  *raftnet.Pool
+	fleet    *placement.Fleet
+	epoch    string // of the last answer
+	position uint64
+}
+
+func (e *exchange) once(ctx context.Context) error {
+	address := e.watcher.loadHost()
+	if address == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	report := encodeLoads(e.fleet.Loads(), e.fleet.Demand(time.Now()))
+	report.Held, report.NewsEpoch, report.NewsPosition = e.fleet.News(), e.epoch, e.position
+	var others controlapi.LoadReport
+	if err := e.clients.Get(address).Call(ctx, controlapi.MethodLoad, report, &others); err != nil {
+		e.fleet.Untold(report.Held)
+		return err
+	}
+	e.epoch, e.position = others.NewsEpoch, others.NewsPosition
+	e.fleet.SetOthers(decodeLoads(others), time.Now())
+	e.fleet.SetHeld(others.Held, time.Now())
+	return nil
+}
+
 // loadHost returns the address of a control host on which all hosts agree while
 // they reach the same ones, empty when none is reached.
 func (w *Watcher) loadHost() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := time.Now()
-	if t, ok := w.watched[w.leader]; ok && t.up && now.After(t.noLoadBefore) {
+	if t, ok := w.watched[w.leader]; ok && t.up {
 		return w.leader
 	}
 	var reached []string
 	for address, t := range w.watched {
-		if t.up && now.After(t.noLoadBefore) {
+		if t.up {
 			reached = append(reached, address)
 		}
 	}
@@ -74,15 +93,6 @@
 	return slices.Min(reached)
 }
 
-// avoidForLoad has another control host asked for a while.
-func (w *Watcher) avoidForLoad(address string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if t, ok := w.watched[address]; ok {
-		t.noLoadBefore = time.Now().Add(loadPause)
-	}
-}
-
 func encodeLoads(loads map[string]placement.Backlog, demand map[string]placement.Demand) controlapi.LoadReport {
 	out := make(map[string][]int64, len(loads))
 	for id, backlog := range loads {
--- a/internal/controlwatch/watcher.go
+++ b/internal/controlwatch/watcher.go
@@ -61,8 +61,6 @@
 	named time.Time // last time that a seed or a control host named it
 	up    bool
 	hosts int // entry hosts that watch it
-	// noLoadBefore is when it may be asked for the load of other hosts again.
-	noLoadBefore time.Time
 }
 
 // New returns a Watcher that keeps view and config up to date.
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -64,7 +64,8 @@
 	fleet    *placement.Fleet
 	pool     *upstream.Pool
 	server   *forward.Server
-	clients  *raftnet.Pool
+	clients  *raftnet.Pool // to control hosts
+	loads    *raftnet.Pool // to the one that load is exchanged with
 	watcher  *controlwatch.Watcher
 	idle     *idleConnections
 	stopping atomic.Bool
@@ -84,7 +85,7 @@
 	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout},
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.logger, set)
 	h.idle = newIdleConnections(h.server)
-	h.clients = raftnet.NewPool(peer.Options{
+	options := peer.Options{
 		Self:            peer.Identity{Host: s.Host, Zone: s.Zone},
 		TrustedNetwork:  s.TrustedNetwork,
 		DropOnTimeout:   true,
@@ -94,7 +95,10 @@
 		RedialDelay:     netopt.RedialDelay,
 		Metrics:         set,
 		Logger:          h.logger,
-	})
+	}
+	h.clients = raftnet.NewPool(options)
+	options.DropOnTimeout = false // a late exchange leaves the connection for the next
+	h.loads = raftnet.NewPool(options)
 	config := &configuration{decode: p.DecodeConfig, server: h.server, logger: h.logger}
 	h.watcher = controlwatch.New(h.clients, h.view, config, h.logger)
 	set.GetOrCreateGauge("filberthook_entry_config_version", func() float64 { return float64(config.Version()) })
@@ -135,13 +139,14 @@
 	}
 	h.logger.Info("entry host started", "callers", h.settings.Listen.Callers, "seeds", *h.seedList.Load())
 	defer h.clients.Close()
+	defer h.loads.Close()
 	defer h.pool.Close()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	tasks, background := errgroup.WithContext(background)
 	tasks.Go(func() error { h.watcher.Run(background, h.peers); return nil })
 	tasks.Go(func() error { h.refresh(background); return nil })
-	tasks.Go(func() error { h.watcher.ShareLoad(background, h.fleet); return nil })
+	tasks.Go(func() error { h.watcher.ShareLoad(background, h.loads, h.fleet); return nil })
 	tasks.Go(func() error { return h.serveReady(background, ready) })
 	tasks.Go(func() error {
 		defer stop()
--- a/internal/placement/held.go
+++ b/internal/placement/held.go
@@ -1,14 +1,20 @@
 package placement
 
-import "time"
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"time"
+)
 
 const (
 	// maxHeld bounds the parts remembered of one engine.
 	maxHeld = 8192
 	// newsAfter is how long after it was last told that a part is held it is told again.
 	newsAfter = 3 * time.Second
-	// maxNews bounds the news that wait to be told.
-	maxNews = 4096
+	// maxNews bounds the news that wait to be told: some seconds of a busy host. They are
+	// hints, so all are dropped beyond.
+	maxNews = 1024
 )
 
 // heldPart is what this host knows of shared parts at an engine.
@@ -28,13 +34,45 @@
 // Held tells what a host learned of an engine. Keys stand for the shared parts up to
 // each of them.
 type Held struct {
-	Instance string   `json:"instance"`
-	Keys     []uint64 `json:"keys,omitempty"` // sent there: it holds them soon
-	Read     []uint64 `json:"read,omitempty"` // read there: others can fetch them
+	Instance string `json:"instance"`
+	Keys     Keys   `json:"keys,omitempty"` // sent there: it holds them soon
+	Read     Keys   `json:"read,omitempty"` // read there: others can fetch them
 	// Rate is at which it was seen to read, in tokens in a millisecond; 0 when it was not.
 	Rate float64 `json:"rate,omitempty"`
 }
 
+// Keys are sent between hosts as base64 of eight bytes each: there are thousands a
+// second, and numbers in decimal digits take twice the bytes and several times the work.
+type Keys []uint64
+
+// keyBytes is the length of a key in binary form.
+const keyBytes = 8
+
+// MarshalText implements encoding.TextMarshaler.
+func (k Keys) MarshalText() ([]byte, error) {
+	raw := make([]byte, 0, keyBytes*len(k))
+	for _, key := range k {
+		raw = binary.BigEndian.AppendUint64(raw, key)
+	}
+	return base64.RawStdEncoding.AppendEncode(nil, raw), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Keys) UnmarshalText(text []byte) error {
+	raw, err := base64.RawStdEncoding.AppendDecode(nil, text)
+	if err != nil {
+		return fmt.Errorf("keys of prompt parts: %w", err)
+	}
+	if len(raw)%keyBytes != 0 {
+		return fmt.Errorf("keys of prompt parts: %d bytes are no multiple of %d", len(raw), keyBytes)
+	}
+	*k = make(Keys, 0, len(raw)/keyBytes)
+	for ; len(raw) > 0; raw = raw[keyBytes:] {
+		*k = append(*k, binary.BigEndian.Uint64(raw))
+	}
+	return nil
+}
+
 // hold notes that an engine is sent parts. The caller holds f.mu.
 func (f *Fleet) hold(in *instance, keys []uint64, now time.Time) {
 	for _, key := range keys {
@@ -49,8 +87,13 @@
 			in.note(key, now)
 		}
 	}
+	f.boundNews()
+}
+
+// boundNews drops the news when nobody takes them. The caller holds f.mu.
+func (f *Fleet) boundNews() {
 	if f.newsCount > maxNews {
-		clear(f.news) // nobody takes them
+		clear(f.news)
 		f.newsCount = 0
 	}
 }
@@ -123,6 +166,7 @@
 		h.Read = append(h.Read, n.Read...)
 		f.newsCount += len(n.Keys) + len(n.Read)
 	}
+	f.boundNews()
 }
 
 // SetHeld takes the news of other hosts.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,12 +1,15 @@
 package placement
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"filberthook/internal/dialect"
 	"filberthook/internal/instances"
 )
@@ -475,3 +478,24 @@
 		t.Errorf("%d tokens to read at %s, fetch from %q: want all 14000", got.Tokens, got.Read.ID, got.Fetch)
 	}
 }
+
+func TestKeysAreTheSameAfterTheWire(t *testing.T) {
+	want := []Held{{Instance: "i", Keys: Keys{1, 1 << 63, 42}, Read: Keys{7}, Rate: 50}, {Instance: "j", Rate: 1}}
+	data, err := json.Marshal(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []Held
+	if err := json.Unmarshal(data, &got); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	for _, bad := range []string{`{"keys":"AAAA"}`, `{"keys":"*"}`, `{"keys":5}`} {
+		var h Held
+		if json.Unmarshal([]byte(bad), &h) == nil {
+			t.Errorf("%s was taken", bad)
+		}
+	}
+}
