--- a/internal/controlhost/group.go
+++ b/internal/controlhost/group.go
@@ -55,7 +55,7 @@
 // join asks the group to take this host's replica until it is a member.
 func (m *membership) join(ctx context.Context, opened *member) {
 	h := m.host
-	req := controlapi.JoinRequest{ID: opened.id, Address: h.settings.Listen.Peers, Zone: h.settings.Zone}
+	req := controlapi.JoinRequest{ID: opened.id, Address: h.settings.Listen.peersAddress(), Zone: h.settings.Zone}
 	known := map[string]bool{}
 	for !isMember(opened.replica.Status(), opened.id) {
 		for _, f := range formation.Founders(h.seeds(), h.peerPort) {
@@ -104,7 +104,7 @@
 		h.joins.add(req)
 		return controlapi.JoinResponse{Peers: h.member.addresses()}, nil
 	}
-	if status.LeaderAddress == "" || status.LeaderAddress == h.settings.Listen.Peers {
+	if status.LeaderAddress == "" || status.LeaderAddress == h.settings.Listen.peersAddress() {
 		return controlapi.JoinResponse{}, &UnavailableError{errors.New("no leader is known")}
 	}
 	var resp controlapi.JoinResponse
@@ -222,7 +222,7 @@
 	case notLeader == nil && !errors.Is(err, errClosed) && !errors.Is(err, replica.ErrStopped):
 		return ""
 	}
-	if leader := h.watcher.Leader(); leader != h.settings.Listen.Peers {
+	if leader := h.watcher.Leader(); leader != h.settings.Listen.peersAddress() {
 		return leader
 	}
 	return ""
--- a/internal/controlhost/host.go
+++ b/internal/controlhost/host.go
@@ -106,7 +106,7 @@
 // New returns a Host that serves operators and instances with the handler, and gives
 // orders by engines, which may be nil.
 func New(s Settings, handler func(Service) http.Handler, engines stagekeeper.Engines, logger *slog.Logger, set *metrics.Set) (*Host, error) {
-	at, err := netip.ParseAddrPort(s.Listen.Peers)
+	at, err := netip.ParseAddrPort(s.Listen.peersAddress())
 	if err != nil {
 		return nil, fmt.Errorf("listen.peers: %w", err)
 	}
--- a/internal/controlhost/member.go
+++ b/internal/controlhost/member.go
@@ -157,11 +157,11 @@
 	}
 	founders := formation.Founders(m.host.seeds(), m.host.peerPort)
 	for i := range founders {
-		if founders[i].Address == s.Listen.Peers {
+		if founders[i].Address == s.Listen.peersAddress() {
 			founders[i].Zone = s.Zone
 		}
 	}
-	own := formation.FounderID(s.Listen.Peers)
+	own := formation.FounderID(s.Listen.peersAddress())
 	isFounder := false
 	for _, f := range founders {
 		isFounder = isFounder || f.ID == own
--- a/internal/controlhost/settings.go
+++ b/internal/controlhost/settings.go
@@ -41,6 +41,17 @@
 	Control string `toml:"control"` // operators and endpoint instances
 	Peers   string `toml:"peers"`   // other hosts of the system
 	Status  string `toml:"status"`  // /metrics
+	// Advertised is the address at which other hosts reach Peers, where that differs, as
+	// behind a relay. Its port is the one of all control hosts.
+	Advertised string `toml:"advertised"`
+}
+
+// peersAddress returns the address by which other hosts know this one.
+func (l Listen) peersAddress() string {
+	if l.Advertised != "" {
+		return l.Advertised
+	}
+	return l.Peers
 }
 
 // Tolerate is what the group must survive at once.
@@ -57,8 +68,12 @@
 	c.UniqueAddress("listen.control", s.Listen.Control)
 	c.UniqueAddress("listen.peers", s.Listen.Peers)
 	c.UniqueAddress("listen.status", s.Listen.Status)
+	if s.Listen.Advertised != "" {
+		c.Address("listen.advertised", s.Listen.Advertised)
+	}
 	CheckSeeds(c, s.Seeds)
 	CheckTrust(c, s.TrustedNetwork, s.Listen.Peers)
+	CheckTrust(c, s.TrustedNetwork, s.Listen.peersAddress())
 	if s.Heartbeat.Duration <= 0 {
 		c.Add("heartbeat", "is missing", "set the interval of the instances' heartbeats, such as 1.2s")
 	}
--- a/internal/faultnet/relay.go
+++ b/internal/faultnet/relay.go
@@ -37,10 +37,13 @@
 
 // NewRelay returns a relay on a free loopback port. The target may be empty
 // until Retarget. Close ends it.
-func NewRelay(target string) (*Relay, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func NewRelay(target string) (*Relay, error) { return NewRelayAt("127.0.0.1:0", target) }
+
+// NewRelayAt returns a relay at a loopback address.
+func NewRelayAt(address, target string) (*Relay, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("faultnet: no free loopback port: %w", err)
+		return nil, fmt.Errorf("faultnet: no relay at %s: %w", address, err)
 	}
 	r := &Relay{
 		target: target,
