A fault soak of hosts as separate processes

platform/hostsoak runs filberthook-host as separate processes on loopback: three control hosts behind relays, entry hosts, stand-in instances behind relays, callers with kept connections, an operator. It kills, freezes, stops and restarts processes, wipes disks, tears the end of a log, slows, resets, cuts and silences links, and has instances crash, leave and misbehave, in overlapping series with calm spells.

--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -36,6 +36,7 @@
 		liveCommand(app),
 		slopesCommand(app),
 		soakCommand(app),
+		hostSoakCommand(app),
 		stormCommand(app),
 		claimsCommand(app),
 	}
