--- a/cmd/filberthook-demo/main.go
+++ b/cmd/filberthook-demo/main.go
@@ -10,7 +10,7 @@
 	"os"
 	"time"
 
-	"filberthook/internal/deployment"
+	"filberthook/internal/bench/deployment"
 
 	"github.com/alecthomas/kingpin/v2"
 )
--- a/cmd/filberthook-demo/show.go
+++ b/cmd/filberthook-demo/show.go
@@ -8,9 +8,9 @@
 
 	filberthookv1 "filberthook/api/filberthook/v1"
 	"filberthook/api/filberthook/v1/filberthookv1connect"
-	"filberthook/internal/deployment"
-	"filberthook/internal/fleet"
-	"filberthook/internal/loadgen"
+	"filberthook/internal/bench/deployment"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/engines/fleet"
 
 	"connectrpc.com/connect"
 )
--- a/cmd/filberthook-host/host.go
+++ b/cmd/filberthook-host/host.go
@@ -16,12 +16,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/controlhost"
-	"filberthook/internal/entryhost"
-	"filberthook/internal/logsink"
-	"filberthook/internal/pause"
-	"filberthook/internal/settings"
-	"filberthook/internal/upstream"
+	"filberthook/internal/control/controlhost"
+	"filberthook/internal/process/logsink"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/serve/entryhost"
+	"filberthook/internal/serve/upstream"
 	"filberthook/platform"
 )
 
--- a/cmd/filberthook-host/main.go
+++ b/cmd/filberthook-host/main.go
@@ -8,9 +8,9 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/controlhost"
-	"filberthook/internal/entryhost"
-	"filberthook/internal/settings"
+	"filberthook/internal/control/controlhost"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/serve/entryhost"
 )
 
 // Exit codes.
--- a/cmd/filberthook-load/claims.go
+++ b/cmd/filberthook-load/claims.go
@@ -12,9 +12,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/faultrun"
-	"filberthook/internal/loadgen"
-	"filberthook/internal/standin"
+	"filberthook/internal/bench/faultrun"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/bench/standin"
 )
 
 // claimsCommand measures calls that may run at most once.
--- a/cmd/filberthook-load/faults.go
+++ b/cmd/filberthook-load/faults.go
@@ -9,8 +9,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/faultrun"
-	"filberthook/internal/invariant"
+	"filberthook/internal/bench/faultrun"
+	"filberthook/internal/process/invariant"
 )
 
 // faultOptions are the flags of the faults command.
--- a/cmd/filberthook-load/live.go
+++ b/cmd/filberthook-load/live.go
@@ -9,8 +9,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/experiment"
-	"filberthook/internal/liverun"
+	"filberthook/internal/bench/experiment"
+	"filberthook/internal/bench/liverun"
 )
 
 // errWrongAnswers fails a run in which an answer was wrong.
--- a/cmd/filberthook-load/local.go
+++ b/cmd/filberthook-load/local.go
@@ -9,10 +9,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/faultrun"
-	"filberthook/internal/standin"
+	"filberthook/internal/bench/faultrun"
+	"filberthook/internal/bench/standin"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 // Figures of the engine of a local system: it answers at once, so that the
--- a/cmd/filberthook-load/main.go
+++ b/cmd/filberthook-load/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/experiment"
+	"filberthook/internal/bench/experiment"
 )
 
 // Exit codes.
--- a/cmd/filberthook-load/overhead.go
+++ b/cmd/filberthook-load/overhead.go
@@ -9,7 +9,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/loadgen"
+	"filberthook/internal/bench/loadgen"
 )
 
 // readyLimit is how long a local system may take to answer its first call.
--- a/cmd/filberthook-load/run.go
+++ b/cmd/filberthook-load/run.go
@@ -8,7 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/loadgen"
+	"filberthook/internal/bench/loadgen"
 )
 
 // defaultMix is the share of each class when no flag sets it.
--- a/cmd/filberthook-load/slopes.go
+++ b/cmd/filberthook-load/slopes.go
@@ -7,7 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/slopes"
+	"filberthook/internal/bench/slopes"
 )
 
 // slopesCommand measures what one more host, watcher or instance costs.
--- a/cmd/filberthook-load/soak.go
+++ b/cmd/filberthook-load/soak.go
@@ -6,7 +6,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/soak"
+	"filberthook/internal/bench/soak"
 )
 
 // soakCommand watches separate processes during a long load.
--- a/cmd/filberthook-load/storm.go
+++ b/cmd/filberthook-load/storm.go
@@ -9,7 +9,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/faultrun"
+	"filberthook/internal/bench/faultrun"
 )
 
 // stormCommand measures what a retry storm costs.
--- a/cmd/filberthook-standin/main.go
+++ b/cmd/filberthook-standin/main.go
@@ -16,9 +16,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/settings"
-	"filberthook/internal/standin"
+	"filberthook/internal/bench/standin"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/settings"
 )
 
 // exitFailed is the exit code after an error that is not in the settings.
--- a/cmd/filberthook/main.go
+++ b/cmd/filberthook/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"filberthook/internal/cli"
+	"filberthook/internal/process/cli"
 )
 
 func main() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/filberthook.go
+++ b/filberthook.go
@@ -8,9 +8,9 @@
 	"errors"
 	"log/slog"
 
-	"filberthook/internal/controlnode"
-	"filberthook/internal/entry"
-	"filberthook/internal/settings"
+	"filberthook/internal/control/controlnode"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/serve/entry"
 
 	"github.com/VictoriaMetrics/metrics"
 )
--- a/filberthook_test.go
+++ b/filberthook_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
 
 	"github.com/VictoriaMetrics/metrics"
 )
--- a/internal/deployment/deployment.go
+++ b/internal/bench/deployment/deployment.go
@@ -17,12 +17,12 @@
 	"time"
 
 	"filberthook/api/filberthook/v1/filberthookv1connect"
-	"filberthook/internal/controlnode"
-	"filberthook/internal/entry"
-	"filberthook/internal/fleet"
-	"filberthook/internal/settings"
-	"filberthook/internal/standin"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/bench/standin"
+	"filberthook/internal/control/controlnode"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/entry"
 
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
--- a/internal/deployment/deployment_test.go
+++ b/internal/bench/deployment/deployment_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/deployment"
-	"filberthook/internal/fleet"
-	"filberthook/internal/loadgen"
+	"filberthook/internal/bench/deployment"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/engines/fleet"
 
 	"connectrpc.com/connect"
 )
--- a/internal/deployment/metrics_test.go
+++ b/internal/bench/deployment/metrics_test.go
@@ -7,8 +7,8 @@
 	"os"
 	"testing"
 
-	"filberthook/internal/loadgen"
-	"filberthook/internal/metricsdoc"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/process/metricsdoc"
 )
 
 // scrape returns a daemon's metrics, a line each.
@@ -41,7 +41,7 @@
 	if len(names) < 100 {
 		t.Fatalf("only %d lines of metrics found", len(names))
 	}
-	page, err := os.ReadFile("../../docs/METRICS.md")
+	page, err := os.ReadFile("../../../docs/METRICS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/deployment/openai_test.go
+++ b/internal/bench/deployment/openai_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"filberthook/internal/enginemodel"
+	"filberthook/internal/engines/enginemodel"
 
 	"github.com/openai/openai-go"
 	"github.com/openai/openai-go/option"
--- a/internal/deployment/options.go
+++ b/internal/bench/deployment/options.go
@@ -4,9 +4,9 @@
 	"log/slog"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/settings"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
+	"filberthook/internal/process/settings"
 )
 
 // Options describe a deployment.
--- a/internal/deployment/part.go
+++ b/internal/bench/deployment/part.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/loopback"
+	"filberthook/internal/bench/loopback"
 )
 
 // stopTimeout bounds how long a part may take to stop.
--- a/internal/deployment/status_test.go
+++ b/internal/bench/deployment/status_test.go
@@ -8,10 +8,10 @@
 	"strings"
 	"testing"
 
-	"filberthook/internal/deployment"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/entry"
-	"filberthook/internal/history"
+	"filberthook/internal/bench/deployment"
+	"filberthook/internal/bench/history"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/entry"
 )
 
 // get returns the body of a status call.
--- a/internal/experiment/baselines.go
+++ b/internal/bench/experiment/baselines.go
@@ -4,8 +4,8 @@
 	"strconv"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/routing"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/routing"
 )
 
 // idText returns the request's identifier.
--- a/internal/experiment/entry.go
+++ b/internal/bench/experiment/entry.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/routing"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/routing"
 )
 
 // maxAttempts bounds how often one request is placed.
--- a/internal/experiment/experiment_test.go
+++ b/internal/bench/experiment/experiment_test.go
@@ -11,11 +11,11 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
 )
 
-const scenarioDir = "../../scenarios"
+const scenarioDir = "../../../scenarios"
 
 // short loads a shipped scenario and cuts it to a length that tests can run.
 func short(t *testing.T, name string, length time.Duration) *Scenario {
--- a/internal/experiment/filberthook.go
+++ b/internal/bench/experiment/filberthook.go
@@ -6,11 +6,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/admission"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/planner"
-	"filberthook/internal/prefix"
-	"filberthook/internal/routing"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/planner"
+	"filberthook/internal/serve/admission"
+	"filberthook/internal/serve/prefix"
+	"filberthook/internal/serve/routing"
 )
 
 // filberthook is the policy of the daemons: their routing, admission and
--- a/internal/experiment/job.go
+++ b/internal/bench/experiment/job.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"filberthook/internal/routing"
+	"filberthook/internal/serve/routing"
 )
 
 // jobState is the place of a request in its life.
--- a/internal/experiment/plot.go
+++ b/internal/bench/experiment/plot.go
@@ -9,7 +9,7 @@
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
-	"filberthook/internal/class"
+	"filberthook/internal/serve/class"
 )
 
 // plotBin is the number of seconds that one point of a plot covers.
--- a/internal/experiment/policy.go
+++ b/internal/bench/experiment/policy.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/planner"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/planner"
 )
 
 // Policy is one way of placing requests and roles.
--- a/internal/experiment/record.go
+++ b/internal/bench/experiment/record.go
@@ -6,8 +6,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"filberthook/internal/class"
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/class"
 )
 
 // second is what one second of a run has seen. Requests count in the second of
--- a/internal/experiment/report.go
+++ b/internal/bench/experiment/report.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"filberthook/internal/class"
+	"filberthook/internal/serve/class"
 )
 
 // WriteTable writes the summaries as an aligned table.
--- a/internal/experiment/result.go
+++ b/internal/bench/experiment/result.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 const pieceTokens = engineapi.PieceTokens
--- a/internal/experiment/scenario.go
+++ b/internal/bench/experiment/scenario.go
@@ -14,13 +14,13 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"filberthook/internal/admission"
-	"filberthook/internal/class"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/planner"
-	"filberthook/internal/routing"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
+	"filberthook/internal/engines/planner"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/admission"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/routing"
 )
 
 // Fleet describes the engines, services, entry hosts and workloads of a
--- a/internal/experiment/service.go
+++ b/internal/bench/experiment/service.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // serviceSlots is the number of calls that one service worker runs at once.
--- a/internal/experiment/sim.go
+++ b/internal/bench/experiment/sim.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/routing"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/routing"
 )
 
 // sim is one run of one policy on one trace.
--- a/internal/experiment/trace.go
+++ b/internal/bench/experiment/trace.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/routing"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/routing"
 )
 
 // arrival is one request of a trace. A trace depends on the scenario and the
--- a/internal/experiment/worker.go
+++ b/internal/bench/experiment/worker.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 // part tells which part of a request an attempt runs.
--- a/internal/faultnet/direction.go
+++ b/internal/bench/faultnet/direction.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"filberthook/internal/pause"
+	"filberthook/internal/process/pause"
 )
 
 // direction is the state of one direction of a relay.
--- a/internal/faultrun/bench.go
+++ b/internal/bench/faultrun/bench.go
@@ -11,8 +11,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/faultnet"
-	"filberthook/internal/pause"
+	"filberthook/internal/bench/faultnet"
+	"filberthook/internal/process/pause"
 )
 
 // pollChange is how often a fault looks whether an engine is in a change.
--- a/internal/faultrun/cluster.go
+++ b/internal/bench/faultrun/cluster.go
@@ -16,11 +16,11 @@
 
 	filberthookv1 "filberthook/api/filberthook/v1"
 	"filberthook/api/filberthook/v1/filberthookv1connect"
-	"filberthook/internal/deployment"
-	"filberthook/internal/faultnet"
-	"filberthook/internal/fleet"
-	"filberthook/internal/pause"
-	"filberthook/internal/settings"
+	"filberthook/internal/bench/deployment"
+	"filberthook/internal/bench/faultnet"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/process/settings"
 )
 
 // Names and times of a cluster under faults.
--- a/internal/faultrun/cluster_test.go
+++ b/internal/bench/faultrun/cluster_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/loadgen"
+	"filberthook/internal/bench/loadgen"
 )
 
 // TestClusterWithoutFaultsIsClean runs the real entry hosts and control
--- a/internal/faultrun/faultrun_test.go
+++ b/internal/bench/faultrun/faultrun_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 const (
--- a/internal/faultrun/ledger.go
+++ b/internal/bench/faultrun/ledger.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/loadgen"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/engines/enginemodel"
 )
 
 // maxNotes bounds the violations and problems that a report quotes.
--- a/internal/faultrun/outage.go
+++ b/internal/bench/faultrun/outage.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/loadgen"
-	"filberthook/internal/pause"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/process/pause"
 )
 
 // Outage is one way in which engines are out of order.
--- a/internal/faultrun/resend_test.go
+++ b/internal/bench/faultrun/resend_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/loadgen"
+	"filberthook/internal/bench/loadgen"
 )
 
 // TestResendIsNotDeniedWhileClaimsAreOutOfReach runs a booking whose answer is
--- a/internal/faultrun/run.go
+++ b/internal/bench/faultrun/run.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/pause"
+	"filberthook/internal/engines/enginemodel"
+	"filberthook/internal/process/pause"
 )
 
 // Times of a run beside the faults.
--- a/internal/faultrun/sessions.go
+++ b/internal/bench/faultrun/sessions.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"filberthook/internal/loadgen"
-	"filberthook/internal/pause"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/process/pause"
 )
 
 // Behaviour of callers.
--- a/internal/faultrun/system.go
+++ b/internal/bench/faultrun/system.go
@@ -4,7 +4,7 @@
 	"context"
 	"math/rand/v2"
 
-	"filberthook/internal/faultnet"
+	"filberthook/internal/bench/faultnet"
 )
 
 // Entry is one entry host under test.
--- a/internal/faultrun/workers.go
+++ b/internal/bench/faultrun/workers.go
@@ -12,11 +12,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/faultnet"
-	"filberthook/internal/pause"
-	"filberthook/internal/standin"
+	"filberthook/internal/bench/faultnet"
+	"filberthook/internal/bench/standin"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
+	"filberthook/internal/process/pause"
 )
 
 // Figures of the stand-ins. Changes are shorter than those of real engines, so
--- a/internal/liverun/liverun.go
+++ b/internal/bench/liverun/liverun.go
@@ -15,14 +15,14 @@
 	"time"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/deployment"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/experiment"
-	"filberthook/internal/fleet"
-	"filberthook/internal/loadgen"
-	"filberthook/internal/pause"
-	"filberthook/internal/settings"
+	"filberthook/internal/bench/deployment"
+	"filberthook/internal/bench/experiment"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/process/settings"
 
 	"connectrpc.com/connect"
 )
--- a/internal/loadgen/caller.go
+++ b/internal/bench/loadgen/caller.go
@@ -14,9 +14,9 @@
 
 	"github.com/tmaxmax/go-sse"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/standin"
+	"filberthook/internal/bench/standin"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 // Limits of a caller's connections and answers.
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/bench/loadgen/loadgen_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/standin"
+	"filberthook/internal/bench/standin"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 const testTimeout = 20 * time.Second
--- a/internal/loadgen/result.go
+++ b/internal/bench/loadgen/result.go
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // Outcome is how a call ended for its caller.
--- a/internal/slopes/hosts.go
+++ b/internal/bench/slopes/hosts.go
@@ -11,11 +11,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/demand"
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/gossip"
-	"filberthook/internal/membership"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/demand"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/gossip"
+	"filberthook/internal/network/membership"
 )
 
 // Load of the hosts that gossip.
--- a/internal/slopes/instances.go
+++ b/internal/bench/slopes/instances.go
@@ -11,8 +11,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/faultrun"
-	"filberthook/internal/standin"
+	"filberthook/internal/bench/faultrun"
+	"filberthook/internal/bench/standin"
 )
 
 // instanceSettle is how long instances announce themselves before a
--- a/internal/slopes/series.go
+++ b/internal/bench/slopes/series.go
@@ -9,7 +9,7 @@
 	"runtime"
 	"time"
 
-	"filberthook/internal/loadgen"
+	"filberthook/internal/bench/loadgen"
 )
 
 // Sample is the cost of one size.
--- a/internal/slopes/slopes_test.go
+++ b/internal/bench/slopes/slopes_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/distribution"
+	"filberthook/internal/control/distribution"
 )
 
 func TestSlopeOfALine(t *testing.T) {
--- a/internal/slopes/watchers.go
+++ b/internal/bench/slopes/watchers.go
@@ -12,11 +12,11 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/distribution"
-	"filberthook/internal/faultnet"
-	"filberthook/internal/faultrun"
-	"filberthook/internal/loadgen"
-	"filberthook/internal/peer"
+	"filberthook/internal/bench/faultnet"
+	"filberthook/internal/bench/faultrun"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/network/peer"
 )
 
 // Figures of the watchers.
--- a/internal/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"time"
 
-	"filberthook/internal/loadgen"
-	"filberthook/internal/pause"
+	"filberthook/internal/bench/loadgen"
+	"filberthook/internal/process/pause"
 )
 
 // Lengths of pauses that a soak makes.
--- a/internal/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/loadgen"
+	"filberthook/internal/bench/loadgen"
 )
 
 // life returns the samples of a process that uses more and more.
--- a/internal/standin/announce.go
+++ b/internal/bench/standin/announce.go
@@ -14,7 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // Defaults and limits of announcements.
--- a/internal/standin/completion.go
+++ b/internal/bench/standin/completion.go
@@ -9,9 +9,9 @@
 	"strings"
 	"sync/atomic"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/prefix"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
+	"filberthook/internal/serve/prefix"
 )
 
 // stream is one attempt that the engine holds.
--- a/internal/standin/engine.go
+++ b/internal/bench/standin/engine.go
@@ -16,8 +16,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 // catchUpLimit is how far the engine may run behind the clock before it skips
--- a/internal/standin/engine_test.go
+++ b/internal/bench/standin/engine_test.go
@@ -16,8 +16,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 const testSpeed = 200
--- a/internal/standin/handler.go
+++ b/internal/bench/standin/handler.go
@@ -10,8 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 // maxBodyBytes is the largest request that a stand-in reads.
--- a/internal/standin/kv.go
+++ b/internal/bench/standin/kv.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // maxCaches is the number of exported and of imported KV caches that an engine
--- a/internal/standin/service.go
+++ b/internal/bench/standin/service.go
@@ -15,7 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // PathRuns is the call that answers a RunsReport.
--- a/internal/standin/service_test.go
+++ b/internal/bench/standin/service_test.go
@@ -12,8 +12,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/settings"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/settings"
 )
 
 func startService(t *testing.T, cfg ServiceConfig) (*Service, *httptest.Server) {
@@ -161,7 +161,7 @@
 
 func TestExampleSettingsAreValid(t *testing.T) {
 	for _, name := range []string{"engine", "service"} {
-		if err := settings.Load("../../examples/"+name+".toml", &Settings{}); err != nil {
+		if err := settings.Load("../../../examples/"+name+".toml", &Settings{}); err != nil {
 			t.Error(err)
 		}
 	}
--- a/internal/standin/settings.go
+++ b/internal/bench/standin/settings.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/settings"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/process/tomltime"
 )
 
 // Settings is the settings file of one stand-in process.
--- a/internal/standin/writer.go
+++ b/internal/bench/standin/writer.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 // Kinds of objects in answers.
--- a/internal/authority/authority_test.go
+++ b/internal/control/authority/authority_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/lease"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 // takeover is long enough for a lease to run out, to be granted and to settle.
--- a/internal/authority/engine.go
+++ b/internal/control/authority/engine.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/invariant"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/invariant"
 )
 
 // EngineRef names one engine as it announced itself last.
--- a/internal/authority/engine_test.go
+++ b/internal/control/authority/engine_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 var (
--- a/internal/authority/granter.go
+++ b/internal/control/authority/granter.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync/atomic"
 
-	"filberthook/internal/lease"
+	"filberthook/internal/control/lease"
 )
 
 // MethodLease is the peer call of planners at any control replica:
--- a/internal/authority/holder.go
+++ b/internal/control/authority/holder.go
@@ -14,9 +14,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/invariant"
-	"filberthook/internal/lease"
-	"filberthook/internal/pause"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/process/invariant"
+	"filberthook/internal/process/pause"
 )
 
 // Timing of leases and orders.
--- a/internal/authority/httpclient.go
+++ b/internal/control/authority/httpclient.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"sync/atomic"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // maxAnswerBytes bounds an engine's answer.
--- a/internal/authority/httpclient_test.go
+++ b/internal/control/authority/httpclient_test.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"testing"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // orderServer answers orders and counts those whose body arrived whole.
--- a/internal/authority/manager.go
+++ b/internal/control/authority/manager.go
@@ -11,7 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // Transport calls engines.
--- a/internal/authority/poll.go
+++ b/internal/control/authority/poll.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // Timing and limits of the calls to engines.
--- a/internal/authority/view.go
+++ b/internal/control/authority/view.go
@@ -5,8 +5,8 @@
 	"slices"
 	"strings"
 
-	"filberthook/internal/distribution"
-	"filberthook/internal/engineapi"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/engines/engineapi"
 )
 
 // View is what the holder knows of one engine.
--- a/internal/authority/world_test.go
+++ b/internal/control/authority/world_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/enginemodel"
-	"filberthook/internal/lease"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/enginemodel"
 )
 
 // world is a zone in virtual time: a lease table, engines and hosts.
--- a/internal/backup/backup.go
+++ b/internal/control/backup/backup.go
@@ -8,7 +8,7 @@
 	"encoding/json"
 	"fmt"
 
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/fleet"
 )
 
 // format and version identify the file.
--- a/internal/backup/backup_test.go
+++ b/internal/control/backup/backup_test.go
@@ -4,7 +4,7 @@
 	"errors"
 	"testing"
 
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/fleet"
 )
 
 func TestDamageIsNoticed(t *testing.T) {
--- a/internal/changefile/changefile.go
+++ b/internal/control/changefile/changefile.go
@@ -6,8 +6,8 @@
 	"fmt"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/settings"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/process/tomltime"
 )
 
 // File is a list of changes.
--- a/internal/changefile/changefile_test.go
+++ b/internal/control/changefile/changefile_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestExampleUsesKnownKinds(t *testing.T) {
-	f, err := Load("../../examples/changes.toml")
+	f, err := Load("../../../examples/changes.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -3,8 +3,8 @@
 package controlapi
 
 import (
-	"filberthook/internal/instances"
-	"filberthook/internal/placement"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/placement"
 )
 
 // Methods of control hosts.
--- a/internal/controlhost/group.go
+++ b/internal/control/controlhost/group.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/controlapi"
-	"filberthook/internal/document"
-	"filberthook/internal/formation"
-	"filberthook/internal/pause"
-	"filberthook/internal/replica"
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/control/formation"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/replication/document"
+	"filberthook/internal/replication/replica"
 )
 
 // Timing of the group.
--- a/internal/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -20,16 +20,16 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
-	"filberthook/internal/controlapi"
-	"filberthook/internal/controlwatch"
-	"filberthook/internal/document"
-	"filberthook/internal/formation"
-	"filberthook/internal/instances"
-	"filberthook/internal/netopt"
-	"filberthook/internal/pause"
-	"filberthook/internal/peer"
-	"filberthook/internal/raftnet"
-	"filberthook/internal/stagekeeper"
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/control/controlwatch"
+	"filberthook/internal/control/formation"
+	"filberthook/internal/control/stagekeeper"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/network/netopt"
+	"filberthook/internal/network/peer"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/replication/document"
+	"filberthook/internal/replication/raftnet"
 )
 
 // Timing of the host.
--- a/internal/controlhost/host_test.go
+++ b/internal/control/controlhost/host_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/controlapi"
-	"filberthook/internal/document"
-	"filberthook/internal/instances"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/replication/document"
 )
 
 // Ports that all hosts of a test use, each at an address of its own.
--- a/internal/controlhost/loads.go
+++ b/internal/control/controlhost/loads.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/controlapi"
-	"filberthook/internal/staging"
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/control/staging"
 )
 
 // loadKept is how long the load of an entry host that reports no more counts.
--- a/internal/controlhost/loads_test.go
+++ b/internal/control/controlhost/loads_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/controlapi"
-	"filberthook/internal/placement"
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/engines/placement"
 )
 
 // busyReport is what a host of a large deployment reports: 20 of 140 engines with
--- a/internal/controlhost/member.go
+++ b/internal/control/controlhost/member.go
@@ -12,12 +12,12 @@
 	"sync/atomic"
 	"time"
 
-	"filberthook/internal/document"
-	"filberthook/internal/formation"
-	"filberthook/internal/fsys"
-	"filberthook/internal/pause"
-	"filberthook/internal/replica"
-	"filberthook/internal/storage"
+	"filberthook/internal/control/formation"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/replication/document"
+	"filberthook/internal/replication/fsys"
+	"filberthook/internal/replication/replica"
+	"filberthook/internal/replication/storage"
 )
 
 // replicaFolder holds the replicated log within the data folder.
--- a/internal/controlhost/news.go
+++ b/internal/control/controlhost/news.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"filberthook/internal/placement"
+	"filberthook/internal/engines/placement"
 )
 
 const (
--- a/internal/controlhost/settings.go
+++ b/internal/control/controlhost/settings.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"net/netip"
 
-	"filberthook/internal/settings"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/process/tomltime"
 )
 
 // Settings of a control host that finds its group from seeds.
--- a/internal/controlhost/stages.go
+++ b/internal/control/controlhost/stages.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
-	"filberthook/internal/document"
-	"filberthook/internal/replica"
-	"filberthook/internal/stagekeeper"
-	"filberthook/internal/staging"
+	"filberthook/internal/control/stagekeeper"
+	"filberthook/internal/control/staging"
+	"filberthook/internal/replication/document"
+	"filberthook/internal/replication/replica"
 )
 
 // keepStages gives the orders to engines while this host leads.
--- a/internal/controlnode/calls.go
+++ b/internal/control/controlnode/calls.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"time"
 
-	"filberthook/internal/authority"
-	"filberthook/internal/distribution"
-	"filberthook/internal/lease"
-	"filberthook/internal/operator"
-	"filberthook/internal/peer"
-	"filberthook/internal/raftnet"
-	"filberthook/internal/statemachine"
+	"filberthook/internal/control/authority"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/network/peer"
+	"filberthook/internal/replication/raftnet"
+	"filberthook/internal/replication/statemachine"
 )
 
 // proposalTimeout bounds a proposal on behalf of another host.
--- a/internal/controlnode/claims.go
+++ b/internal/control/controlnode/claims.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"filberthook/internal/claim"
+	"filberthook/internal/serve/claim"
 )
 
 // claims drives the claims of non-repeatable calls by the replicated log. It
--- a/internal/controlnode/clock.go
+++ b/internal/control/controlnode/clock.go
@@ -4,7 +4,7 @@
 	"crypto/rand"
 	"time"
 
-	"filberthook/internal/statemachine"
+	"filberthook/internal/replication/statemachine"
 )
 
 // clock reads this process's monotonic clock. Its epoch tells it from the
--- a/internal/controlnode/group.go
+++ b/internal/control/controlnode/group.go
@@ -9,13 +9,13 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/fleet"
-	"filberthook/internal/lease"
-	"filberthook/internal/operator"
-	"filberthook/internal/pause"
-	"filberthook/internal/raftnet"
-	"filberthook/internal/replica"
-	"filberthook/internal/statemachine"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/replication/raftnet"
+	"filberthook/internal/replication/replica"
+	"filberthook/internal/replication/statemachine"
 )
 
 // noLeaderPause is the pause before a proposal is repeated that found no
--- a/internal/controlnode/group_test.go
+++ b/internal/control/controlnode/group_test.go
@@ -13,10 +13,10 @@
 	"github.com/anishathalye/porcupine"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/fleet"
-	"filberthook/internal/loopback"
-	"filberthook/internal/operator"
-	"filberthook/internal/settings"
+	"filberthook/internal/bench/loopback"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/settings"
 )
 
 // revisionCall is one call of the history: a change that expects a revision, or
--- a/internal/controlnode/hosts.go
+++ b/internal/control/controlnode/hosts.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/distribution"
-	"filberthook/internal/raftnet"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/replication/raftnet"
 )
 
 // reportsTimeout bounds the question for the reports of another replica.
--- a/internal/controlnode/lease_test.go
+++ b/internal/control/controlnode/lease_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/authority"
-	"filberthook/internal/replica"
+	"filberthook/internal/control/authority"
+	"filberthook/internal/replication/replica"
 )
 
 // leaseTTL is long enough for an election on a busy machine.
--- a/internal/controlnode/members.go
+++ b/internal/control/controlnode/members.go
@@ -4,9 +4,9 @@
 	"context"
 	"fmt"
 
-	"filberthook/internal/fleet"
-	"filberthook/internal/operator"
-	"filberthook/internal/replica"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/replication/replica"
 )
 
 // Members implements operator.Group. The positions of the members are known at
--- a/internal/controlnode/node.go
+++ b/internal/control/controlnode/node.go
@@ -16,17 +16,17 @@
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/buildinfo"
-	"filberthook/internal/distribution"
-	"filberthook/internal/fleet"
-	"filberthook/internal/keys"
-	"filberthook/internal/lease"
-	"filberthook/internal/operator"
-	"filberthook/internal/peer"
-	"filberthook/internal/raftnet"
-	"filberthook/internal/replica"
-	"filberthook/internal/settings"
-	"filberthook/internal/statemachine"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/control/keys"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/network/peer"
+	"filberthook/internal/process/buildinfo"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/replication/raftnet"
+	"filberthook/internal/replication/replica"
+	"filberthook/internal/replication/statemachine"
 )
 
 // Timing of the node.
--- a/internal/controlnode/observer.go
+++ b/internal/control/controlnode/observer.go
@@ -1,8 +1,8 @@
 package controlnode
 
 import (
-	"filberthook/internal/distribution"
-	"filberthook/internal/lease"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/control/lease"
 )
 
 // observer tells the parts of the node of changes in the agreed state. It
--- a/internal/controlnode/outcome.go
+++ b/internal/control/controlnode/outcome.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/operator"
-	"filberthook/internal/peer"
-	"filberthook/internal/replica"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/network/peer"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/replica"
 )
 
 // localOutcome tells apart whether a failed proposal may have been applied.
--- a/internal/controlnode/protocol.go
+++ b/internal/control/controlnode/protocol.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/json"
 
-	"filberthook/internal/distribution"
-	"filberthook/internal/fleet"
-	"filberthook/internal/lease"
-	"filberthook/internal/operator"
-	"filberthook/internal/statemachine"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/replication/statemachine"
 )
 
 // Peer calls that a control replica serves, besides distribution.MethodWatch.
--- a/internal/controlnode/tls_test.go
+++ b/internal/control/controlnode/tls_test.go
@@ -13,12 +13,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/authority"
-	"filberthook/internal/keys"
-	"filberthook/internal/lease"
-	"filberthook/internal/loopback"
-	"filberthook/internal/peer"
-	"filberthook/internal/settings"
+	"filberthook/internal/bench/loopback"
+	"filberthook/internal/control/authority"
+	"filberthook/internal/control/keys"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/network/peer"
+	"filberthook/internal/process/settings"
 )
 
 // issuer issues certificates into a folder.
--- a/internal/controlpeers/controlpeers.go
+++ b/internal/control/controlpeers/controlpeers.go
@@ -7,7 +7,7 @@
 	"slices"
 	"sync"
 
-	"filberthook/internal/peer"
+	"filberthook/internal/network/peer"
 )
 
 // Set holds one Slot per configured replica. Its methods may be called by many
--- a/internal/controlpeers/controlpeers_test.go
+++ b/internal/control/controlpeers/controlpeers_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"filberthook/internal/peer"
+	"filberthook/internal/network/peer"
 
 	"github.com/google/go-cmp/cmp"
 )
--- a/internal/controlwatch/load.go
+++ b/internal/control/controlwatch/load.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/controlapi"
-	"filberthook/internal/pause"
-	"filberthook/internal/placement"
-	"filberthook/internal/raftnet"
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/engines/placement"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/replication/raftnet"
 )
 
 const (
--- a/internal/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/controlapi"
-	"filberthook/internal/document"
-	"filberthook/internal/instances"
-	"filberthook/internal/pause"
-	"filberthook/internal/raftnet"
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/replication/document"
+	"filberthook/internal/replication/raftnet"
 )
 
 const (
--- a/internal/controlwatch/watcher_test.go
+++ b/internal/control/controlwatch/watcher_test.go
@@ -11,12 +11,12 @@
 
 	"golang.org/x/sys/unix"
 
-	"filberthook/internal/controlapi"
-	"filberthook/internal/document"
-	"filberthook/internal/instances"
-	"filberthook/internal/netopt"
-	"filberthook/internal/peer"
-	"filberthook/internal/raftnet"
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/network/netopt"
+	"filberthook/internal/network/peer"
+	"filberthook/internal/replication/document"
+	"filberthook/internal/replication/raftnet"
 )
 
 // silentListener returns a listener whose queue is full, so that the kernel drops
--- a/internal/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/invariant"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/invariant"
 
 	"github.com/cespare/xxhash/v2"
 )
--- a/internal/directory/directory_test.go
+++ b/internal/control/directory/directory_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 
 	"pgregory.net/rapid"
 )
--- a/internal/directory/record.go
+++ b/internal/control/directory/record.go
@@ -13,7 +13,7 @@
 	"reflect"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // Limits of an announcement.
--- a/internal/distribution/client.go
+++ b/internal/control/distribution/client.go
@@ -11,9 +11,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/fleet"
-	"filberthook/internal/invariant"
-	"filberthook/internal/peer"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/network/peer"
+	"filberthook/internal/process/invariant"
 )
 
 // Timing of retries and of the start without a stored configuration.
--- a/internal/distribution/distribution_test.go
+++ b/internal/control/distribution/distribution_test.go
@@ -16,8 +16,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/fleet"
-	"filberthook/internal/peer"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/network/peer"
 )
 
 // group is a control group whose replicas apply the log when the test says so.
--- a/internal/distribution/fuzz_test.go
+++ b/internal/control/distribution/fuzz_test.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"testing"
 
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/fleet"
 )
 
 // FuzzNext gives any answer to a watcher at revision 4, which must not go back
--- a/internal/distribution/helpers_test.go
+++ b/internal/control/distribution/helpers_test.go
@@ -5,7 +5,7 @@
 	"net"
 	"testing"
 
-	"filberthook/internal/peer"
+	"filberthook/internal/network/peer"
 )
 
 // servePeer serves a mux on loopback until the test ends.
--- a/internal/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/fleet"
-	"filberthook/internal/invariant"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/invariant"
 )
 
 // maxDeltas is the number of deltas that a replica keeps for watchers. A
--- a/internal/distribution/protocol.go
+++ b/internal/control/distribution/protocol.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // MethodWatch is the peer call of watchers: WatchRequest to WatchResponse.
--- a/internal/distribution/server.go
+++ b/internal/control/distribution/server.go
@@ -6,7 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/peer"
+	"filberthook/internal/network/peer"
 )
 
 // Register serves watchers on a mux. Each watch reports the revision that the
--- a/internal/distribution/store.go
+++ b/internal/control/distribution/store.go
@@ -10,7 +10,7 @@
 	"os"
 	"path/filepath"
 
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/fleet"
 )
 
 // storeFile is the name of the stored configuration in the data folder.
--- a/internal/distribution/view.go
+++ b/internal/control/distribution/view.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/fleet"
 )
 
 // next returns the snapshot that an answer leads to, which is the current one
--- a/internal/formation/formation.go
+++ b/internal/control/formation/formation.go
@@ -15,7 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"filberthook/internal/replica"
+	"filberthook/internal/replication/replica"
 )
 
 // maxVoters is the most voters that the consensus takes.
--- a/internal/formation/formation_test.go
+++ b/internal/control/formation/formation_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/replica"
+	"filberthook/internal/replication/replica"
 )
 
 const replaceAfter = 4 * time.Second
--- a/internal/keys/issue.go
+++ b/internal/control/keys/issue.go
@@ -15,7 +15,7 @@
 	"os"
 	"time"
 
-	"filberthook/internal/peer"
+	"filberthook/internal/network/peer"
 )
 
 // Validity of certificates.
--- a/internal/keys/keys_test.go
+++ b/internal/control/keys/keys_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/peer"
+	"filberthook/internal/network/peer"
 )
 
 var loopback = []net.IP{net.IPv4(127, 0, 0, 1)}
--- a/internal/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -12,7 +12,7 @@
 	"fmt"
 	"time"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // Limits on the duration of a lease.
--- a/internal/operator/apply.go
+++ b/internal/control/operator/apply.go
@@ -7,8 +7,8 @@
 	"connectrpc.com/connect"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/fleet"
-	"filberthook/internal/statemachine"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/replication/statemachine"
 )
 
 // Apply implements the schema's Apply.
--- a/internal/operator/convert.go
+++ b/internal/control/operator/convert.go
@@ -6,8 +6,8 @@
 	"time"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/fleet"
 )
 
 var kinds = map[filberthookv1.Kind]engineapi.Kind{
--- a/internal/operator/convert_test.go
+++ b/internal/control/operator/convert_test.go
@@ -8,8 +8,8 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/fleet"
 )
 
 // TestEveryKindOfChangeIsKnown sets each kind of the schema in turn.
--- a/internal/operator/difference.go
+++ b/internal/control/operator/difference.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/fleet"
 )
 
 // differences returns the aggregates that two deltas name, as JSON without the
--- a/internal/operator/errors.go
+++ b/internal/control/operator/errors.go
@@ -6,7 +6,7 @@
 	"connectrpc.com/connect"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/fleet"
 )
 
 // Reasons of refusals besides the codes of package fleet.
--- a/internal/operator/members.go
+++ b/internal/control/operator/members.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/fleet"
 )
 
 // Member is one replica of the control group.
--- a/internal/operator/read.go
+++ b/internal/control/operator/read.go
@@ -10,9 +10,9 @@
 	"connectrpc.com/connect"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/distribution"
-	"filberthook/internal/fleet"
-	"filberthook/internal/pause"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/pause"
 )
 
 // Limits on reads.
--- a/internal/operator/service.go
+++ b/internal/control/operator/service.go
@@ -15,10 +15,10 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/api/filberthook/v1/filberthookv1connect"
-	"filberthook/internal/distribution"
-	"filberthook/internal/fleet"
-	"filberthook/internal/lease"
-	"filberthook/internal/statemachine"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/replication/statemachine"
 )
 
 // Limits on calls.
--- a/internal/operator/snapshots.go
+++ b/internal/control/operator/snapshots.go
@@ -6,8 +6,8 @@
 	"connectrpc.com/connect"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/backup"
-	"filberthook/internal/fleet"
+	"filberthook/internal/control/backup"
+	"filberthook/internal/engines/fleet"
 )
 
 // SaveSnapshot implements the schema's SaveSnapshot.
--- a/internal/stagekeeper/keeper.go
+++ b/internal/control/stagekeeper/keeper.go
@@ -14,9 +14,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/instances"
-	"filberthook/internal/pause"
-	"filberthook/internal/staging"
+	"filberthook/internal/control/staging"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/process/pause"
 )
 
 // Timing of orders.
--- a/internal/stagekeeper/keeper_test.go
+++ b/internal/control/stagekeeper/keeper_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/instances"
-	"filberthook/internal/staging"
+	"filberthook/internal/control/staging"
+	"filberthook/internal/engines/instances"
 )
 
 // fakeGroup is the leadership of several hosts in one test.
--- a/internal/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -16,7 +16,7 @@
 	"math"
 	"slices"
 
-	"filberthook/internal/instances"
+	"filberthook/internal/engines/instances"
 )
 
 // Demand is what callers ask of an endpoint's engines.
--- a/internal/staging/staging_test.go
+++ b/internal/control/staging/staging_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"filberthook/internal/instances"
+	"filberthook/internal/engines/instances"
 )
 
 func engines(prefill, decode, zones int) []instances.Instance {
--- a/internal/cachefeed/cachefeed.go
+++ b/internal/engines/cachefeed/cachefeed.go
@@ -14,9 +14,9 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/prefix"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/prefix"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/time/rate"
--- a/internal/cachefeed/cachefeed_test.go
+++ b/internal/engines/cachefeed/cachefeed_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/prefix"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/prefix"
 
 	"github.com/VictoriaMetrics/metrics"
 )
--- a/internal/enginemodel/answer.go
+++ b/internal/engines/enginemodel/answer.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // Lengths of answers, in tokens.
--- a/internal/enginemodel/cacheevents.go
+++ b/internal/engines/enginemodel/cacheevents.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // eventLogSize is the number of cache events that an engine keeps.
--- a/internal/enginemodel/config.go
+++ b/internal/engines/enginemodel/config.go
@@ -11,7 +11,7 @@
 	"errors"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // Config describes one engine. Durations and rates hold for the engine's own
--- a/internal/enginemodel/engine.go
+++ b/internal/engines/enginemodel/engine.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/invariant"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/invariant"
 )
 
 // Engine is the state of one model engine.
--- a/internal/enginemodel/engine_test.go
+++ b/internal/engines/enginemodel/engine_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 const piece = engineapi.PieceTokens
--- a/internal/enginemodel/load.go
+++ b/internal/engines/enginemodel/load.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // rateWeight is the weight of the newest step in the moving averages.
--- a/internal/enginemodel/memory.go
+++ b/internal/engines/enginemodel/memory.go
@@ -4,7 +4,7 @@
 	"container/list"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // cacheKey names one prefix piece.
--- a/internal/enginemodel/orders_test.go
+++ b/internal/engines/enginemodel/orders_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 func roleOrder(id string, fence uint64, role engineapi.Role) engineapi.Order {
--- a/internal/fleet/bench_test.go
+++ b/internal/engines/fleet/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // large returns a configuration of 600 engines, 300 teams and 60 endpoints that
--- a/internal/fleet/declaration.go
+++ b/internal/engines/fleet/declaration.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // Limits on one declaration.
--- a/internal/fleet/endpoint.go
+++ b/internal/engines/fleet/endpoint.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // MaxDefaultDeadline is the longest default deadline of an endpoint.
--- a/internal/fleet/fleet.go
+++ b/internal/engines/fleet/fleet.go
@@ -12,7 +12,7 @@
 	"encoding/json"
 	"fmt"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // Limits on one command.
--- a/internal/fleet/fleet_test.go
+++ b/internal/engines/fleet/fleet_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 var admin = Actor{Name: BootstrapName, Bootstrap: true}
--- a/internal/fleet/snapshot.go
+++ b/internal/engines/fleet/snapshot.go
@@ -5,7 +5,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // Snapshot is the part of the configuration that entry hosts need, at one
--- a/internal/placement/option.go
+++ b/internal/engines/placement/option.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"filberthook/internal/instances"
+	"filberthook/internal/engines/instances"
 )
 
 // best compares the engines that may read a prompt. The option names none when there
--- a/internal/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/instances"
+	"filberthook/internal/engines/instances"
 )
 
 // Settings are the estimates that placement starts from.
--- a/internal/placement/placement_test.go
+++ b/internal/engines/placement/placement_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/dialect"
-	"filberthook/internal/instances"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/serve/dialect"
 )
 
 var start = time.Unix(1_800_000_000, 0)
--- a/internal/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"filberthook/internal/dialect"
-	"filberthook/internal/instances"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/serve/dialect"
 )
 
 // Estimates of engines' work.
--- a/internal/placement/rate.go
+++ b/internal/engines/placement/rate.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"filberthook/internal/instances"
+	"filberthook/internal/engines/instances"
 )
 
 const (
--- a/internal/planner/models.go
+++ b/internal/engines/planner/models.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // missingModel returns the load that brings a declared model nearer to its
--- a/internal/planner/planner.go
+++ b/internal/engines/planner/planner.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/invariant"
-	"filberthook/internal/routing"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/invariant"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/routing"
 )
 
 // Config holds the settings of a Planner. GoodputWeight and ChangeCost are the
--- a/internal/planner/planner_test.go
+++ b/internal/engines/planner/planner_test.go
@@ -7,9 +7,9 @@
 
 	"pgregory.net/rapid"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/routing"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/routing"
 )
 
 const target = 1600 * time.Millisecond
--- a/internal/planner/utility.go
+++ b/internal/engines/planner/utility.go
@@ -3,8 +3,8 @@
 import (
 	"math"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/routing"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/routing"
 )
 
 // fleet counts the engines of one zone by role.
--- a/internal/scheduler/place.go
+++ b/internal/engines/scheduler/place.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"time"
 
-	"filberthook/internal/admission"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/ident"
-	"filberthook/internal/routing"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/ident"
+	"filberthook/internal/serve/admission"
+	"filberthook/internal/serve/routing"
 )
 
 // dispatchInterval is how often waiting requests are looked at when nothing
--- a/internal/scheduler/scheduler.go
+++ b/internal/engines/scheduler/scheduler.go
@@ -11,10 +11,10 @@
 	"sync/atomic"
 	"time"
 
-	"filberthook/internal/admission"
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/routing"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/admission"
+	"filberthook/internal/serve/routing"
 
 	"github.com/VictoriaMetrics/metrics"
 )
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/engines/scheduler/scheduler_test.go
@@ -7,11 +7,11 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/admission"
-	"filberthook/internal/demand"
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/routing"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/demand"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/admission"
+	"filberthook/internal/serve/routing"
 
 	"github.com/VictoriaMetrics/metrics"
 )
--- a/internal/zoneplanner/carrier.go
+++ b/internal/engines/zoneplanner/carrier.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/authority"
-	"filberthook/internal/engineapi"
+	"filberthook/internal/control/authority"
+	"filberthook/internal/engines/engineapi"
 )
 
 // step is the progress of a change.
--- a/internal/zoneplanner/zone.go
+++ b/internal/engines/zoneplanner/zone.go
@@ -4,11 +4,11 @@
 	"slices"
 	"time"
 
-	"filberthook/internal/authority"
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/fleet"
-	"filberthook/internal/planner"
+	"filberthook/internal/control/authority"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/engines/planner"
 )
 
 // zone is what is known of the zone's engines at one moment.
--- a/internal/zoneplanner/zoneplanner.go
+++ b/internal/engines/zoneplanner/zoneplanner.go
@@ -12,12 +12,12 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/authority"
-	"filberthook/internal/demand"
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/fleet"
-	"filberthook/internal/planner"
+	"filberthook/internal/control/authority"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/demand"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/engines/planner"
 
 	"github.com/VictoriaMetrics/metrics"
 )
--- a/internal/gossip/codec.go
+++ b/internal/network/gossip/codec.go
@@ -7,7 +7,7 @@
 	"fmt"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
-	"filberthook/internal/membership"
+	"filberthook/internal/network/membership"
 
 	"google.golang.org/protobuf/proto"
 )
--- a/internal/gossip/convert.go
+++ b/internal/network/gossip/convert.go
@@ -4,8 +4,8 @@
 	"time"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/engineapi"
 )
 
 // fullUpdate returns the whole record of an instance.
--- a/internal/gossip/demands.go
+++ b/internal/network/gossip/demands.go
@@ -6,7 +6,7 @@
 	"time"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
-	"filberthook/internal/demand"
+	"filberthook/internal/engines/demand"
 
 	"google.golang.org/protobuf/proto"
 )
--- a/internal/gossip/gossip_test.go
+++ b/internal/network/gossip/gossip_test.go
@@ -10,10 +10,10 @@
 	"time"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
-	"filberthook/internal/demand"
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/membership"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/demand"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/membership"
 
 	"google.golang.org/protobuf/proto"
 )
--- a/internal/gossip/instances.go
+++ b/internal/network/gossip/instances.go
@@ -8,8 +8,8 @@
 	"time"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/engineapi"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
--- a/internal/gossip/machine.go
+++ b/internal/network/gossip/machine.go
@@ -5,9 +5,9 @@
 	"time"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
-	"filberthook/internal/demand"
-	"filberthook/internal/directory"
-	"filberthook/internal/membership"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/demand"
+	"filberthook/internal/network/membership"
 )
 
 // machine is the part of a node without I/O, clock or goroutines: membership
--- a/internal/membership/core.go
+++ b/internal/network/membership/core.go
@@ -8,7 +8,7 @@
 	"time"
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // ProtocolVersion is the version of the packets.
--- a/internal/buildinfo/buildinfo.go
+++ b/internal/process/buildinfo/buildinfo.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"runtime/debug"
 
-	"filberthook/internal/membership"
-	"filberthook/internal/peer"
+	"filberthook/internal/network/membership"
+	"filberthook/internal/network/peer"
 
 	"github.com/VictoriaMetrics/metrics"
 )
--- a/internal/cli/apply.go
+++ b/internal/process/cli/apply.go
@@ -6,7 +6,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/changefile"
+	"filberthook/internal/control/changefile"
 )
 
 func (a *app) addApply(parser *kingpin.Application) {
--- a/internal/cli/change.go
+++ b/internal/process/cli/change.go
@@ -10,7 +10,7 @@
 
 	filberthookv1 "filberthook/api/filberthook/v1"
 	"filberthook/api/filberthook/v1/filberthookv1connect"
-	"filberthook/internal/operator"
+	"filberthook/internal/control/operator"
 )
 
 // conflictRetries is how often a change without an expected revision of the
--- a/internal/cli/cli_test.go
+++ b/internal/process/cli/cli_test.go
@@ -16,10 +16,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/controlnode"
-	"filberthook/internal/fleet"
-	"filberthook/internal/loopback"
-	"filberthook/internal/settings"
+	"filberthook/internal/bench/loopback"
+	"filberthook/internal/control/controlnode"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/settings"
 )
 
 // startControl runs a control group of one replica and points the command line
@@ -75,9 +75,9 @@
 		code int
 		want string // part of the output or of the error output
 	}{
-		{"dry run", []string{"apply", "-f", "../../examples/changes.toml", "--dry-run"}, ExitOK, "would make revision 1; nothing was changed"},
-		{"apply", []string{"apply", "-f", "../../examples/changes.toml", "--change-id", "first"}, ExitOK, "accepted at revision 1"},
-		{"resend", []string{"apply", "-f", "../../examples/changes.toml", "--change-id", "first"}, ExitOK, "accepted before at revision 1"},
+		{"dry run", []string{"apply", "-f", "../../../examples/changes.toml", "--dry-run"}, ExitOK, "would make revision 1; nothing was changed"},
+		{"apply", []string{"apply", "-f", "../../../examples/changes.toml", "--change-id", "first"}, ExitOK, "accepted at revision 1"},
+		{"resend", []string{"apply", "-f", "../../../examples/changes.toml", "--change-id", "first"}, ExitOK, "accepted before at revision 1"},
 		{"reused change id", []string{"team", "remove", "agents", "--change-id", "first"}, ExitRefused, "new change id"},
 		{"conflict", []string{"team", "remove", "agents", "--expected-revision", "0"}, ExitConflict, "current team agents"},
 		{"wait", []string{"team", "create", "dispatch", "--wait"}, ExitOK, "in force at all live hosts"},
--- a/internal/cli/client.go
+++ b/internal/process/cli/client.go
@@ -14,8 +14,8 @@
 	"connectrpc.com/connect"
 
 	"filberthook/api/filberthook/v1/filberthookv1connect"
-	"filberthook/internal/operator"
-	"filberthook/internal/pause"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/process/pause"
 )
 
 // Timing of retries between control hosts.
--- a/internal/cli/endpoint.go
+++ b/internal/process/cli/endpoint.go
@@ -9,7 +9,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/changefile"
+	"filberthook/internal/control/changefile"
 )
 
 func (a *app) addEndpoint(parser *kingpin.Application) {
--- a/internal/cli/keys.go
+++ b/internal/process/cli/keys.go
@@ -9,9 +9,9 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/fleet"
-	"filberthook/internal/keys"
-	"filberthook/internal/peer"
+	"filberthook/internal/control/keys"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/network/peer"
 )
 
 func (a *app) addKey(parser *kingpin.Application) {
--- a/internal/cli/logs.go
+++ b/internal/process/cli/logs.go
@@ -7,7 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"filberthook/internal/logtrace"
+	"filberthook/internal/process/logtrace"
 )
 
 // addLogs adds the command that reads hosts' logs.
--- a/internal/cli/operator.go
+++ b/internal/process/cli/operator.go
@@ -7,8 +7,8 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/changefile"
-	"filberthook/internal/fleet"
+	"filberthook/internal/control/changefile"
+	"filberthook/internal/engines/fleet"
 )
 
 func (a *app) addOperator(parser *kingpin.Application) {
--- a/internal/cli/report.go
+++ b/internal/process/cli/report.go
@@ -10,8 +10,8 @@
 	"connectrpc.com/connect"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/operator"
-	"filberthook/internal/settings"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/process/settings"
 )
 
 // usageError is a wrong argument or file; nothing was sent.
--- a/internal/cli/snapshot.go
+++ b/internal/process/cli/snapshot.go
@@ -11,7 +11,7 @@
 
 	filberthookv1 "filberthook/api/filberthook/v1"
 	"filberthook/api/filberthook/v1/filberthookv1connect"
-	"filberthook/internal/backup"
+	"filberthook/internal/control/backup"
 )
 
 func (a *app) addSnapshot(parser *kingpin.Application) {
--- a/internal/cli/team.go
+++ b/internal/process/cli/team.go
@@ -8,7 +8,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	filberthookv1 "filberthook/api/filberthook/v1"
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/fleet"
 )
 
 func (a *app) addTeam(parser *kingpin.Application) {
--- a/internal/settings/callers.go
+++ b/internal/process/settings/callers.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 
-	"filberthook/internal/claimlog"
-	"filberthook/internal/class"
-	"filberthook/internal/middleware"
-	"filberthook/internal/proxy"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/claimlog"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/middleware"
+	"filberthook/internal/serve/proxy"
 )
 
 // EntryCallers holds the limits of callers' requests.
--- a/internal/settings/callers_test.go
+++ b/internal/process/settings/callers_test.go
@@ -12,7 +12,7 @@
 
 func exampleEntry(t *testing.T) string {
 	t.Helper()
-	data, err := os.ReadFile("../../examples/entry.toml")
+	data, err := os.ReadFile("../../../examples/entry.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/settings/checker.go
+++ b/internal/process/settings/checker.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"time"
 
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
 )
 
 // Checker collects the problems of a settings structure.
--- a/internal/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -7,10 +7,10 @@
 	"strings"
 	"time"
 
-	"filberthook/internal/admission"
-	"filberthook/internal/planner"
-	"filberthook/internal/routing"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/planner"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/admission"
+	"filberthook/internal/serve/routing"
 )
 
 // MinGossipKeyBytes is the least length of the key that signs gossip packets.
--- a/internal/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -9,7 +9,7 @@
 
 func exampleControl(t *testing.T) string {
 	t.Helper()
-	data, err := os.ReadFile("../../examples/control.toml")
+	data, err := os.ReadFile("../../../examples/control.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/consensus/codec_test.go
+++ b/internal/replication/consensus/codec_test.go
@@ -8,7 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 var sampleMessages = []consensus.Message{
--- a/internal/consensus/core.go
+++ b/internal/replication/consensus/core.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // Config holds the settings of a Core.
--- a/internal/consensus/core_test.go
+++ b/internal/replication/consensus/core_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // follower returns replica 1 of a group of three with a log of three entries of
--- a/internal/consensus/faults_test.go
+++ b/internal/replication/consensus/faults_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // seededFaults lists the defects that the checks must catch, and with which seed or
--- a/internal/consensus/log.go
+++ b/internal/replication/consensus/log.go
@@ -3,7 +3,7 @@
 import (
 	"sort"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // raftLog holds the entries after offset. Invariants: applied <= committed <= last
--- a/internal/consensus/membership_test.go
+++ b/internal/replication/consensus/membership_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // lone returns a core that leads a group of one, and lets it do its work.
--- a/internal/consensus/ready.go
+++ b/internal/replication/consensus/ready.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // maxCommittedBytes bounds the committed entries of one Ready.
--- a/internal/consensus/replication.go
+++ b/internal/replication/consensus/replication.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // Propose appends a command to the leader's log. The command is decided once the
--- a/internal/consensus/scenario_test.go
+++ b/internal/replication/consensus/scenario_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
 )
 
 // scenario scripts a schedule that random ones reach too rarely. It must break no
--- a/internal/consensus/sim_checks_test.go
+++ b/internal/replication/consensus/sim_checks_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"hash/fnv"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // record is what an observer of the whole group knows; promises are checked
--- a/internal/consensus/sim_clients_test.go
+++ b/internal/replication/consensus/sim_clients_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 type opKind byte
--- a/internal/consensus/sim_events_test.go
+++ b/internal/replication/consensus/sim_events_test.go
@@ -1,8 +1,8 @@
 package consensus_test
 
 import (
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
 )
 
 // disturb lets faults happen.
--- a/internal/consensus/sim_test.go
+++ b/internal/replication/consensus/sim_test.go
@@ -6,10 +6,10 @@
 	"math/rand/v2"
 	"slices"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
-	"filberthook/internal/invariant"
-	"filberthook/internal/storage"
+	"filberthook/internal/process/invariant"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
+	"filberthook/internal/replication/storage"
 )
 
 // settings describe one simulated run. Everything else follows from the seed.
--- a/internal/raftnet/pool.go
+++ b/internal/replication/raftnet/pool.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"filberthook/internal/peer"
+	"filberthook/internal/network/peer"
 )
 
 // Pool keeps one client for each address.
--- a/internal/raftnet/transport_test.go
+++ b/internal/replication/raftnet/transport_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/peer"
+	"filberthook/internal/network/peer"
 )
 
 // A replica cannot be reached while a configuration of 300 kB is changed again and
--- a/internal/replica/cluster_test.go
+++ b/internal/replication/replica/cluster_test.go
@@ -12,7 +12,7 @@
 
 	"go.uber.org/goleak"
 
-	"filberthook/internal/fsys"
+	"filberthook/internal/replication/fsys"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/replica/config.go
+++ b/internal/replication/replica/config.go
@@ -9,9 +9,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
-	"filberthook/internal/storage"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
+	"filberthook/internal/replication/storage"
 )
 
 // StateMachine is what the log drives. All methods are called by one goroutine,
--- a/internal/replica/handover.go
+++ b/internal/replication/replica/handover.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // handOver lets another voter lead before this replica stops, so that a planned
--- a/internal/replica/limits_test.go
+++ b/internal/replication/replica/limits_test.go
@@ -5,8 +5,8 @@
 	"errors"
 	"testing"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
 )
 
 func TestLimits(t *testing.T) {
--- a/internal/replica/members.go
+++ b/internal/replication/replica/members.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // command is a function that the loop runs.
--- a/internal/replica/open.go
+++ b/internal/replication/replica/open.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"log/slog"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/storage"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/storage"
 )
 
 // Open recovers the replica from its data folder. The state machine must be empty.
--- a/internal/replica/outcomes_test.go
+++ b/internal/replication/replica/outcomes_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
 )
 
 type discard struct{}
--- a/internal/replica/propose.go
+++ b/internal/replication/replica/propose.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // unresolvedTimeouts is how many election timeouts a proposal of a former leader waits
--- a/internal/replica/reads.go
+++ b/internal/replication/replica/reads.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // retryReadTicks is how long a read waits for its answer before it is asked again.
--- a/internal/replica/receive.go
+++ b/internal/replication/replica/receive.go
@@ -1,6 +1,6 @@
 package replica
 
-import "filberthook/internal/consensus"
+import "filberthook/internal/replication/consensus"
 
 // maxQueuedBytes bounds the received messages that wait for the loop.
 const maxQueuedBytes = 64 << 20
--- a/internal/replica/replica.go
+++ b/internal/replication/replica/replica.go
@@ -10,8 +10,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/storage"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/storage"
 )
 
 const (
--- a/internal/replica/replica_test.go
+++ b/internal/replication/replica/replica_test.go
@@ -7,9 +7,9 @@
 	"slices"
 	"testing"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
-	"filberthook/internal/storage"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
+	"filberthook/internal/replication/storage"
 )
 
 func TestSingleReplicaKeepsCommandsOverRestart(t *testing.T) {
--- a/internal/replica/status.go
+++ b/internal/replication/replica/status.go
@@ -7,7 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // MemberStatus describes a member. Match and Active are known on the leader only.
--- a/internal/snapshot/store_test.go
+++ b/internal/replication/snapshot/store_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
 )
 
 func snap(index uint64) *consensus.Snapshot {
--- a/internal/statemachine/codec.go
+++ b/internal/replication/statemachine/codec.go
@@ -4,9 +4,9 @@
 	"encoding/json"
 	"fmt"
 
-	"filberthook/internal/fleet"
-	"filberthook/internal/invariant"
-	"filberthook/internal/lease"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/invariant"
 )
 
 // snapshotVersion is the version of the encoded state. A newer one is refused.
--- a/internal/statemachine/fuzz_test.go
+++ b/internal/replication/statemachine/fuzz_test.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"testing"
 
-	"filberthook/internal/lease"
+	"filberthook/internal/control/lease"
 )
 
 // FuzzApply applies any readable entry to two machines, one of them restored
--- a/internal/statemachine/statemachine.go
+++ b/internal/replication/statemachine/statemachine.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/fleet"
-	"filberthook/internal/invariant"
-	"filberthook/internal/lease"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/invariant"
 )
 
 // commandVersion is the newest version of commands that this program writes
--- a/internal/statemachine/statemachine_test.go
+++ b/internal/replication/statemachine/statemachine_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/fleet"
-	"filberthook/internal/invariant"
-	"filberthook/internal/lease"
+	"filberthook/internal/control/lease"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/process/invariant"
 )
 
 // recorder records what the observer is told.
--- a/internal/storage/identity.go
+++ b/internal/replication/storage/identity.go
@@ -9,8 +9,8 @@
 	"io"
 	iofs "io/fs"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
 )
 
 const identityFile = "identity.json"
--- a/internal/storage/storage.go
+++ b/internal/replication/storage/storage.go
@@ -8,10 +8,10 @@
 	"io"
 	"path/filepath"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
-	"filberthook/internal/snapshot"
-	"filberthook/internal/wal"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
+	"filberthook/internal/replication/snapshot"
+	"filberthook/internal/replication/wal"
 )
 
 const (
--- a/internal/storage/storage_test.go
+++ b/internal/replication/storage/storage_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
-	"filberthook/internal/wal"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
+	"filberthook/internal/replication/wal"
 )
 
 func options(fs fsys.FS) Options {
--- a/internal/wal/frame.go
+++ b/internal/replication/wal/frame.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"hash/crc32"
 
-	"filberthook/internal/consensus"
+	"filberthook/internal/replication/consensus"
 )
 
 // A segment is a header and frames. A frame is: magic (4 bytes), length of the
--- a/internal/wal/read.go
+++ b/internal/replication/wal/read.go
@@ -8,8 +8,8 @@
 	"strconv"
 	"strings"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
 )
 
 // reader replays the segments of a log.
--- a/internal/wal/wal.go
+++ b/internal/replication/wal/wal.go
@@ -12,9 +12,9 @@
 	"fmt"
 	"path/filepath"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
 )
 
 // DefaultSegmentBytes is the size after which a new segment is started.
--- a/internal/wal/wal_test.go
+++ b/internal/replication/wal/wal_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/consensus"
-	"filberthook/internal/fsys"
+	"filberthook/internal/replication/consensus"
+	"filberthook/internal/replication/fsys"
 )
 
 func entry(index, term uint64) consensus.Entry {
--- a/internal/admission/admission_test.go
+++ b/internal/serve/admission/admission_test.go
@@ -10,8 +10,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"filberthook/internal/class"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/class"
 )
 
 func newQueue(change func(*Config)) *Queue[int] {
--- a/internal/admission/queue.go
+++ b/internal/serve/admission/queue.go
@@ -8,8 +8,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/class"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/class"
 )
 
 // Config holds the settings of a Queue.
--- a/internal/call/call.go
+++ b/internal/serve/call/call.go
@@ -11,12 +11,12 @@
 	"sync/atomic"
 	"time"
 
-	"filberthook/internal/class"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/fleet"
-	"filberthook/internal/history"
-	"filberthook/internal/request"
-	"filberthook/internal/retry"
+	"filberthook/internal/bench/history"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/request"
+	"filberthook/internal/serve/retry"
 )
 
 // Call is one caller request. A handler fills its fields before it calls the
--- a/internal/claim/machine.go
+++ b/internal/serve/claim/machine.go
@@ -13,7 +13,7 @@
 	"container/heap"
 	"time"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // Limits bound a Machine. All replicas must use the same limits.
--- a/internal/claim/replica.go
+++ b/internal/serve/claim/replica.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"time"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // Batch is a number of commands that travel as one entry of the log.
--- a/internal/claimlog/bench_test.go
+++ b/internal/serve/claimlog/bench_test.go
@@ -11,13 +11,13 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/claim"
-	"filberthook/internal/claimlog"
-	"filberthook/internal/controlnode"
-	"filberthook/internal/deployment"
-	"filberthook/internal/operator"
-	"filberthook/internal/peer"
-	"filberthook/internal/request"
+	"filberthook/internal/bench/deployment"
+	"filberthook/internal/control/controlnode"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/network/peer"
+	"filberthook/internal/serve/claim"
+	"filberthook/internal/serve/claimlog"
+	"filberthook/internal/serve/request"
 )
 
 // benchAnswer is the size in bytes of the answers that benchmarks store.
--- a/internal/claimlog/claimlog.go
+++ b/internal/serve/claimlog/claimlog.go
@@ -15,10 +15,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/claim"
-	"filberthook/internal/request"
-	"filberthook/internal/retry"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/claim"
+	"filberthook/internal/serve/request"
+	"filberthook/internal/serve/retry"
 )
 
 // Log appends an encoded claim.Batch to the replicated log and returns the
--- a/internal/claimlog/claimlog_test.go
+++ b/internal/serve/claimlog/claimlog_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/claim"
-	"filberthook/internal/request"
+	"filberthook/internal/serve/claim"
+	"filberthook/internal/serve/request"
 )
 
 // fault is what a fakeLog does to one proposal.
--- a/internal/claimlog/history_test.go
+++ b/internal/serve/claimlog/history_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"filberthook/internal/claim"
+	"filberthook/internal/serve/claim"
 )
 
 // operation is one call of an attempt on a key, as porcupine sees it.
--- a/internal/claimlog/propose.go
+++ b/internal/serve/claimlog/propose.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 
-	"filberthook/internal/claim"
+	"filberthook/internal/serve/claim"
 )
 
 // propose sends batches until the client is closed. A batch holds what waits
--- a/internal/entry/announce.go
+++ b/internal/serve/entry/announce.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"slices"
 
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/membership"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/membership"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
--- a/internal/entry/announce_test.go
+++ b/internal/serve/entry/announce_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"testing"
 
-	"filberthook/internal/directory"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/membership"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/membership"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
--- a/internal/entry/callers.go
+++ b/internal/serve/entry/callers.go
@@ -4,14 +4,14 @@
 	"errors"
 	"net"
 
-	"filberthook/internal/claimlog"
-	"filberthook/internal/controlnode"
-	"filberthook/internal/history"
-	"filberthook/internal/limit"
-	"filberthook/internal/middleware"
-	"filberthook/internal/operator"
-	"filberthook/internal/proxy"
-	"filberthook/internal/request"
+	"filberthook/internal/bench/history"
+	"filberthook/internal/control/controlnode"
+	"filberthook/internal/control/operator"
+	"filberthook/internal/serve/claimlog"
+	"filberthook/internal/serve/limit"
+	"filberthook/internal/serve/middleware"
+	"filberthook/internal/serve/proxy"
+	"filberthook/internal/serve/request"
 )
 
 // callerHandlers joins the handlers that a caller's request passes.
--- a/internal/entry/entry_test.go
+++ b/internal/serve/entry/entry_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/settings"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/process/tomltime"
 )
 
 // startNode runs an entry host whose control replicas are out of reach. stop
--- a/internal/entry/explain.go
+++ b/internal/serve/entry/explain.go
@@ -9,10 +9,10 @@
 	"strconv"
 	"time"
 
-	"filberthook/internal/class"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/prefix"
-	"filberthook/internal/routing"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/prefix"
+	"filberthook/internal/serve/routing"
 )
 
 // PathExplain is the status call that tells where a request would run now and
--- a/internal/entry/listeners.go
+++ b/internal/serve/entry/listeners.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"net"
 
-	"filberthook/internal/settings"
+	"filberthook/internal/process/settings"
 )
 
 // Listeners are the open sockets of an entry host. The node closes them.
--- a/internal/entry/page.go
+++ b/internal/serve/entry/page.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"filberthook/internal/directory"
-	"filberthook/internal/statuspage"
+	"filberthook/internal/control/directory"
+	"filberthook/internal/control/statuspage"
 )
 
 // page gathers what the status page shows.
--- a/internal/entry/planner.go
+++ b/internal/serve/entry/planner.go
@@ -7,11 +7,11 @@
 	"net/http"
 	"time"
 
-	"filberthook/internal/authority"
-	"filberthook/internal/distribution"
-	"filberthook/internal/ident"
-	"filberthook/internal/planner"
-	"filberthook/internal/zoneplanner"
+	"filberthook/internal/control/authority"
+	"filberthook/internal/control/distribution"
+	"filberthook/internal/engines/planner"
+	"filberthook/internal/engines/zoneplanner"
+	"filberthook/internal/network/ident"
 )
 
 // orderCallTimeout bounds one call to an engine about orders.
--- a/internal/entry/status.go
+++ b/internal/serve/entry/status.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"net/http"
 
-	"filberthook/internal/statuspage"
+	"filberthook/internal/control/statuspage"
 )
 
 // statusHandler serves metrics, health checks, explanations and the status page.
--- a/internal/entryhost/config.go
+++ b/internal/serve/entryhost/config.go
@@ -5,9 +5,9 @@
 	"log/slog"
 	"sync"
 
-	"filberthook/internal/document"
-	"filberthook/internal/forward"
-	"filberthook/internal/routes"
+	"filberthook/internal/replication/document"
+	"filberthook/internal/serve/forward"
+	"filberthook/internal/serve/routes"
 )
 
 // configuration puts the newest configuration into force. It implements
--- a/internal/entryhost/idle.go
+++ b/internal/serve/entryhost/idle.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/forward"
+	"filberthook/internal/serve/forward"
 )
 
 // defaultIdle holds while the configuration sets no limit.
--- a/internal/entryhost/settings.go
+++ b/internal/serve/entryhost/settings.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 
-	"filberthook/internal/controlhost"
-	"filberthook/internal/settings"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/control/controlhost"
+	"filberthook/internal/process/settings"
+	"filberthook/internal/process/tomltime"
 )
 
 // Settings of an entry host that finds its control hosts from seeds.
--- a/internal/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -22,12 +22,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/dialect"
-	"filberthook/internal/instances"
-	"filberthook/internal/logsink"
-	"filberthook/internal/placement"
-	"filberthook/internal/routes"
-	"filberthook/internal/upstream"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/placement"
+	"filberthook/internal/process/logsink"
+	"filberthook/internal/serve/dialect"
+	"filberthook/internal/serve/routes"
+	"filberthook/internal/serve/upstream"
 )
 
 // Settings of a Server.
--- a/internal/forward/harness_test.go
+++ b/internal/serve/forward/harness_test.go
@@ -17,11 +17,11 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/dialect"
-	"filberthook/internal/instances"
-	"filberthook/internal/placement"
-	"filberthook/internal/routes"
-	"filberthook/internal/upstream"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/placement"
+	"filberthook/internal/serve/dialect"
+	"filberthook/internal/serve/routes"
+	"filberthook/internal/serve/upstream"
 )
 
 // testDialect has header names of its own.
--- a/internal/forward/silence.go
+++ b/internal/serve/forward/silence.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/placement"
+	"filberthook/internal/engines/placement"
 )
 
 // Times without a byte from an engine, for any request, after which it is given up.
--- a/internal/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"time"
 
-	"filberthook/internal/dialect"
-	"filberthook/internal/placement"
-	"filberthook/internal/upstream"
+	"filberthook/internal/engines/placement"
+	"filberthook/internal/serve/dialect"
+	"filberthook/internal/serve/upstream"
 )
 
 // maxHandleBytes bounds the answer to a prefill.
--- a/internal/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/dialect"
-	"filberthook/internal/instances"
-	"filberthook/internal/routes"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/serve/dialect"
+	"filberthook/internal/serve/routes"
 )
 
 // streamer generates events up to last; it goes on after Last-Event-Id.
--- a/internal/forward/trail.go
+++ b/internal/serve/forward/trail.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"filberthook/internal/placement"
+	"filberthook/internal/engines/placement"
 )
 
 // answeredLines bounds the log lines a second of requests that went well: five times
--- a/internal/forward/trail_test.go
+++ b/internal/serve/forward/trail_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/instances"
-	"filberthook/internal/logsink"
-	"filberthook/internal/placement"
-	"filberthook/internal/routes"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/placement"
+	"filberthook/internal/process/logsink"
+	"filberthook/internal/serve/routes"
 )
 
 // Many requests a second, of which one in ten fails: the lines stay bounded, and each
--- a/internal/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -6,10 +6,10 @@
 	"net/http"
 	"time"
 
-	"filberthook/internal/dialect"
-	"filberthook/internal/placement"
-	"filberthook/internal/routes"
-	"filberthook/internal/upstream"
+	"filberthook/internal/engines/placement"
+	"filberthook/internal/serve/dialect"
+	"filberthook/internal/serve/routes"
+	"filberthook/internal/serve/upstream"
 )
 
 // silenceFactor is how many goals a request that may run twice waits for an
--- a/internal/forward/whole_test.go
+++ b/internal/serve/forward/whole_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/routes"
+	"filberthook/internal/serve/routes"
 )
 
 func TestWholeRequests(t *testing.T) {
--- a/internal/limit/gate.go
+++ b/internal/serve/limit/gate.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/class"
-	"filberthook/internal/request"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/request"
 )
 
 // GateSettings bound a Gate.
--- a/internal/limit/limit_test.go
+++ b/internal/serve/limit/limit_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/class"
-	"filberthook/internal/request"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/request"
 )
 
 // clock is a logical clock for one goroutine.
--- a/internal/limit/queue.go
+++ b/internal/serve/limit/queue.go
@@ -1,6 +1,6 @@
 package limit
 
-import "filberthook/internal/class"
+import "filberthook/internal/serve/class"
 
 // waiter is one request that waits for a slot.
 type waiter struct {
--- a/internal/limit/teams.go
+++ b/internal/serve/limit/teams.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
-	"filberthook/internal/request"
+	"filberthook/internal/serve/request"
 )
 
 // TeamSettings bound what one calling team may have under way at one host.
--- a/internal/middleware/auth.go
+++ b/internal/serve/middleware/auth.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"strings"
 
-	"filberthook/internal/call"
-	"filberthook/internal/fleet"
-	"filberthook/internal/request"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
 )
 
 const bearerPrefix = "Bearer "
--- a/internal/middleware/body.go
+++ b/internal/serve/middleware/body.go
@@ -7,9 +7,9 @@
 	"os"
 	"time"
 
-	"filberthook/internal/call"
-	"filberthook/internal/limit"
-	"filberthook/internal/request"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/limit"
+	"filberthook/internal/serve/request"
 )
 
 // BodySettings bound request bodies.
--- a/internal/middleware/claims.go
+++ b/internal/serve/middleware/claims.go
@@ -10,12 +10,12 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/call"
-	"filberthook/internal/claim"
-	"filberthook/internal/claimlog"
-	"filberthook/internal/ident"
-	"filberthook/internal/request"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/network/ident"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/claim"
+	"filberthook/internal/serve/claimlog"
+	"filberthook/internal/serve/request"
 )
 
 // ClaimSettings bound the life of claims.
--- a/internal/middleware/completion.go
+++ b/internal/serve/middleware/completion.go
@@ -8,8 +8,8 @@
 	"slices"
 	"strings"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/fleet"
 )
 
 // modelField is the field of a completion request that names the endpoint. It
--- a/internal/middleware/completion_test.go
+++ b/internal/serve/middleware/completion_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/fleet"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/fleet"
 )
 
 func TestCompletionKeepsWhatItDoesNotRead(t *testing.T) {
--- a/internal/middleware/deadline.go
+++ b/internal/serve/middleware/deadline.go
@@ -6,10 +6,10 @@
 	"strconv"
 	"time"
 
-	"filberthook/internal/call"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/request"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
 )
 
 // DeadlineSettings bound the deadlines of requests.
--- a/internal/middleware/history.go
+++ b/internal/serve/middleware/history.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 
-	"filberthook/internal/call"
-	"filberthook/internal/history"
+	"filberthook/internal/bench/history"
+	"filberthook/internal/serve/call"
 )
 
 // History remembers what becomes of each call.
--- a/internal/middleware/idempotency.go
+++ b/internal/serve/middleware/idempotency.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"filberthook/internal/call"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/request"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
 )
 
 // headerLastEventID is the header of a caller that takes a stream up again; it
--- a/internal/middleware/limits.go
+++ b/internal/serve/middleware/limits.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 
-	"filberthook/internal/call"
-	"filberthook/internal/limit"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/limit"
 )
 
 // Teams holds each calling team to its concurrency and token rate.
--- a/internal/middleware/middleware.go
+++ b/internal/serve/middleware/middleware.go
@@ -7,11 +7,11 @@
 	"net/http"
 	"time"
 
-	"filberthook/internal/claimlog"
-	"filberthook/internal/fleet"
-	"filberthook/internal/history"
-	"filberthook/internal/limit"
-	"filberthook/internal/request"
+	"filberthook/internal/bench/history"
+	"filberthook/internal/engines/fleet"
+	"filberthook/internal/serve/claimlog"
+	"filberthook/internal/serve/limit"
+	"filberthook/internal/serve/request"
 )
 
 // Configuration gives the newest configuration in force.
--- a/internal/middleware/model.go
+++ b/internal/serve/middleware/model.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"strings"
 
-	"filberthook/internal/call"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/prefix"
-	"filberthook/internal/request"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/prefix"
+	"filberthook/internal/serve/request"
 )
 
 // Limits of completion requests, in tokens.
--- a/internal/middleware/outcome.go
+++ b/internal/serve/middleware/outcome.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"strings"
 
-	"filberthook/internal/call"
-	"filberthook/internal/claim"
-	"filberthook/internal/claimlog"
-	"filberthook/internal/request"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/claim"
+	"filberthook/internal/serve/claimlog"
+	"filberthook/internal/serve/request"
 )
 
 // PathRequests is the path prefix under which callers ask for the outcome of a
--- a/internal/middleware/pace.go
+++ b/internal/serve/middleware/pace.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
 )
 
 // maxWriteBytes is the most that is written under one deadline.
--- a/internal/middleware/recorder.go
+++ b/internal/serve/middleware/recorder.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"filberthook/internal/claim"
+	"filberthook/internal/serve/claim"
 )
 
 // recorder is a http.ResponseWriter that keeps the answer.
--- a/internal/middleware/requestid.go
+++ b/internal/serve/middleware/requestid.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"strings"
 
-	"filberthook/internal/call"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/ident"
-	"filberthook/internal/request"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/ident"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
 )
 
 // maxIDBytes is the longest request identifier or idempotency key taken from a
--- a/internal/middleware/stop.go
+++ b/internal/serve/middleware/stop.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"sync"
 
-	"filberthook/internal/call"
-	"filberthook/internal/request"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
 )
 
 // Stop counts the requests under way, so that an entry host can stop without
--- a/internal/middleware/target.go
+++ b/internal/serve/middleware/target.go
@@ -4,10 +4,10 @@
 	"net/http"
 	"strings"
 
-	"filberthook/internal/call"
-	"filberthook/internal/class"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/request"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/request"
 )
 
 // PathServices is the path prefix of calls to plain services. The endpoint's
--- a/internal/middleware/violation.go
+++ b/internal/serve/middleware/violation.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // Violation ends the process when a handler breaks an invariant. Without it the
--- a/internal/middleware/violation_test.go
+++ b/internal/serve/middleware/violation_test.go
@@ -5,7 +5,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 func TestBrokenInvariantStopsTheProcess(t *testing.T) {
--- a/internal/prefix/hash.go
+++ b/internal/serve/prefix/hash.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // CountTokens returns the number of tokens in text. A token is a run of bytes
--- a/internal/prefix/index.go
+++ b/internal/serve/prefix/index.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
 )
 
 // Slot is the dense number that the index gives to an engine instance. It
--- a/internal/prefix/prefix_test.go
+++ b/internal/serve/prefix/prefix_test.go
@@ -8,8 +8,8 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
 )
 
 func stored(seq uint64, hashes ...uint64) []engineapi.CacheEvent {
--- a/internal/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -13,14 +13,14 @@
 	"strconv"
 	"sync"
 
-	"filberthook/internal/admission"
-	"filberthook/internal/call"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/history"
-	"filberthook/internal/ident"
-	"filberthook/internal/request"
-	"filberthook/internal/routing"
-	"filberthook/internal/scheduler"
+	"filberthook/internal/bench/history"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/scheduler"
+	"filberthook/internal/network/ident"
+	"filberthook/internal/serve/admission"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
+	"filberthook/internal/serve/routing"
 )
 
 // failure tells why an attempt gave no answer.
--- a/internal/proxy/bench_test.go
+++ b/internal/serve/proxy/bench_test.go
@@ -8,12 +8,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/call"
-	"filberthook/internal/claimlog"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/history"
-	"filberthook/internal/middleware"
-	"filberthook/internal/request"
+	"filberthook/internal/bench/history"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/claimlog"
+	"filberthook/internal/serve/middleware"
+	"filberthook/internal/serve/request"
 )
 
 // BenchmarkHandlers measures the handlers in front of the proxy, claims
--- a/internal/proxy/events.go
+++ b/internal/serve/proxy/events.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // streamEnd is the data of the last event of a whole stream.
--- a/internal/proxy/fakes_test.go
+++ b/internal/serve/proxy/fakes_test.go
@@ -12,9 +12,9 @@
 	"sync"
 	"testing"
 
-	"filberthook/internal/call"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/request"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
 )
 
 // service is a plain service that counts its runs.
--- a/internal/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -18,18 +18,18 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/call"
-	"filberthook/internal/claim"
-	"filberthook/internal/claimlog"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/fleet"
-	"filberthook/internal/history"
-	"filberthook/internal/middleware"
-	"filberthook/internal/proxy"
-	"filberthook/internal/request"
-	"filberthook/internal/routing"
-	placing "filberthook/internal/scheduler"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/bench/history"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/fleet"
+	placing "filberthook/internal/engines/scheduler"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/claim"
+	"filberthook/internal/serve/claimlog"
+	"filberthook/internal/serve/middleware"
+	"filberthook/internal/serve/proxy"
+	"filberthook/internal/serve/request"
+	"filberthook/internal/serve/routing"
 )
 
 // Names used by all tests.
--- a/internal/proxy/headers.go
+++ b/internal/serve/proxy/headers.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"strings"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // hopHeaders belong to one connection and are not passed on.
--- a/internal/proxy/hedge.go
+++ b/internal/serve/proxy/hedge.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"filberthook/internal/call"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/request"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
 )
 
 // hedge is one attempt, and a second one beside it when the first is slow.
--- a/internal/proxy/history_test.go
+++ b/internal/serve/proxy/history_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"filberthook/internal/claimlog"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/request"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/claimlog"
+	"filberthook/internal/serve/request"
 )
 
 // faultyLog refuses proposals, or loses their results after it applied them.
--- a/internal/proxy/latency.go
+++ b/internal/serve/proxy/latency.go
@@ -6,8 +6,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/call"
-	"filberthook/internal/class"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/class"
 )
 
 // latencies are the histograms of what callers wait for, by class, in seconds.
--- a/internal/proxy/once_test.go
+++ b/internal/serve/proxy/once_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/middleware"
-	"filberthook/internal/request"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/middleware"
+	"filberthook/internal/serve/request"
 )
 
 // TestNonRepeatableCalls sends a booking, then the same booking again through
--- a/internal/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -14,15 +14,15 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/call"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/limit"
-	"filberthook/internal/pause"
-	"filberthook/internal/request"
-	"filberthook/internal/retry"
-	"filberthook/internal/routing"
-	"filberthook/internal/scheduler"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/engines/scheduler"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/limit"
+	"filberthook/internal/serve/request"
+	"filberthook/internal/serve/retry"
+	"filberthook/internal/serve/routing"
 )
 
 // Scheduler picks instances and is told what becomes of attempts.
--- a/internal/proxy/split.go
+++ b/internal/serve/proxy/split.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"strconv"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/ident"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/ident"
 )
 
 // maxHandleBytes bounds an engine's answer that names a KV cache.
--- a/internal/proxy/stranger_test.go
+++ b/internal/serve/proxy/stranger_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/middleware"
-	"filberthook/internal/request"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/middleware"
+	"filberthook/internal/serve/request"
 )
 
 func TestRefusedBeforeAnythingRuns(t *testing.T) {
--- a/internal/proxy/stream.go
+++ b/internal/serve/proxy/stream.go
@@ -8,10 +8,10 @@
 
 	"github.com/tmaxmax/go-sse"
 
-	"filberthook/internal/call"
-	"filberthook/internal/pause"
-	"filberthook/internal/request"
-	"filberthook/internal/retry"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
+	"filberthook/internal/serve/retry"
 )
 
 // stream passes one streamed answer on to its caller, over as many attempts as
--- a/internal/proxy/stream_test.go
+++ b/internal/serve/proxy/stream_test.go
@@ -8,10 +8,10 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/proxy"
-	"filberthook/internal/request"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/proxy"
+	"filberthook/internal/serve/request"
 )
 
 const tokens = 40
--- a/internal/proxy/transport.go
+++ b/internal/serve/proxy/transport.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
 )
 
 // TransportSettings bound the connections to endpoints.
--- a/internal/proxy/whole.go
+++ b/internal/serve/proxy/whole.go
@@ -7,9 +7,9 @@
 	"io"
 	"net/http"
 
-	"filberthook/internal/call"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/request"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/request"
 )
 
 // answer is a whole answer of an instance.
--- a/internal/request/request.go
+++ b/internal/serve/request/request.go
@@ -6,7 +6,7 @@
 import (
 	"sync"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // State is a step in a request's life.
--- a/internal/request/request_test.go
+++ b/internal/serve/request/request_test.go
@@ -8,7 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"pgregory.net/rapid"
 
-	"filberthook/internal/invariant"
+	"filberthook/internal/process/invariant"
 )
 
 // broken returns the name of the invariant that fn breaks, empty when none.
--- a/internal/retry/backoff.go
+++ b/internal/serve/retry/backoff.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
 )
 
 // BackoffSettings are the delays between attempts.
--- a/internal/retry/policy.go
+++ b/internal/serve/retry/policy.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
 )
 
 // Settings are the limits on sending one request again.
--- a/internal/retry/retry_test.go
+++ b/internal/serve/retry/retry_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"filberthook/internal/tomltime"
+	"filberthook/internal/process/tomltime"
 )
 
 // outage sends n requests to an endpoint that always fails and returns the
--- a/internal/routing/config.go
+++ b/internal/serve/routing/config.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"filberthook/internal/class"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/prefix"
-	"filberthook/internal/tomltime"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/prefix"
 )
 
 // Targets are what an answer of a class must meet.
--- a/internal/routing/filter.go
+++ b/internal/serve/routing/filter.go
@@ -1,6 +1,6 @@
 package routing
 
-import "filberthook/internal/engineapi"
+import "filberthook/internal/engines/engineapi"
 
 // Filter decides whether a candidate can run a request at all.
 type Filter interface {
--- a/internal/routing/pick.go
+++ b/internal/serve/routing/pick.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
 )
 
 // choice is the best placement found so far.
--- a/internal/routing/query.go
+++ b/internal/serve/routing/query.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/prefix"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/prefix"
 )
 
 // query is the working memory of one Pick. It is reused, so Pick allocates
--- a/internal/routing/router.go
+++ b/internal/serve/routing/router.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"filberthook/internal/engineapi"
-	"filberthook/internal/prefix"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/prefix"
 )
 
 // Router picks engines. It keeps the work that this process has in flight at
--- a/internal/routing/routing_test.go
+++ b/internal/serve/routing/routing_test.go
@@ -11,9 +11,9 @@
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
-	"filberthook/internal/class"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/prefix"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/prefix"
 )
 
 func newRouter(zone string, seed uint64) *Router {
--- a/internal/routing/score.go
+++ b/internal/serve/routing/score.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"filberthook/internal/class"
-	"filberthook/internal/engineapi"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/class"
 )
 
 // Weights of the parts of a score. Each part is a share of a target.
--- a/internal/routing/types.go
+++ b/internal/serve/routing/types.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"filberthook/internal/class"
-	"filberthook/internal/engineapi"
-	"filberthook/internal/prefix"
+	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/serve/class"
+	"filberthook/internal/serve/prefix"
 )
 
 // Candidate is one endpoint instance as an entry host knows it. Candidates are
--- a/internal/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -12,7 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"filberthook/internal/netopt"
+	"filberthook/internal/network/netopt"
 )
 
 // Times that a kept connection may have been idle for.
