--- a/internal/engines/placement/option.go
+++ b/internal/engines/placement/option.go
@@ -110,6 +110,7 @@
 func (f *Fleet) option(p *Prompt, keys []uint64, in *instance, home homes, holder [2]*instance, now time.Time) option {
 	o := option{in: in, tokens: in.unread(p, keys, now)}
 	missing := max(0, o.tokens-p.own())
+	away := float64(missing) // shared tokens that are not held there
 	source := holder[0]
 	if source == in {
 		source = holder[1]
@@ -137,9 +138,9 @@
 	switch in {
 	case home.read, home.run:
 	case home.second:
-		o.score += secondCost * float64(p.Tokens-p.own())
+		o.score += secondCost * away
 	default:
-		o.score += farCost * float64(p.Tokens-p.own())
+		o.score += farCost * away
 	}
 	if in.Stage == instances.Prefill {
 		o.score += float64(p.Tokens) * transferCost
