--- a/internal/engines/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -43,6 +43,7 @@
 	rates       rates               // at which it was seen to read
 	transfer    average             // time beyond the expected one that KV cache read here took to arrive
 	progress    time.Time           // of the last byte that came from it
+	sent        time.Time           // when this host last sent it a prompt
 	ejected     time.Time           // gets no request before
 	strikes     int                 // ejections in a row
 	refusals    int                 // for want of room, in a row
--- a/internal/engines/placement/placement_test.go
+++ b/internal/engines/placement/placement_test.go
@@ -196,6 +196,36 @@
 	}
 }
 
+// One host of many sends a dozen prompts a second to fifty engines: it stays with few of
+// them, as every other one needs a new connection, until those are busy.
+func TestHostStaysWithTheEnginesThatItIsConnectedTo(t *testing.T) {
+	f := fleetOf(8, 48)
+	p := about("s", 13000, 3000)
+	used := map[string]bool{}
+	for i := range 60 {
+		now := after(80 * i)
+		got, err := f.Runner(p, "z0", now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		used[got.ID] = true
+		r := f.BeginPrompt(got.ID, "p0", p, 0, now)
+		f.PromptRead(r, now.Add(20*time.Millisecond))
+		f.EndPrompt(r, Answered, now.Add(70*time.Millisecond))
+	}
+	if len(used) > 6 {
+		t.Errorf("60 prompts went to %d engines", len(used))
+	}
+	for id := range used {
+		for range 20 {
+			f.BeginPrompt(id, "p0", p, 0, after(4800))
+		}
+	}
+	if got, err := f.Runner(p, "z0", after(4800)); err != nil || used[got.ID] {
+		t.Errorf("%s (%v) is busy, and others are idle", got.ID, err)
+	}
+}
+
 func TestInstancesThatFailAreTriedAgainLater(t *testing.T) {
 	f := fleetOf(0, 2)
 	p := about("s", 0, 100)
--- a/internal/engines/placement/runner.go
+++ b/internal/engines/placement/runner.go
@@ -20,13 +20,18 @@
 }
 
 // bestRunner returns the engine that is free soonest, in the zone where the prompt was
-// read unless engines of other zones are much less busy. Parts that it holds do not
-// count: all KV cache of the prompt is moved to it.
+// read unless engines of other zones are much less busy, and one that this host has a
+// connection to unless others are less busy: with 64 hosts and 50 engines most prompts
+// would need a new one. Parts that it holds do not count: all KV cache of the prompt is
+// moved to it.
 func (f *Fleet) bestRunner(p *Prompt, runners []*instance, zone string, now time.Time) *instance {
 	var best *instance
 	bestScore := math.Inf(1)
 	for _, in := range runners {
 		score := max(f.waiting(in, lowestPriority, now), in.wait.decayed(now, transferHalfLife)) + runCost*float64(in.outstanding) + spread*f.draw()
+		if now.Sub(in.sent) > connectedFor {
+			score += connectCost
+		}
 		if in.Zone != zone {
 			score += otherZoneCost * float64(p.Tokens)
 		}
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -105,7 +105,8 @@
 			break
 		}
 		now := time.Now()
-		if c.usable(once, p.learned(address), now) {
+		learned, known := p.learned(address)
+		if c.usable(once, now) && (!known || now.Sub(c.idleSince) < learned) {
 			c.reused, c.idleFor = true, now.Sub(c.idleSince)
 			p.reuses.Inc()
 			return c, nil
@@ -122,13 +123,11 @@
 }
 
 // learned returns the idle limit that broken connections to an address have shown.
-func (p *Pool) learned(address string) time.Duration {
+func (p *Pool) learned(address string) (limit time.Duration, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if limit, ok := p.limits[address]; ok {
-		return limit
-	}
-	return unannouncedIdle
+	limit, known = p.limits[address]
+	return limit, known
 }
 
 // dropped notes that an instance had dropped a kept connection without notice: what
@@ -143,7 +142,7 @@
 }
 
 // usable reports whether an idle connection may take the next request.
-func (c *conn) usable(once bool, learned time.Duration, now time.Time) bool {
+func (c *conn) usable(once bool, now time.Time) bool {
 	limit := unannouncedIdle
 	if once {
 		limit = onceIdle
@@ -151,7 +150,7 @@
 	if c.idleLimit > 0 {
 		limit = max(c.idleLimit-idleMargin, c.idleLimit/4)
 	}
-	return now.Sub(c.idleSince) < min(limit, learned) && c.quiet()
+	return now.Sub(c.idleSince) < limit && c.quiet()
 }
 
 func (p *Pool) pop(address string) *conn {
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -270,7 +270,7 @@
 		a, b := net.Pipe()
 		c := newConn(a, "x")
 		c.idleLimit, c.idleSince = tt.limit, now.Add(-tt.idle)
-		if got := c.usable(tt.once, unannouncedIdle, now); got != tt.want {
+		if got := c.usable(tt.once, now); got != tt.want {
 			t.Errorf("%s: usable %v, want %v", tt.name, got, tt.want)
 		}
 		a.Close()
@@ -345,7 +345,7 @@
 	if _, err := fetch(t, p, e.address(), get("2")); !errors.As(err, &lost) {
 		t.Fatalf("got %v, want a LostError", err)
 	}
-	if limit := p.learned(e.address()); limit > 200*time.Millisecond {
+	if limit, known := p.learned(e.address()); !known || limit > 200*time.Millisecond {
 		t.Errorf("learned a limit of %v after a connection idle for 300 ms was reset", limit)
 	}
 	for _, id := range []string{"3", "4"} {
