--- a/internal/engines/placement/held.go
+++ b/internal/engines/placement/held.go
@@ -121,13 +121,19 @@
 	in.held[key] = part
 }
 
+// noteRead notes that parts that are known at an engine were read there.
+func (in *instance) noteRead(key uint64) {
+	part := in.held[key]
+	part.read = true
+	in.held[key] = part
+}
+
 // partsRead notes that the shared parts of a prompt were read at an engine. The caller
 // holds f.mu.
 func (f *Fleet) partsRead(in *instance, keys []uint64) {
 	for _, key := range keys {
 		if part, ok := in.held[key]; ok && !part.read {
-			part.read = true
-			in.held[key] = part
+			in.noteRead(key)
 			f.newsOf(in.ID).Read = append(f.newsOf(in.ID).Read, key)
 			f.newsCount++
 		}
@@ -180,9 +186,7 @@
 			}
 			for _, key := range n.Read {
 				in.note(key, now)
-				part := in.held[key]
-				part.read = true
-				in.held[key] = part
+				in.noteRead(key)
 			}
 			if n.Rate > 0 {
 				in.rates.add(n.Rate)
--- a/internal/engines/placement/option.go
+++ b/internal/engines/placement/option.go
@@ -109,8 +109,7 @@
 // option estimates a prompt's reading at an engine.
 func (f *Fleet) option(p *Prompt, keys []uint64, in *instance, home homes, holder [2]*instance, now time.Time) option {
 	o := option{in: in, tokens: in.unread(p, keys, now)}
-	missing := max(0, o.tokens-p.own())
-	away := float64(missing) // shared tokens that are not held there
+	missing := max(0, o.tokens-p.own()) // shared tokens that are not held there
 	source := holder[0]
 	if source == in {
 		source = holder[1]
@@ -127,7 +126,7 @@
 		}
 	}
 	if source == nil && in == home.read && f.assumesHeld(in, now) {
-		o.tokens, missing = min(o.tokens, p.own()), 0
+		o.tokens = min(o.tokens, p.own())
 	}
 	o.wait = f.waiting(in, p.Priority, now)
 	o.ms = o.wait + float64(o.tokens)/f.rate(in) + float64(moved)*transferTime
@@ -138,9 +137,9 @@
 	switch in {
 	case home.read, home.run:
 	case home.second:
-		o.score += secondCost * away
+		o.score += secondCost * float64(missing)
 	default:
-		o.score += farCost * away
+		o.score += farCost * float64(missing)
 	}
 	if in.Stage == instances.Prefill {
 		o.score += float64(p.Tokens) * transferCost
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -60,11 +60,12 @@
 	// easyWeight and lateWeight weigh expected time within that share and beyond it.
 	easyWeight = 0.4
 	lateWeight = 1.5
-	// secondCost and farCost keep a subject at its homes: with 13,000 shared tokens the
-	// second home must be 400 ms faster, any other engine 1.6 s. Each further engine that
-	// holds a subject drops others that will be asked for, and what is fetched may be gone.
-	secondCost = 0.030 // ms for each shared token, at the second home
-	farCost    = 0.120 // ms for each shared token, at any other engine
+	// secondCost and farCost keep a subject at its homes: where 13,000 shared tokens are
+	// missing the second home must be 400 ms faster, any other engine 1.6 s. Each further
+	// engine that holds a subject drops others that will be asked for, and what is to be
+	// fetched may be gone.
+	secondCost = 0.030 // ms for each shared token that is missing at the second home
+	farCost    = 0.120 // ms for each that is missing at any other engine
 	// connectCost is what a new connection to an engine costs: its set-up of 1 ms, the slot
 	// that it holds meanwhile, and its price, which is 3% of that of a late answer.
 	connectCost = 8.0 // ms
--- /dev/null
+++ b/internal/engines/placement/runner_test.go
@@ -0,0 +1,73 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"filberthook/internal/engines/instances"
+)
+
+func TestRunnerIsChosenAmongThoseThatAreStillThere(t *testing.T) {
+	f := fleetOf(2, 2)
+	p := about("s", 13000, 3000)
+	first, err := f.Runner(p, "z0", start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []instances.Instance
+	for _, in := range f.lists["lm"] {
+		if in.ID != first.ID {
+			list = append(list, in.Instance)
+		}
+	}
+	f.Update(&instances.Snapshot{Number: 2, ByEndpoint: map[string][]instances.Instance{"lm": list}})
+	if second, err := f.Runner(p, "z0", start); err != nil || second.ID == first.ID {
+		t.Errorf("runner %s, %v after it left", second.ID, err)
+	}
+}
+
+func TestAnswersAreGeneratedInTheZoneWhereTheirPromptWasRead(t *testing.T) {
+	f := fleetOf(8, 8)
+	p := about("s", 13000, 3000)
+	for _, zone := range []string{"z0", "z1", "z2", "z3"} {
+		got, err := f.Runner(p, zone, start)
+		if err != nil || got.Zone != zone {
+			t.Errorf("read in %s, generated in %s (%v)", zone, got.Zone, err)
+		}
+	}
+	for range 40 {
+		f.BeginPrompt("d0", "", p, 0, start)
+		f.BeginPrompt("d4", "", p, 0, start)
+	}
+	if got, err := f.Runner(p, "z0", start); err != nil || got.Zone == "z0" {
+		t.Errorf("generated at %s (%v), whose batch is full while others are idle", got.ID, err)
+	}
+}
+
+func TestHostStaysWithTheEnginesThatItIsConnectedTo(t *testing.T) {
+	f := fleetOf(8, 48)
+	p := about("s", 13000, 3000)
+	used := map[string]bool{}
+	for i := range 60 {
+		now := after(80 * i)
+		got, err := f.Runner(p, "z0", now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		used[got.ID] = true
+		r := f.BeginPrompt(got.ID, "p0", p, 0, now)
+		f.PromptRead(r, now.Add(20*time.Millisecond))
+		f.EndPrompt(r, Answered, now.Add(70*time.Millisecond))
+	}
+	if len(used) > 6 {
+		t.Errorf("60 prompts went to %d engines", len(used))
+	}
+	for id := range used {
+		for range 20 {
+			f.BeginPrompt(id, "p0", p, 0, after(4800))
+		}
+	}
+	if got, err := f.Runner(p, "z0", after(4800)); err != nil || used[got.ID] {
+		t.Errorf("%s (%v) is busy, and others are idle", got.ID, err)
+	}
+}
