--- a/internal/engines/placement/held_test.go
+++ b/internal/engines/placement/held_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
