--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -25,7 +25,6 @@
 	"filberthook/internal/control/formation"
 	"filberthook/internal/control/stagekeeper"
 	"filberthook/internal/engines/instances"
-	"filberthook/internal/network/netopt"
 	"filberthook/internal/network/peer"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
@@ -94,10 +93,12 @@
 	seedList  atomic.Pointer[[]string]
 
 	mu      sync.Mutex
-	version uint64          // highest that came into force here
-	body    []byte          // of that version
+	version uint64        // highest that came into force here
+	body    []byte        // of that version
+	changed chan struct{} // closed when version changes
+
+	packing sync.Mutex      // apart from mu, which watches and changes need meanwhile
 	packed  document.Packed // of the version that entry hosts asked for last
-	changed chan struct{}   // closed when version changes
 
 	proposals *metrics.Histogram
 	beats     *metrics.Counter
@@ -138,17 +139,8 @@
 }
 
 func (h *Host) peerOptions() peer.Options {
-	return peer.Options{
-		Self:            peer.Identity{Host: h.settings.Host, Zone: h.settings.Zone},
-		TrustedNetwork:  h.settings.TrustedNetwork,
-		DropOnTimeout:   true,
-		MaxMessageBytes: controlapi.MaxMessageBytes,
-		DialTimeout:     netopt.DialTimeout,
-		Dial:            netopt.Dial,
-		RedialDelay:     netopt.RedialDelay,
-		Metrics:         h.metrics,
-		Logger:          h.logger,
-	}
+	self := peer.Identity{Host: h.settings.Host, Zone: h.settings.Zone}
+	return controlapi.PeerOptions(self, h.settings.TrustedNetwork, h.metrics, h.logger)
 }
 
 // SetSeeds replaces the seeds.
@@ -275,12 +267,15 @@
 // packedDocument returns the configuration in force for entry hosts, which all ask for
 // it at about the same moment.
 func (h *Host) packedDocument() (document.Packed, error) {
+	h.packing.Lock()
+	defer h.packing.Unlock()
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.packed.Version != h.version {
-		packed, err := document.Pack(document.Document{Version: h.version, Body: h.body})
+	d := document.Document{Version: h.version, Body: h.body}
+	h.mu.Unlock()
+	if h.packed.Version != d.Version {
+		packed, err := document.Pack(d)
 		if err != nil {
-			return document.Packed{}, fmt.Errorf("configuration %d not packed: %w", h.version, err)
+			return document.Packed{}, fmt.Errorf("configuration %d not packed: %w", d.Version, err)
 		}
 		h.packed = packed
 	}
--- a/internal/control/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -73,10 +73,11 @@
 // prompts then queues at the links of those that are left, so that even short answers
 // are late.
 func (s Settings) Short(engines []instances.Instance, changing map[string]instances.Stage) bool {
-	return generating(engines, changing) < least(len(engines), zonesOf(engines))
+	return countGenerating(engines, changing) < least(len(engines), zonesOf(engines))
 }
 
-func generating(engines []instances.Instance, changing map[string]instances.Stage) int {
+// countGenerating counts the engines that generate or are on their way to it.
+func countGenerating(engines []instances.Instance, changing map[string]instances.Stage) int {
 	n := 0
 	for _, e := range engines {
 		if stageOf(e, changing) == instances.Decode {
@@ -93,10 +94,10 @@
 }
 
 // Next returns the changes to make now. A zone of ownGenerating engines of which none
-// generates gets one: cut off from the others it could answer nothing. Else there are none under load while the
-// headroom is between Fewest and Most, as each change takes an engine away and its
-// subjects with it. Engines in changing are on their way and count where they go.
-// Without load all changes are made at once.
+// generates gets one: cut off from the others it could answer nothing. Else there are
+// none under load while the headroom is between Fewest and Most, as each change takes
+// an engine away and its subjects with it. Engines in changing are on their way and
+// count where they go. Without load all changes are made at once.
 func (s Settings) Next(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool) []Change {
 	allowed := len(engines)
 	if loaded {
@@ -149,7 +150,7 @@
 // follow returns the changes that the demand asks for.
 func (s Settings) follow(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool, most int) []Change {
 	n, zones := len(engines), zonesOf(engines)
-	now := generating(engines, changing)
+	now := countGenerating(engines, changing)
 	enough := now >= s.generating(n, zones, d, s.Fewest) && now <= s.generating(n, zones, d, s.Most)
 	if loaded && enough {
 		return nil
--- a/internal/replication/document/packed.go
+++ b/internal/replication/document/packed.go
@@ -7,7 +7,7 @@
 	"io"
 )
 
-// MaxBytes bounds the body of a document: what a control host takes from an operator.
+// MaxBytes bounds the body that a packed document may unpack to.
 const MaxBytes = 8 << 20
 
 // Packed is a compressed document, for entry hosts on slow links: a configuration of
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -22,7 +22,6 @@
 	"filberthook/internal/control/formation"
 	"filberthook/internal/engines/instances"
 	"filberthook/internal/engines/placement"
-	"filberthook/internal/network/netopt"
 	"filberthook/internal/network/peer"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/raftnet"
@@ -85,17 +84,7 @@
 	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout},
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.logger, set)
 	h.idle = newIdleConnections(h.server)
-	options := peer.Options{
-		Self:            peer.Identity{Host: s.Host, Zone: s.Zone},
-		TrustedNetwork:  s.TrustedNetwork,
-		DropOnTimeout:   true,
-		MaxMessageBytes: controlapi.MaxMessageBytes,
-		DialTimeout:     netopt.DialTimeout,
-		Dial:            netopt.Dial,
-		RedialDelay:     netopt.RedialDelay,
-		Metrics:         set,
-		Logger:          h.logger,
-	}
+	options := controlapi.PeerOptions(peer.Identity{Host: s.Host, Zone: s.Zone}, s.TrustedNetwork, set, h.logger)
 	h.clients = raftnet.NewPool(options)
 	options.DropOnTimeout = false // a late exchange leaves the connection for the next
 	h.loads = raftnet.NewPool(options)
