--- a/cmd/filberthook-host/host.go
+++ b/cmd/filberthook-host/host.go
@@ -39,12 +39,13 @@
 // process is what both kinds of host share.
 type process struct {
 	file   string
+	hup    <-chan os.Signal // to reload the settings
 	sink   *logsink.Sink
 	logger *slog.Logger
 	set    *metrics.Set
 }
 
-func newProcess(file string, log settings.Log, memoryMB int) *process {
+func newProcess(file string, hup <-chan os.Signal, log settings.Log, memoryMB int) *process {
 	if memoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(memoryMB) * (1 << 20)))
 	}
@@ -53,7 +54,7 @@
 	set := metrics.NewSet()
 	set.RegisterMetricsWriter(metrics.WriteProcessMetrics)
 	set.GetOrCreateGauge("filberthook_log_lines_dropped", func() float64 { return float64(sink.Dropped()) })
-	return &process{file: file, sink: sink, logger: log.Logger(sink), set: set}
+	return &process{file: file, hup: hup, sink: sink, logger: log.Logger(sink), set: set}
 }
 
 // run serves until a signal to stop. setSeeds is told new seeds of the settings file.
@@ -61,8 +62,10 @@
 	defer p.sink.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	background, end := context.WithCancel(context.Background())
+	defer end()
 	go p.serveStatus(ctx, status)
-	go p.reload(ctx, seeds, load, setSeeds)
+	go p.reload(background, seeds, load, setSeeds)
 	if err := serve(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		p.logger.Error("host failed", "err", err)
 		return exitFailed
@@ -86,17 +89,14 @@
 	}
 }
 
-// reload takes new seeds from the settings file, on SIGHUP and when it has changed.
+// reload takes new seeds from the settings file, on a signal and when it has changed.
 func (p *process) reload(ctx context.Context, seeds []string, load func() ([]string, error), set func([]string)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	last := modified(p.file)
 	for {
 		wait, cancel := context.WithTimeout(ctx, reloadInterval)
 		signalled := false
 		select {
-		case <-hup:
+		case <-p.hup:
 			signalled = true
 		case <-wait.Done():
 		}
@@ -136,8 +136,8 @@
 	return fileState{info.ModTime().UnixNano(), info.Size()}
 }
 
-func runEntry(file string, s entryhost.Settings) int {
-	p := newProcess(file, s.Log, s.MemoryMB)
+func runEntry(file string, hup <-chan os.Signal, s entryhost.Settings) int {
+	p := newProcess(file, hup, s.Log, s.MemoryMB)
 	host := entryhost.New(s, entryhost.Platform{
 		Dialect:      platform.Headers{},
 		DecodeConfig: platform.DecodeConfig,
@@ -151,8 +151,8 @@
 	return p.run(s.Listen.Status, s.Seeds, host.Run, load, host.SetSeeds)
 }
 
-func runControl(file string, s controlhost.Settings) int {
-	p := newProcess(file, s.Log, s.MemoryMB)
+func runControl(file string, hup <-chan os.Signal, s controlhost.Settings) int {
+	p := newProcess(file, hup, s.Log, s.MemoryMB)
 	handler := func(service controlhost.Service) http.Handler { return platform.Control(service, p.logger) }
 	host, err := controlhost.New(s, handler, platform.Orders{Pool: upstream.NewPool(p.set)}, p.logger, p.set)
 	if err != nil {
--- a/cmd/filberthook-host/main.go
+++ b/cmd/filberthook-host/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -19,9 +21,18 @@
 	exitSettings = settings.ExitCode
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() { os.Exit(run(os.Args[1:], reloadSignals())) }
 
-func run(args []string) int {
+// reloadSignals returns where signals to reload the settings arrive. They are caught
+// first and until the end of the process: their default action would end it, also while
+// it starts or serves its last requests.
+func reloadSignals() <-chan os.Signal {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
+func run(args []string, hup <-chan os.Signal) int {
 	app := kingpin.New("filberthook-host", "Runs one host of filberthook that finds the others from seeds.")
 	file := app.Flag("settings", "Settings file in TOML.").Required().String()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
@@ -35,10 +46,10 @@
 	switch command {
 	case entry.FullCommand():
 		var s entryhost.Settings
-		return start(*file, *check, &s, func() int { return runEntry(*file, s) })
+		return start(*file, *check, &s, func() int { return runEntry(*file, hup, s) })
 	case control.FullCommand():
 		var s controlhost.Settings
-		return start(*file, *check, &s, func() int { return runControl(*file, s) })
+		return start(*file, *check, &s, func() int { return runControl(*file, hup, s) })
 	}
 	return exitSettings
 }
--- a/cmd/filberthook-load/hostsoak.go
+++ b/cmd/filberthook-load/hostsoak.go
@@ -72,7 +72,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			printSoak(report, one.Dir)
+			printSoak(report, one.Dir, keep)
 			if len(report.Violations) > 0 {
 				bad++
 			} else if !keep {
@@ -98,9 +98,9 @@
 	return hostsoak.Run(ctx, cfg)
 }
 
-func printSoak(r hostsoak.Report, dir string) {
+func printSoak(r hostsoak.Report, dir string, whole bool) {
 	fmt.Println(time.Now().Format(time.TimeOnly), r)
-	if len(r.Violations) == 0 {
+	if len(r.Violations) == 0 && !whole {
 		return
 	}
 	for _, f := range r.Faults {
