Engines read the shortest prompts first

The routes' priorities put every summary behind every handover at an engine.

Change: the priority at an engine that reads follows from the tokens to be read there, in four steps (up to 1,500, 3,000, 6,000, more), and so does the backlog that placement counts. Generation keeps the route's priority.

--- a/internal/engines/placement/option.go
+++ b/internal/engines/placement/option.go
@@ -128,7 +128,7 @@
 	if source == nil && in == home.read && f.assumesHeld(in, now) {
 		o.tokens = min(o.tokens, p.own())
 	}
-	o.wait = f.waiting(in, p.Priority, now)
+	o.wait = f.waiting(in, readPriority(o.tokens), now)
 	o.ms = o.wait + float64(o.tokens)/f.rate(in) + float64(moved)*transferTime
 	if in.Stage == instances.Prefill {
 		o.ms += transferOverhead + float64(p.Tokens)*transferTime + in.transfer.decayed(now, transferHalfLife)
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -85,7 +85,6 @@
 	Parts    []dialect.Part
 	Tokens   int           // of the whole prompt
 	Output   int           // tokens expected to be generated
-	Priority int           // 0 is the most urgent
 	Goal     time.Duration // to the first event
 	Left     time.Duration // until the answer is of no use
 	Whole    bool          // read and generate at one engine only
@@ -233,8 +232,8 @@
 	return max(0, tokens)
 }
 
-// waiting returns after how many ms an engine would begin to read a prompt: what is
-// as urgent or more comes first.
+// waiting returns after how many ms an engine would begin to read a prompt of a
+// priority: all of the same or a more urgent one comes first.
 func (f *Fleet) waiting(in *instance, priority int, now time.Time) float64 {
 	tokens := in.own.upTo(priority)
 	if now.Sub(in.othersAt) < othersFor {
--- a/internal/engines/placement/reading.go
+++ b/internal/engines/placement/reading.go
@@ -17,7 +17,7 @@
 // BeginPrompt records that a prompt is sent to an engine that reads tokens of it.
 // Source is the engine that read it before, if any.
 func (f *Fleet) BeginPrompt(id, source string, p *Prompt, tokens int, now time.Time) *Reading {
-	r := &Reading{id: id, source: source, tokens: float64(tokens), priority: p.Priority, keys: chain(p.Model, p.Parts), sent: now}
+	r := &Reading{id: id, source: source, tokens: float64(tokens), priority: readPriority(tokens), keys: chain(p.Model, p.Parts), sent: now}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if in := f.known[id]; in != nil {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -249,7 +249,6 @@
 // request returns what is sent to an instance.
 func (c *call) request(send dialect.Send) *upstream.Request {
 	send.Deadline = c.left()
-	send.Priority = c.route.Priority
 	return &upstream.Request{
 		Method: c.r.Method,
 		Target: c.r.RequestURI,
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -99,7 +99,7 @@
 func (c *call) prompt(p *progress) *placement.Prompt {
 	prompt := &placement.Prompt{
 		Endpoint: c.endpoint, Model: c.meta.Model, Parts: c.meta.Parts, Tokens: c.meta.PromptTokens,
-		Output: c.expectedOutput(), Priority: c.route.Priority, Whole: !c.route.Prompted, Excluded: c.excluded,
+		Output: c.expectedOutput(), Whole: !c.route.Prompted, Excluded: c.excluded,
 	}
 	if !p.started {
 		prompt.Goal, prompt.Left = c.route.Goal, min(c.left(), c.patience())
@@ -167,7 +167,7 @@
 		c.notePrompt(target.ID, "read", outcome, start, failure, *plan)
 		c.server.fleet.EndPrompt(reading, outcome, time.Now())
 	}()
-	send := dialect.Send{Instance: target.ID, Model: true, Prefill: true, Fetch: plan.Fetch}
+	send := dialect.Send{Instance: target.ID, Model: true, Prefill: true, Fetch: plan.Fetch, Priority: plan.ReadPriority()}
 	watch := c.watchSilence(target.ID, readPatience+patienceFactor*plan.Expected)
 	defer watch.stop()
 	answer, err := c.server.pool.Send(watch.ctx, target.Address, c.request(send))
@@ -249,7 +249,7 @@
 		c.notePrompt(plan.Run.ID, step, outcome, start, failure, plan)
 		c.server.fleet.EndPrompt(reading, outcome, time.Now())
 	}()
-	send := dialect.Send{Instance: plan.Run.ID, Model: true, Source: source, Fetch: plan.Fetch, LastEventID: p.lastID}
+	send := dialect.Send{Instance: plan.Run.ID, Model: true, Source: source, Fetch: plan.Fetch, LastEventID: p.lastID, Priority: c.route.Priority}
 	patience := time.Duration(0) // a stream that cannot go on elsewhere is waited for
 	if c.route.Resumable && c.ran+1 < c.route.MaxAttempts {
 		patience = runPatience + patienceFactor*plan.Expected
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -94,7 +94,7 @@
 	}()
 	ctx, cancel := c.attemptContext()
 	defer cancel()
-	answer, err := c.server.pool.Send(ctx, target.Address, c.request(dialect.Send{Instance: target.ID}))
+	answer, err := c.server.pool.Send(ctx, target.Address, c.request(dialect.Send{Instance: target.ID, Priority: c.route.Priority}))
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		outcome = c.contactOutcome()
