Placement prefers engines to which a connection is open

Ruled out: limits that are kept too short (rejected while usable: 60 of 3,602).

Change: placement is told by the pool whether a connection to an address is open, idle and within its limit, in place of a guess of 4 s since the last prompt, and weighs it where prompts are read as well as where answers are generated.

Tried and left: subjects of less than 1,000 shared tokens without homes.

Tests: TestConnectedTellsWhetherTheNextRequestNeedsANewConnection, TestShortPromptsAreReadWhereAConnectionIsOpen.

--- a/internal/engines/placement/option.go
+++ b/internal/engines/placement/option.go
@@ -134,6 +134,9 @@
 		o.ms += transferOverhead + float64(p.Tokens)*transferTime + in.transfer.decayed(now, transferHalfLife)
 	}
 	o.score = hurry(o.ms, p.Goal) + movedCost
+	if !f.connected(in.Address) {
+		o.score += connectCost
+	}
 	switch in {
 	case home.read, home.run:
 	case home.second:
--- a/internal/engines/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -43,7 +43,6 @@
 	rates       rates               // at which it was seen to read
 	transfer    average             // time beyond the expected one that KV cache read here took to arrive
 	progress    time.Time           // of the last byte that came from it
-	sent        time.Time           // when this host last sent it a prompt
 	ejected     time.Time           // gets no request before
 	strikes     int                 // ejections in a row
 	refusals    int                 // for want of room, in a row
@@ -59,6 +58,8 @@
 	known map[string]*instance // by id
 	lists map[string][]*instance
 	draw  func() float64 // random number from [0, 1)
+	// connected reports whether a connection to an address is open and idle.
+	connected func(address string) bool
 
 	meters map[string]*meter // by endpoint
 
@@ -69,9 +70,10 @@
 	newsCount int
 }
 
-// New returns an empty Fleet; draw returns random numbers from [0, 1).
-func New(s Settings, draw func() float64) *Fleet {
-	return &Fleet{settings: s, known: map[string]*instance{}, lists: map[string][]*instance{}, draw: draw, meters: map[string]*meter{}, news: map[string]*Held{}, zones: map[string]*contacts{}}
+// New returns an empty Fleet; draw returns random numbers from [0, 1), and connected
+// reports whether a connection to an address is open and idle.
+func New(s Settings, draw func() float64, connected func(address string) bool) *Fleet {
+	return &Fleet{settings: s, known: map[string]*instance{}, lists: map[string][]*instance{}, draw: draw, connected: connected, meters: map[string]*meter{}, news: map[string]*Held{}, zones: map[string]*contacts{}}
 }
 
 // Update takes a new list of instances. What was learned of an instance is kept
--- a/internal/engines/placement/placement_test.go
+++ b/internal/engines/placement/placement_test.go
@@ -15,9 +15,12 @@
 
 func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
+// connectedToAll is a host that has a connection to every engine.
+func connectedToAll(string) bool { return true }
+
 // fleetOf returns a Fleet with prefill engines p0.. and decode engines d0.. .
 func fleetOf(prefill, decode int) *Fleet {
-	f := New(DefaultSettings(), rand.New(rand.NewPCG(1, 2)).Float64)
+	f := New(DefaultSettings(), rand.New(rand.NewPCG(1, 2)).Float64, connectedToAll)
 	var list []instances.Instance
 	add := func(name string, n int, stage instances.Stage) {
 		for i := range n {
@@ -181,7 +184,7 @@
 }
 
 func services(n int) *Fleet {
-	f := New(DefaultSettings(), rand.New(rand.NewPCG(3, 4)).Float64)
+	f := New(DefaultSettings(), rand.New(rand.NewPCG(3, 4)).Float64, connectedToAll)
 	var list []instances.Instance
 	for i := range n {
 		list = append(list, instances.Instance{ID: fmt.Sprint("s", i), Born: 1, Endpoint: "b", Zone: fmt.Sprint("z", i), Slots: 6})
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -69,8 +69,6 @@
 	// connectCost is what a new connection to an engine costs: its set-up of 1 ms, the slot
 	// that it holds meanwhile, and its price, which is 3% of that of a late answer.
 	connectCost = 8.0 // ms
-	// connectedFor is how long connections to engines are kept idle, about.
-	connectedFor = 4 * time.Second
 	// otherZoneCost keeps transfers of KV cache within an availability zone: between
 	// zones they take and cost twice as much.
 	otherZoneCost = transferTime + transferCost // ms for each token
--- a/internal/engines/placement/reading.go
+++ b/internal/engines/placement/reading.go
@@ -22,7 +22,6 @@
 	defer f.mu.Unlock()
 	if in := f.known[id]; in != nil {
 		in.outstanding++
-		in.sent = now
 		r.expected = f.waiting(in, r.priority, now) + r.tokens/f.rate(in)
 		in.own.add(r.priority, r.tokens)
 		f.hold(in, r.keys, now)
--- a/internal/engines/placement/runner.go
+++ b/internal/engines/placement/runner.go
@@ -29,7 +29,7 @@
 	bestScore := math.Inf(1)
 	for _, in := range runners {
 		score := max(f.waiting(in, lowestPriority, now), in.wait.decayed(now, transferHalfLife)) + runCost*float64(in.outstanding) + spread*f.draw()
-		if now.Sub(in.sent) > connectedFor {
+		if !f.connected(in.Address) {
 			score += connectCost
 		}
 		if in.Zone != zone {
--- a/internal/engines/placement/runner_test.go
+++ b/internal/engines/placement/runner_test.go
@@ -48,6 +48,7 @@
 	f := fleetOf(8, 48)
 	p := about("s", 13000, 3000)
 	used := map[string]bool{}
+	f.connected = func(address string) bool { return used[address] } // ids are addresses
 	for i := range 60 {
 		now := after(80 * i)
 		got, err := f.Runner(p, "z0", now)
@@ -71,3 +72,22 @@
 		t.Errorf("%s (%v) is busy, and others are idle", got.ID, err)
 	}
 }
+
+// A host of many sends short prompts to engines that are all idle: it reads them where it
+// has a connection. Once that engine is busy, a new connection is the lesser cost.
+func TestShortPromptsAreReadWhereAConnectionIsOpen(t *testing.T) {
+	f := fleetOf(12, 4)
+	f.connected = func(address string) bool { return address == "p5" }
+	p := about("s", 0, 1400)
+	for range 20 {
+		if plan := mustPlace(t, f, p, start); reader(plan) != "p5" {
+			t.Fatalf("read at %s, want p5, which is connected", reader(plan))
+		}
+	}
+	for range 12 {
+		f.BeginPrompt("p5", "", p, 1400, start)
+	}
+	if plan := mustPlace(t, f, p, start); reader(plan) == "p5" {
+		t.Error("read at p5, where 12 prompts wait, though other engines are idle")
+	}
+}
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -76,8 +76,8 @@
 	h := &Host{settings: s, platform: p, logger: logger.With("host", s.Host, "zone", s.Zone)}
 	h.seedList.Store(&s.Seeds)
 	h.view = instances.NewView(s.Heartbeat.Duration)
-	h.fleet = placement.New(placement.DefaultSettings(), rand.Float64)
 	h.pool = upstream.NewPool(set)
+	h.fleet = placement.New(placement.DefaultSettings(), rand.Float64, h.pool.Connected)
 	budgets := forward.NewBudgets(forward.BudgetSettings{
 		Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Duration,
 	}, func() int { return h.watcher.Hosts() })
--- a/internal/serve/forward/harness_test.go
+++ b/internal/serve/forward/harness_test.go
@@ -173,11 +173,11 @@
 	}
 	view := instances.NewView(time.Hour)
 	view.Update("control", "1", 1, changes, time.Now())
-	fleet := placement.New(placement.DefaultSettings(), func() float64 { return 0 })
-	fleet.Update(view.Snapshot())
 	set := metrics.NewSet()
 	pool := upstream.NewPool(set)
 	t.Cleanup(pool.Close)
+	fleet := placement.New(placement.DefaultSettings(), func() float64 { return 0 }, pool.Connected)
+	fleet.Update(view.Snapshot())
 	budgets := NewBudgets(BudgetSettings{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, func() int { return 1 })
 	lines := &lockedBuffer{}
 	s := New(Settings{Zone: "z", ReadTimeout: time.Second}, testDialect{}, fleet, view, pool, budgets,
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -141,16 +141,38 @@
 	}
 }
 
-// usable reports whether an idle connection may take the next request.
-func (c *conn) usable(once bool, now time.Time) bool {
-	limit := unannouncedIdle
-	if once {
-		limit = onceIdle
+// Connected reports whether a connection to an address is kept that the next request
+// can use.
+func (p *Pool) Connected(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return false
 	}
-	if c.idleLimit > 0 {
-		limit = max(c.idleLimit-idleMargin, c.idleLimit/4)
+	c := list[len(list)-1] // the one that is used next
+	limit := c.limit(false)
+	if learned, known := p.limits[address]; known {
+		limit = min(limit, learned)
 	}
-	return now.Sub(c.idleSince) < limit && c.quiet()
+	return time.Since(c.idleSince) < limit
+}
+
+// limit returns how long a connection may be idle before the next request.
+func (c *conn) limit(once bool) time.Duration {
+	switch {
+	case c.idleLimit > 0:
+		return max(c.idleLimit-idleMargin, c.idleLimit/4)
+	case once:
+		return onceIdle
+	default:
+		return unannouncedIdle
+	}
+}
+
+// usable reports whether an idle connection may take the next request.
+func (c *conn) usable(once bool, now time.Time) bool {
+	return now.Sub(c.idleSince) < c.limit(once) && c.quiet()
 }
 
 func (p *Pool) pop(address string) *conn {
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -355,3 +355,40 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 }
+
+func TestConnectedTellsWhetherTheNextRequestNeedsANewConnection(t *testing.T) {
+	e := listen(t, func(c net.Conn, next func() (*http.Request, string)) {
+		for {
+			r, _ := next()
+			if r == nil {
+				return
+			}
+			io.WriteString(c, answer(r.Header.Get("X-Id"), "ok"))
+		}
+	})
+	p := newPool(t)
+	if p.Connected(e.address()) {
+		t.Error("connected before the first request")
+	}
+	if _, err := fetch(t, p, e.address(), get("1")); err != nil {
+		t.Fatal(err)
+	}
+	if !p.Connected(e.address()) {
+		t.Error("not connected after a request")
+	}
+	p.idle[e.address()][0].idleSince = time.Now().Add(-unannouncedIdle)
+	if p.Connected(e.address()) {
+		t.Error("connected by a connection that was idle for too long")
+	}
+	c := p.pop(e.address())
+	p.put(c)
+	p.limits[e.address()] = time.Minute
+	if !p.Connected(e.address()) {
+		t.Error("not connected though the learned limit is long")
+	}
+	c.idleSince = time.Now().Add(-time.Second)
+	p.limits[e.address()] = 500 * time.Millisecond
+	if p.Connected(e.address()) {
+		t.Error("connected though idle connections to the address were dropped sooner")
+	}
+}
