Requests wait for what a host that has just started does not know yet

Seven logged hosts are up at 47.0 s and refuse 111 requests as "no_configuration" until 47.4 s, when it is there, with the advice to come back in a second. Callers that come back for the second time are not served at all, the others are late: of 1,633 requests of 46 to 48 s 409 are in time and 173 refused.

Change (forward/startup.go): such a request waits for the first configuration, 0.8 s at most and a quarter of its deadline, then for the first instance of its endpoint while instances still announce themselves. The wait is taken off its deadline. After it the answer is 503 with a return after 0.1 s, as the caller then reaches another host.

Tests in startup_test.go: the first four fail before.

--- a/internal/engines/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -97,6 +97,13 @@
 	f.known, f.lists = known, lists
 }
 
+// Announced returns how many instances of an endpoint are announced.
+func (f *Fleet) Announced(endpoint string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.lists[endpoint])
+}
+
 // Addresses returns the addresses of all instances.
 func (f *Fleet) Addresses() map[string]bool {
 	f.mu.Lock()
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -42,9 +42,9 @@
 	maxAnswerBytes = 32 << 20
 	// defaultBodyBytes bounds bodies while the configuration sets no limit.
 	defaultBodyBytes = 4 << 20
-	// unconfiguredRetry is when a caller may return to a host without a configuration:
-	// a new host has it within a second.
-	unconfiguredRetry = time.Second
+	// unconfiguredRetry is when a caller may return whose host got no configuration in
+	// time: at once, as it reaches another host.
+	unconfiguredRetry = minReturn
 )
 
 // Server serves callers' requests. It implements http.Handler.
@@ -59,9 +59,11 @@
 	answered *logsink.Sampler // for the lines of requests that went well
 	metrics  *metrics.Set
 
-	table    atomic.Pointer[routes.Table]
-	stopping atomic.Bool
-	active   atomic.Int64
+	table      atomic.Pointer[routes.Table]
+	configured chan struct{}             // closed when the first table is in force
+	firstTable atomic.Pointer[time.Time] // when it came into force
+	stopping   atomic.Bool
+	active     atomic.Int64
 }
 
 // New returns a Server without a configuration.
@@ -70,11 +72,18 @@
 	return &Server{
 		settings: s, dialect: d, fleet: fleet, view: view, pool: pool, budgets: budgets,
 		logger: logger, answered: logsink.NewSampler(answeredLines), metrics: set,
+		configured: make(chan struct{}),
 	}
 }
 
 // SetTable puts a configuration into force for requests that arrive from now on.
-func (s *Server) SetTable(t *routes.Table) { s.table.Store(t) }
+func (s *Server) SetTable(t *routes.Table) {
+	s.table.Store(t)
+	now := time.Now()
+	if s.firstTable.CompareAndSwap(nil, &now) {
+		close(s.configured)
+	}
+}
 
 // Table returns the configuration in force, nil for none.
 func (s *Server) Table() *routes.Table { return s.table.Load() }
@@ -92,7 +101,8 @@
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	t := s.Table()
+	arrived := time.Now()
+	t := s.awaitTable(r)
 	if t == nil {
 		s.refuseEarly(w, r, http.StatusServiceUnavailable, "no_configuration", unconfiguredRetry)
 		return
@@ -105,7 +115,7 @@
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
-	c := s.newCall(w, r, t, route)
+	c := s.newCall(w, r, t, route, arrived)
 	defer c.finish()
 	if !c.readBody(t.Limits) {
 		return
@@ -165,8 +175,7 @@
 	firstMS  int64  // until the first event or the answer
 }
 
-func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route) *call {
-	now := time.Now()
+func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, now time.Time) *call {
 	c := &call{
 		server: s, w: w, r: r, ctx: r.Context(), route: route, version: t.Version,
 		meta: s.dialect.Decode(r.Header), header: endToEnd(r.Header),
--- /dev/null
+++ b/internal/serve/forward/startup.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"filberthook/internal/engines/placement"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/serve/routes"
+)
+
+// A host that has just started knows neither the configuration nor the instances. It has
+// both within a second of the control hosts' return, so requests wait for them: their
+// callers would come back after that and be late.
+const (
+	// startWait bounds the wait of a request. Control hosts that lost power have the
+	// configuration in force 0.6 s after they are up.
+	startWait = 800 * time.Millisecond
+	// startShare bounds it by a part of the caller's deadline. Callers give up a request
+	// that is not read within a third of theirs.
+	startShare = 0.25
+	// announceTime is how long after the first configuration an endpoint without
+	// instances may still get some: they announce themselves every one to two seconds.
+	announceTime = 2 * time.Second
+	// announcePoll is how often a waiting request looks for an instance.
+	announcePoll = 20 * time.Millisecond
+)
+
+// startLimit returns how long a request with a deadline may wait; 0 stands for none.
+func startLimit(deadline time.Duration) time.Duration {
+	if deadline <= 0 {
+		return startWait
+	}
+	return min(startWait, time.Duration(startShare*float64(deadline)))
+}
+
+// awaitTable returns the configuration in force. While there is none yet it waits, and
+// returns nil when none comes in time.
+func (s *Server) awaitTable(r *http.Request) *routes.Table {
+	if t := s.Table(); t != nil {
+		return t
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), startLimit(s.dialect.Decode(r.Header).Deadline))
+	defer cancel()
+	select {
+	case <-s.configured:
+	case <-ctx.Done():
+	}
+	return s.Table()
+}
+
+// awaitInstance waits for the first instance of the endpoint after a failure to place
+// the request. It reports whether there is one now.
+func (c *call) awaitInstance(failure error) bool {
+	var none *placement.NoneError
+	if !errors.As(failure, &none) || none.Known > 0 {
+		return false
+	}
+	for c.server.announcing() && time.Since(c.start) < startLimit(c.meta.Deadline) {
+		if !pause.For(c.ctx, announcePoll) {
+			return false
+		}
+		if c.server.fleet.Announced(c.endpoint) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// announcing reports whether instances may be unknown because this host is new.
+func (s *Server) announcing() bool {
+	first := s.firstTable.Load()
+	return first != nil && time.Since(*first) < announceTime
+}
--- /dev/null
+++ b/internal/serve/forward/startup_test.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/serve/routes"
+)
+
+// forget makes a server that has just started: it has no configuration and returns the
+// one to set.
+func (h *harness) forget() *routes.Table {
+	t := h.server.Table()
+	h.server.table.Store(nil)
+	h.server.firstTable.Store(nil)
+	h.server.configured = make(chan struct{})
+	return t
+}
+
+func deadline(d time.Duration) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Set("X-Deadline", d.String()) }
+}
+
+// Hosts that lost power are back before they have the configuration: their first callers
+// get answers, not the advice to come back.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	h := start(t, route(routes.Safe, nil), plain("a", ok))
+	table := h.forget()
+	time.AfterFunc(150*time.Millisecond, func() { h.server.SetTable(table) })
+	if code, _, body, err := h.do(t, deadline(2*time.Second)); err != nil || code != 200 {
+		t.Errorf("got %d %q, %v", code, body, err)
+	}
+}
+
+func TestRequestsDoNotWaitLongForTheFirstConfiguration(t *testing.T) {
+	h := start(t, route(routes.Safe, nil), plain("a", ok))
+	h.forget()
+	begin := time.Now()
+	code, header, _, err := h.do(t, deadline(600*time.Millisecond))
+	if err != nil || code != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("got %d with Retry-After %q, %v", code, header.Get("Retry-After"), err)
+	}
+	if took := time.Since(begin); took > 300*time.Millisecond {
+		t.Errorf("refused after %v of a deadline of 600 ms", took)
+	}
+}
+
+// The wait counts: an instance gets what is left of the caller's deadline.
+func TestWaitForTheConfigurationIsTakenOffTheDeadline(t *testing.T) {
+	a := plain("a", ok)
+	h := start(t, route(routes.Safe, nil), a)
+	table := h.forget()
+	time.AfterFunc(200*time.Millisecond, func() { h.server.SetTable(table) })
+	if code, _, _, err := h.do(t, deadline(2*time.Second)); err != nil || code != 200 {
+		t.Fatalf("got %d, %v", code, err)
+	}
+	left, err := time.ParseDuration(a.last().Header.Get("X-Deadline"))
+	if err != nil || left > 1800*time.Millisecond {
+		t.Errorf("the instance is given %v of 2 s after a wait of 200 ms (%v)", left, err)
+	}
+}
+
+func TestRequestsWaitForTheFirstInstance(t *testing.T) {
+	h := start(t, route(routes.Safe, nil), plain("a", ok))
+	full := h.server.view.Snapshot()
+	h.server.fleet.Update(&instances.Snapshot{Number: 2})
+	time.AfterFunc(150*time.Millisecond, func() { h.server.fleet.Update(full) })
+	if code, _, body, err := h.do(t, deadline(2*time.Second)); err != nil || code != 200 {
+		t.Errorf("got %d %q, %v", code, body, err)
+	}
+}
+
+// An endpoint that has no instances any more is refused at once.
+func TestNoInstanceIsRefusedAtOnceLater(t *testing.T) {
+	h := start(t, route(routes.Safe, nil), plain("a", ok))
+	h.server.fleet.Update(&instances.Snapshot{Number: 2})
+	long := time.Now().Add(-announceTime)
+	h.server.firstTable.Store(&long)
+	begin := time.Now()
+	code, _, _, err := h.do(t, deadline(2*time.Second))
+	if err != nil || code != http.StatusServiceUnavailable {
+		t.Errorf("got %d, %v", code, err)
+	}
+	if took := time.Since(begin); took > 100*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -39,6 +39,9 @@
 		prompt := c.prompt(&p)
 		plan, err := c.server.fleet.Place(prompt, time.Now())
 		if err != nil {
+			if c.awaitInstance(err) {
+				continue
+			}
 			c.notPlaced(err, &p)
 			return
 		}
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -30,6 +30,9 @@
 	for {
 		target, err := c.server.fleet.Service(c.endpoint, c.server.settings.Zone, c.excluded, time.Now())
 		if err != nil {
+			if c.awaitInstance(err) {
+				continue
+			}
 			c.detail = err.Error()
 			if failed == nil {
 				c.giveUp("no_instance")
