Requests wait for more instances at a host that has just started

Ruled out: late news from the control hosts; the view grows with each heartbeat.

Change: a request that was not tried yet and finds no engine, or too long a queue, waits for one more instance, as it did for the first one, while instances still announce themselves. The bound is the same, and later it is refused at once.

Test: TestStreamsWaitForAnEngineThatGenerates fails before with 503.

--- a/internal/serve/forward/startup.go
+++ b/internal/serve/forward/startup.go
@@ -21,8 +21,8 @@
 	// startShare bounds it by a part of the caller's deadline. Callers give up a request
 	// that is not read within a third of theirs.
 	startShare = 0.25
-	// announceTime is how long after the first configuration an endpoint without
-	// instances may still get some: they announce themselves every one to two seconds.
+	// announceTime is how long after the first configuration an endpoint may still get
+	// instances that were there before: they announce themselves every one to two seconds.
 	announceTime = 2 * time.Second
 	// announcePoll is how often a waiting request looks for an instance.
 	announcePoll = 20 * time.Millisecond
@@ -51,18 +51,20 @@
 	return s.Table()
 }
 
-// awaitInstance waits for the first instance of the endpoint after a failure to place
-// the request. It reports whether there is one now.
+// awaitInstance waits for one more instance of the endpoint when a request that was not
+// tried yet finds none that can take it, or too few. It reports whether there is one.
 func (c *call) awaitInstance(failure error) bool {
 	var none *placement.NoneError
-	if !errors.As(failure, &none) || none.Known > 0 {
+	var hopeless *placement.HopelessError
+	if !errors.As(failure, &none) && !errors.As(failure, &hopeless) || len(c.trail) > 0 {
 		return false
 	}
+	known := c.server.fleet.Announced(c.endpoint)
 	for c.server.announcing() && time.Since(c.start) < startLimit(c.meta.Deadline) {
 		if !pause.For(c.ctx, announcePoll) {
 			return false
 		}
-		if c.server.fleet.Announced(c.endpoint) > 0 {
+		if c.server.fleet.Announced(c.endpoint) > known {
 			return true
 		}
 	}
--- a/internal/serve/forward/startup_test.go
+++ b/internal/serve/forward/startup_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// Engines that only read announce themselves before the one that generates.
+func TestStreamsWaitForAnEngineThatGenerates(t *testing.T) {
+	h := start(t, route(routes.Stream, nil), engine("p", instances.Prefill, prefiller), engine("d", instances.Decode, streamer(4)))
+	full := h.server.view.Snapshot()
+	var known []instances.Instance
+	for _, in := range full.ByEndpoint["e"] {
+		if in.Stage == instances.Prefill {
+			known = append(known, in)
+		}
+	}
+	h.server.fleet.Update(&instances.Snapshot{Number: 2, ByEndpoint: map[string][]instances.Instance{"e": known}})
+	time.AfterFunc(150*time.Millisecond, func() { h.server.fleet.Update(full) })
+	if code, _, body, err := h.do(t, deadline(2*time.Second)); err != nil || code != 200 {
+		t.Errorf("got %d %q, %v", code, body, err)
+	}
+}
+
 // An endpoint that has no instances any more is refused at once.
 func TestNoInstanceIsRefusedAtOnceLater(t *testing.T) {
 	h := start(t, route(routes.Safe, nil), plain("a", ok))
