Requests that wait at a new host are read first

A request that waits for the first configuration had not been read, and net/http notices that a caller leaves only once the body was read.

Change: the body is read before the wait, up to the limit that holds without a configuration. Each wait has a log line with the request's id.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -102,7 +102,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
-	t := s.awaitTable(r)
+	t := s.awaitTable(w, r)
 	if t == nil {
 		s.refuseEarly(w, r, http.StatusServiceUnavailable, "no_configuration", unconfiguredRetry)
 		return
@@ -217,11 +217,7 @@
 		c.fail(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	}
-	controller := http.NewResponseController(c.w)
-	// A connection without deadlines, as in some tests, reads without one.
-	_ = controller.SetReadDeadline(earlier(c.until, time.Now().Add(c.server.settings.ReadTimeout)))
-	body, err := readAll(http.MaxBytesReader(c.w, c.r.Body, most), c.r.ContentLength)
-	_ = controller.SetReadDeadline(time.Time{})
+	body, err := readBodyWithin(c.w, c.r, most, earlier(c.until, time.Now().Add(c.server.settings.ReadTimeout)))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -235,6 +231,16 @@
 	return true
 }
 
+// readBodyWithin reads a whole body of at most so many bytes until a time.
+func readBodyWithin(w http.ResponseWriter, r *http.Request, most int64, until time.Time) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	// A connection without deadlines, as in some tests, reads without one.
+	_ = controller.SetReadDeadline(until)
+	body, err := readAll(http.MaxBytesReader(w, r.Body, most), r.ContentLength)
+	_ = controller.SetReadDeadline(time.Time{})
+	return body, err
+}
+
 // readAll reads a body whose length may be known.
 func readAll(r io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
--- a/internal/serve/forward/startup.go
+++ b/internal/serve/forward/startup.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -37,18 +39,31 @@
 }
 
 // awaitTable returns the configuration in force. While there is none yet it waits, and
-// returns nil when none comes in time.
-func (s *Server) awaitTable(r *http.Request) *routes.Table {
+// returns nil when none comes in time. The request's body is read first: until then the
+// server does not notice that the caller leaves.
+func (s *Server) awaitTable(w http.ResponseWriter, r *http.Request) *routes.Table {
 	if t := s.Table(); t != nil {
 		return t
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), startLimit(s.dialect.Decode(r.Header).Deadline))
+	if r.Body != http.NoBody {
+		body, err := readBodyWithin(w, r, defaultBodyBytes, time.Now().Add(s.settings.ReadTimeout))
+		if err != nil {
+			s.logger.Info("request not read", "id", s.dialect.Decode(r.Header).ID, "err", err)
+			return nil
+		}
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	}
+	meta, begin := s.dialect.Decode(r.Header), time.Now()
+	ctx, cancel := context.WithTimeout(r.Context(), startLimit(meta.Deadline))
 	defer cancel()
 	select {
 	case <-s.configured:
 	case <-ctx.Done():
 	}
-	return s.Table()
+	t := s.Table()
+	s.logger.Info("request waited for the first configuration", "id", meta.ID, "deadline", meta.Deadline,
+		"ms", time.Since(begin).Milliseconds(), "configured", t != nil)
+	return t
 }
 
 // awaitInstance waits for one more instance of the endpoint when a request that was not
@@ -64,7 +79,9 @@
 		if !pause.For(c.ctx, announcePoll) {
 			return false
 		}
-		if c.server.fleet.Announced(c.endpoint) > known {
+		if now := c.server.fleet.Announced(c.endpoint); now > known {
+			c.server.logger.Info("request waited for an instance", "id", c.meta.ID, "endpoint", c.endpoint,
+				"known", known, "announced", now, "ms", time.Since(c.start).Milliseconds(), "because", failure.Error())
 			return true
 		}
 	}
--- a/internal/serve/forward/startup_test.go
+++ b/internal/serve/forward/startup_test.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -47,18 +49,49 @@
 	}
 }
 
+// Callers that leave while their requests wait must not have them run. A server that has
+// not read the body notices that late, in one of six cases.
+func TestRequestsOfCallersThatLeaveDuringTheWaitAreNotSent(t *testing.T) {
+	for i := range 24 {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			t.Parallel()
+			a := plain("a", ok)
+			h := start(t, route(routes.Safe, nil), a)
+			table := h.forget()
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			if resp, err := http.DefaultClient.Do(h.request(t, deadline(4*time.Second)).WithContext(ctx)); err == nil {
+				resp.Body.Close()
+				t.Fatal("answered without a configuration")
+			}
+			time.Sleep(200 * time.Millisecond)
+			h.server.SetTable(table)
+			time.Sleep(200 * time.Millisecond)
+			if n := a.runs(); n != 0 {
+				t.Errorf("the instance got %d requests of a caller that left", n)
+			}
+		})
+	}
+}
+
 // The wait counts: an instance gets what is left of the caller's deadline.
 func TestWaitForTheConfigurationIsTakenOffTheDeadline(t *testing.T) {
 	a := plain("a", ok)
 	h := start(t, route(routes.Safe, nil), a)
 	table := h.forget()
-	time.AfterFunc(200*time.Millisecond, func() { h.server.SetTable(table) })
+	go func() {
+		for h.server.Active() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond) // from about the arrival of the request on
+		h.server.SetTable(table)
+	}()
 	if code, _, _, err := h.do(t, deadline(2*time.Second)); err != nil || code != 200 {
 		t.Fatalf("got %d, %v", code, err)
 	}
 	left, err := time.ParseDuration(a.last().Header.Get("X-Deadline"))
 	if err != nil || left > 1800*time.Millisecond {
-		t.Errorf("the instance is given %v of 2 s after a wait of 200 ms (%v)", left, err)
+		t.Errorf("the instance is given %v of 2 s after a wait of more than 200 ms (%v)", left, err)
 	}
 }
 
