--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -160,6 +160,34 @@
 	}
 }
 
+// A prompt that is read again counts as one arrival more, and so does the run that
+// follows. The first read counts for nothing, and the first run is the request itself.
+func TestRepeatedReadsAreChargedToTheBudget(t *testing.T) {
+	p := engine("p", instances.Prefill, prefiller)
+	a := engine("a", instances.Decode, status(503, true))
+	b := engine("b", instances.Decode, status(503, true))
+	c := engine("c", instances.Decode, streamer(2))
+	h := start(t, route(routes.Stream, prompted), p, a, b, c)
+	if _, _, body, err := h.do(t, withParts); err != nil || len(events(body)) != 2 {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	p.mu.Lock()
+	reads := 0
+	for _, r := range p.requests {
+		if r.Header.Get("X-Stage") != "" {
+			reads++
+		}
+	}
+	p.mu.Unlock()
+	beyondFirst := reads - 1 + a.runs() + b.runs() + c.runs() - 1
+	budget := h.server.budgets.Of("e")
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	if charged := int(sum(budget.repeats)); charged != beyondFirst {
+		t.Errorf("charged %d arrivals to the budget, %d came beyond the first (%d reads)", charged, beyondFirst, reads)
+	}
+}
+
 // An engine without room has not taken the handle: another one gets it, and the prompt
 // is not read again.
 func TestFullEngineDoesNotCostTheHandle(t *testing.T) {
