Test of a blocked output writes more than the writer can collect

Its 12,288 lines of 5 bytes are 61,440 bytes. The writer collects up to 65,536 bytes before its first write blocks, so when it keeps pace with the queue nothing has to be dropped. The product is right, the test's premise was not.

--- a/internal/process/logsink/logsink_test.go
+++ b/internal/process/logsink/logsink_test.go
@@ -31,11 +31,14 @@
 func TestBlockedOutputMakesNoWriterWait(t *testing.T) {
 	out := &slowOutput{release: make(chan struct{})}
 	s := New(out)
+	// As long as request lines: all of them fit neither the queue nor the batch that the
+	// writer collects before it blocks.
+	line := []byte(strings.Repeat("x", 499) + "\n")
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		for range 3 * queueLines {
-			if _, err := s.Write([]byte("line\n")); err != nil {
+			if _, err := s.Write(line); err != nil {
 				t.Error(err)
 			}
 		}
