Read once more: one answering instance for two tests, and what a priority belongs to

Two tests of upstream had the same endpoint that answers every request; both use answerAll now, with their assertions as they were. The comment on dialect.Send.Priority said "of the route", which no longer holds where a prompt is read.

Seen and left, as it is product code on the hot path: Pool.get and Pool.Connected each combine a connection's own limit with the learned one.

--- a/internal/serve/dialect/dialect.go
+++ b/internal/serve/dialect/dialect.go
@@ -29,7 +29,7 @@
 type Send struct {
 	Instance    string        // the only instance that may run it
 	Deadline    time.Duration // after which the instance stops
-	Priority    int           // of the route, 0 is the most urgent
+	Priority    int           // at the instance, 0 is the most urgent
 	Model       bool          // the instance is a model engine
 	Prefill     bool          // read the prompt only
 	Source      string        // where the prompt's KV cache is, as Handle.Source
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -60,6 +60,17 @@
 	return e
 }
 
+// answerAll answers every request of a connection.
+func answerAll(c net.Conn, next func() (*http.Request, string)) {
+	for {
+		r, _ := next()
+		if r == nil {
+			return
+		}
+		io.WriteString(c, answer(r.Header.Get("X-Id"), "ok"))
+	}
+}
+
 func (e *endpoint) address() string { return e.ln.Addr().String() }
 
 func get(id string) *Request {
@@ -98,15 +109,7 @@
 }
 
 func TestConnectionIsKeptBetweenRequests(t *testing.T) {
-	e := listen(t, func(c net.Conn, next func() (*http.Request, string)) {
-		for {
-			r, _ := next()
-			if r == nil {
-				return
-			}
-			io.WriteString(c, answer(r.Header.Get("X-Id"), "ok"))
-		}
-	})
+	e := listen(t, answerAll)
 	p := newPool(t)
 	for _, id := range []string{"1", "2", "3"} {
 		if body, err := fetch(t, p, e.address(), get(id)); err != nil || body != "ok" {
@@ -357,15 +360,7 @@
 }
 
 func TestConnectedTellsWhetherTheNextRequestNeedsANewConnection(t *testing.T) {
-	e := listen(t, func(c net.Conn, next func() (*http.Request, string)) {
-		for {
-			r, _ := next()
-			if r == nil {
-				return
-			}
-			io.WriteString(c, answer(r.Header.Get("X-Id"), "ok"))
-		}
-	})
+	e := listen(t, answerAll)
 	p := newPool(t)
 	if p.Connected(e.address()) {
 		t.Error("connected before the first request")
