Charge every arrival beyond the first to the retry budget, share it among all hosts

Besides, a host's share of the slack was the slack over the number of hosts that a control host named: 1 before the first answer, and too few for seconds after control hosts restart, so that each of 294 hosts could take the share of one among few. A second read of a prompt needs the charges of the read and of the run. A handle that two engines refused is freed.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -37,7 +37,7 @@
 	Changes  []instances.Change `json:"changes,omitempty"`
 	Version  uint64             `json:"version"`          // of the configuration in force at the control host
 	Peers    []string           `json:"peers,omitempty"`  // addresses of the control hosts of the group
-	Hosts    int                `json:"hosts"`            // entry hosts that watch the control host
+	Hosts    int                `json:"hosts"`            // entry hosts that watch the control host, 0 while it has just started
 	Leader   string             `json:"leader,omitempty"` // address of the group's leader
 }
 
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -124,7 +124,7 @@
 		engines:  engines,
 		joins:    joins{pending: map[string]controlapi.JoinRequest{}},
 		registry: instances.NewRegistry(s.Heartbeat.Duration),
-		watchers: newWatchers(),
+		watchers: newWatchers(time.Now()),
 		loads:    loads{hosts: map[string]hostLoad{}, total: map[string][]int64{}},
 		changed:  make(chan struct{}),
 	}
--- a/internal/control/controlhost/watchers.go
+++ b/internal/control/controlhost/watchers.go
@@ -18,17 +18,20 @@
 
 // watchers tracks how far each entry host has read the changes of instances.
 type watchers struct {
+	startedAt time.Time // of this process
+
 	mu      sync.Mutex
 	hosts   map[string]watcher
 	changed chan struct{} // closed when a host's position changes
 }
 
-func newWatchers() *watchers {
-	return &watchers{hosts: map[string]watcher{}, changed: make(chan struct{})}
+func newWatchers(now time.Time) *watchers {
+	return &watchers{startedAt: now, hosts: map[string]watcher{}, changed: make(chan struct{})}
 }
 
 // recordRequest records a host's watch request, drops hosts that no longer watch, and
-// returns how many do.
+// returns how many do. It returns 0 while this process has just started, since not all
+// hosts have found it yet.
 func (w *watchers) recordRequest(host string, position uint64, now time.Time) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -43,6 +46,9 @@
 			delete(w.hosts, name)
 		}
 	}
+	if now.Sub(w.startedAt) < watcherTTL {
+		return 0
+	}
 	return len(w.hosts)
 }
 
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -56,13 +56,13 @@
 	watched  map[string]*controlHost // by peer address
 	leader   string                  // address of the group's leader, as last reported
 	fetching bool                    // the configuration is being fetched
+	hosts    hostCount               // entry hosts that watch a control host
 }
 
 // controlHost is the state of one watched control host.
 type controlHost struct {
 	namedAt time.Time // when a seed or a control host last named it
 	up      bool      // the last call succeeded
-	hosts   int       // entry hosts that watch it
 }
 
 // New returns a Watcher that keeps view and config up to date.
@@ -90,15 +90,12 @@
 	}
 }
 
-// Hosts returns how many entry hosts follow the control hosts, this one included.
+// Hosts returns how many entry hosts follow the control hosts, this one included. It is 0
+// until a control host has told the number.
 func (w *Watcher) Hosts() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	most := 1
-	for _, t := range w.watched {
-		most = max(most, t.hosts)
-	}
-	return most
+	return w.hosts.highest(time.Now())
 }
 
 // Leader returns the address of the control group's leader as last reported, empty when
@@ -177,7 +174,8 @@
 func (w *Watcher) markReached(address string, t *controlHost, resp controlapi.WatchResponse) {
 	w.mu.Lock()
 	before := t.up
-	t.up, t.hosts, t.namedAt = true, resp.Hosts, time.Now()
+	t.up, t.namedAt = true, time.Now()
+	w.hosts.report(resp.Hosts, time.Now())
 	if resp.Leader != "" {
 		w.leader = resp.Leader
 	}
--- a/internal/serve/forward/budget.go
+++ b/internal/serve/forward/budget.go
@@ -25,7 +25,7 @@
 // RetryBudgets holds this host's retry budget of each endpoint.
 type RetryBudgets struct {
 	settings RetryBudgetSettings
-	hosts    func() int // number of entry hosts that share the budget
+	hosts    func() int // number of entry hosts that share the budget, 0 if unknown
 
 	mu         sync.Mutex
 	byEndpoint map[string]*RetryBudget
@@ -66,18 +66,40 @@
 	b.requests[b.advance(now)]++
 }
 
+// charge is a retry that was taken from the budget, by the number of its slot.
+type charge int64
+
 // Take reports whether the budget allows another retry, and counts the retry if so.
 func (b *RetryBudget) Take(now time.Time) bool {
-	hosts := float64(max(1, b.hosts()))
+	_, ok := b.take(1, now)
+	return ok
+}
+
+// take counts n retries if the budget allows them all. The slack is shared by all hosts; a
+// host that does not know their number has none.
+func (b *RetryBudget) take(n int, now time.Time) (charge, bool) {
+	slack := 0.0
+	if hosts := b.hosts(); hosts > 0 {
+		slack = b.settings.Slack / float64(hosts)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.advance(now)
 	requests, retries := sum(b.requests), sum(b.retries)
-	if retries+1 > budgetSafetyFactor*(b.settings.Ratio*requests+b.settings.Slack/hosts) {
-		return false
+	if retries+float64(n) > budgetSafetyFactor*(b.settings.Ratio*requests+slack) {
+		return 0, false
+	}
+	b.retries[slot] += float64(n)
+	return charge(b.newestSlot), true
+}
+
+// refund returns a charge that no retry followed, unless its slot has expired.
+func (b *RetryBudget) refund(c charge) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.newestSlot-int64(c) < budgetSlots {
+		b.retries[int64(c)%budgetSlots]--
 	}
-	b.retries[slot]++
-	return true
 }
 
 // advance clears expired slots and returns the index of the newest. The caller holds b.mu.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -163,16 +163,15 @@
 	deadline time.Time // the earlier of the route's timeout and the caller's deadline
 
 	endpoint      string
-	excluded      map[string]bool // IDs of instances that are not tried again
-	arrivals      int             // requests that reached an instance, prefills included
-	ran           int             // attempts that may have run the request, prefills excluded
-	retryReserved atomic.Bool     // the retry budget is already charged for the next attempt
-	attempts      []attempt
-	outcome       string
-	status        int
-	reason        string
-	detail        string // the error behind the reason
-	firstMS       int64  // from arrival to the first event or the answer
+	excluded map[string]bool // IDs of instances that are not tried again
+	arrivals arrivals        // at instances
+	ran      int             // attempts that may have run the request, prefills excluded
+	attempts []attempt
+	outcome  string
+	status   int
+	reason   string
+	detail   string // the error behind the reason
+	firstMS  int64  // from arrival to the first event or the answer
 }
 
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, now time.Time) *call {
@@ -185,7 +184,8 @@
 	if c.meta.Deadline > 0 {
 		c.deadline = earlier(c.deadline, now.Add(c.meta.Deadline))
 	}
-	s.budgets.Of(c.endpoint).CountRequest(now)
+	c.arrivals.budget = s.budgets.Of(c.endpoint)
+	c.arrivals.budget.CountRequest(now)
 	return c
 }
 
@@ -278,16 +278,21 @@
 	}
 }
 
-// mayResend reports whether the request may be sent to another instance, and charges the
-// retry budget for it.
-func (c *call) mayResend() bool {
-	if c.ctx.Err() != nil {
-		return false
-	}
-	if c.arrivals == 0 || c.retryReserved.Swap(false) {
-		return true // no instance was reached, or the budget is already charged
+// send sends the request to an instance and counts its arrival there.
+func (c *call) send(ctx context.Context, address string, options dialect.SendOptions) (*upstream.Answer, error) {
+	c.arrivals.sending()
+	answer, err := c.server.pool.Send(ctx, address, c.request(options))
+	var notSent *upstream.NotSentError
+	if errors.As(err, &notSent) {
+		c.arrivals.notSent()
 	}
-	return c.server.budgets.Of(c.endpoint).Take(time.Now())
+	return answer, err
+}
+
+// mayResend reports whether the request may be sent to an instance once more, and reserves
+// the retry budget for it.
+func (c *call) mayResend() bool {
+	return c.ctx.Err() == nil && c.arrivals.reserve(1, time.Now())
 }
 
 // refuse answers 503 and Retry-After to a request that has not run.
--- a/internal/serve/forward/requestlog.go
+++ b/internal/serve/forward/requestlog.go
@@ -40,6 +40,7 @@
 
 // finish updates the metrics and logs the request.
 func (c *call) finish() {
+	c.arrivals.settle()
 	elapsed := time.Since(c.start)
 	if c.outcome == "" {
 		c.outcome = "cut"
--- a/internal/serve/forward/silence.go
+++ b/internal/serve/forward/silence.go
@@ -79,11 +79,7 @@
 	if _, err := c.server.fleet.PlaceDecode(p, "", time.Now()); err != nil {
 		return false
 	}
-	if !c.server.budgets.Of(c.endpoint).Take(time.Now()) {
-		return false
-	}
-	c.retryReserved.Store(true)
-	return true
+	return c.arrivals.reserve(1, time.Now())
 }
 
 // noteProgress records an event of the attempt and, from then on, applies stallTimeout.
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -50,6 +50,9 @@
 		if plan.Prefill == nil {
 			ended, reason = c.run(plan, prompt, dialect.KVHandle{}, &p)
 			c.excluded[plan.Decode.ID] = true
+		} else if !c.arrivals.reservePrefill(time.Now()) {
+			c.endUnfinished("retry_budget", &p)
+			return
 		} else if handle, ok := c.prefill(&plan, prompt); ok {
 			ended, reason = c.runPrefilled(plan, prompt, handle, &p)
 		} else {
@@ -82,7 +85,11 @@
 		}
 		ended, reason := c.run(plan, prompt, handle, p)
 		c.excluded[plan.Decode.ID] = true
-		if ended != notRun || offers == maxHandleOffers || !c.mayResend() {
+		if ended != notRun {
+			return ended, reason
+		}
+		if offers == maxHandleOffers || !c.mayResend() {
+			c.server.freeHandle(*plan.Prefill, handle)
 			return ended, reason
 		}
 	}
@@ -174,16 +181,11 @@
 	send := dialect.SendOptions{Instance: target.ID, ModelEngine: true, PrefillOnly: true, FetchFrom: plan.FetchFrom, Priority: plan.PrefillPriority()}
 	watch := c.watchSilence(target.ID, prefillSilenceTimeout+estimateFactor*plan.ExpectedTTFT)
 	defer watch.stop()
-	answer, err := c.server.pool.Send(watch.ctx, target.Address, c.request(send))
+	answer, err := c.send(watch.ctx, target.Address, send)
 	if err != nil {
 		outcome, failure = watch.outcome(), err
-		var lost *upstream.LostError
-		if errors.As(err, &lost) {
-			c.arrivals++
-		}
 		return handle, false
 	}
-	c.arrivals++
 	defer answer.Close()
 	body, err := answer.ReadAll(maxHandleBytes)
 	if err != nil {
@@ -206,6 +208,7 @@
 		return handle, false
 	}
 	outcome = placement.Answered
+	c.arrivals.prefillAccepted()
 	c.server.fleet.PrefillDone(inFlight, time.Now())
 	if c.ctx.Err() != nil {
 		c.server.freeHandle(target, handle)
@@ -261,13 +264,12 @@
 	}
 	watch := c.watchSilence(plan.Decode.ID, timeout)
 	defer watch.stop()
-	answer, err := c.server.pool.Send(watch.ctx, plan.Decode.Address, c.request(send))
+	answer, err := c.send(watch.ctx, plan.Decode.Address, send)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		outcome, failure = watch.outcome(), err
 		return notRun, "no_contact"
 	}
-	c.arrivals++
 	c.ran++ // undone if the instance says that it did not run
 	if err != nil {
 		outcome, failure = watch.outcome(), err
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -97,13 +97,12 @@
 	}()
 	ctx, cancel := c.attemptContext()
 	defer cancel()
-	answer, err := c.server.pool.Send(ctx, target.Address, c.request(dialect.SendOptions{Instance: target.ID, Priority: c.route.Priority}))
+	answer, err := c.send(ctx, target.Address, dialect.SendOptions{Instance: target.ID, Priority: c.route.Priority})
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		outcome = c.contactOutcome()
 		return nil, outcome, err
 	}
-	c.arrivals++
 	c.ran++ // undone if the instance says that it did not run
 	if err != nil {
 		outcome = c.contactOutcome()
