Merge instance lists by change, collect changes for one answer

A control host walked all entries for each heartbeat (replacedAt) and for each watch call (Since). The registry has an index by address and a log in order of positions. A watch call collects changes for 25 ms. Ruled out: a rate limit alone (one merge of 3,000 instances still takes milliseconds on a fifth of a core).

Tests: the whole merge stays as the oracle of a randomized test; the registry's changes against a walk over all entries.

--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -50,6 +50,9 @@
 	readTimeout = 900 * time.Millisecond
 	// maxWatchWait bounds how long an answer to a watch call is delayed.
 	maxWatchWait = 2 * time.Second
+	// watchBatch is how long changes are collected for one answer to a watch call: when a
+	// fleet starts, each instance announces itself to hosts that all watch.
+	watchBatch = 25 * time.Millisecond
 	// stopTimeout bounds the wait for operators' calls to end at shutdown.
 	stopTimeout = 1500 * time.Millisecond
 	// headerTimeout bounds reading the header of a call.
@@ -322,6 +325,7 @@
 		}
 		select {
 		case <-changed:
+			pause.For(ctx, watchBatch)
 		case <-newVersion:
 		case <-timer.C:
 			waiting = false
--- a/internal/engines/instances/instances_test.go
+++ b/internal/engines/instances/instances_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
 
@@ -220,3 +221,47 @@
 		}
 	})
 }
+
+// The changes after any position are those of a walk over all entries.
+func TestChangesAfterAPositionAreComplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r, now := NewRegistry(interval), start
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			in := drawChange(t).Instance
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				r.Leave(in.ID, in.Born, now)
+			case 1:
+				r.Expire(now)
+			case 2:
+				now = now.Add(goneRetention)
+				r.Expire(now)
+			default:
+				r.Observe(in, now)
+			}
+			position := rapid.Uint64Range(0, r.position).Draw(t, "position")
+			want := map[string]Change{}
+			for id, e := range r.entries {
+				if e.position > position {
+					want[id] = e.Change
+				}
+			}
+			got := map[string]Change{}
+			changes, _, _ := r.Since(position)
+			for _, c := range changes {
+				got[c.ID] = c
+			}
+			if diff := cmp.Diff(want, got); diff != "" || len(changes) != len(got) {
+				t.Fatalf("after position %d (-want +got):\n%s", position, diff)
+			}
+			for address, list := range r.byAddress {
+				for _, e := range list {
+					if r.entries[e.ID] != e || e.Address != address {
+						t.Fatalf("%s is indexed under %s", e.ID, address)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/engines/instances/registry.go
+++ b/internal/engines/instances/registry.go
@@ -1,6 +1,8 @@
 package instances
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,16 +19,27 @@
 type Registry struct {
 	interval time.Duration // interval of heartbeats
 
-	mu       sync.Mutex
+	mu        sync.Mutex
+	position  uint64
+	entries   map[string]*entry   // by id
+	byAddress map[string][]*entry // entries with a known address
+	log       []logged            // changes in order of their positions
+	changed   chan struct{}       // closed at the next change
+}
+
+// logged is a change in a Registry's log. It is superseded once its entry has changed
+// again.
+type logged struct {
 	position uint64
-	entries  map[string]*entry // by id
-	changed  chan struct{}     // closed at the next change
+	entry    *entry
 }
 
+func (l *logged) superseded() bool { return l.entry.position != l.position }
+
 // NewRegistry returns an empty Registry for instances that send a heartbeat each
 // interval.
 func NewRegistry(interval time.Duration) *Registry {
-	return &Registry{interval: interval, entries: map[string]*entry{}, changed: make(chan struct{})}
+	return &Registry{interval: interval, entries: map[string]*entry{}, byAddress: map[string][]*entry{}, changed: make(chan struct{})}
 }
 
 // Observe records a heartbeat. It returns the newest position, which includes the
@@ -48,6 +61,10 @@
 		r.entries[in.ID] = e
 	}
 	changed = !known || e.Silent || !e.sameAs(&in)
+	if e.Address != in.Address {
+		r.removeAddress(e)
+		r.byAddress[in.Address] = append(r.byAddress[in.Address], e)
+	}
 	e.Instance, e.Silent, e.lastHeartbeat = in, false, now
 	if changed {
 		r.markChanged(e)
@@ -57,12 +74,17 @@
 
 // replacedAt reports whether an instance with a later start has the address of in.
 func (r *Registry) replacedAt(in Instance) bool {
-	for _, e := range r.entries {
-		if e.Address == in.Address && e.ID != in.ID && e.Born > in.Born {
-			return true
-		}
+	return slices.ContainsFunc(r.byAddress[in.Address], func(e *entry) bool { return e.ID != in.ID && e.Born > in.Born })
+}
+
+// removeAddress removes an entry from the index by address. The caller holds r.mu.
+func (r *Registry) removeAddress(e *entry) {
+	left := slices.DeleteFunc(r.byAddress[e.Address], func(other *entry) bool { return other == e })
+	if len(left) == 0 {
+		delete(r.byAddress, e.Address)
+		return
 	}
-	return false
+	r.byAddress[e.Address] = left
 }
 
 // Leave marks an instance as gone. It records an unknown instance as well, so that a
@@ -95,7 +117,9 @@
 	for id, e := range r.entries {
 		sinceHeartbeat := now.Sub(e.lastHeartbeat)
 		if sinceHeartbeat > goneRetention {
+			r.removeAddress(e)
 			delete(r.entries, id)
+			e.position = 0 // supersedes what the log has of it
 		} else if !e.Silent && e.State != Gone && sinceHeartbeat > silentAfterIntervals*r.interval {
 			e.Silent = true
 			silent = append(silent, id)
@@ -110,6 +134,10 @@
 func (r *Registry) markChanged(e *entry) {
 	r.position++
 	e.position = r.position
+	r.log = append(r.log, logged{r.position, e})
+	if len(r.log) > 2*len(r.entries)+1 {
+		r.log = slices.DeleteFunc(r.log, func(l logged) bool { return l.superseded() })
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -119,10 +147,11 @@
 func (r *Registry) Since(position uint64) ([]Change, uint64, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	from, _ := slices.BinarySearchFunc(r.log, position+1, func(l logged, at uint64) int { return cmp.Compare(l.position, at) })
 	var out []Change
-	for _, e := range r.entries {
-		if e.position > position {
-			out = append(out, e.Change)
+	for _, l := range r.log[from:] {
+		if !l.superseded() {
+			out = append(out, l.entry.Change)
 		}
 	}
 	return out, r.position, r.changed
--- a/internal/engines/instances/view.go
+++ b/internal/engines/instances/view.go
@@ -1,17 +1,14 @@
 package instances
 
 import (
-	"slices"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 // Snapshot is the merged, immutable list of instances.
 type Snapshot struct {
 	Number     uint64                // increases with each change
-	At         time.Time             // time of its creation
+	At         time.Time             // time of the change
 	ByEndpoint map[string][]Instance // instances that may receive requests, sorted by id
 }
 
@@ -22,7 +19,8 @@
 	changes       map[string]Change // by id
 	connected     bool
 	lostAt        time.Time         // when the connection was lost
-	previous      map[string]Change // list of the previous epoch
+	expired       bool              // disconnected for longer than the grace period
+	previous      map[string]Change // list of the previous epoch; nil after its grace period
 	previousUntil time.Time         // end of previous's grace period
 }
 
@@ -31,30 +29,44 @@
 // An instance may receive requests while a connected control host receives its
 // heartbeats and none has reported that it leaves. The list of a disconnected control
 // host stays valid for a grace period, and indefinitely while no control host is connected.
+//
+// A change is merged by itself; everything is merged again only when a list becomes valid
+// or invalid. Readers that wait for changes should pause between two snapshots, as each
+// one copies the lists that have changed since.
 type View struct {
 	grace time.Duration // how long the list of a disconnected or restarted control host stays valid
 
 	mu       sync.Mutex
 	sources  map[string]*source // by control host's address
 	leaving  map[string]int64   // id to the newest start that is leaving or has left
-	snapshot atomic.Pointer[Snapshot]
+	merged   merged
+	snapshot *Snapshot
+	stale    bool          // merged has changed since the snapshot
 	changed  chan struct{} // holds one value when the snapshot is new
 }
 
 // NewView returns an empty View of instances that send a heartbeat each interval.
 func NewView(interval time.Duration) *View {
-	v := &View{
-		grace:   silentAfterIntervals * interval,
-		sources: map[string]*source{},
-		leaving: map[string]int64{},
-		changed: make(chan struct{}, 1),
-	}
-	v.snapshot.Store(&Snapshot{ByEndpoint: map[string][]Instance{}})
-	return v
+	return &View{
+		grace:    silentAfterIntervals * interval,
+		sources:  map[string]*source{},
+		leaving:  map[string]int64{},
+		merged:   newMerged(),
+		snapshot: &Snapshot{ByEndpoint: map[string][]Instance{}},
+		changed:  make(chan struct{}, 1),
+	}
 }
 
 // Snapshot returns the newest merged list.
-func (v *View) Snapshot() *Snapshot { return v.snapshot.Load() }
+func (v *View) Snapshot() *Snapshot {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stale {
+		v.stale = false
+		v.snapshot = &Snapshot{Number: v.snapshot.Number + 1, At: v.merged.changedAt, ByEndpoint: v.merged.share()}
+	}
+	return v.snapshot
+}
 
 // Changed returns a channel that holds a value when there is a new snapshot.
 func (v *View) Changed() <-chan struct{} { return v.changed }
@@ -79,11 +91,15 @@
 		s = &source{changes: map[string]Change{}}
 		v.sources[address] = s
 	}
-	reconnected := !s.connected
-	s.connected = true
+	if !s.connected {
+		s.connected, s.expired = true, false
+		defer v.mergeAll(now)
+	}
 	if s.epoch != epoch {
+		dropped := s.previous
 		s.previous, s.previousUntil = s.changes, now.Add(v.grace)
 		s.epoch, s.changes = epoch, map[string]Change{}
+		v.mergeEach(dropped, now)
 	}
 	s.position = position
 	for _, c := range changes {
@@ -91,10 +107,9 @@
 		if c.State != Ready {
 			v.leaving[c.ID] = max(v.leaving[c.ID], v.startOf(c))
 		}
+		v.merge(c.ID, now)
 	}
-	if reconnected || len(changes) > 0 || s.previous != nil {
-		v.merge(now)
-	}
+	v.expire(now)
 }
 
 // startOf returns the start of a leaving instance. A control host that never received
@@ -115,48 +130,79 @@
 func (v *View) Disconnected(address string, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if s, ok := v.sources[address]; ok && s.connected {
-		s.connected, s.lostAt = false, now
-		v.merge(now)
+	s, ok := v.sources[address]
+	if !ok || !s.connected {
+		return
+	}
+	s.connected, s.lostAt = false, now
+	if !v.anyConnected() {
+		v.mergeAll(now) // lists that had expired are valid again
 	}
+	v.expire(now)
 }
 
-// Tick updates the snapshot for grace periods that have ended.
+// Tick updates the merged list for grace periods that have ended.
 func (v *View) Tick(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.merge(now)
+	v.expire(now)
 }
 
-// merge stores a new snapshot if the merged list differs from the last one. The
-// caller holds v.mu.
-func (v *View) merge(now time.Time) {
-	best := map[string]Instance{}
+// expire merges again what grace periods that have ended leave invalid. The caller holds
+// v.mu.
+func (v *View) expire(now time.Time) {
 	for _, s := range v.sources {
 		if s.previous != nil && now.After(s.previousUntil) {
+			dropped := s.previous
 			s.previous = nil
+			v.mergeEach(dropped, now)
+		}
+		if !s.connected && !s.expired && now.Sub(s.lostAt) >= v.grace {
+			s.expired = true
+			v.mergeEach(s.changes, now)
 		}
 	}
-	anyConnected := v.anyConnected()
+}
+
+// mergeAll merges every instance of any list. The caller holds v.mu.
+func (v *View) mergeAll(now time.Time) {
 	for _, s := range v.sources {
-		if s.connected || !anyConnected || now.Sub(s.lostAt) < v.grace {
-			v.collect(best, s.changes)
-		}
-		v.collect(best, s.previous)
+		v.mergeEach(s.changes, now)
+		v.mergeEach(s.previous, now)
 	}
-	dropReplaced(best)
-	byEndpoint := map[string][]Instance{}
-	for _, in := range best {
-		byEndpoint[in.Endpoint] = append(byEndpoint[in.Endpoint], in)
+}
+
+// mergeEach merges the instances of a list. The caller holds v.mu.
+func (v *View) mergeEach(list map[string]Change, now time.Time) {
+	for id := range list {
+		v.merge(id, now)
 	}
-	for _, list := range byEndpoint {
-		slices.SortFunc(list, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// merge finds the newest valid report of an instance. The caller holds v.mu.
+func (v *View) merge(id string, now time.Time) {
+	var best *Instance
+	anyConnected := v.anyConnected()
+	consider := func(list map[string]Change) {
+		c, ok := list[id]
+		left, leaves := v.leaving[id]
+		if !ok || c.Silent || c.State != Ready || leaves && left >= c.Born {
+			return
+		}
+		if best == nil || c.supersedes(best) {
+			best = &c.Instance
+		}
+	}
+	for _, s := range v.sources {
+		if s.connected || !s.expired || !anyConnected {
+			consider(s.changes)
+		}
+		consider(s.previous)
 	}
-	last := v.snapshot.Load()
-	if sameLists(last.ByEndpoint, byEndpoint) {
+	if !v.merged.set(id, best, now) {
 		return
 	}
-	v.snapshot.Store(&Snapshot{Number: last.Number + 1, At: now, ByEndpoint: byEndpoint})
+	v.stale = true
 	select {
 	case v.changed <- struct{}{}:
 	default: // the previous value was not received yet
@@ -171,50 +217,3 @@
 	}
 	return false
 }
-
-// collect adds the usable instances of one list to best, which keeps the newest report
-// of each.
-func (v *View) collect(best map[string]Instance, changes map[string]Change) {
-	for id, c := range changes {
-		left, leaves := v.leaving[id]
-		if c.Silent || c.State != Ready || leaves && left >= c.Born {
-			continue
-		}
-		if known, ok := best[id]; !ok || c.supersedes(&known) {
-			best[id] = c.Instance
-		}
-	}
-}
-
-// dropReplaced removes instances whose address is used by one with a later start.
-func dropReplaced(best map[string]Instance) {
-	newest := map[string]Instance{} // by address
-	for _, in := range best {
-		if known, ok := newest[in.Address]; !ok || in.Born > known.Born {
-			newest[in.Address] = in
-		}
-	}
-	for id, in := range best {
-		if newest[in.Address].ID != id {
-			delete(best, id)
-		}
-	}
-}
-
-func sameLists(a, b map[string][]Instance) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for name, list := range a {
-		other := b[name]
-		if len(list) != len(other) {
-			return false
-		}
-		for i := range list {
-			if list[i].ID != other[i].ID || !list[i].sameAs(&other[i]) {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -42,6 +42,8 @@
 	lameDuckPeriod = 3200 * time.Millisecond
 	// exitMargin is the part of the grace reserved for the exit of the process.
 	exitMargin = 600 * time.Millisecond
+	// minListInterval is the shortest time between two lists of instances for placement.
+	minListInterval = 40 * time.Millisecond
 	// drainPollInterval is the interval at which a stop checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -204,9 +206,10 @@
 }
 
 // refreshInstances passes new lists of instances to placement, and drops connections to
-// instances that are not listed any more.
+// instances that are not listed any more. It pauses between two lists, as a fleet that
+// starts announces its instances one by one.
 func (h *Host) refreshInstances(ctx context.Context) {
-	for {
+	for pause.For(ctx, minListInterval) {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -162,7 +162,7 @@
 	start    time.Time
 	deadline time.Time // the earlier of the route's timeout and the caller's deadline
 
-	endpoint      string
+	endpoint string
 	excluded map[string]bool // IDs of instances that are not tried again
 	arrivals arrivals        // at instances
 	ran      int             // attempts that may have run the request, prefills excluded
