Share load through the control host of the zone; stages follow measured decode slots

Cause: at 294 hosts an entry host exchanged its load with the leader each 1,560 ms while a control host forgot a report after 800 ms, so that half of all load and demand was missing. The number of decode engines was computed from 9,000 tokens a second of an engine, which holds for 64 slots; engines of the large deployment have 16, and were cut to 27 where their answers fill 34. Hosts report how many requests run on decode engines; stages follow that, and expectations before it are scaled by slots. Engines stop changing to prefill once prefill is used by less than a sixth: each order is priced. Ruled out: a longer lifetime alone (a lost host counts too long, what is told stays old).

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -13,7 +13,8 @@
 	MethodDocument = "control.document" // DocumentRequest to document.Packed; at any control host
 	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
 	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
-	MethodLoad     = "control.load"     // LoadReport to LoadReport; at the leader, or the reachable control host with the lowest address
+	MethodLoad     = "control.load"     // LoadReport to LoadReport, from an entry host
+	MethodDigest   = "control.digest"   // LoadReport to LoadReport without contents, from another control host
 )
 
 // MaxMessageBytes bounds a call. The largest configuration, encoded in base64 within
@@ -39,6 +40,7 @@
 	Peers    []string           `json:"peers,omitempty"`  // addresses of the control hosts of the group
 	Hosts    int                `json:"hosts"`            // entry hosts that watch the control host, 0 while it has just started
 	Leader   string             `json:"leader,omitempty"` // address of the group's leader
+	Zone     string             `json:"zone,omitempty"`   // availability zone of the control host
 }
 
 // DocumentRequest asks for the configuration in force.
@@ -61,10 +63,18 @@
 	Peers []string `json:"peers,omitempty"` // addresses of the group's members
 }
 
+// MaxHostsPerExchange is the number of entry hosts up to which all exchange their load
+// through the group's leader. More of them exchange it through the control hosts of their
+// availability zones, which send each other digests.
+const MaxHostsPerExchange = 24
+
 // LoadReport is the work that entry hosts have under way at engines, and what they know
 // of the engines' caches. A request reports that of the requesting host, the answer that
-// of all other hosts.
+// of all other hosts. A digest reports that of all entry hosts that report to the
+// requesting control host.
 type LoadReport struct {
+	// IntervalMS is the time until the requesting host's next report; in requests only.
+	IntervalMS int64 `json:"interval_ms,omitempty"`
 	// Tokens counts the prompt tokens that await prefill, by instance and priority from 0.
 	Tokens map[string][]int64 `json:"tokens,omitempty"`
 	// Demand is the demand of callers by endpoint; in requests only.
@@ -83,4 +93,5 @@
 type Demand struct {
 	PromptTokens float64 `json:"prompt_tokens"` // to prefill per second
 	OutputTokens float64 `json:"output_tokens"` // to generate per second
+	DecodeSlots  float64 `json:"decode_slots"`  // requests that run on decode engines
 }
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -91,10 +91,11 @@
 	joins      joins
 	registry   *instances.Registry
 	watchers   *watchers
-	loads      loads
+	loads      *loads
 	proposing  singleflight.Group // proposals by replica, term and version
 	rpc        *raftnet.Pool      // calls to other control hosts
 	raftRPC    *raftnet.Pool      // messages of the replicated log
+	digestRPC  *raftnet.Pool      // load digests, which may be large
 	transport  *raftnet.Transport
 	seedList   atomic.Pointer[[]string]
 
@@ -128,14 +129,14 @@
 		joins:    joins{pending: map[string]controlapi.JoinRequest{}},
 		registry: instances.NewRegistry(s.Heartbeat.Duration),
 		watchers: newWatchers(time.Now()),
-		loads:    loads{hosts: map[string]hostLoad{}, total: map[string][]int64{}},
 		changed:  make(chan struct{}),
 	}
-	h.loads.epoch = h.epoch
+	h.loads = newLoads(h.epoch)
 	h.seedList.Store(&s.Seeds)
 	h.membership = &membership{host: h}
 	h.rpc = raftnet.NewPool(h.peerOptions())
 	h.raftRPC = raftnet.NewPool(h.peerOptions())
+	h.digestRPC = raftnet.NewPool(h.peerOptions())
 	h.view = instances.NewView(s.Heartbeat.Duration)
 	h.watcher = controlwatch.NewObserver(h.rpc, h.view, replicatedConfiguration{}, h.logger)
 	h.proposals = set.GetOrCreateHistogram("filberthook_control_replace_seconds")
@@ -179,6 +180,7 @@
 	h.transport = raftnet.NewTransport(background, h.raftRPC, h.membership.addressOf, h.metrics)
 	defer h.rpc.Close()
 	defer h.raftRPC.Close()
+	defer h.digestRPC.Close()
 	h.logger.Info("control host started", "control", h.settings.Listen.Control, "peers", h.settings.Listen.Peers,
 		"seeds", h.seeds(), "bootstrap", h.settings.Bootstrap, "epoch", h.epoch)
 	tasks, ctx := errgroup.WithContext(ctx)
@@ -190,6 +192,7 @@
 	tasks.Go(func() error { return h.serveControl(ctx, control) })
 	tasks.Go(func() error { h.adjustMembership(ctx); return nil })
 	tasks.Go(func() error { h.expireInstances(ctx); return nil })
+	tasks.Go(func() error { h.shareLoads(ctx); return nil })
 	tasks.Go(func() error { h.watcher.Run(ctx, h.peers); return nil })
 	if h.engines != nil {
 		tasks.Go(func() error { h.reconcileStages(ctx); return nil })
@@ -239,6 +242,10 @@
 	peer.Handle(m, controlapi.MethodLoad, func(_ context.Context, from peer.Identity, report controlapi.LoadReport) (controlapi.LoadReport, error) {
 		return h.loads.exchange(from.Host, report, time.Now()), nil
 	})
+	peer.Handle(m, controlapi.MethodDigest, func(_ context.Context, from peer.Identity, digest controlapi.LoadReport) (controlapi.LoadReport, error) {
+		h.loads.receiveDigest(from.Host, digest, time.Now())
+		return controlapi.LoadReport{UpdatesEpoch: h.epoch}, nil
+	})
 	return m
 }
 
@@ -320,7 +327,7 @@
 		if len(changes) > 0 || version > req.Version || req.Epoch != h.epoch || !waiting {
 			return controlapi.WatchResponse{
 				Epoch: h.epoch, Position: reached, Changes: changes,
-				Version: version, Peers: h.membership.addresses(), Hosts: hosts, Leader: h.membership.leader(),
+				Version: version, Peers: h.membership.addresses(), Hosts: hosts, Leader: h.membership.leader(), Zone: h.settings.Zone,
 			}
 		}
 		select {
--- a/internal/control/controlhost/host_test.go
+++ b/internal/control/controlhost/host_test.go
@@ -357,7 +357,7 @@
 }
 
 func TestLoadsOfOtherHostsAreSummed(t *testing.T) {
-	l := loads{hosts: map[string]hostLoad{}, total: map[string][]int64{}, epoch: "1"}
+	l := newLoads("1")
 	now := time.Unix(1_800_000_000, 0)
 	report := func(tokens ...int64) controlapi.LoadReport {
 		return controlapi.LoadReport{Tokens: map[string][]int64{"e": tokens}}
@@ -368,7 +368,7 @@
 	if len(got) != 2 || got[0] != 11 || got[1] != 2 {
 		t.Errorf("sum %v, want [11 2]", got)
 	}
-	got = l.exchange("c", report(), now.Add(2*loadTTL)).Tokens["e"]
+	got = l.exchange("c", report(), now.Add(reportGrace+expireLoadsInterval)).Tokens["e"]
 	if len(got) != 0 {
 		t.Errorf("load %v of hosts whose reports have expired", got)
 	}
--- a/internal/control/controlhost/loads.go
+++ b/internal/control/controlhost/loads.go
@@ -9,95 +9,112 @@
 	"filberthook/internal/control/staging"
 )
 
-// loadTTL is how long an entry host's load counts after its last report.
-const loadTTL = 800 * time.Millisecond
+// A report counts for reportLifetime times the interval that it announces plus
+// reportGrace, which allows for one exchange that failed or was slow.
+const (
+	reportLifetime = 3
+	reportGrace    = 400 * time.Millisecond
+	// maxReportInterval bounds the interval that a report may announce.
+	maxReportInterval = 10 * time.Second
+	// expireLoadsInterval is the least time between two checks for expired reports.
+	expireLoadsInterval = 200 * time.Millisecond
+)
 
-// loads holds the work and the cache updates that entry hosts report. It is lost with the
-// process; the work is complete again after one report interval.
+// loads holds the work and the cache updates that entry hosts report to this control host
+// or, in digests, to the others. It is lost with the process; the work is complete again
+// after one report interval.
 type loads struct {
-	mu    sync.Mutex
-	hosts map[string]hostLoad
-	total map[string][]int64 // prompt tokens of all hosts, by instance and priority
+	mu      sync.Mutex
+	hosts   reports // of entry hosts
+	digests reports // of control hosts
 
-	expiredAt time.Time // when expire last checked the hosts
+	expiredAt time.Time // when expire last checked the reports
 
 	epoch   string // of this control process
 	updates updateLog
 }
 
-type hostLoad struct {
-	report     controlapi.LoadReport
-	receivedAt time.Time
+func newLoads(epoch string) *loads {
+	return &loads{hosts: newReports(), digests: newReports(), epoch: epoch}
 }
 
-// exchange stores the report of one host and returns the summed load of all others and
-// their cache updates since the host's last report. A running total keeps its cost
-// independent of the number of hosts.
+// exchange stores the report of an entry host and returns the summed load of all others
+// and their cache updates since the host's last report.
 func (l *loads) exchange(host string, report controlapi.LoadReport, now time.Time) controlapi.LoadReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	l.remove(host)
-	answer := controlapi.LoadReport{Tokens: make(map[string][]int64, len(l.total)), UpdatesEpoch: l.epoch}
-	for id, tokens := range l.total {
-		answer.Tokens[id] = slices.Clone(tokens)
-	}
-	l.hosts[host] = hostLoad{report, now}
-	for id, tokens := range report.Tokens {
-		l.total[id] = add(l.total[id], tokens, 1)
+	l.hosts.remove(host)
+	answer := controlapi.LoadReport{Tokens: make(map[string][]int64, len(l.hosts.total)), UpdatesEpoch: l.epoch}
+	for _, r := range []*reports{&l.hosts, &l.digests} {
+		for id, tokens := range r.total {
+			answer.Tokens[id] = add(answer.Tokens[id], tokens, 1)
+		}
 	}
-	from := report.UpdatesPosition
+	l.hosts.add(host, report, now)
+	answer.Updates, answer.UpdatesPosition = l.updates.since(host, l.positionOf(report)), l.updates.last
+	l.updates.add(updateSource{host: host}, report.Updates, now)
+	return answer
+}
+
+// positionOf returns the position in the update log that a report's sender has reached.
+func (l *loads) positionOf(report controlapi.LoadReport) uint64 {
 	if report.UpdatesEpoch != l.epoch {
-		from = 0
+		return 0
 	}
-	answer.Updates = l.updates.since(host, from)
-	l.updates.add(host, report.Updates, now)
-	answer.UpdatesPosition = l.updates.last
-	return answer
+	return report.UpdatesPosition
 }
 
-// expire removes hosts whose last report is older than loadTTL. It checks them at most
-// once per quarter of loadTTL. The caller holds l.mu.
-func (l *loads) expire(now time.Time) {
-	if now.Sub(l.expiredAt) < loadTTL/4 {
-		return
+// digest returns what the entry hosts have reported here, with the cache updates after a
+// position. The second result is false while none has reported anything.
+func (l *loads) digest(position uint64, now time.Time) (controlapi.LoadReport, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	out := controlapi.LoadReport{
+		IntervalMS: digestInterval.Milliseconds(), Tokens: make(map[string][]int64, len(l.hosts.total)), Demand: l.hosts.demand(),
+		Updates: l.updates.local(position), UpdatesPosition: l.updates.last,
 	}
-	l.expiredAt = now
-	for name, other := range l.hosts {
-		if now.Sub(other.receivedAt) > loadTTL {
-			l.remove(name)
-		}
+	for id, tokens := range l.hosts.total {
+		out.Tokens[id] = slices.Clone(tokens)
 	}
+	return out, len(l.hosts.byName) > 0
 }
 
-// remove deletes a host and subtracts its report from the total. The caller holds l.mu.
-func (l *loads) remove(host string) {
-	for id, tokens := range l.hosts[host].report.Tokens {
-		left := add(l.total[id], tokens, -1)
-		if slices.Max(left) <= 0 {
-			delete(l.total, id)
-		} else {
-			l.total[id] = left
-		}
+// receiveDigest stores the digest of another control host.
+func (l *loads) receiveDigest(control string, digest controlapi.LoadReport, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	l.digests.remove(control)
+	l.digests.add(control, digest, now)
+	l.updates.add(updateSource{host: control, remote: true}, digest.Updates, now)
+}
+
+// expire removes reports whose lifetime has ended. The caller holds l.mu.
+func (l *loads) expire(now time.Time) {
+	if now.Sub(l.expiredAt) < expireLoadsInterval {
+		return
 	}
-	delete(l.hosts, host)
+	l.expiredAt = now
+	l.hosts.expire(now)
+	l.digests.expire(now)
 }
 
-// Demand implements stagereconciler.Load: the sum of the demand in the hosts' current
-// reports. The second result is false while no caller asks for anything.
+// Demand implements stagereconciler.Load: the sum of the demand in the current reports. The
+// second result is false while no caller asks for anything.
 func (l *loads) Demand() (map[string]staging.Demand, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.expire(time.Now())
 	sum := map[string]staging.Demand{}
 	loaded := false
-	for _, host := range l.hosts {
-		if time.Since(host.receivedAt) > loadTTL {
-			continue
-		}
-		for endpoint, d := range host.report.Demand {
+	for _, r := range []*reports{&l.hosts, &l.digests} {
+		for endpoint, d := range r.demand() {
 			total := sum[endpoint]
 			total.PromptTokens += d.PromptTokens
 			total.OutputTokens += d.OutputTokens
+			total.DecodeSlots += d.DecodeSlots
 			sum[endpoint] = total
 			loaded = loaded || d.PromptTokens > 0
 		}
@@ -108,6 +125,68 @@
 	return sum, loaded
 }
 
+// reports are the current reports of some hosts. A running total keeps the cost of a
+// report independent of the number of hosts.
+type reports struct {
+	byName map[string]timedReport
+	total  map[string][]int64 // prompt tokens of all, by instance and priority
+}
+
+type timedReport struct {
+	report    controlapi.LoadReport // without cache updates
+	expiresAt time.Time
+}
+
+func newReports() reports {
+	return reports{byName: map[string]timedReport{}, total: map[string][]int64{}}
+}
+
+// add stores a report of a host that has none.
+func (r *reports) add(name string, report controlapi.LoadReport, now time.Time) {
+	interval := min(time.Duration(report.IntervalMS)*time.Millisecond, maxReportInterval)
+	report.Updates = nil
+	r.byName[name] = timedReport{report, now.Add(reportLifetime*interval + reportGrace)}
+	for id, tokens := range report.Tokens {
+		r.total[id] = add(r.total[id], tokens, 1)
+	}
+}
+
+// remove deletes the report of a host and subtracts it from the total.
+func (r *reports) remove(name string) {
+	for id, tokens := range r.byName[name].report.Tokens {
+		left := add(r.total[id], tokens, -1)
+		if slices.Max(left) <= 0 {
+			delete(r.total, id)
+		} else {
+			r.total[id] = left
+		}
+	}
+	delete(r.byName, name)
+}
+
+func (r *reports) expire(now time.Time) {
+	for name, other := range r.byName {
+		if now.After(other.expiresAt) {
+			r.remove(name)
+		}
+	}
+}
+
+// demand returns the summed demand by endpoint.
+func (r *reports) demand() map[string]controlapi.Demand {
+	sum := map[string]controlapi.Demand{}
+	for _, other := range r.byName {
+		for endpoint, d := range other.report.Demand {
+			total := sum[endpoint]
+			total.PromptTokens += d.PromptTokens
+			total.OutputTokens += d.OutputTokens
+			total.DecodeSlots += d.DecodeSlots
+			sum[endpoint] = total
+		}
+	}
+	return sum
+}
+
 // add returns a plus sign times b, element by element; the shorter list is padded with
 // zeros. It may overwrite a.
 func add(a, b []int64, sign int64) []int64 {
--- a/internal/control/controlhost/loads_test.go
+++ b/internal/control/controlhost/loads_test.go
@@ -28,7 +28,7 @@
 // even after 64 hosts have reported for ten seconds. All hosts are in this position when
 // the leader changes.
 func TestUpdatesForANewHostAreBounded(t *testing.T) {
-	l := loads{hosts: map[string]hostLoad{}, total: map[string][]int64{}, epoch: "1"}
+	l := newLoads("1")
 	now := time.Unix(1_800_000_000, 0)
 	for round := range 28 {
 		for host := range 64 {
@@ -59,30 +59,30 @@
 	updates := func(keys, prefilled placement.PrefixKeys) []placement.CacheUpdate {
 		return []placement.CacheUpdate{{Instance: "i", PrefixKeys: keys, Prefilled: prefilled}}
 	}
-	l.add("a", updates(placement.PrefixKeys{7}, nil), now)
-	l.add("b", updates(placement.PrefixKeys{7}, nil), now.Add(time.Second))
+	l.add(updateSource{host: "a"}, updates(placement.PrefixKeys{7}, nil), now)
+	l.add(updateSource{host: "b"}, updates(placement.PrefixKeys{7}, nil), now.Add(time.Second))
 	first := l.since("c", 0)
 	if len(first) != 1 || len(first[0].PrefixKeys) != 1 {
 		t.Errorf("updates %v, want one key once", first)
 	}
 	at := l.last
-	l.add("b", updates(nil, placement.PrefixKeys{7}), now.Add(2*time.Second))
+	l.add(updateSource{host: "b"}, updates(nil, placement.PrefixKeys{7}), now.Add(2*time.Second))
 	if more := l.since("c", at); len(more) != 1 || len(more[0].Prefilled) != 1 {
 		t.Errorf("updates %v, want the key as prefilled", more)
 	}
 	at = l.last
-	l.add("a", updates(placement.PrefixKeys{7}, nil), now.Add(2500*time.Millisecond))
+	l.add(updateSource{host: "a"}, updates(placement.PrefixKeys{7}, nil), now.Add(2500*time.Millisecond))
 	if more := l.since("c", at); len(more) != 0 {
 		t.Errorf("updates %v of a prefix that is known to be prefilled", more)
 	}
-	l.add("a", updates(nil, placement.PrefixKeys{7}), now.Add(2*time.Second+updateDedupWindow))
+	l.add(updateSource{host: "a"}, updates(nil, placement.PrefixKeys{7}), now.Add(2*time.Second+updateDedupWindow))
 	if more := l.since("c", at); len(more) != 1 {
 		t.Errorf("updates %v, want the key again after %v", more, updateDedupWindow)
 	}
 	if own := l.since("a", at); len(own) != 0 {
 		t.Errorf("a host gets its own updates: %v", own)
 	}
-	l.add("a", nil, now.Add(time.Minute))
+	l.add(updateSource{host: "a"}, nil, now.Add(time.Minute))
 	if len(l.entries) != 0 || len(l.newest) != 0 {
 		t.Errorf("%d entries are in the log after a minute", len(l.entries))
 	}
@@ -91,7 +91,7 @@
 // BenchmarkExchange measures one exchange of load in a group of 64 entry hosts, including
 // decoding and encoding.
 func BenchmarkExchange(b *testing.B) {
-	l := loads{hosts: map[string]hostLoad{}, total: map[string][]int64{}, epoch: "1"}
+	l := newLoads("1")
 	now := time.Unix(1_800_000_000, 0)
 	position := make([]uint64, 64)
 	bytes := 0
--- a/internal/control/controlhost/settings.go
+++ b/internal/control/controlhost/settings.go
@@ -31,7 +31,7 @@
 	// next.
 	Lease tomltime.Duration `toml:"lease"`
 	// ExpectedPromptTokens and ExpectedOutputTokens are the demand in tokens per second
-	// and engine that is assumed until callers' demand is known.
+	// and engine of 64 slots that is assumed until callers' demand is known.
 	ExpectedPromptTokens float64 `toml:"expected_prompt_tokens"`
 	ExpectedOutputTokens float64 `toml:"expected_output_tokens"`
 }
--- a/internal/control/controlhost/stages.go
+++ b/internal/control/controlhost/stages.go
@@ -21,7 +21,7 @@
 		},
 		Group:     h.membership,
 		Engines:   h.engines,
-		Load:      &h.loads,
+		Load:      h.loads,
 		Instances: h.view.Snapshot,
 		Logger:    h.logger,
 		Metrics:   h.metrics,
--- a/internal/control/controlhost/updates.go
+++ b/internal/control/controlhost/updates.go
@@ -47,28 +47,34 @@
 	prefilled  bool
 }
 
+// updateSource is the host that an update came from.
+type updateSource struct {
+	host   string
+	remote bool // a control host, in a digest
+}
+
 // logEntry is one update about one prefix or prefill rate.
 type logEntry struct {
 	entryKey
 	position    uint64
-	host        string  // entry host that sent the update
+	source      updateSource
 	prefilled   bool    // the engine has finished the prefill of the prefix
 	prefillRate float64 // tokens per millisecond, if prefixKey is 0
 	receivedAt  time.Time
 }
 
 // add appends a host's updates.
-func (l *updateLog) add(host string, updates []placement.CacheUpdate, now time.Time) {
+func (l *updateLog) add(source updateSource, updates []placement.CacheUpdate, now time.Time) {
 	l.expire(now)
 	for _, u := range updates {
 		for _, key := range u.PrefixKeys {
-			l.appendNew(logEntry{entryKey: entryKey{u.Instance, key}, host: host, receivedAt: now}, updateDedupWindow)
+			l.appendNew(logEntry{entryKey: entryKey{u.Instance, key}, source: source, receivedAt: now}, updateDedupWindow)
 		}
 		for _, key := range u.Prefilled {
-			l.appendNew(logEntry{entryKey: entryKey{u.Instance, key}, host: host, prefilled: true, receivedAt: now}, updateDedupWindow)
+			l.appendNew(logEntry{entryKey: entryKey{u.Instance, key}, source: source, prefilled: true, receivedAt: now}, updateDedupWindow)
 		}
 		if u.PrefillRate > 0 {
-			l.appendNew(logEntry{entryKey: entryKey{u.Instance, 0}, host: host, prefillRate: u.PrefillRate, receivedAt: now}, rateDedupWindow)
+			l.appendNew(logEntry{entryKey: entryKey{u.Instance, 0}, source: source, prefillRate: u.PrefillRate, receivedAt: now}, rateDedupWindow)
 		}
 	}
 }
@@ -102,14 +108,24 @@
 	l.entries = l.entries[n:]
 }
 
-// since returns the updates that hosts other than the given one sent after a position,
-// grouped by instance: at most the newest maxAnswerUpdates.
+// since returns the updates that hosts other than the given one sent after a position.
 func (l *updateLog) since(host string, position uint64) []placement.CacheUpdate {
+	return l.collect(position, func(s updateSource) bool { return s.host != host })
+}
+
+// local returns the updates that entry hosts sent after a position.
+func (l *updateLog) local(position uint64) []placement.CacheUpdate {
+	return l.collect(position, func(s updateSource) bool { return !s.remote })
+}
+
+// collect returns the updates of some sources after a position, grouped by instance: at
+// most the newest maxAnswerUpdates.
+func (l *updateLog) collect(position uint64, wanted func(updateSource) bool) []placement.CacheUpdate {
 	index := map[string]int{}
 	var out []placement.CacheUpdate
 	for i, count := len(l.entries)-1, 0; i >= 0 && l.entries[i].position > position && count < maxAnswerUpdates; i-- {
 		e := l.entries[i]
-		if e.host == host {
+		if !wanted(e.source) {
 			continue
 		}
 		count++
--- a/internal/control/controlhost/watchers.go
+++ b/internal/control/controlhost/watchers.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"filberthook/internal/control/controlapi"
 )
 
 // watcherTTL is how long an entry host counts as watching after its last request:
@@ -52,6 +54,14 @@
 	return len(w.hosts)
 }
 
+// few reports whether so few hosts watch that all exchange their load through the leader.
+// It is false while this process has just started and does not know.
+func (w *watchers) few(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.hosts) <= controlapi.MaxHostsPerExchange && now.Sub(w.startedAt) >= watcherTTL
+}
+
 // behind returns the watching hosts that have not read up to position, and a channel
 // that is closed when a host's position changes.
 func (w *watchers) behind(position uint64, now time.Time) ([]string, <-chan struct{}) {
--- a/internal/control/controlwatch/load.go
+++ b/internal/control/controlwatch/load.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"filberthook/internal/control/controlapi"
 	"filberthook/internal/engines/placement"
+	"filberthook/internal/network/peer"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/raftnet"
 )
@@ -17,27 +21,25 @@
 	loadInterval = 120 * time.Millisecond
 	// loadTimeout bounds one exchange.
 	loadTimeout = 500 * time.Millisecond
+	// unknownHostsInterval is used until a control host has told how many entry hosts there
+	// are, as when all hosts have just started.
+	unknownHostsInterval = 4 * loadInterval
 	// maxLoadPause bounds the pause between failing exchanges, which doubles so that an
 	// overloaded control host does not get the same work again at once.
 	maxLoadPause = 2 * time.Second
-	// maxHostsPerInterval bounds how many entry hosts exchange their load within one
-	// loadInterval. More hosts exchange it less often, so that the control host's work
-	// does not grow with their number.
-	maxHostsPerInterval = 24
 )
 
 // ShareLoad exchanges the load and cache updates of this host with those of the other
-// entry hosts until ctx ends. All hosts call the leader of the control group or, while it
-// is unreachable, the reachable control host with the lowest address. The calls need
-// connections of their own: a slow call must not end the watch of the same control host.
-func (w *Watcher) ShareLoad(ctx context.Context, clients *raftnet.Pool, fleet *placement.Fleet) {
-	e := loadExchange{watcher: w, clients: clients, fleet: fleet}
-	interval := loadInterval * time.Duration(1+w.Hosts()/maxHostsPerInterval)
-	for delay := interval; pause.For(ctx, delay); {
-		interval = loadInterval * time.Duration(1+w.Hosts()/maxHostsPerInterval)
-		if err := e.once(ctx); err != nil {
+// entry hosts until ctx ends. The calls need connections of their own: a slow call must
+// not end the watch of the same control host.
+func (w *Watcher) ShareLoad(ctx context.Context, clients *raftnet.Pool, fleet *placement.Fleet, self peer.Identity) {
+	e := loadExchange{watcher: w, clients: clients, fleet: fleet, self: self}
+	delay := loadInterval
+	for pause.For(ctx, delay) {
+		address, interval := w.exchangePoint(self)
+		if err := e.once(ctx, address, interval); err != nil {
 			// The watch of the same control host logs its loss.
-			w.logger.Debug("load not exchanged", "err", err)
+			w.logger.Debug("load not exchanged", "control", address, "err", err)
 			delay = min(2*delay, maxLoadPause)
 			continue
 		}
@@ -50,19 +52,20 @@
 	watcher  *Watcher
 	clients  *raftnet.Pool
 	fleet    *placement.Fleet
+	self     peer.Identity
 	epoch    string // of the last answer
 	position uint64 // of the last answer
 }
 
 // once makes one exchange. Cache updates are kept for the next one if it fails.
-func (e *loadExchange) once(ctx context.Context) error {
-	address := e.watcher.loadHost()
+func (e *loadExchange) once(ctx context.Context, address string, interval time.Duration) error {
 	if address == "" {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	report := encodeLoads(e.fleet.Loads(), e.fleet.Demand(time.Now()))
+	report.IntervalMS = interval.Milliseconds()
 	report.Updates, report.UpdatesEpoch, report.UpdatesPosition = e.fleet.TakeUpdates(), e.epoch, e.position
 	var others controlapi.LoadReport
 	if err := e.clients.Get(address).Call(ctx, controlapi.MethodLoad, report, &others); err != nil {
@@ -75,24 +78,49 @@
 	return nil
 }
 
-// loadHost returns the address of the control host to exchange load through, empty when
-// none is reached. Hosts that reach the same control hosts choose the same one.
-func (w *Watcher) loadHost() string {
+// exchangePoint returns the address of the control host to exchange load through, empty
+// when none is reached, and the interval of the exchange.
+func (w *Watcher) exchangePoint(self peer.Identity) (address string, interval time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if t, ok := w.watched[w.leader]; ok && t.up {
-		return w.leader
-	}
-	var reached []string
+	reached := map[string]string{} // zone by address
 	for address, t := range w.watched {
 		if t.up {
-			reached = append(reached, address)
+			reached[address] = t.zone
 		}
 	}
+	return chooseExchange(self, w.hosts.highest(time.Now()), reached, w.leader)
+}
+
+// chooseExchange chooses among the control hosts that are reached, given by address with
+// their zones. Few entry hosts all use the leader or, while it is not reached, the lowest
+// address. Many, or an unknown number, use the control hosts of their own zones, which bounds the work of each
+// and the age of what it tells.
+func chooseExchange(self peer.Identity, hosts int, reached map[string]string, leader string) (address string, interval time.Duration) {
 	if len(reached) == 0 {
-		return ""
+		return "", loadInterval
+	}
+	if hosts > 0 && hosts <= controlapi.MaxHostsPerExchange {
+		if _, ok := reached[leader]; ok {
+			return leader, loadInterval
+		}
+		return slices.Min(slices.Collect(maps.Keys(reached))), loadInterval
+	}
+	if hosts == 0 {
+		interval = unknownHostsInterval
+	} else {
+		interval = loadInterval * time.Duration(max(hosts, controlapi.MaxHostsPerExchange*len(reached))) / time.Duration(controlapi.MaxHostsPerExchange*len(reached))
+	}
+	var best uint64
+	local := false
+	for candidate, zone := range reached {
+		weight := xxhash.Sum64String(self.Host + "/" + candidate)
+		switch sameZone := zone == self.Zone; {
+		case address == "", sameZone && !local, sameZone == local && weight > best:
+			address, best, local = candidate, weight, sameZone
+		}
 	}
-	return slices.Min(reached)
+	return address, interval
 }
 
 func encodeLoads(loads map[string]placement.Backlog, demand map[string]placement.Demand) controlapi.LoadReport {
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -63,6 +63,7 @@
 type controlHost struct {
 	namedAt time.Time // when a seed or a control host last named it
 	up      bool      // the last call succeeded
+	zone    string    // availability zone, as last reported
 }
 
 // New returns a Watcher that keeps view and config up to date.
@@ -174,7 +175,7 @@
 func (w *Watcher) markReached(address string, t *controlHost, resp controlapi.WatchResponse) {
 	w.mu.Lock()
 	before := t.up
-	t.up, t.namedAt = true, time.Now()
+	t.up, t.namedAt, t.zone = true, time.Now(), resp.Zone
 	w.hosts.report(resp.Hosts, time.Now())
 	if resp.Leader != "" {
 		w.leader = resp.Leader
--- a/internal/control/stagereconciler/reconciler.go
+++ b/internal/control/stagereconciler/reconciler.go
@@ -71,7 +71,7 @@
 	Host      string
 	Lease     time.Duration // minimum time between the orders of two different leaders
 	Settings  staging.Settings
-	Expected  staging.Demand // per engine; used until the actual demand is known
+	Expected  staging.Demand // per engine of staging.ReferenceSlots; used until the actual demand is known
 	Group     Group
 	Engines   Engines
 	Load      Load
@@ -128,10 +128,8 @@
 		}
 		demand, known := demands[endpoint]
 		if !known {
-			demand = staging.Demand{
-				PromptTokens: r.Expected.PromptTokens * float64(len(engines)),
-				OutputTokens: r.Expected.OutputTokens * float64(len(engines)),
-			}
+			scale := float64(len(engines)) * staging.SlotsScale(engines)
+			demand = staging.Demand{PromptTokens: r.Expected.PromptTokens * scale, OutputTokens: r.Expected.OutputTokens * scale}
 		}
 		changes := r.Settings.Next(engines, changing, demand, loaded)
 		minDue := minDueLoaded
@@ -195,7 +193,7 @@
 	}
 	r.Metrics.GetOrCreateCounter(`filberthook_control_orders_total{outcome="` + outcome + `"}`).Inc()
 	r.Logger.Info("stage order sent", "instance", c.Engine.ID, "endpoint", c.Engine.Endpoint, "stage", c.To.String(),
-		"fence", r.term, "outcome", outcome, "prompt_tokens_s", int(d.PromptTokens), "output_tokens_s", int(d.OutputTokens),
+		"fence", r.term, "outcome", outcome, "prompt_tokens_s", int(d.PromptTokens), "output_tokens_s", int(d.OutputTokens), "decode_slots", int(d.DecodeSlots),
 		"measured", measured, "err", err)
 	return true
 }
--- a/internal/control/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -23,12 +23,16 @@
 type Demand struct {
 	PromptTokens float64 // to prefill per second, without cached tokens
 	OutputTokens float64 // to generate per second
+	// DecodeSlots is how many requests run on decode engines at the same time, as measured;
+	// 0 if unknown.
+	DecodeSlots float64
 }
 
 // Settings of the decision.
 type Settings struct {
 	PrefillRate      float64 // prompt tokens per second of an idle engine
-	DecodeRate       float64 // output tokens per second of an engine with a full batch
+	DecodeRate       float64 // output tokens per second of an engine with a full batch of ReferenceSlots
+	PrefillEnough    float64 // at this utilization of the prefill engines no more change to prefill
 	Headroom         float64 // target ratio of decode engines to those that the answers need
 	MinHeadroom      float64 // below this ratio engines change to decode
 	MaxHeadroom      float64 // above this ratio engines change to prefill
@@ -36,10 +40,26 @@
 	MaxReplacedShare float64 // replaces MaxChangingShare after a loss of decode engines
 }
 
+// ReferenceSlots is the number of slots of an engine that DecodeRate and an expected demand
+// per engine are given for. Engines with other numbers of slots are scaled.
+const ReferenceSlots = 64
+
 // DefaultSettings fit engines with a step of about 6 ms for a batch of some 55 requests
 // and chunked prefill of 2,048 tokens.
 func DefaultSettings() Settings {
-	return Settings{PrefillRate: 55_000, DecodeRate: 9_000, Headroom: 2, MinHeadroom: 1.2, MaxHeadroom: 4, MaxChangingShare: 0.06, MaxReplacedShare: 0.15}
+	return Settings{PrefillRate: 55_000, DecodeRate: 9_000, PrefillEnough: 0.16, Headroom: 2, MinHeadroom: 1.2, MaxHeadroom: 4, MaxChangingShare: 0.06, MaxReplacedShare: 0.15}
+}
+
+// SlotsScale returns the mean number of slots of the engines as a share of ReferenceSlots.
+func SlotsScale(engines []instances.Instance) float64 {
+	total := 0
+	for _, e := range engines {
+		total += e.Slots
+	}
+	if total == 0 {
+		return 1
+	}
+	return float64(total) / float64(len(engines)) / ReferenceSlots
 }
 
 // minDecode is the smallest number of decode engines, where there are enough engines:
@@ -50,20 +70,32 @@
 // its own. In a zone of two, the lost prefill capacity would cost more than that gains.
 const minZoneForDecode = 3
 
-// Desired returns how many of n engines in a number of zones should decode.
-func (s Settings) Desired(n, zones int, d Demand) int { return s.decoding(n, zones, d, s.Headroom) }
+// Desired returns how many of the engines should decode.
+func (s Settings) Desired(engines []instances.Instance, d Demand) int {
+	return s.decoding(engines, d, s.Headroom)
+}
 
 // decoding returns the number of decode engines for a given headroom.
-func (s Settings) decoding(n, zones int, d Demand, headroom float64) int {
+func (s Settings) decoding(engines []instances.Instance, d Demand, headroom float64) int {
+	n := len(engines)
 	if n <= 1 {
 		return n
 	}
 	prefill := d.PromptTokens / s.PrefillRate
-	decode := headroom * d.OutputTokens / s.DecodeRate
+	decode := headroom * s.fullBatches(engines, d)
 	if total := prefill + decode; total > float64(n) {
 		decode *= float64(n) / total // both stages fall short by the same share
 	}
-	return min(max(int(math.Ceil(decode)), minDecodeEngines(n, zones)), n-1)
+	return min(max(int(math.Ceil(decode)), minDecodeEngines(n, zonesOf(engines))), n-1)
+}
+
+// fullBatches returns how many decode engines with full batches the demand takes.
+func (s Settings) fullBatches(engines []instances.Instance, d Demand) float64 {
+	scale := SlotsScale(engines)
+	if d.DecodeSlots > 0 {
+		return d.DecodeSlots / (ReferenceSlots * scale)
+	}
+	return d.OutputTokens / (s.DecodeRate * scale)
 }
 
 // minDecodeEngines returns how many of n engines decode at any demand: minDecode or one
@@ -151,18 +183,22 @@
 
 // followDemand returns the changes that the demand requires.
 func (s Settings) followDemand(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool, limit int) []Change {
-	n, zones := len(engines), zonesOf(engines)
 	now := countDecode(engines, changing)
-	enough := now >= s.decoding(n, zones, d, s.MinHeadroom) && now <= s.decoding(n, zones, d, s.MaxHeadroom)
+	enough := now >= s.decoding(engines, d, s.MinHeadroom) && now <= s.decoding(engines, d, s.MaxHeadroom)
 	if loaded && enough {
 		return nil
 	}
-	missing := s.Desired(n, zones, d) - now
-	to := instances.Decode
-	if missing < 0 {
-		to = instances.Prefill
+	missing := s.Desired(engines, d) - now
+	if missing >= 0 {
+		return pick(engines, changing, instances.Decode, min(missing, limit))
 	}
-	return pick(engines, changing, to, min(max(missing, -missing), limit))
+	return pick(engines, changing, instances.Prefill, min(-missing, limit, s.prefillMissing(len(engines)-now, d)))
+}
+
+// prefillMissing returns how many more engines must prefill until their utilization is
+// PrefillEnough. Where a fleet has engines to spare, a change gains callers nothing.
+func (s Settings) prefillMissing(prefillers int, d Demand) int {
+	return max(0, int(math.Ceil(d.PromptTokens/s.PrefillRate/s.PrefillEnough))-prefillers)
 }
 
 func stageOf(e instances.Instance, changing map[string]instances.Stage) instances.Stage {
--- a/internal/control/staging/staging_test.go
+++ b/internal/control/staging/staging_test.go
@@ -49,8 +49,8 @@
 	list = apply(list, s.Next(list, nil, d, false))
 	n, zones := count(list, instances.Decode)
 	// 15,500 tokens a second are two full batches at 6 ms a step, doubled for losses.
-	if n != s.Desired(18, 4, d) || n != 4 {
-		t.Errorf("%d decode engines, want %d", n, s.Desired(18, 4, d))
+	if n != s.Desired(list, d) || n != 4 {
+		t.Errorf("%d decode engines, want %d", n, s.Desired(list, d))
 	}
 	if len(zones) != 4 {
 		t.Errorf("decode engines in zones %v, want all four", zones)
@@ -85,9 +85,9 @@
 		d    Demand
 		to   instances.Stage
 	}{
-		{"many answers, few decode engines", engines(14, 4, 4), Demand{100_000, 40_000}, instances.Decode},
-		{"few answers, many decode engines", engines(3, 15, 4), Demand{300_000, 3_000}, instances.Prefill},
-		{"no decode engine", engines(6, 0, 2), Demand{50_000, 5_000}, instances.Decode},
+		{"many answers, few decode engines", engines(14, 4, 4), Demand{PromptTokens: 100_000, OutputTokens: 40_000}, instances.Decode},
+		{"few answers, many decode engines", engines(3, 15, 4), Demand{PromptTokens: 300_000, OutputTokens: 3_000}, instances.Prefill},
+		{"no decode engine", engines(6, 0, 2), Demand{PromptTokens: 50_000, OutputTokens: 5_000}, instances.Decode},
 	}
 	for _, tt := range tests {
 		changes := s.Next(tt.list, nil, tt.d, true)
@@ -130,8 +130,8 @@
 	s := DefaultSettings()
 	for n := 1; n <= 40; n++ {
 		for zones := 1; zones <= min(n, 5); zones++ {
-			for _, d := range []Demand{{}, {1e6, 0}, {0, 1e6}, {1e6, 1e6}} {
-				got := s.Desired(n, zones, d)
+			for _, d := range []Demand{{}, {PromptTokens: 1e6}, {OutputTokens: 1e6}, {PromptTokens: 1e6, OutputTokens: 1e6}, {PromptTokens: 1e6, DecodeSlots: 1e4}} {
+				got := s.Desired(engines(n, 0, zones), d)
 				if got < 1 || got > n || n > 1 && got == n {
 					t.Fatalf("%d of %d engines decode for %+v", got, n, d)
 				}
--- a/internal/engines/placement/inflight.go
+++ b/internal/engines/placement/inflight.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"filberthook/internal/engines/instances"
+)
 
 // InFlight is a prompt that was sent to an engine and has not ended.
 type InFlight struct {
@@ -9,6 +13,7 @@
 	tokens      float64
 	priority    int
 	keys        []uint64
+	endpoint    string  // whose decode slots the request counts for; empty at a prefill engine
 	expectedMs  float64 // until the prefill is done
 	sentAt      time.Time
 	prefilled   bool
@@ -25,6 +30,10 @@
 		r.expectedMs = f.queueMs(in, r.priority, now) + r.tokens/f.prefillRate(in)
 		in.ownBacklog.add(r.priority, r.tokens)
 		f.recordSent(in, r.keys, now)
+		if in.Stage != instances.Prefill {
+			r.endpoint = p.Endpoint
+			f.meter(p.Endpoint, now).decoding.change(1, now)
+		}
 	}
 	return r
 }
@@ -62,6 +71,9 @@
 func (f *Fleet) EndPrompt(r *InFlight, o Outcome, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if r.endpoint != "" {
+		f.meter(r.endpoint, now).decoding.change(-1, now)
+	}
 	in := f.byID[r.id]
 	if in == nil {
 		return
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -87,7 +87,7 @@
 	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout},
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.logger, set)
 	h.idle = newIdleConnections(h.server)
-	options := controlapi.PeerOptions(peer.Identity{Host: s.Host, Zone: s.Zone}, s.TrustedNetwork, set, h.logger)
+	options := controlapi.PeerOptions(h.identity(), s.TrustedNetwork, set, h.logger)
 	h.clients = raftnet.NewPool(options)
 	options.DropOnTimeout = false // a timed-out exchange keeps the connection for the next one
 	h.loadClients = raftnet.NewPool(options)
@@ -99,6 +99,11 @@
 	return h
 }
 
+// identity returns how this host names itself to others.
+func (h *Host) identity() peer.Identity {
+	return peer.Identity{Host: h.settings.Host, Zone: h.settings.Zone}
+}
+
 // SetSeeds replaces the seed addresses.
 func (h *Host) SetSeeds(seeds []string) {
 	h.seeds.Store(&seeds)
@@ -139,7 +144,7 @@
 	tasks, background := errgroup.WithContext(background)
 	tasks.Go(func() error { h.watcher.Run(background, h.peers); return nil })
 	tasks.Go(func() error { h.refreshInstances(background); return nil })
-	tasks.Go(func() error { h.watcher.ShareLoad(background, h.loadClients, h.fleet); return nil })
+	tasks.Go(func() error { h.watcher.ShareLoad(background, h.loadClients, h.fleet, h.identity()); return nil })
 	tasks.Go(func() error { return h.serveReady(background, ready) })
 	tasks.Go(func() error {
 		defer stop()
