Learn prefill rates without a cap; stages and priorities follow measured time

Cause: an observed prefill rate above 1.3 times the built-in 55 tokens/ms was dropped. The number of decode engines came from output tokens alone. Change: rates are learned from prefills of which nothing was cached, so that none can seem too fast; an endpoint's engines share a typical rate. Priorities and the longest prefill of a decode engine are times. Decode slots are computed from output tokens and the observed pace of answers; of the engines that the load does not need, prefill gets two for each one of decode. Full batches change two engines at once, after a second.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -94,4 +94,15 @@
 	PromptTokens float64 `json:"prompt_tokens"` // to prefill per second
 	OutputTokens float64 `json:"output_tokens"` // to generate per second
 	DecodeSlots  float64 `json:"decode_slots"`  // requests that run on decode engines
+	// PrefillEngines is how many engines PromptTokens keep busy.
+	PrefillEngines float64 `json:"prefill_engines"`
+}
+
+// Add returns the sum of two demands.
+func (d Demand) Add(other Demand) Demand {
+	d.PromptTokens += other.PromptTokens
+	d.OutputTokens += other.OutputTokens
+	d.DecodeSlots += other.DecodeSlots
+	d.PrefillEngines += other.PrefillEngines
+	return d
 }
--- a/internal/control/controlhost/loads.go
+++ b/internal/control/controlhost/loads.go
@@ -111,11 +111,7 @@
 	loaded := false
 	for _, r := range []*reports{&l.hosts, &l.digests} {
 		for endpoint, d := range r.demand() {
-			total := sum[endpoint]
-			total.PromptTokens += d.PromptTokens
-			total.OutputTokens += d.OutputTokens
-			total.DecodeSlots += d.DecodeSlots
-			sum[endpoint] = total
+			sum[endpoint] = staging.Demand(controlapi.Demand(sum[endpoint]).Add(d))
 			loaded = loaded || d.PromptTokens > 0
 		}
 	}
@@ -177,11 +173,7 @@
 	sum := map[string]controlapi.Demand{}
 	for _, other := range r.byName {
 		for endpoint, d := range other.report.Demand {
-			total := sum[endpoint]
-			total.PromptTokens += d.PromptTokens
-			total.OutputTokens += d.OutputTokens
-			total.DecodeSlots += d.DecodeSlots
-			sum[endpoint] = total
+			sum[endpoint] = sum[endpoint].Add(d)
 		}
 	}
 	return sum
--- a/internal/control/stagereconciler/reconciler.go
+++ b/internal/control/stagereconciler/reconciler.go
@@ -31,9 +31,10 @@
 	// minDueLoaded is how long a change must be due under load before it is made: longer
 	// than a swing between prompt and output load, or the restart of an engine.
 	minDueLoaded = 5 * time.Second
-	// minDueDecodeShort replaces minDueLoaded after a loss of decode engines. It can be
-	// short because engines count as lost only after seconds without heartbeats.
-	minDueDecodeShort = time.Second
+	// minDueShort replaces minDueLoaded while decode engines are short. It can be
+	// short because engines count as lost only after seconds without heartbeats, and the
+	// measured use of decode slots is an average over seconds.
+	minDueShort = time.Second
 	// orderHoldOff is the time after an order in which the engine gets no other one: an
 	// unanswered order may be executed seconds later.
 	orderHoldOff = 15 * time.Second
@@ -133,8 +134,8 @@
 		}
 		changes := r.Settings.Next(engines, changing, demand, loaded)
 		minDue := minDueLoaded
-		if r.Settings.DecodeShort(engines, changing) {
-			minDue = minDueDecodeShort
+		if r.Settings.DecodeShort(engines, changing, demand) {
+			minDue = minDueShort
 		}
 		if loaded && !r.dueLongEnough(endpoint, len(changes) > 0, minDue) {
 			continue
--- a/internal/control/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -23,9 +23,12 @@
 type Demand struct {
 	PromptTokens float64 // to prefill per second, without cached tokens
 	OutputTokens float64 // to generate per second
-	// DecodeSlots is how many requests run on decode engines at the same time, as measured;
+	// DecodeSlots is how many decode slots OutputTokens take at the pace that was measured;
 	// 0 if unknown.
 	DecodeSlots float64
+	// PrefillEngines is how many engines the prefill of PromptTokens keeps busy at the rates
+	// that were measured; 0 if unknown.
+	PrefillEngines float64
 }
 
 // Settings of the decision.
@@ -34,10 +37,12 @@
 	DecodeRate       float64 // output tokens per second of an engine with a full batch of ReferenceSlots
 	PrefillEnough    float64 // at this utilization of the prefill engines no more change to prefill
 	Headroom         float64 // target ratio of decode engines to those that the answers need
+	MeasuredHeadroom float64 // replaces Headroom once the demand for slots is measured
 	MinHeadroom      float64 // below this ratio engines change to decode
+	ShortHeadroom    float64 // below this ratio of measured demand decode engines are short
 	MaxHeadroom      float64 // above this ratio engines change to prefill
 	MaxChangingShare float64 // share of the engines that may change at once under load
-	MaxReplacedShare float64 // replaces MaxChangingShare after a loss of decode engines
+	MaxReplacedShare float64 // replaces MaxChangingShare while decode engines are short
 }
 
 // ReferenceSlots is the number of slots of an engine that DecodeRate and an expected demand
@@ -47,7 +52,7 @@
 // DefaultSettings fit engines with a step of about 6 ms for a batch of some 55 requests
 // and chunked prefill of 2,048 tokens.
 func DefaultSettings() Settings {
-	return Settings{PrefillRate: 55_000, DecodeRate: 9_000, PrefillEnough: 0.16, Headroom: 2, MinHeadroom: 1.2, MaxHeadroom: 4, MaxChangingShare: 0.06, MaxReplacedShare: 0.15}
+	return Settings{PrefillRate: 55_000, DecodeRate: 9_000, PrefillEnough: 0.16, Headroom: 2, MeasuredHeadroom: 1.6, MinHeadroom: 1.2, ShortHeadroom: 1.1, MaxHeadroom: 4, MaxChangingShare: 0.06, MaxReplacedShare: 0.15}
 }
 
 // SlotsScale returns the mean number of slots of the engines as a share of ReferenceSlots.
@@ -66,13 +71,37 @@
 // the deployment survives the loss of a third of them.
 const minDecode = 3
 
+// prefillWeight is how many times as many of the engines that the load does not need go to
+// prefill as to decode, in proportion: every first event waits for prefill.
+const prefillWeight = 2
+
+// minDesiredShare is the share of the desired decode engines below which engines change.
+const minDesiredShare = 0.85
+
+// minReplaced is how many engines may change at once at least while decode engines are
+// short by measured demand.
+const minReplaced = 2
+
 // minZoneForDecode is the number of engines from which a zone keeps a decode engine of
 // its own. In a zone of two, the lost prefill capacity would cost more than that gains.
 const minZoneForDecode = 3
 
-// Desired returns how many of the engines should decode.
+// Desired returns how many of the engines should decode: as many as the answers need with
+// headroom, and a share of the engines that the load does not need.
 func (s Settings) Desired(engines []instances.Instance, d Demand) int {
-	return s.decoding(engines, d, s.Headroom)
+	desired := s.decoding(engines, d, s.headroom(d))
+	if decode, prefill := s.fullBatches(engines, d), s.prefillNeed(d); decode > 0 && d.DecodeSlots > 0 {
+		desired = max(desired, min(int(float64(len(engines))*decode/(decode+prefillWeight*prefill)), len(engines)-1))
+	}
+	return desired
+}
+
+// headroom returns the target ratio of decode engines to those that the answers need.
+func (s Settings) headroom(d Demand) float64 {
+	if d.DecodeSlots > 0 {
+		return s.MeasuredHeadroom
+	}
+	return s.Headroom
 }
 
 // decoding returns the number of decode engines for a given headroom.
@@ -81,7 +110,7 @@
 	if n <= 1 {
 		return n
 	}
-	prefill := d.PromptTokens / s.PrefillRate
+	prefill := s.prefillNeed(d)
 	decode := headroom * s.fullBatches(engines, d)
 	if total := prefill + decode; total > float64(n) {
 		decode *= float64(n) / total // both stages fall short by the same share
@@ -89,6 +118,14 @@
 	return min(max(int(math.Ceil(decode)), minDecodeEngines(n, zonesOf(engines))), n-1)
 }
 
+// prefillNeed returns how many engines the demand keeps busy with prefill.
+func (s Settings) prefillNeed(d Demand) float64 {
+	if d.PrefillEngines > 0 {
+		return d.PrefillEngines
+	}
+	return d.PromptTokens / s.PrefillRate
+}
+
 // fullBatches returns how many decode engines with full batches the demand takes.
 func (s Settings) fullBatches(engines []instances.Instance, d Demand) float64 {
 	scale := SlotsScale(engines)
@@ -102,10 +139,13 @@
 // for each zone, whichever is more, but at most a third of the engines.
 func minDecodeEngines(n, zones int) int { return min(max(minDecode, zones), max(1, n/3)) }
 
-// DecodeShort reports whether too few decode engines are left after a loss. KV cache
-// transfers then queue on their network links, so that even short answers are late.
-func (s Settings) DecodeShort(engines []instances.Instance, changing map[string]instances.Stage) bool {
-	return countDecode(engines, changing) < minDecodeEngines(len(engines), zonesOf(engines))
+// DecodeShort reports whether there are too few decode engines: after a loss, so that KV
+// cache transfers queue on their network links and even short answers are late, or while
+// their batches are nearly full, so that long answers slow down and fill them further.
+func (s Settings) DecodeShort(engines []instances.Instance, changing map[string]instances.Stage, d Demand) bool {
+	now := countDecode(engines, changing)
+	return now < minDecodeEngines(len(engines), zonesOf(engines)) ||
+		d.DecodeSlots > 0 && now < s.decoding(engines, d, s.ShortHeadroom)
 }
 
 // countDecode counts the engines that decode or are changing to decode.
@@ -134,11 +174,14 @@
 func (s Settings) Next(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool) []Change {
 	allowed := len(engines)
 	if loaded {
-		share := s.MaxChangingShare
-		if s.DecodeShort(engines, changing) {
-			share = s.MaxReplacedShare
+		allowed = max(1, int(s.MaxChangingShare*float64(len(engines))))
+		if s.DecodeShort(engines, changing, d) {
+			allowed = max(allowed, int(s.MaxReplacedShare*float64(len(engines))))
+			if d.DecodeSlots > 0 {
+				allowed = max(allowed, minReplaced)
+			}
 		}
-		allowed = max(1, int(share*float64(len(engines)))) - countChanging(engines, changing)
+		allowed -= countChanging(engines, changing)
 	}
 	changes := addDecodePerZone(engines, changing, allowed)
 	after := maps.Clone(changing)
@@ -184,7 +227,7 @@
 // followDemand returns the changes that the demand requires.
 func (s Settings) followDemand(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool, limit int) []Change {
 	now := countDecode(engines, changing)
-	enough := now >= s.decoding(engines, d, s.MinHeadroom) && now <= s.decoding(engines, d, s.MaxHeadroom)
+	enough := now >= s.decoding(engines, d, s.MinHeadroom) && now >= int(minDesiredShare*float64(s.Desired(engines, d))) && now <= s.decoding(engines, d, s.MaxHeadroom)
 	if loaded && enough {
 		return nil
 	}
@@ -198,7 +241,7 @@
 // prefillMissing returns how many more engines must prefill until their utilization is
 // PrefillEnough. Where a fleet has engines to spare, a change gains callers nothing.
 func (s Settings) prefillMissing(prefillers int, d Demand) int {
-	return max(0, int(math.Ceil(d.PromptTokens/s.PrefillRate/s.PrefillEnough))-prefillers)
+	return max(0, int(math.Ceil(s.prefillNeed(d)/s.PrefillEnough))-prefillers)
 }
 
 func stageOf(e instances.Instance, changing map[string]instances.Stage) instances.Stage {
--- a/internal/control/staging/staging_test.go
+++ b/internal/control/staging/staging_test.go
@@ -200,7 +200,7 @@
 	s := DefaultSettings()
 	d := Demand{PromptTokens: 234_000, OutputTokens: 12_000}
 	list := engines(14, 2, 4)
-	if !s.DecodeShort(list, nil) {
+	if !s.DecodeShort(list, nil, d) {
 		t.Fatal("two decode engines of sixteen are not reported as too few")
 	}
 	changes := s.Next(list, nil, d, true)
@@ -211,7 +211,7 @@
 	for _, c := range changes {
 		busy[c.Engine.ID] = c.To
 	}
-	if s.DecodeShort(list, busy) || len(s.Next(list, busy, d, true)) != 0 {
+	if s.DecodeShort(list, busy, d) || len(s.Next(list, busy, d, true)) != 0 {
 		t.Error("changing engines are not counted")
 	}
 	twoDecode := engines(22, 2, 4)
@@ -224,3 +224,49 @@
 		t.Error("engines that have finished changing block further changes")
 	}
 }
+
+// Long answers fill the decode engines' batches, which slows them down and fills them
+// further: more engines change to decode at once than for a slow shift of the mix.
+func TestFullDecodeBatchesAreRelievedQuickly(t *testing.T) {
+	s := DefaultSettings()
+	list := engines(9, 3, 3)
+	for i := range list {
+		list[i].Slots = 96
+	}
+	// 280 of 288 slots are used.
+	d := Demand{PromptTokens: 297_000, OutputTokens: 380_000, DecodeSlots: 280, PrefillEngines: 1.2}
+	if !s.DecodeShort(list, nil, d) {
+		t.Fatal("decode engines whose batches are nearly full are not short")
+	}
+	changes := s.Next(list, nil, d, true)
+	if len(changes) < 2 {
+		t.Errorf("%d engines change to decode, want at least 2", len(changes))
+	}
+	for _, c := range changes {
+		if c.To != instances.Decode {
+			t.Errorf("engine changes to %v", c.To)
+		}
+	}
+	d.DecodeSlots = 120
+	if s.DecodeShort(list, nil, d) {
+		t.Error("decode engines with half-empty batches are short")
+	}
+}
+
+// An engine with 16 slots decodes a quarter of what one with 64 does.
+func TestDecodeEnginesFollowTheirSlots(t *testing.T) {
+	s := DefaultSettings()
+	list := engines(112, 208, 6)
+	for i := range list {
+		list[i].Slots = 16
+	}
+	// 548 slots are used, those of 34 engines.
+	d := Demand{PromptTokens: 2_600_000, OutputTokens: 122_000, DecodeSlots: 548}
+	if got := s.Desired(list, d); got < 51 || got > 102 {
+		t.Errorf("%d decode engines, want 1.5 to three times the 34 that the answers fill", got)
+	}
+	d.DecodeSlots = 0 // not measured yet
+	if got := s.Desired(list, d); got < 68 {
+		t.Errorf("%d decode engines before the slots are measured, want at least 68", got)
+	}
+}
--- a/internal/engines/placement/cache.go
+++ b/internal/engines/placement/cache.go
@@ -192,7 +192,7 @@
 				in.setPrefilled(key)
 			}
 			if u.PrefillRate > 0 {
-				in.prefillRates.add(u.PrefillRate)
+				f.addRate(in, u.PrefillRate)
 			}
 		}
 	}
--- a/internal/engines/placement/demand.go
+++ b/internal/engines/placement/demand.go
@@ -9,6 +9,10 @@
 // the request mix, so that engine stages follow the mean demand.
 const demandWindow = 6 * time.Second
 
+// minEndedTokens is the number of output tokens from which the pace of decode engines is
+// known: those of a few answers.
+const minEndedTokens = 500
+
 // minCovered is the shortest period that a rate is computed over: the first requests
 // would otherwise give too high a rate.
 const minCovered = time.Second
@@ -17,47 +21,35 @@
 type Demand struct {
 	PromptTokens float64 // prompt tokens per second, without shared prefixes (assumed cached)
 	OutputTokens float64 // expected output tokens per second
-	DecodeSlots  float64 // mean number of this host's requests that run on decode engines
+	DecodeSlots  float64 // decode slots that OutputTokens take at the observed pace; 0 if unknown
+	// PrefillEngines is how many engines PromptTokens keep busy at the observed rate.
+	PrefillEngines float64
 }
 
 // demandMeter sums the demand on an endpoint, with exponential decay.
 type demandMeter struct {
 	since          time.Time
 	prompt, output decaying
-	decoding       timeAverage
-}
-
-// timeAverage is the average of a count over time, with exponential decay.
-type timeAverage struct {
-	count   int
-	average float64 // over demandWindow until at; 0 before the first change
-	at      time.Time
+	// Requests that have ended on decode engines: their seconds there, and their expected
+	// output tokens.
+	endedSeconds, endedTokens decaying
 }
 
-// change adds to the count.
-func (a *timeAverage) change(by int, now time.Time) {
-	a.average = a.value(now)
-	a.at = now
-	a.count += by
-}
-
-func (a *timeAverage) value(now time.Time) float64 {
-	if a.at.IsZero() {
+// slots returns how many decode slots a rate of output tokens takes at the pace of recent
+// requests; 0 if there were none.
+func (m *demandMeter) slots(outputTokens float64, now time.Time) float64 {
+	tokens := m.endedTokens.value(now)
+	if tokens < minEndedTokens {
 		return 0
 	}
-	weight := math.Exp(-float64(max(0, now.Sub(a.at))) / float64(demandWindow))
-	return float64(a.count) + weight*(a.average-float64(a.count))
+	return outputTokens * m.endedSeconds.value(now) / tokens
 }
 
-// rate converts a decaying sum to a rate per second.
+// rate converts a decaying sum to a rate per second. A meter younger than the window
+// covers less time.
 func (m *demandMeter) rate(d *decaying, now time.Time) float64 {
-	return d.value(now) / m.covered(now)
-}
-
-// covered returns the seconds of demandWindow that the meter has measured.
-func (m *demandMeter) covered(now time.Time) float64 {
 	covered := demandWindow.Seconds() * (1 - math.Exp(-float64(now.Sub(m.since))/float64(demandWindow)))
-	return max(covered, minCovered.Seconds())
+	return d.value(now) / max(covered, minCovered.Seconds())
 }
 
 // decaying is a sum that decays exponentially.
@@ -102,10 +94,10 @@
 	defer f.mu.Unlock()
 	out := make(map[string]Demand, len(f.meters))
 	for endpoint, m := range f.meters {
+		prompt, output := m.rate(&m.prompt, now), m.rate(&m.output, now)
 		out[endpoint] = Demand{
-			PromptTokens: m.rate(&m.prompt, now),
-			OutputTokens: m.rate(&m.output, now),
-			DecodeSlots:  m.decoding.value(now) * demandWindow.Seconds() / m.covered(now),
+			PromptTokens: prompt, OutputTokens: output, DecodeSlots: m.slots(output, now),
+			PrefillEngines: prompt / 1000 / f.typicalRate(endpoint),
 		}
 	}
 	return out
--- a/internal/engines/placement/inflight.go
+++ b/internal/engines/placement/inflight.go
@@ -11,9 +11,11 @@
 	id          string
 	prefilledBy string // engine that ran the prefill; empty if this one does
 	tokens      float64
+	uncached    bool // no engine had any of the tokens cached
 	priority    int
 	keys        []uint64
-	endpoint    string  // whose decode slots the request counts for; empty at a prefill engine
+	endpoint    string  // whose decode engine it is; empty at a prefill engine
+	output      float64 // expected output tokens
 	expectedMs  float64 // until the prefill is done
 	sentAt      time.Time
 	prefilled   bool
@@ -22,17 +24,17 @@
 // BeginPrompt records that a prompt is sent to an engine, which has to compute
 // prefillTokens of its tokens. prefilledBy is the engine that has run the prefill, if any.
 func (f *Fleet) BeginPrompt(id, prefilledBy string, p *Prompt, prefillTokens int, now time.Time) *InFlight {
-	r := &InFlight{id: id, prefilledBy: prefilledBy, tokens: float64(prefillTokens), priority: prefillPriority(prefillTokens), keys: prefixKeys(p.Model, p.PrefixBlocks), sentAt: now}
+	r := &InFlight{id: id, prefilledBy: prefilledBy, tokens: float64(prefillTokens), uncached: prefillTokens <= p.uniqueTokens(), keys: prefixKeys(p.Model, p.PrefixBlocks), sentAt: now}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	r.priority = prefillPriority(prefillTokens, f.typicalRate(p.Endpoint))
 	if in := f.byID[id]; in != nil {
 		in.outstanding++
 		r.expectedMs = f.queueMs(in, r.priority, now) + r.tokens/f.prefillRate(in)
 		in.ownBacklog.add(r.priority, r.tokens)
 		f.recordSent(in, r.keys, now)
 		if in.Stage != instances.Prefill {
-			r.endpoint = p.Endpoint
-			f.meter(p.Endpoint, now).decoding.change(1, now)
+			r.endpoint, r.output = p.Endpoint, float64(p.OutputTokens)
 		}
 	}
 	return r
@@ -50,7 +52,9 @@
 	f.removeFromBacklog(in, r)
 	f.markPrefilled(in, r.keys)
 	elapsed := float64(now.Sub(r.sentAt)) / float64(time.Millisecond)
-	f.recordPrefillRate(in, r.tokens, elapsed)
+	if r.uncached { // shared tokens could be cached after all, and the engine seem too fast
+		f.recordPrefillRate(in, r.tokens, elapsed)
+	}
 	f.estimates.add(r, elapsed)
 	excess := max(0, elapsed-r.tokens/f.prefillRate(in)-firstTokenMs)
 	in.prefillDelay.add(excess, now)
@@ -71,8 +75,10 @@
 func (f *Fleet) EndPrompt(r *InFlight, o Outcome, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r.endpoint != "" {
-		f.meter(r.endpoint, now).decoding.change(-1, now)
+	if r.endpoint != "" && o == Answered {
+		m := f.meter(r.endpoint, now)
+		m.endedSeconds.add(now.Sub(r.sentAt).Seconds(), now)
+		m.endedTokens.add(r.output, now)
 	}
 	in := f.byID[r.id]
 	if in == nil {
--- a/internal/engines/placement/option.go
+++ b/internal/engines/placement/option.go
@@ -24,7 +24,7 @@
 	sources := fetchSources(candidates, keys, now)
 	best := option{score: math.Inf(1)}
 	options := candidates
-	if len(prefillers) > 0 && p.Tokens > maxDecodePrefillTokens {
+	if len(prefillers) > 0 && float64(p.Tokens) > maxDecodePrefillMs*f.settings.DecodeShare*f.typicalRate(p.Endpoint) {
 		options = prefillers
 	}
 	for _, in := range options {
@@ -87,13 +87,14 @@
 	engine        *instance
 	fetchFrom     *instance // engine to fetch the shared prefix from; nil for none
 	prefillTokens int       // to be computed
+	priority      int       // of the prefill
 	queueMs       float64   // until the prefill starts
 	totalMs       float64   // until the KV cache is at the decode engine
 	score         float64   // weighted milliseconds and penalties; lowest wins
 }
 
 func (o option) plan() Plan {
-	plan := Plan{PrefillTokens: o.prefillTokens}
+	plan := Plan{PrefillTokens: o.prefillTokens, PrefillPriority: o.priority}
 	target := o.engine.target()
 	if target.Stage == instances.Prefill {
 		plan.Prefill = &target
@@ -128,7 +129,8 @@
 	if source == nil && in == affinity.prefill && f.assumesCached(in, now) {
 		o.prefillTokens = min(o.prefillTokens, p.uniqueTokens())
 	}
-	o.queueMs = f.queueMs(in, prefillPriority(o.prefillTokens), now)
+	o.priority = prefillPriority(o.prefillTokens, f.typicalRate(p.Endpoint))
+	o.queueMs = f.queueMs(in, o.priority, now)
 	o.totalMs = o.queueMs + float64(o.prefillTokens)/f.prefillRate(in) + float64(fetched)*transferMsPerToken
 	if in.Stage == instances.Prefill {
 		o.totalMs += transferOverheadMs + float64(p.Tokens)*transferMsPerToken + in.transferDelay.decayed(now, transferHalfLife)
@@ -140,9 +142,9 @@
 	switch in {
 	case affinity.prefill, affinity.decode:
 	case affinity.prefillBackup:
-		o.score += backupCost * float64(missing)
+		o.score += backupCost * f.slowness(p.Endpoint) * float64(missing)
 	default:
-		o.score += nonAffinityCost * float64(missing)
+		o.score += nonAffinityCost * f.slowness(p.Endpoint) * float64(missing)
 	}
 	if in.Stage == instances.Prefill {
 		o.score += float64(p.Tokens) * transferCost
--- a/internal/engines/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -66,6 +66,7 @@
 	zones         map[string]*zoneHealth
 	firstPromptAt time.Time // zero before the first prompt
 	estimates     latencyEstimates
+	typicalRates  map[string]*rateHistory // observed prefill rates of all engines, by endpoint
 	updates       map[string]*CacheUpdate // by instance, not sent to the other hosts yet
 	updateCount   int
 }
@@ -73,7 +74,7 @@
 // New returns an empty Fleet; random returns random numbers from [0, 1), and connected
 // reports whether a connection to an address is open and idle.
 func New(s Settings, random func() float64, connected func(address string) bool) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*instance{}, byEndpoint: map[string][]*instance{}, random: random, connected: connected, meters: map[string]*demandMeter{}, updates: map[string]*CacheUpdate{}, zones: map[string]*zoneHealth{}}
+	return &Fleet{settings: s, byID: map[string]*instance{}, byEndpoint: map[string][]*instance{}, random: random, connected: connected, meters: map[string]*demandMeter{}, updates: map[string]*CacheUpdate{}, zones: map[string]*zoneHealth{}, typicalRates: map[string]*rateHistory{}}
 }
 
 // Update takes a new list of instances. The state of an instance is kept unless it
--- a/internal/engines/placement/placement_test.go
+++ b/internal/engines/placement/placement_test.go
@@ -344,3 +344,45 @@
 		t.Errorf("another host's rate %v, want 40", got)
 	}
 }
+
+// Engines six times as fast as the initial estimate must be known as such: a host that
+// takes their queues for six times as long refuses prompts that would be in time.
+func TestRateOfFastEnginesIsLearned(t *testing.T) {
+	f := fleetOf(3, 1)
+	for n := range typicalSamples {
+		f.recordPrefillRate(f.byID[[]string{"p0", "p1"}[n%2]], 4000, 4000/300.0)
+	}
+	for _, id := range []string{"p0", "p2"} { // p2 has not been used yet
+		if got := f.prefillRate(f.byID[id]); got < 290 || got > 310 {
+			t.Errorf("rate of %s %v, want 300", id, got)
+		}
+	}
+	if got := f.Demand(start); len(got) != 0 {
+		t.Errorf("demand %v without prompts", got)
+	}
+}
+
+// The slots that answers take follow from their tokens and from the pace of those that
+// have ended, so that they are known when a burst of long answers begins.
+func TestDecodeSlotsFollowThePaceOfAnswers(t *testing.T) {
+	f := fleetOf(1, 1)
+	p := &Prompt{Endpoint: "lm", Tokens: 200, OutputTokens: 1000}
+	now := start
+	for range 100 { // ten a second, each takes two seconds: 20 slots
+		f.countDemand(p, now)
+		r := f.BeginPrompt("d0", "", p, 200, now)
+		f.EndPrompt(r, Answered, now.Add(2*time.Second))
+		now = now.Add(100 * time.Millisecond)
+	}
+	if got := f.Demand(now)["lm"].DecodeSlots; got < 18 || got > 22 {
+		t.Errorf("%v decode slots, want about 20", got)
+	}
+	for range 60 { // twice as many
+		f.countDemand(p, now)
+		f.countDemand(p, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	if got := f.Demand(now)["lm"].DecodeSlots; got < 30 {
+		t.Errorf("%v decode slots 6 s after the demand has doubled, before any of it has ended; want at least 30", got)
+	}
+}
--- a/internal/engines/placement/priority.go
+++ b/internal/engines/placement/priority.go
@@ -4,22 +4,20 @@
 // that are busy most of the time, and a prompt queued behind a long one misses its latency
 // goal. Shortest first minimizes the mean wait.
 const (
-	// firstPriorityTokens is the longest prefill of priority 0; it takes about 25 ms.
-	firstPriorityTokens = 1500
-	// lastPrefillPriority is the priority of prompts of more than 6,000 tokens. With more
+	// firstPriorityMs is the longest prefill of priority 0, in ms at a prefill engine.
+	firstPriorityMs = 27.5
+	// lastPrefillPriority is the priority of prefills of more than 110 ms. With more
 	// priorities the longest prompts would miss their deadlines at 80% load.
 	lastPrefillPriority = 3
 )
 
-// prefillPriority returns the priority of a prefill of so many tokens. Each priority
-// takes prompts up to twice as long as the one before.
-func prefillPriority(tokens int) int {
+// prefillPriority returns the priority of a prefill of so many tokens at engines with a
+// rate in tokens per millisecond. Each priority takes prompts up to twice as long as the
+// one before.
+func prefillPriority(tokens int, rate float64) int {
 	priority := 0
-	for limit := firstPriorityTokens; tokens > limit && priority < lastPrefillPriority; limit *= 2 {
+	for limit := firstPriorityMs * rate; float64(tokens) > limit && priority < lastPrefillPriority; limit *= 2 {
 		priority++
 	}
 	return priority
 }
-
-// PrefillPriority returns the priority of the planned prefill.
-func (p *Plan) PrefillPriority() int { return prefillPriority(p.PrefillTokens) }
--- a/internal/engines/placement/priority_test.go
+++ b/internal/engines/placement/priority_test.go
@@ -88,7 +88,7 @@
 		byRoute, _ := simulatePrefillQueue(prompts)
 		shortest := slices.Clone(prompts)
 		for i := range shortest {
-			shortest[i].priority = prefillPriority(shortest[i].tokens)
+			shortest[i].priority = prefillPriority(shortest[i].tokens, DefaultSettings().PrefillRate)
 		}
 		byLength, _ := simulatePrefillQueue(shortest)
 		if byLength <= byRoute {
@@ -103,7 +103,7 @@
 	const deadline = 5 * time.Second
 	prompts := burstMix(rand.New(rand.NewPCG(9, 10)), 20_000, 0.8)
 	for i := range prompts {
-		prompts[i].priority = prefillPriority(prompts[i].tokens)
+		prompts[i].priority = prefillPriority(prompts[i].tokens, DefaultSettings().PrefillRate)
 	}
 	if _, longest := simulatePrefillQueue(prompts); longest > deadline {
 		t.Errorf("a prompt waits %v, its deadline is %v", longest, deadline)
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -31,10 +31,9 @@
 	// minFetchTokens is the shortest shared prefix that is worth a transfer between engines:
 	// its prefill takes 20 ms, twice the set-up of a transfer.
 	minFetchTokens = 1000
-	// maxDecodePrefillTokens is the longest prompt that a decode engine prefills itself while
-	// there are prefill engines: the engine's other streams pause for the whole prefill if
-	// nothing is cached.
-	maxDecodePrefillTokens = 2500
+	// maxDecodePrefillMs is the longest prefill, with nothing cached, that a decode engine
+	// runs itself while there are prefill engines: its other streams pause meanwhile.
+	maxDecodePrefillMs = 123.0
 	// decodeInterference weighs prefill time at a decode engine: the streams of about two
 	// other requests pause meanwhile.
 	decodeInterference = 2.0
@@ -65,7 +64,8 @@
 	// backupCost and nonAffinityCost keep a shared prefix at its affinity engines: where
 	// 13,000 shared tokens are missing, the backup must be 400 ms faster and any other
 	// engine 1.6 s. Each further engine that caches a prefix evicts others that will be
-	// needed, and a prefix to be fetched may be evicted first.
+	// needed, and a prefix to be fetched may be evicted first. Both are scaled by the
+	// slowness of the engines: where they are fast, a prefix is soon computed again.
 	backupCost      = 0.030 // ms per shared token missing at the backup
 	nonAffinityCost = 0.120 // ms per shared token missing at any other engine
 	// connectCost is the cost of a new connection to an engine: its set-up of 1 ms, the
@@ -93,11 +93,12 @@
 
 // Plan is where a prompt's prefill and its decode run.
 type Plan struct {
-	Prefill       *Target // prefill engine; nil if Decode runs the prefill too
-	Decode        Target  // set if Prefill is nil; otherwise see Fleet.PlaceDecode
-	FetchFrom     string  // address of the engine to fetch the shared prefix from; may be empty
-	PrefillTokens int     // expected to be computed
-	ExpectedTTFT  time.Duration
+	Prefill         *Target // prefill engine; nil if Decode runs the prefill too
+	Decode          Target  // set if Prefill is nil; otherwise see Fleet.PlaceDecode
+	FetchFrom       string  // address of the engine to fetch the shared prefix from; may be empty
+	PrefillTokens   int     // expected to be computed
+	PrefillPriority int     // of the prefill, 0 first
+	ExpectedTTFT    time.Duration
 }
 
 // prefixKeys returns a key for each shared prefix block of a prompt. A key covers the block
--- a/internal/engines/placement/rate.go
+++ b/internal/engines/placement/rate.go
@@ -1,70 +1,105 @@
 package placement
 
 import (
+	"slices"
+
 	"filberthook/internal/engines/instances"
 )
 
 const (
-	// rateSamples is the number of recent observations that determine an engine's rate.
-	// Most include the prefill of other prompts, so the highest one is used.
-	rateSamples = 8
+	// rateSamples is the number of recent observations that determine an engine's rate, and
+	// typicalSamples those that determine the typical rate of an endpoint's engines.
+	rateSamples    = 8
+	typicalSamples = 32
 	// minRateTokens is the shortest prefill that is used as an observation.
 	minRateTokens = 2500
-	// maxRateFactor bounds an observation relative to the default rate: a prompt with
-	// unexpectedly cached blocks seems faster than any engine can be.
+	// maxRateFactor bounds an engine's rate relative to the typical one.
 	maxRateFactor = 1.3
-	// minRateFactor is the lower bound relative to the default rate, for engines that are
-	// slow for other reasons.
+	// minRateFactor bounds rates relative to the initial estimate: lower observations are of
+	// prompts that waited.
 	minRateFactor = 0.3
+	// maxPlausibleRate bounds observations, in tokens per millisecond: above it, the engine
+	// had the prompt cached.
+	maxPlausibleRate = 2000
 )
 
-// rateHistory holds the last observed prefill rates of an engine, in tokens per millisecond.
+// rateHistory holds the last observed prefill rates, in tokens per millisecond. Most
+// observations include the prefill of other prompts, so that high ones are closest to the
+// truth; the highest may be of a prompt that the engine had partly cached.
 type rateHistory struct {
-	samples [rateSamples]float64
-	count   int
+	samples []float64
+	next    int // index of the oldest sample once there are enough
 }
 
-func (r *rateHistory) add(v float64) {
-	r.samples[r.count%rateSamples] = v
-	r.count++
+// add records an observation among the last n.
+func (r *rateHistory) add(v float64, n int) {
+	if len(r.samples) < n {
+		r.samples = append(r.samples, v)
+		return
+	}
+	r.samples[r.next] = v
+	r.next = (r.next + 1) % n
 }
 
-// highest returns the highest recent observation, and whether there are enough of them.
-func (r *rateHistory) highest() (float64, bool) {
-	best := 0.0
-	for _, v := range r.samples {
-		best = max(best, v)
+// high returns the observation that an eighth of the recent ones reach or exceed, and
+// whether there are n of them.
+func (r *rateHistory) high(n int) (float64, bool) {
+	if len(r.samples) < n {
+		return 0, false
 	}
-	return best, r.count >= rateSamples
+	sorted := slices.Sorted(slices.Values(r.samples))
+	return sorted[len(sorted)-1-len(sorted)/8], true
 }
 
 // prefillRate returns an engine's prefill rate in tokens per millisecond.
 func (f *Fleet) prefillRate(in *instance) float64 {
-	assumed := f.defaultPrefillRate(in)
-	observed, enough := in.prefillRates.highest()
+	typical := f.typicalRate(in.Endpoint)
+	if in.Stage != instances.Prefill {
+		return typical * f.settings.DecodeShare
+	}
+	observed, enough := in.prefillRates.high(rateSamples)
 	if !enough {
-		return assumed
+		return typical
 	}
-	return max(observed, minRateFactor*assumed)
+	return min(max(observed, minRateFactor*f.settings.PrefillRate), maxRateFactor*typical)
 }
 
-func (f *Fleet) defaultPrefillRate(in *instance) float64 {
-	if in.Stage == instances.Prefill {
-		return f.settings.PrefillRate
+// typicalRate returns the prefill rate of an endpoint's prefill engines: the initial
+// estimate until enough prefills were observed. The caller holds f.mu.
+func (f *Fleet) typicalRate(endpoint string) float64 {
+	if r := f.typicalRates[endpoint]; r != nil {
+		if rate, enough := r.high(typicalSamples / 2); enough {
+			return max(rate, minRateFactor*f.settings.PrefillRate)
+		}
 	}
-	return f.settings.PrefillRate * f.settings.DecodeShare
+	return f.settings.PrefillRate
+}
+
+// slowness returns how many times as long as initially estimated an endpoint's engines take
+// for a prefill. The caller holds f.mu.
+func (f *Fleet) slowness(endpoint string) float64 {
+	return f.settings.PrefillRate / f.typicalRate(endpoint)
 }
 
-// recordPrefillRate records how long an engine took for a prefill. The caller holds f.mu.
+// recordPrefillRate records how long an engine took for a prefill of tokens that no engine
+// had cached. The caller holds f.mu.
 func (f *Fleet) recordPrefillRate(in *instance, tokens, ms float64) {
-	if in.Stage != instances.Prefill || tokens < minRateTokens || ms <= 0 {
+	if in.Stage != instances.Prefill || tokens < minRateTokens || ms <= 0 || tokens/ms > maxPlausibleRate {
 		return
 	}
 	rate := tokens / ms
-	if rate > maxRateFactor*f.defaultPrefillRate(in) {
-		return
-	}
-	in.prefillRates.add(rate)
+	f.addRate(in, rate)
 	u := f.updateFor(in.ID)
 	u.PrefillRate = max(u.PrefillRate, rate)
 }
+
+// addRate adds an observed prefill rate of this or another host. The caller holds f.mu.
+func (f *Fleet) addRate(in *instance, rate float64) {
+	in.prefillRates.add(rate, rateSamples)
+	r := f.typicalRates[in.Endpoint]
+	if r == nil {
+		r = &rateHistory{}
+		f.typicalRates[in.Endpoint] = r
+	}
+	r.add(rate, typicalSamples)
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -178,7 +178,7 @@
 		c.noteEngine(target.ID, "read", outcome, start, failure, *plan)
 		c.server.fleet.EndPrompt(inFlight, outcome, time.Now())
 	}()
-	send := dialect.SendOptions{Instance: target.ID, ModelEngine: true, PrefillOnly: true, FetchFrom: plan.FetchFrom, Priority: plan.PrefillPriority()}
+	send := dialect.SendOptions{Instance: target.ID, ModelEngine: true, PrefillOnly: true, FetchFrom: plan.FetchFrom, Priority: plan.PrefillPriority}
 	watch := c.watchSilence(target.ID, prefillSilenceTimeout+estimateFactor*plan.ExpectedTTFT)
 	defer watch.stop()
 	answer, err := c.send(watch.ctx, target.Address, send)
