--- a/internal/control/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -235,11 +235,15 @@
 	if missing >= 0 {
 		return pick(engines, changing, instances.Decode, min(missing, limit))
 	}
-	return pick(engines, changing, instances.Prefill, min(-missing, limit, s.prefillMissing(len(engines)-now, d)))
+	if loaded {
+		limit = min(limit, s.prefillMissing(len(engines)-now, d))
+	}
+	return pick(engines, changing, instances.Prefill, min(-missing, limit))
 }
 
 // prefillMissing returns how many more engines must prefill until their utilization is
-// PrefillEnough. Where a fleet has engines to spare, a change gains callers nothing.
+// PrefillEnough. Where a fleet has engines to spare under load, a change gains callers
+// nothing; before the load, when no prefix is cached, it does.
 func (s Settings) prefillMissing(prefillers int, d Demand) int {
 	return max(0, int(math.Ceil(s.prefillNeed(d)/s.PrefillEnough))-prefillers)
 }
