--- a/internal/engines/placement/option.go
+++ b/internal/engines/placement/option.go
@@ -142,9 +142,9 @@
 	switch in {
 	case affinity.prefill, affinity.decode:
 	case affinity.prefillBackup:
-		o.score += backupCost * f.slowness(p.Endpoint) * float64(missing)
+		o.score += backupCost * float64(missing)
 	default:
-		o.score += nonAffinityCost * f.slowness(p.Endpoint) * float64(missing)
+		o.score += nonAffinityCost * float64(missing)
 	}
 	if in.Stage == instances.Prefill {
 		o.score += float64(p.Tokens) * transferCost
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -64,8 +64,7 @@
 	// backupCost and nonAffinityCost keep a shared prefix at its affinity engines: where
 	// 13,000 shared tokens are missing, the backup must be 400 ms faster and any other
 	// engine 1.6 s. Each further engine that caches a prefix evicts others that will be
-	// needed, and a prefix to be fetched may be evicted first. Both are scaled by the
-	// slowness of the engines: where they are fast, a prefix is soon computed again.
+	// needed, and a prefix to be fetched may be evicted first.
 	backupCost      = 0.030 // ms per shared token missing at the backup
 	nonAffinityCost = 0.120 // ms per shared token missing at any other engine
 	// connectCost is the cost of a new connection to an engine: its set-up of 1 ms, the
--- a/internal/engines/placement/rate.go
+++ b/internal/engines/placement/rate.go
@@ -13,14 +13,10 @@
 	typicalSamples = 32
 	// minRateTokens is the shortest prefill that is used as an observation.
 	minRateTokens = 2500
-	// maxRateFactor bounds an engine's rate relative to the typical one.
+	// maxRateFactor and minRateFactor bound rates relative to the initial estimate: higher
+	// observations are of prompts that were cached in part, lower ones of prompts that waited.
 	maxRateFactor = 1.3
-	// minRateFactor bounds rates relative to the initial estimate: lower observations are of
-	// prompts that waited.
 	minRateFactor = 0.3
-	// maxPlausibleRate bounds observations, in tokens per millisecond: above it, the engine
-	// had the prompt cached.
-	maxPlausibleRate = 2000
 )
 
 // rateHistory holds the last observed prefill rates, in tokens per millisecond. Most
@@ -61,7 +57,7 @@
 	if !enough {
 		return typical
 	}
-	return min(max(observed, minRateFactor*f.settings.PrefillRate), maxRateFactor*typical)
+	return max(observed, minRateFactor*f.settings.PrefillRate)
 }
 
 // typicalRate returns the prefill rate of an endpoint's prefill engines: the initial
@@ -75,16 +71,10 @@
 	return f.settings.PrefillRate
 }
 
-// slowness returns how many times as long as initially estimated an endpoint's engines take
-// for a prefill. The caller holds f.mu.
-func (f *Fleet) slowness(endpoint string) float64 {
-	return f.settings.PrefillRate / f.typicalRate(endpoint)
-}
-
 // recordPrefillRate records how long an engine took for a prefill of tokens that no engine
 // had cached. The caller holds f.mu.
 func (f *Fleet) recordPrefillRate(in *instance, tokens, ms float64) {
-	if in.Stage != instances.Prefill || tokens < minRateTokens || ms <= 0 || tokens/ms > maxPlausibleRate {
+	if in.Stage != instances.Prefill || tokens < minRateTokens || ms <= 0 || tokens/ms > maxRateFactor*f.settings.PrefillRate {
 		return
 	}
 	rate := tokens / ms
