--- a/internal/control/controlwatch/load.go
+++ b/internal/control/controlwatch/load.go
@@ -33,7 +33,7 @@
 // entry hosts until ctx ends. The calls need connections of their own: a slow call must
 // not end the watch of the same control host.
 func (w *Watcher) ShareLoad(ctx context.Context, clients *raftnet.Pool, fleet *placement.Fleet, self peer.Identity) {
-	e := loadExchange{watcher: w, clients: clients, fleet: fleet, self: self}
+	e := loadExchange{watcher: w, clients: clients, fleet: fleet}
 	delay := loadInterval
 	for pause.For(ctx, delay) {
 		address, interval := w.exchangePoint(self)
@@ -52,7 +52,6 @@
 	watcher  *Watcher
 	clients  *raftnet.Pool
 	fleet    *placement.Fleet
-	self     peer.Identity
 	epoch    string // of the last answer
 	position uint64 // of the last answer
 }
@@ -94,8 +93,8 @@
 
 // chooseExchange chooses among the control hosts that are reached, given by address with
 // their zones. Few entry hosts all use the leader or, while it is not reached, the lowest
-// address. Many, or an unknown number, use the control hosts of their own zones, which bounds the work of each
-// and the age of what it tells.
+// address. Many, or an unknown number, use the control hosts of their own zones, which
+// bounds the work of each and the age of what it tells.
 func chooseExchange(self peer.Identity, hosts int, reached map[string]string, leader string) (address string, interval time.Duration) {
 	if len(reached) == 0 {
 		return "", loadInterval
@@ -106,21 +105,31 @@
 		}
 		return slices.Min(slices.Collect(maps.Keys(reached))), loadInterval
 	}
-	if hosts == 0 {
-		interval = unknownHostsInterval
-	} else {
-		interval = loadInterval * time.Duration(max(hosts, controlapi.MaxHostsPerExchange*len(reached))) / time.Duration(controlapi.MaxHostsPerExchange*len(reached))
-	}
-	var best uint64
-	local := false
+	return nearest(self, reached), spacedInterval(hosts, len(reached))
+}
+
+// nearest returns a control host of the own zone or, if none is reached, of another one.
+// Hosts of a zone with several are spread over them by rendezvous hashing.
+func nearest(self peer.Identity, reached map[string]string) string {
+	best, highest, local := "", uint64(0), false
 	for candidate, zone := range reached {
 		weight := xxhash.Sum64String(self.Host + "/" + candidate)
-		switch sameZone := zone == self.Zone; {
-		case address == "", sameZone && !local, sameZone == local && weight > best:
-			address, best, local = candidate, weight, sameZone
+		sameZone := zone == self.Zone
+		if best == "" || sameZone && !local || sameZone == local && weight > highest {
+			best, highest, local = candidate, weight, sameZone
 		}
 	}
-	return address, interval
+	return best
+}
+
+// spacedInterval returns the interval at which each control host gets at most
+// MaxHostsPerExchange reports in one loadInterval.
+func spacedInterval(hosts, controlHosts int) time.Duration {
+	if hosts == 0 {
+		return unknownHostsInterval
+	}
+	capacity := controlapi.MaxHostsPerExchange * controlHosts
+	return loadInterval * time.Duration(max(hosts, capacity)) / time.Duration(capacity)
 }
 
 func encodeLoads(loads map[string]placement.Backlog, demand map[string]placement.Demand) controlapi.LoadReport {
--- a/internal/control/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -168,7 +168,7 @@
 // Next returns the changes to make now. A zone of at least minZoneForDecode engines
 // without a decode engine gets one, since it could answer nothing when partitioned from
 // the others. Apart from that, nothing changes under load while the headroom is between
-// MinHeadroom and MaxHeadroom: a changing engine is unavailable and loses its cached
+// MinHeadroom and MaxHeadroom and near the desired number: a changing engine is unavailable and loses its cached
 // prefixes. Engines in changing count under the stage they change to. Without load all
 // changes are made at once.
 func (s Settings) Next(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool) []Change {
@@ -227,11 +227,13 @@
 // followDemand returns the changes that the demand requires.
 func (s Settings) followDemand(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool, limit int) []Change {
 	now := countDecode(engines, changing)
-	enough := now >= s.decoding(engines, d, s.MinHeadroom) && float64(now) >= minDesiredShare*float64(s.Desired(engines, d)) && now <= s.decoding(engines, d, s.MaxHeadroom)
-	if loaded && enough {
+	desired := s.Desired(engines, d)
+	tooFew := now < s.decoding(engines, d, s.MinHeadroom) || float64(now) < minDesiredShare*float64(desired)
+	tooMany := now > s.decoding(engines, d, s.MaxHeadroom)
+	if loaded && !tooFew && !tooMany {
 		return nil
 	}
-	missing := s.Desired(engines, d) - now
+	missing := desired - now
 	if missing >= 0 {
 		return pick(engines, changing, instances.Decode, min(missing, limit))
 	}
