--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -92,7 +92,7 @@
 type Demand struct {
 	PromptTokens float64 `json:"prompt_tokens"` // to prefill per second
 	OutputTokens float64 `json:"output_tokens"` // to generate per second
-	DecodeSlots  float64 `json:"decode_slots"`  // requests that run on decode engines
+	DecodeSlots  float64 `json:"decode_slots"`  // decode slots that OutputTokens take, 0 if unknown
 	// PrefillEngines is how many engines PromptTokens keep busy.
 	PrefillEngines float64 `json:"prefill_engines"`
 }
--- a/internal/control/controlapi/encoding.go
+++ b/internal/control/controlapi/encoding.go
@@ -10,8 +10,8 @@
 )
 
 // Load reports name hundreds of instances several times a second at each entry host. Their
-// large parts are encoded in binary, as base64 in one JSON string: decoding them as JSON
-// values took over a millisecond of an entry host with a fifth of a core.
+// large parts are encoded in binary, as base64 in one JSON string, since decoding them as
+// JSON values would be most of the work of an exchange.
 
 // Backlogs are prompt tokens that await prefill, by instance and priority from 0.
 type Backlogs map[string][]int64
--- a/internal/control/controlhost/digests.go
+++ b/internal/control/controlhost/digests.go
@@ -11,7 +11,7 @@
 
 const (
 	// digestInterval is how often control hosts send each other the load that entry hosts
-	// have reported to them: about the time of the prefill of one long prompt.
+	// have reported to them.
 	digestInterval = 100 * time.Millisecond
 	// digestTimeout bounds one call. A control host that does not answer is called again
 	// after it.
