Log and count the limits that instances name in their answers

The header is now decoded in platform, recorded per start of an instance (package notice) and logged once for each change that a host hears, with the request's id; the request's line has the limit known at each attempt, and two metrics count. Placement does not use it yet, so nothing changes for callers.

Values that are no number of 0 or more are counted, logged once a second, and neither name nor end a limit; 0 counts as one request in five seconds, so that an answer tells when it ends. go test of serve, engines and platform passes.

--- a/internal/engines/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/notice"
 )
 
 // Settings are the initial estimates of engine performance.
@@ -57,7 +58,8 @@
 	mu         sync.Mutex
 	byID       map[string]*instance
 	byEndpoint map[string][]*instance
-	random     func() float64 // random number from [0, 1)
+	notices    map[string]*notice.Record // by instance; kept while it is not announced
+	random     func() float64            // random number from [0, 1)
 	// connected reports whether a connection to an address is open and idle.
 	connected func(address string) bool
 
@@ -74,7 +76,7 @@
 // New returns an empty Fleet; random returns random numbers from [0, 1), and connected
 // reports whether a connection to an address is open and idle.
 func New(s Settings, random func() float64, connected func(address string) bool) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*instance{}, byEndpoint: map[string][]*instance{}, random: random, connected: connected, meters: map[string]*demandMeter{}, updates: map[string]*CacheUpdate{}, zones: map[string]*zoneHealth{}, typicalRates: map[string]*rateHistory{}}
+	return &Fleet{settings: s, byID: map[string]*instance{}, byEndpoint: map[string][]*instance{}, notices: map[string]*notice.Record{}, random: random, connected: connected, meters: map[string]*demandMeter{}, updates: map[string]*CacheUpdate{}, zones: map[string]*zoneHealth{}, typicalRates: map[string]*rateHistory{}}
 }
 
 // Update takes a new list of instances. The state of an instance is kept unless it
@@ -119,13 +121,14 @@
 // Target is an instance that a request is sent to.
 type Target struct {
 	ID      string
+	Born    int64 // Unix ms of its start
 	Address string
 	Zone    string
 	Stage   instances.Stage
 }
 
 func (in *instance) target() Target {
-	return Target{ID: in.ID, Address: in.Address, Zone: in.Zone, Stage: in.Stage}
+	return Target{ID: in.ID, Born: in.Born, Address: in.Address, Zone: in.Zone, Stage: in.Stage}
 }
 
 // NoInstanceError reports that no instance can take a request.
--- a/internal/serve/dialect/dialect.go
+++ b/internal/serve/dialect/dialect.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"filberthook/internal/engines/notice"
 )
 
 // PrefixBlock is a part of a prompt. Prompts that start with the same blocks can share the KV
@@ -41,9 +43,10 @@
 // Answer is what the header of an instance's answer says.
 type Answer struct {
 	RequestID   string
-	NotRun      bool // the instance did not run the request
-	Signed      bool // carries an endpoint's signature
-	Misdirected bool // the instance that answered is not SendOptions.Instance
+	NotRun      bool        // the instance did not run the request
+	Signed      bool        // carries an endpoint's signature
+	Misdirected bool        // the instance that answered is not SendOptions.Instance
+	Said        notice.Said // about the instance itself
 }
 
 // KVHandle identifies the KV cache that a prefill left at its engine.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -49,15 +49,16 @@
 
 // Server serves callers' requests. It implements http.Handler.
 type Server struct {
-	settings Settings
-	dialect  dialect.Dialect
-	fleet    *placement.Fleet
-	view     *instances.View
-	pool     *upstream.Pool
-	budgets  *RetryBudgets
-	logger   *slog.Logger
-	answered *logsink.Sampler // limits the log lines of requests without failures
-	metrics  *metrics.Set
+	settings  Settings
+	dialect   dialect.Dialect
+	fleet     *placement.Fleet
+	view      *instances.View
+	pool      *upstream.Pool
+	budgets   *RetryBudgets
+	logger    *slog.Logger
+	answered  *logsink.Sampler // limits the log lines of requests without failures
+	malformed *logsink.Sampler // limits the log lines of unreadable notices
+	metrics   *metrics.Set
 
 	table        atomic.Pointer[routes.Table]
 	configured   chan struct{}             // closed by the first SetTable
@@ -71,7 +72,8 @@
 	budgets *RetryBudgets, logger *slog.Logger, set *metrics.Set) *Server {
 	return &Server{
 		settings: s, dialect: d, fleet: fleet, view: view, pool: pool, budgets: budgets,
-		logger: logger, answered: logsink.NewSampler(maxAnsweredLinesPerSecond), metrics: set,
+		logger: logger, answered: logsink.NewSampler(maxAnsweredLinesPerSecond),
+		malformed: logsink.NewSampler(maxMalformedLinesPerSecond), metrics: set,
 		configured: make(chan struct{}),
 	}
 }
@@ -278,15 +280,21 @@
 	}
 }
 
-// send sends the request to an instance and counts its arrival there.
-func (c *call) send(ctx context.Context, address string, options dialect.SendOptions) (*upstream.Answer, error) {
+// send sends the request to an instance, counts its arrival there, and records what the
+// answer says about the instance.
+func (c *call) send(ctx context.Context, target placement.Target, options dialect.SendOptions) (*upstream.Answer, error) {
 	c.arrivals.sending()
-	answer, err := c.server.pool.Send(ctx, address, c.request(options))
+	sentAt := time.Now()
+	answer, err := c.server.pool.Send(ctx, target.Address, c.request(options))
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		c.arrivals.notSent()
 	}
-	return answer, err
+	if err != nil {
+		return nil, err
+	}
+	c.server.hear(c.meta.ID, target, c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header).Said, sentAt)
+	return answer, nil
 }
 
 // mayResend reports whether the request may be sent to an instance once more, and reserves
--- a/internal/serve/forward/harness_test.go
+++ b/internal/serve/forward/harness_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/notice"
 	"filberthook/internal/engines/placement"
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
@@ -62,9 +64,15 @@
 	return dialect.Answer{
 		RequestID: h.Get("X-Id"), Signed: h.Get("X-Signature") != "",
 		NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
+		Said: testSaid(h),
 	}
 }
 
+func testSaid(h http.Header) notice.Said {
+	limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
+	return notice.Said{Limit: limit, LimitUnreadable: err != nil && h.Get("X-Limit") != ""}
+}
+
 func (testDialect) DecodeHandle(body []byte) (dialect.KVHandle, error) {
 	var h dialect.KVHandle
 	err := json.Unmarshal(body, &h)
--- a/internal/serve/forward/requestlog.go
+++ b/internal/serve/forward/requestlog.go
@@ -12,19 +12,20 @@
 
 // attempt is one entry of the attribute "attempts" in the request's log line.
 type attempt struct {
-	Instance string `json:"instance"`
-	Step     string `json:"step"` // run, read (a separate prefill) or resume
-	Outcome  string `json:"outcome"`
-	MS       int64  `json:"ms"`
-	Tokens   int    `json:"tokens,omitempty"`   // expected tokens to prefill
-	Expected int64  `json:"expected,omitempty"` // estimated ms to the first token
-	Fetch    string `json:"fetch,omitempty"`    // engine that the shared prefix is fetched from
-	Err      string `json:"err,omitempty"`      // cause of a failure
+	Instance string  `json:"instance"`
+	Step     string  `json:"step"` // run, read (a separate prefill) or resume
+	Outcome  string  `json:"outcome"`
+	MS       int64   `json:"ms"`
+	Tokens   int     `json:"tokens,omitempty"`   // expected tokens to prefill
+	Expected int64   `json:"expected,omitempty"` // estimated ms to the first token
+	Fetch    string  `json:"fetch,omitempty"`    // engine that the shared prefix is fetched from
+	Limit    float64 `json:"limit,omitempty"`    // requests per second that the instance takes, as known when the attempt ended
+	Err      string  `json:"err,omitempty"`      // cause of a failure
 }
 
 // note records an attempt.
-func (c *call) note(instance, step string, o placement.Outcome, since time.Time, err error) {
-	a := attempt{Instance: instance, Step: step, Outcome: o.String(), MS: time.Since(since).Milliseconds()}
+func (c *call) note(target placement.Target, step string, o placement.Outcome, since time.Time, err error) {
+	a := attempt{Instance: target.ID, Step: step, Limit: c.server.fleet.Limit(target), Outcome: o.String(), MS: time.Since(since).Milliseconds()}
 	if err != nil {
 		a.Err = err.Error()
 	}
@@ -32,8 +33,8 @@
 }
 
 // noteEngine records an attempt at a model engine, with the estimates of its placement.
-func (c *call) noteEngine(instance, step string, o placement.Outcome, since time.Time, err error, plan placement.Plan) {
-	c.note(instance, step, o, since, err)
+func (c *call) noteEngine(target placement.Target, step string, o placement.Outcome, since time.Time, err error, plan placement.Plan) {
+	c.note(target, step, o, since, err)
 	last := &c.attempts[len(c.attempts)-1]
 	last.Tokens, last.Expected, last.Fetch = plan.PrefillTokens, plan.ExpectedTTFT.Milliseconds(), plan.FetchFrom
 }
--- a/internal/serve/forward/requestlog_test.go
+++ b/internal/serve/forward/requestlog_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -64,12 +65,12 @@
 	defer sink.Close()
 	view := instances.NewView(time.Hour)
 	c := &call{
-		server: &Server{view: view, logger: slog.New(slog.NewJSONHandler(sink, nil))},
+		server: &Server{view: view, fleet: placement.New(placement.DefaultSettings(), rand.Float64, nil), logger: slog.New(slog.NewJSONHandler(sink, nil))},
 		route:  &routes.Route{Name: "r", Kind: routes.Stream}, endpoint: "lm", outcome: "answered", status: 200,
 	}
 	plan := placement.Plan{PrefillTokens: 2400, ExpectedTTFT: 300 * time.Millisecond, FetchFrom: "10.1.64.9:8080"}
-	c.noteEngine("i-7f3a91c2", "read", placement.Answered, time.Now(), nil, plan)
-	c.noteEngine("i-7f3a91c3", "run", placement.Answered, time.Now(), nil, plan)
+	c.noteEngine(placement.Target{ID: "i-7f3a91c2"}, "read", placement.Answered, time.Now(), nil, plan)
+	c.noteEngine(placement.Target{ID: "i-7f3a91c3"}, "run", placement.Answered, time.Now(), nil, plan)
 	b.ReportAllocs()
 	for b.Loop() {
 		c.log(time.Second)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -175,13 +175,13 @@
 	var failure error
 	inFlight := c.server.fleet.BeginPrompt(target.ID, "", prompt, plan.PrefillTokens, start)
 	defer func() {
-		c.noteEngine(target.ID, "read", outcome, start, failure, *plan)
+		c.noteEngine(target, "read", outcome, start, failure, *plan)
 		c.server.fleet.EndPrompt(inFlight, outcome, time.Now())
 	}()
 	send := dialect.SendOptions{Instance: target.ID, ModelEngine: true, PrefillOnly: true, FetchFrom: plan.FetchFrom, Priority: plan.PrefillPriority}
 	watch := c.watchSilence(target.ID, prefillSilenceTimeout+estimateFactor*plan.ExpectedTTFT)
 	defer watch.stop()
-	answer, err := c.send(watch.ctx, target.Address, send)
+	answer, err := c.send(watch.ctx, target, send)
 	if err != nil {
 		outcome, failure = watch.outcome(), err
 		return handle, false
@@ -254,7 +254,7 @@
 		step = "resume"
 	}
 	defer func() {
-		c.noteEngine(plan.Decode.ID, step, outcome, start, failure, plan)
+		c.noteEngine(plan.Decode, step, outcome, start, failure, plan)
 		c.server.fleet.EndPrompt(inFlight, outcome, time.Now())
 	}()
 	send := dialect.SendOptions{Instance: plan.Decode.ID, ModelEngine: true, KVSource: source, FetchFrom: plan.FetchFrom, LastEventID: p.lastEventID, Priority: c.route.Priority}
@@ -264,7 +264,7 @@
 	}
 	watch := c.watchSilence(plan.Decode.ID, timeout)
 	defer watch.stop()
-	answer, err := c.send(watch.ctx, plan.Decode.Address, send)
+	answer, err := c.send(watch.ctx, plan.Decode, send)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		outcome, failure = watch.outcome(), err
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -92,12 +92,12 @@
 	fleet.Begin(target.ID)
 	outcome = placement.Canceled
 	defer func() {
-		c.note(target.ID, "run", outcome, start, err)
+		c.note(target, "run", outcome, start, err)
 		fleet.End(target.ID, outcome, time.Since(start), time.Now())
 	}()
 	ctx, cancel := c.attemptContext()
 	defer cancel()
-	answer, err := c.send(ctx, target.Address, dialect.SendOptions{Instance: target.ID, Priority: c.route.Priority})
+	answer, err := c.send(ctx, target, dialect.SendOptions{Instance: target.ID, Priority: c.route.Priority})
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		outcome = c.contactOutcome()
