Keep the limit of requests a second that an instance names in its answers

Cause: no host read the limit, so each went on at its old rate. An instance's state reached hosts by its heartbeats alone. Ruled out that hosts learn it too late: the test where every host hears it at once failed as well (up to 430 requests where 14 are allowed). A host that merely kept the limit by itself would have failed too: 7 hosts may each send a seventh of it.

Placement now asks the record of each instance's start (package notice) for every request: first sends, retries, prefills, decodes, the instances of last resort, and calls that free a handle. A host's share is its part of the endpoint's requests, which hosts exchange with their load, together with what they have heard; requests are spaced evenly from a random phase, and a host without the exchange takes an equal share. Where no instance may take a request it is refused at once (reason instance_limits) with the time of the next permit. If every decode engine has a limit, one is reserved before the prefill.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -78,6 +78,10 @@
 	Tokens Backlogs `json:"backlog,omitempty"`
 	// Demand is the demand of callers by endpoint; in requests only.
 	Demand map[string]Demand `json:"demand,omitempty"`
+	// Requests are callers' requests per second, by endpoint.
+	Requests map[string]float64 `json:"requests,omitempty"`
+	// Notices are what instances have said about themselves.
+	Notices Notices `json:"notices,omitempty"`
 	// Updates tell which prefixes engines have cached or will soon. A request holds what
 	// the requesting host has learned since its last report, the answer what other hosts
 	// have reported after the request's UpdatesPosition.
--- a/internal/control/controlapi/encoding.go
+++ b/internal/control/controlapi/encoding.go
@@ -4,8 +4,11 @@
 	"encoding/base64"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"math"
+	"time"
 
+	"filberthook/internal/engines/notice"
 	"filberthook/internal/engines/placement"
 )
 
@@ -19,6 +22,9 @@
 // CacheUpdates are updates of engines' caches.
 type CacheUpdates []placement.CacheUpdate
 
+// Notices are what instances have said about themselves.
+type Notices []notice.Report
+
 var errTruncated = errors.New("load report ends early: the sending host is of another version")
 
 // MarshalText implements encoding.TextMarshaler.
@@ -78,6 +84,35 @@
 	return r.err
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (n Notices) MarshalText() ([]byte, error) {
+	raw := binary.AppendUvarint(nil, uint64(len(n)))
+	for _, report := range n {
+		raw = appendString(raw, report.Instance)
+		raw = binary.AppendVarint(raw, report.Born)
+		raw = binary.BigEndian.AppendUint32(raw, math.Float32bits(float32(report.Limit)))
+		raw = binary.AppendVarint(raw, report.Age.Milliseconds())
+	}
+	return base64.RawStdEncoding.AppendEncode(nil, raw), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (n *Notices) UnmarshalText(text []byte) error {
+	r, err := newReader(text)
+	if err != nil {
+		return err
+	}
+	*n = make(Notices, r.count())
+	for i := range *n {
+		report := notice.Report{Instance: r.text(), Born: r.varint(), Limit: r.rate(), Age: time.Duration(r.varint()) * time.Millisecond}
+		if !(report.Limit >= 0 && report.Limit <= math.MaxFloat32) || report.Age < 0 {
+			return fmt.Errorf("notice of instance %q: limit %v or age %v out of range", report.Instance, report.Limit, report.Age)
+		}
+		(*n)[i] = report
+	}
+	return r.err
+}
+
 func appendString(raw []byte, s string) []byte {
 	return append(binary.AppendUvarint(raw, uint64(len(s))), s...)
 }
--- a/internal/control/controlapi/encoding_test.go
+++ b/internal/control/controlapi/encoding_test.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"filberthook/internal/engines/notice"
 	"filberthook/internal/engines/placement"
 )
 
@@ -26,6 +28,12 @@
 				PrefillRate: float64(rapid.IntRange(0, 500).Draw(t, "rate")),
 			})
 		}
+		for n := range rapid.IntRange(1, 3).Draw(t, "notices") {
+			want.Notices = append(want.Notices, notice.Report{
+				Instance: fmt.Sprint("i-", n), Born: rapid.Int64().Draw(t, "born"), Limit: float64(rapid.IntRange(0, 500).Draw(t, "limit")),
+				Age: time.Duration(rapid.IntRange(0, 1e6).Draw(t, "age")) * time.Millisecond,
+			})
+		}
 		text, err := json.Marshal(want)
 		if err != nil {
 			t.Fatal(err)
@@ -50,12 +58,13 @@
 	f.Add(whole)
 	f.Add([]byte(`{"backlog":"/////w8"}`))
 	f.Add([]byte(`{"cache":"AQ"}`))
+	f.Add([]byte(`{"notices":"AQ"}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var r LoadReport
 		if err := json.Unmarshal(text, &r); err != nil {
 			return
 		}
-		if len(r.Tokens) > len(text) || len(r.Updates) > len(text) {
+		if len(r.Tokens) > len(text) || len(r.Updates) > len(text) || len(r.Notices) > len(text) {
 			t.Errorf("%d backlogs and %d updates of %d bytes", len(r.Tokens), len(r.Updates), len(text))
 		}
 	})
--- a/internal/control/controlhost/loads.go
+++ b/internal/control/controlhost/loads.go
@@ -32,10 +32,11 @@
 
 	epoch   string // of this control process
 	updates updateLog
+	notices notices
 }
 
 func newLoads(epoch string) *loads {
-	return &loads{hosts: newReports(), digests: newReports(), epoch: epoch}
+	return &loads{hosts: newReports(), digests: newReports(), epoch: epoch, notices: notices{byInstance: map[string]timedNotice{}}}
 }
 
 // exchange stores the report of an entry host and returns the summed load of all others
@@ -45,8 +46,11 @@
 	defer l.mu.Unlock()
 	l.expire(now)
 	l.hosts.remove(host)
-	answer := controlapi.LoadReport{Tokens: make(map[string][]int64, len(l.hosts.total)), UpdatesEpoch: l.epoch}
+	answer := controlapi.LoadReport{
+		Tokens: make(map[string][]int64, len(l.hosts.total)), Requests: map[string]float64{}, UpdatesEpoch: l.epoch,
+	}
 	for _, r := range []*reports{&l.hosts, &l.digests} {
+		r.addRequests(answer.Requests)
 		for id, tokens := range r.total {
 			answer.Tokens[id] = add(answer.Tokens[id], tokens, 1)
 		}
@@ -54,6 +58,8 @@
 	l.hosts.add(host, report, now)
 	answer.Updates, answer.UpdatesPosition = l.updates.since(host, l.positionOf(report)), l.updates.last
 	l.updates.add(updateSource{host: host}, report.Updates, now)
+	answer.Notices = l.notices.list(false, now)
+	l.notices.add(report.Notices, false, now)
 	return answer
 }
 
@@ -73,11 +79,13 @@
 	l.expire(now)
 	out := controlapi.LoadReport{
 		IntervalMS: digestInterval.Milliseconds(), Tokens: make(map[string][]int64, len(l.hosts.total)), Demand: l.hosts.demand(),
+		Requests: map[string]float64{}, Notices: l.notices.list(true, now),
 		Updates: l.updates.local(position), UpdatesPosition: l.updates.last,
 	}
 	for id, tokens := range l.hosts.total {
 		out.Tokens[id] = slices.Clone(tokens)
 	}
+	l.hosts.addRequests(out.Requests)
 	return out, len(l.hosts.byName) > 0
 }
 
@@ -89,6 +97,7 @@
 	l.digests.remove(control)
 	l.digests.add(control, digest, now)
 	l.updates.add(updateSource{host: control, remote: true}, digest.Updates, now)
+	l.notices.add(digest.Notices, true, now)
 }
 
 // expire removes reports whose lifetime has ended. The caller holds l.mu.
@@ -99,6 +108,7 @@
 	l.expiredAt = now
 	l.hosts.expire(now)
 	l.digests.expire(now)
+	l.notices.expire(now)
 }
 
 // Demand implements stagereconciler.Load: the sum of the demand in the current reports. The
@@ -129,7 +139,7 @@
 }
 
 type timedReport struct {
-	report    controlapi.LoadReport // without cache updates
+	report    controlapi.LoadReport // without cache updates and notices
 	expiresAt time.Time
 }
 
@@ -140,7 +150,7 @@
 // add stores a report of a host that has none.
 func (r *reports) add(name string, report controlapi.LoadReport, now time.Time) {
 	interval := min(time.Duration(report.IntervalMS)*time.Millisecond, maxReportInterval)
-	report.Updates = nil
+	report.Updates, report.Notices = nil, nil
 	r.byName[name] = timedReport{report, now.Add(reportLifetime*interval + reportGrace)}
 	for id, tokens := range report.Tokens {
 		r.total[id] = add(r.total[id], tokens, 1)
@@ -179,6 +189,15 @@
 	return sum
 }
 
+// addRequests adds the request rates of all reports to sum, by endpoint.
+func (r *reports) addRequests(sum map[string]float64) {
+	for _, other := range r.byName {
+		for endpoint, rate := range other.report.Requests {
+			sum[endpoint] += rate
+		}
+	}
+}
+
 // add returns a plus sign times b, element by element; the shorter list is padded with
 // zeros. It may overwrite a.
 func add(a, b []int64, sign int64) []int64 {
--- a/internal/control/controlwatch/load.go
+++ b/internal/control/controlwatch/load.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"filberthook/internal/control/controlapi"
+	"filberthook/internal/engines/notice"
 	"filberthook/internal/engines/placement"
 	"filberthook/internal/network/peer"
 	"filberthook/internal/process/pause"
@@ -37,6 +38,7 @@
 	delay := loadInterval
 	for pause.For(ctx, delay) {
 		address, interval := w.exchangePoint(self)
+		fleet.SetPeers(w.Hosts())
 		if err := e.once(ctx, address, interval); err != nil {
 			// The watch of the same control host logs its loss.
 			w.logger.Debug("load not exchanged", "control", address, "err", err)
@@ -65,6 +67,7 @@
 	defer cancel()
 	report := encodeLoads(e.fleet.Loads(), e.fleet.Demand(time.Now()))
 	report.IntervalMS = interval.Milliseconds()
+	report.Requests, report.Notices = e.fleet.Requests(time.Now()), e.fleet.Notices(time.Now())
 	report.Updates, report.UpdatesEpoch, report.UpdatesPosition = e.fleet.TakeUpdates(), e.epoch, e.position
 	var others controlapi.LoadReport
 	if err := e.clients.Get(address).Call(ctx, controlapi.MethodLoad, report, &others); err != nil {
@@ -74,9 +77,19 @@
 	e.epoch, e.position = others.UpdatesEpoch, others.UpdatesPosition
 	e.fleet.SetPeerLoads(decodeLoads(others), time.Now())
 	e.fleet.ApplyUpdates(others.Updates, time.Now())
+	e.fleet.SetPeerRequests(others.Requests, time.Now())
+	e.learn(others.Notices)
 	return nil
 }
 
+// learn records what other hosts have heard of instances.
+func (e *loadExchange) learn(notices []notice.Report) {
+	for _, n := range e.fleet.LearnNotices(notices, time.Now()) {
+		e.watcher.logger.Info("instance changed its limit", "instance", n.Instance, "born", n.Born, "per_second", n.Limit,
+			"age_ms", n.Age.Milliseconds(), "heard_by", "another host")
+	}
+}
+
 // exchangePoint returns the address of the control host to exchange load through, empty
 // when none is reached, and the interval of the exchange.
 func (w *Watcher) exchangePoint(self peer.Identity) (address string, interval time.Duration) {
--- /dev/null
+++ b/internal/engines/notice/allowance.go
@@ -0,0 +1,62 @@
+package notice
+
+import (
+	"math"
+	"time"
+)
+
+// permitLifetime is how long a permit can be used. Longer, and a host that has sent nothing
+// for a while could send many requests at once.
+const permitLifetime = 1200 * time.Millisecond
+
+// allowance hands out this host's part of the requests that an instance takes. Permits
+// become valid one after the other at even intervals and expire unused. Hosts begin at
+// random phases, so that those which may send one request in a minute do not do so together.
+type allowance struct {
+	rate    float64   // permits per second
+	counted float64   // permits since the beginning, with the fraction of the next one
+	at      time.Time // when counted was computed
+	valid   []time.Time
+}
+
+// newAllowance returns an allowance whose first permit is due after the rest of a phase
+// from [0, 1).
+func newAllowance(phase float64, now time.Time) *allowance {
+	return &allowance{counted: phase, at: now}
+}
+
+// advance adds the permits that have become valid and drops those that have expired, then
+// sets the rate from now on.
+func (a *allowance) advance(rate float64, now time.Time) {
+	if elapsed := now.Sub(a.at); elapsed > 0 {
+		counted := a.counted + a.rate*elapsed.Seconds()
+		oldest := max(math.Floor(a.counted), math.Floor(counted-a.rate*permitLifetime.Seconds())) + 1
+		for n := oldest; n <= counted; n++ {
+			a.valid = append(a.valid, a.at.Add(time.Duration((n-a.counted)/a.rate*float64(time.Second))))
+		}
+		_, a.counted = math.Modf(counted)
+		a.at = now
+	}
+	for len(a.valid) > 0 && now.Sub(a.valid[0]) >= permitLifetime {
+		a.valid = a.valid[1:]
+	}
+	a.rate = rate
+}
+
+// use takes a permit. The caller has checked that there is one.
+func (a *allowance) use() {
+	if len(a.valid) > 0 {
+		a.valid = a.valid[1:]
+	}
+}
+
+// wait returns the time until a permit is valid, at the current rate.
+func (a *allowance) wait() time.Duration {
+	switch {
+	case len(a.valid) > 0:
+		return 0
+	case a.rate <= 0:
+		return math.MaxInt64
+	}
+	return time.Duration(min((1-a.counted)/a.rate, math.MaxInt64/float64(time.Second)-1) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/engines/notice/notice_test.go
@@ -0,0 +1,86 @@
+package notice
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestAnswerToAnEarlierRequestDoesNotEndALimit(t *testing.T) {
+	r := &Record{Born: 1}
+	if !r.Hear(Said{Limit: 3}, after(0), after(100), 0) {
+		t.Fatal("the limit was not recorded")
+	}
+	if r.Hear(Said{}, after(50), after(150), 0); r.Limit() != 3 {
+		t.Error("an answer to a request that was sent before the limit was named ended it")
+	}
+	if r.Hear(Said{LimitUnreadable: true}, after(160), after(170), 0); r.Limit() != 3 {
+		t.Error("an unreadable limit ended the one before")
+	}
+	if !r.Hear(Said{}, after(180), after(200), 0) || r.Limit() != 0 || r.Wait(1, after(200)) != 0 {
+		t.Error("an answer to a later request did not end the limit")
+	}
+}
+
+func TestNewestWordOfAnyHostHolds(t *testing.T) {
+	r := &Record{Born: 1}
+	r.Hear(Said{Limit: 3}, after(0), after(1000), 0)
+	if r.Learn(Report{Limit: 0, Age: 500 * time.Millisecond}, after(1400), 0) || r.Limit() != 3 {
+		t.Error("a report that is older than the limit ended it")
+	}
+	if !r.Learn(Report{Limit: 0, Age: 100 * time.Millisecond}, after(1400), 0) || r.Limit() != 0 {
+		t.Error("a newer report did not end the limit")
+	}
+	if _, own := r.Report("i", after(1500)); own {
+		t.Error("the host reports as its own what it has learned from another one")
+	}
+}
+
+func TestHostSendsNoMoreThanItsShareOfALimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0.2, 40).Draw(t, "limit")
+		share := rapid.Float64Range(0.003, 1).Draw(t, "share")
+		phase := rapid.Float64Range(0, 0.999).Draw(t, "phase")
+		gaps := rapid.SliceOfN(rapid.IntRange(1, 900), 1, 400).Draw(t, "gaps_ms")
+		r := &Record{Born: 1}
+		r.Hear(Said{Limit: limit}, start, start, phase)
+		var sent []time.Time
+		now := start
+		for _, gap := range gaps {
+			now = now.Add(time.Duration(gap) * time.Millisecond)
+			if r.Wait(share, now) == 0 {
+				r.Send()
+				sent = append(sent, now)
+			}
+		}
+		for i := range sent {
+			for j := i; j < len(sent); j++ {
+				covered := sent[j].Sub(sent[i]) + permitLifetime
+				if n := float64(j - i + 1); n > limit*share*covered.Seconds()+1 {
+					t.Fatalf("%.0f requests in %v where the host's share is %.3f a second", n, sent[j].Sub(sent[i]), limit*share)
+				}
+			}
+		}
+	})
+}
+
+func TestWaitIsTheTimeUntilTheNextRequestMayGoOut(t *testing.T) {
+	r := &Record{Born: 1}
+	r.Hear(Said{Limit: 1 / usedShare}, start, start, 0.25)
+	r.Wait(1, start)
+	if got := r.Wait(1, after(250)); got < 499*time.Millisecond || got > 501*time.Millisecond {
+		t.Errorf("a quarter of the second has passed before the limit and one after: the wait is %v, want 0.5 s", got)
+	}
+	if got := r.Wait(1, after(751)); got != 0 {
+		t.Errorf("the wait is %v when the permit is due", got)
+	}
+	r.Wait(0, after(5000)) // from now on the host has no share
+	if got := r.Wait(0, after(9000)); got < time.Hour {
+		t.Errorf("a host without a share waits %v", got)
+	}
+}
--- a/internal/engines/placement/decode.go
+++ b/internal/engines/placement/decode.go
@@ -11,12 +11,46 @@
 func (f *Fleet) PlaceDecode(p *Prompt, zone string, now time.Time) (Target, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := f.byEndpoint[p.Endpoint]
-	decoders, _ := splitByStage(f.available(withModel(list, p.Model), p.Excluded, now))
+	decoders := f.availableDecoders(p, now)
 	if len(decoders) == 0 {
-		return Target{}, &NoInstanceError{Endpoint: p.Endpoint, Known: len(list), Excluded: len(p.Excluded)}
+		return Target{}, f.noInstance(p.Endpoint, p.Excluded, now)
 	}
-	return f.bestDecoder(p, decoders, zone, now).target(), nil
+	return f.takeDecoder(p, decoders, zone, now), nil
+}
+
+// HasDecoder reports whether PlaceDecode would find an engine.
+func (f *Fleet) HasDecoder(p *Prompt, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.availableDecoders(p, now)) > 0
+}
+
+func (f *Fleet) availableDecoders(p *Prompt, now time.Time) []*instance {
+	decoders, _ := splitByStage(f.available(withModel(f.byEndpoint[p.Endpoint], p.Model), p.Excluded, now))
+	return decoders
+}
+
+// takeDecoder picks a decode engine and counts a request towards its limit.
+func (f *Fleet) takeDecoder(p *Prompt, decoders []*instance, zone string, now time.Time) Target {
+	best := f.bestDecoder(p, decoders, zone, now)
+	best.notices.Send()
+	return best.target()
+}
+
+// reserveDecoder picks the decode engine of a prompt before its prefill if each engine that
+// is available has a limit: after the prefill none might be left. It returns nil otherwise.
+func (f *Fleet) reserveDecoder(p *Prompt, zone string, now time.Time) *Target {
+	decoders := f.availableDecoders(p, now)
+	for _, in := range decoders {
+		if in.notices.Limit() == 0 {
+			return nil
+		}
+	}
+	if len(decoders) == 0 {
+		return nil
+	}
+	t := f.takeDecoder(p, decoders, zone, now)
+	return &t
 }
 
 // bestDecoder returns the engine that is free soonest. It prefers the zone of the prefill
--- a/internal/engines/placement/demand.go
+++ b/internal/engines/placement/demand.go
@@ -73,6 +73,7 @@
 // countDemand adds a prompt to the demand on its endpoint, also one that is refused
 // afterwards. The caller holds f.mu.
 func (f *Fleet) countDemand(p *Prompt, now time.Time) {
+	f.countRequest(p.Endpoint, now)
 	m := f.meter(p.Endpoint, now)
 	m.prompt.add(float64(p.uniqueTokens()), now)
 	m.output.add(float64(p.OutputTokens), now)
--- a/internal/engines/placement/health.go
+++ b/internal/engines/placement/health.go
@@ -104,12 +104,13 @@
 }
 
 // available returns the instances that may get a request: neither excluded nor ejected
-// nor in an avoided zone. If there are none, it returns the ejected and avoided ones.
+// nor in an avoided zone, and within the limit that they have named. If there are none, it
+// returns the ejected and avoided ones within their limits.
 func (f *Fleet) available(list []*instance, excluded map[string]bool, now time.Time) []*instance {
 	var out, ejected []*instance
 	for _, in := range list {
 		switch {
-		case excluded[in.ID]:
+		case excluded[in.ID], f.wait(in, now) > 0:
 		case in.ejectedUntil.After(now), f.avoidsZone(in.Zone, now):
 			ejected = append(ejected, in)
 		default:
@@ -122,6 +123,32 @@
 	return out
 }
 
+// wait returns how long an instance's limit allows no request of this host. The caller holds
+// f.mu.
+func (f *Fleet) wait(in *instance, now time.Time) time.Duration {
+	if in.notices.Limit() == 0 {
+		return 0
+	}
+	return in.notices.Wait(f.limitShare(in.Endpoint, now), now)
+}
+
+// noInstance explains why no instance of an endpoint can take a request. The caller holds
+// f.mu.
+func (f *Fleet) noInstance(endpoint string, excluded map[string]bool, now time.Time) error {
+	e := &NoInstanceError{Endpoint: endpoint, Known: len(f.byEndpoint[endpoint]), Excluded: len(excluded)}
+	for _, in := range f.byEndpoint[endpoint] {
+		wait := f.wait(in, now)
+		if wait == 0 || excluded[in.ID] {
+			continue
+		}
+		if e.Limited == 0 || wait < e.Wait {
+			e.Wait = wait
+		}
+		e.Limited++
+	}
+	return e
+}
+
 // Progress records that data arrived from an instance.
 func (f *Fleet) Progress(id string, now time.Time) {
 	f.mu.Lock()
--- a/internal/engines/placement/limit_test.go
+++ b/internal/engines/placement/limit_test.go
@@ -24,6 +24,7 @@
 	hosts, prefill, decode, plain int
 	prompts, calls                float64 // per second, of all hosts
 	limits                        map[string]float64
+	endsAt                        time.Duration // of the limits, 0 for never
 	until                         time.Duration
 
 	fleets   []*Fleet
@@ -34,6 +35,7 @@
 	heard    []map[string]time.Duration  // by host and instance
 	served   int
 	refused  int
+	refusals []time.Duration
 }
 
 type limitedArrival struct {
@@ -44,6 +46,8 @@
 const (
 	limitNamedAt = 2 * time.Second
 	limitTick    = 5 * time.Millisecond
+	// limitExchange is the interval at which 294 hosts exchange their load, rounded up.
+	limitExchange = 250 * time.Millisecond
 )
 
 func (r *limitedRun) play() {
@@ -76,6 +80,9 @@
 			step()
 		}
 		delete(r.due, r.now)
+		if r.now%limitExchange == 0 {
+			r.exchange()
+		}
 		for i := range r.hosts {
 			share := hostWeight(i) / total * limitTick.Seconds()
 			if r.random.Float64() < share*r.prompts {
@@ -91,6 +98,28 @@
 // hostWeight makes callers spread unevenly over hosts.
 func hostWeight(host int) float64 { return float64(1 + host%3) }
 
+// exchange tells each host the number of hosts, the load of the others and what they heard.
+func (r *limitedRun) exchange() {
+	sum := map[string]float64{}
+	var reports []notice.Report
+	for _, f := range r.fleets {
+		for endpoint, rate := range f.Requests(r.clock()) {
+			sum[endpoint] += rate
+		}
+		reports = append(reports, f.Notices(r.clock())...)
+	}
+	for _, f := range r.fleets {
+		others := map[string]float64{}
+		own := f.Requests(r.clock())
+		for endpoint, rate := range sum {
+			others[endpoint] = rate - own[endpoint]
+		}
+		f.SetPeers(r.hosts)
+		f.SetPeerRequests(others, r.clock())
+		f.LearnNotices(reports, r.clock())
+	}
+}
+
 func (r *limitedRun) clock() time.Time { return start.Add(r.now) }
 
 func (r *limitedRun) after(d time.Duration, step func()) {
@@ -103,7 +132,7 @@
 	sentAt := r.clock()
 	r.after(takes, func() {
 		limit := r.limits[target.ID]
-		if r.now < limitNamedAt {
+		if r.now < limitNamedAt || r.endsAt > 0 && r.now >= r.endsAt {
 			limit = 0
 		}
 		if _, known := r.heard[host][target.ID]; limit > 0 && !known {
@@ -119,7 +148,7 @@
 	p := promptWithPrefix(fmt.Sprint("s", r.random.IntN(40)), 300+3000*r.random.IntN(5), 1100)
 	plan, err := f.Place(p, r.clock())
 	if err != nil {
-		r.refused++
+		r.refuse()
 		return
 	}
 	decode := func(target Target, tokens int) {
@@ -139,7 +168,7 @@
 		f.EndPrompt(flight, Answered, r.clock())
 		target, err := f.PlaceDecode(p, plan.Prefill.Zone, r.clock())
 		if err != nil {
-			r.refused++
+			r.refuse()
 			return
 		}
 		decode(target, 0)
@@ -150,7 +179,7 @@
 	f := r.fleets[host]
 	target, err := f.PlaceService("plain", "z0", nil, r.clock())
 	if err != nil {
-		r.refused++
+		r.refuse()
 		return
 	}
 	f.Begin(target.ID)
@@ -169,7 +198,7 @@
 		most := 0
 		for _, a := range r.arrivals[id] {
 			heard, known := r.heard[a.host][id]
-			if !known || a.at < heard+limitKnown {
+			if !known || a.at < heard+limitKnown || r.endsAt > 0 && a.at >= r.endsAt {
 				continue
 			}
 			counted = append(counted, a.at)
@@ -180,12 +209,19 @@
 				most = max(most, len(counted))
 			}
 		}
+		t.Logf("%d hosts: %s, %.1f a second: at most %d in %v, allowed %.0f", r.hosts, id, limit, most, limitWindow, allowed)
 		if float64(most) > allowed {
 			t.Errorf("%d hosts: %s takes %.1f requests a second and got %d in %v from hosts that knew, allowed %.0f", r.hosts, id, limit, most, limitWindow, allowed)
 		}
 	}
 }
 
+// refuse records a request that no instance may take.
+func (r *limitedRun) refuse() {
+	r.refused++
+	r.refusals = append(r.refusals, r.now)
+}
+
 func TestLimitOfAnInstanceIsKeptByAllHostsTogether(t *testing.T) {
 	for _, r := range []*limitedRun{
 		{hosts: 1, prefill: 2, decode: 7, plain: 4, prompts: 52, calls: 23},
@@ -202,3 +238,43 @@
 		}
 	}
 }
+
+func TestLimitsOfAllInstancesAreUsedAndEndTogether(t *testing.T) {
+	for _, r := range []*limitedRun{
+		{hosts: 1, plain: 4, calls: 40},
+		{hosts: 8, plain: 4, calls: 40},
+		{hosts: 70, plain: 5, calls: 210},
+		{hosts: 294, plain: 9, calls: 360},
+	} {
+		const ends = 14 * time.Second
+		r.limits, r.endsAt, r.until = map[string]float64{}, ends, ends+3*time.Second
+		total := r.calls / 2
+		for i := range r.plain {
+			r.limits[fmt.Sprint("s", i)] = total / float64(r.plain)
+		}
+		r.play()
+		r.check(t)
+		used := 0
+		for id := range r.limits {
+			for _, a := range r.arrivals[id] {
+				if a.at >= ends-8*time.Second && a.at < ends {
+					used++
+				}
+			}
+		}
+		share := float64(used) / (8 * total)
+		t.Logf("%d hosts: %.2f used", r.hosts, share)
+		if share < 0.7 {
+			t.Errorf("%d hosts use %.2f of what the limits allow, want at least 0.7", r.hosts, share)
+		}
+		late := 0
+		for _, at := range r.refusals {
+			if at >= ends+time.Second {
+				late++
+			}
+		}
+		if late > 0 {
+			t.Errorf("%d hosts: %d requests refused over a second after the limits have ended", r.hosts, late)
+		}
+	}
+}
--- a/internal/engines/placement/notices.go
+++ b/internal/engines/placement/notices.go
@@ -6,13 +6,22 @@
 	"filberthook/internal/engines/notice"
 )
 
-// Hear records what an answer says about the instance that sent it. It reports whether
-// that differs from what this host knew.
+const (
+	// peerRequestsTTL is how long the request rate of the other hosts is used after it was
+	// reported. Without it all hosts have equal shares of a limit.
+	peerRequestsTTL = 3 * time.Second
+	// maxShareFactor bounds a host's share of a limit, in multiples of an equal share: a
+	// control host that is cut off from others knows only a part of the load.
+	maxShareFactor = 3
+)
+
+// Hear records what an answer says about the instance that sent it, to a request that was
+// sent at sentAt. It reports whether that differs from what this host knew.
 func (f *Fleet) Hear(t Target, said notice.Said, sentAt, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.record(t.ID, t.Born)
-	return r != nil && r.Hear(said, sentAt, now)
+	return r != nil && r.Hear(said, sentAt, now, f.random())
 }
 
 // Limit returns the requests per second that an instance takes from all hosts together, 0
@@ -20,7 +29,7 @@
 func (f *Fleet) Limit(t Target) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if r := f.record(t.ID, t.Born); r != nil {
+	if r := f.notices[t.ID]; r != nil && r.Born == t.Born {
 		return r.Limit()
 	}
 	return 0
@@ -31,14 +40,107 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
-	for id := range f.byID {
-		if r := f.notices[id]; r != nil && r.Limit() > 0 {
+	for _, in := range f.byID {
+		if in.notices.Limit() > 0 {
 			n++
 		}
 	}
 	return n
 }
 
+// Notices returns what this host has heard that the other hosts should know.
+func (f *Fleet) Notices(now time.Time) []notice.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []notice.Report
+	for id, r := range f.notices {
+		if report, ok := r.Report(id, now); ok {
+			out = append(out, report)
+		}
+	}
+	return out
+}
+
+// LearnNotices records what other hosts have heard. It returns the reports that were news.
+func (f *Fleet) LearnNotices(reports []notice.Report, now time.Time) []notice.Report {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []notice.Report
+	for _, report := range reports {
+		if r := f.record(report.Instance, report.Born); r != nil && r.Learn(report, now, f.random()) {
+			news = append(news, report)
+		}
+	}
+	return news
+}
+
+// Requests returns the rate of callers' requests at this host, by endpoint.
+func (f *Fleet) Requests(now time.Time) map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]float64, len(f.requests))
+	for endpoint, d := range f.requests {
+		out[endpoint] = d.value(now) / demandWindow.Seconds()
+	}
+	return out
+}
+
+// SetPeers sets the number of entry hosts, this one included and 0 if unknown.
+func (f *Fleet) SetPeers(hosts int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = hosts
+}
+
+// SetPeerRequests sets the summed request rates of the other hosts, by endpoint.
+func (f *Fleet) SetPeerRequests(requests map[string]float64, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peerRequests, f.peerRequestsAt = requests, now
+}
+
+// TakePermit reports whether a request that is no caller's, such as one that frees memory,
+// may be sent to an instance now, and counts it if so.
+func (f *Fleet) TakePermit(t Target, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	in := f.byID[t.ID]
+	if in == nil || in.Born != t.Born {
+		return true
+	}
+	if in.notices.Wait(f.limitShare(in.Endpoint, now), now) > 0 {
+		return false
+	}
+	in.notices.Send()
+	return true
+}
+
+// countRequest adds a caller's request to the rate of an endpoint. The caller holds f.mu.
+func (f *Fleet) countRequest(endpoint string, now time.Time) {
+	d := f.requests[endpoint]
+	if d == nil {
+		d = &decaying{}
+		f.requests[endpoint] = d
+	}
+	d.add(1, now)
+}
+
+// limitShare returns the part of an instance's limit that this host may use: that of the
+// endpoint's requests that callers send to this host, as callers spread unevenly. A host
+// that does not know the others has none. The caller holds f.mu.
+func (f *Fleet) limitShare(endpoint string, now time.Time) float64 {
+	if f.hosts == 0 {
+		return 0
+	}
+	equal := 1 / float64(f.hosts)
+	own := f.requests[endpoint]
+	if own == nil || now.Sub(f.peerRequestsAt) > peerRequestsTTL {
+		return equal
+	}
+	rate := own.value(now) / demandWindow.Seconds()
+	return min(rate/(rate+f.peerRequests[endpoint]), maxShareFactor*equal, 1)
+}
+
 // record returns the record of one start of an instance, nil if a later start is known. The
 // caller holds f.mu.
 func (f *Fleet) record(id string, born int64) *notice.Record {
@@ -52,3 +154,21 @@
 	}
 	return r
 }
+
+// recordOf returns the record of an announced instance. The caller holds f.mu.
+func (f *Fleet) recordOf(id string, born int64) *notice.Record {
+	if r := f.record(id, born); r != nil {
+		return r
+	}
+	return &notice.Record{Born: born}
+}
+
+// dropRecords deletes the records of instances that are not announced and have said nothing
+// for long. The caller holds f.mu.
+func (f *Fleet) dropRecords(now time.Time) {
+	for id, r := range f.notices {
+		if f.byID[id] == nil && r.Expired(now) {
+			delete(f.notices, id)
+		}
+	}
+}
--- a/internal/engines/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -48,6 +48,7 @@
 	contactFailures int                   // consecutive failures to reach it
 	fullResponses   int                   // consecutive refusals because it was full
 	cached          map[uint64]cacheEntry // by prefix key
+	notices         *notice.Record        // what it says about itself in its answers
 }
 
 // Fleet is this host's view of the instances of all endpoints. It is safe for
@@ -63,7 +64,12 @@
 	// connected reports whether a connection to an address is open and idle.
 	connected func(address string) bool
 
-	meters map[string]*demandMeter // by endpoint
+	meters   map[string]*demandMeter // by endpoint
+	requests map[string]*decaying    // callers' requests at this host, by endpoint
+
+	hosts          int                // entry hosts, 0 if unknown
+	peerRequests   map[string]float64 // requests per second at the other hosts, by endpoint
+	peerRequestsAt time.Time          // when peerRequests was reported
 
 	zones         map[string]*zoneHealth
 	firstPromptAt time.Time // zero before the first prompt
@@ -76,7 +82,7 @@
 // New returns an empty Fleet; random returns random numbers from [0, 1), and connected
 // reports whether a connection to an address is open and idle.
 func New(s Settings, random func() float64, connected func(address string) bool) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*instance{}, byEndpoint: map[string][]*instance{}, notices: map[string]*notice.Record{}, random: random, connected: connected, meters: map[string]*demandMeter{}, updates: map[string]*CacheUpdate{}, zones: map[string]*zoneHealth{}, typicalRates: map[string]*rateHistory{}}
+	return &Fleet{settings: s, byID: map[string]*instance{}, byEndpoint: map[string][]*instance{}, notices: map[string]*notice.Record{}, random: random, connected: connected, meters: map[string]*demandMeter{}, requests: map[string]*decaying{}, updates: map[string]*CacheUpdate{}, zones: map[string]*zoneHealth{}, typicalRates: map[string]*rateHistory{}}
 }
 
 // Update takes a new list of instances. The state of an instance is kept unless it
@@ -93,11 +99,13 @@
 				state = &instance{cached: map[uint64]cacheEntry{}}
 			}
 			state.Instance = in
+			state.notices = f.recordOf(in.ID, in.Born)
 			known[in.ID] = state
 			lists[name] = append(lists[name], state)
 		}
 	}
 	f.byID, f.byEndpoint = known, lists
+	f.dropRecords(s.At)
 }
 
 // Announced returns how many instances of an endpoint are announced.
@@ -136,11 +144,19 @@
 	Endpoint string
 	Known    int // announced instances
 	Excluded int // instances already tried
+	// Limited counts the instances that would take the request later, after Wait at the
+	// earliest: they limit the requests that they take.
+	Limited int
+	Wait    time.Duration
 }
 
 // Error implements error.
 func (e *NoInstanceError) Error() string {
-	return fmt.Sprintf("no instance of %q can take the request: %d announced, %d tried already", e.Endpoint, e.Known, e.Excluded)
+	text := fmt.Sprintf("no instance of %q can take the request: %d announced, %d tried already", e.Endpoint, e.Known, e.Excluded)
+	if e.Limited > 0 {
+		text += fmt.Sprintf(", %d limit their requests, the first of them for another %v: come back then", e.Limited, e.Wait)
+	}
+	return text
 }
 
 // HopelessError reports that a request cannot meet its deadline or latency goal.
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -94,6 +94,7 @@
 type Plan struct {
 	Prefill         *Target // prefill engine; nil if Decode runs the prefill too
 	Decode          Target  // set if Prefill is nil; otherwise see Fleet.PlaceDecode
+	Reserved        *Target // decode engine that has been reserved for after the prefill; may be nil
 	FetchFrom       string  // address of the engine to fetch the shared prefix from; may be empty
 	PrefillTokens   int     // expected to be computed
 	PrefillPriority int     // of the prefill, 0 first
@@ -129,7 +130,7 @@
 	candidates := f.available(withModel(announced, p.Model), p.Excluded, now)
 	plan, best := f.bestOption(p, keys, candidates, now)
 	if best.engine == nil {
-		return Plan{}, &NoInstanceError{Endpoint: p.Endpoint, Known: len(announced), Excluded: len(p.Excluded)}
+		return Plan{}, f.noInstance(p.Endpoint, p.Excluded, now)
 	}
 	bias := f.estimates.bias()
 	plan.ExpectedTTFT = time.Duration((best.totalMs + firstTokenMs) * bias * float64(time.Millisecond))
@@ -140,6 +141,10 @@
 	if unqueued := time.Duration((best.totalMs - best.queueMs) * float64(time.Millisecond)); p.TimeLeft > 0 && unqueued > p.TimeLeft {
 		return Plan{}, &HopelessError{Wait: unqueued, MaxWait: p.TimeLeft} // too long even without a queue
 	}
+	best.engine.notices.Send()
+	if plan.Prefill != nil {
+		plan.Reserved = f.reserveDecoder(p, plan.Prefill.Zone, now)
+	}
 	return plan, nil
 }
 
--- a/internal/engines/placement/service.go
+++ b/internal/engines/placement/service.go
@@ -20,9 +20,12 @@
 func (f *Fleet) PlaceService(endpoint, zone string, excluded map[string]bool, now time.Time) (Target, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(excluded) == 0 {
+		f.countRequest(endpoint, now)
+	}
 	candidates := f.available(f.byEndpoint[endpoint], excluded, now)
 	if len(candidates) == 0 {
-		return Target{}, &NoInstanceError{Endpoint: endpoint, Known: len(f.byEndpoint[endpoint]), Excluded: len(excluded)}
+		return Target{}, f.noInstance(endpoint, excluded, now)
 	}
 	best, bestScore := candidates[0], math.Inf(1)
 	for _, in := range candidates {
@@ -32,6 +35,7 @@
 			best, bestScore = in, score
 		}
 	}
+	best.notices.Send()
 	return best.target(), nil
 }
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -164,16 +164,17 @@
 	start    time.Time
 	deadline time.Time // the earlier of the route's timeout and the caller's deadline
 
-	endpoint string
-	excluded map[string]bool // IDs of instances that are not tried again
-	arrivals arrivals        // at instances
-	ran      int             // attempts that may have run the request, prefills excluded
-	attempts []attempt
-	outcome  string
-	status   int
-	reason   string
-	detail   string // the error behind the reason
-	firstMS  int64  // from arrival to the first event or the answer
+	endpoint  string
+	excluded  map[string]bool // IDs of instances that are not tried again
+	arrivals  arrivals        // at instances
+	ran       int             // attempts that may have run the request, prefills excluded
+	attempts  []attempt
+	outcome   string
+	status    int
+	reason    string
+	detail    string        // the error behind the reason
+	notBefore time.Duration // until an instance takes a request again, 0 if unknown
+	firstMS   int64         // from arrival to the first event or the answer
 }
 
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, now time.Time) *call {
@@ -335,11 +336,23 @@
 	maxRetryAfter = 1500 * time.Millisecond
 )
 
-// retryAfter returns a random Retry-After. Its range grows with the route's latency goal,
-// so that callers refused together do not return together.
+// retryAfter returns a random Retry-After, not before an instance takes a request again. Its
+// range grows with the route's latency goal, so that callers refused together do not return
+// together.
 func (c *call) retryAfter() time.Duration {
 	spread := min(max(c.route.Goal/2, minRetryAfter), maxRetryAfter)
-	return minRetryAfter + time.Duration(rand.Int64N(int64(spread)))
+	return max(minRetryAfter, min(c.notBefore, maxRetryAfter)) + time.Duration(rand.Int64N(int64(spread)))
+}
+
+// noteUnplaced records why placement found no instance, and returns the reason for the log.
+func (c *call) noteUnplaced(err error) (reason string) {
+	c.detail = err.Error()
+	var none *placement.NoInstanceError
+	if errors.As(err, &none) && none.Limited > 0 {
+		c.notBefore = none.Wait
+		return "instance_limits"
+	}
+	return "no_instance"
 }
 
 // fail answers with an error of this host rather than of an instance.
--- a/internal/serve/forward/harness_test.go
+++ b/internal/serve/forward/harness_test.go
@@ -186,6 +186,7 @@
 	t.Cleanup(pool.Close)
 	fleet := placement.New(placement.DefaultSettings(), func() float64 { return 0 }, pool.Connected)
 	fleet.Update(view.Snapshot())
+	fleet.SetPeers(1)
 	budgets := NewRetryBudgets(RetryBudgetSettings{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, func() int { return 1 })
 	lines := &lockedBuffer{}
 	s := New(Settings{Zone: "z", ReadTimeout: time.Second}, testDialect{}, fleet, view, pool, budgets,
--- a/internal/serve/forward/silence.go
+++ b/internal/serve/forward/silence.go
@@ -76,7 +76,7 @@
 	excluded[id] = true
 	p := c.prompt(&streamProgress{})
 	p.Excluded = excluded
-	if _, err := c.server.fleet.PlaceDecode(p, "", time.Now()); err != nil {
+	if !c.server.fleet.HasDecoder(p, time.Now()) {
 		return false
 	}
 	return c.arrivals.reserve(1, time.Now())
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -77,11 +77,13 @@
 func (c *call) runPrefilled(plan placement.Plan, prompt *placement.Prompt, handle dialect.KVHandle, p *streamProgress) (result, string) {
 	plan.PrefillTokens, plan.FetchFrom = 0, ""
 	for offers := 1; ; offers++ {
-		var err error
-		if plan.Decode, err = c.server.fleet.PlaceDecode(prompt, plan.Prefill.Zone, time.Now()); err != nil {
+		if offers == 1 && plan.Reserved != nil {
+			plan.Decode = *plan.Reserved
+		} else if decode, err := c.server.fleet.PlaceDecode(prompt, plan.Prefill.Zone, time.Now()); err == nil {
+			plan.Decode = decode
+		} else {
 			c.server.freeHandle(*plan.Prefill, handle)
-			c.detail = err.Error()
-			return notRun, "no_instance"
+			return notRun, c.noteUnplaced(err)
 		}
 		ended, reason := c.run(plan, prompt, handle, p)
 		c.excluded[plan.Decode.ID] = true
@@ -143,13 +145,13 @@
 
 // endUnplaced ends a call that placement found no engine for.
 func (c *call) endUnplaced(err error, p *streamProgress) {
-	c.detail = err.Error()
+	reason := c.noteUnplaced(err)
 	var hopeless *placement.HopelessError
 	if errors.As(err, &hopeless) && c.ran == 0 {
 		c.refuse("hopeless", max(hopeless.RetryAfter(), c.retryAfter()))
 		return
 	}
-	c.endUnfinished("no_instance", p)
+	c.endUnfinished(reason, p)
 }
 
 // endUnfinished ends a call whose stream is incomplete. If the stream has begun, it aborts
@@ -223,6 +225,10 @@
 
 // freeHandle frees a KV cache handle that no engine will fetch.
 func (s *Server) freeHandle(target placement.Target, handle dialect.KVHandle) {
+	if !s.fleet.TakePermit(target, time.Now()) {
+		s.logger.Info("handle not freed", "instance", target.ID, "handle", handle.ID, "reason", "limit of the instance")
+		return
+	}
 	method, path := s.dialect.Free(handle)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -33,9 +33,9 @@
 			if c.awaitInstance(err) {
 				continue
 			}
-			c.detail = err.Error()
+			reason := c.noteUnplaced(err)
 			if failed == nil {
-				c.giveUp("no_instance")
+				c.giveUp(reason)
 				return
 			}
 			break
