Bound a stream's event while it is read, not after its line

An instance in trouble may send bytes without an end. The limit of 1 MiB for an event was checked after each line, so a line without an end filled the memory of the entry host until the caller's deadline. TestEndlessEventDoesNotFillMemory read 64 MiB before and stops within 2 MiB now; events of many short lines were bounded before.

--- a/internal/serve/forward/events.go
+++ b/internal/serve/forward/events.go
@@ -40,19 +40,14 @@
 // next returns the next complete event, or io.EOF after the last one.
 func (r *eventReader) next() (event, error) {
 	var e event
-	for {
-		line, err := r.lines.ReadBytes('\n')
-		e.raw = append(e.raw, line...)
-		if err != nil {
+	for begin := 0; ; begin = len(e.raw) {
+		if err := r.appendLine(&e); err != nil {
 			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0 {
 				return event{}, errTruncatedEvent
 			}
 			return event{}, err
 		}
-		if len(e.raw) > maxEventBytes {
-			return event{}, &EventSizeError{maxEventBytes}
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(e.raw[begin:], "\r\n")
 		if len(text) == 0 {
 			return e, nil
 		}
@@ -61,3 +56,17 @@
 		}
 	}
 }
+
+// appendLine appends the next line, as far as it comes, to an event.
+func (r *eventReader) appendLine(e *event) error {
+	for {
+		part, err := r.lines.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		if len(e.raw) > maxEventBytes {
+			return &EventSizeError{maxEventBytes}
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
