Bound heads, skipped answers and the sum of bodies that are read from instances

An instance in trouble may send a head or a body without an end. Three readers had no bound that holds: http.ReadResponse reads a status line or header fields of any size (380 MB in 3 s, until the caller's deadline); of an answer to another request 1 MiB was skipped and the rest was read as the next answer, so bytes inside it could be passed on as an answer; and 32 MiB for each body is more than a host's memory if several come at once (470 MB of 12 bodies).

Heads are limited to 64 KiB, a skipped answer beyond 1 MiB ends the connection, and the bodies that are being read share 48 MiB. Ruled out: endless early hints and blank lines ended at once before.

--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -32,8 +32,12 @@
 	// It fits the smallest send buffer; a larger one could block, and is written by a
 	// goroutine of its own.
 	inlineRequestBytes = 2 << 10
+	// maxHeadBytes limits the head of an answer.
+	maxHeadBytes = 64 << 10
 	// maxSkipped limits the skipped answers that belong to other requests.
 	maxSkipped = 2
+	// maxBufferedBytes limits the bodies that ReadAll holds at once, of all exchanges.
+	maxBufferedBytes = 48 << 20
 	// maxSkippedBytes limits the body of a skipped answer.
 	maxSkippedBytes = 1 << 20
 )
@@ -47,6 +51,7 @@
 	stop     func() bool // detaches the connection from ctx
 	written  chan error  // receives the result of writing the request
 	bodyRead bool        // the body was read to its end
+	held     int64       // bytes reserved for the body
 	tainted  bool        // the connection carried another request's answer
 }
 
@@ -110,7 +115,7 @@
 // readHeader reads answers until one of them belongs to the request.
 func (a *Answer) readHeader(r *Request) error {
 	for range maxSkipped + 1 {
-		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
+		response, err := a.conn.readHead(r.Method)
 		if err != nil {
 			return err
 		}
@@ -122,8 +127,12 @@
 			return nil
 		}
 		a.tainted = true
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes)); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+		switch {
+		case err != nil:
 			return err
+		case skipped > maxSkippedBytes:
+			return &TooLargeError{maxSkippedBytes} // the rest of it must not be read as an answer
 		}
 	}
 	return errOnlyOtherAnswers
@@ -137,17 +146,58 @@
 	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
 }
 
-// ReadAll reads the whole body, at most limit bytes.
+// FullError reports that the answers that are being read hold all the memory for them.
+type FullError struct{ Limit int64 }
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("the answers that are being read would hold more than %d bytes: send the request again later", e.Limit)
+}
+
+// firstBodyBytes is the space for a body of unknown length, which grows with the body.
+const firstBodyBytes = 4 << 10
+
+// ReadAll reads the whole body, at most limit bytes. What the bodies of all exchanges hold
+// until they are closed is limited as well.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, limit+1))
-	if err != nil {
-		return nil, a.lost(err)
-	}
-	if int64(len(body)) > limit {
+	if a.ContentLength > limit {
 		return nil, a.lost(&TooLargeError{limit})
 	}
-	a.bodyRead = true
-	return body, nil
+	space := int64(firstBodyBytes)
+	if a.ContentLength >= 0 {
+		space = a.ContentLength + 1 // for a read that finds the end
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if err := a.hold(space); err != nil {
+				return nil, a.lost(err)
+			}
+			body = append(make([]byte, 0, int64(len(body))+space), body...)
+			space = int64(cap(body))
+		}
+		n, err := a.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, a.lost(&TooLargeError{limit})
+		case errors.Is(err, io.EOF):
+			a.bodyRead = true
+			return body, nil
+		case err != nil:
+			return nil, a.lost(err)
+		}
+	}
+}
+
+// hold reserves memory for n bytes of the body until the exchange is closed.
+func (a *Answer) hold(n int64) error {
+	if a.pool.held.Add(n) > maxBufferedBytes {
+		a.pool.held.Add(-n)
+		return &FullError{maxBufferedBytes}
+	}
+	a.held += n
+	return nil
 }
 
 // Read reads from the body.
@@ -173,6 +223,8 @@
 // Close returns the connection to the pool if the exchange is complete and no further
 // bytes arrived, and closes it otherwise.
 func (a *Answer) Close() {
+	a.pool.held.Add(-a.held)
+	a.held = 0
 	detached := a.stop()
 	complete := false
 	select {
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -76,6 +77,7 @@
 	dials  *metrics.Counter
 	fails  *metrics.Counter
 	reuses *metrics.Counter
+	held   atomic.Int64 // bytes reserved for bodies by Answer.ReadAll
 
 	mu            sync.Mutex
 	idle          map[string][]*conn       // by address, most recently used last
