Obey instances that say in their answers that they leave or want a pause

Heartbeats were the only source of what hosts believe about an instance. Ruled out that ejection suffices: it lasts 150 ms at first, and the path of last resort returned ejected instances.

The record of an instance's start, which keeps limits, now keeps both, so that every path that asks it obeys: first sends, retries, prefills, decodes, freed handles, last resort. Leaving is final for a start and told to the other hosts with the exchange of load; a pause holds for the host that was asked. Control hosts give such engines no orders and hear the answers to theirs. An answer that is not the instance's own says nothing (unsigned, of another request, of an instance at a reused address). Where nobody is left the caller is refused at once, with the time after which a pause or limit lets a request through.

--- a/internal/control/controlapi/encoding.go
+++ b/internal/control/controlapi/encoding.go
@@ -92,6 +92,7 @@
 		raw = binary.AppendVarint(raw, report.Born)
 		raw = binary.BigEndian.AppendUint32(raw, math.Float32bits(float32(report.Limit)))
 		raw = binary.AppendVarint(raw, report.Age.Milliseconds())
+		raw = binary.AppendVarint(raw, flag(report.Leaving))
 	}
 	return base64.RawStdEncoding.AppendEncode(nil, raw), nil
 }
@@ -104,7 +105,7 @@
 	}
 	*n = make(Notices, r.count())
 	for i := range *n {
-		report := notice.Report{Instance: r.text(), Born: r.varint(), Limit: r.rate(), Age: time.Duration(r.varint()) * time.Millisecond}
+		report := notice.Report{Instance: r.text(), Born: r.varint(), Limit: r.rate(), Age: time.Duration(r.varint()) * time.Millisecond, Leaving: r.varint() != 0}
 		if !(report.Limit >= 0 && report.Limit <= math.MaxFloat32) || report.Age < 0 {
 			return fmt.Errorf("notice of instance %q: limit %v or age %v out of range", report.Instance, report.Limit, report.Age)
 		}
@@ -113,6 +114,14 @@
 	return r.err
 }
 
+// flag encodes a truth value.
+func flag(v bool) int64 {
+	if v {
+		return 1
+	}
+	return 0
+}
+
 func appendString(raw []byte, s string) []byte {
 	return append(binary.AppendUvarint(raw, uint64(len(s))), s...)
 }
--- a/internal/control/controlhost/notices.go
+++ b/internal/control/controlhost/notices.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filberthook/internal/engines/instances"
 	"filberthook/internal/engines/notice"
 )
 
@@ -10,6 +11,9 @@
 	// noticeLifetime is how long a notice is passed on after a host has reported it. Hosts
 	// repeat what holds in each report.
 	noticeLifetime = 10 * time.Second
+	// leavingLifetime replaces noticeLifetime for instances that leave, which is final: they
+	// have ended by then.
+	leavingLifetime = 5 * time.Minute
 	// maxNotices bounds the notices that are kept: several times the instances of a large
 	// deployment.
 	maxNotices = 4096
@@ -39,14 +43,37 @@
 		case !known && len(n.byInstance) >= maxNotices:
 			continue
 		}
+		r.Leaving = r.Leaving || known && r.Born == old.report.Born && old.report.Leaving
 		n.byInstance[r.Instance] = timedNotice{r, heardAt, now, remote}
 	}
 }
 
-// expire deletes what no host has reported for noticeLifetime.
+// Leaving implements stagereconciler.Load.
+func (l *loads) Leaving(in instances.Instance) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, known := l.notices.byInstance[in.ID]
+	return known && t.report.Born == in.Born && t.report.Leaving
+}
+
+// Hear implements stagereconciler.Load. A limit is left to the hosts that send requests.
+func (l *loads) Hear(in instances.Instance, said notice.Said) {
+	if !said.Leaving {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notices.add([]notice.Report{{Instance: in.ID, Born: in.Born, Leaving: true}}, false, time.Now())
+}
+
+// expire deletes what no host has reported for its lifetime.
 func (n *notices) expire(now time.Time) {
 	for id, t := range n.byInstance {
-		if now.Sub(t.reportedAt) > noticeLifetime {
+		lifetime := noticeLifetime
+		if t.report.Leaving {
+			lifetime = leavingLifetime
+		}
+		if now.Sub(t.reportedAt) > lifetime {
 			delete(n.byInstance, id)
 		}
 	}
--- a/internal/control/controlwatch/load.go
+++ b/internal/control/controlwatch/load.go
@@ -85,8 +85,8 @@
 // learn records what other hosts have heard of instances.
 func (e *loadExchange) learn(notices []notice.Report) {
 	for _, n := range e.fleet.LearnNotices(notices, time.Now()) {
-		e.watcher.logger.Info("instance changed its limit", "instance", n.Instance, "born", n.Born, "per_second", n.Limit,
-			"age_ms", n.Age.Milliseconds(), "heard_by", "another host")
+		e.watcher.logger.Info("instance notice", "instance", n.Instance, "born", n.Born, "heard_by", "another host",
+			"per_second", n.Limit, "leaving", n.Leaving, "age_ms", n.Age.Milliseconds())
 	}
 }
 
--- a/internal/control/stagereconciler/reconciler.go
+++ b/internal/control/stagereconciler/reconciler.go
@@ -10,12 +10,14 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/control/staging"
 	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/notice"
 	"filberthook/internal/process/pause"
 )
 
@@ -58,13 +60,19 @@
 
 // Engines sends orders to engines.
 type Engines interface {
-	// SetStage reports whether the engine accepted the order.
-	SetStage(ctx context.Context, o Order) (taken bool, err error)
+	// SetStage reports whether the engine accepted the order, and what its answer says about
+	// the engine.
+	SetStage(ctx context.Context, o Order) (taken bool, said notice.Said, err error)
 }
 
-// Load reports the demand on each endpoint. loaded is false while callers send no requests.
+// Load reports the demand on each endpoint, and what hosts have heard of instances.
 type Load interface {
+	// Demand returns the demand; loaded is false while callers send no requests.
 	Demand() (byEndpoint map[string]staging.Demand, loaded bool)
+	// Leaving reports whether an instance has told any host that it leaves.
+	Leaving(in instances.Instance) bool
+	// Hear records what an answer to this host says about an instance.
+	Hear(in instances.Instance, said notice.Said)
 }
 
 // Reconciler moves engines to the stages that package staging decides on.
@@ -84,6 +92,8 @@
 	termSeenAt time.Time            // when the term was first seen
 	lastOrders map[string]sentOrder // by instance
 	dueSince   map[string]time.Time // since when changes are due, by endpoint
+	// pausedUntil is until when engines want nothing of this host, by instance.
+	pausedUntil map[string]time.Time
 }
 
 // sentOrder is the last order to an engine.
@@ -94,7 +104,7 @@
 
 // Run reconciles stages until ctx ends.
 func (r *Reconciler) Run(ctx context.Context) {
-	r.lastOrders, r.dueSince = map[string]sentOrder{}, map[string]time.Time{}
+	r.lastOrders, r.dueSince, r.pausedUntil = map[string]sentOrder{}, map[string]time.Time{}, map[string]time.Time{}
 	for pause.For(ctx, reconcileInterval) {
 		term, leads := r.Group.Leads()
 		if !leads {
@@ -121,9 +131,10 @@
 		}
 		changing[id] = last.to
 	}
+	maps.DeleteFunc(r.pausedUntil, func(_ string, until time.Time) bool { return time.Now().After(until) })
 	demands, loaded := r.Load.Demand()
 	for endpoint, list := range r.Instances().ByEndpoint {
-		engines := withStage(list)
+		engines := r.orderable(list)
 		if len(engines) == 0 {
 			continue
 		}
@@ -163,10 +174,11 @@
 	return time.Since(since) >= minDue
 }
 
-func withStage(list []instances.Instance) []instances.Instance {
+// orderable returns the engines that have a stage and have not said that they leave.
+func (r *Reconciler) orderable(list []instances.Instance) []instances.Instance {
 	var out []instances.Instance
 	for _, in := range list {
-		if in.Stage != instances.AnyStage {
+		if in.Stage != instances.AnyStage && !r.Load.Leaving(in) {
 			out = append(out, in)
 		}
 	}
@@ -184,8 +196,18 @@
 	if term, leads := r.Group.Leads(); !leads || term != r.term {
 		return false
 	}
+	if until := r.pausedUntil[c.Engine.ID]; time.Now().Before(until) {
+		r.Logger.Info("stage order not sent, the engine has asked for a pause", "instance", c.Engine.ID, "until", until)
+		return true
+	}
 	r.lastOrders[c.Engine.ID] = sentOrder{c.To, time.Now()}
-	taken, err := r.Engines.SetStage(ctx, Order{Engine: c.Engine, Stage: c.To, Holder: r.Host, Fence: r.term})
+	taken, said, err := r.Engines.SetStage(ctx, Order{Engine: c.Engine, Stage: c.To, Holder: r.Host, Fence: r.term})
+	if err == nil {
+		r.Load.Hear(c.Engine, said)
+		if said.Pause > 0 {
+			r.pausedUntil[c.Engine.ID] = time.Now().Add(said.Pause)
+		}
+	}
 	outcome := "taken"
 	if err != nil {
 		outcome = "unknown"
--- a/internal/engines/notice/allowance.go
+++ b/internal/engines/notice/allowance.go
@@ -56,7 +56,7 @@
 	case len(a.valid) > 0:
 		return 0
 	case a.rate <= 0:
-		return math.MaxInt64
+		return Never
 	}
 	return time.Duration(min((1-a.counted)/a.rate, math.MaxInt64/float64(time.Second)-1) * float64(time.Second))
 }
--- a/internal/engines/notice/notice.go
+++ b/internal/engines/notice/notice.go
@@ -6,9 +6,15 @@
 // An instance in need limits the requests that it takes from all hosts together, which
 // know each other's number and load but not each other's requests. Each host takes a share
 // of the limit and spaces its requests evenly.
+//
+// An instance that leaves gets no new request from any host that has heard it, whatever its
+// heartbeats say. A pause holds for the host that the instance has asked for it.
 package notice
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Said is what one answer says about the instance that sent it.
 type Said struct {
@@ -18,22 +24,43 @@
 	// LimitUnreadable is set if the answer has a value for the limit that cannot be read. It
 	// neither names a limit nor ends one.
 	LimitUnreadable bool
+	// Leaving is set if the instance leaves: it finishes what it has and takes nothing new.
+	Leaving bool
+	// Pause is how long the instance wants no request of this host after it has turned one
+	// away, 0 if it does not say.
+	Pause time.Duration
+	// Unreadable names the header fields whose values cannot be read, empty if there are none.
+	Unreadable string
 }
 
+// Change is a set of what a Record did not hold before.
+type Change uint8
+
+// Changes of a Record.
+const (
+	LimitChanged Change = 1 << iota
+	LeavingSaid
+	PauseAsked
+)
+
+// Never is the wait for an instance that leaves.
+const Never = time.Duration(math.MaxInt64)
+
 // Report is what one host has heard of an instance, for the other hosts.
 type Report struct {
 	Instance string
 	Born     int64         // Unix ms of the instance's start
-	Limit    float64       // requests per second, 0 if a limit has ended
-	Age      time.Duration // since the answer that said so
+	Limit    float64       // requests per second, 0 if a limit has ended or was never named
+	Leaving  bool          // final for this start
+	Age      time.Duration // since the answer that told the limit or, without one, that it leaves
 }
 
 const (
 	// usedShare is the part of a limit that hosts use: their shares may add up to more than
 	// the whole while the load shifts between them.
 	usedShare = 0.95
-	// repeatPeriod is how long the end of a limit is reported, in case a report is lost. A
-	// limit is reported while it holds.
+	// repeatPeriod is how long the end of a limit is reported, in case a report is lost. What
+	// holds is reported while it holds.
 	repeatPeriod = 3 * time.Second
 	// retention is how long a record is kept after its last change while the instance is not
 	// announced.
@@ -48,16 +75,53 @@
 	limitAt   time.Time // when the answer arrived that named the limit or ended it
 	own       bool      // this host got that answer
 	allowance *allowance
+
+	leaving     bool
+	leavingAt   time.Time // when this host heard or learned it
+	leavingOwn  bool      // this host has heard it
+	pausedUntil time.Time
 }
 
 // Limit returns the requests per second that the instance takes from all hosts together,
 // 0 if it has named no limit.
 func (r *Record) Limit() float64 { return r.limit }
 
+// Leaving reports whether the instance has said that it leaves.
+func (r *Record) Leaving() bool { return r.leaving }
+
 // Hear records what an answer says that arrives now, to a request that was sent at sentAt.
 // The phase, from [0, 1), tells when this host's first request under a limit is due. Hear
-// reports whether the answer differs from what the record held.
-func (r *Record) Hear(said Said, sentAt, now time.Time, phase float64) bool {
+// returns what the record did not hold before.
+func (r *Record) Hear(said Said, sentAt, now time.Time, phase float64) Change {
+	var changed Change
+	if r.hearLimit(said, sentAt, now, phase) {
+		changed |= LimitChanged
+	}
+	if said.Leaving {
+		r.leavingOwn = true
+		if r.leave(now) {
+			changed |= LeavingSaid
+		}
+	}
+	if until := now.Add(said.Pause); said.Pause > 0 && until.After(r.pausedUntil) {
+		if !now.Before(r.pausedUntil) {
+			changed |= PauseAsked
+		}
+		r.pausedUntil = until
+	}
+	return changed
+}
+
+// leave records that the instance leaves, and reports whether that is new.
+func (r *Record) leave(at time.Time) bool {
+	if r.leaving {
+		return false
+	}
+	r.leaving, r.leavingAt = true, at
+	return true
+}
+
+func (r *Record) hearLimit(said Said, sentAt, now time.Time, phase float64) bool {
 	if said.LimitUnreadable {
 		return false
 	}
@@ -74,15 +138,18 @@
 }
 
 // Learn records what another host has heard, unless the record holds something newer. It
-// reports whether the record has changed.
-func (r *Record) Learn(report Report, now time.Time, phase float64) bool {
-	heardAt := now.Add(-report.Age)
-	if report.Limit == r.limit || !heardAt.After(r.limitAt) {
-		return false
+// returns what the record did not hold before.
+func (r *Record) Learn(report Report, now time.Time, phase float64) Change {
+	var changed Change
+	if report.Leaving && r.leave(now) {
+		changed |= LeavingSaid
 	}
-	r.set(report.Limit, heardAt, now, phase)
-	r.own = false
-	return true
+	if heardAt := now.Add(-report.Age); report.Limit != r.limit && heardAt.After(r.limitAt) {
+		r.set(report.Limit, heardAt, now, phase)
+		r.own = false
+		changed |= LimitChanged
+	}
+	return changed
 }
 
 func (r *Record) set(limit float64, heardAt, now time.Time, phase float64) {
@@ -98,21 +165,31 @@
 // Report returns what the other hosts should know. The second result is false if this host
 // has heard nothing that matters to them.
 func (r *Record) Report(id string, now time.Time) (Report, bool) {
-	age := now.Sub(r.limitAt)
-	if !r.own || r.limit == 0 && age > repeatPeriod {
-		return Report{}, false
+	out := Report{Instance: id, Born: r.Born, Leaving: r.leaving, Age: now.Sub(r.leavingAt)}
+	limitMatters := r.own && (r.limit > 0 || now.Sub(r.limitAt) <= repeatPeriod)
+	if limitMatters {
+		out.Limit, out.Age = r.limit, now.Sub(r.limitAt)
 	}
-	return Report{Instance: id, Born: r.Born, Limit: r.limit, Age: age}, true
+	return out, limitMatters || r.leavingOwn
 }
 
 // Wait returns how long this host must wait before it may send the instance a request, 0
 // if it may now. The share is this host's part of all requests to the endpoint.
 func (r *Record) Wait(share float64, now time.Time) time.Duration {
-	if r.allowance == nil {
-		return 0
+	if r.leaving {
+		return Never
+	}
+	wait := max(0, r.pausedUntil.Sub(now))
+	if r.allowance != nil {
+		r.allowance.advance(usedShare*share*r.limit, now)
+		wait = max(wait, r.allowance.wait())
 	}
-	r.allowance.advance(usedShare*share*r.limit, now)
-	return r.allowance.wait()
+	return wait
+}
+
+// Restricted reports whether Wait can be other than 0.
+func (r *Record) Restricted(now time.Time) bool {
+	return r.leaving || r.limit > 0 || now.Before(r.pausedUntil)
 }
 
 // Send counts a request that is sent to the instance now, after Wait has returned 0.
@@ -123,4 +200,12 @@
 }
 
 // Expired reports whether the record of an instance that is not announced may be deleted.
-func (r *Record) Expired(now time.Time) bool { return now.Sub(r.limitAt) > retention }
+func (r *Record) Expired(now time.Time) bool {
+	last := r.limitAt
+	for _, at := range []time.Time{r.leavingAt, r.pausedUntil} {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return now.Sub(last) > retention
+}
--- a/internal/engines/placement/health.go
+++ b/internal/engines/placement/health.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"filberthook/internal/engines/notice"
+)
 
 // Ejection times: a failed instance gets no requests for this long.
 const (
@@ -104,8 +108,8 @@
 }
 
 // available returns the instances that may get a request: neither excluded nor ejected
-// nor in an avoided zone, and within the limit that they have named. If there are none, it
-// returns the ejected and avoided ones within their limits.
+// nor in an avoided zone, and not against what they have said themselves. If there are none,
+// it returns the ejected and avoided ones of which the latter holds.
 func (f *Fleet) available(list []*instance, excluded map[string]bool, now time.Time) []*instance {
 	var out, ejected []*instance
 	for _, in := range list {
@@ -123,10 +127,10 @@
 	return out
 }
 
-// wait returns how long an instance's limit allows no request of this host. The caller holds
-// f.mu.
+// wait returns how long an instance takes no request of this host by what it has said, or
+// notice.Never. The caller holds f.mu.
 func (f *Fleet) wait(in *instance, now time.Time) time.Duration {
-	if in.notices.Limit() == 0 {
+	if !in.notices.Restricted(now) {
 		return 0
 	}
 	return in.notices.Wait(f.limitShare(in.Endpoint, now), now)
@@ -138,13 +142,13 @@
 	e := &NoInstanceError{Endpoint: endpoint, Known: len(f.byEndpoint[endpoint]), Excluded: len(excluded)}
 	for _, in := range f.byEndpoint[endpoint] {
 		wait := f.wait(in, now)
-		if wait == 0 || excluded[in.ID] {
+		if wait == 0 || wait == notice.Never || excluded[in.ID] {
 			continue
 		}
-		if e.Limited == 0 || wait < e.Wait {
+		if e.Later == 0 || wait < e.Wait {
 			e.Wait = wait
 		}
-		e.Limited++
+		e.Later++
 	}
 	return e
 }
--- a/internal/engines/placement/notices.go
+++ b/internal/engines/placement/notices.go
@@ -10,18 +10,23 @@
 	// peerRequestsTTL is how long the request rate of the other hosts is used after it was
 	// reported. Without it all hosts have equal shares of a limit.
 	peerRequestsTTL = 3 * time.Second
+	// unlistedReportPeriod is how long an instance is reported that is not announced any more:
+	// other hosts may still have it in their lists.
+	unlistedReportPeriod = 10 * time.Second
 	// maxShareFactor bounds a host's share of a limit, in multiples of an equal share: a
 	// control host that is cut off from others knows only a part of the load.
 	maxShareFactor = 3
 )
 
 // Hear records what an answer says about the instance that sent it, to a request that was
-// sent at sentAt. It reports whether that differs from what this host knew.
-func (f *Fleet) Hear(t Target, said notice.Said, sentAt, now time.Time) bool {
+// sent at sentAt. It returns what this host did not know before.
+func (f *Fleet) Hear(t Target, said notice.Said, sentAt, now time.Time) notice.Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	r := f.record(t.ID, t.Born)
-	return r != nil && r.Hear(said, sentAt, now, f.random())
+	if r := f.record(t.ID, t.Born); r != nil {
+		return r.Hear(said, sentAt, now, f.random())
+	}
+	return 0
 }
 
 // Limit returns the requests per second that an instance takes from all hosts together, 0
@@ -35,13 +40,14 @@
 	return 0
 }
 
-// LimitedInstances returns how many announced instances have a limit.
-func (f *Fleet) LimitedInstances() int {
+// RestrictedInstances returns how many announced instances have a limit, have asked this
+// host for a pause or have said that they leave.
+func (f *Fleet) RestrictedInstances(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, in := range f.byID {
-		if in.notices.Limit() > 0 {
+		if in.notices.Restricted(now) {
 			n++
 		}
 	}
@@ -54,20 +60,22 @@
 	defer f.mu.Unlock()
 	var out []notice.Report
 	for id, r := range f.notices {
-		if report, ok := r.Report(id, now); ok {
+		report, ok := r.Report(id, now)
+		if ok && (f.byID[id] != nil || report.Age < unlistedReportPeriod) {
 			out = append(out, report)
 		}
 	}
 	return out
 }
 
-// LearnNotices records what other hosts have heard. It returns the reports that were news.
+// LearnNotices records what other hosts have heard. It returns the reports that are news
+// for this host.
 func (f *Fleet) LearnNotices(reports []notice.Report, now time.Time) []notice.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var news []notice.Report
 	for _, report := range reports {
-		if r := f.record(report.Instance, report.Born); r != nil && r.Learn(report, now, f.random()) {
+		if r := f.record(report.Instance, report.Born); r != nil && r.Learn(report, now, f.random()) != 0 {
 			news = append(news, report)
 		}
 	}
--- a/internal/engines/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -144,17 +144,17 @@
 	Endpoint string
 	Known    int // announced instances
 	Excluded int // instances already tried
-	// Limited counts the instances that would take the request later, after Wait at the
-	// earliest: they limit the requests that they take.
-	Limited int
-	Wait    time.Duration
+	// Later counts the instances that take no request of this host now, as they have named a
+	// limit or asked for a pause, but will after Wait at the earliest.
+	Later int
+	Wait  time.Duration
 }
 
 // Error implements error.
 func (e *NoInstanceError) Error() string {
 	text := fmt.Sprintf("no instance of %q can take the request: %d announced, %d tried already", e.Endpoint, e.Known, e.Excluded)
-	if e.Limited > 0 {
-		text += fmt.Sprintf(", %d limit their requests, the first of them for another %v: come back then", e.Limited, e.Wait)
+	if e.Later > 0 {
+		text += fmt.Sprintf(", %d have named a limit or asked for a pause, the first of them for another %v: come back then", e.Later, e.Wait)
 	}
 	return text
 }
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -95,7 +95,7 @@
 	h.watcher = controlwatch.New(h.clients, h.view, config, h.logger)
 	set.GetOrCreateGauge("filberthook_entry_config_version", func() float64 { return float64(config.Version()) })
 	set.GetOrCreateGauge("filberthook_entry_control_hosts", func() float64 { return float64(h.watcher.Connected()) })
-	set.GetOrCreateGauge("filberthook_entry_limited_instances", func() float64 { return float64(h.fleet.LimitedInstances()) })
+	set.GetOrCreateGauge("filberthook_entry_restricted_instances", func() float64 { return float64(h.fleet.RestrictedInstances(time.Now())) })
 	set.GetOrCreateGauge("filberthook_entry_requests", func() float64 { return float64(h.server.Active()) })
 	return h
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -49,16 +49,16 @@
 
 // Server serves callers' requests. It implements http.Handler.
 type Server struct {
-	settings  Settings
-	dialect   dialect.Dialect
-	fleet     *placement.Fleet
-	view      *instances.View
-	pool      *upstream.Pool
-	budgets   *RetryBudgets
-	logger    *slog.Logger
-	answered  *logsink.Sampler // limits the log lines of requests without failures
-	malformed *logsink.Sampler // limits the log lines of unreadable notices
-	metrics   *metrics.Set
+	settings   Settings
+	dialect    dialect.Dialect
+	fleet      *placement.Fleet
+	view       *instances.View
+	pool       *upstream.Pool
+	budgets    *RetryBudgets
+	logger     *slog.Logger
+	answered   *logsink.Sampler // limits the log lines of requests without failures
+	unreadable *logsink.Sampler // limits the log lines of unreadable notices
+	metrics    *metrics.Set
 
 	table        atomic.Pointer[routes.Table]
 	configured   chan struct{}             // closed by the first SetTable
@@ -73,7 +73,7 @@
 	return &Server{
 		settings: s, dialect: d, fleet: fleet, view: view, pool: pool, budgets: budgets,
 		logger: logger, answered: logsink.NewSampler(maxAnsweredLinesPerSecond),
-		malformed: logsink.NewSampler(maxMalformedLinesPerSecond), metrics: set,
+		unreadable: logsink.NewSampler(maxUnreadableLinesPerSecond), metrics: set,
 		configured: make(chan struct{}),
 	}
 }
@@ -294,7 +294,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c.server.hear(c.meta.ID, target, c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header).Said, sentAt)
+	if decoded := c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header); trustworthy(answer.StatusCode, decoded, options.PrefillOnly) {
+		c.server.hear(c.meta.ID, target, decoded.Said, sentAt)
+	}
 	return answer, nil
 }
 
@@ -348,9 +350,9 @@
 func (c *call) noteUnplaced(err error) (reason string) {
 	c.detail = err.Error()
 	var none *placement.NoInstanceError
-	if errors.As(err, &none) && none.Limited > 0 {
+	if errors.As(err, &none) && none.Later > 0 {
 		c.notBefore = none.Wait
-		return "instance_limits"
+		return "not_before"
 	}
 	return "no_instance"
 }
--- a/internal/serve/forward/notices.go
+++ b/internal/serve/forward/notices.go
@@ -1,29 +1,52 @@
 package forward
 
 import (
+	"net/http"
 	"time"
 
 	"filberthook/internal/engines/notice"
 	"filberthook/internal/engines/placement"
+	"filberthook/internal/serve/dialect"
 )
 
-// maxMalformedLinesPerSecond limits the log lines of notices that cannot be read.
-const maxMalformedLinesPerSecond = 1
+// maxUnreadableLinesPerSecond limits the log lines of notices that cannot be read.
+const maxUnreadableLinesPerSecond = 1
 
-// hear records what an answer says about the instance that sent it, and logs it if it is
-// new to this host. The request was sent at sentAt.
+// trustworthy reports whether an answer is the instance's own, so that what it says about
+// the instance counts. Answers to a prefill carry no signature, and a misdirected request
+// was answered by another instance.
+func trustworthy(status int, answer dialect.Answer, prefill bool) bool {
+	if answer.Misdirected {
+		return false
+	}
+	return answer.Signed || answer.NotRun || prefill || status >= http.StatusMultipleChoices
+}
+
+// hear records what an answer says about the instance that sent it, and logs what is new to
+// this host. The request was sent at sentAt.
 func (s *Server) hear(requestID string, target placement.Target, said notice.Said, sentAt time.Time) {
-	if said.LimitUnreadable {
-		s.metrics.GetOrCreateCounter(`filberthook_entry_notices_total{notice="unreadable"}`).Inc()
-		if keep, leftOut := s.malformed.Allow(time.Now()); keep {
-			s.logger.Warn("limit in an instance's answer is not a number of 0 or more", "id", requestID, "instance", target.ID, "left_out", leftOut)
+	now := time.Now()
+	if said.Unreadable != "" {
+		s.countNotice("unreadable")
+		if keep, leftOut := s.unreadable.Allow(now); keep {
+			s.logger.Warn("answer says something about its instance that cannot be read", "id", requestID, "instance", target.ID,
+				"fields", said.Unreadable, "left_out", leftOut)
 		}
 	}
 	before := s.fleet.Limit(target)
-	if !s.fleet.Hear(target, said, sentAt, time.Now()) {
+	changed := s.fleet.Hear(target, said, sentAt, now)
+	if changed == 0 {
 		return
 	}
-	s.metrics.GetOrCreateCounter(`filberthook_entry_notices_total{notice="limit"}`).Inc()
-	s.logger.Info("instance changed its limit", "id", requestID, "instance", target.ID, "born", target.Born,
-		"per_second", said.Limit, "before", before)
+	for change, name := range map[notice.Change]string{notice.LimitChanged: "limit", notice.LeavingSaid: "leaving", notice.PauseAsked: "pause"} {
+		if changed&change != 0 {
+			s.countNotice(name)
+		}
+	}
+	s.logger.Info("instance notice", "id", requestID, "instance", target.ID, "born", target.Born, "heard_by", "this host",
+		"per_second", said.Limit, "before", before, "leaving", said.Leaving, "pause_ms", said.Pause.Milliseconds())
+}
+
+func (s *Server) countNotice(name string) {
+	s.metrics.GetOrCreateCounter(`filberthook_entry_notices_total{notice="` + name + `"}`).Inc()
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -226,7 +226,7 @@
 // freeHandle frees a KV cache handle that no engine will fetch.
 func (s *Server) freeHandle(target placement.Target, handle dialect.KVHandle) {
 	if !s.fleet.TakePermit(target, time.Now()) {
-		s.logger.Info("handle not freed", "instance", target.ID, "handle", handle.ID, "reason", "limit of the instance")
+		s.logger.Info("handle not freed", "instance", target.ID, "handle", handle.ID, "reason", "the instance takes no request now")
 		return
 	}
 	method, path := s.dialect.Free(handle)
