Take no answer without an id on a connection that was used before

Callers could get an answer that is not theirs: a late second copy of a failure or refusal that bears no request id, written to a kept connection after the next request had gone out, was taken as the answer to that request. A late 503 that says 'not run' would even have let a request that runs be sent again. Answers without an id are taken on new connections only; on others they are skipped like answers with another id, and the connection is not used again.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -274,9 +274,9 @@
 		Header:     c.server.dialect.EncodeRequest(c.header, send),
 		Body:       c.body,
 		AtMostOnce: !c.route.Idempotent() && !send.PrefillOnly,
-		Accept: func(r *http.Response) bool {
+		Accept: func(r *http.Response, reused bool) bool {
 			id := c.server.dialect.DecodeAnswer(r.StatusCode, r.Header).RequestID
-			return id == c.meta.ID || id == "" && r.StatusCode >= http.StatusBadRequest
+			return id == c.meta.ID || id == "" && r.StatusCode >= http.StatusBadRequest && !reused
 		},
 	}
 }
--- a/internal/serve/forward/harness_test.go
+++ b/internal/serve/forward/harness_test.go
@@ -95,6 +95,7 @@
 	mu       sync.Mutex
 	requests []*http.Request
 	server   *httptest.Server
+	raw      net.Listener // replaces server, if set
 }
 
 func (i *instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -175,10 +176,16 @@
 	t.Helper()
 	var changes []instances.Change
 	for n, i := range list {
-		i.server = httptest.NewServer(i)
-		t.Cleanup(i.server.Close)
+		address := ""
+		if i.raw != nil {
+			address = i.raw.Addr().String()
+		} else {
+			i.server = httptest.NewServer(i)
+			t.Cleanup(i.server.Close)
+			address = i.server.Listener.Addr().String()
+		}
 		changes = append(changes, instances.Change{Instance: instances.Instance{
-			ID: i.id, Born: int64(n + 1), Sequence: 1, Endpoint: "e", Address: i.server.Listener.Addr().String(),
+			ID: i.id, Born: int64(n + 1), Sequence: 1, Endpoint: "e", Address: address,
 			Zone: "z", Slots: 8, Stage: i.stage,
 		}})
 	}
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -22,9 +22,9 @@
 	// or one within a stricter idle limit, as it cannot be retried if an idle connection
 	// turns out to be closed.
 	AtMostOnce bool
-	// Accept reports whether an answer belongs to the request; others are skipped. Nil
-	// accepts every answer.
-	Accept func(*http.Response) bool
+	// Accept reports whether an answer belongs to the request; others are skipped. On a
+	// reused connection it may be a late one to an earlier request. Nil accepts every answer.
+	Accept func(answer *http.Response, reused bool) bool
 }
 
 const (
@@ -122,7 +122,7 @@
 		if response.StatusCode < 200 {
 			continue // informational answers are hop-by-hop
 		}
-		if r.Accept == nil || r.Accept(response) {
+		if r.Accept == nil || r.Accept(response, a.conn.reused) {
 			a.Response = response
 			return nil
 		}
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -78,7 +78,7 @@
 	h.Set("X-Id", id)
 	return &Request{
 		Method: http.MethodGet, Target: "/x", Host: "a.example", Header: h,
-		Accept: func(r *http.Response) bool { return r.Header.Get("X-Id") == id },
+		Accept: func(r *http.Response, _ bool) bool { return r.Header.Get("X-Id") == id },
 	}
 }
 
