Judge stalls by events and by the route's goal for their gaps

Two faults of one measure. A sound stream with a pause of 1.5 s was cut and run again elsewhere, though its route's goal allows gaps of 2 s: the stall timeout was 1 s for every route. It is now four times the goal, at least 1 s, which is half of what callers wait. Comments are passed on but are no progress; those before the first event wait for it, so that another engine can still answer.

The constant of two other tests has a new name, minStallTimeout, and its old value.

--- a/internal/serve/forward/events.go
+++ b/internal/serve/forward/events.go
@@ -15,6 +15,9 @@
 type event struct {
 	raw []byte // including the blank line that ends it
 	id  string // empty when the event has none
+	// comment is set if there is no field, only comments, which say nothing about the progress
+	// of the answer.
+	comment bool
 }
 
 // eventReader splits a stream into complete events. If an instance stops within an
@@ -39,7 +42,7 @@
 
 // next returns the next complete event, or io.EOF after the last one.
 func (r *eventReader) next() (event, error) {
-	var e event
+	e := event{comment: true}
 	for begin := 0; ; begin = len(e.raw) {
 		if err := r.appendLine(&e); err != nil {
 			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0 {
@@ -51,6 +54,9 @@
 		if len(text) == 0 {
 			return e, nil
 		}
+		if text[0] != ':' {
+			e.comment = false
+		}
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/serve/forward/silence.go
+++ b/internal/serve/forward/silence.go
@@ -17,10 +17,18 @@
 	generateSilenceTimeout = 900 * time.Millisecond
 	// estimateFactor multiplies the estimated time to first token, which can be too short.
 	estimateFactor = 4
-	// stallTimeout applies between two events. It exceeds the pauses of a healthy stream.
-	stallTimeout = 1000 * time.Millisecond
+	// minStallTimeout applies between two events. It exceeds the pauses of a healthy stream.
+	minStallTimeout = 1000 * time.Millisecond
+	// stallGapFactor multiplies the route's goal for the gap between events: a stream may
+	// exceed it and still be sound. Callers abandon a stream at twice that.
+	stallGapFactor = 4
 )
 
+// stallTimeout returns how long the engine may send no event after the first one.
+func (c *call) stallTimeout() time.Duration {
+	return max(minStallTimeout, stallGapFactor*c.route.GapGoal)
+}
+
 // silenceWatch cancels an attempt when its engine has stopped sending, both for the attempt
 // and for all other requests of this host. It keeps waiting for an engine that is slow.
 type silenceWatch struct {
@@ -82,7 +90,7 @@
 	return c.arrivals.reserve(1, time.Now())
 }
 
-// noteProgress records an event of the attempt and, from then on, applies stallTimeout.
+// noteProgress records an event of the attempt and, from then on, applies the stall timeout.
 func (s *silenceWatch) noteProgress() {
 	now := time.Now()
 	s.call.server.fleet.Progress(s.engineID, now)
@@ -90,7 +98,7 @@
 	defer s.mu.Unlock()
 	s.lastProgress = now
 	if s.timeout > 0 {
-		s.timeout = stallTimeout
+		s.timeout = s.call.stallTimeout()
 	}
 }
 
@@ -104,7 +112,7 @@
 		return placement.Silent
 	case s.call.ctx.Err() == nil:
 		return placement.NoContact
-	case time.Since(lastProgress) > stallTimeout && !s.call.server.fleet.ProgressSince(s.engineID, lastProgress):
+	case time.Since(lastProgress) > s.call.stallTimeout() && !s.call.server.fleet.ProgressSince(s.engineID, lastProgress):
 		return placement.Silent
 	default:
 		return placement.Canceled
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -319,6 +319,7 @@
 func (c *call) passEvents(answer *upstream.Answer, inFlight *placement.InFlight, p *streamProgress, watch *silenceWatch) error {
 	controller := http.NewResponseController(c.w)
 	events := newEventReader(answer)
+	var early []byte // comments before the first event
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -330,6 +331,12 @@
 		if err != nil {
 			return err
 		}
+		if e.comment && !p.started {
+			if early = append(early, e.raw...); len(early) > maxEventBytes {
+				return &EventSizeError{maxEventBytes}
+			}
+			continue
+		}
 		if p.events == 0 {
 			c.firstMS = time.Since(c.start).Milliseconds()
 		}
@@ -338,15 +345,18 @@
 			copyHeader(c.w.Header(), answer.Header)
 			c.w.WriteHeader(answer.StatusCode)
 		}
-		c.server.fleet.PrefillDone(inFlight, time.Now())
-		watch.noteProgress()
-		p.events++
+		if !e.comment {
+			c.server.fleet.PrefillDone(inFlight, time.Now())
+			watch.noteProgress()
+			p.events++
+		}
 		if e.id != "" {
 			p.lastEventID = e.id
 		}
-		if _, err := c.w.Write(e.raw); err != nil {
+		if _, err := c.w.Write(append(early, e.raw...)); err != nil {
 			return err
 		}
+		early = nil
 		if err := controller.Flush(); err != nil {
 			return err
 		}
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -274,7 +274,7 @@
 func TestSilentOnlyEngineIsWaitedFor(t *testing.T) {
 	a := engine("a", instances.Decode, func(w http.ResponseWriter, _ *http.Request) {
 		writeEvent(w, 1)
-		time.Sleep(stallTimeout + 400*time.Millisecond)
+		time.Sleep(minStallTimeout + 400*time.Millisecond)
 		writeEvent(w, 2)
 	})
 	h := start(t, route(routes.Stream, resumable), a)
@@ -287,7 +287,7 @@
 func TestNonResumableStreamIsWaitedFor(t *testing.T) {
 	a := engine("a", instances.Decode, func(w http.ResponseWriter, _ *http.Request) {
 		writeEvent(w, 1)
-		time.Sleep(stallTimeout + 300*time.Millisecond)
+		time.Sleep(minStallTimeout + 300*time.Millisecond)
 		writeEvent(w, 2)
 	})
 	h := start(t, route(routes.Stream, nil), a, engine("b", instances.Decode, streamer(2)))
