Limit the time to write an answer to a caller that has stopped reading

A caller that stops reading, or reads a byte now and then, held its request and the engine's run for as long as it kept the connection: reading from the engine ends with the deadline, a blocked write to the caller did not. Writes now end a second after the request's deadline; requests without a route have 10 s. The limit is cleared when the connection becomes idle.

--- a/internal/serve/entryhost/idle.go
+++ b/internal/serve/entryhost/idle.go
@@ -99,6 +99,8 @@
 	}
 	if state == http.StateIdle {
 		c.markIdle()
+		// Ignore the error: the connection has ended.
+		_ = c.SetWriteDeadline(time.Time{}) // set by the request that has ended
 	}
 	if state == http.StateIdle || state == http.StateNew {
 		i.timers[c] = time.AfterFunc(i.limit(), c.closeIfIdle)
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -104,6 +104,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
+	limitWriting(w, arrived.Add(maxRefusalTime))
 	t := s.awaitTable(w, r)
 	if t == nil {
 		s.refuseEarly(w, r, http.StatusServiceUnavailable, "no_configuration", unconfiguredRetryAfter)
@@ -119,6 +120,7 @@
 	}
 	c := s.newCall(w, r, t, route, arrived)
 	defer c.finish()
+	limitWriting(w, c.deadline.Add(writeSlack))
 	if !c.readBody(t.Limits) {
 		return
 	}
@@ -132,6 +134,19 @@
 	}
 }
 
+const (
+	// maxRefusalTime bounds a request that is refused before it has a route.
+	maxRefusalTime = 10 * time.Second
+	// writeSlack is how long after a request's deadline its last bytes may be written.
+	writeSlack = time.Second
+)
+
+// limitWriting ends the writes of an answer whose caller has stopped reading.
+func limitWriting(w http.ResponseWriter, deadline time.Time) {
+	// Ignore the error: some tests use connections that do not support deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline)
+}
+
 // refuseEarly refuses a request that was not matched to a route yet.
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, status int, reason string, after time.Duration) {
 	s.logger.Info("request refused", "id", s.dialect.DecodeRequest(r.Header).ID, "authority", r.Host, "path", r.URL.Path,
--- /dev/null
+++ b/internal/serve/forward/stopped_caller_test.go
@@ -0,0 +1,40 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/serve/routes"
+)
+
+func TestCallerThatStopsReadingIsCutAfterTheDeadline(t *testing.T) {
+	t.Parallel()
+	gone := make(chan struct{})
+	endless := &instance{id: "e", stage: instances.Decode, serve: func(w http.ResponseWriter, r *http.Request) {
+		defer close(gone)
+		for id := 1; r.Context().Err() == nil; id++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, strings.Repeat("a", 64<<10)); err != nil {
+				return
+			}
+		}
+	}}
+	h := start(t, route(routes.Stream, func(r *routes.Route) { r.Timeout = time.Second }), endless)
+	c, err := net.Dial("tcp", h.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if len(endless.requests) > 0 && h.server.Active() == 0 {
+			return
+		}
+	}
+	t.Error("the request is still held 3 s after its timeout, as its caller reads nothing")
+}
