Read a body until its request's deadline, however slow its caller is

A sound caller on a slow link was cut after 10 s, whatever its route's timeout allows. Bodies of routed requests are read until the request's deadline, which a caller that sends a byte now and then meets as well; the fixed limit is left for hosts without a configuration. TestSlowSoundUploadIsNotCut failed before (no answer).

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -33,7 +33,8 @@
 // Settings configures a Server.
 type Settings struct {
 	Zone string // the host's availability zone
-	// ReadTimeout limits the time to read a request's body.
+	// ReadTimeout limits the time to read a body while the host has no configuration; then
+	// the deadline of the request does.
 	ReadTimeout time.Duration
 }
 
@@ -235,7 +236,7 @@
 		c.fail(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	}
-	body, err := readBodyWithin(c.w, c.r, maxBytes, earlier(c.deadline, time.Now().Add(c.server.settings.ReadTimeout)))
+	body, err := readBodyWithin(c.w, c.r, maxBytes, c.deadline)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/internal/serve/forward/stopped_caller_test.go
+++ b/internal/serve/forward/stopped_caller_test.go
@@ -38,3 +38,24 @@
 	}
 	t.Error("the request is still held 3 s after its timeout, as its caller reads nothing")
 }
+
+func TestSlowSoundUploadIsNotCut(t *testing.T) {
+	t.Parallel()
+	h := start(t, route(routes.Safe, nil), service("i", func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(w, r.Body)
+	}))
+	c, err := net.Dial("tcp", h.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\nConnection: close\r\nContent-Length: 15\r\n\r\n")
+	for range 15 { // longer than the host's ReadTimeout, within the route's timeout
+		time.Sleep(100 * time.Millisecond)
+		io.WriteString(c, "a")
+	}
+	answer, err := io.ReadAll(c)
+	if err != nil || !strings.HasSuffix(string(answer), strings.Repeat("a", 15)) {
+		t.Errorf("answer %q, error %v", answer, err)
+	}
+}
