Make answers that break off look incomplete to HTTP/1.0 callers too

A caller that speaks HTTP/1.0 gets its answer without chunks, up to the end of the connection. A stream that broke off ended with an orderly close, so the caller took half of it for the whole: a success that is none. Such connections are reset now. Whole answers of over 2 kB had no length either, so that one cut by the end of the process would have looked complete; they tell their length now.

TestAnswerThatBreaksOffDoesNotLookCompleteToOldCallers and TestWholeAnswersSayHowLongTheyAre failed before. HTTP/1.1 callers saw a missing last chunk before as now (TestStreamsArriveWholeAndInOrder).

--- a/internal/serve/entryhost/idle.go
+++ b/internal/serve/entryhost/idle.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -28,6 +29,15 @@
 	closed bool // set by closeIfIdle
 }
 
+// SetLinger sets what Close does with unsent bytes; see net.TCPConn.
+func (c *callerConn) SetLinger(sec int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(sec)
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -244,7 +244,7 @@
 		return false
 	case err != nil:
 		c.outcome, c.reason = "cut", "body_not_read"
-		panic(http.ErrAbortHandler)
+		c.abort()
 	}
 	c.body = body
 	return true
@@ -334,7 +334,7 @@
 	switch {
 	case c.callerGone():
 		c.outcome, c.reason = "caller_left", reason
-		panic(http.ErrAbortHandler)
+		c.abort()
 	case c.ran == 0:
 		c.refuse(reason, c.retryAfter())
 	case !time.Now().Before(c.deadline):
@@ -344,6 +344,20 @@
 	}
 }
 
+// abort ends the connection without a complete answer. Answers to HTTP/1.0 callers may end
+// with the connection, so that an orderly end would make the answer look complete: it is reset.
+func (c *call) abort() {
+	if !c.r.ProtoAtLeast(1, 1) {
+		if conn, _, err := http.NewResponseController(c.w).Hijack(); err == nil {
+			if l, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+				_ = l.SetLinger(0) // fails only if the connection has ended
+			}
+			conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // callerGone reports whether the caller has closed its connection.
 func (c *call) callerGone() bool { return c.r.Context().Err() != nil }
 
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -165,7 +165,7 @@
 	if c.callerGone() {
 		c.outcome = "caller_left"
 	}
-	panic(http.ErrAbortHandler)
+	c.abort()
 }
 
 // prefill runs the prompt's prefill on a prefill engine. It returns the handle of the KV cache,
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"filberthook/internal/engines/placement"
@@ -177,6 +178,9 @@
 		return
 	}
 	copyHeader(c.w.Header(), got.header)
+	if len(got.body) > 0 { // answers to HEAD have none and tell the length of another
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
+	}
 	c.w.WriteHeader(got.status)
 	// Ignore the error: the caller has disconnected.
 	_, _ = c.w.Write(got.body)
