Keep a process up when a peer's accept or one of its calls fails

One unexpected error took a whole process down in two ways. A failed accept, as without a free file descriptor, ended the peer server and with it the control host; it is now retried after a pause, as net/http does for callers. A panic in the handler of a call from another host ended the process; it is now the error of that call, logged with its stack. Broken invariants still end the process, as designed.

Reports of any content, exchanged and applied at random (TestReportsOfAnyContentDoNotPanic), found no panic.

--- a/internal/control/controlhost/loads_test.go
+++ b/internal/control/controlhost/loads_test.go
@@ -3,10 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"filberthook/internal/control/controlapi"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/notice"
 	"filberthook/internal/engines/placement"
 )
 
@@ -119,3 +124,48 @@
 	}
 	b.ReportMetric(float64(bytes)/float64(b.N), "answer-bytes/op")
 }
+
+func TestReportsOfAnyContentDoNotPanic(t *testing.T) {
+	ids := rapid.SampledFrom([]string{"", "i", "j"})
+	report := rapid.Custom(func(t *rapid.T) controlapi.LoadReport {
+		r := controlapi.LoadReport{
+			IntervalMS:   rapid.Int64().Draw(t, "interval"),
+			Tokens:       rapid.MapOfN(ids, rapid.SliceOfN(rapid.Int64(), 0, 12), 0, 3).Draw(t, "tokens"),
+			Requests:     rapid.MapOfN(ids, rapid.Float64(), 0, 3).Draw(t, "requests"),
+			UpdatesEpoch: rapid.SampledFrom([]string{"", "one"}).Draw(t, "epoch"), UpdatesPosition: rapid.Uint64().Draw(t, "position"),
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "updates") {
+			r.Updates = append(r.Updates, placement.CacheUpdate{
+				Instance: ids.Draw(t, "id"), PrefixKeys: rapid.SliceOfN(rapid.Uint64(), 0, 3).Draw(t, "sent"),
+				Prefilled: rapid.SliceOfN(rapid.Uint64(), 0, 3).Draw(t, "prefilled"), PrefillRate: rapid.Float64().Draw(t, "rate"),
+			})
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "notices") {
+			r.Notices = append(r.Notices, notice.Report{
+				Instance: ids.Draw(t, "id"), Born: rapid.Int64().Draw(t, "born"), Limit: rapid.Float64().Draw(t, "limit"),
+				Leaving: rapid.Bool().Draw(t, "leaving"), Age: time.Duration(rapid.Int64().Draw(t, "age")),
+			})
+		}
+		return r
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := newLoads("one"), time.Unix(1_800_000_000, 0)
+		fleet := placement.New(placement.DefaultSettings(), rand.Float64, func(string) bool { return true })
+		fleet.Update(&instances.Snapshot{ByEndpoint: map[string][]instances.Instance{"e": {{ID: "i", Born: 1, Endpoint: "e"}, {ID: "j", Born: 2, Endpoint: "e"}}}})
+		for range rapid.IntRange(1, 8).Draw(t, "reports") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "digest") {
+				l.receiveDigest("c", report.Draw(t, "report"), now)
+				continue
+			}
+			answer := l.exchange(ids.Draw(t, "host"), report.Draw(t, "report"), now)
+			fleet.SetPeers(2)
+			fleet.SetPeerRequests(answer.Requests, now)
+			fleet.LearnNotices(answer.Notices, now)
+			fleet.ApplyUpdates(answer.Updates, now)
+			_, _ = fleet.PlaceService("e", "z", nil, now) // may find no instance
+			l.digest(0, now)
+			l.Demand()
+		}
+	})
+}
--- a/internal/network/peer/server.go
+++ b/internal/network/peer/server.go
@@ -7,11 +7,15 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"filberthook/internal/process/invariant"
+	"filberthook/internal/process/pause"
 )
 
 // Server accepts connections from other processes and serves the calls of a Mux.
@@ -45,8 +49,15 @@
 	}
 }
 
-// Serve accepts connections until ctx is done, then closes them and returns nil. If
-// accepting fails for another reason, it returns the listener's error.
+// Pauses after a failed accept, which doubles. Accepting fails for a while when there are no
+// free file descriptors, for example.
+const (
+	firstAcceptPause = 5 * time.Millisecond
+	maxAcceptPause   = time.Second
+)
+
+// Serve accepts connections until ctx is done, then closes them and returns nil. It returns
+// an error if the listener is closed before.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var conns sync.WaitGroup
@@ -56,14 +67,21 @@
 	defer stop()
 
 	slots := make(chan struct{}, s.opts.MaxConnections)
+	delay := firstAcceptPause
 	for {
 		conn, err := ln.Accept()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept on %s: %w", ln.Addr(), err)
+		case err != nil:
+			s.opts.Logger.Warn("peer connection not accepted", "listener", ln.Addr().String(), "pause", delay, "err", err)
+			pause.For(ctx, delay)
+			delay = min(2*delay, maxAcceptPause)
+			continue
 		}
+		delay = firstAcceptPause
 		select {
 		case slots <- struct{}{}:
 		default:
@@ -249,7 +267,7 @@
 }
 
 func (s *session) reply(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, serve func() (any, error)) {
-	result, err := serve()
+	result, err := s.recovering(req.Method, serve)
 	if req.Notif {
 		return
 	}
@@ -262,6 +280,22 @@
 	}
 }
 
+// recovering serves a call and turns a panic into its error, as one call that nobody has
+// foreseen must not end the process. Broken invariants do end it.
+func (s *session) recovering(method string, serve func() (any, error)) (result any, err error) {
+	defer func() {
+		switch v := recover().(type) {
+		case nil:
+		case *invariant.Violation:
+			panic(v)
+		default:
+			s.srv.opts.Logger.Error("call failed with a panic", "method", method, "panic", fmt.Sprint(v), "stack", string(debug.Stack()))
+			result, err = nil, &jsonrpc2.Error{Code: CodeApp, Message: fmt.Sprintf("%s failed with a panic at the other host, see its log: %v", method, v)}
+		}
+	}()
+	return serve()
+}
+
 // discardLogger drops the log lines of package jsonrpc2; errors are returned to callers.
 type discardLogger struct{}
 
