Bound how long the body of a refused request is discarded

net/http reads up to 256 kB of a body that a handler has not read before it takes the next request. A caller that is refused for its path or the size of its body and goes on sending a byte now and then kept its connection and goroutine for as long as it liked. TestRefusedUploadThatNeverEndsIsCut failed before for both reasons of refusal.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -116,6 +116,7 @@
 		s.logger.Info("request refused", "id", s.dialect.DecodeRequest(r.Header).ID, "authority", r.Host, "path", r.URL.Path,
 			"config", t.Version, "reason", "no_route", "status", http.StatusNotFound)
 		s.count("none", "no_route")
+		limitDiscarding(w)
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
@@ -148,11 +149,19 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline)
 }
 
+// limitDiscarding bounds how long net/http discards the body of a request that is refused
+// before the body was read.
+func limitDiscarding(w http.ResponseWriter) {
+	// Ignore the error: some tests use connections that do not support deadlines.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(writeSlack))
+}
+
 // refuseEarly refuses a request that was not matched to a route yet.
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, status int, reason string, after time.Duration) {
 	s.logger.Info("request refused", "id", s.dialect.DecodeRequest(r.Header).ID, "authority", r.Host, "path", r.URL.Path,
 		"reason", reason, "status", status)
 	s.count("none", reason)
+	limitDiscarding(w)
 	w.Header().Set("Retry-After", seconds(after))
 	http.Error(w, reason, status)
 }
@@ -233,6 +242,7 @@
 		maxBytes = defaultBodyBytes
 	}
 	if c.r.ContentLength > maxBytes {
+		limitDiscarding(c.w)
 		c.fail(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	}
--- a/internal/serve/forward/stopped_caller_test.go
+++ b/internal/serve/forward/stopped_caller_test.go
@@ -59,3 +59,24 @@
 		t.Errorf("answer %q, error %v", answer, err)
 	}
 }
+
+func TestRefusedUploadThatNeverEndsIsCut(t *testing.T) {
+	for name, target := range map[string]string{"no route": "/elsewhere/1", "too large": "/x/1"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := start(t, route(routes.Safe, nil), service("i", ok))
+			c, err := net.Dial("tcp", h.front.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\nContent-Length: 100000\r\n\r\n", target)
+			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				if _, err := io.WriteString(c, "a"); err != nil {
+					return
+				}
+			}
+			t.Error("a body that nobody wants is still being read after 5 s")
+		})
+	}
+}
