--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -159,7 +159,7 @@
 
 // serveReady serves the readiness checks of the load balancer.
 func (h *Host) serveReady(ctx context.Context, ln net.Listener) error {
-	server := &http.Server{Handler: h.platform.Readiness(h.Ready), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: h.platform.Readiness(h.Ready), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout}
 	context.AfterFunc(ctx, func() { server.Close() })
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("listen.ready: %w", err)
