Send nothing whose deadline has passed while the process was frozen

Around a hand-over a leader confirms its leadership, has 300 ms for the order that follows, and may be frozen in between. Its context tells that the time is over only when its timer has fired, and after a freeze the order could be written before that: beside those of its successor. The deadline is compared with the clock right before the write, for orders and all other requests. TestRequestWhoseDeadlinePassedInAFreezeIsNotSent failed before (the request was sent).

--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"syscall"
+	"time"
 )
 
 // Request is a request to an instance.
@@ -63,9 +64,9 @@
 	if err != nil {
 		return nil, &NotSentError{Address: address, Err: err}
 	}
-	if ctx.Err() != nil {
+	if err := ended(ctx); err != nil {
 		p.put(c)
-		return nil, &NotSentError{Address: address, Err: ctx.Err()}
+		return nil, &NotSentError{Address: address, Err: err}
 	}
 	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1)}
 	a.stop = context.AfterFunc(ctx, func() { c.Close() })
@@ -89,6 +90,15 @@
 	return a, nil
 }
 
+// ended returns why nothing may be sent any more, nil if it may. A process that was frozen
+// may run before the timer of a deadline that has passed meanwhile.
+func ended(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok && ctx.Err() == nil && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return ctx.Err()
+}
+
 // head returns the encoded request line and header.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -388,3 +388,22 @@
 		t.Error("connected though idle connections to the address were dropped sooner")
 	}
 }
+
+// thawedContext is a context whose deadline has passed while the process was frozen: its timer
+// has not fired yet.
+type thawedContext struct{ context.Context }
+
+func (thawedContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+func TestRequestWhoseDeadlinePassedInAFreezeIsNotSent(t *testing.T) {
+	e := listen(t, answerAll)
+	_, err := newPool(t).Send(thawedContext{context.Background()}, e.address(), get("1"))
+	var notSent *NotSentError
+	if !errors.As(err, &notSent) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("error %v, want that the request was not sent as its deadline has passed", err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if n := e.requests.Load(); n > 0 {
+		t.Error("the request reached the instance after its deadline")
+	}
+}
