--- a/internal/control/controlhost/notices_test.go
+++ b/internal/control/controlhost/notices_test.go
@@ -1,11 +1,15 @@
 package controlhost
 
 import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"filberthook/internal/control/controlapi"
 	"filberthook/internal/engines/notice"
+	"filberthook/internal/engines/placement"
 )
 
 func TestNoticeReachesHostsOfOtherControlHosts(t *testing.T) {
@@ -47,3 +51,36 @@
 		t.Errorf("still there a minute after the last report: %+v", got)
 	}
 }
+
+// BenchmarkExchangeOfNotices measures an exchange of one of 49 hosts of a zone, at the control
+// host and at the entry host, when none or all of 329 instances have said something.
+func BenchmarkExchangeOfNotices(b *testing.B) {
+	for _, speaking := range []int{0, 329} {
+		b.Run(fmt.Sprint(speaking), func(b *testing.B) {
+			l := newLoads("1")
+			now := time.Unix(1_800_000_000, 0)
+			fleet := placement.New(placement.DefaultSettings(), rand.Float64, func(string) bool { return true })
+			bytes := 0
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(5 * time.Millisecond)
+				report := controlapi.LoadReport{IntervalMS: 245, Requests: map[string]float64{"lm": 3.5, "plain": 1.2}}
+				for n := i % 49; n < speaking; n += 49 { // each host hears a few instances
+					report.Notices = append(report.Notices, notice.Report{Instance: fmt.Sprintf("i-%010x", n*7919), Born: 1, Limit: 3})
+				}
+				answer := l.exchange(fmt.Sprint(i%49), report, now)
+				text, err := json.Marshal(answer)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var got controlapi.LoadReport
+				if err := json.Unmarshal(text, &got); err != nil {
+					b.Fatal(err)
+				}
+				fleet.LearnNotices(got.Notices, now)
+				bytes += len(text)
+			}
+			b.ReportMetric(float64(bytes)/float64(b.N), "B/answer")
+		})
+	}
+}
--- a/internal/engines/placement/bench_test.go
+++ b/internal/engines/placement/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/notice"
 	"filberthook/internal/serve/dialect"
 )
 
@@ -46,3 +47,20 @@
 		}
 	}
 }
+
+// BenchmarkPlaceLargeFleetWithLimits measures the same when every engine has named a limit.
+func BenchmarkPlaceLargeFleetWithLimits(b *testing.B) {
+	f := largeFleet()
+	now := time.Unix(1_800_000_000, 0)
+	f.SetPeers(294)
+	var reports []notice.Report
+	for id := range f.byID {
+		reports = append(reports, notice.Report{Instance: id, Born: 1, Limit: 3})
+	}
+	f.LearnNotices(reports, now)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(285 * time.Millisecond)
+		_, _ = f.Place(largePrompt(n%2063), now) // refused if no permit is valid
+	}
+}
