--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -55,14 +55,6 @@
 	watchBatch = 25 * time.Millisecond
 	// stopTimeout bounds the wait for operators' calls to end at shutdown.
 	stopTimeout = 1500 * time.Millisecond
-	// headerTimeout bounds reading the header of a call.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is how long a connection is kept without a call, which may be longer than
-	// a call takes.
-	idleTimeout = time.Minute
-	// readCallTimeout bounds reading a whole call: the largest configuration takes 4 s on a link
-	// of 10 Mbit/s.
-	readCallTimeout = 10 * time.Second
 )
 
 // Service is what a control host does for operators and endpoint instances.
@@ -208,31 +200,6 @@
 	return err
 }
 
-// newControlServer returns a server that reads each call within a time, so that one which
-// never ends does not keep its connection.
-func newControlServer(handler http.Handler, timeout time.Duration) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: min(headerTimeout, timeout), ReadTimeout: timeout, IdleTimeout: idleTimeout}
-}
-
-// serveControl serves operators and instances.
-func (h *Host) serveControl(ctx context.Context, ln net.Listener) error {
-	server := newControlServer(h.handler(h), readCallTimeout)
-	ended := make(chan struct{})
-	context.AfterFunc(ctx, func() {
-		defer close(ended)
-		limited, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		defer cancel()
-		if err := server.Shutdown(limited); err != nil {
-			h.logger.Warn("operators' calls aborted at shutdown", "err", err)
-		}
-	})
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("listen.control: %w", err)
-	}
-	<-ended
-	return nil
-}
-
 func (h *Host) mux() *peer.Mux {
 	m := peer.NewMux()
 	peer.Handle(m, raftnet.Method, func(_ context.Context, _ peer.Identity, batch raftnet.Batch) (struct{}, error) {
--- a/internal/control/controlhost/notices.go
+++ b/internal/control/controlhost/notices.go
@@ -57,7 +57,7 @@
 }
 
 // Hear implements stagereconciler.Load. A limit is left to the hosts that send requests.
-func (l *loads) Hear(in instances.Instance, said notice.Said) {
+func (l *loads) Hear(in instances.Instance, said notice.Notice) {
 	if !said.Leaving {
 		return
 	}
--- a/internal/control/stagereconciler/reconciler.go
+++ b/internal/control/stagereconciler/reconciler.go
@@ -62,7 +62,7 @@
 type Engines interface {
 	// SetStage reports whether the engine accepted the order, and what its answer says about
 	// the engine.
-	SetStage(ctx context.Context, o Order) (taken bool, said notice.Said, err error)
+	SetStage(ctx context.Context, o Order) (taken bool, said notice.Notice, err error)
 }
 
 // Load reports the demand on each endpoint, and what hosts have heard of instances.
@@ -72,7 +72,7 @@
 	// Leaving reports whether an instance has told any host that it leaves.
 	Leaving(in instances.Instance) bool
 	// Hear records what an answer to this host says about an instance.
-	Hear(in instances.Instance, said notice.Said)
+	Hear(in instances.Instance, said notice.Notice)
 }
 
 // Reconciler moves engines to the stages that package staging decides on.
--- a/internal/control/stagereconciler/reconciler_test.go
+++ b/internal/control/stagereconciler/reconciler_test.go
@@ -50,10 +50,10 @@
 	orders []Order
 	times  []time.Time
 	err    error
-	said   notice.Said // in all answers
+	said   notice.Notice // in all answers
 }
 
-func (e *fakeEngines) SetStage(_ context.Context, o Order) (bool, notice.Said, error) {
+func (e *fakeEngines) SetStage(_ context.Context, o Order) (bool, notice.Notice, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, o)
@@ -74,7 +74,7 @@
 
 func (noLoad) Leaving(instances.Instance) bool { return false }
 
-func (noLoad) Hear(instances.Instance, notice.Said) {}
+func (noLoad) Hear(instances.Instance, notice.Notice) {}
 
 // leavingLoad is a Load of which some instances have said that they leave.
 type leavingLoad struct {
@@ -89,7 +89,7 @@
 	return l.leaving[in.ID]
 }
 
-func (l *leavingLoad) Hear(in instances.Instance, said notice.Said) {
+func (l *leavingLoad) Hear(in instances.Instance, said notice.Notice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if said.Leaving {
@@ -246,7 +246,7 @@
 }
 
 func TestAnswerToAnOrderTellsThatTheEngineLeaves(t *testing.T) {
-	g, e := &fakeGroup{}, &fakeEngines{said: notice.Said{Leaving: true}}
+	g, e := &fakeGroup{}, &fakeEngines{said: notice.Notice{Leaving: true}}
 	g.set(7, true, true)
 	r := newReconciler("h", g, e, 10*time.Millisecond)
 	load := &leavingLoad{leaving: map[string]bool{}}
--- a/internal/engines/notice/notice.go
+++ b/internal/engines/notice/notice.go
@@ -3,7 +3,7 @@
 // record belongs to one start of an instance: what an earlier start said does not hold for
 // a later one.
 //
-// An instance in need limits the requests that it takes from all hosts together, which
+// An instance may limit the requests that it takes from all hosts together, which
 // know each other's number and load but not each other's requests. Each host takes a share
 // of the limit and spaces its requests evenly.
 //
@@ -16,8 +16,8 @@
 	"time"
 )
 
-// Said is what one answer says about the instance that sent it.
-type Said struct {
+// Notice is what one answer says about the instance that sent it.
+type Notice struct {
 	// Limit is how many requests a second the instance takes from all hosts together, 0 if
 	// the answer names no limit.
 	Limit float64
@@ -92,7 +92,7 @@
 // Hear records what an answer says that arrives now, to a request that was sent at sentAt.
 // The phase, from [0, 1), tells when this host's first request under a limit is due. Hear
 // returns what the record did not hold before.
-func (r *Record) Hear(said Said, sentAt, now time.Time, phase float64) Change {
+func (r *Record) Hear(said Notice, sentAt, now time.Time, phase float64) Change {
 	var changed Change
 	if r.hearLimit(said, sentAt, now, phase) {
 		changed |= LimitChanged
@@ -121,7 +121,7 @@
 	return true
 }
 
-func (r *Record) hearLimit(said Said, sentAt, now time.Time, phase float64) bool {
+func (r *Record) hearLimit(said Notice, sentAt, now time.Time, phase float64) bool {
 	if said.LimitUnreadable {
 		return false
 	}
--- a/internal/engines/notice/notice_test.go
+++ b/internal/engines/notice/notice_test.go
@@ -13,23 +13,23 @@
 
 func TestAnswerToAnEarlierRequestDoesNotEndALimit(t *testing.T) {
 	r := &Record{Born: 1}
-	if r.Hear(Said{Limit: 3}, after(0), after(100), 0) != LimitChanged {
+	if r.Hear(Notice{Limit: 3}, after(0), after(100), 0) != LimitChanged {
 		t.Fatal("the limit was not recorded")
 	}
-	if r.Hear(Said{}, after(50), after(150), 0); r.Limit() != 3 {
+	if r.Hear(Notice{}, after(50), after(150), 0); r.Limit() != 3 {
 		t.Error("an answer to a request that was sent before the limit was named ended it")
 	}
-	if r.Hear(Said{LimitUnreadable: true}, after(160), after(170), 0); r.Limit() != 3 {
+	if r.Hear(Notice{LimitUnreadable: true}, after(160), after(170), 0); r.Limit() != 3 {
 		t.Error("an unreadable limit ended the one before")
 	}
-	if r.Hear(Said{}, after(180), after(200), 0) != LimitChanged || r.Limit() != 0 || r.Wait(1, after(200)) != 0 {
+	if r.Hear(Notice{}, after(180), after(200), 0) != LimitChanged || r.Limit() != 0 || r.Wait(1, after(200)) != 0 {
 		t.Error("an answer to a later request did not end the limit")
 	}
 }
 
 func TestNewestWordOfAnyHostHolds(t *testing.T) {
 	r := &Record{Born: 1}
-	r.Hear(Said{Limit: 3}, after(0), after(1000), 0)
+	r.Hear(Notice{Limit: 3}, after(0), after(1000), 0)
 	if r.Learn(Report{Limit: 0, Age: 500 * time.Millisecond}, after(1400), 0) != 0 || r.Limit() != 3 {
 		t.Error("a report that is older than the limit ended it")
 	}
@@ -48,7 +48,7 @@
 		phase := rapid.Float64Range(0, 0.999).Draw(t, "phase")
 		gaps := rapid.SliceOfN(rapid.IntRange(1, 900), 1, 400).Draw(t, "gaps_ms")
 		r := &Record{Born: 1}
-		r.Hear(Said{Limit: limit}, start, start, phase)
+		r.Hear(Notice{Limit: limit}, start, start, phase)
 		var sent []time.Time
 		now := start
 		for _, gap := range gaps {
@@ -71,7 +71,7 @@
 
 func TestWaitIsTheTimeUntilTheNextRequestMayGoOut(t *testing.T) {
 	r := &Record{Born: 1}
-	r.Hear(Said{Limit: 1 / usedShare}, start, start, 0.25)
+	r.Hear(Notice{Limit: 1 / usedShare}, start, start, 0.25)
 	r.Wait(1, start)
 	if got := r.Wait(1, after(250)); got < 499*time.Millisecond || got > 501*time.Millisecond {
 		t.Errorf("a quarter of the second has passed before the limit and one after: the wait is %v, want 0.5 s", got)
@@ -87,10 +87,10 @@
 
 func TestThatAnInstanceLeavesIsFinal(t *testing.T) {
 	r := &Record{Born: 1}
-	if r.Hear(Said{Leaving: true, Limit: 3}, after(0), after(100), 0) != LimitChanged|LeavingSaid {
+	if r.Hear(Notice{Leaving: true, Limit: 3}, after(0), after(100), 0) != LimitChanged|LeavingSaid {
 		t.Error("the notice was not recorded")
 	}
-	r.Hear(Said{}, after(200), after(300), 0)
+	r.Hear(Notice{}, after(200), after(300), 0)
 	r.Learn(Report{}, after(400), 0)
 	if r.Wait(1, after(500)) != Never {
 		t.Error("an answer without the notice undid it")
@@ -102,10 +102,10 @@
 
 func TestPauseEndsWithItsTimeAndIsNotLearned(t *testing.T) {
 	r := &Record{Born: 1}
-	if r.Hear(Said{Pause: time.Second}, after(0), after(100), 0) != PauseAsked {
+	if r.Hear(Notice{Pause: time.Second}, after(0), after(100), 0) != PauseAsked {
 		t.Error("the pause was not recorded")
 	}
-	r.Hear(Said{Pause: 100 * time.Millisecond}, after(50), after(200), 0) // its request was sent before
+	r.Hear(Notice{Pause: 100 * time.Millisecond}, after(50), after(200), 0) // its request was sent before
 	if got := r.Wait(1, after(600)); got != 500*time.Millisecond {
 		t.Errorf("the wait is %v, want 0.5 s", got)
 	}
--- a/internal/engines/placement/notices.go
+++ b/internal/engines/placement/notices.go
@@ -20,7 +20,7 @@
 
 // Hear records what an answer says about the instance that sent it, to a request that was
 // sent at sentAt. It returns what this host did not know before.
-func (f *Fleet) Hear(t Target, said notice.Said, sentAt, now time.Time) notice.Change {
+func (f *Fleet) Hear(t Target, said notice.Notice, sentAt, now time.Time) notice.Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if r := f.record(t.ID, t.Born); r != nil {
--- a/internal/engines/placement/notices_test.go
+++ b/internal/engines/placement/notices_test.go
@@ -161,7 +161,7 @@
 		if r.now < limitNamedAt || r.endsAt > 0 && r.now >= r.endsAt {
 			limit = 0
 		}
-		said := notice.Said{Limit: limit}
+		said := notice.Notice{Limit: limit}
 		if r.now >= limitNamedAt {
 			said.Leaving, said.Pause = r.leaving[target.ID], r.pausing[target.ID]
 		}
--- a/internal/serve/dialect/dialect.go
+++ b/internal/serve/dialect/dialect.go
@@ -43,10 +43,10 @@
 // Answer is what the header of an instance's answer says.
 type Answer struct {
 	RequestID   string
-	NotRun      bool        // the instance did not run the request
-	Signed      bool        // carries an endpoint's signature
-	Misdirected bool        // the instance that answered is not SendOptions.Instance
-	Said        notice.Said // about the instance itself
+	NotRun      bool          // the instance did not run the request
+	Signed      bool          // carries an endpoint's signature
+	Misdirected bool          // the instance that answered is not SendOptions.Instance
+	Notice      notice.Notice // about the instance itself
 }
 
 // KVHandle identifies the KV cache that a prefill left at its engine.
--- a/internal/serve/entryhost/idle.go
+++ b/internal/serve/entryhost/connections.go
@@ -81,9 +81,10 @@
 	return !c.closed && (!c.idle || time.Since(c.accepted) < firstRequestTime || netopt.Idle(c.Conn) == netopt.Pending)
 }
 
-// idleConnections closes callers' connections that have been idle for too long. The limit
+// callerConnections knows the open connections of callers. It closes those that have been
+// idle for too long and, at the end of a stop, those that no request is using. The limit
 // is that of the configuration in force when the connection was opened or became idle.
-type idleConnections struct {
+type callerConnections struct {
 	server *forward.Server
 
 	mu       sync.Mutex
@@ -92,12 +93,12 @@
 	stopping bool
 }
 
-func newIdleConnections(server *forward.Server) *idleConnections {
-	return &idleConnections{server: server, open: map[*callerConn]bool{}, timers: map[*callerConn]*time.Timer{}}
+func newCallerConnections(server *forward.Server) *callerConnections {
+	return &callerConnections{server: server, open: map[*callerConn]bool{}, timers: map[*callerConn]*time.Timer{}}
 }
 
 // track is the ConnState hook of http.Server.
-func (i *idleConnections) track(conn net.Conn, state http.ConnState) {
+func (i *callerConnections) track(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
 	if !ok {
 		return
@@ -125,7 +126,7 @@
 }
 
 // limit returns the idle timeout in force. The caller holds i.mu.
-func (i *idleConnections) limit() time.Duration {
+func (i *callerConnections) limit() time.Duration {
 	if i.stopping {
 		return drainIdleTimeout
 	}
@@ -136,7 +137,7 @@
 }
 
 // stop shortens the idle timeout, also for connections that are idle now.
-func (i *idleConnections) stop() {
+func (i *callerConnections) stop() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.stopping = true
@@ -149,7 +150,7 @@
 
 // closeUnused closes the connections on which no request is being read or answered or on
 // its way, and returns how many there are left.
-func (i *idleConnections) closeUnused() (left int) {
+func (i *callerConnections) closeUnused() (left int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c := range i.open {
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -69,7 +69,7 @@
 	clients     *raftnet.Pool // connections to control hosts
 	loadClients *raftnet.Pool // connection to the control host that load is exchanged with
 	watcher     *controlwatch.Watcher
-	idle        *idleConnections
+	connections *callerConnections
 	lameDuck    time.Duration // see lameDuckPeriod
 	stopping    atomic.Bool
 	seeds       atomic.Pointer[[]string]
@@ -87,7 +87,7 @@
 	}, func() int { return h.watcher.Hosts() })
 	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout},
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.logger, set)
-	h.idle = newIdleConnections(h.server)
+	h.connections = newCallerConnections(h.server)
 	options := controlapi.PeerOptions(h.identity(), s.TrustedNetwork, set, h.logger)
 	h.clients = raftnet.NewPool(options)
 	options.DropOnTimeout = false // a timed-out exchange keeps the connection for the next one
@@ -172,7 +172,7 @@
 	server := &http.Server{
 		Handler:           h.server,
 		ReadHeaderTimeout: headerTimeout,
-		ConnState:         h.idle.track,
+		ConnState:         h.connections.track,
 		ErrorLog:          slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug),
 	}
 	ln = &callerListener{Listener: ln}
@@ -200,7 +200,7 @@
 	start := time.Now()
 	h.stopping.Store(true)
 	h.server.Stop()
-	h.idle.stop()
+	h.connections.stop()
 	h.logger.Info("stopping", "requests", h.server.Active(), "grace", h.settings.Grace.Duration)
 	last := start.Add(h.settings.Grace.Duration - exitMargin)
 	pause.For(context.Background(), min(h.lameDuck, time.Until(last)))
@@ -212,7 +212,7 @@
 	case <-time.After(time.Until(last)):
 	}
 	for time.Now().Before(last) {
-		if h.idle.closeUnused() == 0 && h.server.Active() == 0 {
+		if h.connections.closeUnused() == 0 && h.server.Active() == 0 {
 			return
 		}
 		pause.For(context.Background(), drainPollInterval)
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -321,7 +321,7 @@
 		return nil, err
 	}
 	if decoded := c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header); trustworthy(answer.StatusCode, decoded, options.PrefillOnly) {
-		c.server.hear(c.meta.ID, target, decoded.Said, sentAt)
+		c.server.hear(c.meta.ID, target, decoded.Notice, sentAt)
 	}
 	return answer, nil
 }
--- a/internal/serve/forward/harness_test.go
+++ b/internal/serve/forward/harness_test.go
@@ -64,14 +64,14 @@
 	return dialect.Answer{
 		RequestID: h.Get("X-Id"), Signed: h.Get("X-Signature") != "",
 		NotRun: h.Get("X-Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
-		Said: testSaid(h),
+		Notice: testNotice(h),
 	}
 }
 
-func testSaid(h http.Header) notice.Said {
+func testNotice(h http.Header) notice.Notice {
 	limit, err := strconv.ParseFloat(h.Get("X-Limit"), 64)
 	pause, _ := time.ParseDuration(h.Get("X-Pause")) // 0 if absent
-	return notice.Said{
+	return notice.Notice{
 		Limit: limit, LimitUnreadable: err != nil && h.Get("X-Limit") != "", Leaving: h.Get("X-Leaving") != "", Pause: pause,
 	}
 }
--- a/internal/serve/forward/notices.go
+++ b/internal/serve/forward/notices.go
@@ -24,7 +24,7 @@
 
 // hear records what an answer says about the instance that sent it, and logs what is new to
 // this host. The request was sent at sentAt.
-func (s *Server) hear(requestID string, target placement.Target, said notice.Said, sentAt time.Time) {
+func (s *Server) hear(requestID string, target placement.Target, said notice.Notice, sentAt time.Time) {
 	now := time.Now()
 	if said.Unreadable != "" {
 		s.countNotice("unreadable")
