--- a/internal/serve/upstream/endless_test.go
+++ b/internal/serve/upstream/endless_test.go
@@ -107,3 +107,32 @@
 		t.Errorf("%d bytes were read of %d bodies at once, at most %d may be held", n, exchanges, maxBufferedBytes)
 	}
 }
+
+// Whatever an instance sends, the exchange ends with an error or with the answer to the request.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(answer("1", "ok")))
+	f.Add([]byte(answer("2", "ok") + answer("1", "ok")))
+	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, bytes []byte) {
+		near, far := net.Pipe()
+		defer far.Close()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		go func() {
+			_, _ = far.Write(bytes) // fails if the exchange has ended
+			far.Close()
+		}()
+		pool := newPool(t)
+		pool.dial = func(context.Context, string) (net.Conn, error) { return near, nil }
+		a, err := pool.Send(context.Background(), "i", get("1"))
+		if err != nil {
+			return
+		}
+		defer a.Close()
+		if a.Header.Get("X-Id") != "1" {
+			t.Errorf("took an answer with the id %q", a.Header.Get("X-Id"))
+		}
+		if body, err := a.ReadAll(100); err == nil && len(body) > 100 {
+			t.Errorf("%d bytes", len(body))
+		}
+	})
+}
