--- a/internal/serve/forward/stopped_caller_test.go
+++ b/internal/serve/forward/stopped_caller_test.go
@@ -32,7 +32,7 @@
 	defer c.Close()
 	io.WriteString(c, "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n")
 	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if len(endless.requests) > 0 && h.server.Active() == 0 {
+		if endless.runs() > 0 && h.server.Active() == 0 {
 			return
 		}
 	}
