--- a/internal/engines/placement/notices.go
+++ b/internal/engines/placement/notices.go
@@ -146,7 +146,11 @@
 		return equal
 	}
 	rate := own.value(now) / demandWindow.Seconds()
-	return min(rate/(rate+f.peerRequests[endpoint]), maxShareFactor*equal, 1)
+	all := rate + f.peerRequests[endpoint]
+	if all == 0 {
+		return equal
+	}
+	return min(rate/all, maxShareFactor*equal, 1)
 }
 
 // record returns the record of one start of an instance, nil if a later start is known. The
--- a/internal/engines/placement/notices_test.go
+++ b/internal/engines/placement/notices_test.go
@@ -351,3 +351,14 @@
 		}
 	}
 }
+
+func TestHostThatWasIdleForLongHasAnEqualShare(t *testing.T) {
+	f := fleetOf(1, 1)
+	f.SetPeers(4)
+	f.countRequest("lm", start)
+	later := start.Add(24 * time.Hour)
+	f.SetPeerRequests(map[string]float64{}, later)
+	if got := f.limitShare("lm", later); got != 0.25 {
+		t.Errorf("share %v, want 0.25", got)
+	}
+}
