Tell in the logs which requests to plain services are the same, and whether their instance ended

Names on the wire and in reports stay. 'request' and 'attempt lost' have the field identity; the body is in no line. Nothing is decided by it yet.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -107,8 +107,8 @@
 
 // BlocksRequest lists the prompt blocks in quarantine, after an operator's word on one.
 type BlocksRequest struct {
-	Word  BlockWord        `json:"word,omitempty"`
-	Block quarantine.Block `json:"block,omitempty"` // MODEL/ID, with Hold and Release
+	Word  BlockWord          `json:"word,omitempty"`
+	Block quarantine.Suspect `json:"block,omitempty"` // MODEL/ID, with Hold and Release
 	// Forwarded is set by the control host that passes the request on to the leader.
 	Forwarded bool `json:"forwarded,omitempty"`
 }
--- a/internal/control/controlhost/quarantine.go
+++ b/internal/control/controlhost/quarantine.go
@@ -32,14 +32,14 @@
 	h.loads.mu.Lock()
 	granted := leads && h.loads.grants.Ask(p, time.Now())
 	h.loads.mu.Unlock()
-	h.logger.Info("probe of a block in quarantine asked for", "block", p.Block, "by", host, "leader", leads, "granted", granted)
+	h.logger.Info("probe of a block in quarantine asked for", "block", p.Suspect, "by", host, "leader", leads, "granted", granted)
 	return controlapi.ProbeResponse{Granted: granted}
 }
 
 // BlockWordError reports an operator's word that was not taken.
 type BlockWordError struct {
 	Word   controlapi.BlockWord
-	Block  quarantine.Block
+	Block  quarantine.Suspect
 	Remedy string
 }
 
--- a/internal/control/controlwatch/load.go
+++ b/internal/control/controlwatch/load.go
@@ -101,11 +101,11 @@
 func (e *loadExchange) logQuarantine() {
 	blamed, released := e.quarantine.TakeChanges()
 	for _, v := range blamed {
-		e.watcher.logger.Warn("block in quarantine", "block", v.Block, "ends", v.Ends, "since_ms", time.Since(v.Since).Milliseconds(),
+		e.watcher.logger.Warn("block in quarantine", "block", v.Suspect, "ends", v.Ends, "since_ms", time.Since(v.Since).Milliseconds(),
 			"last_end_ms", time.Since(v.LastEnd).Milliseconds(), "probes", v.Probes, "by_operator", v.ByOperator)
 	}
 	for _, r := range released {
-		e.watcher.logger.Info("block out of quarantine", "block", r.Block, "ends", r.Ends, "held", r.Held)
+		e.watcher.logger.Info("block out of quarantine", "block", r.Suspect, "ends", r.Ends, "held", r.Held)
 	}
 }
 
@@ -121,12 +121,12 @@
 		err := e.clients.Get(leader).Call(ctx, controlapi.MethodProbe, probe, &answer)
 		cancel()
 		if err != nil {
-			e.watcher.logger.Debug("probe not asked for", "block", probe.Block, "control", leader, "err", err)
+			e.watcher.logger.Debug("probe not asked for", "block", probe.Suspect, "control", leader, "err", err)
 			return
 		}
 		if answer.Granted {
-			e.quarantine.Grant(probe.Block, time.Now())
-			e.watcher.logger.Info("probe of a block in quarantine granted", "block", probe.Block, "control", leader)
+			e.quarantine.Grant(probe.Suspect, time.Now())
+			e.watcher.logger.Info("probe of a block in quarantine granted", "block", probe.Suspect, "control", leader)
 		}
 	}
 }
--- a/internal/engines/quarantine/admit.go
+++ b/internal/engines/quarantine/admit.go
@@ -11,27 +11,27 @@
 // Answers of Admit.
 const (
 	Pass    Answer = iota
-	Contain        // to the same instance as all others with the block in Decision.Block
-	Wait           // ask again soon: another request tests the block, or word of it is due
-	Refuse         // the block is in quarantine, or a second try would risk another instance
+	Contain        // to the same instance as all others with the suspect in Decision.Suspect
+	Wait           // ask again soon: another request tests the suspect, or word of it is due
+	Refuse         // the suspect is in quarantine, or a second try would risk another instance
 )
 
 // Decision is an Answer with its reason.
 type Decision struct {
-	Answer Answer
-	Block  Block // that decided; empty with Pass
-	// Quarantined is set if the block is in quarantine.
+	Answer  Answer
+	Suspect Suspect // that decided; empty with Pass
+	// Quarantined is set if the suspect is in quarantine.
 	Quarantined bool
 	// RetryAfter is the time until a refused request may be tried again, 0 if unknown.
 	RetryAfter time.Duration
 }
 
-// Admit decides whether a request may be sent now. A request that tests or probes a block
+// Admit decides whether a request may be sent now. A request that tests or probes a suspect
 // holds it until Begun, Lost with Ended, or Done.
 func (l *Ledger) Admit(r *Request, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.begun || len(r.blocks) == 0 {
+	if r.begun || len(r.suspects) == 0 {
 		return Decision{}
 	}
 	if d, ok := l.quarantined(r, now); ok {
@@ -39,17 +39,17 @@
 	}
 	if b, ok := l.risksSecondTry(r); ok {
 		if now.Sub(r.lostAt) < SecondTryWait {
-			return Decision{Answer: Wait, Block: b}
+			return Decision{Answer: Wait, Suspect: b}
 		}
-		return Decision{Answer: Refuse, Block: b}
+		return Decision{Answer: Refuse, Suspect: b}
 	}
 	return l.contain(r, now)
 }
 
-// quarantined refuses a request that has a block in quarantine, unless this host was granted a
+// quarantined refuses a request that has a suspect in quarantine, unless this host was granted a
 // probe of it. The caller holds l.mu.
 func (l *Ledger) quarantined(r *Request, now time.Time) (Decision, bool) {
-	for _, b := range r.blocks {
+	for _, b := range r.suspects {
 		v := l.verdicts[b]
 		if v == nil || r.probe == b {
 			continue
@@ -60,24 +60,24 @@
 			r.probe = b
 			continue
 		}
-		return Decision{Answer: Refuse, Block: b, Quarantined: true, RetryAfter: max(firstProbeAfter, v.probeAfter().Sub(now))}, true
+		return Decision{Answer: Refuse, Suspect: b, Quarantined: true, RetryAfter: max(firstProbeAfter, v.probeAfter().Sub(now))}, true
 	}
 	if r.probe == "" {
 		return Decision{}, false
 	}
 	if !r.lostAt.IsZero() {
-		return Decision{Answer: Refuse, Block: r.probe, Quarantined: true, RetryAfter: firstProbeAfter}, true
+		return Decision{Answer: Refuse, Suspect: r.probe, Quarantined: true, RetryAfter: firstProbeAfter}, true
 	}
-	return Decision{Answer: Contain, Block: r.probe}, true
+	return Decision{Answer: Contain, Suspect: r.probe}, true
 }
 
-// risksSecondTry reports whether a request that was lost with its instance has a block that
+// risksSecondTry reports whether a request that was lost with its instance has a suspect that
 // is not known to be sound. The caller holds l.mu.
-func (l *Ledger) risksSecondTry(r *Request) (Block, bool) {
+func (l *Ledger) risksSecondTry(r *Request) (Suspect, bool) {
 	if r.lostAt.IsZero() {
 		return "", false
 	}
-	for _, b := range r.blocks {
+	for _, b := range r.suspects {
 		if s, suspect := l.suspects[b]; suspect && s.contained() {
 			return b, true
 		}
@@ -85,19 +85,19 @@
 	return "", false
 }
 
-// contain lets one request at a time test each suspect block. The caller holds l.mu.
+// contain lets one request at a time test each suspect. The caller holds l.mu.
 func (l *Ledger) contain(r *Request, now time.Time) Decision {
-	var tests []Block
-	for _, b := range r.blocks {
+	var tests []Suspect
+	for _, b := range r.suspects {
 		s, suspect := l.suspects[b]
 		if !suspect || !s.contained() {
 			continue
 		}
 		if other := l.testing[b]; other != nil && other != r {
-			return Decision{Answer: Wait, Block: b}
+			return Decision{Answer: Wait, Suspect: b}
 		}
 		if next := s.nextTest(l.phases[b]); l.testing[b] != r && now.Before(next) {
-			return Decision{Answer: Refuse, Block: b, RetryAfter: next.Sub(now)}
+			return Decision{Answer: Refuse, Suspect: b, RetryAfter: next.Sub(now)}
 		}
 		tests = append(tests, b)
 	}
@@ -110,13 +110,13 @@
 			r.tests = append(r.tests, b)
 		}
 	}
-	return Decision{Answer: Contain, Block: l.strongest(tests)}
+	return Decision{Answer: Contain, Suspect: l.strongest(tests)}
 }
 
-// strongest returns the block with the most against it. The caller holds l.mu.
-func (l *Ledger) strongest(blocks []Block) Block {
-	best := blocks[0]
-	for _, b := range blocks[1:] {
+// strongest returns the suspect with the most against it. The caller holds l.mu.
+func (l *Ledger) strongest(suspects []Suspect) Suspect {
+	best := suspects[0]
+	for _, b := range suspects[1:] {
 		if s, t := l.suspects[b], l.suspects[best]; s.moments > t.moments || s.moments == t.moments && b < best {
 			best = b
 		}
@@ -124,11 +124,11 @@
 	return best
 }
 
-// withdraw withdraws the requests with a block that wait at instances, so that these do not
+// withdraw withdraws the requests with a suspect that wait at instances, so that these do not
 // begin to answer them. The caller holds l.mu.
-func (l *Ledger) withdraw(b Block) {
+func (l *Ledger) withdraw(b Suspect) {
 	for r, withdraw := range l.waiting {
-		if r.probe != b && slices.Contains(r.blocks, b) {
+		if r.probe != b && slices.Contains(r.suspects, b) {
 			delete(l.waiting, r)
 			go withdraw()
 		}
@@ -136,16 +136,16 @@
 }
 
 // Sent records that a request goes to an instance that may begin to answer it. If one of its
-// blocks comes into quarantine before that, withdraw is called, once and without a lock held.
+// suspects comes into quarantine before that, withdraw is called, once and without a lock held.
 // The returned function says that the attempt is over.
 func (l *Ledger) Sent(r *Request, withdraw func()) (over func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.begun || len(r.blocks) == 0 {
+	if r.begun || len(r.suspects) == 0 {
 		return func() {}
 	}
 	l.waiting[r] = withdraw
-	for _, b := range r.blocks {
+	for _, b := range r.suspects {
 		if l.verdicts[b] != nil {
 			l.withdraw(b)
 		}
@@ -164,7 +164,7 @@
 	l.finishTests(r)
 }
 
-// finishTests lets other requests test the blocks that a request has tested. The caller
+// finishTests lets other requests test the suspects that a request has tested. The caller
 // holds l.mu.
 func (l *Ledger) finishTests(r *Request) {
 	for _, b := range r.tests {
--- a/internal/engines/quarantine/ledger.go
+++ b/internal/engines/quarantine/ledger.go
@@ -1,42 +1,23 @@
-// Package quarantine finds the blocks of prompts that end each instance which begins to
+// Package quarantine finds the suspects of prompts that end each instance which begins to
 // answer them, and decides which requests may still be sent. It does no I/O and reads no
 // clock. It answers a load in which such requests come at any host, mixed with sound ones
-// that share their caller and their other blocks.
+// that share their caller and their other suspects.
 //
-// A suspect of an instance's end is a block of a request that the instance had taken and
-// that had no event yet. A block that others begin to answer is cleared of all ends before
-// that. A block is put into quarantine when several ends, at different moments, have no
+// A suspect of an instance's end is a suspect of a request that the instance had taken and
+// that had no event yet. A suspect that others begin to answer is cleared of all ends before
+// that. A suspect is put into quarantine when several ends, at different moments, have no
 // better explanation; design note 0011 states the rule.
 //
-// Before that, requests with a suspect block are contained: each host sends one at a time,
+// Before that, requests with a suspect are contained: each host sends one at a time,
 // and all hosts send theirs to the same instance.
 package quarantine
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
 
-// Block names a prompt block of a model.
-type Block string
-
-// maxBlockBytes bounds a block's name; the rest of a longer ID is cut off.
-const maxBlockBytes = 64
-
-// BlockOf returns the name of a model's block.
-func BlockOf(model, id string) Block {
-	name := model + "/" + id
-	return Block(name[:min(len(name), maxBlockBytes)])
-}
-
-// Valid reports whether the block could have come from BlockOf.
-func (b Block) Valid() bool {
-	model, id, found := strings.Cut(string(b), "/")
-	return found && model != "" && id != "" && len(b) <= maxBlockBytes
-}
-
 // Instance is one start of an endpoint instance.
 type Instance struct {
 	ID   string
@@ -50,16 +31,16 @@
 	// endLifetime is how long an end counts as evidence.
 	endLifetime = time.Minute
 	// SecondTryWait is how long a request that was lost with its instance waits for word that
-	// its blocks are sound: two exchanges between hosts of a large deployment.
+	// its suspects are sound: two exchanges between hosts of a large deployment.
 	SecondTryWait = 600 * time.Millisecond
-	// maxEnds and maxPending bound what is kept of ends, maxBlocksPerEnd the suspects of one.
-	// Beyond maxKnownPerEnd blocks, those that were seen to begin lately are left out: an engine
+	// maxEnds and maxPending bound what is kept of ends, maxSuspectsPerEnd the suspects of one.
+	// Beyond maxKnownPerEnd suspects, those that were seen to begin lately are left out: an engine
 	// under load has hundreds of requests that wait.
-	maxEnds         = 128
-	maxPending      = 256
-	maxBlocksPerEnd = 256
-	maxKnownPerEnd  = 64
-	// maxVerdicts bounds the quarantine. Beyond it no block is added.
+	maxEnds           = 128
+	maxPending        = 256
+	maxSuspectsPerEnd = 256
+	maxKnownPerEnd    = 64
+	// maxVerdicts bounds the quarantine. Beyond it no suspect is added.
 	maxVerdicts = 256
 )
 
@@ -68,17 +49,17 @@
 type Ledger struct {
 	mu       sync.Mutex
 	begins   beginMemory               // of this host
-	learned  map[Block]time.Time       // newest begins at other hosts, of blocks in evidence
+	learned  map[Suspect]time.Time     // newest begins at other hosts, of suspects in evidence
 	pending  map[Instance]*pendingLoss // lost requests whose instances may have ended
 	ends     map[Instance]*end         // within endLifetime
-	suspects map[Block]suspicion       // derived from ends
-	verdicts map[Block]*verdict        // quarantine
-	testing  map[Block]*Request        // contained requests in flight
+	suspects map[Suspect]suspicion     // derived from ends
+	verdicts map[Suspect]*verdict      // quarantine
+	testing  map[Suspect]*Request      // contained requests in flight
 	waiting  map[*Request]func()       // requests at instances that have not begun, with what withdraws them
 	random   func() float64            // random number from [0, 1)
-	phases   map[Block]float64         // random, of suspect blocks
-	formerly map[Block]time.Time       // the begin that ended a block's quarantine
-	words    map[Block]word            // of operators
+	phases   map[Suspect]float64       // random, of suspects
+	formerly map[Suspect]time.Time     // the begin that ended a suspect's quarantine
+	words    map[Suspect]word          // of operators
 	hosts    int                       // entry hosts, 1 if unknown
 	relay    bool                      // passes on the begins that it has learned
 	released []Release                 // not taken by TakeChanges yet
@@ -86,23 +67,23 @@
 }
 
 type pendingLoss struct {
-	address string
-	at      time.Time
-	blocks  map[Block]bool
+	address  string
+	at       time.Time
+	suspects map[Suspect]bool
 }
 
-// end is the end of an instance with the blocks that are suspect of it.
+// end is the end of an instance with the suspects that are suspect of it.
 type end struct {
-	at     time.Time // when the first host lost a request by it
-	blocks map[Block]bool
+	at       time.Time // when the first host lost a request by it
+	suspects map[Suspect]bool
 }
 
 // New returns an empty Ledger; random returns random numbers from [0, 1).
 func New(random func() float64) *Ledger {
 	return &Ledger{
-		hosts: 1, random: random, phases: map[Block]float64{},
-		learned: map[Block]time.Time{}, pending: map[Instance]*pendingLoss{}, ends: map[Instance]*end{},
-		suspects: map[Block]suspicion{}, verdicts: map[Block]*verdict{}, testing: map[Block]*Request{}, waiting: map[*Request]func(){}, formerly: map[Block]time.Time{}, words: map[Block]word{},
+		hosts: 1, random: random, phases: map[Suspect]float64{},
+		learned: map[Suspect]time.Time{}, pending: map[Instance]*pendingLoss{}, ends: map[Instance]*end{},
+		suspects: map[Suspect]suspicion{}, verdicts: map[Suspect]*verdict{}, testing: map[Suspect]*Request{}, waiting: map[*Request]func(){}, formerly: map[Suspect]time.Time{}, words: map[Suspect]word{},
 	}
 }
 
@@ -123,17 +104,17 @@
 
 // Request is a request's state in the Ledger. Its fields are guarded by the Ledger.
 type Request struct {
-	blocks []Block
-	begun  bool      // an instance has begun to answer it
-	lostAt time.Time // when the last instance was lost that had it without having begun
-	tests  []Block   // suspect blocks that it tests
-	probe  Block     // block in quarantine that it probes, empty if none
+	suspects []Suspect
+	begun    bool      // an instance has begun to answer it
+	lostAt   time.Time // when the last instance was lost that had it without having begun
+	tests    []Suspect // suspects that it tests
+	probe    Suspect   // suspect in quarantine that it probes, empty if none
 }
 
-// Request returns a request with the shared blocks of its prompt.
-func (l *Ledger) Request(blocks []Block) *Request { return &Request{blocks: blocks} }
+// Request returns a request with the shared suspects of its prompt.
+func (l *Ledger) Request(suspects []Suspect) *Request { return &Request{suspects: suspects} }
 
-// Begun records that an instance has begun to answer: the request's blocks are sound.
+// Begun records that an instance has begun to answer: the request's suspects are sound.
 func (l *Ledger) Begun(r *Request, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -142,7 +123,7 @@
 	l.finishTests(r)
 	l.begins.recordRequest(now)
 	changed := false
-	for _, b := range r.blocks {
+	for _, b := range r.suspects {
 		l.begins.record(b, now)
 		changed = changed || l.concerned(b)
 	}
@@ -156,11 +137,11 @@
 func (l *Ledger) Lost(r *Request, in Instance, address string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.begun || len(r.blocks) == 0 {
+	if r.begun || len(r.suspects) == 0 {
 		return
 	}
 	if e := l.ends[in]; e != nil {
-		e.add(l.likely(r.blocks, len(e.blocks), now))
+		e.add(l.likely(r.suspects, len(e.suspects), now))
 		r.lostAt = now
 		l.judge(now)
 		return
@@ -170,23 +151,23 @@
 		if len(l.pending) >= maxPending {
 			return
 		}
-		p = &pendingLoss{address: address, at: now, blocks: map[Block]bool{}}
+		p = &pendingLoss{address: address, at: now, suspects: map[Suspect]bool{}}
 		l.pending[in] = p
 	}
-	for _, b := range l.likely(r.blocks, len(p.blocks), now) {
-		if len(p.blocks) < maxBlocksPerEnd {
-			p.blocks[b] = true
+	for _, b := range l.likely(r.suspects, len(p.suspects), now) {
+		if len(p.suspects) < maxSuspectsPerEnd {
+			p.suspects[b] = true
 		}
 	}
 }
 
-// likely returns the blocks to record as suspects of an end that has some already. The caller
+// likely returns the suspects to record as suspects of an end that has some already. The caller
 // holds l.mu.
-func (l *Ledger) likely(blocks []Block, have int, now time.Time) []Block {
+func (l *Ledger) likely(suspects []Suspect, have int, now time.Time) []Suspect {
 	if have < maxKnownPerEnd {
-		return blocks
+		return suspects
 	}
-	return slices.DeleteFunc(slices.Clone(blocks), func(b Block) bool { return l.known(b, now) })
+	return slices.DeleteFunc(slices.Clone(suspects), func(b Suspect) bool { return l.known(b, now) })
 }
 
 // Ended records that an instance's process has ended, by a request that was lost with it.
@@ -201,8 +182,8 @@
 }
 
 // Unexplained records that a request was lost and that nobody knows whether its instance has
-// ended. One that tests or probes a block is then not sent to another instance without word of
-// the block.
+// ended. One that tests or probes a suspect is then not sent to another instance without word of
+// the suspect.
 func (l *Ledger) Unexplained(r *Request, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -211,14 +192,14 @@
 	}
 }
 
-// Unproven reports whether a request has a block that no instance was seen to begin with lately,
+// Unproven reports whether a request has a suspect that no instance was seen to begin with lately,
 // or one that it tests or probes: another instance should not get it while the last one may
 // have ended.
 func (l *Ledger) Unproven(r *Request, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	unknown := func(b Block) bool { return !l.known(b, now) }
-	return !r.begun && (len(r.tests) > 0 || r.probe != "" || slices.ContainsFunc(r.blocks, unknown))
+	unknown := func(b Suspect) bool { return !l.known(b, now) }
+	return !r.begun && (len(r.tests) > 0 || r.probe != "" || slices.ContainsFunc(r.suspects, unknown))
 }
 
 // Started records that an instance with a later start is announced at an address: the one
@@ -245,8 +226,8 @@
 	if e == nil {
 		return
 	}
-	for b := range p.blocks {
-		e.add([]Block{b})
+	for b := range p.suspects {
+		e.add([]Suspect{b})
 	}
 	l.judge(now)
 }
@@ -259,7 +240,7 @@
 		if len(l.ends) >= maxEnds {
 			return nil
 		}
-		e = &end{at: at, blocks: map[Block]bool{}}
+		e = &end{at: at, suspects: map[Suspect]bool{}}
 		l.ends[in] = e
 	}
 	if at.Before(e.at) {
@@ -269,14 +250,14 @@
 }
 
 // add adds suspects and reports whether there are new ones.
-func (e *end) add(blocks []Block) bool {
-	before := len(e.blocks)
-	for _, b := range blocks {
-		if len(e.blocks) < maxBlocksPerEnd {
-			e.blocks[b] = true
+func (e *end) add(suspects []Suspect) bool {
+	before := len(e.suspects)
+	for _, b := range suspects {
+		if len(e.suspects) < maxSuspectsPerEnd {
+			e.suspects[b] = true
 		}
 	}
-	return len(e.blocks) > before
+	return len(e.suspects) > before
 }
 
 // Pending reports whether the sign of an instance's end is awaited.
@@ -286,16 +267,16 @@
 	return len(l.pending) > 0
 }
 
-// concerned reports whether a begin of a block changes what is believed. The caller holds
+// concerned reports whether a begin of a suspect changes what is believed. The caller holds
 // l.mu.
-func (l *Ledger) concerned(b Block) bool {
+func (l *Ledger) concerned(b Suspect) bool {
 	_, suspect := l.suspects[b]
 	return suspect || l.verdicts[b] != nil
 }
 
-// lastBegin returns when a block was last seen to begin at any host or released by an operator,
+// lastBegin returns when a suspect was last seen to begin at any host or released by an operator,
 // zero if it was not. The caller holds l.mu.
-func (l *Ledger) lastBegin(b Block) time.Time {
+func (l *Ledger) lastBegin(b Suspect) time.Time {
 	last := l.begins.last(b)
 	for _, at := range []time.Time{l.learned[b], l.formerly[b]} {
 		if at.After(last) {
--- a/internal/engines/quarantine/probe.go
+++ b/internal/engines/quarantine/probe.go
@@ -9,14 +9,14 @@
 	grantLifetime = 5 * time.Second
 )
 
-// Probe asks for the permission to send one request with a block in quarantine.
+// Probe asks for the permission to send one request with a suspect in quarantine.
 type Probe struct {
-	Block Block `json:"block"`
+	Suspect Suspect `json:"block"`
 	// AfterMS is how long ago the last probe must have been, in ms.
 	AfterMS int64 `json:"after_ms"`
 }
 
-// DueProbes returns the probes to ask for: of blocks that were long enough in quarantine and
+// DueProbes returns the probes to ask for: of suspects that were long enough in quarantine and
 // that callers still ask for.
 func (l *Ledger) DueProbes(now time.Time) []Probe {
 	l.mu.Lock()
@@ -26,13 +26,13 @@
 		if l.words[b].hold || now.Before(v.probeAfter()) || now.Sub(v.wantedAt) > wantedPeriod {
 			continue
 		}
-		out = append(out, Probe{Block: b, AfterMS: min(firstProbeAfter<<min(v.probes, 10), maxProbeAfter).Milliseconds()})
+		out = append(out, Probe{Suspect: b, AfterMS: min(firstProbeAfter<<min(v.probes, 10), maxProbeAfter).Milliseconds()})
 	}
 	return out
 }
 
-// Grant permits this host to send one request with the block.
-func (l *Ledger) Grant(b Block, now time.Time) {
+// Grant permits this host to send one request with the suspect.
+func (l *Ledger) Grant(b Suspect, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if v := l.verdicts[b]; v != nil {
@@ -42,11 +42,11 @@
 	}
 }
 
-// Grants decides for the whole system which host may probe a block. The leader of the control
+// Grants decides for the whole system which host may probe a suspect. The leader of the control
 // group keeps it.
 type Grants struct {
 	startedAt time.Time
-	at        map[Block]time.Time // of the last grant
+	at        map[Suspect]time.Time // of the last grant
 }
 
 // startPause is how long no probe is granted after a start: an earlier leader may have
@@ -54,12 +54,12 @@
 const startPause = 2 * grantLifetime
 
 // NewGrants returns Grants of a process that starts now.
-func NewGrants(now time.Time) *Grants { return &Grants{startedAt: now, at: map[Block]time.Time{}} }
+func NewGrants(now time.Time) *Grants { return &Grants{startedAt: now, at: map[Suspect]time.Time{}} }
 
 // Ask reports whether the asking host may send a probe.
 func (g *Grants) Ask(p Probe, now time.Time) bool {
 	pause := max(time.Duration(p.AfterMS)*time.Millisecond, firstProbeAfter)
-	if last, granted := g.at[p.Block]; now.Sub(g.startedAt) < startPause || granted && now.Sub(last) < pause {
+	if last, granted := g.at[p.Suspect]; now.Sub(g.startedAt) < startPause || granted && now.Sub(last) < pause {
 		return false
 	}
 	for b, at := range g.at {
@@ -70,6 +70,6 @@
 	if len(g.at) >= maxVerdicts {
 		return false
 	}
-	g.at[p.Block] = now
+	g.at[p.Suspect] = now
 	return true
 }
--- a/internal/engines/quarantine/report.go
+++ b/internal/engines/quarantine/report.go
@@ -8,7 +8,7 @@
 const (
 	// endRepeat is how long a host repeats an end in its reports: control hosts keep it longer.
 	endRepeat = 15 * time.Second
-	// clearedLifetime is how long the last begin of a block that was in quarantine is kept, so
+	// clearedLifetime is how long the last begin of a suspect that was in quarantine is kept, so
 	// that a host that was cut off does not bring its quarantine back.
 	clearedLifetime = 10 * time.Minute
 	// ageError is how much two reports of one time may differ: the time that a report takes
@@ -19,7 +19,7 @@
 	maxReported = 512
 )
 
-// Report is what a host knows of ends and blocks. It is empty while no instance has ended
+// Report is what a host knows of ends and suspects. It is empty while no instance has ended
 // and nothing is in quarantine.
 type Report struct {
 	Ends     []EndReport     `json:"ends,omitempty"`
@@ -30,26 +30,26 @@
 
 // EndReport is the end of an instance.
 type EndReport struct {
-	Instance string  `json:"instance"`
-	Born     int64   `json:"born"`
-	AgeMS    int64   `json:"age_ms"`
-	Blocks   []Block `json:"blocks"` // suspects
+	Instance string    `json:"instance"`
+	Born     int64     `json:"born"`
+	AgeMS    int64     `json:"age_ms"`
+	Suspects []Suspect `json:"blocks"` // suspects
 }
 
-// BeginReport is the last begin of a block that is in evidence.
+// BeginReport is the last begin of a suspect that is in evidence.
 type BeginReport struct {
-	Block Block `json:"block"`
-	AgeMS int64 `json:"age_ms"`
+	Suspect Suspect `json:"block"`
+	AgeMS   int64   `json:"age_ms"`
 }
 
-// VerdictReport is a block in quarantine.
+// VerdictReport is a suspect in quarantine.
 type VerdictReport struct {
-	Block     Block `json:"block"`
-	Ends      int   `json:"ends"`
-	SinceMS   int64 `json:"since_ms"`            // age
-	LastEndMS int64 `json:"last_end_ms"`         // age
-	Probes    int   `json:"probes,omitempty"`    // granted so far
-	ProbedMS  int64 `json:"probed_ms,omitempty"` // age of the last probe, 0 if none
+	Suspect   Suspect `json:"block"`
+	Ends      int     `json:"ends"`
+	SinceMS   int64   `json:"since_ms"`            // age
+	LastEndMS int64   `json:"last_end_ms"`         // age
+	Probes    int     `json:"probes,omitempty"`    // granted so far
+	ProbedMS  int64   `json:"probed_ms,omitempty"` // age of the last probe, 0 if none
 }
 
 // Empty reports whether there is nothing to tell.
@@ -63,7 +63,7 @@
 	var out Report
 	for in, e := range l.ends {
 		if now.Sub(e.at) <= endRepeat {
-			out.Ends = append(out.Ends, EndReport{Instance: in.ID, Born: in.Born, AgeMS: now.Sub(e.at).Milliseconds(), Blocks: e.list()})
+			out.Ends = append(out.Ends, EndReport{Instance: in.ID, Born: in.Born, AgeMS: now.Sub(e.at).Milliseconds(), Suspects: e.list()})
 		}
 	}
 	for b := range l.evidence() {
@@ -75,14 +75,14 @@
 		out.Verdicts = append(out.Verdicts, v.report(b, now))
 	}
 	for b, w := range l.words {
-		out.Words = append(out.Words, WordReport{Block: b, AgeMS: age(w.at, now), Hold: w.hold})
+		out.Words = append(out.Words, WordReport{Suspect: b, AgeMS: age(w.at, now), Hold: w.hold})
 	}
 	return out
 }
 
-// reportedBegin returns the begin of a block that the others may not know. A host leaves out
+// reportedBegin returns the begin of a suspect that the others may not know. A host leaves out
 // what it has learned, so that reports do not go round. The caller holds l.mu.
-func (l *Ledger) reportedBegin(b Block) (time.Time, bool) {
+func (l *Ledger) reportedBegin(b Suspect) (time.Time, bool) {
 	if l.relay {
 		begin := l.lastBegin(b)
 		return begin, !begin.IsZero()
@@ -94,12 +94,12 @@
 	return own, own.After(l.learned[b])
 }
 
-// evidence returns the blocks whose begins matter: suspects of ends, and blocks that are or
+// evidence returns the suspects whose begins matter: suspects of ends, and suspects that are or
 // were in quarantine. The caller holds l.mu.
-func (l *Ledger) evidence() map[Block]bool {
-	out := map[Block]bool{}
+func (l *Ledger) evidence() map[Suspect]bool {
+	out := map[Suspect]bool{}
 	for _, e := range l.ends {
-		for b := range e.blocks {
+		for b := range e.suspects {
 			out[b] = true
 		}
 	}
@@ -112,8 +112,8 @@
 	return out
 }
 
-func (v *verdict) report(b Block, now time.Time) VerdictReport {
-	out := VerdictReport{Block: b, Ends: v.ends, SinceMS: age(v.since, now), LastEndMS: age(v.lastEnd, now), Probes: v.probes}
+func (v *verdict) report(b Suspect, now time.Time) VerdictReport {
+	out := VerdictReport{Suspect: b, Ends: v.ends, SinceMS: age(v.since, now), LastEndMS: age(v.lastEnd, now), Probes: v.probes}
 	if !v.probedAt.IsZero() {
 		out.ProbedMS = max(1, age(v.probedAt, now))
 	}
@@ -149,13 +149,13 @@
 	}
 	evidence := l.evidence()
 	for _, b := range head(r.Begins) {
-		if at := ago(b.AgeMS, now); evidence[b.Block] && at.After(l.learned[b.Block]) {
-			l.learned[b.Block] = at
+		if at := ago(b.AgeMS, now); evidence[b.Suspect] && at.After(l.learned[b.Suspect]) {
+			l.learned[b.Suspect] = at
 			changed = true
 		}
 	}
 	for _, w := range head(r.Words) {
-		changed = l.obey(w.Block, word{ago(w.AgeMS, now), w.Hold}) || changed
+		changed = l.obey(w.Suspect, word{ago(w.AgeMS, now), w.Hold}) || changed
 	}
 	for _, v := range head(r.Verdicts) {
 		changed = l.learnVerdict(v, now) || changed
@@ -180,35 +180,35 @@
 	if e == nil {
 		return false
 	}
-	added := e.add(r.Blocks)
+	added := e.add(r.Suspects)
 	if p := l.pending[in]; p != nil {
 		delete(l.pending, in)
-		for b := range p.blocks {
-			added = e.add([]Block{b}) || added
+		for b := range p.suspects {
+			added = e.add([]Suspect{b}) || added
 		}
 	}
 	return added || !known
 }
 
-// learnVerdict records a quarantine, unless the block has begun since its last end, and
+// learnVerdict records a quarantine, unless the suspect has begun since its last end, and
 // reports whether it is new. The caller holds l.mu.
 func (l *Ledger) learnVerdict(r VerdictReport, now time.Time) (added bool) {
 	r.Ends, r.Probes = min(max(r.Ends, 0), maxCount), min(max(r.Probes, 0), maxCount)
 	lastEnd := ago(r.LastEndMS, now)
-	if begin := l.lastBegin(r.Block); begin.After(lastEnd) && !l.words[r.Block].hold {
+	if begin := l.lastBegin(r.Suspect); begin.After(lastEnd) && !l.words[r.Suspect].hold {
 		if len(l.formerly) < maxVerdicts {
-			l.formerly[r.Block] = begin // tells the host that reports the quarantine
+			l.formerly[r.Suspect] = begin // tells the host that reports the quarantine
 		}
 		return false
 	}
-	v := l.verdicts[r.Block]
+	v := l.verdicts[r.Suspect]
 	if v == nil {
 		if len(l.verdicts) >= maxVerdicts {
 			return false
 		}
 		added = true
 		v = &verdict{since: ago(r.SinceMS, now), lastEnd: lastEnd, ends: r.Ends, probes: r.Probes}
-		l.blame(r.Block, v)
+		l.blame(r.Suspect, v)
 	}
 	v.ends, v.probes = max(v.ends, r.Ends), max(v.probes, r.Probes)
 	if since := ago(r.SinceMS, now); v.since.Sub(since) > ageError {
@@ -223,30 +223,30 @@
 	return added
 }
 
-// Verdict is a block in quarantine.
+// Verdict is a suspect in quarantine.
 type Verdict struct {
-	Block   Block
+	Suspect Suspect
 	Since   time.Time
 	LastEnd time.Time
 	Ends    int
 	Probes  int
-	// ByOperator is set while an operator holds the block.
+	// ByOperator is set while an operator holds the suspect.
 	ByOperator bool
 }
 
 // public returns a verdict for others. The caller holds l.mu.
-func (l *Ledger) public(b Block, v *verdict) Verdict {
-	return Verdict{Block: b, Since: v.since, LastEnd: v.lastEnd, Ends: v.ends, Probes: v.probes, ByOperator: l.words[b].hold}
+func (l *Ledger) public(b Suspect, v *verdict) Verdict {
+	return Verdict{Suspect: b, Since: v.since, LastEnd: v.lastEnd, Ends: v.ends, Probes: v.probes, ByOperator: l.words[b].hold}
 }
 
-// Release is the end of a block's quarantine.
+// Release is the end of a suspect's quarantine.
 type Release struct {
-	Block Block
-	Ends  int
-	Held  time.Duration
+	Suspect Suspect
+	Ends    int
+	Held    time.Duration
 }
 
-// Verdicts returns the blocks in quarantine, sorted by name.
+// Verdicts returns the suspects in quarantine, sorted by name.
 func (l *Ledger) Verdicts() []Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -255,7 +255,7 @@
 		out = append(out, l.public(b, v))
 	}
 	slices.SortFunc(out, func(a, b Verdict) int {
-		if a.Block < b.Block {
+		if a.Suspect < b.Suspect {
 			return -1
 		}
 		return 1
@@ -265,7 +265,7 @@
 
 // noteBlamed and noteReleased keep a change for TakeChanges. Nobody takes those of a relay. The
 // caller holds l.mu.
-func (l *Ledger) noteBlamed(b Block, v *verdict) {
+func (l *Ledger) noteBlamed(b Suspect, v *verdict) {
 	if !l.relay {
 		l.blamed = append(l.blamed, l.public(b, v))
 	}
@@ -277,7 +277,7 @@
 	}
 }
 
-// TakeChanges returns the blocks that came into quarantine or left it since the last call.
+// TakeChanges returns the suspects that came into quarantine or left it since the last call.
 func (l *Ledger) TakeChanges() (blamed []Verdict, released []Release) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/process/cli/quarantine.go
+++ b/internal/process/cli/quarantine.go
@@ -32,10 +32,10 @@
 		clause := parent.Command(string(word), help)
 		block := clause.Arg("block", "MODEL/ID, as in the list and in the log lines of refused requests.").Required().String()
 		a.command(clause, func(ctx context.Context) error {
-			if !quarantine.Block(*block).Valid() {
+			if !quarantine.Suspect(*block).Valid() {
 				return &usageError{fmt.Errorf("%q is no block: name it as MODEL/ID", *block)}
 			}
-			return a.blocks(ctx, hosts, controlapi.BlocksRequest{Word: word, Block: quarantine.Block(*block)})
+			return a.blocks(ctx, hosts, controlapi.BlocksRequest{Word: word, Block: quarantine.Suspect(*block)})
 		})
 	}
 }
@@ -63,7 +63,7 @@
 	}
 	var rows [][]string
 	for _, b := range blocks {
-		rows = append(rows, []string{string(b.Block), sinceMS(b.SinceMS), yesNo(b.ByOperator), fmt.Sprint(b.Ends), fmt.Sprint(b.Probes)})
+		rows = append(rows, []string{string(b.Suspect), sinceMS(b.SinceMS), yesNo(b.ByOperator), fmt.Sprint(b.Ends), fmt.Sprint(b.Probes)})
 		for _, e := range b.Instances {
 			rows = append(rows, []string{"  " + e.Instance, sinceMS(e.AgeMS), "", "", ""})
 		}
--- a/internal/serve/dialect/dialect.go
+++ b/internal/serve/dialect/dialect.go
@@ -20,6 +20,7 @@
 type Meta struct {
 	ID           string        // request ID, new for each attempt of the caller
 	Deadline     time.Duration // how long the caller waits, 0 if unknown
+	Caller       string        // the caller's credentials, empty if it sends none; never logged
 	Model        string
 	PromptTokens int
 	OutputTokens int           // limit of generated tokens
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -126,6 +126,7 @@
 	if !c.readBody(t.Limits) {
 		return
 	}
+	c.identity = c.newIdentity()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
@@ -194,8 +195,9 @@
 	deadline time.Time // the earlier of the route's timeout and the caller's deadline
 
 	endpoint  string
-	excluded  map[string]bool // IDs of instances that are not tried again
-	arrivals  arrivals        // at instances
+	excluded  map[string]bool    // IDs of instances that are not tried again
+	arrivals  arrivals           // at instances
+	identity  quarantine.Suspect // of a request that is known by its content, empty for others
 	suspect   *quarantine.Request
 	ran       int // attempts that may have run the request, prefills excluded
 	attempts  []attempt
--- a/internal/serve/forward/lost.go
+++ b/internal/serve/forward/lost.go
@@ -8,6 +8,7 @@
 	"filberthook/internal/engines/placement"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/process/pause"
+	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
 )
 
@@ -40,7 +41,7 @@
 		return // a later start at the same address would show that it has ended
 	}
 	lost := lostAttempt{
-		id: c.meta.ID, route: c.route.Name, target: target, step: step, begun: begun, blocks: c.sharedBlocks(), request: c.suspect, cause: cause,
+		id: c.meta.ID, route: c.route.Name, target: target, step: step, begun: begun, blocks: c.sharedBlocks(), identity: c.identity, request: c.suspect, cause: cause,
 	}
 	checked := make(chan struct{})
 	go func() {
@@ -50,6 +51,9 @@
 	if begun {
 		return // nothing is decided by it for this request
 	}
+	if c.route.Kind != routes.Stream {
+		return // its next attempt does not depend on it
+	}
 	if c.server.quarantine.Unproven(c.suspect, time.Now()) {
 		<-checked
 		return
@@ -70,6 +74,7 @@
 	target          placement.Target
 	begun           bool // the instance had answered with an event
 	blocks          []string
+	identity        quarantine.Suspect
 	request         *quarantine.Request
 	cause           error
 }
@@ -85,7 +90,7 @@
 	}
 	s.metrics.GetOrCreateCounter(`filberthook_entry_lost_attempts_total{instance="` + presence.String() + `"}`).Inc()
 	s.logger.Info("attempt lost", "id", a.id, "route", a.route, "instance", a.target.ID, "born", a.target.Born, "step", a.step,
-		"begun", a.begun, "blocks", a.blocks, "address", a.target.Address, "process", presence.String(), "err", a.cause.Error())
+		"begun", a.begun, "blocks", a.blocks, "address", a.target.Address, "identity", a.identity, "process", presence.String(), "err", a.cause.Error())
 }
 
 // presenceOf finds out whether a process still listens at an address where a connection broke.
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -22,13 +22,24 @@
 // newSuspect returns the request's state in the quarantine ledger.
 func (c *call) newSuspect() *quarantine.Request {
 	shared := c.meta.PrefixBlocks[:max(0, len(c.meta.PrefixBlocks)-1)]
-	var blocks []quarantine.Block
+	var blocks []quarantine.Suspect
 	for _, b := range shared[:min(len(shared), maxSuspectBlocks)] {
 		blocks = append(blocks, quarantine.BlockOf(c.meta.Model, b.ID))
 	}
 	return c.server.quarantine.Request(blocks)
 }
 
+// newIdentity returns the request's name by its content, empty if blocks of its prompt name it.
+func (c *call) newIdentity() quarantine.Suspect {
+	if len(c.meta.PrefixBlocks) > 1 {
+		return ""
+	}
+	return quarantine.Identity{
+		Endpoint: c.endpoint, Method: c.r.Method, Host: c.r.Host, Target: c.r.RequestURI,
+		Caller: c.meta.Caller, Model: c.meta.Model, Body: c.body,
+	}.Suspect()
+}
+
 // admit asks whether the request may be sent to an engine, and waits while another request
 // tests a block of its prompt. If it may not, it ends the request and returns false.
 func (c *call) admit(p *streamProgress) (containKey string, ok bool) {
@@ -43,7 +54,7 @@
 		case d.Answer == quarantine.Pass:
 			return "", true
 		case d.Answer == quarantine.Contain:
-			return string(d.Block), true
+			return string(d.Suspect), true
 		case d.Answer == quarantine.Wait && now.Before(waitEnd) && pause.For(c.ctx, admitPollInterval):
 			continue
 		}
@@ -54,7 +65,7 @@
 
 // endSuspect ends a request that may end its engine.
 func (c *call) endSuspect(d quarantine.Decision, p *streamProgress) {
-	c.detail = "block " + string(d.Block)
+	c.detail = "block " + string(d.Suspect)
 	reason := "suspect_block"
 	if d.Quarantined {
 		reason = reasonQuarantined
--- a/internal/serve/forward/requestlog.go
+++ b/internal/serve/forward/requestlog.go
@@ -88,6 +88,6 @@
 	view := c.server.view.Snapshot()
 	c.server.logger.Info("request", "id", c.meta.ID, "route", c.route.Name, "kind", c.route.Kind.String(), "endpoint", c.endpoint,
 		"config", c.version, "view", view.Number, "view_age_ms", time.Since(view.At).Milliseconds(),
-		"tokens", c.meta.PromptTokens, "blocks", c.sharedBlocks(), "attempts", c.attempts, "outcome", c.outcome, "status", c.status,
+		"tokens", c.meta.PromptTokens, "blocks", c.sharedBlocks(), "identity", c.identity, "attempts", c.attempts, "outcome", c.outcome, "status", c.status,
 		"reason", c.reason, "detail", c.detail, "first_ms", c.firstMS, "ms", elapsed.Milliseconds())
 }
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -107,6 +107,7 @@
 	c.ran++ // undone if the instance says that it did not run
 	if err != nil {
 		outcome = c.contactOutcome()
+		c.noteLost(target, "run", outcome, false, err)
 		return nil, outcome, err
 	}
 	defer answer.Close()
@@ -116,6 +117,7 @@
 			c.ran--
 		}
 		outcome = c.contactOutcome()
+		c.noteLost(target, "run", outcome, got.answer.NotRun, err)
 		return nil, outcome, err
 	}
 	outcome, err = c.classify(got)
