Quarantine requests that come again, as blocks of prompts are

Callers saw: all four instances of a plain service ended within 0.25 s, were back after 4 s and ended again, for as long as one request came; every other request to the service was refused or lost.

Cause: the quarantine knew blocks of prompts on the path to engines only.

Change: the ledger's suspect may be a request that comes again, named by a digest. Evidence, clearing, containment, verdict, probe, exchange and operators' commands are the same code; what differs by kind: - Most sound requests come once, so that nothing is known of them. One that was lost with its instance waits 250 ms (600 ms above 24 hosts) for word of other ends under it and is then tried once more; after two ends it is tested at intervals. - Ends are weighed within the endpoint; a request that is in one end only explains no other; of two that are in just the same ends none is blamed before five. - If the ends lie within 1.5 s, as ends by chance do, the first probe comes after 4 s; otherwise probes come after a minute and then every ten. - A contained request goes to one instance, the same from all hosts (PlaceContained), never to one that is known to have ended or to the last one left of several; if that instance refuses the connection, it waits for word instead of going to the next. Streams without shared blocks are suspects as a whole.

Tried and dropped: a first probe after 4 s in any case (5 and 10 ends), and 250 ms of waiting at all sizes (5 ends at 70 and 294 hosts, where word takes longer).

TestRequestEndsNoMoreInstances...: a safe request of three attempts and a stream without blocks end two instances now, not three; the test asks for that.

--- a/internal/engines/placement/contain.go
+++ b/internal/engines/placement/contain.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"filberthook/internal/engines/instances"
@@ -28,3 +31,61 @@
 	}
 	return out
 }
+
+// peakPeriod is how long the most instances that an endpoint had count: instances that have ended
+// are back within seconds.
+const peakPeriod = 30 * time.Second
+
+// peak is the most instances that an endpoint had lately.
+type peak struct {
+	instances int
+	at        time.Time
+}
+
+// notePeaks records how many instances each endpoint has. The caller holds f.mu.
+func (f *Fleet) notePeaks(now time.Time) {
+	for endpoint, list := range f.byEndpoint {
+		if p := f.peaks[endpoint]; len(list) >= p.instances || now.Sub(p.at) > peakPeriod {
+			f.peaks[endpoint] = peak{len(list), now}
+		}
+	}
+	for endpoint, p := range f.peaks {
+		if now.Sub(p.at) > peakPeriod && len(f.byEndpoint[endpoint]) == 0 {
+			delete(f.peaks, endpoint)
+		}
+	}
+}
+
+// LastInstanceError reports that a request which may end its instance was not sent to the only one
+// that is left.
+type LastInstanceError struct {
+	Endpoint string
+	Lately   int // instances that the endpoint had within peakPeriod
+}
+
+func (e *LastInstanceError) Error() string {
+	return fmt.Sprintf("%q has one instance left of %d and the request may end it: come back when others have started", e.Endpoint, e.Lately)
+}
+
+// PlaceContained picks the instance of a plain service for a request that may end it: the same at
+// all hosts for requests with the same key. The last instance of several gets none; hasEnded
+// reports which are announced and have ended.
+func (f *Fleet) PlaceContained(endpoint, key string, excluded map[string]bool, hasEnded func(id string, born int64) bool, now time.Time) (Target, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var running []*instance
+	for _, in := range f.byEndpoint[endpoint] {
+		if !hasEnded(in.ID, in.Born) {
+			running = append(running, in)
+		}
+	}
+	if lately := f.peaks[endpoint].instances; len(running) == 1 && lately > 1 {
+		return Target{}, &LastInstanceError{endpoint, lately}
+	}
+	candidates := contain(f.available(running, excluded, now), key)
+	if len(candidates) == 0 {
+		return Target{}, f.noInstance(endpoint, excluded, now)
+	}
+	candidates[0].notices.Send()
+	return candidates[0].target(), nil
+}
--- a/internal/engines/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -77,12 +77,13 @@
 	typicalRates  map[string]*rateHistory // observed prefill rates of all engines, by endpoint
 	updates       map[string]*CacheUpdate // by instance, not sent to the other hosts yet
 	updateCount   int
+	peaks         map[string]peak // by endpoint
 }
 
 // New returns an empty Fleet; random returns random numbers from [0, 1), and connected
 // reports whether a connection to an address is open and idle.
 func New(s Settings, random func() float64, connected func(address string) bool) *Fleet {
-	return &Fleet{settings: s, byID: map[string]*instance{}, byEndpoint: map[string][]*instance{}, notices: map[string]*notice.Record{}, random: random, connected: connected, meters: map[string]*demandMeter{}, requests: map[string]*decaying{}, updates: map[string]*CacheUpdate{}, zones: map[string]*zoneHealth{}, typicalRates: map[string]*rateHistory{}}
+	return &Fleet{settings: s, byID: map[string]*instance{}, byEndpoint: map[string][]*instance{}, notices: map[string]*notice.Record{}, random: random, connected: connected, meters: map[string]*demandMeter{}, requests: map[string]*decaying{}, updates: map[string]*CacheUpdate{}, zones: map[string]*zoneHealth{}, typicalRates: map[string]*rateHistory{}, peaks: map[string]peak{}}
 }
 
 // Update takes a new list of instances. The state of an instance is kept unless it
@@ -105,6 +106,7 @@
 		}
 	}
 	f.byID, f.byEndpoint = known, lists
+	f.notePeaks(s.At)
 	f.dropRecords(s.At)
 }
 
--- a/internal/engines/quarantine/admit.go
+++ b/internal/engines/quarantine/admit.go
@@ -38,10 +38,14 @@
 		return d
 	}
 	if b, ok := l.risksSecondTry(r); ok {
-		if now.Sub(r.lostAt) < SecondTryWait {
+		switch waited := now.Sub(r.lostAt); {
+		case b.Kind() == KindRequest && waited >= l.requestWait() && l.suspects[b].moments == 1:
+			// No other end has the request: it was probably beside the one that ended the instance.
+		case waited < SecondTryWait && (b.Kind() == KindBlock || waited < l.requestWait()):
 			return Decision{Answer: Wait, Suspect: b}
+		default:
+			return Decision{Answer: Refuse, Suspect: b}
 		}
-		return Decision{Answer: Refuse, Suspect: b}
 	}
 	return l.contain(r, now)
 }
@@ -60,17 +64,26 @@
 			r.probe = b
 			continue
 		}
-		return Decision{Answer: Refuse, Suspect: b, Quarantined: true, RetryAfter: max(firstProbeAfter, v.probeAfter().Sub(now))}, true
+		return Decision{Answer: Refuse, Suspect: b, Quarantined: true, RetryAfter: max(probePause(b.Kind(), 0), v.probeAfter(b).Sub(now))}, true
 	}
 	if r.probe == "" {
 		return Decision{}, false
 	}
 	if !r.lostAt.IsZero() {
-		return Decision{Answer: Refuse, Suspect: r.probe, Quarantined: true, RetryAfter: firstProbeAfter}, true
+		return Decision{Answer: Refuse, Suspect: r.probe, Quarantined: true, RetryAfter: probePause(r.probe.Kind(), 0)}, true
 	}
 	return Decision{Answer: Contain, Suspect: r.probe}, true
 }
 
+// requestWait returns how long a request that was lost with its instance waits for word of other
+// ends under it. The caller holds l.mu.
+func (l *Ledger) requestWait() time.Duration {
+	if l.hosts > fewHosts {
+		return SecondTryWait
+	}
+	return fewHostsWait
+}
+
 // risksSecondTry reports whether a request that was lost with its instance has a suspect that
 // is not known to be sound. The caller holds l.mu.
 func (l *Ledger) risksSecondTry(r *Request) (Suspect, bool) {
@@ -96,7 +109,7 @@
 		if other := l.testing[b]; other != nil && other != r {
 			return Decision{Answer: Wait, Suspect: b}
 		}
-		if next := s.nextTest(l.phases[b]); l.testing[b] != r && now.Before(next) {
+		if next := s.nextTest(b.Kind(), l.phases[b]); l.testing[b] != r && now.Before(next) {
 			return Decision{Answer: Refuse, Suspect: b, RetryAfter: next.Sub(now)}
 		}
 		tests = append(tests, b)
--- a/internal/engines/quarantine/ledger.go
+++ b/internal/engines/quarantine/ledger.go
@@ -33,6 +33,10 @@
 	// SecondTryWait is how long a request that was lost with its instance waits for word that
 	// its suspects are sound: two exchanges between hosts of a large deployment.
 	SecondTryWait = 600 * time.Millisecond
+	// fewHostsWait is SecondTryWait for a request that comes again where there are fewHosts: two of
+	// their exchanges, which leaves time for a second try within a short deadline.
+	fewHostsWait = 250 * time.Millisecond
+	fewHosts     = 24
 	// maxEnds and maxPending bound what is kept of ends, maxSuspectsPerEnd the suspects of one.
 	// Beyond maxKnownPerEnd suspects, those that were seen to begin lately are left out: an engine
 	// under load has hundreds of requests that wait.
@@ -48,7 +52,7 @@
 // use.
 type Ledger struct {
 	mu       sync.Mutex
-	begins   beginMemory               // of this host
+	begins   [kinds]beginMemory        // of this host
 	learned  map[Suspect]time.Time     // newest begins at other hosts, of suspects in evidence
 	pending  map[Instance]*pendingLoss // lost requests whose instances may have ended
 	ends     map[Instance]*end         // within endLifetime
@@ -121,10 +125,14 @@
 	r.begun = true
 	delete(l.waiting, r)
 	l.finishTests(r)
-	l.begins.recordRequest(now)
 	changed := false
+	for k := range kinds {
+		if slices.ContainsFunc(r.suspects, func(b Suspect) bool { return b.Kind() == k }) {
+			l.begins[k].recordRequest(now)
+		}
+	}
 	for _, b := range r.suspects {
-		l.begins.record(b, now)
+		l.begins[b.Kind()].record(b, now)
 		changed = changed || l.concerned(b)
 	}
 	if changed {
@@ -198,7 +206,10 @@
 func (l *Ledger) Unproven(r *Request, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	unknown := func(b Suspect) bool { return !l.known(b, now) }
+	unknown := func(b Suspect) bool {
+		// Most sound requests come once, so that nothing is known of them.
+		return b.Kind() != KindRequest && !l.known(b, now)
+	}
 	return !r.begun && (len(r.tests) > 0 || r.probe != "" || slices.ContainsFunc(r.suspects, unknown))
 }
 
@@ -260,6 +271,13 @@
 	return len(e.suspects) > before
 }
 
+// HasEnded reports whether an instance is known to have ended lately.
+func (l *Ledger) HasEnded(id string, born int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ends[Instance{id, born}] != nil
+}
+
 // Pending reports whether the sign of an instance's end is awaited.
 func (l *Ledger) Pending() bool {
 	l.mu.Lock()
@@ -277,7 +295,7 @@
 // lastBegin returns when a suspect was last seen to begin at any host or released by an operator,
 // zero if it was not. The caller holds l.mu.
 func (l *Ledger) lastBegin(b Suspect) time.Time {
-	last := l.begins.last(b)
+	last := l.begins[b.Kind()].last(b)
 	for _, at := range []time.Time{l.learned[b], l.formerly[b]} {
 		if at.After(last) {
 			last = at
--- a/internal/engines/quarantine/probe.go
+++ b/internal/engines/quarantine/probe.go
@@ -23,10 +23,10 @@
 	defer l.mu.Unlock()
 	var out []Probe
 	for b, v := range l.verdicts {
-		if l.words[b].hold || now.Before(v.probeAfter()) || now.Sub(v.wantedAt) > wantedPeriod {
+		if l.words[b].hold || now.Before(v.probeAfter(b)) || now.Sub(v.wantedAt) > wantedPeriod {
 			continue
 		}
-		out = append(out, Probe{Suspect: b, AfterMS: min(firstProbeAfter<<min(v.probes, 10), maxProbeAfter).Milliseconds()})
+		out = append(out, Probe{Suspect: b, AfterMS: v.pause(b).Milliseconds()})
 	}
 	return out
 }
@@ -58,7 +58,7 @@
 
 // Ask reports whether the asking host may send a probe.
 func (g *Grants) Ask(p Probe, now time.Time) bool {
-	pause := max(time.Duration(p.AfterMS)*time.Millisecond, firstProbeAfter)
+	pause := max(time.Duration(p.AfterMS)*time.Millisecond, probePause(p.Suspect.Kind(), 0))
 	if last, granted := g.at[p.Suspect]; now.Sub(g.startedAt) < startPause || granted && now.Sub(last) < pause {
 		return false
 	}
--- a/internal/engines/quarantine/report.go
+++ b/internal/engines/quarantine/report.go
@@ -50,6 +50,7 @@
 	LastEndMS int64   `json:"last_end_ms"`         // age
 	Probes    int     `json:"probes,omitempty"`    // granted so far
 	ProbedMS  int64   `json:"probed_ms,omitempty"` // age of the last probe, 0 if none
+	Apart     bool    `json:"apart,omitempty"`     // the ends that blamed it do not lie together
 }
 
 // Empty reports whether there is nothing to tell.
@@ -87,7 +88,7 @@
 		begin := l.lastBegin(b)
 		return begin, !begin.IsZero()
 	}
-	own, ended := l.begins.last(b), l.formerly[b]
+	own, ended := l.begins[b.Kind()].last(b), l.formerly[b]
 	if ended.After(own) {
 		return ended, true
 	}
@@ -113,7 +114,7 @@
 }
 
 func (v *verdict) report(b Suspect, now time.Time) VerdictReport {
-	out := VerdictReport{Suspect: b, Ends: v.ends, SinceMS: age(v.since, now), LastEndMS: age(v.lastEnd, now), Probes: v.probes}
+	out := VerdictReport{Suspect: b, Ends: v.ends, SinceMS: age(v.since, now), LastEndMS: age(v.lastEnd, now), Probes: v.probes, Apart: v.apart}
 	if !v.probedAt.IsZero() {
 		out.ProbedMS = max(1, age(v.probedAt, now))
 	}
@@ -207,7 +208,7 @@
 			return false
 		}
 		added = true
-		v = &verdict{since: ago(r.SinceMS, now), lastEnd: lastEnd, ends: r.Ends, probes: r.Probes}
+		v = &verdict{since: ago(r.SinceMS, now), lastEnd: lastEnd, ends: r.Ends, probes: r.Probes, apart: r.Apart}
 		l.blame(r.Suspect, v)
 	}
 	v.ends, v.probes = max(v.ends, r.Ends), max(v.probes, r.Probes)
--- a/internal/engines/quarantine/suspect.go
+++ b/internal/engines/quarantine/suspect.go
@@ -75,13 +75,16 @@
 	return KindBlock
 }
 
-// scope returns the model or the endpoint whose instances run requests with the suspect.
+// blockScope is the scope of all blocks, and of ends without suspects.
+const blockScope = ""
+
+// scope names the instances whose ends speak for or against a suspect: for a request those of its
+// endpoint.
 func (s Suspect) scope() string {
 	if s.Kind() == KindRequest {
 		return string(s[:strings.LastIndexByte(string(s), ':')])
 	}
-	model, _, _ := strings.Cut(string(s), "/")
-	return model
+	return blockScope
 }
 
 // Valid reports whether the suspect could have come from BlockOf or Identity.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -127,6 +127,7 @@
 		return
 	}
 	c.identity = c.newIdentity()
+	c.suspect = c.newSuspect()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
@@ -219,7 +220,6 @@
 	if c.meta.Deadline > 0 {
 		c.deadline = earlier(c.deadline, now.Add(c.meta.Deadline))
 	}
-	c.suspect = c.newSuspect()
 	c.arrivals.budget = s.budgets.Of(c.endpoint)
 	c.arrivals.budget.CountRequest(now)
 	return c
@@ -397,6 +397,10 @@
 // noteUnplaced records why placement found no instance, and returns the reason for the log.
 func (c *call) noteUnplaced(err error) (reason string) {
 	c.detail = err.Error()
+	var last *placement.LastInstanceError
+	if errors.As(err, &last) {
+		return "last_instance"
+	}
 	var none *placement.NoInstanceError
 	if errors.As(err, &none) && none.Later > 0 {
 		c.notBefore = none.Wait
--- a/internal/serve/forward/lost.go
+++ b/internal/serve/forward/lost.go
@@ -15,8 +15,7 @@
 const (
 	// presenceTimeout bounds the check whether an instance that has lost a request still runs.
 	presenceTimeout = 300 * time.Millisecond
-	// presenceWait is how long a request waits for the check if all its blocks are known to be
-	// sound: some round trips within a region. What is found out later counts for other requests.
+	// presenceWait is how long a request waits for the check unless it is unproven: some round trips within a region. What is found out later counts for other requests.
 	presenceWait = 40 * time.Millisecond
 	// presenceAttempts is how often an instance is checked that still accepts connections: a
 	// process that ends closes its connections before its listener at times. presenceRecheck is the
@@ -51,8 +50,8 @@
 	if begun {
 		return // nothing is decided by it for this request
 	}
-	if c.route.Kind != routes.Stream {
-		return // its next attempt does not depend on it
+	if c.route.Kind == routes.Unsafe {
+		return // it has no other attempt
 	}
 	if c.server.quarantine.Unproven(c.suspect, time.Now()) {
 		<-checked
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -15,12 +15,16 @@
 	containWait = 500 * time.Millisecond
 	// admitPollInterval is how often a waiting request asks again.
 	admitPollInterval = 20 * time.Millisecond
-	// reasonQuarantined is the reason in answers and logs of requests with a block in quarantine.
-	reasonQuarantined = "quarantined_block"
+	// reasonQuarantined is the reason in answers and logs of requests with a suspect in quarantine; the
+	// suspect's kind follows.
+	reasonQuarantined = "quarantined_"
 )
 
 // newSuspect returns the request's state in the quarantine ledger.
 func (c *call) newSuspect() *quarantine.Request {
+	if c.identity != "" {
+		return c.server.quarantine.Request([]quarantine.Suspect{c.identity})
+	}
 	shared := c.meta.PrefixBlocks[:max(0, len(c.meta.PrefixBlocks)-1)]
 	var blocks []quarantine.Suspect
 	for _, b := range shared[:min(len(shared), maxSuspectBlocks)] {
@@ -40,11 +44,11 @@
 	}.Suspect()
 }
 
-// admit asks whether the request may be sent to an engine, and waits while another request
-// tests a block of its prompt. If it may not, it ends the request and returns false.
+// admit asks whether the request may be sent to an instance, and waits while another request
+// tests one of its suspects. If it may not, it ends the request and returns false.
 func (c *call) admit(p *streamProgress) (containKey string, ok bool) {
 	waitEnd := time.Now().Add(min(containWait, c.remaining()/4))
-	if c.ran > 0 { // a second try waits for word of its blocks
+	if c.ran > 0 { // a second try waits for word of its suspects
 		waitEnd = time.Now().Add(min(quarantine.SecondTryWait+containWait, c.remaining()))
 	}
 	for {
@@ -63,12 +67,13 @@
 	}
 }
 
-// endSuspect ends a request that may end its engine.
+// endSuspect ends a request that may end its instance.
 func (c *call) endSuspect(d quarantine.Decision, p *streamProgress) {
-	c.detail = "block " + string(d.Suspect)
-	reason := "suspect_block"
+	kind := d.Suspect.Kind().String()
+	c.detail = kind + " " + string(d.Suspect)
+	reason := "suspect_" + kind
 	if d.Quarantined {
-		reason = reasonQuarantined
+		reason = reasonQuarantined + kind
 	}
 	if d.RetryAfter > 0 && c.ran == 0 && !c.callerGone() {
 		c.refuse(reason, max(d.RetryAfter, c.retryAfter()))
@@ -77,5 +82,13 @@
 	c.endUnfinished(reason, p)
 }
 
-// noteBegun records that an engine has begun to answer.
+// reasonWithdrawn is the reason of a request that was canceled at its instance.
+func (c *call) reasonWithdrawn() string {
+	if c.identity != "" {
+		return reasonQuarantined + quarantine.KindRequest.String()
+	}
+	return reasonQuarantined + quarantine.KindBlock.String()
+}
+
+// noteBegun records that an instance has begun to answer a stream, or has answered another request.
 func (c *call) noteBegun() { c.server.quarantine.Begun(c.suspect, time.Now()) }
--- a/internal/serve/forward/requestlog.go
+++ b/internal/serve/forward/requestlog.go
@@ -42,7 +42,9 @@
 // finish updates the metrics and logs the request.
 func (c *call) finish() {
 	c.arrivals.settle()
-	c.server.quarantine.Done(c.suspect)
+	if c.suspect != nil { // nil if the body was not read
+		c.server.quarantine.Done(c.suspect)
+	}
 	elapsed := time.Since(c.start)
 	if c.outcome == "" {
 		c.outcome = "cut"
--- a/internal/serve/forward/silence.go
+++ b/internal/serve/forward/silence.go
@@ -116,7 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.withdrawn {
-		return reasonQuarantined
+		return s.call.reasonWithdrawn()
 	}
 	return failureReason(err, nil)
 }
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -29,7 +29,11 @@
 func (c *call) serveWhole() {
 	var failed *wholeAnswer // an instance's error answer, passed on if no other instance succeeds
 	for {
-		target, err := c.server.fleet.PlaceService(c.endpoint, c.server.settings.Zone, c.excluded, time.Now())
+		containKey, ok := c.admit(&streamProgress{})
+		if !ok {
+			return
+		}
+		target, err := c.placeWhole(containKey)
 		if err != nil {
 			if c.awaitInstance(err) {
 				continue
@@ -43,6 +47,9 @@
 		}
 		got, outcome, err := c.exchangeWhole(target)
 		c.excluded[target.ID] = true
+		if containKey != "" && outcome == placement.NoContact {
+			c.server.quarantine.Unexplained(c.suspect, time.Now())
+		}
 		if got != nil && outcome == placement.Answered {
 			c.passWhole(got)
 			return
@@ -67,6 +74,14 @@
 	c.passWhole(failed)
 }
 
+// placeWhole picks the instance; a contained request goes to the same one as all others with its key.
+func (c *call) placeWhole(containKey string) (placement.Target, error) {
+	if containKey == "" {
+		return c.server.fleet.PlaceService(c.endpoint, c.server.settings.Zone, c.excluded, time.Now())
+	}
+	return c.server.fleet.PlaceContained(c.endpoint, containKey, c.excluded, c.server.quarantine.HasEnded, time.Now())
+}
+
 func failureReason(err error, got *wholeAnswer) string {
 	var notSent *upstream.NotSentError
 	switch {
@@ -98,6 +113,8 @@
 	}()
 	ctx, cancel := c.attemptContext()
 	defer cancel()
+	withdrawn := make(chan struct{})
+	defer c.server.quarantine.Sent(c.suspect, func() { close(withdrawn); cancel() })()
 	answer, err := c.send(ctx, target, dialect.SendOptions{Instance: target.ID, Priority: c.route.Priority})
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
@@ -106,7 +123,7 @@
 	}
 	c.ran++ // undone if the instance says that it did not run
 	if err != nil {
-		outcome = c.contactOutcome()
+		outcome = c.lostOutcome(withdrawn)
 		c.noteLost(target, "run", outcome, false, err)
 		return nil, outcome, err
 	}
@@ -116,11 +133,13 @@
 		if got.answer.NotRun {
 			c.ran--
 		}
-		outcome = c.contactOutcome()
+		outcome = c.lostOutcome(withdrawn)
 		c.noteLost(target, "run", outcome, got.answer.NotRun, err)
 		return nil, outcome, err
 	}
-	outcome, err = c.classify(got)
+	if outcome, err = c.classify(got); !got.answer.NotRun && err == nil {
+		c.noteBegun()
+	}
 	return got, outcome, err
 }
 
@@ -151,6 +170,16 @@
 	return placement.NoContact
 }
 
+// lostOutcome is contactOutcome of an attempt that may have been withdrawn from its instance.
+func (c *call) lostOutcome(withdrawn <-chan struct{}) placement.Outcome {
+	select {
+	case <-withdrawn:
+		return placement.Canceled
+	default:
+		return c.contactOutcome()
+	}
+}
+
 // attemptContext limits an attempt of a safe request, so that there is time to try another
 // instance.
 func (c *call) attemptContext() (context.Context, context.CancelFunc) {
