An instance's failure is no proof that a request is sound

Such an answer cleared the request that ends instances: it left quarantine, counted as known, and needed four more ends over 1.5 s to come back.

TestRequestThatComesAgain..., "safe, some fail", each third arrival answered with 500, before: 12 ends of 4, 12 late arrivals of 3, 58 of 203 sound requests served; now 4 ends, 1 late, 203 of 203. Only answers that are no failure count as a begin.

--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -137,8 +137,8 @@
 		c.noteLost(target, "run", outcome, got.answer.NotRun, err)
 		return nil, outcome, err
 	}
-	if outcome, err = c.classify(got); !got.answer.NotRun && err == nil {
-		c.noteBegun()
+	if outcome, err = c.classify(got); outcome == placement.Answered {
+		c.noteBegun() // an instance that fails part of its requests tells nothing of them
 	}
 	return got, outcome, err
 }
