--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -100,15 +100,15 @@
 	UpdatesPosition uint64 `json:"news_position,omitempty"`
 }
 
-// ProbeResponse tells whether the asking host may probe a block in quarantine.
+// ProbeResponse tells whether the asking host may probe a suspect in quarantine.
 type ProbeResponse struct {
 	Granted bool `json:"granted"`
 }
 
-// BlocksRequest lists the prompt blocks in quarantine, after an operator's word on one.
+// BlocksRequest lists the blocks and requests in quarantine, after an operator's word on one.
 type BlocksRequest struct {
 	Word  BlockWord          `json:"word,omitempty"`
-	Block quarantine.Suspect `json:"block,omitempty"` // MODEL/ID, with Hold and Release
+	Block quarantine.Suspect `json:"block,omitempty"` // the suspect, with Hold and Release
 	// Forwarded is set by the control host that passes the request on to the leader.
 	Forwarded bool `json:"forwarded,omitempty"`
 }
@@ -123,7 +123,7 @@
 	ReleaseBlock BlockWord = "release" // out of quarantine
 )
 
-// BlocksResponse lists the blocks in quarantine as the group's leader knows them.
+// BlocksResponse lists the blocks and requests in quarantine as the group's leader knows them.
 type BlocksResponse struct {
 	Blocks []quarantine.Entry `json:"blocks"`
 }
--- a/internal/control/controlhost/quarantine.go
+++ b/internal/control/controlhost/quarantine.go
@@ -10,7 +10,7 @@
 	"filberthook/internal/network/peer"
 )
 
-// evidence returns what is known of prompts that end instances, nil if nothing is.
+// evidence returns what is known of blocks and requests that end instances, nil if nothing is.
 func (l *loads) evidence(now time.Time) *quarantine.Report {
 	if r := l.quarantine.Report(now); !r.Empty() {
 		return &r
@@ -24,7 +24,7 @@
 	}
 }
 
-// grantProbe decides whether an entry host may probe a block in quarantine. Only the leader
+// grantProbe decides whether an entry host may probe a suspect in quarantine. Only the leader
 // grants any, so that one host probes at a time.
 func (h *Host) grantProbe(ctx context.Context, host string, p quarantine.Probe) controlapi.ProbeResponse {
 	_, leads := h.membership.Leads()
@@ -32,7 +32,7 @@
 	h.loads.mu.Lock()
 	granted := leads && h.loads.grants.Ask(p, time.Now())
 	h.loads.mu.Unlock()
-	h.logger.Info("probe of a block in quarantine asked for", "block", p.Suspect, "by", host, "leader", leads, "granted", granted)
+	h.logger.Info("probe of a suspect in quarantine asked for", "suspect", p.Suspect, "by", host, "leader", leads, "granted", granted)
 	return controlapi.ProbeResponse{Granted: granted}
 }
 
@@ -44,7 +44,7 @@
 }
 
 func (e *BlockWordError) Error() string {
-	return fmt.Sprintf("%s of block %q was not taken: %s", e.Word, e.Block, e.Remedy)
+	return fmt.Sprintf("%s of %q was not taken: %s", e.Word, e.Block, e.Remedy)
 }
 
 // LeaderUnreachedError reports that only this control host knows an operator's word, or that its
@@ -63,13 +63,13 @@
 
 func (e *LeaderUnreachedError) Unwrap() error { return e.Err }
 
-// serveBlocks takes an operator's word on a block and lists the blocks in quarantine. The
+// serveBlocks takes an operator's word on a block or a request and lists those in quarantine. The
 // leader is told in any case: a few entry hosts exchange what they know through it alone, and
 // it passes the word on to the other control hosts where there are many.
 func (h *Host) serveBlocks(ctx context.Context, from peer.Identity, req controlapi.BlocksRequest) (controlapi.BlocksResponse, error) {
 	err := h.takeWord(req)
 	if req.Word != controlapi.NoWord {
-		h.logger.Warn("operator's word on a block", "word", req.Word, "block", req.Block, "by", from.Host, "forwarded", req.Forwarded, "taken", err == nil)
+		h.logger.Warn("operator's word on a suspect", "word", req.Word, "suspect", req.Block, "by", from.Host, "forwarded", req.Forwarded, "taken", err == nil)
 	}
 	if err != nil {
 		return controlapi.BlocksResponse{}, err
@@ -94,7 +94,7 @@
 func (h *Host) takeWord(req controlapi.BlocksRequest) error {
 	ledger, now := h.loads.quarantine, time.Now()
 	if req.Word != controlapi.NoWord && !req.Block.Valid() {
-		return &BlockWordError{req.Word, req.Block, "name the block as MODEL/ID"}
+		return &BlockWordError{req.Word, req.Block, "name a block as MODEL/ID, a request as request:ENDPOINT:DIGEST"}
 	}
 	taken := true
 	switch req.Word {
@@ -107,7 +107,7 @@
 		return &BlockWordError{req.Word, req.Block, "say hold or release"}
 	}
 	if !taken {
-		return &BlockWordError{req.Word, req.Block, "release other blocks first, there is room for no more"}
+		return &BlockWordError{req.Word, req.Block, "release others first, there is room for no more"}
 	}
 	return nil
 }
--- a/internal/control/controlwatch/load.go
+++ b/internal/control/controlwatch/load.go
@@ -97,19 +97,19 @@
 	return nil
 }
 
-// logQuarantine logs which blocks came into quarantine and which left it.
+// logQuarantine logs which suspects came into quarantine and which left it.
 func (e *loadExchange) logQuarantine() {
 	blamed, released := e.quarantine.TakeChanges()
 	for _, v := range blamed {
-		e.watcher.logger.Warn("block in quarantine", "block", v.Suspect, "ends", v.Ends, "since_ms", time.Since(v.Since).Milliseconds(),
+		e.watcher.logger.Warn("suspect in quarantine", "kind", v.Suspect.Kind().String(), "suspect", v.Suspect, "ends", v.Ends, "since_ms", time.Since(v.Since).Milliseconds(),
 			"last_end_ms", time.Since(v.LastEnd).Milliseconds(), "probes", v.Probes, "by_operator", v.ByOperator)
 	}
 	for _, r := range released {
-		e.watcher.logger.Info("block out of quarantine", "block", r.Suspect, "ends", r.Ends, "held", r.Held)
+		e.watcher.logger.Info("suspect out of quarantine", "kind", r.Suspect.Kind().String(), "suspect", r.Suspect, "ends", r.Ends, "held", r.Held)
 	}
 }
 
-// askProbes asks the leader for the probes of blocks in quarantine that are due.
+// askProbes asks the leader for the probes of suspects in quarantine that are due.
 func (e *loadExchange) askProbes(ctx context.Context) {
 	for _, probe := range e.quarantine.DueProbes(time.Now()) {
 		leader := e.watcher.Leader()
@@ -121,12 +121,12 @@
 		err := e.clients.Get(leader).Call(ctx, controlapi.MethodProbe, probe, &answer)
 		cancel()
 		if err != nil {
-			e.watcher.logger.Debug("probe not asked for", "block", probe.Suspect, "control", leader, "err", err)
+			e.watcher.logger.Debug("probe not asked for", "suspect", probe.Suspect, "control", leader, "err", err)
 			return
 		}
 		if answer.Granted {
 			e.quarantine.Grant(probe.Suspect, time.Now())
-			e.watcher.logger.Info("probe of a block in quarantine granted", "block", probe.Suspect, "control", leader)
+			e.watcher.logger.Info("probe of a suspect in quarantine granted", "suspect", probe.Suspect, "control", leader)
 		}
 	}
 }
--- a/internal/process/cli/quarantine.go
+++ b/internal/process/cli/quarantine.go
@@ -15,25 +15,25 @@
 	"filberthook/internal/network/peer"
 )
 
-// addQuarantine adds the commands on prompt blocks that end the engines which begin to answer
+// addQuarantine adds the commands on prompt blocks and requests that end the instances which run
 // them.
 func (a *app) addQuarantine(parser *kingpin.Application) {
-	parent := parser.Command("quarantine", "Show and change which prompt blocks filberthook-host refuses because they end engines.")
+	parent := parser.Command("quarantine", "Show and change which prompt blocks and requests filberthook-host refuses because they end instances.")
 	var hosts []string
 	parent.Flag("control", "listen.peers of a control host, host:port; repeat it for more, which are tried in turn.").
 		Envar("FILBERTHOOK_CONTROL").Required().StringsVar(&hosts)
-	a.command(parent.Command("list", "List the blocks in quarantine and the instances that ended under them."), func(ctx context.Context) error {
+	a.command(parent.Command("list", "List the blocks and requests in quarantine and the instances that ended under them."), func(ctx context.Context) error {
 		return a.blocks(ctx, hosts, controlapi.BlocksRequest{})
 	})
 	for word, help := range map[controlapi.BlockWord]string{
-		controlapi.HoldBlock:    "Refuse requests with a block at all entry hosts until it is released.",
-		controlapi.ReleaseBlock: "Let requests with a block through again; only later ends can blame it.",
+		controlapi.HoldBlock:    "Refuse a request, or all with a block, at all entry hosts until it is released.",
+		controlapi.ReleaseBlock: "Let a request, or those with a block, through again; only later ends can blame it.",
 	} {
 		clause := parent.Command(string(word), help)
-		block := clause.Arg("block", "MODEL/ID, as in the list and in the log lines of refused requests.").Required().String()
+		block := clause.Arg("suspect", "MODEL/ID or request:ENDPOINT:DIGEST, as in the list and in the log lines of refused requests.").Required().String()
 		a.command(clause, func(ctx context.Context) error {
 			if !quarantine.Suspect(*block).Valid() {
-				return &usageError{fmt.Errorf("%q is no block: name it as MODEL/ID", *block)}
+				return &usageError{fmt.Errorf("%q is neither a block, MODEL/ID, nor a request, request:ENDPOINT:DIGEST", *block)}
 			}
 			return a.blocks(ctx, hosts, controlapi.BlocksRequest{Word: word, Block: quarantine.Suspect(*block)})
 		})
@@ -68,7 +68,7 @@
 			rows = append(rows, []string{"  " + e.Instance, sinceMS(e.AgeMS), "", "", ""})
 		}
 	}
-	a.table("BLOCK SINCE HELD ENDS PROBES", rows)
+	a.table("SUSPECT SINCE HELD ENDS PROBES", rows)
 	return nil
 }
 
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -104,7 +104,8 @@
 	set.GetOrCreateGauge("filberthook_entry_config_version", func() float64 { return float64(config.Version()) })
 	set.GetOrCreateGauge("filberthook_entry_control_hosts", func() float64 { return float64(h.watcher.Connected()) })
 	set.GetOrCreateGauge("filberthook_entry_restricted_instances", func() float64 { return float64(h.fleet.RestrictedInstances(time.Now())) })
-	set.GetOrCreateGauge("filberthook_entry_quarantined_blocks", func() float64 { return float64(len(h.quarantine.Verdicts())) })
+	set.GetOrCreateGauge("filberthook_entry_quarantined_blocks", func() float64 { return h.quarantined(quarantine.KindBlock) })
+	set.GetOrCreateGauge("filberthook_entry_quarantined_requests", func() float64 { return h.quarantined(quarantine.KindRequest) })
 	set.GetOrCreateGauge("filberthook_entry_requests", func() float64 { return float64(h.server.Active()) })
 	return h
 }
@@ -260,6 +261,17 @@
 	}
 }
 
+// quarantined returns how many suspects of a kind are in quarantine.
+func (h *Host) quarantined(k quarantine.Kind) float64 {
+	n := 0.0
+	for _, v := range h.quarantine.Verdicts() {
+		if v.Suspect.Kind() == k {
+			n++
+		}
+	}
+	return n
+}
+
 // noteStarts tells the quarantine ledger of instances that may have replaced others which have
 // lost requests.
 func (h *Host) noteStarts(s *instances.Snapshot) {
