--- a/internal/engines/quarantine/bench_test.go
+++ b/internal/engines/quarantine/bench_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -55,3 +56,18 @@
 		})
 	}
 }
+
+func BenchmarkRequestThatComesOnce(b *testing.B) {
+	l := newLedger()
+	body := make([]byte, 1024)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		binary.LittleEndian.PutUint64(body, uint64(n))
+		r := l.Request([]Suspect{Identity{Endpoint: "saksverk", Method: "POST", Host: "a.example", Target: "/x/1", Body: body}.Suspect()})
+		now := start.Add(time.Duration(n) * 100 * time.Microsecond)
+		l.Admit(r, now)
+		l.Sent(r, func() {})()
+		l.Begun(r, now)
+		l.Done(r)
+	}
+}
