Quarantine: package doc with the table of paths; parts of weigh are functions of their own

The rename from block to suspect had left sentences that said nothing ('to suspect a suspect'). The doc says what is a suspect on which path and how many ends one request brings. No rule changed; the tests of the package pass unchanged.

--- a/internal/engines/quarantine/judge.go
+++ b/internal/engines/quarantine/judge.go
@@ -7,7 +7,7 @@
 
 const (
 	// moment is the time within which ends count as one: what ends several instances together,
-	// such as a loss of power, is not several independent reasons to suspect a suspect.
+	// such as a loss of power, is not several independent reasons.
 	moment = 50 * time.Millisecond
 	// endsToBlame is how many ends, at different moments, put a suspect into quarantine that was
 	// not seen to begin within beginPeriod before them.
@@ -21,7 +21,7 @@
 	endsOthersSurvive = 3
 	othersBegun       = 16
 	// Where there were ends without the suspect meanwhile, instances may end for another reason,
-	// and some of these ends take along any suspect: it is blamed by one end more if it is in one
+	// and some of these ends take along any request: it is blamed by one end more if it is in one
 	// of blamedShare ends (of two bad suspects one is), and by endsBeyondChance in any case.
 	blamedShare      = 2
 	endsBeyondChance = 5
@@ -175,21 +175,11 @@
 // against the suspects that were.
 func (l *Ledger) weigh() map[Suspect]suspicion {
 	out := map[Suspect]suspicion{}
-	moments, latest := map[string]int{}, map[string]time.Time{} // of unexplained ends, by scope
+	all := momentCount{count: map[string]int{}, latest: map[string]time.Time{}}
 	ends := l.unexplained()
-	inEnds := map[Suspect]int{}
+	inEnds := countEnds(ends)
 	for _, e := range ends {
-		for b := range e.suspects {
-			inEnds[b]++
-		}
-	}
-	for _, e := range ends {
-		for scope := range e.scopes() {
-			if moments[scope] == 0 || e.at.Sub(latest[scope]) > moment {
-				moments[scope]++
-				latest[scope] = e.at
-			}
-		}
+		all.add(e)
 		unknown := slices.ContainsFunc(e.list(), func(b Suspect) bool {
 			// A request that was lost once explains no other end.
 			return !l.known(b, e.at) && l.lastBegin(b).Before(e.at) && (b.Kind() == KindBlock || inEnds[b] > 1)
@@ -202,7 +192,7 @@
 			}
 			s := out[b]
 			if s.moments == 0 {
-				s = suspicion{first: e.at, known: l.known(b, e.at), latestBegin: begin, allMoments: moments[b.scope()] - 1}
+				s = suspicion{first: e.at, known: l.known(b, e.at), latestBegin: begin, allMoments: all.count[b.scope()] - 1}
 			}
 			if s.moments == 0 || e.at.Sub(s.last) > moment {
 				s.moments++
@@ -215,13 +205,40 @@
 		}
 	}
 	for b, s := range out {
-		s.allMoments = moments[b.scope()] - s.allMoments // those since the first
+		s.allMoments = all.count[b.scope()] - s.allMoments // those since the first
 		s.others = l.begins[b.Kind()].requestsBetween(s.first, s.last) * max(1, l.hosts)
 		out[b] = s
 	}
 	return out
 }
 
+// momentCount counts the moments at which instances ended, by scope.
+type momentCount struct {
+	count  map[string]int
+	latest map[string]time.Time
+}
+
+// add adds an end that is not before those that were added.
+func (m momentCount) add(e *end) {
+	for scope := range e.scopes() {
+		if m.count[scope] == 0 || e.at.Sub(m.latest[scope]) > moment {
+			m.count[scope]++
+			m.latest[scope] = e.at
+		}
+	}
+}
+
+// countEnds returns in how many ends each suspect is.
+func countEnds(ends []*end) map[Suspect]int {
+	out := map[Suspect]int{}
+	for _, e := range ends {
+		for b := range e.suspects {
+			out[b]++
+		}
+	}
+	return out
+}
+
 // othersBegan reports whether most suspects of an end, without one that did not, were seen to begin
 // after it; if it has a single one, whether any request did at this host. The caller holds l.mu.
 func (l *Ledger) othersBegan(e *end) bool {
--- a/internal/engines/quarantine/ledger.go
+++ b/internal/engines/quarantine/ledger.go
@@ -1,15 +1,27 @@
-// Package quarantine finds the suspects of prompts that end each instance which begins to
-// answer them, and decides which requests may still be sent. It does no I/O and reads no
-// clock. It answers a load in which such requests come at any host, mixed with sound ones
-// that share their caller and their other suspects.
+// Package quarantine finds what ends each instance that runs it, and decides which requests may
+// still be sent. It does no I/O and reads no clock. It answers two loads: prompts with one block
+// that ends engines, which come at any host among sound ones that share their caller and their other
+// blocks; and one request that ends instances and comes again at any host.
 //
-// A suspect of an instance's end is a suspect of a request that the instance had taken and
-// that had no event yet. A suspect that others begin to answer is cleared of all ends before
-// that. A suspect is put into quarantine when several ends, at different moments, have no
-// better explanation; design note 0011 states the rule.
+// A suspect of an instance's end is a block of a request, or a request, that the instance had taken
+// and had not begun to answer. A suspect that others begin to answer is cleared of all ends before
+// that. It is put into quarantine when several ends, at different moments, have no better
+// explanation; design note 0011 states the rule.
 //
-// Before that, requests with a suspect are contained: each host sends one at a time,
-// and all hosts send theirs to the same instance.
+// Before that, requests with a suspect are contained: each host sends one at a time, and all hosts
+// send theirs to the same instance.
+//
+// How many instances requests can end:
+//
+//	path                                 suspect               one request   all alike
+//	plain service, safe                  the request           2             quarantine
+//	plain service, unsafe                the request           1             quarantine
+//	stream with shared blocks            the blocks            1             quarantine
+//	stream without them, resumable       the request           2             quarantine
+//	stream without them, not resumable   the request           1             quarantine
+//	probe                                as above              1             granted one at a time
+//	requests that differ each time       none that comes again as above      no bound
+//	package proxy                        none                  its attempts  no bound
 package quarantine
 
 import (
@@ -33,8 +45,8 @@
 	// SecondTryWait is how long a request that was lost with its instance waits for word that
 	// its suspects are sound: two exchanges between hosts of a large deployment.
 	SecondTryWait = 600 * time.Millisecond
-	// fewHostsWait is SecondTryWait for a request that comes again where there are fewHosts: two of
-	// their exchanges, which leaves time for a second try within a short deadline.
+	// fewHostsWait is the same for a suspect of KindRequest at up to fewHosts hosts: two of their
+	// exchanges, which leaves time for a second try within a short deadline.
 	fewHostsWait = 250 * time.Millisecond
 	fewHosts     = 24
 	// maxEnds and maxPending bound what is kept of ends, maxSuspectsPerEnd the suspects of one.
@@ -76,7 +88,7 @@
 	suspects map[Suspect]bool
 }
 
-// end is the end of an instance with the suspects that are suspect of it.
+// end is the end of an instance with its suspects.
 type end struct {
 	at       time.Time // when the first host lost a request by it
 	suspects map[Suspect]bool
@@ -115,7 +127,7 @@
 	probe    Suspect   // suspect in quarantine that it probes, empty if none
 }
 
-// Request returns a request with the shared suspects of its prompt.
+// Request returns a request with the shared blocks of its prompt, or its own name, as suspects.
 func (l *Ledger) Request(suspects []Suspect) *Request { return &Request{suspects: suspects} }
 
 // Begun records that an instance has begun to answer: the request's suspects are sound.
@@ -169,7 +181,7 @@
 	}
 }
 
-// likely returns the suspects to record as suspects of an end that has some already. The caller
+// likely returns the suspects to record for an end that has some already. The caller
 // holds l.mu.
 func (l *Ledger) likely(suspects []Suspect, have int, now time.Time) []Suspect {
 	if have < maxKnownPerEnd {
--- a/internal/engines/quarantine/suspect.go
+++ b/internal/engines/quarantine/suspect.go
@@ -78,7 +78,7 @@
 // blockScope is the scope of all blocks, and of ends without suspects.
 const blockScope = ""
 
-// scope names the instances whose ends speak for or against a suspect: for a request those of its
+// scope names the instances whose ends count for and against a suspect: for a request those of its
 // endpoint.
 func (s Suspect) scope() string {
 	if s.Kind() == KindRequest {
