--- a/internal/engines/quarantine/repeated_test.go
+++ b/internal/engines/quarantine/repeated_test.go
@@ -39,7 +39,7 @@
 
 func named(path string) Suspect { return Identity{Endpoint: "e", Target: path}.Suspect() }
 
-// sound returns the name of a sound request: a popular one by Zipf's law, or one of its own.
+// soundName returns the name of a sound request: a popular one by Zipf's law, or one of its own.
 func (r *repeats) soundName() Suspect {
 	if r.rng.Float64() < popularShare {
 		return named(fmt.Sprint("popular ", int(math.Pow(popularPaths, r.rng.Float64()))))
@@ -48,6 +48,7 @@
 	return named(fmt.Sprint("own ", r.number))
 }
 
+// tick plays one step of the clock.
 func (r *repeats) tick(sound, bad float64) {
 	r.step(0, 0)
 	again := r.again
@@ -66,12 +67,14 @@
 	}
 }
 
+// submit sends a request with a name at any host.
 func (r *repeats) submit(name Suspect) {
 	h := r.hosts[r.rng.IntN(len(r.hosts))]
 	names := []Suspect{name}
 	r.sendAt(&playRun{host: h, request: h.ledger.Request(names), blocks: names, once: r.rng.Float64() < unsafeShare, since: r.now})
 }
 
+// goOn plays for some time with rates of sound and bad requests a second.
 func (r *repeats) goOn(d time.Duration, sound, bad float64) {
 	for end := r.now.Add(d); r.now.Before(end); {
 		r.tick(sound, bad)
