--- a/internal/engines/placement/contain.go
+++ b/internal/engines/placement/contain.go
@@ -32,8 +32,8 @@
 	return out
 }
 
-// peakPeriod is how long the most instances that an endpoint had count: instances that have ended
-// are back within seconds.
+// peakPeriod is how long the highest number of instances of an endpoint is remembered: instances
+// that have ended are back within seconds.
 const peakPeriod = 30 * time.Second
 
 // peak is the most instances that an endpoint had lately.
@@ -68,8 +68,9 @@
 }
 
 // PlaceContained picks the instance of a plain service for a request that may end it: the same at
-// all hosts for requests with the same key. The last instance of several gets none; hasEnded
-// reports which are announced and have ended.
+// all hosts for requests with the same key. It answers the load of a request that ends each instance
+// which runs it and comes again at any host. The last instance of several gets none; hasEnded tells
+// which announced instances have ended.
 func (f *Fleet) PlaceContained(endpoint, key string, excluded map[string]bool, hasEnded func(id string, born int64) bool, now time.Time) (Target, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/serve/forward/lost.go
+++ b/internal/serve/forward/lost.go
@@ -15,7 +15,8 @@
 const (
 	// presenceTimeout bounds the check whether an instance that has lost a request still runs.
 	presenceTimeout = 300 * time.Millisecond
-	// presenceWait is how long a request waits for the check unless it is unproven: some round trips within a region. What is found out later counts for other requests.
+	// presenceWait is how long a request waits for the check unless it is unproven: some round trips
+	// within a region. What is found out later counts for other requests.
 	presenceWait = 40 * time.Millisecond
 	// presenceAttempts is how often an instance is checked that still accepts connections: a
 	// process that ends closes its connections before its listener at times. presenceRecheck is the
