--- a/internal/engines/quarantine/judge.go
+++ b/internal/engines/quarantine/judge.go
@@ -31,9 +31,9 @@
 	// doubles the time to the next one, up to maxProbeAfter.
 	firstProbeAfter = 10 * time.Second
 	maxProbeAfter   = 10 * time.Minute
-	// A request is blamed by few ends, as it has few companions. If they lie within chanceSpan of each
-	// other, the first probe comes early, to let a sound one through again that its caller had
-	// repeated into ends of others. Other probes come late.
+	// Few requests are lost with each end of a plain instance, so three ends can blame a sound one that
+	// its caller repeated while instances ended one after the other. Such ends lie within chanceSpan,
+	// and the first probe comes early then. Other probes come late.
 	chanceSpan              = 1500 * time.Millisecond
 	firstRequestProbeAfter  = 4 * time.Second
 	secondRequestProbeAfter = time.Minute
@@ -96,7 +96,7 @@
 	since    time.Time
 	lastEnd  time.Time
 	ends     int  // that blamed the suspect, and those since
-	apart    bool // the ends that blamed it do not lie together
+	apart    bool // the ends that blamed it lie more than chanceSpan apart
 	probes   int
 	probedAt time.Time // last probe that was granted, as far as known
 	wantedAt time.Time // last request that was refused for it here
@@ -288,7 +288,7 @@
 func (l *Ledger) mostConvincing() (Suspect, bool) {
 	best, found := Suspect(""), false
 	for b, s := range l.suspects {
-		if !s.convincing() || s.moments < endsBeyondChance && l.hasTwin(b) {
+		if !s.convincing() || s.moments < endsBeyondChance && l.indistinguishable(b) {
 			continue
 		}
 		other := l.suspects[best]
@@ -303,9 +303,9 @@
 	return best, found
 }
 
-// hasTwin reports whether another request is suspect of just the same ends: a test of each alone
-// will tell which of them ends instances.
-func (l *Ledger) hasTwin(b Suspect) bool {
+// indistinguishable reports whether another request is a suspect of exactly the same ends: a test of
+// each alone will show which of them ends instances.
+func (l *Ledger) indistinguishable(b Suspect) bool {
 	if b.Kind() != KindRequest {
 		return false
 	}
--- a/internal/engines/quarantine/repeated_test.go
+++ b/internal/engines/quarantine/repeated_test.go
@@ -74,8 +74,8 @@
 	r.sendAt(&playRun{host: h, request: h.ledger.Request(names), blocks: names, once: r.rng.Float64() < unsafeShare, since: r.now})
 }
 
-// goOn plays for some time with rates of sound and bad requests a second.
-func (r *repeats) goOn(d time.Duration, sound, bad float64) {
+// advance plays for some time with rates of sound and bad requests a second.
+func (r *repeats) advance(d time.Duration, sound, bad float64) {
 	for end := r.now.Add(d); r.now.Before(end); {
 		r.tick(sound, bad)
 	}
@@ -97,13 +97,13 @@
 
 func (r *repeats) playFor(t *testing.T, badRequests, instances int) {
 	t.Helper()
-	r.goOn(5*time.Second, 40, 0)
+	r.advance(5*time.Second, 40, 0)
 	for n := range badRequests {
 		r.bad[named(fmt.Sprint("bad ", n))] = true
 	}
-	r.goOn(2*playContact, 40, 3)
+	r.advance(2*playContact, 40, 3)
 	r.began, r.sound = 0, 0
-	r.goOn(34*time.Second, 40, 3)
+	r.advance(34*time.Second, 40, 3)
 	if allowed := 4 * badRequests; len(r.ends) > allowed {
 		t.Errorf("%d instances ended, allowed %d", len(r.ends), allowed)
 	}
@@ -145,7 +145,7 @@
 	t.Helper()
 	hosts := []int{1, 8, 24, 70}[seed%4]
 	r := newRepeats(seed, hosts, []int{3, 4, 9}[seed%3])
-	r.goOn(2*time.Second, 40, 0)
+	r.advance(2*time.Second, 40, 0)
 	if seed%2 == 0 {
 		r.bad[named("bad")] = true
 	}
@@ -160,14 +160,14 @@
 		case 2: // one after the other
 			for _, e := range r.engines {
 				r.end(e)
-				r.goOn(time.Duration(60+r.rng.IntN(200))*time.Millisecond, 40, 3)
+				r.advance(time.Duration(60+r.rng.IntN(200))*time.Millisecond, 40, 3)
 			}
 		}
-		r.goOn(time.Duration(r.rng.IntN(3000))*time.Millisecond, 40, 3)
+		r.advance(time.Duration(r.rng.IntN(3000))*time.Millisecond, 40, 3)
 	}
-	r.goOn(5*time.Second, 40, 0)
+	r.advance(5*time.Second, 40, 0)
 	before := r.refused
-	r.goOn(5*time.Second, 40, 0)
+	r.advance(5*time.Second, 40, 0)
 	if late := r.refused - before; late > 0 {
 		t.Errorf("seed %d: %d sound requests refused later than 5 s after the last end", seed, late)
 	}
--- a/internal/engines/quarantine/report.go
+++ b/internal/engines/quarantine/report.go
@@ -50,7 +50,7 @@
 	LastEndMS int64   `json:"last_end_ms"`         // age
 	Probes    int     `json:"probes,omitempty"`    // granted so far
 	ProbedMS  int64   `json:"probed_ms,omitempty"` // age of the last probe, 0 if none
-	Apart     bool    `json:"apart,omitempty"`     // the ends that blamed it do not lie together
+	Apart     bool    `json:"apart,omitempty"`     // the ends that blamed it lie more than chanceSpan apart
 }
 
 // Empty reports whether there is nothing to tell.
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -138,7 +138,7 @@
 		return nil, outcome, err
 	}
 	if outcome, err = c.classify(got); outcome == placement.Answered {
-		c.noteBegun() // an instance that fails part of its requests tells nothing of them
+		c.noteBegun() // a failure is no proof that the request is sound: instances fail some they never ran
 	}
 	return got, outcome, err
 }
