Tell in the logs when the quorum is lost, who votes, and what a host's disk held

No line said that the quorum was lost, membership changed counted members and no votes. What the group does is unchanged. go test of controlhost, replica and process: passed.

--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -97,6 +97,7 @@
 	digestRPC  *raftnet.Pool      // load digests, which may be large
 	transport  *raftnet.Transport
 	seedList   atomic.Pointer[[]string]
+	hasQuorum  atomic.Bool // a leader was known within quorumLostAfter
 
 	mu      sync.Mutex
 	version uint64        // highest version that came into force here
@@ -140,6 +141,12 @@
 	h.watcher = controlwatch.NewObserver(h.rpc, h.view, replicatedConfiguration{}, h.logger)
 	h.proposals = set.GetOrCreateHistogram("filberthook_control_replace_seconds")
 	h.heartbeats = set.GetOrCreateCounter("filberthook_control_heartbeats_total")
+	set.GetOrCreateGauge("filberthook_control_quorum", func() float64 {
+		if h.hasQuorum.Load() {
+			return 1
+		}
+		return 0
+	})
 	set.GetOrCreateGauge("filberthook_control_config_version", func() float64 { return float64(h.currentVersion()) })
 	return h, nil
 }
@@ -190,6 +197,7 @@
 	tasks.Go(func() error { return peer.NewServer(h.peerOptions(), h.mux()).Serve(background, peers) })
 	tasks.Go(func() error { return h.serveControl(ctx, control) })
 	tasks.Go(func() error { h.adjustMembership(ctx); return nil })
+	tasks.Go(func() error { h.watchQuorum(ctx); return nil })
 	tasks.Go(func() error { h.expireInstances(ctx); return nil })
 	tasks.Go(func() error { h.shareLoads(ctx); return nil })
 	tasks.Go(func() error { h.watcher.Run(ctx, h.peers); return nil })
--- a/internal/control/controlhost/member.go
+++ b/internal/control/controlhost/member.go
@@ -147,7 +147,8 @@
 	}
 	// The configuration of a snapshot that Open restored from disk is in force at once.
 	m.host.configurationChanged(machine.Current())
-	m.host.logger.Info("replica opened", "id", id, "founder", len(founders) > 0, "version", machine.Current().Version)
+	m.host.logger.Info("replica opened", "id", id, "founder", len(founders) > 0, "version", machine.Current().Version,
+		"last", r.Status().LastIndex, "voters", r.Status().VoterAddresses())
 	return &openReplica{replica: r, machine: machine, id: id}, nil
 }
 
--- a/internal/replication/replica/status.go
+++ b/internal/replication/replica/status.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -64,11 +65,23 @@
 		r.cfg.Logger.Info("leader changed", slog.Uint64("replica", now.ID), slog.Uint64("leader", now.Leader),
 			slog.Uint64("term", now.Term), slog.Uint64("commit", now.Commit))
 	}
-	if len(now.Members) != len(previous.Members) {
-		r.cfg.Logger.Info("membership changed", slog.Uint64("replica", now.ID), slog.Int("members", len(now.Members)))
+	if !slices.EqualFunc(now.Members, previous.Members, func(a, b MemberStatus) bool { return a.Member == b.Member }) {
+		r.cfg.Logger.Info("membership changed", slog.Uint64("replica", now.ID), slog.Int("members", len(now.Members)),
+			slog.Any("voters", now.VoterAddresses()), slog.Uint64("last", now.LastIndex))
 	}
 }
 
+// VoterAddresses returns the addresses of the voters, in the order of their ids.
+func (s Status) VoterAddresses() []string {
+	var out []string
+	for _, m := range s.Members {
+		if !m.Learner {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
 // RoleLeader is the Role of a leading replica in Status.
 var RoleLeader = consensus.RoleLeader.String()
 
