Consensus: voters can become learners again; how long a member has been silent; an end told by the leader

Active is reset at each check of the quorum, so it is false for live members for a heartbeat. A new leader counts for the leader before it from that leader's last message, so a change of leader starts no new wait. - Exclude ends a replica whose removal the leader has told; Status names the ids of former members.

--- a/internal/replication/consensus/change.go
+++ b/internal/replication/consensus/change.go
@@ -7,6 +7,7 @@
 	ChangeAddLearner ChangeType = iota + 1
 	ChangePromote
 	ChangeRemove
+	ChangeDemote
 )
 
 // Change is one step of a membership change. AddLearner uses ID, Address and Zone
@@ -43,6 +44,8 @@
 		return c.planAdd(change.Member)
 	case ChangePromote:
 		return c.planPromote(change.Member.ID)
+	case ChangeDemote:
+		return c.planDemote(change.Member.ID)
 	default:
 		return c.planRemove(change.Member.ID)
 	}
@@ -76,7 +79,8 @@
 		return m, ReasonTooManyVoters
 	}
 	p := c.progress[id]
-	if p.match < c.log.committed && c.fault != faultPromoteEarly || !p.active || p.incarnation == 0 {
+	silent := p.silentTicks >= c.cfg.ElectionTicks
+	if p.match < c.log.committed && c.fault != faultPromoteEarly || silent || p.incarnation == 0 {
 		return m, ReasonNotCaughtUp
 	}
 	member.Learner = false
@@ -98,16 +102,38 @@
 		return m, ReasonRemoveLeader
 	}
 	next := m.without(id)
-	if member.Learner {
-		return next, ""
+	if !member.Learner && !c.quorumHolds(next) {
+		return m, ReasonQuorumAtRisk
+	}
+	return next, ""
+}
+
+// planDemote makes a voter a learner if a quorum of the remaining voters holds every
+// committed entry. The member keeps its log and can be promoted again.
+func (c *Core) planDemote(id uint64) (Membership, Reason) {
+	m := c.membership()
+	member, ok := m.Find(id)
+	switch {
+	case !ok:
+		return m, ReasonUnknownMember
+	case member.Learner:
+		return m, ReasonKnownMember
+	case id == c.cfg.ID:
+		return m, ReasonRemoveLeader
 	}
-	quorumMatch := next.quorumValue(func(voter uint64) uint64 { return c.progress[voter].match })
-	if quorumMatch < c.log.committed {
+	member.Learner = true
+	next := m.withMember(member)
+	if !c.quorumHolds(next) {
 		return m, ReasonQuorumAtRisk
 	}
 	return next, ""
 }
 
+// quorumHolds reports whether a quorum of the voters of m holds every committed entry.
+func (c *Core) quorumHolds(m Membership) bool {
+	return m.Voters() > 0 && m.quorumValue(func(voter uint64) uint64 { return c.progress[voter].match }) >= c.log.committed
+}
+
 // TransferLeadership asks a voter to take over. Proposals are refused until it
 // does or an election timeout has passed.
 func (c *Core) TransferLeadership(to uint64) error {
--- a/internal/replication/consensus/core.go
+++ b/internal/replication/consensus/core.go
@@ -86,9 +86,11 @@
 
 	role             Role
 	leader           uint64
-	electionElapsed  int // ticks
-	heartbeatElapsed int // ticks
-	electionTimeout  int // ticks
+	electionElapsed  int    // ticks
+	heartbeatElapsed int    // ticks
+	electionTimeout  int    // ticks
+	lastLeader       uint64 // replica that was last heard from as a leader
+	lastLeaderTicks  int    // ticks since then
 	votes            map[uint64]ballot
 
 	progress       map[uint64]*progress // leader only
@@ -201,6 +203,7 @@
 		return
 	}
 	c.electionElapsed++
+	c.lastLeaderTicks++
 	if c.role == RoleLeader {
 		c.tickLeader()
 		return
@@ -220,6 +223,11 @@
 }
 
 func (c *Core) tickLeader() {
+	for id, p := range c.progress {
+		if id != c.cfg.ID {
+			p.silentTicks++
+		}
+	}
 	c.heartbeatElapsed++
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
 		c.heartbeatElapsed = 0
--- a/internal/replication/consensus/election.go
+++ b/internal/replication/consensus/election.go
@@ -73,6 +73,10 @@
 	c.uncommitted = 0
 	c.progress = make(map[uint64]*progress)
 	c.syncProgress()
+	if p := c.progress[c.lastLeader]; p != nil {
+		p.silentTicks = c.lastLeaderTicks
+	}
+	c.lastLeader = 0
 	m := c.membership()
 	if m.IncarnationsRecorded() {
 		c.appendAsLeader(EntryNormal, nil)
--- a/internal/replication/consensus/membership_test.go
+++ b/internal/replication/consensus/membership_test.go
@@ -54,7 +54,7 @@
 		acknowledgeAppends(c, alive)
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			id := rapid.Uint64Range(1, 8).Draw(t, "id")
-			kind := consensus.ChangeType(rapid.IntRange(1, 3).Draw(t, "kind"))
+			kind := consensus.ChangeType(rapid.IntRange(1, 4).Draw(t, "kind"))
 			before := c.Status()
 			_, _, err := c.ProposeMembership(consensus.Change{Type: kind, Member: consensus.Member{ID: id}})
 			after := c.Status().Membership
@@ -71,8 +71,9 @@
 			if err == nil && kind == consensus.ChangePromote && !answered[id] {
 				t.Fatalf("learner %d never answered and was promoted", id)
 			}
-			if err == nil && kind == consensus.ChangeRemove && !keepsQuorum(before, after) {
-				t.Fatalf("removed %d of %+v though too few of the rest hold what is committed", id, before.Members)
+			lessVotes := kind == consensus.ChangeRemove || kind == consensus.ChangeDemote
+			if err == nil && lessVotes && !keepsQuorum(before, after) {
+				t.Fatalf("took the vote of %d of %+v though too few of the rest hold what is committed", id, before.Members)
 			}
 			checkStep(t, before.Membership, after)
 			alive[id] = rapid.IntRange(0, 3).Draw(t, "answers") > 0
--- a/internal/replication/consensus/randomized_test.go
+++ b/internal/replication/consensus/randomized_test.go
@@ -33,7 +33,7 @@
 func TestRandomizedSchedules(t *testing.T) {
 	seeds := envNumber(t, seedsEnv, ciSeeds)
 	first := envNumber(t, firstSeedEnv, 1)
-	var operations, entries, leaders, repairs, crashes, installs int
+	var operations, entries, leaders, repairs, demotions, crashes, installs int
 	for seed := first; seed < first+seeds; seed++ {
 		s, err := run(settings{seed: seed, ticks: runTicks})
 		if err != nil {
@@ -46,12 +46,13 @@
 		entries += len(s.appliedLog)
 		leaders += len(s.leaders)
 		repairs += s.operator.repairs
+		demotions += s.demotions
 		crashes += s.crashes
 		installs += s.installs
 	}
-	t.Logf("%d schedules: %d calls answered, %d entries, %d terms with a leader, %d repairs, %d crashes, %d snapshots installed",
-		seeds, operations, entries, leaders, repairs, crashes, installs)
-	if operations == 0 || leaders < int(seeds) || seeds >= ciSeeds && min(repairs, crashes, installs) == 0 {
+	t.Logf("%d schedules: %d calls answered, %d entries, %d terms with a leader, %d repairs, %d demotions, %d crashes, %d snapshots installed",
+		seeds, operations, entries, leaders, repairs, demotions, crashes, installs)
+	if operations == 0 || leaders < int(seeds) || seeds >= ciSeeds && min(repairs, demotions, crashes, installs) == 0 {
 		t.Error("the schedules did not exercise the group")
 	}
 }
--- a/internal/replication/consensus/ready.go
+++ b/internal/replication/consensus/ready.go
@@ -139,6 +139,9 @@
 	Member
 	Match  uint64 // highest index known to be durable there
 	Active bool   // heard from since the last quorum check
+	// SilentTicks is the time since the member was last heard from. A new leader counts from
+	// its election, and for the leader before it from that leader's last message.
+	SilentTicks int
 }
 
 // Status describes a replica at one moment.
@@ -155,6 +158,7 @@
 	Membership Membership
 	Members    []MemberStatus // filled on the leader only
 	Exclusion  Exclusion
+	Removed    []uint64 // ids of former members whose removal is committed, sorted; not to be modified
 }
 
 // Status returns the current status.
@@ -162,13 +166,14 @@
 	s := Status{
 		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader, Transferee: c.transferee, Commit: c.log.committed, Applied: c.log.applied,
 		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), Membership: c.membership(), Exclusion: c.excluded,
+		Removed: c.membershipAt(c.log.committed).Retired,
 	}
 	if c.role != RoleLeader {
 		return s
 	}
 	for _, member := range s.Membership.Members {
 		p := c.progress[member.ID]
-		s.Members = append(s.Members, MemberStatus{Member: member, Match: p.match, Active: p.active || member.ID == c.cfg.ID})
+		s.Members = append(s.Members, MemberStatus{Member: member, Match: p.match, Active: p.active || member.ID == c.cfg.ID, SilentTicks: p.silentTicks})
 	}
 	return s
 }
--- a/internal/replication/consensus/sim_checks_test.go
+++ b/internal/replication/consensus/sim_checks_test.go
@@ -21,6 +21,7 @@
 	membership  consensus.Membership // newest one applied
 	changedAt   uint64               // its index
 	crashes     int
+	demotions   int
 	installs    int    // snapshots received and installed
 	trace       uint64 // hash of all messages, to show that runs repeat
 }
--- a/internal/replication/consensus/sim_events_test.go
+++ b/internal/replication/consensus/sim_events_test.go
@@ -52,11 +52,12 @@
 type operator struct {
 	toRemove            uint64 // member to remove once toAdd is a voter, 0 for none
 	toAdd               uint64 // member to add and promote, 0 for none
+	toDemote            uint64 // voter to make a learner and promote again, 0 for none
 	repairs             int
 	loseDiskAfterRepair bool // lose a second disk as soon as the repair is complete
 }
 
-func (o *operator) idle() bool { return o.toRemove == 0 && o.toAdd == 0 }
+func (o *operator) idle() bool { return o.toRemove == 0 && o.toAdd == 0 && o.toDemote == 0 }
 
 func (s *sim) runOperator() {
 	if s.operator.idle() {
@@ -92,6 +93,8 @@
 		s.operator.toAdd = s.join()
 	case s.chance(1) && len(voters) > 3:
 		s.operator.toRemove = victim
+	case s.chance(2) && len(voters) > 2:
+		s.operator.toDemote = victim
 	case s.chance(5):
 		for _, n := range s.nodes {
 			if s.running(n) {
@@ -144,6 +147,19 @@
 func (s *sim) advanceRepair(n *node) {
 	o := &s.operator
 	m := s.membership
+	if o.toDemote != 0 {
+		if o.toDemote == n.id {
+			s.transferToAny(n)
+			return
+		}
+		if m.IsVoter(o.toDemote) {
+			_ = s.propose(n, consensus.ChangeDemote, o.toDemote)
+			return
+		}
+		o.toDemote, o.toAdd = 0, o.toDemote
+		s.demotions++
+		return
+	}
 	if o.toAdd != 0 {
 		if _, ok := m.Find(o.toAdd); !ok {
 			_ = s.propose(n, consensus.ChangeAddLearner, o.toAdd)
@@ -158,8 +174,7 @@
 	}
 	if o.toRemove != 0 {
 		if o.toRemove == n.id {
-			voters := s.voters()
-			_ = n.core.TransferLeadership(voters[s.rng.IntN(len(voters))])
+			s.transferToAny(n)
 			return
 		}
 		if _, ok := m.Find(o.toRemove); ok {
@@ -170,6 +185,11 @@
 	s.operator = operator{repairs: o.repairs + 1, loseDiskAfterRepair: o.loseDiskAfterRepair}
 }
 
+func (s *sim) transferToAny(leader *node) {
+	voters := s.voters()
+	_ = leader.core.TransferLeadership(voters[s.rng.IntN(len(voters))])
+}
+
 // propose returns the refusal, if any; refused steps are tried again later.
 func (s *sim) propose(n *node, t consensus.ChangeType, id uint64) error {
 	_, _, err := n.core.ProposeMembership(consensus.Change{Type: t, Member: consensus.Member{ID: id}})
--- a/internal/replication/consensus/step.go
+++ b/internal/replication/consensus/step.go
@@ -71,6 +71,10 @@
 	}
 }
 
+// Exclude ends this replica's part in its group, as a member of the group has told the host
+// that the replica was removed.
+func (c *Core) Exclude() { c.excluded = ExclusionRemoved }
+
 func (c *Core) handleExcluded(m *Message) {
 	switch m.Hint {
 	case c.cfg.Incarnation:
@@ -142,6 +146,7 @@
 		c.becomeFollower(c.term, leader)
 	}
 	c.electionElapsed = 0
+	c.lastLeader, c.lastLeaderTicks = m.From, 0
 	c.setLeader(m.From)
 }
 
@@ -164,6 +169,7 @@
 		return
 	}
 	p.active = true
+	p.silentTicks = 0
 	switch m.Type {
 	case MessageAppendResponse:
 		c.handleAppendResponse(p, m)
--- a/internal/replication/replica/members.go
+++ b/internal/replication/replica/members.go
@@ -74,6 +74,25 @@
 	return err
 }
 
+// Demote makes a voter other than the leader a learner, which keeps its log and can be
+// promoted again. The call is idempotent.
+func (r *Replica) Demote(ctx context.Context, id uint64) error {
+	err := r.change(ctx, consensus.Change{Type: consensus.ChangeDemote, Member: consensus.Member{ID: id}})
+	if refusedFor(err, consensus.ReasonKnownMember) {
+		return r.waitCommitted(ctx)
+	}
+	return err
+}
+
+// Exclude ends this replica for good, after a leader has told that it was removed. Run then
+// returns a *storage.ExcludedError.
+func (r *Replica) Exclude() {
+	select {
+	case r.tasks <- &task{run: func(*task) { r.core.Exclude() }}:
+	case <-r.stopped:
+	}
+}
+
 // waitCommitted returns once the leader's current log, including an earlier change, is
 // committed.
 func (r *Replica) waitCommitted(ctx context.Context) error {
--- a/internal/replication/replica/status.go
+++ b/internal/replication/replica/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"slices"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -14,8 +15,9 @@
 // MemberStatus describes a member. Match and Active are known on the leader only.
 type MemberStatus struct {
 	Member
-	Match  uint64 // highest index known to be durable there
-	Active bool   // heard from within the last election timeout
+	Match  uint64        // highest index known to be durable there
+	Active bool          // heard from within the last election timeout
+	Silent time.Duration // since it was last heard from
 }
 
 // Status describes a replica at one moment.
@@ -31,6 +33,7 @@
 	LastIndex     uint64
 	Members       []MemberStatus
 	Exclusion     consensus.Exclusion
+	Removed       []uint64 // ids of former members, sorted; not to be modified
 }
 
 // Status returns the replica's status after its last batch of work.
@@ -41,12 +44,13 @@
 	leader, _ := s.Membership.Find(s.Leader)
 	out := &Status{
 		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: leader.Address, Role: s.Role.String(),
-		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, Exclusion: s.Exclusion,
+		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, Exclusion: s.Exclusion, Removed: s.Removed,
 	}
 	for i, m := range s.Membership.Members {
 		ms := MemberStatus{Member: Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner}}
 		if len(s.Members) > 0 {
 			ms.Match, ms.Active = s.Members[i].Match, s.Members[i].Active
+			ms.Silent = time.Duration(s.Members[i].SilentTicks) * r.cfg.TickInterval
 		}
 		out.Members = append(out.Members, ms)
 	}
