A host that was removed while it was down joins again

What operators see: a control host that was down for so long that the group removed it opens its old log after its return, takes itself for a member, asks nobody and is told nothing, for good. It reads nothing, and its place in the group stays empty. A former voter was told when it asked for votes; a learner never asks for any.

Cause: a host asked to join only until its own log named it as a member. Now a member that has known no leader for 2 s asks too; a leader answers a replica whose removal is committed that it was removed, and the host then discards its folder and joins as a new member, as it did when voters told it. Only a leader's committed membership is believed. Ruled out: probing by vote requests, as all addresses in an old log may be gone; the seeds follow the hosts that run.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -66,6 +66,8 @@
 	// Members are the peer addresses of the group's members by replica id. A host without a log
 	// needs them to answer the leader.
 	Members map[uint64]string `json:"members,omitempty"`
+	// Removed says that the replica was a member and was removed: its id cannot be used again.
+	Removed bool `json:"removed,omitempty"`
 }
 
 // MaxHostsPerExchange is the number of entry hosts up to which all exchange their load
--- a/internal/control/controlhost/group.go
+++ b/internal/control/controlhost/group.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"filberthook/internal/control/controlapi"
@@ -16,8 +15,6 @@
 
 // Timing of the group.
 const (
-	// joinInterval is the pause between two requests to join the group.
-	joinInterval = 300 * time.Millisecond
 	// adjustInterval is how often the leader checks the members.
 	adjustInterval = 250 * time.Millisecond
 	// changeTimeout bounds one change of membership.
@@ -28,100 +25,6 @@
 	callTimeout = time.Second
 )
 
-// joins holds the pending requests to join the group, by address.
-type joins struct {
-	mu      sync.Mutex
-	pending map[string]controlapi.JoinRequest
-}
-
-func (j *joins) add(req controlapi.JoinRequest) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.pending[req.Address] = req
-}
-
-// take removes and returns all requests.
-func (j *joins) take() []controlapi.JoinRequest {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	out := make([]controlapi.JoinRequest, 0, len(j.pending))
-	for _, req := range j.pending {
-		out = append(out, req)
-	}
-	clear(j.pending)
-	return out
-}
-
-// join asks the control hosts it knows to add this host's replica, until it is a member.
-func (m *membership) join(ctx context.Context, opened *openReplica) {
-	h := m.host
-	req := controlapi.JoinRequest{ID: opened.id, Address: h.settings.Listen.peersAddress(), Zone: h.settings.Zone}
-	known := map[string]bool{}
-	for !isMember(opened.replica.Status(), opened.id) {
-		for _, f := range formation.Founders(h.seeds(), h.peerPort) {
-			known[f.Address] = true
-		}
-		for address := range known {
-			if address == req.Address {
-				continue
-			}
-			call, cancel := context.WithTimeout(ctx, callTimeout)
-			var resp controlapi.JoinResponse
-			err := h.rpc.Get(address).Call(call, controlapi.MethodJoin, req, &resp)
-			cancel()
-			if err != nil {
-				h.logger.Info("request to join the group failed", "at", address, "err", err)
-				continue
-			}
-			for _, peer := range resp.Peers {
-				known[peer] = true
-			}
-			m.told.Store(&resp.Members)
-			break
-		}
-		if !pause.For(ctx, joinInterval) {
-			return
-		}
-	}
-	h.logger.Info("this host is a member of the control group", "id", opened.id)
-}
-
-func isMember(status replica.Status, id uint64) bool {
-	for _, m := range status.Members {
-		if m.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
-// addressesByID returns the addresses of the members by replica id.
-func addressesByID(status replica.Status) map[uint64]string {
-	out := make(map[uint64]string, len(status.Members))
-	for _, m := range status.Members {
-		out[m.ID] = m.Address
-	}
-	return out
-}
-
-// serveJoin queues a request to join, or forwards it to the leader.
-func (h *Host) serveJoin(ctx context.Context, req controlapi.JoinRequest) (controlapi.JoinResponse, error) {
-	status, ok := h.membership.status()
-	if !ok {
-		return controlapi.JoinResponse{}, &UnavailableError{errClosed}
-	}
-	if status.Role == replica.RoleLeader {
-		h.joins.add(req)
-		return controlapi.JoinResponse{Peers: h.membership.addresses(), Members: addressesByID(status)}, nil
-	}
-	if status.LeaderAddress == "" || status.LeaderAddress == h.settings.Listen.peersAddress() {
-		return controlapi.JoinResponse{}, &UnavailableError{errors.New("no leader is known")}
-	}
-	var resp controlapi.JoinResponse
-	err := h.rpc.Get(status.LeaderAddress).Call(ctx, controlapi.MethodJoin, req, &resp)
-	return resp, err
-}
-
 // adjustMembership admits joining hosts and applies the steps that package formation
 // decides on, while this host leads.
 func (h *Host) adjustMembership(ctx context.Context) {
