Votes of the control group move as soon as their holders are gone

Cause: a vote stayed with its holder for replace_after, 4 s, counted by the leader from when it first saw the member inactive, and anew by each new leader. The next voter was then lost while the first still held a vote: one of three was left.

Change: - The decision (formation.NextStep) moves the vote of a voter that is silent for a quarter of replace_after (1 s) to a learner that is up and caught up. The learner is promoted before the voter is demoted, not removed: it keeps its log, and a host that comes back may take a vote at once. It is removed after five times replace_after. - A host that stops hands over leadership and then its vote, and ends once the vote has moved (at most 1 s). - The wait goes on through a change of leader, and steps follow each other without a pause; of seven voters the silent one is demoted first. - Moves because of silence are bounded (6, then one in 2 s), so that hosts which come and go do not fill the log. - Each member's silence is logged once when it begins to count and once when it ends. A host that came back without its disk is replaced as a voter before its old replica is removed.

TestModelFindsVotesThatMoveLate shows that it finds a decision that waits.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -13,6 +13,7 @@
 	MethodDocument = "control.document" // DocumentRequest to document.Packed; at any control host
 	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
 	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
+	MethodLeave    = "control.leave"    // LeaveRequest to LeaveResponse, from a control host whose process ends; at the leader
 	MethodLoad     = "control.load"     // LoadReport to LoadReport, from an entry host
 	MethodProbe    = "control.probe"    // quarantine.Probe to ProbeResponse, from an entry host; at the leader
 	MethodBlocks   = "control.blocks"   // BlocksRequest to BlocksResponse, from an operator; at any control host
@@ -70,6 +71,16 @@
 	Removed bool `json:"removed,omitempty"`
 }
 
+// LeaveRequest announces that the process of a member ends.
+type LeaveRequest struct {
+	ID uint64 `json:"id"`
+}
+
+// LeaveResponse is sent once the member's vote has moved or no other member can take it.
+type LeaveResponse struct {
+	Moved bool `json:"moved"` // the member has no vote
+}
+
 // MaxHostsPerExchange is the number of entry hosts up to which all exchange their load
 // through the group's leader. More of them exchange it through the control hosts of their
 // availability zones, which send each other digests.
--- a/internal/control/controlhost/group.go
+++ b/internal/control/controlhost/group.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"filberthook/internal/control/controlapi"
-	"filberthook/internal/control/formation"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
 	"filberthook/internal/replication/replica"
@@ -15,91 +14,12 @@
 
 // Timing of the group.
 const (
-	// adjustInterval is how often the leader checks the members.
-	adjustInterval = 250 * time.Millisecond
-	// changeTimeout bounds one change of membership.
-	changeTimeout = 2 * time.Second
 	// proposeRetry is the pause before a failed proposal is sent again.
 	proposeRetry = 50 * time.Millisecond
 	// callTimeout bounds a call to another control host.
 	callTimeout = time.Second
 )
 
-// adjustMembership admits joining hosts and applies the steps that package formation
-// decides on, while this host leads.
-func (h *Host) adjustMembership(ctx context.Context) {
-	inactiveSince := map[uint64]time.Time{} // by member id
-	for pause.For(ctx, adjustInterval) {
-		opened := h.membership.current.Load()
-		if opened == nil || opened.replica.Status().Role != replica.RoleLeader {
-			clear(inactiveSince)
-			continue
-		}
-		for _, req := range h.joins.take() {
-			h.admit(ctx, opened, req)
-		}
-		status := opened.replica.Status()
-		h.applyStep(ctx, opened, formation.NextStep(healthOf(status, inactiveSince, time.Now()), status.ID,
-			formation.Tolerance{Hosts: h.settings.Tolerate.Hosts, Zones: h.settings.Tolerate.Zones},
-			h.settings.ReplaceAfter.Duration))
-	}
-}
-
-// healthOf returns the health of the members from the replica's status. It keeps
-// inactiveSince up to date, which holds when each inactive member was first seen inactive.
-func healthOf(status replica.Status, inactiveSince map[uint64]time.Time, now time.Time) []formation.Health {
-	out := make([]formation.Health, 0, len(status.Members))
-	for _, m := range status.Members {
-		active := m.Active || m.ID == status.ID
-		if active {
-			delete(inactiveSince, m.ID)
-		} else if _, ok := inactiveSince[m.ID]; !ok {
-			inactiveSince[m.ID] = now
-		}
-		health := formation.Health{Member: m.Member, Active: active, CaughtUp: m.Match >= status.Commit}
-		if !active {
-			health.InactiveFor = now.Sub(inactiveSince[m.ID])
-		}
-		out = append(out, health)
-	}
-	return out
-}
-
-// admit adds a host as a learner. A member with the same address and another id is the
-// same host before it lost its disk. It is removed first: its vote must not count
-// without its log.
-func (h *Host) admit(ctx context.Context, opened *openReplica, req controlapi.JoinRequest) {
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	for _, m := range opened.replica.Status().Members {
-		if m.Address == req.Address && m.ID != req.ID {
-			step := formation.Step{Kind: formation.Remove, ID: m.ID, Reason: "its host came back without its disk"}
-			err := opened.replica.RemoveMember(ctx, m.ID)
-			logMembershipChange(h.logger, step, err)
-			if err != nil {
-				return // the host repeats its request
-			}
-		}
-	}
-	err := opened.replica.AddLearner(ctx, replica.Member{ID: req.ID, Address: req.Address, Zone: req.Zone})
-	h.logger.Info("host joins the control group", "member", req.ID, "address", req.Address, "zone", req.Zone, "err", err)
-}
-
-func (h *Host) applyStep(ctx context.Context, opened *openReplica, step formation.Step) {
-	if step.Kind == formation.NoStep {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	var err error
-	if step.Kind == formation.Promote {
-		err = opened.replica.Promote(ctx, step.ID)
-	} else {
-		err = opened.replica.RemoveMember(ctx, step.ID)
-	}
-	logMembershipChange(h.logger, step, err)
-}
-
 // propose appends a document to the replicated log. It repeats a failed proposal until
 // ctx ends; that is safe because a document that is already in force changes nothing.
 func (h *Host) propose(ctx context.Context, d document.Document) (uint64, error) {
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -88,6 +88,7 @@
 	view       *instances.View // merged from all control hosts: each gets a part of the heartbeats
 	watcher    *controlwatch.Watcher
 	joins      joins
+	leaves     *leaves
 	registry   *instances.Registry
 	watchers   *watchers
 	loads      *loads
@@ -127,6 +128,7 @@
 		handler:  handler,
 		engines:  engines,
 		joins:    joins{pending: map[string]controlapi.JoinRequest{}},
+		leaves:   newLeaves(),
 		registry: instances.NewRegistry(s.Heartbeat.Duration),
 		watchers: newWatchers(time.Now()),
 		changed:  make(chan struct{}),
@@ -227,6 +229,9 @@
 	peer.Handle(m, controlapi.MethodJoin, func(ctx context.Context, _ peer.Identity, req controlapi.JoinRequest) (controlapi.JoinResponse, error) {
 		return h.serveJoin(ctx, req)
 	})
+	peer.Handle(m, controlapi.MethodLeave, func(ctx context.Context, _ peer.Identity, req controlapi.LeaveRequest) (controlapi.LeaveResponse, error) {
+		return h.serveLeave(ctx, req)
+	})
 	peer.Handle(m, controlapi.MethodLoad, func(_ context.Context, from peer.Identity, report controlapi.LoadReport) (controlapi.LoadReport, error) {
 		return h.loads.exchange(from.Host, report, time.Now()), nil
 	})
--- a/internal/control/controlhost/member.go
+++ b/internal/control/controlhost/member.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"log/slog"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -124,7 +123,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	opened.replica.TransferLeadershipToAny(transferTimeout)
+	m.handOver(opened)
 	stop()
 	return <-ended
 }
@@ -247,12 +246,3 @@
 	}
 	return opened.machine.Current(), nil
 }
-
-// logMembershipChange logs a change of membership or its failure.
-func logMembershipChange(l *slog.Logger, step formation.Step, err error) {
-	if err != nil {
-		l.Warn("membership not changed", "step", step.Kind.String(), "member", step.ID, "why", step.Reason, "err", err)
-		return
-	}
-	l.Info("membership changed", "step", step.Kind.String(), "member", step.ID, "why", step.Reason)
-}
--- a/internal/control/controlhost/settings.go
+++ b/internal/control/controlhost/settings.go
@@ -20,7 +20,7 @@
 	Heartbeat      tomltime.Duration `toml:"heartbeat"`       // interval of the instances' heartbeats
 	Listen         Listen            `toml:"listen"`
 	Tolerate       Tolerate          `toml:"tolerate"`
-	ReplaceAfter   tomltime.Duration `toml:"replace_after"` // a voter that is unreachable for longer is replaced
+	ReplaceAfter   tomltime.Duration `toml:"replace_after"` // time after a loss or replacement at which the next host may be lost; votes move in a quarter of it
 	Stages         Stages            `toml:"stages"`
 	Log            settings.Log      `toml:"log"`
 }
@@ -78,7 +78,7 @@
 		c.Add("heartbeat", "is missing", "set the interval of the instances' heartbeats, such as 1.2s")
 	}
 	if s.ReplaceAfter.Duration <= 0 {
-		c.Add("replace_after", "is missing", "set how long a lost voter is waited for, such as 4s")
+		c.Add("replace_after", "is missing", "set how long after a loss or replacement the next control host may be lost, such as 4s")
 	}
 	if s.Tolerate.Hosts < 0 || s.Tolerate.Zones < 0 {
 		c.Add("tolerate", "is below 0", "use 0 or more")
--- /dev/null
+++ b/internal/control/controlhost/votes.go
@@ -0,0 +1,155 @@
+package controlhost
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/control/formation"
+	"filberthook/internal/replication/replica"
+)
+
+const (
+	// adjustInterval is how often the leader checks the members.
+	adjustInterval = 100 * time.Millisecond
+	// changeTimeout bounds one change of membership.
+	changeTimeout = 2 * time.Second
+	// maxMoves and moveInterval bound how often votes move from silent members: hosts that
+	// come and go must not fill the log with changes of membership.
+	maxMoves     = 6
+	moveInterval = 2 * time.Second
+)
+
+// voteKeeper keeps the votes of the group with members that are up, while this host
+// leads. One goroutine uses it.
+type voteKeeper struct {
+	host   *Host
+	policy formation.Policy
+	moves  *rate.Limiter
+	commit uint64          // of the previous check
+	silent map[uint64]bool // members that were logged as silent
+}
+
+func newVoteKeeper(h *Host) *voteKeeper {
+	return &voteKeeper{
+		host: h,
+		policy: formation.Policy{
+			Tolerance:    formation.Tolerance{Hosts: h.settings.Tolerate.Hosts, Zones: h.settings.Tolerate.Zones},
+			ReplaceAfter: h.settings.ReplaceAfter.Duration,
+		},
+		moves:  rate.NewLimiter(rate.Every(moveInterval), maxMoves),
+		silent: map[uint64]bool{},
+	}
+}
+
+// adjustMembership admits joining hosts and applies the steps that package formation
+// decides on, while this host leads.
+func (h *Host) adjustMembership(ctx context.Context) {
+	keeper := newVoteKeeper(h)
+	ticker := time.NewTicker(adjustInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.leaves.changed:
+		case <-ticker.C:
+		}
+		opened := h.membership.current.Load()
+		if opened == nil || opened.replica.Status().Role != replica.RoleLeader {
+			keeper.commit = 0
+			clear(keeper.silent)
+			continue
+		}
+		for _, req := range h.joins.take() {
+			keeper.admit(ctx, opened, req)
+		}
+		keeper.moveVotes(ctx, opened)
+	}
+}
+
+// moveVotes applies steps until none is left or one fails.
+func (k *voteKeeper) moveVotes(ctx context.Context, opened *openReplica) {
+	for ctx.Err() == nil {
+		status := opened.replica.Status()
+		members := healthOf(status, k.commit, k.host.leaves.announced(time.Now()))
+		k.commit = status.Commit
+		k.logSilent(members)
+		step := formation.NextStep(members, status.ID, k.policy)
+		if step.Kind == formation.NoStep || step.MovesVote && !k.moves.Allow() {
+			k.host.leaves.settle()
+			return
+		}
+		if k.apply(ctx, opened, step) != nil {
+			return
+		}
+	}
+}
+
+// healthOf returns the health of the members as the leader's status shows it. A member has
+// caught up when it holds the log up to commit.
+func healthOf(status replica.Status, commit uint64, leaving map[uint64]bool) []formation.Health {
+	out := make([]formation.Health, 0, len(status.Members))
+	for _, m := range status.Members {
+		out = append(out, formation.Health{Member: m.Member, Silent: m.Silent, CaughtUp: m.Match >= commit, Leaving: leaving[m.ID]})
+	}
+	return out
+}
+
+// logSilent logs when a member falls silent for as long as its vote may be kept, and when
+// it answers again.
+func (k *voteKeeper) logSilent(members []formation.Health) {
+	for _, m := range members {
+		silent := m.Silent >= k.policy.VoteTimeout()
+		if silent == k.silent[m.ID] {
+			continue
+		}
+		k.silent[m.ID] = silent
+		k.host.logger.Info("member of the control group changed", "member", m.ID, "address", m.Address,
+			"member_zone", m.Zone, "voter", !m.Learner, "silent", silent, "silent_ms", m.Silent.Milliseconds(), "leaves", m.Leaving)
+	}
+}
+
+// admit adds a host as a learner. A member with the same address and another id is the
+// same host before it lost its disk: its vote moves, and it is removed, as its vote must not
+// count without its log.
+func (k *voteKeeper) admit(ctx context.Context, opened *openReplica, req controlapi.JoinRequest) {
+	for _, m := range opened.replica.Status().Members {
+		if m.Address != req.Address || m.ID == req.ID {
+			continue
+		}
+		k.host.leaves.announce(m.ID, time.Now())
+		k.moveVotes(ctx, opened)
+		if k.apply(ctx, opened, formation.Step{Kind: formation.Remove, ID: m.ID, Reason: "its host came back without its disk"}) != nil {
+			return // the host repeats its request
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	err := opened.replica.AddLearner(ctx, replica.Member{ID: req.ID, Address: req.Address, Zone: req.Zone})
+	k.host.logger.Info("host joins the control group", "member", req.ID, "address", req.Address, "member_zone", req.Zone, "err", err)
+}
+
+// apply makes one change of membership and logs it.
+func (k *voteKeeper) apply(ctx context.Context, opened *openReplica, step formation.Step) error {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	var err error
+	switch step.Kind {
+	case formation.Promote:
+		err = opened.replica.Promote(ctx, step.ID)
+	case formation.Demote:
+		err = opened.replica.Demote(ctx, step.ID)
+	case formation.Remove:
+		err = opened.replica.RemoveMember(ctx, step.ID)
+	}
+	logger := k.host.logger.With("step", step.Kind.String(), "member", step.ID, "why", step.Reason)
+	if err != nil {
+		logger.Warn("membership not changed", "err", err)
+		return err
+	}
+	logger.Info("membership changed")
+	return nil
+}
--- a/internal/control/formation/formation.go
+++ b/internal/control/formation/formation.go
@@ -11,16 +11,12 @@
 	"net"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"filberthook/internal/replication/replica"
 )
 
-// maxVoters is the maximum number of voters in the consensus group.
-const maxVoters = 7
-
 // FounderID returns the id of a founder.
 func FounderID(address string) uint64 {
 	// 0 is not a valid id.
@@ -57,122 +53,3 @@
 	})
 	return out
 }
-
-// Tolerance is the number of simultaneous losses that a group must survive.
-type Tolerance struct {
-	Hosts int // control hosts
-	Zones int // availability zones
-}
-
-// StepKind is a kind of membership change.
-type StepKind uint8
-
-const (
-	NoStep StepKind = iota
-	Promote
-	Remove
-)
-
-// Step is one change of the group's membership. The zero Step changes nothing.
-type Step struct {
-	Kind   StepKind
-	ID     uint64
-	Reason string
-}
-
-// Health is a member with its state as the leader sees it.
-type Health struct {
-	replica.Member
-	Active      bool          // answered within an election timeout
-	CaughtUp    bool          // has all committed entries
-	InactiveFor time.Duration // 0 for active members
-}
-
-// NextStep returns the next membership change for the leader with the given id, one at a
-// time. The group grows to the number of voters that the tolerance requires, spread over
-// availability zones. A voter that is inactive for longer than replaceAfter is replaced
-// by a learner, which is promoted before the voter is removed; none is replaced while the
-// tolerance requires maxVoters and the group has as many. A learner that is inactive for
-// ten times as long is removed.
-func NextStep(members []Health, leader uint64, tolerance Tolerance, replaceAfter time.Duration) Step {
-	voters, learners := split(members)
-	candidate := bestLearner(learners, voters)
-	if candidate != nil && len(voters) < targetVoters(members, tolerance) {
-		return Step{Promote, candidate.ID, "the group has too few voters"}
-	}
-	dead := longestInactive(voters, leader, replaceAfter)
-	if dead != nil && len(voters) > targetVoters(members, tolerance) {
-		return Step{Remove, dead.ID, "a voter that is gone was replaced"}
-	}
-	if dead != nil && candidate != nil && len(voters) < maxVoters {
-		return Step{Promote, candidate.ID, "a voter is gone"}
-	}
-	if gone := longestInactive(learners, leader, 10*replaceAfter); gone != nil {
-		return Step{Remove, gone.ID, "a learner is gone"}
-	}
-	return Step{}
-}
-
-// targetVoters returns the number of voters that survives the tolerated losses, as far as
-// there are members for it. The number is odd: one more voter would survive no more losses.
-func targetVoters(members []Health, t Tolerance) int {
-	losses := t.Hosts
-	if t.Zones > 0 {
-		losses = max(losses, 1)
-	}
-	n := min(2*losses+1, maxVoters)
-	if len(members) < n && len(members)%2 == 0 {
-		return max(1, len(members)-1)
-	}
-	return min(n, len(members))
-}
-
-func split(members []Health) (voters, learners []Health) {
-	for _, m := range members {
-		if m.Learner {
-			learners = append(learners, m)
-		} else {
-			voters = append(voters, m)
-		}
-	}
-	return voters, learners
-}
-
-// bestLearner returns the active, caught-up learner whose zone has the fewest active
-// voters, nil when there is none.
-func bestLearner(learners, voters []Health) *Health {
-	inZone := map[string]int{}
-	for _, v := range voters {
-		if v.Active {
-			inZone[v.Zone]++
-		}
-	}
-	var best *Health
-	for i := range learners {
-		l := &learners[i]
-		if !l.Active || !l.CaughtUp {
-			continue
-		}
-		if best == nil || inZone[l.Zone] < inZone[best.Zone] {
-			best = l
-		}
-	}
-	return best
-}
-
-func longestInactive(members []Health, leader uint64, after time.Duration) *Health {
-	var gone *Health
-	for i := range members {
-		m := &members[i]
-		if m.ID == leader || m.Active || m.InactiveFor < after {
-			continue
-		}
-		if gone == nil || m.InactiveFor > gone.InactiveFor {
-			gone = m
-		}
-	}
-	return gone
-}
-
-// String returns the name of the kind for logs.
-func (k StepKind) String() string { return [...]string{"nothing", "promote", "remove"}[k] }
--- /dev/null
+++ b/internal/control/formation/series_test.go
@@ -0,0 +1,230 @@
+package formation_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filberthook/internal/control/formation"
+)
+
+const (
+	catchUp     = 4 * time.Second // a new host counts as lost for so long after its start
+	comeBack    = time.Second     // from a loss until the host or its successor starts
+	stopTimeout = time.Second     // of a planned stop
+	ackWithin   = time.Second     // a change is acknowledged at least so often in calm
+)
+
+var lossKinds = []string{"sudden", "planned", "disk", "restart", "pause", "all"}
+
+// event is a loss that the pages of the platform allow. The next one comes gap after the time from
+// which they allow it.
+type event struct {
+	kind   string
+	victim string // leader, voter or any
+	gap    time.Duration
+}
+
+func drawEvent(t *rapid.T) event {
+	return event{
+		kind:   rapid.SampledFrom(lossKinds).Draw(t, "kind"),
+		victim: rapid.SampledFrom([]string{"leader", "voter", "any"}).Draw(t, "victim"),
+		gap:    time.Duration(rapid.IntRange(0, 30).Draw(t, "gap")) * tick,
+	}
+}
+
+// TestQuorumSurvivesControlHostsLostInSeries plays losses one after the other, each as
+// early as the one before allows.
+func TestQuorumSurvivesControlHostsLostInSeries(t *testing.T) {
+	var moves []move
+	rapid.Check(t, func(t *rapid.T) {
+		tolerated := rapid.IntRange(1, 2).Draw(t, "tolerated")
+		hosts := rapid.IntRange(2*tolerated+1, 9).Draw(t, "hosts")
+		policy := formation.Policy{Tolerance: formation.Tolerance{Hosts: tolerated, Zones: 1}, ReplaceAfter: catchUp}
+		m := newModel(rapid.Uint64().Draw(t, "seed"), 4, hosts, policy)
+		m.run(3 * time.Second)
+		for _, e := range rapid.SliceOfN(rapid.Custom(drawEvent), 1, 12).Draw(t, "events") {
+			m.play(e, rapid.IntRange(1, tolerated).Draw(t, "at once"))
+			m.checkCalm()
+			if m.failure != nil {
+				t.Fatalf("%v\n%s", m.failure, strings.Join(m.log, "\n"))
+			}
+		}
+		moves = append(moves, m.moves...)
+	})
+	reportMoves(t, moves)
+}
+
+// play makes a loss of one or more hosts at once and waits until the next one is allowed.
+func (m *model) play(e event, count int) {
+	m.note("%s of %s", e.kind, e.victim)
+	if e.kind == "all" {
+		up := m.up()
+		for _, h := range up {
+			m.kill(h)
+		}
+		m.run(comeBack)
+		for _, h := range up {
+			m.start(h)
+		}
+		clear(m.lostAt)
+		m.run(catchUp + e.gap)
+		return
+	}
+	var victims []*host
+	for range count {
+		if v := m.pick(e.victim, victims); v != nil {
+			victims = append(victims, v)
+		}
+	}
+	if e.kind == "planned" {
+		m.playPlanned(victims, e.gap)
+		return
+	}
+	for _, v := range victims {
+		if e.kind == "pause" {
+			v.paused = true
+		} else {
+			m.kill(v)
+		}
+	}
+	m.run(comeBack)
+	for _, v := range victims {
+		switch e.kind {
+		case "sudden":
+			v.gone = true
+			m.add(v.zone)
+		case "disk":
+			m.wipe(v)
+		case "restart":
+			m.start(v)
+		default:
+			v.paused = false
+		}
+	}
+	m.run(catchUp + e.gap)
+}
+
+// playPlanned starts successors before it stops the victims.
+func (m *model) playPlanned(victims []*host, gap time.Duration) {
+	begin := m.now
+	for _, v := range victims {
+		m.add(v.zone)
+	}
+	m.run(comeBack)
+	for _, v := range victims {
+		m.stop(v)
+	}
+	m.run(catchUp + gap - time.Duration(m.now-begin)*tick)
+}
+
+// stop ends a process in a planned way: it hands over leadership and its vote first.
+func (m *model) stop(h *host) {
+	if leader := m.leader(); leader == h {
+		if next := m.pick("voter", []*host{h}); next != nil {
+			_ = h.core.TransferLeadership(next.id)
+			m.pump(h)
+			m.deliver()
+		}
+	}
+	h.leaving = true
+	for end := m.now + ticks(stopTimeout); m.now < end; {
+		if leader := m.leader(); leader != nil && leader != h && !leader.core.Status().Membership.IsVoter(h.id) {
+			break
+		}
+		m.run(tick)
+	}
+	m.kill(h)
+	h.gone = true
+}
+
+func (m *model) up() []*host {
+	return slices.DeleteFunc(slices.Clone(m.hosts), func(h *host) bool { return h.core == nil || h.gone })
+}
+
+// pick draws a running host that is none of the others, nil when there is none.
+func (m *model) pick(what string, others []*host) *host {
+	leader := m.leader()
+	candidates := slices.DeleteFunc(m.up(), func(h *host) bool { return slices.Contains(others, h) })
+	if leader != nil && what == "leader" && slices.Contains(candidates, leader) {
+		return leader
+	}
+	if leader != nil && what != "any" {
+		members := leader.core.Status().Membership
+		candidates = slices.DeleteFunc(candidates, func(h *host) bool { return !members.IsVoter(h.id) })
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	return candidates[m.rng.IntN(len(candidates))]
+}
+
+// checkCalm checks what must hold before the next loss.
+func (m *model) checkCalm() {
+	leader := m.leader()
+	if leader == nil {
+		m.fail("no leader")
+		return
+	}
+	if since := time.Duration(m.now-m.ackedAt) * tick; since > ackWithin {
+		m.fail("no change was acknowledged for %v", since)
+	}
+	voters := 0
+	for _, member := range leader.core.Status().Membership.Members {
+		h := m.find(member.ID)
+		if member.Learner {
+			continue
+		}
+		voters++
+		if h.core == nil || h.gone {
+			m.fail("lost host %d still votes", h.id)
+		}
+	}
+	if want := 2*m.policy.Tolerance.Hosts + 1; voters < want {
+		m.fail("%d voters, want %d", voters, want)
+	}
+}
+
+// TestModelFindsVotesThatMoveLate shows that the series catches a decision that waits for
+// as long as the pages leave until the next loss.
+func TestModelFindsVotesThatMoveLate(t *testing.T) {
+	found := 0
+	for seed := range uint64(20) {
+		late := formation.Policy{Tolerance: formation.Tolerance{Hosts: 1, Zones: 1}, ReplaceAfter: 4 * (catchUp + 2*comeBack)}
+		m := newModel(seed, 4, 4, late)
+		m.run(3 * time.Second)
+		for range 10 {
+			m.play(event{kind: "sudden", victim: "leader", gap: 4 * tick}, 1)
+			m.checkCalm()
+		}
+		if m.failure != nil {
+			found++
+		}
+	}
+	if found < 20 {
+		t.Errorf("found in %d of 20 series", found)
+	}
+}
+
+// reportMoves logs the times from the loss of a voter until its vote has moved.
+func reportMoves(t *testing.T, moves []move) {
+	t.Helper()
+	for _, leader := range []bool{false, true} {
+		var times []time.Duration
+		for _, m := range moves {
+			if m.leader == leader {
+				times = append(times, m.took)
+			}
+		}
+		if len(times) == 0 {
+			continue
+		}
+		slices.Sort(times)
+		at := func(share float64) time.Duration { return times[int(share*float64(len(times)-1))] }
+		t.Log(fmt.Sprintf("leader %v: %d votes moved, p50 %v, p99 %v, worst %v", leader, len(times), at(0.5), at(0.99), at(1)))
+	}
+}
