Members that answer are not shown as inactive for a heartbeat after each check of the quorum

What operators and callers saw: the list of members showed live members as inactive one time in ten, and a leader that stopped in that moment found no active voter, did not hand over leadership, and cost the group an election. Cause: active is reset at each check of the quorum (every 0.5 s) and set again by the next answer, 50 ms later; Status showed it as it is. Status now says whether the member was heard from within an election timeout, as its comment promised; the check of the quorum is as it was. TestMembersThatAnswerAreNeverShownAsInactive failed before ("tick 24: leader 3 shows member 1 as inactive").

--- a/internal/replication/consensus/membership_test.go
+++ b/internal/replication/consensus/membership_test.go
@@ -119,3 +119,24 @@
 		}
 	}
 }
+
+func TestMembersThatAnswerAreNeverShownAsInactive(t *testing.T) {
+	s := newSim(settings{seed: 1, ticks: runTicks})
+	s.rates = faultRates{delay: 1}
+	err := s.guard(func() {
+		for s.now < runTicks {
+			s.step()
+			for _, n := range s.nodes {
+				status := n.core.Status()
+				for _, m := range status.Members {
+					if !m.Active {
+						t.Fatalf("tick %d: leader %d shows member %d as inactive", s.now, status.ID, m.ID)
+					}
+				}
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/replication/consensus/ready.go
+++ b/internal/replication/consensus/ready.go
@@ -138,7 +138,7 @@
 type MemberStatus struct {
 	Member
 	Match  uint64 // highest index known to be durable there
-	Active bool   // heard from since the last quorum check
+	Active bool   // heard from within the shortest election timeout
 	// SilentTicks is the time since the member was last heard from. A new leader counts from
 	// its election, and for the leader before it from that leader's last message.
 	SilentTicks int
@@ -173,7 +173,7 @@
 	}
 	for _, member := range s.Membership.Members {
 		p := c.progress[member.ID]
-		s.Members = append(s.Members, MemberStatus{Member: member, Match: p.match, Active: p.active || member.ID == c.cfg.ID, SilentTicks: p.silentTicks})
+		s.Members = append(s.Members, MemberStatus{Member: member, Match: p.match, Active: p.silentTicks < c.cfg.ElectionTicks, SilentTicks: p.silentTicks})
 	}
 	return s
 }
