Placement: an observed latency does not raise the estimate it is compared with

Fault: TestEstimatesAreCorrectedByObservedLatency failed on arm64 in 5 of 5 runs: "the request would wait 2562047h47m16.854775807s and may wait 1.2s". Prompts take three times what was expected. The expectation contained the delay of the prompts before, and the whole excess of a prompt over an engine without load went into that delay, with no bound: 54 ms at the first prompt, 1.1e12 ms at the 56th.

Ruled out: - the correction factor: it was bounded to 0.8 to 4, and is not in expectedMs; - prefill rates: bounded, they raise the expectation to 182 ms at most; - x86-64 as right: it was not run. A trial that converts as CVTTSD2SQ (what the compiler emits; 0x8000000000000000 beyond the range) passes the old test on the old code, with the same growth up to 4.3e12 ms at the 59th prompt. There the conversion in the test itself gives the least duration; the prompt seems to have ended before it began, and the delay falls to nothing. x86-64 passes by that and by nothing else.

Change: - expectedMs is the known backlog and the prefill at the rate of that moment, without learned corrections. The factor is learned from it, the delay is measured against the same prefill time, also if the observation itself changes the rate. - A latency counts up to the request's time limit. - The wait is the larger of the corrected backlog and the measured delay.

Unchanged: the choice of the engine (score, queueMs, totalMs), the rates, the bounds, the weight of a prompt at hosts with two prompts a second or more. Refusals and the expected TTFT (log, silence timeouts) change as said.

Tests: TestEstimatesAreCorrectedByObservedLatency passes unchanged.

--- a/internal/engines/placement/inflight.go
+++ b/internal/engines/placement/inflight.go
@@ -16,7 +16,9 @@
 	keys        []uint64
 	endpoint    string  // whose decode engine it is; empty at a prefill engine
 	output      float64 // expected output tokens
-	expectedMs  float64 // until the prefill is done
+	idleMs      float64 // prefill at an engine without a queue
+	expectedMs  float64 // until the prefill is done, by the backlog; without learned corrections
+	timeLeft    time.Duration
 	sentAt      time.Time
 	prefilled   bool
 }
@@ -24,13 +26,14 @@
 // BeginPrompt records that a prompt is sent to an engine, which has to compute
 // prefillTokens of its tokens. prefilledBy is the engine that has run the prefill, if any.
 func (f *Fleet) BeginPrompt(id, prefilledBy string, p *Prompt, prefillTokens int, now time.Time) *InFlight {
-	r := &InFlight{id: id, prefilledBy: prefilledBy, tokens: float64(prefillTokens), uncached: prefillTokens <= p.uniqueTokens(), keys: prefixKeys(p.Model, p.PrefixBlocks), sentAt: now}
+	r := &InFlight{id: id, prefilledBy: prefilledBy, tokens: float64(prefillTokens), uncached: prefillTokens <= p.uniqueTokens(), keys: prefixKeys(p.Model, p.PrefixBlocks), timeLeft: p.TimeLeft, sentAt: now}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r.priority = prefillPriority(prefillTokens, f.typicalRate(p.Endpoint))
 	if in := f.byID[id]; in != nil {
 		in.outstanding++
-		r.expectedMs = f.queueMs(in, r.priority, now) + r.tokens/f.prefillRate(in)
+		r.idleMs = r.tokens / f.prefillRate(in)
+		r.expectedMs = f.backlogMs(in, r.priority, now) + r.idleMs
 		in.ownBacklog.add(r.priority, r.tokens)
 		f.recordSent(in, r.keys, now)
 		if in.Stage != instances.Prefill {
@@ -55,8 +58,11 @@
 	if r.uncached { // shared tokens could be cached after all, and the engine seem too fast
 		f.recordPrefillRate(in, r.tokens, elapsed)
 	}
-	f.estimates.add(r, elapsed)
-	excess := max(0, elapsed-r.tokens/f.prefillRate(in)-firstTokenMs)
+	if r.timeLeft > 0 {
+		elapsed = min(elapsed, float64(r.timeLeft)/float64(time.Millisecond))
+	}
+	f.estimates.add(r, elapsed, now)
+	excess := max(0, elapsed-r.idleMs-firstTokenMs)
 	in.prefillDelay.add(excess, now)
 	if prefiller := f.byID[r.prefilledBy]; prefiller != nil {
 		prefiller.transferDelay.add(max(0, excess-transferOverheadMs), now)
--- a/internal/engines/placement/option.go
+++ b/internal/engines/placement/option.go
@@ -88,7 +88,9 @@
 	fetchFrom     *instance // engine to fetch the shared prefix from; nil for none
 	prefillTokens int       // to be computed
 	priority      int       // of the prefill
-	queueMs       float64   // until the prefill starts
+	backlogMs     float64   // the known backlog of the engine
+	delayMs       float64   // what recent prompts waited at the engine
+	queueMs       float64   // until the prefill starts: the larger of the two
 	totalMs       float64   // until the KV cache is at the decode engine
 	score         float64   // weighted milliseconds and penalties; lowest wins
 }
@@ -107,6 +109,19 @@
 	return plan
 }
 
+// waitMs returns the expected time until the prefill starts. The bias corrects the known
+// backlog; a delay was measured as it is.
+func (o option) waitMs(bias float64) float64 { return max(o.backlogMs*bias, o.delayMs) }
+
+// unqueuedMs returns the time until the KV cache is at the decode engine if there is no queue.
+func (o option) unqueuedMs() float64 { return o.totalMs - o.queueMs }
+
+// correctedMs returns the expected time to the first event.
+func (o option) correctedMs(bias float64) float64 {
+	unqueued := o.unqueuedMs() + firstTokenMs
+	return max((o.backlogMs+unqueued)*bias, o.delayMs+unqueued*min(bias, 1))
+}
+
 // evaluate estimates the latency and score of a prompt's prefill at an engine.
 func (f *Fleet) evaluate(p *Prompt, keys []uint64, in *instance, affinity affinityEngines, sources [2]*instance, now time.Time) option {
 	o := option{engine: in, prefillTokens: in.prefillTokens(p, keys, now)}
@@ -130,7 +145,8 @@
 		o.prefillTokens = min(o.prefillTokens, p.uniqueTokens())
 	}
 	o.priority = prefillPriority(o.prefillTokens, f.typicalRate(p.Endpoint))
-	o.queueMs = f.queueMs(in, o.priority, now)
+	o.backlogMs, o.delayMs = f.backlogMs(in, o.priority, now), in.prefillDelay.decayed(now, delayHalfLife)
+	o.queueMs = max(o.backlogMs, o.delayMs)
 	o.totalMs = o.queueMs + float64(o.prefillTokens)/f.prefillRate(in) + float64(fetched)*transferMsPerToken
 	if in.Stage == instances.Prefill {
 		o.totalMs += transferOverheadMs + float64(p.Tokens)*transferMsPerToken + in.transferDelay.decayed(now, transferHalfLife)
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -136,12 +136,13 @@
 		return Plan{}, f.noInstance(p.Endpoint, p.Excluded, now)
 	}
 	bias := f.estimates.bias()
-	plan.ExpectedTTFT = time.Duration((best.totalMs + firstTokenMs) * bias * float64(time.Millisecond))
-	wait := time.Duration(best.queueMs * bias * float64(time.Millisecond))
+	plan.ExpectedTTFT = time.Duration(best.correctedMs(bias) * float64(time.Millisecond))
+	wait := time.Duration(best.waitMs(bias) * float64(time.Millisecond))
+	unqueued := time.Duration(best.unqueuedMs() * float64(time.Millisecond))
 	if limit, limited := p.maxWait(plan.ExpectedTTFT - wait); limited && wait > limit {
 		return Plan{}, &HopelessError{Wait: wait, MaxWait: limit}
 	}
-	if unqueued := time.Duration((best.totalMs - best.queueMs) * float64(time.Millisecond)); p.TimeLeft > 0 && unqueued > p.TimeLeft {
+	if p.TimeLeft > 0 && unqueued > p.TimeLeft {
 		return Plan{}, &HopelessError{Wait: unqueued, MaxWait: p.TimeLeft} // too long even without a queue
 	}
 	best.engine.notices.Send()
@@ -240,13 +241,18 @@
 	return max(0, tokens)
 }
 
-// queueMs returns the expected time until an engine starts a prefill of a priority: the
-// backlog of the same and of more urgent priorities comes first. It is at least the delay
-// that recent prompts had.
+// queueMs returns the expected time until an engine starts a prefill of a priority. It is at
+// least the delay that recent prompts had.
 func (f *Fleet) queueMs(in *instance, priority int, now time.Time) float64 {
+	return max(f.backlogMs(in, priority, now), in.prefillDelay.decayed(now, delayHalfLife))
+}
+
+// backlogMs returns how long an engine computes the known backlog of a priority and of more
+// urgent ones, which come first.
+func (f *Fleet) backlogMs(in *instance, priority int, now time.Time) float64 {
 	tokens := in.ownBacklog.upTo(priority)
 	if now.Sub(in.peerBacklogAt) < peerBacklogTTL {
 		tokens += in.peerBacklog.upTo(priority)
 	}
-	return max(tokens/f.prefillRate(in), in.prefillDelay.decayed(now, delayHalfLife))
+	return tokens / f.prefillRate(in)
 }
