Placement: the remainder of a delay refuses no long prompt

Fault: the time that a prompt may queue was its time limit less the prefill time multiplied by the correction factor. Where that was more than the limit, nothing was left, and any wait above zero refused the prompt: after a slow minute long prompts were refused to an engine without load until the measured delay, which halves every 400 ms, fell below a nanosecond. A wait of exactly zero did not refuse it. Without prompts the factor doesn't change either.

Ruled out: the factor itself (it is right for the prompts that it was learned from), the half-life of the delay.

Change: the time without a queue is the uncorrected one, as in the check that follows. The factor counts once, in the wait.

In the normal range this only counts where the corrected prefill time leaves less than twice the goal: a prompt may then wait longer before it is refused.

--- a/internal/engines/placement/estimate_test.go
+++ b/internal/engines/placement/estimate_test.go
@@ -148,7 +148,7 @@
 
 func TestCallersAreNotRefusedAfterASlowMinute(t *testing.T) {
 	for gap, lengths := range map[time.Duration][]int{ // as much as one engine without load can do
-		time.Second:            {500, 1500, 3000},
+		time.Second:            {500, 1500, 3000, 16_000},
 		100 * time.Millisecond: {500, 1500, 3000, 5000},
 	} {
 		for _, tokens := range lengths {
@@ -172,3 +172,14 @@
 		}
 	}
 }
+
+func TestRemainderOfADelayRefusesNoPrompt(t *testing.T) {
+	f := fleetOf(1, 1)
+	for range 100 {
+		f.estimates.add(&InFlight{tokens: 3000, expectedMs: 50}, 10_000, start)
+	}
+	f.byID["p0"].prefillDelay.add(0.001, start)
+	if _, err := f.Place(promptWithPrefix("s", 0, 40_000), start); err != nil {
+		t.Errorf("refused after a delay of 1 µs: %v", err)
+	}
+}
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -139,7 +139,7 @@
 	plan.ExpectedTTFT = time.Duration(best.correctedMs(bias) * float64(time.Millisecond))
 	wait := time.Duration(best.waitMs(bias) * float64(time.Millisecond))
 	unqueued := time.Duration(best.unqueuedMs() * float64(time.Millisecond))
-	if limit, limited := p.maxWait(plan.ExpectedTTFT - wait); limited && wait > limit {
+	if limit, limited := p.maxWait(unqueued); limited && wait > limit {
 		return Plan{}, &HopelessError{Wait: wait, MaxWait: limit}
 	}
 	if p.TimeLeft > 0 && unqueued > p.TimeLeft {
@@ -153,7 +153,7 @@
 }
 
 // maxWait returns how long a prompt may queue before its prefill starts, if it takes
-// serviceTime from then to its first event.
+// serviceTime from then on.
 func (p *Prompt) maxWait(serviceTime time.Duration) (limit time.Duration, limited bool) {
 	switch {
 	case p.TimeLeft > 0 && p.Goal > 0:
