Placement: rates that only refuse are forgotten

Fault: observed prefill rates have no age. After a slow minute with prompts of 40,000 tokens only, the engines seem to need longer than the time limit of 2.4 s without any queue; all prompts are refused for their length, and as none is sent, no rate is observed again. The refusals did not end in the two minutes that were played after the load.

Ruled out: the correction factor (it isn't in that check); the lower bound of rates (0.3 of the setting, 2.46 s for 40,000 tokens, is the case itself).

Change: when prompts have been refused for their length for 2 s and nothing of this or another host has renewed a rate, the endpoint's rates return to the setting. Where shorter prompts are served, their observations prevent it.

Test: TestCallersAreNotRefusedAfterASlowMinute, now with 40,000 tokens as well: before, refused 1m59s after the load (the end of the run) at 5 and at 10 times the time; now no refusal later than the time limit of 2.4 s, estimates right at most 16.3 s after it.

--- a/internal/engines/placement/estimate_test.go
+++ b/internal/engines/placement/estimate_test.go
@@ -148,7 +148,7 @@
 
 func TestCallersAreNotRefusedAfterASlowMinute(t *testing.T) {
 	for gap, lengths := range map[time.Duration][]int{ // as much as one engine without load can do
-		time.Second:            {500, 1500, 3000, 16_000},
+		time.Second:            {500, 1500, 3000, 16_000, 40_000},
 		100 * time.Millisecond: {500, 1500, 3000, 5000},
 	} {
 		for _, tokens := range lengths {
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -131,6 +131,7 @@
 		f.countDemand(p, now)
 	}
 	candidates := contain(f.available(withModel(announced, p.Model), p.Excluded, now), p.ContainKey)
+	f.forgetUnconfirmedRates(p.Endpoint, now)
 	plan, best := f.bestOption(p, keys, candidates, now)
 	if best.engine == nil {
 		return Plan{}, f.noInstance(p.Endpoint, p.Excluded, now)
@@ -139,10 +140,14 @@
 	plan.ExpectedTTFT = time.Duration(best.correctedMs(bias) * float64(time.Millisecond))
 	wait := time.Duration(best.waitMs(bias) * float64(time.Millisecond))
 	unqueued := time.Duration(best.unqueuedMs() * float64(time.Millisecond))
+	tooLong := p.TimeLeft > 0 && unqueued > p.TimeLeft
+	if tooLong {
+		f.noteRefusedForLength(p.Endpoint, now)
+	}
 	if limit, limited := p.maxWait(unqueued); limited && wait > limit {
 		return Plan{}, &HopelessError{Wait: wait, MaxWait: limit}
 	}
-	if p.TimeLeft > 0 && unqueued > p.TimeLeft {
+	if tooLong {
 		return Plan{}, &HopelessError{Wait: unqueued, MaxWait: p.TimeLeft} // too long even without a queue
 	}
 	best.engine.notices.Send()
--- a/internal/engines/placement/rate.go
+++ b/internal/engines/placement/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"filberthook/internal/engines/instances"
 )
@@ -17,6 +18,9 @@
 	// observations are of prompts that were cached in part, lower ones of prompts that waited.
 	maxRateFactor = 1.3
 	minRateFactor = 0.3
+	// unconfirmedRates is how long prompts are refused for their length by observed rates while
+	// there is no new observation: only a prompt that is sent can make one.
+	unconfirmedRates = 2 * time.Second
 )
 
 // rateHistory holds the last observed prefill rates, in tokens per millisecond. Most
@@ -25,10 +29,13 @@
 type rateHistory struct {
 	samples []float64
 	next    int // index of the oldest sample once there are enough
+	// refusedAt is when the first prompt was refused for its length since the last sample.
+	refusedAt time.Time
 }
 
 // add records an observation among the last n.
 func (r *rateHistory) add(v float64, n int) {
+	r.refusedAt = time.Time{}
 	if len(r.samples) < n {
 		r.samples = append(r.samples, v)
 		return
@@ -93,3 +100,24 @@
 	}
 	r.add(rate, typicalSamples)
 }
+
+// noteRefusedForLength records that a prompt was refused as too long for an endpoint's engines
+// at the rates observed. The caller holds f.mu.
+func (f *Fleet) noteRefusedForLength(endpoint string, now time.Time) {
+	if r := f.typicalRates[endpoint]; r != nil && r.refusedAt.IsZero() {
+		r.refusedAt = now
+	}
+}
+
+// forgetUnconfirmedRates returns to the initial estimate if prompts have been refused for
+// their length for long and no rate has been observed since. The caller holds f.mu.
+func (f *Fleet) forgetUnconfirmedRates(endpoint string, now time.Time) {
+	r := f.typicalRates[endpoint]
+	if r == nil || r.refusedAt.IsZero() || now.Sub(r.refusedAt) < unconfirmedRates {
+		return
+	}
+	delete(f.typicalRates, endpoint)
+	for _, in := range f.byEndpoint[endpoint] {
+		in.prefillRates = rateHistory{}
+	}
+}
