Conversions from float64 to durations and integers saturate on every processor

Fault: Go leaves open what a conversion beyond the integer's range gives, and the code converted by hand in 62 places (a type check of all packages but tests), 33 of them to time.Duration. arm64 (FCVTZS) gives the nearest end and 0 for NaN; x86-64 (CVTTSD2SQ) gives 0x8000000000000000 for all, so that a wait of 292 years becomes one of minus 292 years. A prompt with 2^63-1 tokens in its header is refused on one and placed on the other; a lease of 1e300 s is the longest on one and the shortest on the other.

Ruled out: fused multiply-adds.

Change: package internal/process/saturate: Milliseconds, Seconds, Nanoseconds, Int64, Int. They truncate toward zero, give the nearest end beyond the range (infinities included) and 0 for NaN. All conversions to time.Duration and all others that can leave the range use it. Within the range nothing changes.

Now all give what arm64 gave.

Tests on x86-64: not run.

--- a/cmd/filberthook-host/host.go
+++ b/cmd/filberthook-host/host.go
@@ -19,6 +19,7 @@
 	"filberthook/internal/control/controlhost"
 	"filberthook/internal/process/logsink"
 	"filberthook/internal/process/pause"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/process/settings"
 	"filberthook/internal/serve/entryhost"
 	"filberthook/internal/serve/upstream"
@@ -48,7 +49,7 @@
 
 func newProcess(file string, hup <-chan os.Signal, log settings.Log, memoryMB int) *process {
 	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(saturate.Int64(memoryLimitShare * float64(memoryMB) * (1 << 20)))
 	}
 	debug.SetGCPercent(gcPercent)
 	sink := logsink.New(os.Stdout)
--- a/internal/bench/experiment/filberthook.go
+++ b/internal/bench/experiment/filberthook.go
@@ -8,6 +8,7 @@
 
 	"filberthook/internal/engines/engineapi"
 	"filberthook/internal/engines/planner"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/admission"
 	"filberthook/internal/serve/prefix"
 	"filberthook/internal/serve/routing"
@@ -180,7 +181,7 @@
 	costs := &p.entry.sim.scenario.Fleet.Routing.Costs
 	prompt := float64(j.arrival.prompt) / costs.PrefillRate(0) / 2
 	target := p.entry.sim.targets(j).FirstToken.Duration
-	return j.arrival.at + max(target-time.Duration(prompt*float64(time.Second)), target/8)
+	return j.arrival.at + max(target-saturate.Seconds(prompt), target/8)
 }
 
 // dispatch places queued requests that fit and refuses those that have become too late.
--- a/internal/bench/experiment/trace.go
+++ b/internal/bench/experiment/trace.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/routing"
 )
 
@@ -88,7 +89,7 @@
 	var out []arrival
 	for at := 0.0; ; {
 		at += g.rng.ExpFloat64() / peak
-		when := time.Duration(at * float64(time.Second))
+		when := saturate.Seconds(at)
 		if when >= g.s.Duration.Duration {
 			return out
 		}
@@ -108,7 +109,7 @@
 	}
 	g.count++
 	if g.w.Endpoint != "" {
-		a.serviceTime = time.Duration(g.rng.ExpFloat64() * float64(g.w.ServiceTime.Duration))
+		a.serviceTime = saturate.Nanoseconds(g.rng.ExpFloat64() * float64(g.w.ServiceTime.Duration))
 		return a
 	}
 	a.prompt = g.length(g.w.Prompt, g.w.PromptSpread, g.w.PromptMax)
@@ -120,7 +121,7 @@
 // length draws from a lognormal distribution with the given median and sigma. The result
 // is at least 8, and at most limit if limit is positive.
 func (g *generator) length(median, spread float64, limit int) int {
-	n := int(median * math.Exp(spread*g.rng.NormFloat64()))
+	n := saturate.Int(median * math.Exp(spread*g.rng.NormFloat64()))
 	if limit > 0 {
 		n = min(n, limit)
 	}
@@ -137,7 +138,7 @@
 	shared := 0
 	document := uint64(0)
 	if g.w.Documents > 0 {
-		shared = int(math.Round(g.w.Shared * float64(blocks)))
+		shared = saturate.Int(math.Round(g.w.Shared * float64(blocks)))
 		document = g.zipf(g.w.Documents)
 	}
 	hashes := make([]uint64, blocks)
--- a/internal/bench/faultrun/plan.go
+++ b/internal/bench/faultrun/plan.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"filberthook/internal/process/saturate"
 )
 
 // Kind is one kind of fault or planned change.
@@ -155,7 +157,7 @@
 }
 
 func gap(rng *rand.Rand) time.Duration {
-	return time.Duration(rng.ExpFloat64() * float64(meanGap))
+	return saturate.Nanoseconds(rng.ExpFloat64() * float64(meanGap))
 }
 
 // draw picks a kind whose target exists, at random by weight.
--- a/internal/bench/loadgen/claims.go
+++ b/internal/bench/loadgen/claims.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"filberthook/internal/process/saturate"
 )
 
 // ClaimsConfig configures a measurement of calls that run at most once.
@@ -46,7 +48,7 @@
 		report := Run(ctx, RunConfig{
 			Entries: cfg.Entries, TeamKey: cfg.TeamKey, Service: cfg.Service,
 			Mix:  Mix{Booking: 1, Status: 1},
-			Rate: 2 * rate, Calls: int(2 * rate * cfg.Duration.Seconds()),
+			Rate: 2 * rate, Calls: saturate.Int(2 * rate * cfg.Duration.Seconds()),
 			Timeout: cfg.Timeout, Seed: cfg.Seed<<8 + uint64(i),
 		})
 		out = append(out, claimsReport(rate, report))
--- a/internal/bench/loadgen/pacer.go
+++ b/internal/bench/loadgen/pacer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"filberthook/internal/process/saturate"
 )
 
 // pacer schedules calls at a fixed rate (open loop). It does not slow down when
@@ -18,7 +20,7 @@
 func newPacer(rate float64) *pacer {
 	p := &pacer{start: time.Now()}
 	if rate > 0 {
-		p.interval = time.Duration(float64(time.Second) / rate)
+		p.interval = saturate.Nanoseconds(float64(time.Second) / rate)
 	}
 	return p
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -13,6 +13,7 @@
 
 	"filberthook/internal/bench/loadgen"
 	"filberthook/internal/process/pause"
+	"filberthook/internal/process/saturate"
 )
 
 // Range of the pauses that a soak injects.
@@ -123,7 +124,7 @@
 // runWindow runs one load, then samples each process.
 func (r *run) runWindow(ctx context.Context, report *Report) {
 	load := r.cfg.Load
-	load.Calls = int(load.Rate * r.cfg.Window.Seconds())
+	load.Calls = saturate.Int(load.Rate * r.cfg.Window.Seconds())
 	load.Seed = r.cfg.Seed<<20 + uint64(report.Windows)
 	result := loadgen.Run(ctx, load)
 	report.Windows++
--- a/internal/bench/standin/engine.go
+++ b/internal/bench/standin/engine.go
@@ -18,6 +18,7 @@
 
 	"filberthook/internal/engines/engineapi"
 	"filberthook/internal/engines/enginemodel"
+	"filberthook/internal/process/saturate"
 )
 
 // catchUpLimit is how far the engine may lag behind the clock before it skips the
@@ -164,12 +165,12 @@
 
 // now returns the engine time: the time since the start, scaled by Speed.
 func (e *Engine) now() time.Duration {
-	return time.Duration(float64(time.Since(e.start)) * e.cfg.Speed)
+	return saturate.Nanoseconds(float64(time.Since(e.start)) * e.cfg.Speed)
 }
 
 // real converts a duration in engine time to wall-clock time.
 func (e *Engine) real(d time.Duration) time.Duration {
-	return time.Duration(float64(d) / e.cfg.Speed)
+	return saturate.Nanoseconds(float64(d) / e.cfg.Speed)
 }
 
 // Run drives the engine and announces it until ctx ends.
--- a/internal/control/authority/holder.go
+++ b/internal/control/authority/holder.go
@@ -18,6 +18,7 @@
 	"filberthook/internal/control/lease"
 	"filberthook/internal/process/invariant"
 	"filberthook/internal/process/pause"
+	"filberthook/internal/process/saturate"
 )
 
 // Timing of leases and orders.
@@ -218,5 +219,5 @@
 }
 
 func (h *Holder) jittered(d time.Duration) time.Duration {
-	return time.Duration((0.5 + 0.5*h.settings.Random()) * float64(d))
+	return saturate.Nanoseconds((0.5 + 0.5*h.settings.Random()) * float64(d))
 }
--- a/internal/control/controlwatch/load.go
+++ b/internal/control/controlwatch/load.go
@@ -14,6 +14,7 @@
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/network/peer"
 	"filberthook/internal/process/pause"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/replication/raftnet"
 )
 
@@ -212,7 +213,7 @@
 				for len(tokens) <= priority {
 					tokens = append(tokens, 0)
 				}
-				tokens[priority] = int64(v)
+				tokens[priority] = saturate.Int64(v)
 			}
 		}
 		out[id] = tokens
--- a/internal/control/directory/directory_test.go
+++ b/internal/control/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -238,3 +239,12 @@
 		d.Snapshot()
 	}
 }
+
+func TestLeaseBeyondTheRangeOfADurationIsTheLongest(t *testing.T) {
+	for asked, want := range map[float64]time.Duration{1e300: MaxLease, -1e300: MinLease, math.Inf(1): MaxLease, math.NaN(): MinLease} {
+		r := Record{Announcement: engineapi.Announcement{LeaseSeconds: asked}}
+		if got := r.lease(); got != want {
+			t.Errorf("a lease of %v s is %v, want %v", asked, got, want)
+		}
+	}
+}
--- a/internal/control/directory/record.go
+++ b/internal/control/directory/record.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/saturate"
 )
 
 // Limits of an announcement.
@@ -93,7 +94,7 @@
 }
 
 func (r *Record) lease() time.Duration {
-	d := time.Duration(r.Announcement.LeaseSeconds * float64(time.Second))
+	d := saturate.Seconds(r.Announcement.LeaseSeconds)
 	return min(max(d, MinLease), MaxLease)
 }
 
--- a/internal/control/distribution/client.go
+++ b/internal/control/distribution/client.go
@@ -14,6 +14,7 @@
 	"filberthook/internal/engines/fleet"
 	"filberthook/internal/network/peer"
 	"filberthook/internal/process/invariant"
+	"filberthook/internal/process/saturate"
 )
 
 // Timing of retries and of the start without a stored configuration.
@@ -323,7 +324,7 @@
 	c.consecutiveFailures++
 	rounds := min(c.consecutiveFailures/len(c.settings.Replicas), 10)
 	limit := min(retryMin<<rounds, retryMax)
-	pause := time.Duration((0.5 + 0.5*c.settings.Random()) * float64(limit))
+	pause := saturate.Nanoseconds((0.5 + 0.5*c.settings.Random()) * float64(limit))
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
--- a/internal/control/stagereconciler/reconciler.go
+++ b/internal/control/stagereconciler/reconciler.go
@@ -19,6 +19,7 @@
 	"filberthook/internal/engines/instances"
 	"filberthook/internal/engines/notice"
 	"filberthook/internal/process/pause"
+	"filberthook/internal/process/saturate"
 )
 
 // Timing of orders.
@@ -216,7 +217,7 @@
 	}
 	r.Metrics.GetOrCreateCounter(`filberthook_control_orders_total{outcome="` + outcome + `"}`).Inc()
 	r.Logger.Info("stage order sent", "instance", c.Engine.ID, "endpoint", c.Engine.Endpoint, "stage", c.To.String(),
-		"fence", r.term, "outcome", outcome, "prompt_tokens_s", int(d.PromptTokens), "output_tokens_s", int(d.OutputTokens), "decode_slots", int(d.DecodeSlots),
+		"fence", r.term, "outcome", outcome, "prompt_tokens_s", saturate.Int(d.PromptTokens), "output_tokens_s", saturate.Int(d.OutputTokens), "decode_slots", saturate.Int(d.DecodeSlots),
 		"measured", measured, "err", err)
 	return true
 }
--- a/internal/control/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -17,6 +17,7 @@
 	"slices"
 
 	"filberthook/internal/engines/instances"
+	"filberthook/internal/process/saturate"
 )
 
 // Demand is the load that requests put on an endpoint's engines.
@@ -91,7 +92,7 @@
 func (s Settings) Desired(engines []instances.Instance, d Demand) int {
 	desired := s.decoding(engines, d, s.headroom(d))
 	if decode, prefill := s.fullBatches(engines, d), s.prefillNeed(d); decode > 0 && d.DecodeSlots > 0 {
-		desired = max(desired, min(int(float64(len(engines))*decode/(decode+prefillWeight*prefill)), len(engines)-1))
+		desired = max(desired, min(saturate.Int(float64(len(engines))*decode/(decode+prefillWeight*prefill)), len(engines)-1))
 	}
 	return desired
 }
@@ -115,7 +116,7 @@
 	if total := prefill + decode; total > float64(n) {
 		decode *= float64(n) / total // both stages fall short by the same share
 	}
-	return min(max(int(math.Ceil(decode)), minDecodeEngines(n, zonesOf(engines))), n-1)
+	return min(max(saturate.Int(math.Ceil(decode)), minDecodeEngines(n, zonesOf(engines))), n-1)
 }
 
 // prefillNeed returns how many engines the demand keeps busy with prefill.
@@ -174,9 +175,9 @@
 func (s Settings) Next(engines []instances.Instance, changing map[string]instances.Stage, d Demand, loaded bool) []Change {
 	allowed := len(engines)
 	if loaded {
-		allowed = max(1, int(s.MaxChangingShare*float64(len(engines))))
+		allowed = max(1, saturate.Int(s.MaxChangingShare*float64(len(engines))))
 		if s.DecodeShort(engines, changing, d) {
-			allowed = max(allowed, int(s.MaxReplacedShare*float64(len(engines))))
+			allowed = max(allowed, saturate.Int(s.MaxReplacedShare*float64(len(engines))))
 			if d.DecodeSlots > 0 {
 				allowed = max(allowed, minReplaced)
 			}
@@ -247,7 +248,7 @@
 // PrefillEnough. Where a fleet has engines to spare under load, a change gains callers
 // nothing; before the load, when no prefix is cached, it does.
 func (s Settings) prefillMissing(prefillers int, d Demand) int {
-	return max(0, int(math.Ceil(s.prefillNeed(d)/s.PrefillEnough))-prefillers)
+	return max(0, saturate.Int(math.Ceil(s.prefillNeed(d)/s.PrefillEnough))-prefillers)
 }
 
 func stageOf(e instances.Instance, changing map[string]instances.Stage) instances.Stage {
--- a/internal/engines/enginemodel/engine.go
+++ b/internal/engines/enginemodel/engine.go
@@ -6,6 +6,7 @@
 
 	"filberthook/internal/engines/engineapi"
 	"filberthook/internal/process/invariant"
+	"filberthook/internal/process/saturate"
 )
 
 // Engine is the state of one model engine.
@@ -60,7 +61,7 @@
 	s := &sequence{req: r, arrival: e.arrivals, readyAt: now, generated: r.ResumeFrom}
 	e.arrivals++
 	if r.ImportedTokens > 0 && e.cfg.KVTransferTokensPerSecond > 0 {
-		s.readyAt = now + seconds(float64(r.ImportedTokens)/e.cfg.KVTransferTokensPerSecond)
+		s.readyAt = now + saturate.Seconds(float64(r.ImportedTokens)/e.cfg.KVTransferTokensPerSecond)
 	}
 	s.target = r.PromptTokens + r.ResumeFrom
 	e.requests[r.ID] = s
@@ -139,7 +140,7 @@
 	}
 	chunk, decoding := e.planPrefill(), e.countDecoding()
 	step := e.cfg.StepBase + time.Duration(decoding)*e.cfg.StepPerSequence +
-		seconds(float64(chunk)/e.cfg.PrefillTokensPerSecond)
+		saturate.Seconds(float64(chunk)/e.cfg.PrefillTokensPerSecond)
 	end = now + step
 	decoded := e.runBatch(end, chunk)
 	e.rates.observe(step, chunk, decoded)
@@ -395,5 +396,3 @@
 func kvBlocksFor(tokens int) int {
 	return (tokens + engineapi.KVBlockTokens - 1) / engineapi.KVBlockTokens
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/engines/notice/allowance.go
+++ b/internal/engines/notice/allowance.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"filberthook/internal/process/saturate"
 )
 
 // A permit can be used for minPermitLifetime and the time in which the instance takes
@@ -16,7 +18,7 @@
 
 // permitLifetime returns how long a permit can be used under a limit in requests per second.
 func permitLifetime(limit float64) time.Duration {
-	return min(minPermitLifetime+time.Duration(min(permitBurst/limit, maxPermitLifetime.Seconds())*float64(time.Second)), maxPermitLifetime)
+	return min(minPermitLifetime+saturate.Seconds(min(permitBurst/limit, maxPermitLifetime.Seconds())), maxPermitLifetime)
 }
 
 const (
@@ -51,7 +53,7 @@
 		counted := a.counted + a.rate*elapsed.Seconds()
 		oldest := max(math.Floor(a.counted), math.Floor(counted-min(a.rate*a.lifetime.Seconds(), maxPermits))) + 1
 		for n := oldest; n <= counted; n++ {
-			a.valid = append(a.valid, a.at.Add(time.Duration((n-a.counted)/a.rate*float64(time.Second))))
+			a.valid = append(a.valid, a.at.Add(saturate.Seconds((n-a.counted)/a.rate)))
 		}
 		_, a.counted = math.Modf(counted)
 		a.at = now
@@ -77,5 +79,5 @@
 	case a.rate <= 0:
 		return Never
 	}
-	return time.Duration(min((1-a.counted)/a.rate, math.MaxInt64/float64(time.Second)-1) * float64(time.Second))
+	return saturate.Seconds(min((1-a.counted)/a.rate, math.MaxInt64/float64(time.Second)-1))
 }
--- a/internal/engines/placement/estimate_test.go
+++ b/internal/engines/placement/estimate_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -183,3 +184,10 @@
 		t.Errorf("refused after a delay of 1 µs: %v", err)
 	}
 }
+
+func TestPromptBeyondTheRangeOfADurationIsRefused(t *testing.T) {
+	p := &Prompt{Endpoint: "lm", Tokens: math.MaxInt, Goal: 600 * time.Millisecond, TimeLeft: 2400 * time.Millisecond}
+	if plan, err := fleetOf(1, 1).Place(p, start); !errors.As(err, new(*HopelessError)) {
+		t.Errorf("a prompt of %d tokens is placed, expected TTFT %v, error %v", p.Tokens, plan.ExpectedTTFT, err)
+	}
+}
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"filberthook/internal/engines/instances"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/dialect"
 )
 
@@ -137,9 +138,9 @@
 		return Plan{}, f.noInstance(p.Endpoint, p.Excluded, now)
 	}
 	bias := f.estimates.bias()
-	plan.ExpectedTTFT = time.Duration(best.correctedMs(bias) * float64(time.Millisecond))
-	wait := time.Duration(best.waitMs(bias) * float64(time.Millisecond))
-	unqueued := time.Duration(best.unqueuedMs() * float64(time.Millisecond))
+	plan.ExpectedTTFT = saturate.Milliseconds(best.correctedMs(bias))
+	wait := saturate.Milliseconds(best.waitMs(bias))
+	unqueued := saturate.Milliseconds(best.unqueuedMs())
 	tooLong := p.TimeLeft > 0 && unqueued > p.TimeLeft
 	if tooLong {
 		f.noteRefusedForLength(p.Endpoint, now)
--- a/internal/engines/quarantine/judge.go
+++ b/internal/engines/quarantine/judge.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"filberthook/internal/process/saturate"
 )
 
 const (
@@ -88,7 +90,7 @@
 		return time.Time{}
 	}
 	space := float64(firstTestSpace << min(moments-1, endsToBlame))
-	return s.last.Add(time.Duration(space * (1 + phase)))
+	return s.last.Add(saturate.Nanoseconds(space * (1 + phase)))
 }
 
 // verdict is a suspect's quarantine.
--- a/internal/engines/scheduler/place.go
+++ b/internal/engines/scheduler/place.go
@@ -8,6 +8,7 @@
 
 	"filberthook/internal/engines/engineapi"
 	"filberthook/internal/network/ident"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/admission"
 	"filberthook/internal/serve/routing"
 )
@@ -138,7 +139,7 @@
 		return
 	}
 	mean := s.lengths.Mean(admission.Key{Team: w.placement.Team, Endpoint: w.placement.Endpoint})
-	s.meter.Add(w.req.PromptTokens, d.CachedTokens, max(1, int(mean)-w.placement.Generated))
+	s.meter.Add(w.req.PromptTokens, d.CachedTokens, max(1, saturate.Int(mean)-w.placement.Generated))
 }
 
 // queue returns the queue of the request's model, nil for plain services and
@@ -210,7 +211,7 @@
 	}
 	prompt := float64(req.PromptTokens) / s.routing.Costs.PrefillRate(0) / 2
 	target := s.routing.Targets.Of(req.Class).FirstToken.Duration
-	latest := max(target-time.Duration(prompt*float64(time.Second)), target/8)
+	latest := max(target-saturate.Seconds(prompt), target/8)
 	if p.TimeLeft > 0 {
 		latest = min(latest, p.TimeLeft)
 	}
--- a/internal/network/membership/core.go
+++ b/internal/network/membership/core.go
@@ -9,6 +9,7 @@
 
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
 	"filberthook/internal/process/invariant"
+	"filberthook/internal/process/saturate"
 )
 
 // ProtocolVersion is the version of the packets.
@@ -187,7 +188,7 @@
 // SuspicionTimeout returns how long a host stays suspect before it is declared dead.
 func (c *Core) SuspicionTimeout() time.Duration {
 	scale := max(1, math.Log10(float64(len(c.members)+1)))
-	return time.Duration(c.cfg.SuspicionFactor * scale * float64(c.cfg.ProbeInterval))
+	return saturate.Nanoseconds(c.cfg.SuspicionFactor * scale * float64(c.cfg.ProbeInterval))
 }
 
 func (c *Core) expireSuspicions(now time.Duration) {
--- a/internal/process/logtrace/logtrace.go
+++ b/internal/process/logtrace/logtrace.go
@@ -14,6 +14,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"filberthook/internal/process/saturate"
 )
 
 // timeBefore and timeAfter extend the time range of a request. Heartbeats arrive about
@@ -122,7 +124,7 @@
 	from, to = own[0].Time, own[0].Time
 	for _, l := range own {
 		elapsedMs, _ := l.Fields["ms"].(float64)
-		if begin := l.Time.Add(-time.Duration(elapsedMs * float64(time.Millisecond))); begin.Before(from) {
+		if begin := l.Time.Add(-saturate.Milliseconds(elapsedMs)); begin.Before(from) {
 			from = begin
 		}
 		if l.Time.After(to) {
@@ -159,7 +161,7 @@
 	for _, l := range lines {
 		if l.Fields["id"] == id {
 			elapsedMs, _ := l.Fields["ms"].(float64)
-			start = l.Time.Add(-time.Duration(elapsedMs * float64(time.Millisecond)))
+			start = l.Time.Add(-saturate.Milliseconds(elapsedMs))
 			break
 		}
 	}
--- a/internal/serve/admission/rate.go
+++ b/internal/serve/admission/rate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"filberthook/internal/process/saturate"
 )
 
 // rateWindow is the time constant of the drain rate's average, in busy time.
@@ -43,5 +45,5 @@
 		return 0
 	}
 	perSecond := r.blocks / rateWindow.Seconds()
-	return time.Duration(float64(blocks) / perSecond * float64(time.Second))
+	return saturate.Seconds(float64(blocks) / perSecond)
 }
--- a/internal/serve/forward/startup.go
+++ b/internal/serve/forward/startup.go
@@ -10,6 +10,7 @@
 
 	"filberthook/internal/engines/placement"
 	"filberthook/internal/process/pause"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/routes"
 )
 
@@ -35,7 +36,7 @@
 	if deadline <= 0 {
 		return maxStartWait
 	}
-	return min(maxStartWait, time.Duration(maxStartWaitShare*float64(deadline)))
+	return min(maxStartWait, saturate.Nanoseconds(maxStartWaitShare*float64(deadline)))
 }
 
 // awaitTable returns the current configuration. If there is none it waits for the first
--- a/internal/serve/limit/gate.go
+++ b/internal/serve/limit/gate.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/class"
 	"filberthook/internal/serve/request"
 )
@@ -135,7 +136,7 @@
 	}
 	ahead := g.waiting.classes[class].length
 	share := float64(g.settings.Weights[class]) / float64(total)
-	return time.Duration(float64(ahead) / share * float64(g.interval))
+	return saturate.Nanoseconds(float64(ahead) / share * float64(g.interval))
 }
 
 // withdraw removes a waiter from its queue. It returns false when a slot has
@@ -172,7 +173,7 @@
 		g.interval = sample
 		return
 	}
-	g.interval += time.Duration(intervalSmoothing * float64(sample-g.interval))
+	g.interval += saturate.Nanoseconds(intervalSmoothing * float64(sample-g.interval))
 }
 
 // Load returns the number of slots in use and of waiting requests.
--- a/internal/serve/limit/teams.go
+++ b/internal/serve/limit/teams.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/request"
 )
 
@@ -70,7 +71,7 @@
 	need := min(promptTokens, s.TokenBurst)
 	if !tm.tokens.AllowN(now, need) {
 		missing := float64(need) - tm.tokens.TokensAt(now)
-		wait := time.Duration(missing / s.TokensPerSecond * float64(time.Second))
+		wait := saturate.Seconds(missing / s.TokensPerSecond)
 		return request.Refuse(request.TeamTokenRate, "%d tokens asked for, %.0f left", promptTokens, max(tm.tokens.TokensAt(now), 0)).WithRetryAfter(retryAfter(wait))
 	}
 	tm.inFlight++
--- a/internal/serve/retry/backoff.go
+++ b/internal/serve/retry/backoff.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/process/tomltime"
 )
 
@@ -26,11 +27,11 @@
 	for i := 1; i < n && limit < s.Max.Duration; i++ {
 		limit *= 2
 	}
-	return time.Duration(random * float64(min(limit, s.Max.Duration)))
+	return saturate.Nanoseconds(random * float64(min(limit, s.Max.Duration)))
 }
 
 // JitterRetryAfter lengthens an advised retry delay by up to half, so that callers
 // refused together do not retry together. random is from 0 to 1.
 func JitterRetryAfter(advised time.Duration, random float64) time.Duration {
-	return advised + time.Duration(random*float64(advised)/2)
+	return advised + saturate.Nanoseconds(random*float64(advised)/2)
 }
--- a/internal/serve/routing/router.go
+++ b/internal/serve/routing/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/prefix"
 )
 
@@ -221,8 +222,8 @@
 		Address:      ch.instance.Address,
 		Incarnation:  ch.instance.Incarnation,
 		CachedTokens: ch.predicted.cached,
-		FirstToken:   seconds(ch.predicted.firstToken + unseenWaitShare*ch.predicted.queueWait),
-		Gap:          seconds(ch.predicted.gap),
+		FirstToken:   saturate.Seconds(ch.predicted.firstToken + unseenWaitShare*ch.predicted.queueWait),
+		Gap:          saturate.Seconds(ch.predicted.gap),
 		Score:        ch.score,
 		Steps:        q.steps,
 		decode:       ch.instance.own,
--- a/internal/serve/routing/score.go
+++ b/internal/serve/routing/score.go
@@ -2,9 +2,9 @@
 
 import (
 	"math"
-	"time"
 
 	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/class"
 )
 
@@ -208,7 +208,7 @@
 		return 0
 	}
 	tokens := float64(blocks*engineapi.KVBlockTokens) * r.index.Confidence(q.now, c.slot)
-	return min(int(tokens), max(0, q.req.PromptTokens-1))
+	return min(saturate.Int(tokens), max(0, q.req.PromptTokens-1))
 }
 
 // zonePenalty returns the seconds added to the first token for an engine outside the
@@ -225,7 +225,5 @@
 	if r.Deadline <= 0 {
 		return true
 	}
-	return seconds(p.firstToken+p.gap*float64(r.ExpectedOutput)) <= r.Deadline
+	return saturate.Seconds(p.firstToken+p.gap*float64(r.ExpectedOutput)) <= r.Deadline
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
