Gossip: a long or negative lease is not told as another one

Fault: a lease in seconds was converted to 32 bits of milliseconds. Beyond them the low bits were left, on arm64 as on x86-64: an engine that asked for 4,294,968 s had 0.704 s at the peers and 3 s at the host that it announced itself to; one that asked for -1 s had 0.5 s there and 3 s at the peers. Announcements are not checked for it.

Change: saturate.Uint32. The reader cuts the lease to its bounds, as before.

--- a/internal/network/gossip/convert.go
+++ b/internal/network/gossip/convert.go
@@ -6,6 +6,7 @@
 	gossipv1 "filberthook/api/filberthook/gossip/v1"
 	"filberthook/internal/control/directory"
 	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/process/saturate"
 )
 
 // fullUpdate returns the whole record of an instance.
@@ -20,7 +21,7 @@
 		Pieces:      uint32(a.KVBlocks),
 		ChecksFence: a.ChecksFence,
 		Draining:    a.Draining,
-		LeaseMs:     uint32(a.LeaseSeconds * 1000),
+		LeaseMs:     saturate.Uint32(a.LeaseSeconds * 1000),
 		Role:        string(a.State.Role),
 		Models:      toModels(a.State.Models),
 		Fence:       a.State.Fence,
--- a/internal/process/saturate/saturate.go
+++ b/internal/process/saturate/saturate.go
@@ -34,3 +34,6 @@
 
 // Int returns v as an int.
 func Int(v float64) int { return int(min(max(Int64(v), math.MinInt), math.MaxInt)) }
+
+// Uint32 returns v as a uint32.
+func Uint32(v float64) uint32 { return uint32(min(max(Int64(v), 0), math.MaxUint32)) }
--- a/internal/process/saturate/saturate_test.go
+++ b/internal/process/saturate/saturate_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+func TestUint32AtTheEdges(t *testing.T) {
+	for _, tt := range []struct {
+		v    float64
+		want uint32
+	}{
+		{0, 0}, {1.9, 1}, {-0.9, 0}, {-1, 0}, {-1e300, 0}, {math.Inf(-1), 0}, {math.NaN(), 0},
+		{1<<31 - 1, 1<<31 - 1}, {1 << 31, 1 << 31}, {1<<32 - 1, math.MaxUint32}, {1<<32 - 0.5, math.MaxUint32},
+		{1 << 32, math.MaxUint32}, {1 << 63, math.MaxUint32}, {1e300, math.MaxUint32}, {math.Inf(1), math.MaxUint32},
+	} {
+		if got := Uint32(tt.v); got != tt.want {
+			t.Errorf("Uint32(%v) = %d, want %d", tt.v, got, tt.want)
+		}
+	}
+}
+
 func TestDurationsAtTheEdges(t *testing.T) {
 	const longest, shortest = time.Duration(math.MaxInt64), time.Duration(math.MinInt64)
 	for _, tt := range []struct {
