Hints do not take the place of answers

Callers got 502 for a request that had run and whose answer had arrived, if its instance had sent three or more informational answers before it, or two around a copy of an earlier refusal. Each counted as one of the three answers that an exchange reads, as if it belonged to another request. They have a limit of their own now. TestHintsDoNotTakeThePlaceOfAnswers failed before with "only answers to other requests came".

TestEarlierRefusalIsNotTakenForThatOfTheNextRequest writes an earlier refusal once more in ten ways while the next request on the connection runs, with and without an answer to that. None was taken for the request's own before either, as its ID tells, and none led to a second instance; only "between hints" failed, with 502 for an answer that had come. Ruled out by it: other statuses, no ID, no length, a cut copy, a copy before a hint that bears the request's ID and says that it did not run.

--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -37,6 +37,8 @@
 	maxHeadBytes = 64 << 10
 	// maxSkipped limits the skipped answers that belong to other requests.
 	maxSkipped = 2
+	// maxInformational limits the informational answers (1xx) of an exchange.
+	maxInformational = 8
 	// maxBufferedBytes limits the bodies that ReadAll holds at once, of all exchanges.
 	maxBufferedBytes = 48 << 20
 	// maxSkippedBytes limits the body of a skipped answer.
@@ -120,18 +122,18 @@
 	a.written <- err
 }
 
-var errOnlyOtherAnswers = errors.New("only answers to other requests came")
+var (
+	errOnlyOtherAnswers  = errors.New("only answers to other requests came")
+	errManyInformational = fmt.Errorf("more than %d informational answers came", maxInformational)
+)
 
 // readHeader reads answers until one of them belongs to the request.
 func (a *Answer) readHeader(r *Request) error {
 	for range maxSkipped + 1 {
-		response, err := a.conn.readHead(r.Method)
+		response, err := a.finalHead(r.Method)
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < 200 {
-			continue // informational answers are hop-by-hop
-		}
 		if r.Accept == nil || r.Accept(response, a.conn.reused) {
 			a.Response = response
 			return nil
@@ -148,6 +150,17 @@
 	return errOnlyOtherAnswers
 }
 
+// finalHead reads the head of the next answer. Informational ones are hop-by-hop.
+func (a *Answer) finalHead(method string) (*http.Response, error) {
+	for range maxInformational + 1 {
+		response, err := a.conn.readHead(method)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, errManyInformational
+}
+
 // TooLargeError reports an answer's body larger than the limit.
 type TooLargeError struct{ Limit int64 }
 
