A request that comes again does not use the connection of its first send

A caller that repeated its request under the same ID after a refusal got 503 though its second send was running, when the instance wrote the earlier refusal once more on the kept connection: it bore the right ID. The same held for requests without an ID, and a second prefill of one request got the handle of the first, which had been freed. An ID tells answers apart only among requests that differ in it.

A connection now knows the IDs of the last 64 requests that it carried, as hashes, and carries none of them again; the second send takes another one. A request whose answer bears no ID has a connection to itself. An answer without an ID counts on any connection that has carried nothing yet, so also on one that was opened to see whether a process listens. All other requests keep their connections as before (TestConnectionIsKeptBetweenRequests).

TestEarlierRefusalIsNotTakenForThatOfARequestWithTheSameID failed with "status 503 for a request that has run 1 times", with and without an ID, TestEarlierHandleIsNotTakenForThatOfASecondPrefill with the handle h1 where h2 was given. Ruled out: an answer that arrives between the choice of a connection and the write, or while it is idle; it has another ID or none and was skipped before too.

--- a/internal/serve/forward/earlier_refusal_test.go
+++ b/internal/serve/forward/earlier_refusal_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
 )
 
@@ -102,3 +104,90 @@
 		}
 	}
 }
+
+func TestEarlierRefusalIsNotTakenForThatOfARequestWithTheSameID(t *testing.T) {
+	for name, id := range map[string]string{"same id": "same", "no id": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			in, runs := refuser(t, true, func(earlier, _ string) string { return rawRefusal(503, earlier) })
+			if id == "" {
+				in, runs = refuserOfNobody(t)
+			}
+			h := start(t, route(routes.Unsafe, nil), in)
+			send := func() (int, string) {
+				code, _, body, err := h.do(t, func(r *http.Request) { r.Header.Set("X-Id", id) })
+				if err != nil {
+					t.Fatal(err)
+				}
+				return code, body
+			}
+			if code, _ := send(); code != http.StatusServiceUnavailable {
+				t.Fatalf("status %d for a refused request", code)
+			}
+			if code, body := send(); code != http.StatusOK || body != "of "+id || runs.Load() != 1 {
+				t.Errorf("status %d, %q for a request that has run %d times", code, body, runs.Load())
+			}
+		})
+	}
+}
+
+// refuserOfNobody is a refuser of requests without an ID.
+func refuserOfNobody(t *testing.T) (*instance, *atomic.Int64) {
+	in, runs := service("a", nil), &atomic.Int64{}
+	var requests atomic.Int64
+	listenRaw(t, in, func(_ int, c net.Conn, next func() *http.Request) {
+		for refused := false; next() != nil; {
+			if requests.Add(1) == 1 {
+				refused = true
+				io.WriteString(c, rawRefusal(503, ""))
+				continue
+			}
+			runs.Add(1)
+			if refused {
+				io.WriteString(c, rawRefusal(503, ""))
+				time.Sleep(10 * time.Millisecond)
+			}
+			io.WriteString(c, rawAnswer(200, "", "of "))
+		}
+	})
+	return in, runs
+}
+
+func TestEarlierHandleIsNotTakenForThatOfASecondPrefill(t *testing.T) {
+	t.Parallel()
+	p := engine("p", instances.Prefill, nil)
+	var prefills atomic.Int64
+	handleAnswer := func(id string, n int64) string {
+		return rawAnswer(200, id, fmt.Sprintf(`{"ID":"h%d","Tokens":8000}`, n))
+	}
+	listenRaw(t, p, func(_ int, c net.Conn, next func() *http.Request) {
+		earlier := int64(0)
+		for {
+			r := next()
+			switch {
+			case r == nil:
+				return
+			case r.Method == http.MethodDelete:
+				io.WriteString(c, rawAnswer(200, "", ""))
+				continue
+			}
+			n := prefills.Add(1)
+			if earlier > 0 {
+				io.WriteString(c, handleAnswer(r.Header.Get("X-Id"), earlier))
+				time.Sleep(10 * time.Millisecond)
+			}
+			io.WriteString(c, handleAnswer(r.Header.Get("X-Id"), n))
+			earlier = n
+		}
+	})
+	a, b := engine("a", instances.Decode, status(503, true)), engine("b", instances.Decode, status(503, true))
+	c := engine("c", instances.Decode, streamer(2))
+	h := start(t, route(routes.Stream, prompted), p, a, b, c)
+	if _, _, body, err := h.do(t, withPrefixBlocks); err != nil || len(events(body)) != 2 {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	last := dialect.KVHandle{ID: fmt.Sprint("h", prefills.Load())}
+	if got, want := c.last().Header.Get("X-Source"), (testDialect{}).KVSource(p.raw.Addr().String(), last); prefills.Load() > 1 && got != want {
+		t.Errorf("the decode engine got the KV source %q, want that of the last prefill, %q", got, want)
+	}
+}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -308,9 +308,11 @@
 		Header:     c.server.dialect.EncodeRequest(c.header, send),
 		Body:       c.body,
 		AtMostOnce: !c.route.Idempotent() && !send.PrefillOnly,
-		Accept: func(r *http.Response, reused bool) bool {
+		ID:         c.meta.ID,
+		Alone:      c.meta.ID == "",
+		Accept: func(r *http.Response, carried bool) bool {
 			id := c.server.dialect.DecodeAnswer(r.StatusCode, r.Header).RequestID
-			return id == c.meta.ID || id == "" && r.StatusCode >= http.StatusBadRequest && !reused
+			return id == c.meta.ID || id == "" && r.StatusCode >= http.StatusBadRequest && !carried
 		},
 	}
 }
--- a/internal/serve/upstream/conn.go
+++ b/internal/serve/upstream/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -49,6 +51,39 @@
 	idleSince  time.Time
 	idleBefore time.Duration // idle time before the current request, if reused
 	idleLimit  time.Duration // announced by the instance, 0 if none
+	used       bool          // has carried a request
+	ids        []uint64      // hashes of the IDs of the latest requests, at most maxKnownIDs
+	nextID     int           // place in ids of the next one
+}
+
+// maxKnownIDs is how many IDs a connection knows. An ID comes again soon or never: when a
+// request is sent once more, or its caller repeats it.
+const maxKnownIDs = 64
+
+var idSeed = maphash.MakeSeed()
+
+// carry records that the connection carries a request.
+func (c *conn) carry(id string) {
+	c.used = true
+	if id == "" {
+		return
+	}
+	hash := maphash.String(idSeed, id)
+	if len(c.ids) < maxKnownIDs {
+		c.ids = append(c.ids, hash)
+		return
+	}
+	c.ids[c.nextID] = hash
+	c.nextID = (c.nextID + 1) % maxKnownIDs
+}
+
+// mayCarry reports whether answers to a request can be told from late ones to the requests
+// that the connection has carried.
+func (c *conn) mayCarry(r *Request) bool {
+	if r.Alone {
+		return !c.used
+	}
+	return r.ID == "" || !slices.Contains(c.ids, maphash.String(idSeed, r.ID))
 }
 
 func newConn(c net.Conn, address string) *conn {
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -23,9 +23,16 @@
 	// or one within a stricter idle limit, as it cannot be retried if an idle connection
 	// turns out to be closed.
 	AtMostOnce bool
-	// Accept reports whether an answer belongs to the request; others are skipped. On a
-	// reused connection it may be a late one to an earlier request. Nil accepts every answer.
-	Accept func(answer *http.Response, reused bool) bool
+	// ID is what an answer to the request bears. No connection that has carried another
+	// request with the same ID is used, as a late answer to that one could not be told apart.
+	ID string
+	// Alone is set if answers bear no ID and must be told apart: the request is the only one
+	// that its connection carries.
+	Alone bool
+	// Accept reports whether an answer belongs to the request; others are skipped. If the
+	// connection has carried other requests, it may be a late one to them. Nil accepts every
+	// answer.
+	Accept func(answer *http.Response, carried bool) bool
 }
 
 const (
@@ -54,6 +61,8 @@
 	stop     func() bool // detaches the connection from ctx
 	written  chan error  // receives the result of writing the request
 	bodyRead bool        // the body was read to its end
+	alone    bool        // the connection carries no other request
+	carried  bool        // the connection has carried other requests
 	held     int64       // bytes reserved for the body
 	tainted  bool        // the connection carried another request's answer
 }
@@ -62,7 +71,7 @@
 // be read before ctx ends, which closes the connection. Errors are NotSentError, if the
 // request did not reach the instance, or LostError.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, address, r.AtMostOnce)
+	c, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Err: err}
 	}
@@ -70,7 +79,8 @@
 		p.put(c)
 		return nil, &NotSentError{Address: address, Err: err}
 	}
-	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1)}
+	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1), alone: r.Alone, carried: c.used}
+	c.carry(r.ID)
 	a.stop = context.AfterFunc(ctx, func() { c.Close() })
 	head := r.head()
 	if len(head)+len(r.Body) <= inlineRequestBytes {
@@ -134,7 +144,7 @@
 		if err != nil {
 			return err
 		}
-		if r.Accept == nil || r.Accept(response, a.conn.reused) {
+		if r.Accept == nil || r.Accept(response, a.carried) {
 			a.Response = response
 			return nil
 		}
@@ -255,7 +265,7 @@
 		complete = err == nil
 	default: // not written yet: an instance may answer before it has read the body
 	}
-	if !detached || !complete || !a.bodyRead || a.tainted || a.Response.Close || a.conn.reader.Buffered() > 0 {
+	if !detached || !complete || !a.bodyRead || a.tainted || a.alone || a.Response.Close || a.conn.reader.Buffered() > 0 {
 		a.conn.Close()
 		return
 	}
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,17 +101,16 @@
 	}
 }
 
-// get returns an idle connection that may be reused, or dials a new one. With
-// atMostOnce a stricter idle limit applies.
-func (p *Pool) get(ctx context.Context, address string, atMostOnce bool) (*conn, error) {
+// get returns an idle connection that a request may reuse, or dials a new one.
+func (p *Pool) get(ctx context.Context, address string, r *Request) (*conn, error) {
 	for {
-		c := p.pop(address)
+		c := p.pop(address, r)
 		if c == nil {
 			break
 		}
 		now := time.Now()
 		learned, known := p.learnedLimit(address)
-		if c.usable(atMostOnce, now) && (!known || now.Sub(c.idleSince) < learned) {
+		if c.usable(r.AtMostOnce, now) && (!known || now.Sub(c.idleSince) < learned) {
 			c.reused, c.idleBefore = true, now.Sub(c.idleSince)
 			p.reuses.Inc()
 			return c, nil
@@ -179,16 +179,18 @@
 	return now.Sub(c.idleSince) < c.limit(atMostOnce) && c.healthy()
 }
 
-func (p *Pool) pop(address string) *conn {
+// pop takes the most recently used connection that may carry a request, nil if there is none.
+func (p *Pool) pop(address string, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for n := len(list) - 1; n >= 0; n-- {
+		if c := list[n]; c.mayCarry(r) {
+			p.idle[address] = slices.Delete(list, n, n+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put returns a connection to the pool.
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -77,7 +77,7 @@
 	h := http.Header{}
 	h.Set("X-Id", id)
 	return &Request{
-		Method: http.MethodGet, Target: "/x", Host: "a.example", Header: h,
+		Method: http.MethodGet, Target: "/x", Host: "a.example", Header: h, ID: id,
 		Accept: func(r *http.Response, _ bool) bool { return r.Header.Get("X-Id") == id },
 	}
 }
@@ -376,7 +376,7 @@
 	if p.Connected(e.address()) {
 		t.Error("connected though the only connection was idle for too long")
 	}
-	c := p.pop(e.address())
+	c := p.pop(e.address(), get("2"))
 	p.put(c)
 	p.learnedLimits[e.address()] = time.Minute
 	if !p.Connected(e.address()) {
