An error's text in a stream does not reach the caller

A stream had begun and broke off, and the next engine, or the same one, wrote an error where events were due: in chunks, after a length, or as bytes that follow on a connection that ends the answer. Callers found its text or its whole head as an event in their stream, and mostly the stream then ended as if it were complete.

An event now has at least one field of server-sent events and no line that is none; other fields are those of the platform, in lowercase. A resumed answer begins with an event that has an ID. Comments before it are held back until then. An answer that breaks this is abandoned and counted as failed: a resumable stream goes on at another engine, another one breaks off.

TestBadResumptionsDoNotReachTheCaller (errors with status, a refusal, 204, 206, an answer to another request, bytes that are no answer) and TestResumptionsOfAnyFramingAreJoined passed before too: an answer with another status than 200 was never passed on within a stream, and its end never looked complete. Not to be told: an error that is a well-formed event with the next ID.

--- a/internal/serve/forward/events.go
+++ b/internal/serve/forward/events.go
@@ -18,12 +18,15 @@
 	// comment is set if there is no field, only comments, which say nothing about the progress
 	// of the answer.
 	comment bool
+	// foreign is set if it is no event, such as a page or the head of another answer.
+	foreign bool
 }
 
 // eventReader splits a stream into complete events. If an instance stops within an
 // event, the partial event is never passed on.
 type eventReader struct {
 	lines *bufio.Reader
+	begun bool // a line was read
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -43,6 +46,7 @@
 // next returns the next complete event, or io.EOF after the last one.
 func (r *eventReader) next() (event, error) {
 	e := event{comment: true}
+	known := false // a field that events have
 	for begin := 0; ; begin = len(e.raw) {
 		if err := r.appendLine(&e); err != nil {
 			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0 {
@@ -51,11 +55,18 @@
 			return event{}, err
 		}
 		text := bytes.TrimRight(e.raw[begin:], "\r\n")
+		if !r.begun {
+			text, r.begun = bytes.TrimPrefix(text, byteOrderMark), true
+		}
 		if len(text) == 0 {
+			e.foreign = e.foreign || !e.comment && !known
 			return e, nil
 		}
 		if text[0] != ':' {
 			e.comment = false
+			kind := kindOfLine(text)
+			known = known || kind == eventField
+			e.foreign = e.foreign || kind == noField
 		}
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(id))
@@ -76,3 +87,30 @@
 		}
 	}
 }
+
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// lineKind is what a line of a stream is.
+type lineKind uint8
+
+const (
+	noField    lineKind = iota
+	eventField          // a field of server-sent events
+	ownField            // a field of the platform's, which is lowercase as those are
+)
+
+// kindOfLine returns the kind of a line that is neither blank nor a comment.
+func kindOfLine(line []byte) lineKind {
+	name, _, colon := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "data", "event", "id", "retry":
+		return eventField
+	}
+	own := colon && !bytes.ContainsFunc(name, func(c rune) bool {
+		return c != '-' && (c < 'a' || c > 'z') && (c < '0' || c > '9')
+	})
+	if own {
+		return ownField
+	}
+	return noField
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -18,9 +18,8 @@
 
 // streamProgress is how much of the stream the caller has received.
 type streamProgress struct {
-	started     bool   // the answer's header was sent
-	lastEventID string // ID of the last event that was passed on
-	events      int
+	started bool // the answer's header was sent
+	sequence
 }
 
 // result is the result of one attempt to generate the answer.
@@ -279,7 +278,7 @@
 		c.noteEngine(plan.Decode, step, outcome, start, failure, plan)
 		c.server.fleet.EndPrompt(inFlight, outcome, time.Now())
 	}()
-	send := dialect.SendOptions{Instance: plan.Decode.ID, ModelEngine: true, KVSource: source, FetchFrom: plan.FetchFrom, LastEventID: p.lastEventID, Priority: c.route.Priority}
+	send := dialect.SendOptions{Instance: plan.Decode.ID, ModelEngine: true, KVSource: source, FetchFrom: plan.FetchFrom, LastEventID: p.lastID, Priority: c.route.Priority}
 	timeout := time.Duration(0) // wait for a stream that cannot be resumed elsewhere
 	if c.route.Resumable && c.ran+1 < c.route.MaxAttempts {
 		timeout = generateSilenceTimeout + estimateFactor*plan.ExpectedTTFT
@@ -311,6 +310,11 @@
 		c.outcome, c.status = "answered", answer.StatusCode
 		return finished, ""
 	}
+	var bad badEventError
+	if errors.As(err, &bad) {
+		outcome, failure = placement.Failed, err
+		return broken, "bad_answer"
+	}
 	outcome, failure = watch.outcome(), err
 	c.noteLost(plan.Decode, step, outcome, p.events > eventsBefore, err)
 	return broken, watch.failureReason(err)
@@ -339,7 +343,8 @@
 func (c *call) passEvents(answer *upstream.Answer, inFlight *placement.InFlight, p *streamProgress, watch *silenceWatch) error {
 	controller := http.NewResponseController(c.w)
 	events := newEventReader(answer)
-	var early []byte // comments before the first event
+	proven := false  // an event shows that the answer goes on where the caller is
+	var early []byte // comments before that event
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -351,12 +356,18 @@
 		if err != nil {
 			return err
 		}
-		if e.comment && !p.started {
+		if e.comment && !proven {
 			if early = append(early, e.raw...); len(early) > maxEventBytes {
 				return &EventSizeError{maxEventBytes}
 			}
 			continue
 		}
+		if !e.comment {
+			if err := p.check(e, !proven); err != nil {
+				return err
+			}
+			proven = true
+		}
 		if p.events == 0 {
 			c.firstMS = time.Since(c.start).Milliseconds()
 		}
@@ -368,12 +379,9 @@
 		if !e.comment {
 			c.server.fleet.PrefillDone(inFlight, time.Now())
 			watch.noteProgress()
-			p.events++
+			p.pass(e)
 			c.noteBegun()
 		}
-		if e.id != "" {
-			p.lastEventID = e.id
-		}
 		if _, err := c.w.Write(append(early, e.raw...)); err != nil {
 			return err
 		}
