A resumed stream that ends at once does not look complete

A stream had begun and broke off; the next engine answered 200 and ended without any event, or with comments or blank lines only. The caller's stream ended as if it were complete. Only the first answer needed an event to count as whole; now each one does, and without one the next engine is asked, or the stream breaks off.

TestResumedStreamThatEndsAtOnceDoesNotLookComplete failed in its nine cases (three framings). The price: a stream that is cut between its last event and its end is now taken up in vain and breaks off with all of its events, as an answer without events proves nothing about what is missing.

--- a/internal/serve/forward/resumed_test.go
+++ b/internal/serve/forward/resumed_test.go
@@ -219,3 +219,13 @@
 		})
 	}
 }
+func TestResumedStreamThatEndsAtOnceDoesNotLookComplete(t *testing.T) {
+	for framing, frame := range framings {
+		for name, body := range map[string]string{"nothing": "", "comments": ": kept alive\n\n", "blank lines": "\n\n\n"} {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				t.Parallel()
+				checkBadResumption(t, func(r *http.Request) string { return frame(streamHead(r, "b"), body) })
+			})
+		}
+	}
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -348,8 +348,8 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if !p.started {
-				return errTruncatedEvent // a stream without events is incomplete
+			if !proven {
+				return errTruncatedEvent // an answer without events is incomplete
 			}
 			return nil
 		}
