A resumed stream goes on where the caller is

A stream was resumed and the next engine began at another event: at the first one, at the last that the caller had, or after one that it lacked. All was passed on, so pieces came twice or were missing in a stream that looked complete. The same held for an engine that ignored the Last-Event-Id of the caller, and for a stream whose events had no IDs, which was begun again elsewhere.

sequence.go decides, without network, whether an event can follow those that the caller has: numbers increase, and if all that were passed on were consecutive, a resumed answer begins with the next one. A stream without IDs is not resumed. What cannot follow is not passed on; the next engine is asked, or the stream breaks off. Numbers that left gaps before may leave one here too, and after a single event it is not known whether they do: a missing event is then not seen. Nor are IDs compared that are no numbers.

--- a/internal/serve/forward/resumed_test.go
+++ b/internal/serve/forward/resumed_test.go
@@ -219,6 +219,7 @@
 		})
 	}
 }
+
 func TestResumedStreamThatEndsAtOnceDoesNotLookComplete(t *testing.T) {
 	for framing, frame := range framings {
 		for name, body := range map[string]string{"nothing": "", "comments": ": kept alive\n\n", "blank lines": "\n\n\n"} {
@@ -229,3 +230,49 @@
 		}
 	}
 }
+
+func TestResumedStreamThatGoesOnElsewhereIsNotJoined(t *testing.T) {
+	for name, ids := range map[string][]int{
+		"from its start": {1, 2, 3, 4}, "last event again": {2, 3, 4}, "an event is missing": {4, 5}, "descending": {-1},
+	} {
+		for framing, frame := range framings {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				t.Parallel()
+				checkBadResumption(t, func(r *http.Request) string { return frame(streamHead(r, "b"), pieces(ids...)) })
+			})
+		}
+	}
+}
+
+func TestStreamWithoutIDsIsNotBegunAgainElsewhere(t *testing.T) {
+	t.Parallel()
+	a := engine("a", instances.Decode, nil)
+	listenRaw(t, a, func(_ int, c net.Conn, next func() *http.Request) {
+		if r := next(); r != nil {
+			io.WriteString(c, strings.TrimSuffix(chunked(streamHead(r, "a"), "data: piece 1\n\n"), "0\r\n\r\n"))
+		}
+	})
+	b := engine("b", instances.Decode, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		io.WriteString(w, pieces(1, 2))
+	})
+	h := start(t, route(routes.Stream, resumable), a, b)
+	for range 4 {
+		_, header, body, err := h.do(t, nil)
+		if header.Get("X-Signature") == "a" && (err == nil || body != "data: piece 1\n\n") {
+			t.Errorf("got %q, error %v, want one piece and no orderly end", body, err)
+		}
+	}
+}
+
+func TestEngineThatIgnoresWhatTheCallerHasIsNotTakenAtItsWord(t *testing.T) {
+	t.Parallel()
+	b, _ := answering(t, "b", func(r *http.Request) string { return chunked(streamHead(r, "b"), pieces(1, 2, 3, 4)) })
+	h := start(t, route(routes.Stream, resumable), b, engine("c", instances.Decode, eventStream(4)))
+	for range 4 {
+		_, _, body, err := h.do(t, func(r *http.Request) { r.Header.Set("Last-Event-Id", "2") })
+		if err != nil || body != pieces(3, 4) {
+			t.Errorf("got %q, error %v, want the pieces after the second one", body, err)
+		}
+	}
+}
--- a/internal/serve/forward/sequence.go
+++ b/internal/serve/forward/sequence.go
@@ -1,5 +1,7 @@
 package forward
 
+import "strconv"
+
 // badEventError reports an event that cannot be passed on to the caller.
 type badEventError string
 
@@ -9,22 +11,38 @@
 const (
 	errForeignEvent badEventError = "bytes within the stream are no event"
 	errNoPlace      badEventError = "the resumed stream begins with an event without an ID"
+	errRepeated     badEventError = "an event that the caller has comes again"
+	errMissing      badEventError = "the resumed stream leaves out an event"
 )
 
-// sequence is how far a caller has received the events of a stream, from any engine.
+// sequence is how far a caller has received the events of a stream, from any engine. Their IDs
+// increase. If all that it has were consecutive, the one after them is known.
 type sequence struct {
+	before string // ID of the last event that the caller had before this request, empty for none
 	lastID string // ID of the last event that was passed on, empty for none
 	events int    // that were passed on, without comments
+	steps  int    // events that were passed on right after the one whose ID is one less
+	gaps   int    // other events that were passed on after one with an ID
 }
 
 // check returns an error if an event cannot follow those that were passed on. begins is set for
 // the first event of an answer.
 func (s *sequence) check(e event, begins bool) error {
+	resumed := begins && s.events > 0
+	last := s.lastID
+	if last == "" {
+		last = s.before
+	}
+	distance, known := idDistance(last, e.id)
 	switch {
 	case e.foreign:
 		return errForeignEvent
-	case begins && s.events > 0 && e.id == "":
+	case resumed && e.id == "":
 		return errNoPlace
+	case known && distance <= 0, begins && last != "" && e.id == last:
+		return errRepeated
+	case resumed && known && distance > 1 && s.steps > 0 && s.gaps == 0:
+		return errMissing
 	}
 	return nil
 }
@@ -32,7 +50,25 @@
 // pass records an event that is passed on.
 func (s *sequence) pass(e event) {
 	s.events++
-	if e.id != "" {
-		s.lastID = e.id
+	if e.id == "" {
+		return
+	}
+	if s.lastID != "" {
+		if distance, known := idDistance(s.lastID, e.id); known && distance == 1 {
+			s.steps++
+		} else {
+			s.gaps++
+		}
 	}
+	s.lastID = e.id
+}
+
+// resumable reports whether another engine can be told where to go on.
+func (s *sequence) resumable() bool { return s.events == 0 || s.lastID != "" }
+
+// idDistance returns how much further one ID is than another. It is known only of numbers.
+func idDistance(from, to string) (distance int64, known bool) {
+	a, errA := strconv.ParseInt(from, 10, 64)
+	b, errB := strconv.ParseInt(to, 10, 64)
+	return b - a, errA == nil && errB == nil
 }
--- a/internal/serve/forward/sequence_test.go
+++ b/internal/serve/forward/sequence_test.go
@@ -36,17 +36,58 @@
 // eventWith returns an event with an ID.
 func eventWith(id string) event { return event{id: id} }
 
-func TestResumedAnswerBeginsWithAnEventThatHasAnID(t *testing.T) {
+func TestEventsFollowThoseThatTheCallerHas(t *testing.T) {
 	t.Parallel()
-	var s sequence
-	if err := s.check(eventWith(""), true); err != nil {
-		t.Errorf("first event of a stream: %v", err)
+	for _, tt := range []struct {
+		before, passed, next string
+		begins               bool // the next event is the first of another answer
+		want                 error
+	}{
+		{"", "", "1", true, nil},
+		{"", "", "7", true, nil},
+		{"", "", "", true, nil},
+		{"12", "", "13", true, nil},
+		{"12", "", "15", true, nil},
+		{"12", "", "12", true, errRepeated},
+		{"12", "", "1", true, errRepeated},
+		{"x", "", "x", true, errRepeated},
+		{"x", "", "y", true, nil},
+		{"", "1 2", "3", true, nil},
+		{"", "1 2", "", false, nil},
+		{"", "1 2", "", true, errNoPlace},
+		{"", "1 2", "2", true, errRepeated},
+		{"", "1 2", "2", false, errRepeated},
+		{"", "1 2", "1", false, errRepeated},
+		{"", "1 2", "4", true, errMissing},
+		{"", "1 2", "4", false, nil}, // what an engine leaves out of its own stream is its answer
+		{"", "1", "4", true, nil},    // it is not known whether IDs are consecutive
+		{"", "1 3 4", "6", true, nil},
+		{"", "1 2 4", "6", true, nil},
+		{"", "a b", "c", true, nil},
+		{"", "a b", "b", true, errRepeated},
+	} {
+		s := sequence{before: tt.before}
+		for id := range strings.FieldsSeq(tt.passed) {
+			s.pass(eventWith(id))
+		}
+		if err := s.check(eventWith(tt.next), tt.begins); err != tt.want {
+			t.Errorf("%+v: %v", tt, err)
+		}
+	}
+}
+
+func TestStreamWithoutIDsCannotBeResumed(t *testing.T) {
+	t.Parallel()
+	s := sequence{before: "12"}
+	if !s.resumable() {
+		t.Error("a stream that has not begun cannot be resumed")
 	}
-	s.pass(eventWith("1"))
-	if err := s.check(eventWith(""), false); err != nil {
-		t.Errorf("event without an ID within an answer: %v", err)
+	s.pass(eventWith(""))
+	if s.resumable() {
+		t.Error("a stream whose place is unknown can be resumed")
 	}
-	if err := s.check(eventWith(""), true); err != errNoPlace {
-		t.Errorf("event without an ID at the begin of a resumed answer: %v", err)
+	s.pass(eventWith("13"))
+	if !s.resumable() {
+		t.Error("a stream with IDs cannot be resumed")
 	}
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -34,7 +34,7 @@
 // serveStream serves a generation: it runs the prefill, passes the events of the decode
 // on, and resumes a broken stream at another instance if the route allows it.
 func (c *call) serveStream() {
-	var p streamProgress
+	p := streamProgress{sequence: sequence{before: c.meta.LastEventID}}
 	for {
 		containKey, ok := c.admit(&p)
 		if !ok {
@@ -67,7 +67,7 @@
 		if ended == finished {
 			return
 		}
-		if !c.mayContinue(ended) {
+		if !p.resumable() || !c.mayContinue(ended) {
 			c.endUnfinished(reason, &p)
 			return
 		}
