Only an endpoint's stream is taken for a stream, and resumed with its like

An answer of status 200 without the endpoint's signature was passed on as a stream and looked complete; answers to plain requests were checked for it, streams were not. A stream that was resumed took its rest from such an answer as well, and from one of another content type, as a page that an intermediary writes with status 200. Both are now failures of the instance, as for plain requests: 502 before the first event, another engine for a resumable stream, else the stream breaks off. A resumed answer needs the content type of the stream, without parameters; its signature may be another one, and the caller keeps that of the first engine.

Weight versions are not compared: a stream may go on at another version. headerBytes moved to headers.go unchanged.

--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -288,16 +288,6 @@
 	return body, err
 }
 
-func headerBytes(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + 4 // colon, space, CR and LF
-		}
-	}
-	return n
-}
-
 // request returns the request to an instance.
 func (c *call) request(send dialect.SendOptions) *upstream.Request {
 	send.Deadline = c.remaining()
--- a/internal/serve/forward/headers.go
+++ b/internal/serve/forward/headers.go
@@ -31,3 +31,13 @@
 		to[name] = values
 	}
 }
+
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + 4 // colon, space, CR and LF
+		}
+	}
+	return n
+}
--- a/internal/serve/forward/resumed_test.go
+++ b/internal/serve/forward/resumed_test.go
@@ -276,3 +276,35 @@
 		}
 	}
 }
+
+func TestResumedStreamThatIsNotTheEndpointsIsNotJoined(t *testing.T) {
+	for name, change := range map[string][2]string{
+		"no signature":        {"X-Signature: b\r\n", ""},
+		"other content type":  {"text/event-stream", "text/html"},
+		"no content type":     {"Content-Type: text/event-stream\r\n", ""},
+		"content type is bad": {"text/event-stream", ";;"},
+	} {
+		for framing, frame := range framings {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				t.Parallel()
+				checkBadResumption(t, func(r *http.Request) string {
+					return frame(strings.Replace(streamHead(r, "b"), change[0], change[1], 1), pieces(3, 4))
+				})
+			})
+		}
+	}
+}
+
+func TestStreamWithoutSignatureDoesNotReachTheCaller(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(*routes.Route){"not resumable": nil, "resumable": resumable} {
+		a := engine("a", instances.Decode, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Del("X-Signature")
+			streamer(4)(w, r)
+		})
+		h := start(t, route(routes.Stream, change), a)
+		if code, _, body, err := h.do(t, nil); err != nil || code != http.StatusBadGateway || a.runs() != 1 {
+			t.Errorf("%s: status %d, %q, error %v after %d runs, want 502 after one", name, code, body, err, a.runs())
+		}
+	}
+}
--- a/internal/serve/forward/sequence.go
+++ b/internal/serve/forward/sequence.go
@@ -1,6 +1,13 @@
 package forward
 
-import "strconv"
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"filberthook/internal/serve/upstream"
+)
 
 // badEventError reports an event that cannot be passed on to the caller.
 type badEventError string
@@ -72,3 +79,23 @@
 	b, errB := strconv.ParseInt(to, 10, 64)
 	return b - a, errA == nil && errB == nil
 }
+
+var errOtherMediaType = errors.New("answer to a resumed stream has another content type than the stream")
+
+// checkStream returns an error if an answer is not the endpoint's, or not the rest of the stream
+// that has begun.
+func (c *call) checkStream(answer *upstream.Answer, p *streamProgress) error {
+	switch {
+	case !c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header).Signed:
+		return errUnsigned
+	case p.started && mediaType(answer.Header) != p.mediaType:
+		return errOtherMediaType
+	}
+	return nil
+}
+
+// mediaType returns the content type without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -18,7 +18,8 @@
 
 // streamProgress is how much of the stream the caller has received.
 type streamProgress struct {
-	started bool // the answer's header was sent
+	started   bool   // the answer's header was sent
+	mediaType string // of that header
 	sequence
 }
 
@@ -304,6 +305,10 @@
 		outcome = classified
 		return ended, "endpoint_refused"
 	}
+	if failure = c.checkStream(answer, p); failure != nil {
+		outcome = placement.Failed
+		return broken, "bad_answer"
+	}
 	eventsBefore := p.events
 	if err = c.passEvents(answer, inFlight, p, watch); err == nil {
 		outcome = placement.Answered
@@ -372,7 +377,7 @@
 			c.firstMS = time.Since(c.start).Milliseconds()
 		}
 		if !p.started {
-			p.started = true
+			p.started, p.mediaType = true, mediaType(answer.Header)
 			copyHeader(c.w.Header(), answer.Header)
 			c.w.WriteHeader(answer.StatusCode)
 		}
