The refusal of another attempt is not taken for an attempt's own

A read had two attempts under way. The connection of one brought the refusal of the other, as an instance that writes an earlier refusal once more does; it counted as the word of the instance that was running the read, and the caller was told "not_run". Any attempt of the request that was open was accepted. An answer now counts for the attempt whose identifier it bears, and a connection that brings another one is closed.

TestRefusalOfAnotherOpenAttemptIsNotTakenForItsOwn failed with 503 "instance_refused", "not_run" for 502 "instance_failed", "unknown". TestEarlierRefusalIsNotTakenForThatOfTheNextAttempt passed before too: an earlier attempt's identifier, none, bytes that are no answer, and a refusal after a hint.

--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -254,7 +254,7 @@
 func (a *attempt) checkAnswer() *failure {
 	a.reportLoad()
 	got := a.resp.Header.Get(engineapi.HeaderAttemptID)
-	if !a.call.Request.Accepts(got) {
+	if got != a.id || !a.call.Request.Accepts(a.id) {
 		a.call.Counters.Dropped(dropReason(got == a.id))
 		a.closeConn()
 		return a.failure(request.RetryCrossed, fmt.Errorf("answer of attempt %q came to attempt %q", got, a.id))
@@ -270,7 +270,7 @@
 
 // dropReason returns why an answer is dropped. If own, it carries the identifier of the
 // attempt that received it, but that attempt or its request has ended; otherwise it belongs
-// to another attempt.
+// to another attempt, which may be open too.
 func dropReason(own bool) request.DropReason {
 	if own {
 		return request.DropLate
