The handle of another prefill is not imported

A prefill engine wrote the answer to the prefill before once more on a kept connection. Its handle was imported for the next request, which then started from the KV cache of another prompt. Answers to runs were compared with the attempt's identifier, those to prefills were not, though engines echo it on both. They are now; after another one the engine of the run reads the prompt itself, and the connection is closed.

TestHandleOfAnotherPrefillIsNotImported failed with the handles h1, h1, h2 of three requests. Not covered: the call that imports a cache bears no identifier; an earlier answer to it costs a refusal as not run, or a prefill that is done again, and nothing that callers see.

--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -72,6 +72,7 @@
 	underWay  int      // guarded by mu
 	draining  []string // guarded by mu
 	gone      []string // instances whose lease has expired; guarded by mu
+	prefill   string   // address of the engine that runs prefills, empty for none; guarded by mu
 }
 
 // Live implements proxy.Scheduler.
@@ -86,7 +87,9 @@
 	defer s.mu.Unlock()
 	for _, address := range s.instances {
 		if !slices.Contains(req.Exclude, address) {
-			return routing.Decision{Instance: address, Address: address, Incarnation: 1}, nil
+			d := routing.Decision{Instance: address, Address: address, Incarnation: 1}
+			d.Prefill, d.PrefillAddress, d.PrefillIncarnation = s.prefill, s.prefill, 1
+			return d, nil
 		}
 	}
 	return routing.Decision{}, &routing.NoCandidateError{Model: req.Model, Endpoint: req.Endpoint}
--- a/internal/serve/proxy/split.go
+++ b/internal/serve/proxy/split.go
@@ -11,6 +11,7 @@
 
 	"filberthook/internal/engines/engineapi"
 	"filberthook/internal/network/ident"
+	"filberthook/internal/serve/request"
 )
 
 // maxHandleBytes is the largest accepted answer to a prefill.
@@ -46,7 +47,8 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(engineapi.HeaderRequestID, a.call.Request.ID())
-	req.Header.Set(engineapi.HeaderAttemptID, ident.New())
+	id := ident.New()
+	req.Header.Set(engineapi.HeaderAttemptID, id)
 	req.Header.Set(engineapi.HeaderPrefillOnly, "1")
 	req.Header.Set(engineapi.HeaderPriority, strconv.Itoa(int(a.call.Class)))
 	resp, err := a.proxy.pooled.RoundTrip(req)
@@ -54,6 +56,10 @@
 		return handle, err
 	}
 	defer resp.Body.Close()
+	if got := resp.Header.Get(engineapi.HeaderAttemptID); got != id {
+		a.call.Counters.Dropped(request.DropCrossed)
+		return handle, fmt.Errorf("answer of attempt %q came to the prefill %q", got, id)
+	}
 	a.reportPrefillLoad(resp)
 	if resp.StatusCode != http.StatusOK {
 		return handle, fmt.Errorf("prefill engine answered %s", resp.Status)
--- a/internal/serve/proxy/stale_test.go
+++ b/internal/serve/proxy/stale_test.go
@@ -6,7 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,3 +123,55 @@
 	})
 	e.do(http.MethodGet, pathBook, "").want(t, request.InstanceFailed)
 }
+
+// A prefill engine writes the answer to the prefill before once more, then the request's own.
+func TestHandleOfAnotherPrefillIsNotImported(t *testing.T) {
+	var prefills atomic.Int64
+	prefill := listenRaw(t, func(c net.Conn, next func() *http.Request) {
+		for earlier := ""; ; {
+			r := next()
+			if r == nil {
+				return
+			}
+			if earlier != "" {
+				io.WriteString(c, earlier)
+				time.Sleep(10 * time.Millisecond)
+			}
+			earlier = rawAnswer(http.StatusOK, r.Header.Get(engineapi.HeaderAttemptID), "", fmt.Sprintf(`{"id":"h%d"}`, prefills.Add(1)))
+			io.WriteString(c, earlier)
+		}
+	})
+	var mu sync.Mutex
+	var used []string // handles that requests started from
+	decode := newEngine(t, engine{tokens: 2, fault: atTokens(func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		used = append(used, r.Header.Get(engineapi.HeaderKVHandle))
+	}, 1, 1, 1)})
+	e := newEntry(t, newMemoryLog(), []string{importing(t, decode)})
+	e.sched.prefill = prefill
+	for range 3 {
+		if got, _ := e.stream(); got.text != expected(0, 2) {
+			t.Errorf("got %+v", got)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(used) != 3 || used[0] != "h1" || used[1] == "h1" || used[2] == "h1" {
+		t.Errorf("requests started from the KV caches %q, each must have its own or none", used)
+	}
+}
+
+// importing returns the address of an engine that imports all KV caches and passes requests on.
+func importing(t *testing.T, engine string) string {
+	to := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: engine})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == engineapi.PathKVImport {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		to.ServeHTTP(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
