proxy: an error within a stream does not reach the caller or complete it

A stream of a model had begun, and the same or the next engine wrote an error as an event: of type "error", with an error object, with plain text, or an end mark right away. Its text reached the caller as an event of the answer, and the stream ended with [DONE] as if it were complete: any event without a token counted as the last chunk. The last chunk is now one with a finish reason. A chunk with usage only is passed on, an event without data left out; everything else fails the attempt, as does an end mark before the last chunk, and the stream goes on after the tokens that the caller has. After the last chunk the answer is whole: what comes then but is no usage ends it and is not passed on.

Not to be told: an engine that ignores X-Resume-From, as its chunks bear no number.

--- a/internal/serve/proxy/events.go
+++ b/internal/serve/proxy/events.go
@@ -9,8 +9,12 @@
 	"filberthook/internal/engines/engineapi"
 )
 
-// streamEnd is the data of the last event of a complete stream.
-const streamEnd = "[DONE]"
+const (
+	// streamEnd is the data of the last event of a complete stream.
+	streamEnd = "[DONE]"
+	// errorType is the type of an event that is no part of an answer.
+	errorType = "error"
+)
 
 // eventWriter writes server-sent events to a caller. The id of an event with an output
 // token is the number of tokens up to and including it.
@@ -52,7 +56,7 @@
 
 // failure writes the error event that ends an incomplete stream.
 func (e *eventWriter) failure(data []byte) error {
-	e.buf = append(e.buf[:0], "event: error\n"...)
+	e.buf = append(e.buf[:0], "event: "+errorType+"\n"...)
 	return e.send(string(data))
 }
 
@@ -84,15 +88,32 @@
 // occur within a JSON string, where its quotes would be escaped.
 const tokenMark = `"finish_reason":null`
 
-// carriesToken reports whether a chunk holds an output token. The last chunk
-// of an answer holds a finish reason instead.
-func carriesToken(data string) bool {
+// chunkKind is what the data of an engine's event is.
+type chunkKind uint8
+
+const (
+	chunkUnknown chunkKind = iota // no part of an answer, such as an error
+	chunkToken
+	chunkUsage // counts tokens
+	chunkLast  // holds the finish reason
+)
+
+// kindOfChunk returns what the data of an engine's event is.
+func kindOfChunk(data string) chunkKind {
 	if strings.Contains(data, tokenMark) {
-		return true
+		return chunkToken
 	}
 	var chunk engineapi.Completion
-	if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) == 0 {
-		return false
+	switch err := json.Unmarshal([]byte(data), &chunk); {
+	case err != nil:
+		return chunkUnknown
+	case len(chunk.Choices) == 0 && chunk.Usage != nil:
+		return chunkUsage
+	case len(chunk.Choices) == 0:
+		return chunkUnknown
+	case chunk.Choices[0].FinishReason == nil:
+		return chunkToken
+	default:
+		return chunkLast
 	}
-	return chunk.Choices[0].FinishReason == nil
 }
--- a/internal/serve/proxy/stream.go
+++ b/internal/serve/proxy/stream.go
@@ -92,6 +92,11 @@
 	_ = s.out.failure(s.call.RefusalJSON(refusal))
 }
 
+var (
+	errNoChunk    = errors.New("an event of the stream is no part of an answer")
+	errEndedEarly = errors.New("the stream ended before its last chunk")
+)
+
 // attempt streams from one instance. It returns nil when the answer is complete.
 func (s *stream) attempt(r *http.Request, exclude []string) *failure {
 	a, f := s.proxy.begin(r.Context(), r, attemptOptions{exclude: exclude, resumeFrom: s.delivered})
@@ -112,8 +117,13 @@
 			return a.failure(request.RetryBroken, err)
 		}
 		a.watch.noteEvent()
-		if event.Data == streamEnd {
+		switch {
+		case event.Data == "" && event.Type != errorType:
+			continue
+		case s.finished && (event.Type == errorType || kindOfChunk(event.Data) != chunkUsage):
 			return s.finish()
+		case event.Type == errorType || event.Data == streamEnd:
+			return a.failure(request.RetryBroken, errEndedEarly)
 		}
 		if f := s.forwardEvent(a, event.Data); f != nil {
 			return f
@@ -122,7 +132,7 @@
 	if s.finished {
 		return s.finish()
 	}
-	return a.failure(request.RetryBroken, errors.New("the stream ended before its last event"))
+	return a.failure(request.RetryBroken, errEndedEarly)
 }
 
 // forwardEvent writes one event of the open attempt.
@@ -131,9 +141,13 @@
 		s.call.Counters.Dropped(request.DropLate)
 		return a.failure(request.RetryCrossed, errors.New("the attempt is no longer open"))
 	}
+	kind := kindOfChunk(data)
+	if kind == chunkUnknown {
+		return a.failure(request.RetryBroken, errNoChunk)
+	}
 	s.call.Request.Stream()
-	if !carriesToken(data) {
-		s.finished = true
+	if kind != chunkToken {
+		s.finished = s.finished || kind == chunkLast
 		return s.writeFailure(s.out.plain(data))
 	}
 	if err := s.out.token(s.delivered+1, data); err != nil {
