An answer to another call is not taken for the state of an engine

The planner's calls that read an engine's state bear no identifier. An answer to another call on the connection, an error or an order's status with code 200, decoded as a state without role and models, and the engine counted as empty until the next read. An engine always has a role; an answer without one is now an error, after which the state is read again. Answers about orders name the order and were compared before.

TestAnswerToAnotherCallIsNotTakenForTheStateOfAnEngine failed in its three cases. Left: an earlier 404 to a call for an order's status still counts as "the engine does not know the order".

--- a/internal/control/authority/httpclient.go
+++ b/internal/control/authority/httpclient.go
@@ -82,6 +82,9 @@
 	return status, err
 }
 
+// errNoState reports an answer to another call: each engine has a role.
+var errNoState = errors.New("the engine's answer names no role, so it is no state")
+
 // State implements Transport.
 func (t *HTTPTransport) State(ctx context.Context, ref EngineRef) (engineapi.EngineState, uint64, error) {
 	var state engineapi.EngineState
@@ -90,6 +93,9 @@
 		return state, 0, err
 	}
 	header, err := t.do(req, &state)
+	if err == nil && state.Role == "" {
+		err = errNoState
+	}
 	if err != nil {
 		return state, 0, err
 	}
--- a/internal/control/authority/httpclient_test.go
+++ b/internal/control/authority/httpclient_test.go
@@ -91,3 +91,20 @@
 		t.Errorf("got %v, want an order that was not sent", err)
 	}
 }
+
+// An engine writes the answer to the call before once more on a kept connection.
+func TestAnswerToAnotherCallIsNotTakenForTheStateOfAnEngine(t *testing.T) {
+	for name, other := range map[string]any{
+		"order": engineapi.OrderStatus{ID: "o1", Phase: engineapi.OrderDone}, "load": engineapi.LoadReport{Sequence: 3}, "error": map[string]any{"error": "full"},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(engineapi.HeaderIncarnation, "1")
+			_ = json.NewEncoder(w).Encode(other)
+		}))
+		ref := EngineRef{Instance: "e1", Incarnation: 1, Address: strings.TrimPrefix(server.URL, "http://")}
+		if state, _, err := NewHTTPTransport(server.Client()).State(t.Context(), ref); err == nil {
+			t.Errorf("%s: taken for the state %+v", name, state)
+		}
+		server.Close()
+	}
+}
