--- a/internal/serve/upstream/kept_test.go
+++ b/internal/serve/upstream/kept_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestHintsDoNotTakeThePlaceOfAnswers(t *testing.T) {
@@ -126,3 +127,23 @@
 		t.Errorf("got %q, %v over %d connections, want the refusal over the one that was opened", body, err, e.connections.Load())
 	}
 }
+
+func TestEarlierAnswerIsSkippedWhileTheRequestIsBeingWritten(t *testing.T) {
+	e := listen(t, func(c net.Conn, next func() (*http.Request, string)) {
+		io.WriteString(c, answer("other", "no"))
+		time.Sleep(20 * time.Millisecond)
+		if r, body := next(); r != nil {
+			io.WriteString(c, answer(r.Header.Get("X-Id"), itoa(len(body)>>20)))
+		}
+		next()
+	})
+	r := get("1")
+	r.Method, r.Body = http.MethodPost, []byte(strings.Repeat("x", 8<<20))
+	p := newPool(t)
+	if body, err := fetch(t, p, e.address(), r); err != nil || body != "8" {
+		t.Errorf("got %q, %v, want the answer to the request, of which 8 MiB were read", body, err)
+	}
+	if p.Connected(e.address()) {
+		t.Error("the connection was kept after an answer to another request")
+	}
+}
