--- a/internal/serve/forward/sequence.go
+++ b/internal/serve/forward/sequence.go
@@ -40,15 +40,15 @@
 	if last == "" {
 		last = s.before
 	}
-	distance, known := idDistance(last, e.id)
+	from, to, known := numbers(last, e.id)
 	switch {
 	case e.foreign:
 		return errForeignEvent
 	case resumed && e.id == "":
 		return errNoPlace
-	case known && distance <= 0, begins && last != "" && e.id == last:
+	case known && to <= from, begins && last != "" && e.id == last:
 		return errRepeated
-	case resumed && known && distance > 1 && s.steps > 0 && s.gaps == 0:
+	case resumed && known && to-1 > from && s.steps > 0 && s.gaps == 0:
 		return errMissing
 	}
 	return nil
@@ -61,7 +61,7 @@
 		return
 	}
 	if s.lastID != "" {
-		if distance, known := idDistance(s.lastID, e.id); known && distance == 1 {
+		if from, to, known := numbers(s.lastID, e.id); known && to > from && to-1 == from {
 			s.steps++
 		} else {
 			s.gaps++
@@ -73,11 +73,11 @@
 // resumable reports whether another engine can be told where to go on.
 func (s *sequence) resumable() bool { return s.events == 0 || s.lastID != "" }
 
-// idDistance returns how much further one ID is than another. It is known only of numbers.
-func idDistance(from, to string) (distance int64, known bool) {
-	a, errA := strconv.ParseInt(from, 10, 64)
-	b, errB := strconv.ParseInt(to, 10, 64)
-	return b - a, errA == nil && errB == nil
+// numbers returns two IDs as numbers; known is false if one of them is none.
+func numbers(a, b string) (x, y int64, known bool) {
+	x, errX := strconv.ParseInt(a, 10, 64)
+	y, errY := strconv.ParseInt(b, 10, 64)
+	return x, y, errX == nil && errY == nil
 }
 
 var errOtherMediaType = errors.New("answer to a resumed stream has another content type than the stream")
--- a/internal/serve/forward/sequence_test.go
+++ b/internal/serve/forward/sequence_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -63,6 +64,8 @@
 		{"", "1", "4", true, nil},    // it is not known whether IDs are consecutive
 		{"", "1 3 4", "6", true, nil},
 		{"", "1 2 4", "6", true, nil},
+		{"9223372036854775807", "", "-9223372036854775808", true, errRepeated},
+		{"", "1 2", "9223372036854775807", true, errMissing},
 		{"", "a b", "c", true, nil},
 		{"", "a b", "b", true, errRepeated},
 	} {
@@ -91,3 +94,40 @@
 		t.Error("a stream with IDs cannot be resumed")
 	}
 }
+
+func FuzzResumedStream(f *testing.F) {
+	f.Add("id: 3\ndata: c\n\nid: 4\ndata: d\n\n")
+	f.Add("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull\n\n")
+	f.Add(": a\n\ndata: x\n\nid: 3\n\n")
+	f.Add("id: 2\n\nid: 9223372036854775807\n\nid: -9223372036854775808\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		s := sequence{lastID: "2", events: 2, steps: 1}
+		r := newEventReader(strings.NewReader(text))
+		for begins := true; ; {
+			e, err := r.next()
+			if err != nil {
+				return
+			}
+			if e.comment {
+				continue
+			}
+			if s.check(e, begins) != nil {
+				return
+			}
+			if begins && e.id != "3" && isNumber(e.id) {
+				t.Errorf("event %q follows event 2", e.raw)
+			}
+			before, _ := strconv.ParseInt(s.lastID, 10, 64)
+			if now, err := strconv.ParseInt(e.id, 10, 64); err == nil && isNumber(s.lastID) && now <= before {
+				t.Errorf("event %q follows event %d", e.raw, before)
+			}
+			begins = false
+			s.pass(e)
+		}
+	})
+}
+
+func isNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
