--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -288,16 +288,6 @@
 	return body, err
 }
 
-func headerBytes(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + 4 // colon, space, CR and LF
-		}
-	}
-	return n
-}
-
 // request returns the request to an instance.
 func (c *call) request(send dialect.SendOptions) *upstream.Request {
 	send.Deadline = c.remaining()
@@ -308,9 +298,11 @@
 		Header:     c.server.dialect.EncodeRequest(c.header, send),
 		Body:       c.body,
 		AtMostOnce: !c.route.Idempotent() && !send.PrefillOnly,
-		Accept: func(r *http.Response, reused bool) bool {
+		ID:         c.meta.ID,
+		Alone:      c.meta.ID == "",
+		Accept: func(r *http.Response, carried bool) bool {
 			id := c.server.dialect.DecodeAnswer(r.StatusCode, r.Header).RequestID
-			return id == c.meta.ID || id == "" && r.StatusCode >= http.StatusBadRequest && !reused
+			return id == c.meta.ID || id == "" && r.StatusCode >= http.StatusBadRequest && !carried
 		},
 	}
 }
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -23,9 +23,16 @@
 	// or one within a stricter idle limit, as it cannot be retried if an idle connection
 	// turns out to be closed.
 	AtMostOnce bool
-	// Accept reports whether an answer belongs to the request; others are skipped. On a
-	// reused connection it may be a late one to an earlier request. Nil accepts every answer.
-	Accept func(answer *http.Response, reused bool) bool
+	// ID is what an answer to the request bears. No connection that has carried another
+	// request with the same ID is used, as a late answer to that one could not be told apart.
+	ID string
+	// Alone is set if answers bear no ID and must be told apart: the request is the only one
+	// that its connection carries.
+	Alone bool
+	// Accept reports whether an answer belongs to the request; others are skipped. If the
+	// connection has carried other requests, it may be a late one to them. Nil accepts every
+	// answer.
+	Accept func(answer *http.Response, carried bool) bool
 }
 
 const (
@@ -37,6 +44,8 @@
 	maxHeadBytes = 64 << 10
 	// maxSkipped limits the skipped answers that belong to other requests.
 	maxSkipped = 2
+	// maxInformational limits the informational answers (1xx) of an exchange.
+	maxInformational = 8
 	// maxBufferedBytes limits the bodies that ReadAll holds at once, of all exchanges.
 	maxBufferedBytes = 48 << 20
 	// maxSkippedBytes limits the body of a skipped answer.
@@ -52,6 +61,8 @@
 	stop     func() bool // detaches the connection from ctx
 	written  chan error  // receives the result of writing the request
 	bodyRead bool        // the body was read to its end
+	alone    bool        // the connection carries no other request
+	carried  bool        // the connection has carried other requests
 	held     int64       // bytes reserved for the body
 	tainted  bool        // the connection carried another request's answer
 }
@@ -60,7 +71,7 @@
 // be read before ctx ends, which closes the connection. Errors are NotSentError, if the
 // request did not reach the instance, or LostError.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, address, r.AtMostOnce)
+	c, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Err: err}
 	}
@@ -68,7 +79,8 @@
 		p.put(c)
 		return nil, &NotSentError{Address: address, Err: err}
 	}
-	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1)}
+	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1), alone: r.Alone, carried: c.used}
+	c.carry(r.ID)
 	a.stop = context.AfterFunc(ctx, func() { c.Close() })
 	head := r.head()
 	if len(head)+len(r.Body) <= inlineRequestBytes {
@@ -120,19 +132,19 @@
 	a.written <- err
 }
 
-var errOnlyOtherAnswers = errors.New("only answers to other requests came")
+var (
+	errOnlyOtherAnswers  = errors.New("only answers to other requests came")
+	errManyInformational = fmt.Errorf("more than %d informational answers came", maxInformational)
+)
 
 // readHeader reads answers until one of them belongs to the request.
 func (a *Answer) readHeader(r *Request) error {
 	for range maxSkipped + 1 {
-		response, err := a.conn.readHead(r.Method)
+		response, err := a.finalHead(r.Method)
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < 200 {
-			continue // informational answers are hop-by-hop
-		}
-		if r.Accept == nil || r.Accept(response, a.conn.reused) {
+		if r.Accept == nil || r.Accept(response, a.carried) {
 			a.Response = response
 			return nil
 		}
@@ -148,6 +160,17 @@
 	return errOnlyOtherAnswers
 }
 
+// finalHead reads the head of the next answer. Informational ones are hop-by-hop.
+func (a *Answer) finalHead(method string) (*http.Response, error) {
+	for range maxInformational + 1 {
+		response, err := a.conn.readHead(method)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, errManyInformational
+}
+
 // TooLargeError reports an answer's body larger than the limit.
 type TooLargeError struct{ Limit int64 }
 
@@ -242,7 +265,7 @@
 		complete = err == nil
 	default: // not written yet: an instance may answer before it has read the body
 	}
-	if !detached || !complete || !a.bodyRead || a.tainted || a.Response.Close || a.conn.reader.Buffered() > 0 {
+	if !detached || !complete || !a.bodyRead || a.tainted || a.alone || a.Response.Close || a.conn.reader.Buffered() > 0 {
 		a.conn.Close()
 		return
 	}
