A zone whose loss would cost the quorum loses a vote

What callers would see: where two of three voters are in one availability zone, the loss of that zone, which is to be borne, ends the quorum. It comes about where two of the three first seeds are in a zone, or when hosts come back to a zone after their votes have moved: votes went to the zone with the fewest voters when they moved, and were never balanced afterwards. TestZoneWhoseLossWouldCostTheQuorumLosesAVote failed before in three of five cases ("3 voters map[a:2 b:1] after 0 steps, want 3 with at most 1 in a zone"). Now a learner elsewhere is promoted and a voter of the full zone, never the leader, is demoted; the moves count towards the bound.

--- a/internal/control/formation/series_test.go
+++ b/internal/control/formation/series_test.go
@@ -16,10 +16,11 @@
 	catchUp     = 4 * time.Second // a new host counts as lost for so long after its start
 	comeBack    = time.Second     // from a loss until the host or its successor starts
 	stopTimeout = time.Second     // of a planned stop
+	zoneDown    = 5 * time.Second // a lost zone
 	ackWithin   = time.Second     // a change is acknowledged at least so often in calm
 )
 
-var lossKinds = []string{"sudden", "planned", "disk", "restart", "pause", "all"}
+var lossKinds = []string{"sudden", "planned", "disk", "restart", "pause", "zone", "all"}
 
 // event is a loss that the pages of the platform allow. The next one comes gap after the time from
 // which they allow it.
@@ -75,6 +76,10 @@
 		m.run(catchUp + e.gap)
 		return
 	}
+	if e.kind == "zone" {
+		m.playZone(e.gap)
+		return
+	}
 	var victims []*host
 	for range count {
 		if v := m.pick(e.victim, victims); v != nil {
@@ -109,6 +114,25 @@
 	m.run(catchUp + e.gap)
 }
 
+// playZone ends all hosts of an availability zone, which come back with their disks. The
+// others go on meanwhile.
+func (m *model) playZone(gap time.Duration) {
+	up := m.up()
+	zone := up[m.rng.IntN(len(up))].zone
+	lost := slices.DeleteFunc(up, func(h *host) bool { return h.zone != zone })
+	for _, h := range lost {
+		m.kill(h)
+	}
+	m.run(zoneDown)
+	if since := time.Duration(m.now-m.ackedAt) * tick; since > ackWithin {
+		m.fail("no change was acknowledged for %v while zone %s is gone", since, zone)
+	}
+	for _, h := range lost {
+		m.start(h)
+	}
+	m.run(catchUp + gap)
+}
+
 // playPlanned starts successors before it stops the victims.
 func (m *model) playPlanned(victims []*host, gap time.Duration) {
 	begin := m.now
--- a/internal/control/formation/votes.go
+++ b/internal/control/formation/votes.go
@@ -80,7 +80,12 @@
 	if gone != nil && len(voters) > target {
 		return Step{Kind: Demote, ID: gone.ID, Reason: gone.why() + ", and another member has its vote"}
 	}
+	crowded := crowdedVoter(voters, leader, policy)
+	if crowded != nil && len(voters) > target {
+		return Step{Kind: Demote, ID: crowded.ID, Reason: crowdedReason}
+	}
 	if candidate := bestLearner(learners, voters, policy.VoteTimeout()); candidate != nil {
+		crowded = relieved(crowded, candidate, voters)
 		switch {
 		case len(voters) < target:
 			return Step{Kind: Promote, ID: candidate.ID, Reason: "the group has too few voters"}
@@ -88,6 +93,10 @@
 			return Step{Kind: Promote, ID: candidate.ID, Reason: "a voter " + gone.why(), MovesVote: !gone.Leaving}
 		case gone != nil:
 			return Step{Kind: Demote, ID: gone.ID, Reason: gone.why() + ", and a learner can take its vote", MovesVote: !gone.Leaving}
+		case crowded != nil && len(voters) < consensus.MaxVoters:
+			return Step{Kind: Promote, ID: candidate.ID, Reason: crowdedReason, MovesVote: true}
+		case crowded != nil:
+			return Step{Kind: Demote, ID: crowded.ID, Reason: crowdedReason, MovesVote: true}
 		}
 	}
 	if forgotten := longestSilent(learners, policy.forgetAfter()); forgotten != nil {
@@ -144,6 +153,47 @@
 	return gone
 }
 
+// crowdedReason is the reason for moving the vote of a crowded voter.
+const crowdedReason = "the loss of a zone would cost the quorum"
+
+// crowdedVoter returns a voter other than the leader in a zone whose loss would cost the
+// quorum although it is to be borne, nil when there is none.
+func crowdedVoter(voters []Health, leader uint64, policy Policy) *Health {
+	if policy.Tolerance.Zones == 0 {
+		return nil
+	}
+	inZone := votersByZone(voters)
+	quorum := len(voters)/2 + 1
+	for i := range voters {
+		v := &voters[i]
+		if v.ID != leader && inZone[v.Zone] > 1 && len(voters)-inZone[v.Zone] < quorum {
+			return v
+		}
+	}
+	return nil
+}
+
+// relieved returns the crowded voter if its zone is less crowded once the candidate has its
+// vote, and nil otherwise.
+func relieved(crowded, candidate *Health, voters []Health) *Health {
+	if crowded == nil {
+		return nil
+	}
+	inZone := votersByZone(voters)
+	if inZone[candidate.Zone]+1 >= inZone[crowded.Zone] {
+		return nil
+	}
+	return crowded
+}
+
+func votersByZone(voters []Health) map[string]int {
+	inZone := map[string]int{}
+	for _, v := range voters {
+		inZone[v.Zone]++
+	}
+	return inZone
+}
+
 // bestLearner returns the learner that is up, caught up and in the zone with the fewest
 // voters that are up, nil when there is none.
 func bestLearner(learners, voters []Health, timeout time.Duration) *Health {
--- a/internal/control/formation/votes_test.go
+++ b/internal/control/formation/votes_test.go
@@ -108,3 +108,51 @@
 		}
 	}
 }
+
+// Founders are given, and hosts come back to a zone after their votes have moved.
+func TestZoneWhoseLossWouldCostTheQuorumLosesAVote(t *testing.T) {
+	tests := []struct {
+		name      string
+		voters    []string // zones
+		learners  []string // zones
+		tolerance Tolerance
+		zones     int // voters in the fullest zone afterwards
+	}{
+		{"two of three founders in a zone", []string{"a", "a", "b"}, []string{"c", "d"}, Tolerance{Hosts: 1, Zones: 1}, 1},
+		{"three of five voters in a zone", []string{"a", "a", "a", "b", "c"}, []string{"b"}, Tolerance{Hosts: 2, Zones: 1}, 2},
+		{"four of seven voters in a zone", []string{"a", "a", "a", "a", "b", "c", "c"}, []string{"b"}, Tolerance{Hosts: 3, Zones: 1}, 3},
+		{"no host elsewhere", []string{"a", "a", "b"}, []string{"a", "b"}, Tolerance{Hosts: 1, Zones: 1}, 2},
+		{"no zone is to be borne", []string{"a", "a", "b"}, []string{"c"}, Tolerance{Hosts: 1}, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var members []Health
+			for i, zone := range append(append([]string{}, tt.voters...), tt.learners...) {
+				members = append(members, member(uint64(i+1), zone, i >= len(tt.voters)))
+			}
+			steps := 0
+			for ; steps < 20; steps++ {
+				step := NextStep(members, 1, Policy{Tolerance: tt.tolerance, ReplaceAfter: replaceAfter})
+				if step.Kind == NoStep {
+					break
+				}
+				for i := range members {
+					if members[i].ID == step.ID {
+						members[i].Learner = step.Kind == Demote
+					}
+				}
+			}
+			voters, inZone, fullest := 0, map[string]int{}, 0
+			for _, m := range members {
+				if !m.Learner {
+					voters++
+					inZone[m.Zone]++
+					fullest = max(fullest, inZone[m.Zone])
+				}
+			}
+			if voters != len(tt.voters) || fullest != tt.zones || steps == 20 {
+				t.Errorf("%d voters %v after %d steps, want %d with at most %d in a zone", voters, inZone, steps, len(tt.voters), tt.zones)
+			}
+		})
+	}
+}
