A control host that restarts without a leader knows the configuration that was in force

Cause: a replica saved its commit index only together with the next entry, so its disk was one change behind. After a quorum was lost and all hosts had restarted, the control hosts replayed their logs to the change before the last one and handed that to the entry hosts, which had no configuration of their own. With a quorum the gap closes at the first election; without one it stays for good. Change: a commit index that was not saved along with an entry for two ticks (100 ms) is saved by itself: one more sync after the last change of a series, none between changes that follow each other faster, and no acknowledgement waits for it.

--- a/internal/replication/consensus/core.go
+++ b/internal/replication/consensus/core.go
@@ -79,6 +79,7 @@
 	vote            uint64    // replica voted for in term, 0 for none
 	voteIncarnation uint64    // incarnation of that replica
 	saved           HardState // last one that the caller made durable
+	unsavedCommit   int       // ticks for which the durable commit index is behind
 	log             raftLog
 	memberships     []indexedMembership // ascending index, never empty; the last is in force
 	snapshot        *Snapshot           // newest one, sent to replicas that lag behind the log
@@ -197,6 +198,10 @@
 	}
 }
 
+// saveCommitTicks is how long a commit index waits to be saved with other state. A replica that
+// restarts without a leader applies what it has saved as committed.
+const saveCommitTicks = 2
+
 // Tick advances the logical clock by one.
 func (c *Core) Tick() {
 	if c.excluded != ExclusionNone {
@@ -204,6 +209,9 @@
 	}
 	c.electionElapsed++
 	c.lastLeaderTicks++
+	if c.log.committed > c.saved.Commit {
+		c.unsavedCommit++
+	}
 	if c.role == RoleLeader {
 		c.tickLeader()
 		return
--- a/internal/replication/consensus/ready.go
+++ b/internal/replication/consensus/ready.go
@@ -43,8 +43,8 @@
 	return c.log.slice(c.log.applied, upTo, maxCommittedBytes)
 }
 
-// attachHardState adds the hard state when the term, the vote or the log changed. A new
-// commit index alone need not be saved: a restarted replica learns it from the leader.
+// attachHardState adds the hard state when the term, the vote or the log changed, or when the
+// commit index has advanced some time ago.
 func (c *Core) attachHardState(r *Ready) {
 	hs := HardState{Term: c.term, Vote: c.vote, VoteIncarnation: c.voteIncarnation, Commit: c.log.committed}
 	if c.fault == faultForgetVote {
@@ -56,7 +56,7 @@
 		r.Messages = append(r.Early, r.Messages...)
 		r.Early = nil
 	}
-	if changed || len(r.Entries) > 0 || r.Snapshot != nil {
+	if changed || len(r.Entries) > 0 || r.Snapshot != nil || c.unsavedCommit >= saveCommitTicks {
 		r.HardState = &hs
 	}
 }
@@ -68,6 +68,7 @@
 	c.ready = nil
 	if r.HardState != nil {
 		c.saved = *r.HardState
+		c.unsavedCommit = 0
 	}
 	if n := len(r.Entries); n > 0 {
 		c.log.stable = r.Entries[n-1].Index
