An instance that is never reached stays ejected after its 36th failure

Callers would see: an entry whose port nobody listens on, but which goes on announcing itself, is ejected for at most four seconds and tried again, as meant, 35 times; from then on (some two and a half minutes) it is never ejected again, and prompts are sent to it whenever the others are busier, which it never is.

Cause: the ejection doubles by a shift with the number of failures in a row. 400 ms shifted by 35 is negative, and by 55 it is 0. The shift after refusals was bounded, that after failures was not.

Ruled out: plain services, whose failure rate keeps such an instance away as well. The avoidance of the zone hides the fault for the first second after three failures in a row.

Test: TestInstanceThatIsNeverReachedStaysEjected failed before at the 36th failure in a row; 100 pass now.

--- a/internal/engines/placement/health.go
+++ b/internal/engines/placement/health.go
@@ -14,7 +14,7 @@
 	maxEjection = 4 * time.Second
 	// fullEjection lets an instance without free slots work off part of its queue.
 	fullEjection = 150 * time.Millisecond
-	// maxDoublings bounds the growth of the ejection after consecutive "full" refusals:
+	// maxDoublings bounds the growth of an ejection after consecutive refusals or failures:
 	// an engine that changes its stage refuses requests for seconds.
 	maxDoublings = 4
 	// replacedEjection lasts until the next heartbeat reports the instance's new state.
@@ -57,7 +57,7 @@
 	case NoContact, Silent:
 		in.failureRate.add(1, now)
 		in.contactFailures++
-		in.eject(now, min(firstEjection<<(in.contactFailures-1), maxEjection))
+		in.eject(now, min(firstEjection<<min(in.contactFailures-1, maxDoublings), maxEjection))
 	case Canceled:
 	}
 }
