Entries that no instance can announce are refused before they are listed

Operators would see: another writer announces entries whose zone, endpoint or model names have 60 KiB. After some 140 of them, which a writer of two a second has left before the first expires, the list of that control host is over the 8 MiB of a call, and every entry host that asks for the whole of it, as after each loss of the control host, gets none: each watch times out after two seconds, and the sound entries of that control host are gone for it. An entry with a start far in the future, under the id or at the address of a sound one, keeps the sound one out for five minutes; a deregistration with one does so for ever at the entry hosts.

Cause: a control host listed whatever could be decoded. Only the wire's types, the state, the stage and a missing field were checked.

Ruled out: line breaks in an id. They cannot end a header, as Go writes spaces for them; the id is refused because no instance can match it.

--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -61,9 +61,11 @@
 // Service is what a control host does for operators and endpoint instances.
 type Service interface {
 	// Announce records a heartbeat. When the instance leaves, it returns once the entry
-	// hosts know, or after a timeout.
+	// hosts know, or after a timeout. It returns an *instances.InvalidError for what no
+	// instance can announce.
 	Announce(ctx context.Context, in instances.Instance) error
-	// Leave records that an instance has ended; born may be 0 when it is not known.
+	// Leave records that an instance has ended; born may be 0 when it is not known. It returns
+	// an *instances.InvalidError for an id or a start that no instance can have.
 	Leave(ctx context.Context, id string, born int64) error
 	// Replace puts a valid configuration into force unless one with the same or a
 	// higher version already is. It returns an *UnavailableError when the outcome is
@@ -340,6 +342,9 @@
 // Announce implements Service.
 func (h *Host) Announce(ctx context.Context, in instances.Instance) error {
 	h.heartbeats.Inc()
+	if err := in.Validate(time.Now()); err != nil {
+		return err
+	}
 	position, changed := h.registry.Observe(in, time.Now())
 	if !changed {
 		return nil
@@ -354,6 +359,9 @@
 
 // Leave implements Service.
 func (h *Host) Leave(ctx context.Context, id string, born int64) error {
+	if err := errors.Join(instances.ValidateID(id), instances.ValidateStart(born, time.Now())); err != nil {
+		return err
+	}
 	position, changed := h.registry.Leave(id, born, time.Now())
 	if changed {
 		h.logger.Info("instance changed", "instance", id, "born", born, "state", instances.Gone.String())
