A list of any size reaches the entry hosts, in pages

Callers would see: when the list of a control host is larger than the 8 MiB of a call, each entry host that asks for the whole of it (after its start, or that of the control host) is left without it for good: the answer is not sent, the watch times out after two seconds, and so does the next one. 160 entries with 64 models whose names are as long as they may be are enough, as are some 20,000 common ones.

Cause: the answer to a watch call held all changes after a position, however many.

Ruled out: raising the limit of a call, which only moves the number of entries.

Change: Since ends a page at 4 MiB, counted as the most that JSON can make of the entries, and returns the position reached. The next call continues there at once. Deliveries of leaving instances still wait for positions, so they hold until the page with the change was read.

--- a/internal/control/controlhost/odd_test.go
+++ b/internal/control/controlhost/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -20,10 +21,12 @@
 	"filberthook/internal/replication/raftnet"
 )
 
+var bornOfAll = time.Now().Add(-time.Minute).UnixMilli()
+
 // sound returns the heartbeat of an instance as it should be.
 func sound(n int, sequence uint64) instances.Instance {
 	return instances.Instance{
-		ID: fmt.Sprint("i-", n), Born: time.Now().Add(-time.Minute).UnixMilli(), Sequence: sequence, Endpoint: "lm",
+		ID: fmt.Sprint("i-", n), Born: bornOfAll, Sequence: sequence, Endpoint: "lm",
 		Address: fmt.Sprintf("10.0.%d.%d:80", n/250, 1+n%250), Zone: "z", Slots: 64, Models: []instances.Model{{Name: "m", Version: 1}},
 	}
 }
@@ -129,3 +132,42 @@
 		return usable(view) == 3
 	})
 }
+
+func TestListOfAnySizeReachesEntryHosts(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1)
+	h := g.start(1, true)
+	const entries = 500
+	announce := func(sequence uint64) {
+		for n := range entries {
+			in := sound(n, sequence)
+			in.Models = make([]instances.Model, instances.MaxModels)
+			for i := range in.Models {
+				in.Models[i] = instances.Model{Name: strings.Repeat("<", instances.MaxNameBytes), Version: math.MinInt64}
+			}
+			if err := h.Announce(context.Background(), in); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	announce(1)
+	req := controlapi.WatchRequest{}
+	for range entries {
+		answer := h.watch(context.Background(), "probe", req)
+		text, err := json.Marshal(answer)
+		if err != nil || len(text) > controlapi.MaxMessageBytes {
+			t.Fatalf("an answer of %d bytes, error %v; a call takes %d", len(text), err, controlapi.MaxMessageBytes)
+		}
+		if req.Epoch == answer.Epoch && len(answer.Changes) == 0 {
+			break
+		}
+		req.Epoch, req.Position = answer.Epoch, answer.Position
+	}
+	view := follow(t, g, 1)
+	sequence := uint64(1)
+	eventually(t, 10*time.Second, "the entry host lists all instances", func() bool {
+		sequence++
+		announce(sequence)
+		return usable(view) == entries
+	})
+}
--- a/internal/engines/instances/instance.go
+++ b/internal/engines/instances/instance.go
@@ -59,6 +59,22 @@
 	Silent bool `json:"silent,omitempty"` // no heartbeat within silentAfterIntervals
 }
 
+// Sizes of encoded changes: fixedBytes of names of fields and numbers in each change and each
+// model, and up to escapedBytes for a byte of text.
+const (
+	fixedBytes   = 200
+	escapedBytes = 6
+)
+
+// encodedBytes returns how many bytes the change takes at most as JSON.
+func (c *Change) encodedBytes() int {
+	text, models := len(c.ID)+len(c.Endpoint)+len(c.Address)+len(c.Zone), len(c.Models)
+	for _, m := range c.Models {
+		text += len(m.Name)
+	}
+	return fixedBytes*(1+models) + escapedBytes*text
+}
+
 // silentAfterIntervals is the number of intervals without a heartbeat after which an
 // instance counts as silent: heartbeats may be late by more than one interval.
 const silentAfterIntervals = 3
--- a/internal/engines/instances/registry.go
+++ b/internal/engines/instances/registry.go
@@ -142,17 +142,27 @@
 	r.changed = make(chan struct{})
 }
 
+// pageBytes is the size from which Since leaves further changes to the next call: half of
+// what a call between hosts takes.
+const pageBytes = 4 << 20
+
 // Since returns the changes after a position, the position reached, and a channel
-// that is closed at the next change.
+// that is closed at the next change. A long list comes in several pages, of which the last
+// reaches the newest position.
 func (r *Registry) Since(position uint64) ([]Change, uint64, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	from, _ := slices.BinarySearchFunc(r.log, position+1, func(l logged, at uint64) int { return cmp.Compare(l.position, at) })
 	var out []Change
+	reached, size := position, 0
 	for _, l := range r.log[from:] {
-		if !l.superseded() {
-			out = append(out, l.entry.Change)
+		if l.superseded() {
+			continue
+		}
+		if size += l.entry.encodedBytes(); size > pageBytes && len(out) > 0 {
+			return out, reached, r.changed
 		}
+		out, reached = append(out, l.entry.Change), l.position
 	}
 	return out, r.position, r.changed
 }
