A flood of entries takes bounded memory at a control host and leaves room for sound ones

Operators would see: a writer that announces or deregisters itself under ever new ids grows the control hosts by each of them for five minutes, up to the limit of memory, where the process ends.

Cause: the registry recorded every id that announced itself or deregistered, and forgot it five minutes later.

Ruled out: the log of changes, which is cut to twice the entries.

Change: a registry holds 8,192 entries.

Test: TestFloodOfEntriesLeavesRoomForSoundOnes failed before with 16,484 of 16,484 entries kept; now at most 8,192 are, and three sound instances are listed at an entry host once the flood is silent.

--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -345,6 +345,9 @@
 	if err := in.Validate(time.Now()); err != nil {
 		return err
 	}
+	if err := h.registry.MakeRoom(in.ID); err != nil {
+		return err
+	}
 	position, changed := h.registry.Observe(in, time.Now())
 	if !changed {
 		return nil
@@ -362,6 +365,9 @@
 	if err := errors.Join(instances.ValidateID(id), instances.ValidateStart(born, time.Now())); err != nil {
 		return err
 	}
+	if err := h.registry.MakeRoom(id); err != nil {
+		return err
+	}
 	position, changed := h.registry.Leave(id, born, time.Now())
 	if changed {
 		h.logger.Info("instance changed", "instance", id, "born", born, "state", instances.Gone.String())
--- a/internal/control/controlhost/odd_test.go
+++ b/internal/control/controlhost/odd_test.go
@@ -171,3 +171,42 @@
 		return usable(view) == entries
 	})
 }
+
+func TestFloodOfEntriesLeavesRoomForSoundOnes(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1)
+	h := g.start(1, true)
+	const flood = 2*instances.MaxEntries + 100
+	for n := range flood {
+		in := sound(n%60000, 1)
+		in.ID = fmt.Sprint("odd-", n)
+		_ = h.Announce(context.Background(), in) // may be refused
+	}
+	kept := 0
+	for position := uint64(0); ; {
+		changes, reached, _ := h.registry.Since(position)
+		if kept += len(changes); len(changes) == 0 {
+			break
+		}
+		position = reached
+	}
+	if kept > instances.MaxEntries {
+		t.Errorf("%d of %d entries are kept, want at most %d", kept, flood, instances.MaxEntries)
+	}
+	view := follow(t, g, 1)
+	sequence := uint64(0)
+	eventually(t, 10*time.Second, "sound instances are listed once the flood is silent", func() bool {
+		sequence++
+		listed := 0
+		for n := range 3 {
+			in := sound(60000+n, sequence)
+			_ = h.Announce(context.Background(), in) // refused while there is no room
+		}
+		for _, in := range view.Snapshot().ByEndpoint["lm"] {
+			if strings.HasPrefix(in.ID, "i-") {
+				listed++
+			}
+		}
+		return listed == 3
+	})
+}
--- a/internal/engines/instances/registry.go
+++ b/internal/engines/instances/registry.go
@@ -2,11 +2,24 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 )
 
+// MaxEntries bounds the instances that a Registry records: several times those of a large
+// deployment.
+const MaxEntries = 8192
+
+// FullError reports that a Registry has no room for another instance.
+type FullError struct{ Entries int }
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("this control host lists %d live instances and takes no more: stop what announces so many", e.Entries)
+}
+
 // entry is the record of one instance in a Registry.
 type entry struct {
 	Change
@@ -108,6 +121,34 @@
 	return r.position, true
 }
 
+// MakeRoom drops the entry that has gone or been silent for longest if another instance
+// needs its place. It returns a *FullError if there is none.
+func (r *Registry) MakeRoom(id string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.entries[id]; known || len(r.entries) < MaxEntries {
+		return nil
+	}
+	var oldest *entry
+	for _, e := range r.entries {
+		if (e.Silent || e.State == Gone) && (oldest == nil || e.lastHeartbeat.Before(oldest.lastHeartbeat)) {
+			oldest = e
+		}
+	}
+	if oldest == nil {
+		return &FullError{len(r.entries)}
+	}
+	r.drop(oldest)
+	return nil
+}
+
+// drop deletes an entry. The caller holds r.mu.
+func (r *Registry) drop(e *entry) {
+	r.removeAddress(e)
+	delete(r.entries, e.ID)
+	e.position = 0 // supersedes what the log has of it
+}
+
 // Expire marks instances without a recent heartbeat as silent and deletes entries
 // after goneRetention. It returns the ids that became silent.
 func (r *Registry) Expire(now time.Time) []string {
@@ -117,9 +158,7 @@
 	for id, e := range r.entries {
 		sinceHeartbeat := now.Sub(e.lastHeartbeat)
 		if sinceHeartbeat > goneRetention {
-			r.removeAddress(e)
-			delete(r.entries, id)
-			e.position = 0 // supersedes what the log has of it
+			r.drop(e)
 		} else if !e.Silent && e.State != Gone && sinceHeartbeat > silentAfterIntervals*r.interval {
 			e.Silent = true
 			silent = append(silent, id)
