An entry host forgets entries that have gone

A deregistration with a start in the far future kept its id out for ever.

Cause: control hosts forget entries after five minutes and do not tell. The view kept the last state of each id at each control host, and the start that has left, until the end of the process.

Ruled out: forgetting on a word of the control hosts, which they lose with their process.

Change: the view forgets what no list, valid or not, names as ready and no control host has mentioned for ten minutes, or for the grace period while it knows of over 32,768. An instance that has left stays out as long as any list names it, however old.

Tests: TestViewForgetsWhatHasGone failed before with 4,001 entries kept of 2,000 that had gone (1,800 allowed). TestWhatHasLeftStaysOutWhileAnyListNamesIt holds before and after. The oracle of merges is unchanged.

--- /dev/null
+++ b/internal/engines/instances/odd_test.go
@@ -0,0 +1,60 @@
+package instances
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestViewForgetsWhatHasGone(t *testing.T) {
+	const starts = 2000
+	v := NewView(interval)
+	v.Update("A", "1", 1, []Change{{Instance: engine("i-stays", 100, 1)}}, at(0))
+	var now time.Time
+	for n := range starts {
+		now = at(time.Duration(n) * interval)
+		in := Instance{ID: fmt.Sprint("i-", n), Born: 100, Endpoint: "lm", Address: fmt.Sprint("10.0.0.2:", n+1)}
+		c := Change{Instance: in}
+		c.State = Gone
+		v.Update("A", "1", uint64(n+2), []Change{c}, now)
+	}
+	known := len(v.leaving)
+	for _, s := range v.sources {
+		known += len(s.changes)
+	}
+	if limit := 3 * int((2*goneRetention)/interval); known > limit {
+		t.Errorf("%d entries are kept of %d that have gone; want at most %d", known, starts, limit)
+	}
+	if got := ids(v.Snapshot()); len(got) != 1 || got[0] != "i-stays" {
+		t.Errorf("instances %v, want i-stays", got)
+	}
+}
+
+func TestWhatHasLeftStaysOutWhileAnyListNamesIt(t *testing.T) {
+	v := NewView(interval)
+	v.Update("B", "1", 1, []Change{{Instance: engine("i-1", 100, 1)}}, at(0))
+	gone := Change{Instance: engine("i-1", 100, 2)}
+	gone.State = Gone
+	v.Update("A", "1", 1, []Change{gone}, at(0))
+	for n := range 100 {
+		v.Tick(at(time.Duration(n) * time.Minute))
+		v.Update("A", "1", 1, nil, at(time.Duration(n)*time.Minute))
+	}
+	if got := ids(v.Snapshot()); len(got) != 0 {
+		t.Errorf("instances %v, want none: a list that has not been renewed brought one back", got)
+	}
+}
+
+func TestFloodOfGoneEntriesTakesBoundedMemoryAtAnEntryHost(t *testing.T) {
+	v := NewView(interval)
+	for n := range 20 {
+		changes := make([]Change, maxForgettable/4)
+		for i := range changes {
+			changes[i] = Change{Instance: Instance{ID: fmt.Sprint("odd-", n, "-", i), Born: 100, State: Gone}}
+		}
+		v.Update("A", "1", uint64(n), changes, at(time.Duration(n)*2*interval))
+	}
+	if got := len(v.leaving); got > 2*maxForgettable {
+		t.Errorf("%d entries are kept, want at most %d", got, 2*maxForgettable)
+	}
+}
--- a/internal/engines/instances/view.go
+++ b/internal/engines/instances/view.go
@@ -37,8 +37,10 @@
 	grace time.Duration // how long the list of a disconnected or restarted control host stays valid
 
 	mu       sync.Mutex
-	sources  map[string]*source // by control host's address
-	leaving  map[string]int64   // id to the newest start that is leaving or has left
+	sources  map[string]*source   // by control host's address
+	leaving  map[string]int64     // id to the newest start that is leaving or has left
+	heardAt  map[string]time.Time // when any control host last listed a change, by id
+	prunedAt time.Time
 	merged   merged
 	snapshot *Snapshot
 	stale    bool          // merged has changed since the snapshot
@@ -51,6 +53,7 @@
 		grace:    silentAfterIntervals * interval,
 		sources:  map[string]*source{},
 		leaving:  map[string]int64{},
+		heardAt:  map[string]time.Time{},
 		merged:   newMerged(),
 		snapshot: &Snapshot{ByEndpoint: map[string][]Instance{}},
 		changed:  make(chan struct{}, 1),
@@ -104,6 +107,7 @@
 	s.position = position
 	for _, c := range changes {
 		s.changes[c.ID] = c
+		v.heardAt[c.ID] = now
 		if c.State != Ready {
 			v.leaving[c.ID] = max(v.leaving[c.ID], v.startOf(c))
 		}
@@ -148,6 +152,50 @@
 	v.expire(now)
 }
 
+// Control hosts do not list what they forget, so a View forgets by itself: after
+// forgetAfter, in which each of them has forgotten it too, or at once beyond maxForgettable.
+const (
+	forgetAfter    = 2 * goneRetention
+	pruneInterval  = goneRetention / 10
+	maxForgettable = 4 * MaxEntries
+)
+
+// prune forgets what no list names as ready. The caller holds v.mu.
+func (v *View) prune(now time.Time) {
+	wait, age := pruneInterval, forgetAfter
+	if len(v.heardAt) > maxForgettable {
+		wait, age = v.grace, v.grace
+	}
+	if now.Sub(v.prunedAt) < wait {
+		return
+	}
+	v.prunedAt = now
+	for id, at := range v.heardAt {
+		if now.Sub(at) <= age || v.namedReady(id) {
+			continue
+		}
+		for _, s := range v.sources {
+			delete(s.changes, id)
+			delete(s.previous, id)
+		}
+		delete(v.leaving, id)
+		delete(v.heardAt, id)
+	}
+}
+
+// namedReady reports whether any list, valid or not, names an instance as ready. The caller
+// holds v.mu.
+func (v *View) namedReady(id string) bool {
+	for _, s := range v.sources {
+		for _, list := range []map[string]Change{s.changes, s.previous} {
+			if c, ok := list[id]; ok && !c.Silent && c.State == Ready {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // expire merges again what grace periods that have ended leave invalid. The caller holds
 // v.mu.
 func (v *View) expire(now time.Time) {
@@ -162,6 +210,7 @@
 			v.mergeEach(s.changes, now)
 		}
 	}
+	v.prune(now)
 }
 
 // mergeAll merges every instance of any list. The caller holds v.mu.
