A sound worker is listed again after one odd heartbeat under its name or at its address

Callers would see: one heartbeat of another writer with the id of a sound worker and the highest sequence, with the id and a later start, or with the worker's address and a later start, and the worker gets no requests for five minutes, though each of its heartbeats is acknowledged. It never learns of it and stays with this control host.

Cause: a newer entry keeps older ones out until it is forgotten five minutes after its last heartbeat. That guards against late heartbeats of ended starts, which come for some seconds at most.

Ruled out: a bound on sequences. A sequence increases with each call by an amount that nothing states. Trust in the first writer of an id: an odd entry may come first. A writer that keeps repeating a plausible entry cannot be told from the worker.

Change: an entry that has been silent as long as makes it unusable gives way to an older start, or a lower sequence, whose heartbeats go on: a second increasing one at least half an interval after the first. Entries that drain or have deregistered under the id do not give way.

TestLateHeartbeatsBringNoEndedInstanceBack: late ones that arrive together, one that is repeated, and those after a deregistration bring nothing back.

--- a/internal/engines/instances/instance.go
+++ b/internal/engines/instances/instance.go
@@ -4,7 +4,8 @@
 //
 // An instance is identified by its id and the time of its start. A report about an
 // older start, or with a lower sequence number of the same start, has no effect once
-// a newer one was received.
+// a newer one was received, unless that was the word of another writer: it is silent, while
+// the older reports go on.
 package instances
 
 import "time"
--- a/internal/engines/instances/odd_test.go
+++ b/internal/engines/instances/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -58,3 +59,58 @@
 		t.Errorf("%d entries are kept, want at most %d", got, 2*maxForgettable)
 	}
 }
+
+func TestSoundInstanceIsListedAgainAfterAnOddHeartbeat(t *testing.T) {
+	later := engine("odd", 200, 1)
+	tests := []struct {
+		name string
+		odd  Instance
+	}{
+		{"the highest sequence under its id", engine("i-1", 100, math.MaxUint64)},
+		{"a later start under its id", engine("i-1", 200, 1)},
+		{"a later start at its address", later},
+	}
+	for _, tt := range tests {
+		r := NewRegistry(interval)
+		v := NewView(interval)
+		r.Observe(engine("i-1", 100, 1), at(0))
+		r.Observe(tt.odd, at(0))
+		const outage = 2 * silentAfterIntervals
+		for n := 1; n <= outage; n++ {
+			now := at(time.Duration(n) * interval)
+			r.Observe(engine("i-1", 100, uint64(n+1)), now)
+			r.Expire(now)
+			feed(v, "A", "1", r, now)
+		}
+		listed := v.Snapshot().ByEndpoint["lm"]
+		if len(listed) != 1 || listed[0].ID != "i-1" || listed[0].Born != 100 {
+			t.Errorf("%s: after %d heartbeats of the sound instance %v is listed", tt.name, outage, listed)
+		}
+	}
+}
+
+func TestLateHeartbeatsBringNoEndedInstanceBack(t *testing.T) {
+	for _, newest := range []Instance{engine("i-1", 100, 50), engine("i-1", 200, 1), engine("i-2", 200, 1)} {
+		r := NewRegistry(interval)
+		r.Observe(newest, at(0))
+		r.Expire(at(10 * interval))
+		for n := range 5 {
+			if _, changed := r.Observe(engine("i-1", 100, uint64(10+n)), at(10*interval)); changed {
+				t.Errorf("after %+v: late heartbeats that arrive together are taken for a live instance", newest)
+			}
+		}
+		for n := range 5 {
+			if _, changed := r.Observe(engine("i-1", 100, 14), at(time.Duration(11+n)*interval)); changed {
+				t.Errorf("after %+v: one heartbeat that is repeated is taken for a live instance", newest)
+			}
+		}
+	}
+	r := NewRegistry(interval)
+	r.Observe(engine("i-1", 100, 50), at(0))
+	r.Leave("i-1", 100, at(0))
+	for n := range 10 {
+		if _, changed := r.Observe(engine("i-1", 100, uint64(10+n)), at(time.Duration(10+n)*interval)); changed {
+			t.Error("an instance that has deregistered came back")
+		}
+	}
+}
--- a/internal/engines/instances/registry.go
+++ b/internal/engines/instances/registry.go
@@ -36,6 +36,7 @@
 	position  uint64
 	entries   map[string]*entry   // by id
 	byAddress map[string][]*entry // entries with a known address
+	rivals    map[string]rival    // by id
 	log       []logged            // changes in order of their positions
 	changed   chan struct{}       // closed at the next change
 }
@@ -52,18 +53,18 @@
 // NewRegistry returns an empty Registry for instances that send a heartbeat each
 // interval.
 func NewRegistry(interval time.Duration) *Registry {
-	return &Registry{interval: interval, entries: map[string]*entry{}, byAddress: map[string][]*entry{}, changed: make(chan struct{})}
+	return &Registry{interval: interval, entries: map[string]*entry{}, byAddress: map[string][]*entry{}, rivals: map[string]rival{}, changed: make(chan struct{})}
 }
 
 // Observe records a heartbeat. It returns the newest position, which includes the
 // heartbeat, and whether anything changed. A heartbeat changes nothing if a newer one of
-// the instance is recorded, if an instance that started later has its address, or if it
-// reports a leaving instance as ready again.
+// the instance is recorded or if an instance that started later has its address, unless it
+// outlives those, or if it reports a leaving instance as ready again.
 func (r *Registry) Observe(in Instance, now time.Time) (position uint64, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, known := r.entries[in.ID]
-	if known && !in.supersedes(&e.Instance) || r.replacedAt(in) {
+	if (known && !in.supersedes(&e.Instance) || len(r.replacements(in)) > 0) && !r.outlives(in, now) {
 		return r.position, false
 	}
 	if known && e.Born == in.Born && e.State != Ready && in.State == Ready {
@@ -85,9 +86,16 @@
 	return r.position, changed
 }
 
-// replacedAt reports whether an instance with a later start has the address of in.
-func (r *Registry) replacedAt(in Instance) bool {
-	return slices.ContainsFunc(r.byAddress[in.Address], func(e *entry) bool { return e.ID != in.ID && e.Born > in.Born })
+// replacements returns the other instances with a later start that have the address of in. The
+// caller holds r.mu.
+func (r *Registry) replacements(in Instance) []*entry {
+	var out []*entry
+	for _, e := range r.byAddress[in.Address] {
+		if e.ID != in.ID && e.Born > in.Born {
+			out = append(out, e)
+		}
+	}
+	return out
 }
 
 // removeAddress removes an entry from the index by address. The caller holds r.mu.
@@ -155,11 +163,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var silent []string
+	r.expireRivals(now)
 	for id, e := range r.entries {
 		sinceHeartbeat := now.Sub(e.lastHeartbeat)
 		if sinceHeartbeat > goneRetention {
 			r.drop(e)
-		} else if !e.Silent && e.State != Gone && sinceHeartbeat > silentAfterIntervals*r.interval {
+		} else if !e.Silent && e.State != Gone && r.quiet(e, now) {
 			e.Silent = true
 			silent = append(silent, id)
 			r.markChanged(e)
--- /dev/null
+++ b/internal/engines/instances/rivals.go
@@ -0,0 +1,50 @@
+package instances
+
+import "time"
+
+// rival is the last heartbeat of a start that a newer entry keeps out.
+type rival struct {
+	born     int64
+	sequence uint64
+	at       time.Time
+}
+
+// outlives reports whether a heartbeat shows that its sender is alive, although newer entries
+// keep it out: those are silent, as what another writer announced once is, and this is at least
+// the second in a row of increasing heartbeats. Late ones of an ended instance do not keep
+// coming. The caller holds r.mu.
+func (r *Registry) outlives(in Instance, now time.Time) bool {
+	if e, known := r.entries[in.ID]; known && !in.supersedes(&e.Instance) && (e.State != Ready || !r.quiet(e, now)) {
+		return false
+	}
+	for _, e := range r.replacements(in) {
+		if !r.quiet(e, now) {
+			return false
+		}
+	}
+	last, known := r.rivals[in.ID]
+	sameStart := known && last.born == in.Born
+	increases := sameStart && in.Sequence > last.sequence
+	if increases && now.Sub(last.at) >= r.interval/2 {
+		delete(r.rivals, in.ID)
+		return true
+	}
+	if increases || !sameStart && (known || len(r.rivals) < MaxEntries) {
+		r.rivals[in.ID] = rival{in.Born, in.Sequence, now}
+	}
+	return false
+}
+
+// quiet reports whether an entry had no heartbeat for so long that it counts as silent.
+func (r *Registry) quiet(e *entry, now time.Time) bool {
+	return now.Sub(e.lastHeartbeat) > silentAfterIntervals*r.interval
+}
+
+// expireRivals forgets those whose next heartbeat did not come. The caller holds r.mu.
+func (r *Registry) expireRivals(now time.Time) {
+	for id, last := range r.rivals {
+		if now.Sub(last.at) > silentAfterIntervals*r.interval {
+			delete(r.rivals, id)
+		}
+	}
+}
