One odd entry of a control host's list hides none of the others from an entry host

Callers would see: a control host lists one entry with a state, a number of slots or a sequence that the entry host's types do not hold, and the entry host gets no list of that control host any more: the watch fails again and again on the same answer, and all its sound entries are gone once the grace period has ended. Entries that could be decoded were used whatever they said, such as without an id, without a port or with -4 slots.

Cause: an answer was decoded as a whole, and nothing looked at what it said.

Ruled out: numbers that no float holds (1e400) and nesting beyond 10,000 in a call between hosts. They end the connection, as the call as a whole is no JSON-RPC then; only the system's own processes write these calls, and no value that they encode comes out so.

Change: entries are decoded one by one if the list cannot be decoded at once. Those that cannot be read, or that no instance can have, are left out, counted, and logged once a second (Changes, Change.Validate). Validation reads no clock here: that of an entry host may be wrong.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -3,7 +3,6 @@
 package controlapi
 
 import (
-	"filberthook/internal/engines/instances"
 	"filberthook/internal/engines/quarantine"
 )
 
@@ -35,14 +34,14 @@
 
 // WatchResponse lists what changed.
 type WatchResponse struct {
-	Epoch    string             `json:"epoch"` // differs in each control process
-	Position uint64             `json:"position"`
-	Changes  []instances.Change `json:"changes,omitempty"`
-	Version  uint64             `json:"version"`          // of the configuration in force at the control host
-	Peers    []string           `json:"peers,omitempty"`  // addresses of the control hosts of the group
-	Hosts    int                `json:"hosts"`            // entry hosts that watch the control host, 0 while it has just started
-	Leader   string             `json:"leader,omitempty"` // address of the group's leader
-	Zone     string             `json:"zone,omitempty"`   // availability zone of the control host
+	Epoch    string   `json:"epoch"` // differs in each control process
+	Position uint64   `json:"position"`
+	Changes  Changes  `json:"changes,omitempty"`
+	Version  uint64   `json:"version"`          // of the configuration in force at the control host
+	Peers    []string `json:"peers,omitempty"`  // addresses of the control hosts of the group
+	Hosts    int      `json:"hosts"`            // entry hosts that watch the control host, 0 while it has just started
+	Leader   string   `json:"leader,omitempty"` // address of the group's leader
+	Zone     string   `json:"zone,omitempty"`   // availability zone of the control host
 }
 
 // DocumentRequest asks for the configuration in force.
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -12,6 +12,7 @@
 
 	"filberthook/internal/control/controlapi"
 	"filberthook/internal/engines/instances"
+	"filberthook/internal/process/loglimit"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
 	"filberthook/internal/replication/raftnet"
@@ -51,6 +52,7 @@
 	view     *instances.View
 	config   Configuration
 	logger   *slog.Logger
+	lines    loglimit.Limiter
 	observer bool // set on a control host: it is not counted as an entry host
 
 	exchanged atomic.Bool // load was exchanged at least once
@@ -158,13 +160,24 @@
 		delay = firstRetry
 		w.markReached(address, t, resp)
 		w.track(ctx, running, resp.Peers)
-		w.view.Update(address, resp.Epoch, resp.Position, resp.Changes, time.Now())
+		w.view.Update(address, resp.Epoch, resp.Position, w.valid(address, resp.Changes), time.Now())
 		if resp.Version > w.config.Version() {
 			w.fetch(ctx, address)
 		}
 	}
 }
 
+// valid returns the valid changes of a list. The others name no instance to use and change none.
+func (w *Watcher) valid(address string, all controlapi.Changes) []instances.Change {
+	valid, refused, err := all.Valid()
+	if refused > 0 {
+		if omitted, ok := w.lines.Allow("entries refused", time.Now()); ok {
+			w.logger.Warn("entries of a control host refused", "control", address, "entries", refused, "err", err, "omitted", omitted)
+		}
+	}
+	return valid
+}
+
 // poll makes one watch call, which returns after a change or after watchWait.
 func (w *Watcher) poll(ctx context.Context, address string) (controlapi.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
--- a/internal/engines/instances/valid.go
+++ b/internal/engines/instances/valid.go
@@ -31,14 +31,27 @@
 
 // Validate returns an *InvalidError for the first value that no instance can have.
 func (a *Instance) Validate(now time.Time) error {
-	if err := ValidateID(a.ID); err != nil {
+	if err := ValidateStart(a.Born, now); err != nil {
 		return err
 	}
-	if err := ValidateStart(a.Born, now); err != nil {
+	return a.validate()
+}
+
+// Validate returns an *InvalidError for the first value that no control host can list. It reads
+// no clock: that of an entry host may be wrong.
+func (c *Change) Validate() error {
+	if c.State == Gone {
+		return ValidateID(c.ID) // the rest may be unknown
+	}
+	return c.validate()
+}
+
+func (a *Instance) validate() error {
+	if err := ValidateID(a.ID); err != nil {
 		return err
 	}
-	if a.Born == 0 {
-		return &InvalidError{"born", "is 0"}
+	if a.Born <= 0 {
+		return &InvalidError{"born", "is not above 0"}
 	}
 	if a.Endpoint == "" {
 		return &InvalidError{"endpoint", "is empty"}
