A result that cannot be sent fails its call at once

Operators would see: calls between hosts that time out, with nothing in the log of the host that was called above the level of debugging. A watch whose answer is too large, or a report of load with an infinite sum, looks like a dead host.

Cause: a reply that could not be encoded, or was over the limit of a message, was dropped, as nothing had been written. The caller waited until its deadline and then ended the connection.

Ruled out: writing a part of it; the size is known before the first byte.

Change: the caller gets an error that names the method and the reason, the connection goes on, and the host logs it once a second.

Test: TestResultThatCannotBeSentFailsItsCallAtOnce failed before with two exceeded deadlines of a second.

--- a/internal/network/peer/faults_test.go
+++ b/internal/network/peer/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"strings"
 	"sync"
@@ -82,3 +83,34 @@
 		t.Errorf("the next call got %q, %v", got.Text, err)
 	}
 }
+
+func TestResultThatCannotBeSentFailsItsCallAtOnce(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := NewMux()
+	Handle(mux, "infinite", func(context.Context, Identity, echoRequest) (float64, error) { return math.Inf(1), nil })
+	Handle(mux, "large", func(context.Context, Identity, echoRequest) (string, error) { return strings.Repeat("x", 2000), nil })
+	Handle(mux, "echo", func(_ context.Context, _ Identity, req echoRequest) (echoReply, error) {
+		return echoReply{Text: req.Text}, nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = NewServer(Options{MaxMessageBytes: 1000}, mux).Serve(ctx, ln) }() // ends with ctx
+	c := NewClient(ln.Addr().String(), Options{})
+	defer c.Close()
+	for _, method := range []string{"infinite", "large"} {
+		callCtx, stop := context.WithTimeout(context.Background(), time.Second)
+		var remote *RemoteError
+		var got any
+		if err := c.Call(callCtx, method, echoRequest{}, &got); !errors.As(err, &remote) {
+			t.Errorf("%s: error %v, want one of the remote call", method, err)
+		}
+		stop()
+	}
+	var got echoReply
+	if err := c.Call(context.Background(), "echo", echoRequest{Text: "hi"}, &got); err != nil || got.Text != "hi" {
+		t.Errorf("the next call: got %q, %v", got.Text, err)
+	}
+}
--- a/internal/network/peer/server.go
+++ b/internal/network/peer/server.go
@@ -15,13 +15,15 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"filberthook/internal/process/invariant"
+	"filberthook/internal/process/loglimit"
 	"filberthook/internal/process/pause"
 )
 
 // Server accepts connections from other processes and serves the calls of a Mux.
 type Server struct {
-	opts Options
-	mux  *Mux
+	opts  Options
+	mux   *Mux
+	lines loglimit.Limiter
 
 	refusedPlaintext  *metrics.Counter
 	refusedTLS        *metrics.Counter
@@ -275,11 +277,27 @@
 		_ = conn.ReplyWithError(ctx, req.ID, wireError(err))
 		return
 	}
-	if replyErr := conn.Reply(ctx, req.ID, result); replyErr != nil {
+	replyErr := conn.Reply(ctx, req.ID, result)
+	switch {
+	case replyErr == nil:
+	case unsendable(replyErr):
+		if omitted, ok := s.srv.lines.Allow("unsendable", time.Now()); ok {
+			s.srv.opts.Logger.Warn("result of a call cannot be sent", "method", req.Method, "err", replyErr, "omitted", omitted)
+		}
+		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: CodeApp, Message: fmt.Sprintf("the result of %s cannot be sent: %v", req.Method, replyErr)})
+	default:
 		s.srv.opts.Logger.Debug("reply not sent", "method", req.Method, "err", replyErr)
 	}
 }
 
+// unsendable reports whether a reply failed for what it holds, before anything was written.
+func unsendable(err error) bool {
+	var size *MessageSizeError
+	var value *json.UnsupportedValueError
+	var marshaler *json.MarshalerError
+	return errors.As(err, &size) || errors.As(err, &value) || errors.As(err, &marshaler)
+}
+
 // recovering serves a call and turns a panic into its error, as one call that nobody has
 // foreseen must not end the process. Broken invariants do end it.
 func (s *session) recovering(method string, serve func() (any, error)) (result any, err error) {
