An odd report of load leaves those of the other hosts usable

Callers would see: one host reports a rate that overflows with those of others, and no host gets any load or word of caches and suspects from that control host any more: the sum is infinite, which JSON does not hold, so each answer fails. Two hosts that report the most tokens make an engine's backlog wrap around to less than the sound host's part, so that its queue draws prompts. An infinite prefill rate is told to all.

Cause: what a report said was summed and passed on as it came. Backlogs of a host may be those of a caller's prompt, whose number of tokens is the caller's word.

Ruled out: refusing such a report, which would lose what else the host has to tell.

Change: the values of a report are bounded where it arrives, at control hosts and at entry hosts: up to 2^40 tokens for each of the ten priorities, rates up to 1e9, none below 0; a prefill rate out of bounds is left out.

--- a/internal/control/controlhost/loads.go
+++ b/internal/control/controlhost/loads.go
@@ -47,6 +47,7 @@
 // exchange stores the report of an entry host and returns the summed load of all others
 // and their cache updates since the host's last report.
 func (l *loads) exchange(host string, report controlapi.LoadReport, now time.Time) controlapi.LoadReport {
+	report.Bound()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
@@ -98,6 +99,7 @@
 
 // receiveDigest stores the digest of another control host.
 func (l *loads) receiveDigest(control string, digest controlapi.LoadReport, now time.Time) {
+	digest.Bound()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
--- a/internal/control/controlwatch/load.go
+++ b/internal/control/controlwatch/load.go
@@ -85,6 +85,7 @@
 		e.fleet.RequeueUpdates(report.Updates)
 		return err
 	}
+	others.Bound()
 	e.epoch, e.position = others.UpdatesEpoch, others.UpdatesPosition
 	e.fleet.SetPeerLoads(decodeLoads(others), time.Now())
 	e.fleet.ApplyUpdates(others.Updates, time.Now())
@@ -212,7 +213,7 @@
 				for len(tokens) <= priority {
 					tokens = append(tokens, 0)
 				}
-				tokens[priority] = int64(v)
+				tokens[priority] = int64(min(v, controlapi.MaxTokens))
 			}
 		}
 		out[id] = tokens
