A prefill rate that no engine has changes no estimate

Callers would see: one report of a prefill rate far above what engines reach, repeated by a host, has all prefill engines of the endpoint count as that fast at every host, up to infinitely fast: queues count as empty, nothing is refused for want of time, and the demand for prefill engines is 0.

Cause: this host's own observations are bounded by 1.3 times the initial estimate, since higher ones are of cached prompts; those of other hosts were taken at their word.

Ruled out: prompts whose header names MaxInt or 2^40 tokens: backlogs and the demand stay numbers, and the next prompts are placed (TestPromptOfAnyLengthLeavesTheOthersTheirEngines, holds before and after).

Tests: TestPrefillRateThatNoEngineHasChangesNoEstimate failed before with 1e9, 1.8e308 and infinite tokens per ms where 55 are right; rates below 0 and that are no numbers were left out before.

--- a/internal/engines/placement/cache.go
+++ b/internal/engines/placement/cache.go
@@ -191,7 +191,7 @@
 				in.addCached(key, now)
 				in.setPrefilled(key)
 			}
-			if u.PrefillRate > 0 {
+			if u.PrefillRate > 0 && u.PrefillRate <= maxRateFactor*f.settings.PrefillRate {
 				f.addRate(in, u.PrefillRate)
 			}
 		}
