An instance with unusual slots draws no more than two usual ones

Callers would see: an entry says that it runs 65,535 requests at once, where the others of the service run 6, and gets all further requests of its zone while it seems as fast: how busy it is never rises. Among engines, one such entry makes the mean number of slots so large that the answers seem to need hardly any decode engines, and the others change to prefill.

Cause: the slots of an instance are its own word, and load was divided by them as they came.

Ruled out: a lower limit of slots for all endpoints, which would cut those of large engines.

Change: of an instance's slots, those count that are at most twice the median of its endpoint. In fleets whose instances agree nothing changes.

--- a/internal/control/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -57,9 +57,9 @@
 
 // SlotsScale returns the mean number of slots of the engines as a share of ReferenceSlots.
 func SlotsScale(engines []instances.Instance) float64 {
-	total := 0
+	total, limit := 0, instances.SlotsLimit(engines)
 	for _, e := range engines {
-		total += e.Slots
+		total += min(e.Slots, limit)
 	}
 	if total == 0 {
 		return 1
--- a/internal/engines/instances/valid.go
+++ b/internal/engines/instances/valid.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 	"unicode/utf8"
 )
@@ -123,3 +124,20 @@
 	}
 	return nil
 }
+
+// maxSlotsFactor bounds the slots that count of one instance, in those of the usual one.
+const maxSlotsFactor = 2
+
+// SlotsLimit returns how many slots of an instance of an endpoint count at most when load is
+// divided: what a single one says of itself must not draw the load of all.
+func SlotsLimit(list []Instance) int {
+	if len(list) == 0 {
+		return 0
+	}
+	slots := make([]int, len(list))
+	for i := range list {
+		slots[i] = list[i].Slots
+	}
+	slices.Sort(slots)
+	return maxSlotsFactor * slots[(len(slots)-1)/2]
+}
--- a/internal/engines/placement/odd_test.go
+++ b/internal/engines/placement/odd_test.go
@@ -1,10 +1,13 @@
 package placement
 
 import (
+	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"filberthook/internal/engines/instances"
 	"filberthook/internal/serve/dialect"
 )
 
@@ -62,3 +65,25 @@
 		}
 	}
 }
+
+func TestInstanceWithUnusualSlotsDrawsNoMoreThanTwoUsualOnes(t *testing.T) {
+	f := New(DefaultSettings(), rand.New(rand.NewPCG(1, 2)).Float64, connectedToAll)
+	list := []instances.Instance{{ID: "odd", Born: 1, Endpoint: "e", Address: "odd", Zone: "z", Slots: instances.MaxSlots}}
+	for n := range 4 {
+		list = append(list, instances.Instance{ID: fmt.Sprint("s", n), Born: 1, Endpoint: "e", Address: fmt.Sprint("s", n), Zone: "z", Slots: 6})
+	}
+	f.Update(&instances.Snapshot{Number: 1, ByEndpoint: map[string][]instances.Instance{"e": list}})
+	sent := map[string]int{}
+	const requests = 60
+	for range requests {
+		target, err := f.PlaceService("e", "z", nil, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Begin(target.ID)
+		sent[target.ID]++
+	}
+	if limit := requests * 2 / (len(list) + 1); sent["odd"] > limit+limit/10 {
+		t.Errorf("%d of %d requests under way are at the instance with %d slots, want about %d: %v", sent["odd"], requests, instances.MaxSlots, limit, sent)
+	}
+}
--- a/internal/engines/placement/placement.go
+++ b/internal/engines/placement/placement.go
@@ -34,6 +34,7 @@
 // instance is this host's state for one endpoint instance, in addition to the announcement.
 type instance struct {
 	instances.Instance
+	countedSlots    int                   // its slots, bounded by those of the others
 	outstanding     int                   // requests from this host in flight
 	ownBacklog      Backlog               // prompt tokens from this host queued for prefill
 	peerBacklog     Backlog               // the same from the other hosts, as last reported
@@ -94,12 +95,13 @@
 	known := make(map[string]*instance, len(f.byID))
 	lists := make(map[string][]*instance, len(s.ByEndpoint))
 	for name, list := range s.ByEndpoint {
+		slotsLimit := instances.SlotsLimit(list)
 		for _, in := range list {
 			state := f.byID[in.ID]
 			if state == nil || state.Born != in.Born || state.Stage != in.Stage {
 				state = &instance{cached: map[uint64]cacheEntry{}}
 			}
-			state.Instance = in
+			state.Instance, state.countedSlots = in, min(in.Slots, slotsLimit)
 			state.notices = f.recordOf(in.ID, in.Born)
 			known[in.ID] = state
 			lists[name] = append(lists[name], state)
--- a/internal/engines/placement/service.go
+++ b/internal/engines/placement/service.go
@@ -66,7 +66,7 @@
 func (f *Fleet) leastBusy(candidates []*instance, zone string) *instance {
 	best, bestScore := candidates[0], math.Inf(1)
 	for _, in := range candidates {
-		score := 1 + 4*float64(in.outstanding)/float64(max(1, in.Slots))
+		score := 1 + 4*float64(in.outstanding)/float64(max(1, in.countedSlots))
 		if in.Zone != zone {
 			score *= crossZonePenalty
 		}
