An announcement larger than a packet keeps no other from spreading

Callers would see: an engine announces a model with a hundred adapters, which is allowed, or an odd one announces names of a few kilobytes, and from then on the entry hosts of its zone tell the others of no change any more: drained instances get requests, new ones none, until the large announcement has expired.

Cause: updates are packed in order of priority until one does not fit. One that fits in no packet stays first, as it was never sent, and ends each packet before anything is added.

Ruled out: leaving large records to the comparison of tables, which is rarer than the three seconds in which a departure has to be known.

Change: an update that no packet has room for travels alone in one, as it does in the answer to a comparison, and then takes its turn after the others.

--- a/internal/network/gossip/instances.go
+++ b/internal/network/gossip/instances.go
@@ -174,7 +174,8 @@
 	s.enqueue(&pendingUpdate{instance: instance, priority: stateChange, leaseEnded: true, allZones: true, endVersion: v, queuedAt: now})
 }
 
-// fill adds queued updates to a packet, up to a size of limit bytes.
+// fill adds queued updates to a packet, up to a size of limit bytes. An update that no packet
+// has room for is the only one in its packet, so that it keeps none of the others.
 func (s *instances) fill(now time.Duration, p *gossipv1.Packet, toZone string, hosts, limit int) {
 	if len(s.queue) == 0 {
 		return
@@ -189,8 +190,10 @@
 			delete(s.queue, item.instance)
 			continue
 		}
-		size += proto.Size(u) + updateOverheadBytes
-		if size > limit {
+		bytes := proto.Size(u) + updateOverheadBytes
+		size += bytes
+		tooLargeForAny := bytes > limit-packetReserveBytes
+		if size > limit && !(tooLargeForAny && len(p.GetInstances()) == 0) {
 			return
 		}
 		p.Instances = append(p.Instances, u)
