The load of an odd announcement stays within bounds at every entry host

Callers would see: an engine, or another writer under its name, announces a step of 1e300 ms and counts below 0. The host that it announced to places by negative queues, the others by infinite times; an age of 2^63-1 ms makes the load count as measured after it was announced, so that it never grows old.

Cause: the numbers of a load report were taken as they came, and converted to 32 bits for the other hosts, where 1e300 is infinite. The age was multiplied beyond what a duration holds.

Ruled out: refusing the announcement, which would take a live engine out for a wrong figure; NaN, which JSON cannot carry (gossip could).

Change: counts, times, rates and ages of a load are bounded wherever a directory stores one: from an announcement, from other hosts and from answers.

--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -126,6 +126,7 @@
 	if !ok || old.Announcement.Incarnation != r.Version.Incarnation || old.StateSequence != r.StateSequence {
 		return false, true
 	}
+	r.Load = boundLoad(r.Load)
 	rec := *old
 	rec.Announcement.Sequence = r.Version.Sequence
 	rec.Announcement.Load = r.Load
@@ -174,6 +175,7 @@
 	if err := Validate(&a); err != nil {
 		return nil, err
 	}
+	a.Load = boundLoad(a.Load)
 	heard := now - max(age, 0)
 	return &Record{
 		Announcement: a,
@@ -219,6 +221,7 @@
 	if !ok || old.Announcement.Incarnation != incarnation || load.Sequence <= old.Announcement.Load.Sequence {
 		return
 	}
+	load = boundLoad(load)
 	rec := *old
 	rec.Announcement.Load = load
 	rec.LoadAt = now - time.Duration(load.AgeMillis)*time.Millisecond
--- a/internal/network/gossip/odd_test.go
+++ b/internal/network/gossip/odd_test.go
@@ -99,3 +99,24 @@
 		})
 	}
 }
+
+func TestOddLoadIsKnownWithinBounds(t *testing.T) {
+	for name, odd := range oddAnnouncements() {
+		t.Run(name, func(t *testing.T) {
+			w := withOdd(t, odd)
+			for _, host := range w.names {
+				for _, r := range w.dirs[host].Snapshot().Records {
+					l := &r.Announcement.Load
+					for _, v := range []float64{l.StepMillis, l.PrefillPerSec, l.DecodePerSec} {
+						if !(v >= 0 && v <= math.MaxFloat32) {
+							t.Errorf("%s knows %s with a load of %v", host, r.Announcement.Instance, v)
+						}
+					}
+					if l.Running < 0 || l.Queued < 0 || l.QueuedPrefill < 0 || l.UsedKVBlocks < 0 || r.LoadAt > r.HeardAt {
+						t.Errorf("%s knows %s with a load of %+v, measured %v after it was heard", host, r.Announcement.Instance, l, r.LoadAt-r.HeardAt)
+					}
+				}
+			}
+		})
+	}
+}
