Announcements that no other host could be told are refused

Operators would see: an announcement whose names do not fit in a datagram (64 models with 256 adapters each are within the limits) is known to the entry host that got it alone; the others ask it for the missing record every second. One with text that is none cannot be encoded, and takes the other updates of its packet with it. Port 0 and 0.0.0.0 were addresses to send requests to.

Cause: only numbers of models and adapters and the lengths of instance, zone and endpoint were checked.

Ruled out: text that is none by way of an announcement, as JSON decoding replaces it; it could come by gossip of another version.

Change: all names are text of at most 128 bytes, those of models and adapters together at most 48 KiB, an address is that of one host with a port. The reason of an order is cut to 1 KiB instead, since an engine must not leave for one. Validation and its limits have a file of their own.

--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -85,7 +85,7 @@
 	if !s.accepts(a.Instance, rec.Version()) {
 		return false, nil
 	}
-	if old, ok := s.records[a.Instance]; ok && sameState(&old.Announcement, &a) {
+	if old, ok := s.records[a.Instance]; ok && sameState(&old.Announcement, &rec.Announcement) {
 		rec.StateSequence = old.StateSequence
 	}
 	d.put(s, rec)
@@ -176,6 +176,7 @@
 		return nil, err
 	}
 	a.Load = boundLoad(a.Load)
+	shortenReasons(&a.State)
 	heard := now - max(age, 0)
 	return &Record{
 		Announcement: a,
--- a/internal/control/directory/record.go
+++ b/internal/control/directory/record.go
@@ -7,22 +7,16 @@
 package directory
 
 import (
-	"fmt"
-	"net/netip"
 	"reflect"
 	"time"
 
 	"filberthook/internal/engines/engineapi"
 )
 
-// Limits of an announcement.
+// Times of records.
 const (
 	MinLease          = 500 * time.Millisecond
 	MaxLease          = 3 * time.Second
-	MaxNameBytes      = 128
-	MaxModels         = 64
-	MaxAdapters       = 256
-	MaxKVBlocks       = 1 << 20
 	BackstopLease     = 2 * time.Minute // of instances that do not announce to this host
 	TombstoneDuration = 3 * time.Minute // how long an expired instance's version is remembered
 )
@@ -100,61 +94,3 @@
 // Age returns the time since HeardAt. Hosts forward it with the record, so that the
 // lease ends everywhere at about the same time.
 func (r *Record) Age(now time.Duration) time.Duration { return max(0, now-r.HeardAt) }
-
-// InvalidError reports a refused announcement.
-type InvalidError struct{ Field, Problem string }
-
-func (e *InvalidError) Error() string {
-	return fmt.Sprintf("announcement refused: %s %s; correct the instance's settings", e.Field, e.Problem)
-}
-
-// Validate checks the fields of an announcement, which may come from any sender.
-func Validate(a *engineapi.Announcement) error {
-	if err := validateName("instance", a.Instance); err != nil {
-		return err
-	}
-	if err := validateName("zone", a.Zone); err != nil {
-		return err
-	}
-	if len(a.Endpoint) > MaxNameBytes {
-		return &InvalidError{"endpoint", "is too long"}
-	}
-	if a.Kind != engineapi.KindModel && a.Kind != engineapi.KindService {
-		return &InvalidError{"kind", "must be model or service"}
-	}
-	if a.Kind == engineapi.KindService && a.Endpoint == "" {
-		return &InvalidError{"endpoint", "must be set for a service"}
-	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return &InvalidError{"address", "must be an IP number and a port"}
-	}
-	if a.Incarnation == 0 {
-		return &InvalidError{"incarnation", "must be above 0"}
-	}
-	return validateSizes(a)
-}
-
-func validateSizes(a *engineapi.Announcement) error {
-	if a.KVBlocks < 0 || a.KVBlocks > MaxKVBlocks {
-		return &InvalidError{"pieces", fmt.Sprintf("must be between 0 and %d", MaxKVBlocks)}
-	}
-	if len(a.State.Models) > MaxModels {
-		return &InvalidError{"models", fmt.Sprintf("must not be more than %d", MaxModels)}
-	}
-	for _, m := range a.State.Models {
-		if len(m.Adapters) > MaxAdapters {
-			return &InvalidError{"adapters", fmt.Sprintf("must not be more than %d for a model", MaxAdapters)}
-		}
-	}
-	return nil
-}
-
-func validateName(field, v string) error {
-	if v == "" {
-		return &InvalidError{field, "must be set"}
-	}
-	if len(v) > MaxNameBytes {
-		return &InvalidError{field, fmt.Sprintf("must not be longer than %d bytes", MaxNameBytes)}
-	}
-	return nil
-}
