An odd announcement gets a short answer

Instances would see: an announcement with a number of 255 KiB is answered with as much, because the decoder's error quotes it.

Nesting, numbers out of range, other types and ports are refused one by one, and a sound announcement after each is taken; they held before.

Test: TestOddAnnouncementsGetShortAnswersBesideSoundOnes failed before with 261,239 bytes (1 of 12 cases).

--- a/internal/serve/entry/announce.go
+++ b/internal/serve/entry/announce.go
@@ -9,6 +9,7 @@
 	"filberthook/internal/control/directory"
 	"filberthook/internal/engines/engineapi"
 	"filberthook/internal/network/membership"
+	"filberthook/internal/process/loglimit"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
@@ -73,7 +74,7 @@
 	if errors.As(err, &tooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
-	reply(w, status, engineapi.AnnounceReply{Reason: err.Error()})
+	reply(w, status, engineapi.AnnounceReply{Reason: loglimit.Shorten(err.Error())})
 }
 
 func reply(w http.ResponseWriter, status int, body engineapi.AnnounceReply) {
