An engine's cache is followed again after an odd position

Cause: the newest position was the highest ever reported, and a page's end was taken from the page, whatever events it held.

Ruled out: a page of a start that is not the engine's. The next announcement resets it. Pages that are nested, cut, out of range or out of order end with an error or a gap, as FuzzCacheEventPages shows.

Change: the newest position is that of the newest load report; a complete page ends with its last event; a position more than 2^20 events ahead of the load report is taken for a gap, which the next page fills from the start.

--- a/internal/engines/cachefeed/fuzz_test.go
+++ b/internal/engines/cachefeed/fuzz_test.go
@@ -18,6 +18,10 @@
 	f.Add([]byte(`{"incarnation":4,"next":18446744073709551615,"snapshot":[{"seq":9,"kind":"cleared"}]}`))
 	f.Add([]byte(`{"incarnation":4,"complete":true,"next":3,"events":[{"seq":3},{"seq":1,"kind":"removed","prefix":5}]}`))
 	f.Add([]byte(`[`))
+	f.Add([]byte(strings.Repeat("[", 20_000)))
+	f.Add([]byte(`{"incarnation":1e400,"next":99999999999999999999}`))
+	f.Add([]byte(`{"incarnation":18446744073709551615,"complete":true,"next":1,"events":[{"seq":18446744073709551615,"kind":"stored"}]}`))
+	f.Add([]byte(`{"incarnation":4,"complete":false,"next":18446744073709551615,"events":[{"seq":-1}]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
 		defer server.Close()
--- a/internal/serve/prefix/index.go
+++ b/internal/serve/prefix/index.go
@@ -167,7 +167,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	ix.startIncarnation(now, e, incarnation)
-	e.newest = max(e.newest, newest)
+	e.newest = newest
+	if newest < e.next && e.next-newest > maxLead {
+		e.markGap()
+	}
 	if !e.gapped && e.newest <= e.next {
 		e.syncedAt = now
 	}
@@ -186,6 +189,10 @@
 	e.syncedAt = now
 }
 
+// maxLead is how many events a page may be ahead of the engine's load report, which is some
+// hundred ms old. A position beyond it is not the engine's.
+const maxLead = 1 << 20
+
 // Page is a page of cache events of one instance.
 type Page struct {
 	Instance string
@@ -242,7 +249,10 @@
 		last = event.Sequence
 		ix.applyEvent(e, event)
 	}
-	e.next = max(e.next, page.Next)
+	e.next = last
+	if !page.Complete {
+		e.next = max(last, page.Next) // what the snapshot includes
+	}
 	e.newest = max(e.newest, e.next)
 }
 
