A configuration with times or weights that cannot be calculated with is refused

Operators would see: a configuration with a goal of 1e300 ms, an idle timeout of 1e17 ms or a weight of 1e308 is acknowledged. Times that are several goals overflow, so that requests are cut at once; two such weights add up to infinity, by which no request can be shared.

Cause: times were converted from floats beyond what a duration holds, which gives another value on each kind of processor, and only weights and timeouts below 0 were looked at.

Ruled out: nesting, versions that are too large and numbers without digits, which were refused.

--- a/internal/serve/routes/validate.go
+++ b/internal/serve/routes/validate.go
@@ -1,6 +1,9 @@
 package routes
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // InvalidError describes a problem in a configuration, which is rejected as a whole.
 type InvalidError struct {
@@ -17,8 +20,19 @@
 // matchKey identifies a route by what requests are matched on.
 type matchKey struct{ host, prefix string }
 
+// Bounds of what can be calculated with.
+const (
+	// MaxDuration bounds times; several times as much is still a time.Duration.
+	MaxDuration = 30 * 24 * time.Hour
+	// MaxWeight bounds the weight of one endpoint; sums stay exact enough to share by.
+	MaxWeight = 1e12
+)
+
 // Validate returns an *InvalidError for the first problem.
 func (c *Config) Validate() error {
+	if err := c.validateTimes(); err != nil {
+		return err
+	}
 	seen := make(map[matchKey]string, len(c.Routes))
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -48,17 +62,38 @@
 	if r.Timeout <= 0 {
 		return &InvalidError{field, "its timeout is 0", "set a timeout above 0"}
 	}
+	for _, d := range []time.Duration{r.Timeout, r.Goal, r.GapGoal} {
+		if d > MaxDuration {
+			return tooLong(field)
+		}
+	}
 	return c.validateShares(field, r.Shares)
 }
 
+func (c *Config) validateTimes() error {
+	if max(c.Limits.HeaderTimeout, c.Limits.IdleTimeout) > MaxDuration {
+		return tooLong("limits")
+	}
+	for name, e := range c.Endpoints {
+		if e.Engine != nil && max(e.Engine.HandleTTL, e.Engine.StageChangeTime) > MaxDuration {
+			return tooLong(fmt.Sprintf("endpoint %q", name))
+		}
+	}
+	return nil
+}
+
+func tooLong(field string) error {
+	return &InvalidError{field, "has a time that is too long", fmt.Sprintf("use at most %v", MaxDuration)}
+}
+
 func (c *Config) validateShares(field string, shares []Share) error {
 	total := 0.0
 	for _, s := range shares {
 		if _, ok := c.Endpoints[s.Endpoint]; !ok {
 			return &InvalidError{field, fmt.Sprintf("endpoint %q is unknown", s.Endpoint), "list it in the configuration or name another one"}
 		}
-		if s.Weight < 0 {
-			return &InvalidError{field, fmt.Sprintf("endpoint %q has weight %v", s.Endpoint, s.Weight), "use 0 or more"}
+		if !(s.Weight >= 0 && s.Weight <= MaxWeight) {
+			return &InvalidError{field, fmt.Sprintf("endpoint %q has weight %v", s.Endpoint, s.Weight), fmt.Sprintf("use 0 to %g", MaxWeight)}
 		}
 		total += s.Weight
 	}
