A start of an instance keeps its endpoint, address and zone

Callers would see: one heartbeat with the id and the start of a sound worker, but another address, sends the worker's requests to that address, or to a worker of another service, until the next heartbeat of the sound one.

Cause: whatever the newest heartbeat of a start said was taken, although an instance cannot move without a new start.

Ruled out: slots, stage and models, which may change while an instance runs.

Change: a heartbeat that contradicts its start is kept out like an older one. If the odd one came first, it gives way once it is silent and the others go on.

--- a/internal/engines/instances/odd_test.go
+++ b/internal/engines/instances/odd_test.go
@@ -114,3 +114,36 @@
 		}
 	}
 }
+
+func TestStartKeepsItsEndpointAndAddress(t *testing.T) {
+	tests := map[string]func(*Instance){
+		"another address":  func(in *Instance) { in.Address = "10.0.0.9:9" },
+		"another endpoint": func(in *Instance) { in.Endpoint = "bookings" },
+		"another zone":     func(in *Instance) { in.Zone = "elsewhere" },
+	}
+	for name, change := range tests {
+		r, v := NewRegistry(interval), NewView(interval)
+		r.Observe(engine("i-1", 100, 1), at(0))
+		odd := engine("i-1", 100, 2)
+		change(&odd)
+		r.Observe(odd, at(0))
+		feed(v, "A", "1", r, at(0))
+		if got := v.Snapshot().ByEndpoint["lm"]; len(got) != 1 || !got[0].sameAs(ptr(engine("i-1", 100, 1))) {
+			t.Errorf("%s: %+v is listed after an odd heartbeat, want what the instance said before", name, got)
+		}
+		// The odd one came first: the instance is listed once that is silent.
+		r, v = NewRegistry(interval), NewView(interval)
+		r.Observe(odd, at(0))
+		for n := 1; n <= 2*silentAfterIntervals; n++ {
+			now := at(time.Duration(n) * interval)
+			r.Observe(engine("i-1", 100, uint64(10+n)), now)
+			r.Expire(now)
+			feed(v, "A", "1", r, now)
+		}
+		if got := v.Snapshot().ByEndpoint["lm"]; len(got) != 1 || !got[0].sameAs(ptr(engine("i-1", 100, 1))) {
+			t.Errorf("%s first: %+v is listed, want the instance", name, got)
+		}
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
--- a/internal/engines/instances/registry.go
+++ b/internal/engines/instances/registry.go
@@ -58,13 +58,14 @@
 
 // Observe records a heartbeat. It returns the newest position, which includes the
 // heartbeat, and whether anything changed. A heartbeat changes nothing if a newer one of
-// the instance is recorded or if an instance that started later has its address, unless it
-// outlives those, or if it reports a leaving instance as ready again.
+// the instance is recorded, if its start was at another address, or if an instance that
+// started later has its address, unless it outlives those, or if it reports a leaving instance
+// as ready again.
 func (r *Registry) Observe(in Instance, now time.Time) (position uint64, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, known := r.entries[in.ID]
-	if (known && !in.supersedes(&e.Instance) || len(r.replacements(in)) > 0) && !r.outlives(in, now) {
+	if r.keptOut(in) && !r.outlives(in, now) {
 		return r.position, false
 	}
 	if known && e.Born == in.Born && e.State != Ready && in.State == Ready {
