One odd notice in a report of load hides none of the others

Callers would see: a host reports one notice of an instance with a limit that is no number or an age below 0, and its whole exchange fails, again and again: its load, its cache updates and what it knows of suspects reach no other host.

Cause: decoding ended with the first notice out of range. An age beyond what a duration holds came through as another one.

Ruled out: a report that ends early; it is of another version, and refused as a whole.

--- a/internal/control/controlapi/changes_test.go
+++ b/internal/control/controlapi/changes_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"filberthook/internal/engines/instances"
+	"filberthook/internal/engines/notice"
 )
 
 // Whatever stands between two sound entries of a list, both are used, and each entry that is
@@ -45,3 +47,25 @@
 		}
 	})
 }
+
+func TestOddNoticeHidesNoneOfTheOthers(t *testing.T) {
+	sound := notice.Report{Instance: "a", Born: 1, Limit: 3.5, Age: time.Second}
+	last := notice.Report{Instance: "b", Born: 2, Leaving: true}
+	for _, odd := range []notice.Report{
+		{Instance: "odd", Limit: math.NaN()},
+		{Instance: "odd", Limit: math.Inf(1)},
+		{Instance: "odd", Limit: -1},
+		{Instance: "odd", Age: -time.Second},
+		{Instance: "odd", Age: math.MinInt64},
+		{Instance: "odd", Age: math.MaxInt64},
+	} {
+		text, err := Notices{sound, odd, last}.MarshalText()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got Notices
+		if err := got.UnmarshalText(text); err != nil || len(got) != 2 || got[0] != sound || got[1] != last {
+			t.Errorf("beside %+v: %+v, error %v; want the sound ones", odd, got, err)
+		}
+	}
+}
