An odd report of demand leaves the zone's sum a number

Operators would see: one host reports a demand that is no number or infinite, or a sum of two rates overflows, and the planner of the zone has no demand to plan by until the report has expired 15 s later, if it is not repeated.

Cause: rates from other hosts were added as they came.

Ruled out, with FuzzPacket: other values of a packet, such as the last incarnations and sequences, ages, hashes, unknown states. The host goes on, and what it sends can be encoded.

Change: each rate of a report is bounded by 1e12, what is below 0 or no number counts as 0.

--- a/internal/engines/demand/demand.go
+++ b/internal/engines/demand/demand.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// maxRate bounds each rate of a host, so that sums stay numbers.
+const maxRate = 1e12
+
+// bounded returns the nearest rates that can be summed; 0 for what is no number.
+func (r Rates) bounded() Rates {
+	for _, rate := range []*float64{&r.Requests, &r.PromptTokens, &r.OutputTokens, &r.ContextTokens} {
+		if !(*rate > 0) {
+			*rate = 0
+		}
+		*rate = min(*rate, maxRate)
+	}
+	return r
+}
+
 // Meter counts the work that this host has accepted. Its methods may be called
 // by many goroutines at once.
 type Meter struct {
@@ -116,6 +130,7 @@
 	if ok && !r.newer(&old) || !ok && len(a.reports) >= maxHosts {
 		return false
 	}
+	r.Rates = r.Rates.bounded()
 	a.reports[r.Host] = r
 	return true
 }
