Room for new entries is made for many at once

Operators would see: while a registry is full, each further entry of a flood looks at all 8,192 entries. Under the race detector 16,484 entries took over a minute, with the registry's lock held.

Cause: one entry was dropped for each new one, and none was remembered to be droppable while all are live.

--- a/internal/engines/instances/registry.go
+++ b/internal/engines/instances/registry.go
@@ -37,6 +37,7 @@
 	entries   map[string]*entry   // by id
 	byAddress map[string][]*entry // entries with a known address
 	rivals    map[string]rival    // by id
+	full      bool                // all entries were live when room was last looked for; until the next check for silent ones
 	log       []logged            // changes in order of their positions
 	changed   chan struct{}       // closed at the next change
 }
@@ -130,24 +131,35 @@
 	return r.position, true
 }
 
-// MakeRoom drops the entry that has gone or been silent for longest if another instance
-// needs its place. It returns a *FullError if there is none.
+// roomShare is the share of the entries that MakeRoom drops at once, so that a flood of new
+// ones does not look at all entries for each.
+const roomShare = 8
+
+// MakeRoom drops the entries that have gone or been silent for longest if another instance
+// needs a place. It returns a *FullError if there are none.
 func (r *Registry) MakeRoom(id string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, known := r.entries[id]; known || len(r.entries) < MaxEntries {
 		return nil
 	}
-	var oldest *entry
+	if r.full {
+		return &FullError{len(r.entries)}
+	}
+	var ended []*entry
 	for _, e := range r.entries {
-		if (e.Silent || e.State == Gone) && (oldest == nil || e.lastHeartbeat.Before(oldest.lastHeartbeat)) {
-			oldest = e
+		if e.Silent || e.State == Gone {
+			ended = append(ended, e)
 		}
 	}
-	if oldest == nil {
+	if len(ended) == 0 {
+		r.full = true
 		return &FullError{len(r.entries)}
 	}
-	r.drop(oldest)
+	slices.SortFunc(ended, func(a, b *entry) int { return a.lastHeartbeat.Compare(b.lastHeartbeat) })
+	for _, e := range ended[:min(len(ended), MaxEntries/roomShare)] {
+		r.drop(e)
+	}
 	return nil
 }
 
@@ -164,6 +176,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var silent []string
+	r.full = false
 	r.expireRivals(now)
 	for id, e := range r.entries {
 		sinceHeartbeat := now.Sub(e.lastHeartbeat)
