--- a/internal/engines/instances/instance.go
+++ b/internal/engines/instances/instance.go
@@ -4,7 +4,8 @@
 //
 // An instance is identified by its id and the time of its start. A report about an
 // older start, or with a lower sequence number of the same start, has no effect once
-// a newer one was received.
+// a newer one was received, unless that was the word of another writer: it is silent, while
+// the older reports go on.
 package instances
 
 import "time"
@@ -59,6 +60,22 @@
 	Silent bool `json:"silent,omitempty"` // no heartbeat within silentAfterIntervals
 }
 
+// Sizes of encoded changes: fixedBytes of names of fields and numbers in each change and each
+// model, and up to escapedBytes for a byte of text.
+const (
+	fixedBytes   = 200
+	escapedBytes = 6
+)
+
+// encodedBytes returns how many bytes the change takes at most as JSON.
+func (c *Change) encodedBytes() int {
+	text, models := len(c.ID)+len(c.Endpoint)+len(c.Address)+len(c.Zone), len(c.Models)
+	for _, m := range c.Models {
+		text += len(m.Name)
+	}
+	return fixedBytes*(1+models) + escapedBytes*text
+}
+
 // silentAfterIntervals is the number of intervals without a heartbeat after which an
 // instance counts as silent: heartbeats may be late by more than one interval.
 const silentAfterIntervals = 3
--- a/internal/engines/instances/registry.go
+++ b/internal/engines/instances/registry.go
@@ -2,11 +2,24 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 )
 
+// MaxEntries bounds the instances that a Registry records: several times those of a large
+// deployment.
+const MaxEntries = 8192
+
+// FullError reports that a Registry has no room for another instance.
+type FullError struct{ Entries int }
+
+// Error implements error.
+func (e *FullError) Error() string {
+	return fmt.Sprintf("this control host lists %d live instances and takes no more: stop what announces so many", e.Entries)
+}
+
 // entry is the record of one instance in a Registry.
 type entry struct {
 	Change
@@ -23,6 +36,8 @@
 	position  uint64
 	entries   map[string]*entry   // by id
 	byAddress map[string][]*entry // entries with a known address
+	rivals    map[string]rival    // by id
+	full      bool                // all entries were live when room was last looked for; until the next check for silent ones
 	log       []logged            // changes in order of their positions
 	changed   chan struct{}       // closed at the next change
 }
@@ -39,18 +54,19 @@
 // NewRegistry returns an empty Registry for instances that send a heartbeat each
 // interval.
 func NewRegistry(interval time.Duration) *Registry {
-	return &Registry{interval: interval, entries: map[string]*entry{}, byAddress: map[string][]*entry{}, changed: make(chan struct{})}
+	return &Registry{interval: interval, entries: map[string]*entry{}, byAddress: map[string][]*entry{}, rivals: map[string]rival{}, changed: make(chan struct{})}
 }
 
 // Observe records a heartbeat. It returns the newest position, which includes the
 // heartbeat, and whether anything changed. A heartbeat changes nothing if a newer one of
-// the instance is recorded, if an instance that started later has its address, or if it
-// reports a leaving instance as ready again.
+// the instance is recorded, if its start was at another address, or if an instance that
+// started later has its address, unless it outlives those, or if it reports a leaving instance
+// as ready again.
 func (r *Registry) Observe(in Instance, now time.Time) (position uint64, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, known := r.entries[in.ID]
-	if known && !in.supersedes(&e.Instance) || r.replacedAt(in) {
+	if r.keptOut(in) && !r.outlives(in, now) {
 		return r.position, false
 	}
 	if known && e.Born == in.Born && e.State != Ready && in.State == Ready {
@@ -72,9 +88,16 @@
 	return r.position, changed
 }
 
-// replacedAt reports whether an instance with a later start has the address of in.
-func (r *Registry) replacedAt(in Instance) bool {
-	return slices.ContainsFunc(r.byAddress[in.Address], func(e *entry) bool { return e.ID != in.ID && e.Born > in.Born })
+// replacements returns the other instances with a later start that have the address of in. The
+// caller holds r.mu.
+func (r *Registry) replacements(in Instance) []*entry {
+	var out []*entry
+	for _, e := range r.byAddress[in.Address] {
+		if e.ID != in.ID && e.Born > in.Born {
+			out = append(out, e)
+		}
+	}
+	return out
 }
 
 // removeAddress removes an entry from the index by address. The caller holds r.mu.
@@ -108,19 +131,58 @@
 	return r.position, true
 }
 
+// roomShare is the share of the entries that MakeRoom drops at once, so that a flood of new
+// ones does not look at all entries for each.
+const roomShare = 8
+
+// MakeRoom drops the entries that have gone or been silent for longest if another instance
+// needs a place. It returns a *FullError if there are none.
+func (r *Registry) MakeRoom(id string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.entries[id]; known || len(r.entries) < MaxEntries {
+		return nil
+	}
+	if r.full {
+		return &FullError{len(r.entries)}
+	}
+	var ended []*entry
+	for _, e := range r.entries {
+		if e.Silent || e.State == Gone {
+			ended = append(ended, e)
+		}
+	}
+	if len(ended) == 0 {
+		r.full = true
+		return &FullError{len(r.entries)}
+	}
+	slices.SortFunc(ended, func(a, b *entry) int { return a.lastHeartbeat.Compare(b.lastHeartbeat) })
+	for _, e := range ended[:min(len(ended), MaxEntries/roomShare)] {
+		r.drop(e)
+	}
+	return nil
+}
+
+// drop deletes an entry. The caller holds r.mu.
+func (r *Registry) drop(e *entry) {
+	r.removeAddress(e)
+	delete(r.entries, e.ID)
+	e.position = 0 // supersedes what the log has of it
+}
+
 // Expire marks instances without a recent heartbeat as silent and deletes entries
 // after goneRetention. It returns the ids that became silent.
 func (r *Registry) Expire(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var silent []string
+	r.full = false
+	r.expireRivals(now)
 	for id, e := range r.entries {
 		sinceHeartbeat := now.Sub(e.lastHeartbeat)
 		if sinceHeartbeat > goneRetention {
-			r.removeAddress(e)
-			delete(r.entries, id)
-			e.position = 0 // supersedes what the log has of it
-		} else if !e.Silent && e.State != Gone && sinceHeartbeat > silentAfterIntervals*r.interval {
+			r.drop(e)
+		} else if !e.Silent && e.State != Gone && r.quiet(e, now) {
 			e.Silent = true
 			silent = append(silent, id)
 			r.markChanged(e)
@@ -142,17 +204,27 @@
 	r.changed = make(chan struct{})
 }
 
+// pageBytes is the size from which Since leaves further changes to the next call. A link of
+// 10 Mbit/s carries it in 0.4 s, well before a watch call times out.
+const pageBytes = 512 << 10
+
 // Since returns the changes after a position, the position reached, and a channel
-// that is closed at the next change.
+// that is closed at the next change. A long list comes in several pages, of which the last
+// reaches the newest position.
 func (r *Registry) Since(position uint64) ([]Change, uint64, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	from, _ := slices.BinarySearchFunc(r.log, position+1, func(l logged, at uint64) int { return cmp.Compare(l.position, at) })
 	var out []Change
+	reached, size := position, 0
 	for _, l := range r.log[from:] {
-		if !l.superseded() {
-			out = append(out, l.entry.Change)
+		if l.superseded() {
+			continue
+		}
+		if size += l.entry.encodedBytes(); size > pageBytes && len(out) > 0 {
+			return out, reached, r.changed
 		}
+		out, reached = append(out, l.entry.Change), l.position
 	}
 	return out, r.position, r.changed
 }
