--- a/internal/control/formation/series_test.go
+++ b/internal/control/formation/series_test.go
@@ -1,7 +1,6 @@
 package formation_test
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -263,6 +262,6 @@
 		}
 		slices.Sort(times)
 		at := func(share float64) time.Duration { return times[int(share*float64(len(times)-1))] }
-		t.Log(fmt.Sprintf("leader %v: %d votes moved, p50 %v, p99 %v, worst %v", leader, len(times), at(0.5), at(0.99), at(1)))
+		t.Logf("leader %v: %d votes moved, p50 %v, p99 %v, worst %v", leader, len(times), at(0.5), at(0.99), at(1))
 	}
 }
