Votes: announced ends settle with what was decided, refused moves cost nothing, late requests remove no successor

TestVoterThatStopsHasNoVoteOnceItHasEnded: new; with the announcement taken out it fails ("host 1 has ended and still votes"). Tried and taken back: asking all seeds to join at once.

--- a/internal/control/controlhost/leave.go
+++ b/internal/control/controlhost/leave.go
@@ -64,29 +64,33 @@
 	return out
 }
 
-// settle tells the waiting members that their votes have moved as far as possible.
-func (l *leaves) settle() {
+// settle tells the waiting members among those that leave that their votes have moved as far
+// as possible.
+func (l *leaves) settle(leaving map[uint64]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, settled := range l.wait {
-		close(settled)
-		delete(l.wait, id)
+		if leaving[id] || l.since[id].IsZero() {
+			close(settled)
+			delete(l.wait, id)
+		}
 	}
 }
 
 // handOver moves leadership and then the vote of this host's replica to other members,
-// before the process ends: until then a voter that is gone could cost the quorum.
+// before the process ends: until then a voter that is gone could cost the quorum. A learner
+// announces its end too, so that it is given no vote.
 func (m *membership) handOver(opened *openReplica) {
 	opened.replica.TransferLeadershipToAny(transferTimeout)
 	status := opened.replica.Status()
-	if status.Role == replica.RoleLeader || status.LeaderAddress == "" || !isVoter(status, opened.id) {
+	if status.Role == replica.RoleLeader || status.LeaderAddress == "" || !isMember(status, opened.id) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	var resp controlapi.LeaveResponse
 	err := m.host.rpc.Get(status.LeaderAddress).Call(ctx, controlapi.MethodLeave, controlapi.LeaveRequest{ID: opened.id}, &resp)
-	m.host.logger.Info("vote handed over before the end", "leader", status.LeaderAddress, "moved", resp.Moved, "err", err)
+	m.host.logger.Info("end announced to the leader of the control group", "leader", status.LeaderAddress, "without_vote", resp.Moved, "err", err)
 }
 
 func isVoter(status replica.Status, id uint64) bool {
--- a/internal/control/controlhost/votes.go
+++ b/internal/control/controlhost/votes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -74,17 +75,21 @@
 func (k *voteKeeper) moveVotes(ctx context.Context, opened *openReplica) {
 	for ctx.Err() == nil {
 		status := opened.replica.Status()
-		members := healthOf(status, k.commit, k.host.leaves.announced(time.Now()))
+		leaving := k.host.leaves.announced(time.Now())
+		members := healthOf(status, k.commit, leaving)
 		k.commit = status.Commit
 		k.logSilent(members)
 		step := formation.NextStep(members, status.ID, k.policy)
-		if step.Kind == formation.NoStep || step.MovesVote && !k.moves.Allow() {
-			k.host.leaves.settle()
+		if step.Kind == formation.NoStep || step.MovesVote && k.moves.Tokens() < 1 {
+			k.host.leaves.settle(leaving)
 			return
 		}
 		if k.apply(ctx, opened, step) != nil {
 			return
 		}
+		if step.MovesVote {
+			k.moves.Allow()
+		}
 	}
 }
 
@@ -116,7 +121,11 @@
 // same host before it lost its disk: its vote moves, and it is removed, as its vote must not
 // count without its log.
 func (k *voteKeeper) admit(ctx context.Context, opened *openReplica, req controlapi.JoinRequest) {
-	for _, m := range opened.replica.Status().Members {
+	status := opened.replica.Status()
+	if _, removed := slices.BinarySearch(status.Removed, req.ID); removed {
+		return // a late request of a former replica at an address that another one has now
+	}
+	for _, m := range status.Members {
 		if m.Address != req.Address || m.ID == req.ID {
 			continue
 		}
