An end is not settled while a learner that is behind can take the vote

What operators would see: a host that leads and stops ends with its vote now and then, "end announced … without_vote=false", and the vote moves a second later by silence instead of before the end. Cause: a new leader knows nothing of the learners' logs for some milliseconds; in that moment no learner could take the vote, and the decision of that moment was told to the host that stops.

--- a/internal/control/controlhost/leave.go
+++ b/internal/control/controlhost/leave.go
@@ -64,13 +64,13 @@
 	return out
 }
 
-// settle tells the waiting members among those that leave that their votes have moved as far
-// as possible.
-func (l *leaves) settle(leaving map[uint64]bool) {
+// settle tells those waiting members that are settled, and those whose announcement has
+// expired.
+func (l *leaves) settle(isSettled func(id uint64) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, settled := range l.wait {
-		if leaving[id] || l.since[id].IsZero() {
+		if l.since[id].IsZero() || isSettled(id) {
 			close(settled)
 			delete(l.wait, id)
 		}
--- a/internal/control/controlhost/votes.go
+++ b/internal/control/controlhost/votes.go
@@ -81,7 +81,7 @@
 		k.logSilent(members)
 		step := formation.NextStep(members, status.ID, k.policy)
 		if step.Kind == formation.NoStep || step.MovesVote && k.moves.Tokens() < 1 {
-			k.host.leaves.settle(leaving)
+			k.host.leaves.settle(func(id uint64) bool { return leaving[id] && formation.Settled(id, members, k.policy) })
 			return
 		}
 		if k.apply(ctx, opened, step) != nil {
--- a/internal/control/formation/votes.go
+++ b/internal/control/formation/votes.go
@@ -194,6 +194,19 @@
 	return inZone
 }
 
+// Settled reports whether the vote of a member that leaves has moved or cannot move soon,
+// because no learner is up.
+func Settled(id uint64, members []Health, policy Policy) bool {
+	takers := false
+	for _, m := range members {
+		if m.ID == id && m.Learner {
+			return true
+		}
+		takers = takers || m.Learner && !m.Leaving && m.Silent < policy.VoteTimeout()/2
+	}
+	return !takers
+}
+
 // bestLearner returns the learner that is up, caught up and in the zone with the fewest
 // voters that are up, nil when there is none.
 func bestLearner(learners, voters []Health, timeout time.Duration) *Health {
--- a/internal/control/formation/votes_test.go
+++ b/internal/control/formation/votes_test.go
@@ -156,3 +156,24 @@
 		})
 	}
 }
+
+func TestEndIsNotSettledWhileALearnerThatIsBehindCanTakeTheVote(t *testing.T) {
+	policy := Policy{Tolerance: Tolerance{Hosts: 1, Zones: 1}, ReplaceAfter: replaceAfter}
+	ends := leaving(member(2, "b", false))
+	tests := []struct {
+		name    string
+		members []Health
+		want    bool
+	}{
+		{"a learner that is behind", []Health{ends, silent(member(4, "d", true), 0)}, false},
+		{"a learner that is silent", []Health{ends, silent(member(4, "d", true), time.Second)}, true},
+		{"a learner that leaves too", []Health{ends, leaving(member(4, "d", true))}, true},
+		{"no learner", []Health{ends}, true},
+		{"its vote has moved", []Health{leaving(member(2, "b", true)), member(4, "d", false)}, true},
+	}
+	for _, tt := range tests {
+		if got := Settled(2, append([]Health{member(1, "a", false)}, tt.members...), policy); got != tt.want {
+			t.Errorf("%s: settled %v", tt.name, got)
+		}
+	}
+}
