--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -145,12 +145,7 @@
 	h.watcher = controlwatch.NewObserver(h.rpc, h.view, replicatedConfiguration{}, h.logger)
 	h.proposals = set.GetOrCreateHistogram("filberthook_control_replace_seconds")
 	h.heartbeats = set.GetOrCreateCounter("filberthook_control_heartbeats_total")
-	set.GetOrCreateGauge("filberthook_control_quorum", func() float64 {
-		if h.hasQuorum.Load() {
-			return 1
-		}
-		return 0
-	})
+	set.GetOrCreateGauge("filberthook_control_quorum", h.quorumGauge)
 	set.GetOrCreateGauge("filberthook_control_config_version", func() float64 { return float64(h.currentVersion()) })
 	return h, nil
 }
--- a/internal/control/controlhost/quorum.go
+++ b/internal/control/controlhost/quorum.go
@@ -53,6 +53,13 @@
 	return quorumUnchanged, without
 }
 
+func (h *Host) quorumGauge() float64 {
+	if h.hasQuorum.Load() {
+		return 1
+	}
+	return 0
+}
+
 // watchQuorum logs when this host loses its quorum and when it regains it.
 func (h *Host) watchQuorum(ctx context.Context) {
 	var watch quorumWatch
