--- a/internal/control/formation/series_test.go
+++ b/internal/control/formation/series_test.go
@@ -22,8 +22,8 @@
 
 var lossKinds = []string{"sudden", "planned", "disk", "restart", "pause", "zone", "all"}
 
-// event is a loss that the pages of the platform allow. The next one comes gap after the time from
-// which they allow it.
+// event is a loss of one or more hosts. The next one comes gap after the earliest moment at
+// which the tolerance allows it.
 type event struct {
 	kind   string
 	victim string // leader, voter or any
@@ -226,8 +226,8 @@
 	}
 }
 
-// TestModelFindsVotesThatMoveLate shows that the series catches a decision that waits for
-// as long as the pages leave until the next loss.
+// TestModelFindsVotesThatMoveLate shows that the series catches a decision that waits until the
+// next loss may come.
 func TestModelFindsVotesThatMoveLate(t *testing.T) {
 	found := 0
 	for seed := range uint64(20) {
