The end of a control host is announced until a leader has answered

What operators would see: a control host that leads and is stopped ends with its vote, "end announced ... without_vote=false err=... this host does not lead the control group". The vote then moves by silence half a second to a second later; a loss in that time could cost the quorum. It was made once and not repeated. It was not made at all while no leader was known, and a leader that lost its leadership left those waiting without an answer. Ruled out: a learner that was not up (all answered), the bound on moves (announced ends do not use it). Change: the announcement is repeated for as long as the stop waits for it, each time at the leader that is known then; a call ends after half of that time, so that a leader that has gone leaves time for the next one. A host that no longer leads says so to those that wait. TestEndIsAnnouncedUntilALeaderAnswers fails without the repetition ("after 0 calls"); TestEndIsNotSettledByAHostThatNoLongerLeads is new.

--- a/internal/control/controlhost/leave_test.go
+++ b/internal/control/controlhost/leave_test.go
@@ -1,12 +1,61 @@
 package controlhost
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
+	"filberthook/internal/control/controlapi"
 	"filberthook/internal/replication/replica"
 )
 
+func TestEndIsAnnouncedUntilALeaderAnswers(t *testing.T) {
+	t.Parallel()
+	leaders := []string{"", "new", "new", "gone", "next"}
+	a := endAnnouncement{
+		leader: func() string {
+			leader := leaders[0]
+			leaders = leaders[1:]
+			return leader
+		},
+	}
+	a.call = func(ctx context.Context, leader string) (controlapi.LeaveResponse, error) {
+		switch {
+		case leader == "gone":
+			<-ctx.Done()
+			return controlapi.LeaveResponse{}, context.Cause(ctx)
+		case leader == "new" && a.calls == 1:
+			return controlapi.LeaveResponse{}, &UnavailableError{errNotLeading}
+		case leader == "new":
+			return controlapi.LeaveResponse{}, errors.New("connection reset")
+		}
+		return controlapi.LeaveResponse{Moved: true}, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if resp, err := a.send(ctx); err != nil || !resp.Moved || a.told != "next" {
+		t.Errorf("after %d calls, the last to %q: moved %v, %v", a.calls, a.told, resp.Moved, err)
+	}
+}
+
+func TestEndIsNotSettledByAHostThatNoLongerLeads(t *testing.T) {
+	t.Parallel()
+	l := newLeaves()
+	settled := l.announce(1, time.Now())
+	l.abandon(errNotLeading)
+	<-settled.done
+	if settled.err == nil {
+		t.Error("the end counts as settled though no leader has decided")
+	}
+	settled = l.announce(1, time.Now())
+	l.settle(func(uint64) bool { return true })
+	<-settled.done
+	if settled.err != nil {
+		t.Error(settled.err)
+	}
+}
+
 func TestVoterThatStopsHasNoVoteOnceItHasEnded(t *testing.T) {
 	t.Parallel()
 	g := newGroup(t, 1, 2, 3)
--- a/internal/control/controlhost/votes.go
+++ b/internal/control/controlhost/votes.go
@@ -60,6 +60,7 @@
 		}
 		opened := h.membership.current.Load()
 		if opened == nil || opened.replica.Status().Role != replica.RoleLeader {
+			h.leaves.abandon(errNotLeading)
 			keeper.commit = 0
 			clear(keeper.silent)
 			continue
