A stopped server of calls between hosts no longer listens once it has returned

A supervisor that runs a control host within its own process would see the same. Cause: when a connection comes in at the moment of the stop, Serve sees that it is to end and returns; the listener is closed by a function that runs beside it and may not have run yet. The connection was not closed at all. Ruled out: ports of outgoing connections (their range starts at 32768), another test at the same addresses (no other run failed). Change: Serve closes the listener before it returns, and the connection that came in. The servers of net/http do so by themselves.

--- a/internal/network/peer/server.go
+++ b/internal/network/peer/server.go
@@ -67,6 +67,8 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
+	// The address is free once Serve has returned: the function above may not have run yet.
+	defer ln.Close()
 
 	slots := make(chan struct{}, s.opts.MaxConnections)
 	delay := firstAcceptPause
@@ -74,6 +76,9 @@
 		conn, err := ln.Accept()
 		switch {
 		case ctx.Err() != nil:
+			if err == nil {
+				conn.Close()
+			}
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept on %s: %w", ln.Addr(), err)
