A new leader moves no vote to a learner that has not answered it

What operators would see: a control host that is stopped in a series of replacements ends with its vote, "end announced ... calls=4 without_vote=false err=context deadline exceeded", and the leader logs "membership not changed step=promote ... learner_behind" 2 s later. Cause: at its first check a new leader took each member for caught up and, as it counts silence from its election, for up: it chose a learner that had been gone for 20 s and waited 2 s for it, in which no vote moved and no host joined. Change: at the first check a member has caught up only if it holds what is committed then, which a new leader knows only from an answer.

--- a/internal/control/controlhost/votes.go
+++ b/internal/control/controlhost/votes.go
@@ -29,7 +29,7 @@
 	host   *Host
 	policy formation.Policy
 	moves  *rate.Limiter
-	commit uint64          // of the previous check
+	commit uint64          // of the previous check, 0 before the first one of a new leader
 	silent map[uint64]bool // members that were logged as silent
 }
 
@@ -77,8 +77,7 @@
 	for ctx.Err() == nil {
 		status := opened.replica.Status()
 		leaving := k.host.leaves.announced(time.Now())
-		members := healthOf(status, k.commit, leaving)
-		k.commit = status.Commit
+		members := k.health(status, leaving)
 		k.logSilent(members)
 		step := formation.NextStep(members, status.ID, k.policy)
 		if step.Kind == formation.NoStep || step.MovesVote && k.moves.Tokens() < 1 {
@@ -94,13 +93,19 @@
 	}
 }
 
-// healthOf returns the health of the members as the leader's status shows it. A member has
-// caught up when it holds the log up to commit.
-func healthOf(status replica.Status, commit uint64, leaving map[uint64]bool) []formation.Health {
+// health returns the health of the members as the leader's status shows it. A member has
+// caught up when it holds the log up to the commit index of the previous check. At the
+// first check of a new leader it must hold what is committed now, so that one that has not
+// answered this leader yet does not count.
+func (k *voteKeeper) health(status replica.Status, leaving map[uint64]bool) []formation.Health {
+	if k.commit == 0 {
+		k.commit = status.Commit
+	}
 	out := make([]formation.Health, 0, len(status.Members))
 	for _, m := range status.Members {
-		out = append(out, formation.Health{Member: m.Member, Silent: m.Silent, CaughtUp: m.Match >= commit, Leaving: leaving[m.ID]})
+		out = append(out, formation.Health{Member: m.Member, Silent: m.Silent, CaughtUp: m.Match >= k.commit, Leaving: leaving[m.ID]})
 	}
+	k.commit = status.Commit
 	return out
 }
 
