Control hosts that are gone leave the member list while leaders are replaced

What operators would see: in a series of replacements each host that was replaced stays a member: 17 members after 13 replacements in 52 s, 13 of them gone, each of which the leader goes on calling. Cause: a learner was forgotten after 20 s of silence, which each leader counts from its own election; when hosts are replaced one after the other, no leader lives that long. Change: at most seven silent learners are kept for their return; of more, the one that is silent for longest is removed. One that comes back finds that it was removed and joins as a new member, as before. Ruled out: telling the next leader how long members were silent: hosts that are all replaced within 20 s cannot know it either. TestHostsThatAreGoneAreForgottenWhileLeadersAreReplaced failed before ("13 members after 9 replacements, at most 12 wanted").

--- a/internal/control/formation/votes.go
+++ b/internal/control/formation/votes.go
@@ -16,6 +16,8 @@
 	voteTimeoutShare = 4
 	// forgetFactor is the multiple of ReplaceAfter after which a silent learner is removed.
 	forgetFactor = 5
+	// maxSilentLearners is the number of silent learners that are kept for their return.
+	maxSilentLearners = consensus.MaxVoters
 )
 
 // Tolerance is the number of simultaneous losses that a group must survive.
@@ -102,9 +104,28 @@
 	if forgotten := longestSilent(learners, policy.forgetAfter()); forgotten != nil {
 		return Step{Kind: Remove, ID: forgotten.ID, Reason: "a learner is silent for good"}
 	}
+	if surplus := surplusLearner(learners, policy.VoteTimeout()); surplus != nil {
+		return Step{Kind: Remove, ID: surplus.ID, Reason: "too many learners are silent"}
+	}
 	return Step{}
 }
 
+// surplusLearner returns the learner that is silent for longest when more are silent than
+// the group keeps, nil otherwise. Each leader counts silence anew, so that hosts that are
+// gone are never forgotten by time alone while leaders are replaced faster than that.
+func surplusLearner(learners []Health, timeout time.Duration) *Health {
+	silent := 0
+	for _, l := range learners {
+		if l.Silent >= timeout {
+			silent++
+		}
+	}
+	if silent <= maxSilentLearners {
+		return nil
+	}
+	return longestSilent(learners, timeout)
+}
+
 func (h *Health) why() string {
 	if h.Leaving {
 		return "leaves"
