Entry host: a fetch under way keeps no watch of other control hosts busy

Seen: while one control host sent a new configuration, the watch calls at all others returned at once, one after the other: they named the version in force, and the control host had a newer one. The same held without end for a configuration that could not be read, with a fetch for each call. Callers saw nothing; control hosts and entry hosts lost processor time exactly while a large configuration went over a slow link.

Change: a watch call names the version that is being fetched.

--- /dev/null
+++ b/internal/control/controlwatch/fetch_test.go
@@ -0,0 +1,133 @@
+package controlwatch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/network/peer"
+	"filberthook/internal/process/pause"
+	"filberthook/internal/replication/document"
+	"filberthook/internal/replication/raftnet"
+)
+
+// playedControl is a control host of which a test decides when it announces its version and
+// what it answers to a fetch.
+type playedControl struct {
+	version  uint64
+	announce <-chan struct{}                                // nil to announce at once
+	document func(context.Context) (document.Packed, error) // nil to answer at once
+	address  string
+	watches  atomic.Int64 // calls
+	fetches  atomic.Int64 // calls
+}
+
+func (c *playedControl) watch(ctx context.Context, _ peer.Identity, req controlapi.WatchRequest) (controlapi.WatchResponse, error) {
+	c.watches.Add(1)
+	if c.announce != nil {
+		select {
+		case <-c.announce:
+		case <-ctx.Done():
+		}
+	}
+	if c.version <= req.Version {
+		pause.For(ctx, time.Duration(req.WaitMS)*time.Millisecond)
+	}
+	return controlapi.WatchResponse{Epoch: c.address, Version: c.version}, nil
+}
+
+func (c *playedControl) packed() (document.Packed, error) {
+	return document.Pack(document.Document{Version: c.version, Body: []byte("routes")})
+}
+
+func (c *playedControl) serve(t *testing.T, running *sync.WaitGroup, ctx context.Context) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.address = ln.Addr().String()
+	mux := peer.NewMux()
+	peer.Handle(mux, controlapi.MethodWatch, c.watch)
+	peer.Handle(mux, controlapi.MethodDocument, func(ctx context.Context, _ peer.Identity, _ controlapi.DocumentRequest) (document.Packed, error) {
+		c.fetches.Add(1)
+		if c.document != nil {
+			return c.document(ctx)
+		}
+		return c.packed()
+	})
+	running.Go(func() { _ = peer.NewServer(peer.Options{Self: peer.Identity{Host: "c"}}, mux).Serve(ctx, ln) })
+}
+
+// followPlayed follows control hosts until the test ends.
+func followPlayed(t *testing.T, config Configuration, hosts ...*playedControl) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	var seeds []string
+	for _, h := range hosts {
+		h.serve(t, &running, ctx)
+		seeds = append(seeds, h.address)
+	}
+	clients := raftnet.NewPool(peer.Options{Self: peer.Identity{Host: "e"}, DropOnTimeout: true})
+	w := New(clients, instances.NewView(time.Second), config, slog.New(slog.DiscardHandler))
+	running.Go(func() { w.Run(ctx, func() []string { return seeds }) })
+	t.Cleanup(func() { stop(); running.Wait(); clients.Close() })
+}
+
+// within fails the test unless a condition holds in time.
+func within(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// unreadable is a Configuration that cannot read any document.
+type unreadable struct{ fixedConfiguration }
+
+func (*unreadable) Offer(document.Document, string) error {
+	return errors.New("written by a later release")
+}
+
+func TestConfigurationThatCannotBeReadIsNotFetchedWithoutEnd(t *testing.T) {
+	t.Parallel()
+	host := &playedControl{version: 4}
+	followPlayed(t, &unreadable{}, host)
+	within(t, 5*time.Second, "a fetch", func() bool { return host.fetches.Load() > 0 })
+	time.Sleep(time.Second)
+	if watches, fetches := host.watches.Load(), host.fetches.Load(); watches > 20 || fetches > 10 {
+		t.Errorf("%d watch calls and %d fetches within a second", watches, fetches)
+	}
+}
+
+func TestSlowFetchKeepsNoOtherWatchBusy(t *testing.T) {
+	t.Parallel()
+	asked, answer := make(chan struct{}), make(chan struct{})
+	slow := &playedControl{version: 4}
+	slow.document = func(context.Context) (document.Packed, error) {
+		close(asked)
+		<-answer
+		return slow.packed()
+	}
+	other := &playedControl{version: 4, announce: asked}
+	config := &fixedConfiguration{}
+	followPlayed(t, config, slow, other)
+	<-asked
+	time.Sleep(300 * time.Millisecond)
+	watches := other.watches.Load()
+	close(answer)
+	if watches > 10 {
+		t.Errorf("%d watch calls at the other control host within 300 ms", watches)
+	}
+	within(t, 2*time.Second, "version 4 in force", func() bool { return config.Version() == 4 })
+}
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -23,8 +23,6 @@
 	watchWait = time.Second
 	// watchTimeout is when a watch call fails: a second after its answer is due.
 	watchTimeout = watchWait + time.Second
-	// fetchTimeout bounds the transfer of a large configuration over a slow link.
-	fetchTimeout = 3 * time.Second
 	// firstRetry and maxRetry bound the pause after a failed call, which doubles. It stays
 	// short because hosts that lost power together return within a second or two, at
 	// different times.
@@ -57,11 +55,11 @@
 
 	exchanged atomic.Bool // load was exchanged at least once
 
-	mu       sync.Mutex
-	watched  map[string]*controlHost // by peer address
-	leader   string                  // address of the group's leader, as last reported
-	fetching bool                    // the configuration is being fetched
-	hosts    hostCount               // entry hosts that watch a control host
+	mu      sync.Mutex
+	watched map[string]*controlHost // by peer address
+	leader  string                  // address of the group's leader, as last reported
+	fetches fetches                 // of the configuration
+	hosts   hostCount               // entry hosts that watch a control host
 }
 
 // controlHost is the state of one watched control host.
@@ -147,8 +145,9 @@
 // follow watches one control host until ctx ends or the host is forgotten.
 func (w *Watcher) follow(ctx context.Context, running *sync.WaitGroup, address string, t *controlHost) {
 	delay := firstRetry
+	var retry refetch
 	for ctx.Err() == nil {
-		resp, err := w.poll(ctx, address)
+		resp, err := w.poll(ctx, address, &retry)
 		if err != nil {
 			w.markLost(address, t, err)
 			if w.forgetIfUnnamed(address, t) || !pause.For(ctx, delay) {
@@ -161,9 +160,7 @@
 		w.markReached(address, t, resp)
 		w.track(ctx, running, resp.Peers)
 		w.view.Update(address, resp.Epoch, resp.Position, w.valid(address, resp.Changes), time.Now())
-		if resp.Version > w.config.Version() {
-			w.fetch(ctx, address)
-		}
+		w.fetch(ctx, address, resp.Version, &retry)
 	}
 }
 
@@ -179,13 +176,14 @@
 }
 
 // poll makes one watch call, which returns after a change or after watchWait.
-func (w *Watcher) poll(ctx context.Context, address string) (controlapi.WatchResponse, error) {
+func (w *Watcher) poll(ctx context.Context, address string, retry *refetch) (controlapi.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	epoch, position := w.view.Position(address)
+	version, wait := w.awaited(retry)
 	req := controlapi.WatchRequest{
 		Epoch: epoch, Position: position,
-		Version: w.config.Version(), WaitMS: watchWait.Milliseconds(), Observer: w.observer,
+		Version: version, WaitMS: wait.Milliseconds(), Observer: w.observer,
 	}
 	var resp controlapi.WatchResponse
 	err := w.clients.Get(address).Call(ctx, controlapi.MethodWatch, req, &resp)
@@ -230,37 +228,3 @@
 	w.logger.Info("control host forgotten", "control", address)
 	return true
 }
-
-// fetch fetches the configuration unless another fetch is running: all control hosts
-// announce a new version at about the same time.
-func (w *Watcher) fetch(ctx context.Context, address string) {
-	w.mu.Lock()
-	busy := w.fetching
-	w.fetching = true
-	w.mu.Unlock()
-	if busy {
-		return // the next watch call reports a version that is still newer
-	}
-	defer func() {
-		w.mu.Lock()
-		w.fetching = false
-		w.mu.Unlock()
-	}()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	if err := w.fetchFrom(ctx, address); err != nil {
-		w.logger.Warn("configuration not fetched", "control", address, "err", err)
-	}
-}
-
-func (w *Watcher) fetchFrom(ctx context.Context, address string) error {
-	var packed document.Packed
-	if err := w.clients.Get(address).Call(ctx, controlapi.MethodDocument, controlapi.DocumentRequest{}, &packed); err != nil {
-		return err
-	}
-	d, err := packed.Unpack()
-	if err != nil {
-		return err
-	}
-	return w.config.Offer(d, address)
-}
