Entry host: a control host that falls silent during a fetch delays no change

Seen: an entry host asked one control host for a new configuration. When that host fell silent then (frozen, cut off, without power), the entry host asked no other one for 3 s, a second longer than a change may take to be in force.

Change: the same version is fetched from a second control host after 700 ms; two fetches at most run at a time, as they share one link. A version that is newer than the one under way is fetched at once.

Before: TestControlHostThatFallsSilentDuringAFetchDelaysNoChange not within 2 s.

--- a/internal/control/controlwatch/fetch.go
+++ b/internal/control/controlwatch/fetch.go
@@ -8,23 +8,33 @@
 	"filberthook/internal/replication/document"
 )
 
-// fetchTimeout bounds the transfer of a large configuration over a slow link.
-const fetchTimeout = 3 * time.Second
+const (
+	// fetchTimeout bounds the transfer of a large configuration over a slow link.
+	fetchTimeout = 3 * time.Second
+	// secondFetchAfter is how long a fetch may take before the same version is fetched from
+	// another control host as well: the first one may have fallen silent.
+	secondFetchAfter = 700 * time.Millisecond
+	// maxFetches bounds concurrent fetches, which share a link that may be slow.
+	maxFetches = 2
+)
 
-// fetches tracks the fetch of the configuration that is under way: all control hosts announce
-// a new version at about the same time. The caller serializes access.
+// fetches tracks the fetches of the configuration that are under way: all control hosts
+// announce a new version at about the same time. The caller serializes access.
 type fetches struct {
 	running int
-	version uint64 // highest version announced while it runs
+	version uint64    // highest version announced while they run
+	since   time.Time // when the last of them began
 }
 
 // begin reports whether a control host that has announced a version is to be asked for it now.
-func (f *fetches) begin(version uint64) bool {
+func (f *fetches) begin(version uint64, now time.Time) bool {
+	pending := f.running > 0 && version <= f.version && now.Sub(f.since) < secondFetchAfter
 	f.version = max(f.version, version)
-	if f.running > 0 {
+	if f.running >= maxFetches || pending {
 		return false
 	}
 	f.running++
+	f.since = now
 	return true
 }
 
@@ -34,6 +44,14 @@
 	}
 }
 
+// awaited returns the version that is being fetched, 0 for none, and how long to wait for it.
+func (f *fetches) awaited(now time.Time) (version uint64, wait time.Duration) {
+	if f.running == 0 {
+		return 0, watchWait
+	}
+	return f.version, max(firstRetry, f.since.Add(secondFetchAfter).Sub(now))
+}
+
 // refetch delays the next fetch from a control host after one that failed. The host's changes
 // of instances are not delayed.
 type refetch struct {
@@ -51,12 +69,12 @@
 // long it may delay other answers.
 func (w *Watcher) awaited(r *refetch) (version uint64, wait time.Duration) {
 	w.mu.Lock()
-	version, wait = w.fetches.version, watchWait
+	version, wait = w.fetches.awaited(time.Now())
 	w.mu.Unlock()
 	if left := time.Until(r.at); left > 0 {
 		version, wait = max(version, r.version), min(wait, left)
 	}
-	return max(version, w.config.Version()), wait
+	return max(version, w.config.Version()), min(wait, watchWait)
 }
 
 // fetch fetches the configuration from a control host that has announced a newer version.
@@ -65,7 +83,7 @@
 		return
 	}
 	w.mu.Lock()
-	begun := w.fetches.begin(version)
+	begun := w.fetches.begin(version, time.Now())
 	w.mu.Unlock()
 	if !begun {
 		return
--- a/internal/control/controlwatch/fetch_test.go
+++ b/internal/control/controlwatch/fetch_test.go
@@ -92,6 +92,22 @@
 	}
 }
 
+// The limit is the time in which a change is to be in force.
+func TestControlHostThatFallsSilentDuringAFetchDelaysNoChange(t *testing.T) {
+	t.Parallel()
+	asked := make(chan struct{})
+	silent := &playedControl{version: 4, document: func(ctx context.Context) (document.Packed, error) {
+		close(asked)
+		<-ctx.Done()
+		return document.Packed{}, ctx.Err()
+	}}
+	sound := &playedControl{version: 4, announce: asked}
+	config := &fixedConfiguration{}
+	followPlayed(t, config, silent, sound)
+	<-asked
+	within(t, 2*time.Second, "version 4 in force", func() bool { return config.Version() == 4 })
+}
+
 // unreadable is a Configuration that cannot read any document.
 type unreadable struct{ fixedConfiguration }
 
