--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -4,12 +4,13 @@
 
 import (
 	"filberthook/internal/engines/quarantine"
+	"filberthook/internal/replication/document"
 )
 
 // Methods of control hosts.
 const (
 	MethodWatch    = "control.watch"    // WatchRequest to WatchResponse; at any control host
-	MethodDocument = "control.document" // DocumentRequest to document.Packed; at any control host
+	MethodDocument = "control.document" // DocumentRequest to DocumentResponse; at any control host
 	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
 	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
 	MethodLeave    = "control.leave"    // LeaveRequest to LeaveResponse, from a control host whose process ends; at the leader
@@ -46,7 +47,18 @@
 }
 
 // DocumentRequest asks for the configuration in force.
-type DocumentRequest struct{}
+type DocumentRequest struct {
+	// Confirm asks the control host to find out whether a newer one is in force elsewhere.
+	Confirm bool `json:"confirm,omitempty"`
+}
+
+// DocumentResponse holds the configuration in force at the control host.
+type DocumentResponse struct {
+	document.Packed
+	// Confirmed says that a quorum knew of none newer when it was asked. A control host that is
+	// out of touch with the leader, or has not caught up, may lag behind the others.
+	Confirmed bool `json:"confirmed,omitempty"`
+}
 
 // ProposeResponse holds the version in force after a proposal.
 type ProposeResponse struct {
@@ -123,6 +135,8 @@
 	Block quarantine.Suspect `json:"block,omitempty"` // the suspect, with Hold and Release
 	// Forwarded is set by the control host that passes the request on to the leader.
 	Forwarded bool `json:"forwarded,omitempty"`
+	// Copied is set by the leader that passes the word on to the other control hosts.
+	Copied bool `json:"copied,omitempty"`
 }
 
 // BlockWord is what an operator says of a prompt block.
