Elections: replicas whose timeouts end together elect one of them at once

A pre-candidate now withdraws for another one that it grants its pre-vote, if that one has a newer log or, with the same log, the higher id.

--- a/internal/control/formation/overlap_test.go
+++ b/internal/control/formation/overlap_test.go
@@ -277,11 +277,9 @@
 				o.play(90*time.Second, zonesToo)
 				o.checkRedundancy()
 				if o.failure != nil {
-					text := o.failure.Error()
-					_, what, _ := strings.Cut(text, ": ")
-					failed[strings.Join(strings.Fields(what)[:min(4, len(strings.Fields(what)))], " ")]++
+					failed[outline(o.failure)]++
 					if first == "" {
-						first = fmt.Sprintf("seed %d %s\n%s", seed, text, strings.Join(o.log[max(0, len(o.log)-40):], "\n"))
+						first = fmt.Sprintf("seed %d %v\n%s", seed, o.failure, strings.Join(o.log[max(0, len(o.log)-40):], "\n"))
 					}
 				}
 			}
--- a/internal/replication/consensus/election.go
+++ b/internal/replication/consensus/election.go
@@ -113,6 +113,9 @@
 	logUpToDate := c.log.upToDate(m.LogTerm, m.Index) || c.fault == faultVoteStaleLog
 	if canVote && logUpToDate {
 		response.Term, response.Reject = m.Term, false
+		if c.yields(m) {
+			c.becomeFollower(c.term, 0)
+		}
 		if !pre {
 			c.electionElapsed = 0
 			c.setVote(m.From, m.Incarnation)
@@ -121,6 +124,17 @@
 	c.reply(m, response)
 }
 
+// yields reports whether this pre-candidate withdraws for another one that it grants its
+// pre-vote: the one whose log is newer, else the one with the higher id, goes on. Both would
+// split the votes of the next term, and the group would wait for another election timeout.
+func (c *Core) yields(m *Message) bool {
+	if m.Type != MessagePreVote || c.role != RolePreCandidate || m.Term != c.term+1 {
+		return false
+	}
+	sameLog := m.LogTerm == c.log.lastTerm() && m.Index == c.log.lastIndex()
+	return !sameLog || m.From > c.cfg.ID
+}
+
 func (c *Core) handleVoteResponse(m *Message) {
 	want := RoleCandidate
 	if m.Type == MessagePreVoteResponse {
