Votes: a voter that fails over and over, or stores nothing, loses its vote

A voter that crashes and comes back within a second, over and over, kept its vote, as silence was the only sign of a loss; so did one whose disk refuses writes while its process answers.

formation.Availability now keeps what each member missed, from what the leader sees at each check (a pure function of health and elapsed time): - An outage is a time without an answer, or without an entry stored although entries were committed. One that ends with a restart of the process counts as much as the vote timeout, another one counts from an election timeout on and at most as the vote timeout. What a member missed is forgotten in twice that time of being up, and within ReplaceAfter. Twice the vote timeout makes it unsteady, which no single outage does. - The vote of an unsteady voter moves to a steady learner, none otherwise. A voter that has stored nothing for the vote timeout counts as gone; it is a candidate again once it has caught up. A crowded zone is relieved by steady learners only. - Members say in their answers for how many ticks they are up (the hint of an answer, 0 from older versions). A learner takes a vote only when its process has been up for an election timeout. Each move leaves fewer voters gone, else fewer unsteady, else fewer crowded, so that votes come to rest; moves are bounded in number as before.

--- a/internal/control/controlhost/votes.go
+++ b/internal/control/controlhost/votes.go
@@ -29,8 +29,11 @@
 	host   *Host
 	policy formation.Policy
 	moves  *rate.Limiter
-	commit uint64          // of the previous check
-	silent map[uint64]bool // members that were logged as silent
+	commit uint64 // of the previous check
+
+	availability formation.Availability
+	observed     time.Time                  // of the previous check
+	states       map[uint64]formation.State // of the members, as logged
 }
 
 func newVoteKeeper(h *Host) *voteKeeper {
@@ -41,7 +44,7 @@
 			ReplaceAfter: h.settings.ReplaceAfter.Duration,
 		},
 		moves:  rate.NewLimiter(rate.Every(moveInterval), maxMoves),
-		silent: map[uint64]bool{},
+		states: map[uint64]formation.State{},
 	}
 }
 
@@ -60,8 +63,7 @@
 		}
 		opened := h.membership.current.Load()
 		if opened == nil || opened.replica.Status().Role != replica.RoleLeader {
-			keeper.commit = 0
-			clear(keeper.silent)
+			keeper.reset()
 			continue
 		}
 		for _, req := range h.joins.take() {
@@ -71,6 +73,13 @@
 	}
 }
 
+// reset forgets what was seen of the members, as this host does not lead.
+func (k *voteKeeper) reset() {
+	k.commit, k.observed = 0, time.Time{}
+	k.availability.Reset()
+	clear(k.states)
+}
+
 // moveVotes applies steps until none is left or one fails.
 func (k *voteKeeper) moveVotes(ctx context.Context, opened *openReplica) {
 	for ctx.Err() == nil {
@@ -78,7 +87,8 @@
 		leaving := k.host.leaves.announced(time.Now())
 		members := healthOf(status, k.commit, leaving)
 		k.commit = status.Commit
-		k.logSilent(members)
+		k.availability.Observe(members, k.sinceObserved(time.Now()), k.policy)
+		k.logStates(members)
 		step := formation.NextStep(members, status.ID, k.policy)
 		if step.Kind == formation.NoStep || step.MovesVote && k.moves.Tokens() < 1 {
 			k.host.leaves.settle(func(id uint64) bool { return leaving[id] && formation.Settled(id, members, k.policy) })
@@ -98,22 +108,35 @@
 func healthOf(status replica.Status, commit uint64, leaving map[uint64]bool) []formation.Health {
 	out := make([]formation.Health, 0, len(status.Members))
 	for _, m := range status.Members {
-		out = append(out, formation.Health{Member: m.Member, Silent: m.Silent, CaughtUp: m.Match >= commit, Leaving: leaving[m.ID]})
+		out = append(out, formation.Health{
+			Member: m.Member, Match: m.Match, Silent: m.Silent, Up: m.Up, CaughtUp: m.Match >= commit, Leaving: leaving[m.ID],
+		})
 	}
 	return out
 }
 
-// logSilent logs when a member falls silent for as long as its vote may be kept, and when
-// it answers again.
-func (k *voteKeeper) logSilent(members []formation.Health) {
+// sinceObserved returns the time since the previous check. A longer pause is one of this host
+// and says nothing about the others.
+func (k *voteKeeper) sinceObserved(now time.Time) time.Duration {
+	since := now.Sub(k.observed)
+	if k.observed.IsZero() {
+		since = 0
+	}
+	k.observed = now
+	return min(since, 2*adjustInterval)
+}
+
+// logStates logs when a member becomes one whose vote is to move, and when it is up again.
+func (k *voteKeeper) logStates(members []formation.Health) {
 	for _, m := range members {
-		silent := m.Silent >= k.policy.VoteTimeout()
-		if silent == k.silent[m.ID] {
+		state := m.State(k.policy)
+		if state == k.states[m.ID] {
 			continue
 		}
-		k.silent[m.ID] = silent
+		k.states[m.ID] = state
 		k.host.logger.Info("member of the control group changed", "member", m.ID, "address", m.Address,
-			"member_zone", m.Zone, "voter", !m.Learner, "silent", silent, "silent_ms", m.Silent.Milliseconds(), "leaves", m.Leaving)
+			"member_zone", m.Zone, "voter", !m.Learner, "state", state.String(), "silent", state == formation.Silent, "silent_ms", m.Silent.Milliseconds(),
+			"stalled_ms", m.Stalled.Milliseconds(), "missed_ms", m.Missed.Milliseconds(), "match", m.Match, "leaves", m.Leaving)
 	}
 }
 
--- a/internal/control/formation/votes.go
+++ b/internal/control/formation/votes.go
@@ -16,6 +16,15 @@
 	voteTimeoutShare = 4
 	// forgetFactor is the multiple of ReplaceAfter after which a silent learner is removed.
 	forgetFactor = 5
+	// unsteadyFactor is the multiple of the vote timeout that a member may miss in outages
+	// that follow each other.
+	unsteadyFactor = 2
+	// forgiveness is the multiple of its missed time for which a member must be up until that
+	// is forgotten: less than ReplaceAfter for one outage, after which the next is allowed.
+	forgiveness = 2
+	// minUp is the time since its start for which a learner must be up to take a vote: a
+	// process that ends sooner each time would be one more voter that is lost.
+	minUp = minVoteTimeout
 )
 
 // Tolerance is the number of simultaneous losses that a group must survive.
@@ -63,55 +72,51 @@
 // Health is a member with its state as the leader sees it.
 type Health struct {
 	replica.Member
+	Match    uint64        // highest index that it has stored
 	Silent   time.Duration // since the member was last heard from
+	Up       time.Duration // since its start, as it said last; 0 when unknown
 	CaughtUp bool          // holds what was committed a moment ago
 	Leaving  bool          // has announced that its process ends
+	// Availability sets the following.
+	Stalled time.Duration // it answers and has stored nothing, although entries were committed
+	Missed  time.Duration // recent outages added up
 }
 
 // NextStep returns the next membership change for the leader with the given id, one at a
 // time. The group grows to the number of voters that the tolerance requires, spread over
-// availability zones. The vote of a member that is silent or leaves moves to a learner: the
-// learner is promoted first, so that the group never has fewer voters that are up. The
-// former voter stays a learner with its log, unless it is silent for much longer.
+// availability zones. The vote of a member that is silent, stores nothing, leaves or is
+// unsteady moves to a learner: the learner is promoted first, so that the group never has
+// fewer voters that are up. The former voter stays a learner with its log, unless it is
+// silent for much longer.
+//
+// Each move leaves fewer voters that are gone, else fewer that are unsteady, else fewer in
+// crowded zones, so that votes come to rest when the health of the members does.
 func NextStep(members []Health, leader uint64, policy Policy) Step {
-	voters, learners := split(members)
-	target := targetVoters(members, policy.Tolerance)
-	gone := goneVoter(voters, leader, policy.VoteTimeout())
-	if gone != nil && len(voters) > target {
-		return Step{Kind: Demote, ID: gone.ID, Reason: gone.why() + ", and another member has its vote"}
+	g := newGroup(members, leader, policy)
+	if causes := g.causes(); len(causes) > 0 && len(g.voters) > g.target {
+		return Step{Kind: Demote, ID: causes[0].voter.ID, Reason: causes[0].reason}
 	}
-	crowded := crowdedVoter(voters, leader, policy)
-	if crowded != nil && len(voters) > target {
-		return Step{Kind: Demote, ID: crowded.ID, Reason: crowdedReason}
-	}
-	if candidate := bestLearner(learners, voters, policy.VoteTimeout()); candidate != nil {
-		crowded = relieved(crowded, candidate, voters)
-		switch {
-		case len(voters) < target:
+	if len(g.voters) < g.target {
+		if candidate := g.candidate(nil); candidate != nil {
 			return Step{Kind: Promote, ID: candidate.ID, Reason: "the group has too few voters"}
-		case gone != nil && len(voters) < consensus.MaxVoters:
-			return Step{Kind: Promote, ID: candidate.ID, Reason: "a voter " + gone.why(), MovesVote: !gone.Leaving}
-		case gone != nil:
-			return Step{Kind: Demote, ID: gone.ID, Reason: gone.why() + ", and a learner can take its vote", MovesVote: !gone.Leaving}
-		case crowded != nil && len(voters) < consensus.MaxVoters:
-			return Step{Kind: Promote, ID: candidate.ID, Reason: crowdedReason, MovesVote: true}
-		case crowded != nil:
-			return Step{Kind: Demote, ID: crowded.ID, Reason: crowdedReason, MovesVote: true}
 		}
 	}
-	if forgotten := longestSilent(learners, policy.forgetAfter()); forgotten != nil {
+	for _, c := range g.causes() {
+		to := g.candidate(c.voter)
+		if to == nil || !c.relievedBy(to) {
+			continue
+		}
+		if len(g.voters) >= consensus.MaxVoters {
+			return Step{Kind: Demote, ID: c.voter.ID, Reason: c.reason, MovesVote: !c.voter.Leaving}
+		}
+		return Step{Kind: Promote, ID: to.ID, Reason: "a voter " + c.reason, MovesVote: !c.voter.Leaving}
+	}
+	if forgotten := longestSilent(g.learners, policy.forgetAfter()); forgotten != nil {
 		return Step{Kind: Remove, ID: forgotten.ID, Reason: "a learner is silent for good"}
 	}
 	return Step{}
 }
 
-func (h *Health) why() string {
-	if h.Leaving {
-		return "leaves"
-	}
-	return "is silent"
-}
-
 // targetVoters returns the number of voters that survives the tolerated losses, as far as
 // there are members for it. The number is odd: one more voter would survive no more losses.
 func targetVoters(members []Health, t Tolerance) int {
@@ -126,74 +131,6 @@
 	return min(n, len(members))
 }
 
-func split(members []Health) (voters, learners []Health) {
-	for _, m := range members {
-		if m.Learner {
-			learners = append(learners, m)
-		} else {
-			voters = append(voters, m)
-		}
-	}
-	return voters, learners
-}
-
-// goneVoter returns the voter whose vote is to move: the one that is silent for longest,
-// otherwise one that leaves. It is nil when all are up.
-func goneVoter(voters []Health, leader uint64, timeout time.Duration) *Health {
-	var gone *Health
-	for i := range voters {
-		v := &voters[i]
-		if v.ID == leader || !v.Leaving && v.Silent < timeout {
-			continue
-		}
-		if gone == nil || v.Silent > gone.Silent {
-			gone = v
-		}
-	}
-	return gone
-}
-
-// crowdedReason is the reason for moving the vote of a crowded voter.
-const crowdedReason = "the loss of a zone would cost the quorum"
-
-// crowdedVoter returns a voter other than the leader in a zone whose loss would cost the
-// quorum although it is to be borne, nil when there is none.
-func crowdedVoter(voters []Health, leader uint64, policy Policy) *Health {
-	if policy.Tolerance.Zones == 0 {
-		return nil
-	}
-	inZone := votersByZone(voters)
-	quorum := len(voters)/2 + 1
-	for i := range voters {
-		v := &voters[i]
-		if v.ID != leader && inZone[v.Zone] > 1 && len(voters)-inZone[v.Zone] < quorum {
-			return v
-		}
-	}
-	return nil
-}
-
-// relieved returns the crowded voter if its zone is less crowded once the candidate has its
-// vote, and nil otherwise.
-func relieved(crowded, candidate *Health, voters []Health) *Health {
-	if crowded == nil {
-		return nil
-	}
-	inZone := votersByZone(voters)
-	if inZone[candidate.Zone]+1 >= inZone[crowded.Zone] {
-		return nil
-	}
-	return crowded
-}
-
-func votersByZone(voters []Health) map[string]int {
-	inZone := map[string]int{}
-	for _, v := range voters {
-		inZone[v.Zone]++
-	}
-	return inZone
-}
-
 // Settled reports whether the vote of a member that leaves has moved or cannot move soon,
 // because no learner is up.
 func Settled(id uint64, members []Health, policy Policy) bool {
@@ -207,28 +144,6 @@
 	return !takers
 }
 
-// bestLearner returns the learner that is up, caught up and in the zone with the fewest
-// voters that are up, nil when there is none.
-func bestLearner(learners, voters []Health, timeout time.Duration) *Health {
-	inZone := map[string]int{}
-	for _, v := range voters {
-		if v.Silent < timeout && !v.Leaving {
-			inZone[v.Zone]++
-		}
-	}
-	var best *Health
-	for i := range learners {
-		l := &learners[i]
-		if l.Leaving || l.Silent >= timeout/2 || !l.CaughtUp {
-			continue
-		}
-		if best == nil || inZone[l.Zone] < inZone[best.Zone] {
-			best = l
-		}
-	}
-	return best
-}
-
 func longestSilent(members []Health, after time.Duration) *Health {
 	var longest *Health
 	for i := range members {
--- a/internal/replication/consensus/core.go
+++ b/internal/replication/consensus/core.go
@@ -92,6 +92,7 @@
 	electionTimeout  int    // ticks
 	lastLeader       uint64 // replica that was last heard from as a leader
 	lastLeaderTicks  int    // ticks since then
+	upTicks          uint64 // since the start
 	votes            map[uint64]ballot
 
 	progress       map[uint64]*progress // leader only
@@ -127,6 +128,7 @@
 		term:            st.HardState.Term,
 		vote:            st.HardState.Vote,
 		voteIncarnation: st.HardState.VoteIncarnation,
+		upTicks:         1, // 0 stands for unknown
 		saved:           st.HardState,
 		snapshot:        &snap,
 		memberships:     []indexedMembership{{snap.Index, snap.Membership}},
@@ -207,6 +209,7 @@
 	if c.excluded != ExclusionNone {
 		return
 	}
+	c.upTicks++
 	c.electionElapsed++
 	c.lastLeaderTicks++
 	if c.log.committed > c.saved.Commit {
--- a/internal/replication/consensus/election_test.go
+++ b/internal/replication/consensus/election_test.go
@@ -62,3 +62,41 @@
 		}
 	}
 }
+
+func TestLeaderKnowsForHowLongMembersAreUp(t *testing.T) {
+	cores := map[uint64]*consensus.Core{}
+	for id := range uint64(4) {
+		if id == 0 {
+			continue
+		}
+		members := []consensus.Member{{ID: 1, Incarnation: 1}, {ID: 2, Incarnation: 2}, {ID: 3, Incarnation: 3}}
+		c, err := consensus.New(consensus.Config{ID: id, Incarnation: id, Seed: id}, consensus.State{
+			Snapshot: consensus.Snapshot{Membership: consensus.NewMembership(members)},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		cores[id] = c
+	}
+	tick := func(n int) {
+		for range n {
+			for _, c := range cores {
+				c.Tick()
+			}
+			deliver(t, cores)
+		}
+	}
+	tick(100)
+	for id, c := range cores {
+		if c.Role() != consensus.RoleLeader {
+			continue
+		}
+		for _, m := range c.Status().Members {
+			if up := m.UpTicks; m.ID != id && (up < 99 || up > 101) {
+				t.Errorf("member %d: up for %d ticks, want 100", m.ID, up)
+			}
+		}
+		return
+	}
+	t.Error("no leader")
+}
--- a/internal/replication/consensus/progress.go
+++ b/internal/replication/consensus/progress.go
@@ -24,6 +24,7 @@
 	probeSent         bool     // stateProbe: an append awaits its response
 	active            bool     // heard from since the last quorum check
 	silentTicks       int      // ticks since it was last heard from
+	upTicks           uint64   // ticks since its start, as it said last
 	readAck           uint64   // highest read sequence number confirmed
 	matchAtHeartbeat  uint64   // match at the previous heartbeat response
 	incarnation       uint64   // replica's incarnation that match refers to, 0 before first contact
--- a/internal/replication/consensus/ready.go
+++ b/internal/replication/consensus/ready.go
@@ -143,6 +143,7 @@
 	// SilentTicks is the time since the member was last heard from. A new leader counts from
 	// its election, and for the leader before it from that leader's last message.
 	SilentTicks int
+	UpTicks     uint64 // since its start, as it said last; 0 when unknown
 }
 
 // Status describes a replica at one moment.
@@ -174,7 +175,7 @@
 	}
 	for _, member := range s.Membership.Members {
 		p := c.progress[member.ID]
-		s.Members = append(s.Members, MemberStatus{Member: member, Match: p.match, Active: p.silentTicks < c.cfg.ElectionTicks, SilentTicks: p.silentTicks})
+		s.Members = append(s.Members, MemberStatus{Member: member, Match: p.match, Active: p.silentTicks < c.cfg.ElectionTicks, SilentTicks: p.silentTicks, UpTicks: p.upTicks})
 	}
 	return s
 }
--- a/internal/replication/consensus/replication.go
+++ b/internal/replication/consensus/replication.go
@@ -120,7 +120,7 @@
 func (c *Core) handleAppend(m *Message) {
 	response := Message{Type: MessageAppendResponse, Term: c.term}
 	if m.Index < c.log.committed {
-		response.Index = c.log.committed
+		response.Index, response.Hint = c.log.committed, c.upTicks
 		c.reply(m, response)
 		return
 	}
@@ -133,7 +133,7 @@
 		return
 	}
 	c.appendLog(c.log.missing(m.Entries))
-	response.Index = m.Index + uint64(len(m.Entries))
+	response.Index, response.Hint = m.Index+uint64(len(m.Entries)), c.upTicks
 	c.log.commitTo(min(m.Commit, response.Index))
 	c.reply(m, response)
 }
@@ -145,6 +145,7 @@
 	}
 	invariant.Check(m.Index <= c.log.lastIndex(), "match-within-log", "replica %d holds %d, last %d", m.From, m.Index, c.log.lastIndex())
 	p.acknowledge(m.Index)
+	p.upTicks = m.Hint
 	switch {
 	case p.state == stateProbe:
 		p.replicate()
@@ -199,13 +200,14 @@
 
 func (c *Core) handleHeartbeat(m *Message) {
 	c.log.commitTo(m.Commit)
-	c.reply(m, Message{Type: MessageHeartbeatResponse, Term: c.term, Context: m.Context})
+	c.reply(m, Message{Type: MessageHeartbeatResponse, Term: c.term, Context: m.Context, Hint: c.upTicks})
 }
 
 // handleHeartbeatResponse also resends lost messages: it takes them for lost when the
 // replica acknowledged nothing new since its previous heartbeat response.
 func (c *Core) handleHeartbeatResponse(p *progress, m *Message) {
 	c.confirmReads(p, m.Context)
+	p.upTicks = m.Hint
 	p.probeSent = false
 	if p.match == c.log.lastIndex() {
 		c.continueTransfer(m.From, p)
--- a/internal/replication/consensus/snapshot.go
+++ b/internal/replication/consensus/snapshot.go
@@ -42,7 +42,7 @@
 	chunk := m.Chunk
 	if chunk.Index <= c.log.committed {
 		c.incoming = nil
-		c.reply(m, Message{Type: MessageAppendResponse, Term: c.term, Index: c.log.committed})
+		c.reply(m, Message{Type: MessageAppendResponse, Term: c.term, Index: c.log.committed, Hint: c.upTicks})
 		return
 	}
 	if !c.incoming.belongs(m) {
@@ -63,7 +63,7 @@
 		return
 	}
 	c.install(&Snapshot{Index: chunk.Index, Term: chunk.Term, Membership: chunk.Membership, Data: in.data})
-	c.reply(m, Message{Type: MessageAppendResponse, Term: c.term, Index: chunk.Index})
+	c.reply(m, Message{Type: MessageAppendResponse, Term: c.term, Index: chunk.Index, Hint: c.upTicks})
 }
 
 func (c *Core) requestChunk(m *Message, offset uint64) {
--- a/internal/replication/consensus/types.go
+++ b/internal/replication/consensus/types.go
@@ -111,7 +111,7 @@
 	Index         uint64 // previous, last or matched index, by type
 	Commit        uint64
 	Context       uint64 // read sequence number or read context
-	Hint          uint64 // follower's last possible match, next chunk offset or incarnation
+	Hint          uint64 // last possible match, next chunk offset, incarnation or ticks since the start
 	Reject        bool
 	Force         bool // vote request of a leadership transfer: bypasses the lease check
 	Entries       []Entry
--- a/internal/replication/replica/status.go
+++ b/internal/replication/replica/status.go
@@ -12,12 +12,16 @@
 	"filberthook/internal/replication/consensus"
 )
 
+// maxUpTicks bounds what a member says of the time since its start.
+const maxUpTicks = 1 << 20
+
 // MemberStatus describes a member. Match and Active are known on the leader only.
 type MemberStatus struct {
 	Member
 	Match  uint64        // highest index known to be durable there
 	Active bool          // heard from within the last election timeout
 	Silent time.Duration // since it was last heard from
+	Up     time.Duration // since its replica was opened, as it said last; 0 when unknown
 }
 
 // Status describes a replica at one moment.
@@ -51,6 +55,7 @@
 		if len(s.Members) > 0 {
 			ms.Match, ms.Active = s.Members[i].Match, s.Members[i].Active
 			ms.Silent = time.Duration(s.Members[i].SilentTicks) * r.cfg.TickInterval
+			ms.Up = time.Duration(min(s.Members[i].UpTicks, maxUpTicks)) * r.cfg.TickInterval
 		}
 		out.Members = append(out.Members, ms)
 	}
