--- a/internal/control/formation/model_test.go
+++ b/internal/control/formation/model_test.go
@@ -61,6 +61,7 @@
 	pending   map[uint64]pendingValue
 	nextValue uint64
 	lostAt    map[uint64]loss // voters that were lost and have not lost their vote yet, by id
+	removed   map[uint64]bool // members that have been removed
 	moves     []move
 	steps     int // changes of membership that the decision made
 	failure   error
@@ -90,7 +91,7 @@
 func newModel(seed uint64, zones, hosts int, policy formation.Policy) *model {
 	m := &model{
 		rng: rand.New(rand.NewPCG(seed, 1)), policy: policy, cut: func(_, _ *host) bool { return false },
-		committed: map[uint64][]byte{}, pending: map[uint64]pendingValue{}, lostAt: map[uint64]loss{},
+		committed: map[uint64][]byte{}, pending: map[uint64]pendingValue{}, lostAt: map[uint64]loss{}, removed: map[uint64]bool{},
 	}
 	for n := range min(3, hosts) {
 		m.founders = append(m.founders, consensus.Member{ID: uint64(n + 1), Address: fmt.Sprint("host", n), Zone: fmt.Sprint("z", n%zones)})
@@ -371,6 +372,17 @@
 		return
 	}
 	membership := leader.core.Status().Membership
+	for _, id := range leader.core.Status().Removed {
+		m.removed[id] = true
+	}
+	if m.removed[leader.id] {
+		m.fail("host %d was removed and leads", leader.id)
+	}
+	for _, member := range membership.Members {
+		if m.removed[member.ID] && !member.Learner {
+			m.fail("host %d was removed and votes", member.ID)
+		}
+	}
 	for id, l := range m.lostAt {
 		if !membership.IsVoter(id) {
 			m.moves = append(m.moves, move{took: time.Duration(m.now-l.at) * tick, leader: l.leader, kind: l.kind})
--- a/internal/control/formation/series_test.go
+++ b/internal/control/formation/series_test.go
@@ -14,15 +14,17 @@
 )
 
 const (
-	catchUp     = 4 * time.Second // a new host counts as lost for so long after its start
-	comeBack    = time.Second     // from a loss until the host or its successor starts
-	stopTimeout = time.Second     // of a planned stop
-	zoneDown    = 5 * time.Second // a lost zone
-	firstLeader = 9 * time.Second // traffic starts 10 s after the hosts
-	ackWithin   = time.Second     // a change is acknowledged at least so often in calm
+	catchUp      = 4 * time.Second  // a new host counts as lost for so long after its start
+	comeBack     = time.Second      // from a loss until the host or its successor starts
+	stopTimeout  = time.Second      // of a planned stop
+	zoneDown     = 5 * time.Second  // a lost zone
+	forgotten    = 21 * time.Second // a silent learner is removed
+	askIfRemoved = 2 * time.Second  // a member without a leader asks whether it was removed
+	firstLeader  = 9 * time.Second  // traffic starts 10 s after the hosts
+	ackWithin    = time.Second      // a change is acknowledged at least so often in calm
 )
 
-var eventKinds = []string{"sudden", "planned", "disk", "restart", "pause", "zone", "all", "flap", "refuse", "reopen"}
+var eventKinds = []string{"sudden", "planned", "disk", "restart", "pause", "zone", "all", "absent", "flap", "refuse", "reopen"}
 
 // event is a loss of one or more hosts. The next one comes gap after the earliest moment at
 // which the tolerance allows it.
@@ -91,6 +93,10 @@
 		m.run(catchUp + e.gap)
 		return
 	}
+	if e.kind == "absent" {
+		m.playAbsent(e)
+		return
+	}
 	if e.kind == "zone" {
 		m.playZone(e.gap)
 		return
@@ -152,6 +158,26 @@
 	m.run(catchUp + gap)
 }
 
+// playAbsent ends a host, which comes back with its disk when it is a member no longer. Until it
+// is told, another one restarts whose vote it must not take; then it takes part as a new one.
+func (m *model) playAbsent(e event) {
+	v := m.pick(e.victim, nil)
+	m.kill(v)
+	m.run(comeBack)
+	m.add(v.zone)
+	m.run(forgotten)
+	m.start(v)
+	other := m.pick("voter", []*host{v})
+	m.kill(other)
+	m.run(askIfRemoved)
+	m.start(other)
+	if m.removed[v.id] {
+		m.kill(v)
+		m.wipe(v)
+	}
+	m.run(catchUp + e.gap)
+}
+
 // playPlanned starts successors before it stops the victims.
 func (m *model) playPlanned(victims []*host, gap time.Duration) {
 	begin := m.now
@@ -175,11 +201,14 @@
 		}
 	}
 	h.leaving = true
-	for end := m.now + ticks(stopTimeout); m.now < end; {
-		if leader := m.leader(); leader != nil && leader != h && !leader.core.Status().Membership.IsVoter(h.id) {
-			break
-		}
+	voted := true
+	for end := m.now + ticks(stopTimeout); voted && m.now < end; {
 		m.run(tick)
+		leader := m.leader()
+		voted = leader == nil || leader == h || leader.core.Status().Membership.IsVoter(h.id)
+	}
+	if voted {
+		m.fail("host %d has stopped in a planned way and still votes", h.id)
 	}
 	m.kill(h)
 	h.gone = true
@@ -271,3 +300,22 @@
 		t.Logf("%s: %d votes moved, p50 %v, p99 %v, worst %v", what, len(sorted), at(0.5), at(0.99), at(1))
 	}
 }
+
+func TestPlannedStopsLeaveNoVoteBehind(t *testing.T) {
+	for seed := range uint64(10) {
+		tolerated := 1 + int(seed%2)
+		s := schedule{seed: seed, tolerated: tolerated, hosts: 4 * tolerated, events: []event{{"planned", "voter", 0}, {"planned", "leader", 0}}, atOnce: []int{tolerated, 1}}
+		if m := s.play(); m.failure != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, m.failure, strings.Join(m.log, "\n"))
+		}
+	}
+}
+
+func TestMembersThatWereRemovedTakeNoVote(t *testing.T) {
+	for seed := range uint64(10) {
+		s := schedule{seed: seed, tolerated: 1, hosts: 3, events: []event{{"absent", "voter", 0}, {"absent", "leader", 0}}, atOnce: []int{1, 1}}
+		if m := s.play(); m.failure != nil || len(m.removed) == 0 {
+			t.Fatalf("seed %d: %d members removed, %v\n%s", seed, len(m.removed), m.failure, strings.Join(m.log, "\n"))
+		}
+	}
+}
