Consensus: a learner does not know a leader that is gone

Seen in a run with real processes in which two of three voters were killed: the survivor had no leader, the learner beside it still named the one that was gone, for good. So it neither logged the lost quorum nor set the gauge, told other hosts that address as the leader, and did not ask to join after 2 s. A learner never campaigns, and only a campaign forgot the leader.

The status names no leader that was not heard from for two election timeouts; a voter campaigns by then. The core itself keeps it: a replica that has followed a leader must not vote for another one in the same term.

--- a/internal/replication/consensus/ready.go
+++ b/internal/replication/consensus/ready.go
@@ -162,10 +162,19 @@
 	Removed    []uint64 // ids of former members whose removal is committed, sorted; not to be modified
 }
 
+// knownLeader returns the leader of the current term, 0 once it was not heard from for two
+// election timeouts: a voter campaigns by then, a learner goes on following it.
+func (c *Core) knownLeader() uint64 {
+	if c.role != RoleLeader && c.lastLeaderTicks >= 2*c.cfg.ElectionTicks {
+		return 0
+	}
+	return c.leader
+}
+
 // Status returns the current status.
 func (c *Core) Status() Status {
 	s := Status{
-		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader, Transferee: c.transferee, Commit: c.log.committed, Applied: c.log.applied,
+		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.knownLeader(), Transferee: c.transferee, Commit: c.log.committed, Applied: c.log.applied,
 		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), Membership: c.membership(), Exclusion: c.excluded,
 		Removed: c.membershipAt(c.log.committed).Retired,
 	}
