Control hosts: what one host knows of its group, without a quorum

A control host answers control.group (and GET /group at listen.status) from its own log and from asking the members at once, 0.8 s at most: leader or since when none is known, who votes, who answers now, when each was last heard of, term, last and committed entry, version of the configuration in force. `filberthook group` asks the given hosts and those that they name, one call each, and shows the host with the most complete log first, and what the answers cannot tell.

--- a/cmd/filberthook-host/host.go
+++ b/cmd/filberthook-host/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -16,6 +17,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"filberthook/internal/control/controlapi"
 	"filberthook/internal/control/controlhost"
 	"filberthook/internal/process/logsink"
 	"filberthook/internal/process/pause"
@@ -45,6 +47,7 @@
 	sink   *logsink.Sink
 	logger *slog.Logger
 	set    *metrics.Set
+	group  func(context.Context) controlapi.GroupStatus // what a control host knows of its group; nil on an entry host
 }
 
 func newProcess(file string, hup <-chan os.Signal, log settings.Log, memoryMB int) *process {
@@ -85,6 +88,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.set.WritePrometheus(w) })
+	if p.group != nil {
+		mux.HandleFunc("GET /group", p.serveGroup)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: statusHeaderTimeout}
 	context.AfterFunc(ctx, func() { server.Close() })
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -92,6 +98,16 @@
 	}
 }
 
+// serveGroup answers with what this host knows of the control group, with or without a quorum.
+func (p *process) serveGroup(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(p.group(r.Context())); err != nil {
+		p.logger.Info("status of the group not sent", "err", err)
+	}
+}
+
 // reload loads the settings file after each signal or change of the file, and applies new
 // seeds. Other settings need a restart.
 func (p *process) reload(ctx context.Context, seeds []string, load func() ([]string, error), setSeeds func([]string)) {
@@ -163,6 +179,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	p.group = func(ctx context.Context) controlapi.GroupStatus { return host.GroupStatus(ctx, true) }
 	load := func() ([]string, error) {
 		var next controlhost.Settings
 		err := settings.Load(file, &next)
--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -13,6 +13,7 @@
 	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
 	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
 	MethodLeave    = "control.leave"    // LeaveRequest to LeaveResponse, from a control host whose process ends; at the leader
+	MethodGroup    = "control.group"    // GroupRequest to GroupStatus, also from an operator; at any control host, without a quorum
 	MethodLoad     = "control.load"     // LoadReport to LoadReport, from an entry host
 	MethodProbe    = "control.probe"    // quarantine.Probe to ProbeResponse, from an entry host; at the leader
 	MethodBlocks   = "control.blocks"   // BlocksRequest to BlocksResponse, from an operator; at any control host
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -100,7 +100,7 @@
 	digestRPC  *raftnet.Pool      // load digests, which may be large
 	transport  *raftnet.Transport
 	seedList   atomic.Pointer[[]string]
-	hasQuorum  atomic.Bool // a leader was known within quorumLostAfter
+	quorum     quorumState
 
 	mu      sync.Mutex
 	version uint64        // highest version that came into force here
@@ -143,6 +143,7 @@
 	h.digestRPC = raftnet.NewPool(h.peerOptions())
 	h.view = instances.NewView(s.Heartbeat.Duration)
 	h.watcher = controlwatch.NewObserver(h.rpc, h.view, replicatedConfiguration{}, h.logger)
+	h.watcher.OnReached(h.quorum.heardFrom)
 	h.proposals = set.GetOrCreateHistogram("filberthook_control_replace_seconds")
 	h.heartbeats = set.GetOrCreateCounter("filberthook_control_heartbeats_total")
 	set.GetOrCreateGauge("filberthook_control_quorum", h.quorumGauge)
@@ -223,12 +224,7 @@
 		version, err := h.proposeHere(ctx, d)
 		return controlapi.ProposeResponse{Version: version}, err
 	})
-	peer.Handle(m, controlapi.MethodJoin, func(ctx context.Context, _ peer.Identity, req controlapi.JoinRequest) (controlapi.JoinResponse, error) {
-		return h.serveJoin(ctx, req)
-	})
-	peer.Handle(m, controlapi.MethodLeave, func(ctx context.Context, _ peer.Identity, req controlapi.LeaveRequest) (controlapi.LeaveResponse, error) {
-		return h.serveLeave(ctx, req)
-	})
+	h.handleMembership(m)
 	peer.Handle(m, controlapi.MethodLoad, func(_ context.Context, from peer.Identity, report controlapi.LoadReport) (controlapi.LoadReport, error) {
 		return h.loads.exchange(from.Host, report, time.Now()), nil
 	})
--- a/internal/control/controlhost/quorum.go
+++ b/internal/control/controlhost/quorum.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"filberthook/internal/process/pause"
@@ -53,11 +54,57 @@
 	return quorumUnchanged, without
 }
 
+// quorumState is what a host knows of its group besides its own log.
+type quorumState struct {
+	mu         sync.Mutex
+	lost       bool
+	lastLeader time.Time            // when a leader was last known
+	heard      map[string]time.Time // when the control host at an address last answered
+}
+
+// maxHeard bounds the addresses that a quorumState keeps.
+const maxHeard = 256
+
+func (q *quorumState) record(lost bool, lastLeader time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lost, q.lastLeader = lost, lastLeader
+}
+
+// leader returns whether the quorum counts as lost and when a leader was last known.
+func (q *quorumState) leader() (lost bool, last time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.lost, q.lastLeader
+}
+
+// heardFrom records that the control host at an address has answered.
+func (q *quorumState) heardFrom(address string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.heard) >= maxHeard || q.heard == nil {
+		q.heard = map[string]time.Time{}
+	}
+	q.heard[address] = time.Now()
+}
+
+// silence returns the time since the control host at an address last answered, negative if it
+// has not.
+func (q *quorumState) silence(address string) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	at, ok := q.heard[address]
+	if !ok {
+		return -1
+	}
+	return time.Since(at)
+}
+
 func (h *Host) quorumGauge() float64 {
-	if h.hasQuorum.Load() {
-		return 1
+	if lost, last := h.quorum.leader(); lost || last.IsZero() {
+		return 0
 	}
-	return 0
+	return 1
 }
 
 // watchQuorum logs when this host loses its quorum and when it regains it.
@@ -69,7 +116,7 @@
 			status = opened.replica.Status()
 		}
 		event, without := watch.observe(status.Leader != 0, time.Now())
-		h.hasQuorum.Store(!watch.lost)
+		h.quorum.record(watch.lost, watch.lastLeader)
 		switch event {
 		case quorumLost:
 			h.logger.Warn("quorum of the control group lost: configurations can be neither changed nor read here",
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -53,6 +53,7 @@
 	config   Configuration
 	logger   *slog.Logger
 	lines    loglimit.Limiter
+	reached  func(address string)
 	observer bool // set on a control host: it is not counted as an entry host
 
 	exchanged atomic.Bool // load was exchanged at least once
@@ -84,6 +85,10 @@
 	return w
 }
 
+// OnReached sets a function that is called with the address of each control host that has
+// answered. It must be set before Run.
+func (w *Watcher) OnReached(reached func(address string)) { w.reached = reached }
+
 // Run follows the control hosts until ctx ends. The function seeds returns the peer
 // addresses of the seeds; it is called regularly, as the seeds may be replaced.
 func (w *Watcher) Run(ctx context.Context, seeds func() []string) {
@@ -201,6 +206,9 @@
 		w.leader = resp.Leader
 	}
 	w.mu.Unlock()
+	if w.reached != nil {
+		w.reached(address)
+	}
 	if !before {
 		w.logger.Info("control host reached", "control", address, "epoch", resp.Epoch,
 			"instances", len(resp.Changes), "config", resp.Version)
--- a/internal/process/cli/app.go
+++ b/internal/process/cli/app.go
@@ -98,7 +98,7 @@
 	for _, add := range []func(*kingpin.Application){
 		a.addApply, a.addEndpoint, a.addTeam, a.addOperator, a.addDeclare, a.addPolicy,
 		a.addStatus, a.addEngines, a.addAudit, a.addMembers, a.addSnapshot, a.addKey, a.addKeys,
-		a.addRequests, a.addLogs, a.addQuarantine,
+		a.addRequests, a.addLogs, a.addQuarantine, a.addGroup,
 	} {
 		add(parser)
 	}
--- a/internal/replication/consensus/ready.go
+++ b/internal/replication/consensus/ready.go
@@ -156,6 +156,7 @@
 	Applied    uint64
 	FirstIndex uint64 // first index still in the log
 	LastIndex  uint64
+	LastTerm   uint64 // of the entry at LastIndex
 	Membership Membership
 	Members    []MemberStatus // filled on the leader only
 	Exclusion  Exclusion
@@ -175,7 +176,7 @@
 func (c *Core) Status() Status {
 	s := Status{
 		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.knownLeader(), Transferee: c.transferee, Commit: c.log.committed, Applied: c.log.applied,
-		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), Membership: c.membership(), Exclusion: c.excluded,
+		FirstIndex: c.log.offset + 1, LastIndex: c.log.lastIndex(), LastTerm: c.log.lastTerm(), Membership: c.membership(), Exclusion: c.excluded,
 		Removed: c.membershipAt(c.log.committed).Retired,
 	}
 	if c.role != RoleLeader {
--- a/internal/replication/replica/status.go
+++ b/internal/replication/replica/status.go
@@ -31,6 +31,7 @@
 	Applied       uint64
 	FirstIndex    uint64
 	LastIndex     uint64
+	LastTerm      uint64 // of the entry at LastIndex
 	Members       []MemberStatus
 	Exclusion     consensus.Exclusion
 	Removed       []uint64 // ids of former members, sorted; not to be modified
@@ -44,7 +45,8 @@
 	leader, _ := s.Membership.Find(s.Leader)
 	out := &Status{
 		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: leader.Address, Role: s.Role.String(),
-		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, Exclusion: s.Exclusion, Removed: s.Removed,
+		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, LastTerm: s.LastTerm,
+		Exclusion: s.Exclusion, Removed: s.Removed,
 	}
 	for i, m := range s.Membership.Members {
 		ms := MemberStatus{Member: Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner}}
