Control group: a new one from one disk after the quorum is lost for good

Until now a group that had lost a majority of its voters with their disks stayed without one for ever. `filberthook-host recover` makes a new group from the data folder of a stopped control host, its only voter, with everything that its log holds, committed or not.

Each refusal is a type that names the remedy. - storage.Found writes the new state into a subfolder; replacing identity.json makes it valid. A crash at any step leaves the former state or the new one. - Former members are fenced: new id and incarnation, all former ids retired; the recovered host tells them that they were removed, and they discard their folders. A replica with a log whose id a leader's group never had is told the same when it asks to join: without that, a host that joined after the recovered log ended was admitted with the log of the former group and broke the invariant match-within-log. - Two survivors made new groups both log an error that says so.

--- a/cmd/filberthook-host/main.go
+++ b/cmd/filberthook-host/main.go
@@ -19,6 +19,7 @@
 const (
 	exitFailed   = 1
 	exitSettings = settings.ExitCode
+	exitRefused  = 3 // a new group was not made
 )
 
 func main() { os.Exit(run(os.Args[1:], reloadSignals())) }
@@ -38,6 +39,7 @@
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	entry := app.Command("entry", "Serve callers.")
 	control := app.Command("control", "Serve operators and endpoint instances.")
+	recovery := addRecover(app)
 	command, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "filberthook-host: %v; see --help\n", err)
@@ -50,6 +52,9 @@
 	case control.FullCommand():
 		var s controlhost.Settings
 		return start(*file, *check, &s, func() int { return runControl(*file, hup, s) })
+	case recovery.clause.FullCommand():
+		var s controlhost.Settings
+		return start(*file, *check, &s, func() int { return recovery.run(s, os.Stdout, os.Stderr) })
 	}
 	return exitSettings
 }
--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -14,6 +14,7 @@
 	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
 	MethodLeave    = "control.leave"    // LeaveRequest to LeaveResponse, from a control host whose process ends; at the leader
 	MethodGroup    = "control.group"    // GroupRequest to GroupStatus, also from an operator; at any control host, without a quorum
+	MethodExpelled = "control.expelled" // ExpelledRequest, from a host that was made a new group, to members of the former one
 	MethodLoad     = "control.load"     // LoadReport to LoadReport, from an entry host
 	MethodProbe    = "control.probe"    // quarantine.Probe to ProbeResponse, from an entry host; at the leader
 	MethodBlocks   = "control.blocks"   // BlocksRequest to BlocksResponse, from an operator; at any control host
@@ -59,6 +60,8 @@
 	ID      uint64 `json:"id"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Last is the index of the last entry of the replica's log, 0 for an empty one.
+	Last uint64 `json:"last,omitempty"`
 }
 
 // JoinResponse confirms that the leader has queued the request.
@@ -67,7 +70,8 @@
 	// Members are the peer addresses of the group's members by replica id. A host without a log
 	// needs them to answer the leader.
 	Members map[uint64]string `json:"members,omitempty"`
-	// Removed says that the replica was a member and was removed: its id cannot be used again.
+	// Removed says that the replica was a member and was removed, or that its log is of another
+	// group: its id cannot be used.
 	Removed bool `json:"removed,omitempty"`
 }
 
--- a/internal/control/controlapi/group.go
+++ b/internal/control/controlapi/group.go
@@ -49,3 +49,9 @@
 	}
 	return s.Last > other.Last
 }
+
+// ExpelledRequest tells that replicas are no members any more: their group had lost its quorum,
+// and an operator has made a new one.
+type ExpelledRequest struct {
+	IDs []uint64 `json:"ids"`
+}
--- a/internal/control/controlhost/groupstatus.go
+++ b/internal/control/controlhost/groupstatus.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	peer.Handle(m, controlapi.MethodGroup, func(ctx context.Context, _ peer.Identity, req controlapi.GroupRequest) (controlapi.GroupStatus, error) {
 		return h.GroupStatus(ctx, req.Ask), nil
 	})
+	peer.Handle(m, controlapi.MethodExpelled, func(_ context.Context, from peer.Identity, req controlapi.ExpelledRequest) (struct{}, error) {
+		return struct{}{}, h.serveExpelled(from, req)
+	})
 }
 
 // GroupStatus returns what this host knows of its group. It needs no quorum. With ask, the
@@ -100,3 +104,21 @@
 	status.Members = nil
 	m.Answers, m.SilentMS, m.Status = true, 0, &status
 }
+
+// isStranger reports whether a replica that asks to join holds a log though the group never had
+// a member of its id: the log is of a group that this one has replaced. Only a leader that a
+// quorum confirms knows all ids.
+func (h *Host) isStranger(ctx context.Context, req controlapi.JoinRequest) (bool, error) {
+	unknown := func(status replica.Status) bool {
+		_, retired := slices.BinarySearch(status.Retired, req.ID)
+		return req.Last > 0 && !retired && !isMember(status, req.ID)
+	}
+	opened := h.membership.current.Load()
+	if opened == nil || !unknown(opened.replica.Status()) {
+		return false, nil
+	}
+	if err := opened.replica.ReadBarrier(ctx); err != nil {
+		return false, &UnavailableError{err}
+	}
+	return unknown(opened.replica.Status()), nil
+}
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -28,6 +28,7 @@
 	"filberthook/internal/engines/instances"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/network/peer"
+	"filberthook/internal/process/loglimit"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
 	"filberthook/internal/replication/raftnet"
@@ -101,6 +102,8 @@
 	transport  *raftnet.Transport
 	seedList   atomic.Pointer[[]string]
 	quorum     quorumState
+	former     atomic.Pointer[[]uint64] // ids of the members of the group that this host's has replaced, nil for none
+	expelLines loglimit.Limiter
 
 	mu      sync.Mutex
 	version uint64        // highest version that came into force here
@@ -198,6 +201,7 @@
 	tasks.Go(func() error { return h.serveControl(ctx, control) })
 	tasks.Go(func() error { h.adjustMembership(ctx); return nil })
 	tasks.Go(func() error { h.watchQuorum(ctx); return nil })
+	tasks.Go(func() error { h.expelFormer(ctx); return nil })
 	tasks.Go(func() error { h.expireInstances(ctx); return nil })
 	tasks.Go(func() error { h.shareLoads(ctx); return nil })
 	tasks.Go(func() error { h.watcher.Run(ctx, h.peers); return nil })
--- a/internal/control/controlhost/join.go
+++ b/internal/control/controlhost/join.go
@@ -85,6 +85,10 @@
 	for _, address := range formation.PeerAddresses(j.host.seeds(), j.host.peerPort) {
 		j.known[address] = true
 	}
+	for _, address := range j.addresses() {
+		j.known[address] = true
+	}
+	j.req.Last = j.opened.replica.Status().LastIndex
 	for address := range j.known {
 		if address == j.req.Address {
 			continue
@@ -102,7 +106,7 @@
 		}
 		j.told.Store(&resp.Members)
 		if resp.Removed {
-			j.host.logger.Warn("this host was removed from the control group while it was down", "id", j.req.ID, "told_by", address)
+			j.host.logger.Warn("this host was removed from the control group while it was down, or holds the log of another group", "id", j.req.ID, "told_by", address)
 			j.opened.replica.Exclude()
 		}
 		return
@@ -144,6 +148,9 @@
 		if _, removed := slices.BinarySearch(status.Removed, req.ID); removed {
 			return controlapi.JoinResponse{Removed: true}, nil
 		}
+		if stranger, err := h.isStranger(ctx, req); stranger || err != nil {
+			return controlapi.JoinResponse{Removed: stranger}, err
+		}
 		h.joins.add(req)
 		return controlapi.JoinResponse{Peers: h.membership.addresses(), Members: addressesByID(status)}, nil
 	}
--- a/internal/control/controlhost/odd_test.go
+++ b/internal/control/controlhost/odd_test.go
@@ -77,13 +77,19 @@
 
 // follow runs an entry host's watcher of a control host until the test ends.
 func follow(t *testing.T, g *group, n int) *instances.View {
+	return followInto(t, replicatedConfiguration{}, []string{g.address(n, peersPort)})
+}
+
+// followInto runs an entry host's watcher, which puts configurations into force, until the test
+// ends.
+func followInto(t *testing.T, config controlwatch.Configuration, addresses []string) *instances.View {
 	self := peer.Identity{Host: "e", Zone: "z"}
 	clients := raftnet.NewPool(controlapi.PeerOptions(self, false, metrics.NewSet(), slog.New(slog.DiscardHandler)))
 	view := instances.NewView(200 * time.Millisecond)
-	w := controlwatch.New(clients, view, replicatedConfiguration{}, slog.New(slog.DiscardHandler))
+	w := controlwatch.New(clients, view, config, slog.New(slog.DiscardHandler))
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { w.Run(ctx, func() []string { return []string{g.address(n, peersPort)} }) })
+	running.Go(func() { w.Run(ctx, func() []string { return addresses }) })
 	t.Cleanup(func() {
 		stop()
 		running.Wait()
--- a/internal/control/controlhost/settings.go
+++ b/internal/control/controlhost/settings.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/netip"
+	"path/filepath"
 
+	"filberthook/internal/control/formation"
 	"filberthook/internal/process/settings"
 	"filberthook/internal/process/tomltime"
 )
@@ -60,6 +62,21 @@
 	Zones int `toml:"zones"`
 }
 
+// ReplicaDir returns the folder of the replicated log.
+func (s *Settings) ReplicaDir() string { return filepath.Join(s.DataDir, replicaFolder) }
+
+// PeersAddress returns the address at which other hosts reach this one.
+func (s *Settings) PeersAddress() string { return s.Listen.peersAddress() }
+
+// SeedPeers returns the addresses at which hosts reach the control hosts among the seeds.
+func (s *Settings) SeedPeers() ([]string, error) {
+	at, err := netip.ParseAddrPort(s.PeersAddress())
+	if err != nil {
+		return nil, fmt.Errorf("listen.peers: %w", err)
+	}
+	return formation.PeerAddresses(s.Seeds, at.Port()), nil
+}
+
 // Check implements settings.Checkable.
 func (s *Settings) Check(c *settings.Checker) {
 	c.Required("host", s.Host, "name this host")
--- a/internal/control/regroup/ask.go
+++ b/internal/control/regroup/ask.go
@@ -1,4 +1,3 @@
-// Package regroup asks control hosts what they know of their group.
 package regroup
 
 import (
--- /dev/null
+++ b/internal/control/regroup/check.go
@@ -0,0 +1,118 @@
+// Package regroup makes a new control group from the disk of one host when the group has lost
+// its quorum for good. It decides whether no quorum can live any more, and writes the new group.
+package regroup
+
+import (
+	"slices"
+
+	"filberthook/internal/control/controlapi"
+	"filberthook/internal/replication/consensus"
+)
+
+// Disk is what the data folder of a stopped control host holds.
+type Disk struct {
+	ID       uint64 // of the host's replica
+	Address  string // of the host
+	Term     uint64 // highest term seen
+	LastTerm uint64 // of the last entry
+	Last     uint64 // index of the last entry
+	Commit   uint64 // highest index known to be committed
+	Version  uint64 // of the newest configuration in the log
+	// Memberships are all that may be in force: the last one known to be committed and those
+	// after it.
+	Memberships []consensus.Membership
+}
+
+// Voters returns the addresses of all voters that may count, without the host itself.
+func (d *Disk) Voters() []string {
+	var out []string
+	for _, m := range d.voters() {
+		out = append(out, m.Address)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// voters returns the voters of all memberships other than the host's replica.
+func (d *Disk) voters() []consensus.Member {
+	var out []consensus.Member
+	for _, membership := range d.Memberships {
+		for _, m := range membership.Members {
+			if !m.Learner && m.ID != d.ID {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// Check returns nil if no quorum of the group can live any more: no host that was asked knows a
+// leader, no voter answers, and those that are not confirmed as lost are too few for a quorum.
+// Otherwise the error says what stands against a new group.
+func (d *Disk) Check(lost []string, answers []Answer) error {
+	newest := d.Memberships[len(d.Memberships)-1]
+	if _, ok := newest.Find(d.ID); !ok || d.Last == 0 {
+		return &NoMemberError{ID: d.ID, Last: d.Last}
+	}
+	if err := d.checkAnswers(answers); err != nil {
+		return err
+	}
+	return d.checkLost(lost)
+}
+
+func (d *Disk) checkAnswers(answers []Answer) error {
+	for _, a := range answers {
+		if a.Status != nil && a.Status.Leader != "" {
+			return &LeaderError{Address: a.Address, Leader: a.Status.Leader}
+		}
+	}
+	for _, a := range answers {
+		if a.Reached && d.mayVote(a) {
+			return &VoterAnswersError{Address: a.Address}
+		}
+	}
+	for _, a := range answers {
+		if a.Status != nil && a.Status.Member && a.Status.Ahead(&controlapi.GroupStatus{LastTerm: d.LastTerm, Last: d.Last}) {
+			return &BehindError{Address: a.Address, LastTerm: a.Status.LastTerm, Last: a.Status.Last, Own: *d}
+		}
+	}
+	return nil
+}
+
+// mayVote reports whether the host that has answered may hold a vote of the group. A host at the
+// address of a voter whose replica has another id has lost that voter's disk.
+func (d *Disk) mayVote(a Answer) bool {
+	for _, m := range d.voters() {
+		unknown := a.Address == m.Address && (a.Status == nil || a.Status.Replica == 0)
+		if unknown || a.Status != nil && a.Status.Replica == m.ID {
+			return true
+		}
+	}
+	return a.Status != nil && a.Status.Voter && a.Address != d.Address
+}
+
+func (d *Disk) checkLost(lost []string) error {
+	for _, address := range lost {
+		if !slices.Contains(d.Voters(), address) {
+			return &UnknownVoterError{Address: address, Voters: d.Voters()}
+		}
+	}
+	for _, membership := range d.Memberships {
+		var unconfirmed []string
+		left := 0
+		for _, m := range membership.Members {
+			switch {
+			case m.Learner, m.ID != d.ID && slices.Contains(lost, m.Address):
+			case m.ID == d.ID:
+				left++
+			default:
+				left++
+				unconfirmed = append(unconfirmed, m.Address)
+			}
+		}
+		if quorum := membership.Quorum(); left >= quorum {
+			return &UnconfirmedError{Voters: membership.Voters(), Unconfirmed: unconfirmed, Missing: left - quorum + 1}
+		}
+	}
+	return nil
+}
--- a/internal/replication/consensus/membership.go
+++ b/internal/replication/consensus/membership.go
@@ -123,6 +123,15 @@
 	return Membership{Members: NewMembership(next.Members).Members, Retired: next.Retired}
 }
 
+// Retire returns the membership with ids added to those that are never used again.
+func (m Membership) Retire(ids ...uint64) Membership {
+	next := m.clone()
+	next.Retired = append(next.Retired, ids...)
+	slices.Sort(next.Retired)
+	next.Retired = slices.Compact(next.Retired)
+	return next
+}
+
 func (m Membership) without(id uint64) Membership {
 	next := m.clone()
 	next.Members = slices.DeleteFunc(next.Members, func(member Member) bool { return member.ID == id })
--- a/internal/replication/replica/status.go
+++ b/internal/replication/replica/status.go
@@ -35,6 +35,7 @@
 	Members       []MemberStatus
 	Exclusion     consensus.Exclusion
 	Removed       []uint64 // ids of former members, sorted; not to be modified
+	Retired       []uint64 // Removed, and members whose removal is not committed yet; likewise
 }
 
 // Status returns the replica's status after its last batch of work.
@@ -46,7 +47,7 @@
 	out := &Status{
 		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: leader.Address, Role: s.Role.String(),
 		Commit: s.Commit, Applied: s.Applied, FirstIndex: s.FirstIndex, LastIndex: s.LastIndex, LastTerm: s.LastTerm,
-		Exclusion: s.Exclusion, Removed: s.Removed,
+		Exclusion: s.Exclusion, Removed: s.Removed, Retired: s.Membership.Retired,
 	}
 	for i, m := range s.Membership.Members {
 		ms := MemberStatus{Member: Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Learner: m.Learner}}
--- a/internal/replication/storage/identity.go
+++ b/internal/replication/storage/identity.go
@@ -16,7 +16,7 @@
 const identityFile = "identity.json"
 
 // identity identifies the replica that a data folder belongs to; it never changes,
-// except that an exclusion is recorded.
+// except that an exclusion is recorded and that Found replaces it.
 type identity struct {
 	ID          uint64             `json:"id"`
 	Incarnation uint64             `json:"incarnation"`
@@ -24,6 +24,11 @@
 	// Exclusion says why the replica was excluded from the group, if it was. It is stored so
 	// that the replica does not contact the group again after a restart.
 	Exclusion consensus.Exclusion `json:"exclusion,omitempty"`
+	// State is the subfolder of the log and the snapshots, empty for the data folder itself. It
+	// changes when the replica becomes a new group.
+	State string `json:"state,omitempty"`
+	// Former are members of the group that this replica's group has replaced.
+	Former []consensus.Member `json:"former,omitempty"`
 }
 
 // initialMembership returns the initial members if the replica is one of them. Any
@@ -65,18 +70,28 @@
 			return id, &FolderError{"data folder has contents but no identity file", "start with an empty folder and a new replica id"}
 		}
 	}
+	var err error
+	if id.Incarnation, err = drawIncarnation(o); err != nil {
+		return id, err
+	}
+	return id, saveIdentity(o, id)
+}
+
+// drawIncarnation returns a random number other than 0.
+func drawIncarnation(o Options) (uint64, error) {
 	source := o.Random
 	if source == nil {
 		source = rand.Reader
 	}
 	var random [8]byte
-	for id.Incarnation == 0 {
+	for {
 		if _, err := io.ReadFull(source, random[:]); err != nil {
-			return id, fmt.Errorf("generate incarnation: %w", err)
+			return 0, fmt.Errorf("generate incarnation: %w", err)
+		}
+		if n := binary.LittleEndian.Uint64(random[:]); n != 0 {
+			return n, nil
 		}
-		id.Incarnation = binary.LittleEndian.Uint64(random[:])
 	}
-	return id, saveIdentity(o, id)
 }
 
 func saveIdentity(o Options, id identity) error {
--- a/internal/replication/storage/storage.go
+++ b/internal/replication/storage/storage.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, st, rec, err
 	}
-	snapshots, err := snapshot.Open(o.FS, o.path(snapshotFolder))
+	snapshots, err := snapshot.Open(o.FS, o.path(filepath.Join(id.State, snapshotFolder)))
 	if err != nil {
 		return nil, st, rec, err
 	}
@@ -84,7 +84,7 @@
 	if err != nil {
 		return nil, st, rec, err
 	}
-	log, recovered, err := wal.Open(wal.Options{FS: o.FS, Dir: o.path(logFolder), SegmentBytes: o.SegmentBytes})
+	log, recovered, err := wal.Open(wal.Options{FS: o.FS, Dir: o.path(filepath.Join(id.State, logFolder)), SegmentBytes: o.SegmentBytes})
 	if err != nil {
 		return nil, st, rec, err
 	}
