Peer server: its listener is closed when it has stopped

Cause: a connection that is accepted between the signal to stop and the call that closes the listener ends Serve, and leaving Serve takes back that call. The listener then stays open as long as the process.

The listener is closed in any case, and so is the connection. In real processes the leak ended with the process.

--- a/internal/network/peer/server.go
+++ b/internal/network/peer/server.go
@@ -66,6 +66,7 @@
 	defer conns.Wait()
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer ln.Close() // a connection that comes during the stop ends Accept before the call above
 	defer stop()
 
 	slots := make(chan struct{}, s.opts.MaxConnections)
@@ -74,6 +75,9 @@
 		conn, err := ln.Accept()
 		switch {
 		case ctx.Err() != nil:
+			if err == nil {
+				conn.Close()
+			}
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept on %s: %w", ln.Addr(), err)
--- a/internal/network/peer/stop_test.go
+++ b/internal/network/peer/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -42,3 +43,37 @@
 		c.Close()
 	}
 }
+
+// lateListener accepts a connection right after the server was told to stop.
+type lateListener struct {
+	net.Listener
+	stop   context.CancelFunc
+	closed atomic.Bool
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	l.stop()
+	conn, _ := net.Pipe()
+	return conn, nil
+}
+
+func (l *lateListener) Close() error {
+	l.closed.Store(true)
+	return nil
+}
+
+func (*lateListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func TestListenerIsClosedThoughAConnectionCameDuringTheStop(t *testing.T) {
+	for range 200 {
+		ctx, stop := context.WithCancel(context.Background())
+		ln := &lateListener{stop: stop}
+		server := NewServer(Options{}, NewMux())
+		if err := server.Serve(ctx, ln); err != nil {
+			t.Fatal(err)
+		}
+		if !ln.closed.Load() {
+			t.Fatal("the listener is open after the server has stopped")
+		}
+	}
+}
