Control host status: a member heard in the replicated log counts as heard

TestStatusOfOneHostShowsTheLostQuorum failed once in 8 runs under the race detector beside two busy loops: a member was shown as never heard from since the start, as only answers to watch calls counted and the watch had not reached it before it was stopped. A leader now also counts what it hears in the log, other members count their leader. The test waits until host 1 has heard from both others before it stops them.

--- a/internal/control/controlhost/groupstatus_test.go
+++ b/internal/control/controlhost/groupstatus_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
+
+	"filberthook/internal/control/controlapi"
 )
 
 // loseQuorum starts three hosts, has two versions accepted and stops the hosts 2 and 3.
@@ -18,6 +21,10 @@
 	for n := 1; n <= 3; n++ {
 		eventually(t, 10*time.Second, "version 2 in force", func() bool { return g.nodes[n].host.currentVersion() == 2 })
 	}
+	eventually(t, 10*time.Second, "host 1 has heard from the others", func() bool {
+		members := g.nodes[1].host.GroupStatus(context.Background(), false).Members
+		return !slices.ContainsFunc(members, func(m controlapi.GroupMember) bool { return m.SilentMS < 0 })
+	})
 	g.stop(2)
 	g.stop(3)
 	return g
--- a/internal/control/controlhost/quorum.go
+++ b/internal/control/controlhost/quorum.go
@@ -79,13 +79,31 @@
 }
 
 // heardFrom records that the control host at an address has answered.
-func (q *quorumState) heardFrom(address string) {
+func (q *quorumState) heardFrom(address string) { q.heardAt(address, time.Now()) }
+
+func (q *quorumState) heardAt(address string, at time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.heard) >= maxHeard || q.heard == nil {
 		q.heard = map[string]time.Time{}
 	}
-	q.heard[address] = time.Now()
+	if at.After(q.heard[address]) {
+		q.heard[address] = at
+	}
+}
+
+// heardInLog records which members have sent messages of the replicated log: to a leader all of
+// them, to others the leader.
+func (q *quorumState) heardInLog(status replica.Status, now time.Time) {
+	for _, m := range status.Members {
+		switch {
+		case m.ID == status.ID:
+		case status.Role == replica.RoleLeader && m.Match > 0:
+			q.heardAt(m.Address, now.Add(-m.Silent))
+		case m.ID == status.Leader:
+			q.heardAt(m.Address, now)
+		}
+	}
 }
 
 // silence returns the time since the control host at an address last answered, negative if it
@@ -115,6 +133,7 @@
 		if opened := h.membership.current.Load(); opened != nil {
 			status = opened.replica.Status()
 		}
+		h.quorum.heardInLog(status, time.Now())
 		event, without := watch.observe(status.Leader != 0, time.Now())
 		h.quorum.record(watch.lost, watch.lastLeader)
 		switch event {
