Control host: a member asks others whether it was removed

Two former voters that were confirmed as lost, and come back together after the recovered host was replaced, elected a leader between them and stayed a second group: only the recovered host knew their addresses, and a member that has a leader asked nobody. A host with a log now asks the members that it knows and the seeds, at its start and every 3 s, whether its replica was removed; each member of the new group knows the ids.

TestFormerVotersAreToldByMembersThatJoinedLater failed without the question ("not within 15s: version 5 read").

--- a/internal/control/controlapi/group.go
+++ b/internal/control/controlapi/group.go
@@ -4,6 +4,8 @@
 type GroupRequest struct {
 	// Ask has the host ask the other members before it answers.
 	Ask bool `json:"ask"`
+	// Replica is the id of the asking host's replica, 0 if it has none.
+	Replica uint64 `json:"replica,omitempty"`
 }
 
 // GroupStatus is what one control host knows of its group, with or without a quorum.
@@ -24,6 +26,8 @@
 	Commit          uint64        `json:"commit"`    // highest index known to be committed
 	Version         uint64        `json:"version"`   // of the configuration in force
 	Members         []GroupMember `json:"members,omitempty"`
+	// Removed says that the asking replica was a member of this host's group and was removed.
+	Removed bool `json:"removed,omitempty"`
 }
 
 // GroupMember is a member that the log of a control host names.
--- a/internal/control/controlhost/expel.go
+++ b/internal/control/controlhost/expel.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filberthook/internal/control/controlapi"
+	"filberthook/internal/control/formation"
 	"filberthook/internal/network/peer"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/consensus"
@@ -19,6 +20,13 @@
 // time that a host waits for a leader before it starts an election.
 const expelInterval = 200 * time.Millisecond
 
+const (
+	// removalTimeout bounds asking whether the replica was removed.
+	removalTimeout = 400 * time.Millisecond
+	// removalInterval is how often a member asks again.
+	removalInterval = 3 * time.Second
+)
+
 // expelFormer tells the members of the group that this host's group has replaced, if any, that
 // they are no members, so that they neither elect a leader nor answer one when they come back.
 func (h *Host) expelFormer(ctx context.Context) {
@@ -58,6 +66,49 @@
 	return req, addresses
 }
 
+// wasRemoved reports whether a replica was a member of this host's group and was removed. That is
+// never undone, so any host may tell.
+func (h *Host) wasRemoved(id uint64) bool {
+	status, _ := h.membership.status()
+	_, removed := slices.BinarySearch(status.Removed, id)
+	return removed
+}
+
+// watchRemoval asks other hosts whether this host's replica was removed, at its start and from
+// then on: former members that come back together could elect a leader, which none of them asks.
+func (m *membership) watchRemoval(ctx context.Context, opened *openReplica) {
+	for ctx.Err() == nil {
+		m.askWhetherRemoved(ctx, opened)
+		pause.For(ctx, removalInterval)
+	}
+}
+
+// askWhetherRemoved asks the hosts that a replica with a log knows.
+func (m *membership) askWhetherRemoved(ctx context.Context, opened *openReplica) {
+	if opened.replica.Status().LastIndex == 0 {
+		return
+	}
+	known := append(m.addresses(), formation.PeerAddresses(m.host.seeds(), m.host.peerPort)...)
+	slices.Sort(known)
+	ctx, cancel := context.WithTimeout(ctx, removalTimeout)
+	defer cancel()
+	var asking sync.WaitGroup
+	for _, address := range slices.Compact(known) {
+		if address == m.host.settings.Listen.peersAddress() {
+			continue
+		}
+		asking.Go(func() {
+			var answer controlapi.GroupStatus
+			err := m.host.rpc.Get(address).Call(ctx, controlapi.MethodGroup, controlapi.GroupRequest{Replica: opened.id}, &answer)
+			if err == nil && answer.Removed {
+				m.host.logger.Warn("this host's replica was removed from the control group while it was down", "id", opened.id, "told_by", address)
+				opened.replica.Exclude()
+			}
+		})
+	}
+	asking.Wait()
+}
+
 // TwoGroupsError reports that two hosts were made new groups in place of the same former one.
 type TwoGroupsError struct {
 	Host  string // that the caller names
--- a/internal/control/controlhost/groupstatus.go
+++ b/internal/control/controlhost/groupstatus.go
@@ -27,7 +27,9 @@
 		return h.serveLeave(ctx, req)
 	})
 	peer.Handle(m, controlapi.MethodGroup, func(ctx context.Context, _ peer.Identity, req controlapi.GroupRequest) (controlapi.GroupStatus, error) {
-		return h.GroupStatus(ctx, req.Ask), nil
+		answer := h.GroupStatus(ctx, req.Ask)
+		answer.Removed = h.wasRemoved(req.Replica)
+		return answer, nil
 	})
 	peer.Handle(m, controlapi.MethodExpelled, func(_ context.Context, from peer.Identity, req controlapi.ExpelledRequest) (struct{}, error) {
 		return struct{}{}, h.serveExpelled(from, req)
--- a/internal/control/controlhost/join.go
+++ b/internal/control/controlhost/join.go
@@ -63,6 +63,9 @@
 		membership: m, opened: opened, known: map[string]bool{}, logged: map[string]time.Time{},
 		req: controlapi.JoinRequest{ID: opened.id, Address: m.host.settings.Listen.peersAddress(), Zone: m.host.settings.Zone},
 	}
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	asking.Go(func() { m.watchRemoval(ctx, opened) })
 	member, leaderSeen := false, time.Now()
 	for ctx.Err() == nil {
 		status := opened.replica.Status()
--- a/internal/control/controlhost/recover_test.go
+++ b/internal/control/controlhost/recover_test.go
@@ -143,6 +143,35 @@
 	}
 }
 
+func TestFormerVotersAreToldByMembersThatJoinedLater(t *testing.T) {
+	t.Parallel()
+	g := loseQuorum(t)
+	former := map[uint64]bool{g.idOnDisk(2): true, g.idOnDisk(3): true}
+	g.stop(1)
+	g.recoverGroup(1, 2, 3)
+	g.start(1, false)
+	for n := 4; n <= 5; n++ {
+		g.start(n, false)
+	}
+	accept(t, g.nodes[4].host, 3, "three")
+	eventually(t, 15*time.Second, "three voters", func() bool { voters, _ := g.members(4); return voters == 3 })
+	g.stop(1)
+	g.wipe(1) // and with it the list of the former members
+	g.seeds = append(g.seeds, g.address(4, controlPort))
+	accept(t, g.start(1, false), 4, "four")
+	waitForRead(t, g.nodes[1].host, 4, "four")
+	for n := 2; n <= 3; n++ {
+		g.start(n, false)
+	}
+	accept(t, g.nodes[5].host, 5, "five")
+	for n := 2; n <= 3; n++ {
+		waitForRead(t, g.nodes[n].host, 5, "five")
+		if id := g.replicaOf(n); former[id] {
+			t.Errorf("host %d still runs replica %d of the former group", n, id)
+		}
+	}
+}
+
 func TestLogOfAGroupThatWasReplacedDoesNotJoin(t *testing.T) {
 	t.Parallel()
 	g := newGroup(t, 1, 2, 3)
