--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -28,6 +28,7 @@
 	"filberthook/internal/engines/instances"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/network/peer"
+	"filberthook/internal/process/loglimit"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
 	"filberthook/internal/replication/raftnet"
@@ -100,7 +101,9 @@
 	digestRPC  *raftnet.Pool      // load digests, which may be large
 	transport  *raftnet.Transport
 	seedList   atomic.Pointer[[]string]
-	hasQuorum  atomic.Bool // a leader was known within quorumLostAfter
+	quorum     quorumState
+	former     atomic.Pointer[[]uint64] // ids of the members of the group that this host's has replaced, nil for none
+	expelLines loglimit.Limiter
 
 	mu      sync.Mutex
 	version uint64        // highest version that came into force here
@@ -143,6 +146,7 @@
 	h.digestRPC = raftnet.NewPool(h.peerOptions())
 	h.view = instances.NewView(s.Heartbeat.Duration)
 	h.watcher = controlwatch.NewObserver(h.rpc, h.view, replicatedConfiguration{}, h.logger)
+	h.watcher.OnReached(h.quorum.heardFrom)
 	h.proposals = set.GetOrCreateHistogram("filberthook_control_replace_seconds")
 	h.heartbeats = set.GetOrCreateCounter("filberthook_control_heartbeats_total")
 	set.GetOrCreateGauge("filberthook_control_quorum", h.quorumGauge)
@@ -197,6 +201,7 @@
 	tasks.Go(func() error { return h.serveControl(ctx, control) })
 	tasks.Go(func() error { h.adjustMembership(ctx); return nil })
 	tasks.Go(func() error { h.watchQuorum(ctx); return nil })
+	tasks.Go(func() error { h.expelFormer(ctx); return nil })
 	tasks.Go(func() error { h.expireInstances(ctx); return nil })
 	tasks.Go(func() error { h.shareLoads(ctx); return nil })
 	tasks.Go(func() error { h.watcher.Run(ctx, h.peers); return nil })
@@ -223,12 +228,7 @@
 		version, err := h.proposeHere(ctx, d)
 		return controlapi.ProposeResponse{Version: version}, err
 	})
-	peer.Handle(m, controlapi.MethodJoin, func(ctx context.Context, _ peer.Identity, req controlapi.JoinRequest) (controlapi.JoinResponse, error) {
-		return h.serveJoin(ctx, req)
-	})
-	peer.Handle(m, controlapi.MethodLeave, func(ctx context.Context, _ peer.Identity, req controlapi.LeaveRequest) (controlapi.LeaveResponse, error) {
-		return h.serveLeave(ctx, req)
-	})
+	h.handleMembership(m)
 	peer.Handle(m, controlapi.MethodLoad, func(_ context.Context, from peer.Identity, report controlapi.LoadReport) (controlapi.LoadReport, error) {
 		return h.loads.exchange(from.Host, report, time.Now()), nil
 	})
--- a/internal/control/controlhost/quorum.go
+++ b/internal/control/controlhost/quorum.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"filberthook/internal/process/pause"
@@ -53,11 +54,75 @@
 	return quorumUnchanged, without
 }
 
+// quorumState is what a host knows of its group besides its own log.
+type quorumState struct {
+	mu         sync.Mutex
+	lost       bool
+	lastLeader time.Time            // when a leader was last known
+	heard      map[string]time.Time // when the control host at an address last answered
+}
+
+// maxHeard bounds the addresses that a quorumState keeps.
+const maxHeard = 256
+
+func (q *quorumState) record(lost bool, lastLeader time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lost, q.lastLeader = lost, lastLeader
+}
+
+// leader returns whether the quorum counts as lost and when a leader was last known.
+func (q *quorumState) leader() (lost bool, last time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.lost, q.lastLeader
+}
+
+// heardFrom records that the control host at an address has answered.
+func (q *quorumState) heardFrom(address string) { q.heardAt(address, time.Now()) }
+
+func (q *quorumState) heardAt(address string, at time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.heard) >= maxHeard || q.heard == nil {
+		q.heard = map[string]time.Time{}
+	}
+	if at.After(q.heard[address]) {
+		q.heard[address] = at
+	}
+}
+
+// heardInLog records which members have sent messages of the replicated log: to a leader all of
+// them, to others the leader.
+func (q *quorumState) heardInLog(status replica.Status, now time.Time) {
+	for _, m := range status.Members {
+		switch {
+		case m.ID == status.ID:
+		case status.Role == replica.RoleLeader && m.Match > 0:
+			q.heardAt(m.Address, now.Add(-m.Silent))
+		case m.ID == status.Leader:
+			q.heardAt(m.Address, now)
+		}
+	}
+}
+
+// silence returns the time since the control host at an address last answered, negative if it
+// has not.
+func (q *quorumState) silence(address string) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	at, ok := q.heard[address]
+	if !ok {
+		return -1
+	}
+	return time.Since(at)
+}
+
 func (h *Host) quorumGauge() float64 {
-	if h.hasQuorum.Load() {
-		return 1
+	if lost, last := h.quorum.leader(); lost || last.IsZero() {
+		return 0
 	}
-	return 0
+	return 1
 }
 
 // watchQuorum logs when this host loses its quorum and when it regains it.
@@ -68,8 +133,9 @@
 		if opened := h.membership.current.Load(); opened != nil {
 			status = opened.replica.Status()
 		}
+		h.quorum.heardInLog(status, time.Now())
 		event, without := watch.observe(status.Leader != 0, time.Now())
-		h.hasQuorum.Store(!watch.lost)
+		h.quorum.record(watch.lost, watch.lastLeader)
 		switch event {
 		case quorumLost:
 			h.logger.Warn("quorum of the control group lost: configurations can be neither changed nor read here",
