Entry host: the first configuration is the newest that a reachable control host knows

Seen in a test: an entry host that starts took the configuration of the control host that answered first. A learner that has just joined, a member that was cut off or one that replays its log may lag behind, and callers were then routed by an older version than another reachable control host had in force.

So without a quorum an entry host uses the newest version that a reachable control host knows to be in force, and answers 503 while none knows any.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -4,12 +4,13 @@
 
 import (
 	"filberthook/internal/engines/quarantine"
+	"filberthook/internal/replication/document"
 )
 
 // Methods of control hosts.
 const (
 	MethodWatch    = "control.watch"    // WatchRequest to WatchResponse; at any control host
-	MethodDocument = "control.document" // DocumentRequest to document.Packed; at any control host
+	MethodDocument = "control.document" // DocumentRequest to DocumentResponse; at any control host
 	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
 	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
 	MethodLeave    = "control.leave"    // LeaveRequest to LeaveResponse, from a control host whose process ends; at the leader
@@ -46,7 +47,18 @@
 }
 
 // DocumentRequest asks for the configuration in force.
-type DocumentRequest struct{}
+type DocumentRequest struct {
+	// Confirm asks the control host to find out whether a newer one is in force elsewhere.
+	Confirm bool `json:"confirm,omitempty"`
+}
+
+// DocumentResponse holds the configuration in force at the control host.
+type DocumentResponse struct {
+	document.Packed
+	// Confirmed says that a quorum knew of none newer when it was asked. A control host that is
+	// out of touch with the leader, or has not caught up, may lag behind the others.
+	Confirmed bool `json:"confirmed,omitempty"`
+}
 
 // ProposeResponse holds the version in force after a proposal.
 type ProposeResponse struct {
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -216,8 +216,8 @@
 	peer.Handle(m, controlapi.MethodWatch, func(ctx context.Context, from peer.Identity, req controlapi.WatchRequest) (controlapi.WatchResponse, error) {
 		return h.watch(ctx, from.Host, req), nil
 	})
-	peer.Handle(m, controlapi.MethodDocument, func(context.Context, peer.Identity, controlapi.DocumentRequest) (document.Packed, error) {
-		return h.packedDocument()
+	peer.Handle(m, controlapi.MethodDocument, func(ctx context.Context, _ peer.Identity, req controlapi.DocumentRequest) (controlapi.DocumentResponse, error) {
+		return h.serveDocument(ctx, req)
 	})
 	peer.Handle(m, controlapi.MethodPropose, func(ctx context.Context, _ peer.Identity, d document.Document) (controlapi.ProposeResponse, error) {
 		version, err := h.proposeHere(ctx, d)
@@ -274,24 +274,6 @@
 	h.logger.Info("configuration in force", "version", d.Version, "bytes", len(d.Body))
 }
 
-// packedDocument returns the configuration in force in packed form. It is packed once,
-// because all entry hosts request it at about the same time.
-func (h *Host) packedDocument() (document.Packed, error) {
-	h.packMu.Lock()
-	defer h.packMu.Unlock()
-	h.mu.Lock()
-	d := document.Document{Version: h.version, Body: h.body}
-	h.mu.Unlock()
-	if h.packed.Version != d.Version {
-		packed, err := document.Pack(d)
-		if err != nil {
-			return document.Packed{}, fmt.Errorf("configuration %d not packed: %w", d.Version, err)
-		}
-		h.packed = packed
-	}
-	return h.packed, nil
-}
-
 func (h *Host) currentVersion() uint64 {
 	version, _ := h.versionAndChange()
 	return version
--- a/internal/control/controlwatch/fetch_test.go
+++ b/internal/control/controlwatch/fetch_test.go
@@ -24,6 +24,7 @@
 	version  uint64
 	announce <-chan struct{}                                // nil to announce at once
 	document func(context.Context) (document.Packed, error) // nil to answer at once
+	newest   bool                                           // confirmed to be the newest
 	address  string
 	watches  atomic.Int64 // calls
 	fetches  atomic.Int64 // calls
@@ -56,18 +57,21 @@
 	c.address = ln.Addr().String()
 	mux := peer.NewMux()
 	peer.Handle(mux, controlapi.MethodWatch, c.watch)
-	peer.Handle(mux, controlapi.MethodDocument, func(ctx context.Context, _ peer.Identity, _ controlapi.DocumentRequest) (document.Packed, error) {
+	peer.Handle(mux, controlapi.MethodDocument, func(ctx context.Context, _ peer.Identity, req controlapi.DocumentRequest) (controlapi.DocumentResponse, error) {
 		c.fetches.Add(1)
+		send := func(context.Context) (document.Packed, error) { return c.packed() }
 		if c.document != nil {
-			return c.document(ctx)
+			send = c.document
 		}
-		return c.packed()
+		packed, err := send(ctx)
+		return controlapi.DocumentResponse{Packed: packed, Confirmed: req.Confirm && c.newest}, err
 	})
 	running.Go(func() { _ = peer.NewServer(peer.Options{Self: peer.Identity{Host: "c"}}, mux).Serve(ctx, ln) })
 }
 
-// followPlayed follows control hosts until the test ends.
-func followPlayed(t *testing.T, config Configuration, hosts ...*playedControl) {
+// followPlayed follows control hosts until the test ends. The first configuration waits for the
+// other control hosts as long as firstWait.
+func followPlayed(t *testing.T, config Configuration, firstWait time.Duration, hosts ...*playedControl) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -78,6 +82,7 @@
 	}
 	clients := raftnet.NewPool(peer.Options{Self: peer.Identity{Host: "e"}, DropOnTimeout: true})
 	w := New(clients, instances.NewView(time.Second), config, slog.New(slog.DiscardHandler))
+	w.firstWait = firstWait
 	running.Go(func() { w.Run(ctx, func() []string { return seeds }) })
 	t.Cleanup(func() { stop(); running.Wait(); clients.Close() })
 }
@@ -103,7 +108,7 @@
 	}}
 	sound := &playedControl{version: 4, announce: asked}
 	config := &fixedConfiguration{}
-	followPlayed(t, config, silent, sound)
+	followPlayed(t, config, firstWait, silent, sound)
 	<-asked
 	within(t, 2*time.Second, "version 4 in force", func() bool { return config.Version() == 4 })
 }
@@ -118,7 +123,7 @@
 func TestConfigurationThatCannotBeReadIsNotFetchedWithoutEnd(t *testing.T) {
 	t.Parallel()
 	host := &playedControl{version: 4}
-	followPlayed(t, &unreadable{}, host)
+	followPlayed(t, &unreadable{}, firstWait, host)
 	within(t, 5*time.Second, "a fetch", func() bool { return host.fetches.Load() > 0 })
 	time.Sleep(time.Second)
 	if watches, fetches := host.watches.Load(), host.fetches.Load(); watches > 20 || fetches > 10 {
@@ -137,7 +142,7 @@
 	}
 	other := &playedControl{version: 4, announce: asked}
 	config := &fixedConfiguration{}
-	followPlayed(t, config, slow, other)
+	followPlayed(t, config, firstWait, slow, other)
 	<-asked
 	time.Sleep(300 * time.Millisecond)
 	watches := other.watches.Load()
@@ -147,3 +152,52 @@
 	}
 	within(t, 2*time.Second, "version 4 in force", func() bool { return config.Version() == 4 })
 }
+
+// taken is a Configuration that records the versions that it was offered.
+type taken struct {
+	fixedConfiguration
+	versions []uint64
+}
+
+func (c *taken) Offer(d document.Document, from string) error {
+	c.mu.Lock()
+	c.versions = append(c.versions, d.Version)
+	c.mu.Unlock()
+	return c.fixedConfiguration.Offer(d, from)
+}
+
+func TestEntryHostThatStartsTakesNoOlderConfigurationThanAReachableControlHostKnows(t *testing.T) {
+	t.Parallel()
+	later := make(chan struct{})
+	var announced sync.Once
+	lagging := &playedControl{version: 4}
+	lagging.document = func(context.Context) (document.Packed, error) {
+		announced.Do(func() { time.AfterFunc(200*time.Millisecond, func() { close(later) }) })
+		return lagging.packed()
+	}
+	current := &playedControl{version: 9, announce: later}
+	config := &taken{}
+	followPlayed(t, config, 20*time.Second, lagging, current)
+	within(t, 10*time.Second, "version 9 in force", func() bool { return config.Version() == 9 })
+	if config.versions[0] != 9 {
+		t.Errorf("versions in force, in order: %v", config.versions)
+	}
+}
+
+func TestFirstConfigurationThatAQuorumConfirmsWaitsForNoOtherControlHost(t *testing.T) {
+	t.Parallel()
+	config := &fixedConfiguration{}
+	followPlayed(t, config, time.Minute, &playedControl{version: 4, newest: true}, &playedControl{announce: make(chan struct{})})
+	within(t, 10*time.Second, "version 4 in force", func() bool { return config.Version() == 4 })
+}
+
+func TestFirstConfigurationWaitsABoundedTimeForControlHostsThatDoNotAnswer(t *testing.T) {
+	t.Parallel()
+	config := &fixedConfiguration{}
+	begin := time.Now()
+	followPlayed(t, config, time.Second, &playedControl{version: 4}, &playedControl{announce: make(chan struct{})})
+	within(t, 10*time.Second, "version 4 in force", func() bool { return config.Version() == 4 })
+	if waited := time.Since(begin); waited < time.Second {
+		t.Errorf("in force after %v, want %v for the other control host", waited, time.Second)
+	}
+}
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -52,6 +52,8 @@
 	logger   *slog.Logger
 	lines    loglimit.Limiter
 	observer bool // set on a control host: it is not counted as an entry host
+	// firstWait is how long the first configuration waits for control hosts that have not answered.
+	firstWait time.Duration
 
 	exchanged atomic.Bool // load was exchanged at least once
 
@@ -66,12 +68,14 @@
 type controlHost struct {
 	namedAt time.Time // when a seed or a control host last named it
 	up      bool      // the last call succeeded
+	heard   bool      // a call has succeeded or failed
 	zone    string    // availability zone, as last reported
+	version uint64    // of the configuration, as last reported
 }
 
 // New returns a Watcher that keeps view and config up to date.
 func New(clients *raftnet.Pool, view *instances.View, config Configuration, logger *slog.Logger) *Watcher {
-	return &Watcher{clients: clients, view: view, config: config, logger: logger, watched: map[string]*controlHost{}}
+	return &Watcher{clients: clients, view: view, config: config, logger: logger, watched: map[string]*controlHost{}, firstWait: firstWait}
 }
 
 // NewObserver returns a Watcher for a control host, which is not counted among the
@@ -193,7 +197,7 @@
 func (w *Watcher) markReached(address string, t *controlHost, resp controlapi.WatchResponse) {
 	w.mu.Lock()
 	before := t.up
-	t.up, t.namedAt, t.zone = true, time.Now(), resp.Zone
+	t.up, t.heard, t.namedAt, t.zone, t.version = true, true, time.Now(), resp.Zone, resp.Version
 	w.hosts.report(resp.Hosts, time.Now())
 	if resp.Leader != "" {
 		w.leader = resp.Leader
@@ -208,7 +212,7 @@
 func (w *Watcher) markLost(address string, t *controlHost, err error) {
 	w.mu.Lock()
 	before := t.up
-	t.up = false
+	t.up, t.heard = false, true
 	w.mu.Unlock()
 	w.view.Disconnected(address, time.Now())
 	if before {
--- a/internal/control/controlwatch/watcher_test.go
+++ b/internal/control/controlwatch/watcher_test.go
@@ -104,8 +104,9 @@
 	peer.Handle(mux, controlapi.MethodWatch, func(context.Context, peer.Identity, controlapi.WatchRequest) (controlapi.WatchResponse, error) {
 		return controlapi.WatchResponse{Epoch: "1", Version: 4}, nil
 	})
-	peer.Handle(mux, controlapi.MethodDocument, func(context.Context, peer.Identity, controlapi.DocumentRequest) (document.Packed, error) {
-		return document.Pack(document.Document{Version: 4, Body: []byte("routes")})
+	peer.Handle(mux, controlapi.MethodDocument, func(context.Context, peer.Identity, controlapi.DocumentRequest) (controlapi.DocumentResponse, error) {
+		packed, err := document.Pack(document.Document{Version: 4, Body: []byte("routes")})
+		return controlapi.DocumentResponse{Packed: packed}, err
 	})
 	running.Go(func() { _ = peer.NewServer(options, mux).Serve(ctx, ln) })
 	up := time.Now()
