Quarantine: a new leader grants no probe while one of the leader before may be under way

Seen in a test: the pause without grants counted from the start of the process, so a control host that had run for 10 s and then became the leader granted a probe at once, also 500 ms after the leader before had granted one. Two hosts then probed the same suspect, and a bad block ended two instances in place of one.

The leader before confirms with a quorum before each grant, so it grants none later.

The existing test of two hosts and the played fleet use the new calls with the same times.

--- a/internal/control/controlhost/digests.go
+++ b/internal/control/controlhost/digests.go
@@ -19,12 +19,13 @@
 )
 
 // shareLoads sends digests to the other control hosts until ctx ends. There are none while
-// all entry hosts report to the leader.
+// all entry hosts report to the leader. It also notes when this host becomes the leader.
 func (h *Host) shareLoads(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	targets := map[string]*digestTarget{}
 	for pause.For(ctx, digestInterval) {
+		h.noteLeadership()
 		if h.watchers.few(time.Now()) {
 			continue
 		}
--- a/internal/control/controlhost/loads.go
+++ b/internal/control/controlhost/loads.go
@@ -41,7 +41,7 @@
 
 func newLoads(epoch string) *loads {
 	return &loads{hosts: newReports(), digests: newReports(), epoch: epoch, notices: notices{byInstance: map[string]timedNotice{}},
-		quarantine: quarantine.NewRelay(), grants: quarantine.NewGrants(time.Now())}
+		quarantine: quarantine.NewRelay(), grants: quarantine.NewGrants()}
 }
 
 // exchange stores the report of an entry host and returns the summed load of all others
--- a/internal/control/controlhost/quarantine.go
+++ b/internal/control/controlhost/quarantine.go
@@ -24,13 +24,22 @@
 	}
 }
 
+// noteLeadership records since when this host leads, for the grants of probes.
+func (h *Host) noteLeadership() {
+	if term, leads := h.membership.Leads(); leads {
+		h.loads.mu.Lock()
+		defer h.loads.mu.Unlock()
+		h.loads.grants.Lead(term, time.Now())
+	}
+}
+
 // grantProbe decides whether an entry host may probe a suspect in quarantine. Only the leader
 // grants any, so that one host probes at a time.
 func (h *Host) grantProbe(ctx context.Context, host string, p quarantine.Probe) controlapi.ProbeResponse {
-	_, leads := h.membership.Leads()
+	term, leads := h.membership.Leads()
 	leads = leads && h.membership.Confirm(ctx) == nil
 	h.loads.mu.Lock()
-	granted := leads && h.loads.grants.Ask(p, time.Now())
+	granted := leads && h.loads.grants.Ask(p, term, time.Now())
 	h.loads.mu.Unlock()
 	h.logger.Info("probe of a suspect in quarantine asked for", "suspect", p.Suspect, "by", host, "leader", leads, "granted", granted)
 	return controlapi.ProbeResponse{Granted: granted}
--- a/internal/engines/quarantine/ledger_test.go
+++ b/internal/engines/quarantine/ledger_test.go
@@ -177,12 +177,13 @@
 }
 
 func TestTwoHostsAreNotGrantedAProbeAtOnce(t *testing.T) {
-	g := NewGrants(start)
+	g := NewGrants()
+	g.Lead(1, start)
 	ask := Probe{Suspect: "bad", AfterMS: 10_000}
-	if g.Ask(ask, after(1000)) {
+	if g.Ask(ask, 1, after(1000)) {
 		t.Error("granted right after the start: an earlier leader may have granted one")
 	}
-	if !g.Ask(ask, after(20_000)) || g.Ask(ask, after(25_000)) || !g.Ask(ask, after(30_001)) {
+	if !g.Ask(ask, 1, after(20_000)) || g.Ask(ask, 1, after(25_000)) || !g.Ask(ask, 1, after(30_001)) {
 		t.Error("want a grant, none within its time, and another one after it")
 	}
 }
--- a/internal/engines/quarantine/play_test.go
+++ b/internal/engines/quarantine/play_test.go
@@ -69,7 +69,8 @@
 )
 
 func newPlay(seed uint64, hosts, engines int) *play {
-	p := &play{rng: rand.New(rand.NewPCG(seed, 1)), now: start, grants: NewGrants(start.Add(-time.Minute)), bad: map[Suspect]bool{}, blamedGood: map[Suspect]bool{}}
+	p := &play{rng: rand.New(rand.NewPCG(seed, 1)), now: start, grants: NewGrants(), bad: map[Suspect]bool{}, blamedGood: map[Suspect]bool{}}
+	p.grants.Lead(1, start.Add(-time.Minute))
 	controls := 1
 	if hosts > hostsPerStep {
 		controls = 6
@@ -142,7 +143,7 @@
 		c.Learn(h.ledger.Report(p.now), p.now)
 		h.ledger.Learn(c.Report(p.now), p.now)
 		for _, probe := range h.ledger.DueProbes(p.now) {
-			if p.grants.Ask(probe, p.now) {
+			if p.grants.Ask(probe, 1, p.now) {
 				h.ledger.Grant(probe.Suspect, p.now)
 			}
 		}
--- a/internal/engines/quarantine/probe.go
+++ b/internal/engines/quarantine/probe.go
@@ -42,24 +42,33 @@
 	}
 }
 
-// Grants decides for the whole system which host may probe a suspect. The leader of the control
-// group keeps it.
+// Grants decides for the whole system which host may probe a suspect. Each control host has one;
+// that of the leader of the control group counts.
 type Grants struct {
-	startedAt time.Time
-	at        map[Suspect]time.Time // of the last grant
+	term  uint64 // in which this control host leads, or last led
+	since time.Time
+	at    map[Suspect]time.Time // of the last grant
 }
 
-// startPause is how long no probe is granted after a start: an earlier leader may have
-// granted one that is under way.
-const startPause = 2 * grantLifetime
+// leaderPause is how long a new leader grants no probe: the leader before may have granted one
+// that is under way.
+const leaderPause = 2 * grantLifetime
 
-// NewGrants returns Grants of a process that starts now.
-func NewGrants(now time.Time) *Grants { return &Grants{startedAt: now, at: map[Suspect]time.Time{}} }
+// NewGrants returns the Grants of a process that starts.
+func NewGrants() *Grants { return &Grants{at: map[Suspect]time.Time{}} }
 
-// Ask reports whether the asking host may send a probe.
-func (g *Grants) Ask(p Probe, now time.Time) bool {
+// Lead records that this control host leads the group in a term.
+func (g *Grants) Lead(term uint64, now time.Time) {
+	if term != g.term {
+		g.term, g.since = term, now
+	}
+}
+
+// Ask reports whether the asking host may send a probe. The control host leads in the term.
+func (g *Grants) Ask(p Probe, term uint64, now time.Time) bool {
+	g.Lead(term, now)
 	pause := max(time.Duration(p.AfterMS)*time.Millisecond, probePause(p.Suspect.Kind(), 0))
-	if last, granted := g.at[p.Suspect]; now.Sub(g.startedAt) < startPause || granted && now.Sub(last) < pause {
+	if last, granted := g.at[p.Suspect]; now.Sub(g.since) < leaderPause || granted && now.Sub(last) < pause {
 		return false
 	}
 	for b, at := range g.at {
