--- a/internal/control/controlhost/host_test.go
+++ b/internal/control/controlhost/host_test.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/control/controlapi"
+	"filberthook/internal/control/stagereconciler"
 	"filberthook/internal/engines/instances"
 	"filberthook/internal/process/tomltime"
 	"filberthook/internal/replication/document"
@@ -38,6 +39,8 @@
 	nodes map[int]*node
 
 	heartbeat time.Duration // of instances
+	stages    Stages
+	engines   stagereconciler.Engines // nil if the hosts give no orders
 }
 
 type node struct {
@@ -48,7 +51,7 @@
 }
 
 func newGroup(t *testing.T, seeds ...int) *group {
-	g := &group{t: t, net: fmt.Sprintf("127.%d.%d", 60+rand.IntN(190), rand.IntN(250)), nodes: map[int]*node{}, heartbeat: 200 * time.Millisecond}
+	g := &group{t: t, net: fmt.Sprintf("127.%d.%d", 60+rand.IntN(190), rand.IntN(250)), nodes: map[int]*node{}, heartbeat: 200 * time.Millisecond, stages: Stages{Lease: tomltime.Of(time.Second)}}
 	// Created before the cleanup below is registered, so that the folder is removed after
 	// the hosts that write into it have stopped: cleanups run last in, first out.
 	g.root = t.TempDir()
@@ -90,10 +93,10 @@
 		},
 		Tolerate:     Tolerate{Hosts: 1, Zones: 1},
 		ReplaceAfter: tomltime.Of(1500 * time.Millisecond),
-		Stages:       Stages{Lease: tomltime.Of(time.Second)},
+		Stages:       g.stages,
 	}
 	handler := func(Service) http.Handler { return http.NotFoundHandler() }
-	h, err := New(s, handler, nil, slog.New(slog.DiscardHandler), metrics.NewSet())
+	h, err := New(s, handler, g.engines, slog.New(slog.DiscardHandler), metrics.NewSet())
 	if err != nil {
 		g.t.Fatal(err)
 	}
