Quarantine: an operator's word outlives the leader that took it

Seen in a test: an operator held a block, the leader acknowledged it and ended right after. No other control host knew of the word, and entry hosts had not exchanged with the leader since (they do each 120 ms), so the block was free again though the command had succeeded.

Change: the leader passes a word on to the other members and acknowledges it once more than half of all members have taken it; otherwise the error says how many have and to repeat the command. Entry hosts repeat the word in their reports, so it survives any control host once one of them has heard it.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -135,6 +135,8 @@
 	Block quarantine.Suspect `json:"block,omitempty"` // the suspect, with Hold and Release
 	// Forwarded is set by the control host that passes the request on to the leader.
 	Forwarded bool `json:"forwarded,omitempty"`
+	// Copied is set by the leader that passes the word on to the other control hosts.
+	Copied bool `json:"copied,omitempty"`
 }
 
 // BlockWord is what an operator says of a prompt block.
--- a/internal/control/controlhost/blocks_test.go
+++ b/internal/control/controlhost/blocks_test.go
@@ -56,6 +56,42 @@
 	}
 }
 
+func TestOperatorsWordOutlivesTheLeaderThatTookIt(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1, 2, 3)
+	for n := 1; n <= 3; n++ {
+		g.start(n, true)
+	}
+	accept(t, g.nodes[1].host, 1, "one")
+	leader := func() int {
+		for n := 1; n <= 3; n++ {
+			if _, leads := g.nodes[n].host.membership.Leads(); leads {
+				return n
+			}
+		}
+		return 0
+	}
+	eventually(t, 10*time.Second, "the word is taken", func() bool {
+		n := leader()
+		if n == 0 {
+			return false
+		}
+		if _, err := g.sayBlocks(n, controlapi.BlocksRequest{Word: controlapi.HoldBlock, Block: "m/bad"}); err != nil {
+			return false
+		}
+		g.stop(n)
+		return true
+	})
+	eventually(t, 20*time.Second, "the next leader lists the block", func() bool {
+		n := leader()
+		if n == 0 {
+			return false
+		}
+		list, err := g.sayBlocks(n, controlapi.BlocksRequest{})
+		return err == nil && len(list) == 1 && list[0].ByOperator
+	})
+}
+
 func TestWordOnSomethingThatIsNoBlockIsRefused(t *testing.T) {
 	h := &Host{loads: newLoads("one")}
 	for _, req := range []controlapi.BlocksRequest{
--- a/internal/control/controlhost/quarantine.go
+++ b/internal/control/controlhost/quarantine.go
@@ -10,6 +10,10 @@
 	"filberthook/internal/network/peer"
 )
 
+// copyTimeout bounds the time in which the leader passes an operator's word on. It ends before
+// the call of the control host that forwarded the word to the leader.
+const copyTimeout = callTimeout / 2
+
 // evidence returns what is known of blocks and requests that end instances, nil if nothing is.
 func (l *loads) evidence(now time.Time) *quarantine.Report {
 	if r := l.quarantine.Report(now); !r.Empty() {
@@ -74,16 +78,22 @@
 
 // serveBlocks takes an operator's word on a block or a request and lists those in quarantine. The
 // leader is told in any case: a few entry hosts exchange what they know through it alone, and
-// it passes the word on to the other control hosts where there are many.
+// it passes the word on to the other control hosts, as the next leader must know it.
 func (h *Host) serveBlocks(ctx context.Context, from peer.Identity, req controlapi.BlocksRequest) (controlapi.BlocksResponse, error) {
 	err := h.takeWord(req)
 	if req.Word != controlapi.NoWord {
-		h.logger.Warn("operator's word on a suspect", "word", req.Word, "suspect", req.Block, "by", from.Host, "forwarded", req.Forwarded, "taken", err == nil)
+		h.logger.Warn("operator's word on a suspect", "word", req.Word, "suspect", req.Block, "by", from.Host, "forwarded", req.Forwarded, "copied", req.Copied, "taken", err == nil)
 	}
 	if err != nil {
 		return controlapi.BlocksResponse{}, err
 	}
-	if _, leads := h.membership.Leads(); leads || req.Forwarded {
+	_, leads := h.membership.Leads()
+	if leads && req.Word != controlapi.NoWord && !req.Copied {
+		if err := h.copyWord(ctx, req); err != nil {
+			return controlapi.BlocksResponse{}, err
+		}
+	}
+	if leads || req.Forwarded || req.Copied {
 		return controlapi.BlocksResponse{Blocks: h.loads.quarantine.Entries(time.Now())}, nil
 	}
 	leader := h.watcher.Leader()
@@ -100,6 +110,53 @@
 	return answer, nil
 }
 
+// WordNotKeptError reports an operator's word that would be lost with few control hosts.
+type WordNotKeptError struct {
+	Word         controlapi.BlockWord
+	Block        quarantine.Suspect
+	Taken, Hosts int // control hosts that have taken the word, of all members
+	Err          error
+}
+
+func (e *WordNotKeptError) Error() string {
+	return fmt.Sprintf("%s of %q was taken by %d of %d control hosts, repeat the command: %v", e.Word, e.Block, e.Taken, e.Hosts, e.Err)
+}
+
+func (e *WordNotKeptError) Unwrap() error { return e.Err }
+
+// copyWord passes an operator's word on to the other members. It returns an error unless more than
+// half of all members have taken it.
+func (h *Host) copyWord(ctx context.Context, req controlapi.BlocksRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	req.Forwarded, req.Copied = true, true
+	members := h.membership.addresses()
+	answers := make(chan error, len(members))
+	for _, address := range members {
+		if address == h.settings.Listen.peersAddress() {
+			answers <- nil
+			continue
+		}
+		go func() {
+			var answer controlapi.BlocksResponse
+			answers <- h.rpc.Get(address).Call(ctx, controlapi.MethodBlocks, req, &answer)
+		}()
+	}
+	taken := 0
+	var last error
+	for range members {
+		if err := <-answers; err != nil {
+			last = err
+		} else {
+			taken++
+		}
+	}
+	if 2*taken <= len(members) {
+		return &WordNotKeptError{req.Word, req.Block, taken, len(members), last}
+	}
+	return nil
+}
+
 func (h *Host) takeWord(req controlapi.BlocksRequest) error {
 	ledger, now := h.loads.quarantine, time.Now()
 	if req.Word != controlapi.NoWord && !req.Block.Valid() {
