Control host: no older version is announced while the log is replayed

An entry host that started beside it could use a version that was replaced long ago, for as long as the replay took.

Change: a control host announces a configuration once it has applied what its disk says is committed. 'replica opened' names that entry.

--- a/internal/control/controlhost/host_test.go
+++ b/internal/control/controlhost/host_test.go
@@ -41,6 +41,7 @@
 	heartbeat time.Duration // of instances
 	stages    Stages
 	engines   stagereconciler.Engines // nil if the hosts give no orders
+	logs      slog.Handler
 }
 
 type node struct {
@@ -51,7 +52,7 @@
 }
 
 func newGroup(t *testing.T, seeds ...int) *group {
-	g := &group{t: t, net: fmt.Sprintf("127.%d.%d", 60+rand.IntN(190), rand.IntN(250)), nodes: map[int]*node{}, heartbeat: 200 * time.Millisecond, stages: Stages{Lease: tomltime.Of(time.Second)}}
+	g := &group{t: t, net: fmt.Sprintf("127.%d.%d", 60+rand.IntN(190), rand.IntN(250)), nodes: map[int]*node{}, heartbeat: 200 * time.Millisecond, stages: Stages{Lease: tomltime.Of(time.Second)}, logs: slog.DiscardHandler}
 	// Created before the cleanup below is registered, so that the folder is removed after
 	// the hosts that write into it have stopped: cleanups run last in, first out.
 	g.root = t.TempDir()
@@ -96,7 +97,7 @@
 		Stages:       g.stages,
 	}
 	handler := func(Service) http.Handler { return http.NotFoundHandler() }
-	h, err := New(s, handler, g.engines, slog.New(slog.DiscardHandler), metrics.NewSet())
+	h, err := New(s, handler, g.engines, slog.New(g.logs), metrics.NewSet())
 	if err != nil {
 		g.t.Fatal(err)
 	}
--- a/internal/control/controlhost/member.go
+++ b/internal/control/controlhost/member.go
@@ -31,6 +31,9 @@
 	snapshotBytes = 8 << 20
 	// transferTimeout bounds the transfer of leadership at shutdown.
 	transferTimeout = time.Second
+	// replayPoll is the interval at which a host that has just started checks whether it has
+	// replayed its log.
+	replayPoll = 2 * time.Millisecond
 )
 
 // openReplica is an open replica with its state machine.
@@ -38,6 +41,10 @@
 	replica *replica.Replica
 	machine *document.Machine
 	id      uint64
+	// committed is the last entry that the disk says is committed. Until it is applied, the
+	// configurations of the log are older than the one that was in force.
+	committed uint64
+	replayed  atomic.Bool
 }
 
 // membership runs the replica of this host. It opens the replica again after a disk
@@ -111,6 +118,7 @@
 	defer stop()
 	ended := make(chan error, 1)
 	go func() { ended <- opened.replica.Run(runContext) }()
+	go m.announceReplayed(runContext, opened)
 	joined := make(chan struct{})
 	go func() {
 		defer close(joined)
@@ -133,22 +141,38 @@
 	if err != nil {
 		return nil, err
 	}
-	machine := document.NewMachine(m.host.configurationChanged)
+	opened := &openReplica{id: id}
+	opened.machine = document.NewMachine(func(d document.Document) {
+		if opened.replayed.Load() {
+			m.host.configurationChanged(d)
+		}
+	})
 	r, err := replica.Open(replica.Config{
 		ID:            id,
 		Dir:           m.dir(),
 		Members:       founders,
 		SnapshotBytes: snapshotBytes,
 		Logger:        m.host.logger,
-	}, machine, m.host.transport)
+	}, opened.machine, m.host.transport)
 	if err != nil {
 		return nil, err
 	}
-	// The configuration of a snapshot that Open restored from disk is in force at once.
-	m.host.configurationChanged(machine.Current())
-	m.host.logger.Info("replica opened", "id", id, "founder", len(founders) > 0, "version", machine.Current().Version,
-		"last", r.Status().LastIndex, "voters", r.Status().VoterAddresses())
-	return &openReplica{replica: r, machine: machine, id: id}, nil
+	status := r.Status()
+	opened.replica, opened.committed = r, status.Commit
+	m.host.logger.Info("replica opened", "id", id, "founder", len(founders) > 0, "version", opened.machine.Current().Version,
+		"last", status.LastIndex, "commit", status.Commit, "voters", status.VoterAddresses())
+	return opened, nil
+}
+
+// announceReplayed puts the configuration into force here once the log is replayed.
+func (m *membership) announceReplayed(ctx context.Context, opened *openReplica) {
+	for opened.replica.Status().Applied < opened.committed {
+		if !pause.For(ctx, replayPoll) {
+			return
+		}
+	}
+	opened.replayed.Store(true)
+	m.host.configurationChanged(opened.machine.Current())
 }
 
 // identity returns the replica id and, for a founder, the first members of the group. A
