--- a/internal/control/controlhost/leaders_test.go
+++ b/internal/control/controlhost/leaders_test.go
@@ -134,3 +134,19 @@
 		}
 	}
 }
+
+func TestNewLeaderTellsTheLoadOfAllHostsAfterOneInterval(t *testing.T) {
+	leader, now := newLoads("leader"), time.Unix(1_800_000_000, 0)
+	report := controlapi.LoadReport{
+		IntervalMS: leadersInterval.Milliseconds(), Tokens: controlapi.Backlogs{"e": {100}}, Requests: map[string]float64{"plain": 2},
+	}
+	for round := range 2 {
+		for i := range leadersHosts {
+			answer := leader.exchange(fmt.Sprint(i), report, now)
+			if others := float64(leadersHosts - 1); round > 0 && (answer.Tokens["e"][0] != int64(100*others) || answer.Requests["plain"] != 2*others) {
+				t.Errorf("host %d is told %v tokens and %v requests, want those of %v others", i, answer.Tokens["e"], answer.Requests["plain"], others)
+			}
+			now = now.Add(leadersInterval / leadersHosts)
+		}
+	}
+}
