Control group: a released lease is free at every replica

Cause: the gate that keeps hopeless requests out of the log answers by the state of its own replica. Change: before it refuses, it reads up to what the group has committed, and decides again. Without a quorum it refuses as before.

--- a/internal/control/controlnode/calls.go
+++ b/internal/control/controlnode/calls.go
@@ -34,7 +34,7 @@
 		// A host may lease its own zone only, and only for itself.
 		cmd.Holder.Host = from.Host
 		cmd.Scope = from.Zone
-		if refusal := n.gate.Refusal(n.group.clock.elapsed(), cmd); refusal != nil {
+		if refusal := n.leaseRefusal(ctx, cmd); refusal != nil {
 			n.countLease(cmd.Kind, "waiting")
 			return lease.Result{Err: refusal}, nil
 		}
@@ -49,6 +49,17 @@
 	})
 }
 
+// leaseRefusal returns the error for a lease command that cannot succeed yet, nil when it must be
+// proposed. A host that is refused asks again only when the lease may have expired, so this
+// replica must not answer by a state that the group has left.
+func (n *Node) leaseRefusal(ctx context.Context, cmd lease.Command) *lease.Error {
+	refusal := n.gate.Refusal(n.group.clock.elapsed(), cmd)
+	if refusal == nil || n.group.ReadBarrier(ctx) != nil {
+		return refusal
+	}
+	return n.gate.Refusal(n.group.clock.elapsed(), cmd)
+}
+
 // registerReplicaCalls registers the calls of other replicas.
 func (n *Node) registerReplicaCalls() {
 	handleReplica(n.mux, methodPropose, func(ctx context.Context, req proposeRequest) (statemachine.Response, error) {
--- a/internal/control/controlnode/lease_test.go
+++ b/internal/control/controlnode/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/control/authority"
+	"filberthook/internal/control/lease"
 	"filberthook/internal/replication/replica"
 )
 
@@ -78,3 +80,34 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+func TestReleasedLeaseIsFreeAtEveryReplica(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 3)
+	leader := c.leader()
+	for round := range 12 {
+		scope := func(i int, host string, cmd lease.Command) (out lease.Result) {
+			t.Helper()
+			if err := c.peer(i, host).Call(t.Context(), authority.MethodLease, cmd, &out); err != nil {
+				t.Fatal(err)
+			}
+			return out
+		}
+		take := lease.Command{Kind: lease.Acquire, Holder: lease.Holder{Session: fmt.Sprint(round)}, TTL: lease.MaxTTL}
+		first := scope(leader, "e1", take)
+		if first.Err != nil {
+			t.Fatalf("round %d: %v", round, first.Err)
+		}
+		if released := scope(leader, "e1", lease.Command{Kind: lease.Release, Holder: take.Holder, Fence: first.Fence}); released.Err != nil {
+			t.Fatalf("round %d: %v", round, released.Err)
+		}
+		other := (leader + 1 + round%2) % 3
+		next := scope(other, "e2", take)
+		if next.Err != nil || next.Fence <= first.Fence {
+			t.Fatalf("round %d: after the release replica %d answers %+v", round, other+1, next)
+		}
+		if released := scope(leader, "e2", lease.Command{Kind: lease.Release, Holder: take.Holder, Fence: next.Fence}); released.Err != nil {
+			t.Fatalf("round %d: %v", round, released.Err)
+		}
+	}
+}
