Entry host: no control host is asked to bring an older version back

A configuration that waits for other control hosts is dropped when a newer one came meanwhile; until now only the entry host's own check kept it out.

--- a/internal/control/controlwatch/fetch.go
+++ b/internal/control/controlwatch/fetch.go
@@ -100,7 +100,7 @@
 	w.fetches.end()
 	w.mu.Unlock()
 	if err == nil && (confirmed || w.config.Version() > 0 || w.newestReachable(ctx, d.Version)) {
-		err = w.config.Offer(d, address)
+		err = w.offer(d, address)
 	}
 	if err == nil {
 		*r = refetch{}
@@ -112,6 +112,14 @@
 	}
 }
 
+// offer puts a document into force unless another control host had a newer one meanwhile.
+func (w *Watcher) offer(d document.Document, address string) error {
+	if d.Version <= w.config.Version() {
+		return nil
+	}
+	return w.config.Offer(d, address)
+}
+
 // download returns the configuration of a control host. A host that has none yet asks for
 // confirmation that there is no newer one.
 func (w *Watcher) download(ctx context.Context, address string) (d document.Document, confirmed bool, err error) {
