Watch: smaller parts of the list after a call that timed out

A part of the instance list (up to 512 KiB) that took longer than the 2 s of a watch call was asked for again at the same size without end: the call timed out, its connection was dropped, and the position stayed where it was. The list never reached an entry host on a slow link or a slow host, and the control host counted as lost meanwhile.

The request now names the size of the part it wants. The size starts at 512 KiB, is halved after each call that times out, and is doubled when a part that fills it has come within 0.5 s. What has arrived is kept, as before. A part has at least one entry, so the largest one (50 kB) must still come within 2 s. Control hosts of earlier versions ignore the field; entry hosts of earlier versions get what they did.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -30,7 +30,10 @@
 	Position uint64 `json:"position"` // of the last answer
 	Version  uint64 `json:"version"`  // of the configuration in force at the requesting host
 	WaitMS   int64  `json:"wait_ms"`  // longest delay of the answer
-	Observer bool   `json:"observer"` // the requesting host is a control host, which serves no callers
+	// PageBytes bounds the changes in the answer, but for a single one; 0 means
+	// instances.MaxPageBytes. Further changes are left to the next answer.
+	PageBytes int  `json:"page_bytes,omitempty"`
+	Observer  bool `json:"observer"` // the requesting host is a control host, which serves no callers
 }
 
 // WatchResponse lists what changed.
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -318,7 +318,7 @@
 		hosts = h.watchers.recordRequest(from, position, time.Now())
 	}
 	for waiting := true; ; {
-		changes, reached, changed := h.registry.Since(position)
+		changes, reached, changed := h.registry.Since(position, req.PageBytes)
 		version, newVersion := h.versionAndChange()
 		if len(changes) > 0 || version > req.Version || req.Epoch != h.epoch || !waiting {
 			return controlapi.WatchResponse{
--- a/internal/control/controlhost/odd_test.go
+++ b/internal/control/controlhost/odd_test.go
@@ -177,7 +177,7 @@
 	}
 	kept := 0
 	for position := uint64(0); ; {
-		changes, reached, _ := h.registry.Since(position)
+		changes, reached, _ := h.registry.Since(position, 0)
 		if kept += len(changes); len(changes) == 0 {
 			break
 		}
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"filberthook/internal/control/controlapi"
 	"filberthook/internal/engines/instances"
+	"filberthook/internal/network/peer"
 	"filberthook/internal/process/loglimit"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
@@ -69,6 +71,7 @@
 	namedAt time.Time // when a seed or a control host last named it
 	up      bool      // the last call succeeded
 	zone    string    // availability zone, as last reported
+	page    pageSize  // used by follow only
 }
 
 // New returns a Watcher that keeps view and config up to date.
@@ -138,7 +141,7 @@
 			t.namedAt = time.Now()
 			continue
 		}
-		t := &controlHost{namedAt: time.Now()}
+		t := &controlHost{namedAt: time.Now(), page: firstPage}
 		w.watched[address] = t
 		running.Go(func() { w.follow(ctx, running, address, t) })
 	}
@@ -148,7 +151,7 @@
 func (w *Watcher) follow(ctx context.Context, running *sync.WaitGroup, address string, t *controlHost) {
 	delay := firstRetry
 	for ctx.Err() == nil {
-		resp, err := w.poll(ctx, address)
+		resp, err := w.poll(ctx, address, t)
 		if err != nil {
 			w.markLost(address, t, err)
 			if w.forgetIfUnnamed(address, t) || !pause.For(ctx, delay) {
@@ -179,16 +182,24 @@
 }
 
 // poll makes one watch call, which returns after a change or after watchWait.
-func (w *Watcher) poll(ctx context.Context, address string) (controlapi.WatchResponse, error) {
+func (w *Watcher) poll(ctx context.Context, address string, t *controlHost) (controlapi.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	epoch, position := w.view.Position(address)
 	req := controlapi.WatchRequest{
 		Epoch: epoch, Position: position,
-		Version: w.config.Version(), WaitMS: watchWait.Milliseconds(), Observer: w.observer,
+		Version: w.config.Version(), WaitMS: watchWait.Milliseconds(), PageBytes: int(t.page), Observer: w.observer,
 	}
 	var resp controlapi.WatchResponse
+	begin := time.Now()
 	err := w.clients.Get(address).Call(ctx, controlapi.MethodWatch, req, &resp)
+	var unreachable *peer.UnreachableError
+	switch {
+	case err == nil:
+		t.page.answered(resp.Changes, time.Since(begin))
+	case errors.Is(err, context.DeadlineExceeded) && !errors.As(err, &unreachable) && t.page.timedOut():
+		w.logger.Info("watch call timed out; smaller parts of the list asked for", "control", address, "position", position, "page_bytes", int(t.page))
+	}
 	return resp, err
 }
 
--- a/internal/engines/instances/bench_test.go
+++ b/internal/engines/instances/bench_test.go
@@ -43,9 +43,9 @@
 					id := fmt.Sprint("i-", n)
 					r.Observe(Instance{ID: id, Born: 1, Sequence: sequence, Endpoint: "lm", Address: id, Zone: "z", Slots: 64}, now)
 				}
-				_, position, _ := r.Since(0)
+				_, position, _ := r.Since(0, 0)
 				for range 300 {
-					r.Since(position)
+					r.Since(position, 0)
 				}
 			}
 		})
--- a/internal/engines/instances/instance.go
+++ b/internal/engines/instances/instance.go
@@ -67,8 +67,8 @@
 	escapedBytes = 6
 )
 
-// encodedBytes returns how many bytes the change takes at most as JSON.
-func (c *Change) encodedBytes() int {
+// EncodedBytes returns how many bytes the change takes at most as JSON.
+func (c *Change) EncodedBytes() int {
 	text, models := len(c.ID)+len(c.Endpoint)+len(c.Address)+len(c.Zone), len(c.Models)
 	for _, m := range c.Models {
 		text += len(m.Name)
--- a/internal/engines/instances/instances_test.go
+++ b/internal/engines/instances/instances_test.go
@@ -29,7 +29,7 @@
 // feed applies the changes of a registry to a view.
 func feed(v *View, address, epoch string, r *Registry, now time.Time) {
 	_, position := v.Position(address)
-	changes, reached, _ := r.Since(position)
+	changes, reached, _ := r.Since(position, 0)
 	v.Update(address, epoch, reached, changes, now)
 }
 
@@ -248,7 +248,7 @@
 				}
 			}
 			got := map[string]Change{}
-			changes, _, _ := r.Since(position)
+			changes, _, _ := r.Since(position, 0)
 			for _, c := range changes {
 				got[c.ID] = c
 			}
--- a/internal/engines/instances/registry.go
+++ b/internal/engines/instances/registry.go
@@ -204,14 +204,18 @@
 	r.changed = make(chan struct{})
 }
 
-// pageBytes is the size from which Since leaves further changes to the next call. A link of
-// 10 Mbit/s carries it in 0.4 s, well before a watch call times out.
-const pageBytes = 512 << 10
+// MaxPageBytes bounds the changes that Since returns at once. A link of 10 Mbit/s carries them in
+// 0.4 s.
+const MaxPageBytes = 512 << 10
 
 // Since returns the changes after a position, the position reached, and a channel
 // that is closed at the next change. A long list comes in several pages, of which the last
-// reaches the newest position.
-func (r *Registry) Since(position uint64) ([]Change, uint64, <-chan struct{}) {
+// reaches the newest position. A page has up to pageBytes but at least one change; 0 means
+// MaxPageBytes.
+func (r *Registry) Since(position uint64, pageBytes int) ([]Change, uint64, <-chan struct{}) {
+	if pageBytes <= 0 || pageBytes > MaxPageBytes {
+		pageBytes = MaxPageBytes
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	from, _ := slices.BinarySearchFunc(r.log, position+1, func(l logged, at uint64) int { return cmp.Compare(l.position, at) })
@@ -221,7 +225,7 @@
 		if l.superseded() {
 			continue
 		}
-		if size += l.entry.encodedBytes(); size > pageBytes && len(out) > 0 {
+		if size += l.entry.EncodedBytes(); size > pageBytes && len(out) > 0 {
 			return out, reached, r.changed
 		}
 		out, reached = append(out, l.entry.Change), l.position
