Peer: messages are not checked once more by package json

Package json checks what a Marshaler returns and what it hands to an Unmarshaler, and scans it again to find its end. The messages of package jsonrpc2 are both, and encode and check themselves. The codec now calls them directly.

--- a/internal/network/peer/codec.go
+++ b/internal/network/peer/codec.go
@@ -25,7 +25,7 @@
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (c codec) WriteObject(w io.Writer, obj any) error {
-	body, err := json.Marshal(obj)
+	body, err := encode(obj)
 	if err != nil {
 		return err
 	}
@@ -52,9 +52,21 @@
 	if _, err := io.ReadFull(r, body); err != nil {
 		return err
 	}
+	// An Unmarshaler checks the message itself; package json would do so once more.
+	if u, ok := v.(json.Unmarshaler); ok {
+		return u.UnmarshalJSON(body)
+	}
 	return json.Unmarshal(body, v)
 }
 
+// encode returns a message as JSON. What a Marshaler returns need not be checked.
+func encode(obj any) ([]byte, error) {
+	if m, ok := obj.(json.Marshaler); ok {
+		return m.MarshalJSON()
+	}
+	return json.Marshal(obj)
+}
+
 // deadlineConn sets a deadline for every write, so that a peer that stops reading cannot
 // block a writer forever.
 type deadlineConn struct {
