Watch: large lists are compressed

The layers of a call encode, check and scan an answer about 15 times, which is most of the processor time of a long list. Changes of 8 KiB and more are now deflated (RFC 1951) for hosts that say in their request that they read that, so that the layers pass on a fraction of the bytes; so does the link. Hosts of earlier versions get the list as before, and their lists are read.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -33,7 +33,8 @@
 	// PageBytes bounds the changes in the answer, but for a single one; 0 means
 	// instances.MaxPageBytes. Further changes are left to the next answer.
 	PageBytes int  `json:"page_bytes,omitempty"`
-	Observer  bool `json:"observer"` // the requesting host is a control host, which serves no callers
+	Packed    bool `json:"packed,omitempty"` // the requesting host reads Packed
+	Observer  bool `json:"observer"`         // the requesting host is a control host, which serves no callers
 }
 
 // WatchResponse lists what changed.
@@ -41,6 +42,7 @@
 	Epoch    string   `json:"epoch"` // differs in each control process
 	Position uint64   `json:"position"`
 	Changes  Changes  `json:"changes,omitempty"`
+	Packed   []byte   `json:"packed,omitempty"` // instead of Changes; see Pack
 	Version  uint64   `json:"version"`          // of the configuration in force at the control host
 	Peers    []string `json:"peers,omitempty"`  // addresses of the control hosts of the group
 	Hosts    int      `json:"hosts"`            // entry hosts that watch the control host, 0 while it has just started
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -214,7 +214,7 @@
 		return struct{}{}, h.receive(batch)
 	})
 	peer.Handle(m, controlapi.MethodWatch, func(ctx context.Context, from peer.Identity, req controlapi.WatchRequest) (controlapi.WatchResponse, error) {
-		return h.watch(ctx, from.Host, req), nil
+		return h.serveWatch(ctx, from.Host, req)
 	})
 	peer.Handle(m, controlapi.MethodDocument, func(context.Context, peer.Identity, controlapi.DocumentRequest) (document.Packed, error) {
 		return h.packedDocument()
--- a/internal/control/controlhost/watchers.go
+++ b/internal/control/controlhost/watchers.go
@@ -12,6 +12,16 @@
 // longer than one delayed answer and a reconnect after it.
 const watcherTTL = 2500 * time.Millisecond
 
+// serveWatch answers a watch call, packed if the calling host reads that.
+func (h *Host) serveWatch(ctx context.Context, from string, req controlapi.WatchRequest) (controlapi.WatchResponse, error) {
+	answer := h.watch(ctx, from, req)
+	if !req.Packed {
+		return answer, nil
+	}
+	err := answer.Pack()
+	return answer, err
+}
+
 // watcher is an entry host that follows this control host.
 type watcher struct {
 	position    uint64 // the host has received all changes up to here
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -188,11 +188,14 @@
 	epoch, position := w.view.Position(address)
 	req := controlapi.WatchRequest{
 		Epoch: epoch, Position: position,
-		Version: w.config.Version(), WaitMS: watchWait.Milliseconds(), PageBytes: int(t.page), Observer: w.observer,
+		Version: w.config.Version(), WaitMS: watchWait.Milliseconds(), PageBytes: int(t.page), Packed: true, Observer: w.observer,
 	}
 	var resp controlapi.WatchResponse
 	begin := time.Now()
 	err := w.clients.Get(address).Call(ctx, controlapi.MethodWatch, req, &resp)
+	if err == nil {
+		err = resp.Unpack()
+	}
 	var unreachable *peer.UnreachableError
 	switch {
 	case err == nil:
