Peer: the address is free once a server has stopped

Serve returned without closing its listener when a connection was accepted between the end of its context and the close: the context ends before the functions that AfterFunc has registered run, Serve saw that it had ended, and its deferred stop() then withdrew the close. The listener stayed open until it was collected as garbage, and so did the accepted connection. Hosts that dial a stopped one all the time meet that moment often.

TestLostDiskUnderTheOldAddressIsANewMember failed once with "address already in use": it stops a control host that three others dial, and starts it again at the same address.

Serve now closes what it has accepted, and returns once the listener is closed.

--- a/internal/network/peer/server.go
+++ b/internal/network/peer/server.go
@@ -58,15 +58,19 @@
 	maxAcceptPause   = time.Second
 )
 
-// Serve accepts connections until ctx is done, then closes them and returns nil. It returns
-// an error if the listener is closed before.
+// Serve accepts connections until ctx is done, then closes them and the listener and returns
+// nil. It returns an error if the listener is closed before.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var conns sync.WaitGroup
 	defer conns.Wait()
+	closed := make(chan struct{})
+	defer func() { <-closed }()
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { ln.Close() })
-	defer stop()
+	context.AfterFunc(ctx, func() {
+		defer close(closed)
+		ln.Close()
+	})
 
 	slots := make(chan struct{}, s.opts.MaxConnections)
 	delay := firstAcceptPause
@@ -74,6 +78,9 @@
 		conn, err := ln.Accept()
 		switch {
 		case ctx.Err() != nil:
+			if err == nil {
+				conn.Close()
+			}
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept on %s: %w", ln.Addr(), err)
--- a/internal/network/peer/stop_test.go
+++ b/internal/network/peer/stop_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -42,3 +45,41 @@
 		c.Close()
 	}
 }
+
+// lateListener accepts a connection just as the server is stopped, and takes its time to close.
+type lateListener struct {
+	net.Listener
+	stop   context.CancelFunc
+	conn   net.Conn
+	closed atomic.Bool
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	l.stop()
+	return l.conn, nil
+}
+
+func (l *lateListener) Close() error {
+	time.Sleep(100 * time.Millisecond)
+	l.closed.Store(true)
+	return nil
+}
+
+func TestAddressIsFreeAndConnectionsAreClosedOnceAServerHasStopped(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	near, far := net.Pipe()
+	defer far.Close()
+	if err := far.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	ln := &lateListener{stop: stop, conn: near}
+	if err := NewServer(Options{}, NewMux()).Serve(ctx, ln); err != nil {
+		t.Fatal(err)
+	}
+	if !ln.closed.Load() {
+		t.Error("the listener is open: another server cannot listen at its address")
+	}
+	if _, err := far.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("error %v of a connection accepted during the stop, want its end", err)
+	}
+}
