Tests: loopback networks are reserved

Tests of controlhost, platform and entryhost drew the networks of their hosts at random (some 47,000, one to each test) and did not look whether another test or process had drawn the same. The soak used fixed ones: 127.190 was that of the series tests, of the first run of "filberthook-load host-soak", and among those that platform's tests draw, with the same ports; two runs of the soak's tests always met.

loopback.Reserve holds a network by listening at one of its addresses on a port of its own, and draws another one when that is taken, by whatever process. Networks of the soak come from a range of their own; its setting Net is still taken as given. The addresses of loopback.Address are chosen by process id, which repeats modulo 4095 and between containers with one network; the range is now held in the same way. All these ports lie below the source ports of connections (from 32768).

Two tests took the port of a listener they had closed for one where nobody listens; another process could get it. They use an address of their own.

--- a/cmd/filberthook-load/hostsoak.go
+++ b/cmd/filberthook-load/hostsoak.go
@@ -16,10 +16,6 @@
 	"filberthook/platform/hostsoak"
 )
 
-// firstSubnet is the second octet of the loopback addresses of the first run; each
-// parallel run has its own.
-const firstSubnet = 190
-
 var errViolations = errors.New("promises were broken, see above")
 
 // hostSoakCommand runs hosts as separate processes and injects faults into them.
@@ -50,21 +46,14 @@
 	if err != nil {
 		return err
 	}
-	subnets := make(chan int, parallel)
-	for n := range parallel {
-		subnets <- firstSubnet + n
-	}
 	var mu sync.Mutex
 	bad := 0
 	runs, ctx := errgroup.WithContext(ctx)
 	runs.SetLimit(parallel)
 	for n := range seeds {
 		runs.Go(func() error {
-			subnet := <-subnets
-			defer func() { subnets <- subnet }()
 			runConfig := cfg
 			runConfig.Seed += uint64(n)
-			runConfig.Net = fmt.Sprint("127.", subnet)
 			runConfig.Dir = filepath.Join(root, fmt.Sprint(runConfig.Seed))
 			report, err := soakSeed(ctx, runConfig)
 			if err != nil {
--- a/internal/control/controlhost/host_test.go
+++ b/internal/control/controlhost/host_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"filberthook/internal/bench/loopback"
 	"filberthook/internal/control/controlapi"
 	"filberthook/internal/engines/instances"
 	"filberthook/internal/process/tomltime"
@@ -48,7 +48,12 @@
 }
 
 func newGroup(t *testing.T, seeds ...int) *group {
-	g := &group{t: t, net: fmt.Sprintf("127.%d.%d", 60+rand.IntN(190), rand.IntN(250)), nodes: map[int]*node{}, heartbeat: 200 * time.Millisecond}
+	reserved, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(reserved.Release) // runs after the cleanup below has stopped the hosts
+	g := &group{t: t, net: reserved.Prefix, nodes: map[int]*node{}, heartbeat: 200 * time.Millisecond}
 	// Created before the cleanup below is registered, so that the folder is removed after
 	// the hosts that write into it have stopped: cleanups run last in, first out.
 	g.root = t.TempDir()
--- a/internal/network/peer/peer_test.go
+++ b/internal/network/peer/peer_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/goleak"
+
+	"filberthook/internal/bench/loopback"
 )
 
 type echoRequest struct{ Text string }
@@ -70,13 +72,7 @@
 }
 
 func TestUnreachablePeerIsNotCalled(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
-	c := NewClient(addr, Options{})
+	c := NewClient(loopback.String(), Options{}) // nothing listens there
 	var unreachable *UnreachableError
 	if err := c.Call(context.Background(), "echo", echoRequest{}, nil); !errors.As(err, &unreachable) {
 		t.Errorf("got %v, want an UnreachableError", err)
--- a/internal/serve/entryhost/drain_test.go
+++ b/internal/serve/entryhost/drain_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
@@ -15,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"filberthook/internal/bench/loopback"
 	"filberthook/internal/process/tomltime"
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
@@ -31,7 +31,12 @@
 // address for callers and a function that stops it.
 func startHost(t *testing.T, lameDuck time.Duration) (address string, stop func()) {
 	t.Helper()
-	base := fmt.Sprintf("127.%d.%d.", 60+rand.IntN(120), rand.IntN(250))
+	reserved, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(reserved.Release)
+	base := reserved.Prefix + "."
 	address = base + "1:7600"
 	h := New(Settings{
 		Host: "e", Zone: "z", Seeds: []string{base + "9:7600"}, PeerPort: 7601, Heartbeat: tomltime.Of(time.Second), Grace: tomltime.Of(4 * time.Second),
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/bench/loopback"
 )
 
 // endpoint is a scripted instance that counts its connections and requests.
@@ -218,13 +220,7 @@
 }
 
 func TestUnreachableInstanceGivesNotSentError(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := ln.Addr().String()
-	ln.Close()
-	_, err = fetch(t, newPool(t), address, get("1"))
+	_, err := fetch(t, newPool(t), loopback.String(), get("1")) // nothing listens there
 	var notSent *NotSentError
 	if !errors.As(err, &notSent) {
 		t.Errorf("got %v, want a NotSentError", err)
