--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -219,7 +219,7 @@
 		return struct{}{}, h.receive(batch)
 	})
 	peer.Handle(m, controlapi.MethodWatch, func(ctx context.Context, from peer.Identity, req controlapi.WatchRequest) (controlapi.WatchResponse, error) {
-		return h.watch(ctx, from.Host, req), nil
+		return h.serveWatch(ctx, from.Host, req)
 	})
 	peer.Handle(m, controlapi.MethodDocument, func(ctx context.Context, _ peer.Identity, req controlapi.DocumentRequest) (controlapi.DocumentResponse, error) {
 		return h.serveDocument(ctx, req)
@@ -300,7 +300,7 @@
 		hosts = h.watchers.recordRequest(from, position, time.Now())
 	}
 	for waiting := true; ; {
-		changes, reached, changed := h.registry.Since(position)
+		changes, reached, changed := h.registry.Since(position, req.PageBytes)
 		version, newVersion := h.versionAndChange()
 		if len(changes) > 0 || version > req.Version || req.Epoch != h.epoch || !waiting {
 			return controlapi.WatchResponse{
