Control host: an operator's word is kept by more than half of the voters

Members without a vote counted: beside three voters and three learners that are gone, a word was "taken by 3 of 6 control hosts, repeat the command" for ever, and each one waited for hosts that do not answer. The leader now answers once more than half of the voters have taken the word, or once they cannot. The other members are told without being waited for; words to a member stay in order, as the one that it takes last counts.

TestOperatorsWordIsTakenWhileLostLearnersAreStillMembers failed before.

--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -104,6 +104,7 @@
 	quorum     quorumState
 	former     atomic.Pointer[[]uint64] // ids of the members of the group that this host's has replaced, nil for none
 	expelLines loglimit.Limiter
+	copies     wordCopies
 
 	mu      sync.Mutex
 	version uint64        // highest version that came into force here
--- a/internal/control/controlhost/quarantine.go
+++ b/internal/control/controlhost/quarantine.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"filberthook/internal/control/controlapi"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/network/peer"
+	"filberthook/internal/replication/replica"
 )
 
 // copyTimeout bounds the time in which the leader passes an operator's word on. It ends before
@@ -112,51 +114,103 @@
 
 // WordNotKeptError reports an operator's word that would be lost with few control hosts.
 type WordNotKeptError struct {
-	Word         controlapi.BlockWord
-	Block        quarantine.Suspect
-	Taken, Hosts int // control hosts that have taken the word, of all members
-	Err          error
+	Word          controlapi.BlockWord
+	Block         quarantine.Suspect
+	Taken, Voters int // voters that have taken the word, of all
+	Err           error
 }
 
 func (e *WordNotKeptError) Error() string {
-	return fmt.Sprintf("%s of %q was taken by %d of %d control hosts, repeat the command: %v", e.Word, e.Block, e.Taken, e.Hosts, e.Err)
+	return fmt.Sprintf("%s of %q was taken by %d of %d control hosts with a vote, repeat the command: %v", e.Word, e.Block, e.Taken, e.Voters, e.Err)
 }
 
 func (e *WordNotKeptError) Unwrap() error { return e.Err }
 
-// copyWord passes an operator's word on to the other members. It returns an error unless more than
-// half of all members have taken it.
+// copyWord passes an operator's word on to the other members. It returns once more than half of
+// the voters have taken it, or an error once they cannot; the others are still told.
 func (h *Host) copyWord(ctx context.Context, req controlapi.BlocksRequest) error {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	req.Forwarded, req.Copied = true, true
-	members := h.membership.addresses()
-	answers := make(chan error, len(members))
-	for _, address := range members {
-		if address == h.settings.Listen.peersAddress() {
-			answers <- nil
-			continue
+	status, _ := h.membership.status()
+	answers := make(chan error, len(status.Members))
+	voters, taken := 0, 0
+	for _, m := range status.Members {
+		own := m.ID == status.ID
+		if !m.Learner {
+			voters++
+			if own {
+				taken++
+			}
+		}
+		if !own {
+			h.startCopy(ctx, m, req, answers)
 		}
-		go func() {
-			var answer controlapi.BlocksResponse
-			answers <- h.rpc.Get(address).Call(ctx, controlapi.MethodBlocks, req, &answer)
-		}()
 	}
-	taken := 0
 	var last error
-	for range members {
+	for asked := voters - taken; asked > 0 && 2*taken <= voters && 2*(taken+asked) > voters; asked-- {
 		if err := <-answers; err != nil {
 			last = err
 		} else {
 			taken++
 		}
 	}
-	if 2*taken <= len(members) {
-		return &WordNotKeptError{req.Word, req.Block, taken, len(members), last}
+	if 2*taken <= voters {
+		return &WordNotKeptError{req.Word, req.Block, taken, voters, last}
 	}
 	return nil
 }
 
+// startCopy tells a member an operator's word, after the earlier ones that it is being told: the
+// word that a member takes last counts. A voter's answer is sent to answers.
+func (h *Host) startCopy(ctx context.Context, m replica.MemberStatus, req controlapi.BlocksRequest, answers chan<- error) {
+	client := h.rpc.Get(m.Address)
+	earlier, done := h.copies.enter(m.Address)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), copyTimeout)
+	go func() {
+		defer cancel()
+		defer done()
+		select {
+		case <-earlier:
+		case <-ctx.Done():
+		}
+		var answer controlapi.BlocksResponse
+		err := client.Call(ctx, controlapi.MethodBlocks, req, &answer)
+		if !m.Learner {
+			answers <- err
+		}
+	}()
+}
+
+// wordCopies keeps the operators' words that are being passed on in order.
+type wordCopies struct {
+	mu   sync.Mutex
+	last map[string]chan struct{} // by address; closed once the last word has been passed on
+}
+
+// enter returns a channel that is closed once the earlier words have been passed on to an address,
+// and a function that tells that this one has.
+func (c *wordCopies) enter(address string) (earlier <-chan struct{}, done func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, ok := c.last[address]
+	if !ok {
+		before = make(chan struct{})
+		close(before)
+	}
+	own := make(chan struct{})
+	if c.last == nil {
+		c.last = map[string]chan struct{}{}
+	}
+	c.last[address] = own
+	return before, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		close(own)
+		if c.last[address] == own {
+			delete(c.last, address)
+		}
+	}
+}
+
 func (h *Host) takeWord(req controlapi.BlocksRequest) error {
 	ledger, now := h.loads.quarantine, time.Now()
 	if req.Word != controlapi.NoWord && !req.Block.Valid() {
