Tests of restarts wait for what the disk tells, not for a fixed time

Three tests gave the commit index 300 ms or 1 s to reach the disk, and one read the version in force 500 ms after a start. They now read a copy of the data folder until it tells that the version is committed, and wait until a version is in force, which must be the first that comes into force there.

--- a/internal/control/controlhost/restart_test.go
+++ b/internal/control/controlhost/restart_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"os"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"filberthook/internal/control/regroup"
 	"filberthook/internal/replication/document"
+	"filberthook/internal/replication/fsys"
 )
 
 func TestHostThatRestartsAloneKnowsTheConfigurationThatWasInForce(t *testing.T) {
@@ -20,22 +24,44 @@
 	accept(t, g.nodes[1].host, 1, "one")
 	accept(t, g.nodes[1].host, 2, "two")
 	for n := 1; n <= 3; n++ {
-		eventually(t, 5*time.Second, "version 2 in force", func() bool { return g.nodes[n].host.currentVersion() == 2 })
+		g.waitCommittedOnDisk(n, 2)
 	}
-	time.Sleep(time.Second)
 	for n := 1; n <= 3; n++ {
 		g.stop(n)
 	}
 	for n := 1; n <= 3; n++ {
+		log := &announced{}
+		g.logs = log
 		h := g.start(n, false)
-		time.Sleep(500 * time.Millisecond)
-		if got := h.currentVersion(); got != 2 {
-			t.Errorf("host %d, alone after its restart, has version %d in force, want 2", n, got)
-		}
+		eventually(t, 30*time.Second, "a version in force", func() bool { return h.currentVersion() != 0 })
 		g.stop(n)
+		log.mu.Lock()
+		if !slices.Equal(log.versions, []uint64{2}) {
+			t.Errorf("versions in force at host %d, alone after its restart, in order: %v; want version 2", n, log.versions)
+		}
+		log.mu.Unlock()
 	}
 }
 
+// waitCommittedOnDisk waits until the disk of a running host tells that the entry of a version is
+// committed. It reads copies, as the folder is locked.
+func (g *group) waitCommittedOnDisk(n int, version uint64) {
+	g.t.Helper()
+	s := g.nodes[n].host.settings
+	eventually(g.t, 30*time.Second, fmt.Sprintf("version %d is committed on the disk of host %d", version, n), func() bool {
+		dir := g.t.TempDir()
+		if err := os.CopyFS(dir, os.DirFS(s.ReplicaDir())); err != nil {
+			return false // a file was removed meanwhile
+		}
+		copied, err := regroup.Open(fsys.OS{}, dir, s.PeersAddress())
+		if err != nil {
+			return false // files of different times
+		}
+		defer copied.Close()
+		return copied.Version == version && copied.Commit >= copied.Last
+	})
+}
+
 // announced is a log handler that records the versions that come into force.
 type announced struct {
 	slog.Handler
@@ -71,7 +97,7 @@
 			t.Fatal(err)
 		}
 	}
-	time.Sleep(300 * time.Millisecond) // the commit index is saved
+	g.waitCommittedOnDisk(1, 20)
 	g.stop(1)
 	log := &announced{}
 	g.logs = log
--- a/internal/control/controlhost/without_quorum_test.go
+++ b/internal/control/controlhost/without_quorum_test.go
@@ -91,12 +91,10 @@
 		g.start(n, true)
 	}
 	accept(t, g.nodes[1].host, 1, "one")
-	eventually(t, 10*time.Second, "the learner follows", func() bool { return g.nodes[4].host.currentVersion() == 1 })
-	time.Sleep(300 * time.Millisecond) // the learner saves its commit index
+	g.waitCommittedOnDisk(4, 1)
 	g.stop(4)
 	accept(t, g.nodes[1].host, 2, "two")
-	eventually(t, 10*time.Second, "version 2 in force at host 1", func() bool { return g.nodes[1].host.currentVersion() == 2 })
-	time.Sleep(300 * time.Millisecond)
+	g.waitCommittedOnDisk(1, 2)
 	g.stopAll(1, 2, 3)
 	g.wipe(3)
 	for _, n := range []int{1, 3, 4} {
