--- a/internal/control/controlhost/without_quorum_test.go
+++ b/internal/control/controlhost/without_quorum_test.go
@@ -17,10 +17,11 @@
 	"filberthook/internal/replication/raftnet"
 )
 
-// entryConfiguration holds the newest version that it was offered, as that of an entry host does.
+// entryConfiguration holds the newest version that it was offered, as that of an entry host does,
+// and the first one.
 type entryConfiguration struct {
-	mu      sync.Mutex
-	version uint64
+	mu             sync.Mutex
+	version, first uint64
 }
 
 func (c *entryConfiguration) Version() uint64 {
@@ -33,6 +34,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version = max(c.version, d.Version)
+	if c.first == 0 {
+		c.first = d.Version
+	}
 	return nil
 }
 
@@ -106,6 +110,11 @@
 	without, none := startEntryHost(t, g, 3)
 	_, config := startEntryHost(t, g, 4, 1)
 	eventually(t, 10*time.Second, "version 2 at the entry host", func() bool { return config.Version() == 2 })
+	config.mu.Lock()
+	if config.first != 2 {
+		t.Errorf("the entry host was offered version %d first, want 2", config.first)
+	}
+	config.mu.Unlock()
 	eventually(t, 10*time.Second, "the host without a disk answers", func() bool { return without.Connected() == 1 })
 	if none.Version() != 0 {
 		t.Errorf("version %d of a control host without a log", none.Version())
