--- a/internal/control/controlhost/without_quorum_test.go
+++ b/internal/control/controlhost/without_quorum_test.go
@@ -17,10 +17,11 @@
 	"filberthook/internal/replication/raftnet"
 )
 
-// entryConfiguration holds the newest version that it was offered, as that of an entry host does.
+// entryConfiguration holds the newest version that it was offered, as that of an entry host does,
+// and the first one.
 type entryConfiguration struct {
-	mu      sync.Mutex
-	version uint64
+	mu             sync.Mutex
+	version, first uint64
 }
 
 func (c *entryConfiguration) Version() uint64 {
@@ -33,6 +34,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version = max(c.version, d.Version)
+	if c.first == 0 {
+		c.first = d.Version
+	}
 	return nil
 }
 
@@ -91,12 +95,10 @@
 		g.start(n, true)
 	}
 	accept(t, g.nodes[1].host, 1, "one")
-	eventually(t, 10*time.Second, "the learner follows", func() bool { return g.nodes[4].host.currentVersion() == 1 })
-	time.Sleep(300 * time.Millisecond) // the learner saves its commit index
+	g.waitCommittedOnDisk(4, 1)
 	g.stop(4)
 	accept(t, g.nodes[1].host, 2, "two")
-	eventually(t, 10*time.Second, "version 2 in force at host 1", func() bool { return g.nodes[1].host.currentVersion() == 2 })
-	time.Sleep(300 * time.Millisecond)
+	g.waitCommittedOnDisk(1, 2)
 	g.stopAll(1, 2, 3)
 	g.wipe(3)
 	for _, n := range []int{1, 3, 4} {
@@ -108,6 +110,11 @@
 	without, none := startEntryHost(t, g, 3)
 	_, config := startEntryHost(t, g, 4, 1)
 	eventually(t, 10*time.Second, "version 2 at the entry host", func() bool { return config.Version() == 2 })
+	config.mu.Lock()
+	if config.first != 2 {
+		t.Errorf("the entry host was offered version %d first, want 2", config.first)
+	}
+	config.mu.Unlock()
 	eventually(t, 10*time.Second, "the host without a disk answers", func() bool { return without.Connected() == 1 })
 	if none.Version() != 0 {
 		t.Errorf("version %d of a control host without a log", none.Version())
