Lost quorum: each host that is asked answers or is named as lost

The disk of a control host can be older than the group's last change of voters: its log says 1, 2 and 3, hosts 2 and 3 are gone, and the group lives on 4, 5 and 6. A seed that did not answer, and one that runs an older release and answers with an error, were passed over.

One that answers and cannot say what it holds is refused in any case, voter of the log or not; its error is of its own type now. UnconfirmedError is left to voters whose hosts run without their disks.

--- a/cmd/filberthook-host/recover.go
+++ b/cmd/filberthook-host/recover.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"slices"
 	"strings"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -24,8 +23,8 @@
 
 func addRecover(app *kingpin.Application) *recovery {
 	r := &recovery{clause: app.Command("recover", "Make a new control group from the data folder of this stopped control host, after the group has lost its quorum for good.")}
-	r.clause.Flag("lost", "listen.peers of a voter that is gone for good and never starts with its disk again; repeat it.").StringsVar(&r.lost)
-	r.clause.Flag("ask", "listen.peers of a further control host to ask; the voters and the seeds are asked in any case. Repeat it for more.").StringsVar(&r.ask)
+	r.clause.Flag("lost", "listen.peers of a control host that does not answer and is gone for good, or stays stopped until the new group runs and then discards its log; repeat it.").StringsVar(&r.lost)
+	r.clause.Flag("ask", "listen.peers of a further control host to ask; the members of the log and the seeds are asked in any case. Each must answer or be named with --lost. Repeat it for more.").StringsVar(&r.ask)
 	r.clause.Flag("dry-run", "Show what the disk holds and what stands against a new group; change nothing.").BoolVar(&r.dryRun)
 	return r
 }
@@ -44,7 +43,7 @@
 	}
 	defer survivor.Close()
 	r.printDisk(survivor, out)
-	answers := regroup.Ask(context.Background(), addresses(s.PeersAddress(), survivor.Voters(), seeds, r.ask), false)
+	answers := regroup.Ask(context.Background(), survivor.Others(seeds, r.ask), false)
 	printAnswers(answers, out)
 	if err := survivor.Check(r.lost, answers); err != nil {
 		fmt.Fprintln(errOut, "no new group:", err)
@@ -80,16 +79,9 @@
 			fmt.Fprintf(out, "asked %s: replica %d, leader %q, last entry %d of term %d, commit %d\n",
 				a.Address, a.Status.Replica, a.Status.Leader, a.Status.Last, a.Status.LastTerm, a.Status.Commit)
 		case a.Reached:
-			fmt.Fprintf(out, "asked %s: it runs but does not know the question\n", a.Address)
+			fmt.Fprintf(out, "asked %s: it runs but does not say what it holds\n", a.Address)
 		default:
 			fmt.Fprintf(out, "asked %s: no answer\n", a.Address)
 		}
 	}
 }
-
-// addresses returns all addresses of the lists other than the own one, each once.
-func addresses(own string, lists ...[]string) []string {
-	out := slices.Concat(lists...)
-	slices.Sort(out)
-	return slices.DeleteFunc(slices.Compact(out), func(address string) bool { return address == own })
-}
--- a/internal/control/controlhost/recover_test.go
+++ b/internal/control/controlhost/recover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 	for _, l := range lost {
 		addresses = append(addresses, g.address(l, peersPort))
 	}
-	answers := regroup.Ask(context.Background(), survivor.Voters(), false)
+	answers := regroup.Ask(context.Background(), survivor.Others(), false)
 	if err := survivor.Check(addresses, answers); err != nil {
 		g.t.Fatal(err)
 	}
@@ -70,14 +71,18 @@
 	g.stop(1)
 	survivor := g.openDisk(1)
 	defer survivor.Close()
-	ask := func() []regroup.Answer { return regroup.Ask(context.Background(), survivor.Voters(), false) }
-	var unconfirmed *regroup.UnconfirmedError
-	if err := survivor.Check(nil, ask()); !errors.As(err, &unconfirmed) || unconfirmed.Missing != 2 {
+	ask := func() []regroup.Answer { return regroup.Ask(context.Background(), survivor.Others(), false) }
+	var silent *regroup.SilentError
+	if err := survivor.Check(nil, ask()); !errors.As(err, &silent) || !slices.Equal(silent.Addresses, both) {
 		t.Errorf("without a confirmed loss: %v", err)
 	}
-	if err := survivor.Check(both[:1], ask()); !errors.As(err, &unconfirmed) || unconfirmed.Missing != 1 {
+	if err := survivor.Check(both[:1], ask()); !errors.As(err, &silent) || !slices.Equal(silent.Addresses, both[1:]) {
 		t.Errorf("with one confirmed loss: %v", err)
 	}
+	elsewhere := regroup.Ask(context.Background(), survivor.Others([]string{g.address(4, peersPort)}), false)
+	if err := survivor.Check(both, elsewhere); !errors.As(err, &silent) || len(silent.Addresses) != 1 {
+		t.Errorf("with a silent host that the log does not name: %v", err)
+	}
 	if err := survivor.Check(both, ask()); err != nil {
 		t.Errorf("with both voters confirmed as lost: %v", err)
 	}
--- a/internal/control/regroup/check.go
+++ b/internal/control/regroup/check.go
@@ -46,8 +46,23 @@
 	return out
 }
 
-// Check returns nil if no quorum of the group can live any more: no host that was asked knows a
-// leader, no voter answers, and those that are not confirmed as lost are too few for a quorum.
+// Others returns the addresses of all members that may count and of the lists, each once, without
+// the host's own: the control hosts to ask.
+func (d *Disk) Others(lists ...[]string) []string {
+	out := slices.Concat(lists...)
+	for _, membership := range d.Memberships {
+		for _, m := range membership.Members {
+			out = append(out, m.Address)
+		}
+	}
+	slices.Sort(out)
+	return slices.DeleteFunc(slices.Compact(out), func(address string) bool { return address == d.Address })
+}
+
+// Check returns nil if no quorum of the group can live any more: each control host that the log,
+// the caller or an answer names has answered as one that cannot vote and knows no leader, or is
+// confirmed as lost, and the voters that are not lost are too few. The log may be older than the
+// group's last change of members, so a silent host counts though the log does not name it.
 // Otherwise the error says what stands against a new group.
 func (d *Disk) Check(lost []string, answers []Answer) error {
 	newest := d.Memberships[len(d.Memberships)-1]
@@ -57,6 +72,9 @@
 	if err := d.checkAnswers(answers); err != nil {
 		return err
 	}
+	if err := d.checkSilent(lost, answers); err != nil {
+		return err
+	}
 	return d.checkLost(lost)
 }
 
@@ -67,10 +85,19 @@
 		}
 	}
 	for _, a := range answers {
-		if a.Reached && d.mayVote(a) {
+		if d.mayVote(a) {
 			return &VoterAnswersError{Address: a.Address}
 		}
 	}
+	var untold []string
+	for _, a := range answers {
+		if a.Reached && (a.Status == nil || a.Status.Replica == 0) {
+			untold = append(untold, a.Address)
+		}
+	}
+	if len(untold) > 0 {
+		return &NoStatusError{Addresses: untold}
+	}
 	for _, a := range answers {
 		if a.Status != nil && a.Status.Member && a.Status.Ahead(&controlapi.GroupStatus{LastTerm: d.LastTerm, Last: d.Last}) {
 			return &BehindError{Address: a.Address, LastTerm: a.Status.LastTerm, Last: a.Status.Last, Own: *d}
@@ -79,24 +106,48 @@
 	return nil
 }
 
-// mayVote reports whether the host that has answered may hold a vote of the group. A host at the
+// mayVote reports whether the host has answered that it holds a vote of the group. A host at the
 // address of a voter whose replica has another id has lost that voter's disk.
 func (d *Disk) mayVote(a Answer) bool {
-	for _, m := range d.voters() {
-		unknown := a.Address == m.Address && (a.Status == nil || a.Status.Replica == 0)
-		if unknown || a.Status != nil && a.Status.Replica == m.ID {
-			return true
-		}
+	if a.Status == nil {
+		return false
 	}
-	return a.Status != nil && a.Status.Voter && a.Address != d.Address
+	held := slices.ContainsFunc(d.voters(), func(m consensus.Member) bool { return m.ID == a.Status.Replica })
+	return held || a.Status.Voter && a.Address != d.Address
 }
 
-func (d *Disk) checkLost(lost []string) error {
+// checkSilent refuses while a host that was named has not answered and is not confirmed as lost.
+func (d *Disk) checkSilent(lost []string, answers []Answer) error {
+	var named, reached []string
+	for _, a := range answers {
+		named = append(named, a.Address)
+		if a.Reached {
+			reached = append(reached, a.Address)
+		}
+		if a.Status != nil {
+			for _, m := range a.Status.Members {
+				named = append(named, m.Address)
+			}
+		}
+	}
+	others := d.Others(named)
 	for _, address := range lost {
-		if !slices.Contains(d.Voters(), address) {
-			return &UnknownVoterError{Address: address, Voters: d.Voters()}
+		if !slices.Contains(others, address) {
+			return &UnknownHostError{Address: address, Others: others}
 		}
 	}
+	silent := slices.DeleteFunc(others, func(address string) bool {
+		return slices.Contains(reached, address) || slices.Contains(lost, address)
+	})
+	if len(silent) > 0 {
+		return &SilentError{Addresses: silent}
+	}
+	return nil
+}
+
+// checkLost refuses while the voters that are not confirmed as lost are a quorum. They include
+// those whose hosts run without their disks.
+func (d *Disk) checkLost(lost []string) error {
 	for _, membership := range d.Memberships {
 		var unconfirmed []string
 		left := 0
--- a/internal/control/regroup/errors.go
+++ b/internal/control/regroup/errors.go
@@ -22,6 +22,26 @@
 		"if they are gone for good, compare the logs with `filberthook group`, stop the host that holds less and repeat the command on the other", e.Address)
 }
 
+// NoStatusError reports control hosts that run and do not say what they hold: they are of an older
+// release, or their replicas are closed.
+type NoStatusError struct{ Addresses []string }
+
+// Error implements error.
+func (e *NoStatusError) Error() string {
+	return fmt.Sprintf("%s answers but does not say whether it votes, for it runs an older release or its replica is closed: "+
+		"put this release on it, start it and repeat the command; --lost does not help while it runs", strings.Join(e.Addresses, " and "))
+}
+
+// SilentError reports control hosts that have not answered and are not confirmed as lost.
+type SilentError struct{ Addresses []string }
+
+// Error implements error.
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("%s did not answer but may live where this host does not reach them, and may have become voters after the last entry of this disk; "+
+		"start those that are down or mend the path to them, and confirm with --lost ADDRESS each that is gone for good, or that stays stopped until the new group runs and whose log may be discarded",
+		strings.Join(e.Addresses, " and "))
+}
+
 // BehindError reports that a control host which runs holds more of the log.
 type BehindError struct {
 	Address        string
@@ -38,7 +58,7 @@
 // UnconfirmedError reports that voters which may live could form a quorum.
 type UnconfirmedError struct {
 	Voters      int
-	Unconfirmed []string // voters without an answer, not confirmed as lost
+	Unconfirmed []string // voters not confirmed as lost; other replicas answer at their addresses
 	Missing     int      // how many of them must be confirmed
 }
 
@@ -47,20 +67,20 @@
 	if len(e.Unconfirmed) == 0 {
 		return "this host is a quorum by itself: start it as usual"
 	}
-	return fmt.Sprintf("of %d voters, %s did not answer but may live where this host does not reach them; "+
-		"confirm %d more of them with --lost ADDRESS each, if they are gone for good and never run with their disks again",
+	return fmt.Sprintf("of %d voters, %s run without their disks, which may be in use elsewhere; "+
+		"confirm %d more of them with --lost ADDRESS each, if these disks are gone for good",
 		e.Voters, strings.Join(e.Unconfirmed, " and "), e.Missing)
 }
 
-// UnknownVoterError reports a confirmed loss of a host that is no voter.
-type UnknownVoterError struct {
+// UnknownHostError reports a confirmed loss of a host that neither the log nor the caller names.
+type UnknownHostError struct {
 	Address string
-	Voters  []string
+	Others  []string
 }
 
 // Error implements error.
-func (e *UnknownVoterError) Error() string {
-	return fmt.Sprintf("--lost %s: the log of this host names no such voter; the others are %s", e.Address, strings.Join(e.Voters, ", "))
+func (e *UnknownHostError) Error() string {
+	return fmt.Sprintf("--lost %s: neither the log of this host, nor its seeds, nor --ask name such a control host; they name %s", e.Address, strings.Join(e.Others, ", "))
 }
 
 // NoMemberError reports a data folder that cannot continue the group.
