Recover: names each voter that did not answer and may hold more

With three of five voters lost and the fourth only down, the output said that changes after the disk's last entry were held by hosts that are gone, though the fourth's disk can be read and may hold them.

--- a/cmd/filberthook-host/recover.go
+++ b/cmd/filberthook-host/recover.go
@@ -45,6 +45,7 @@
 	r.printDisk(survivor, out)
 	answers := regroup.Ask(context.Background(), survivor.Others(seeds, r.ask), false)
 	printAnswers(answers, out)
+	printUnknown(survivor, answers, out)
 	if err := survivor.Check(r.lost, answers); err != nil {
 		fmt.Fprintln(errOut, "no new group:", err)
 		return exitRefused
@@ -64,12 +65,19 @@
 	return 0
 }
 
-// printDisk prints what the disk holds, and in numbers what it cannot tell.
+// printDisk prints what the disk holds.
 func (r *recovery) printDisk(s *regroup.Survivor, out io.Writer) {
 	fmt.Fprintf(out, "disk: replica %d, last entry %d of term %d, configuration %d, other voters %s\n",
 		s.ID, s.Last, s.LastTerm, s.Version, strings.Join(s.Voters(), ", "))
 	fmt.Fprintf(out, "kept: entries up to %d, of which %d after %d may never have been acknowledged\n", s.Last, s.Last-s.Commit, s.Commit)
-	fmt.Fprintf(out, "not known: whether changes after entry %d were acknowledged; if they were, only hosts that are gone held them, and they are lost\n", s.Last)
+}
+
+// printUnknown prints which voters may hold what this disk lacks.
+func printUnknown(s *regroup.Survivor, answers []regroup.Answer, out io.Writer) {
+	fmt.Fprintf(out, "not known: whether changes after entry %d were acknowledged; a new group does without them\n", s.Last)
+	if voters := s.Unheard(answers); len(voters) > 0 {
+		fmt.Fprintf(out, "not known: %s did not answer and may hold more; compare disks that can be read with recover --dry-run on their hosts\n", strings.Join(voters, ", "))
+	}
 }
 
 func printAnswers(answers []regroup.Answer, out io.Writer) {
--- a/internal/control/regroup/check.go
+++ b/internal/control/regroup/check.go
@@ -59,6 +59,14 @@
 	return slices.DeleteFunc(slices.Compact(out), func(address string) bool { return address == d.Address })
 }
 
+// Unheard returns the addresses of the voters whose replicas have not answered: their disks may
+// hold more than this one.
+func (d *Disk) Unheard(answers []Answer) []string {
+	return slices.DeleteFunc(d.Voters(), func(address string) bool {
+		return slices.ContainsFunc(answers, func(a Answer) bool { return a.Status != nil && a.Address == address && d.mayVote(a) })
+	})
+}
+
 // Check returns nil if no quorum of the group can live any more: each control host that the log,
 // the caller or an answer names has answered as one that cannot vote and knows no leader, or is
 // confirmed as lost, and the voters that are not lost are too few. The log may be older than the
--- a/internal/control/regroup/check_test.go
+++ b/internal/control/regroup/check_test.go
@@ -153,3 +153,14 @@
 		}
 	}
 }
+
+func TestVotersThatAreNotHeardMayHoldMore(t *testing.T) {
+	d := disk(membership(1, 2, 3, 4, 5, -6))
+	answers := []Answer{
+		answer(2, controlapi.GroupStatus{Replica: 2, Member: true, Voter: true}), {Address: address(3)},
+		answer(4, controlapi.GroupStatus{Replica: 77}), {Address: address(5), Reached: true},
+	}
+	if got := d.Unheard(answers); !slices.Equal(got, lost(3, 4, 5)) {
+		t.Errorf("%v may hold more, want the voters 3, 4 and 5", got)
+	}
+}
