New group: its log keeps the incarnations of the former data folders

The former group's recorded incarnations are now retired with the ids, so each member of the new group has them, also after the recovered host was replaced. Nothing reads them yet.

TestNewGroupKnowsTheDataFoldersOfTheFormerOne failed before: only the ids were kept.

--- a/internal/replication/storage/found.go
+++ b/internal/replication/storage/found.go
@@ -24,9 +24,10 @@
 }
 
 // Found makes the data folder that of the only voter of a new group. The ids of all former
-// members, this replica's included, count as removed. After a crash the folder is either as
-// before or that of the new group. The former log stays on the disk, unused. The Storage must be
-// closed afterwards.
+// members, this replica's included, count as removed, and so do the incarnations of their data
+// folders: a log that names one of these is that of the former group. After a crash the folder is
+// either as before or that of the new group. The former log stays on the disk, unused. The Storage
+// must be closed afterwards.
 func (s *Storage) Found(g NewGroup) error {
 	o := s.options
 	incarnation, err := drawIncarnation(o)
@@ -47,6 +48,9 @@
 	membership := consensus.NewMembership([]consensus.Member{voter}).Retire(g.Retired...)
 	for _, m := range g.Former {
 		membership = membership.Retire(m.ID)
+		if m.Incarnation != 0 {
+			membership = membership.Retire(m.Incarnation)
+		}
 	}
 	snapshots, err := snapshot.Open(o.FS, o.path(filepath.Join(next.State, snapshotFolder)))
 	if err != nil {
--- a/internal/replication/storage/found_test.go
+++ b/internal/replication/storage/found_test.go
@@ -104,3 +104,20 @@
 		t.Errorf("former members %v, error %v", former, err)
 	}
 }
+
+func TestNewGroupKnowsTheDataFoldersOfTheFormerOne(t *testing.T) {
+	fs := fsys.NewMem()
+	s, _ := open(t, fs)
+	g := newGroup()
+	g.Former[0].Incarnation, g.Former[1].Incarnation = 51, 50
+	g.Former = append(g.Former, consensus.Member{ID: 3})
+	mustDo(t, errors.Join(s.Found(g), s.Close()))
+	o := options(fs)
+	o.ID = 9
+	s, st, _, err := Open(o)
+	mustDo(t, err)
+	defer s.Close()
+	if got := fmt.Sprint(st.Snapshot.Membership.Retired); got != "[1 2 3 7 50 51]" {
+		t.Errorf("removed %s, want the former ids and the incarnations of the former data folders", got)
+	}
+}
