Control host: a confirmed configuration is the one that was read with a quorum

The answer said Confirmed for the read barrier but carried the version of the host, which may stem from a group that its own has replaced. It now carries the document that was read at the barrier. Before, the new test got version 9, never committed in the group, as confirmed.

--- a/internal/control/controlhost/documents.go
+++ b/internal/control/controlhost/documents.go
@@ -13,33 +13,43 @@
 // configuration.
 const confirmTimeout = 200 * time.Millisecond
 
-// serveDocument returns the configuration in force here.
+// serveDocument returns the configuration in force here. A confirmed one is the one that was
+// read with a quorum.
 func (h *Host) serveDocument(ctx context.Context, req controlapi.DocumentRequest) (controlapi.DocumentResponse, error) {
-	confirmed := req.Confirm && h.confirmNewest(ctx)
-	packed, err := h.packedDocument()
+	d, confirmed := document.Document{}, false
+	if req.Confirm {
+		d, confirmed = h.confirmedNewest(ctx)
+	}
+	if !confirmed {
+		d = h.documentInForce()
+	}
+	packed, err := h.packedDocument(d)
 	return controlapi.DocumentResponse{Packed: packed, Confirmed: confirmed}, err
 }
 
-// confirmNewest waits until this host has applied what is committed in the group. It reports
+func (h *Host) documentInForce() document.Document {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return document.Document{Version: h.version, Body: h.body}
+}
+
+// confirmedNewest waits until this host has applied what is committed in the group. It reports
 // false where no leader with a quorum confirms that in time.
-func (h *Host) confirmNewest(ctx context.Context) bool {
+func (h *Host) confirmedNewest(ctx context.Context) (document.Document, bool) {
 	if h.membership.leader() == "" {
-		return false
+		return document.Document{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	_, err := h.membership.linearizableRead(ctx)
-	return err == nil
+	d, err := h.membership.linearizableRead(ctx)
+	return d, err == nil
 }
 
-// packedDocument returns the configuration in force in packed form. It is packed once,
-// because all entry hosts request it at about the same time.
-func (h *Host) packedDocument() (document.Packed, error) {
+// packedDocument returns a document in packed form. The last one is kept, because all entry
+// hosts request it at about the same time.
+func (h *Host) packedDocument(d document.Document) (document.Packed, error) {
 	h.packMu.Lock()
 	defer h.packMu.Unlock()
-	h.mu.Lock()
-	d := document.Document{Version: h.version, Body: h.body}
-	h.mu.Unlock()
 	if h.packed.Version != d.Version {
 		packed, err := document.Pack(d)
 		if err != nil {
