Entry hosts: one fetch of the configuration at a time

A second fetch of the same document began 700 ms after the first, over the same link. Where the document needs 2.2 s of the link alone, both ran into the limit of 3 s, again and again.

One fetch runs at a time. It ends once no byte has come from the control host for 600 ms, which the client of the peer now counts; its connection is closed, so that nothing of it delays the next attempt, and the control host leaves 250 ms to the others. The limits of attempts in a row that run out of time double. The check of the version and the offer are one step.

--- a/internal/control/controlwatch/fetch.go
+++ b/internal/control/controlwatch/fetch.go
@@ -2,21 +2,28 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"filberthook/internal/control/controlapi"
+	"filberthook/internal/network/peer"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
 )
 
 const (
-	// fetchTimeout bounds the transfer of a large configuration over a slow link.
-	fetchTimeout = 3 * time.Second
-	// secondFetchAfter is how long a fetch may take before the same version is fetched from
-	// another control host as well: the first one may have fallen silent.
-	secondFetchAfter = 700 * time.Millisecond
-	// maxFetches bounds concurrent fetches, which share a link that may be slow.
-	maxFetches = 2
+	// fetchTimeout bounds the first attempt to transfer a large configuration over a slow link.
+	// The limit of attempts doubles up to maxFetchTimeout.
+	fetchTimeout    = 3 * time.Second
+	maxFetchTimeout = 4 * fetchTimeout
+	// silentAfter is how long no byte may come from a control host before the first attempt is
+	// given up, so that another control host is asked. The limit doubles up to fetchTimeout.
+	silentAfter = 600 * time.Millisecond
+	// silencePoll is the interval at which the bytes that have come are checked.
+	silencePoll = 20 * time.Millisecond
+	// othersFirst is how long a control host that was silent leaves the next attempt to others.
+	othersFirst = 250 * time.Millisecond
 	// firstWait is how long a host without any configuration waits, before it uses one that may
 	// be older than another, for control hosts that have neither answered nor failed.
 	firstWait = 300 * time.Millisecond
@@ -24,39 +31,61 @@
 	firstPoll = 5 * time.Millisecond
 )
 
-// fetches tracks the fetches of the configuration that are under way: all control hosts
-// announce a new version at about the same time. The caller serializes access.
+// fetches tracks the fetches of the configuration: all control hosts announce a new version at
+// about the same time. One fetch runs at a time, because two would share a link that may be slow.
+// The caller serializes access.
 type fetches struct {
-	running   int
-	version   uint64    // highest version announced while they run
-	since     time.Time // when the last of them began
+	running   bool
+	fetching  uint64    // version that the running fetch is to bring
+	version   uint64    // highest version announced while it runs
+	giveUp    time.Time // when it is given up unless more bytes come
+	failed    int       // attempts in a row that ran out of time
 	candidate uint64    // version of the first configuration while it waits, 0 for none
 }
 
 // begin reports whether a control host that has announced a version is to be asked for it now.
 func (f *fetches) begin(version uint64, now time.Time) bool {
-	pending := f.running > 0 && version <= f.version && now.Sub(f.since) < secondFetchAfter || version <= f.candidate
+	if version <= f.candidate {
+		return false
+	}
 	f.version = max(f.version, version)
-	if f.running >= maxFetches || pending {
+	if f.running {
 		return false
 	}
-	f.running++
-	f.since = now
+	f.running, f.fetching = true, version
+	f.heard(now)
 	return true
 }
 
-func (f *fetches) end() {
-	if f.running--; f.running == 0 {
-		f.version = 0
+// heard records that bytes have come, or that a fetch begins.
+func (f *fetches) heard(now time.Time) { f.giveUp = now.Add(f.silence()) }
+
+func (f *fetches) silence() time.Duration {
+	return min(silentAfter<<min(f.failed, 10), fetchTimeout)
+}
+
+func (f *fetches) timeout() time.Duration {
+	return min(fetchTimeout<<min(f.failed, 10), maxFetchTimeout)
+}
+
+func (f *fetches) end(outOfTime bool) {
+	f.running, f.fetching, f.version = false, 0, 0
+	if outOfTime {
+		f.failed++
+	} else {
+		f.failed = 0
 	}
 }
 
 // awaited returns the version that is being fetched, 0 for none, and how long to wait for it.
 func (f *fetches) awaited(now time.Time) (version uint64, wait time.Duration) {
-	if f.running == 0 {
+	switch {
+	case !f.running:
 		return f.candidate, watchWait
+	case f.version > f.fetching:
+		return max(f.version, f.candidate), firstRetry
 	}
-	return max(f.version, f.candidate), max(firstRetry, f.since.Add(secondFetchAfter).Sub(now))
+	return max(f.version, f.candidate), max(firstRetry, min(f.giveUp.Sub(now), silentAfter))
 }
 
 // refetch delays the next fetch from a control host after one that failed. The host's changes
@@ -67,8 +96,8 @@
 	at      time.Time
 }
 
-func (r *refetch) failed(version uint64, now time.Time) {
-	r.delay = min(max(2*r.delay, firstRetry), fetchTimeout)
+func (r *refetch) failed(version uint64, atLeast time.Duration, now time.Time) {
+	r.delay = min(max(2*r.delay, firstRetry, atLeast), fetchTimeout)
 	r.version, r.at = version, now.Add(r.delay)
 }
 
@@ -96,8 +125,9 @@
 		return
 	}
 	d, confirmed, err := w.download(ctx, address)
+	outOfTime := errors.Is(err, context.DeadlineExceeded)
 	w.mu.Lock()
-	w.fetches.end()
+	w.fetches.end(outOfTime)
 	w.mu.Unlock()
 	if err == nil && (confirmed || w.config.Version() > 0 || w.newestReachable(ctx, d.Version)) {
 		err = w.offer(d, address)
@@ -106,7 +136,11 @@
 		*r = refetch{}
 		return
 	}
-	r.failed(version, time.Now())
+	least := time.Duration(0)
+	if outOfTime {
+		least = othersFirst
+	}
+	r.failed(version, least, time.Now())
 	if omitted, ok := w.lines.Allow("configuration not fetched", time.Now()); ok {
 		w.logger.Warn("configuration not fetched", "control", address, "version", version, "err", err, "retry_after", r.delay, "omitted", omitted)
 	}
@@ -114,6 +148,8 @@
 
 // offer puts a document into force unless another control host had a newer one meanwhile.
 func (w *Watcher) offer(d document.Document, address string) error {
+	w.offering.Lock()
+	defer w.offering.Unlock()
 	if d.Version <= w.config.Version() {
 		return nil
 	}
@@ -123,17 +159,51 @@
 // download returns the configuration of a control host. A host that has none yet asks for
 // confirmation that there is no newer one.
 func (w *Watcher) download(ctx context.Context, address string) (d document.Document, confirmed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
+	w.mu.Lock()
+	timeout, silence := w.fetches.timeout(), w.fetches.silence()
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	client := w.clients.Get(address)
+	silent := make(chan bool, 1)
+	go func() {
+		gaveUp := w.fallsSilent(ctx, client, silence)
+		if gaveUp {
+			cancel()
+			client.Disconnect() // what is under way would delay the next attempt
+		}
+		silent <- gaveUp
+	}()
 	req := controlapi.DocumentRequest{Confirm: w.config.Version() == 0}
 	var resp controlapi.DocumentResponse
-	if err := w.clients.Get(address).Call(ctx, controlapi.MethodDocument, req, &resp); err != nil {
+	err = client.Call(ctx, controlapi.MethodDocument, req, &resp)
+	cancel()
+	if gaveUp := <-silent; gaveUp && err != nil {
+		err = fmt.Errorf("no byte came for %v: %w; another control host is asked", silence, context.DeadlineExceeded)
+	}
+	if err != nil {
 		return document.Document{}, false, err
 	}
 	d, err = resp.Unpack()
 	return d, resp.Confirmed, err
 }
 
+// fallsSilent reports whether no byte comes from a control host for a time, until ctx ends.
+func (w *Watcher) fallsSilent(ctx context.Context, client *peer.Client, silence time.Duration) bool {
+	received, at := client.Received(), time.Now()
+	for pause.For(ctx, silencePoll) {
+		if n := client.Received(); n != received {
+			received, at = n, time.Now()
+			w.mu.Lock()
+			w.fetches.heard(at)
+			w.mu.Unlock()
+		}
+		if time.Since(at) >= silence {
+			return true
+		}
+	}
+	return false
+}
+
 // newestReachable waits until all known control hosts have answered or failed, for firstWait at
 // most, and until a newer configuration that one of them has announced is fetched. It reports
 // whether the version is the newest that can be had.
--- a/internal/control/controlwatch/fetch_test.go
+++ b/internal/control/controlwatch/fetch_test.go
@@ -25,6 +25,7 @@
 	announce <-chan struct{}                                // nil to announce at once
 	document func(context.Context) (document.Packed, error) // nil to answer at once
 	newest   bool                                           // confirmed to be the newest
+	link     *pacedLink                                     // nil for one without limit
 	address  string
 	watches  atomic.Int64 // calls
 	fetches  atomic.Int64 // calls
@@ -55,6 +56,9 @@
 		t.Fatal(err)
 	}
 	c.address = ln.Addr().String()
+	if c.link != nil {
+		ln = pacedListener{ln, c.link}
+	}
 	mux := peer.NewMux()
 	peer.Handle(mux, controlapi.MethodWatch, c.watch)
 	peer.Handle(mux, controlapi.MethodDocument, func(ctx context.Context, _ peer.Identity, req controlapi.DocumentRequest) (controlapi.DocumentResponse, error) {
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -60,6 +60,8 @@
 
 	exchanged atomic.Bool // load was exchanged at least once
 
+	offering sync.Mutex // held while a document is offered
+
 	mu      sync.Mutex
 	watched map[string]*controlHost // by peer address
 	leader  string                  // address of the group's leader, as last reported
--- a/internal/network/peer/client.go
+++ b/internal/network/peer/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -16,6 +17,8 @@
 	addr string
 	opts Options
 
+	received atomic.Uint64 // bytes, on all connections
+
 	mu         sync.Mutex     // guards the fields below
 	conn       *jsonrpc2.Conn // nil when not connected
 	dialing    chan struct{}  // closed when the dial in progress ends; nil if none
@@ -32,6 +35,9 @@
 // Address returns the peer's address.
 func (c *Client) Address() string { return c.addr }
 
+// Received returns how many bytes have come from the peer.
+func (c *Client) Received() uint64 { return c.received.Load() }
+
 // Call calls method and waits for its result. An UnreachableError means that the call
 // was not sent, a RemoteError that the peer answered with an error. After any other error
 // the call may have run.
@@ -80,6 +86,16 @@
 	return conn.Close()
 }
 
+// Disconnect ends the connection and the calls on it; the next call dials a new one.
+func (c *Client) Disconnect() {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		c.drop(conn)
+	}
+}
+
 // drop closes a failed connection, so that the next call dials a new one.
 func (c *Client) drop(conn *jsonrpc2.Conn) {
 	c.mu.Lock()
@@ -159,6 +175,7 @@
 	if err != nil {
 		return nil, err
 	}
+	raw = &countedConn{raw, &c.received}
 	ctx, cancel := context.WithTimeout(context.Background(), c.opts.DialTimeout)
 	defer cancel()
 	secured, err := c.secure(ctx, raw)
@@ -197,6 +214,18 @@
 	return tc, nil
 }
 
+// countedConn counts the bytes that it reads.
+type countedConn struct {
+	net.Conn
+	received *atomic.Uint64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(uint64(n))
+	return n, err
+}
+
 // refuseCalls refuses calls that the server makes to the client.
 type refuseCalls struct{}
 
