Entry hosts: one bound for the whole wait for the first configuration

Beside a control host that announced version 9 and froze and one that lags at version 4, the first configuration was in force after 4.0 s: a newer announcement added the time limit of a fetch. The whole wait now ends 750 ms after the first announcement, less than requests wait.

--- a/internal/control/controlwatch/fetch.go
+++ b/internal/control/controlwatch/fetch.go
@@ -24,9 +24,10 @@
 	silencePoll = 20 * time.Millisecond
 	// othersFirst is how long a control host that was silent leaves the next attempt to others.
 	othersFirst = 250 * time.Millisecond
-	// firstWait is how long a host without any configuration waits, before it uses one that may
-	// be older than another, for control hosts that have neither answered nor failed.
-	firstWait = 300 * time.Millisecond
+	// firstWait is how long in all a host without any configuration waits, from the first
+	// announcement of one, before it uses one that may be older than another. It is shorter
+	// than the time that requests wait for the first configuration.
+	firstWait = 750 * time.Millisecond
 	// firstPoll is the interval at which it checks for their answers.
 	firstPoll = 5 * time.Millisecond
 )
@@ -41,6 +42,7 @@
 	giveUp    time.Time // when it is given up unless more bytes come
 	failed    int       // attempts in a row that ran out of time
 	candidate uint64    // version of the first configuration while it waits, 0 for none
+	first     time.Time // when the first fetch began
 }
 
 // begin reports whether a control host that has announced a version is to be asked for it now.
@@ -53,6 +55,9 @@
 		return false
 	}
 	f.running, f.fetching = true, version
+	if f.first.IsZero() {
+		f.first = now
+	}
 	f.heard(now)
 	return true
 }
@@ -204,25 +209,18 @@
 	return false
 }
 
-// newestReachable waits until all known control hosts have answered or failed, for firstWait at
-// most, and until a newer configuration that one of them has announced is fetched. It reports
+// newestReachable waits until all known control hosts have answered or failed, and until a newer
+// configuration that one of them has announced is fetched, for firstWait at most. It reports
 // whether the version is the newest that can be had.
 func (w *Watcher) newestReachable(ctx context.Context, version uint64) bool {
-	w.holdCandidate(version)
-	defer w.holdCandidate(0)
-	for begin := time.Now(); pause.For(ctx, firstPoll); {
+	begin := w.holdCandidate(version)
+	defer w.releaseCandidate(version)
+	for pause.For(ctx, firstPoll) {
 		if w.config.Version() > 0 {
 			return w.config.Version() < version
 		}
 		newer, unheard := w.others(version)
-		limit := w.firstWait
-		switch {
-		case newer:
-			limit += fetchTimeout
-		case unheard == 0:
-			limit = 0
-		}
-		if waited := time.Since(begin); waited >= limit {
+		if waited := time.Since(begin); waited >= w.firstWait || !newer && unheard == 0 {
 			w.logger.Info("first configuration not confirmed by a quorum", "version", version, "waited", waited, "newer", newer, "unheard", unheard)
 			return true
 		}
@@ -230,10 +228,21 @@
 	return false
 }
 
-func (w *Watcher) holdCandidate(version uint64) {
+// holdCandidate records the version of a first configuration that waits. It returns when the
+// first fetch began.
+func (w *Watcher) holdCandidate(version uint64) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.fetches.candidate = version
+	w.fetches.candidate = max(w.fetches.candidate, version)
+	return w.fetches.first
+}
+
+func (w *Watcher) releaseCandidate(version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fetches.candidate == version {
+		w.fetches.candidate = 0
+	}
 }
 
 // others reports whether a reachable control host has announced a newer version, and how many
--- a/internal/control/controlwatch/fetch_test.go
+++ b/internal/control/controlwatch/fetch_test.go
@@ -73,8 +73,7 @@
 	running.Go(func() { _ = peer.NewServer(peer.Options{Self: peer.Identity{Host: "c"}}, mux).Serve(ctx, ln) })
 }
 
-// followPlayed follows control hosts until the test ends. The first configuration waits for the
-// other control hosts as long as firstWait.
+// followPlayed follows control hosts until the test ends. The first configuration waits as long as firstWait.
 func followPlayed(t *testing.T, config Configuration, firstWait time.Duration, hosts ...*playedControl) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -55,7 +55,7 @@
 	lines    loglimit.Limiter
 	reached  func(address string)
 	observer bool // set on a control host: it is not counted as an entry host
-	// firstWait is how long the first configuration waits for control hosts that have not answered.
+	// firstWait is how long the first configuration waits, from its first announcement.
 	firstWait time.Duration
 
 	exchanged atomic.Bool // load was exchanged at least once
