Entry hosts: the first configuration waits for an election to confirm it

An entry host that started during an election used the older version: it asked for confirmation once, and not at all where no leader was known. While unconfirmed, it now asks all reachable control hosts every 50 ms for the version only, until 750 ms after the first announcement; then it uses the newest version that it has reached. A confirmed one is used at once, and without a version there is no wait.

A stall of this process no longer counts as silence of a control host in a fetch: silence is counted in polls of 20 ms, at most 40 ms each.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -57,6 +57,8 @@
 type DocumentRequest struct {
 	// Confirm asks the control host to find out whether a newer one is in force elsewhere.
 	Confirm bool `json:"confirm,omitempty"`
+	// VersionOnly asks for the version without the body. Older releases send both.
+	VersionOnly bool `json:"version_only,omitempty"`
 }
 
 // DocumentResponse holds the configuration in force at the control host.
--- a/internal/control/controlhost/documents.go
+++ b/internal/control/controlhost/documents.go
@@ -23,6 +23,9 @@
 	if !confirmed {
 		d = h.documentInForce()
 	}
+	if req.VersionOnly {
+		return controlapi.DocumentResponse{Packed: document.Packed{Version: d.Version}, Confirmed: confirmed}, nil
+	}
 	packed, err := h.packedDocument(d)
 	return controlapi.DocumentResponse{Packed: packed, Confirmed: confirmed}, err
 }
--- a/internal/control/controlhost/documents_test.go
+++ b/internal/control/controlhost/documents_test.go
@@ -25,4 +25,8 @@
 	if d, err := resp.Unpack(); err != nil || d.Version != 1 || string(d.Body) != "one" {
 		t.Errorf("confirmed version %d %q, %v; want 1", d.Version, d.Body, err)
 	}
+	short, err := h.serveDocument(t.Context(), controlapi.DocumentRequest{Confirm: true, VersionOnly: true})
+	if err != nil || !short.Confirmed || short.Version != 1 || short.Deflate != nil {
+		t.Errorf("version only: %+v, %v; want 1, confirmed, without body", short, err)
+	}
 }
--- a/internal/control/controlwatch/fetch.go
+++ b/internal/control/controlwatch/fetch.go
@@ -28,6 +28,9 @@
 	// announcement of one, before it uses one that may be older than another. It is shorter
 	// than the time that requests wait for the first configuration.
 	firstWait = 750 * time.Millisecond
+	// confirmInterval is the pause after which a control host that has not confirmed the first
+	// configuration is asked again: an election may be under way.
+	confirmInterval = 50 * time.Millisecond
 	// firstPoll is the interval at which it checks for their answers.
 	firstPoll = 5 * time.Millisecond
 )
@@ -192,69 +195,23 @@
 	return d, resp.Confirmed, err
 }
 
-// fallsSilent reports whether no byte comes from a control host for a time, until ctx ends.
+// fallsSilent reports whether no byte comes from a control host for a time, until ctx ends. A
+// stall of this process counts as one poll.
 func (w *Watcher) fallsSilent(ctx context.Context, client *peer.Client, silence time.Duration) bool {
 	received, at := client.Received(), time.Now()
-	for pause.For(ctx, silencePoll) {
+	for silent := time.Duration(0); pause.For(ctx, silencePoll); {
+		now := time.Now()
+		silent += min(now.Sub(at), 2*silencePoll)
+		at = now
 		if n := client.Received(); n != received {
-			received, at = n, time.Now()
+			received, silent = n, 0
 			w.mu.Lock()
 			w.fetches.heard(at)
 			w.mu.Unlock()
 		}
-		if time.Since(at) >= silence {
+		if silent >= silence {
 			return true
 		}
 	}
 	return false
 }
-
-// newestReachable waits until all known control hosts have answered or failed, and until a newer
-// configuration that one of them has announced is fetched, for firstWait at most. It reports
-// whether the version is the newest that can be had.
-func (w *Watcher) newestReachable(ctx context.Context, version uint64) bool {
-	begin := w.holdCandidate(version)
-	defer w.releaseCandidate(version)
-	for pause.For(ctx, firstPoll) {
-		if w.config.Version() > 0 {
-			return w.config.Version() < version
-		}
-		newer, unheard := w.others(version)
-		if waited := time.Since(begin); waited >= w.firstWait || !newer && unheard == 0 {
-			w.logger.Info("first configuration not confirmed by a quorum", "version", version, "waited", waited, "newer", newer, "unheard", unheard)
-			return true
-		}
-	}
-	return false
-}
-
-// holdCandidate records the version of a first configuration that waits. It returns when the
-// first fetch began.
-func (w *Watcher) holdCandidate(version uint64) time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.fetches.candidate = max(w.fetches.candidate, version)
-	return w.fetches.first
-}
-
-func (w *Watcher) releaseCandidate(version uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.fetches.candidate == version {
-		w.fetches.candidate = 0
-	}
-}
-
-// others reports whether a reachable control host has announced a newer version, and how many
-// have neither answered nor failed yet.
-func (w *Watcher) others(version uint64) (newer bool, unheard int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, t := range w.watched {
-		newer = newer || t.up && t.version > version
-		if !t.heard {
-			unheard++
-		}
-	}
-	return newer, unheard
-}
