--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -55,11 +55,13 @@
 	lines    loglimit.Limiter
 	reached  func(address string)
 	observer bool // set on a control host: it is not counted as an entry host
-	// firstWait is how long the first configuration waits for control hosts that have not answered.
+	// firstWait is how long the first configuration waits, from its first announcement.
 	firstWait time.Duration
 
 	exchanged atomic.Bool // load was exchanged at least once
 
+	offering sync.Mutex // held while a document is offered
+
 	mu      sync.Mutex
 	watched map[string]*controlHost // by peer address
 	leader  string                  // address of the group's leader, as last reported
