--- a/internal/control/formation/availability.go
+++ b/internal/control/formation/availability.go
@@ -16,7 +16,7 @@
 	up      time.Duration // since the start of its process
 	stalled time.Duration
 	outage  time.Duration // the current one
-	missed  time.Duration // earlier outages added up, forgiven over time
+	missed  time.Duration // earlier outages added up, reduced while the member is up
 	pending time.Duration // since the member was last of use
 }
 
@@ -77,10 +77,10 @@
 	return min(outage, p.VoteTimeout())
 }
 
-// down returns for how long the member has been of no use.
+// down returns for how long the member has been unavailable.
 func (h *Health) down() time.Duration { return max(h.Silent, h.Stalled) }
 
-// gone reports whether the member leaves or has been of no use for too long.
+// gone reports whether the member leaves or has been unavailable for too long.
 func (h *Health) gone(p Policy) bool { return h.Leaving || h.down() >= p.VoteTimeout() }
 
 // unsteady reports whether the member has failed over and over.
--- a/internal/control/formation/group.go
+++ b/internal/control/formation/group.go
@@ -50,7 +50,7 @@
 
 func (g *group) steady(h *Health) bool { return !h.unsteady(g.policy) }
 
-// goneVoter returns the voter that is of no use: the one that is down for longest, otherwise
+// goneVoter returns the voter that is unavailable: the one that is down for longest, otherwise
 // one that leaves. It is nil when all are up.
 func (g *group) goneVoter() *Health {
 	var gone *Health
@@ -90,7 +90,7 @@
 }
 
 // crowdedVoter returns a voter other than the leader in a zone whose loss would cost the
-// quorum although it is to be borne, nil when there is none. Of several it is the least
+// quorum although it must be tolerated, nil when there is none. Of several it is the least
 // steady one.
 func (g *group) crowdedVoter() *Health {
 	if g.policy.Tolerance.Zones == 0 {
--- a/internal/control/formation/votes.go
+++ b/internal/control/formation/votes.go
@@ -92,7 +92,7 @@
 // silent for much longer.
 //
 // Each move leaves fewer voters that are gone, else fewer that are unsteady, else fewer in
-// crowded zones, so that votes come to rest when the health of the members does.
+// crowded zones, so that votes stop moving once the health of the members is stable.
 func NextStep(members []Health, leader uint64, policy Policy) Step {
 	g := newGroup(members, leader, policy)
 	if causes := g.causes(); len(causes) > 0 && len(g.voters) > g.target {
