Callers that left: what was done for them, in logs and metrics

A request's line now names how many attempts began although its caller's socket held the close (left_sent_after), whether it was answered without the close being noticed (left_unnoticed), and how long it went on after it was noticed (left_ended_after_ms). A lost answer names the bytes of its request that had not been acknowledged. Three metrics count the same.

Package caller asks the socket, with MSG_PEEK and, while bytes wait, POLLRDHUP. Nothing is decided by it yet.

--- a/internal/serve/entryhost/connections.go
+++ b/internal/serve/entryhost/connections.go
@@ -43,6 +43,9 @@
 	return tcp.SetLinger(sec)
 }
 
+// NetConn returns the connection below, as *tls.Conn does.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -26,6 +26,7 @@
 	"filberthook/internal/network/peer"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/raftnet"
+	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/forward"
 	"filberthook/internal/serve/routes"
@@ -191,6 +192,7 @@
 	server := &http.Server{
 		Handler:           h.server,
 		ReadHeaderTimeout: headerTimeout,
+		ConnContext:       caller.ConnContext,
 		ConnState:         h.connections.track,
 		ErrorLog:          slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug),
 	}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -26,6 +26,7 @@
 	"filberthook/internal/engines/placement"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/process/logsink"
+	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
@@ -122,6 +123,7 @@
 	}
 	c := s.newCall(w, r, t, route, arrived)
 	defer c.finish()
+	defer c.departure.watch(r.Context())()
 	limitWriting(w, c.deadline.Add(writeSlack))
 	if !c.readBody(t.Limits) {
 		return
@@ -208,6 +210,7 @@
 	detail    string        // the error behind the reason
 	notBefore time.Duration // until an instance takes a request again, 0 if unknown
 	firstMS   int64         // from arrival to the first event or the answer
+	departure departure
 }
 
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, now time.Time) *call {
@@ -311,6 +314,9 @@
 // answer says about the instance.
 func (c *call) send(ctx context.Context, target placement.Target, options dialect.SendOptions) (*upstream.Answer, error) {
 	c.arrivals.sending()
+	if caller.Left(c.r.Context()) {
+		c.departure.sentAfter++
+	}
 	sentAt := time.Now()
 	answer, err := c.server.pool.Send(ctx, target.Address, c.request(options))
 	var notSent *upstream.NotSentError
--- a/internal/serve/forward/harness_test.go
+++ b/internal/serve/forward/harness_test.go
@@ -22,6 +22,7 @@
 	"filberthook/internal/engines/notice"
 	"filberthook/internal/engines/placement"
 	"filberthook/internal/engines/quarantine"
+	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
@@ -212,7 +213,9 @@
 		Version: 1, Routes: []routes.Route{r}, Endpoints: map[string]routes.Endpoint{"e": {Name: "e"}},
 		Limits: routes.Limits{HeaderBytes: 4096, BodyBytes: 1000},
 	}))
-	h := &harness{server: s, front: httptest.NewServer(s), log: lines}
+	h := &harness{server: s, front: httptest.NewUnstartedServer(s), log: lines}
+	h.front.Config.ConnContext = caller.ConnContext
+	h.front.Start()
 	t.Cleanup(h.front.Close)
 	return h
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -378,6 +378,7 @@
 		}
 		if !p.started {
 			p.started, p.mediaType = true, mediaType(answer.Header)
+			c.departure.answering(c.r.Context())
 			copyHeader(c.w.Header(), answer.Header)
 			c.w.WriteHeader(answer.StatusCode)
 		}
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -8,8 +8,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"filberthook/internal/network/netopt"
 )
 
 // Request is a request to an instance.
@@ -58,13 +61,14 @@
 	pool     *Pool
 	conn     *conn
 	ctx      context.Context
-	stop     func() bool // detaches the connection from ctx
-	written  chan error  // receives the result of writing the request
-	bodyRead bool        // the body was read to its end
-	alone    bool        // the connection carries no other request
-	carried  bool        // the connection has carried other requests
-	held     int64       // bytes reserved for the body
-	tainted  bool        // the connection carried another request's answer
+	stop     func() bool  // detaches the connection from ctx
+	written  chan error   // receives the result of writing the request
+	bodyRead bool         // the body was read to its end
+	alone    bool         // the connection carries no other request
+	carried  bool         // the connection has carried other requests
+	held     int64        // bytes reserved for the body
+	tainted  bool         // the connection carried another request's answer
+	unsent   atomic.Int64 // bytes that the connection still held when ctx ended
 }
 
 // Send sends a request and returns the answer when its header has arrived. The body must
@@ -81,7 +85,11 @@
 	}
 	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1), alone: r.Alone, carried: c.used}
 	c.carry(r.ID)
-	a.stop = context.AfterFunc(ctx, func() { c.Close() })
+	a.stop = context.AfterFunc(ctx, func() {
+		a.unsent.Store(int64(netopt.Unsent(c.Conn)))
+		p.unsent.Update(float64(a.unsent.Load()))
+		c.Close()
+	})
 	head := r.head()
 	if len(head)+len(r.Body) <= inlineRequestBytes {
 		_, err := c.Write(append(head, r.Body...))
@@ -97,7 +105,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &LostError{Address: address, Err: err}
+		return nil, &LostError{Address: address, Unsent: a.unsent.Load(), Err: err}
 	}
 	return a, nil
 }
@@ -250,7 +258,7 @@
 	if a.ctx.Err() != nil {
 		err = a.ctx.Err()
 	}
-	return &LostError{Address: a.conn.address, Err: err}
+	return &LostError{Address: a.conn.address, Unsent: a.unsent.Load(), Err: err}
 }
 
 // Close returns the connection to the pool if the exchange is complete and no further
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -61,11 +61,15 @@
 // LostError reports that a request was sent but has no complete answer. It may have run.
 type LostError struct {
 	Address string
+	Unsent  int64 // bytes of the request that had not arrived when it was abandoned
 	Err     error
 }
 
 // Error implements error.
 func (e *LostError) Error() string {
+	if e.Unsent > 0 {
+		return fmt.Sprintf("answer of %s lost, the request may have run, %d bytes were not acknowledged: %v", e.Address, e.Unsent, e.Err)
+	}
 	return fmt.Sprintf("answer of %s lost, the request may have run: %v", e.Address, e.Err)
 }
 
@@ -78,7 +82,8 @@
 	dials  *metrics.Counter
 	fails  *metrics.Counter
 	reuses *metrics.Counter
-	held   atomic.Int64 // bytes reserved for bodies by Answer.ReadAll
+	unsent *metrics.Histogram // bytes that exchanges held when they were abandoned
+	held   atomic.Int64       // bytes reserved for bodies by Answer.ReadAll
 
 	mu            sync.Mutex
 	idle          map[string][]*conn       // by address, most recently used last
@@ -96,6 +101,7 @@
 		dials:         set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="open"}`),
 		fails:         set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="failed"}`),
 		reuses:        set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="reused"}`),
+		unsent:        set.GetOrCreateHistogram("filberthook_upstream_abandoned_unsent_bytes"),
 		idle:          map[string][]*conn{},
 		learnedLimits: map[string]time.Duration{},
 	}
