--- a/internal/serve/proxy/harness_test.go
+++ b/internal/serve/proxy/harness_test.go
@@ -24,6 +24,7 @@
 	placing "filberthook/internal/engines/scheduler"
 	"filberthook/internal/process/tomltime"
 	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/claim"
 	"filberthook/internal/serve/claimlog"
 	"filberthook/internal/serve/middleware"
@@ -210,6 +211,7 @@
 	last := proxy.New(o.proxy, e.sched, set)
 	e.chain = middleware.NewChain(o.middleware, newConfig(), e.claims, counters, history.NewLog(), last)
 	e.server = httptest.NewUnstartedServer(e.chain)
+	e.server.Config.ConnContext = caller.ConnContext
 	if o.base != nil {
 		e.server.Config.BaseContext = func(net.Listener) context.Context { return o.base }
 	}
