Hosts ask the caller's connection before they send its request to an instance

Cause: the close was learnt from the request's context only. net/http ends it by a read that begins after the body was read and runs beside the handler. When request and close wait in the socket together, as on a host short of processor time whose callers give up what is not read, the handler sends the request on a kept connection before it pauses, and so before that read runs. Ruled out for this test: a slow cancellation; with a pause before the send, as a new connection makes, nothing arrives. Change: package caller keeps a request's connection in its context. Check asks the socket; upstream asks it before it opens a connection and, if it opened one, again before it writes; serve/proxy before each request of its transports and before a booking is claimed. Detach is for claimed calls, which go on. What a caller's line says of it: whether anything was sent (sent), and how long the request went on after the close was found (left_ms).

--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -1,29 +1,62 @@
-// Package caller tells whether the caller of a request is still connected. The context of a
-// request that net/http serves is no proof of it: it ends once a read that runs beside the
-// handler has found the connection closed, and does not end at all if a byte of a further
-// request came before the close.
+// Package caller tells whether the caller of a request is still connected, and ends the request's
+// context once it is not.
+//
+// The context that net/http gives a request is not enough: it ends when a read that runs beside the
+// handler finds the connection closed. That read begins after the body was read, so a close that
+// arrived before is found only once the handler pauses.
 package caller
 
 import (
 	"context"
 	"net"
+	"net/http"
 
 	"filberthook/internal/network/netopt"
 )
 
 type connKey struct{}
 
-// ConnContext is the hook of that name of http.Server. Left needs it.
+type requestKey struct{}
+
+// request is a request in progress.
+type request struct {
+	conn   net.Conn
+	cancel context.CancelFunc
+}
+
+// ConnContext is the hook of that name of http.Server. Handler needs it.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Left reports whether the caller of a request with this context has closed its connection. It
-// asks the socket.
-func Left(ctx context.Context) bool {
-	if ctx.Err() != nil {
-		return true
+// Handler ends the context of each request whose caller has closed its connection.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(net.Conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		next.ServeHTTP(w, r.WithContext(context.WithValue(ctx, requestKey{}, &request{conn: c, cancel: cancel})))
+	})
+}
+
+// Check returns an error if ctx has ended or the caller of its request has left, which it asks the
+// connection. Whoever begins work for a caller asks it right before, after each wait.
+func Check(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if q, ok := ctx.Value(requestKey{}).(*request); ok && netopt.PeerClosed(q.conn) {
+		q.cancel()
+		return context.Canceled
 	}
-	c, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && netopt.PeerClosed(c)
+	return nil
+}
+
+// Detach returns a context for work that goes on when the caller leaves.
+func Detach(ctx context.Context) context.Context {
+	return context.WithValue(context.WithoutCancel(ctx), requestKey{}, nil)
 }
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -31,6 +31,7 @@
 	"filberthook/internal/process/buildinfo"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/process/settings"
+	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/claimlog"
 	"filberthook/internal/serve/middleware"
 	"filberthook/internal/serve/proxy"
@@ -303,6 +304,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       caller.ConnContext,
 		BaseContext:       func(net.Listener) context.Context { return n.requestCtx },
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -190,7 +190,7 @@
 // serveCallers serves callers until ctx ends, then drains.
 func (h *Host) serveCallers(ctx context.Context, ln net.Listener) error {
 	server := &http.Server{
-		Handler:           h.server,
+		Handler:           caller.Handler(h.server),
 		ReadHeaderTimeout: headerTimeout,
 		ConnContext:       caller.ConnContext,
 		ConnState:         h.connections.track,
--- a/internal/serve/forward/arrivals.go
+++ b/internal/serve/forward/arrivals.go
@@ -71,6 +71,13 @@
 	a.counted++
 }
 
+// any reports whether the request may have arrived at an instance.
+func (a *arrivals) any() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.counted > 0 || a.accepted
+}
+
 // notSent takes back the last one: its connection could not be made.
 func (a *arrivals) notSent() {
 	a.mu.Lock()
--- a/internal/serve/forward/departed_caller_test.go
+++ b/internal/serve/forward/departed_caller_test.go
@@ -21,7 +21,7 @@
 // slowFront serves the harness's server at a further address, and returns the gate of its listener.
 func (h *harness) slowFront(t *testing.T) (address string, gate *sync.RWMutex) {
 	t.Helper()
-	front := httptest.NewUnstartedServer(h.server)
+	front := httptest.NewUnstartedServer(caller.Handler(h.server))
 	front.Config.ConnContext = caller.ConnContext
 	l := &loopback.SlowListener{Listener: front.Listener}
 	front.Listener = l
--- a/internal/serve/forward/departure.go
+++ b/internal/serve/forward/departure.go
@@ -4,15 +4,11 @@
 	"context"
 	"sync/atomic"
 	"time"
-
-	"filberthook/internal/serve/caller"
 )
 
-// departure records when a caller left its request and what was done for it afterwards.
+// departure records when a request's caller was found to have left.
 type departure struct {
-	noticed   atomic.Int64 // when the request's context ended, in Unix nanoseconds, 0 if it has not
-	sentAfter int          // attempts that began while the caller's socket held the close
-	unnoticed bool         // the answer came after the close, which the request's context did not tell
+	noticed atomic.Int64 // in Unix nanoseconds, 0 if it has not left
 }
 
 // watch records the end of a request's context until the returned function is called.
@@ -21,22 +17,24 @@
 	return func() { end() }
 }
 
-// answering is called before the first bytes of an answer are written.
-func (d *departure) answering(ctx context.Context) {
-	d.unnoticed = ctx.Err() == nil && caller.Left(ctx)
+// since returns how long ago the caller was found to have left.
+func (d *departure) since(now time.Time) time.Duration {
+	at := d.noticed.Load()
+	if at == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, at))
 }
 
-// happened reports whether the caller is known to have left.
-func (d *departure) happened() bool { return d.noticed.Load() != 0 || d.sentAfter > 0 || d.unnoticed }
-
-// attributes returns what the log line of the request says of it.
-func (d *departure) attributes(now time.Time) []any {
-	if !d.happened() {
-		return nil
+// countDeparture updates the metrics of callers that left.
+func (c *call) countDeparture(now time.Time) {
+	if c.outcome != outcomeCallerLeft {
+		return
 	}
-	endedAfter := int64(0)
-	if at := d.noticed.Load(); at != 0 {
-		endedAfter = now.Sub(time.Unix(0, at)).Milliseconds()
+	sent := "no"
+	if c.arrivals.any() {
+		sent = "yes"
 	}
-	return []any{"left_sent_after", d.sentAfter, "left_unnoticed", d.unnoticed, "left_ended_after_ms", endedAfter}
+	c.server.metrics.GetOrCreateCounter(`filberthook_entry_callers_left_total{sent="` + sent + `"}`).Inc()
+	c.server.metrics.GetOrCreateHistogram("filberthook_entry_caller_left_seconds").Update(c.departure.since(now).Seconds())
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -26,7 +26,6 @@
 	"filberthook/internal/engines/placement"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/process/logsink"
-	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
@@ -183,6 +182,9 @@
 	return strconv.FormatFloat(max(0, d.Seconds()), 'f', 3, 64)
 }
 
+// outcomeCallerLeft is the outcome of a request whose caller closed its connection.
+const outcomeCallerLeft = "caller_left"
+
 // call is the state of one caller's request.
 type call struct {
 	server   *Server
@@ -314,9 +316,6 @@
 // answer says about the instance.
 func (c *call) send(ctx context.Context, target placement.Target, options dialect.SendOptions) (*upstream.Answer, error) {
 	c.arrivals.sending()
-	if caller.Left(c.r.Context()) {
-		c.departure.sentAfter++
-	}
 	sentAt := time.Now()
 	answer, err := c.server.pool.Send(ctx, target.Address, c.request(options))
 	var notSent *upstream.NotSentError
@@ -349,7 +348,7 @@
 func (c *call) giveUp(reason string) {
 	switch {
 	case c.callerGone():
-		c.outcome, c.reason = "caller_left", reason
+		c.outcome, c.reason = outcomeCallerLeft, reason
 		c.abort()
 	case c.ran == 0:
 		c.refuse(reason, c.retryAfter())
--- a/internal/serve/forward/harness_test.go
+++ b/internal/serve/forward/harness_test.go
@@ -213,7 +213,7 @@
 		Version: 1, Routes: []routes.Route{r}, Endpoints: map[string]routes.Endpoint{"e": {Name: "e"}},
 		Limits: routes.Limits{HeaderBytes: 4096, BodyBytes: 1000},
 	}))
-	h := &harness{server: s, front: httptest.NewUnstartedServer(s), log: lines}
+	h := &harness{server: s, front: httptest.NewUnstartedServer(caller.Handler(s)), log: lines}
 	h.front.Config.ConnContext = caller.ConnContext
 	h.front.Start()
 	t.Cleanup(h.front.Close)
--- a/internal/serve/forward/requestlog.go
+++ b/internal/serve/forward/requestlog.go
@@ -61,8 +61,8 @@
 	if c.reason != "" {
 		c.server.metrics.GetOrCreateCounter(`filberthook_entry_refusals_total{reason="` + c.reason + `"}`).Inc()
 	}
-	c.countDeparture()
-	if c.hadNoFailure() && !c.departure.happened() {
+	c.countDeparture(time.Now())
+	if c.hadNoFailure() {
 		keep, leftOut := c.server.answered.Allow(time.Now())
 		if leftOut > 0 {
 			c.server.logger.Info("lines of answered requests left out", "lines", leftOut, "per_second", maxAnsweredLinesPerSecond)
@@ -93,18 +93,8 @@
 		"config", c.version, "view", view.Number, "view_age_ms", time.Since(view.At).Milliseconds(),
 		"tokens", c.meta.PromptTokens, "blocks", c.sharedBlocks(), "identity", c.identity, "attempts", c.attempts, "outcome", c.outcome, "status", c.status,
 		"reason", c.reason, "detail", c.detail, "first_ms", c.firstMS, "ms", elapsed.Milliseconds()}
-	c.server.logger.Info("request", append(line, c.departure.attributes(time.Now())...)...)
-}
-
-// countDeparture updates the metrics of callers that left.
-func (c *call) countDeparture() {
-	if c.departure.sentAfter > 0 {
-		c.server.metrics.GetOrCreateCounter(`filberthook_entry_callers_left_total{then="sent"}`).Add(c.departure.sentAfter)
-	}
-	if c.departure.unnoticed {
-		c.server.metrics.GetOrCreateCounter(`filberthook_entry_callers_left_total{then="answered"}`).Inc()
-	}
-	if at := c.departure.noticed.Load(); at != 0 {
-		c.server.metrics.GetOrCreateHistogram("filberthook_entry_caller_left_seconds").Update(time.Since(time.Unix(0, at)).Seconds())
+	if c.outcome == outcomeCallerLeft {
+		line = append(line, "sent", c.arrivals.any(), "left_ms", c.departure.since(time.Now()).Milliseconds())
 	}
+	c.server.logger.Info("request", line...)
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -173,7 +173,7 @@
 	}
 	c.outcome, c.reason = "broken_off", reason
 	if c.callerGone() {
-		c.outcome = "caller_left"
+		c.outcome = outcomeCallerLeft
 	}
 	c.abort()
 }
@@ -378,7 +378,6 @@
 		}
 		if !p.started {
 			p.started, p.mediaType = true, mediaType(answer.Header)
-			c.departure.answering(c.r.Context())
 			copyHeader(c.w.Header(), answer.Header)
 			c.w.WriteHeader(answer.StatusCode)
 		}
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -208,7 +208,6 @@
 		c.fail(http.StatusBadGateway, "endpoint_failed")
 		return
 	}
-	c.departure.answering(c.r.Context())
 	copyHeader(c.w.Header(), got.header)
 	if len(got.body) > 0 { // answers to HEAD have none and tell the length of another
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
--- a/internal/serve/middleware/claims.go
+++ b/internal/serve/middleware/claims.go
@@ -13,6 +13,7 @@
 	"filberthook/internal/network/ident"
 	"filberthook/internal/process/tomltime"
 	"filberthook/internal/serve/call"
+	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/claim"
 	"filberthook/internal/serve/claimlog"
 	"filberthook/internal/serve/request"
@@ -96,6 +97,12 @@
 
 // claim reports whether the claim was granted. If not, it writes the response.
 func (h *Claims) claim(w http.ResponseWriter, r *http.Request, c *call.Call, cmd claim.Command) bool {
+	if err := caller.Check(r.Context()); err != nil {
+		refusal := request.Refuse(request.CallerGone, "the caller closed its connection").WithCause(err)
+		refusal.Disposition = request.NotRun
+		c.Refuse(w, refusal)
+		return false
+	}
 	res, err := h.log.Claim(r.Context(), cmd)
 	if err != nil {
 		c.Refuse(w, claimRefusal(err))
@@ -146,7 +153,7 @@
 func (h *Claims) run(w http.ResponseWriter, r *http.Request, c *call.Call, cmd claim.Command) {
 	rec := newRecorder()
 	done := make(chan struct{})
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), cmd.Hold)
+	ctx, cancel := context.WithTimeout(caller.Detach(r.Context()), cmd.Hold)
 	h.running.Go(func() {
 		defer func() { <-h.runSlots }()
 		defer close(done)
--- a/internal/serve/middleware/middleware.go
+++ b/internal/serve/middleware/middleware.go
@@ -9,6 +9,7 @@
 
 	"filberthook/internal/bench/history"
 	"filberthook/internal/engines/fleet"
+	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/claimlog"
 	"filberthook/internal/serve/limit"
 	"filberthook/internal/serve/request"
@@ -65,5 +66,6 @@
 	h = NewHistory(calls, stop)
 	h = NewRequestID(counters, h)
 	h = NewPace(s.Pace, h)
+	h = caller.Handler(h)
 	return &Chain{Handler: NewViolation(h), Stop: stop, Claims: claims}
 }
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -95,8 +95,8 @@
 	return &Proxy{
 		settings:  settings,
 		sched:     sched,
-		pooled:    newTransport(settings.Transport),
-		singleUse: newSingleUseTransport(settings.Transport),
+		pooled:    callerCheck{newTransport(settings.Transport)},
+		singleUse: callerCheck{newSingleUseTransport(settings.Transport)},
 		memory:    limit.NewMemory(settings.MaxHeldBytes),
 		attempts:  set.GetOrCreateCounter("filberthook_attempts_total"),
 		latency:   newLatencies(set),
--- a/internal/serve/proxy/transport.go
+++ b/internal/serve/proxy/transport.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/caller"
 )
 
 // TransportSettings are the limits of connections to endpoint instances.
@@ -47,3 +48,17 @@
 	t.DisableKeepAlives = true
 	return t
 }
+
+// callerCheck sends requests only for callers that are still connected.
+type callerCheck struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t callerCheck) RoundTrip(r *http.Request) (*http.Response, error) {
+	if err := caller.Check(r.Context()); err != nil {
+		if r.Body != nil {
+			r.Body.Close()
+		}
+		return nil, err
+	}
+	return t.RoundTripper.RoundTrip(r)
+}
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"filberthook/internal/network/netopt"
+	"filberthook/internal/serve/caller"
 )
 
 // Request is a request to an instance.
@@ -75,11 +76,14 @@
 // be read before ctx ends, which closes the connection. Errors are NotSentError, if the
 // request did not reach the instance, or LostError.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Answer, error) {
+	if err := caller.Check(ctx); err != nil {
+		return nil, &NotSentError{Address: address, Err: err}
+	}
 	c, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Err: err}
 	}
-	if err := ended(ctx); err != nil {
+	if err := c.mayBegin(ctx); err != nil {
 		p.put(c)
 		return nil, &NotSentError{Address: address, Err: err}
 	}
@@ -110,13 +114,16 @@
 	return a, nil
 }
 
-// ended returns why nothing may be sent any more, nil if it may. A process that was frozen
+// mayBegin returns why no request may be sent any more, nil if one may. A process that was frozen
 // may run before the timer of a deadline that has passed meanwhile.
-func ended(ctx context.Context) error {
+func (c *conn) mayBegin(ctx context.Context) error {
 	if deadline, ok := ctx.Deadline(); ok && ctx.Err() == nil && !time.Now().Before(deadline) {
 		return context.DeadlineExceeded
 	}
-	return ctx.Err()
+	if c.reused {
+		return ctx.Err()
+	}
+	return caller.Check(ctx) // opening the connection took time
 }
 
 // head returns the encoded request line and header.
