Hosts notice a caller that leaves after bytes of a further request

Cause: net/http stops reading a connection once a byte of a further request has come, so a close behind it ends no context. Ruled out: the same bytes in one packet with the request; those are buffered and the close is found. Change: caller.Handler asks the connection of each request in progress every 200 ms (MSG_PEEK, POLLRDHUP while bytes wait) and ends the request's context.

--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -3,17 +3,24 @@
 //
 // The context that net/http gives a request is not enough: it ends when a read that runs beside the
 // handler finds the connection closed. That read begins after the body was read, so a close that
-// arrived before is found only once the handler pauses.
+// arrived before is found only once the handler pauses; and it ends with the first byte of a further
+// request, so a close after that is not found at all.
 package caller
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"sync"
+	"time"
 
 	"filberthook/internal/network/netopt"
 )
 
+// checkInterval is how often the connection of a request in progress is checked. Work for a caller
+// that left ends within half a second.
+const checkInterval = 200 * time.Millisecond
+
 type connKey struct{}
 
 type requestKey struct{}
@@ -22,6 +29,10 @@
 type request struct {
 	conn   net.Conn
 	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
+	ended bool // the handler has returned
 }
 
 // ConnContext is the hook of that name of http.Server. Handler needs it.
@@ -39,7 +50,10 @@
 		}
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
-		next.ServeHTTP(w, r.WithContext(context.WithValue(ctx, requestKey{}, &request{conn: c, cancel: cancel})))
+		q := &request{conn: c, cancel: cancel}
+		q.schedule()
+		defer q.end()
+		next.ServeHTTP(w, r.WithContext(context.WithValue(ctx, requestKey{}, q)))
 	})
 }
 
@@ -60,3 +74,28 @@
 func Detach(ctx context.Context) context.Context {
 	return context.WithValue(context.WithoutCancel(ctx), requestKey{}, nil)
 }
+
+func (q *request) schedule() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.ended {
+		q.timer = time.AfterFunc(checkInterval, q.check)
+	}
+}
+
+// check ends the request's context if the caller has left, else checks again later.
+func (q *request) check() {
+	if netopt.PeerClosed(q.conn) {
+		q.cancel()
+		return
+	}
+	q.schedule()
+}
+
+// end stops the checks.
+func (q *request) end() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ended = true
+	q.timer.Stop()
+}
