An abandoned request is not delivered any more

Cause: the connection was closed in the usual way, which first delivers what waits in the socket. Ruled out as a remedy: a reset at each abandoned request. A reset that is lost on a link is not sent again, the usual end is; so connections whose bytes have all been sent are closed as before. Change: netopt.CloseNow resets a connection while bytes that have not been sent wait (SIOCOUTQNSD); upstream and the transports of serve/proxy use it.

--- a/internal/network/netopt/peer.go
+++ b/internal/network/netopt/peer.go
@@ -33,19 +33,31 @@
 	return ended && err == nil
 }
 
-// Unsent returns how many bytes written to a connection its other end has not acknowledged, 0 if
+// Unacknowledged returns how many bytes written to a connection its other end has not acknowledged, 0 if
 // that is unknown.
-func Unsent(c net.Conn) int {
-	unsent := 0
+func Unacknowledged(c net.Conn) int { return queued(c, unix.SIOCOUTQ) }
+
+// CloseNow closes a connection without sending what waits in its queue: if any bytes wait there,
+// the other end gets a reset in place of them.
+func CloseNow(c net.Conn) error {
+	if tcp, ok := socketOf(c).(*net.TCPConn); ok && queued(c, unix.SIOCOUTQNSD) > 0 {
+		_ = tcp.SetLinger(0) // fails only if the connection has ended
+	}
+	return c.Close()
+}
+
+// queued returns the size of one of a socket's output queues, 0 if that is unknown.
+func queued(c net.Conn, request uint) int {
+	bytes := 0
 	err := control(socketOf(c), func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-			unsent = n
+		if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
+			bytes = n
 		}
 	})
 	if err != nil {
 		return 0
 	}
-	return unsent
+	return bytes
 }
 
 // socketOf returns the connection below wrappers such as *tls.Conn.
--- a/internal/network/netopt/peer_test.go
+++ b/internal/network/netopt/peer_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-func TestUnsentBytesAreThoseThatThePeerDoesNotTake(t *testing.T) {
+func TestUnacknowledgedBytesAreThoseThatThePeerDoesNotTake(t *testing.T) {
 	near, far := connected(t)
 	far.SetReadBuffer(4 << 10)
 	near.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
@@ -68,7 +68,7 @@
 	if err == nil {
 		t.Fatal("a peer that reads nothing took 64 MiB")
 	}
-	if n := Unsent(near); n <= 0 || n > written {
-		t.Errorf("%d bytes of %d are unsent", n, written)
+	if n := Unacknowledged(near); n <= 0 || n > written {
+		t.Errorf("%d bytes of %d are unacknowledged", n, written)
 	}
 }
--- a/internal/serve/proxy/departed_caller_test.go
+++ b/internal/serve/proxy/departed_caller_test.go
@@ -1,11 +1,16 @@
 package proxy_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,3 +97,34 @@
 		t.Errorf("the engine still worked %v after the caller left, 500 ms are allowed", time.Since(left))
 	}
 }
+
+func TestAbandonedCallThatHasNotArrivedIsDiscarded(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	e := newEntry(t, newMemoryLog(), []string{ln.Addr().String()})
+	body := fmt.Sprintf(`{"model":"chat","stream":true,"prompt":"%s"}`, strings.Repeat("hello ", 1<<20))
+	ctx, leave := context.WithCancel(t.Context())
+	ended := make(chan bool)
+	go func() {
+		defer close(ended)
+		if resp, err := e.send(ctx, http.MethodPost, engineapi.PathCompletions, body); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	instance, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer instance.Close()
+	time.Sleep(200 * time.Millisecond)
+	leave()
+	<-ended
+	time.Sleep(300 * time.Millisecond)
+	instance.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if _, err := io.Copy(io.Discard, instance); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the instance's connection ended with %v behind the bytes that waited, want a reset in their place", err)
+	}
+}
--- a/internal/serve/proxy/transport.go
+++ b/internal/serve/proxy/transport.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
 
+	"filberthook/internal/network/netopt"
 	"filberthook/internal/process/tomltime"
 	"filberthook/internal/serve/caller"
 )
@@ -31,7 +33,7 @@
 // neither follows redirects nor decompresses answers.
 func newTransport(s TransportSettings) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: s.DialTimeout.Duration}).DialContext,
+		DialContext:            dialInstance(&net.Dialer{Timeout: s.DialTimeout.Duration}),
 		MaxIdleConnsPerHost:    s.IdlePerHost,
 		IdleConnTimeout:        s.IdleTimeout.Duration,
 		MaxResponseHeaderBytes: s.MaxHeaderLen,
@@ -49,6 +51,27 @@
 	return t
 }
 
+// dialInstance returns a function that dials with d.
+func dialInstance(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return instanceConn{c}, nil
+	}
+}
+
+// instanceConn is a connection to an instance. Closing it discards what has not been sent: the
+// transport closes a connection that it still writes to only if the request is abandoned.
+type instanceConn struct{ net.Conn }
+
+// NetConn returns the connection below, as *tls.Conn does.
+func (c instanceConn) NetConn() net.Conn { return c.Conn }
+
+// Close implements net.Conn.
+func (c instanceConn) Close() error { return netopt.CloseNow(c.Conn) }
+
 // callerCheck sends requests only for callers that are still connected.
 type callerCheck struct{ http.RoundTripper }
 
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -90,9 +90,9 @@
 	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1), alone: r.Alone, carried: c.used}
 	c.carry(r.ID)
 	a.stop = context.AfterFunc(ctx, func() {
-		a.unsent.Store(int64(netopt.Unsent(c.Conn)))
+		a.unsent.Store(int64(netopt.Unacknowledged(c.Conn)))
 		p.unsent.Update(float64(a.unsent.Load()))
-		c.Close()
+		_ = netopt.CloseNow(c.Conn) // fails only if the connection has ended
 	})
 	head := r.head()
 	if len(head)+len(r.Body) <= inlineRequestBytes {
