A host that stops takes only requests that it can answer before its end

Cause: only streams were refused late in a stop, by a time after its begin that knew nothing of the grace; whole requests were always taken, and what was in progress at the end was cut. Ruled out: kept connections that rest, which close 1.5 s after the signal, and new ones, which are accepted for 3.2 s: both held in the trial. Change: stopPlan decides for all kinds: a request is sent to an instance if it came within 3 s, and within half of the time to the end, or if its deadline is before the end; else it gets 503 with Retry-After at once. At the end what is in progress is answered: 503 if it did not run, 502 or 504 if it may have. TestStreamThatComesLateInAStopIsRefusedRatherThanCut sets the end in place of a field that is gone; what it checks is the same.

--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -44,6 +44,8 @@
 	lameDuckPeriod = 3200 * time.Millisecond
 	// exitMargin is the part of the grace reserved for the exit of the process.
 	exitMargin = 600 * time.Millisecond
+	// endMargin is the part of exitMargin in which requests that are still in progress are answered.
+	endMargin = 250 * time.Millisecond
 	// minListInterval is the shortest time between two lists of instances for placement.
 	minListInterval = 40 * time.Millisecond
 	// maxExchangeWait is how long after its start a host stays unready for want of an exchange
@@ -220,10 +222,10 @@
 func (h *Host) drain(ln net.Listener, served <-chan struct{}) {
 	start := time.Now()
 	h.stopping.Store(true)
-	h.server.Stop()
+	last := start.Add(h.settings.Grace.Duration - exitMargin)
+	h.server.Stop(last)
 	h.connections.stop()
 	h.logger.Info("stopping", "requests", h.server.Active(), "grace", h.settings.Grace.Duration)
-	last := start.Add(h.settings.Grace.Duration - exitMargin)
 	pause.For(context.Background(), min(h.lameDuck, time.Until(last)))
 	if err := ln.Close(); err != nil {
 		h.logger.Warn("closing the listener of callers failed", "err", err)
@@ -238,6 +240,19 @@
 		}
 		pause.For(context.Background(), drainPollInterval)
 	}
+	h.endRequests()
+}
+
+// endRequests ends the requests that are still in progress at the end of a stop, and waits until
+// they are answered.
+func (h *Host) endRequests() {
+	if n := h.server.Active(); n > 0 {
+		h.logger.Warn("ending requests that outlast the grace", "requests", n)
+	}
+	h.server.EndRequests()
+	for end := time.Now().Add(endMargin); h.connections.closeUnused() > 0 && time.Now().Before(end); {
+		pause.For(context.Background(), drainPollInterval)
+	}
 }
 
 // refreshInstances passes new lists of instances to placement, and drops connections to
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -66,20 +66,23 @@
 	table        atomic.Pointer[routes.Table]
 	configured   chan struct{}             // closed by the first SetTable
 	configuredAt atomic.Pointer[time.Time] // time of the first SetTable
-	stopAt       atomic.Pointer[time.Time] // when the stop began, nil before
-	streamsUntil time.Duration             // see lastStreamInStop
+	stopPlan     atomic.Pointer[stopPlan]  // nil before a stop
+	ended        context.Context           // ends with EndRequests
+	endRequests  context.CancelFunc
 	active       atomic.Int64
 }
 
 // New returns a Server without a configuration.
 func New(s Settings, d dialect.Dialect, fleet *placement.Fleet, view *instances.View, pool *upstream.Pool,
 	budgets *RetryBudgets, ledger *quarantine.Ledger, logger *slog.Logger, set *metrics.Set) *Server {
-	return &Server{
+	server := &Server{
 		settings: s, dialect: d, fleet: fleet, view: view, pool: pool, budgets: budgets, quarantine: ledger,
 		logger: logger, answered: logsink.NewSampler(maxAnsweredLinesPerSecond),
 		unreadable: logsink.NewSampler(maxUnreadableLinesPerSecond), metrics: set,
-		configured: make(chan struct{}), streamsUntil: lastStreamInStop,
+		configured: make(chan struct{}),
 	}
+	server.ended, server.endRequests = context.WithCancel(context.Background())
+	return server
 }
 
 // SetTable sets the configuration for requests that arrive from now on.
@@ -101,7 +104,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	if s.stopAt.Load() != nil {
+	if s.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
@@ -129,14 +132,14 @@
 	}
 	c.identity = c.newIdentity()
 	c.suspect = c.newSuspect()
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	if !s.admitsInStop(time.Now(), c.deadline) {
+		c.refuse(reasonStopping, minRetryAfter)
+		return
+	}
+	ctx, cancel := s.untilEnd(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
 	if route.Kind == routes.Stream {
-		if s.refusesStreams() {
-			c.refuse("stopping", minRetryAfter)
-			return
-		}
 		c.serveStream()
 	} else {
 		c.serveWhole()
@@ -182,6 +185,9 @@
 	return strconv.FormatFloat(max(0, d.Seconds()), 'f', 3, 64)
 }
 
+// reasonStopping is the reason of a request that a stop of this host refused or ended.
+const reasonStopping = "stopping"
+
 // outcomeCallerLeft is the outcome of a request whose caller closed its connection.
 const outcomeCallerLeft = "caller_left"
 
@@ -346,6 +352,9 @@
 // giveUp answers a request that cannot be served: 503 if it certainly did not run,
 // otherwise 504 after the deadline or 502.
 func (c *call) giveUp(reason string) {
+	if c.server.ended.Err() != nil {
+		reason = reasonStopping
+	}
 	switch {
 	case c.callerGone():
 		c.outcome, c.reason = outcomeCallerLeft, reason
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -340,8 +340,7 @@
 	t.Parallel()
 	a := engine("a", instances.Decode, streamer(4))
 	h := start(t, route(routes.Stream, nil), a)
-	h.server.streamsUntil = 50 * time.Millisecond
-	h.server.Stop()
+	h.server.Stop(time.Now().Add(100 * time.Millisecond))
 	if status, _, _, err := h.do(t, nil); status != http.StatusOK || err != nil {
 		t.Errorf("right after the signal: status %d, %v", status, err)
 	}
--- a/internal/serve/forward/whole_test.go
+++ b/internal/serve/forward/whole_test.go
@@ -233,7 +233,7 @@
 
 func TestStopEndsConnectionsAfterTheirAnswer(t *testing.T) {
 	h := start(t, route(routes.Unsafe, nil), service("a", ok))
-	h.server.Stop()
+	h.server.Stop(time.Now().Add(time.Minute))
 	resp, err := http.DefaultClient.Do(h.request(t, nil))
 	if err != nil {
 		t.Fatal(err)
