--- a/internal/control/controlhost/expel.go
+++ b/internal/control/controlhost/expel.go
@@ -12,7 +12,6 @@
 	"filberthook/internal/network/peer"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/consensus"
-	"filberthook/internal/replication/fsys"
 	"filberthook/internal/replication/storage"
 )
 
@@ -30,7 +29,7 @@
 // expelFormer tells the members of the group that this host's group has replaced, if any, that
 // they are no members, so that they neither elect a leader nor answer one when they come back.
 func (h *Host) expelFormer(ctx context.Context) {
-	former, err := storage.ReadFormer(fsys.OS{}, h.membership.dir())
+	former, err := storage.ReadFormer(h.membership.fs, h.membership.dir())
 	if err != nil || len(former) == 0 {
 		return // the replica reports an unusable folder
 	}
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -31,6 +31,7 @@
 	"filberthook/internal/process/loglimit"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
+	"filberthook/internal/replication/fsys"
 	"filberthook/internal/replication/raftnet"
 )
 
@@ -141,7 +142,7 @@
 	}
 	h.loads = newLoads(h.epoch)
 	h.seedList.Store(&s.Seeds)
-	h.membership = &membership{host: h}
+	h.membership = &membership{host: h, fs: fsys.OS{}, snapshotBytes: defaultSnapshotBytes}
 	h.rpc = raftnet.NewPool(h.peerOptions())
 	h.raftRPC = raftnet.NewPool(h.peerOptions())
 	h.digestRPC = raftnet.NewPool(h.peerOptions())
--- a/internal/control/controlhost/host_test.go
+++ b/internal/control/controlhost/host_test.go
@@ -42,6 +42,7 @@
 	stages    Stages
 	engines   stagereconciler.Engines // nil if the hosts give no orders
 	logs      slog.Handler
+	prepare   func(n int, m *membership) // changes a host before it runs; nil for none
 }
 
 type node struct {
@@ -106,6 +107,9 @@
 	if err != nil {
 		g.t.Fatal(err)
 	}
+	if g.prepare != nil {
+		g.prepare(n, h.membership)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &node{host: h, stop: cancel, done: make(chan struct{}), dir: dir}
 	g.nodes[n] = started
--- a/internal/control/controlhost/member.go
+++ b/internal/control/controlhost/member.go
@@ -26,9 +26,9 @@
 const (
 	// reopenDelay is the pause before a failed replica is opened again.
 	reopenDelay = 500 * time.Millisecond
-	// snapshotBytes is the volume of commands between two snapshots. It keeps the log
+	// defaultSnapshotBytes is the volume of commands between two snapshots. It keeps the log
 	// small enough for a small disk.
-	snapshotBytes = 8 << 20
+	defaultSnapshotBytes = 8 << 20
 	// transferTimeout bounds the transfer of leadership at shutdown.
 	transferTimeout = time.Second
 	// replayPoll is the interval at which a host that has just started checks whether it has
@@ -50,8 +50,10 @@
 // membership runs the replica of this host. It opens the replica again after a disk
 // failure, and joins as a new member when its data folder can no longer be used.
 type membership struct {
-	host    *Host
-	current atomic.Pointer[openReplica] // nil while the replica is closed
+	host          *Host
+	fs            fsys.FS
+	snapshotBytes uint64                      // see defaultSnapshotBytes
+	current       atomic.Pointer[openReplica] // nil while the replica is closed
 	// told are the addresses of the members by replica id, as the leader told them when this
 	// host asked to join; nil before.
 	told atomic.Pointer[map[uint64]string]
@@ -84,7 +86,7 @@
 
 func (m *membership) discard(cause error) {
 	m.host.logger.Warn("discarding the data folder; this host joins as a new member", "cause", cause)
-	if err := fsys.WriteFile(fsys.OS{}, m.marker(), nil); err != nil {
+	if err := fsys.WriteFile(m.fs, m.marker(), nil); err != nil {
 		m.host.logger.Error("data folder not discarded", "err", err)
 		return
 	}
@@ -151,7 +153,8 @@
 		ID:            id,
 		Dir:           m.dir(),
 		Members:       founders,
-		SnapshotBytes: snapshotBytes,
+		SnapshotBytes: m.snapshotBytes,
+		FS:            m.fs,
 		Logger:        m.host.logger,
 	}, opened.machine, m.host.transport)
 	if err != nil {
@@ -180,7 +183,7 @@
 // the group uses the id derived from its address; any other host draws a random id.
 func (m *membership) identity() (uint64, []replica.Member, error) {
 	s := m.host.settings
-	id, err := storage.ReadID(fsys.OS{}, m.dir())
+	id, err := storage.ReadID(m.fs, m.dir())
 	if err != nil {
 		return 0, nil, err
 	}
