A data folder that is opened again syncs the names that it reports

What could be lost: a control host for good. An exclusion could be forgotten the same way. Result: TestStateThatAReopenedFolderReportsSurvivesALossOfPower, 3 of 4 cases failed before, pass.

--- a/internal/replication/snapshot/store.go
+++ b/internal/replication/snapshot/store.go
@@ -62,6 +62,9 @@
 		}
 		s.files = append(s.files, file{name: name, index: index})
 	}
+	if err := fs.SyncDir(dir); err != nil { // for the names that the process before has not synced
+		return nil, fmt.Errorf("sync snapshot folder: %w", err)
+	}
 	return s, nil
 }
 
--- a/internal/replication/storage/storage.go
+++ b/internal/replication/storage/storage.go
@@ -72,6 +72,10 @@
 func openLocked(o Options) (*Storage, consensus.State, Recovery, error) {
 	var st consensus.State
 	var rec Recovery
+	// The process before may have ended between a rename and the sync of the folder.
+	if err := o.FS.SyncDir(o.Dir); err != nil {
+		return nil, st, rec, fmt.Errorf("sync data folder: %w", err)
+	}
 	id, err := loadIdentity(o)
 	if err != nil {
 		return nil, st, rec, err
