A request whose caller left before it was read takes no place at an instance

It took a permit of an instance that names a limit, counted as load and paid for placement, and only its send was left out. Change: package forward asks for the caller once more right after the body was read, before anything is decided for the request. Result: TestRequestWhoseCallerLeftBeforeItWasReadTakesNoPlace, 2 of 2 cases failed before, pass.

--- a/internal/serve/forward/departed_caller_test.go
+++ b/internal/serve/forward/departed_caller_test.go
@@ -154,3 +154,28 @@
 		})
 	}
 }
+
+func TestRequestWhoseCallerLeftBeforeItWasReadTakesNoPlace(t *testing.T) {
+	for name, tt := range map[string]struct {
+		kind routes.Kind
+		i    *instance
+	}{
+		"plain service": {routes.Unsafe, service("i", ok)}, "engine": {routes.Stream, engine("e", instances.Decode, streamer(2))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := start(t, route(tt.kind, nil), tt.i)
+			address, gate := h.slowFront(t)
+			c := dialFront(t, address)
+			gate.Lock()
+			io.WriteString(c, rawRequest("left", "body"))
+			c.Close()
+			time.Sleep(10 * time.Millisecond)
+			gate.Unlock()
+			time.Sleep(50 * time.Millisecond)
+			if h.log.count(`"outcome":"caller_left"`) != 1 || h.log.count(`"attempts":null`) != 1 {
+				t.Errorf("want one line of a caller that left, without an attempt, got %s", h.log.text())
+			}
+		})
+	}
+}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -25,6 +25,7 @@
 	"filberthook/internal/engines/placement"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/process/logsink"
+	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
@@ -129,6 +130,10 @@
 	if !c.readBody(t.Limits) {
 		return
 	}
+	if caller.Check(r.Context()) != nil { // callers give up requests that wait long to be read
+		c.giveUp("not_read_in_time")
+		return
+	}
 	c.identity = c.newIdentity()
 	c.suspect = c.newSuspect()
 	if !s.admitsInStop(time.Now(), c.deadline) {
