Proxy: a request that ends instances of a plain service is refused when it comes again

Cause: serve/proxy did not ask the quarantine. And where requests come again within 50 ms, the ledger itself took all ends for one, which blames nobody. Ruled out: the check whether the instance has ended; it said so each time. Change: proxy/suspects.go names a call of a plain service by endpoint, method, path, team and body and asks a ledger before each attempt; a refused call gets 503, code quarantined, with the time to return. In the ledger the next test of a request waits until the moment of the last end is over, so that its end counts.

--- a/internal/engines/quarantine/admit.go
+++ b/internal/engines/quarantine/admit.go
@@ -110,7 +110,10 @@
 			return Decision{Answer: Wait, Suspect: b}
 		}
 		if next := s.nextTest(b.Kind(), l.phases[b]); l.testing[b] != r && now.Before(next) {
-			return Decision{Answer: Refuse, Suspect: b, RetryAfter: next.Sub(now)}
+			if left := next.Sub(now); left > moment {
+				return Decision{Answer: Refuse, Suspect: b, RetryAfter: left}
+			}
+			return Decision{Answer: Wait, Suspect: b}
 		}
 		tests = append(tests, b)
 	}
--- a/internal/engines/quarantine/judge.go
+++ b/internal/engines/quarantine/judge.go
@@ -78,7 +78,7 @@
 	moments := s.moments
 	if k == KindRequest {
 		if moments--; moments < 1 {
-			return time.Time{} // most are sound and were lost beside another one
+			return s.last.Add(moment) // most are sound and were lost beside another one; an end before would not count
 		}
 	}
 	if s.known {
--- a/internal/engines/quarantine/ledger.go
+++ b/internal/engines/quarantine/ledger.go
@@ -21,7 +21,8 @@
 //	stream without them, not resumable   the request           1             quarantine
 //	probe                                as above              1             granted one at a time
 //	requests that differ each time       none that comes again as above      no bound
-//	package proxy                        none                  its attempts  no bound
+//	package proxy, plain service         the request           its attempts  quarantine of each host
+//	package proxy, stream                none                  its attempts  no bound
 package quarantine
 
 import (
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -46,6 +46,7 @@
 	routingReq *routing.Request
 	call       *call.Call
 	proxy      *Proxy
+	suspect    *suspect // nil for none
 	resp       *http.Response
 	cancel     context.CancelFunc
 	watch      *watch // nil for a non-repeatable call, which is never abandoned
@@ -64,7 +65,11 @@
 	if c.Left() <= 0 {
 		return nil, &failure{final: true, refusal: p.deadlinePassed(c)}
 	}
-	a := &attempt{id: ident.New(), call: c, proxy: p, routingReq: p.routingRequest(c, t.exclude)}
+	q := suspectFrom(ctx)
+	if f := q.admit(ctx, c); f != nil {
+		return nil, f
+	}
+	a := &attempt{id: ident.New(), call: c, proxy: p, suspect: q, routingReq: p.routingRequest(c, t.exclude)}
 	if err := a.place(ctx, t.resumeFrom); err != nil {
 		c.History.AddAttempt(history.Attempt{ResumedFrom: t.resumeFrom, Problem: err.Error()})
 		return nil, placeFailure(err)
@@ -184,11 +189,11 @@
 
 // transportFailure returns the failure for an error of the transport.
 func (a *attempt) transportFailure(err error) *failure {
-	reason := request.RetryBroken
 	if !a.connected() {
-		reason = request.RetryConnect
+		return a.failure(request.RetryConnect, err)
 	}
-	return a.failure(reason, err)
+	a.suspect.lostWith(a, err)
+	return a.failure(request.RetryBroken, err)
 }
 
 // outgoing builds the request to the instance. It sets no GetBody, so the transport cannot
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -82,6 +82,7 @@
 	memory    *limit.Memory     // for answers that are not streamed
 	attempts  *metrics.Counter
 	latency   *latencies
+	suspects  *suspects
 
 	splitDone   *metrics.Counter // disaggregated prefills that succeeded
 	splitFailed *metrics.Counter // disaggregated prefills that failed, so that the picked engine ran them
@@ -100,6 +101,7 @@
 		memory:    limit.NewMemory(settings.MaxHeldBytes),
 		attempts:  set.GetOrCreateCounter("filberthook_attempts_total"),
 		latency:   newLatencies(set),
+		suspects:  newSuspects(),
 		policies:  make(map[string]*retry.Policy),
 
 		splitDone:   set.GetOrCreateCounter(`filberthook_split_prefills_total{outcome="imported"}`),
@@ -111,6 +113,9 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := call.From(r)
 	p.policy(c).RecordFirst()
+	q := p.suspects.of(c, r)
+	defer q.done()
+	r = r.WithContext(q.with(r.Context()))
 	if c.Stream {
 		p.serveStream(w, r, c)
 		return
--- a/internal/serve/proxy/whole.go
+++ b/internal/serve/proxy/whole.go
@@ -111,10 +111,14 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(a.resp.Body, limit+1))
 	if err == nil && int64(len(body)) <= limit && a.call.Request.Accepts(a.id) {
+		if a.resp.StatusCode < http.StatusInternalServerError {
+			a.suspect.begun()
+		}
 		return &answer{status: a.resp.StatusCode, header: a.resp.Header, body: body, reserved: need}, nil
 	}
 	a.proxy.memory.Return(need)
 	if err != nil {
+		a.suspect.lostWith(a, err)
 		return nil, a.failure(request.RetryBroken, err)
 	}
 	return nil, a.tooLarge()
--- a/internal/serve/request/reason.go
+++ b/internal/serve/request/reason.go
@@ -56,6 +56,7 @@
 	OutcomeUnknown      Code = "outcome_unknown"
 	CallerGone          Code = "caller_gone"
 	Stopping            Code = "stopping"
+	Quarantined         Code = "quarantined"
 )
 
 // Reason is a reason for which a request ends without an answer.
@@ -106,6 +107,7 @@
 	{ClaimsFull, http.StatusServiceUnavailable, NotRun, "resend after the advised time; operators: raise the limit of claims", 30 * time.Second},
 	{OutcomeUnknown, http.StatusBadGateway, MayHaveRun, "ask by idempotency key, or read the request's effect from the service; a resend does not run it again", 2 * time.Second},
 	{CallerGone, StatusCallerGone, MayHaveRun, "resend with the same idempotency key", 0},
+	{Quarantined, http.StatusServiceUnavailable, NotRun, "resend after the advised time; operators: find what the request does to the instances that ran it", 2 * time.Second},
 	{Stopping, http.StatusServiceUnavailable, NotRun, "resend at once; another host serves the request", time.Second},
 }
 
