Entry hosts of the product's own protocol see that a caller left

Found in review; the tests of serve/proxy use another listener. Change: the wrapper shows the connection below, as *tls.Conn does. Result: TestListenerShowsThatACallerHasLeft failed before, passes; the same test of filberthook-host's connections passed before.

--- a/internal/serve/entryhost/connections_test.go
+++ b/internal/serve/entryhost/connections_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"filberthook/internal/network/netopt"
 )
 
 // connPair returns a connection's server end as a callerConn, and its client end.
@@ -86,3 +88,15 @@
 		t.Fatal("closing an idle connection waits for its next request")
 	}
 }
+
+func TestConnectionShowsThatItsCallerHasLeft(t *testing.T) {
+	c, far := connPair(t)
+	if netopt.PeerClosed(c) {
+		t.Error("a connected caller counts as one that left")
+	}
+	far.Close()
+	time.Sleep(20 * time.Millisecond)
+	if !netopt.PeerClosed(c) {
+		t.Error("a caller that has left counts as connected")
+	}
+}
--- a/internal/serve/limit/listener.go
+++ b/internal/serve/limit/listener.go
@@ -49,6 +49,9 @@
 	once     sync.Once
 }
 
+// NetConn returns the connection below, as *tls.Conn does.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	c.once.Do(func() { c.listener.open.Add(-1) })
--- a/internal/serve/limit/listener_test.go
+++ b/internal/serve/limit/listener_test.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/network/netopt"
 )
 
 func TestListenerClosesConnectionsBeyondItsLimit(t *testing.T) {
@@ -50,3 +53,29 @@
 	ln.Close()
 	<-accepted
 }
+
+func TestListenerShowsThatACallerHasLeft(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	limited := NewListener(ln, 1, metrics.NewSet().NewCounter("refused"))
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := limited.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	if netopt.PeerClosed(accepted) {
+		t.Error("a connected caller counts as one that left")
+	}
+	c.Close()
+	time.Sleep(20 * time.Millisecond)
+	if !netopt.PeerClosed(accepted) {
+		t.Error("a caller that has left counts as connected")
+	}
+}
