Upstream: the bytes of an abandoned request are called unacknowledged

What an error and a metric called unsent are bytes that the instance's host has not acknowledged; unsent ones are a part of them and decide whether the connection is reset. Names and docs only. In the ledger of quarantine a comment says why the next test waits, and the two answers stand in one order.

--- a/internal/engines/quarantine/admit.go
+++ b/internal/engines/quarantine/admit.go
@@ -110,10 +110,11 @@
 			return Decision{Answer: Wait, Suspect: b}
 		}
 		if next := s.nextTest(b.Kind(), l.phases[b]); l.testing[b] != r && now.Before(next) {
-			if left := next.Sub(now); left > moment {
-				return Decision{Answer: Refuse, Suspect: b, RetryAfter: left}
+			left := next.Sub(now)
+			if left <= moment {
+				return Decision{Answer: Wait, Suspect: b}
 			}
-			return Decision{Answer: Wait, Suspect: b}
+			return Decision{Answer: Refuse, Suspect: b, RetryAfter: left}
 		}
 		tests = append(tests, b)
 	}
--- a/internal/engines/quarantine/judge.go
+++ b/internal/engines/quarantine/judge.go
@@ -78,7 +78,8 @@
 	moments := s.moments
 	if k == KindRequest {
 		if moments--; moments < 1 {
-			return s.last.Add(moment) // most are sound and were lost beside another one; an end before would not count
+			// Most are sound and were lost beside another one. An end before would be of the same moment.
+			return s.last.Add(moment)
 		}
 	}
 	if s.known {
--- a/internal/serve/upstream/abandoned_test.go
+++ b/internal/serve/upstream/abandoned_test.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	var lost *LostError
-	if _, err := newPool(t).Send(ctx, ln.Addr().String(), r); !errors.As(err, &lost) || lost.Unsent == 0 {
+	if _, err := newPool(t).Send(ctx, ln.Addr().String(), r); !errors.As(err, &lost) || lost.Unacknowledged == 0 {
 		t.Errorf("sending ended with %v, want an error that tells the bytes that did not arrive", err)
 	}
 	c, err := ln.Accept()
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -59,17 +59,17 @@
 // Answer is the answer of an instance. The caller must call Close.
 type Answer struct {
 	*http.Response
-	pool     *Pool
-	conn     *conn
-	ctx      context.Context
-	stop     func() bool  // detaches the connection from ctx
-	written  chan error   // receives the result of writing the request
-	bodyRead bool         // the body was read to its end
-	alone    bool         // the connection carries no other request
-	carried  bool         // the connection has carried other requests
-	held     int64        // bytes reserved for the body
-	tainted  bool         // the connection carried another request's answer
-	unsent   atomic.Int64 // bytes that the connection still held when ctx ended
+	pool           *Pool
+	conn           *conn
+	ctx            context.Context
+	stop           func() bool  // detaches the connection from ctx
+	written        chan error   // receives the result of writing the request
+	bodyRead       bool         // the body was read to its end
+	alone          bool         // the connection carries no other request
+	carried        bool         // the connection has carried other requests
+	held           int64        // bytes reserved for the body
+	tainted        bool         // the connection carried another request's answer
+	unacknowledged atomic.Int64 // bytes of the request, when ctx ended
 }
 
 // Send sends a request and returns the answer when its header has arrived. The body must
@@ -90,8 +90,8 @@
 	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1), alone: r.Alone, carried: c.used}
 	c.carry(r.ID)
 	a.stop = context.AfterFunc(ctx, func() {
-		a.unsent.Store(int64(netopt.Unacknowledged(c.Conn)))
-		p.unsent.Update(float64(a.unsent.Load()))
+		a.unacknowledged.Store(int64(netopt.Unacknowledged(c.Conn)))
+		p.unacknowledged.Update(float64(a.unacknowledged.Load()))
 		_ = netopt.CloseNow(c.Conn) // fails only if the connection has ended
 	})
 	head := r.head()
@@ -109,7 +109,7 @@
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
-		return nil, &LostError{Address: address, Unsent: a.unsent.Load(), Err: err}
+		return nil, &LostError{Address: address, Unacknowledged: a.unacknowledged.Load(), Err: err}
 	}
 	return a, nil
 }
@@ -265,7 +265,7 @@
 	if a.ctx.Err() != nil {
 		err = a.ctx.Err()
 	}
-	return &LostError{Address: a.conn.address, Unsent: a.unsent.Load(), Err: err}
+	return &LostError{Address: a.conn.address, Unacknowledged: a.unacknowledged.Load(), Err: err}
 }
 
 // Close returns the connection to the pool if the exchange is complete and no further
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -61,14 +61,16 @@
 // LostError reports that a request was sent but has no complete answer. It may have run.
 type LostError struct {
 	Address string
-	Unsent  int64 // bytes of the request that had not arrived when it was abandoned
-	Err     error
+	// Unacknowledged is how many bytes of the request the instance's host had not acknowledged
+	// when the request was abandoned.
+	Unacknowledged int64
+	Err            error
 }
 
 // Error implements error.
 func (e *LostError) Error() string {
-	if e.Unsent > 0 {
-		return fmt.Sprintf("answer of %s lost, the request may have run, %d bytes were not acknowledged: %v", e.Address, e.Unsent, e.Err)
+	if e.Unacknowledged > 0 {
+		return fmt.Sprintf("answer of %s lost, the request may have run, %d bytes were not acknowledged: %v", e.Address, e.Unacknowledged, e.Err)
 	}
 	return fmt.Sprintf("answer of %s lost, the request may have run: %v", e.Address, e.Err)
 }
@@ -78,12 +80,12 @@
 
 // Pool is a pool of connections to instances.
 type Pool struct {
-	dial   func(ctx context.Context, address string) (net.Conn, error)
-	dials  *metrics.Counter
-	fails  *metrics.Counter
-	reuses *metrics.Counter
-	unsent *metrics.Histogram // bytes that exchanges held when they were abandoned
-	held   atomic.Int64       // bytes reserved for bodies by Answer.ReadAll
+	dial           func(ctx context.Context, address string) (net.Conn, error)
+	dials          *metrics.Counter
+	fails          *metrics.Counter
+	reuses         *metrics.Counter
+	unacknowledged *metrics.Histogram // bytes of exchanges that were abandoned
+	held           atomic.Int64       // bytes reserved for bodies by Answer.ReadAll
 
 	mu            sync.Mutex
 	idle          map[string][]*conn       // by address, most recently used last
@@ -98,12 +100,12 @@
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		dials:         set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="open"}`),
-		fails:         set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="failed"}`),
-		reuses:        set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="reused"}`),
-		unsent:        set.GetOrCreateHistogram("filberthook_upstream_abandoned_unsent_bytes"),
-		idle:          map[string][]*conn{},
-		learnedLimits: map[string]time.Duration{},
+		dials:          set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="open"}`),
+		fails:          set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="failed"}`),
+		reuses:         set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="reused"}`),
+		unacknowledged: set.GetOrCreateHistogram("filberthook_upstream_abandoned_unacknowledged_bytes"),
+		idle:           map[string][]*conn{},
+		learnedLimits:  map[string]time.Duration{},
 	}
 }
 
