--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -58,7 +58,8 @@
 }
 
 // Check returns an error if ctx has ended or the caller of its request has left, which it asks the
-// connection. Whoever begins work for a caller asks it right before, after each wait.
+// connection. Whoever begins work for a caller asks it right before, after each wait. A caller that
+// has closed only its sending side counts as one that left, as it does with net/http.
 func Check(ctx context.Context) error {
 	if err := ctx.Err(); err != nil {
 		return err
