--- /dev/null
+++ b/review/driver/main.go
@@ -0,0 +1,35 @@
+// Command driver plays the cases of this review that are scripts.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+const (
+	held       = 0
+	broken     = 1
+	couldNot   = 2
+	recordName = "record.txt"
+)
+
+var cases = map[string]func(rec *recorder, trouble bool) (int, error){"memory": memoryCase}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: driver CASE FOLDER")
+		os.Exit(couldNot)
+	}
+	rec, err := newRecorder(os.Args[2] + "/" + recordName)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(couldNot)
+	}
+	code, err := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		rec.log("the case could not run: %v", err)
+		code = couldNot
+	}
+	rec.log("exit %d", code)
+	os.Exit(code)
+}
