--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -13,7 +13,7 @@
 	recordName = "record.txt"
 )
 
-var cases = map[string]func(rec *recorder, trouble bool) (int, error){"memory": memoryCase}
+var cases = map[string]func(rec *recorder, trouble bool) (int, error){"memory": memoryCase, "firststart": firstStartCase}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
