--- a/review/driver/cluster.go
+++ b/review/driver/cluster.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -72,6 +73,7 @@
 		return nil, err
 	}
 	c := &cluster{dir: dir, record: rec, subnet: freeSubnet()}
+	go c.closeOnSignal()
 	var seeds []string
 	for n := range min(controls, 3) {
 		seeds = append(seeds, fmt.Sprintf("%q", c.address(10+n, publicPort)))
@@ -213,6 +215,15 @@
 	return kb >> 10
 }
 
+// closeOnSignal ends all processes when this one is told to end.
+func (c *cluster) closeOnSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, os.Interrupt, syscall.SIGTERM)
+	<-told
+	c.close()
+	os.Exit(couldNot)
+}
+
 // close ends all processes and removes the folder.
 func (c *cluster) close() {
 	for _, h := range append(append([]*host{}, c.entries...), c.controls...) {
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -7,20 +7,19 @@
 )
 
 const (
-	held       = 0
-	broken     = 1
-	couldNot   = 2
-	recordName = "record.txt"
+	held     = 0
+	broken   = 1
+	couldNot = 2
 )
 
 var cases = map[string]func(rec *recorder, trouble bool) (int, error){"memory": memoryCase, "firststart": firstStartCase}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: driver CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: driver CASE RECORD-FILE")
 		os.Exit(couldNot)
 	}
-	rec, err := newRecorder(os.Args[2] + "/" + recordName)
+	rec, err := newRecorder(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(couldNot)
