--- a/review/driver/memory.go
+++ b/review/driver/memory.go
@@ -23,7 +23,7 @@
 	clientTime   = 6 * time.Second
 	burstAt      = 14 * time.Second
 	burstFor     = 10 * time.Second
-	uploadRate   = 100e6 // bytes per second
+	uploadRate   = 100_000_000 // bytes per second
 	restartDelay = 500 * time.Millisecond
 	cutAllowed   = 3 // of rule LOST
 )
@@ -226,7 +226,7 @@
 		l.next = now
 	}
 	until := l.next
-	l.next = l.next.Add(time.Duration(float64(n) / uploadRate * float64(time.Second)))
+	l.next = l.next.Add(time.Duration(n) * time.Second / uploadRate)
 	l.mu.Unlock()
 	time.Sleep(time.Until(until))
 }
