--- a/internal/serve/entryhost/connections.go
+++ b/internal/serve/entryhost/connections.go
@@ -4,9 +4,12 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"filberthook/internal/network/netopt"
 	"filberthook/internal/serve/forward"
 )
@@ -19,16 +22,19 @@
 const drainIdleTimeout = 1500 * time.Millisecond
 
 // callerConn is a caller's connection that can be closed safely while it is idle.
-// Invariant: closeIfIdle does nothing once Read has returned bytes of a request, and Read
-// returns no bytes once closeIfIdle has closed the connection. So no request is read and
-// then interrupted.
+// Invariant: closeIfIdle closes no connection of which Read has taken bytes of a request from the
+// socket. While a Read is under way only that Read decides, as nothing else knows what it has taken.
 type callerConn struct {
 	net.Conn
+	raced *metrics.Counter // requests that came as the connection was closed as idle; may be nil
 
 	mu       sync.Mutex
 	accepted time.Time // zero once it has been idle after a request
+	deadline time.Time // of reads, as set by the server
 	idle     bool      // nothing has been read since it became idle
-	closed   bool      // set by closeIfIdle
+	reading  bool      // a Read is under way
+	closing  bool      // the Read under way was woken to close the connection
+	closed   bool      // set when it was closed as idle
 }
 
 // firstRequestTime is how long the first request of a new connection may be on its way.
@@ -48,16 +54,78 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	for {
+		if !c.beginRead() {
+			return 0, net.ErrClosed
+		}
+		n, err := c.Conn.Read(p)
+		if again := c.endRead(n, err); !again {
+			if c.isClosed() {
+				return 0, net.ErrClosed
+			}
+			return n, err
+		}
+	}
+}
+
+// beginRead reports whether the connection is open.
+func (c *callerConn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	if n > 0 {
+	c.reading = !c.closed
+	return c.reading
+}
+
+// endRead records what a Read has taken. If the Read was woken to close the connection, it closes it,
+// unless bytes of a request have arrived; it reports whether these are still to be read.
+func (c *callerConn) endRead(n int, err error) (again bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	woken := c.closing
+	c.closing = false
+	switch {
+	case n > 0:
 		c.idle = false
+	case !woken || !errors.Is(err, os.ErrDeadlineExceeded):
+		return false
+	case netopt.Idle(c.Conn) == netopt.Pending:
+		again = true
+	default:
+		c.closed = true
+		c.Conn.Close()
+		return false
+	}
+	if woken {
+		// Ignore the error: the connection has ended.
+		_ = c.Conn.SetReadDeadline(c.deadline)
+		if c.raced != nil {
+			c.raced.Inc()
+		}
+	}
+	return again
+}
+
+func (c *callerConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.closing {
+		return nil // endRead sets it if the connection stays open
 	}
-	return n, err
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (c *callerConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.SetReadDeadline(t), c.Conn.SetWriteDeadline(t))
 }
 
 // markIdle records that the connection waits for its next request.
@@ -67,13 +135,28 @@
 	c.idle, c.accepted = true, time.Time{}
 }
 
-// closeIfIdle closes the connection unless bytes of a request have arrived.
-func (c *callerConn) closeIfIdle() {
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// closeIfIdle closes the connection unless bytes of a request have arrived. It reports whether it has;
+// a Read that is under way closes it, soon after.
+func (c *callerConn) closeIfIdle() (closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && netopt.Idle(c.Conn) != netopt.Pending {
+	switch {
+	case c.closed:
+		return true
+	case !c.idle || netopt.Idle(c.Conn) == netopt.Pending:
+		return false
+	case c.reading:
+		c.closing = true
+		// Ignore the error: the Read fails as well, and the server closes the connection.
+		_ = c.Conn.SetReadDeadline(longAgo)
+		return false
+	default:
 		c.closed = true
 		c.Conn.Close()
+		return true
 	}
 }
 
@@ -124,7 +207,7 @@
 		_ = c.SetWriteDeadline(time.Time{}) // set by the request that has ended
 	}
 	if state == http.StateIdle || state == http.StateNew {
-		i.timers[c] = time.AfterFunc(i.limit(), c.closeIfIdle)
+		i.timers[c] = time.AfterFunc(i.limit(), func() { c.closeIfIdle() })
 	}
 }
 
@@ -159,8 +242,8 @@
 	for c := range i.open {
 		if c.expectsRequest() {
 			left++
-		} else {
-			c.closeIfIdle()
+		} else if !c.closeIfIdle() {
+			left++ // a Read may have taken bytes of a request
 		}
 	}
 	return left
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -78,7 +78,8 @@
 	loadClients *raftnet.Pool // connection to the control host that load is exchanged with
 	watcher     *controlwatch.Watcher
 	connections *callerConnections
-	lameDuck    time.Duration // see lameDuckPeriod
+	raced       *metrics.Counter // see callerConn
+	lameDuck    time.Duration    // see lameDuckPeriod
 	startedAt   time.Time
 	stopping    atomic.Bool
 	seeds       atomic.Pointer[[]string]
@@ -98,6 +99,7 @@
 	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout},
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.quarantine, h.logger, set)
 	h.connections = newCallerConnections(h.server)
+	h.raced = set.GetOrCreateCounter("filberthook_entry_requests_at_idle_timeout_total")
 	options := controlapi.PeerOptions(h.identity(), s.TrustedNetwork, set, h.logger)
 	h.clients = raftnet.NewPool(options)
 	options.DropOnTimeout = false // a timed-out exchange keeps the connection for the next one
@@ -198,7 +200,7 @@
 		ConnState:         h.connections.track,
 		ErrorLog:          slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug),
 	}
-	ln = &callerListener{Listener: ln}
+	ln = &callerListener{Listener: ln, raced: h.raced}
 	drained, served := make(chan struct{}), make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(drained)
--- a/internal/serve/entryhost/listener.go
+++ b/internal/serve/entryhost/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // callerListener wraps accepted connections in callerConn. Unlike that of other listeners,
@@ -14,6 +16,7 @@
 // it fails.
 type callerListener struct {
 	net.Listener
+	raced *metrics.Counter // see callerConn
 
 	mu   sync.Mutex
 	left []net.Conn // accepted by Close
@@ -27,7 +30,7 @@
 			return nil, err
 		}
 	}
-	return &callerConn{Conn: c, idle: true, accepted: time.Now()}, nil
+	return &callerConn{Conn: c, raced: l.raced, idle: true, accepted: time.Now()}, nil
 }
 
 // next returns a connection that Close has accepted, nil if there is none.
