filberthook config-check: a configuration is examined before it is sent

Operators had no way to see routes that no request matches, contradicting limits, or what a configuration changes, before the control group takes it. Package configcheck finds them from decoded configurations (no I/O); the command prints text or JSON and exits 0, 1 (warnings) or 3 (refused), and compares with the version in force from a file.

--- a/cmd/filberthook/main.go
+++ b/cmd/filberthook/main.go
@@ -5,6 +5,9 @@
 	"os"
 
 	"filberthook/internal/process/cli"
+	"filberthook/platform"
 )
 
-func main() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	os.Exit(cli.MainFor(cli.Platform{DecodeConfig: platform.DecodeConfig}, os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/process/cli/app.go
+++ b/internal/process/cli/app.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"filberthook/internal/serve/routes"
 )
 
 // Exit codes.
@@ -34,6 +36,7 @@
 // app holds what every command uses.
 type app struct {
 	out, errOut io.Writer
+	platform    Platform
 	options     options
 	run         func(context.Context) error // of the selected command
 }
@@ -52,9 +55,18 @@
 	outputJSON = "json"
 )
 
-// Main runs the command line and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
-	a := &app{out: out, errOut: errOut}
+// Platform adapts commands for filberthook-host to the format of its configuration. Commands without
+// what they need are left out.
+type Platform struct {
+	DecodeConfig func([]byte) (*routes.Config, error)
+}
+
+// Main runs the command line without a Platform and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int { return MainFor(Platform{}, args, out, errOut) }
+
+// MainFor runs the command line and returns the exit code.
+func MainFor(platform Platform, args []string, out, errOut io.Writer) int {
+	a := &app{out: out, errOut: errOut, platform: platform}
 	parser, exited := a.parser()
 	_, err := parser.Parse(args)
 	if *exited >= 0 {
@@ -98,7 +110,7 @@
 	for _, add := range []func(*kingpin.Application){
 		a.addApply, a.addEndpoint, a.addTeam, a.addOperator, a.addDeclare, a.addPolicy,
 		a.addStatus, a.addEngines, a.addAudit, a.addMembers, a.addSnapshot, a.addKey, a.addKeys,
-		a.addRequests, a.addLogs, a.addQuarantine, a.addGroup,
+		a.addRequests, a.addLogs, a.addQuarantine, a.addGroup, a.addConfigCheck,
 	} {
 		add(parser)
 	}
--- a/internal/process/cli/report.go
+++ b/internal/process/cli/report.go
@@ -59,7 +59,10 @@
 	var noAnswer *noAnswerError
 	var unreachable *peer.UnreachableError
 	var refused *peer.RemoteError
+	var invalid *invalidConfigError
 	switch {
+	case errors.As(err, &invalid):
+		return ExitRefused
 	case errors.As(err, &wrongUsage), errors.As(err, &wrongFile):
 		return ExitUsage
 	case errors.As(err, &late):
