Client accounts: configuration, lookup of keys, headers, decision about a request

Deployments want callers to carry keys, which routes and instances knew nothing of: a key in Authorization went to the instance. The configuration may list accounts with keys (field tenants, also empty); two accounts with one key make it invalid, with an error that names both and no key. Where accounts are listed, the dialect removes Authorization and sets Filberthook-Tenant; without them the header stays as it was (TestCredentialsAreSentOnlyWithoutAccounts).

--- a/internal/serve/dialect/dialect.go
+++ b/internal/serve/dialect/dialect.go
@@ -21,6 +21,7 @@
 	ID           string        // request ID, new for each attempt of the caller
 	Deadline     time.Duration // how long the caller waits, 0 if unknown
 	Caller       string        // the caller's credentials, empty if it sends none; never logged
+	Key          string        // of a client account, empty if it sends none; never logged
 	Model        string
 	PromptTokens int
 	OutputTokens int           // limit of generated tokens
@@ -39,6 +40,10 @@
 	KVSource    string        // location of the prompt's KV cache, from Dialect.KVSource
 	FetchFrom   string        // address of an engine to fetch cached prefix blocks from
 	LastEventID string        // a resumed stream continues after this event
+	// Keyed is set if the configuration lists client accounts: the caller's credentials are
+	// removed, and the instance is told the account.
+	Keyed   bool
+	Account string // name of the client account, empty for none
 }
 
 // Answer is what the header of an instance's answer says.
--- a/internal/serve/routes/routes.go
+++ b/internal/serve/routes/routes.go
@@ -32,6 +32,10 @@
 	Routes    []Route
 	Endpoints map[string]Endpoint // by name
 	Limits    Limits
+	// Keyed is set if the configuration lists client accounts, perhaps none: requests then carry
+	// the key of one, except on public routes.
+	Keyed    bool
+	Accounts []Account
 }
 
 // Route sends the requests of a host and path prefix to endpoints.
@@ -50,6 +54,7 @@
 	MaxAttempts    int     // endpoint instances that one request of a caller may run on
 	PromptMetadata bool    // requests carry model, token counts and prefix blocks
 	Resumable      bool    // a broken stream may be resumed at another instance
+	Public         bool    // needs no key if the configuration is keyed
 }
 
 // Idempotent reports whether a request of the route may run more than once.
--- a/internal/serve/routes/table.go
+++ b/internal/serve/routes/table.go
@@ -10,11 +10,12 @@
 type Table struct {
 	*Config
 	hosts map[string][]*Route // longest prefix first
+	keys  keyIndex
 }
 
 // NewTable indexes a valid configuration, which must not change any more.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, hosts: map[string][]*Route{}}
+	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: newKeyIndex(c.Accounts)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
--- a/internal/serve/routes/validate.go
+++ b/internal/serve/routes/validate.go
@@ -33,6 +33,9 @@
 	if err := c.validateTimes(); err != nil {
 		return err
 	}
+	if err := c.validateAccounts(); err != nil {
+		return err
+	}
 	seen := make(map[matchKey]string, len(c.Routes))
 	for i := range c.Routes {
 		r := &c.Routes[i]
