Control hosts confirm the newest configuration to many entry hosts with one read

Entry hosts that use keys must know several times a second that no newer configuration is in force, also right after all of them come back at once; a read with a quorum for each call would load the control group with the number of hosts. Calls that allow an age now share reads of the last 250 ms or one that runs, and get its age by CLOCK_BOOTTIME, which also counts while a host is suspended.

Other calls read anew as before.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -59,6 +59,9 @@
 	Confirm bool `json:"confirm,omitempty"`
 	// VersionOnly asks for the version without the body. Older releases send both.
 	VersionOnly bool `json:"version_only,omitempty"`
+	// MaxAgeMS allows a confirmation from a read that began so long before the call, with
+	// VersionOnly. Older releases read anew for each call.
+	MaxAgeMS int64 `json:"max_age_ms,omitempty"`
 }
 
 // DocumentResponse holds the configuration in force at the control host.
@@ -67,6 +70,9 @@
 	// Confirmed says that a quorum knew of none newer when it was asked. A control host that is
 	// out of touch with the leader, or has not caught up, may lag behind the others.
 	Confirmed bool `json:"confirmed,omitempty"`
+	// ConfirmedAgeMS is how long before the call the read began that confirmed it, by the control
+	// host's CLOCK_BOOTTIME and rounded up; 0 if it began after the call.
+	ConfirmedAgeMS int64 `json:"confirmed_age_ms,omitempty"`
 }
 
 // ProposeResponse holds the version in force after a proposal.
--- a/internal/control/controlhost/documents.go
+++ b/internal/control/controlhost/documents.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filberthook/internal/control/controlapi"
+	"filberthook/internal/process/saturate"
 	"filberthook/internal/replication/document"
 )
 
@@ -16,6 +17,12 @@
 // serveDocument returns the configuration in force here. A confirmed one is the one that was
 // read with a quorum.
 func (h *Host) serveDocument(ctx context.Context, req controlapi.DocumentRequest) (controlapi.DocumentResponse, error) {
+	if req.Confirm && req.VersionOnly && req.MaxAgeMS > 0 {
+		d, age, confirmed := h.confirms.newest(ctx, saturate.Milliseconds(float64(req.MaxAgeMS)))
+		return controlapi.DocumentResponse{
+			Packed: document.Packed{Version: d.Version}, Confirmed: confirmed, ConfirmedAgeMS: wholeMilliseconds(age),
+		}, nil
+	}
 	d, confirmed := document.Document{}, false
 	if req.Confirm {
 		d, confirmed = h.confirmedNewest(ctx)
@@ -30,6 +37,11 @@
 	return controlapi.DocumentResponse{Packed: packed, Confirmed: confirmed}, err
 }
 
+// wholeMilliseconds rounds up.
+func wholeMilliseconds(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
+}
+
 func (h *Host) documentInForce() document.Document {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -28,6 +28,7 @@
 	"filberthook/internal/engines/instances"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/network/peer"
+	"filberthook/internal/process/boottime"
 	"filberthook/internal/process/loglimit"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
@@ -106,6 +107,7 @@
 	former     atomic.Pointer[[]uint64] // ids of the members of the group that this host's has replaced, nil for none
 	expelLines loglimit.Limiter
 	copies     wordCopies
+	confirms   *sharedReads
 
 	mu      sync.Mutex
 	version uint64        // highest version that came into force here
@@ -141,6 +143,7 @@
 		changed:  make(chan struct{}),
 	}
 	h.loads = newLoads(h.epoch)
+	h.confirms = &sharedReads{now: boottime.Now, read: h.confirmedNewest}
 	h.seedList.Store(&s.Seeds)
 	h.membership = &membership{host: h, fs: fsys.OS{}, snapshotBytes: defaultSnapshotBytes}
 	h.rpc = raftnet.NewPool(h.peerOptions())
