Entry hosts ask for keys of client accounts and stop using them out of touch

With accounts in the configuration, a request on a route that is not public needs a key. It gets 401 only if this host is sure that its configuration is the newest (confirmed within 2 s, none newer known): a key of a configuration that has not arrived yet is refused with 503. With [accounts] revoke_within, rendered where the platform asks for strict_revoke, keys are used for 0.9 of that time after the last confirmed moment, then refused with 503 and a spread Retry-After until a quorum confirms again; public routes go on. The key is checked again once a body has arrived. The account's priority replaces the route's, and the quarantine identity and the log hold the account's name, never the key. GET /accounts at the status address lists accounts with the number of their keys.

Without accounts nothing changes on the wire.

--- a/cmd/filberthook-host/host.go
+++ b/cmd/filberthook-host/host.go
@@ -42,12 +42,13 @@
 
 // process holds what entry hosts and control hosts share.
 type process struct {
-	file   string
-	hup    <-chan os.Signal // to reload the settings
-	sink   *logsink.Sink
-	logger *slog.Logger
-	set    *metrics.Set
-	group  func(context.Context) controlapi.GroupStatus // what a control host knows of its group; nil on an entry host
+	file     string
+	hup      <-chan os.Signal // to reload the settings
+	sink     *logsink.Sink
+	logger   *slog.Logger
+	set      *metrics.Set
+	group    func(context.Context) controlapi.GroupStatus // what a control host knows of its group; nil on an entry host
+	accounts func() entryhost.AccountsStatus              // client accounts that an entry host knows; nil on a control host
 }
 
 func newProcess(file string, hup <-chan os.Signal, log settings.Log, memoryMB int) *process {
@@ -89,7 +90,10 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { p.set.WritePrometheus(w) })
 	if p.group != nil {
-		mux.HandleFunc("GET /group", p.serveGroup)
+		mux.HandleFunc("GET /group", func(w http.ResponseWriter, r *http.Request) { p.serveStatusJSON(w, p.group(r.Context())) })
+	}
+	if p.accounts != nil {
+		mux.HandleFunc("GET /accounts", func(w http.ResponseWriter, _ *http.Request) { p.serveStatusJSON(w, p.accounts()) })
 	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: statusHeaderTimeout}
 	context.AfterFunc(ctx, func() { server.Close() })
@@ -98,13 +102,14 @@
 	}
 }
 
-// serveGroup answers with what this host knows of the control group, with or without a quorum.
-func (p *process) serveGroup(w http.ResponseWriter, r *http.Request) {
+// serveStatusJSON answers with what this host knows of the control group, with or without a
+// quorum, or of client accounts.
+func (p *process) serveStatusJSON(w http.ResponseWriter, status any) {
 	w.Header().Set("Content-Type", "application/json")
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(p.group(r.Context())); err != nil {
-		p.logger.Info("status of the group not sent", "err", err)
+	if err := encoder.Encode(status); err != nil {
+		p.logger.Info("status not sent", "err", err)
 	}
 }
 
@@ -163,6 +168,7 @@
 		DecodeConfig: platform.DecodeConfig,
 		Readiness:    platform.Readiness,
 	}, p.logger, p.set)
+	p.accounts = host.Accounts
 	load := func() ([]string, error) {
 		var next entryhost.Settings
 		err := settings.Load(file, &next)
--- a/internal/serve/entryhost/config.go
+++ b/internal/serve/entryhost/config.go
@@ -13,9 +13,10 @@
 // configuration applies the newest configuration to the server. It implements
 // controlwatch.Configuration. Invariant: the version never decreases.
 type configuration struct {
-	decode func([]byte) (*routes.Config, error)
-	server *forward.Server
-	logger *slog.Logger
+	decode  func([]byte) (*routes.Config, error)
+	server  *forward.Server
+	logger  *slog.Logger
+	changed func() // called after a new configuration came into force; nil for no call
 
 	mu sync.Mutex // serializes the check of the version and SetTable
 }
@@ -45,6 +46,9 @@
 		return nil
 	}
 	c.server.SetTable(table)
-	c.logger.Info("configuration in force", "version", d.Version, "before", before, "from", from, "routes", len(config.Routes))
+	c.logger.Info("configuration in force", "version", d.Version, "before", before, "from", from, "routes", len(config.Routes), "accounts", len(config.Accounts))
+	if c.changed != nil {
+		c.changed()
+	}
 	return nil
 }
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -69,20 +69,22 @@
 	platform Platform
 	logger   *slog.Logger
 
-	view        *instances.View
-	fleet       *placement.Fleet
-	quarantine  *quarantine.Ledger
-	pool        *upstream.Pool
-	server      *forward.Server
-	clients     *raftnet.Pool // connections to control hosts
-	loadClients *raftnet.Pool // connection to the control host that load is exchanged with
-	watcher     *controlwatch.Watcher
-	connections *callerConnections
-	raced       *metrics.Counter // see callerConn
-	lameDuck    time.Duration    // see lameDuckPeriod
-	startedAt   time.Time
-	stopping    atomic.Bool
-	seeds       atomic.Pointer[[]string]
+	view           *instances.View
+	fleet          *placement.Fleet
+	quarantine     *quarantine.Ledger
+	pool           *upstream.Pool
+	server         *forward.Server
+	clients        *raftnet.Pool // connections to control hosts
+	loadClients    *raftnet.Pool // connection to the control host that load is exchanged with
+	confirmClients *raftnet.Pool // connections over which the configuration is confirmed
+	keys           *keys
+	watcher        *controlwatch.Watcher
+	connections    *callerConnections
+	raced          *metrics.Counter // see callerConn
+	lameDuck       time.Duration    // see lameDuckPeriod
+	startedAt      time.Time
+	stopping       atomic.Bool
+	seeds          atomic.Pointer[[]string]
 }
 
 // New returns a Host. Run must be called next.
@@ -96,21 +98,25 @@
 	budgets := forward.NewRetryBudgets(forward.RetryBudgetSettings{
 		Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Duration,
 	}, func() int { return h.watcher.Hosts() })
-	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout},
+	h.keys = newKeys(s.Accounts)
+	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout, Keys: h.keys.forwarding()},
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.quarantine, h.logger, set)
 	h.connections = newCallerConnections(h.server)
 	h.raced = set.GetOrCreateCounter("filberthook_entry_requests_at_idle_timeout_total")
 	options := controlapi.PeerOptions(h.identity(), s.TrustedNetwork, set, h.logger)
 	h.clients = raftnet.NewPool(options)
+	h.confirmClients = raftnet.NewPool(options)
 	options.DropOnTimeout = false // a timed-out exchange keeps the connection for the next one
 	h.loadClients = raftnet.NewPool(options)
-	config := &configuration{decode: p.DecodeConfig, server: h.server, logger: h.logger}
+	config := &configuration{decode: p.DecodeConfig, server: h.server, logger: h.logger, changed: h.keys.wake}
 	h.watcher = controlwatch.New(h.clients, h.view, config, h.logger)
 	set.GetOrCreateGauge("filberthook_entry_config_version", func() float64 { return float64(config.Version()) })
 	set.GetOrCreateGauge("filberthook_entry_control_hosts", func() float64 { return float64(h.watcher.Connected()) })
 	set.GetOrCreateGauge("filberthook_entry_restricted_instances", func() float64 { return float64(h.fleet.RestrictedInstances(time.Now())) })
 	set.GetOrCreateGauge("filberthook_entry_quarantined_blocks", func() float64 { return h.quarantined(quarantine.KindBlock) })
 	set.GetOrCreateGauge("filberthook_entry_quarantined_requests", func() float64 { return h.quarantined(quarantine.KindRequest) })
+	set.GetOrCreateGauge("filberthook_entry_accounts", func() float64 { return float64(h.accountCount()) })
+	set.GetOrCreateGauge("filberthook_entry_config_confirmed_age_seconds", h.confirmedAge)
 	set.GetOrCreateGauge("filberthook_entry_requests", func() float64 { return float64(h.server.Active()) })
 	return h
 }
@@ -133,9 +139,9 @@
 
 // Ready reports whether the load balancer may send new connections to this host: it is not
 // stopping and has a configuration, a list of instances, and the blocks in quarantine that
-// other hosts know.
+// other hosts know, and may serve requests with keys.
 func (h *Host) Ready() bool {
-	return !h.stopping.Load() && h.server.Table() != nil && h.view.Snapshot().Number > 0 && h.knowsQuarantine()
+	return !h.stopping.Load() && h.server.Table() != nil && h.view.Snapshot().Number > 0 && h.knowsQuarantine() && h.knowsKeys()
 }
 
 // knowsQuarantine reports whether this host has exchanged load since its start, or has waited
@@ -161,6 +167,7 @@
 	h.logger.Info("entry host started", "callers", h.settings.Listen.Callers, "seeds", *h.seeds.Load())
 	defer h.clients.Close()
 	defer h.loadClients.Close()
+	defer h.confirmClients.Close()
 	defer h.pool.Close()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -171,6 +178,7 @@
 		h.watcher.ShareLoad(background, h.loadClients, h.fleet, h.quarantine, h.identity())
 		return nil
 	})
+	tasks.Go(func() error { h.confirmKeys(background); return nil })
 	tasks.Go(func() error { return h.serveReady(background, ready) })
 	tasks.Go(func() error {
 		defer stop()
--- a/internal/serve/entryhost/settings.go
+++ b/internal/serve/entryhost/settings.go
@@ -6,6 +6,7 @@
 	"filberthook/internal/control/controlhost"
 	"filberthook/internal/process/settings"
 	"filberthook/internal/process/tomltime"
+	"filberthook/internal/serve/revocation"
 )
 
 // Settings of an entry host that discovers its control hosts from seeds.
@@ -20,9 +21,18 @@
 	Grace          tomltime.Duration `toml:"grace"`           // time from the stop signal to the kill
 	Listen         Listen            `toml:"listen"`
 	Retry          Retry             `toml:"retry"`
+	Accounts       Accounts          `toml:"accounts"`
 	Log            settings.Log      `toml:"log"`
 }
 
+// Accounts bounds the use of client accounts' keys.
+type Accounts struct {
+	// RevokeWithin is the time from the acknowledgement of a configuration without a key after
+	// which no request with the key runs, also at a host that is out of touch with the control
+	// hosts; 0 for no bound there.
+	RevokeWithin tomltime.Duration `toml:"revoke_within"`
+}
+
 // Listen holds the addresses of an entry host.
 type Listen struct {
 	Callers string `toml:"callers"`
@@ -66,5 +76,8 @@
 	if s.Retry.Window.Duration <= 0 {
 		c.Add("retry.window", "is missing", "set a window, such as 10s")
 	}
+	if within := s.Accounts.RevokeWithin.Duration; within != 0 && within < revocation.MinBound {
+		c.Add("accounts.revoke_within", fmt.Sprintf("is %v", within), fmt.Sprintf("use at least %v, or leave it out for no bound", revocation.MinBound))
+	}
 	s.Log.Check(c, "log")
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -37,6 +37,7 @@
 	// ReadTimeout limits the time to read a body while the host has no configuration; then
 	// the deadline of the request does.
 	ReadTimeout time.Duration
+	Keys        Keys // used if the configuration lists client accounts
 }
 
 const (
@@ -51,17 +52,18 @@
 
 // Server serves callers' requests. It implements http.Handler.
 type Server struct {
-	settings   Settings
-	dialect    dialect.Dialect
-	fleet      *placement.Fleet
-	view       *instances.View
-	pool       *upstream.Pool
-	budgets    *RetryBudgets
-	quarantine *quarantine.Ledger
-	logger     *slog.Logger
-	answered   *logsink.Sampler // limits the log lines of requests without failures
-	unreadable *logsink.Sampler // limits the log lines of unreadable notices
-	metrics    *metrics.Set
+	settings     Settings
+	dialect      dialect.Dialect
+	fleet        *placement.Fleet
+	view         *instances.View
+	pool         *upstream.Pool
+	budgets      *RetryBudgets
+	quarantine   *quarantine.Ledger
+	logger       *slog.Logger
+	answered     *logsink.Sampler // limits the log lines of requests without failures
+	unreadable   *logsink.Sampler // limits the log lines of unreadable notices
+	unauthorized *logsink.Sampler // limits the log lines of requests that were refused for their key
+	metrics      *metrics.Set
 
 	table        atomic.Pointer[routes.Table]
 	configured   chan struct{}             // closed by the first SetTable
@@ -78,7 +80,8 @@
 	server := &Server{
 		settings: s, dialect: d, fleet: fleet, view: view, pool: pool, budgets: budgets, quarantine: ledger,
 		logger: logger, answered: logsink.NewSampler(maxAnsweredLinesPerSecond),
-		unreadable: logsink.NewSampler(maxUnreadableLinesPerSecond), metrics: set,
+		unreadable:   logsink.NewSampler(maxUnreadableLinesPerSecond),
+		unauthorized: logsink.NewSampler(maxUnauthorizedLinesPerSecond), metrics: set,
 		configured: make(chan struct{}),
 	}
 	server.ended, server.endRequests = context.WithCancel(context.Background())
@@ -123,7 +126,12 @@
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
+	account, ok := s.authorize(w, r, t, route)
+	if !ok {
+		return
+	}
 	c := s.newCall(w, r, t, route, arrived)
+	c.setAccount(t.Keyed, account)
 	defer c.finish()
 	defer c.departure.watch(r.Context())()
 	limitWriting(w, c.deadline.Add(writeSlack))
@@ -134,6 +142,9 @@
 		c.giveUp("not_read_in_time")
 		return
 	}
+	if !c.reauthorize() {
+		return
+	}
 	c.identity = c.newIdentity()
 	c.suspect = c.newSuspect()
 	if !s.admitsInStop(time.Now(), c.deadline) {
@@ -204,6 +215,8 @@
 	route    *routes.Route
 	version  uint64 // of the configuration that the call uses
 	meta     dialect.Meta
+	keyed    bool            // the configuration lists client accounts
+	account  *routes.Account // nil for none
 	body     []byte
 	header   http.Header // the caller's, without hop-by-hop fields
 	start    time.Time
@@ -253,6 +266,7 @@
 // request returns the request to an instance.
 func (c *call) request(send dialect.SendOptions) *upstream.Request {
 	send.Deadline = c.remaining()
+	send.Keyed, send.Account = c.keyed, accountName(c.account)
 	return &upstream.Request{
 		Method:     c.r.Method,
 		Target:     c.r.RequestURI,
@@ -347,8 +361,7 @@
 // range grows with the route's latency goal, so that callers refused together do not return
 // together.
 func (c *call) retryAfter() time.Duration {
-	spread := min(max(c.route.Goal/2, minRetryAfter), maxRetryAfter)
-	return max(minRetryAfter, min(c.notBefore, maxRetryAfter)) + time.Duration(rand.Int64N(int64(spread)))
+	return max(minRetryAfter, min(c.notBefore, maxRetryAfter)) + retrySpread(c.route)
 }
 
 // noteUnplaced records why placement found no instance, and returns the reason for the log.
--- a/internal/serve/forward/requestlog.go
+++ b/internal/serve/forward/requestlog.go
@@ -96,5 +96,8 @@
 	if c.outcome == outcomeCallerLeft {
 		line = append(line, "sent", c.arrivals.any(), "left_ms", c.departure.since(time.Now()).Milliseconds())
 	}
+	if c.keyed {
+		line = append(line, "account", accountName(c.account))
+	}
 	c.server.logger.Info("request", line...)
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -279,7 +279,7 @@
 		c.noteEngine(plan.Decode, step, outcome, start, failure, plan)
 		c.server.fleet.EndPrompt(inFlight, outcome, time.Now())
 	}()
-	send := dialect.SendOptions{Instance: plan.Decode.ID, ModelEngine: true, KVSource: source, FetchFrom: plan.FetchFrom, LastEventID: p.lastID, Priority: c.route.Priority}
+	send := dialect.SendOptions{Instance: plan.Decode.ID, ModelEngine: true, KVSource: source, FetchFrom: plan.FetchFrom, LastEventID: p.lastID, Priority: c.priority()}
 	timeout := time.Duration(0) // wait for a stream that cannot be resumed elsewhere
 	if c.route.Resumable && c.ran+1 < c.route.MaxAttempts {
 		timeout = generateSilenceTimeout + estimateFactor*plan.ExpectedTTFT
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -115,7 +115,7 @@
 	defer cancel()
 	withdrawn := make(chan struct{})
 	defer c.server.quarantine.Sent(c.suspect, func() { close(withdrawn); cancel() })()
-	answer, err := c.send(ctx, target, dialect.SendOptions{Instance: target.ID, Priority: c.route.Priority})
+	answer, err := c.send(ctx, target, dialect.SendOptions{Instance: target.ID, Priority: c.priority()})
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		outcome = c.contactOutcome()
