Requests with keys wait for the confirmation of a host that has just started or was frozen

Such a host asks the control hosts at once, but requests that had waited for the first configuration were refused in the moment before the answer, and refused callers return later than it comes.

--- a/internal/control/controlwatch/confirm.go
+++ b/internal/control/controlwatch/confirm.go
@@ -31,6 +31,8 @@
 type Confirmations interface {
 	// Confirm records that at a moment, by CLOCK_BOOTTIME, a quorum knew of no newer version.
 	Confirm(version uint64, at time.Duration)
+	// Failed records that no control host confirmed any version when they were asked.
+	Failed()
 }
 
 // Confirmer asks control hosts again and again whether there is a newer configuration.
@@ -71,6 +73,7 @@
 				preferred, pause = a.address, 0
 				due = now + c.Interval*9/10 + rand.N(c.Interval/5) // spreads hosts that started together
 			} else {
+				c.Record.Failed()
 				preferred, pause = "", min(max(firstAskPause, 2*pause), maxAskPause)
 				due = boottime.Now() + pause + rand.N(pause)
 			}
--- a/internal/serve/forward/accounts.go
+++ b/internal/serve/forward/accounts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filberthook/internal/process/boottime"
+	"filberthook/internal/process/pause"
 	"filberthook/internal/serve/revocation"
 	"filberthook/internal/serve/routes"
 )
@@ -17,6 +18,8 @@
 	// reasonKeysUnconfirmed is the reason of a request that was refused because this host does not
 	// know whether its configuration is still in force.
 	reasonKeysUnconfirmed = "keys_unconfirmed"
+	// confirmPollInterval is how often a request that waits for a confirmation checks for it.
+	confirmPollInterval = 10 * time.Millisecond
 	// authenticateScheme is sent with status 401.
 	authenticateScheme = "Bearer"
 	// maxUnauthorizedLinesPerSecond limits the log lines of requests without a valid key, which
@@ -59,13 +62,19 @@
 }
 
 // authorize returns the client account of a request that has just arrived, nil for none. It
-// answers a request that must not run and returns false.
-func (s *Server) authorize(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route) (*routes.Account, bool) {
+// answers a request that must not run and returns false. A host that has just started, or was
+// frozen, asks the control hosts at once; requests wait for the answer, as refused callers would
+// return later than that.
+func (s *Server) authorize(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, arrived time.Time) (*routes.Account, bool) {
 	if !t.Keyed {
 		return nil, true
 	}
 	meta := s.dialect.DecodeRequest(r.Header)
 	verdict, account, state := s.settings.Keys.decide(t, route, meta.Key)
+	for verdict == revocation.RejectForATime && !state.Failing && time.Since(arrived) < startWaitLimit(meta.Deadline) && pause.For(r.Context(), confirmPollInterval) {
+		t = s.Table()
+		verdict, account, state = s.settings.Keys.decide(t, route, meta.Key)
+	}
 	if verdict == revocation.Serve || verdict == revocation.ServeNobody {
 		return account, true
 	}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -126,7 +126,7 @@
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
-	account, ok := s.authorize(w, r, t, route)
+	account, ok := s.authorize(w, r, t, route, arrived)
 	if !ok {
 		return
 	}
--- a/internal/serve/revocation/revocation.go
+++ b/internal/serve/revocation/revocation.go
@@ -39,11 +39,16 @@
 // Confirmations are what a host knows of the newest configuration. It is ready for use and
 // safe for concurrent use.
 type Confirmations struct {
-	kept atomic.Pointer[[]confirmation] // ascending in version and in time
+	kept    atomic.Pointer[[]confirmation] // ascending in version and in time
+	failing atomic.Bool                    // see State.Failing
 }
 
+// Failed records that the control hosts were asked and none confirmed any version.
+func (c *Confirmations) Failed() { c.failing.Store(true) }
+
 // Confirm records that a quorum knew of no version newer than this one at a moment.
 func (c *Confirmations) Confirm(version uint64, at time.Duration) {
+	c.failing.Store(false)
 	for {
 		before := c.kept.Load()
 		var list []confirmation
@@ -83,15 +88,17 @@
 	Confirmed bool          // a quorum has confirmed it, or an older one, as the newest
 	Age       time.Duration // since the last moment at which no newer one was in force
 	Newest    uint64        // highest version that a quorum has confirmed, 0 for none
+	Failing   bool          // the control hosts did not confirm any version when they were asked last
 }
 
 // State returns what is known of a version at a moment.
 func (c *Confirmations) State(version uint64, now time.Duration) State {
+	s := State{Failing: c.failing.Load()}
 	list := c.kept.Load()
 	if list == nil {
-		return State{}
+		return s
 	}
-	s := State{Newest: (*list)[len(*list)-1].version}
+	s.Newest = (*list)[len(*list)-1].version
 	for _, k := range *list {
 		if k.version <= version {
 			s.Confirmed, s.Age = true, now-k.at
