--- a/internal/serve/forward/accounts.go
+++ b/internal/serve/forward/accounts.go
@@ -8,6 +8,7 @@
 
 	"filberthook/internal/process/boottime"
 	"filberthook/internal/process/pause"
+	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/revocation"
 	"filberthook/internal/serve/routes"
 )
@@ -65,11 +66,10 @@
 // answers a request that must not run and returns false. A host that has just started, or was
 // frozen, asks the control hosts at once; requests wait for the answer, as refused callers would
 // return later than that.
-func (s *Server) authorize(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, arrived time.Time) (*routes.Account, bool) {
+func (s *Server) authorize(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, meta dialect.Meta, arrived time.Time) (*routes.Account, bool) {
 	if !t.Keyed {
 		return nil, true
 	}
-	meta := s.dialect.DecodeRequest(r.Header)
 	verdict, account, state := s.settings.Keys.decide(t, route, meta.Key)
 	for verdict == revocation.RejectForATime && !state.Failing && time.Since(arrived) < startWaitLimit(meta.Deadline) && pause.For(r.Context(), confirmPollInterval) {
 		t = s.Table()
@@ -125,11 +125,10 @@
 	return a.Name
 }
 
-// setAccount records the client account of a call. The key is forgotten: what names the request
-// when it comes again, and goes to other hosts, is the account.
+// setAccount records the client account of a call. The account, not the key, names the request
+// when it comes again: that name goes into logs and to other hosts.
 func (c *call) setAccount(keyed bool, a *routes.Account) {
 	c.keyed, c.account = keyed, a
-	c.meta.Key = ""
 	if keyed {
 		c.meta.Caller = accountName(a)
 	}
@@ -141,8 +140,7 @@
 	if !c.keyed || c.r.Body == http.NoBody {
 		return true
 	}
-	key := c.server.dialect.DecodeRequest(c.r.Header).Key
-	verdict, account, _ := c.server.settings.Keys.decide(c.server.Table(), c.route, key)
+	verdict, account, _ := c.server.settings.Keys.decide(c.server.Table(), c.route, c.meta.Key)
 	switch verdict {
 	case revocation.RejectKey:
 		c.w.Header().Set("WWW-Authenticate", authenticateScheme)
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -126,11 +126,12 @@
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
-	account, ok := s.authorize(w, r, t, route, arrived)
+	meta := s.dialect.DecodeRequest(r.Header)
+	account, ok := s.authorize(w, r, t, route, meta, arrived)
 	if !ok {
 		return
 	}
-	c := s.newCall(w, r, t, route, arrived)
+	c := s.newCall(w, r, t, route, meta, arrived)
 	c.setAccount(t.Keyed, account)
 	defer c.finish()
 	defer c.departure.watch(r.Context())()
@@ -238,10 +239,10 @@
 	departure departure
 }
 
-func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, now time.Time) *call {
+func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, meta dialect.Meta, now time.Time) *call {
 	c := &call{
 		server: s, w: w, r: r, ctx: r.Context(), route: route, version: t.Version,
-		meta: s.dialect.DecodeRequest(r.Header), header: endToEndHeaders(r.Header),
+		meta: meta, header: endToEndHeaders(r.Header),
 		start: now, deadline: now.Add(route.Timeout), excluded: map[string]bool{},
 		endpoint: route.Pick(rand.Float64()),
 	}
