A new key is not called unknown while its configuration is fetched

A control host announces a new version within milliseconds, but an entry host on a slow link fetches it for up to seconds. A request with a key of that version got 401 until a confirmation named the version, up to 0.6 s later. The announcement counts now, too: such a request waits for the configuration, then gets 503 if it has not come.

--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -141,6 +141,20 @@
 	return n
 }
 
+// Announced returns the highest version of the configuration that a reachable control host has
+// announced, 0 for none.
+func (w *Watcher) Announced() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	highest := uint64(0)
+	for _, t := range w.watched {
+		if t.up {
+			highest = max(highest, t.version)
+		}
+	}
+	return highest
+}
+
 // track records that the addresses were named as control hosts, and follows new ones.
 func (w *Watcher) track(ctx context.Context, running *sync.WaitGroup, addresses []string) {
 	w.mu.Lock()
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -99,7 +99,7 @@
 		Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Duration,
 	}, func() int { return h.watcher.Hosts() })
 	h.keys = newKeys(s.Accounts)
-	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout, Keys: h.keys.forwarding()},
+	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout, Keys: h.keys.forwarding(func() uint64 { return h.watcher.Announced() })},
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.quarantine, h.logger, set)
 	h.connections = newCallerConnections(h.server)
 	h.raced = set.GetOrCreateCounter("filberthook_entry_requests_at_idle_timeout_total")
--- a/internal/serve/entryhost/keys.go
+++ b/internal/serve/entryhost/keys.go
@@ -21,8 +21,9 @@
 	return &keys{policy: revocation.Policy{Within: a.RevokeWithin.Duration}, check: make(chan struct{}, 1)}
 }
 
-func (k *keys) forwarding() forward.Keys {
-	return forward.Keys{Policy: k.policy, Confirmations: &k.confirmations, Stale: k.wake}
+// forwarding returns how requests are decided about; announced is called for unknown keys only.
+func (k *keys) forwarding(announced func() uint64) forward.Keys {
+	return forward.Keys{Policy: k.policy, Confirmations: &k.confirmations, Announced: announced, Stale: k.wake}
 }
 
 // wake has the host check whether the next confirmation is due.
--- a/internal/serve/forward/accounts.go
+++ b/internal/serve/forward/accounts.go
@@ -32,6 +32,9 @@
 type Keys struct {
 	Policy        revocation.Policy
 	Confirmations *revocation.Confirmations // nil counts as none
+	// Announced returns the highest version that a control host has announced; nil for unknown.
+	// A key of it must not be called unknown while it is fetched.
+	Announced func() uint64
 	// Stale is called when a request was refused for want of a confirmation; nil for no call.
 	Stale func()
 }
@@ -52,6 +55,9 @@
 		return revocation.ServeNobody, nil, revocation.State{}
 	}
 	account, state := t.Account(key), k.state(t.Version)
+	if account == nil && k.Announced != nil {
+		state.Newest = max(state.Newest, k.Announced())
+	}
 	verdict := k.Policy.Decide(revocation.Request{Known: account != nil, Public: route.Public}, t.Version, state)
 	if verdict == revocation.ServeNobody {
 		account = nil
--- a/internal/serve/forward/accounts_test.go
+++ b/internal/serve/forward/accounts_test.go
@@ -131,6 +131,22 @@
 	}
 }
 
+// A new key may be used once its configuration is acknowledged, while this host still fetches it.
+func TestKeyOfAConfigurationThatIsFetchedIsNotCalledUnknown(t *testing.T) {
+	i := service("i", ok)
+	h, confirmations := startKeyed(t, false, i)
+	h.server.settings.Keys.Announced = func() uint64 { return 2 }
+	confirmations.Failed() // do not wait
+	if status, header, _, _ := h.do(t, withKey("new")); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("status %d, want 503 with Retry-After", status)
+	}
+	confirmations.Confirm(1, boottime.Now())
+	time.AfterFunc(100*time.Millisecond, func() { h.setKeys(2, false, "new") })
+	if status, _, body, _ := h.do(t, withKey("new")); status != http.StatusOK {
+		t.Errorf("status %d %s, want the answer", status, body)
+	}
+}
+
 // A body may arrive slowly: a key that is taken away meanwhile must not let the request run.
 func TestKeyIsCheckedAgainOnceTheBodyHasArrived(t *testing.T) {
 	i := service("i", ok)
--- a/internal/serve/revocation/revocation.go
+++ b/internal/serve/revocation/revocation.go
@@ -87,7 +87,7 @@
 type State struct {
 	Confirmed bool          // a quorum has confirmed it, or an older one, as the newest
 	Age       time.Duration // since the last moment at which no newer one was in force
-	Newest    uint64        // highest version that a quorum has confirmed, 0 for none
+	Newest    uint64        // highest version that a quorum has confirmed or a control host announced, 0 for none
 	Failing   bool          // the control hosts did not confirm any version when they were asked last
 }
 
