--- a/internal/control/controlhost/confirm_test.go
+++ b/internal/control/controlhost/confirm_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"filberthook/internal/control/controlapi"
+	"filberthook/internal/network/peer"
 	"filberthook/internal/replication/document"
 )
 
@@ -87,3 +90,45 @@
 		t.Errorf("got %+v, want version 3 without body", resp)
 	}
 }
+
+// After a cut of a zone or a power loss, all entry hosts ask at the same moment. The number of
+// reads with a quorum must not grow with theirs.
+func TestHostsThatAskAtOnceShareReads(t *testing.T) {
+	t.Parallel()
+	const hosts = 300 // the largest deployment
+	g := newGroup(t, 1, 2, 3)
+	h := g.start(1, true)
+	g.start(2, true)
+	g.start(3, true)
+	accept(t, h, 3, "three")
+	var reads atomic.Int64
+	h.confirms.mu.Lock()
+	read := h.confirms.read
+	h.confirms.read = func(ctx context.Context) (document.Document, bool) { reads.Add(1); return read(ctx) }
+	h.confirms.mu.Unlock()
+	var asking sync.WaitGroup
+	var confirmed atomic.Int64
+	begin := time.Now()
+	for n := range hosts {
+		asking.Go(func() {
+			client := peer.NewClient(g.address(1, peersPort), peer.Options{Self: peer.Identity{Host: fmt.Sprint("e", n)}, DialTimeout: 10 * time.Second})
+			defer client.Close()
+			for range 40 {
+				var resp controlapi.DocumentResponse
+				req := controlapi.DocumentRequest{Confirm: true, VersionOnly: true, MaxAgeMS: 250}
+				if err := client.Call(t.Context(), controlapi.MethodDocument, req, &resp); err == nil && resp.Confirmed && resp.Version == 3 {
+					confirmed.Add(1)
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	asking.Wait()
+	elapsed := time.Since(begin)
+	t.Logf("%d of %d hosts confirmed with %d reads in %v", confirmed.Load(), hosts, reads.Load(), elapsed)
+	// Reads that fail last for confirmTimeout, others answer for 250 ms.
+	if most := 2 + int64(elapsed/confirmTimeout); confirmed.Load() != hosts || reads.Load() > most {
+		t.Errorf("%d of %d hosts confirmed with %d reads, at most %d wanted", confirmed.Load(), hosts, reads.Load(), most)
+	}
+}
