Consensus: a large append is sent once, and heartbeats do not queue behind it

Leaders stepped down while a large entry was replicated. handleHeartbeatResponse took an append for lost after two heartbeats without progress (100 ms) and sent it again while it was on its way, and its copies delayed the heartbeats behind them on the same connection.

An entry may be 4 MiB, the size of the largest configuration.

--- a/internal/control/controlnode/node.go
+++ b/internal/control/controlnode/node.go
@@ -157,6 +157,7 @@
 		return err
 	}
 	n.replica = r
+	n.raft.OnUnsent(r.Unsent)
 	n.group.log = r
 	return nil
 }
--- a/internal/replication/consensus/codec.go
+++ b/internal/replication/consensus/codec.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// MaxEntryBytes bounds the data of one entry.
-	MaxEntryBytes = 1 << 20
+	// MaxEntryBytes bounds the data of one entry: a command of 4 MiB that cannot be compressed,
+	// with what its encoding adds. Replicas of releases with a lower limit refuse larger entries.
+	MaxEntryBytes = 4<<20 + 64<<10
 	// MaxMessageBytes bounds one encoded message.
 	MaxMessageBytes      = 8 << 20
 	maxEntriesPerMessage = 1 << 16
@@ -126,6 +127,17 @@
 	return from, d.err
 }
 
+// Urgent reports whether an encoded message must not wait for large ones. Appends and snapshot
+// chunks may be large. Appends stay in order: a replica rejects one that overtakes another, and
+// both are sent again.
+func Urgent(data []byte) bool {
+	if len(data) < 2 {
+		return false
+	}
+	t := MessageType(data[1])
+	return t != 0 && t < messageTypeEnd && t != MessageAppend && t != MessageSnapshotChunk
+}
+
 // validate checks the properties of a message that the algorithm relies on.
 func (m *Message) validate() error {
 	if m.Type == 0 || m.Type >= messageTypeEnd {
--- a/internal/replication/consensus/progress.go
+++ b/internal/replication/consensus/progress.go
@@ -20,7 +20,8 @@
 	state             progressState
 	match             uint64
 	next              uint64
-	inflight          []uint64 // last indexes of unanswered appends, ascending
+	inflight          []flight // unanswered appends in order
+	transit           transit  // appends or snapshot chunks that are not answered
 	probeSent         bool     // stateProbe: an append awaits its response
 	active            bool     // heard from since the last quorum check
 	silentTicks       int      // ticks since it was last heard from
@@ -34,6 +35,12 @@
 	offsetAtHeartbeat uint64 // offset at the previous heartbeat response
 }
 
+// flight is an append message that is not answered.
+type flight struct {
+	last  uint64 // index of its last entry
+	bytes int
+}
+
 func (p *progress) paused() bool {
 	switch p.state {
 	case stateProbe:
@@ -51,22 +58,40 @@
 	p.inflight = nil
 	p.probeSent = false
 	p.snapshot = nil
+	p.transit.reset()
 }
 
 func (p *progress) replicate() {
 	p.state = stateReplicate
+	p.transit.reset()
 	p.next = max(p.next, p.match+1)
 	p.inflight = nil
 	p.snapshot = nil
 }
 
+// setUpTicks records the ticks since the replica's start. A replica that has restarted has lost
+// what was on its way to it.
+func (p *progress) setUpTicks(ticks uint64) {
+	if ticks < p.upTicks {
+		p.transit.lost = true
+	}
+	p.upTicks = ticks
+}
+
 // acknowledge records that entries up to index are durable at the replica.
-func (p *progress) acknowledge(index uint64) {
+func (p *progress) acknowledge(index, now uint64) {
 	p.match = max(p.match, index)
 	p.next = max(p.next, p.match+1)
-	n := 0
-	for n < len(p.inflight) && p.inflight[n] <= p.match {
+	n, bytes := 0, 0
+	for n < len(p.inflight) && p.inflight[n].last <= p.match {
+		bytes += p.inflight[n].bytes
 		n++
 	}
 	p.inflight = p.inflight[n:]
+	if p.state == stateProbe {
+		bytes = p.transit.bytes
+	}
+	if bytes > 0 {
+		p.transit.answered(bytes, now)
+	}
 }
--- a/internal/replication/consensus/ready.go
+++ b/internal/replication/consensus/ready.go
@@ -79,7 +79,7 @@
 	if c.role != RoleLeader {
 		return
 	}
-	c.progress[c.cfg.ID].acknowledge(c.log.stable)
+	c.progress[c.cfg.ID].acknowledge(c.log.stable, c.upTicks)
 	c.advanceCommit()
 }
 
--- a/internal/replication/consensus/replication.go
+++ b/internal/replication/consensus/replication.go
@@ -102,6 +102,10 @@
 		}
 		entries := c.log.slice(prev, c.log.lastIndex(), c.cfg.MaxAppendBytes)
 		c.sendEarly(Message{Type: MessageAppend, To: to, Index: prev, LogTerm: prevTerm, Entries: entries, Commit: c.log.committed})
+		size := entriesSize(entries)
+		if size > 0 {
+			p.transit.sent(size, c.upTicks)
+		}
 		if p.state == stateProbe {
 			p.probeSent = true
 			return
@@ -110,7 +114,7 @@
 			return
 		}
 		p.next += uint64(len(entries))
-		p.inflight = append(p.inflight, p.next-1)
+		p.inflight = append(p.inflight, flight{p.next - 1, size})
 		if p.next > c.log.lastIndex() {
 			return
 		}
@@ -144,8 +148,8 @@
 		return
 	}
 	invariant.Check(m.Index <= c.log.lastIndex(), "match-within-log", "replica %d holds %d, last %d", m.From, m.Index, c.log.lastIndex())
-	p.acknowledge(m.Index)
-	p.upTicks = m.Hint
+	p.acknowledge(m.Index, c.upTicks)
+	p.setUpTicks(m.Hint)
 	switch {
 	case p.state == stateProbe:
 		p.replicate()
@@ -204,22 +208,37 @@
 }
 
 // handleHeartbeatResponse also resends lost messages: it takes them for lost when the
-// replica acknowledged nothing new since its previous heartbeat response.
+// replica acknowledged nothing new since its previous heartbeat response, although the time
+// that they need has passed or it has restarted.
 func (c *Core) handleHeartbeatResponse(p *progress, m *Message) {
 	c.confirmReads(p, m.Context)
-	p.upTicks = m.Hint
-	p.probeSent = false
+	p.setUpTicks(m.Hint)
 	if p.match == c.log.lastIndex() {
+		p.probeSent = false
 		c.continueTransfer(m.From, p)
 		return
 	}
 	stalled := p.match == p.matchAtHeartbeat && p.offset == p.offsetAtHeartbeat
 	p.matchAtHeartbeat, p.offsetAtHeartbeat = p.match, p.offset
+	overdue := p.transit.overdue(c.upTicks)
 	switch {
-	case p.state == stateSnapshot && stalled:
+	case p.state == stateSnapshot && stalled && overdue:
+		p.transit.reset()
 		c.sendChunk(m.From, p)
-	case p.state == stateReplicate && stalled:
+	case p.state == stateReplicate && stalled && overdue:
 		p.probe()
+	case p.state == stateProbe && overdue:
+		p.transit.reset()
+		p.probeSent = false
 	}
 	c.sendAppend(m.From, p)
 }
+
+// Unsent records that a message to a replica was not sent. Only a leader's appends and snapshot
+// chunks are sent again; it waits for the replica's next heartbeat response, which shows that
+// the replica can be reached.
+func (c *Core) Unsent(to uint64) {
+	if p := c.progress[to]; c.role == RoleLeader && p != nil && p.transit.bytes > 0 {
+		p.transit.lost = true
+	}
+}
--- a/internal/replication/consensus/snapshot.go
+++ b/internal/replication/consensus/snapshot.go
@@ -24,12 +24,14 @@
 	p.snapshot = c.snapshot
 	p.checksum = xxhash.Sum64(p.snapshot.Data)
 	p.offset, p.offsetAtHeartbeat = 0, 0
+	p.transit.reset()
 	c.sendChunk(to, p)
 }
 
 func (c *Core) sendChunk(to uint64, p *progress) {
 	s := p.snapshot
 	end := min(p.offset+uint64(c.cfg.ChunkBytes), uint64(len(s.Data)))
+	p.transit.sent(int(end-p.offset), c.upTicks)
 	c.sendEarly(Message{Type: MessageSnapshotChunk, To: to, Chunk: &SnapshotChunk{
 		Index: s.Index, Term: s.Term, Membership: s.Membership,
 		Offset: p.offset, Total: uint64(len(s.Data)), Checksum: p.checksum, Data: s.Data[p.offset:end],
@@ -91,6 +93,7 @@
 	if m.Hint == p.offset && m.Hint != 0 {
 		return // answer to a repeated chunk
 	}
+	p.transit.answered(p.transit.bytes, c.upTicks)
 	p.offset = m.Hint
 	c.sendChunk(m.From, p)
 }
--- a/internal/replication/raftnet/transport.go
+++ b/internal/replication/raftnet/transport.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/replication/consensus"
 )
 
 // Limits of the queue to one replica.
@@ -20,8 +22,10 @@
 	queueBytes = 8 << 20
 )
 
-// Transport sends the messages of the replicated log to the other replicas, with one
-// queue and one connection for each. It implements replica.Transport.
+// Transport sends the messages of the replicated log to the other replicas. Each has a queue and
+// a connection for appends and snapshot chunks, and another of both for all other messages: on
+// one connection a large append delays heartbeats until the leader is taken for lost. It
+// implements replica.Transport.
 type Transport struct {
 	ctx     context.Context
 	clients *Pool
@@ -30,7 +34,9 @@
 	failed  *metrics.Counter
 
 	mu      sync.Mutex
-	queues  map[uint64]*queue
+	queues  map[uint64]*queue // appends and snapshot chunks
+	urgent  map[uint64]*queue // other messages
+	unsent  func(to uint64)   // nil if nobody asks
 	senders sync.WaitGroup
 }
 
@@ -43,9 +49,14 @@
 		dropped: set.GetOrCreateCounter(`filberthook_control_raft_dropped_total{reason="queue_full"}`),
 		failed:  set.GetOrCreateCounter(`filberthook_control_raft_dropped_total{reason="not_sent"}`),
 		queues:  map[uint64]*queue{},
+		urgent:  map[uint64]*queue{},
 	}
 }
 
+// OnUnsent sets a function that is told of appends and snapshot chunks that were dropped. It
+// must be called before the first message is sent.
+func (t *Transport) OnUnsent(unsent func(to uint64)) { t.unsent = unsent }
+
 // queue holds the messages to be sent to one replica.
 type queue struct {
 	messages chan []byte
@@ -71,20 +82,36 @@
 
 // Send implements replica.Transport.
 func (t *Transport) Send(to uint64, msg []byte) {
+	if consensus.Urgent(msg) {
+		if !t.queueFor(t.urgent, to, true).put(msg) {
+			t.dropped.Inc()
+		}
+		return
+	}
 	if !t.queue(to).put(msg) {
 		t.dropped.Inc()
+		t.reportUnsent(to)
+	}
+}
+
+func (t *Transport) reportUnsent(to uint64) {
+	if t.unsent != nil {
+		t.unsent(to)
 	}
 }
 
-// queue returns the queue of a replica and starts its sender on first use.
-func (t *Transport) queue(to uint64) *queue {
+// queue returns the queue of appends and snapshot chunks to a replica.
+func (t *Transport) queue(to uint64) *queue { return t.queueFor(t.queues, to, false) }
+
+// queueFor returns a queue to a replica and starts its sender on first use.
+func (t *Transport) queueFor(queues map[uint64]*queue, to uint64, urgent bool) *queue {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	q, ok := t.queues[to]
+	q, ok := queues[to]
 	if !ok {
 		q = &queue{messages: make(chan []byte, queueLength)}
-		t.queues[to] = q
-		t.senders.Go(func() { t.send(to, q) })
+		queues[to] = q
+		t.senders.Go(func() { t.send(to, urgent, q) })
 	}
 	return q
 }
@@ -92,14 +119,16 @@
 // Wait returns once all senders have stopped.
 func (t *Transport) Wait() { t.senders.Wait() }
 
-func (t *Transport) send(to uint64, q *queue) {
+func (t *Transport) send(to uint64, urgent bool, q *queue) {
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
 		case msg := <-q.messages:
 			batch, size := collectBatch(msg, q.messages)
-			t.sendBatch(to, batch)
+			if !t.sendBatch(to, urgent, batch) && !urgent {
+				t.reportUnsent(to)
+			}
 			q.bytes.Add(-size)
 		}
 	}
@@ -122,15 +151,18 @@
 	return batch, int64(size)
 }
 
-func (t *Transport) sendBatch(to uint64, batch Batch) {
+// sendBatch reports whether the batch was written to a connection. It may be lost all the same.
+func (t *Transport) sendBatch(to uint64, urgent bool, batch Batch) bool {
 	address := t.address(to)
 	if address == "" {
 		t.failed.Add(len(batch.Messages))
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
 	defer cancel()
-	if err := t.clients.Get(address).Notify(ctx, Method, batch); err != nil {
+	if err := t.clients.get(connection{address, urgent}).Notify(ctx, Method, batch); err != nil {
 		t.failed.Add(len(batch.Messages))
+		return false
 	}
+	return true
 }
--- a/internal/replication/replica/open.go
+++ b/internal/replication/replica/open.go
@@ -56,6 +56,7 @@
 		proposals:     make(chan *proposal, queueLength),
 		barriers:      make(chan *barrier, queueLength),
 		tasks:         make(chan *task, queueLength),
+		unsent:        make(chan uint64, unsentLength),
 		snapshots:     make(chan *consensus.Snapshot, 1),
 		snapshotSaved: make(chan struct{}, 1),
 		pending:       map[uint64]*proposal{},
--- a/internal/replication/replica/receive.go
+++ b/internal/replication/replica/receive.go
@@ -29,6 +29,19 @@
 	return nil
 }
 
+// unsentLength bounds the reports of messages that were not sent. One that is dropped delays
+// a resend only.
+const unsentLength = 64
+
+// Unsent tells the replica that the transport has dropped an append or a snapshot chunk, which
+// it otherwise takes for lost only after the time that the message would need.
+func (r *Replica) Unsent(to uint64) {
+	select {
+	case r.unsent <- to:
+	default:
+	}
+}
+
 // queuedMessage is a message and its encoded size in bytes.
 type queuedMessage struct {
 	message *consensus.Message
--- a/internal/replication/replica/replica.go
+++ b/internal/replication/replica/replica.go
@@ -39,6 +39,7 @@
 	proposals     chan *proposal
 	barriers      chan *barrier
 	tasks         chan *task
+	unsent        chan uint64              // replicas that a message could not be sent to
 	snapshots     chan *consensus.Snapshot // to the snapshot writer, at most one at a time
 	snapshotSaved chan struct{}            // a snapshot became durable
 
@@ -97,6 +98,8 @@
 			r.reads.add(b)
 		case c := <-r.tasks:
 			c.run(c)
+		case to := <-r.unsent:
+			r.core.Unsent(to)
 		case <-r.snapshotSaved:
 			if err := r.snapshotWritten(); err != nil {
 				return err
