Control hosts: configurations of up to 4 MiB are acknowledged

A configuration over 1 MiB was never acknowledged: an entry of the log was limited to 1 MiB, and the refusal was repeated until the operator's call ended, with 503. Between control hosts the body crossed as base64 in JSON, at 8 to 10 MB/s, in a call of 1 s.

Smaller documents stay in plain form, which older releases read; logs in plain form are read as before. The transport reports dropped appends to the replica.

--- a/internal/control/controlapi/controlapi.go
+++ b/internal/control/controlapi/controlapi.go
@@ -9,17 +9,18 @@
 
 // Methods of control hosts.
 const (
-	MethodWatch    = "control.watch"    // WatchRequest to WatchResponse; at any control host
-	MethodDocument = "control.document" // DocumentRequest to DocumentResponse; at any control host
-	MethodPropose  = "control.propose"  // document.Document to ProposeResponse; at the leader
-	MethodJoin     = "control.join"     // JoinRequest to JoinResponse; at any control host
-	MethodLeave    = "control.leave"    // LeaveRequest to LeaveResponse, from a control host whose process ends; at the leader
-	MethodGroup    = "control.group"    // GroupRequest to GroupStatus, also from an operator; at any control host, without a quorum
-	MethodExpelled = "control.expelled" // ExpelledRequest, from a host that was made a new group, to members of the former one
-	MethodLoad     = "control.load"     // LoadReport to LoadReport, from an entry host
-	MethodProbe    = "control.probe"    // quarantine.Probe to ProbeResponse, from an entry host; at the leader
-	MethodBlocks   = "control.blocks"   // BlocksRequest to BlocksResponse, from an operator; at any control host
-	MethodDigest   = "control.digest"   // LoadReport to LoadReport without contents, from another control host
+	MethodWatch         = "control.watch"          // WatchRequest to WatchResponse; at any control host
+	MethodDocument      = "control.document"       // DocumentRequest to DocumentResponse; at any control host
+	MethodPropose       = "control.propose"        // document.Document to ProposeResponse; at the leader
+	MethodProposePacked = "control.propose_packed" // document.Packed to ProposeResponse, for large documents; at the leader
+	MethodJoin          = "control.join"           // JoinRequest to JoinResponse; at any control host
+	MethodLeave         = "control.leave"          // LeaveRequest to LeaveResponse, from a control host whose process ends; at the leader
+	MethodGroup         = "control.group"          // GroupRequest to GroupStatus, also from an operator; at any control host, without a quorum
+	MethodExpelled      = "control.expelled"       // ExpelledRequest, from a host that was made a new group, to members of the former one
+	MethodLoad          = "control.load"           // LoadReport to LoadReport, from an entry host
+	MethodProbe         = "control.probe"          // quarantine.Probe to ProbeResponse, from an entry host; at the leader
+	MethodBlocks        = "control.blocks"         // BlocksRequest to BlocksResponse, from an operator; at any control host
+	MethodDigest        = "control.digest"         // LoadReport to LoadReport without contents, from another control host
 )
 
 // MaxMessageBytes bounds a call. The largest configuration, encoded in base64 within
--- a/internal/control/controlhost/documents.go
+++ b/internal/control/controlhost/documents.go
@@ -51,6 +51,11 @@
 // packedDocument returns a document in packed form. The last one is kept, because all entry
 // hosts request it at about the same time.
 func (h *Host) packedDocument(d document.Document) (document.Packed, error) {
+	if opened := h.membership.current.Load(); opened != nil {
+		if packed, ok := opened.machine.Packed(d.Version); ok {
+			return packed, nil
+		}
+	}
 	h.packMu.Lock()
 	defer h.packMu.Unlock()
 	if h.packed.Version != d.Version {
--- a/internal/control/controlhost/group.go
+++ b/internal/control/controlhost/group.go
@@ -8,7 +8,6 @@
 
 	"filberthook/internal/control/controlapi"
 	"filberthook/internal/process/pause"
-	"filberthook/internal/replication/document"
 	"filberthook/internal/replication/replica"
 )
 
@@ -22,9 +21,9 @@
 
 // propose appends a document to the replicated log. It repeats a failed proposal until
 // ctx ends; that is safe because a document that is already in force changes nothing.
-func (h *Host) propose(ctx context.Context, d document.Document) (uint64, error) {
+func (h *Host) propose(ctx context.Context, p proposal) (uint64, error) {
 	for {
-		version, err := h.proposeOnce(ctx, d)
+		version, err := h.proposeOnce(ctx, p)
 		if err == nil {
 			return version, nil
 		}
@@ -34,16 +33,21 @@
 	}
 }
 
-func (h *Host) proposeOnce(ctx context.Context, d document.Document) (uint64, error) {
-	version, err := h.proposeHere(ctx, d)
+func (h *Host) proposeOnce(ctx context.Context, p proposal) (uint64, error) {
+	version, err := h.proposeHere(ctx, p)
 	leader := h.leaderElsewhere(err)
 	if leader == "" {
 		return version, err
 	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, callTimeout+p.transferTime())
 	defer cancel()
+	method, params := p.call()
+	clients := h.rpc
+	if p.large != nil {
+		clients = h.bulkRPC
+	}
 	var resp controlapi.ProposeResponse
-	err = h.rpc.Get(leader).Call(call, controlapi.MethodPropose, d, &resp)
+	err = clients.Get(leader).Call(call, method, params, &resp)
 	return resp.Version, err
 }
 
@@ -68,20 +72,20 @@
 // proposeHere proposes a document at this host's replica. A version that already waits
 // for a quorum is not appended to the log again: operators repeat their calls, and
 // without a quorum each repetition would take the memory of a whole configuration.
-func (h *Host) proposeHere(ctx context.Context, d document.Document) (uint64, error) {
+func (h *Host) proposeHere(ctx context.Context, p proposal) (uint64, error) {
 	opened := h.membership.current.Load()
 	if opened == nil {
 		return 0, errClosed
 	}
 	status := opened.replica.Status()
 	if status.Role != replica.RoleLeader {
-		return appendDocument(ctx, opened, d) // fails with a NotLeaderError, which names the leader
+		return appendCommand(ctx, opened, p.command) // fails with a NotLeaderError, which names the leader
 	}
-	key := fmt.Sprint(status.ID, "/", status.Term, "/", d.Version)
+	key := fmt.Sprint(status.ID, "/", status.Term, "/", p.version)
 	outcome := h.proposing.DoChan(key, func() (any, error) {
 		limited, cancel := context.WithTimeout(context.Background(), entryTimeout)
 		defer cancel()
-		return appendDocument(limited, opened, d)
+		return appendCommand(limited, opened, p.command)
 	})
 	select {
 	case o := <-outcome:
@@ -94,8 +98,13 @@
 	}
 }
 
-func appendDocument(ctx context.Context, opened *openReplica, d document.Document) (uint64, error) {
-	result, err := opened.replica.Propose(ctx, d.Encode())
+func (h *Host) serveProposal(ctx context.Context, p proposal) (controlapi.ProposeResponse, error) {
+	version, err := h.proposeHere(ctx, p)
+	return controlapi.ProposeResponse{Version: version}, err
+}
+
+func appendCommand(ctx context.Context, opened *openReplica, command []byte) (uint64, error) {
+	result, err := opened.replica.Propose(ctx, command)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -45,6 +45,9 @@
 	// proposeTimeout bounds an operator's change. It is longer than the second after
 	// which operators try another host.
 	proposeTimeout = 2500 * time.Millisecond
+	// transferRate is the rate in bytes per second at which a large document is at least
+	// replicated: half of a core encodes and decodes about 4 MB/s, for several replicas.
+	transferRate = 1 << 20
 	// entryTimeout bounds how long a log entry waits for a quorum before the same version
 	// may be appended to the log again.
 	entryTimeout = 10 * time.Second
@@ -100,6 +103,7 @@
 	rpc        *raftnet.Pool      // calls to other control hosts
 	raftRPC    *raftnet.Pool      // messages of the replicated log
 	digestRPC  *raftnet.Pool      // load digests, which may be large
+	bulkRPC    *raftnet.Pool      // proposals of large documents, which would delay other calls
 	transport  *raftnet.Transport
 	seedList   atomic.Pointer[[]string]
 	quorum     quorumState
@@ -146,6 +150,7 @@
 	h.rpc = raftnet.NewPool(h.peerOptions())
 	h.raftRPC = raftnet.NewPool(h.peerOptions())
 	h.digestRPC = raftnet.NewPool(h.peerOptions())
+	h.bulkRPC = raftnet.NewPool(h.peerOptions())
 	h.view = instances.NewView(s.Heartbeat.Duration)
 	h.watcher = controlwatch.NewObserver(h.rpc, h.view, replicatedConfiguration{}, h.logger)
 	h.watcher.OnReached(h.quorum.heardFrom)
@@ -189,9 +194,11 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	h.transport = raftnet.NewTransport(background, h.raftRPC, h.membership.addressOf, h.metrics)
+	h.transport.OnUnsent(h.membership.unsent)
 	defer h.rpc.Close()
 	defer h.raftRPC.Close()
 	defer h.digestRPC.Close()
+	defer h.bulkRPC.Close()
 	h.logger.Info("control host started", "control", h.settings.Listen.Control, "peers", h.settings.Listen.Peers,
 		"seeds", h.seeds(), "bootstrap", h.settings.Bootstrap, "epoch", h.epoch)
 	tasks, ctx := errgroup.WithContext(ctx)
@@ -227,8 +234,14 @@
 		return h.serveDocument(ctx, req)
 	})
 	peer.Handle(m, controlapi.MethodPropose, func(ctx context.Context, _ peer.Identity, d document.Document) (controlapi.ProposeResponse, error) {
-		version, err := h.proposeHere(ctx, d)
-		return controlapi.ProposeResponse{Version: version}, err
+		p, err := newProposal(d)
+		if err != nil {
+			return controlapi.ProposeResponse{}, err
+		}
+		return h.serveProposal(ctx, p)
+	})
+	peer.Handle(m, controlapi.MethodProposePacked, func(ctx context.Context, _ peer.Identity, p document.Packed) (controlapi.ProposeResponse, error) {
+		return h.serveProposal(ctx, proposal{version: p.Version, command: p.Encode()})
 	})
 	h.handleMembership(m)
 	peer.Handle(m, controlapi.MethodLoad, func(_ context.Context, from peer.Identity, report controlapi.LoadReport) (controlapi.LoadReport, error) {
@@ -381,9 +394,13 @@
 // Replace implements Service.
 func (h *Host) Replace(ctx context.Context, d document.Document) error {
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	p, err := newProposal(d)
+	if err != nil {
+		return fmt.Errorf("configuration %d not packed: %w", d.Version, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout+p.transferTime())
 	defer cancel()
-	version, err := h.propose(ctx, d)
+	version, err := h.propose(ctx, p)
 	h.proposals.UpdateDuration(start)
 	h.logger.Info("configuration proposed", "version", d.Version, "in_force", version, "bytes", len(d.Body),
 		"ms", time.Since(start).Milliseconds(), "err", err)
--- a/internal/control/controlhost/member.go
+++ b/internal/control/controlhost/member.go
@@ -248,6 +248,13 @@
 	return ""
 }
 
+// unsent tells the replica of an append or snapshot chunk that was dropped before it was sent.
+func (m *membership) unsent(to uint64) {
+	if opened := m.current.Load(); opened != nil {
+		opened.replica.Unsent(to)
+	}
+}
+
 // UnavailableError reports that a call reached no quorum. The caller may repeat it.
 type UnavailableError struct{ Err error }
 
--- a/internal/replication/document/document.go
+++ b/internal/replication/document/document.go
@@ -18,15 +18,18 @@
 // headerBytes is the length of the version in the encoded form.
 const headerBytes = 8
 
-// Encode returns the binary form: the version, then the body.
+// Encode returns the plain binary form: the version, then the body.
 func (d Document) Encode() []byte {
 	out := make([]byte, headerBytes, headerBytes+len(d.Body))
 	binary.BigEndian.PutUint64(out, d.Version)
 	return append(out, d.Body...)
 }
 
-// Decode reads the binary form.
+// Decode reads the plain and the packed binary form.
 func Decode(data []byte) (Document, error) {
+	if packed, ok := decodePacked(data); ok {
+		return packed.Unpack()
+	}
 	if len(data) < headerBytes {
 		return Document{}, fmt.Errorf("document of %d bytes is shorter than its header: the log was written by another program", len(data))
 	}
@@ -37,6 +40,7 @@
 // Invariant: the version never decreases.
 type Machine struct {
 	current  atomic.Pointer[Document]
+	packed   atomic.Pointer[Packed] // the newest document that was replicated in packed form
 	onChange func(Document)
 }
 
@@ -45,40 +49,59 @@
 func NewMachine(onChange func(Document)) *Machine {
 	m := &Machine{onChange: onChange}
 	m.current.Store(&Document{})
+	m.packed.Store(&Packed{})
 	return m
 }
 
 // Current returns the newest document.
 func (m *Machine) Current() Document { return *m.current.Load() }
 
+// Packed returns the packed form of a version if it was replicated in that form.
+func (m *Machine) Packed(version uint64) (Packed, bool) {
+	p := *m.packed.Load()
+	return p, version != 0 && p.Version == version
+}
+
 // Apply implements replica.StateMachine. It returns the version in force, or an error
 // if the command cannot be decoded.
 func (m *Machine) Apply(_ uint64, data []byte) any {
-	d, err := Decode(data)
-	if err != nil {
+	if err := m.replaceIfNewer(data); err != nil {
 		return err
 	}
-	m.replaceIfNewer(d)
 	return m.Current().Version
 }
 
-// Snapshot implements replica.StateMachine.
-func (m *Machine) Snapshot() ([]byte, error) { return m.Current().Encode(), nil }
+// Snapshot implements replica.StateMachine. A document that was replicated in packed form stays
+// in it, so that a replica that lags behind receives fewer bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	current := m.Current()
+	if p, ok := m.Packed(current.Version); ok {
+		return p.Encode(), nil
+	}
+	return current.Encode(), nil
+}
 
 // Restore implements replica.StateMachine.
-func (m *Machine) Restore(data []byte) error {
+func (m *Machine) Restore(data []byte) error { return m.replaceIfNewer(data) }
+
+func (m *Machine) replaceIfNewer(data []byte) error {
+	packed, isPacked := decodePacked(data)
+	if isPacked && packed.Version <= m.Current().Version {
+		return nil // operators repeat their calls; decompressing the body again would block the log
+	}
 	d, err := Decode(data)
 	if err != nil {
 		return err
 	}
-	m.replaceIfNewer(d)
-	return nil
-}
-
-func (m *Machine) replaceIfNewer(d Document) {
 	if d.Version <= m.Current().Version {
-		return
+		return nil
+	}
+	if isPacked {
+		m.packed.Store(&packed)
+	} else {
+		m.packed.Store(&Packed{}) // frees an earlier one
 	}
 	m.current.Store(&d)
 	m.onChange(d)
+	return nil
 }
--- a/internal/replication/document/packed.go
+++ b/internal/replication/document/packed.go
@@ -3,12 +3,24 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
 	"fmt"
 	"io"
 )
 
-// MaxBytes bounds the decompressed body of a packed document.
-const MaxBytes = 8 << 20
+const (
+	// MaxBytes bounds the decompressed body of a packed document.
+	MaxBytes = 8 << 20
+	// maxPlainBytes bounds commands in plain form. Releases before the packed form accept commands
+	// of this size and ignore packed ones, so all smaller documents stay in plain form.
+	maxPlainBytes = 1 << 20
+)
+
+// packedTag follows a version of 0, with which no plain document is proposed.
+var packedTag = []byte("packed\x00\x01")
+
+// packedHeaderBytes is the length of the version 0, the tag and the version of a packed document.
+var packedHeaderBytes = headerBytes + len(packedTag) + headerBytes
 
 // Packed is a compressed document, for entry hosts on slow links: a configuration of
 // 1,800 routes shrinks from 315 kB to about a tenth of that.
@@ -45,3 +57,22 @@
 	}
 	return Document{Version: p.Version, Body: body}, nil
 }
+
+// Large reports whether the document's command is in packed form.
+func (d Document) Large() bool { return headerBytes+len(d.Body) > maxPlainBytes }
+
+// Encode returns the packed binary form: version 0, a tag, the version, then the deflated body.
+func (p Packed) Encode() []byte {
+	out := make([]byte, headerBytes, packedHeaderBytes+len(p.Deflate))
+	out = append(out, packedTag...)
+	out = binary.BigEndian.AppendUint64(out, p.Version)
+	return append(out, p.Deflate...)
+}
+
+// decodePacked reads the packed binary form; ok is false for anything else. The result aliases data.
+func decodePacked(data []byte) (p Packed, ok bool) {
+	if len(data) < packedHeaderBytes || binary.BigEndian.Uint64(data) != 0 || !bytes.HasPrefix(data[headerBytes:], packedTag) {
+		return Packed{}, false
+	}
+	return Packed{Version: binary.BigEndian.Uint64(data[packedHeaderBytes-headerBytes:]), Deflate: data[packedHeaderBytes:]}, true
+}
