--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -71,6 +71,13 @@
 	return nil
 }
 
+// Closed reports whether the caller of a request has closed its connection, or whether that is
+// unknown because the context is not of a request of Handler.
+func Closed(ctx context.Context) bool {
+	q, ok := ctx.Value(requestKey{}).(*request)
+	return !ok || netopt.PeerClosed(q.conn)
+}
+
 // Detach returns a context for work that goes on when the caller leaves.
 func Detach(ctx context.Context) context.Context {
 	return context.WithValue(context.WithoutCancel(ctx), requestKey{}, nil)
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -100,6 +100,14 @@
 // Table returns the current configuration, nil if there is none yet.
 func (s *Server) Table() *routes.Table { return s.table.Load() }
 
+// configVersion returns the version of the current configuration, 0 if there is none yet.
+func (s *Server) configVersion() uint64 {
+	if t := s.Table(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
--- a/internal/serve/forward/requestlog.go
+++ b/internal/serve/forward/requestlog.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filberthook/internal/engines/placement"
+	"filberthook/internal/serve/caller"
 )
 
 // maxAnsweredLinesPerSecond limits the log lines of requests without failures: five
@@ -76,7 +77,7 @@
 
 // hadNoFailure reports whether the request was answered without a failed attempt.
 func (c *call) hadNoFailure() bool {
-	if c.outcome != "answered" {
+	if !answered(c.outcome) {
 		return false
 	}
 	for _, a := range c.attempts {
@@ -87,14 +88,22 @@
 	return true
 }
 
+func answered(outcome string) bool { return outcome == "answered" }
+
 func (c *call) log(elapsed time.Duration) {
 	view := c.server.view.Snapshot()
 	line := []any{"id", c.meta.ID, "route", c.route.Name, "kind", c.route.Kind.String(), "endpoint", c.endpoint,
 		"config", c.version, "view", view.Number, "view_age_ms", time.Since(view.At).Milliseconds(),
 		"tokens", c.meta.PromptTokens, "blocks", c.sharedBlocks(), "identity", c.identity, "attempts", c.attempts, "outcome", c.outcome, "status", c.status,
 		"reason", c.reason, "detail", c.detail, "first_ms", c.firstMS, "ms", elapsed.Milliseconds()}
+	if !answered(c.outcome) {
+		// A configuration that came meanwhile must not have shortened any of these.
+		line = append(line, "config_now", c.server.configVersion(), "timeout_ms", c.route.Timeout.Milliseconds(),
+			"left_of_deadline_ms", c.remaining().Milliseconds(), "ran", c.ran, "max_attempts", c.route.MaxAttempts)
+	}
 	if c.outcome == outcomeCallerLeft {
-		line = append(line, "sent", c.arrivals.any(), "left_ms", c.departure.since(time.Now()).Milliseconds())
+		// A context that ended although the connection is open was ended by this host.
+		line = append(line, "sent", c.arrivals.any(), "left_ms", c.departure.since(time.Now()).Milliseconds(), "closed", caller.Closed(c.r.Context()))
 	}
 	if c.keyed {
 		line = append(line, "account", accountName(c.account))
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"filberthook/internal/engines/placement"
@@ -344,6 +345,25 @@
 	return finished, outcome
 }
 
+// callerWriteError reports that an answer's bytes could not be written to the caller.
+type callerWriteError struct{ cause error }
+
+// Error implements error.
+func (e *callerWriteError) Error() string { return "write to the caller: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *callerWriteError) Unwrap() error { return e.cause }
+
+// notWritten counts a failed write to the caller: by its deadline, or because the connection has ended.
+func (c *call) notWritten(cause error) error {
+	kind := "connection"
+	if errors.Is(cause, os.ErrDeadlineExceeded) {
+		kind = "deadline"
+	}
+	c.server.metrics.GetOrCreateCounter(`filberthook_entry_caller_write_failures_total{cause="` + kind + `"}`).Inc()
+	return &callerWriteError{cause}
+}
+
 // passEvents forwards the events of an answer as they arrive, until its end.
 func (c *call) passEvents(answer *upstream.Answer, inFlight *placement.InFlight, p *streamProgress, watch *silenceWatch) error {
 	controller := http.NewResponseController(c.w)
@@ -388,11 +408,11 @@
 			c.noteBegun()
 		}
 		if _, err := c.w.Write(append(early, e.raw...)); err != nil {
-			return err
+			return c.notWritten(err)
 		}
 		early = nil
 		if err := controller.Flush(); err != nil {
-			return err
+			return c.notWritten(err)
 		}
 	}
 }
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -84,7 +84,10 @@
 
 func failureReason(err error, got *wholeAnswer) string {
 	var notSent *upstream.NotSentError
+	var notWritten *callerWriteError
 	switch {
+	case errors.As(err, &notWritten):
+		return "caller_not_written"
 	case errors.Is(err, context.DeadlineExceeded):
 		return "timeout"
 	case errors.As(err, &notSent):
