--- /dev/null
+++ b/internal/serve/forward/silent_engine_test.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"filberthook/internal/engines/instances"
+	"filberthook/internal/serve/routes"
+)
+
+// silence is how long a healthy engine may send nothing; it exceeds the stall timeout.
+const silence = 1400 * time.Millisecond
+
+// silentFleet returns two decode engines. The one that gets the first request writes the events up to
+// before, is silent, and writes the rest; each later request, at either one, gets other.
+func silentFleet(before int, other http.HandlerFunc) (list []*instance, others *atomic.Int64) {
+	var arrivals atomic.Int64
+	others = &atomic.Int64{}
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if arrivals.Add(1) > 1 {
+			others.Add(1)
+			other(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		for id := 1; id <= 4; id++ {
+			if id == before+1 {
+				time.Sleep(silence)
+			}
+			writeEvent(w, id)
+		}
+		if before == 4 {
+			time.Sleep(silence)
+		}
+	}
+	return []*instance{engine("a", instances.Decode, serve), engine("b", instances.Decode, serve)}, others
+}
+
+// Guards against giving up a silent engine before another one has taken over: whatever becomes of the
+// resumption, the silent engine goes on and completes the response.
+func TestResponseIsNotEndedWhileItsSilentEngineMayGoOn(t *testing.T) {
+	stream := func(ids ...int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, pieces(ids...))
+		}
+	}
+	resumptions := map[string]http.HandlerFunc{
+		"has no event left":           stream(),
+		"is refused":                  status(503, true),
+		"fails":                       status(500, false),
+		"gets another error":          status(404, false),
+		"breaks":                      hangUp,
+		"goes on at the wrong place":  stream(9),
+		"is silent as well":           func(_ http.ResponseWriter, r *http.Request) { closed(r.Context(), 5*time.Second) },
+		"has the wrong signature":     func(w http.ResponseWriter, r *http.Request) { w.Header().Del("X-Signature"); stream(9)(w, r) },
+		"sends comments, then breaks": func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, ": here\n\n"); hangUp(w, r) },
+	}
+	for name, other := range resumptions {
+		for _, before := range []int{2, 4} {
+			t.Run(fmt.Sprint(name, " after event ", before), func(t *testing.T) {
+				t.Parallel()
+				list, others := silentFleet(before, other)
+				h := start(t, route(routes.Stream, resumable), list...)
+				if _, _, body, err := h.do(t, nil); err != nil || body != pieces(1, 2, 3, 4) {
+					t.Errorf("got %q, error %v, want four pieces and an orderly end", body, err)
+				}
+				if others.Load() != 1 {
+					t.Errorf("%d requests to the other engine, want one resumption", others.Load())
+				}
+			})
+		}
+	}
+	t.Run("the retry budget does not cover the prefill", func(t *testing.T) {
+		t.Parallel()
+		list, _ := silentFleet(2, stream())
+		h := start(t, route(routes.Stream, prompted), append(list, engine("p", instances.Prefill, prefiller))...)
+		for range 6 { // of 7 that the budget allows
+			h.server.budgets.Of("e").Take(time.Now())
+		}
+		if _, _, body, err := h.do(t, withPrefixBlocks); err != nil || body != pieces(1, 2, 3, 4) {
+			t.Errorf("got %q, error %v, want four pieces and an orderly end", body, err)
+		}
+	})
+}
