--- a/internal/engines/placement/health.go
+++ b/internal/engines/placement/health.go
@@ -68,6 +68,16 @@
 	}
 }
 
+// NoteSilent records that an instance has a request and is silent. Its request may go on.
+func (f *Fleet) NoteSilent(id string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if in := f.byID[id]; in != nil {
+		in.recordOutcome(Silent, now)
+		f.recordZoneOutcome(in.Zone, Silent, now)
+	}
+}
+
 // zoneHealth is the state of this host's network path to an availability zone.
 type zoneHealth struct {
 	failures     int       // consecutive contact failures, of any instance of the zone
--- a/internal/engines/quarantine/admit.go
+++ b/internal/engines/quarantine/admit.go
@@ -144,14 +144,19 @@
 // withdraw withdraws the requests with a suspect that wait at instances, so that these do not
 // begin to answer them. The caller holds l.mu.
 func (l *Ledger) withdraw(b Suspect) {
-	for r, withdraw := range l.waiting {
+	for r, attempts := range l.waiting {
 		if r.probe != b && slices.Contains(r.suspects, b) {
 			delete(l.waiting, r)
-			go withdraw()
+			for _, a := range attempts {
+				go a.withdraw()
+			}
 		}
 	}
 }
 
+// sending is an attempt at an instance. A request has several while one of them is silent.
+type sending struct{ withdraw func() }
+
 // Sent records that a request goes to an instance that may begin to answer it. If one of its
 // suspects comes into quarantine before that, withdraw is called, once and without a lock held.
 // The returned function says that the attempt is over.
@@ -161,7 +166,8 @@
 	if r.begun || len(r.suspects) == 0 {
 		return func() {}
 	}
-	l.waiting[r] = withdraw
+	attempt := &sending{withdraw}
+	l.waiting[r] = append(l.waiting[r], attempt)
 	for _, b := range r.suspects {
 		if l.verdicts[b] != nil {
 			l.withdraw(b)
@@ -170,7 +176,10 @@
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		delete(l.waiting, r)
+		left := slices.DeleteFunc(l.waiting[r], func(a *sending) bool { return a == attempt })
+		if l.waiting[r] = left; len(left) == 0 {
+			delete(l.waiting, r)
+		}
 	}
 }
 
--- a/internal/engines/quarantine/ledger.go
+++ b/internal/engines/quarantine/ledger.go
@@ -72,7 +72,7 @@
 	suspects map[Suspect]suspicion     // derived from ends
 	verdicts map[Suspect]*verdict      // quarantine
 	testing  map[Suspect]*Request      // contained requests in flight
-	waiting  map[*Request]func()       // requests at instances that have not begun, with what withdraws them
+	waiting  map[*Request][]*sending   // attempts at instances that have not begun
 	random   func() float64            // random number from [0, 1)
 	phases   map[Suspect]float64       // random, of suspects
 	formerly map[Suspect]time.Time     // the begin that ended a suspect's quarantine
@@ -100,7 +100,7 @@
 	return &Ledger{
 		random: random, phases: map[Suspect]float64{},
 		learned: map[Suspect]time.Time{}, pending: map[Instance]*pendingLoss{}, ends: map[Instance]*end{},
-		suspects: map[Suspect]suspicion{}, verdicts: map[Suspect]*verdict{}, testing: map[Suspect]*Request{}, waiting: map[*Request]func(){}, formerly: map[Suspect]time.Time{}, words: map[Suspect]word{},
+		suspects: map[Suspect]suspicion{}, verdicts: map[Suspect]*verdict{}, testing: map[Suspect]*Request{}, waiting: map[*Request][]*sending{}, formerly: map[Suspect]time.Time{}, words: map[Suspect]word{},
 	}
 }
 
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -163,6 +164,8 @@
 	ctx, cancel := s.untilEnd(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if route.Kind == routes.Stream {
 		c.serveStream()
 	} else {
@@ -231,20 +234,23 @@
 	start    time.Time
 	deadline time.Time // the earlier of the route's timeout and the caller's deadline
 
-	endpoint  string
-	excluded  map[string]bool    // IDs of instances that are not tried again
-	arrivals  arrivals           // at instances
-	identity  quarantine.Suspect // of a request that is known by its content, empty for others
-	suspect   *quarantine.Request
-	ran       int // attempts that may have run the request, prefills excluded
-	attempts  []attempt
-	outcome   string
-	status    int
-	reason    string
-	detail    string        // the error behind the reason
-	notBefore time.Duration // until an instance takes a request again, 0 if unknown
-	firstMS   int64         // from arrival to the first event or the answer
-	departure departure
+	// mu guards what follows, and the answer to the caller, while attempts of the call run side by side.
+	mu         sync.Mutex
+	endpoint   string
+	excluded   map[string]bool    // IDs of instances that are not tried again
+	arrivals   arrivals           // at instances
+	identity   quarantine.Suspect // of a request that is known by its content, empty for others
+	suspect    *quarantine.Request
+	ran        int  // attempts that may have run the request, prefills excluded
+	unwritable bool // the caller does not take the answer
+	attempts   []attempt
+	outcome    string
+	status     int
+	reason     string
+	detail     string        // the error behind the reason
+	notBefore  time.Duration // until an instance takes a request again, 0 if unknown
+	firstMS    int64         // from arrival to the first event or the answer
+	departure  departure
 }
 
 func (s *Server) newCall(w http.ResponseWriter, r *http.Request, t *routes.Table, route *routes.Route, meta dialect.Meta, now time.Time) *call {
@@ -297,7 +303,10 @@
 func (c *call) send(ctx context.Context, target placement.Target, options dialect.SendOptions) (*upstream.Answer, error) {
 	c.arrivals.sending()
 	sentAt := time.Now()
-	answer, err := c.server.pool.Send(ctx, target.Address, c.request(options))
+	request := c.request(options)
+	var answer *upstream.Answer
+	var err error
+	c.unlocked(func() { answer, err = c.server.pool.Send(ctx, target.Address, request) })
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
 		c.arrivals.notSent()
@@ -313,8 +322,8 @@
 
 // mayResend reports whether the request may be sent to an instance once more, and reserves
 // the retry budget for it.
-func (c *call) mayResend() bool {
-	return c.ctx.Err() == nil && c.arrivals.reserve(1, time.Now())
+func (c *call) mayResend(ctx context.Context) bool {
+	return ctx.Err() == nil && c.arrivals.reserve(1, time.Now())
 }
 
 // refuse answers 503 and Retry-After to a request that has not run.
--- a/internal/serve/forward/lost.go
+++ b/internal/serve/forward/lost.go
@@ -28,7 +28,7 @@
 // noteLost finds out whether the instance that has lost an attempt has ended, logs which
 // request it was, and records it as a suspect of the end if it had not begun. Only outcomes
 // that can mean an end count, and no request that was not sent.
-func (c *call) noteLost(target placement.Target, step string, o placement.Outcome, begun bool, cause error) {
+func (c *call) noteLost(ctx context.Context, target placement.Target, step string, o placement.Outcome, begun bool, cause error) {
 	var notSent *upstream.NotSentError
 	if o != placement.NoContact && o != placement.Silent || errors.As(cause, &notSent) {
 		return
@@ -54,14 +54,19 @@
 	if c.route.Kind == routes.Unsafe {
 		return // it has no other attempt
 	}
-	if c.server.quarantine.Unproven(c.suspect, time.Now()) {
-		<-checked
-		return
-	}
-	select {
-	case <-checked:
-	case <-time.After(presenceWait):
+	var timeout <-chan time.Time
+	if !c.server.quarantine.Unproven(c.suspect, time.Now()) {
+		timer := time.NewTimer(presenceWait)
+		defer timer.Stop()
+		timeout = timer.C
 	}
+	c.unlocked(func() {
+		select {
+		case <-checked:
+		case <-timeout:
+		case <-ctx.Done(): // no other attempt follows
+		}
+	})
 }
 
 func instanceOf(t placement.Target) quarantine.Instance {
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"filberthook/internal/engines/quarantine"
@@ -45,10 +46,11 @@
 }
 
 // admit asks whether the request may be sent to an instance, and waits while another request
-// tests one of its suspects. If it may not, it ends the request and returns false.
-func (c *call) admit(p *streamProgress) (containKey string, ok bool) {
+// tests one of its suspects. It returns the decision if it may not. second is set if an instance that
+// has the request may have ended.
+func (c *call) admit(ctx context.Context, second bool) (containKey string, refused *quarantine.Decision) {
 	waitEnd := time.Now().Add(min(containWait, c.remaining()/4))
-	if c.ran > 0 { // a second try waits for word of its suspects
+	if second || c.ran > 0 { // a second try waits for word of its suspects
 		waitEnd = time.Now().Add(min(quarantine.SecondTryWait+containWait, c.remaining()))
 	}
 	for {
@@ -56,17 +58,22 @@
 		d := c.server.quarantine.Admit(c.suspect, now)
 		switch {
 		case d.Answer == quarantine.Pass:
-			return "", true
+			return "", nil
 		case d.Answer == quarantine.Contain:
-			return string(d.Suspect), true
-		case d.Answer == quarantine.Wait && now.Before(waitEnd) && pause.For(c.ctx, admitPollInterval):
+			return string(d.Suspect), nil
+		case d.Answer == quarantine.Wait && now.Before(waitEnd) && c.pause(ctx, admitPollInterval):
 			continue
 		}
-		c.endSuspect(d, p)
-		return "", false
+		return "", &d
 	}
 }
 
+// pause waits without the call's lock. It returns false if ctx ends before.
+func (c *call) pause(ctx context.Context, d time.Duration) (ok bool) {
+	c.unlocked(func() { ok = pause.For(ctx, d) })
+	return ok
+}
+
 // endSuspect ends a request that may end its instance.
 func (c *call) endSuspect(d quarantine.Decision, p *streamProgress) {
 	kind := d.Suspect.Kind().String()
--- a/internal/serve/forward/silence.go
+++ b/internal/serve/forward/silence.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"maps"
-	"sync"
 	"time"
 
 	"filberthook/internal/engines/placement"
 )
 
-// Silence timeouts: an attempt is given up after its engine sent nothing for any request
-// for this long.
+// Silence timeouts: a takeover begins, or a prefill is given up, after the engine sent nothing for any
+// request for this long.
 const (
 	// prefillSilenceTimeout and generateSilenceTimeout are added to the estimated time.
 	prefillSilenceTimeout  = 900 * time.Millisecond
@@ -22,6 +21,10 @@
 	// stallGapFactor multiplies the route's goal for the gap between events: a stream may
 	// exceed it and still be sound. Callers abandon a stream at twice that.
 	stallGapFactor = 4
+	// minTakeoverInterval is the time to the next check of an engine that is still silent. The time from
+	// one takeover to the next doubles up to maxTakeoverInterval.
+	minTakeoverInterval = 250 * time.Millisecond
+	maxTakeoverInterval = 2 * time.Second
 )
 
 // stallTimeout returns how long the engine may send no event after the first one.
@@ -29,60 +32,77 @@
 	return max(minStallTimeout, stallGapFactor*c.route.GapGoal)
 }
 
-// silenceWatch cancels an attempt when its engine has stopped sending, both for the attempt
-// and for all other requests of this host. It keeps waiting for an engine that is slow.
+// silenceWatch notices when the engine of an attempt has stopped sending, both for the attempt and for
+// all other requests of this host. A takeover then runs beside the attempt; see generation. The
+// lock of its call guards it.
 type silenceWatch struct {
-	call     *call
-	engineID string
-	ctx      context.Context
-	cancel   context.CancelFunc
+	call       *call
+	generation *generation
+	target     placement.Target
+	progress   *streamProgress // of the stream; nil for a prefill
+	cancels    bool            // a silent attempt is cancelled, as another one takes its place: a prefill
+	ctx        context.Context
+	cancel     context.CancelFunc
 
-	mu           sync.Mutex
 	timeout      time.Duration
 	lastProgress time.Time // last event of the attempt, or last check that found its engine sending
 	timer        *time.Timer
-	silent       bool
+	recheck      time.Duration // until a silent engine's takeover is tried again
+	takeover     *generation   // the last one that began, nil if none did
+	recorded     bool          // the engine's silence counts in its health
+	takenOver    bool          // another engine has gone on with the stream
+	silent       bool          // cancelled because of the silence
 	withdrawn    bool
+	stopped      bool
 }
 
 // watchSilence starts to watch an attempt at an engine. With a timeout of 0 the attempt is
-// never cancelled for silence.
-func (c *call) watchSilence(id string, timeout time.Duration) *silenceWatch {
-	s := &silenceWatch{call: c, engineID: id, timeout: timeout, lastProgress: time.Now()}
-	s.ctx, s.cancel = context.WithCancel(c.ctx)
+// waited for, however long its engine is silent.
+func (c *call) watchSilence(g *generation, target placement.Target, timeout time.Duration) *silenceWatch {
+	s := &silenceWatch{call: c, generation: g, target: target, timeout: timeout, recheck: minTakeoverInterval, lastProgress: time.Now()}
+	s.ctx, s.cancel = context.WithCancel(g.ctx)
 	if timeout > 0 {
-		s.mu.Lock()
-		defer s.mu.Unlock()
 		s.timer = time.AfterFunc(timeout, s.check)
 	}
 	return s
 }
 
-// check cancels the attempt, or schedules the next check.
+// check begins a takeover from a silent engine, or schedules the next check.
 func (s *silenceWatch) check() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	c := s.call
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	quiet := time.Since(s.lastProgress)
 	switch {
+	case s.stopped:
 	case quiet < s.timeout:
 		s.timer.Reset(s.timeout - quiet)
-	case s.call.server.fleet.ProgressSince(s.engineID, s.lastProgress):
+	case c.server.fleet.ProgressSince(s.target.ID, s.lastProgress):
 		s.timer.Reset(s.timeout)
 		s.lastProgress = time.Now()
-	case !s.call.reserveFailover(s.engineID):
-		s.timer.Reset(s.timeout)
-	default:
+	case s.takeover.running():
+		s.timer.Reset(minTakeoverInterval)
+	case !c.reserveFailover(s):
+		s.timer.Reset(minTakeoverInterval)
+	case s.cancels:
 		s.silent = true
 		s.cancel()
+	default:
+		c.beginTakeover(s)
+		s.timer.Reset(s.recheck)
+		s.recheck = min(2*s.recheck, maxTakeoverInterval)
 	}
 }
 
 // reserveFailover reports whether the request can be sent to an engine other than the
 // silent one, and charges the retry budget for it. If not, waiting for the silent engine is
 // the best option.
-func (c *call) reserveFailover(id string) bool {
+func (c *call) reserveFailover(s *silenceWatch) bool {
+	if !s.cancels && c.ran >= c.route.MaxAttempts { // takeovers that ended have used them
+		return false
+	}
 	excluded := maps.Clone(c.excluded)
-	excluded[id] = true
+	excluded[s.target.ID] = true
 	p := c.prompt(&streamProgress{})
 	p.Excluded = excluded
 	if !c.server.fleet.HasDecoder(p, time.Now()) {
@@ -94,27 +114,29 @@
 // noteProgress records an event of the attempt and, from then on, applies the stall timeout.
 func (s *silenceWatch) noteProgress() {
 	now := time.Now()
-	s.call.server.fleet.Progress(s.engineID, now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.call.server.fleet.Progress(s.target.ID, now)
 	s.lastProgress = now
 	if s.timeout > 0 {
 		s.timeout = s.call.stallTimeout()
 	}
 }
 
+// noteWriting records how long the caller took to accept bytes. That time is no silence of the engine, whose
+// further events were not read meanwhile.
+func (s *silenceWatch) noteWriting(took time.Duration) {
+	s.lastProgress = s.lastProgress.Add(took)
+}
+
 // withdraw cancels the attempt because of a block in quarantine.
 func (s *silenceWatch) withdraw() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.call.mu.Lock()
+	defer s.call.mu.Unlock()
 	s.withdrawn = true
 	s.cancel()
 }
 
 // failureReason returns the reason for callers' answers and logs.
 func (s *silenceWatch) failureReason(err error) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.withdrawn {
 		return s.call.reasonWithdrawn()
 	}
@@ -123,17 +145,14 @@
 
 // outcome returns why the attempt ended without a complete answer.
 func (s *silenceWatch) outcome() placement.Outcome {
-	s.mu.Lock()
-	silent, withdrawn, lastProgress := s.silent, s.withdrawn, s.lastProgress
-	s.mu.Unlock()
 	switch {
-	case silent:
+	case s.silent, s.takenOver:
 		return placement.Silent
-	case withdrawn:
+	case s.withdrawn:
 		return placement.Canceled
-	case s.call.ctx.Err() == nil:
+	case s.generation.ctx.Err() == nil:
 		return placement.NoContact
-	case time.Since(lastProgress) > s.call.stallTimeout() && !s.call.server.fleet.ProgressSince(s.engineID, lastProgress):
+	case time.Since(s.lastProgress) > s.call.stallTimeout() && !s.call.server.fleet.ProgressSince(s.target.ID, s.lastProgress):
 		return placement.Silent
 	default:
 		return placement.Canceled
@@ -142,8 +161,7 @@
 
 // stop stops watching and cancels the attempt's context.
 func (s *silenceWatch) stop() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.stopped = true
 	if s.timer != nil {
 		s.timer.Stop()
 	}
--- a/internal/serve/forward/silent_engine_test.go
+++ b/internal/serve/forward/silent_engine_test.go
@@ -14,18 +14,26 @@
 // silence is how long a healthy engine may send nothing; it exceeds the stall timeout.
 const silence = 1400 * time.Millisecond
 
-// silentFleet returns two decode engines. The one that gets the first request writes the events up to
-// before, is silent, and writes the rest; each later request, at either one, gets other.
-func silentFleet(before int, other http.HandlerFunc) (list []*instance, others *atomic.Int64) {
+// byArrival returns two decode engines: the first request to arrive at either is served by first, each later
+// one by other.
+func byArrival(first, other http.HandlerFunc) []*instance {
 	var arrivals atomic.Int64
-	others = &atomic.Int64{}
 	serve := func(w http.ResponseWriter, r *http.Request) {
-		if arrivals.Add(1) > 1 {
-			others.Add(1)
-			other(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		if arrivals.Add(1) == 1 {
+			first(w, r)
 			return
 		}
-		w.Header().Set("Content-Type", "text/event-stream")
+		other(w, r)
+	}
+	return []*instance{engine("a", instances.Decode, serve), engine("b", instances.Decode, serve)}
+}
+
+// silentFleet returns two engines by arrival: the first one writes the events up to before, is silent, and
+// writes the rest.
+func silentFleet(before int, other http.HandlerFunc) (list []*instance, others *atomic.Int64) {
+	others = &atomic.Int64{}
+	return byArrival(func(w http.ResponseWriter, _ *http.Request) {
 		for id := 1; id <= 4; id++ {
 			if id == before+1 {
 				time.Sleep(silence)
@@ -35,18 +43,17 @@
 		if before == 4 {
 			time.Sleep(silence)
 		}
-	}
-	return []*instance{engine("a", instances.Decode, serve), engine("b", instances.Decode, serve)}, others
+	}, func(w http.ResponseWriter, r *http.Request) {
+		others.Add(1)
+		other(w, r)
+	}), others
 }
 
 // Guards against giving up a silent engine before another one has taken over: whatever becomes of the
 // resumption, the silent engine goes on and completes the response.
 func TestResponseIsNotEndedWhileItsSilentEngineMayGoOn(t *testing.T) {
 	stream := func(ids ...int) http.HandlerFunc {
-		return func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Content-Type", "text/event-stream")
-			fmt.Fprint(w, pieces(ids...))
-		}
+		return func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, pieces(ids...)) }
 	}
 	resumptions := map[string]http.HandlerFunc{
 		"has no event left":           stream(),
--- a/internal/serve/forward/startup.go
+++ b/internal/serve/forward/startup.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"filberthook/internal/engines/placement"
-	"filberthook/internal/process/pause"
 	"filberthook/internal/process/saturate"
 	"filberthook/internal/serve/routes"
 )
@@ -77,7 +76,7 @@
 	}
 	known := c.server.fleet.Announced(c.endpoint)
 	for c.server.instancesMayBeMissing() && time.Since(c.start) < startWaitLimit(c.meta.Deadline) {
-		if !pause.For(c.ctx, announcePollInterval) {
+		if !c.pause(c.ctx, announcePollInterval) {
 			return false
 		}
 		if now := c.server.fleet.Announced(c.endpoint); now > known {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -14,9 +13,6 @@
 	"filberthook/internal/serve/upstream"
 )
 
-// maxHandleBytes is the largest accepted answer to a prefill.
-const maxHandleBytes = 64 << 10
-
 // streamProgress is how much of the stream the caller has received.
 type streamProgress struct {
 	started   bool   // the answer's header was sent
@@ -37,41 +33,46 @@
 // on, and resumes a broken stream at another instance if the route allows it.
 func (c *call) serveStream() {
 	p := streamProgress{sequence: sequence{before: c.meta.LastEventID}}
+	if ended, end := c.generate(&generation{ctx: c.ctx, leads: true}, &p); ended != finished {
+		end()
+	}
+}
+
+// generate makes attempts, one after the other, until the caller has the complete answer or no
+// other attempt may follow. It then returns how the last one ended, and what ends the call.
+func (c *call) generate(g *generation, p *streamProgress) (ended result, end func()) {
+	ended = notRun
 	for {
-		containKey, ok := c.admit(&p)
-		if !ok {
-			return
+		containKey, refused := c.admit(g.ctx, !g.leads)
+		if refused != nil {
+			return ended, func() { c.endSuspect(*refused, p) }
 		}
-		prompt := c.prompt(&p)
+		prompt := c.prompt(p)
 		prompt.ContainKey = containKey
 		plan, err := c.server.fleet.Place(prompt, time.Now())
 		if err != nil {
-			if c.awaitInstance(err) {
+			if g.leads && c.awaitInstance(err) {
 				continue
 			}
-			c.endUnplaced(err, &p)
-			return
+			return ended, func() { c.endUnplaced(err, p) }
 		}
-		var ended result
 		var reason string
 		if plan.Prefill == nil {
-			ended, reason = c.run(plan, prompt, dialect.KVHandle{}, &p)
+			ended, reason = c.run(g, plan, prompt, dialect.KVHandle{}, p)
 			c.excluded[plan.Decode.ID] = true
 		} else if !c.arrivals.reservePrefill(time.Now()) {
-			c.endUnfinished("retry_budget", &p)
-			return
-		} else if handle, ok := c.prefill(&plan, prompt); ok {
-			ended, reason = c.runPrefilled(plan, prompt, handle, &p)
+			return ended, func() { c.endUnfinished("retry_budget", p) }
+		} else if handle, ok := c.prefill(g, &plan, prompt); ok {
+			ended, reason = c.runPrefilled(g, plan, prompt, handle, p)
 		} else {
 			c.excluded[plan.Prefill.ID] = true
 			ended, reason = notRun, "prompt_not_read"
 		}
 		if ended == finished {
-			return
+			return finished, nil
 		}
-		if !p.resumable() || !c.mayContinue(ended) {
-			c.endUnfinished(reason, &p)
-			return
+		if !p.resumable() || !c.mayContinue(g, ended) {
+			return ended, func() { c.endUnfinished(reason, p) }
 		}
 	}
 }
@@ -81,7 +82,7 @@
 const maxHandleOffers = 2
 
 // runPrefilled generates the answer from the KV cache of a finished prefill.
-func (c *call) runPrefilled(plan placement.Plan, prompt *placement.Prompt, handle dialect.KVHandle, p *streamProgress) (result, string) {
+func (c *call) runPrefilled(g *generation, plan placement.Plan, prompt *placement.Prompt, handle dialect.KVHandle, p *streamProgress) (result, string) {
 	plan.PrefillTokens, plan.FetchFrom = 0, ""
 	for offers := 1; ; offers++ {
 		if d := c.server.quarantine.Admit(c.suspect, time.Now()); d.Answer == quarantine.Refuse {
@@ -96,12 +97,12 @@
 			c.server.freeHandle(c.meta.ID, *plan.Prefill, handle)
 			return notRun, c.noteUnplaced(err)
 		}
-		ended, reason := c.run(plan, prompt, handle, p)
+		ended, reason := c.run(g, plan, prompt, handle, p)
 		c.excluded[plan.Decode.ID] = true
 		if ended != notRun {
 			return ended, reason
 		}
-		if offers == maxHandleOffers || !c.mayResend() {
+		if offers == maxHandleOffers || !c.mayResend(g.ctx) {
 			c.server.freeHandle(c.meta.ID, *plan.Prefill, handle)
 			return ended, reason
 		}
@@ -110,11 +111,11 @@
 
 // mayContinue reports whether another attempt may follow one that ended, and charges the
 // retry budget for it.
-func (c *call) mayContinue(ended result) bool {
-	if ended == broken && (!c.route.Resumable || c.ran >= c.route.MaxAttempts) {
+func (c *call) mayContinue(g *generation, ended result) bool {
+	if c.unwritable || ended == broken && (!c.route.Resumable || c.ran >= c.route.MaxAttempts) {
 		return false
 	}
-	return c.mayResend()
+	return c.mayResend(g.ctx)
 }
 
 // prompt describes the request to placement. A stream that has begun has no latency goal
@@ -179,91 +180,22 @@
 	c.abort()
 }
 
-// prefill runs the prompt's prefill on a prefill engine. It returns the handle of the KV cache,
-// which the decode engine fetches.
-func (c *call) prefill(plan *placement.Plan, prompt *placement.Prompt) (handle dialect.KVHandle, ok bool) {
-	start := time.Now()
-	target := *plan.Prefill
-	outcome := placement.Canceled
-	var failure error
-	inFlight := c.server.fleet.BeginPrompt(target.ID, "", prompt, plan.PrefillTokens, start)
-	defer func() {
-		c.noteEngine(target, "read", outcome, start, failure, *plan)
-		c.server.fleet.EndPrompt(inFlight, outcome, time.Now())
-	}()
-	send := dialect.SendOptions{Instance: target.ID, ModelEngine: true, PrefillOnly: true, FetchFrom: plan.FetchFrom, Priority: plan.PrefillPriority}
-	watch := c.watchSilence(target.ID, prefillSilenceTimeout+estimateFactor*plan.ExpectedTTFT)
-	defer watch.stop()
-	answer, err := c.send(watch.ctx, target, send)
-	if err != nil {
-		outcome, failure = watch.outcome(), err
-		c.noteLost(target, "read", outcome, false, err)
-		return handle, false
-	}
-	defer answer.Close()
-	body, err := answer.ReadAll(maxHandleBytes)
-	if err != nil {
-		outcome, failure = watch.outcome(), err
-		c.noteLost(target, "read", outcome, false, err)
-		return handle, false
-	}
-	c.server.fleet.Progress(target.ID, time.Now())
-	reply := c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header)
-	switch {
-	case reply.Misdirected:
-		outcome = placement.Replaced
-		return handle, false
-	case reply.NotRun:
-		outcome = placement.Full
-		return handle, false
-	}
-	handle, err = c.server.dialect.DecodeHandle(body)
-	if answer.StatusCode != http.StatusOK || err != nil {
-		outcome, failure = placement.Failed, err
-		return handle, false
-	}
-	outcome = placement.Answered
-	c.arrivals.prefillAccepted()
-	c.server.fleet.PrefillDone(inFlight, time.Now())
-	if c.ctx.Err() != nil {
-		c.server.freeHandle(c.meta.ID, target, handle)
-		return handle, false
-	}
-	return handle, true
-}
-
-// freeTimeout limits the request that frees a handle. If it fails, the engine frees the
-// handle later by itself.
-const freeTimeout = time.Second
-
-// freeHandle frees a KV cache handle that no engine will fetch, for a request.
-func (s *Server) freeHandle(requestID string, target placement.Target, handle dialect.KVHandle) {
-	if !s.fleet.TakePermit(target, time.Now()) {
-		s.logger.Info("handle not freed", "id", requestID, "instance", target.ID, "handle", handle.ID, "reason", "the instance takes no request now")
-		return
+// run sends the request to the decode engine and passes its events on. If the engine falls
+// silent, it also waits for the takeover, which may have completed the answer.
+func (c *call) run(g *generation, plan placement.Plan, prompt *placement.Prompt, handle dialect.KVHandle, p *streamProgress) (result, string) {
+	timeout := time.Duration(0) // wait for a stream that cannot be resumed elsewhere
+	if c.route.Resumable && c.ran+1 < c.route.MaxAttempts {
+		timeout = generateSilenceTimeout + estimateFactor*plan.ExpectedTTFT
 	}
-	method, path := s.dialect.Free(handle)
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-		defer cancel()
-		sentAt := time.Now()
-		answer, err := s.pool.Send(ctx, target.Address, &upstream.Request{Method: method, Target: path, Host: target.Address, Header: http.Header{}})
-		if err != nil {
-			s.logger.Info("handle not freed", "id", requestID, "instance", target.ID, "handle", handle.ID, "err", err)
-			return
-		}
-		defer answer.Close()
-		if decoded := s.dialect.DecodeAnswer(answer.StatusCode, answer.Header); trustworthy(answer.StatusCode, decoded, true) {
-			s.hear(requestID, target, decoded.Notice, sentAt)
-		}
-		if _, err := answer.ReadAll(maxHandleBytes); err != nil {
-			s.logger.Info("handle not freed", "id", requestID, "instance", target.ID, "handle", handle.ID, "err", err)
-		}
-	}()
+	watch := c.watchSilence(g, plan.Decode, timeout)
+	watch.progress = p
+	ended, reason := c.attempt(watch, plan, prompt, handle, p)
+	watch.stop()
+	return c.awaitTakeover(watch, ended, reason)
 }
 
-// run sends the request to the decode engine and passes its events on.
-func (c *call) run(plan placement.Plan, prompt *placement.Prompt, handle dialect.KVHandle, p *streamProgress) (result, string) {
+// attempt is one attempt of run.
+func (c *call) attempt(watch *silenceWatch, plan placement.Plan, prompt *placement.Prompt, handle dialect.KVHandle, p *streamProgress) (result, string) {
 	start := time.Now()
 	outcome := placement.Canceled
 	var failure error
@@ -278,31 +210,26 @@
 	}
 	defer func() {
 		c.noteEngine(plan.Decode, step, outcome, start, failure, plan)
-		c.server.fleet.EndPrompt(inFlight, outcome, time.Now())
+		c.server.fleet.EndPrompt(inFlight, watch.unrecorded(outcome), time.Now())
 	}()
 	send := dialect.SendOptions{Instance: plan.Decode.ID, ModelEngine: true, KVSource: source, FetchFrom: plan.FetchFrom, LastEventID: p.lastID, Priority: c.priority()}
-	timeout := time.Duration(0) // wait for a stream that cannot be resumed elsewhere
-	if c.route.Resumable && c.ran+1 < c.route.MaxAttempts {
-		timeout = generateSilenceTimeout + estimateFactor*plan.ExpectedTTFT
-	}
-	watch := c.watchSilence(plan.Decode.ID, timeout)
-	defer watch.stop()
 	defer c.server.quarantine.Sent(c.suspect, watch.withdraw)()
+	c.ran++ // undone if it was not sent, or if the instance says that it did not run
 	answer, err := c.send(watch.ctx, plan.Decode, send)
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
+		c.ran--
 		outcome, failure = watch.outcome(), err
 		return notRun, "no_contact"
 	}
-	c.ran++ // undone if the instance says that it did not run
 	if err != nil {
 		outcome, failure = watch.outcome(), err
-		c.noteLost(plan.Decode, step, outcome, false, err)
+		c.noteLost(watch.generation.ctx, plan.Decode, step, outcome, false, err)
 		return broken, watch.failureReason(err)
 	}
 	defer answer.Close()
 	if answer.StatusCode != http.StatusOK || answer.Header.Get("Content-Encoding") != "" {
-		ended, classified := c.passNonStream(answer, p)
+		ended, classified := c.passNonStream(answer, p, watch)
 		outcome = classified
 		return ended, "endpoint_refused"
 	}
@@ -317,30 +244,37 @@
 		return finished, ""
 	}
 	var bad badEventError
-	if errors.As(err, &bad) {
+	var notWritten *callerWriteError
+	switch {
+	case errors.As(err, &bad):
 		outcome, failure = placement.Failed, err
 		return broken, "bad_answer"
+	case errors.As(err, &notWritten): // says nothing about the instance, and no other one can help
+		c.unwritable, failure = true, err
+		return broken, watch.failureReason(err)
 	}
 	outcome, failure = watch.outcome(), err
-	c.noteLost(plan.Decode, step, outcome, p.events > eventsBefore, err)
+	c.noteLost(watch.generation.ctx, plan.Decode, step, outcome, p.events > eventsBefore, err)
 	return broken, watch.failureReason(err)
 }
 
 // passNonStream handles an answer that is not a stream, such as a refusal. It is passed on
 // unless the request did not run, the stream has begun, or another attempt may succeed.
-func (c *call) passNonStream(answer *upstream.Answer, p *streamProgress) (result, placement.Outcome) {
+func (c *call) passNonStream(answer *upstream.Answer, p *streamProgress, watch *silenceWatch) (result, placement.Outcome) {
 	got := &wholeAnswer{status: answer.StatusCode, header: answer.Header, answer: c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header)}
 	var err error
-	if got.body, err = answer.ReadAll(maxAnswerBytes); err != nil && !got.answer.NotRun {
-		return broken, c.contactOutcome()
+	if got.body, err = c.readAll(answer, maxAnswerBytes); err != nil && !got.answer.NotRun {
+		return broken, watch.outcome()
 	}
 	outcome, err := c.classify(got)
 	switch {
 	case got.answer.NotRun:
 		return notRun, outcome
-	case err != nil, p.started, c.route.Resumable && got.status >= http.StatusInternalServerError && c.remaining() > 0:
+	case err != nil, p.started, c.route.Resumable && got.status >= http.StatusInternalServerError && c.remaining() > 0,
+		!watch.generation.leads && impliesNotRun(got.status), watch.obsolete():
 		return broken, outcome
 	}
+	watch.claim()
 	c.passWhole(got)
 	return finished, outcome
 }
@@ -371,11 +305,15 @@
 	proven := false  // an event shows that the answer goes on where the caller is
 	var early []byte // comments before that event
 	for {
-		e, err := events.next()
+		e, err := c.nextEvent(events)
+		if watch.obsolete() {
+			return errTakenOver
+		}
 		if errors.Is(err, io.EOF) {
 			if !proven {
 				return errTruncatedEvent // an answer without events is incomplete
 			}
+			watch.claim()
 			return nil
 		}
 		if err != nil {
@@ -391,6 +329,7 @@
 			if err := p.check(e, !proven); err != nil {
 				return err
 			}
+			watch.claim()
 			proven = true
 		}
 		if p.events == 0 {
@@ -407,6 +346,7 @@
 			p.pass(e)
 			c.noteBegun()
 		}
+		began := time.Now()
 		if _, err := c.w.Write(append(early, e.raw...)); err != nil {
 			return c.notWritten(err)
 		}
@@ -414,5 +354,6 @@
 		if err := controller.Flush(); err != nil {
 			return c.notWritten(err)
 		}
+		watch.noteWriting(time.Since(began))
 	}
 }
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -29,8 +29,9 @@
 func (c *call) serveWhole() {
 	var failed *wholeAnswer // an instance's error answer, passed on if no other instance succeeds
 	for {
-		containKey, ok := c.admit(&streamProgress{})
-		if !ok {
+		containKey, refused := c.admit(c.ctx, false)
+		if refused != nil {
+			c.endSuspect(*refused, &streamProgress{})
 			return
 		}
 		target, err := c.placeWhole(containKey)
@@ -60,7 +61,7 @@
 				break
 			}
 		}
-		if c.ctx.Err() != nil || c.ran >= c.route.MaxAttempts || (c.ran > 0 && !c.route.Idempotent()) || !c.mayResend() {
+		if c.ctx.Err() != nil || c.ran >= c.route.MaxAttempts || (c.ran > 0 && !c.route.Idempotent()) || !c.mayResend(c.ctx) {
 			if failed == nil {
 				c.giveUp(failureReason(err, got))
 				return
@@ -127,17 +128,17 @@
 	c.ran++ // undone if the instance says that it did not run
 	if err != nil {
 		outcome = c.lostOutcome(withdrawn)
-		c.noteLost(target, "run", outcome, false, err)
+		c.noteLost(c.ctx, target, "run", outcome, false, err)
 		return nil, outcome, err
 	}
 	defer answer.Close()
 	got = &wholeAnswer{status: answer.StatusCode, header: answer.Header, answer: c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header)}
-	if got.body, err = answer.ReadAll(maxAnswerBytes); err != nil {
+	if got.body, err = c.readAll(answer, maxAnswerBytes); err != nil {
 		if got.answer.NotRun {
 			c.ran--
 		}
 		outcome = c.lostOutcome(withdrawn)
-		c.noteLost(target, "run", outcome, got.answer.NotRun, err)
+		c.noteLost(c.ctx, target, "run", outcome, got.answer.NotRun, err)
 		return nil, outcome, err
 	}
 	if outcome, err = c.classify(got); outcome == placement.Answered {
