--- a/internal/serve/forward/silence.go
+++ b/internal/serve/forward/silence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filberthook/internal/engines/placement"
+	"filberthook/internal/serve/routes"
 )
 
 // Silence timeouts: a takeover begins, or a prefill is given up, after the engine sent nothing for any
@@ -39,7 +40,8 @@
 	call       *call
 	generation *generation
 	target     placement.Target
-	progress   *streamProgress // of the stream; nil for a prefill
+	progress   *streamProgress // of the stream; nil for a prefill and for a plain service
+	contained  bool            // the attempt tests a suspect at a plain service
 	cancels    bool            // a silent attempt is cancelled, as another one takes its place: a prefill
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -101,6 +103,9 @@
 	if !s.cancels && c.ran >= c.route.MaxAttempts { // takeovers that ended have used them
 		return false
 	}
+	if c.route.Kind != routes.Stream {
+		return c.mayResend(s.generation.ctx)
+	}
 	excluded := maps.Clone(c.excluded)
 	excluded[s.target.ID] = true
 	p := c.prompt(&streamProgress{})
--- a/internal/serve/forward/silent_engine_test.go
+++ b/internal/serve/forward/silent_engine_test.go
@@ -93,3 +93,33 @@
 		}
 	})
 }
+
+// Guards against giving up an instance of a plain service because it is slow, when the second try fails.
+func TestSafeRequestIsNotLostWhileItsSilentInstanceMayAnswer(t *testing.T) {
+	for name, other := range map[string]http.HandlerFunc{
+		"refuses": status(503, true), "fails": status(500, false), "breaks": hangUp,
+		"is silent as well": func(_ http.ResponseWriter, r *http.Request) { closed(r.Context(), 5*time.Second) },
+	} {
+		t.Run("the second instance "+name, func(t *testing.T) {
+			t.Parallel()
+			others := &atomic.Int64{}
+			list := byArrival(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(silence)
+				ok(w, r)
+			}, func(w http.ResponseWriter, r *http.Request) {
+				others.Add(1)
+				other(w, r)
+			})
+			// A third instance, as a request is not risked at the last one that is left.
+			list = append(list, service("c", list[0].serve))
+			list[0].stage, list[1].stage = instances.AnyStage, instances.AnyStage
+			h := start(t, route(routes.Safe, nil), list...)
+			if code, _, body, err := h.do(t, nil); err != nil || code != http.StatusOK || body != "done" {
+				t.Errorf("status %d, %q, error %v, want the first instance's answer", code, body, err)
+			}
+			if others.Load() == 0 {
+				t.Error("no second try: the test shows nothing")
+			}
+		})
+	}
+}
--- a/internal/serve/forward/takeover.go
+++ b/internal/serve/forward/takeover.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"filberthook/internal/engines/placement"
+	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
 )
 
-// generation is a sequence of attempts to serve a stream. The handler runs the first one.
+// generation is a sequence of attempts to serve a request. The handler runs the first one. What follows is said of
+// streams; for a request to a plain service its whole answer is what the first event is here.
 //
 // A healthy engine may be silent for a second or more and then go on, and nothing tells it from a dead one
 // meanwhile. A silent attempt is therefore kept, and another generation, the takeover, runs beside it:
@@ -32,6 +34,10 @@
 
 	done  chan struct{} // closed when it has ended
 	ended result
+
+	// Of requests to plain services:
+	answered *wholeAnswer // of a takeover that answered first
+	failed   *wholeAnswer // an instance's error answer, passed on if no other instance succeeds
 }
 
 var errTakenOver = errors.New("another engine has gone on with the stream, or this one is not needed any more")
@@ -56,25 +62,46 @@
 	if !s.recorded {
 		s.recorded = true
 		c.server.fleet.NoteSilent(s.target.ID, now)
-		// A later start at its address would show that it has ended.
+		// A later start at its address shows that it has ended.
 		c.server.quarantine.Lost(c.suspect, instanceOf(s.target), s.target.Address, now)
 	}
 	g := &generation{silent: s, done: make(chan struct{})}
 	g.ctx, g.cancel = context.WithCancel(s.generation.ctx)
 	s.takeover = g
-	lastID, silentFor := s.progress.lastID, now.Sub(s.lastProgress)
+	silentFor := now.Sub(s.lastProgress)
 	go func() {
 		defer close(g.done)
 		defer g.cancel()
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		g.ended, _ = c.generate(g, s.progress)
-		c.endTakeover(g, lastID, silentFor, now)
+		if c.route.Kind == routes.Stream {
+			g.ended, _ = c.generate(g, s.progress)
+		} else {
+			c.takeOverWhole(g)
+		}
+		c.endTakeover(g, silentFor, now)
 	}()
 }
 
+// errSilent is the cause of an attempt at a plain service that is taken for lost while it is kept.
+var errSilent = errors.New("no answer yet; the request is also sent to another instance")
+
+// takeOverWhole sends a request to a plain service elsewhere. Before, its quarantine state is that of a lost request.
+func (c *call) takeOverWhole(g *generation) {
+	c.noteLost(g.ctx, g.silent.target, "run", placement.NoContact, false, errSilent)
+	if g.silent.contained {
+		c.server.quarantine.Unexplained(c.suspect, time.Now())
+	}
+	answered, _ := c.answerWhole(g)
+	if answered != nil && g.ctx.Err() == nil {
+		g.answered, g.leads = answered, true
+		g.silent.takenOver = true
+		g.silent.cancel()
+	}
+}
+
 // endTakeover counts and logs a takeover. The caller holds c.mu.
-func (c *call) endTakeover(g *generation, lastID string, silentFor time.Duration, began time.Time) {
+func (c *call) endTakeover(g *generation, silentFor time.Duration, began time.Time) {
 	result := "failed"
 	switch {
 	case g.leads:
@@ -85,8 +112,8 @@
 		result = "went_on"
 	}
 	c.server.metrics.GetOrCreateCounter(`filberthook_entry_takeovers_total{result="` + result + `"}`).Inc()
-	c.server.logger.Info("takeover of a silent stream ended", "id", c.meta.ID, "route", c.route.Name, "silent", g.silent.target.ID,
-		"silent_ms", silentFor.Milliseconds(), "after_event", lastID, "result", result, "ran", c.ran, "max_attempts", c.route.MaxAttempts,
+	c.server.logger.Info("takeover from a silent instance ended", "id", c.meta.ID, "route", c.route.Name, "silent", g.silent.target.ID,
+		"silent_ms", silentFor.Milliseconds(), "result", result, "ran", c.ran, "max_attempts", c.route.MaxAttempts,
 		"ms", time.Since(began).Milliseconds())
 }
 
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -13,7 +13,7 @@
 	"filberthook/internal/serve/upstream"
 )
 
-// attemptTimeoutGoals is how long a safe request waits for an instance before it is sent to
+// attemptTimeoutGoals is how long a safe request waits for an instance before it is also sent to
 // another one, in multiples of the route's goal.
 const attemptTimeoutGoals = 2
 
@@ -27,52 +27,57 @@
 
 // serveWhole serves a request to a plain service.
 func (c *call) serveWhole() {
-	var failed *wholeAnswer // an instance's error answer, passed on if no other instance succeeds
+	got, end := c.answerWhole(&generation{ctx: c.ctx, leads: true})
+	if got == nil {
+		end()
+		return
+	}
+	c.passWhole(got)
+}
+
+// answerWhole makes attempts, one after the other, until an instance has answered or no other attempt may
+// follow. It then returns what ends the call.
+func (c *call) answerWhole(g *generation) (answered *wholeAnswer, end func()) {
 	for {
-		containKey, refused := c.admit(c.ctx, false)
+		containKey, refused := c.admit(g.ctx, !g.leads)
 		if refused != nil {
-			c.endSuspect(*refused, &streamProgress{})
-			return
+			return nil, func() { c.endSuspect(*refused, &streamProgress{}) }
 		}
 		target, err := c.placeWhole(containKey)
 		if err != nil {
-			if c.awaitInstance(err) {
+			if g.leads && c.awaitInstance(err) {
 				continue
 			}
-			reason := c.noteUnplaced(err)
-			if failed == nil {
-				c.giveUp(reason)
-				return
-			}
-			break
+			return nil, func() { c.endWhole(g, c.noteUnplaced(err)) }
 		}
-		got, outcome, err := c.exchangeWhole(target)
+		got, outcome, err := c.exchangeWhole(g, target, containKey)
 		c.excluded[target.ID] = true
 		if containKey != "" && outcome == placement.NoContact {
 			c.server.quarantine.Unexplained(c.suspect, time.Now())
 		}
 		if got != nil && outcome == placement.Answered {
-			c.passWhole(got)
-			return
+			return got, nil
 		}
 		if got != nil && !got.answer.NotRun {
-			failed = got
-			if !c.route.Idempotent() {
-				break
-			}
+			g.failed = got
 		}
-		if c.ctx.Err() != nil || c.ran >= c.route.MaxAttempts || (c.ran > 0 && !c.route.Idempotent()) || !c.mayResend(c.ctx) {
-			if failed == nil {
-				c.giveUp(failureReason(err, got))
-				return
-			}
-			break
+		if g.failed != nil && !c.route.Idempotent() || g.ctx.Err() != nil || c.ran >= c.route.MaxAttempts ||
+			(c.ran > 0 && !c.route.Idempotent()) || !c.mayResend(g.ctx) {
+			return nil, func() { c.endWhole(g, failureReason(err, got)) }
 		}
 	}
+}
+
+// endWhole ends a call that no instance has answered, with an instance's error if there is one.
+func (c *call) endWhole(g *generation, reason string) {
+	if g.failed == nil {
+		c.giveUp(reason)
+		return
+	}
 	if c.callerGone() {
 		c.giveUp("caller_left")
 	}
-	c.passWhole(failed)
+	c.passWhole(g.failed)
 }
 
 // placeWhole picks the instance; a contained request goes to the same one as all others with its key.
@@ -105,30 +110,53 @@
 var errUnsigned = errors.New("answer lacks the endpoint's signature or has a content encoding, so it is not the endpoint's")
 
 // exchangeWhole sends the request to an instance and reads its whole answer, which may be
-// a refusal or an error.
-func (c *call) exchangeWhole(target placement.Target) (got *wholeAnswer, outcome placement.Outcome, err error) {
+// a refusal or an error. If the instance is silent, it also waits for the takeover, whose answer
+// it returns if that came first.
+func (c *call) exchangeWhole(g *generation, target placement.Target, containKey string) (*wholeAnswer, placement.Outcome, error) {
+	watch := c.watchSilence(g, target, c.attemptTimeout())
+	watch.contained = containKey != ""
+	got, outcome, err := c.exchangeOnce(watch, target)
+	watch.stop()
+	other := watch.takeover
+	if other == nil {
+		return got, outcome, err
+	}
+	if outcome == placement.Answered {
+		other.cancel()
+	}
+	c.unlocked(func() { <-other.done })
+	switch {
+	case outcome == placement.Answered:
+	case other.answered != nil:
+		return other.answered, placement.Answered, nil
+	case got == nil && other.failed != nil:
+		return other.failed, placement.Failed, nil
+	}
+	return got, outcome, err
+}
+
+// exchangeOnce is one attempt of exchangeWhole.
+func (c *call) exchangeOnce(watch *silenceWatch, target placement.Target) (got *wholeAnswer, outcome placement.Outcome, err error) {
 	start := time.Now()
 	fleet := c.server.fleet
 	fleet.Begin(target.ID)
 	outcome = placement.Canceled
 	defer func() {
 		c.note(target, "run", outcome, start, err)
-		fleet.End(target.ID, outcome, time.Since(start), time.Now())
+		fleet.End(target.ID, watch.unrecorded(outcome), time.Since(start), time.Now())
 	}()
-	ctx, cancel := c.attemptContext()
-	defer cancel()
-	withdrawn := make(chan struct{})
-	defer c.server.quarantine.Sent(c.suspect, func() { close(withdrawn); cancel() })()
-	answer, err := c.send(ctx, target, dialect.SendOptions{Instance: target.ID, Priority: c.priority()})
+	defer c.server.quarantine.Sent(c.suspect, watch.withdraw)()
+	c.ran++ // undone if it was not sent, or if the instance says that it did not run
+	answer, err := c.send(watch.ctx, target, dialect.SendOptions{Instance: target.ID, Priority: c.priority()})
 	var notSent *upstream.NotSentError
 	if errors.As(err, &notSent) {
-		outcome = c.contactOutcome()
+		c.ran--
+		outcome = watch.wholeOutcome()
 		return nil, outcome, err
 	}
-	c.ran++ // undone if the instance says that it did not run
 	if err != nil {
-		outcome = c.lostOutcome(withdrawn)
-		c.noteLost(c.ctx, target, "run", outcome, false, err)
+		outcome = watch.wholeOutcome()
+		c.noteLost(watch.generation.ctx, target, "run", outcome, false, err)
 		return nil, outcome, err
 	}
 	defer answer.Close()
@@ -137,8 +165,8 @@
 		if got.answer.NotRun {
 			c.ran--
 		}
-		outcome = c.lostOutcome(withdrawn)
-		c.noteLost(c.ctx, target, "run", outcome, got.answer.NotRun, err)
+		outcome = watch.wholeOutcome()
+		c.noteLost(watch.generation.ctx, target, "run", outcome, got.answer.NotRun, err)
 		return nil, outcome, err
 	}
 	if outcome, err = c.classify(got); outcome == placement.Answered {
@@ -166,32 +194,26 @@
 	}
 }
 
-// contactOutcome distinguishes a broken connection from one that this host closed.
-func (c *call) contactOutcome() placement.Outcome {
-	if c.ctx.Err() != nil {
+// wholeOutcome returns why an attempt at a plain service has ended without an answer: it distinguishes a broken
+// connection from one that this host closed.
+func (s *silenceWatch) wholeOutcome() placement.Outcome {
+	switch {
+	case s.takenOver:
+		return placement.Silent
+	case s.withdrawn, s.generation.ctx.Err() != nil:
 		return placement.Canceled
 	}
 	return placement.NoContact
 }
 
-// lostOutcome is contactOutcome of an attempt that may have been withdrawn from its instance.
-func (c *call) lostOutcome(withdrawn <-chan struct{}) placement.Outcome {
-	select {
-	case <-withdrawn:
-		return placement.Canceled
-	default:
-		return c.contactOutcome()
-	}
-}
-
-// attemptContext limits an attempt of a safe request, so that there is time to try another
-// instance.
-func (c *call) attemptContext() (context.Context, context.CancelFunc) {
+// attemptTimeout returns how long an attempt of a safe request waits before another one runs beside it, 0 for no
+// limit: there must be time for both.
+func (c *call) attemptTimeout() time.Duration {
 	timeout := attemptTimeoutGoals * c.route.Goal
 	if c.route.Kind != routes.Safe || c.ran+1 >= c.route.MaxAttempts || timeout <= 0 || c.remaining() < timeout+c.route.Goal {
-		return context.WithCancel(c.ctx)
+		return 0
 	}
-	return context.WithTimeout(c.ctx, timeout)
+	return timeout
 }
 
 // passWhole passes an instance's answer on. An answer that is not the endpoint's is
