--- a/internal/engines/quarantine/admit.go
+++ b/internal/engines/quarantine/admit.go
@@ -157,6 +157,18 @@
 // sending is an attempt at an instance. A request has several while one of them is silent.
 type sending struct{ withdraw func() }
 
+// QuarantinedSuspect returns the suspect of a request that is in quarantine, empty if none is.
+func (l *Ledger) QuarantinedSuspect(r *Request) Suspect {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range r.suspects {
+		if l.verdicts[b] != nil {
+			return b
+		}
+	}
+	return ""
+}
+
 // Sent records that a request goes to an instance that may begin to answer it. If one of its
 // suspects comes into quarantine before that, withdraw is called, once and without a lock held.
 // The returned function says that the attempt is over.
--- a/internal/engines/quarantine/blocks_test.go
+++ b/internal/engines/quarantine/blocks_test.go
@@ -92,18 +92,22 @@
 	for part := range parts {
 		t.Run(fmt.Sprint("part ", part), func(t *testing.T) {
 			t.Parallel()
-			playRandomEnds(t, uint64(part), seeds, parts)
+			playRandomEnds(t, uint64(part), seeds, parts, -1)
 		})
 	}
 }
 
+func TestNoSoundPromptIsBlamedForEndsAtRandom(t *testing.T) {
+	playRandomEnds(t, 0, seedCount(t, 12), 1, 0)
+}
+
 // playRandomEnds plays the seeds from first up to limit in steps.
-func playRandomEnds(t *testing.T, first, limit, step uint64) {
+func playRandomEnds(t *testing.T, first, limit, step uint64, identities int) {
 	worst := 0.0
 	for seed := first; seed < limit; seed += step {
 		hosts := []int{1, 8, 24, 70}[seed%4]
 		p := newPlay(seed, hosts, max(4, hosts/3))
-		p.short = float64(seed%3) / 4
+		p.short, p.identities = float64(seed%3)/4, identities
 		p.run(2*time.Second, 40, 0)
 		for n := range 12 {
 			switch p.rng.IntN(3) {
--- a/internal/engines/quarantine/judge.go
+++ b/internal/engines/quarantine/judge.go
@@ -175,7 +175,7 @@
 
 // weigh returns the suspicions that the unexplained ends give rise to. An end with a suspect
 // in quarantine is explained. One with a suspect that was never seen to begin says nothing
-// against the suspects that were.
+// against the suspects that were; a request of that sort speaks for requests only.
 func (l *Ledger) weigh() map[Suspect]suspicion {
 	out := map[Suspect]suspicion{}
 	all := momentCount{count: map[string]int{}, latest: map[string]time.Time{}}
@@ -183,14 +183,21 @@
 	inEnds := countEnds(ends)
 	for _, e := range ends {
 		all.add(e)
-		unknown := slices.ContainsFunc(e.list(), func(b Suspect) bool {
-			// A request that was lost once explains no other end.
-			return !l.known(b, e.at) && l.lastBegin(b).Before(e.at) && (b.Kind() == KindBlock || inEnds[b] > 1)
-		})
+		var explains [kinds]bool // by an unknown suspect, what is known
+		for b := range e.suspects {
+			switch {
+			case l.known(b, e.at) || !l.lastBegin(b).Before(e.at):
+			case b.Kind() == KindBlock:
+				explains[KindBlock], explains[KindRequest] = true, true
+			case inEnds[b] > 1: // a request that was lost once explains no other end
+				// It does not speak for blocks, as it may be the second try of a request with a bad one.
+				explains[KindRequest] = true
+			}
+		}
 		othersBegan := l.othersBegan(e)
 		for b := range e.suspects {
 			begin := l.lastBegin(b)
-			if !begin.Before(e.at) || unknown && l.known(b, e.at) {
+			if !begin.Before(e.at) || explains[b.Kind()] && l.known(b, e.at) {
 				continue
 			}
 			s := out[b]
@@ -243,18 +250,23 @@
 }
 
 // othersBegan reports whether most suspects of an end, without one that did not, were seen to begin
-// after it; if it has a single one, whether any request did at this host. The caller holds l.mu.
+// after it; if it has a single one, whether any request did at this host. Requests do not count beside
+// blocks: most come once, so that they are not seen to begin. The caller holds l.mu.
 func (l *Ledger) othersBegan(e *end) bool {
-	if len(e.suspects) == 1 {
-		return l.begins[e.list()[0].Kind()].lastRequest().After(e.at)
+	list := e.list()
+	if e.count[KindBlock] > 0 {
+		list = slices.DeleteFunc(list, func(b Suspect) bool { return b.Kind() != KindBlock })
+	}
+	if len(list) == 1 {
+		return l.begins[list[0].Kind()].lastRequest().After(e.at)
 	}
 	begun := 0
-	for b := range e.suspects {
+	for _, b := range list {
 		if l.lastBegin(b).After(e.at) {
 			begun++
 		}
 	}
-	return begun > 0 && begun*3 >= (len(e.suspects)-1)*2
+	return begun > 0 && begun*3 >= (len(list)-1)*2
 }
 
 // drawPhases draws the phases of new suspects and drops those of others.
@@ -287,7 +299,8 @@
 }
 
 // mostConvincing returns the suspect that was longest not seen to begin, of those that should
-// be in quarantine. The names decide between equals, so that all hosts choose alike.
+// be in quarantine. Between equals a request comes before the blocks of its prompt, which others may
+// share; then the names decide, so that all hosts choose alike.
 func (l *Ledger) mostConvincing() (Suspect, bool) {
 	best, found := Suspect(""), false
 	for b, s := range l.suspects {
@@ -299,13 +312,21 @@
 		case !found,
 			s.latestBegin.Before(other.latestBegin),
 			s.latestBegin.Equal(other.latestBegin) && s.moments > other.moments,
-			s.latestBegin.Equal(other.latestBegin) && s.moments == other.moments && b < best:
+			s.latestBegin.Equal(other.latestBegin) && s.moments == other.moments && narrower(b, best):
 			best, found = b, true
 		}
 	}
 	return best, found
 }
 
+// narrower reports whether a suspect is preferred to another one with the same evidence.
+func narrower(a, b Suspect) bool {
+	if a.Kind() != b.Kind() {
+		return a.Kind() == KindRequest
+	}
+	return a < b
+}
+
 // indistinguishable reports whether another request is a suspect of exactly the same ends: a test of
 // each alone will show which of them ends instances.
 func (l *Ledger) indistinguishable(b Suspect) bool {
--- a/internal/engines/quarantine/ledger.go
+++ b/internal/engines/quarantine/ledger.go
@@ -1,7 +1,8 @@
 // Package quarantine finds what ends each instance that runs it, and decides which requests may
 // still be sent. It does no I/O and reads no clock. It answers two loads: prompts with one block
 // that ends engines, which come at any host among sound ones that share their caller and their other
-// blocks; and one request that ends instances and comes again at any host.
+// blocks; and one request that ends instances and comes again at any host, among sound ones that may
+// share all of its blocks.
 //
 // A suspect of an instance's end is a block of a request, or a request, that the instance had taken
 // and had not begun to answer. A suspect that others begin to answer is cleared of all ends before
@@ -16,13 +17,15 @@
 //	path                                 suspect               one request   all alike
 //	plain service, safe                  the request           2             quarantine
 //	plain service, unsafe                the request           1             quarantine
-//	stream with shared blocks            the blocks            1             quarantine
+//	stream with shared blocks            the blocks and it     1, or 2 *     quarantine
 //	stream without them, resumable       the request           2             quarantine
 //	stream without them, not resumable   the request           1             quarantine
 //	probe                                as above              1             granted one at a time
 //	requests that differ each time       none that comes again as above      no bound
 //	package proxy, plain service         the request           its attempts  quarantine of each host
 //	package proxy, stream                none                  its attempts  no bound
+//
+// * 1 if it cannot be resumed or has a block that nobody was seen to begin lately.
 package quarantine
 
 import (
@@ -50,7 +53,8 @@
 	// exchanges, which leaves time for a second try within a short deadline.
 	fewHostsWait = 250 * time.Millisecond
 	fewHosts     = 24
-	// maxEnds and maxPending bound what is kept of ends, maxSuspectsPerEnd the suspects of one.
+	// maxEnds and maxPending bound what is kept of ends, maxSuspectsPerEnd the suspects of one, of each
+	// kind, so that the many requests of an engine leave room for its blocks.
 	// Beyond maxKnownPerEnd suspects, those that were seen to begin lately are left out: an engine
 	// under load has hundreds of requests that wait.
 	maxEnds           = 128
@@ -84,15 +88,35 @@
 }
 
 type pendingLoss struct {
-	address  string
-	at       time.Time
-	suspects map[Suspect]bool
+	address string
+	at      time.Time
+	suspectSet
 }
 
 // end is the end of an instance with its suspects.
 type end struct {
-	at       time.Time // when the first host lost a request by it
+	at time.Time // when the first host lost a request by it
+	suspectSet
+}
+
+// suspectSet is a bounded set of suspects.
+type suspectSet struct {
 	suspects map[Suspect]bool
+	count    [kinds]int // of them
+}
+
+func newSuspectSet() suspectSet { return suspectSet{suspects: map[Suspect]bool{}} }
+
+// add adds suspects, at most maxSuspectsPerEnd of each kind, and reports whether there are new ones.
+func (s *suspectSet) add(suspects []Suspect) (added bool) {
+	for _, b := range suspects {
+		if k := b.Kind(); !s.suspects[b] && s.count[k] < maxSuspectsPerEnd {
+			s.suspects[b] = true
+			s.count[k]++
+			added = true
+		}
+	}
+	return added
 }
 
 // New returns an empty Ledger; random returns random numbers from [0, 1).
@@ -128,7 +152,7 @@
 	probe    Suspect   // suspect in quarantine that it probes, empty if none
 }
 
-// Request returns a request with the shared blocks of its prompt, or its own name, as suspects.
+// Request returns a request with the shared blocks of its prompt and its own name as suspects, the blocks first.
 func (l *Ledger) Request(suspects []Suspect) *Request { return &Request{suspects: suspects} }
 
 // Begun records that an instance has begun to answer: the request's suspects are sound.
@@ -162,7 +186,7 @@
 		return
 	}
 	if e := l.ends[in]; e != nil {
-		e.add(l.likely(r.suspects, len(e.suspects), now))
+		e.add(l.likely(r.suspects, e.count, now))
 		r.lostAt = now
 		l.judge(now)
 		return
@@ -172,23 +196,18 @@
 		if len(l.pending) >= maxPending {
 			return
 		}
-		p = &pendingLoss{address: address, at: now, suspects: map[Suspect]bool{}}
+		p = &pendingLoss{address: address, at: now, suspectSet: newSuspectSet()}
 		l.pending[in] = p
 	}
-	for _, b := range l.likely(r.suspects, len(p.suspects), now) {
-		if len(p.suspects) < maxSuspectsPerEnd {
-			p.suspects[b] = true
-		}
-	}
+	p.add(l.likely(r.suspects, p.count, now))
 }
 
-// likely returns the suspects to record for an end that has some already. The caller
+// likely returns the suspects to record for an end that has some of each kind already. The caller
 // holds l.mu.
-func (l *Ledger) likely(suspects []Suspect, have int, now time.Time) []Suspect {
-	if have < maxKnownPerEnd {
-		return suspects
-	}
-	return slices.DeleteFunc(slices.Clone(suspects), func(b Suspect) bool { return l.known(b, now) })
+func (l *Ledger) likely(suspects []Suspect, have [kinds]int, now time.Time) []Suspect {
+	return slices.DeleteFunc(slices.Clone(suspects), func(b Suspect) bool {
+		return have[b.Kind()] >= maxKnownPerEnd && l.known(b, now)
+	})
 }
 
 // Ended records that an instance's process has ended, by a request that was lost with it.
@@ -264,7 +283,7 @@
 		if len(l.ends) >= maxEnds {
 			return nil
 		}
-		e = &end{at: at, suspects: map[Suspect]bool{}}
+		e = &end{at: at, suspectSet: newSuspectSet()}
 		l.ends[in] = e
 	}
 	if at.Before(e.at) {
@@ -273,17 +292,6 @@
 	return e
 }
 
-// add adds suspects and reports whether there are new ones.
-func (e *end) add(suspects []Suspect) bool {
-	before := len(e.suspects)
-	for _, b := range suspects {
-		if len(e.suspects) < maxSuspectsPerEnd {
-			e.suspects[b] = true
-		}
-	}
-	return len(e.suspects) > before
-}
-
 // HasEnded reports whether an instance is known to have ended lately.
 func (l *Ledger) HasEnded(id string, born int64) bool {
 	l.mu.Lock()
--- a/internal/engines/quarantine/play_test.go
+++ b/internal/engines/quarantine/play_test.go
@@ -26,6 +26,8 @@
 	badLeads bool             // they are the first and only shared blocks of their prompts
 	short    float64          // part of the sound prompts that share only the first block
 
+	identities int // of prompts so far; they have none besides their blocks while it is negative
+
 	failed     func(*playRun) // called for sound requests that were not served, if set
 	ends       []time.Time
 	arrivals   []time.Time // requests with a bad block
@@ -56,6 +58,7 @@
 	until   time.Time // when its engine begins to answer
 	retried bool
 	once    bool // it must not run twice
+	lethal  bool // it ends its engine whatever its suspects
 	since   time.Time
 }
 
@@ -69,7 +72,7 @@
 )
 
 func newPlay(seed uint64, hosts, engines int) *play {
-	p := &play{rng: rand.New(rand.NewPCG(seed, 1)), now: start, grants: NewGrants(), bad: map[Suspect]bool{}, blamedGood: map[Suspect]bool{}}
+	p := &play{identities: -1, rng: rand.New(rand.NewPCG(seed, 1)), now: start, grants: NewGrants(), bad: map[Suspect]bool{}, blamedGood: map[Suspect]bool{}}
 	p.grants.Lead(1, start.Add(-time.Minute))
 	controls := 1
 	if hosts > hostsPerStep {
@@ -161,6 +164,10 @@
 }
 
 func (p *play) send(blocks []Suspect, retried bool) {
+	if p.identities >= 0 {
+		p.identities++
+		blocks = append(slices.Clip(blocks), named(fmt.Sprint("own ", p.identities)))
+	}
 	h := p.hosts[p.rng.IntN(len(p.hosts))]
 	p.sendAt(&playRun{host: h, request: h.ledger.Request(blocks), blocks: blocks, retried: retried, since: p.now})
 }
@@ -181,13 +188,13 @@
 	}
 	if d.Answer == Wait || d.Answer == Refuse || engine == nil {
 		h.ledger.Done(r.request)
-		if d.Answer != Pass && !p.lethal(r.blocks) {
+		if d.Answer != Pass && !p.isLethal(r) {
 			p.refused++
 		}
 		p.fail(r)
 		return
 	}
-	if p.lethal(r.blocks) {
+	if p.isLethal(r) {
 		p.arrivals = append(p.arrivals, p.now)
 	}
 	r.engine, r.born, r.until = engine, engine.born, p.now.Add(playBegin)
@@ -196,13 +203,16 @@
 
 // fail tells that a request was not served.
 func (p *play) fail(r *playRun) {
-	if p.failed != nil && !p.lethal(r.blocks) {
+	if p.failed != nil && !p.isLethal(r) {
 		p.failed(r)
 	}
 }
 
-func (p *play) lethal(blocks []Suspect) bool {
-	for _, b := range blocks {
+func (p *play) isLethal(r *playRun) bool {
+	if r.lethal {
+		return true
+	}
+	for _, b := range r.blocks {
 		if p.bad[b] {
 			return true
 		}
@@ -245,7 +255,7 @@
 			p.lose(r)
 		case p.now.Before(r.until):
 			p.running = append(p.running, r)
-		case p.lethal(r.blocks):
+		case p.isLethal(r):
 			p.end(r.engine)
 			p.lose(r)
 		default:
--- a/internal/serve/forward/quarantine.go
+++ b/internal/serve/forward/quarantine.go
@@ -21,24 +21,19 @@
 	reasonQuarantined = "quarantined_"
 )
 
-// newSuspect returns the request's state in the quarantine ledger.
+// newSuspect returns the request's state in the quarantine ledger: the blocks that its prompt shares with
+// others are suspects, and so is the request itself, as sound requests may share all of its blocks.
 func (c *call) newSuspect() *quarantine.Request {
-	if c.identity != "" {
-		return c.server.quarantine.Request([]quarantine.Suspect{c.identity})
-	}
 	shared := c.meta.PrefixBlocks[:max(0, len(c.meta.PrefixBlocks)-1)]
-	var blocks []quarantine.Suspect
+	var suspects []quarantine.Suspect
 	for _, b := range shared[:min(len(shared), maxSuspectBlocks)] {
-		blocks = append(blocks, quarantine.BlockOf(c.meta.Model, b.ID))
+		suspects = append(suspects, quarantine.BlockOf(c.meta.Model, b.ID))
 	}
-	return c.server.quarantine.Request(blocks)
+	return c.server.quarantine.Request(append(suspects, c.identity))
 }
 
-// newIdentity returns the request's name by its content, empty if blocks of its prompt name it.
+// newIdentity returns the request's name by its content.
 func (c *call) newIdentity() quarantine.Suspect {
-	if len(c.meta.PrefixBlocks) > 1 {
-		return ""
-	}
 	return quarantine.Identity{
 		Endpoint: c.endpoint, Method: c.r.Method, Host: c.r.Host, Target: c.r.RequestURI,
 		Caller: c.meta.Caller, Model: c.meta.Model, Body: c.body,
@@ -91,10 +86,7 @@
 
 // reasonWithdrawn is the reason of a request that was canceled at its instance.
 func (c *call) reasonWithdrawn() string {
-	if c.identity != "" {
-		return reasonQuarantined + quarantine.KindRequest.String()
-	}
-	return reasonQuarantined + quarantine.KindBlock.String()
+	return reasonQuarantined + c.server.quarantine.QuarantinedSuspect(c.suspect).Kind().String()
 }
 
 // noteBegun records that an instance has begun to answer a stream, or has answered another request.
