--- a/cmd/filberthook-host/host.go
+++ b/cmd/filberthook-host/host.go
@@ -185,6 +185,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
+	if s.Platform.Address != "" {
+		set, unknown := platform.DecodeDuties(s.Platform.Duties)
+		if len(unknown) > 0 {
+			p.logger.Warn("duties unknown to this release are not done", "duties", unknown)
+		}
+		host.UseDuties(platform.NewCloud(s.Platform.Address, s.Platform.CallsPerSecond), set)
+	}
 	p.group = func(ctx context.Context) controlapi.GroupStatus { return host.GroupStatus(ctx, true) }
 	load := func() ([]string, error) {
 		var next controlhost.Settings
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -91,6 +91,7 @@
 	epoch    string // identifies this run of the process to watching hosts
 	handler  func(Service) http.Handler
 	engines  stagereconciler.Engines // nil if this host gives no orders
+	duties   duties
 
 	membership *membership
 	view       *instances.View // merged from all control hosts: each gets a part of the heartbeats
@@ -220,6 +221,7 @@
 	if h.engines != nil {
 		tasks.Go(func() error { h.reconcileStages(ctx); return nil })
 	}
+	h.runDuties(ctx, tasks)
 	err = tasks.Wait()
 	h.logger.Info("control host stopped", "err", err)
 	return err
--- a/internal/control/controlhost/settings.go
+++ b/internal/control/controlhost/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"path/filepath"
+	"time"
 
 	"filberthook/internal/control/formation"
 	"filberthook/internal/process/settings"
@@ -24,9 +25,25 @@
 	Tolerate       Tolerate          `toml:"tolerate"`
 	ReplaceAfter   tomltime.Duration `toml:"replace_after"` // time after a loss or replacement at which the next host may be lost; votes move in a quarter of it
 	Stages         Stages            `toml:"stages"`
+	Platform       Platform          `toml:"platform"`
+	Usage          Usage             `toml:"usage"`
 	Log            settings.Log      `toml:"log"`
 }
 
+// Platform names the API of the platform and the duties that the deployment asks for. Without
+// an address the group has no duties.
+type Platform struct {
+	Address        string   `toml:"address"`          // host and port, or a URL
+	Duties         []string `toml:"duties"`           // names in the platform's words
+	CallsPerSecond float64  `toml:"calls_per_second"` // of all hosts together, 0 for no limit
+}
+
+// Usage configures the reports of accounts' requests.
+type Usage struct {
+	Window tomltime.Duration `toml:"window"` // 0 for no reports
+	Late   tomltime.Duration `toml:"late"`   // when a report is due, from the end of its window
+}
+
 // Stages configures how engines are divided into prefill and decode engines.
 type Stages struct {
 	// Lease is the least time between the last order of one leader and the first of the
@@ -106,9 +123,28 @@
 	if s.Stages.ExpectedPromptTokens < 0 || s.Stages.ExpectedOutputTokens < 0 {
 		c.Add("stages", "expects a demand below 0", "use 0 or more")
 	}
+	if s.Platform.CallsPerSecond < 0 {
+		c.Add("platform.calls_per_second", "is below 0", "use 0 or more")
+	}
+	checkUsage(c, s.Usage)
 	s.Log.Check(c, "log")
 }
 
+// checkUsage reports windows that cannot be numbered in milliseconds or reported in time.
+func checkUsage(c *settings.Checker, u Usage) {
+	CheckUsageWindow(c, u.Window)
+	if u.Window.Duration > 0 && u.Late.Duration < time.Second {
+		c.Add("usage.late", fmt.Sprintf("is %v", u.Late.Duration), "set the time until a report is due, such as 10s, at least 1s")
+	}
+}
+
+// CheckUsageWindow reports a length of usage windows that is not a whole number of milliseconds.
+func CheckUsageWindow(c *settings.Checker, window tomltime.Duration) {
+	if window.Duration < 0 || window.Duration%time.Millisecond != 0 {
+		c.Add("usage.window", fmt.Sprintf("is %v", window.Duration), "use whole milliseconds, such as 5s, or leave it out for no reports")
+	}
+}
+
 // CheckSeeds reports missing and malformed seeds.
 func CheckSeeds(c *settings.Checker, seeds []string) {
 	if len(seeds) == 0 {
--- a/internal/serve/entryhost/settings.go
+++ b/internal/serve/entryhost/settings.go
@@ -22,6 +22,7 @@
 	Listen         Listen            `toml:"listen"`
 	Retry          Retry             `toml:"retry"`
 	Accounts       Accounts          `toml:"accounts"`
+	Usage          Usage             `toml:"usage"`
 	Log            settings.Log      `toml:"log"`
 }
 
@@ -47,6 +48,11 @@
 	Window tomltime.Duration `toml:"window"` // length of the sliding window
 }
 
+// Usage configures the counts of accounts' requests that are reported to the control group.
+type Usage struct {
+	Window tomltime.Duration `toml:"window"` // as at the control hosts; 0 for no counts
+}
+
 // Check implements settings.Checkable.
 func (s *Settings) Check(c *settings.Checker) {
 	c.Required("host", s.Host, "name this host")
@@ -79,5 +85,6 @@
 	if within := s.Accounts.RevokeWithin.Duration; within != 0 && within < revocation.MinBound {
 		c.Add("accounts.revoke_within", fmt.Sprintf("is %v", within), fmt.Sprintf("use at least %v, or leave it out for no bound", revocation.MinBound))
 	}
+	controlhost.CheckUsageWindow(c, s.Usage.Window)
 	s.Log.Check(c, "log")
 }
