--- a/internal/replication/document/document.go
+++ b/internal/replication/document/document.go
@@ -39,15 +39,16 @@
 // Machine holds the newest document. It implements replica.StateMachine.
 // Invariant: the version never decreases.
 type Machine struct {
-	current  atomic.Pointer[Document]
-	packed   atomic.Pointer[Packed] // the newest document that was replicated in packed form
-	onChange func(Document)
+	current    atomic.Pointer[Document]
+	packed     atomic.Pointer[Packed] // the newest document that was replicated in packed form
+	onChange   func(Document)
+	extensions map[Kind]Extension
 }
 
 // NewMachine returns a Machine without a document. The Machine calls onChange with each
 // document that comes into force, in order.
 func NewMachine(onChange func(Document)) *Machine {
-	m := &Machine{onChange: onChange}
+	m := &Machine{onChange: onChange, extensions: map[Kind]Extension{}}
 	m.current.Store(&Document{})
 	m.packed.Store(&Packed{})
 	return m
@@ -62,9 +63,12 @@
 	return p, version != 0 && p.Version == version
 }
 
-// Apply implements replica.StateMachine. It returns the version in force, or an error
-// if the command cannot be decoded.
+// Apply implements replica.StateMachine. It returns the version in force, the result of an
+// extension's command, or an error if the command cannot be decoded.
 func (m *Machine) Apply(_ uint64, data []byte) any {
+	if result, ok := m.applyCommand(data); ok {
+		return result
+	}
 	if err := m.replaceIfNewer(data); err != nil {
 		return err
 	}
@@ -76,13 +80,19 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	current := m.Current()
 	if p, ok := m.Packed(current.Version); ok {
-		return p.Encode(), nil
+		return m.appendExtensions(p.Encode())
 	}
-	return current.Encode(), nil
+	return m.appendExtensions(current.Encode())
 }
 
 // Restore implements replica.StateMachine.
-func (m *Machine) Restore(data []byte) error { return m.replaceIfNewer(data) }
+func (m *Machine) Restore(data []byte) error {
+	data, err := m.restoreExtensions(data)
+	if err != nil {
+		return err
+	}
+	return m.replaceIfNewer(data)
+}
 
 func (m *Machine) replaceIfNewer(data []byte) error {
 	packed, isPacked := decodePacked(data)
