Usage reports: windows are agreed in the replicated log and sent by the holder

Two reports of one window with different counts must never be accepted, whoever sends them. The holder of the duty proposes the counts of a closed window to the log, the first proposal stands, and any holder sends exactly that until the platform takes it. A control host that does not lead passes reports on.

--- a/internal/control/controlhost/duties.go
+++ b/internal/control/controlhost/duties.go
@@ -30,4 +30,8 @@
 		return
 	}
 	tasks.Go(func() error { h.duties.holder.Run(ctx); return nil })
+	if h.reportsUsage() {
+		reporter := h.newUsageReporter()
+		tasks.Go(func() error { reporter.Run(ctx); return nil })
+	}
 }
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -25,6 +25,7 @@
 	"filberthook/internal/control/controlwatch"
 	"filberthook/internal/control/formation"
 	"filberthook/internal/control/stagereconciler"
+	"filberthook/internal/control/usagereport"
 	"filberthook/internal/engines/instances"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/network/peer"
@@ -92,6 +93,7 @@
 	handler  func(Service) http.Handler
 	engines  stagereconciler.Engines // nil if this host gives no orders
 	duties   duties
+	usage    *usagereport.Collector
 
 	membership *membership
 	view       *instances.View // merged from all control hosts: each gets a part of the heartbeats
@@ -149,6 +151,7 @@
 	}
 	h.loads = newLoads(h.epoch)
 	h.confirms = &sharedReads{now: boottime.Now, read: h.confirmedNewest}
+	h.usage = usagereport.NewCollector(h.epoch, usagereport.Windows{Length: s.Usage.Window.Duration, Late: s.Usage.Late.Duration})
 	h.seedList.Store(&s.Seeds)
 	h.membership = &membership{host: h, fs: fsys.OS{}, snapshotBytes: defaultSnapshotBytes}
 	h.rpc = raftnet.NewPool(h.peerOptions())
@@ -258,6 +261,9 @@
 	peer.Handle(m, controlapi.MethodBlocks, func(ctx context.Context, from peer.Identity, req controlapi.BlocksRequest) (controlapi.BlocksResponse, error) {
 		return h.serveBlocks(ctx, from, req)
 	})
+	if h.reportsUsage() {
+		peer.Handle(m, controlapi.MethodUsage, h.serveUsage)
+	}
 	peer.Handle(m, controlapi.MethodDigest, func(_ context.Context, from peer.Identity, digest controlapi.LoadReport) (controlapi.LoadReport, error) {
 		h.loads.receiveDigest(from.Host, digest, time.Now())
 		return controlapi.LoadReport{UpdatesEpoch: h.epoch}, nil
--- a/internal/control/controlhost/member.go
+++ b/internal/control/controlhost/member.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"filberthook/internal/control/formation"
+	"filberthook/internal/control/usagereport"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/document"
 	"filberthook/internal/replication/fsys"
@@ -40,6 +41,7 @@
 type openReplica struct {
 	replica *replica.Replica
 	machine *document.Machine
+	ledger  *usagereport.Ledger
 	id      uint64
 	// committed is the last entry that the disk says is committed. Until it is applied, the
 	// configurations of the log are older than the one that was in force.
@@ -143,12 +145,13 @@
 	if err != nil {
 		return nil, err
 	}
-	opened := &openReplica{id: id}
+	opened := &openReplica{id: id, ledger: usagereport.NewLedger()}
 	opened.machine = document.NewMachine(func(d document.Document) {
 		if opened.replayed.Load() {
 			m.host.configurationChanged(d)
 		}
 	})
+	opened.machine.Extend(document.KindUsage, opened.ledger)
 	r, err := replica.Open(replica.Config{
 		ID:            id,
 		Dir:           m.dir(),
@@ -219,6 +222,14 @@
 	return opened.replica.Status(), true
 }
 
+// ledger returns the replicated state of usage reports, an empty one while the replica is closed.
+func (m *membership) ledger() *usagereport.Ledger {
+	if opened := m.current.Load(); opened != nil {
+		return opened.ledger
+	}
+	return usagereport.NewLedger()
+}
+
 // addresses returns the peer addresses of the group's members.
 func (m *membership) addresses() []string {
 	status, _ := m.status()
--- a/internal/control/regroup/survivor.go
+++ b/internal/control/regroup/survivor.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"filberthook/internal/control/usagereport"
 	"filberthook/internal/replication/consensus"
 	"filberthook/internal/replication/document"
 	"filberthook/internal/replication/fsys"
@@ -42,6 +43,7 @@
 		return nil, err
 	}
 	s := &Survivor{folder: folder, machine: document.NewMachine(func(document.Document) {})}
+	s.machine.Extend(document.KindUsage, usagereport.NewLedger())
 	s.Disk = Disk{
 		ID: id, Address: address, Term: state.HardState.Term, LastTerm: state.Snapshot.Term, Last: state.Snapshot.Index,
 		Commit: max(state.HardState.Commit, state.Snapshot.Index), Memberships: []consensus.Membership{state.Snapshot.Membership},
