Entry hosts count the accounts' requests and report them

A request counts once it begins to run: a stream with its first event, another request when it was sent to the instance that answered it.

--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -270,3 +270,16 @@
 	w.logger.Info("control host forgotten", "control", address)
 	return true
 }
+
+// Reached returns the addresses of the control hosts that answer.
+func (w *Watcher) Reached() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for address, t := range w.watched {
+		if t.up {
+			out = append(out, address)
+		}
+	}
+	return out
+}
--- a/internal/control/duty/duty_test.go
+++ b/internal/control/duty/duty_test.go
@@ -35,6 +35,14 @@
 	holder *Holder
 }
 
+// start starts the host's process.
+func (h *testHost) start(wait time.Duration) {
+	h.term = 0
+	h.holder = NewHolder(Options{Host: fmt.Sprint("c", h.index), Lease: testLease, Group: h, Now: func() time.Duration { return h.world.now },
+		Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet()})
+	h.holder.tenure.wait = wait
+}
+
 func (h *testHost) Leads() (uint64, bool) { return h.term, h.term != 0 }
 
 func (h *testHost) Confirm(context.Context) error {
@@ -80,14 +88,11 @@
 func play(seed uint64, wait time.Duration) []arrival {
 	w := &world{random: rand.New(rand.NewPCG(seed, 1))}
 	for i := range 2 {
-		h := &testHost{world: w, index: i}
-		h.holder = NewHolder(Options{Host: fmt.Sprint("c", i), Lease: testLease, Group: h, Now: func() time.Duration { return w.now },
-			Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet()})
-		h.holder.tenure.wait = wait
-		w.hosts = append(w.hosts, h)
+		w.hosts = append(w.hosts, &testHost{world: w, index: i})
+		w.hosts[i].start(wait)
 	}
 	var history []arrival
-	for step := 0; step < 3000; step++ {
+	for step := 0; step < 5000; step++ {
 		w.now += 20 * time.Millisecond
 		if step%50 == 0 && w.random.IntN(4) == 0 { // another election; the former leader does not know
 			w.term++
@@ -99,7 +104,14 @@
 				continue
 			}
 			if w.random.IntN(200) == 0 && h.index != w.leader {
-				h.term = 0 // it learns of the election, or its process starts again
+				h.term = 0 // it learns of the election
+			}
+			if w.random.IntN(1500) == 0 { // its process is killed and starts again, with its disk or without
+				h.start(wait)
+				if h.index == w.leader && w.random.IntN(2) == 0 {
+					w.term++ // the group elects it again at once
+					h.term = w.term
+				}
 			}
 			c, ok := h.holder.Hold(context.Background())
 			if !ok {
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -31,6 +31,7 @@
 	"filberthook/internal/serve/forward"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
+	"filberthook/internal/serve/usage"
 )
 
 // Time limits and intervals of the host.
@@ -83,6 +84,7 @@
 	raced          *metrics.Counter // see callerConn
 	lameDuck       time.Duration    // see lameDuckPeriod
 	startedAt      time.Time
+	usage          *usage.Reporter // nil where no usage is reported
 	stopping       atomic.Bool
 	seeds          atomic.Pointer[[]string]
 }
@@ -99,7 +101,9 @@
 		Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window.Duration,
 	}, func() int { return h.watcher.Hosts() })
 	h.keys = newKeys(s.Accounts)
-	h.server = forward.New(forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout, Keys: h.keys.forwarding(func() uint64 { return h.watcher.Announced() })},
+	counts := newCounts(s.Usage, set)
+	forwarding := forward.Settings{Zone: s.Zone, ReadTimeout: bodyTimeout, Keys: h.keys.forwarding(func() uint64 { return h.watcher.Announced() }), Usage: counter(counts)}
+	h.server = forward.New(forwarding,
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.quarantine, h.logger, set)
 	h.connections = newCallerConnections(h.server)
 	h.raced = set.GetOrCreateCounter("filberthook_entry_requests_at_idle_timeout_total")
@@ -110,6 +114,9 @@
 	h.loadClients = raftnet.NewPool(options)
 	config := &configuration{decode: p.DecodeConfig, server: h.server, logger: h.logger, changed: h.keys.wake}
 	h.watcher = controlwatch.New(h.clients, h.view, config, h.logger)
+	if counts != nil {
+		h.usage = &usage.Reporter{Counts: counts, Control: h.watcher, Clients: h.loadClients, Logger: h.logger}
+	}
 	set.GetOrCreateGauge("filberthook_entry_config_version", func() float64 { return float64(config.Version()) })
 	set.GetOrCreateGauge("filberthook_entry_control_hosts", func() float64 { return float64(h.watcher.Connected()) })
 	set.GetOrCreateGauge("filberthook_entry_restricted_instances", func() float64 { return float64(h.fleet.RestrictedInstances(time.Now())) })
@@ -179,9 +186,13 @@
 		return nil
 	})
 	tasks.Go(func() error { h.confirmKeys(background); return nil })
+	if h.usage != nil {
+		tasks.Go(func() error { h.usage.Run(background); return nil })
+	}
 	tasks.Go(func() error { return h.serveReady(background, ready) })
 	tasks.Go(func() error {
 		defer stop()
+		defer h.flushUsage()
 		return h.serveCallers(ctx, callers)
 	})
 	err = tasks.Wait()
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -29,6 +29,7 @@
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
+	"filberthook/internal/serve/usage"
 )
 
 // Settings configures a Server.
@@ -38,6 +39,8 @@
 	// the deadline of the request does.
 	ReadTimeout time.Duration
 	Keys        Keys // used if the configuration lists client accounts
+	// Usage counts the accounts' requests that began to run, nil for no counts.
+	Usage usage.Counter
 }
 
 const (
@@ -223,6 +226,7 @@
 	start    time.Time
 	deadline time.Time // the earlier of the route's timeout and the caller's deadline
 
+	counted   bool // among its account's requests
 	endpoint  string
 	excluded  map[string]bool    // IDs of instances that are not tried again
 	arrivals  arrivals           // at instances
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -386,6 +386,7 @@
 			watch.noteProgress()
 			p.pass(e)
 			c.noteBegun()
+			c.countUsage(time.Now())
 		}
 		if _, err := c.w.Write(append(early, e.raw...)); err != nil {
 			return err
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -138,6 +138,7 @@
 		return nil, outcome, err
 	}
 	if outcome, err = c.classify(got); outcome == placement.Answered {
+		c.countUsage(start)
 		c.noteBegun() // a failure is no proof that the request is sound: instances fail some they never ran
 	}
 	return got, outcome, err
