Duties: answers of a slow platform are awaited for two seconds; metrics

A platform that answers after more than a second would never confirm a report, which is then repeated and billed without end. A call now ends after 2 s, below the lease of 3 s; what was sent and not acknowledged is still dropped after 1 s, and a new holder waits for the longer flight time.

The tests of duty, usagereport and the calls in platform pass.

--- a/internal/control/controlhost/usage.go
+++ b/internal/control/controlhost/usage.go
@@ -59,6 +59,7 @@
 		}
 		answer.Recorded = h.membership.ledger().Last()
 		if late := h.usage.Add(host, report, answer.Recorded, boottime.Now()); late > 0 {
+			h.metrics.GetOrCreateCounter("filberthook_control_usage_late_total").AddInt64(late)
 			h.logger.Warn("requests reported after the counts of their window were agreed", "entry", host, "requests", late, "recorded", answer.Recorded)
 		}
 		answer.Collector = h.epoch
--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -21,9 +21,10 @@
 	// sendWindow is how long after the start of its confirmation a call may be sent. It is
 	// measured with a clock that counts suspensions of the machine.
 	sendWindow = 500 * time.Millisecond
-	// CallTimeout bounds the time from the sending of a call to its end. It is shorter than
-	// any lease; after it nothing of the call may still be sent.
-	CallTimeout = time.Second
+	// CallTimeout bounds the time from the sending of a call to its end; after it nothing of the
+	// call may still be sent. It is shorter than the lease of 3 s, and long enough for a slow
+	// platform: a call that times out is billed and repeated though it had its effect.
+	CallTimeout = 2 * time.Second
 	// FlightTime is an upper bound on the time from the start of a confirmation to the
 	// arrival of the call. A new holder waits for the lease plus this time.
 	FlightTime = sendWindow + CallTimeout
--- a/internal/control/usagereport/collector.go
+++ b/internal/control/usagereport/collector.go
@@ -156,7 +156,7 @@
 			}
 		}
 	}
-	end := time.Duration(window+1) * c.windows.Length
+	end := c.endOf(window)
 	if at < end || at < end+time.Duration(closeShare*float64(c.windows.Late)) && !c.complete(end, now) {
 		return 0, nil, false
 	}
@@ -169,6 +169,11 @@
 	return window, counts, true
 }
 
+// endOf returns the end of a window, since 1970.
+func (c *Collector) endOf(window int64) time.Duration {
+	return time.Duration(window+1) * c.windows.Length
+}
+
 // complete reports whether there are reporting entry hosts and all have reported past a time. Of
 // an entry host only the run that was heard last is awaited.
 func (c *Collector) complete(end, now time.Duration) bool {
--- a/internal/control/usagereport/reporter.go
+++ b/internal/control/usagereport/reporter.go
@@ -23,7 +23,7 @@
 	// firstRetry and maxRetry bound the pause after a call that failed, which doubles. A report
 	// that is closed at the latest has 2 s until it is due, and calls are billed.
 	firstRetry = 250 * time.Millisecond
-	maxRetry   = 8 * time.Second
+	maxRetry   = 4 * time.Second
 	// maxUndelivered bounds the windows that wait for the platform. With more of them, windows
 	// stay at the entry hosts.
 	maxUndelivered = 2000
@@ -68,6 +68,7 @@
 	if r.now == nil {
 		r.now = boottime.Now
 	}
+	r.Metrics.GetOrCreateGauge("filberthook_control_usage_undelivered", func() float64 { return float64(len(r.Ledger().Undelivered())) })
 	r.delivered, r.retries = map[int64]bool{}, map[int64]retry{}
 	for pause.For(ctx, reportInterval) {
 		r.closeWindows(ctx)
@@ -92,7 +93,7 @@
 			return
 		}
 		now, _ := r.Collector.Now(r.now())
-		age := now - time.Duration(window+1)*r.Collector.windows.Length
+		age := now - r.Collector.endOf(window)
 		err := r.propose(ctx, command{Window: window, Counts: counts})
 		r.Logger.Info("usage window proposed", "window", window, "accounts", len(counts), "requests", sum(counts),
 			"after_end_ms", age.Milliseconds(), "last", last, "fence", call.Fence, "err", err)
@@ -122,6 +123,9 @@
 				continue
 			}
 			r.delivered[window] = true
+			if now, ok := r.Collector.Now(r.now()); ok {
+				r.Metrics.GetOrCreateHistogram("filberthook_control_usage_report_age_seconds").Update((now - r.Collector.endOf(window)).Seconds())
+			}
 		}
 		if err := r.propose(ctx, command{Window: window, Delivered: true}); err != nil {
 			r.Logger.Info("delivery of a usage window not recorded, trying again", "window", window, "err", err)
