--- a/internal/control/usagereport/reporter.go
+++ b/internal/control/usagereport/reporter.go
@@ -71,36 +71,33 @@
 	r.Metrics.GetOrCreateGauge("filberthook_control_usage_undelivered", func() float64 { return float64(len(r.Ledger().Undelivered())) })
 	r.delivered, r.retries = map[int64]bool{}, map[int64]retry{}
 	for pause.For(ctx, reportInterval) {
-		r.closeWindows(ctx)
-		r.deliver(ctx)
+		for closed := true; closed && ctx.Err() == nil; { // deliveries do not wait until all windows are caught up
+			closed = r.closeWindow(ctx)
+			r.deliver(ctx)
+		}
 	}
 }
 
-// closeWindows records the windows that are closed, the earliest first.
-func (r *Reporter) closeWindows(ctx context.Context) {
-	for ctx.Err() == nil && len(r.Ledger().Undelivered()) < maxUndelivered {
-		last := r.Ledger().Last()
-		if _, _, ok := r.Collector.Next(last, r.now()); !ok {
-			return
-		}
-		call, held := r.Duty.Hold(ctx) // the confirmation also brings the Ledger up to date
-		if !held {
-			return
-		}
-		last = r.Ledger().Last()
-		window, counts, ok := r.Collector.Next(last, r.now())
-		if !ok {
-			return
-		}
-		now, _ := r.Collector.Now(r.now())
-		age := now - r.Collector.endOf(window)
-		err := r.propose(ctx, command{Window: window, Counts: counts})
-		r.Logger.Info("usage window proposed", "window", window, "accounts", len(counts), "requests", sum(counts),
-			"after_end_ms", age.Milliseconds(), "last", last, "fence", call.Fence, "err", err)
-		if err != nil {
-			return
-		}
+// closeWindow records the earliest window that is closed. It reports whether it did.
+func (r *Reporter) closeWindow(ctx context.Context) bool {
+	if _, _, ok := r.Collector.Next(r.Ledger().Last(), r.now()); !ok || len(r.Ledger().Undelivered()) >= maxUndelivered {
+		return false
+	}
+	call, held := r.Duty.Hold(ctx) // the confirmation also brings the Ledger up to date
+	if !held {
+		return false
 	}
+	last := r.Ledger().Last()
+	window, counts, ok := r.Collector.Next(last, r.now())
+	if !ok {
+		return false
+	}
+	now, _ := r.Collector.Now(r.now())
+	age := now - r.Collector.endOf(window)
+	err := r.propose(ctx, command{Window: window, Counts: counts})
+	r.Logger.Info("usage window proposed", "window", window, "accounts", len(counts), "requests", sum(counts),
+		"after_end_ms", age.Milliseconds(), "last", last, "fence", call.Fence, "err", err)
+	return err == nil
 }
 
 // deliver sends the windows that the platform has not confirmed.
