Duties: a test with real control processes that are frozen and killed

The test stops and kills holders among three processes in turn and checks the calls as the platform sees them.

--- a/cmd/filberthook-host/host_test.go
+++ b/cmd/filberthook-host/host_test.go
@@ -30,6 +30,9 @@
 	if os.Getenv(helperVariable) != "" {
 		os.Exit(helperHost())
 	}
+	if file := os.Getenv(controlVariable); file != "" {
+		os.Exit(run([]string{"--settings", file, "control"}, reloadSignals()))
+	}
 	os.Exit(m.Run())
 }
 
