--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -346,15 +346,6 @@
 	}
 }
 
-// expireInstances marks instances whose heartbeats have stopped as silent.
-func (h *Host) expireInstances(ctx context.Context) {
-	for pause.For(ctx, expireInterval) {
-		for _, id := range h.registry.Expire(time.Now()) {
-			h.logger.Info("instance silent", "instance", id, "reason", "no heartbeat here")
-		}
-	}
-}
-
 // Announce implements Service.
 func (h *Host) Announce(ctx context.Context, in instances.Instance) error {
 	h.heartbeats.Inc()
@@ -392,16 +383,6 @@
 	return nil
 }
 
-// awaitDelivery waits until the entry hosts know that an instance leaves, so that they
-// know it even if this process ends.
-func (h *Host) awaitDelivery(ctx context.Context, id string, position uint64) {
-	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
-	defer cancel()
-	if lagging := h.watchers.await(ctx, position); len(lagging) > 0 {
-		h.logger.Warn("instance leaves before all entry hosts have received the change", "instance", id, "hosts", lagging)
-	}
-}
-
 // Replace implements Service.
 func (h *Host) Replace(ctx context.Context, d document.Document) error {
 	start := time.Now()
--- a/internal/control/controlhost/watchers.go
+++ b/internal/control/controlhost/watchers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filberthook/internal/control/controlapi"
+	"filberthook/internal/process/pause"
 )
 
 // watcherTTL is how long an entry host counts as watching after its last request:
@@ -101,3 +102,22 @@
 		}
 	}
 }
+
+// expireInstances marks instances whose heartbeats have stopped as silent.
+func (h *Host) expireInstances(ctx context.Context) {
+	for pause.For(ctx, expireInterval) {
+		for _, id := range h.registry.Expire(time.Now()) {
+			h.logger.Info("instance silent", "instance", id, "reason", "no heartbeat here")
+		}
+	}
+}
+
+// awaitDelivery waits until the entry hosts know that an instance leaves, so that they
+// know it even if this process ends.
+func (h *Host) awaitDelivery(ctx context.Context, id string, position uint64) {
+	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
+	defer cancel()
+	if lagging := h.watchers.await(ctx, position); len(lagging) > 0 {
+		h.logger.Warn("instance leaves before all entry hosts have received the change", "instance", id, "hosts", lagging)
+	}
+}
