--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -25,6 +25,7 @@
 	"filberthook/internal/control/controlwatch"
 	"filberthook/internal/control/formation"
 	"filberthook/internal/control/stagereconciler"
+	"filberthook/internal/control/usagereport"
 	"filberthook/internal/engines/instances"
 	"filberthook/internal/engines/quarantine"
 	"filberthook/internal/network/peer"
@@ -91,6 +92,8 @@
 	epoch    string // identifies this run of the process to watching hosts
 	handler  func(Service) http.Handler
 	engines  stagereconciler.Engines // nil if this host gives no orders
+	duties   duties
+	usage    *usagereport.Collector
 
 	membership *membership
 	view       *instances.View // merged from all control hosts: each gets a part of the heartbeats
@@ -148,6 +151,7 @@
 	}
 	h.loads = newLoads(h.epoch)
 	h.confirms = &sharedReads{now: boottime.Now, read: h.confirmedNewest}
+	h.usage = usagereport.NewCollector(h.epoch, usagereport.Windows{Length: s.Usage.Window.Duration, Late: s.Usage.Late.Duration})
 	h.seedList.Store(&s.Seeds)
 	h.membership = &membership{host: h, fs: fsys.OS{}, snapshotBytes: defaultSnapshotBytes}
 	h.rpc = raftnet.NewPool(h.peerOptions())
@@ -220,6 +224,7 @@
 	if h.engines != nil {
 		tasks.Go(func() error { h.reconcileStages(ctx); return nil })
 	}
+	h.runDuties(ctx, tasks)
 	err = tasks.Wait()
 	h.logger.Info("control host stopped", "err", err)
 	return err
@@ -256,6 +261,9 @@
 	peer.Handle(m, controlapi.MethodBlocks, func(ctx context.Context, from peer.Identity, req controlapi.BlocksRequest) (controlapi.BlocksResponse, error) {
 		return h.serveBlocks(ctx, from, req)
 	})
+	if h.reportsUsage() {
+		peer.Handle(m, controlapi.MethodUsage, h.serveUsage)
+	}
 	peer.Handle(m, controlapi.MethodDigest, func(_ context.Context, from peer.Identity, digest controlapi.LoadReport) (controlapi.LoadReport, error) {
 		h.loads.receiveDigest(from.Host, digest, time.Now())
 		return controlapi.LoadReport{UpdatesEpoch: h.epoch}, nil
@@ -338,15 +346,6 @@
 	}
 }
 
-// expireInstances marks instances whose heartbeats have stopped as silent.
-func (h *Host) expireInstances(ctx context.Context) {
-	for pause.For(ctx, expireInterval) {
-		for _, id := range h.registry.Expire(time.Now()) {
-			h.logger.Info("instance silent", "instance", id, "reason", "no heartbeat here")
-		}
-	}
-}
-
 // Announce implements Service.
 func (h *Host) Announce(ctx context.Context, in instances.Instance) error {
 	h.heartbeats.Inc()
@@ -384,16 +383,6 @@
 	return nil
 }
 
-// awaitDelivery waits until the entry hosts know that an instance leaves, so that they
-// know it even if this process ends.
-func (h *Host) awaitDelivery(ctx context.Context, id string, position uint64) {
-	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
-	defer cancel()
-	if lagging := h.watchers.await(ctx, position); len(lagging) > 0 {
-		h.logger.Warn("instance leaves before all entry hosts have received the change", "instance", id, "hosts", lagging)
-	}
-}
-
 // Replace implements Service.
 func (h *Host) Replace(ctx context.Context, d document.Document) error {
 	start := time.Now()
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -30,6 +30,7 @@
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
+	"filberthook/internal/serve/usage"
 )
 
 // Settings configures a Server.
@@ -39,6 +40,8 @@
 	// the deadline of the request does.
 	ReadTimeout time.Duration
 	Keys        Keys // used if the configuration lists client accounts
+	// Usage counts the accounts' requests that began to run, nil for no counts.
+	Usage usage.Counter
 }
 
 const (
@@ -236,6 +239,7 @@
 
 	// mu guards what follows, and the answer to the caller, while attempts of the call run side by side.
 	mu         sync.Mutex
+	counted    bool // among its account's requests
 	endpoint   string
 	excluded   map[string]bool    // IDs of instances that are not tried again
 	arrivals   arrivals           // at instances
