Platform: bounds and prices of ordered instances, and notices of reclaim, are decoded

Instances can be ordered from the platform, some of which it may reclaim after a notice. The configuration's autoscale object becomes routes.Autoscale with its bounds validated, and heartbeats' spot and leaves_ms become instances.Instance.Preemptible and LeavesIn. A notice is one change at entry hosts; its countdown is none.

Encoded sizes and changes of instances without these fields stay as they were.

--- a/internal/engines/instances/instance.go
+++ b/internal/engines/instances/instance.go
@@ -52,6 +52,11 @@
 	State    State   `json:"state"`
 	Stage    Stage   `json:"stage"`
 	Models   []Model `json:"models,omitempty"`
+	// Preemptible is set if the platform may reclaim the instance at any time.
+	Preemptible bool `json:"preemptible,omitempty"`
+	// LeavesIn is the time left under a notice of reclaim, 0 without one. Only whether there is
+	// one is compared, so that the countdown is no change.
+	LeavesIn time.Duration `json:"leaves_in,omitempty"`
 }
 
 // Change is the latest state of an instance at one control host.
@@ -61,10 +66,12 @@
 }
 
 // Sizes of encoded changes: fixedBytes of names of fields and numbers in each change and each
-// model, and up to escapedBytes for a byte of text.
+// model, up to escapedBytes for a byte of text, and orderedBytes of an instance that the platform
+// may reclaim.
 const (
 	fixedBytes   = 200
 	escapedBytes = 6
+	orderedBytes = 60
 )
 
 // EncodedBytes returns how many bytes the change takes at most as JSON.
@@ -73,7 +80,11 @@
 	for _, m := range c.Models {
 		text += len(m.Name)
 	}
-	return fixedBytes*(1+models) + escapedBytes*text
+	size := fixedBytes*(1+models) + escapedBytes*text
+	if c.Preemptible || c.LeavesIn > 0 {
+		size += orderedBytes
+	}
+	return size
 }
 
 // silentAfterIntervals is the number of intervals without a heartbeat after which an
@@ -92,10 +103,11 @@
 	return a.Sequence > b.Sequence
 }
 
-// sameAs reports whether a and b agree in everything that routing uses.
+// sameAs reports whether a and b agree in everything that routing and planning use.
 func (a *Instance) sameAs(b *Instance) bool {
 	if a.Born != b.Born || a.Endpoint != b.Endpoint || a.Address != b.Address || a.Zone != b.Zone ||
-		a.Slots != b.Slots || a.State != b.State || a.Stage != b.Stage || len(a.Models) != len(b.Models) {
+		a.Slots != b.Slots || a.State != b.State || a.Stage != b.Stage || len(a.Models) != len(b.Models) ||
+		a.Preemptible != b.Preemptible || (a.LeavesIn > 0) != (b.LeavesIn > 0) {
 		return false
 	}
 	for i := range a.Models {
--- a/internal/serve/routes/routes.go
+++ b/internal/serve/routes/routes.go
@@ -71,8 +71,19 @@
 // Endpoint is a back end that announced instances serve.
 type Endpoint struct {
 	Name           string
-	MaxConnections int     // that one instance accepts in total; 0 if not set
-	Engine         *Engine // nil for a plain service
+	MaxConnections int        // that one instance accepts in total; 0 if not set
+	Engine         *Engine    // nil for a plain service
+	Autoscale      *Autoscale // nil if instances are not ordered
+}
+
+// Autoscale tells within which bounds and at which prices instances of an endpoint are ordered.
+type Autoscale struct {
+	Min, Max int           // instances in each zone, regular and preemptible together
+	Boot     time.Duration // from an order until the instances serve
+	// PreemptiblePrice is the price of a preemptible instance as a share of that of a regular one
+	// in the same zone; 0 if none can be ordered.
+	PreemptiblePrice float64
+	ZonePrices       map[string]float64 // of a regular instance for a second
 }
 
 // Engine describes the model engines of an endpoint.
--- a/internal/serve/routes/validate.go
+++ b/internal/serve/routes/validate.go
@@ -81,6 +81,28 @@
 		if e.Engine != nil && max(e.Engine.HandleTTL, e.Engine.StageChangeTime) > MaxDuration {
 			return tooLong(fmt.Sprintf("endpoint %q", name))
 		}
+		if e.Autoscale != nil {
+			if err := e.Autoscale.validate(fmt.Sprintf("endpoint %q: autoscale", name)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (a *Autoscale) validate(field string) error {
+	switch {
+	case a.Min < 0 || a.Max < a.Min:
+		return &InvalidError{field, fmt.Sprintf("has a minimum of %d and a maximum of %d", a.Min, a.Max), "use a minimum of 0 or more and a maximum that is not below it"}
+	case a.Boot > MaxDuration:
+		return tooLong(field)
+	case a.Boot < 0 || a.PreemptiblePrice < 0:
+		return &InvalidError{field, "has a boot time or a price below 0", "use 0 or more"}
+	}
+	for zone, price := range a.ZonePrices {
+		if price < 0 {
+			return &InvalidError{field, fmt.Sprintf("has a price below 0 in zone %q", zone), "use 0 or more"}
+		}
 	}
 	return nil
 }
