--- a/internal/control/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -56,6 +56,15 @@
 	return Settings{PrefillRate: 55_000, DecodeRate: 9_000, PrefillEnough: 0.16, Headroom: 2, MeasuredHeadroom: 1.6, MinHeadroom: 1.2, ShortHeadroom: 1.1, MaxHeadroom: 4, MaxChangingShare: 0.06, MaxReplacedShare: 0.15}
 }
 
+// WithOrders returns the settings for engines whose number is ordered by demand (package
+// capacity), so that few are idle. Batches are then smaller than those that MeasuredHeadroom
+// gives on average, to carry bursts of twice the demand, and it is no waste that more engines
+// could prefill.
+func (s Settings) WithOrders() Settings {
+	s.MeasuredHeadroom, s.MinHeadroom, s.ShortHeadroom, s.MaxHeadroom = 4, 2.6, 2, 7
+	return s
+}
+
 // SlotsScale returns the mean number of slots of the engines as a share of ReferenceSlots.
 func SlotsScale(engines []instances.Instance) float64 {
 	total, limit := 0, instances.SlotsLimit(engines)
