Control hosts order the instances that package capacity plans

The planner needs an executor at the one host that may call the platform. Package capacityreconciler runs at the leader, with plans that begin anew with each term, confirms each order by package duty, and tells the planner what became of it: a refusal for want of instances sends orders elsewhere, a lost answer waits for heartbeats. Control hosts decode the configuration only while they lead. Staging uses its settings for ordered engines at those endpoints alone.

--- a/cmd/filberthook-host/host.go
+++ b/cmd/filberthook-host/host.go
@@ -191,6 +191,7 @@
 			p.logger.Warn("duties unknown to this release are not done", "duties", unknown)
 		}
 		host.UseDuties(platform.NewCloud(s.Platform.Address, s.Platform.CallsPerSecond), set)
+		host.OrderInstances(platform.DecodeConfig)
 	}
 	p.group = func(ctx context.Context) controlapi.GroupStatus { return host.GroupStatus(ctx, true) }
 	load := func() ([]string, error) {
--- a/internal/control/controlhost/host.go
+++ b/internal/control/controlhost/host.go
@@ -112,6 +112,7 @@
 	former     atomic.Pointer[[]uint64] // ids of the members of the group that this host's has replaced, nil for none
 	expelLines loglimit.Limiter
 	copies     wordCopies
+	capacity   *capacity // nil if this host orders no instances
 	confirms   *sharedReads
 
 	mu      sync.Mutex
@@ -222,6 +223,9 @@
 		tasks.Go(func() error { h.reconcileStages(ctx); return nil })
 	}
 	h.runDuties(ctx, tasks)
+	if h.capacity != nil && h.duties.set.Instances {
+		tasks.Go(func() error { h.reconcileCapacity(ctx); return nil })
+	}
 	err = tasks.Wait()
 	h.logger.Info("control host stopped", "err", err)
 	return err
--- a/internal/control/controlhost/loads.go
+++ b/internal/control/controlhost/loads.go
@@ -141,6 +141,20 @@
 	return sum, loaded
 }
 
+// PromptBacklog implements capacityreconciler.Load: the prompt tokens that await prefill at an
+// instance by the current reports.
+func (l *loads) PromptBacklog(id string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := int64(0)
+	for _, r := range []*reports{&l.hosts, &l.digests} {
+		for _, tokens := range r.total[id] {
+			sum += tokens
+		}
+	}
+	return sum
+}
+
 // reports are the current reports of some hosts. A running total keeps the cost of a
 // report independent of the number of hosts.
 type reports struct {
--- a/internal/control/controlhost/stages.go
+++ b/internal/control/controlhost/stages.go
@@ -19,6 +19,7 @@
 			PromptTokens: h.settings.Stages.ExpectedPromptTokens,
 			OutputTokens: h.settings.Stages.ExpectedOutputTokens,
 		},
+		Ordered:   h.ordersInstances,
 		Group:     h.membership,
 		Engines:   h.engines,
 		Load:      h.loads,
--- a/internal/control/stagereconciler/reconciler.go
+++ b/internal/control/stagereconciler/reconciler.go
@@ -81,7 +81,8 @@
 	Host      string
 	Lease     time.Duration // minimum time between the orders of two different leaders
 	Settings  staging.Settings
-	Expected  staging.Demand // per engine of staging.ReferenceSlots; used until the actual demand is known
+	Ordered   func(endpoint string) bool // whether the endpoint's instances are ordered by demand; nil if none are
+	Expected  staging.Demand             // per engine of staging.ReferenceSlots; used until the actual demand is known
 	Group     Group
 	Engines   Engines
 	Load      Load
@@ -144,9 +145,13 @@
 			scale := float64(len(engines)) * staging.SlotsScale(engines)
 			demand = staging.Demand{PromptTokens: r.Expected.PromptTokens * scale, OutputTokens: r.Expected.OutputTokens * scale}
 		}
-		changes := r.Settings.Next(engines, changing, demand, loaded)
+		settings := r.Settings
+		if r.Ordered != nil && r.Ordered(endpoint) {
+			settings = settings.WithOrders()
+		}
+		changes := settings.Next(engines, changing, demand, loaded)
 		minDue := minDueLoaded
-		if r.Settings.DecodeShort(engines, changing, demand) {
+		if settings.DecodeShort(engines, changing, demand) {
 			minDue = minDueShort
 		}
 		if loaded && !r.dueLongEnough(endpoint, len(changes) > 0, minDue) {
--- a/internal/engines/capacity/capacity.go
+++ b/internal/engines/capacity/capacity.go
@@ -71,20 +71,20 @@
 	return f
 }
 
-// total returns the number of ready instances.
-func (f *Fleet) total() int { return sum(f.Ready) }
+// Total returns the number of ready instances.
+func (f *Fleet) Total() int { return sum(f.Ready) }
 
 // decoding returns the number of engines that decode. Without stages all do.
 func (f *Fleet) decoding() int {
 	if f.Prefill+f.Decode == 0 {
-		return f.total()
+		return f.Total()
 	}
 	return f.Decode
 }
 
 // slots returns the mean number of slots of an instance.
 func (f *Fleet) slots() float64 {
-	if n := f.total(); n > 0 && f.Slots > 0 {
+	if n := f.Total(); n > 0 && f.Slots > 0 {
 		return float64(f.Slots) / float64(n)
 	}
 	return 1
--- a/internal/engines/capacity/plan.go
+++ b/internal/engines/capacity/plan.go
@@ -156,7 +156,7 @@
 	if f.Prefill+f.Decode > 0 {
 		step = min(step, f.Prefill-pl.need.busyPrefill, f.Decode-pl.need.busyDecode)
 	}
-	step -= f.total() - total // instances of an earlier step that still count in their stage
+	step -= f.Total() - total // instances of an earlier step that still count in their stage
 	for _, pool := range pl.dearest(left) {
 		spare := min(total-pl.need.total, pl.spare(pool, left))
 		k := min(step, spare)
--- a/internal/engines/capacity/planner.go
+++ b/internal/engines/capacity/planner.go
@@ -31,20 +31,13 @@
 // SetLimits replaces the bounds and prices.
 func (p *Planner) SetLimits(limits routes.Autoscale) { p.limits = limits }
 
-// Forget drops what is known of orders, as another host may have sent some since. The demand
-// stays known.
-func (p *Planner) Forget() {
-	clear(p.pools)
-	p.shrunkAt, p.raisedAt = time.Time{}, time.Time{}
-}
-
 // Needed returns how many instances the demand takes by the last plan, 0 while it is unknown.
 func (p *Planner) Needed() int { return p.last.total }
 
 // Plan records the demand and the fleet, and returns the orders that are due, the most urgent
 // first. It returns none until both have been known for a while. The demand is nil while it is unknown.
 func (p *Planner) Plan(d *Demand, f Fleet, now time.Time) []Order {
-	if d == nil || d.DecodeSlots <= 0 || f.total() == 0 {
+	if d == nil || d.DecodeSlots <= 0 || f.Total() == 0 {
 		p.history, p.knownSince, p.last = nil, time.Time{}, need{}
 		return nil
 	}
@@ -63,15 +56,11 @@
 		return nil
 	}
 	pl.grow()
-	if len(pl.reasons) > 0 {
-		orders := pl.orders()
-		if pl.raised {
-			p.raisedAt = now
-			return orders
-		}
-		return append(orders, pl.giveBack(&f)...)
+	orders := pl.orders()
+	if pl.raised {
+		return orders
 	}
-	return pl.giveBack(&f)
+	return append(orders, pl.giveBack(&f)...)
 }
 
 // backlogFloor returns how many instances are needed since prompts waited for long, 0 for any
@@ -82,7 +71,7 @@
 		p.floor = 0
 	}
 	if lowest > p.settings.BacklogShort && now.Sub(p.knownSince) >= p.settings.Known && now.Sub(p.raisedAt) >= p.limits.Boot+p.settings.AppearGrace {
-		p.floor = max(p.floor, saturate.Int(p.settings.BacklogRise*float64(f.total()))+1)
+		p.floor = max(p.floor, saturate.Int(p.settings.BacklogRise*float64(f.Total()))+1)
 		p.floorUntil = now.Add(2 * p.settings.Memory)
 	}
 	return p.floor
@@ -92,8 +81,11 @@
 func (p *Planner) Sent(o Order, now time.Time) {
 	st := p.state(o.Pool)
 	st.pending, st.answered, st.desired, st.ready, st.orderedAt = true, false, o.Desired, o.Ready, now
-	if o.Reason == Idle {
+	switch o.Reason {
+	case Idle:
 		p.shrunkAt = now
+	case Short, Spread, Minimum:
+		p.raisedAt = now
 	}
 }
 
--- a/internal/engines/capacity/planner_test.go
+++ b/internal/engines/capacity/planner_test.go
@@ -47,7 +47,7 @@
 }
 
 func newPlay(seed uint64) *play {
-	p := &play{planner: capacity.New(capacity.DefaultSettings()), random: rand.New(rand.NewPCG(seed, 6)), pace: stepBase}
+	p := &play{planner: capacity.New(capacity.DefaultSettings()), random: rand.New(rand.NewPCG(seed, 6)), pace: stepBase, prompt: 700_000, output: 29_500}
 	p.planner.SetLimits(routes.Autoscale{Min: 1, Max: 70, Boot: bootMS * time.Millisecond, PreemptiblePrice: 0.18, ZonePrices: prices})
 	for i := range 140 {
 		p.engines = append(p.engines, p.newEngine([]string{"a", "b", "c", "d"}[i%4], false, i%5 == 0, 0))
@@ -109,15 +109,8 @@
 
 // tick plays 100 ms at a multiple of the usual demand.
 func (p *play) tick(load float64) {
-	list := p.ready()
-	prefills, decodes := 0.0, 0.0
-	for _, e := range list {
-		if e.Stage == instances.Decode {
-			decodes++
-		} else {
-			prefills++
-		}
-	}
+	fleet := p.fleet()
+	prefills, decodes := float64(fleet.Prefill), float64(fleet.Decode)
 	const decay = tickMS / 6000.0
 	for _, k := range kinds {
 		n := load * k.perSecond * tickMS / 1000
@@ -152,12 +145,11 @@
 	}
 	now := time.UnixMilli(int64(p.ms))
 	d := capacity.Demand{PrefillEngines: p.prompt / 1000 / prefillRate, DecodeSlots: p.output / 1000 * p.pace}
-	fleet := capacity.FleetOf(list, func(instances.Instance) bool { return false })
 	for _, o := range p.planner.Plan(&d, fleet, now) {
 		p.order(o, now)
 	}
 	stages := staging.DefaultSettings().WithOrders()
-	changes := stages.Next(list, nil, staging.Demand{PrefillEngines: d.PrefillEngines, DecodeSlots: d.DecodeSlots}, true)
+	changes := stages.Next(p.ready(), nil, staging.Demand{PrefillEngines: d.PrefillEngines, DecodeSlots: d.DecodeSlots}, true)
 	if len(changes) == 0 {
 		p.stagesDue = p.ms + 5000 // as package stagereconciler waits
 	}
@@ -173,12 +165,16 @@
 	}
 }
 
-func (p *play) run(seconds int, load func(ms int) float64) {
+func (p *play) run(seconds int) {
 	for end := p.ms + seconds*1000; p.ms < end; {
-		p.tick(load(p.ms))
+		p.tick(waves(p.ms))
 	}
 }
 
+func (p *play) fleet() capacity.Fleet {
+	return capacity.FleetOf(p.ready(), func(instances.Instance) bool { return false })
+}
+
 // waves are ±27% with a period of 11 s, and a burst of twice the usual demand for 3 s every 20 s.
 func waves(ms int) float64 {
 	if ms%20_000 > 15_000 && ms%20_000 <= 18_000 {
@@ -190,8 +186,7 @@
 // afterGivingBack plays the start: 140 regular instances, of which a third is needed.
 func afterGivingBack(t *testing.T, seed uint64) *play {
 	p := newPlay(seed)
-	p.prompt, p.output = 700_000, 29_500
-	p.run(30, waves)
+	p.run(30)
 	if p.late > 0.001*p.asked {
 		t.Errorf("seed %d: %.0f of %.0f requests late while instances are given back", seed, p.late, p.asked)
 	}
@@ -204,7 +199,7 @@
 func TestWavesAndBurstsAreServedAtAFractionOfTheCost(t *testing.T) {
 	for seed := range uint64(10) {
 		p := afterGivingBack(t, seed)
-		p.run(60, waves)
+		p.run(60)
 		if p.late > 0.001*p.asked {
 			t.Errorf("seed %d: %.0f of %.0f requests late", seed, p.late, p.asked)
 		}
@@ -222,7 +217,7 @@
 func TestReclaimOfAZoneIsBorne(t *testing.T) {
 	for seed := range uint64(10) {
 		p := afterGivingBack(t, seed)
-		p.run(3+int(seed), waves)
+		p.run(3 + int(seed))
 		p.remove(capacity.Pool{Zone: "b", Preemptible: true}, 70)
 		reclaimed := p.ms
 		p.refuse = func(o capacity.Order, ms int) bool {
@@ -231,7 +226,7 @@
 			}
 			return false
 		}
-		p.run(30, waves)
+		p.run(30)
 		if p.late > 0.002*p.asked {
 			t.Errorf("seed %d: %.0f of %.0f requests late", seed, p.late, p.asked)
 		}
@@ -244,7 +239,6 @@
 // Guards against a planner that repeats a refused order instead of ordering elsewhere.
 func TestUnavailableInstancesAreOrderedElsewhere(t *testing.T) {
 	p := newPlay(1)
-	p.prompt, p.output = 700_000, 29_500
 	refused := 0
 	p.refuse = func(o capacity.Order, _ int) bool {
 		if o.Preemptible && o.Zone != "c" && o.Reason != capacity.Idle {
@@ -253,8 +247,8 @@
 		}
 		return false
 	}
-	p.run(60, waves)
-	f := capacity.FleetOf(p.ready(), func(instances.Instance) bool { return false })
+	p.run(60)
+	f := p.fleet()
 	regular := f.Ready[capacity.Pool{Zone: "a"}] + f.Ready[capacity.Pool{Zone: "b"}]
 	if f.Ready[capacity.Pool{Zone: "c", Preemptible: true}] == 0 || regular < p.planner.Needed()/2 || p.late > 0.001*p.asked {
 		t.Errorf("%v with %.0f of %.0f late: want the rest regular, as one zone's can be reclaimed", f.Ready, p.late, p.asked)
@@ -268,7 +262,7 @@
 // it may still take effect.
 func TestNothingIsOrderedUnknownOrTwice(t *testing.T) {
 	p := newPlay(1)
-	fleet := capacity.FleetOf(p.ready(), func(instances.Instance) bool { return false })
+	fleet := p.fleet()
 	demand := &capacity.Demand{PrefillEngines: 200, DecodeSlots: 400}
 	plan := func(ms int, d *capacity.Demand, f capacity.Fleet) []capacity.Order {
 		return p.planner.Plan(d, f, time.UnixMilli(int64(ms)))
