Capacity: a stage keeps its headroom while instances are given back

The platform chooses which instances end. Each stage now keeps what the sustained demand needs, steps are smaller where a stage has little to spare, and staging adds decode engines earlier.

Tests of capacity, capacityreconciler and staging pass, also with -race.

--- a/internal/control/staging/staging.go
+++ b/internal/control/staging/staging.go
@@ -61,7 +61,7 @@
 // gives on average, to carry bursts of twice the demand, and it is no waste that more engines
 // could prefill.
 func (s Settings) WithOrders() Settings {
-	s.MeasuredHeadroom, s.MinHeadroom, s.ShortHeadroom, s.MaxHeadroom = 4, 2.6, 2, 7
+	s.MeasuredHeadroom, s.MinHeadroom, s.ShortHeadroom, s.MaxHeadroom = 4.6, 3.2, 2, 8
 	return s
 }
 
--- a/internal/engines/capacity/capacity.go
+++ b/internal/engines/capacity/capacity.go
@@ -117,7 +117,10 @@
 	// StepGrowth is how much longer an engine's step takes at a full batch, as a share of that of
 	// an empty one. Decode slots are in use for longer when fewer engines run larger batches.
 	StepGrowth float64
-	BusyUse    float64 // use at which engines are taken to be saturated; nothing is given back below what that needs
+	// KeptPrefillUse and KeptDecodeUse are the uses at sustained demand above which a stage loses no
+	// engines: staging replaces those that ended by chance of one stage only after seconds.
+	KeptPrefillUse, KeptDecodeUse float64
+	BusyUse                       float64 // use at which engines are taken to be saturated; nothing is given back below what that needs
 
 	BacklogHold  time.Duration // nothing is given back above this backlog
 	BacklogShort time.Duration // more are ordered above this backlog
@@ -147,6 +150,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		PrefillUse: 0.42, DecodeUse: 0.24, StepGrowth: 1.6, BusyUse: 0.75,
+		// Below the number of decode engines from which staging adds more, so that giving back goes on.
+		KeptPrefillUse: 0.6, KeptDecodeUse: 0.4,
 		// At half of their capacity engines have some 100 ms of work in progress. With 300 ms waiting, a
 		// prompt of 17,000 tokens without a cached prefix, which takes another 270 ms, is near a goal of 800 ms.
 		BacklogHold: 150 * time.Millisecond, BacklogShort: 300 * time.Millisecond, BacklogRise: 1.2,
--- a/internal/engines/capacity/need.go
+++ b/internal/engines/capacity/need.go
@@ -90,6 +90,7 @@
 type need struct {
 	total                   int // with headroom
 	busyPrefill, busyDecode int // without, at the demand of this moment
+	prefill, decode         int // that each stage must keep while instances are given back
 	survivors               int // after the reclaim of a zone
 	regular                 int // that stay regular
 }
@@ -115,6 +116,8 @@
 	n := need{
 		busyPrefill: saturate.Int(math.Ceil(now.prefillAhead / s.BusyUse)),
 		busyDecode:  s.decodeEngines(now.decodeAhead, s.BusyUse, slots),
+		prefill:     saturate.Int(math.Ceil(prefill / s.KeptPrefillUse)),
+		decode:      s.decodeEngines(decode, s.KeptDecodeUse, slots),
 	}
 	// A rise beyond the headroom is met at once, however long it will last.
 	n.total = max(n.busyPrefill+n.busyDecode, saturate.Int(math.Ceil(prefill/s.PrefillUse))+s.decodeEngines(decode, s.DecodeUse, slots))
--- a/internal/engines/capacity/plan.go
+++ b/internal/engines/capacity/plan.go
@@ -152,16 +152,18 @@
 	}
 	total := sum(left)
 	step := max(1, saturate.Int(math.Floor(p.settings.StepShare*float64(total))))
-	// The platform chooses which instances end: all may be of the stage that can spare fewer.
-	if f.Prefill+f.Decode > 0 {
-		step = min(step, f.Prefill-pl.need.busyPrefill, f.Decode-pl.need.busyDecode)
+	// The platform chooses which instances end: all may be of the stage that can spare fewer, and
+	// twice as many as on average are.
+	if n := f.Prefill + f.Decode; n > 0 {
+		step = min(step, f.Prefill-pl.need.busyPrefill, f.Decode-pl.need.busyDecode,
+			n*(f.Prefill-pl.need.prefill)/(2*max(1, f.Prefill)), n*(f.Decode-pl.need.decode)/(2*max(1, f.Decode)))
 	}
 	step -= f.Total() - total // instances of an earlier step that still count in their stage
 	for _, pool := range pl.dearest(left) {
 		spare := min(total-pl.need.total, pl.spare(pool, left))
 		k := min(step, spare)
 		// Preemptible ones that are ordered to replace regular ones are not given back elsewhere.
-		if k <= 0 || pool.Preemptible && len(pl.reasons) > 0 {
+		if k <= 0 || pl.now.Before(p.state(pool).keptUntil) || pool.Preemptible && len(pl.reasons) > 0 {
 			continue
 		}
 		return []Order{{Pool: pool, Desired: left[pool] - k, Ready: pl.ready[pool], Reason: Idle}}
--- a/internal/engines/capacity/planner.go
+++ b/internal/engines/capacity/planner.go
@@ -60,7 +60,8 @@
 	if pl.raised {
 		return orders
 	}
-	return append(orders, pl.giveBack(&f)...)
+	// What is given back saves more than what replaces it, and a slow platform takes few orders at once.
+	return append(pl.giveBack(&f), orders...)
 }
 
 // backlogFloor returns how many instances are needed since prompts waited for long, 0 for any
@@ -92,12 +93,16 @@
 // Accepted records that the platform accepted the last order of a pool.
 func (p *Planner) Accepted(pool Pool) { p.state(pool).answered = true }
 
-// Refused records that the last order of a pool had no effect. If no instances are available
-// there, others are ordered elsewhere for a while.
-func (p *Planner) Refused(pool Pool, unavailable bool, now time.Time) {
+// Refused records that the last order of a pool had no effect. If it would be refused again, as
+// where no instances are available, other pools are preferred for a while.
+func (p *Planner) Refused(pool Pool, lasting bool, now time.Time) {
 	st := p.state(pool)
 	st.pending = false
-	if unavailable {
+	switch {
+	case !lasting:
+	case st.desired < st.ready:
+		st.keptUntil = now.Add(p.settings.Avoidance)
+	default:
 		st.avoidedUntil = now.Add(p.settings.Avoidance)
 	}
 }
--- a/internal/engines/capacity/pools.go
+++ b/internal/engines/capacity/pools.go
@@ -10,6 +10,7 @@
 	ready        int  // when it was sent
 	orderedAt    time.Time
 	avoidedUntil time.Time // no order for more before this time
+	keptUntil    time.Time // none for fewer, as one was refused
 }
 
 // drainGrace is how long instances that were given back may still send heartbeats as ready.
