Placement: an engine's prefill rate is learned from prompts that did not wait

Hosts took engines that were busy most of the time for ones of a third of their rate (16 to 45 tokens/ms where 62 was true), as each observation includes the wait, and dropped all observations above 1.3 times the initial estimate, so that an engine of 1.7 times the nominal speed counted as an average one. The delay that recent prompts had is kept without the part that the backlog explained, since one prompt that many others had overtaken kept all prompts away from its engine.

--- a/internal/engines/placement/cache.go
+++ b/internal/engines/placement/cache.go
@@ -193,6 +193,7 @@
 			}
 			if u.PrefillRate > 0 && u.PrefillRate <= maxRateFactor*f.settings.PrefillRate {
 				f.addRate(in, u.PrefillRate)
+				in.prefillRates.addedAt = now
 			}
 		}
 	}
--- a/internal/engines/placement/inflight.go
+++ b/internal/engines/placement/inflight.go
@@ -11,7 +11,8 @@
 	id          string
 	prefilledBy string // engine that ran the prefill; empty if this one does
 	tokens      float64
-	uncached    bool // no engine had any of the tokens cached
+	uncached    bool    // no engine had any of the tokens cached
+	aheadTokens float64 // known to be queued before it when it was sent
 	priority    int
 	keys        []uint64
 	endpoint    string  // whose decode engine it is; empty at a prefill engine
@@ -33,6 +34,7 @@
 	if in := f.byID[id]; in != nil {
 		in.outstanding++
 		r.idleMs = r.tokens / f.prefillRate(in)
+		r.aheadTokens = in.backlogTokens(r.priority, now)
 		r.expectedMs = f.backlogMs(in, r.priority, now) + r.idleMs
 		in.ownBacklog.add(r.priority, r.tokens)
 		f.recordSent(in, r.keys, now)
@@ -55,15 +57,17 @@
 	f.removeFromBacklog(in, r)
 	f.markPrefilled(in, r.keys)
 	elapsed := float64(now.Sub(r.sentAt)) / float64(time.Millisecond)
-	if r.uncached { // shared tokens could be cached after all, and the engine seem too fast
-		f.recordPrefillRate(in, r.tokens, elapsed)
+	if in.tellsRate(r, elapsed, now) && f.recordPrefillRate(in, r.tokens, elapsed) {
+		in.prefillRates.addedAt = now
 	}
 	if r.timeLeft > 0 {
 		elapsed = min(elapsed, float64(r.timeLeft)/float64(time.Millisecond))
 	}
 	f.estimates.add(r, elapsed, now)
 	excess := max(0, elapsed-r.idleMs-firstTokenMs)
-	in.prefillDelay.add(excess, now)
+	// Without the part that the backlog explained, which is gone by now: with it, a prompt that
+	// many more urgent ones had overtaken kept all prompts away from its engine.
+	in.prefillDelay.add(max(0, excess-(r.expectedMs-r.idleMs)), now)
 	if prefiller := f.byID[r.prefilledBy]; prefiller != nil {
 		prefiller.transferDelay.add(max(0, excess-transferOverheadMs), now)
 	}
--- a/internal/engines/placement/prompt.go
+++ b/internal/engines/placement/prompt.go
@@ -256,9 +256,15 @@
 // backlogMs returns how long an engine computes the known backlog of a priority and of more
 // urgent ones, which come first.
 func (f *Fleet) backlogMs(in *instance, priority int, now time.Time) float64 {
+	return in.backlogTokens(priority, now) / f.prefillRate(in)
+}
+
+// backlogTokens returns the known prompt tokens of a priority and of more urgent ones that are
+// queued at an engine.
+func (in *instance) backlogTokens(priority int, now time.Time) float64 {
 	tokens := in.ownBacklog.upTo(priority)
 	if now.Sub(in.peerBacklogAt) < peerBacklogTTL {
 		tokens += in.peerBacklog.upTo(priority)
 	}
-	return tokens / f.prefillRate(in)
+	return tokens
 }
