--- a/cmd/filberthook-host/host.go
+++ b/cmd/filberthook-host/host.go
@@ -38,6 +38,8 @@
 	reloadInterval = time.Second
 	// statusHeaderTimeout bounds the header of a request for metrics.
 	statusHeaderTimeout = 5 * time.Second
+	// statusHeaderBytes limits it.
+	statusHeaderBytes = 16 << 10
 )
 
 // process holds what entry hosts and control hosts share.
@@ -95,7 +97,7 @@
 	if p.accounts != nil {
 		mux.HandleFunc("GET /accounts", func(w http.ResponseWriter, _ *http.Request) { p.serveStatusJSON(w, p.accounts()) })
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: statusHeaderTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: statusHeaderTimeout, MaxHeaderBytes: statusHeaderBytes}
 	context.AfterFunc(ctx, func() { server.Close() })
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		p.logger.Error("metrics not served any more", "address", address, "err", err)
--- a/internal/control/controlhost/serve.go
+++ b/internal/control/controlhost/serve.go
@@ -7,6 +7,9 @@
 	"net"
 	"net/http"
 	"time"
+
+	"filberthook/internal/serve/connguard"
+	"filberthook/internal/serve/membudget"
 )
 
 // Limits of a call of an operator or instance.
@@ -18,6 +21,14 @@
 	// readCallTimeout bounds reading a whole call: 4 MiB, the largest configuration, are 3.4 s
 	// of a link of 10 Mbit/s.
 	readCallTimeout = 10 * time.Second
+	// maxHeadBytes limits the head of a call.
+	maxHeadBytes = 16 << 10
+	// connectionsPart is the part of the descriptors for calls, one of so many: other hosts and
+	// the replicated log need the rest.
+	connectionsPart = 2
+	// bodyFactor is the memory that a body takes as a multiple of its bytes: a configuration is
+	// read, decoded and proposed.
+	bodyFactor = 3
 )
 
 // newControlServer returns a server that reads each call within a time, so that one which
@@ -28,7 +39,14 @@
 
 // serveControl serves operators and instances.
 func (h *Host) serveControl(ctx context.Context, ln net.Listener) error {
-	server := newControlServer(h.handler(h), readCallTimeout)
+	budget := membudget.ForMemory(h.settings.MemoryMB)
+	budget.Register(h.metrics)
+	guard := connguard.New(connguard.Settings{
+		Port: "control", MaxConnections: connguard.MaxConnections(connectionsPart), Budget: budget,
+		Limits: func() connguard.Limits { return connguard.Limits{Bytes: maxHeadBytes, Time: headerTimeout} },
+	}, h.logger, h.metrics)
+	server := newControlServer(connguard.Bodies(budget, bodyFactor, h.handler(h)), readCallTimeout)
+	server.ConnState = guard.Track
 	ended := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(ended)
@@ -38,7 +56,7 @@
 			h.logger.Warn("operators' calls aborted at shutdown", "err", err)
 		}
 	})
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(guard.Listen(ln)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("listen.control: %w", err)
 	}
 	<-ended
--- a/internal/serve/entryhost/connections.go
+++ b/internal/serve/entryhost/connections.go
@@ -42,11 +42,11 @@
 
 // SetLinger sets what Close does with unsent bytes; see net.TCPConn.
 func (c *callerConn) SetLinger(sec int) error {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	l, ok := c.Conn.(interface{ SetLinger(sec int) error })
 	if !ok {
 		return errors.ErrUnsupported
 	}
-	return tcp.SetLinger(sec)
+	return l.SetLinger(sec)
 }
 
 // NetConn returns the connection below, as *tls.Conn does.
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -27,8 +27,10 @@
 	"filberthook/internal/process/pause"
 	"filberthook/internal/replication/raftnet"
 	"filberthook/internal/serve/caller"
+	"filberthook/internal/serve/connguard"
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/forward"
+	"filberthook/internal/serve/membudget"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
 	"filberthook/internal/serve/usage"
@@ -81,6 +83,9 @@
 	keys           *keys
 	watcher        *controlwatch.Watcher
 	connections    *callerConnections
+	budget         *membudget.Budget // of all clients' bytes
+	guard          *connguard.Guard  // of callers' connections
+	readyGuard     *connguard.Guard
 	raced          *metrics.Counter // see callerConn
 	lameDuck       time.Duration    // see lameDuckPeriod
 	startedAt      time.Time
@@ -95,6 +100,11 @@
 	h.seeds.Store(&s.Seeds)
 	h.view = instances.NewView(s.Heartbeat.Duration)
 	h.pool = upstream.NewPool(set)
+	h.budget = membudget.ForMemory(s.MemoryMB)
+	h.budget.Register(set)
+	if h.budget.Limited() {
+		h.pool.UseBudget(h.budget)
+	}
 	h.fleet = placement.New(placement.DefaultSettings(), rand.Float64, h.pool.Connected)
 	h.quarantine = quarantine.New(rand.Float64)
 	budgets := forward.NewRetryBudgets(forward.RetryBudgetSettings{
@@ -106,6 +116,7 @@
 	h.server = forward.New(forwarding,
 		p.Dialect, h.fleet, h.view, h.pool, budgets, h.quarantine, h.logger, set)
 	h.connections = newCallerConnections(h.server)
+	h.newGuards(set)
 	h.raced = set.GetOrCreateCounter("filberthook_entry_requests_at_idle_timeout_total")
 	options := controlapi.PeerOptions(h.identity(), s.TrustedNetwork, set, h.logger)
 	h.clients = raftnet.NewPool(options)
@@ -202,9 +213,12 @@
 
 // serveReady serves the readiness checks of the load balancer.
 func (h *Host) serveReady(ctx context.Context, ln net.Listener) error {
-	server := &http.Server{Handler: h.platform.Readiness(h.Ready), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout}
+	server := &http.Server{
+		Handler: h.platform.Readiness(h.Ready), ConnState: h.readyGuard.Track,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout,
+	}
 	context.AfterFunc(ctx, func() { server.Close() })
-	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(h.readyGuard.Listen(ln)); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("listen.ready: %w", err)
 	}
 	return nil
@@ -213,13 +227,16 @@
 // serveCallers serves callers until ctx ends, then drains.
 func (h *Host) serveCallers(ctx context.Context, ln net.Listener) error {
 	server := &http.Server{
-		Handler:           caller.Handler(h.server),
+		Handler:           caller.Handler(connguard.Bodies(h.budget, 1, h.server)),
 		ReadHeaderTimeout: headerTimeout,
 		ConnContext:       caller.ConnContext,
-		ConnState:         h.connections.track,
-		ErrorLog:          slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			h.guard.Track(c, state)
+			h.connections.track(c, state)
+		},
+		ErrorLog: slog.NewLogLogger(h.logger.Handler(), slog.LevelDebug),
 	}
-	ln = &callerListener{Listener: ln, raced: h.raced}
+	ln = &callerListener{Listener: ln, raced: h.raced, guard: h.guard}
 	drained, served := make(chan struct{}), make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(drained)
--- a/internal/serve/entryhost/listener.go
+++ b/internal/serve/entryhost/listener.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"filberthook/internal/serve/connguard"
 )
 
 // callerListener wraps accepted connections in callerConn. Unlike that of other listeners,
@@ -17,6 +19,7 @@
 type callerListener struct {
 	net.Listener
 	raced *metrics.Counter // see callerConn
+	guard *connguard.Guard // nil for none
 
 	mu   sync.Mutex
 	left []net.Conn // accepted by Close
@@ -24,13 +27,24 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		if c = l.next(); c == nil {
-			return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			if c = l.next(); c == nil {
+				return nil, err
+			}
+		}
+		if l.guard != nil {
+			if c = l.guard.Admit(c); c == nil {
+				continue
+			}
+		}
+		out := &callerConn{Conn: c, raced: l.raced, idle: true, accepted: time.Now()}
+		if guarded, ok := c.(*connguard.Conn); ok {
+			guarded.SetIdleClose(func() { out.closeIfIdle() })
 		}
+		return out, nil
 	}
-	return &callerConn{Conn: c, raced: l.raced, idle: true, accepted: time.Now()}, nil
 }
 
 // next returns a connection that Close has accepted, nil if there is none.
--- a/internal/serve/forward/body.go
+++ b/internal/serve/forward/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"filberthook/internal/serve/connguard"
 	"filberthook/internal/serve/routes"
 )
 
@@ -34,6 +35,11 @@
 	case errors.As(err, &large):
 		c.fail(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
+	case connguard.NotRead(err):
+		c.w.Header().Set("Connection", "close") // the rest of the body is not read
+		c.detail = err.Error()
+		c.refuse("no_memory", c.retryAfter())
+		return false
 	case err != nil:
 		c.outcome, c.reason = "cut", "body_not_read"
 		c.abort()
@@ -52,12 +58,26 @@
 	return body, err
 }
 
-// readAll reads a body; a negative length is unknown.
+// readAll reads a body; a negative length is unknown. The buffer grows with what has arrived, so that
+// a caller which announces a large body and does not send it uses no memory.
 func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
+	var body []byte
+	for int64(len(body)) != length {
+		if len(body) == cap(body) {
+			body = append(make([]byte, 0, connguard.GrownCapacity(int64(len(body)), length)), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) == length:
+			return body, nil
+		case errors.Is(err, io.EOF) && length < 0:
+			return body, nil
+		case errors.Is(err, io.EOF):
+			return body, io.ErrUnexpectedEOF
+		case err != nil:
+			return body, err
+		}
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+	return body, nil
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -28,6 +28,7 @@
 	"filberthook/internal/process/logsink"
 	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/dialect"
+	"filberthook/internal/serve/membudget"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
 	"filberthook/internal/serve/usage"
@@ -251,9 +252,11 @@
 	outcome    string
 	status     int
 	reason     string
-	detail     string        // the error behind the reason
-	notBefore  time.Duration // until an instance takes a request again, 0 if unknown
-	firstMS    int64         // from arrival to the first event or the answer
+	detail     string            // the error behind the reason
+	notBefore  time.Duration     // until an instance takes a request again, 0 if unknown
+	memory     []*membudget.Hold // of answers that are being passed on
+	ended      bool              // its memory was released
+	firstMS    int64             // from arrival to the first event or the answer
 	departure  departure
 }
 
@@ -324,6 +327,26 @@
 	return answer, nil
 }
 
+// readWhole reads an answer's body. Its memory is held until the call ends, as the caller may read
+// it slowly.
+func (c *call) readWhole(answer *upstream.Answer) ([]byte, error) {
+	body, err := c.readAll(answer, maxAnswerBytes)
+	if !c.ended { // else the answer is closed by its attempt alone
+		c.memory = append(c.memory, answer.TakeMemory())
+	}
+	return body, err
+}
+
+// releaseMemory ends the holds of the call's answers.
+func (c *call) releaseMemory() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	for _, hold := range c.memory {
+		hold.Release()
+	}
+}
+
 // mayResend reports whether the request may be sent to an instance once more, and reserves
 // the retry budget for it.
 func (c *call) mayResend(ctx context.Context) bool {
--- a/internal/serve/forward/requestlog.go
+++ b/internal/serve/forward/requestlog.go
@@ -43,6 +43,7 @@
 // finish updates the metrics and logs the request.
 func (c *call) finish() {
 	c.arrivals.settle()
+	c.releaseMemory()
 	if c.suspect != nil { // nil if the body was not read
 		c.server.quarantine.Done(c.suspect)
 	}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -263,7 +263,7 @@
 func (c *call) passNonStream(answer *upstream.Answer, p *streamProgress, watch *silenceWatch) (result, placement.Outcome) {
 	got := &wholeAnswer{status: answer.StatusCode, header: answer.Header, answer: c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header)}
 	var err error
-	if got.body, err = c.readAll(answer, maxAnswerBytes); err != nil && !got.answer.NotRun {
+	if got.body, err = c.readWhole(answer); err != nil && !got.answer.NotRun {
 		return broken, watch.outcome()
 	}
 	outcome, err := c.classify(got)
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -161,7 +161,7 @@
 	}
 	defer answer.Close()
 	got = &wholeAnswer{status: answer.StatusCode, header: answer.Header, answer: c.server.dialect.DecodeAnswer(answer.StatusCode, answer.Header)}
-	if got.body, err = c.readAll(answer, maxAnswerBytes); err != nil {
+	if got.body, err = c.readWhole(answer); err != nil {
 		if got.answer.NotRun {
 			c.ran--
 		}
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -14,6 +14,7 @@
 
 	"filberthook/internal/network/netopt"
 	"filberthook/internal/serve/caller"
+	"filberthook/internal/serve/membudget"
 )
 
 // Request is a request to an instance.
@@ -50,7 +51,8 @@
 	maxSkipped = 2
 	// maxInformational limits the informational answers (1xx) of an exchange.
 	maxInformational = 8
-	// maxBufferedBytes limits the bodies that ReadAll holds at once, of all exchanges.
+	// maxBufferedBytes limits the bodies that ReadAll holds at once, of all exchanges, in a process
+	// without a budget for them.
 	maxBufferedBytes = 48 << 20
 	// maxSkippedBytes limits the body of a skipped answer.
 	maxSkippedBytes = 1 << 20
@@ -62,14 +64,14 @@
 	pool           *Pool
 	conn           *conn
 	ctx            context.Context
-	stop           func() bool  // detaches the connection from ctx
-	written        chan error   // receives the result of writing the request
-	bodyRead       bool         // the body was read to its end
-	alone          bool         // the connection carries no other request
-	carried        bool         // the connection has carried other requests
-	held           int64        // bytes reserved for the body
-	tainted        bool         // the connection carried another request's answer
-	unacknowledged atomic.Int64 // bytes of the request, when ctx ended
+	stop           func() bool     // detaches the connection from ctx
+	written        chan error      // receives the result of writing the request
+	bodyRead       bool            // the body was read to its end
+	alone          bool            // the connection carries no other request
+	carried        bool            // the connection has carried other requests
+	memory         *membudget.Hold // of the body, nil before it is read
+	tainted        bool            // the connection carried another request's answer
+	unacknowledged atomic.Int64    // bytes of the request, when ctx ended
 }
 
 // Send sends a request and returns the answer when its header has arrived. The body must
@@ -206,7 +208,7 @@
 const firstBodyBytes = 4 << 10
 
 // ReadAll reads the whole body, at most limit bytes. What the bodies of all exchanges hold
-// until they are closed is limited as well.
+// until they are closed, or their memory is released, is limited as well.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
 	if a.ContentLength > limit {
 		return nil, a.lost(&TooLargeError{limit})
@@ -240,14 +242,27 @@
 
 // hold reserves memory for n bytes of the body until the exchange is closed.
 func (a *Answer) hold(n int64) error {
-	if a.pool.held.Add(n) > maxBufferedBytes {
-		a.pool.held.Add(-n)
-		return &FullError{maxBufferedBytes}
+	if a.memory == nil {
+		a.memory = a.pool.budget.OpenAnswer()
+	}
+	var full *membudget.ExhaustedError
+	if err := a.memory.Reserve(n); errors.As(err, &full) {
+		return &FullError{full.Limit}
 	}
-	a.held += n
 	return nil
 }
 
+// TakeMemory returns the memory reserved for the body, which the caller must release in place of
+// Close, once the body is not used any more.
+func (a *Answer) TakeMemory() *membudget.Hold {
+	hold := a.memory
+	if hold == nil {
+		hold = a.pool.budget.OpenAnswer()
+	}
+	a.memory = nil
+	return hold
+}
+
 // Read reads from the body.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.Body.Read(b)
@@ -271,8 +286,10 @@
 // Close returns the connection to the pool if the exchange is complete and no further
 // bytes arrived, and closes it otherwise.
 func (a *Answer) Close() {
-	a.pool.held.Add(-a.held)
-	a.held = 0
+	if a.memory != nil {
+		a.memory.Release()
+		a.memory = nil
+	}
 	detached := a.stop()
 	complete := false
 	select {
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -9,12 +9,12 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/network/netopt"
+	"filberthook/internal/serve/membudget"
 )
 
 // Limits of the time that a connection may be idle before it is reused.
@@ -85,7 +85,7 @@
 	fails          *metrics.Counter
 	reuses         *metrics.Counter
 	unacknowledged *metrics.Histogram // bytes of exchanges that were abandoned
-	held           atomic.Int64       // bytes reserved for bodies by Answer.ReadAll
+	budget         *membudget.Budget  // for bodies read by Answer.ReadAll
 
 	mu            sync.Mutex
 	idle          map[string][]*conn       // by address, most recently used last
@@ -104,11 +104,16 @@
 		fails:          set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="failed"}`),
 		reuses:         set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="reused"}`),
 		unacknowledged: set.GetOrCreateHistogram("filberthook_upstream_abandoned_unacknowledged_bytes"),
+		budget:         membudget.New(maxBufferedBytes),
 		idle:           map[string][]*conn{},
 		learnedLimits:  map[string]time.Duration{},
 	}
 }
 
+// UseBudget has the pool reserve memory for bodies in the process's budget. It must be called before
+// the pool is used.
+func (p *Pool) UseBudget(b *membudget.Budget) { p.budget = b }
+
 // get returns an idle connection that a request may reuse, or dials a new one.
 func (p *Pool) get(ctx context.Context, address string, r *Request) (*conn, error) {
 	for {
