--- a/internal/serve/connguard/bodies.go
+++ b/internal/serve/connguard/bodies.go
@@ -15,6 +15,9 @@
 	firstBodyBytes = 4 << 10
 	// maxBodyStep bounds what is reserved for a body that ends where its reservation does.
 	maxBodyStep = 1 << 20
+	// discardTime is how long the server may read what is left of a body that next has not read, so
+	// that its client can read the answer. Without it the server waits for the rest of the body.
+	discardTime = time.Second
 )
 
 // GrownCapacity returns the capacity of a buffer for a body of which n bytes have filled it. It is
@@ -42,7 +45,14 @@
 		})
 		defer hold.Release()
 		r = r.WithContext(r.Context()) // a copy, as the server uses the request
-		r.Body = &body{ReadCloser: r.Body, hold: hold, factor: factor, length: r.ContentLength}
+		b := &body{ReadCloser: r.Body, hold: hold, factor: factor, length: r.ContentLength}
+		r.Body = b
+		defer func() {
+			if !b.ended {
+				// Ignore the error: the connection has ended.
+				_ = controller.SetReadDeadline(time.Now().Add(discardTime))
+			}
+		}()
 		next.ServeHTTP(w, r)
 	})
 }
@@ -63,6 +73,7 @@
 	length   int64 // as announced, below 0 if unknown
 	reserved int64
 	read     int64
+	ended    bool // all of it was read
 }
 
 // Read implements io.Reader.
@@ -80,6 +91,7 @@
 	b.hold.Progress(int64(n), time.Now())
 	switch {
 	case errors.Is(err, io.EOF):
+		b.ended = true
 		b.hold.Complete()
 	case err != nil && b.hold.Evicted():
 		err = &membudget.EvictedError{}
--- a/internal/serve/connguard/guard_test.go
+++ b/internal/serve/connguard/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -128,6 +129,20 @@
 	}
 }
 
+// Guards against clients whose requests were refused before their bodies ended, and who stay connected:
+// net/http reads on, without a time limit, and neither limit of the guard ends such a connection.
+func TestRefusedBodyThatStopsShortDoesNotKeepItsConnection(t *testing.T) {
+	c := dial(t, serve(t, membudget.New(128<<10), 10))
+	if got := status(c, post(256<<10, strings.Repeat("a", 200<<10))); got != http.StatusServiceUnavailable {
+		t.Fatalf("status %d, want a refusal for want of memory", got)
+	}
+	_, err := io.Copy(io.Discard, c)
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		t.Error("the connection stays open")
+	}
+}
+
 // Guards against a full set of connections that keeps new ones out, or cuts a request in progress.
 func TestIdleConnectionMakesRoomForAnother(t *testing.T) {
 	address := serve(t, membudget.New(8<<20), 2)
