--- a/internal/control/controlhost/serve.go
+++ b/internal/control/controlhost/serve.go
@@ -21,6 +21,10 @@
 	// readCallTimeout bounds reading a whole call: 4 MiB, the largest configuration, are 3.4 s
 	// of a link of 10 Mbit/s.
 	readCallTimeout = 10 * time.Second
+	// answerFactor times the bound on reading bounds a call from its header to the end of its answer,
+	// so that a caller that does not read does not keep its connection: reading 4 MiB, proposing and
+	// writing as much take 16 s at most.
+	answerFactor = 3
 	// maxHeadBytes limits the head of a call.
 	maxHeadBytes = 16 << 10
 	// connectionsPart is the part of the descriptors for calls, one of so many: other hosts and
@@ -31,10 +35,10 @@
 	bodyFactor = 3
 )
 
-// newControlServer returns a server that reads each call within a time, so that one which
-// never ends does not keep its connection.
+// newControlServer returns a server that reads each call within a time and answers it within a
+// multiple of that, so that one which never ends does not keep its connection.
 func newControlServer(handler http.Handler, timeout time.Duration) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: min(headerTimeout, timeout), ReadTimeout: timeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: min(headerTimeout, timeout), ReadTimeout: timeout, WriteTimeout: answerFactor * timeout, IdleTimeout: idleTimeout}
 }
 
 // serveControl serves operators and instances.
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -215,7 +215,7 @@
 func (h *Host) serveReady(ctx context.Context, ln net.Listener) error {
 	server := &http.Server{
 		Handler: h.platform.Readiness(h.Ready), ConnState: h.readyGuard.Track,
-		ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout,
 	}
 	context.AfterFunc(ctx, func() { server.Close() })
 	if err := server.Serve(h.readyGuard.Listen(ln)); !errors.Is(err, http.ErrServerClosed) {
