--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -28,6 +28,7 @@
 	"filberthook/internal/process/logsink"
 	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/dialect"
+	"filberthook/internal/serve/membudget"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
 	"filberthook/internal/serve/usage"
@@ -251,9 +252,11 @@
 	outcome    string
 	status     int
 	reason     string
-	detail     string        // the error behind the reason
-	notBefore  time.Duration // until an instance takes a request again, 0 if unknown
-	firstMS    int64         // from arrival to the first event or the answer
+	detail     string            // the error behind the reason
+	notBefore  time.Duration     // until an instance takes a request again, 0 if unknown
+	memory     []*membudget.Hold // of answers that are being passed on
+	ended      bool              // its memory was released
+	firstMS    int64             // from arrival to the first event or the answer
 	departure  departure
 }
 
