--- a/internal/control/usagereport/collector.go
+++ b/internal/control/usagereport/collector.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filberthook/internal/control/controlapi"
+	"filberthook/internal/process/saturate"
 )
 
 const (
@@ -157,7 +158,7 @@
 		}
 	}
 	end := c.endOf(window)
-	if at < end || at < end+time.Duration(closeShare*float64(c.windows.Late)) && !c.complete(end, now) {
+	if at < end || at < end+saturate.Nanoseconds(closeShare*float64(c.windows.Late)) && !c.complete(end, now) {
 		return 0, nil, false
 	}
 	counts = map[string]int64{}
--- a/internal/serve/revocation/revocation.go
+++ b/internal/serve/revocation/revocation.go
@@ -7,6 +7,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"filberthook/internal/process/saturate"
 )
 
 // Shares of the time within which a key that was taken away must stop working.
@@ -148,7 +150,7 @@
 
 // fresh reports whether the keys of a version may be used.
 func (p Policy) fresh(s State) bool {
-	return p.Within == 0 || s.Confirmed && s.Age < time.Duration(servingShare*float64(p.Within))
+	return p.Within == 0 || s.Confirmed && s.Age < saturate.Nanoseconds(servingShare*float64(p.Within))
 }
 
 // AskInterval returns the time between two questions whether there is a newer version.
@@ -156,5 +158,5 @@
 	if p.Within == 0 {
 		return maxAskInterval
 	}
-	return min(maxAskInterval, time.Duration(askShare*float64(p.Within)))
+	return min(maxAskInterval, saturate.Nanoseconds(askShare*float64(p.Within)))
 }
