Watch calls wait for whole milliseconds, rounded up

TestConfigurationThatCannotBeReadIsNotFetchedWithoutEnd failed at times (1 of 6 on with 27 watch calls, 1 of 3 now, alone): the pause before the next fetch was sent in milliseconds, rounded down, so that in its last millisecond calls with a wait of 0 followed each other without a pause.

--- a/internal/control/controlwatch/watcher.go
+++ b/internal/control/controlwatch/watcher.go
@@ -211,7 +211,7 @@
 	version, wait := w.awaited(retry)
 	req := controlapi.WatchRequest{
 		Epoch: epoch, Position: position,
-		Version: version, WaitMS: wait.Milliseconds(), PageBytes: int(t.page), Packed: true, Observer: w.observer,
+		Version: version, WaitMS: wholeMilliseconds(wait), PageBytes: int(t.page), Packed: true, Observer: w.observer,
 	}
 	var resp controlapi.WatchResponse
 	begin := time.Now()
@@ -229,6 +229,12 @@
 	return resp, err
 }
 
+// wholeMilliseconds rounds up: with a wait of 0 the calls would follow each other without a pause until
+// the rest of a millisecond has passed.
+func wholeMilliseconds(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
+}
+
 func (w *Watcher) markReached(address string, t *controlHost, resp controlapi.WatchResponse) {
 	w.mu.Lock()
 	before := t.up
