Capacity: instances are given back at the backlog that idle engines show

It stops at 400 ms now, more are ordered above 800 ms (the goal of long prompts), steps are a quarter of the instances, and more headroom is kept, which preemptible instances provide cheaply. Tests of the package pass unchanged, also with the race detector.

--- a/internal/engines/capacity/capacity.go
+++ b/internal/engines/capacity/capacity.go
@@ -145,16 +145,17 @@
 	AppearGrace   time.Duration // from the boot time until an accepted order counts as not fulfilled
 }
 
-// DefaultSettings keep prefill engines below half of their capacity at the crest of a wave of
+// DefaultSettings keep prefill engines below two fifths of their capacity at the crest of a wave of
 // ±27% and carry a burst of twice the mean demand without an order.
 func DefaultSettings() Settings {
 	return Settings{
-		PrefillUse: 0.42, DecodeUse: 0.24, StepGrowth: 1.6, BusyUse: 0.75,
+		PrefillUse: 0.32, DecodeUse: 0.2, StepGrowth: 1.6, BusyUse: 0.75,
 		// Below the number of decode engines from which staging adds more, so that giving back goes on.
 		KeptPrefillUse: 0.6, KeptDecodeUse: 0.4,
-		// At half of their capacity engines have some 100 ms of work in progress. With 300 ms waiting, a
-		// prompt of 17,000 tokens without a cached prefix, which takes another 270 ms, is near a goal of 800 ms.
-		BacklogHold: 150 * time.Millisecond, BacklogShort: 300 * time.Millisecond, BacklogRise: 1.2,
+		// The backlog counts prompts from their placement to their first event, so the work in progress and the
+		// delay of the reports are in it: with three quarters of the engines idle, prompts of 17,000 tokens
+		// keep it at 200 to 300 ms. Beyond a goal of 800 ms more engines are missing.
+		BacklogHold: 400 * time.Millisecond, BacklogShort: 800 * time.Millisecond, BacklogRise: 1.2,
 		RegularShare: 0.125, Survivors: 0.8, Slack: 0.1, PreemptibleSlack: 0.3,
 		// Reports begin with a rate over one second; after four the average is that of the load.
 		Known: 4 * time.Second,
@@ -163,9 +164,9 @@
 		Sustained: 5 * time.Second,
 		// Two crests of the longest waves that are expected, of 11 s.
 		Memory: 22 * time.Second, DemandWindow: 6 * time.Second, MaxRise: 1.25,
-		// An instance that ends takes the prefixes cached there along. A seventh of them is computed
+		// An instance that ends takes the prefixes cached there along. A quarter of them is computed
 		// again within a step, which the headroom covers.
-		StepInterval: 1500 * time.Millisecond, StepShare: 0.15, HoldAfterRise: 8 * time.Second,
+		StepInterval: 1500 * time.Millisecond, StepShare: 0.25, HoldAfterRise: 4 * time.Second,
 		Avoidance: 12 * time.Second, AppearGrace: 4 * time.Second,
 	}
 }
