--- a/internal/serve/connguard/guard.go
+++ b/internal/serve/connguard/guard.go
@@ -191,6 +191,16 @@
 	}
 }
 
+// Answering records that a request of a connection is being answered, so that the connection does not count as
+// idle. Its head may have been read together with the request before it.
+func (g *Guard) Answering(conn net.Conn) {
+	if c := guardedConn(conn); c != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		c.leaveIdle()
+	}
+}
+
 // guardedConn returns the Conn below wrappers, nil if there is none.
 func guardedConn(conn net.Conn) *Conn {
 	for {
--- a/internal/serve/entryhost/connections.go
+++ b/internal/serve/entryhost/connections.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -11,6 +12,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"filberthook/internal/network/netopt"
+	"filberthook/internal/serve/caller"
+	"filberthook/internal/serve/connguard"
 	"filberthook/internal/serve/forward"
 )
 
@@ -135,6 +138,14 @@
 	c.idle, c.accepted = true, time.Time{}
 }
 
+// markActive records that a request is being answered. Read does not see one that came together with
+// the request before it.
+func (c *callerConn) markActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+}
+
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
@@ -211,6 +222,32 @@
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// connContext is the hook of that name of http.Server; answering needs it.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(caller.ConnContext(ctx, c), connKey{}, c)
+}
+
+// answering keeps a connection from being closed as idle while next answers a request. The server does not
+// report a connection as active for a request that it had read together with the one before.
+func (i *callerConnections) answering(guard *connguard.Guard, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			i.mu.Lock()
+			if timer, ok := i.timers[c]; ok {
+				timer.Stop()
+				delete(i.timers, c)
+			}
+			i.mu.Unlock()
+			c.markActive()
+			guard.Answering(c)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // limit returns the idle timeout in force. The caller holds i.mu.
 func (i *callerConnections) limit() time.Duration {
 	if i.stopping {
--- a/internal/serve/entryhost/host.go
+++ b/internal/serve/entryhost/host.go
@@ -227,9 +227,9 @@
 // serveCallers serves callers until ctx ends, then drains.
 func (h *Host) serveCallers(ctx context.Context, ln net.Listener) error {
 	server := &http.Server{
-		Handler:           caller.Handler(connguard.Bodies(h.budget, 1, h.server)),
+		Handler:           h.connections.answering(h.guard, caller.Handler(connguard.Bodies(h.budget, 1, h.server))),
 		ReadHeaderTimeout: headerTimeout,
-		ConnContext:       caller.ConnContext,
+		ConnContext:       connContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			h.guard.Track(c, state)
 			h.connections.track(c, state)
--- a/internal/serve/forward/silence.go
+++ b/internal/serve/forward/silence.go
@@ -106,6 +106,9 @@
 	if c.route.Kind != routes.Stream {
 		return c.mayResend(s.generation.ctx)
 	}
+	if s.progress != nil && !s.progress.resumable() {
+		return false // another engine cannot go on where the caller is
+	}
 	excluded := maps.Clone(c.excluded)
 	excluded[s.target.ID] = true
 	p := c.prompt(&streamProgress{})
@@ -136,6 +139,9 @@
 func (s *silenceWatch) withdraw() {
 	s.call.mu.Lock()
 	defer s.call.mu.Unlock()
+	if s.progress != nil && s.progress.events > 0 {
+		return // it has begun while the verdict was on its way, which clears the suspect
+	}
 	s.withdrawn = true
 	s.cancel()
 }
