--- a/review/second/main.go
+++ b/review/second/main.go
@@ -24,7 +24,8 @@
 
 // cases are the cases by their name.
 var cases = map[string]func(*run) (broken bool, err error){
-	"long-cut": longCut,
+	"long-cut":  longCut,
+	"late-beat": lateBeat,
 }
 
 func main() {
