Review: case 8, a control host that was isolated for long never joins again

After its seeds have been replaced, a control host is isolated for 30 s. It is removed, discards its folder and asks at its dead seeds only.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -24,8 +24,9 @@
 
 // cases are the cases by their name.
 var cases = map[string]func(*run) (broken bool, err error){
-	"long-cut":  longCut,
-	"late-beat": lateBeat,
+	"long-cut":     longCut,
+	"late-beat":    lateBeat,
+	"lone-control": loneControl,
 }
 
 func main() {
