Review: case 9, a reserved decode engine gets requests after it has left

Where all decode engines name a limit, one is reserved before the prefill, and the request is sent there without another look.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(*run) (broken bool, err error){
 	"long-cut":     longCut,
 	"late-beat":    lateBeat,
+	"reserved":     reservedDecode,
 	"lone-control": loneControl,
 }
 
