--- a/review/second/main.go
+++ b/review/second/main.go
@@ -8,7 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -63,6 +65,8 @@
 		broken bool
 		err    error
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	done := make(chan outcome, 1)
 	go func() {
 		if err := r.place(); err != nil {
@@ -75,6 +79,8 @@
 	var o outcome
 	select {
 	case o = <-done:
+	case s := <-stop:
+		o.err = fmt.Errorf("ended by %v", s)
 	case <-time.After(limit):
 		o.err = fmt.Errorf("the case took more than %v", limit)
 	}
--- a/review/second/operator.go
+++ b/review/second/operator.go
@@ -19,7 +19,6 @@
 	mu       sync.Mutex
 	controls []int // control hosts that it knows
 	next     int
-	tried    int
 }
 
 func (r *run) newOperator(controls ...int) *operator {
@@ -73,12 +72,9 @@
 
 // replace sends a configuration until it is acknowledged, and returns when that was.
 func (o *operator) replace(version int, body []byte, within time.Duration) (acked time.Time, ok bool) {
-	last, begin := "", time.Now()
+	last, begin, pause := "", time.Now(), 100*time.Millisecond
 	for time.Since(begin) < within {
 		to := o.pick()
-		o.mu.Lock()
-		o.tried++
-		o.mu.Unlock()
 		resp, err := o.client.Post("http://"+to+"/-/Config.Replace", "application/json", bytes.NewReader(body))
 		outcome := ""
 		if err != nil {
@@ -96,22 +92,9 @@
 			o.run.record.log("operator: version %d sent to %s: %s", version, to, outcome)
 			last = outcome
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(pause)
+		pause = min(2*pause, time.Second)
 	}
 	o.run.record.log("operator: version %d not acknowledged within %v", version, within)
 	return time.Time{}, false
 }
-
-// read returns the version that a control host reads back, 0 for none.
-func (o *operator) read() int {
-	resp, err := o.client.Get("http://" + o.pick() + "/-/Config.Read")
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	var got struct{ Version int }
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&got) != nil {
-		return 0
-	}
-	return got.Version
-}
--- a/review/second/run.go
+++ b/review/second/run.go
@@ -21,8 +21,6 @@
 	catchUp     = 4 * time.Second
 	configApply = 2 * time.Second
 	drain       = 2 * time.Second
-	recovery    = 12 * time.Second
-	ackWithin   = 4 * time.Second
 )
 
 // record is record.txt, with the time of each line.
@@ -254,7 +252,7 @@
 	return nil
 }
 
-// signal sends a signal to the process and waits until it has ended, for a time at most.
+// end sends a signal to the process and waits until it has ended, for a time at most.
 func (h *host) end(s syscall.Signal, within time.Duration) bool {
 	h.mu.Lock()
 	cmd, ended := h.cmd, h.ended
@@ -273,12 +271,6 @@
 
 func (h *host) kill() { h.end(syscall.SIGKILL, 5*time.Second) }
 
-// loseDisk empties the data folder of a host that does not run.
-func (h *host) loseDisk() error {
-	h.run.record.log("%s has lost its disk", h.name)
-	return os.RemoveAll(h.disk)
-}
-
 // logged reports whether the log of a host holds a text.
 func (h *host) logged(text string) bool {
 	data, err := os.ReadFile(filepath.Join(h.run.dir, h.name+".log"))
