--- a/review/second/case_late_beat.go
+++ b/review/second/case_late_beat.go
@@ -11,7 +11,8 @@
 
 // lateBeat has a worker deregister first and go on serving, as some do. Right after the
 // acknowledgement, the control host that gave it and an entry host are killed at the same moment
-// and start again. A heartbeat that the worker had sent before reaches another control host late.
+// and start again. A heartbeat that the worker had sent to another control host before, without an
+// answer, reaches that one late.
 // No request may reach the worker later than drain_ms after the acknowledgement.
 func lateBeat(r *run) (broken bool, err error) {
 	const (
@@ -62,9 +63,14 @@
 	leaves.silence()
 	late, number := leaves.beat("ready")
 	r.record.log("worker i-leaves sends heartbeat %d (ready) to control2; it is held up on its way", number)
+	time.Sleep(time.Second) // without an answer, so it turns to the next control host
+	body, _ := leaves.beat("ready")
+	if !leaves.call(r.controlAddress(1), "Heartbeat", body) {
+		return false, fmt.Errorf("the heartbeat was not acknowledged")
+	}
+	time.Sleep(100 * time.Millisecond)
 	_, number = leaves.beat("draining")
-	body, err := json.Marshal(map[string]any{"born": leaves.born, "sequence": number})
-	if err != nil {
+	if body, err = json.Marshal(map[string]any{"born": leaves.born, "sequence": number}); err != nil {
 		return false, err
 	}
 	if !leaves.call(r.controlAddress(1), "Deregister", body) {
