--- a/review/second/case_reserved.go
+++ b/review/second/case_reserved.go
@@ -15,8 +15,7 @@
 	const (
 		limitNamed  = 200.0 // requests a second, far above the load
 		shortPrompt = 8000  // tokens
-		longPrompt  = 30000
-		longTime    = 3 * time.Second // within the 4 s for which clients wait for the first event
+		longPrompt  = 57000 // the longest of shift-handover: 39,600 + 6,290 + 11,300 tokens
 		longPrompts = 12
 	)
 	seeds := []int{0, 1, 2}
@@ -34,12 +33,7 @@
 		if n < 2 {
 			stage = "prefill"
 		}
-		e, err := r.startEngine(n, fmt.Sprintf("i-engine%d", n), stage, func(tokens int) time.Duration {
-			if tokens >= longPrompt {
-				return longTime
-			}
-			return 100 * time.Millisecond
-		})
+		e, err := r.startEngine(n, fmt.Sprintf("i-engine%d", n), stage)
 		if err != nil {
 			return false, err
 		}
@@ -53,7 +47,7 @@
 	time.Sleep(12 * time.Second) // the first orders of stages have been carried out
 	clients, stop := r.newClient(), make(chan struct{})
 	var running sync.WaitGroup
-	for range 8 { // short prompts, which are more urgent
+	for range 3 { // short prompts
 		running.Add(1)
 		go func() {
 			defer running.Done()
@@ -68,8 +62,6 @@
 			}
 		}()
 	}
-	defer running.Wait()
-	defer close(stop)
 	time.Sleep(time.Second)
 	for _, e := range engines {
 		if os.Getenv("LIMIT") != "0" { // for trials without a limit
@@ -77,6 +69,8 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
+	close(stop)
+	running.Wait()
 	var leaving *engine
 	for _, e := range engines {
 		if e.stageNow() == "decode" && len(e.ran(time.Now().Add(-3*time.Second))) > 0 {
@@ -89,9 +83,8 @@
 	served := make(chan int, longPrompts)
 	for range longPrompts {
 		go func() { served <- clients.prompt(r.frontAddress(0), "/m/long", longPrompt) }()
-		time.Sleep(40 * time.Millisecond) // so that each decode engine gets some
+		time.Sleep(25 * time.Millisecond) // so that each decode engine gets some
 	}
-	time.Sleep(100 * time.Millisecond)
 	acked := time.Now()
 	if r.trouble {
 		var ok bool
--- a/review/second/engine.go
+++ b/review/second/engine.go
@@ -15,9 +15,10 @@
 
 // Figures of the engines, from the sheet of pmr-norte.
 const (
-	switchTime = 3 * time.Second // a change of stage
-	eventPause = 20 * time.Millisecond
-	events     = 5
+	switchTime       = 3 * time.Second // a change of stage
+	eventPause       = 20 * time.Millisecond
+	events           = 5
+	prefillPerSecond = 63900 // tokens
 )
 
 // engine is a stand-in for a model worker.
@@ -28,8 +29,6 @@
 	born    int64
 	client  *http.Client
 	server  *http.Server
-	// prefillTime is how long a prompt takes that waits behind more urgent ones.
-	prefillTime func(tokens int) time.Duration
 
 	mu       sync.Mutex
 	sequence int
@@ -37,14 +36,16 @@
 	stage    string
 	limit    float64 // requests a second that it names in its answers, 0 for none
 	handles  int
+	free     time.Time // when all prompts that wait here have been read
+	changing bool      // of the stage
 	arrivals []arrival // runs, not prefills
 	stop     chan struct{}
 	beating  sync.WaitGroup
 }
 
-func (r *run) startEngine(n int, id, stage string, prefillTime func(int) time.Duration) (*engine, error) {
+func (r *run) startEngine(n int, id, stage string) (*engine, error) {
 	e := &engine{
-		run: r, id: id, address: r.address(outer, firstWorker+n, portFront), born: time.Now().UnixMilli(), state: "ready", stage: stage, prefillTime: prefillTime,
+		run: r, id: id, address: r.address(outer, firstWorker+n, portFront), born: time.Now().UnixMilli(), state: "ready", stage: stage,
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}, stop: make(chan struct{}),
 	}
 	l, err := net.Listen("tcp", e.address)
@@ -138,11 +139,16 @@
 		return // frees a handle
 	}
 	e.mu.Lock()
-	stage, limit := e.stage, e.limit
+	stage, limit, changing := e.stage, e.limit, e.changing
 	e.mu.Unlock()
 	if limit > 0 {
 		rw.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', 1, 64))
 	}
+	if changing {
+		rw.Header().Set("Filberthook-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	prefill := r.Header.Get("Filberthook-Stage") == "prefill"
 	if prefill != (stage == "prefill") {
 		rw.Header().Set("Filberthook-Not-Executed", "1")
@@ -166,11 +172,21 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case e.changing:
+		rw.WriteHeader(http.StatusConflict)
+		return
+	case e.stage == o.Stage:
+		return // it already holds
+	}
+	e.changing = true
 	e.run.record.log("engine %s: order to change to %s by %s, fence %d", e.id, o.Stage, o.Holder, o.Fence)
 	time.AfterFunc(switchTime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.stage = o.Stage
+		e.stage, e.changing = o.Stage, false
 	})
 	rw.WriteHeader(http.StatusAccepted)
 }
@@ -178,8 +194,15 @@
 func (e *engine) prefill(rw http.ResponseWriter, r *http.Request) {
 	in, _, _ := strings.Cut(r.Header.Get("Filberthook-Token-Usage"), ",")
 	tokens, _ := strconv.Atoi(in)
+	e.mu.Lock() // prompts of the same priority, in the order of their arrival
+	if now := time.Now(); e.free.Before(now) {
+		e.free = now
+	}
+	e.free = e.free.Add(time.Duration(tokens) * time.Second / prefillPerSecond)
+	read := time.Until(e.free)
+	e.mu.Unlock()
 	select {
-	case <-time.After(e.prefillTime(tokens)):
+	case <-time.After(read):
 	case <-r.Context().Done():
 		return
 	}
@@ -225,13 +248,13 @@
 // modelService is the name of the model workers' service on the wire.
 const modelService = "seny25a"
 
-// modelConfiguration returns a configuration with one route of short prompts' kind.
+// modelConfiguration returns a configuration with one route, that of shift-handover on the sheet of pmr-norte.
 func modelConfiguration(version int) []byte {
 	body, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
-			"name": "r-m", "host": authority, "path_prefix": "/m/", "kind": "streaming", "timeout_ms": 6000, "latency_goal_ms": 1000,
-			"priority": 3, "service": modelService, "max_attempts": 1, "sticky": true, "resumable": false, "gap_goal_ms": 250,
+			"name": "r-m", "host": authority, "path_prefix": "/m/", "kind": "streaming", "timeout_ms": 3000, "latency_goal_ms": 1000,
+			"priority": 1, "service": modelService, "max_attempts": 1, "sticky": true, "resumable": false, "gap_goal_ms": 250,
 		}},
 		"services": []map[string]any{{
 			"name": modelService, "health_path": "/health", "max_connections": 370, "protocol": "h1", "tls": false,
@@ -257,11 +280,11 @@
 	}
 	req.Host = authority
 	req.Header.Set("Filberthook-Request-Id", id)
-	req.Header.Set("Filberthook-Deadline-Ms", "6000")
+	req.Header.Set("Filberthook-Deadline-Ms", "3000")
 	req.Header.Set("Filberthook-Model", "m")
 	req.Header.Set("Filberthook-Token-Usage", fmt.Sprintf("%d,50", tokens))
 	req.Header.Set("Filberthook-Prefix-Hash", fmt.Sprintf("%x:%d", 0x5c1e0000+c.count.Load(), tokens))
-	caller := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	caller := &http.Client{Timeout: 3500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	resp, err := caller.Do(req)
 	if err != nil {
 		c.run.record.log("client: %s %s, %d tokens: no answer", id, path, tokens)
