An answer without a length that ends before its request was written is lost

Cause: a socket reports a reset once, to a read or to a write. While a large request is written by a goroutine of its own, its write can get the error; the read of the answer then sees an ordinary end, which completes an answer that ends with its connection. Answer kept the error of the write and nothing asked for it at the end of the body.

Change: at the end of an answer that has neither a length nor chunks, the write of the request is ended and its result decides: if it failed, or was not complete, the answer is lost, and what follows is that of any broken connection. A write that got the reset has an error by then, so no reset can look like an end.

Ruled out: the idle check of the pool (MSG_PEEK) runs before the request only.

--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/network/netopt"
 	"filberthook/internal/serve/caller"
 	"filberthook/internal/serve/membudget"
@@ -65,7 +66,8 @@
 	conn           *conn
 	ctx            context.Context
 	stop           func() bool     // detaches the connection from ctx
-	written        chan error      // receives the result of writing the request
+	written        chan struct{}   // closed when the request is written or writing has failed
+	writeErr       error           // of writing the request; set before written is closed
 	bodyRead       bool            // the body was read to its end
 	alone          bool            // the connection carries no other request
 	carried        bool            // the connection has carried other requests
@@ -89,7 +91,7 @@
 		p.put(c)
 		return nil, &NotSentError{Address: address, Err: err}
 	}
-	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan error, 1), alone: r.Alone, carried: c.used}
+	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan struct{}), alone: r.Alone, carried: c.used}
 	c.carry(r.ID)
 	a.stop = context.AfterFunc(ctx, func() {
 		a.unacknowledged.Store(int64(netopt.Unacknowledged(c.Conn)))
@@ -98,8 +100,8 @@
 	})
 	head := r.head()
 	if len(head)+len(r.Body) <= inlineRequestBytes {
-		_, err := c.Write(append(head, r.Body...))
-		a.written <- err
+		_, a.writeErr = c.Write(append(head, r.Body...))
+		close(a.written)
 	} else {
 		go a.write(head, r.Body)
 	}
@@ -142,11 +144,10 @@
 }
 
 func (a *Answer) write(head, body []byte) {
-	_, err := a.conn.Write(head)
-	if err == nil {
-		_, err = a.conn.Write(body)
+	defer close(a.written)
+	if _, a.writeErr = a.conn.Write(head); a.writeErr == nil {
+		_, a.writeErr = a.conn.Write(body)
 	}
-	a.written <- err
 }
 
 var (
@@ -232,7 +233,9 @@
 		case int64(len(body)) > limit:
 			return nil, a.lost(&TooLargeError{limit})
 		case errors.Is(err, io.EOF):
-			a.bodyRead = true
+			if err := a.end(); err != nil {
+				return nil, a.lost(err)
+			}
 			return body, nil
 		case err != nil:
 			return nil, a.lost(err)
@@ -267,7 +270,9 @@
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.Body.Read(b)
 	if errors.Is(err, io.EOF) {
-		a.bodyRead = true
+		if err := a.end(); err != nil {
+			return n, a.lost(err)
+		}
 		return n, io.EOF
 	}
 	if err != nil {
@@ -276,6 +281,38 @@
 	return n, nil
 }
 
+// UnknownEndError reports an answer that ended with its connection before its request was written,
+// so that it may be a part only.
+type UnknownEndError struct{ Err error }
+
+// Error implements error.
+func (e *UnknownEndError) Error() string {
+	return fmt.Sprintf("the answer has no length and ended before its request was written: %v", e.Err)
+}
+
+// Unwrap returns why the request was not written.
+func (e *UnknownEndError) Unwrap() error { return e.Err }
+
+// past is a deadline that ends a write at once.
+var past = time.Unix(1, 0)
+
+// end records that no more bytes of the body come, and returns an error unless it is complete.
+//
+// A socket reports a reset once, to a read or to a write. If the write of the request got it, the
+// read sees an ordinary end, which completes an answer that ends with its connection. Such an
+// answer is therefore complete only if its request was written.
+func (a *Answer) end() error {
+	if httpanswer.EndsWithConnection(a.Response) {
+		_ = a.conn.SetWriteDeadline(past) // fails only if the connection has ended
+		<-a.written
+		if a.writeErr != nil {
+			return &UnknownEndError{a.writeErr}
+		}
+	}
+	a.bodyRead = true
+	return nil
+}
+
 func (a *Answer) lost(err error) error {
 	if a.ctx.Err() != nil {
 		err = a.ctx.Err()
@@ -293,8 +330,8 @@
 	detached := a.stop()
 	complete := false
 	select {
-	case err := <-a.written:
-		complete = err == nil
+	case <-a.written:
+		complete = a.writeErr == nil
 	default: // not written yet: an instance may answer before it has read the body
 	}
 	if !detached || !complete || !a.bodyRead || a.tainted || a.alone || a.Response.Close || a.conn.reader.Buffered() > 0 {
