An answer with a status that no class has is malformed

Callers saw (here: the tests of package forward, with an instance that sends such an answer): status 600 and 999 were passed on. A status below 100, or 101 though no Upgrade was asked for, was passed over as informational, and the bytes behind it were read as the answer: with a signed 200 behind a 000 or a 101, safe, unsafe and streamed requests got that 200, streams were resumed and taken over with it, and the handle of a prefill was used.

Cause: http.ReadResponse takes any three digits for a status, and finalHead passed over every status below 200.

Change: package httpanswer reads heads for all readers: net/http's parser, and Check on top of it. A head that fails ends the exchange as a lost answer: nothing behind it is read, the connection is closed, another attempt follows where the route allows one, otherwise 502.

Ruled out: informational answers before an answer (100, 103) are as before.

--- a/internal/network/httpanswer/httpanswer.go
+++ b/internal/network/httpanswer/httpanswer.go
@@ -1,7 +1,55 @@
-// Package httpanswer decides whether an answer that was read over HTTP/1 may be taken for one.
+// Package httpanswer reads answers over HTTP/1. net/http accepts some that RFC 9112 does not allow and
+// whose sender may have meant another head, or another body, than the one that was read.
 package httpanswer
 
-import "net/http"
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+)
+
+// Reason is why an answer is malformed, in logs and metrics.
+type Reason string
+
+// ReasonStatus is a status below 100 or above 599, or a switch of protocols that nobody asked for.
+const ReasonStatus Reason = "status"
+
+// MalformedError reports a head that is none of an HTTP/1 answer. Nothing of the answer, and nothing
+// that comes after it on its connection, may be used.
+type MalformedError struct {
+	Reason Reason
+	Detail string
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("the answer is malformed (%s): %s", e.Reason, e.Detail)
+}
+
+// Read reads the head of the answer to a request with the method. The body is read from r. It returns
+// a *MalformedError for a head that net/http accepts and Check does not.
+func Read(r *bufio.Reader, method string) (*http.Response, error) {
+	answer, err := http.ReadResponse(r, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(answer); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// maxStatus is the highest status that a class of RFC 9110 has.
+const maxStatus = 599
+
+// Check returns a *MalformedError unless the head of an answer to a request without Upgrade is one of
+// RFC 9112. Answers may be informational.
+func Check(r *http.Response) error {
+	if r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
+		return &MalformedError{ReasonStatus, fmt.Sprintf("status %q", r.Status)}
+	}
+	return nil
+}
 
 // EndsWithConnection reports whether the body of an answer has neither a length nor chunks, so that
 // only the end of its connection ends it.
--- a/internal/serve/forward/broken_answer_test.go
+++ b/internal/serve/forward/broken_answer_test.go
@@ -28,6 +28,19 @@
 	"reset during the upload":           {text: toItsEnd, early: true},
 	"reset soon during the upload":      {text: toItsEnd, early: true, wait: 3 * time.Millisecond},
 	"reset during the upload, HTTP/1.0": {text: replaced(toItsEnd, "HTTP/1.1", "HTTP/1.0"), early: true},
+	"status 000":                        {text: replaced(sized, "200 OK", "000 Failed")},
+	"status 007":                        {text: replaced(sized, "200 OK", "007 Failed")},
+	"status 099, without a length":      {text: replaced(toItsEnd, "200 OK", "099 Failed")},
+	"status 600":                        {text: replaced(sized, "200 OK", "600 Failed")},
+	"status 999":                        {text: replaced(sized, "200 OK", "999 Failed")},
+	"status 101":                        {text: replaced(sized, "200 OK", "101 Switching Protocols")},
+	"status 000 before an answer":       {text: after("HTTP/1.1 000 Failed\r\n\r\n")},
+	"status 101 before an answer":       {text: after("HTTP/1.1 101 Switching Protocols\r\n\r\n")},
+}
+
+// after returns a framing of answers that come right after other bytes.
+func after(text string) func(head, body string) string {
+	return func(head, body string) string { return text + sized(head, body) }
 }
 
 func replaced(frame func(head, body string) string, old, by string) func(head, body string) string {
--- a/internal/serve/upstream/conn.go
+++ b/internal/serve/upstream/conn.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/network/netopt"
 )
 
@@ -95,7 +96,7 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.head.left, c.head.limited = maxHeadBytes, true
 	defer func() { c.head.limited = false }()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	return httpanswer.Read(c.reader, method)
 }
 
 // healthy reports whether an idle connection is open and has no bytes to read. Bytes that
