An answer whose head has a field name with a blank is malformed

Callers saw (here: the tests of package forward): with a blank in a field's name, or before its colon, safe, unsafe and streamed requests got the answer, streams were resumed and taken over with it, and the handle of a prefill was used. With a blank before the colon of Transfer-Encoding the body they got was that of the chunks' bytes, sizes and all. Control bytes, tabs, NUL, an empty name, a line without a colon and a control byte in a value did not reach callers before either; the tests of that stay.

Cause: net/textproto accepts blanks in names and leaves such names as they are, so a length or a transfer coding of such a name has no effect on where the answer ends. net/http's server leaves the line out, which hid it.

Change: Check of package httpanswer, which all heads of package upstream pass, accepts names of RFC 9110 only.

Ruled out: continued lines (obs-fold) become one value, as RFC 9112 allows.

--- a/internal/network/httpanswer/httpanswer.go
+++ b/internal/network/httpanswer/httpanswer.go
@@ -6,13 +6,17 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // Reason is why an answer is malformed, in logs and metrics.
 type Reason string
 
-// ReasonStatus is a status below 100 or above 599, or a switch of protocols that nobody asked for.
-const ReasonStatus Reason = "status"
+// Reasons of a MalformedError.
+const (
+	ReasonStatus    Reason = "status"     // below 100 or above 599, or a switch of protocols that nobody asked for
+	ReasonFieldName Reason = "field_name" // with a byte that names do not have
+)
 
 // MalformedError reports a head that is none of an HTTP/1 answer. Nothing of the answer, and nothing
 // that comes after it on its connection, may be used.
@@ -48,9 +52,24 @@
 	if r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return &MalformedError{ReasonStatus, fmt.Sprintf("status %q", r.Status)}
 	}
+	for name := range r.Header {
+		if !isToken(name) {
+			return &MalformedError{ReasonFieldName, fmt.Sprintf("field name %q", name)}
+		}
+	}
 	return nil
 }
 
+// isToken reports whether a text is a token of RFC 9110, section 5.6.2. net/textproto accepts blanks in
+// names, also before the colon: a length or a transfer coding of such a name has no effect there, although
+// it has one elsewhere.
+func isToken(text string) bool {
+	return text != "" && !strings.ContainsFunc(text, func(c rune) bool {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		return !letter && (c < '0' || c > '9') && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+	})
+}
+
 // EndsWithConnection reports whether the body of an answer has neither a length nor chunks, so that
 // only the end of its connection ends it.
 func EndsWithConnection(r *http.Response) bool {
--- a/internal/serve/forward/broken_answer_test.go
+++ b/internal/serve/forward/broken_answer_test.go
@@ -36,6 +36,20 @@
 	"status 101":                        {text: replaced(sized, "200 OK", "101 Switching Protocols")},
 	"status 000 before an answer":       {text: after("HTTP/1.1 000 Failed\r\n\r\n")},
 	"status 101 before an answer":       {text: after("HTTP/1.1 101 Switching Protocols\r\n\r\n")},
+	"blank in a name":                   {text: replaced(sized, "\r\n", "\r\nX Other: a\r\n")},
+	"blank in a name, chunks":           {text: replaced(chunked, "\r\n", "\r\nX Other: a\r\n")},
+	"blank before a colon":              {text: replaced(sized, "\r\n", "\r\nX-Other : a\r\n")},
+	"blank before the length's colon":   {text: replaced(sized, "Content-Length:", "Content-Length :")},
+	"blank before the chunks' colon":    {text: replaced(chunked, "Transfer-Encoding:", "Transfer-Encoding :")},
+	"blank in the name of a hint":       {text: after("HTTP/1.1 103 Early Hints\r\nX Other: a\r\n\r\n")},
+	"tab in a name":                     {text: replaced(sized, "\r\n", "\r\nX\tOther: a\r\n")},
+	"tab before a colon":                {text: replaced(sized, "\r\n", "\r\nX-Other\t: a\r\n")},
+	"control byte in a name":            {text: replaced(sized, "\r\n", "\r\nX\x01Other: a\r\n")},
+	"NUL in a name":                     {text: replaced(sized, "\r\n", "\r\nX\x00Other: a\r\n")},
+	"byte of no character in a name":    {text: replaced(sized, "\r\n", "\r\nX\xffOther: a\r\n")},
+	"empty name":                        {text: replaced(sized, "\r\n", "\r\n: a\r\n")},
+	"control byte in a value":           {text: replaced(sized, "\r\n", "\r\nX-Other: a\x01\r\n")},
+	"line without a colon":              {text: replaced(sized, "\r\n", "\r\nX-Other\r\n")},
 }
 
 // after returns a framing of answers that come right after other bytes.
