Heads of answers are read by one Reader: HTTP/1.0 with chunks, other versions

Callers saw (here: the tests of package forward): the bytes of the chunks, sizes and all, as the body of an HTTP/1.0 answer with Transfer-Encoding: safe and unsafe requests, 4 cases. Answers that called themselves HTTP/2.0 or 0.9 were taken for HTTP/1, on all paths. Found while the list of field names was tested; same class as a transfer coding whose name has a blank.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0 and removes it from the header, so that a check of its result cannot see it. RFC 9112, section 6.1: the framing of such a message is faulty.

Change: httpanswer.Reader reads all heads of package upstream. It holds the limit of their size, which was upstream's, and looks at the lines of an HTTP/1.0 head for the field. It tells errors of the connection, which it returns as they are, from a head that is malformed, and names the reason of that.

Ruled out: HTTP/1.0 answers with a length, or up to the connection's end, are as before. Package proxy reads by net/http's transport and still has the HTTP/1.0 case.

--- a/internal/network/httpanswer/httpanswer.go
+++ b/internal/network/httpanswer/httpanswer.go
@@ -3,7 +3,6 @@
 package httpanswer
 
 import (
-	"bufio"
 	"fmt"
 	"net/http"
 	"strings"
@@ -16,6 +15,10 @@
 const (
 	ReasonStatus    Reason = "status"     // below 100 or above 599, or a switch of protocols that nobody asked for
 	ReasonFieldName Reason = "field_name" // with a byte that names do not have
+	ReasonVersion   Reason = "version"    // other than HTTP/1
+	ReasonFraming   Reason = "framing"    // a transfer coding in HTTP/1.0, which has none
+	ReasonSyntax    Reason = "syntax"     // what net/http does not accept
+	ReasonTooLarge  Reason = "too_large"  // of more than MaxHeadBytes
 )
 
 // MalformedError reports a head that is none of an HTTP/1 answer. Nothing of the answer, and nothing
@@ -30,19 +33,6 @@
 	return fmt.Sprintf("the answer is malformed (%s): %s", e.Reason, e.Detail)
 }
 
-// Read reads the head of the answer to a request with the method. The body is read from r. It returns
-// a *MalformedError for a head that net/http accepts and Check does not.
-func Read(r *bufio.Reader, method string) (*http.Response, error) {
-	answer, err := http.ReadResponse(r, &http.Request{Method: method})
-	if err != nil {
-		return nil, err
-	}
-	if err := Check(answer); err != nil {
-		return nil, err
-	}
-	return answer, nil
-}
-
 // maxStatus is the highest status that a class of RFC 9110 has.
 const maxStatus = 599
 
--- a/internal/network/httpanswer/httpanswer_test.go
+++ b/internal/network/httpanswer/httpanswer_test.go
@@ -1,9 +1,9 @@
 package httpanswer
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"regexp"
 	"strings"
@@ -11,33 +11,60 @@
 )
 
 func read(text string) (*http.Response, error) {
-	return Read(bufio.NewReader(strings.NewReader(text)), http.MethodGet)
+	return NewReader(strings.NewReader(text)).Next(http.MethodGet)
 }
 
 func TestMalformedHeads(t *testing.T) {
 	const end = "\r\nContent-Length: 0\r\n\r\n"
 	for text, want := range map[string]Reason{
-		"HTTP/1.1 200 OK" + end:                             "",
-		"HTTP/1.1 100 Continue" + end:                       "",
-		"HTTP/1.1 599 Other" + end:                          "",
-		"HTTP/1.1 000 X" + end:                              ReasonStatus,
-		"HTTP/1.1 007 X" + end:                              ReasonStatus,
-		"HTTP/1.1 099 X" + end:                              ReasonStatus,
-		"HTTP/1.1 +99 X" + end:                              ReasonStatus,
-		"HTTP/1.1 600 X" + end:                              ReasonStatus,
-		"HTTP/1.1 999 X" + end:                              ReasonStatus,
-		"HTTP/1.1 101 X" + end:                              ReasonStatus,
-		"HTTP/1.1 200 OK\r\nX-1!#$%&'*+.^_`|~: a" + end:     "",
-		"HTTP/1.1 200 OK\r\nX A: a" + end:                   ReasonFieldName,
-		"HTTP/1.1 200 OK\r\nX-A : a" + end:                  ReasonFieldName,
-		"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n":     ReasonFieldName,
-		"HTTP/1.1 100 Continue\r\nX A: a" + end:             ReasonFieldName,
-		"HTTP/1.1 200 OK\r\nX-A: a\r\n continued : a" + end: "",
+		"HTTP/1.1 200 OK" + end:                                            "",
+		"HTTP/1.1 100 Continue" + end:                                      "",
+		"HTTP/1.1 599 Other" + end:                                         "",
+		"HTTP/1.1 000 X" + end:                                             ReasonStatus,
+		"HTTP/1.1 007 X" + end:                                             ReasonStatus,
+		"HTTP/1.1 099 X" + end:                                             ReasonStatus,
+		"HTTP/1.1 +99 X" + end:                                             ReasonStatus,
+		"HTTP/1.1 600 X" + end:                                             ReasonStatus,
+		"HTTP/1.1 999 X" + end:                                             ReasonStatus,
+		"HTTP/1.1 101 X" + end:                                             ReasonStatus,
+		"HTTP/1.1 200 OK\r\nX-1!#$%&'*+.^_`|~: a" + end:                    "",
+		"HTTP/1.1 200 OK\r\nX A: a" + end:                                  ReasonFieldName,
+		"HTTP/1.1 200 OK\r\nX-A : a" + end:                                 ReasonFieldName,
+		"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n":                    ReasonFieldName,
+		"HTTP/1.1 100 Continue\r\nX A: a" + end:                            ReasonFieldName,
+		"HTTP/1.1 200 OK\r\nX-A: a\r\n continued : a" + end:                "",
+		"HTTP/1.0 200 OK\r\n\r\nTransfer-Encoding: chunked":                "",
+		"HTTP/1.0 200 OK\ntransfer-encoding: chunked\n\n0\r\n\r\n":         ReasonFraming,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + end:              ReasonFraming,
+		"HTTP/1.2 200 OK" + end:                                            "",
+		"HTTP/2.0 200 OK" + end:                                            ReasonVersion,
+		"HTTP/0.9 200 OK" + end:                                            ReasonVersion,
+		"\x00\x01\r\n\r\n":                                                 ReasonSyntax,
+		"HTTP/1.1 200 OK\r\nX\x00: a" + end:                                ReasonSyntax,
+		"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", MaxHeadBytes) + end: ReasonTooLarge,
 	} {
 		_, err := read(text)
 		var malformed *MalformedError
 		if want == "" && err != nil || want != "" && (!errors.As(err, &malformed) || malformed.Reason != want) {
-			t.Errorf("%q: %v, want the reason %q", text, err, want)
+			t.Errorf("%.99q: %v, want the reason %q", text, err, want)
+		}
+	}
+}
+
+func TestHeadThatIsCutIsNotMalformed(t *testing.T) {
+	const head = "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for cut := range len(head) {
+		if _, err := read(head[:cut]); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("cut after %q: %v", head[:cut], err)
+		}
+	}
+}
+
+func TestFieldsOfTheNextAnswerAreItsOwn(t *testing.T) {
+	r := NewReader(strings.NewReader("HTTP/1.0 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
+	for _, want := range []int{http.StatusNoContent, http.StatusOK} {
+		if got, err := r.Next(http.MethodGet); err != nil || got.StatusCode != want {
+			t.Errorf("got %v, %v, want %d", got, err, want)
 		}
 	}
 }
--- /dev/null
+++ b/internal/network/httpanswer/reader.go
@@ -0,0 +1,120 @@
+package httpanswer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+const (
+	// MaxHeadBytes limits the head of an answer.
+	MaxHeadBytes = 64 << 10
+	// bufferBytes is enough for the head of an answer, and for small answers entirely.
+	bufferBytes = 4 << 10
+)
+
+// Reader reads the answers that come over a connection.
+type Reader struct {
+	buffered *bufio.Reader // of source
+	source   *source
+}
+
+// NewReader returns a Reader of a connection.
+func NewReader(connection io.Reader) *Reader {
+	s := &source{from: connection}
+	return &Reader{buffered: bufio.NewReaderSize(s, bufferBytes), source: s}
+}
+
+// Buffered returns how many bytes were read from the connection and belong to no answer yet.
+func (r *Reader) Buffered() int { return r.buffered.Buffered() }
+
+// Next reads the head of the next answer, which may be informational. The body of the one before must have
+// been read. It returns a *MalformedError, or an error of the connection.
+func (r *Reader) Next(method string) (*http.Response, error) {
+	unread, _ := r.buffered.Peek(r.buffered.Buffered()) // does not read, so it does not fail
+	r.source.beginHead(unread)
+	defer r.source.endHead()
+	answer, err := http.ReadResponse(r.buffered, &http.Request{Method: method})
+	switch {
+	case errors.Is(r.source.err, errTooLarge):
+		return nil, &MalformedError{ReasonTooLarge, errTooLarge.Error()}
+	case err != nil && errors.Is(r.source.err, io.EOF):
+		return nil, io.ErrUnexpectedEOF
+	case err != nil && r.source.err != nil:
+		return nil, r.source.err
+	case err != nil:
+		return nil, &MalformedError{ReasonSyntax, err.Error()}
+	case answer.ProtoMajor != 1:
+		return nil, &MalformedError{ReasonVersion, fmt.Sprintf("version %q", answer.Proto)}
+	case hasTransferEncoding(r.source.oldFields):
+		return nil, &MalformedError{ReasonFraming, "HTTP/1.0 with a transfer coding"}
+	}
+	if err := Check(answer); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// oldVersion is the beginning of answers for which net/http ignores Transfer-Encoding.
+const oldVersion = "HTTP/1.0"
+
+// source reads from a connection. While the head of an answer is expected, it limits the bytes that are
+// read, as an instance in trouble may send bytes without an end.
+type source struct {
+	from      io.Reader
+	inHead    bool
+	left      int    // bytes that may still be read
+	start     []byte // of the answer, as far as oldVersion is long
+	oldFields []byte // what follows start, of an answer of oldVersion
+	err       error  // of the last read
+}
+
+var errTooLarge = fmt.Errorf("the head has more than %d bytes", MaxHeadBytes)
+
+func (s *source) beginHead(unread []byte) {
+	s.inHead, s.left, s.start, s.err = true, MaxHeadBytes, s.start[:0], nil
+	s.note(unread)
+}
+
+func (s *source) endHead() { s.inHead, s.oldFields = false, nil }
+
+// note records bytes of a head.
+func (s *source) note(b []byte) {
+	n := min(len(b), len(oldVersion)-len(s.start))
+	s.start = append(s.start, b[:n]...)
+	if string(s.start) == oldVersion {
+		s.oldFields = append(s.oldFields, b[n:]...)
+	}
+}
+
+// Read implements io.Reader.
+func (s *source) Read(p []byte) (n int, err error) {
+	if !s.inHead {
+		return s.from.Read(p)
+	}
+	if s.left <= 0 {
+		s.err = errTooLarge
+		return 0, s.err
+	}
+	n, s.err = s.from.Read(p[:min(len(p), s.left)])
+	s.left -= n
+	s.note(p[:n])
+	return n, s.err
+}
+
+// hasTransferEncoding reports whether the lines up to the first blank one have a field Transfer-Encoding.
+func hasTransferEncoding(lines []byte) bool {
+	for line := range bytes.Lines(lines) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		if bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")) {
+			return true
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return false
+		}
+	}
+	return false
+}
--- a/internal/serve/forward/broken_answer_test.go
+++ b/internal/serve/forward/broken_answer_test.go
@@ -42,6 +42,8 @@
 	"blank before the length's colon":   {text: replaced(sized, "Content-Length:", "Content-Length :")},
 	"blank before the chunks' colon":    {text: replaced(chunked, "Transfer-Encoding:", "Transfer-Encoding :")},
 	"blank in the name of a hint":       {text: after("HTTP/1.1 103 Early Hints\r\nX Other: a\r\n\r\n")},
+	"chunks in HTTP/1.0":                {text: replaced(chunked, "HTTP/1.1", "HTTP/1.0")},
+	"HTTP/2.0 as text":                  {text: replaced(sized, "HTTP/1.1", "HTTP/2.0")},
 	"tab in a name":                     {text: replaced(sized, "\r\n", "\r\nX\tOther: a\r\n")},
 	"tab before a colon":                {text: replaced(sized, "\r\n", "\r\nX-Other\t: a\r\n")},
 	"control byte in a name":            {text: replaced(sized, "\r\n", "\r\nX\x01Other: a\r\n")},
--- a/internal/serve/upstream/conn.go
+++ b/internal/serve/upstream/conn.go
@@ -1,10 +1,7 @@
 package upstream
 
 import (
-	"bufio"
-	"fmt"
 	"hash/maphash"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -16,37 +13,10 @@
 	"filberthook/internal/network/netopt"
 )
 
-// readBufferBytes is enough for the header of an answer, and for small answers entirely.
-const readBufferBytes = 4 << 10
-
-// headReader limits the bytes read while the head of an answer is expected: an instance in
-// trouble may send bytes without an end.
-type headReader struct {
-	from    io.Reader
-	left    int64 // bytes that may still be read
-	limited bool
-}
-
-var errHeadTooLarge = fmt.Errorf("the head of the answer has more than %d bytes", maxHeadBytes)
-
-// Read implements io.Reader.
-func (r *headReader) Read(p []byte) (int, error) {
-	if !r.limited {
-		return r.from.Read(p)
-	}
-	if r.left <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := r.from.Read(p[:min(int64(len(p)), r.left)])
-	r.left -= int64(n)
-	return n, err
-}
-
 // conn is a connection to an instance, used by one request at a time.
 type conn struct {
 	net.Conn
-	reader     *bufio.Reader // of head
-	head       *headReader
+	reader     *httpanswer.Reader
 	address    string
 	reused     bool
 	idleSince  time.Time
@@ -88,15 +58,7 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	head := &headReader{from: c}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head, address: address}
-}
-
-// readHead reads the head of an answer. Its body may be of any length.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	c.head.left, c.head.limited = maxHeadBytes, true
-	defer func() { c.head.limited = false }()
-	return httpanswer.Read(c.reader, method)
+	return &conn{Conn: c, reader: httpanswer.NewReader(c), address: address}
 }
 
 // healthy reports whether an idle connection is open and has no bytes to read. Bytes that
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -46,8 +46,6 @@
 	// It fits the smallest send buffer; a larger one could block, and is written by a
 	// goroutine of its own.
 	inlineRequestBytes = 2 << 10
-	// maxHeadBytes limits the head of an answer.
-	maxHeadBytes = 64 << 10
 	// maxSkipped limits the skipped answers that belong to other requests.
 	maxSkipped = 2
 	// maxInformational limits the informational answers (1xx) of an exchange.
@@ -181,7 +179,7 @@
 // finalHead reads the head of the next answer. Informational ones are hop-by-hop.
 func (a *Answer) finalHead(method string) (*http.Response, error) {
 	for range maxInformational + 1 {
-		response, err := a.conn.readHead(method)
+		response, err := a.conn.reader.Next(method)
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
