Package proxy takes no broken answer for one: Transport checks what net/http reads

Cause: as in package upstream. net/http's transport reads any three digits as a status and accepts blanks in names; its goroutine that writes the request can get the reset, and the body then ends as if in order before the connection is closed.

Change: httpanswer.Transport wraps net/http's. It checks heads as Reader does, also informational ones and HTTP/1.0 with a transfer coding, which it sees on the connection. The end of an answer without a length counts only if the connection got no error of a write and the request was written. A broken answer is a broken connection to package proxy: another attempt for what is repeatable, otherwise an unknown outcome.

Ruled out: sound answers without a length, in both versions, are as before (test).

--- a/internal/network/httpanswer/httpanswer.go
+++ b/internal/network/httpanswer/httpanswer.go
@@ -37,12 +37,19 @@
 const maxStatus = 599
 
 // Check returns a *MalformedError unless the head of an answer to a request without Upgrade is one of
-// RFC 9112. Answers may be informational.
+// RFC 9112, or came over HTTP/2. Answers may be informational.
 func Check(r *http.Response) error {
 	if r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return &MalformedError{ReasonStatus, fmt.Sprintf("status %q", r.Status)}
 	}
-	for name := range r.Header {
+	if r.ProtoMajor != 1 && (r.TLS == nil || r.TLS.NegotiatedProtocol != "h2") {
+		return &MalformedError{ReasonVersion, fmt.Sprintf("version %q", r.Proto)}
+	}
+	return checkNames(r.Header)
+}
+
+func checkNames(fields map[string][]string) error {
+	for name := range fields {
 		if !isToken(name) {
 			return &MalformedError{ReasonFieldName, fmt.Sprintf("field name %q", name)}
 		}
@@ -60,6 +67,19 @@
 	})
 }
 
+// UnknownEndError reports an answer that ended with its connection before its request was written, or
+// while writing failed. A socket reports a reset once, to a read or to a write: if the write got it, the
+// read sees an ordinary end, so that the answer may be a part only.
+type UnknownEndError struct{ Err error }
+
+// Error implements error.
+func (e *UnknownEndError) Error() string {
+	return fmt.Sprintf("the answer has no length and ended before its request was written: %v", e.Err)
+}
+
+// Unwrap returns why the request was not written.
+func (e *UnknownEndError) Unwrap() error { return e.Err }
+
 // EndsWithConnection reports whether the body of an answer has neither a length nor chunks, so that
 // only the end of its connection ends it.
 func EndsWithConnection(r *http.Response) bool {
--- a/internal/network/httpanswer/reader.go
+++ b/internal/network/httpanswer/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -47,10 +46,9 @@
 		return nil, r.source.err
 	case err != nil:
 		return nil, &MalformedError{ReasonSyntax, err.Error()}
-	case answer.ProtoMajor != 1:
-		return nil, &MalformedError{ReasonVersion, fmt.Sprintf("version %q", answer.Proto)}
-	case hasTransferEncoding(r.source.oldFields):
-		return nil, &MalformedError{ReasonFraming, "HTTP/1.0 with a transfer coding"}
+	}
+	if err := r.source.old.check(); err != nil {
+		return nil, err
 	}
 	if err := Check(answer); err != nil {
 		return nil, err
@@ -58,36 +56,26 @@
 	return answer, nil
 }
 
-// oldVersion is the beginning of answers for which net/http ignores Transfer-Encoding.
-const oldVersion = "HTTP/1.0"
-
 // source reads from a connection. While the head of an answer is expected, it limits the bytes that are
 // read, as an instance in trouble may send bytes without an end.
 type source struct {
-	from      io.Reader
-	inHead    bool
-	left      int    // bytes that may still be read
-	start     []byte // of the answer, as far as oldVersion is long
-	oldFields []byte // what follows start, of an answer of oldVersion
-	err       error  // of the last read
+	from   io.Reader
+	inHead bool
+	left   int   // bytes that may still be read
+	err    error // of the last read
+	old    oldHead
 }
 
 var errTooLarge = fmt.Errorf("the head has more than %d bytes", MaxHeadBytes)
 
 func (s *source) beginHead(unread []byte) {
-	s.inHead, s.left, s.start, s.err = true, MaxHeadBytes, s.start[:0], nil
-	s.note(unread)
+	s.inHead, s.left, s.err = true, MaxHeadBytes, nil
+	s.old.begin(unread)
 }
 
-func (s *source) endHead() { s.inHead, s.oldFields = false, nil }
-
-// note records bytes of a head.
-func (s *source) note(b []byte) {
-	n := min(len(b), len(oldVersion)-len(s.start))
-	s.start = append(s.start, b[:n]...)
-	if string(s.start) == oldVersion {
-		s.oldFields = append(s.oldFields, b[n:]...)
-	}
+func (s *source) endHead() {
+	s.inHead = false
+	s.old.begin(nil)
 }
 
 // Read implements io.Reader.
@@ -101,20 +89,6 @@
 	}
 	n, s.err = s.from.Read(p[:min(len(p), s.left)])
 	s.left -= n
-	s.note(p[:n])
+	s.old.note(p[:n])
 	return n, s.err
 }
-
-// hasTransferEncoding reports whether the lines up to the first blank one have a field Transfer-Encoding.
-func hasTransferEncoding(lines []byte) bool {
-	for line := range bytes.Lines(lines) {
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		if bytes.EqualFold(bytes.TrimSpace(name), []byte("Transfer-Encoding")) {
-			return true
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return false
-		}
-	}
-	return false
-}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -96,7 +96,7 @@
 	return &Proxy{
 		settings:  settings,
 		sched:     sched,
-		pooled:    callerCheck{newTransport(settings.Transport)},
+		pooled:    callerCheck{newPooledTransport(settings.Transport)},
 		singleUse: callerCheck{newSingleUseTransport(settings.Transport)},
 		memory:    limit.NewMemory(settings.MaxHeldBytes),
 		attempts:  set.GetOrCreateCounter("filberthook_attempts_total"),
--- a/internal/serve/proxy/transport.go
+++ b/internal/serve/proxy/transport.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/network/netopt"
 	"filberthook/internal/process/tomltime"
 	"filberthook/internal/serve/caller"
@@ -29,27 +30,26 @@
 	}
 }
 
-// newTransport returns a transport with a connection pool, for repeatable requests. It
-// neither follows redirects nor decompresses answers.
-func newTransport(s TransportSettings) *http.Transport {
-	return &http.Transport{
+// newPooledTransport returns a transport with a connection pool, for repeatable requests.
+func newPooledTransport(s TransportSettings) http.RoundTripper { return newTransport(s, true) }
+
+// newTransport returns a transport that neither follows redirects nor decompresses answers.
+func newTransport(s TransportSettings, keepAlives bool) http.RoundTripper {
+	return httpanswer.NewTransport(&http.Transport{
+		DisableKeepAlives:      !keepAlives,
 		DialContext:            dialInstance(&net.Dialer{Timeout: s.DialTimeout.Duration}),
 		MaxIdleConnsPerHost:    s.IdlePerHost,
 		IdleConnTimeout:        s.IdleTimeout.Duration,
 		MaxResponseHeaderBytes: s.MaxHeaderLen,
 		DisableCompression:     true,
-	}
+	})
 }
 
 // newSingleUseTransport returns a transport for non-repeatable requests. It opens
 // a connection for each request: an instance may close an idle connection just when it is
 // reused, and then it is unknown whether the request arrived. Also, net/http retries a
 // request with an idempotency key by itself on a reused connection, never on a new one.
-func newSingleUseTransport(s TransportSettings) *http.Transport {
-	t := newTransport(s)
-	t.DisableKeepAlives = true
-	return t
-}
+func newSingleUseTransport(s TransportSettings) http.RoundTripper { return newTransport(s, false) }
 
 // dialInstance returns a function that dials with d.
 func dialInstance(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -279,32 +279,19 @@
 	return n, nil
 }
 
-// UnknownEndError reports an answer that ended with its connection before its request was written,
-// so that it may be a part only.
-type UnknownEndError struct{ Err error }
-
-// Error implements error.
-func (e *UnknownEndError) Error() string {
-	return fmt.Sprintf("the answer has no length and ended before its request was written: %v", e.Err)
-}
-
-// Unwrap returns why the request was not written.
-func (e *UnknownEndError) Unwrap() error { return e.Err }
-
 // past is a deadline that ends a write at once.
 var past = time.Unix(1, 0)
 
 // end records that no more bytes of the body come, and returns an error unless it is complete.
 //
-// A socket reports a reset once, to a read or to a write. If the write of the request got it, the
-// read sees an ordinary end, which completes an answer that ends with its connection. Such an
-// answer is therefore complete only if its request was written.
+// An answer that ends with its connection is complete only if its request was written; see
+// httpanswer.UnknownEndError.
 func (a *Answer) end() error {
 	if httpanswer.EndsWithConnection(a.Response) {
 		_ = a.conn.SetWriteDeadline(past) // fails only if the connection has ended
 		<-a.written
 		if a.writeErr != nil {
-			return &UnknownEndError{a.writeErr}
+			return &httpanswer.UnknownEndError{Err: a.writeErr}
 		}
 	}
 	a.bodyRead = true
