Package proxy passes on an early answer of known length

Cause: net/http's transport closes the connection at an error of a write, although the answer waits in the socket.

Change: a write of httpanswer.Transport's connection that fails returns its error once the reader has seen the end, or the connection is closed. The reader gets the answer first, or the end at once if there is none, so no failure is later.

--- a/internal/network/httpanswer/transport.go
+++ b/internal/network/httpanswer/transport.go
@@ -17,7 +17,7 @@
 // for one. The body of an answer that may be a part only ends with an *UnknownEndError.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a Transport over base, which must not be used otherwise. Heads are limited to
+// NewTransport returns a Transport for http URLs over base, which must not be used otherwise. Heads are limited to
 // MaxHeadBytes unless base has another limit.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
@@ -29,7 +29,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return &conn{Conn: c, readEnded: make(chan struct{})}, nil
 	}
 	if base.MaxResponseHeaderBytes == 0 {
 		base.MaxResponseHeaderBytes = MaxHeadBytes
@@ -133,6 +133,9 @@
 
 	writeMu  sync.Mutex // held by a write
 	writeErr error      // the first one; guarded by writeMu
+
+	readEnd   sync.Once
+	readEnded chan struct{} // closed when nothing more can be read
 }
 
 // NetConn returns the connection below, as *tls.Conn does.
@@ -161,6 +164,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.endReading()
+	}
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
 	c.old.note(p[:n])
@@ -170,8 +176,26 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+func (c *conn) endReading() { c.readEnd.Do(func() { close(c.readEnded) }) }
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.endReading()
+	return c.Conn.Close()
+}
+
+// Write implements net.Conn. An instance may answer before it has read the request and close the
+// connection. net/http closes it at an error of a write, also while an answer waits to be read, so the
+// error is returned once nothing more can be read.
 func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if err != nil {
+		<-c.readEnded
+	}
+	return n, err
+}
+
+func (c *conn) write(p []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	n, err := c.Conn.Write(p)
--- a/internal/serve/proxy/broken_answer_test.go
+++ b/internal/serve/proxy/broken_answer_test.go
@@ -29,7 +29,9 @@
 	return ln.Addr().String(), requests
 }
 
-func allowLargeBodies(o *options) { o.middleware.Body.MaxBytes, o.middleware.Body.MaxHeld = 16<<20, 64<<20 }
+func allowLargeBodies(o *options) {
+	o.middleware.Body.MaxBytes, o.middleware.Body.MaxHeld = 16<<20, 64<<20
+}
 
 func TestBrokenAnswerToABookingLeavesItsOutcomeUnknown(t *testing.T) {
 	for _, b := range brokenanswer.All() {
@@ -145,3 +147,19 @@
 		}
 	}
 }
+
+func TestEarlyAnswerOfKnownLengthReachesTheCaller(t *testing.T) {
+	for n := range 20 {
+		ln, err := brokenanswer.Listen(func(c *net.TCPConn, r *http.Request) {
+			io.WriteString(c, rawAnswer(http.StatusRequestEntityTooLarge, r.Header.Get(engineapi.HeaderAttemptID), "Connection: close\r\n", "too long"))
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := newEntry(t, newMemoryLog(), []string{ln.Addr().String()}, allowLargeBodies)
+		if r := e.book("k", brokenanswer.Answer{Early: true}.RequestBody()); r.status != http.StatusRequestEntityTooLarge || r.body != "too long" {
+			t.Errorf("%d: status %d, body %q, want the 413", n, r.status, r.body)
+		}
+		ln.Close()
+	}
+}
