--- a/internal/control/authority/httpclient.go
+++ b/internal/control/authority/httpclient.go
@@ -6,13 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/httpanswer"
 )
 
 // maxResponseBytes bounds an engine's response.
@@ -21,9 +22,10 @@
 // HTTPTransport calls engines over HTTP. It implements Transport.
 type HTTPTransport struct{ client *http.Client }
 
-// NewHTTPTransport returns a transport over an HTTP client, which must not
-// follow redirects or retry.
-func NewHTTPTransport(client *http.Client) *HTTPTransport { return &HTTPTransport{client: client} }
+// NewHTTPTransport returns a transport that bounds each call by timeout.
+func NewHTTPTransport(timeout time.Duration) *HTTPTransport {
+	return &HTTPTransport{client: httpanswer.NewClient(timeout)}
+}
 
 // checkedBody is a request body that can be read only while the lease is valid, so
 // that the lease is checked when the body is written.
@@ -127,7 +129,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := httpanswer.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, fmt.Errorf("read the engine's answer: %w", err)
 	}
--- a/internal/control/authority/httpclient_test.go
+++ b/internal/control/authority/httpclient_test.go
@@ -10,10 +10,14 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"filberthook/internal/engines/engineapi"
 )
 
+// callTimeout bounds the calls of these tests.
+const callTimeout = 10 * time.Second
+
 // orderServer answers orders and counts those whose body arrived completely.
 type orderServer struct {
 	received atomic.Int64
@@ -61,7 +65,7 @@
 			server := httptest.NewServer(handler)
 			defer server.Close()
 			ref := EngineRef{Instance: "e1", Incarnation: 1, Address: strings.TrimPrefix(server.URL, "http://")}
-			status, err := NewHTTPTransport(server.Client()).Order(context.Background(), ref, engineapi.Order{ID: "o1", Fence: 3}, tt.check)
+			status, err := NewHTTPTransport(callTimeout).Order(context.Background(), ref, engineapi.Order{ID: "o1", Fence: 3}, tt.check)
 			var notSent *NotSentError
 			if (err == nil) != tt.ok || errors.As(err, &notSent) != tt.notSent || handler.received.Load() != tt.received {
 				t.Errorf("got %+v, %v with %d received", status, err, handler.received.Load())
@@ -74,7 +78,7 @@
 	server := httptest.NewServer(&orderServer{answer: echo})
 	defer server.Close()
 	ref := EngineRef{Address: strings.TrimPrefix(server.URL, "http://")}
-	_, err := NewHTTPTransport(server.Client()).OrderStatus(context.Background(), ref, "o1")
+	_, err := NewHTTPTransport(callTimeout).OrderStatus(context.Background(), ref, "o1")
 	var unknown *UnknownOrderError
 	if !errors.As(err, &unknown) {
 		t.Errorf("got %v", err)
@@ -85,7 +89,7 @@
 	server := httptest.NewServer(nil)
 	ref := EngineRef{Address: strings.TrimPrefix(server.URL, "http://")}
 	server.Close()
-	_, err := NewHTTPTransport(http.DefaultClient).Order(context.Background(), ref, engineapi.Order{ID: "o1"}, func() error { return nil })
+	_, err := NewHTTPTransport(callTimeout).Order(context.Background(), ref, engineapi.Order{ID: "o1"}, func() error { return nil })
 	var notSent *NotSentError
 	if !errors.As(err, &notSent) {
 		t.Errorf("got %v, want an order that was not sent", err)
@@ -102,7 +106,7 @@
 			_ = json.NewEncoder(w).Encode(other)
 		}))
 		ref := EngineRef{Instance: "e1", Incarnation: 1, Address: strings.TrimPrefix(server.URL, "http://")}
-		if state, _, err := NewHTTPTransport(server.Client()).State(t.Context(), ref); err == nil {
+		if state, _, err := NewHTTPTransport(callTimeout).State(t.Context(), ref); err == nil {
 			t.Errorf("%s: taken for the state %+v", name, state)
 		}
 		server.Close()
--- a/internal/engines/cachefeed/cachefeed.go
+++ b/internal/engines/cachefeed/cachefeed.go
@@ -8,7 +8,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -16,6 +15,7 @@
 
 	"filberthook/internal/control/directory"
 	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/serve/prefix"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -79,7 +79,7 @@
 		now:        now,
 		source:     source,
 		index:      index,
-		client:     &http.Client{Timeout: pollTimeout},
+		client:     httpanswer.NewClient(pollTimeout),
 		pollLimit:  rate.NewLimiter(pollsPerSec, pollBurst),
 		byteLimit:  rate.NewLimiter(bytesPerSec, bytesBurst),
 		slots:      make(chan struct{}, maxConcurrentPolls),
@@ -203,7 +203,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return page, fmt.Errorf("status %s", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	body, err := httpanswer.ReadBody(resp.Body, maxPageBytes)
 	f.chargeBytes(len(body))
 	if err != nil {
 		return page, err
--- a/internal/network/httpanswer/httpanswer.go
+++ b/internal/network/httpanswer/httpanswer.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -80,6 +81,24 @@
 // Unwrap returns why the request was not written.
 func (e *UnknownEndError) Unwrap() error { return e.Err }
 
+// TooLargeError reports an answer's body larger than the limit.
+type TooLargeError struct{ Limit int64 }
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
+}
+
+// ReadBody reads a whole body. It returns a *TooLargeError if that has more than limit bytes, and with any
+// error what it has read.
+func ReadBody(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		err = &TooLargeError{limit}
+	}
+	return data, err
+}
+
 // EndsWithConnection reports whether the body of an answer has neither a length nor chunks, so that
 // only the end of its connection ends it.
 func EndsWithConnection(r *http.Response) bool {
--- a/internal/network/httpanswer/transport.go
+++ b/internal/network/httpanswer/transport.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -17,8 +18,8 @@
 // for one. The body of an answer that may be a part only ends with an *UnknownEndError.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a Transport for http URLs over base, which must not be used otherwise. Heads are limited to
-// MaxHeadBytes unless base has another limit.
+// NewTransport returns a Transport for http URLs over base, which must not be used otherwise. Heads are
+// limited to MaxHeadBytes unless base has another limit.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -37,6 +38,16 @@
 	return &Transport{base: base}
 }
 
+// NewClient returns a client for http URLs that bounds a call, with its answer, by timeout. It does not
+// follow redirects.
+func NewClient(timeout time.Duration) *http.Client {
+	return &http.Client{
+		Timeout:       timeout,
+		Transport:     NewTransport(http.DefaultTransport.(*http.Transport).Clone()),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 // CloseIdleConnections closes the connections that no request uses.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
@@ -184,12 +195,12 @@
 	return c.Conn.Close()
 }
 
-// Write implements net.Conn. An instance may answer before it has read the request and close the
-// connection. net/http closes it at an error of a write, also while an answer waits to be read, so the
-// error is returned once nothing more can be read.
+// Write implements net.Conn. An instance may answer before it has read the request, and close the
+// connection. net/http closes it at an error of a write, also while an answer waits to be read, so a reset
+// is returned once nothing more can be read.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.write(p)
-	if err != nil {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
 		<-c.readEnded
 	}
 	return n, err
--- a/internal/serve/entry/planner.go
+++ b/internal/serve/entry/planner.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"filberthook/internal/control/authority"
@@ -42,15 +41,11 @@
 		Logger:  n.log,
 		Metrics: n.metrics,
 	}, authority.NewPeerGranter(callers))
-	client := &http.Client{
-		Timeout:       orderCallTimeout,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
 	manager := authority.NewManager(authority.Settings{
 		Clock:   clock,
 		Logger:  n.log,
 		Metrics: n.metrics,
-	}, holder, authority.NewHTTPTransport(client))
+	}, holder, authority.NewHTTPTransport(orderCallTimeout))
 	zone := zoneplanner.New(zoneplanner.Settings{
 		Zone:       n.settings.Zone,
 		Now:        n.now,
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -170,7 +170,7 @@
 		case err != nil:
 			return err
 		case skipped > maxSkippedBytes:
-			return &TooLargeError{maxSkippedBytes} // the rest of it must not be read as an answer
+			return &httpanswer.TooLargeError{Limit: maxSkippedBytes} // the rest of it must not be read as an answer
 		}
 	}
 	return errOnlyOtherAnswers
@@ -187,14 +187,6 @@
 	return nil, errManyInformational
 }
 
-// TooLargeError reports an answer's body larger than the limit.
-type TooLargeError struct{ Limit int64 }
-
-// Error implements error.
-func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
-}
-
 // FullError reports that the answers that are being read hold all the memory for them.
 type FullError struct{ Limit int64 }
 
@@ -210,7 +202,7 @@
 // until they are closed, or their memory is released, is limited as well.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
 	if a.ContentLength > limit {
-		return nil, a.lost(&TooLargeError{limit})
+		return nil, a.lost(&httpanswer.TooLargeError{Limit: limit})
 	}
 	space := int64(firstBodyBytes)
 	if a.ContentLength >= 0 {
@@ -229,7 +221,7 @@
 		body = body[:len(body)+n]
 		switch {
 		case int64(len(body)) > limit:
-			return nil, a.lost(&TooLargeError{limit})
+			return nil, a.lost(&httpanswer.TooLargeError{Limit: limit})
 		case errors.Is(err, io.EOF):
 			if err := a.end(); err != nil {
 				return nil, a.lost(err)
