The command line takes no broken answer of a control host for success

What was seen (tests of cli with the stand-ins of brokenanswer): `members promote` printed "done" for heads with blanks in names and for HTTP/2.0 as text, and reported a failed command in place of an unknown outcome for chunks that were read as a body. An answer without an end was read into memory until the time ran out: 1.07 GB allocated in 0.5 s. Statuses out of range and control bytes in names were an unknown outcome already.

Cause: net/http's default transport, and no limit in the client of connect.

Change: httpanswer.Transport, a limit of 64 MiB for answers of control hosts, and ReadBody for those of entry hosts. Since Transport may run below TLS here, whose handshake reads and writes in turn, it holds a failed write for a second at most.

--- a/internal/network/httpanswer/transport.go
+++ b/internal/network/httpanswer/transport.go
@@ -18,7 +18,7 @@
 // for one. The body of an answer that may be a part only ends with an *UnknownEndError.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a Transport for http URLs over base, which must not be used otherwise. Heads are
+// NewTransport returns a Transport over base, which must not be used otherwise. Heads are
 // limited to MaxHeadBytes unless base has another limit.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
@@ -38,7 +38,7 @@
 	return &Transport{base: base}
 }
 
-// NewClient returns a client for http URLs that bounds a call, with its answer, by timeout. It does not
+// NewClient returns a client that bounds a call, with its answer, by timeout. It does not
 // follow redirects.
 func NewClient(timeout time.Duration) *http.Client {
 	return &http.Client{
@@ -197,15 +197,24 @@
 
 // Write implements net.Conn. An instance may answer before it has read the request, and close the
 // connection. net/http closes it at an error of a write, also while an answer waits to be read, so a reset
-// is returned once nothing more can be read.
+// is returned once nothing more can be read, or after maxHold: the handshake of TLS reads and writes in
+// turn.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.write(p)
 	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		<-c.readEnded
+		timer := time.NewTimer(maxHold)
+		defer timer.Stop()
+		select {
+		case <-c.readEnded:
+		case <-timer.C:
+		}
 	}
 	return n, err
 }
 
+// maxHold bounds the time to read an answer that was sent before a reset. Its bytes are in the socket.
+const maxHold = time.Second
+
 func (c *conn) write(p []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
--- a/internal/process/cli/client.go
+++ b/internal/process/cli/client.go
@@ -15,6 +15,7 @@
 
 	"filberthook/api/filberthook/v1/filberthookv1connect"
 	"filberthook/internal/control/operator"
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/process/pause"
 )
 
@@ -40,13 +41,13 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: httpanswer.NewTransport(transport)}
 	c := &control{}
 	for _, address := range a.options.addresses {
 		for _, one := range strings.Split(address, ",") {
 			url := a.url(one)
 			c.names = append(c.names, url)
-			c.hosts = append(c.hosts, filberthookv1connect.NewOperatorServiceClient(client, url, bearer(key)))
+			c.hosts = append(c.hosts, filberthookv1connect.NewOperatorServiceClient(client, url, bearer(key), connect.WithReadMaxBytes(maxControlAnswerBytes)))
 		}
 	}
 	return c, nil
--- a/internal/process/cli/requests.go
+++ b/internal/process/cli/requests.go
@@ -4,11 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"filberthook/internal/network/httpanswer"
 )
 
 // Paths at the status address of an entry host.
@@ -20,6 +21,10 @@
 // maxAnswerBytes limits the answer read from an entry host.
 const maxAnswerBytes = 16 << 20
 
+// maxControlAnswerBytes limits the answer of a control host. Backups may have operator.MaxRequestBytes to be restored,
+// and differences are listed with what was before.
+const maxControlAnswerBytes = 64 << 20
+
 // addRequests adds the commands that query an entry host about calls.
 func (a *app) addRequests(parser *kingpin.Application) {
 	requests := parser.Command("requests", "Show the calls that an entry host handles now.")
@@ -66,12 +71,12 @@
 	if err != nil {
 		return usage("%w; correct --entry", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpanswer.NewClient(a.options.timeout).Do(req)
 	if err != nil {
 		return &noAnswerError{names: []string{address}, err: err}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := httpanswer.ReadBody(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return &noAnswerError{names: []string{address}, err: err}
 	}
