Large heads of answers reserve memory like bodies

Cause: a head is limited to 64 KiB, but its fields take some sixteen times their bytes, and nothing counted that for all heads together.

Change: httpanswer.Reader reserves 64 KiB for each 4 KiB of a head beyond its buffer, as connguard does for heads of requests; upstream takes it from the budget of bodies, until the answer is closed. Heads of up to 4 KiB, as sound ones are, reserve nothing.

--- a/internal/network/httpanswer/reader.go
+++ b/internal/network/httpanswer/reader.go
@@ -13,6 +13,8 @@
 	MaxHeadBytes = 64 << 10
 	// bufferBytes is enough for the head of an answer, and for small answers entirely.
 	bufferBytes = 4 << 10
+	// blockMemory is what each further bufferBytes of a head may take as fields.
+	blockMemory = 64 << 10
 )
 
 // Reader reads the answers that come over a connection.
@@ -27,6 +29,10 @@
 	return &Reader{buffered: bufio.NewReaderSize(s, bufferBytes), source: s}
 }
 
+// UseMemory has the heads from now on reserve the memory that they take beyond the buffer. An error of
+// reserve ends the head with it.
+func (r *Reader) UseMemory(reserve func(bytes int64) error) { r.source.reserve = reserve }
+
 // Buffered returns how many bytes were read from the connection and belong to no answer yet.
 func (r *Reader) Buffered() int { return r.buffered.Buffered() }
 
@@ -59,17 +65,19 @@
 // source reads from a connection. While the head of an answer is expected, it limits the bytes that are
 // read, as an instance in trouble may send bytes without an end.
 type source struct {
-	from   io.Reader
-	inHead bool
-	left   int   // bytes that may still be read
-	err    error // of the last read
-	old    oldHead
+	from     io.Reader
+	reserve  func(bytes int64) error // nil for no limit
+	inHead   bool
+	read     int   // bytes of the head, and of what came with its end
+	reserved int   // bytes of it that there is memory for
+	err      error // of the last read
+	old      oldHead
 }
 
 var errTooLarge = fmt.Errorf("the head has more than %d bytes", MaxHeadBytes)
 
 func (s *source) beginHead(unread []byte) {
-	s.inHead, s.left, s.err = true, MaxHeadBytes, nil
+	s.inHead, s.read, s.reserved, s.err = true, 0, bufferBytes, nil
 	s.old.begin(unread)
 }
 
@@ -83,12 +91,27 @@
 	if !s.inHead {
 		return s.from.Read(p)
 	}
-	if s.left <= 0 {
-		s.err = errTooLarge
+	if s.err = s.reserveNext(); s.err != nil {
 		return 0, s.err
 	}
-	n, s.err = s.from.Read(p[:min(len(p), s.left)])
-	s.left -= n
+	n, s.err = s.from.Read(p[:min(len(p), s.reserved-s.read)])
+	s.read += n
 	s.old.note(p[:n])
 	return n, s.err
 }
+
+// reserveNext returns why no more bytes of the head may be read, nil if some may.
+func (s *source) reserveNext() error {
+	switch {
+	case s.read < s.reserved:
+		return nil
+	case s.read >= MaxHeadBytes:
+		return errTooLarge
+	case s.reserve != nil:
+		if err := s.reserve(blockMemory); err != nil {
+			return err
+		}
+	}
+	s.reserved += bufferBytes
+	return nil
+}
--- a/internal/serve/upstream/endless_test.go
+++ b/internal/serve/upstream/endless_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"filberthook/internal/serve/membudget"
 )
 
 // endless returns an endpoint that answers with a text and then repeats another one until
@@ -108,6 +110,46 @@
 	}
 }
 
+// Heads of many fields take several times their bytes.
+func TestLargeHeadsShareTheMemoryOfBodies(t *testing.T) {
+	const fitting = 4
+	pool := newPool(t)
+	pool.UseBudget(membudget.New(fitting*(1<<20) + 1<<20))
+	head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n" + strings.Repeat("X-Many: a\r\n", 5<<10) + "\r\n"
+	e := listen(t, func(c net.Conn, next func() (*http.Request, string)) {
+		next()
+		io.WriteString(c, head)
+		next()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var open []*Answer
+	refused := 0
+	for range 2 * fitting {
+		a, err := pool.Send(ctx, e.address(), get("1"))
+		var full *FullError
+		switch {
+		case err == nil:
+			open = append(open, a)
+		case errors.As(err, &full):
+			refused++
+		default:
+			t.Error(err)
+		}
+	}
+	if len(open) == 0 || len(open) > fitting+1 || refused == 0 {
+		t.Errorf("%d heads were read, %d refused, want at most %d", len(open), refused, fitting+1)
+	}
+	for _, a := range open {
+		a.Close()
+	}
+	if a, err := pool.Send(ctx, e.address(), get("1")); err != nil {
+		t.Errorf("once the others are closed: %v", err)
+	} else {
+		a.Close()
+	}
+}
+
 // Whatever an instance sends, the exchange ends with an error or with the answer to the request.
 func FuzzAnswer(f *testing.F) {
 	f.Add([]byte(answer("1", "ok")))
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -69,7 +69,7 @@
 	bodyRead       bool            // the body was read to its end
 	alone          bool            // the connection carries no other request
 	carried        bool            // the connection has carried other requests
-	memory         *membudget.Hold // of the body, nil before it is read
+	memory         *membudget.Hold // of a large head and of the body, nil before it is needed
 	tainted        bool            // the connection carried another request's answer
 	unacknowledged atomic.Int64    // bytes of the request, when ctx ended
 }
@@ -91,6 +91,7 @@
 	}
 	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan struct{}), alone: r.Alone, carried: c.used}
 	c.carry(r.ID)
+	c.reader.UseMemory(a.Reserve)
 	a.stop = context.AfterFunc(ctx, func() {
 		a.unacknowledged.Store(int64(netopt.Unacknowledged(c.Conn)))
 		p.unacknowledged.Update(float64(a.unacknowledged.Load()))
@@ -211,7 +212,7 @@
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			if err := a.hold(space); err != nil {
+			if err := a.Reserve(space); err != nil {
 				return nil, a.lost(err)
 			}
 			body = append(make([]byte, 0, int64(len(body))+space), body...)
@@ -233,8 +234,8 @@
 	}
 }
 
-// hold reserves memory for n bytes of the body until the exchange is closed.
-func (a *Answer) hold(n int64) error {
+// Reserve reserves memory for n bytes of the answer until Close. It returns a *FullError if there is none.
+func (a *Answer) Reserve(n int64) error {
 	if a.memory == nil {
 		a.memory = a.pool.budget.OpenAnswer()
 	}
@@ -300,10 +301,7 @@
 // Close returns the connection to the pool if the exchange is complete and no further
 // bytes arrived, and closes it otherwise.
 func (a *Answer) Close() {
-	if a.memory != nil {
-		a.memory.Release()
-		a.memory = nil
-	}
+	a.releaseMemory()
 	detached := a.stop()
 	complete := false
 	select {
@@ -319,8 +317,16 @@
 	a.pool.put(a.conn)
 }
 
+func (a *Answer) releaseMemory() {
+	if a.memory != nil {
+		a.memory.Release()
+		a.memory = nil
+	}
+}
+
 // abandon closes the connection of an exchange that failed.
 func (a *Answer) abandon() {
+	a.releaseMemory()
 	a.stop()
 	a.conn.Close()
 }
