Large events of streams reserve memory

What was seen (TestEndlessAnswersDoNotFillMemory: real processes, memory_mb = 64, 120 callers, an instance that sends an event, lines of one, comments before the first, or an event after the first, all without end, slowly after the first MB): the entry host held 157 to 166 MB where 64 are allowed. A platform that ends such a process ends the requests of all its clients with it (LOST).

Cause: an event may have 1 MiB, and no budget held what all streams together had read of theirs.

Change: the reader of events keeps one buffer for a stream and reserves, from the budget of the process, what the buffer exceeds 4 KiB by; comments before the first event likewise. Without memory the attempt is lost, and the stream is resumed or broken off as after any lost attempt. Events of up to 4 KiB reserve nothing.

--- a/internal/serve/forward/events.go
+++ b/internal/serve/forward/events.go
@@ -13,7 +13,7 @@
 
 // event is one complete server-sent event, byte for byte.
 type event struct {
-	raw []byte // including the blank line that ends it
+	raw []byte // including the blank line that ends it; valid until the next event is read
 	id  string // empty when the event has none
 	// comment is set if there is no field, only comments, which say nothing about the progress
 	// of the answer.
@@ -25,12 +25,20 @@
 // eventReader splits a stream into complete events. If an instance stops within an
 // event, the partial event is never passed on.
 type eventReader struct {
-	lines *bufio.Reader
-	begun bool // a line was read
+	lines   *bufio.Reader
+	reserve func(bytes int64) error // memory for events larger than smallEventBytes
+	buffer  []byte                  // of the current event
+	begun   bool                    // a line was read
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(r, 2<<10)}
+const (
+	// smallEventBytes is the size of events that need no reservation.
+	smallEventBytes = 4 << 10
+	minEventBuffer  = 256
+)
+
+func newEventReader(r io.Reader, reserve func(bytes int64) error) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(r, 2<<10), reserve: reserve}
 }
 
 var errTruncatedEvent = errors.New("stream ended within an event or without any")
@@ -45,7 +53,7 @@
 
 // next returns the next complete event, or io.EOF after the last one.
 func (r *eventReader) next() (event, error) {
-	e := event{comment: true}
+	e := event{comment: true, raw: r.buffer[:0]}
 	known := false // a field that events have
 	for begin := 0; ; begin = len(e.raw) {
 		if err := r.appendLine(&e); err != nil {
@@ -78,16 +86,36 @@
 func (r *eventReader) appendLine(e *event) error {
 	for {
 		part, err := r.lines.ReadSlice('\n')
-		e.raw = append(e.raw, part...)
-		if len(e.raw) > maxEventBytes {
+		if len(e.raw)+len(part) > maxEventBytes {
 			return &EventSizeError{maxEventBytes}
 		}
+		if err := r.grow(e, len(part)); err != nil {
+			return err
+		}
+		e.raw = append(e.raw, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
 	}
 }
 
+// grow makes room for n more bytes of an event.
+func (r *eventReader) grow(e *event, n int) error {
+	need, have := len(e.raw)+n, cap(e.raw)
+	if need <= have {
+		return nil
+	}
+	size := max(minEventBuffer, need, min(2*have, maxEventBytes))
+	if size > smallEventBytes {
+		if err := r.reserve(int64(size - have)); err != nil {
+			return err
+		}
+	}
+	r.buffer = append(make([]byte, 0, size), e.raw...)
+	e.raw = r.buffer
+	return nil
+}
+
 var byteOrderMark = []byte("\xef\xbb\xbf")
 
 // lineKind is what a line of a stream is.
--- a/internal/serve/forward/sequence_test.go
+++ b/internal/serve/forward/sequence_test.go
@@ -27,7 +27,7 @@
 		"id: 1\n\ufeffdata: a\n\n":                       true,
 		": comment\nupstream connect error: refused\n\n": true,
 	} {
-		e, err := newEventReader(strings.NewReader(text)).next()
+		e, err := newEventReader(strings.NewReader(text), unlimited).next()
 		if err != nil || e.foreign != foreign || string(e.raw) != text {
 			t.Errorf("%q: foreign %v, error %v, want %v", text, e.foreign, err, foreign)
 		}
@@ -102,7 +102,7 @@
 	f.Add("id: 2\n\nid: 9223372036854775807\n\nid: -9223372036854775808\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		s := sequence{lastID: "2", events: 2, steps: 1}
-		r := newEventReader(strings.NewReader(text))
+		r := newEventReader(strings.NewReader(text), unlimited)
 		for begins := true; ; {
 			e, err := r.next()
 			if err != nil {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -301,7 +301,7 @@
 // passEvents forwards the events of an answer as they arrive, until its end.
 func (c *call) passEvents(answer *upstream.Answer, inFlight *placement.InFlight, p *streamProgress, watch *silenceWatch) error {
 	controller := http.NewResponseController(c.w)
-	events := newEventReader(answer)
+	events := newEventReader(answer, answer.Reserve)
 	proven := false  // an event shows that the answer goes on where the caller is
 	var early []byte // comments before that event
 	for {
@@ -320,9 +320,13 @@
 			return err
 		}
 		if e.comment && !proven {
-			if early = append(early, e.raw...); len(early) > maxEventBytes {
+			if len(early)+len(e.raw) > maxEventBytes {
 				return &EventSizeError{maxEventBytes}
 			}
+			if err := answer.Reserve(int64(len(e.raw))); err != nil {
+				return err
+			}
+			early = append(early, e.raw...)
 			continue
 		}
 		if !e.comment {
@@ -348,10 +352,13 @@
 			c.countUsage(time.Now())
 		}
 		began := time.Now()
-		if _, err := c.w.Write(append(early, e.raw...)); err != nil {
+		text := e.raw
+		if early != nil {
+			text, early = append(early, e.raw...), nil
+		}
+		if _, err := c.w.Write(text); err != nil {
 			return c.notWritten(err)
 		}
-		early = nil
 		if err := controller.Flush(); err != nil {
 			return c.notWritten(err)
 		}
--- a/internal/serve/forward/stream_test.go
+++ b/internal/serve/forward/stream_test.go
@@ -321,7 +321,7 @@
 	f.Add("data: torn")
 	f.Add("\r\n\r\n: comment\r\n\r\n")
 	f.Fuzz(func(t *testing.T, text string) {
-		r := newEventReader(strings.NewReader(text))
+		r := newEventReader(strings.NewReader(text), unlimited)
 		var passed strings.Builder
 		for {
 			e, err := r.next()
