Package proxy: answers hold no more than max_held_bytes

What was seen (test): with 1 MiB for all answers, a service's answer of 4 MiB to a booking was read, and held, as a whole; 1,024 slots of 16 MiB each are allowed by the defaults. An answer in chunks of 1 kB to a prompt was refused, as it counted as the largest one. The handle of a prefill was decoded from the beginning of a body of any length.

Cause: the memory of an answer without a length was taken as a whole or, for calls that are not repeatable, not at all.

Change: httpanswer.ReadBody, which was upstream's ReadAll, reserves memory as a body comes; upstream and proxy share it, and the readers with a fixed limit use it too. Answers to repeatable calls leave an eighth of max_held_bytes to those of others. A booking whose answer finds no room has an unknown outcome.

--- a/internal/control/authority/httpclient.go
+++ b/internal/control/authority/httpclient.go
@@ -129,7 +129,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	data, err := httpanswer.ReadBody(resp.Body, maxResponseBytes)
+	data, err := httpanswer.ReadBody(resp.Body, resp.ContentLength, maxResponseBytes, nil)
 	if err != nil {
 		return nil, fmt.Errorf("read the engine's answer: %w", err)
 	}
--- a/internal/engines/cachefeed/cachefeed.go
+++ b/internal/engines/cachefeed/cachefeed.go
@@ -203,7 +203,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return page, fmt.Errorf("status %s", resp.Status)
 	}
-	body, err := httpanswer.ReadBody(resp.Body, maxPageBytes)
+	body, err := httpanswer.ReadBody(resp.Body, resp.ContentLength, maxPageBytes, nil)
 	f.chargeBytes(len(body))
 	if err != nil {
 		return page, err
--- a/internal/network/httpanswer/httpanswer.go
+++ b/internal/network/httpanswer/httpanswer.go
@@ -3,6 +3,7 @@
 package httpanswer
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -89,14 +90,42 @@
 	return fmt.Sprintf("the answer has more than %d bytes", e.Limit)
 }
 
-// ReadBody reads a whole body. It returns a *TooLargeError if that has more than limit bytes, and with any
-// error what it has read.
-func ReadBody(body io.Reader, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err == nil && int64(len(data)) > limit {
-		err = &TooLargeError{limit}
+// firstBodyBytes is the space for a body of unknown length, which grows with the body.
+const firstBodyBytes = 4 << 10
+
+// ReadBody reads a whole body of a length, negative if that is unknown, and at most limit bytes. It
+// reserves memory before it reads into it; reserve may be nil. With an error, which may be that of reserve
+// or a *TooLargeError, it returns what it has read.
+func ReadBody(from io.Reader, length, limit int64, reserve func(bytes int64) error) ([]byte, error) {
+	if length > limit {
+		return nil, &TooLargeError{limit}
+	}
+	space := int64(firstBodyBytes)
+	if length >= 0 {
+		space = length + 1 // for a read that finds the end
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if reserve != nil {
+				if err := reserve(space); err != nil {
+					return body, err
+				}
+			}
+			body = append(make([]byte, 0, int64(len(body))+space), body...)
+			space = int64(cap(body))
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return body, &TooLargeError{limit}
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return body, err
+		}
 	}
-	return data, err
 }
 
 // EndsWithConnection reports whether the body of an answer has neither a length nor chunks, so that
--- a/internal/process/cli/requests.go
+++ b/internal/process/cli/requests.go
@@ -76,7 +76,7 @@
 		return &noAnswerError{names: []string{address}, err: err}
 	}
 	defer resp.Body.Close()
-	body, err := httpanswer.ReadBody(resp.Body, maxAnswerBytes)
+	body, err := httpanswer.ReadBody(resp.Body, resp.ContentLength, maxAnswerBytes, nil)
 	if err != nil {
 		return &noAnswerError{names: []string{address}, err: err}
 	}
--- a/internal/serve/proxy/split.go
+++ b/internal/serve/proxy/split.go
@@ -5,11 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
 	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/network/ident"
 	"filberthook/internal/serve/request"
 )
@@ -64,7 +64,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return handle, fmt.Errorf("prefill engine answered %s", resp.Status)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxHandleBytes)).Decode(&handle)
+	body, err := httpanswer.ReadBody(resp.Body, resp.ContentLength, maxHandleBytes, nil)
+	if err != nil {
+		return handle, err
+	}
+	err = json.Unmarshal(body, &handle)
 	return handle, err
 }
 
--- a/internal/serve/proxy/whole.go
+++ b/internal/serve/proxy/whole.go
@@ -1,13 +1,12 @@
 package proxy
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
 	"filberthook/internal/engines/engineapi"
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/serve/call"
 	"filberthook/internal/serve/request"
 )
@@ -84,44 +83,53 @@
 		return nil, f
 	}
 	defer a.end()
-	return a.readWhole(r.Context())
+	return a.readWhole()
 }
 
 // errAnswerMemory is the failure when buffered answers use up Settings.MaxHeldBytes.
 var errAnswerMemory = errors.New("buffered answers have reached the memory limit")
 
 // readWhole reads the body within the limits of answer size and memory.
-func (a *attempt) readWhole(ctx context.Context) (*answer, *failure) {
-	limit := a.proxy.settings.MaxAnswerBytes
-	need := a.resp.ContentLength
-	if need < 0 {
-		need = limit
-	}
-	if need > limit {
-		return nil, a.tooLarge()
-	}
-	// The answer of a non-repeatable call must not be lost for lack of memory, so it is
-	// read even if the limit is reached.
-	if !a.proxy.memory.Take(need) {
-		if a.call.Request.Repeatable() {
-			refusal := request.Refuse(request.AnswerMemoryFull, "the answer has no room at this host")
-			return nil, &failure{final: true, refusal: refusal, instance: a.decision.Instance, err: errAnswerMemory}
+func (a *attempt) readWhole() (*answer, *failure) {
+	p, reserved := a.proxy, int64(0)
+	body, err := httpanswer.ReadBody(a.resp.Body, a.resp.ContentLength, p.settings.MaxAnswerBytes, func(n int64) error {
+		if !p.takeMemory(n, a.call.Request.Repeatable()) {
+			return errAnswerMemory
 		}
-		need = 0
-	}
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, limit+1))
-	if err == nil && int64(len(body)) <= limit && a.call.Request.Accepts(a.id) {
+		reserved += n
+		return nil
+	})
+	if err == nil && a.call.Request.Accepts(a.id) {
 		if a.resp.StatusCode < http.StatusInternalServerError {
 			a.suspect.begun()
 		}
-		return &answer{status: a.resp.StatusCode, header: a.resp.Header, body: body, reserved: need}, nil
+		return &answer{status: a.resp.StatusCode, header: a.resp.Header, body: body, reserved: reserved}, nil
 	}
-	a.proxy.memory.Return(need)
-	if err != nil {
+	p.memory.Return(reserved)
+	var large *httpanswer.TooLargeError
+	switch {
+	case err == nil, errors.As(err, &large):
+		return nil, a.tooLarge()
+	case errors.Is(err, errAnswerMemory) && a.call.Request.Repeatable():
+		refusal := request.Refuse(request.AnswerMemoryFull, "the answer has no room at this host")
+		return nil, &failure{final: true, refusal: refusal, instance: a.decision.Instance, err: err}
+	case !errors.Is(err, errAnswerMemory):
 		a.suspect.lostWith(a, err)
-		return nil, a.failure(request.RetryBroken, err)
 	}
-	return nil, a.tooLarge()
+	return nil, a.failure(request.RetryBroken, err)
+}
+
+// nonRepeatableShare is the part of Settings.MaxHeldBytes that is left to answers of non-repeatable calls,
+// which cannot be requested again.
+const nonRepeatableShare = 8
+
+// takeMemory reserves n bytes for an answer and reports whether they fit.
+func (p *Proxy) takeMemory(n int64, repeatable bool) bool {
+	limit := p.settings.MaxHeldBytes
+	if repeatable && p.memory.Used()+n > limit-limit/nonRepeatableShare {
+		return false
+	}
+	return p.memory.Take(n)
 }
 
 func (a *attempt) tooLarge() *failure {
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -196,42 +196,18 @@
 	return fmt.Sprintf("the answers that are being read would hold more than %d bytes: send the request again later", e.Limit)
 }
 
-// firstBodyBytes is the space for a body of unknown length, which grows with the body.
-const firstBodyBytes = 4 << 10
-
 // ReadAll reads the whole body, at most limit bytes. What the bodies of all exchanges hold
 // until they are closed, or their memory is released, is limited as well.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	if a.ContentLength > limit {
-		return nil, a.lost(&httpanswer.TooLargeError{Limit: limit})
-	}
-	space := int64(firstBodyBytes)
-	if a.ContentLength >= 0 {
-		space = a.ContentLength + 1 // for a read that finds the end
-	}
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			if err := a.Reserve(space); err != nil {
-				return nil, a.lost(err)
-			}
-			body = append(make([]byte, 0, int64(len(body))+space), body...)
-			space = int64(cap(body))
-		}
-		n, err := a.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case int64(len(body)) > limit:
-			return nil, a.lost(&httpanswer.TooLargeError{Limit: limit})
-		case errors.Is(err, io.EOF):
-			if err := a.end(); err != nil {
-				return nil, a.lost(err)
-			}
-			return body, nil
-		case err != nil:
-			return nil, a.lost(err)
-		}
+	body, err := httpanswer.ReadBody(a, a.ContentLength, limit, a.Reserve)
+	var lost *LostError
+	switch {
+	case errors.As(err, &lost):
+		return nil, err
+	case err != nil:
+		return nil, a.lost(err)
 	}
+	return body, nil
 }
 
 // Reserve reserves memory for n bytes of the answer until Close. It returns a *FullError if there is none.
