Broken answers are counted and logged by reason

filberthook_broken_answers_total has the reasons; the line "attempt lost" has one as broken_answer, and the request's own line the text of it. Callers and the request's line get bad_answer in place of answer_lost where the answer was broken. Instances are judged as after any broken connection: the attempt counts as no_contact, so the instance gets no requests for a while, longer each time, and its process is looked for (test).

--- a/internal/engines/cachefeed/cachefeed.go
+++ b/internal/engines/cachefeed/cachefeed.go
@@ -66,6 +66,7 @@
 	retryAfter map[string]time.Duration // earliest next poll of an engine whose last poll failed
 	known      map[string]bool          // engines of the last scan
 
+	set    *metrics.Set
 	polls  *metrics.Counter
 	read   *metrics.Counter // bytes
 	failed *metrics.Counter
@@ -87,6 +88,7 @@
 		polling:    make(map[string]bool),
 		retryAfter: make(map[string]time.Duration),
 		known:      make(map[string]bool),
+		set:        set,
 		polls:      set.GetOrCreateCounter("filberthook_cache_event_polls_total"),
 		read:       set.GetOrCreateCounter("filberthook_cache_event_read_bytes_total"),
 		failed:     set.GetOrCreateCounter("filberthook_cache_event_poll_failures_total"),
@@ -177,6 +179,7 @@
 	page, err := f.fetch(ctx, t.address, after)
 	if err != nil {
 		f.failed.Inc()
+		httpanswer.Count(f.set, err)
 		f.log.Debug("cache events not read", "instance", t.instance, "err", err)
 		f.mu.Lock()
 		f.retryAfter[t.instance] = f.now() + retryInterval
--- a/internal/network/httpanswer/httpanswer.go
+++ b/internal/network/httpanswer/httpanswer.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Reason is why an answer is malformed, in logs and metrics.
@@ -20,9 +22,35 @@
 	ReasonVersion   Reason = "version"    // other than HTTP/1
 	ReasonFraming   Reason = "framing"    // a transfer coding in HTTP/1.0, which has none
 	ReasonSyntax    Reason = "syntax"     // what net/http does not accept
-	ReasonTooLarge  Reason = "too_large"  // of more than MaxHeadBytes
+	ReasonTooLarge  Reason = "too_large"  // a head or a body over its limit
 )
 
+// ReasonUnknownEnd is the Reason of an UnknownEndError.
+const ReasonUnknownEnd Reason = "unknown_end"
+
+// ReasonOf returns why an exchange has failed whose answer was broken, empty if it failed otherwise.
+func ReasonOf(err error) Reason {
+	var malformed *MalformedError
+	var unknown *UnknownEndError
+	var large *TooLargeError
+	switch {
+	case errors.As(err, &malformed):
+		return malformed.Reason
+	case errors.As(err, &unknown):
+		return ReasonUnknownEnd
+	case errors.As(err, &large):
+		return ReasonTooLarge
+	}
+	return ""
+}
+
+// Count counts a broken answer by its reason, if err is that of one.
+func Count(set *metrics.Set, err error) {
+	if reason := ReasonOf(err); reason != "" {
+		set.GetOrCreateCounter(`filberthook_broken_answers_total{reason="` + string(reason) + `"}`).Inc()
+	}
+}
+
 // MalformedError reports a head that is none of an HTTP/1 answer. Nothing of the answer, and nothing
 // that comes after it on its connection, may be used.
 type MalformedError struct {
--- a/internal/serve/forward/broken_answer_test.go
+++ b/internal/serve/forward/broken_answer_test.go
@@ -182,3 +182,34 @@
 		}
 	}
 }
+
+func TestInstanceWithBrokenAnswersIsCountedAndLogged(t *testing.T) {
+	reasons := map[string]string{
+		"status 000": "status", "blank before a colon": "field_name", "control byte in a name": "syntax", "chunks in HTTP/1.0": "framing",
+		"HTTP/2.0 as text": "version",
+	}
+	for _, b := range brokenanswer.All() {
+		reason, ok := reasons[b.Name]
+		if !ok {
+			continue
+		}
+		e, _ := brokenEngine(t, b, "a", instances.Decode, "")
+		h := start(t, route(routes.Unsafe, nil), e)
+		if status, _, body, err := h.do(t, nil); err != nil || status != http.StatusBadGateway || body != "bad_answer\n" {
+			t.Errorf("%s: status %d, %q, %v, want 502 for a bad answer", b.Name, status, body, err)
+		}
+		var exposed strings.Builder
+		h.server.metrics.WritePrometheus(&exposed)
+		for _, want := range []string{`filberthook_broken_answers_total{reason="` + reason + `"} 1`, `filberthook_entry_attempts_total{step="run",outcome="no_contact"} 1`} {
+			if !strings.Contains(exposed.String(), want+"\n") {
+				t.Errorf("%s: no line %s", b.Name, want)
+			}
+		}
+		line := `"broken_answer":"` + reason + `"`
+		for end := time.Now().Add(5 * time.Second); h.log.count(line) == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		}
+		if h.log.count(line) != 1 {
+			t.Errorf("%s: %d lines with %s", b.Name, h.log.count(line), line)
+		}
+	}
+}
--- a/internal/serve/forward/lost.go
+++ b/internal/serve/forward/lost.go
@@ -7,6 +7,7 @@
 
 	"filberthook/internal/engines/placement"
 	"filberthook/internal/engines/quarantine"
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/process/pause"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
@@ -95,7 +96,7 @@
 	}
 	s.metrics.GetOrCreateCounter(`filberthook_entry_lost_attempts_total{instance="` + presence.String() + `"}`).Inc()
 	s.logger.Info("attempt lost", "id", a.id, "route", a.route, "instance", a.target.ID, "born", a.target.Born, "step", a.step,
-		"begun", a.begun, "blocks", a.blocks, "address", a.target.Address, "identity", a.identity, "process", presence.String(), "err", a.cause.Error())
+		"begun", a.begun, "blocks", a.blocks, "address", a.target.Address, "identity", a.identity, "process", presence.String(), "broken_answer", string(httpanswer.ReasonOf(a.cause)), "err", a.cause.Error())
 }
 
 // presenceOf finds out whether a process still listens at an address where a connection broke.
--- a/internal/serve/forward/whole.go
+++ b/internal/serve/forward/whole.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filberthook/internal/engines/placement"
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/serve/dialect"
 	"filberthook/internal/serve/routes"
 	"filberthook/internal/serve/upstream"
@@ -98,6 +99,8 @@
 		return "timeout"
 	case errors.As(err, &notSent):
 		return "no_contact"
+	case httpanswer.ReasonOf(err) != "":
+		return "bad_answer"
 	case err != nil:
 		return "answer_lost"
 	case got != nil && got.answer.NotRun:
--- a/internal/serve/proxy/attempt.go
+++ b/internal/serve/proxy/attempt.go
@@ -16,6 +16,7 @@
 	"filberthook/internal/bench/history"
 	"filberthook/internal/engines/engineapi"
 	"filberthook/internal/engines/scheduler"
+	"filberthook/internal/network/httpanswer"
 	"filberthook/internal/network/ident"
 	"filberthook/internal/serve/admission"
 	"filberthook/internal/serve/call"
@@ -284,6 +285,7 @@
 }
 
 func (a *attempt) failure(reason request.RetryReason, err error) *failure {
+	httpanswer.Count(a.proxy.set, err)
 	a.call.History.SetProblem(string(reason) + ": " + err.Error())
 	return &failure{reason: reason, instance: a.decision.Instance, err: err}
 }
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -80,6 +80,7 @@
 	pooled    http.RoundTripper // for repeatable requests
 	singleUse http.RoundTripper // for non-repeatable requests
 	memory    *limit.Memory     // for answers that are not streamed
+	set       *metrics.Set
 	attempts  *metrics.Counter
 	latency   *latencies
 	suspects  *suspects
@@ -99,6 +100,7 @@
 		pooled:    callerCheck{newPooledTransport(settings.Transport)},
 		singleUse: callerCheck{newSingleUseTransport(settings.Transport)},
 		memory:    limit.NewMemory(settings.MaxHeldBytes),
+		set:       set,
 		attempts:  set.GetOrCreateCounter("filberthook_attempts_total"),
 		latency:   newLatencies(set),
 		suspects:  newSuspects(),
--- a/internal/serve/proxy/split.go
+++ b/internal/serve/proxy/split.go
@@ -31,6 +31,7 @@
 	}
 	if err != nil {
 		a.proxy.splitFailed.Inc()
+		httpanswer.Count(a.proxy.set, err)
 		return
 	}
 	a.proxy.splitDone.Inc()
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -109,10 +109,7 @@
 			p.learnIdleLimit(c)
 		}
 		a.abandon()
-		if ctx.Err() != nil {
-			err = ctx.Err()
-		}
-		return nil, &LostError{Address: address, Unacknowledged: a.unacknowledged.Load(), Err: err}
+		return nil, a.lost(err)
 	}
 	return a, nil
 }
@@ -271,6 +268,7 @@
 	if a.ctx.Err() != nil {
 		err = a.ctx.Err()
 	}
+	httpanswer.Count(a.pool.set, err)
 	return &LostError{Address: a.conn.address, Unacknowledged: a.unacknowledged.Load(), Err: err}
 }
 
--- a/internal/serve/upstream/pool.go
+++ b/internal/serve/upstream/pool.go
@@ -81,6 +81,7 @@
 // Pool is a pool of connections to instances.
 type Pool struct {
 	dial           func(ctx context.Context, address string) (net.Conn, error)
+	set            *metrics.Set
 	dials          *metrics.Counter
 	fails          *metrics.Counter
 	reuses         *metrics.Counter
@@ -100,6 +101,7 @@
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
+		set:            set,
 		dials:          set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="open"}`),
 		fails:          set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="failed"}`),
 		reuses:         set.GetOrCreateCounter(`filberthook_upstream_connections_total{result="reused"}`),
