An idle connection keeps nothing of the answer that it carried last

Found in review, not seen: since heads reserve memory, the Reader of an idle connection kept the function that reserves for the last answer, and with it the answer and the context of its request. The function is now a parameter of Next and is dropped with the end of the head.

--- a/internal/network/httpanswer/httpanswer_test.go
+++ b/internal/network/httpanswer/httpanswer_test.go
@@ -11,7 +11,7 @@
 )
 
 func read(text string) (*http.Response, error) {
-	return NewReader(strings.NewReader(text)).Next(http.MethodGet)
+	return NewReader(strings.NewReader(text)).Next(http.MethodGet, nil)
 }
 
 func TestMalformedHeads(t *testing.T) {
@@ -63,7 +63,7 @@
 func TestFieldsOfTheNextAnswerAreItsOwn(t *testing.T) {
 	r := NewReader(strings.NewReader("HTTP/1.0 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"))
 	for _, want := range []int{http.StatusNoContent, http.StatusOK} {
-		if got, err := r.Next(http.MethodGet); err != nil || got.StatusCode != want {
+		if got, err := r.Next(http.MethodGet, nil); err != nil || got.StatusCode != want {
 			t.Errorf("got %v, %v, want %d", got, err, want)
 		}
 	}
--- a/internal/network/httpanswer/oldhead.go
+++ b/internal/network/httpanswer/oldhead.go
@@ -10,18 +10,18 @@
 type oldHead struct {
 	start  []byte // of the answer, as far as oldVersion is long
 	fields []byte // what follows start; nil for other versions
-	whole  bool   // the head has ended or is too large
+	done   bool   // the head has ended, or is longer than one may be
 }
 
 // begin expects the head of another answer, of which some bytes may have been read.
 func (h *oldHead) begin(read []byte) {
-	h.start, h.fields, h.whole = h.start[:0], nil, false
+	h.start, h.fields, h.done = h.start[:0], nil, false
 	h.note(read)
 }
 
 // note records bytes of the answer.
 func (h *oldHead) note(b []byte) {
-	if h.whole {
+	if h.done {
 		return
 	}
 	n := min(len(b), len(oldVersion)-len(h.start))
@@ -39,12 +39,12 @@
 			return &MalformedError{ReasonFraming, "HTTP/1.0 with a transfer coding"}
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			h.fields, h.whole = nil, true
+			h.fields, h.done = nil, true
 			break
 		}
 	}
 	if len(h.fields) > MaxHeadBytes {
-		h.fields, h.whole = nil, true
+		h.fields, h.done = nil, true
 	}
 	return nil
 }
--- a/internal/network/httpanswer/reader.go
+++ b/internal/network/httpanswer/reader.go
@@ -29,18 +29,15 @@
 	return &Reader{buffered: bufio.NewReaderSize(s, bufferBytes), source: s}
 }
 
-// UseMemory has the heads from now on reserve the memory that they take beyond the buffer. An error of
-// reserve ends the head with it.
-func (r *Reader) UseMemory(reserve func(bytes int64) error) { r.source.reserve = reserve }
-
 // Buffered returns how many bytes were read from the connection and belong to no answer yet.
 func (r *Reader) Buffered() int { return r.buffered.Buffered() }
 
-// Next reads the head of the next answer, which may be informational. The body of the one before must have
-// been read. It returns a *MalformedError, or an error of the connection.
-func (r *Reader) Next(method string) (*http.Response, error) {
+// Next reads the head of the next answer to a request with the method, which may be informational. The
+// body of the one before must have been read. It reserves the memory that the head takes beyond the buffer;
+// reserve may be nil. It returns a *MalformedError, or an error of the connection or of reserve.
+func (r *Reader) Next(method string, reserve func(bytes int64) error) (*http.Response, error) {
 	unread, _ := r.buffered.Peek(r.buffered.Buffered()) // does not read, so it does not fail
-	r.source.beginHead(unread)
+	r.source.beginHead(unread, reserve)
 	defer r.source.endHead()
 	answer, err := http.ReadResponse(r.buffered, &http.Request{Method: method})
 	switch {
@@ -76,13 +73,13 @@
 
 var errTooLarge = fmt.Errorf("the head has more than %d bytes", MaxHeadBytes)
 
-func (s *source) beginHead(unread []byte) {
-	s.inHead, s.read, s.reserved, s.err = true, 0, bufferBytes, nil
+func (s *source) beginHead(unread []byte, reserve func(bytes int64) error) {
+	s.inHead, s.read, s.reserved, s.reserve, s.err = true, 0, bufferBytes, reserve, nil
 	s.old.begin(unread)
 }
 
 func (s *source) endHead() {
-	s.inHead = false
+	s.inHead, s.reserve = false, nil
 	s.old.begin(nil)
 }
 
--- a/internal/serve/upstream/exchange.go
+++ b/internal/serve/upstream/exchange.go
@@ -91,7 +91,6 @@
 	}
 	a := &Answer{pool: p, conn: c, ctx: ctx, written: make(chan struct{}), alone: r.Alone, carried: c.used}
 	c.carry(r.ID)
-	c.reader.UseMemory(a.Reserve)
 	a.stop = context.AfterFunc(ctx, func() {
 		a.unacknowledged.Store(int64(netopt.Unacknowledged(c.Conn)))
 		p.unacknowledged.Update(float64(a.unacknowledged.Load()))
@@ -177,7 +176,7 @@
 // finalHead reads the head of the next answer. Informational ones are hop-by-hop.
 func (a *Answer) finalHead(method string) (*http.Response, error) {
 	for range maxInformational + 1 {
-		response, err := a.conn.reader.Next(method)
+		response, err := a.conn.reader.Next(method, a.Reserve)
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
