--- a/review/third/main.go
+++ b/review/third/main.go
@@ -32,6 +32,7 @@
 // cases are the cases by name. Each gets whether the disruption is played.
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
 	"prefix-memory": prefixMemory,
+	"options":       options,
 }
 
 func main() {
