--- a/review/third/deployment.go
+++ b/review/third/deployment.go
@@ -194,15 +194,15 @@
 	}
 }
 
-// rssMB returns the resident memory of a process.
-func (p *process) rssMB() int {
+// anonymousMB returns the resident memory of a process without pages of files.
+func (p *process) anonymousMB() int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(data)) {
 		var kb int
-		if n, _ := fmt.Sscanf(line, "VmRSS: %d kB", &kb); n == 1 {
+		if n, _ := fmt.Sscanf(line, "RssAnon: %d kB", &kb); n == 1 {
 			return kb / 1024
 		}
 	}
--- a/review/third/options.go
+++ b/review/third/options.go
@@ -31,7 +31,7 @@
 // options has callers send OPTIONS requests: one that a worker answers, one of a route that never
 // existed, and as the disruption one with the target *, which no route has either.
 func options(d *deployment, trouble bool) (int, error) {
-	if err := startPlain(d, 3, 2); err != nil {
+	if err := startPlain(d, 3, 2, (&bookings{}).work); err != nil {
 		return 0, err
 	}
 	targets := []string{"/book/1", "/never/1"}
--- a/review/third/prefix_memory.go
+++ b/review/third/prefix_memory.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,47 +15,46 @@
 	"time"
 )
 
-// Sizes of the case.
+// Figures of the case.
 const (
-	edges           = 2
-	callersPerEdge  = 24
-	callerPause     = 10 * time.Millisecond // between two requests of a caller
-	prefixMemoryEnd = 100 * time.Second     // after the start of the program
-	endsToBreak     = 3                     // ends by memory of each of two machines
-	longID          = 15000                 // bytes of the identifier of a part of a prompt
-	shortID         = 16
-	restartDelay    = 500 * time.Millisecond
+	callers         = 16
+	callerPause     = 10 * time.Millisecond  // between two requests of a caller
+	workTime        = 30 * time.Millisecond  // of escort-booking and booking-lookup on the sheet
+	bookingBytes    = 600                    // of a body
+	plainWorkers    = 4                      // on the sheet
+	prefixMemoryEnd = 105 * time.Second      // after the start of the program
+	afterKill       = 2 * time.Second        // in which the cut requests are counted
+	restartDelay    = 500 * time.Millisecond // of a process that was killed
+	maxCut          = 3                      // requests that may be cut
+	longID          = 15000                  // bytes of the identifier of a part of a prompt
+	shortID         = 16                     // the same without the disruption
+	sampleInterval  = 100 * time.Millisecond // of the memory
+	recordEvery     = 20                     // samples
 )
 
 // plainConfig is a configuration with one route of a plain service. The limits are those of the example of
-// PROTOCOL.md.
-func plainConfig(version int, kind string) map[string]any {
+// PROTOCOL.md, the route is that of escort-booking.
+func plainConfig() map[string]any {
 	return map[string]any{
-		"version": version,
-		"routes": []any{map[string]any{"name": "r-1", "host": "a.example", "path_prefix": "/book/", "kind": kind, "timeout_ms": 800,
-			"latency_goal_ms": 150, "priority": 2, "service": "app", "max_attempts": 2}},
+		"version": 1,
+		"routes": []any{map[string]any{"name": "r-1", "host": "a.example", "path_prefix": "/book/", "kind": "unsafe", "timeout_ms": 800,
+			"latency_goal_ms": 150, "priority": 2, "service": "app", "max_attempts": 1}},
 		"services": []any{map[string]any{"name": "app", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
 
-// answer serves a request of the plain service.
-func answer(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Filberthook-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")
-	fmt.Fprint(w, "booked")
-}
-
-// startPlain starts the hosts and two workers, and puts the first configuration into force.
-func startPlain(d *deployment, controls, entries int) error {
+// startPlain starts the hosts and the workers, and puts the first configuration into force.
+func startPlain(d *deployment, controls, entries int, handler http.HandlerFunc) error {
 	if err := d.start(controls, entries); err != nil {
 		return err
 	}
-	for n := range 2 {
-		if _, err := d.startWorker(n, "app", "", answer); err != nil {
+	for n := range plainWorkers {
+		if _, err := d.startWorker(n, "app", "", handler); err != nil {
 			return err
 		}
 	}
-	if err := d.configure(plainConfig(1, "safe"), 20*time.Second); err != nil {
+	if err := d.configure(plainConfig(), 20*time.Second); err != nil {
 		return err
 	}
 	if err := d.ready(20 * time.Second); err != nil {
@@ -61,25 +64,50 @@
 	return nil
 }
 
-// edgeLoad is what callers of one entry host have seen.
-type edgeLoad struct{ sent, served, refused, failed atomic.Int64 }
+// bookings is what workers and callers have seen.
+type bookings struct {
+	begun                       sync.Map // ids of requests that a worker runs or has run
+	ended                       sync.Map // ids of requests that a worker has run to the end
+	sent, served, refused, lost atomic.Int64
+	cut                         atomic.Int64 // from kept connections, begun, and ended without an answer
+}
 
-// call sends requests of one caller until the end.
-func (l *edgeLoad) call(front string, caller, idBytes int, end time.Time) {
+// work runs a booking.
+func (b *bookings) work(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Filberthook-Request-Id")
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	b.begun.Store(id, true)
+	time.Sleep(workTime)
+	b.ended.Store(id, true)
+	w.Header().Set("Filberthook-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")
+	fmt.Fprint(w, "booked")
+}
+
+// call has a caller send one booking after the other on a kept connection until ctx ends.
+func (b *bookings) call(ctx context.Context, front string, caller, idBytes int) {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	for n := 0; time.Now().Before(end); n++ {
+	body := bytes.Repeat([]byte("b"), bookingBytes)
+	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%04x%012x", caller, n)
-		req, err := http.NewRequest("GET", "http://"+front+"/book/1", nil)
+		kept := false
+		traced := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+			GotConn: func(i httptrace.GotConnInfo) { kept = i.Reused },
+		})
+		traced, cancel := context.WithTimeout(traced, 1500*time.Millisecond)
+		req, err := http.NewRequestWithContext(traced, "POST", "http://"+front+"/book/1", bytes.NewReader(body))
 		if err != nil {
 			panic(err) // a fault of this program
 		}
+		req.GetBody = nil // the transport sends nothing again
 		req.Host = "a.example"
 		req.Header.Set("Filberthook-Request-Id", id)
 		req.Header.Set("Filberthook-Deadline-Ms", "1500")
 		req.Header.Set("Filberthook-Prefix-Hash", id+strings.Repeat("0", idBytes-len(id))+":250,1:10")
+		b.sent.Add(1)
 		resp, err := transport.RoundTrip(req)
-		l.sent.Add(1)
 		status := 0
 		if err == nil {
 			if _, err = io.Copy(io.Discard, resp.Body); err == nil {
@@ -89,68 +117,78 @@
 		}
 		switch {
 		case status == http.StatusOK:
-			l.served.Add(1)
+			b.served.Add(1)
 		case status > 0:
-			l.refused.Add(1)
+			b.refused.Add(1)
 		default:
-			l.failed.Add(1)
-			time.Sleep(100 * time.Millisecond)
+			b.noteLost(id, kept, err)
 		}
+		cancel()
 		time.Sleep(callerPause)
 	}
 }
 
-// prefixMemory has callers send ordinary requests within the limits whose prompts have parts with long
-// identifiers, no two alike. The platform kills a process that uses more than its memory.
+// noteLost records a request that ended without an answer.
+func (b *bookings) noteLost(id string, kept bool, err error) {
+	b.lost.Add(1)
+	_, begun := b.begun.Load(id)
+	if timeout := errors.Is(err, context.DeadlineExceeded); kept && begun && !timeout {
+		b.cut.Add(1)
+		record("caller: request %s on a kept connection ended without an answer: %v; a worker had begun it", id, err)
+		return
+	}
+	if b.lost.Load() < 100 {
+		record("caller: request %s ended without an answer: %v; kept connection %v, begun %v", id, err, kept, begun)
+	}
+}
+
+// prefixMemory has callers send bookings within the limits whose prompts have parts with long identifiers, no
+// two alike. The platform kills a process that uses more than its memory.
 func prefixMemory(d *deployment, trouble bool) (int, error) {
-	if err := startPlain(d, 3, edges); err != nil {
+	b := &bookings{}
+	if err := startPlain(d, 3, 1, b.work); err != nil {
 		return 0, err
 	}
 	idBytes := shortID
 	if trouble {
 		idBytes = longID
 	}
-	record("callers send GET /book/1 with Filberthook-Prefix-Hash: ID:250,1:10, ID of %d bytes, %d callers at each entry host", idBytes, callersPerEdge)
-	end := began.Add(prefixMemoryEnd)
-	var loads [edges]edgeLoad
+	record("%d callers send POST /book/1 with Filberthook-Prefix-Hash: ID:250,1:10, ID of %d bytes", callers, idBytes)
+	ctx, stop := context.WithDeadline(context.Background(), began.Add(prefixMemoryEnd))
+	defer stop()
 	var calling sync.WaitGroup
-	for i := range edges {
-		for c := range callersPerEdge {
-			calling.Go(func() { loads[i].call(d.front(i), i*callersPerEdge+c, idBytes, end) })
-		}
+	for c := range callers {
+		calling.Go(func() { b.call(ctx, d.front(0), c, idBytes) })
 	}
-	ends := [edges]int{}
-	most := [edges]int{}
-	broke := false
-	for tick := 0; time.Now().Before(end) && !broke; tick++ {
-		time.Sleep(100 * time.Millisecond)
-		for i, p := range d.entries {
-			rss := p.rssMB()
-			most[i] = max(most[i], rss)
-			if tick%20 == 0 {
-				l := &loads[i]
-				record("%s: %d MB; requests sent %d, served %d, refused %d, without an answer %d", p.name, rss, l.sent.Load(), l.served.Load(), l.refused.Load(), l.failed.Load())
-			}
-			if rss <= memoryMB && !p.hasEnded() {
-				continue
-			}
-			ends[i]++
-			record("platform: %s uses %d MB of %d MB and is killed, end %d; requests sent to it so far %d", p.name, rss, memoryMB, ends[i], loads[i].sent.Load())
-			p.signal(syscall.SIGKILL)
-			<-p.ended
-			time.Sleep(restartDelay)
-			if err := d.exec(p); err != nil {
-				return 0, err
-			}
+	edge, most, killed := d.entries[0], 0, false
+	for sample := 0; ctx.Err() == nil && !killed; sample++ {
+		time.Sleep(sampleInterval)
+		used := edge.anonymousMB()
+		most = max(most, used)
+		if sample%recordEvery == 0 {
+			record("%s: %d MB; requests sent %d, served %d, refused %d, without an answer %d", edge.name, used, b.sent.Load(), b.served.Load(), b.refused.Load(), b.lost.Load())
+		}
+		if edge.hasEnded() {
+			return 0, errors.New("the entry host has ended by itself")
+		}
+		if killed = used > memoryMB; killed {
+			record("platform: %s uses %d MB of %d MB and is killed, after %d requests", edge.name, used, memoryMB, b.sent.Load())
+			edge.signal(syscall.SIGKILL)
 		}
-		broke = min(ends[0], ends[1]) >= endsToBreak
 	}
-	if !broke {
-		calling.Wait()
+	if killed {
+		<-edge.ended
+		time.Sleep(restartDelay)
+		if err := d.exec(edge); err != nil {
+			return 0, err
+		}
+		time.Sleep(afterKill)
+		stop()
 	}
-	record("ends by memory %v, most MB %v", ends, most)
-	fmt.Printf("ends by memory: %v, most MB: %v\n", ends, most)
-	if broke {
+	calling.Wait()
+	record("killed %v, most %d MB, sent %d, served %d; cut from kept connections while a worker ran them: %d", killed, most, b.sent.Load(), b.served.Load(), b.cut.Load())
+	fmt.Printf("killed for its memory: %v, most %d MB, requests sent %d, cut %d\n", killed, most, b.sent.Load(), b.cut.Load())
+	if b.cut.Load() > maxCut {
 		return broken, nil
 	}
 	return held, nil
