--- a/review/third/deployment.go
+++ b/review/third/deployment.go
@@ -17,8 +17,9 @@
 	"time"
 )
 
-// Ports are the same on all hosts; each host has a loopback address of its own.
-const (
+// Ports are the same on all hosts; each host has a loopback address of its own. newDeployment moves them if one
+// is not free.
+var (
 	portFront   = 8149 // callers
 	portReady   = 8141
 	portControl = 8144
@@ -29,9 +30,8 @@
 
 // Bounds of the sheet of pmr-norte.
 const (
-	memoryMB    = 284
-	heartbeat   = 1200 * time.Millisecond
-	configApply = 2 * time.Second
+	memoryMB  = 284
+	heartbeat = 1200 * time.Millisecond
 )
 
 // deployment is a small deployment of the project's hosts as processes.
@@ -62,13 +62,38 @@
 	for n := range 200 {
 		prefix := fmt.Sprintf("127.%d.%d", 40+n, 1+os.Getpid()%250)
 		guard, err := net.Listen("tcp", prefix+".250:7999")
-		if err == nil {
-			return &deployment{prefix: prefix, dir: dir, guard: guard}, nil
+		if err != nil {
+			continue
 		}
+		d := &deployment{prefix: prefix, dir: dir, guard: guard}
+		return d, d.choosePorts()
 	}
 	return nil, errors.New("no free loopback addresses")
 }
 
+// choosePorts moves the ports by steps until all are free.
+func (d *deployment) choosePorts() error {
+	ports := []*int{&portFront, &portReady, &portControl, &portPeers, &portStatus, &portWorker}
+	for range 50 {
+		free := true
+		for _, port := range ports {
+			ln, err := net.Listen("tcp", d.at(1, *port))
+			if err != nil {
+				free = false
+				continue
+			}
+			ln.Close()
+		}
+		if free {
+			return nil
+		}
+		for _, port := range ports {
+			*port += 13
+		}
+	}
+	return errors.New("no free ports")
+}
+
 func (d *deployment) at(n, port int) string { return fmt.Sprintf("%s.%d:%d", d.prefix, n, port) }
 
 // controlAddress returns the address of a control host for operators and workers.
@@ -209,6 +234,22 @@
 	return 0
 }
 
+// processorTime returns the processor time that a process has used, in seconds.
+func (p *process) processorTime() float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	var user, system float64
+	_, _ = fmt.Sscan(fields[11]+" "+fields[12], &user, &system)
+	return (user + system) / 100
+}
+
 // call makes a call to a control host.
 func call(method, url string, body []byte, timeout time.Duration) (status int, answer []byte, err error) {
 	req, err := http.NewRequest(method, url, bytes.NewReader(body))
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -36,6 +37,7 @@
 }
 
 func main() {
+	runtime.LockOSThread() // the hosts end with the thread that has started them
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: third CASE RECORD; TROUBLE=0 leaves the disruption out")
 		os.Exit(cannotRun)
--- a/review/third/options.go
+++ b/review/third/options.go
@@ -9,6 +9,42 @@
 	"time"
 )
 
+// plainConfig is a configuration with one route of a plain service.
+func plainConfig() map[string]any {
+	return map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{"name": "r-1", "host": "a.example", "path_prefix": "/book/", "kind": "safe", "timeout_ms": 800,
+			"latency_goal_ms": 150, "priority": 2, "service": "app", "max_attempts": 2}},
+		"services": []any{map[string]any{"name": "app", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
+
+// startPlain starts the hosts and two workers of a plain service, and puts the first configuration into force.
+func startPlain(d *deployment, controls, entries int) error {
+	if err := d.start(controls, entries); err != nil {
+		return err
+	}
+	for n := range 2 {
+		work := func(w http.ResponseWriter, r *http.Request) {
+			record("worker %d runs %s %s, id %s", n, r.Method, r.RequestURI, r.Header.Get("Filberthook-Request-Id"))
+			w.Header().Set("Filberthook-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")
+			fmt.Fprint(w, "booked")
+		}
+		if _, err := d.startWorker(n, "app", "", work); err != nil {
+			return err
+		}
+	}
+	if err := d.configure(plainConfig(), 20*time.Second); err != nil {
+		return err
+	}
+	if err := d.ready(20 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(2 * heartbeat)
+	return nil
+}
+
 // exchange sends a request as text on a new connection and returns the answer.
 func exchange(front, method, target, id string) (*http.Response, []byte, error) {
 	c, err := net.DialTimeout("tcp", front, time.Second)
@@ -31,7 +67,7 @@
 // options has callers send OPTIONS requests: one that a worker answers, one of a route that never
 // existed, and as the disruption one with the target *, which no route has either.
 func options(d *deployment, trouble bool) (int, error) {
-	if err := startPlain(d, 3, 2, (&bookings{}).work); err != nil {
+	if err := startPlain(d, 4, 2); err != nil {
 		return 0, err
 	}
 	targets := []string{"/book/1", "/never/1"}
--- a/review/third/prefix_memory.go
+++ b/review/third/prefix_memory.go
@@ -15,13 +15,15 @@
 	"time"
 )
 
-// Figures of the case.
+// Figures of the case. Tokens, goals and times are those of flight-needs on the sheet of pmr-norte.
 const (
-	callers         = 16
-	callerPause     = 10 * time.Millisecond  // between two requests of a caller
-	workTime        = 30 * time.Millisecond  // of escort-booking and booking-lookup on the sheet
-	bookingBytes    = 600                    // of a body
-	plainWorkers    = 4                      // on the sheet
+	callers         = 24
+	callerPause     = 10 * time.Millisecond // between two requests of a caller
+	sharedTokens    = 350
+	ownTokens       = 1110
+	outputTokens    = 5
+	bodyBytes       = 1500
+	deadline        = 6 * time.Second
 	prefixMemoryEnd = 105 * time.Second      // after the start of the program
 	afterKill       = 2 * time.Second        // in which the cut requests are counted
 	restartDelay    = 500 * time.Millisecond // of a process that was killed
@@ -32,133 +34,127 @@
 	recordEvery     = 20                     // samples
 )
 
-// plainConfig is a configuration with one route of a plain service. The limits are those of the example of
-// PROTOCOL.md, the route is that of escort-booking.
-func plainConfig() map[string]any {
+// lmConfig is a configuration with one route to model engines, as in the example of PROTOCOL.md.
+func lmConfig() map[string]any {
 	return map[string]any{
 		"version": 1,
-		"routes": []any{map[string]any{"name": "r-1", "host": "a.example", "path_prefix": "/book/", "kind": "unsafe", "timeout_ms": 800,
-			"latency_goal_ms": 150, "priority": 2, "service": "app", "max_attempts": 1}},
-		"services": []any{map[string]any{"name": "app", "health_path": "/health", "max_connections": 110, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"routes": []any{map[string]any{"name": "r-1", "host": "a.example", "path_prefix": "/needs/", "kind": "streaming", "timeout_ms": 6000,
+			"latency_goal_ms": 1000, "priority": 0, "service": "lm", "max_attempts": 2, "sticky": true, "resumable": true, "gap_goal_ms": 250}},
+		"services": []any{map[string]any{"name": "lm", "health_path": "/health", "max_connections": 370, "protocol": "h1", "tls": false,
+			"engine": map[string]any{"slots": 64, "kv_tokens": 505550, "kv_token_bytes": 327680, "link_mbps": 3800000.0, "moves": true, "backups": true,
+				"stride": 10, "most": 12, "kv_ttl_s": 5.0, "switch_s": 3.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "models": []any{map[string]any{"name": "m"}}}}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
 
-// startPlain starts the hosts and the workers, and puts the first configuration into force.
-func startPlain(d *deployment, controls, entries int, handler http.HandlerFunc) error {
-	if err := d.start(controls, entries); err != nil {
-		return err
-	}
-	for n := range plainWorkers {
-		if _, err := d.startWorker(n, "app", "", handler); err != nil {
-			return err
-		}
-	}
-	if err := d.configure(plainConfig(), 20*time.Second); err != nil {
-		return err
-	}
-	if err := d.ready(20 * time.Second); err != nil {
-		return err
-	}
-	time.Sleep(2 * heartbeat)
-	return nil
-}
-
-// bookings is what workers and callers have seen.
-type bookings struct {
-	begun                       sync.Map // ids of requests that a worker runs or has run
-	ended                       sync.Map // ids of requests that a worker has run to the end
-	sent, served, refused, lost atomic.Int64
-	cut                         atomic.Int64 // from kept connections, begun, and ended without an answer
+// seen is what engines and callers have seen.
+type seen struct {
+	arrived                             sync.Map // by id, where the request arrived last
+	sent, served, refused, broken, lost atomic.Int64
+	cut                                 atomic.Int64 // from kept connections, passed on, and ended without an answer
+	headBytes                           atomic.Int64 // of the largest head
 }
 
-// work runs a booking.
-func (b *bookings) work(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Filberthook-Request-Id")
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
-	}
-	b.begun.Store(id, true)
-	time.Sleep(workTime)
-	b.ended.Store(id, true)
-	w.Header().Set("Filberthook-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")
-	fmt.Fprint(w, "booked")
-}
+// arrive records that an engine works on a request.
+func (s *seen) arrive(id, engine, step string) { s.arrived.Store(id, step+" at "+engine) }
 
-// call has a caller send one booking after the other on a kept connection until ctx ends.
-func (b *bookings) call(ctx context.Context, front string, caller, idBytes int) {
-	transport := &http.Transport{}
+// call has a caller send one request after the other on a kept connection until ctx ends.
+func (s *seen) call(ctx context.Context, front string, caller, idBytes int) {
+	transport := &http.Transport{DisableCompression: true}
 	defer transport.CloseIdleConnections()
-	body := bytes.Repeat([]byte("b"), bookingBytes)
 	for n := 0; ctx.Err() == nil; n++ {
-		id := fmt.Sprintf("%04x%012x", caller, n)
-		kept := false
-		traced := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
-			GotConn: func(i httptrace.GotConnInfo) { kept = i.Reused },
-		})
-		traced, cancel := context.WithTimeout(traced, 1500*time.Millisecond)
-		req, err := http.NewRequestWithContext(traced, "POST", "http://"+front+"/book/1", bytes.NewReader(body))
-		if err != nil {
-			panic(err) // a fault of this program
-		}
-		req.GetBody = nil // the transport sends nothing again
-		req.Host = "a.example"
-		req.Header.Set("Filberthook-Request-Id", id)
-		req.Header.Set("Filberthook-Deadline-Ms", "1500")
-		req.Header.Set("Filberthook-Prefix-Hash", id+strings.Repeat("0", idBytes-len(id))+":250,1:10")
-		b.sent.Add(1)
-		resp, err := transport.RoundTrip(req)
-		status := 0
-		if err == nil {
-			if _, err = io.Copy(io.Discard, resp.Body); err == nil {
-				status = resp.StatusCode
-			}
-			resp.Body.Close()
-		}
-		switch {
-		case status == http.StatusOK:
-			b.served.Add(1)
-		case status > 0:
-			b.refused.Add(1)
-		default:
-			b.noteLost(id, kept, err)
-		}
-		cancel()
+		s.request(transport, front, fmt.Sprintf("%04x%012x", caller, n), idBytes)
 		time.Sleep(callerPause)
 	}
 }
 
-// noteLost records a request that ended without an answer.
-func (b *bookings) noteLost(id string, kept bool, err error) {
-	b.lost.Add(1)
-	_, begun := b.begun.Load(id)
-	if timeout := errors.Is(err, context.DeadlineExceeded); kept && begun && !timeout {
-		b.cut.Add(1)
-		record("caller: request %s on a kept connection ended without an answer: %v; a worker had begun it", id, err)
+// request sends one request and records what came of it.
+func (s *seen) request(transport *http.Transport, front, id string, idBytes int) {
+	kept := false
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) { kept = i.Reused },
+	})
+	ctx, cancel := context.WithTimeout(ctx, deadline)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+front+"/needs/1", bytes.NewReader(bytes.Repeat([]byte("b"), bodyBytes)))
+	if err != nil {
+		panic(err) // a fault of this program
+	}
+	req.GetBody = nil // the transport sends nothing again
+	req.Host = "a.example"
+	req.Header.Set("Filberthook-Request-Id", id)
+	req.Header.Set("Filberthook-Deadline-Ms", "6000")
+	req.Header.Set("Filberthook-Model", "m")
+	req.Header.Set("Filberthook-Token-Usage", fmt.Sprintf("%d,%d", sharedTokens+ownTokens, outputTokens))
+	req.Header.Set("Filberthook-Prefix-Hash", fmt.Sprintf("%s%s:%d,%s:%d", id, strings.Repeat("0", idBytes-len(id)), sharedTokens, id, ownTokens))
+	var head bytes.Buffer
+	_ = req.Header.Write(&head)                                                             // writes to a buffer do not fail
+	s.headBytes.Store(max(s.headBytes.Load(), int64(head.Len()+len(req.URL.Path)+len(id)))) // without what the transport adds
+	s.sent.Add(1)
+	sentAt := time.Since(began).Seconds()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		s.noteUnanswered(id, sentAt, kept, err)
 		return
 	}
-	if b.lost.Load() < 100 {
-		record("caller: request %s ended without an answer: %v; kept connection %v, begun %v", id, err, kept, begun)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	events := bytes.Count(body, []byte("id: "))
+	at, _ := s.arrived.Load(id)
+	result := "served"
+	switch {
+	case resp.StatusCode == http.StatusOK && err == nil && events == outputTokens:
+		s.served.Add(1)
+	case resp.StatusCode == http.StatusOK:
+		s.broken.Add(1)
+		result = "broken off"
+	default:
+		s.refused.Add(1)
+		result = "not served"
+	}
+	record("request %s sent at %.3f, %v: %s, status %d, %d events, error %v", id, sentAt, at, result, resp.StatusCode, events, err)
+}
+
+// noteUnanswered records a request that ended without an answer. One whose time was over is none that
+// the entry host closed.
+func (s *seen) noteUnanswered(id string, sentAt float64, kept bool, err error) {
+	s.lost.Add(1)
+	at, passedOn := s.arrived.Load(id)
+	result := "without an answer"
+	if kept && passedOn && !errors.Is(err, context.DeadlineExceeded) {
+		s.cut.Add(1)
+		result = "CUT without an answer"
 	}
+	record("request %s sent at %.3f, %v: %s, kept connection %v, error %v", id, sentAt, at, result, kept, err)
 }
 
-// prefixMemory has callers send bookings within the limits whose prompts have parts with long identifiers, no
+// prefixMemory has callers send requests within the limits whose prompts have parts with long identifiers, no
 // two alike. The platform kills a process that uses more than its memory.
 func prefixMemory(d *deployment, trouble bool) (int, error) {
-	b := &bookings{}
-	if err := startPlain(d, 3, 1, b.work); err != nil {
+	s := &seen{}
+	if err := d.start(4, 1); err != nil {
 		return 0, err
 	}
+	if err := d.startEngines(s); err != nil {
+		return 0, err
+	}
+	if err := d.configure(lmConfig(), 20*time.Second); err != nil {
+		return 0, err
+	}
+	if err := d.ready(20 * time.Second); err != nil {
+		return 0, err
+	}
+	time.Sleep(2 * heartbeat)
 	idBytes := shortID
 	if trouble {
 		idBytes = longID
 	}
-	record("%d callers send POST /book/1 with Filberthook-Prefix-Hash: ID:250,1:10, ID of %d bytes", callers, idBytes)
+	record("%d callers, identifiers of %d bytes", callers, idBytes)
 	ctx, stop := context.WithDeadline(context.Background(), began.Add(prefixMemoryEnd))
 	defer stop()
 	var calling sync.WaitGroup
 	for c := range callers {
-		calling.Go(func() { b.call(ctx, d.front(0), c, idBytes) })
+		calling.Go(func() { s.call(ctx, d.front(0), c, idBytes) })
 	}
 	edge, most, killed := d.entries[0], 0, false
 	for sample := 0; ctx.Err() == nil && !killed; sample++ {
@@ -166,13 +162,13 @@
 		used := edge.anonymousMB()
 		most = max(most, used)
 		if sample%recordEvery == 0 {
-			record("%s: %d MB; requests sent %d, served %d, refused %d, without an answer %d", edge.name, used, b.sent.Load(), b.served.Load(), b.refused.Load(), b.lost.Load())
+			record("%s: %d MB, %.1f s of processor time; requests sent %d, served %d, not served %d, broken off %d, without an answer %d", edge.name, used, edge.processorTime(), s.sent.Load(), s.served.Load(), s.refused.Load(), s.broken.Load(), s.lost.Load())
 		}
 		if edge.hasEnded() {
 			return 0, errors.New("the entry host has ended by itself")
 		}
 		if killed = used > memoryMB; killed {
-			record("platform: %s uses %d MB of %d MB and is killed, after %d requests", edge.name, used, memoryMB, b.sent.Load())
+			record("platform: %s uses %d MB of %d MB and is killed, after %d requests", edge.name, used, memoryMB, s.sent.Load())
 			edge.signal(syscall.SIGKILL)
 		}
 	}
@@ -186,9 +182,14 @@
 		stop()
 	}
 	calling.Wait()
-	record("killed %v, most %d MB, sent %d, served %d; cut from kept connections while a worker ran them: %d", killed, most, b.sent.Load(), b.served.Load(), b.cut.Load())
-	fmt.Printf("killed for its memory: %v, most %d MB, requests sent %d, cut %d\n", killed, most, b.sent.Load(), b.cut.Load())
-	if b.cut.Load() > maxCut {
+	summary := fmt.Sprintf("killed for its memory: %v, most %d MB; sent %d, served %d, not served %d, broken off %d, without an answer %d, of these cut after they were passed on from kept connections %d; largest head %d bytes",
+		killed, most, s.sent.Load(), s.served.Load(), s.refused.Load(), s.broken.Load(), s.lost.Load(), s.cut.Load(), s.headBytes.Load())
+	record("%s", summary)
+	fmt.Println(summary)
+	if s.served.Load() == 0 {
+		return 0, errors.New("nothing was served")
+	}
+	if s.cut.Load() > maxCut {
 		return broken, nil
 	}
 	return held, nil
