--- a/review/third/engine.go
+++ b/review/third/engine.go
@@ -17,7 +17,7 @@
 const (
 	engines        = 18
 	prefillEngines = 6
-	tokensPerMS    = 63.9
+	readTime       = 10 * time.Millisecond / 639 // of a prompt token: 63.9 in a ms
 	stepTime       = 3700 * time.Microsecond
 	switchTime     = 3 * time.Second
 	transferTime   = 1700 * time.Microsecond
@@ -139,7 +139,7 @@
 		notExecuted(w, http.StatusMisdirectedRequest)
 		return
 	}
-	reading := time.Duration(float64(tokens) / tokensPerMS * float64(time.Millisecond))
+	reading := time.Duration(tokens) * readTime
 	if prefill {
 		e.seen.arrive(id, me.id, "prefill")
 		time.Sleep(reading)
