--- a/review/third/deployment.go
+++ b/review/third/deployment.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,12 +44,14 @@
 	entries  []*process
 	mu       sync.Mutex
 	workers  []*worker
+	entryFds int // limit of descriptors of the entry hosts, which then have one core as well; 0 for no limits
 }
 
 // process is one host of the project.
 type process struct {
 	name, role, address string
 	file                string
+	fds                 int // limit of descriptors, 0 for that of this program
 	cmd                 *exec.Cmd
 	ended               chan struct{}
 }
@@ -135,7 +138,7 @@
 		d.controls = append(d.controls, p)
 	}
 	for i := range entries {
-		p := &process{name: fmt.Sprintf("edge-%d", i), role: "entry", address: d.at(11+i, 0)}
+		p := &process{name: fmt.Sprintf("edge-%d", i), role: "entry", address: d.at(11+i, 0), fds: d.entryFds}
 		text := common(p.name, i) + fmt.Sprintf(`peer_port = %d
 grace = "8s"
 [listen]
@@ -176,6 +179,10 @@
 	}
 	defer log.Close()
 	p.cmd = exec.Command("target/filberthook-host", "--settings", p.file, p.role)
+	if p.fds > 0 {
+		p.cmd = exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(p.fds), "target/filberthook-host", "--settings", p.file, p.role)
+		p.cmd.Env = append(os.Environ(), "GOMAXPROCS=1") // as Go sets it itself on a machine with one core
+	}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -34,6 +34,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
 	"prefix-memory": prefixMemory,
 	"options":       options,
+	"small-chunks":  smallChunks,
 }
 
 func main() {
--- a/review/third/prefix_memory.go
+++ b/review/third/prefix_memory.go
@@ -19,10 +19,7 @@
 const (
 	callers         = 24
 	callerPause     = 10 * time.Millisecond // between two requests of a caller
-	sharedTokens    = 350
-	ownTokens       = 1110
 	outputTokens    = 5
-	bodyBytes       = 1500
 	deadline        = 6 * time.Second
 	prefixMemoryEnd = 105 * time.Second      // after the start of the program
 	afterKill       = 2 * time.Second        // in which the cut requests are counted
@@ -34,6 +31,12 @@
 	recordEvery     = 20                     // samples
 )
 
+// prompt is the size of a request to an engine.
+type prompt struct {
+	sharedTokens, ownTokens, bodyBytes int
+	idBytes                            int // of the identifier of its shared part
+}
+
 // lmConfig is a configuration with one route to model engines, as in the example of PROTOCOL.md.
 func lmConfig() map[string]any {
 	return map[string]any{
@@ -59,24 +62,24 @@
 func (s *seen) arrive(id, engine, step string) { s.arrived.Store(id, step+" at "+engine) }
 
 // call has a caller send one request after the other on a kept connection until ctx ends.
-func (s *seen) call(ctx context.Context, front string, caller, idBytes int) {
+func (s *seen) call(ctx context.Context, front string, caller int, p prompt) {
 	transport := &http.Transport{DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
-		s.request(transport, front, fmt.Sprintf("%04x%012x", caller, n), idBytes)
+		s.request(transport, front, fmt.Sprintf("%04x%012x", caller, n), p)
 		time.Sleep(callerPause)
 	}
 }
 
 // request sends one request and records what came of it.
-func (s *seen) request(transport *http.Transport, front, id string, idBytes int) {
+func (s *seen) request(transport *http.Transport, front, id string, p prompt) {
 	kept := false
 	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) { kept = i.Reused },
 	})
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+front+"/needs/1", bytes.NewReader(bytes.Repeat([]byte("b"), bodyBytes)))
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+front+"/needs/1", bytes.NewReader(bytes.Repeat([]byte("b"), p.bodyBytes)))
 	if err != nil {
 		panic(err) // a fault of this program
 	}
@@ -85,8 +88,8 @@
 	req.Header.Set("Filberthook-Request-Id", id)
 	req.Header.Set("Filberthook-Deadline-Ms", "6000")
 	req.Header.Set("Filberthook-Model", "m")
-	req.Header.Set("Filberthook-Token-Usage", fmt.Sprintf("%d,%d", sharedTokens+ownTokens, outputTokens))
-	req.Header.Set("Filberthook-Prefix-Hash", fmt.Sprintf("%s%s:%d,%s:%d", id, strings.Repeat("0", idBytes-len(id)), sharedTokens, id, ownTokens))
+	req.Header.Set("Filberthook-Token-Usage", fmt.Sprintf("%d,%d", p.sharedTokens+p.ownTokens, outputTokens))
+	req.Header.Set("Filberthook-Prefix-Hash", fmt.Sprintf("%s%s:%d,%s:%d", id, strings.Repeat("0", p.idBytes-len(id)), p.sharedTokens, id, p.ownTokens))
 	var head bytes.Buffer
 	_ = req.Header.Write(&head)                                                             // writes to a buffer do not fail
 	s.headBytes.Store(max(s.headBytes.Load(), int64(head.Len()+len(req.URL.Path)+len(id)))) // without what the transport adds
@@ -145,16 +148,16 @@
 		return 0, err
 	}
 	time.Sleep(2 * heartbeat)
-	idBytes := shortID
+	needs := prompt{sharedTokens: 350, ownTokens: 1110, bodyBytes: 1500, idBytes: shortID}
 	if trouble {
-		idBytes = longID
+		needs.idBytes = longID
 	}
-	record("%d callers, identifiers of %d bytes", callers, idBytes)
+	record("%d callers, identifiers of %d bytes", callers, needs.idBytes)
 	ctx, stop := context.WithDeadline(context.Background(), began.Add(prefixMemoryEnd))
 	defer stop()
 	var calling sync.WaitGroup
 	for c := range callers {
-		calling.Go(func() { s.call(ctx, d.front(0), c, idBytes) })
+		calling.Go(func() { s.call(ctx, d.front(0), c, needs) })
 	}
 	edge, most, killed := d.entries[0], 0, false
 	for sample := 0; ctx.Err() == nil && !killed; sample++ {
