--- a/review/third/small_chunks.go
+++ b/review/third/small_chunks.go
@@ -22,13 +22,15 @@
 	crowd         = 2040  // clients that nobody controls, a connection each
 	crowdRate     = 100e6 // bytes a second of all of them together, of the 125e6 of the machine's link
 	crowdPiece    = 60000 // bytes that one of them sends at once: 10,000 chunks
-	crowdPieces   = 4     // of a body
+	crowdPieces   = 20    // of a body
 	crowdDeadline = 6 * time.Second
-	crowdBegins   = 3 * time.Second  // after the ordinary callers have begun
-	crowdEnd      = 75 * time.Second // after the start of the program
-	crowdRetry    = time.Second      // after a connection has ended
-	ordinary      = 10               // callers; the sheet has 10 or 11 for each zone
-	crowdFds      = 4100
+	crowdBegins   = 3 * time.Second        // after the ordinary callers have begun
+	crowdEnd      = 75 * time.Second       // after the start of the program
+	crowdRetry    = time.Second            // after a connection has ended
+	ordinary      = 10                     // callers; the sheet has 10 or 11 for each zone
+	crowdFds      = 3900                   // the sheet's 4,100 without the 200 that are reserved for files
+	crowdBuffer   = 16 << 10               // of a client's sends, so that what is paced is what is sent
+	rateSpan      = 500 * time.Millisecond // over which the crowd's rate is measured
 	maxKills      = 5
 )
 
@@ -53,9 +55,27 @@
 	time.Sleep(time.Until(at))
 }
 
+// rateMeter finds the highest rate over spans of rateSpan or a little more.
+type rateMeter struct {
+	at    []time.Time
+	bytes []int64
+	most  float64 // bytes a second
+}
+
+func (m *rateMeter) sample(now time.Time, bytes int64) {
+	m.at, m.bytes = append(m.at, now), append(m.bytes, bytes)
+	for len(m.at) > 2 && now.Sub(m.at[1]) >= rateSpan {
+		m.at, m.bytes = m.at[1:], m.bytes[1:]
+	}
+	if span := now.Sub(m.at[0]); span >= rateSpan {
+		m.most = max(m.most, float64(bytes-m.bytes[0])/span.Seconds())
+	}
+}
+
 // crowdSeen is what the crowd has seen.
 type crowdSeen struct {
 	pacer   pacer
+	engines *seen
 	piece   []byte
 	bytes   atomic.Int64
 	mu      sync.Mutex
@@ -63,7 +83,8 @@
 }
 
 func (s *crowdSeen) note(id, result string) {
-	record("crowd request %s: %s", id, result)
+	at, _ := s.engines.arrived.Load(id)
+	record("crowd request %s, %v: %s", id, at, result)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.results[result]++
@@ -74,6 +95,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		c, err := net.DialTimeout("tcp", front, time.Second)
 		if err == nil {
+			_ = c.(*net.TCPConn).SetWriteBuffer(crowdBuffer) // fails only if the connection has ended
 			for k := 0; ctx.Err() == nil; k++ {
 				id := fmt.Sprintf("cc%06x%04x%04x", client, n, k)
 				result, again := s.upload(c, id)
@@ -178,7 +200,7 @@
 		})
 	}
 	time.Sleep(crowdBegins)
-	uploads := &crowdSeen{piece: []byte(strings.Repeat(oneByteChunk, crowdPiece/len(oneByteChunk))), results: map[string]int{}}
+	uploads := &crowdSeen{engines: s, piece: []byte(strings.Repeat(oneByteChunk, crowdPiece/len(oneByteChunk))), results: map[string]int{}}
 	if trouble {
 		for c := range crowd {
 			calling.Go(func() { uploads.client(ctx, d.front(0), c) })
@@ -186,9 +208,11 @@
 	}
 	edge := d.entries[0]
 	kills, most, mostOwn, mostUnread := 0, 0, 0, 0
+	var rate rateMeter // of what the crowd has sent, with bytes in its send buffers
 	for sample := 0; ctx.Err() == nil && s.cut.Load() <= maxCut && kills < maxKills; sample++ {
 		time.Sleep(sampleInterval)
 		own, unread := edge.anonymousMB(), edge.unreadMB()
+		rate.sample(time.Now(), uploads.bytes.Load())
 		if edge.hasEnded() {
 			return 0, errors.New("the entry host has ended by itself")
 		}
@@ -197,7 +221,7 @@
 		}
 		if sample%recordEvery == 0 {
 			record("%s: %d MB and %d MB not read, %.1f s of processor time; the crowd has sent %d MB; ordinary requests sent %d, served %d, not served %d, broken off %d, without an answer %d",
-				edge.name, own, unread, edge.processorTime(), uploads.bytes.Load()>>20, s.sent.Load(), s.served.Load(), s.refused.Load(), s.broken.Load(), s.lost.Load())
+				edge.name, own, unread, edge.processorTime(), uploads.bytes.Load()/1e6, s.sent.Load(), s.served.Load(), s.refused.Load(), s.broken.Load(), s.lost.Load())
 		}
 		if own+unread <= memoryMB {
 			continue
@@ -214,8 +238,8 @@
 	}
 	stop()
 	calling.Wait()
-	summary := fmt.Sprintf("killed for its memory %d times, most %d MB (%d and %d not read); crowd %d MB, %v; ordinary requests sent %d, served %d, not served %d, broken off %d, without an answer %d, of these cut after they were passed on from kept connections %d",
-		kills, most, mostOwn, mostUnread, uploads.bytes.Load()>>20, uploads.results, s.sent.Load(), s.served.Load(), s.refused.Load(), s.broken.Load(), s.lost.Load(), s.cut.Load())
+	summary := fmt.Sprintf("killed for its memory %d times, most %d MB (%d and %d not read); crowd %d MB, at most %.0f MB/s in some half second, %v; ordinary requests sent %d, served %d, not served %d, broken off %d, without an answer %d, of these cut after they were passed on from kept connections %d",
+		kills, most, mostOwn, mostUnread, uploads.bytes.Load()/1e6, rate.most/1e6, uploads.results, s.sent.Load(), s.served.Load(), s.refused.Load(), s.broken.Load(), s.lost.Load(), s.cut.Load())
 	record("%s", summary)
 	fmt.Println(summary)
 	if s.served.Load() == 0 {
